--- /dev/null
+++ b/base/status.c
@@ -0,0 +1,131 @@
+/* Status codes with a last message.  */
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/status.h"
+
+enum
+{
+  MESSAGE_BYTES = 512
+};
+
+static char last_message[MESSAGE_BYTES];
+
+static const struct jc_status_row rows[JC_STATUS_COUNT] = {
+  [JC_OK] = { "ok", 200, JC_RUN, JC_RETRY_NEVER },
+  [JC_BAD_REQUEST] = { "bad_request", 400, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_BAD_JSON] = { "bad_json", 400, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_TOO_LARGE] = { "too_large", 413, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_UNAUTHORIZED] = { "unauthorized", 401, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_UNKNOWN_ROUTE] = { "unknown_route", 404, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_RESIDENCY_DENIED]
+  = { "residency_denied", 403, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_DEADLINE_UNMEETABLE]
+  = { "deadline_unmeetable", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_DEADLINE_EXCEEDED]
+  = { "deadline_exceeded", 504, JC_RUN_UNKNOWN, JC_RETRY_NOW },
+  [JC_OVERLOADED] = { "overloaded", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_RATE_LIMITED] = { "rate_limited", 429, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_NO_ENDPOINT] = { "no_endpoint", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_NOT_READY] = { "not_ready", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_DRAINING] = { "draining", 503, JC_NOT_RUN, JC_RETRY_NOW },
+  [JC_BEHIND] = { "behind", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_ENDPOINT_REFUSED]
+  = { "endpoint_refused", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_ENDPOINT_FAILED]
+  = { "endpoint_failed", 502, JC_RUN_UNKNOWN, JC_RETRY_NOW },
+  [JC_STREAM_BROKEN] = { "stream_broken", 502, JC_RUN_UNKNOWN, JC_RETRY_NOW },
+  [JC_LINK_EXHAUSTED] = { "link_exhausted", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_HOME_UNREACHABLE]
+  = { "home_unreachable", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_HOME_RECOVERING] = { "home_recovering", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_KEY_REQUIRED] = { "key_required", 400, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_KEY_CONFLICT] = { "key_conflict", 409, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_KEY_IN_PROGRESS]
+  = { "key_in_progress", 409, JC_RUN_UNKNOWN, JC_RETRY_SAME_KEY },
+  [JC_OUTCOME_UNKNOWN]
+  = { "outcome_unknown", 502, JC_RUN_UNKNOWN, JC_RETRY_SAME_KEY },
+  [JC_VERSION_CONFLICT]
+  = { "version_conflict", 409, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_CHECK_FAILED] = { "check_failed", 422, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_NOT_LEADER] = { "not_leader", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_STORAGE_FAILED]
+  = { "storage_failed", 503, JC_RUN_UNKNOWN, JC_RETRY_SAME_KEY },
+  [JC_CORRUPT] = { "corrupt", 500, JC_RUN_UNKNOWN, JC_RETRY_NEVER },
+  [JC_TIMEOUT] = { "timeout", 504, JC_RUN_UNKNOWN, JC_RETRY_NOW },
+  [JC_CANCELLED] = { "cancelled", 499, JC_RUN_UNKNOWN, JC_RETRY_NEVER },
+  [JC_NOT_FOUND] = { "not_found", 404, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_BAD_SETTINGS] = { "bad_settings", 500, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_USAGE] = { "usage", 400, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_UNREACHABLE] = { "unreachable", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_INTERNAL] = { "internal", 500, JC_RUN_UNKNOWN, JC_RETRY_NEVER },
+};
+
+/* Return the table row of STATUS.  An unlisted value reads as internal.  */
+const struct jc_status_row *
+jc_status_row (enum jc_status status)
+{
+  if ((unsigned int)status >= JC_STATUS_COUNT)
+    return &rows[JC_INTERNAL];
+  return &rows[status];
+}
+
+/* Return the stable name of STATUS, as callers and logs see it.  */
+const char *
+jc_status_name (enum jc_status status)
+{
+  return jc_status_row (status)->name;
+}
+
+/* Return the status called NAME, or JC_INTERNAL where there is none.  */
+enum jc_status
+jc_status_by_name (const char *name)
+{
+  for (int i = 0; i < JC_STATUS_COUNT; i++)
+    if (strcmp (rows[i].name, name) == 0)
+      return (enum jc_status)i;
+  return JC_INTERNAL;
+}
+
+/* Return the name of RUN as answers carry it.  */
+const char *
+jc_run_state_name (enum jc_run_state run)
+{
+  static const char *const names[] = {
+    [JC_NOT_RUN] = "not_run", [JC_RUN_UNKNOWN] = "unknown", [JC_RUN] = "run"
+  };
+  return names[run];
+}
+
+/* Return the name of RULE as answers carry it.  */
+const char *
+jc_retry_rule_name (enum jc_retry_rule rule)
+{
+  static const char *const names[] = { [JC_RETRY_NEVER] = "never",
+                                       [JC_RETRY_NOW] = "now",
+                                       [JC_RETRY_AFTER] = "after",
+                                       [JC_RETRY_SAME_KEY] = "same_key" };
+  return names[rule];
+}
+
+/* Set the last message from FMT and return STATUS, so that a function can
+   end with `return jc_fail (...)`.  A message over 511 bytes is cut.  */
+enum jc_status
+jc_fail (enum jc_status status, const char *fmt, ...)
+{
+  va_list ap;
+
+  va_start (ap, fmt);
+  vsnprintf (last_message, sizeof last_message, fmt, ap);
+  va_end (ap);
+  return status;
+}
+
+/* Return the message of the last failure in this process.  */
+const char *
+jc_last_message (void)
+{
+  return last_message;
+}
--- /dev/null
+++ b/entry/main.c
@@ -0,0 +1,166 @@
+/* jaycove-entry: an entry instance.  */
+
+#include <signal.h>
+
+#include "base/log.h"
+#include "entry/entry.h"
+#include "net/program.h"
+
+#define PART "entry"
+
+enum
+{
+  EXPIRE_MS = 250,
+  MS_PER_S = 1000
+};
+
+static void
+on_up (void *ctx, struct jc_rpc_conn *conn)
+{
+  follower_up (ctx, conn);
+}
+
+static void
+on_packet (void *ctx, struct jc_rpc_conn *conn, const struct rpc_packet *packet)
+{
+  follower_packet (ctx, conn, packet);
+}
+
+static const struct jc_rpc_class rpc_class
+    = { .up = on_up, .packet = on_packet };
+
+static void
+on_expire (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct entry *entry = watcher->data;
+
+  (void)events;
+  jc_members_expire (entry->members, jc_now_ms ());
+  if (entry->draining && entry->in_flight == 0)
+    ev_break (loop, EVBREAK_ALL);
+}
+
+static void
+on_term (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  struct entry *entry = watcher->data;
+
+  (void)loop;
+  (void)events;
+  if (entry->draining)
+    return;
+  entry->draining = true;
+  jc_info (PART, "Draining %u requests.", entry->in_flight);
+}
+
+static void
+dial_peers (struct entry *entry, const GPtrArray *peers)
+{
+  for (guint i = 0; i < peers->len; i++)
+    {
+      const struct jc_peer *peer = g_ptr_array_index (peers, i);
+
+      jc_rpc_dial (entry->rpc, peer->name, peer->rpc);
+    }
+}
+
+static enum jc_status
+start_tasks (struct entry *entry)
+{
+  const struct jc_entry_settings *s = entry->settings;
+  struct jc_rpc_identity identity = { .group = s->group,
+                                      .name = s->name,
+                                      .role = "entry",
+                                      .region = s->region,
+                                      .zone = s->availability_zone,
+                                      .key_hex = s->group_key,
+                                      .incarnation = jc_random_id (),
+                                      .heartbeat_ms = s->heartbeat_ms,
+                                      .silent_ms = s->silent_ms };
+
+  if (!jc_policy_init (&entry->policy, s->policy))
+    return jc_fail (JC_BAD_SETTINGS, "settings.policy: unknown policy %s.",
+                    s->policy);
+  entry->httpc = jc_httpc_new (entry->loop);
+  entry->rpc = jc_rpc_new (entry->loop, &identity, &rpc_class, entry);
+  if (jc_rpc_listen (entry->rpc, s->rpc) != JC_OK)
+    return JC_UNREACHABLE;
+  entry->callers = callers_listen (entry);
+  entry->operators = operators_listen (entry);
+  if (entry->callers == NULL || entry->operators == NULL)
+    return JC_UNREACHABLE;
+  dial_peers (entry, s->state_peers);
+  dial_peers (entry, s->entry_peers);
+  return JC_OK;
+}
+
+static void
+stop_tasks (struct entry *entry)
+{
+  jc_httpd_free (entry->callers);
+  jc_httpd_free (entry->operators);
+  if (entry->rpc != NULL)
+    jc_rpc_free (entry->rpc);
+  if (entry->httpc != NULL)
+    jc_httpc_free (entry->httpc);
+  jc_members_free (entry->members);
+  jc_metrics_free (entry->metrics);
+  jc_config_free (entry->config);
+}
+
+static void
+run (struct entry *entry)
+{
+  ev_timer expire;
+  ev_signal term;
+  ev_signal interrupt;
+
+  ev_timer_init (&expire, on_expire, (double)EXPIRE_MS / MS_PER_S,
+                 (double)EXPIRE_MS / MS_PER_S);
+  ev_signal_init (&term, on_term, SIGTERM);
+  ev_signal_init (&interrupt, on_term, SIGINT);
+  expire.data = entry;
+  term.data = entry;
+  interrupt.data = entry;
+  ev_timer_start (entry->loop, &expire);
+  ev_signal_start (entry->loop, &term);
+  ev_signal_start (entry->loop, &interrupt);
+  jc_info (PART, "Serving callers at port %d.", jc_httpd_port (entry->callers));
+  ev_run (entry->loop, 0);
+  jc_info (PART, "Stopped.");
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct jc_program program
+      = { .name = "jaycove-entry",
+          .purpose = "Serves callers and routes their requests to endpoints.",
+          .table = &jc_entry_settings_table };
+  struct entry entry = { 0 };
+  void *settings = NULL;
+  int code;
+
+  if (!jc_program_start (&program, argc, argv, NULL, &settings, &code))
+    {
+      jc_table_free (program.table, settings);
+      return code;
+    }
+  entry.settings = settings;
+  jc_log_setup (jc_log_level_by_name (entry.settings->log_level),
+                entry.settings->log_json);
+  entry.loop = ev_default_loop (0);
+  entry.config = jc_config_empty ();
+  entry.members = jc_members_new ();
+  entry.metrics = jc_metrics_new ();
+  if (start_tasks (&entry) == JC_OK)
+    run (&entry);
+  else
+    {
+      jc_error (PART, "%s", jc_last_message ());
+      code = JC_EXIT_FAILED;
+    }
+  stop_tasks (&entry);
+  jc_table_free (program.table, settings);
+  return code;
+}
--- /dev/null
+++ b/entry/operators.c
@@ -0,0 +1,178 @@
+/* Listener for operators.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/entry.h"
+
+enum
+{
+  SUBMIT_MS = 5000,
+  RETRY_AFTER_MS = 1000,
+  BODY_MAX = 16 * 1024 * 1024
+};
+
+static enum jc_status
+operators_head (void *ctx, struct jc_http_req *req)
+{
+  struct entry *entry = ctx;
+  const char *token = http_bearer (req);
+
+  if (token == NULL || strcmp (token, entry->settings->operator_token) != 0)
+    return jc_fail (JC_UNAUTHORIZED, "The operator's token is wrong.");
+  return JC_OK;
+}
+
+/* A submission under way; REQ is NULL once its operator has gone.  */
+struct submission
+{
+  struct jc_http_req *req;
+};
+
+static void
+on_submit_reply (void *ctx, enum jc_status status,
+                 const struct rpc_packet *reply)
+{
+  struct submission *submission = ctx;
+  struct jc_http_req *req = submission->req;
+  const struct rpc_submit_reply *said;
+  char *text;
+
+  g_free (submission);
+  if (req == NULL)
+    return;
+  jc_http_set_data (req, NULL);
+  if (status != JC_OK)
+    {
+      jc_http_fail (req, JC_OUTCOME_UNKNOWN,
+                    "No answer in time; send the same change id again.", 0);
+      return;
+    }
+  said = &reply->body.rpc_body_u.submit_reply;
+  text = g_strdup_printf (
+      "{\"status\":\"%s\",\"version\":%" G_GUINT64_FORMAT ",\"faults\":%.*s}",
+      jc_status_name ((enum jc_status)said->status), said->at_version,
+      said->faults.rpc_bytes_len > 0 ? (int)said->faults.rpc_bytes_len : 2,
+      said->faults.rpc_bytes_len > 0 ? said->faults.rpc_bytes_val : "[]");
+  jc_http_reply (req, jc_status_row ((enum jc_status)said->status)->http,
+                 "application/json", jc_str_from (text), NULL);
+  g_free (text);
+}
+
+static void
+handle_submit (struct entry *entry, struct jc_http_req *req)
+{
+  struct rpc_packet packet = { .body.type = RPC_SUBMIT };
+  struct rpc_submit *submit = &packet.body.rpc_body_u.submit;
+  const char *expected = jc_http_query (req, "expected_version");
+  const char *id = jc_http_query (req, "change_id");
+  struct jc_str body = jc_http_body (req);
+  struct submission *submission;
+
+  if (expected == NULL || id == NULL)
+    {
+      jc_http_fail (req, JC_BAD_REQUEST,
+                    "expected_version and change_id are needed.", 0);
+      return;
+    }
+  submit->change_id = (char *)id;
+  submit->author = "operator";
+  submit->expected_version = strtoull (expected, NULL, 10);
+  submit->json.rpc_bytes_val = (char *)body.data;
+  submit->json.rpc_bytes_len = (u_int)body.len;
+  submission = g_new0 (struct submission, 1);
+  submission->req = req;
+  if (jc_rpc_call (follower_state_conn (entry), &packet, SUBMIT_MS,
+                   on_submit_reply, submission)
+      != 0)
+    {
+      jc_http_set_data (req, submission);
+      return;
+    }
+  g_free (submission);
+  jc_http_fail (req, JC_NOT_READY, "No state instance is reachable.",
+                RETRY_AFTER_MS);
+}
+
+static void
+handle_status (struct entry *entry, struct jc_http_req *req)
+{
+  char *text = g_strdup_printf (
+      "{\"name\":\"%s\",\"config_version\":%" G_GUINT64_FORMAT
+      ",\"endpoints\":%u,\"in_flight\":%u,\"draining\":%s}",
+      entry->settings->name, entry->config->version,
+      jc_members_count (entry->members), entry->in_flight,
+      entry->draining ? "true" : "false");
+
+  jc_http_reply (req, 200, "application/json", jc_str_from (text), NULL);
+  g_free (text);
+}
+
+static void
+handle_metrics (struct entry *entry, struct jc_http_req *req)
+{
+  GString *out = g_string_new (NULL);
+
+  jc_metrics_print (entry->metrics, out);
+  jc_http_reply (req, 200, "text/plain; version=0.0.4", jc_str_of (out), NULL);
+  g_string_free (out, TRUE);
+}
+
+static void
+handle_config (struct entry *entry, struct jc_http_req *req)
+{
+  char *text = json_dumps (entry->config->json, JSON_COMPACT);
+
+  jc_http_reply (req, 200, "application/json", jc_str_from (text), NULL);
+  free (text);
+}
+
+/* One request that operators may make.  */
+struct operator_verb
+{
+  const char *method;
+  const char *path;
+  void (*handle) (struct entry *entry, struct jc_http_req *req);
+};
+
+static const struct operator_verb verbs[]
+    = { { "POST", "/config", handle_submit },
+        { "GET", "/config", handle_config },
+        { "GET", "/status", handle_status },
+        { "GET", "/metrics", handle_metrics } };
+
+static void
+operators_body (void *ctx, struct jc_http_req *req)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (verbs); i++)
+    if (strcmp (verbs[i].path, jc_http_path (req)) == 0
+        && strcmp (verbs[i].method, jc_http_method (req)) == 0)
+      {
+        verbs[i].handle (ctx, req);
+        return;
+      }
+  jc_http_fail (req, JC_NOT_FOUND, "There is no such request.", 0);
+}
+
+/* The operator closed its connection; a late reply must not touch REQ.  */
+static void
+operators_gone (void *ctx, struct jc_http_req *req)
+{
+  struct submission *submission = jc_http_data (req);
+
+  (void)ctx;
+  if (submission != NULL)
+    submission->req = NULL;
+}
+
+/* Open the listener for operators.  */
+struct jc_httpd *
+operators_listen (struct entry *entry)
+{
+  static const struct jc_httpd_class klass = { .head = operators_head,
+                                               .body = operators_body,
+                                               .gone = operators_gone };
+
+  return jc_httpd_new (entry->loop, entry->settings->operators, &klass, entry,
+                       BODY_MAX);
+}
--- /dev/null
+++ b/net/httpc.h
@@ -0,0 +1,60 @@
+/* HTTP client task: libcurl's multi interface carried by a libev loop.  */
+
+#ifndef JC_HTTPC_H
+#define JC_HTTPC_H
+
+#include <ev.h>
+#include <stdbool.h>
+
+#include "base/status.h"
+#include "base/str.h"
+
+struct jc_httpc;
+struct jc_call;
+
+/* What to ask.  Times are in ms, 0 for no limit; HEADERS is a NULL-ended
+   list of "Name: value" or NULL.  FRESH asks for a connection of its own
+   that is never pooled, so that libcurl can't send a request twice.  */
+struct jc_call_spec
+{
+  const char *method;
+  const char *url;
+  const char *const *headers;
+  struct jc_str body;
+  long connect_ms;
+  long first_byte_ms;
+  long idle_ms;
+  long total_ms;
+  bool fresh;
+};
+
+/* How a call ended.  STATUS is JC_OK where the whole answer came, whatever
+   HTTP says; SENT is false only where no byte of the request can have reached
+   the peer; FRAMED tells that the answer's length was known or chunked.  */
+struct jc_call_result
+{
+  enum jc_status status;
+  int http;
+  bool sent;
+  bool framed;
+  const char *message;
+};
+
+/* Where a call's events go.  HEAD and DATA may be NULL.  After DONE the call
+   is gone.  */
+struct jc_call_ops
+{
+  void (*head) (void *ctx, int http, const char *content_type);
+  void (*data) (void *ctx, struct jc_str data);
+  void (*done) (void *ctx, const struct jc_call_result *result);
+};
+
+struct jc_httpc *jc_httpc_new (struct ev_loop *loop);
+void jc_httpc_free (struct jc_httpc *httpc);
+struct jc_call *jc_call_start (struct jc_httpc *httpc,
+                               const struct jc_call_spec *spec,
+                               const struct jc_call_ops *ops, void *ctx);
+void jc_call_cancel (struct jc_call *call);
+void jc_call_pause (struct jc_call *call, bool paused);
+
+#endif
--- /dev/null
+++ b/net/httpd.h
@@ -0,0 +1,61 @@
+/* HTTP server task: a listener of libmicrohttpd carried by a libev loop.  */
+
+#ifndef JC_HTTPD_H
+#define JC_HTTPD_H
+
+#include <ev.h>
+#include <stdbool.h>
+
+#include "base/status.h"
+#include "base/str.h"
+
+struct jc_httpd;
+struct jc_http_req;
+
+/* What a listener does with its requests.  Each request is handed over by
+   HEAD (before its body is read) and BODY (all read); then it is owned by
+   the callee until answered by jc_http_reply or jc_http_stream_end, or until
+   GONE says that the peer closed.  */
+struct jc_httpd_class
+{
+  enum jc_status (*head) (void *ctx, struct jc_http_req *req);
+  void (*body) (void *ctx, struct jc_http_req *req);
+  void (*gone) (void *ctx, struct jc_http_req *req);
+  void (*room) (void *ctx, struct jc_http_req *req);
+};
+
+/* One header of an answer; the list ends with a NULL name.  */
+struct jc_http_header
+{
+  const char *name;
+  const char *value;
+};
+
+struct jc_httpd *jc_httpd_new (struct ev_loop *loop, const char *address,
+                               const struct jc_httpd_class *klass, void *ctx,
+                               size_t max_body);
+void jc_httpd_free (struct jc_httpd *httpd);
+void jc_httpd_quiesce (struct jc_httpd *httpd);
+unsigned int jc_httpd_connections (const struct jc_httpd *httpd);
+int jc_httpd_port (const struct jc_httpd *httpd);
+
+const char *jc_http_method (const struct jc_http_req *req);
+const char *jc_http_path (const struct jc_http_req *req);
+const char *jc_http_header (const struct jc_http_req *req, const char *name);
+const char *jc_http_query (const struct jc_http_req *req, const char *name);
+struct jc_str jc_http_body (const struct jc_http_req *req);
+void jc_http_set_data (struct jc_http_req *req, void *data);
+void *jc_http_data (const struct jc_http_req *req);
+
+void jc_http_reply (struct jc_http_req *req, int http, const char *content_type,
+                    struct jc_str body, const struct jc_http_header *headers);
+void jc_http_fail (struct jc_http_req *req, enum jc_status status,
+                   const char *message, unsigned int retry_after_ms);
+void jc_http_stream_begin (struct jc_http_req *req, int http,
+                           const char *content_type,
+                           const struct jc_http_header *headers);
+void jc_http_stream_write (struct jc_http_req *req, struct jc_str data);
+size_t jc_http_stream_buffered (const struct jc_http_req *req);
+void jc_http_stream_end (struct jc_http_req *req, bool whole);
+
+#endif
--- /dev/null
+++ b/net/program.c
@@ -0,0 +1,110 @@
+/* What all programs share.  */
+
+#include <argtable2.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <time.h>
+
+#include "net/program.h"
+
+enum
+{
+  MS_PER_S = 1000,
+  NS_PER_MS = 1000000
+};
+
+/* Return the monotonic time in ms.  */
+int64_t
+jc_now_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
+}
+
+/* Return a random number other than 0, for incarnations.  */
+uint64_t
+jc_random_id (void)
+{
+  uint64_t id;
+
+  do
+    randombytes_buf (&id, sizeof id);
+  while (id == 0);
+  return id;
+}
+
+static void *
+load_settings (const struct jc_program *program, const char *file)
+{
+  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+  void *settings = jc_table_load (program->table, file, faults);
+
+  for (guint i = 0; i < faults->len; i++)
+    fprintf (stderr, "%s: %s\n", program->name,
+             (const char *)g_ptr_array_index (faults, i));
+  if (faults->len > 0)
+    {
+      jc_table_free (program->table, settings);
+      settings = NULL;
+    }
+  g_ptr_array_free (faults, TRUE);
+  return settings;
+}
+
+/* Read the options of a daemon and load its settings.  Return true where it
+   shall run, else set EXIT_CODE.  BOOTSTRAP is NULL where the daemon has no
+   such option.  */
+bool
+jc_program_start (const struct jc_program *program, int argc, char **argv,
+                  bool *bootstrap, void **settings, int *exit_code)
+{
+  struct arg_lit *help = arg_lit0 (NULL, "help", "print this and exit");
+  struct arg_lit *version = arg_lit0 (NULL, "version", "print the version");
+  struct arg_lit *check
+      = arg_lit0 (NULL, "check-settings", "check the settings and exit");
+  struct arg_lit *boot
+      = arg_lit0 (NULL, "bootstrap", "found a new group (first start only)");
+  struct arg_file *file = arg_file0 (NULL, "settings", "FILE", "settings");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { help, version, check, file, boot, end };
+  int errors;
+  bool run = false;
+
+  if (bootstrap == NULL)
+    table[4] = arg_rem (NULL, NULL);
+  errors = arg_parse (argc, argv, table);
+  *exit_code = JC_EXIT_OK;
+  signal (SIGPIPE, SIG_IGN);
+  if (sodium_init () < 0)
+    *exit_code = JC_EXIT_FAILED;
+  else if (help->count > 0)
+    {
+      printf ("Usage: %s", program->name);
+      arg_print_syntax (stdout, table, "\n");
+      printf ("%s\n\n", program->purpose);
+      arg_print_glossary (stdout, table, "  %-24s %s\n");
+    }
+  else if (version->count > 0)
+    printf ("%s %s\n", program->name, JC_VERSION);
+  else if (errors > 0 || file->count == 0)
+    {
+      arg_print_errors (stderr, end, program->name);
+      fprintf (stderr, "%s: --settings FILE is needed; see --help\n",
+               program->name);
+      *exit_code = JC_EXIT_USAGE;
+    }
+  else
+    {
+      *settings = load_settings (program, file->filename[0]);
+      if (*settings == NULL)
+        *exit_code = JC_EXIT_SETTINGS;
+      run = *settings != NULL && check->count == 0;
+      if (bootstrap != NULL)
+        *bootstrap = boot->count > 0;
+    }
+  arg_freetable (table, sizeof table / sizeof *table);
+  return run;
+}
--- /dev/null
+++ b/net/rpc.h
@@ -0,0 +1,81 @@
+/* RPC task: XDR records between the processes of a group over TCP, with
+   authenticated peers, heartbeats both ways and replacement of silent
+   connections.  */
+
+#ifndef JC_RPC_H
+#define JC_RPC_H
+
+#include <ev.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/status.h"
+#include "schema/gen/messages.h"
+
+struct jc_rpc;
+struct jc_rpc_conn;
+
+/* Who this process is and how it speaks to its peers.  Times are in ms.  */
+struct jc_rpc_identity
+{
+  const char *group;
+  const char *name;
+  const char *role;
+  const char *region;
+  const char *zone;
+  const char *key_hex;
+  uint64_t incarnation;
+  long heartbeat_ms;
+  long silent_ms;
+};
+
+/* What a process does with its connections' events.  PACKET gets what no
+   pending call waits for and may not keep the packet.  */
+struct jc_rpc_class
+{
+  void (*up) (void *ctx, struct jc_rpc_conn *conn);
+  void (*down) (void *ctx, struct jc_rpc_conn *conn);
+  void (*packet) (void *ctx, struct jc_rpc_conn *conn,
+                  const struct rpc_packet *packet);
+};
+
+/* Gets the reply to a call, or NULL with the STATUS that took its place.  */
+typedef void jc_rpc_reply_fn (void *ctx, enum jc_status status,
+                              const struct rpc_packet *reply);
+
+struct jc_rpc *jc_rpc_new (struct ev_loop *loop,
+                           const struct jc_rpc_identity *identity,
+                           const struct jc_rpc_class *klass, void *ctx);
+void jc_rpc_free (struct jc_rpc *rpc);
+enum jc_status jc_rpc_listen (struct jc_rpc *rpc, const char *address);
+int jc_rpc_port (const struct jc_rpc *rpc);
+void jc_rpc_dial (struct jc_rpc *rpc, const char *name, const char *address);
+void jc_rpc_hang_up (struct jc_rpc *rpc, const char *name);
+void jc_rpc_set_config_version (struct jc_rpc *rpc, uint64_t version);
+uint64_t jc_rpc_incarnation (const struct jc_rpc *rpc);
+struct jc_rpc_conn *jc_rpc_find (struct jc_rpc *rpc, const char *name);
+uint64_t jc_rpc_bytes_sent (const struct jc_rpc *rpc);
+
+const char *jc_rpc_conn_name (const struct jc_rpc_conn *conn);
+const char *jc_rpc_conn_role (const struct jc_rpc_conn *conn);
+const char *jc_rpc_conn_region (const struct jc_rpc_conn *conn);
+const char *jc_rpc_conn_zone (const struct jc_rpc_conn *conn);
+uint64_t jc_rpc_conn_incarnation (const struct jc_rpc_conn *conn);
+size_t jc_rpc_conn_backlog (const struct jc_rpc_conn *conn);
+
+enum jc_status jc_rpc_send (struct jc_rpc_conn *conn,
+                            struct rpc_packet *packet);
+uint64_t jc_rpc_call (struct jc_rpc_conn *conn, struct rpc_packet *packet,
+                      long timeout_ms, jc_rpc_reply_fn *reply, void *ctx);
+void jc_rpc_forget (struct jc_rpc *rpc, uint64_t xid);
+enum jc_status jc_rpc_answer (struct jc_rpc_conn *conn,
+                              const struct rpc_packet *question,
+                              struct rpc_packet *answer);
+enum jc_status jc_rpc_answer_failure (struct jc_rpc_conn *conn,
+                                      const struct rpc_packet *question,
+                                      enum jc_status status,
+                                      const char *message,
+                                      unsigned int retry_after_ms);
+
+#endif
--- /dev/null
+++ b/schema/gen/objects.c
@@ -0,0 +1,535 @@
+/* Field tables.  Generated from schema/schema.json.  */
+
+#include <stddef.h>
+
+#include "schema/gen/objects.h"
+
+static const struct jc_field peer_fields[] = {
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_peer, name),
+    .required = true },
+  { .key = "rpc",
+    .kind = JC_FIELD_ADDRESS,
+    .offset = offsetof (struct jc_peer, rpc),
+    .required = true },
+  { .key = "region",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_peer, region),
+    .required = true },
+  { .key = "availability_zone",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_peer, availability_zone),
+    .required = true },
+};
+
+const struct jc_table jc_peer_table = {
+  .name = "peer",
+  .size = sizeof (struct jc_peer),
+  .fields = peer_fields,
+  .count = sizeof peer_fields / sizeof *peer_fields
+};
+
+static const struct jc_field entry_settings_fields[] = {
+  { .key = "group",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_entry_settings, group),
+    .required = true },
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_entry_settings, name),
+    .required = true },
+  { .key = "region",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_entry_settings, region),
+    .required = true },
+  { .key = "availability_zone",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_entry_settings, availability_zone),
+    .required = true },
+  { .key = "callers",
+    .kind = JC_FIELD_ADDRESS,
+    .offset = offsetof (struct jc_entry_settings, callers),
+    .required = true },
+  { .key = "operators",
+    .kind = JC_FIELD_ADDRESS,
+    .offset = offsetof (struct jc_entry_settings, operators),
+    .required = true },
+  { .key = "rpc",
+    .kind = JC_FIELD_ADDRESS,
+    .offset = offsetof (struct jc_entry_settings, rpc),
+    .required = true },
+  { .key = "group_key",
+    .kind = JC_FIELD_SECRET,
+    .offset = offsetof (struct jc_entry_settings, group_key),
+    .required = true },
+  { .key = "operator_token",
+    .kind = JC_FIELD_STRING,
+    .offset = offsetof (struct jc_entry_settings, operator_token),
+    .required = true },
+  { .key = "endpoint_token",
+    .kind = JC_FIELD_STRING,
+    .offset = offsetof (struct jc_entry_settings, endpoint_token) },
+  { .key = "policy",
+    .kind = JC_FIELD_STRING,
+    .offset = offsetof (struct jc_entry_settings, policy),
+    .preset_text = "predicted" },
+  { .key = "lease_ms",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_entry_settings, lease_ms),
+    .min = 500,
+    .max = 60000,
+    .preset = 3000 },
+  { .key = "heartbeat_ms",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_entry_settings, heartbeat_ms),
+    .min = 50,
+    .max = 10000,
+    .preset = 500 },
+  { .key = "silent_ms",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_entry_settings, silent_ms),
+    .min = 200,
+    .max = 60000,
+    .preset = 2000 },
+  { .key = "drain_limit_ms",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_entry_settings, drain_limit_ms),
+    .min = 0,
+    .max = 86400000,
+    .preset = 600000 },
+  { .key = "max_body_bytes",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_entry_settings, max_body_bytes),
+    .min = 1024,
+    .max = 16777216,
+    .preset = 4194304 },
+  { .key = "log_level",
+    .kind = JC_FIELD_STRING,
+    .offset = offsetof (struct jc_entry_settings, log_level),
+    .preset_text = "info" },
+  { .key = "log_json",
+    .kind = JC_FIELD_BOOL,
+    .offset = offsetof (struct jc_entry_settings, log_json),
+    .preset = 0 },
+  { .key = "state_peers",
+    .kind = JC_FIELD_LIST,
+    .offset = offsetof (struct jc_entry_settings, state_peers),
+    .required = true,
+    .table = &jc_peer_table },
+  { .key = "entry_peers",
+    .kind = JC_FIELD_LIST,
+    .offset = offsetof (struct jc_entry_settings, entry_peers),
+    .table = &jc_peer_table },
+};
+
+const struct jc_table jc_entry_settings_table = {
+  .name = "entry_settings",
+  .size = sizeof (struct jc_entry_settings),
+  .fields = entry_settings_fields,
+  .count = sizeof entry_settings_fields / sizeof *entry_settings_fields
+};
+
+static const struct jc_field state_settings_fields[] = {
+  { .key = "group",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_state_settings, group),
+    .required = true },
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_state_settings, name),
+    .required = true },
+  { .key = "region",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_state_settings, region),
+    .required = true },
+  { .key = "availability_zone",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_state_settings, availability_zone),
+    .required = true },
+  { .key = "rpc",
+    .kind = JC_FIELD_ADDRESS,
+    .offset = offsetof (struct jc_state_settings, rpc),
+    .required = true },
+  { .key = "operators",
+    .kind = JC_FIELD_ADDRESS,
+    .offset = offsetof (struct jc_state_settings, operators),
+    .required = true },
+  { .key = "group_key",
+    .kind = JC_FIELD_SECRET,
+    .offset = offsetof (struct jc_state_settings, group_key),
+    .required = true },
+  { .key = "operator_token",
+    .kind = JC_FIELD_STRING,
+    .offset = offsetof (struct jc_state_settings, operator_token),
+    .required = true },
+  { .key = "data_folder",
+    .kind = JC_FIELD_STRING,
+    .offset = offsetof (struct jc_state_settings, data_folder),
+    .required = true },
+  { .key = "heartbeat_ms",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_state_settings, heartbeat_ms),
+    .min = 50,
+    .max = 10000,
+    .preset = 500 },
+  { .key = "silent_ms",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_state_settings, silent_ms),
+    .min = 200,
+    .max = 60000,
+    .preset = 2000 },
+  { .key = "election_ms",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_state_settings, election_ms),
+    .min = 100,
+    .max = 60000,
+    .preset = 1500 },
+  { .key = "snapshot_entries",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_state_settings, snapshot_entries),
+    .min = 16,
+    .max = 1000000,
+    .preset = 1000 },
+  { .key = "log_level",
+    .kind = JC_FIELD_STRING,
+    .offset = offsetof (struct jc_state_settings, log_level),
+    .preset_text = "info" },
+  { .key = "log_json",
+    .kind = JC_FIELD_BOOL,
+    .offset = offsetof (struct jc_state_settings, log_json),
+    .preset = 0 },
+  { .key = "state_peers",
+    .kind = JC_FIELD_LIST,
+    .offset = offsetof (struct jc_state_settings, state_peers),
+    .table = &jc_peer_table },
+};
+
+const struct jc_table jc_state_settings_table = {
+  .name = "state_settings",
+  .size = sizeof (struct jc_state_settings),
+  .fields = state_settings_fields,
+  .count = sizeof state_settings_fields / sizeof *state_settings_fields
+};
+
+static const struct jc_field region_fields[] = {
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_region, name),
+    .required = true },
+};
+
+const struct jc_table jc_region_table = {
+  .name = "region",
+  .size = sizeof (struct jc_region),
+  .fields = region_fields,
+  .count = sizeof region_fields / sizeof *region_fields
+};
+
+static const struct jc_field availability_zone_fields[] = {
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_availability_zone, name),
+    .required = true },
+  { .key = "region",
+    .kind = JC_FIELD_REF,
+    .offset = offsetof (struct jc_availability_zone, region),
+    .required = true,
+    .target = "region" },
+};
+
+const struct jc_table jc_availability_zone_table = {
+  .name = "availability_zone",
+  .size = sizeof (struct jc_availability_zone),
+  .fields = availability_zone_fields,
+  .count = sizeof availability_zone_fields / sizeof *availability_zone_fields
+};
+
+static const struct jc_field instance_fields[] = {
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_instance, name),
+    .required = true },
+  { .key = "availability_zone",
+    .kind = JC_FIELD_REF,
+    .offset = offsetof (struct jc_instance, availability_zone),
+    .required = true,
+    .target = "availability_zone" },
+  { .key = "weight",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_instance, weight),
+    .min = 0,
+    .max = 1000,
+    .preset = 100 },
+};
+
+const struct jc_table jc_instance_table = {
+  .name = "instance",
+  .size = sizeof (struct jc_instance),
+  .fields = instance_fields,
+  .count = sizeof instance_fields / sizeof *instance_fields
+};
+
+static const struct jc_field service_fields[] = {
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_service, name),
+    .required = true },
+  { .key = "engine",
+    .kind = JC_FIELD_BOOL,
+    .offset = offsetof (struct jc_service, engine),
+    .preset = 0 },
+  { .key = "fencing",
+    .kind = JC_FIELD_BOOL,
+    .offset = offsetof (struct jc_service, fencing),
+    .preset = 0 },
+};
+
+const struct jc_table jc_service_table = {
+  .name = "service",
+  .size = sizeof (struct jc_service),
+  .fields = service_fields,
+  .count = sizeof service_fields / sizeof *service_fields
+};
+
+static const struct jc_field model_version_fields[] = {
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_model_version, name),
+    .required = true },
+  { .key = "service",
+    .kind = JC_FIELD_REF,
+    .offset = offsetof (struct jc_model_version, service),
+    .required = true,
+    .target = "service" },
+};
+
+const struct jc_table jc_model_version_table = {
+  .name = "model_version",
+  .size = sizeof (struct jc_model_version),
+  .fields = model_version_fields,
+  .count = sizeof model_version_fields / sizeof *model_version_fields
+};
+
+static const struct jc_field residency_fields[] = {
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_residency, name),
+    .required = true },
+  { .key = "regions",
+    .kind = JC_FIELD_REFS,
+    .offset = offsetof (struct jc_residency, regions),
+    .required = true,
+    .target = "region" },
+};
+
+const struct jc_table jc_residency_table = {
+  .name = "residency",
+  .size = sizeof (struct jc_residency),
+  .fields = residency_fields,
+  .count = sizeof residency_fields / sizeof *residency_fields
+};
+
+static const struct jc_field priority_fields[] = {
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_priority, name),
+    .required = true },
+  { .key = "level",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_priority, level),
+    .min = 0,
+    .max = 9,
+    .preset = 5 },
+};
+
+const struct jc_table jc_priority_table = {
+  .name = "priority",
+  .size = sizeof (struct jc_priority),
+  .fields = priority_fields,
+  .count = sizeof priority_fields / sizeof *priority_fields
+};
+
+static const struct jc_field limit_fields[] = {
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_limit, name),
+    .required = true },
+  { .key = "requests_per_s",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_limit, requests_per_s),
+    .min = 1,
+    .max = 1000000,
+    .preset = 1000 },
+  { .key = "burst",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_limit, burst),
+    .min = 1,
+    .max = 1000000,
+    .preset = 1000 },
+  { .key = "concurrency",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_limit, concurrency),
+    .min = 1,
+    .max = 1000000,
+    .preset = 1000 },
+  { .key = "queue",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_limit, queue),
+    .min = 0,
+    .max = 1000000,
+    .preset = 200 },
+  { .key = "retry_percent",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_limit, retry_percent),
+    .min = 0,
+    .max = 100,
+    .preset = 20 },
+  { .key = "link_percent",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_limit, link_percent),
+    .min = 0,
+    .max = 100,
+    .preset = 20 },
+};
+
+const struct jc_table jc_limit_table = {
+  .name = "limit",
+  .size = sizeof (struct jc_limit),
+  .fields = limit_fields,
+  .count = sizeof limit_fields / sizeof *limit_fields
+};
+
+static const struct jc_field link_fields[] = {
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_link, name),
+    .required = true },
+  { .key = "a",
+    .kind = JC_FIELD_REF,
+    .offset = offsetof (struct jc_link, a),
+    .required = true,
+    .target = "region" },
+  { .key = "b",
+    .kind = JC_FIELD_REF,
+    .offset = offsetof (struct jc_link, b),
+    .required = true,
+    .target = "region" },
+  { .key = "bytes_per_s",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_link, bytes_per_s),
+    .min = 1000,
+    .max = 100000000000,
+    .preset = 17500000 },
+  { .key = "latency_ms",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_link, latency_ms),
+    .min = 0,
+    .max = 10000,
+    .preset = 80 },
+};
+
+const struct jc_table jc_link_table = {
+  .name = "link",
+  .size = sizeof (struct jc_link),
+  .fields = link_fields,
+  .count = sizeof link_fields / sizeof *link_fields
+};
+
+static const struct jc_field product_fields[] = {
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_product, name),
+    .required = true },
+  { .key = "residency",
+    .kind = JC_FIELD_REF,
+    .offset = offsetof (struct jc_product, residency),
+    .required = true,
+    .target = "residency" },
+  { .key = "limit",
+    .kind = JC_FIELD_REF,
+    .offset = offsetof (struct jc_product, limit),
+    .required = true,
+    .target = "limit" },
+  { .key = "away_weight",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_product, away_weight),
+    .min = 1,
+    .max = 1000,
+    .preset = 1 },
+  { .key = "key_hashes",
+    .kind = JC_FIELD_STRINGS,
+    .offset = offsetof (struct jc_product, key_hashes) },
+};
+
+const struct jc_table jc_product_table = {
+  .name = "product",
+  .size = sizeof (struct jc_product),
+  .fields = product_fields,
+  .count = sizeof product_fields / sizeof *product_fields
+};
+
+static const struct jc_field route_fields[] = {
+  { .key = "name",
+    .kind = JC_FIELD_NAME,
+    .offset = offsetof (struct jc_route, name),
+    .required = true },
+  { .key = "product",
+    .kind = JC_FIELD_REF,
+    .offset = offsetof (struct jc_route, product),
+    .required = true,
+    .target = "product" },
+  { .key = "service",
+    .kind = JC_FIELD_REF,
+    .offset = offsetof (struct jc_route, service),
+    .required = true,
+    .target = "service" },
+  { .key = "model_version",
+    .kind = JC_FIELD_REF_OPTIONAL,
+    .offset = offsetof (struct jc_route, model_version),
+    .target = "model_version" },
+  { .key = "priority",
+    .kind = JC_FIELD_REF,
+    .offset = offsetof (struct jc_route, priority),
+    .required = true,
+    .target = "priority" },
+  { .key = "residency",
+    .kind = JC_FIELD_REF_OPTIONAL,
+    .offset = offsetof (struct jc_route, residency),
+    .target = "residency" },
+  { .key = "deadline_ms",
+    .kind = JC_FIELD_INT,
+    .offset = offsetof (struct jc_route, deadline_ms),
+    .min = 1,
+    .max = 86400000,
+    .preset = 30000 },
+  { .key = "idempotent",
+    .kind = JC_FIELD_BOOL,
+    .offset = offsetof (struct jc_route, idempotent),
+    .preset = 1 },
+  { .key = "home",
+    .kind = JC_FIELD_REF_OPTIONAL,
+    .offset = offsetof (struct jc_route, home),
+    .target = "region" },
+};
+
+const struct jc_table jc_route_table = {
+  .name = "route",
+  .size = sizeof (struct jc_route),
+  .fields = route_fields,
+  .count = sizeof route_fields / sizeof *route_fields
+};
+
+const struct jc_table *const jc_object_tables[JC_OBJECT_KINDS] = {
+  [JC_OBJECT_REGION] = &jc_region_table,
+  [JC_OBJECT_AVAILABILITY_ZONE] = &jc_availability_zone_table,
+  [JC_OBJECT_INSTANCE] = &jc_instance_table,
+  [JC_OBJECT_SERVICE] = &jc_service_table,
+  [JC_OBJECT_MODEL_VERSION] = &jc_model_version_table,
+  [JC_OBJECT_RESIDENCY] = &jc_residency_table,
+  [JC_OBJECT_PRIORITY] = &jc_priority_table,
+  [JC_OBJECT_LIMIT] = &jc_limit_table,
+  [JC_OBJECT_LINK] = &jc_link_table,
+  [JC_OBJECT_PRODUCT] = &jc_product_table,
+  [JC_OBJECT_ROUTE] = &jc_route_table,
+};
--- /dev/null
+++ b/schema/messages.x
@@ -0,0 +1,336 @@
+/* Messages between jaycove's processes.  One record is one rpc_packet.  */
+
+const RPC_NAME_MAX = 128;
+const RPC_ITEMS_MAX = 65536;
+const RPC_BYTES_MAX = 16777216;
+
+typedef string rpc_name<RPC_NAME_MAX>;
+typedef opaque rpc_bytes<RPC_BYTES_MAX>;
+
+/* deadline_ms is the time left when sent, 0 for none; reply_to is the xid
+   of the call that this message answers, 0 for none.  */
+struct rpc_head {
+  rpc_name group;
+  rpc_name sender;
+  unsigned hyper incarnation;
+  unsigned hyper config_version;
+  unsigned int deadline_ms;
+  unsigned hyper xid;
+  unsigned hyper reply_to;
+};
+
+enum rpc_type {
+  RPC_HELLO = 1,
+  RPC_HELLO_ACK = 2,
+  RPC_HEARTBEAT = 3,
+  RPC_FAILURE = 4,
+  RPC_CONFIG_FOLLOW = 10,
+  RPC_CONFIG_DELTA = 11,
+  RPC_SUBMIT = 12,
+  RPC_SUBMIT_REPLY = 13,
+  RPC_ZONE_DELTA = 20,
+  RPC_REGION_SUMMARY = 21,
+  RPC_VOTE = 30,
+  RPC_VOTE_REPLY = 31,
+  RPC_APPEND = 32,
+  RPC_APPEND_REPLY = 33,
+  RPC_INSTALL = 34,
+  RPC_INSTALL_REPLY = 35,
+  RPC_CLAIM = 40,
+  RPC_CLAIM_REPLY = 41,
+  RPC_RESULT = 42,
+  RPC_RESULT_REPLY = 43,
+  RPC_LEDGER_COPY = 44,
+  RPC_LEDGER_COPY_REPLY = 45,
+  RPC_HANDOVER = 50,
+  RPC_HANDOVER_HEAD = 51,
+  RPC_HANDOVER_DATA = 52,
+  RPC_HANDOVER_END = 53,
+  RPC_HANDOVER_CANCEL = 54,
+  RPC_ADMIN = 60,
+  RPC_ADMIN_REPLY = 61
+};
+
+struct rpc_hello {
+  rpc_name role;
+  rpc_name zone;
+  rpc_name region;
+  rpc_bytes nonce;
+  rpc_bytes proof;
+};
+
+/* status is an enum jc_status.  */
+struct rpc_failure {
+  int status;
+  string message<512>;
+  unsigned int retry_after_ms;
+};
+
+struct rpc_config_follow {
+  unsigned hyper have_version;
+};
+
+/* Objects of from_version + 1 .. to_version as JSON; from_version 0 is the
+   whole set.  */
+struct rpc_config_delta {
+  unsigned hyper from_version;
+  unsigned hyper to_version;
+  unsigned hyper durable_version;
+  rpc_bytes json;
+};
+
+struct rpc_submit {
+  rpc_name change_id;
+  unsigned hyper expected_version;
+  rpc_name author;
+  rpc_bytes json;
+};
+
+struct rpc_submit_reply {
+  int status;
+  unsigned hyper at_version;
+  rpc_bytes faults;
+};
+
+/* An endpoint as its instance of the zone knows it.  */
+struct rpc_endpoint {
+  rpc_name name;
+  unsigned hyper incarnation;
+  unsigned hyper sequence;
+  bool leaving;
+  rpc_name address;
+  rpc_name service;
+  rpc_name models<64>;
+  rpc_name role;
+  unsigned int slots;
+  unsigned int running;
+  unsigned int queued;
+  unsigned int tokens_per_s;
+  unsigned int lease_ms;
+};
+
+/* Changes of a zone's endpoints and the load of its entry instance.  */
+struct rpc_zone_delta {
+  rpc_name instance;
+  unsigned hyper incarnation;
+  unsigned hyper sequence;
+  bool full;
+  bool draining;
+  rpc_name callers_address;
+  rpc_endpoint endpoints<RPC_ITEMS_MAX>;
+};
+
+struct rpc_summary_row {
+  rpc_name service;
+  rpc_name model;
+  unsigned int endpoints;
+  unsigned int free_slots;
+  unsigned int expected_wait_ms;
+};
+
+struct rpc_region_summary {
+  rpc_name region;
+  rpc_name zone;
+  unsigned hyper sequence;
+  rpc_summary_row rows<RPC_ITEMS_MAX>;
+};
+
+struct rpc_vote {
+  unsigned hyper term;
+  bool pre;
+  unsigned hyper last_index;
+  unsigned hyper last_term;
+};
+
+struct rpc_vote_reply {
+  unsigned hyper term;
+  bool pre;
+  bool granted;
+};
+
+struct rpc_log_entry {
+  unsigned hyper term;
+  unsigned int kind;
+  rpc_bytes data;
+};
+
+struct rpc_append {
+  unsigned hyper term;
+  unsigned hyper prev_index;
+  unsigned hyper prev_term;
+  unsigned hyper commit;
+  unsigned hyper round;
+  rpc_log_entry entries<RPC_ITEMS_MAX>;
+};
+
+struct rpc_append_reply {
+  unsigned hyper term;
+  bool ok;
+  unsigned hyper match_index;
+  unsigned hyper round;
+  unsigned hyper disk_incarnation;
+};
+
+struct rpc_install {
+  unsigned hyper term;
+  unsigned hyper last_index;
+  unsigned hyper last_term;
+  unsigned hyper offset;
+  bool done;
+  rpc_bytes data;
+};
+
+struct rpc_install_reply {
+  unsigned hyper term;
+  unsigned hyper last_index;
+  unsigned hyper offset;
+  unsigned hyper disk_incarnation;
+};
+
+struct rpc_claim {
+  rpc_name product;
+  rpc_name route;
+  rpc_name key;
+  rpc_bytes digest;
+  rpc_name claim_id;
+  unsigned int wait_ms;
+};
+
+enum rpc_claim_state {
+  RPC_CLAIM_GRANTED = 0,
+  RPC_CLAIM_DONE = 1,
+  RPC_CLAIM_IN_PROGRESS = 2,
+  RPC_CLAIM_CONFLICT = 3,
+  RPC_CLAIM_UNKNOWN = 4,
+  RPC_CLAIM_RECOVERING = 5,
+  RPC_CLAIM_REFUSED = 6
+};
+
+struct rpc_claim_reply {
+  rpc_claim_state state;
+  unsigned hyper fence;
+  int http_status;
+  rpc_name content_type;
+  rpc_bytes answer;
+  string message<512>;
+};
+
+/* outcome is an enum jc_run_state.  */
+struct rpc_result {
+  rpc_name product;
+  rpc_name route;
+  rpc_name key;
+  rpc_name claim_id;
+  unsigned hyper fence;
+  int outcome;
+  int http_status;
+  rpc_name content_type;
+  rpc_bytes answer;
+};
+
+struct rpc_result_reply {
+  int status;
+};
+
+/* Records of a home's ledger from sequence on; full starts a transfer.  */
+struct rpc_ledger_copy {
+  rpc_name home;
+  unsigned hyper ledger_incarnation;
+  unsigned hyper sequence;
+  bool full;
+  bool last;
+  rpc_bytes records;
+};
+
+struct rpc_ledger_copy_reply {
+  rpc_name home;
+  unsigned hyper ledger_incarnation;
+  unsigned hyper sequence;
+  bool complete;
+  rpc_bytes records;
+};
+
+struct rpc_handover {
+  rpc_name product;
+  rpc_name route;
+  rpc_name origin_region;
+  unsigned hyper attempt;
+  rpc_name method;
+  string path<2048>;
+  rpc_name content_type;
+  unsigned hyper offset;
+  rpc_bytes body;
+};
+
+struct rpc_handover_head {
+  unsigned hyper attempt;
+  int http_status;
+  rpc_name content_type;
+  rpc_name endpoint;
+};
+
+struct rpc_handover_data {
+  unsigned hyper attempt;
+  rpc_bytes data;
+};
+
+/* status is an enum jc_status, run an enum jc_run_state.  */
+struct rpc_handover_end {
+  unsigned hyper attempt;
+  int status;
+  int run;
+  string message<512>;
+  unsigned int retry_after_ms;
+};
+
+struct rpc_handover_cancel {
+  unsigned hyper attempt;
+};
+
+/* A request of an operator to one process: verb and JSON arguments.  */
+struct rpc_admin {
+  rpc_name verb;
+  rpc_bytes json;
+};
+
+struct rpc_admin_reply {
+  int status;
+  rpc_bytes json;
+};
+
+union rpc_body switch (rpc_type type) {
+case RPC_HELLO: rpc_hello hello;
+case RPC_HELLO_ACK: rpc_hello hello_ack;
+case RPC_HEARTBEAT: void;
+case RPC_FAILURE: rpc_failure failure;
+case RPC_CONFIG_FOLLOW: rpc_config_follow config_follow;
+case RPC_CONFIG_DELTA: rpc_config_delta config_delta;
+case RPC_SUBMIT: rpc_submit submit;
+case RPC_SUBMIT_REPLY: rpc_submit_reply submit_reply;
+case RPC_ZONE_DELTA: rpc_zone_delta zone_delta;
+case RPC_REGION_SUMMARY: rpc_region_summary region_summary;
+case RPC_VOTE: rpc_vote vote;
+case RPC_VOTE_REPLY: rpc_vote_reply vote_reply;
+case RPC_APPEND: rpc_append append;
+case RPC_APPEND_REPLY: rpc_append_reply append_reply;
+case RPC_INSTALL: rpc_install install;
+case RPC_INSTALL_REPLY: rpc_install_reply install_reply;
+case RPC_CLAIM: rpc_claim claim;
+case RPC_CLAIM_REPLY: rpc_claim_reply claim_reply;
+case RPC_RESULT: rpc_result result;
+case RPC_RESULT_REPLY: rpc_result_reply result_reply;
+case RPC_LEDGER_COPY: rpc_ledger_copy ledger_copy;
+case RPC_LEDGER_COPY_REPLY: rpc_ledger_copy_reply ledger_copy_reply;
+case RPC_HANDOVER: rpc_handover handover;
+case RPC_HANDOVER_HEAD: rpc_handover_head handover_head;
+case RPC_HANDOVER_DATA: rpc_handover_data handover_data;
+case RPC_HANDOVER_END: rpc_handover_end handover_end;
+case RPC_HANDOVER_CANCEL: rpc_handover_cancel handover_cancel;
+case RPC_ADMIN: rpc_admin admin;
+case RPC_ADMIN_REPLY: rpc_admin_reply admin_reply;
+};
+
+struct rpc_packet {
+  rpc_head head;
+  rpc_body body;
+};
--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,157 @@
+# Functions that start a small jaycove on loopback for the demo and the tests.
+# Sourced; needs BUILD. Every process is ended by stop_all, by its id.
+
+: "${BUILD:=build}"
+DIR=$(mktemp -d)
+PIDS=
+GROUP_KEY=$(printf '%064d' 7)
+TOKEN=operator-token
+CALLER_KEY=caller-key-1
+
+# port: print a port that is free now.
+port ()
+{
+  python3 -c 'import socket; s = socket.socket(); s.bind(("127.0.0.1", 0)); print(s.getsockname()[1])'
+}
+
+# wait_for SECONDS COMMAND...: wait until the command succeeds.
+wait_for ()
+{
+  tries=$(($1 * 20))
+  shift
+  while ! "$@" >/dev/null 2>&1; do
+    tries=$((tries - 1))
+    [ "$tries" -gt 0 ] || { echo "gave up waiting for: $*" >&2; return 1; }
+    sleep 0.05
+  done
+}
+
+# start NAME COMMAND...: start a process whose output goes to $DIR/NAME.log;
+# its id goes to $DIR/NAME.pid.
+start ()
+{
+  name=$1
+  shift
+  "$@" >"$DIR/$name.out" 2>"$DIR/$name.log" &
+  echo $! >"$DIR/$name.pid"
+  PIDS="$PIDS $!"
+}
+
+# pid NAME: print the id of a process that was started.
+pid ()
+{
+  cat "$DIR/$1.pid"
+}
+
+# stop_all: end every process that was started and remove the files.
+stop_all ()
+{
+  for p in $PIDS; do kill -CONT "$p" 2>/dev/null || true; kill "$p" 2>/dev/null || true; done
+  for p in $PIDS; do
+    n=0
+    while kill -0 "$p" 2>/dev/null && [ $n -lt 60 ]; do n=$((n + 1)); sleep 0.05; done
+    kill -9 "$p" 2>/dev/null || true
+    wait "$p" 2>/dev/null || true
+  done
+  rm -rf "$DIR"
+}
+
+# state_settings NAME REGION ZONE RPC OPERATORS PEERS: write settings.
+state_settings ()
+{
+  cat >"$DIR/$1.json" <<X
+{"group": "demo", "name": "$1", "region": "$2", "availability_zone": "$3",
+ "rpc": "127.0.0.1:$4", "operators": "127.0.0.1:$5", "group_key": "$GROUP_KEY",
+ "operator_token": "$TOKEN", "data_folder": "$DIR/$1.data", "state_peers": [$6]}
+X
+}
+
+# entry_settings NAME REGION ZONE CALLERS OPERATORS RPC STATE_PEERS ENTRY_PEERS
+entry_settings ()
+{
+  cat >"$DIR/$1.json" <<X
+{"group": "demo", "name": "$1", "region": "$2", "availability_zone": "$3",
+ "callers": "127.0.0.1:$4", "operators": "127.0.0.1:$5", "rpc": "127.0.0.1:$6",
+ "group_key": "$GROUP_KEY", "operator_token": "$TOKEN",
+ "state_peers": [$7], "entry_peers": [$8]}
+X
+}
+
+# peer NAME PORT REGION ZONE: print a peer for a settings file.
+peer ()
+{
+  printf '{"name": "%s", "rpc": "127.0.0.1:%s", "region": "%s", "availability_zone": "%s"}' "$1" "$2" "$3" "$4"
+}
+
+# key_hash KEY: print the BLAKE2b-256 of a caller's key in hex.
+key_hash ()
+{
+  python3 -c 'import hashlib, sys; print(hashlib.blake2b(sys.argv[1].encode(), digest_size=32).hexdigest())' "$1"
+}
+
+# ctl OPERATORS_PORT ARGS...: run jaycove-ctl against an entry instance.
+ctl ()
+{
+  ctl_port=$1
+  shift
+  "$BUILD/jaycove-ctl" --server "127.0.0.1:$ctl_port" --token "$TOKEN" "$@"
+}
+
+# ask CALLERS_PORT PATH [BODY]: send a caller's request.
+ask ()
+{
+  if [ $# -gt 2 ]; then
+    curl -sS -m 20 -H "Authorization: Bearer $CALLER_KEY" -H 'Content-Type: application/json' -d "$3" "http://127.0.0.1:$1$2"
+  else
+    curl -sS -m 20 -H "Authorization: Bearer $CALLER_KEY" "http://127.0.0.1:$1$2"
+  fi
+}
+
+# has_version OPERATORS_PORT VERSION: succeed once that version is in force.
+has_version ()
+{
+  [ "$(ctl "$1" status | jq .config_version)" = "$2" ]
+}
+
+# has_endpoints OPERATORS_PORT COUNT: succeed once so many are known.
+has_endpoints ()
+{
+  [ "$(ctl "$1" status | jq .endpoints)" -ge "$2" ]
+}
+
+# start_two_zones: one state instance, two zones with two entry instances,
+# two engines and one plain service each. Sets C1..C4 (callers' ports) and
+# O1..O4 (operators' ports).
+start_two_zones ()
+{
+  SR=$(port); SO=$(port)
+  for i in 1 2 3 4; do
+    eval "C$i=$(port); O$i=$(port); R$i=$(port)"
+  done
+  state_settings s1 at-ost at-ost-1 "$SR" "$SO" ""
+  sp=$(peer s1 "$SR" at-ost at-ost-1)
+  entry_settings e1 at-ost at-ost-1 "$C1" "$O1" "$R1" "$sp" "$(peer e2 "$R2" at-ost at-ost-1), $(peer e3 "$R3" at-sued at-sued-1), $(peer e4 "$R4" at-sued at-sued-1)"
+  entry_settings e2 at-ost at-ost-1 "$C2" "$O2" "$R2" "$sp" "$(peer e3 "$R3" at-sued at-sued-1), $(peer e4 "$R4" at-sued at-sued-1)"
+  entry_settings e3 at-sued at-sued-1 "$C3" "$O3" "$R3" "$sp" "$(peer e4 "$R4" at-sued at-sued-1)"
+  entry_settings e4 at-sued at-sued-1 "$C4" "$O4" "$R4" "$sp" ""
+  start s1 "$BUILD/jaycove-state" --settings "$DIR/s1.json" --bootstrap
+  for i in 1 2 3 4; do start "e$i" "$BUILD/jaycove-entry" --settings "$DIR/e$i.json"; done
+  for z in 1 2; do
+    a=$((2 * z - 1)); b=$((2 * z))
+    eval "ea=127.0.0.1:\$C$a eb=127.0.0.1:\$C$b"
+    start "engine-$z" "$BUILD/tests/standin-engine" --name "engine-$z" --service assist-llm --model assist-7b-v1 --listen 127.0.0.1:0 --entry "$ea" --entry "$eb"
+    start "service-$z" "$BUILD/tests/standin-service" --name "service-$z" --service kassa-ledger --listen 127.0.0.1:0 --entry "$ea" --entry "$eb"
+  done
+}
+
+# apply_demo_objects: publish the demo's objects and wait until they are in
+# force and the endpoints are known everywhere.
+apply_demo_objects ()
+{
+  sed "s/@KEY_HASH@/$(key_hash "$CALLER_KEY")/" examples/demo-objects.json >"$DIR/objects.json"
+  wait_for 10 ctl "$O1" --expected-version 0 --change-id first apply "$DIR/objects.json"
+  for o in "$O1" "$O2" "$O3" "$O4"; do
+    wait_for 10 has_version "$o" 1
+    wait_for 10 has_endpoints "$o" 2
+  done
+}
--- /dev/null
+++ b/scripts/generate.py
@@ -0,0 +1,91 @@
+#!/usr/bin/env python3
+"""Generates structs, field tables and the settings page from schema.json."""
+import json
+import pathlib
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SCHEMA = json.loads((ROOT / "schema/schema.json").read_text())
+KINDS = {"name": "NAME", "string": "STRING", "secret": "SECRET", "address": "ADDRESS",
+         "int": "INT", "bool": "BOOL", "strings": "STRINGS"}
+CTYPES = {"INT": "int64_t ", "BOOL": "bool ", "STRINGS": "GPtrArray *", "REFS": "GPtrArray *",
+          "LIST": "GPtrArray *"}
+
+
+def split(field):
+    """Returns the field kind and the table or object it names."""
+    word, _, target = field["type"].partition(":")
+    extra = {"ref": "REF", "ref?": "REF_OPTIONAL", "refs": "REFS", "list": "LIST"}
+    return extra.get(word) or KINDS[word], target
+
+
+def quote(text):
+    return json.dumps(text)
+
+
+def header():
+    out = ["/* Settings and configuration objects.  Generated from schema/schema.json.  */", "",
+           "#ifndef JC_OBJECTS_H", "#define JC_OBJECTS_H", "", '#include "base/fields.h"', ""]
+    for name, table in SCHEMA.items():
+        out += [f"/* {table['doc']}  */", f"struct jc_{name}", "{"]
+        for f in table["fields"]:
+            kind, _ = split(f)
+            out += [f"  /* {f['doc']}  */", f"  {CTYPES.get(kind, 'char *')}{f['key']};"]
+        out += ["};", ""]
+    out += ["/* Kinds of configuration objects.  */", "enum jc_object_kind", "{"]
+    objects = [n for n, t in SCHEMA.items() if t.get("object")]
+    out += [f"  JC_OBJECT_{n.upper()}," for n in objects]
+    out += ["  JC_OBJECT_KINDS", "};", ""]
+    out += [f"extern const struct jc_table jc_{n}_table;" for n in SCHEMA]
+    out += ["extern const struct jc_table *const jc_object_tables[JC_OBJECT_KINDS];", "", "#endif", ""]
+    return "\n".join(out)
+
+
+def row(name, f):
+    kind, target = split(f)
+    parts = [f'.key = "{f["key"]}"', f".kind = JC_FIELD_{kind}",
+             f".offset = offsetof (struct jc_{name}, {f['key']})"]
+    if f.get("required"):
+        parts.append(".required = true")
+    if kind == "INT":
+        parts += [f".min = {f['min']}", f".max = {f['max']}"]
+    if kind in ("INT", "BOOL") and "default" in f:
+        parts.append(f".preset = {int(f['default'])}")
+    if kind in ("STRING",) and f.get("default"):
+        parts.append(f".preset_text = {quote(f['default'])}")
+    if kind == "LIST":
+        parts.append(f".table = &jc_{target}_table")
+    elif target:
+        parts.append(f'.target = "{target}"')
+    return "  { " + ",\n    ".join(parts) + " },"
+
+
+def source():
+    out = ["/* Field tables.  Generated from schema/schema.json.  */", "",
+           "#include <stddef.h>", "", '#include "schema/gen/objects.h"', ""]
+    for name, table in SCHEMA.items():
+        out += [f"static const struct jc_field {name}_fields[] = {{"]
+        out += [row(name, f) for f in table["fields"]]
+        out += ["};", "", f"const struct jc_table jc_{name}_table = {{", f'  .name = "{name}",',
+                f"  .size = sizeof (struct jc_{name}),", f"  .fields = {name}_fields,",
+                f"  .count = sizeof {name}_fields / sizeof *{name}_fields", "};", ""]
+    out += ["const struct jc_table *const jc_object_tables[JC_OBJECT_KINDS] = {"]
+    out += [f"  [JC_OBJECT_{n.upper()}] = &jc_{n}_table," for n, t in SCHEMA.items() if t.get("object")]
+    out += ["};", ""]
+    return "\n".join(out)
+
+
+def page():
+    out = ["# Settings and objects", "", "Generated from `schema/schema.json`.", ""]
+    for name, table in SCHEMA.items():
+        out += [f"## {name}", "", table["doc"], "", "| key | type | default | bounds | meaning |", "|---|---|---|---|---|"]
+        for f in table["fields"]:
+            default = "required" if f.get("required") else json.dumps(f.get("default"))
+            bounds = f"{f['min']} to {f['max']}" if "min" in f else ""
+            out.append(f"| `{f['key']}` | {f['type']} | {default} | {bounds} | {f['doc']} |")
+        out.append("")
+    return "\n".join(out)
+
+
+(ROOT / "schema/gen/objects.h").write_text(header())
+(ROOT / "schema/gen/objects.c").write_text(source())
+(ROOT / "docs/SETTINGS.md").write_text(page())
--- /dev/null
+++ b/serve/policy.h
@@ -0,0 +1,31 @@
+/* Routing policies: which endpoint of a list gets a request.  */
+
+#ifndef JC_POLICY_H
+#define JC_POLICY_H
+
+#include "member/members.h"
+
+struct jc_policy;
+
+/* What a policy may do.  PICK chooses among ENDPOINTS (ordered by name, not
+   empty) for a request whose prefix hashes to AFFINITY.  */
+struct jc_policy_class
+{
+  const char *name;
+  struct jc_endpoint *(*pick) (struct jc_policy *policy,
+                               const GPtrArray *endpoints, uint64_t affinity,
+                               int64_t now_ms);
+};
+
+struct jc_policy
+{
+  const struct jc_policy_class *klass;
+  uint64_t turn;
+};
+
+bool jc_policy_init (struct jc_policy *policy, const char *name);
+struct jc_endpoint *jc_policy_pick (struct jc_policy *policy,
+                                    const GPtrArray *endpoints,
+                                    uint64_t affinity, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/state/main.c
@@ -0,0 +1,102 @@
+/* jaycove-state: an instance with a disk.  */
+
+#include <signal.h>
+
+#include "base/log.h"
+#include "net/program.h"
+#include "state/state.h"
+
+#define PART "state"
+
+static void
+on_down (void *ctx, struct jc_rpc_conn *conn)
+{
+  followers_remove (ctx, conn);
+}
+
+static void
+on_packet (void *ctx, struct jc_rpc_conn *conn, const struct rpc_packet *packet)
+{
+  if (packet->body.type == RPC_SUBMIT)
+    submit_handle (ctx, conn, packet);
+  else if (packet->body.type == RPC_CONFIG_FOLLOW)
+    followers_add (ctx, conn, packet);
+}
+
+static const struct jc_rpc_class rpc_class
+    = { .down = on_down, .packet = on_packet };
+
+static void
+on_term (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  (void)watcher;
+  (void)events;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+static enum jc_status
+start (struct state *state)
+{
+  const struct jc_state_settings *s = state->settings;
+  struct jc_rpc_identity identity = { .group = s->group,
+                                      .name = s->name,
+                                      .role = "state",
+                                      .region = s->region,
+                                      .zone = s->availability_zone,
+                                      .key_hex = s->group_key,
+                                      .incarnation = jc_random_id (),
+                                      .heartbeat_ms = s->heartbeat_ms,
+                                      .silent_ms = s->silent_ms };
+  enum jc_status status = store_load (state);
+
+  if (status != JC_OK)
+    return status;
+  state->rpc = jc_rpc_new (state->loop, &identity, &rpc_class, state);
+  jc_rpc_set_config_version (state->rpc, state->config->version);
+  return jc_rpc_listen (state->rpc, s->rpc);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct jc_program program
+      = { .name = "jaycove-state",
+          .purpose = "Keeps the configuration and the ledger on disk.",
+          .table = &jc_state_settings_table };
+  struct state state = { 0 };
+  void *settings = NULL;
+  bool bootstrap;
+  int code;
+  ev_signal term;
+
+  if (!jc_program_start (&program, argc, argv, &bootstrap, &settings, &code))
+    {
+      jc_table_free (program.table, settings);
+      return code;
+    }
+  state.settings = settings;
+  jc_log_setup (jc_log_level_by_name (state.settings->log_level),
+                state.settings->log_json);
+  state.loop = ev_default_loop (0);
+  state.followers = g_ptr_array_new ();
+  ev_signal_init (&term, on_term, SIGTERM);
+  ev_signal_start (state.loop, &term);
+  if (start (&state) == JC_OK)
+    {
+      jc_info (PART, "Serving version %" G_GUINT64_FORMAT ".",
+               state.config->version);
+      ev_run (state.loop, 0);
+    }
+  else
+    {
+      jc_error (PART, "%s", jc_last_message ());
+      code = JC_EXIT_FAILED;
+    }
+  if (state.rpc != NULL)
+    jc_rpc_free (state.rpc);
+  jc_config_free (state.config);
+  json_decref (state.answers);
+  g_ptr_array_free (state.followers, TRUE);
+  jc_table_free (program.table, settings);
+  return code;
+}
