--- a/Makefile
+++ b/Makefile
@@ -92,11 +92,10 @@
 	clang-format -i $(OWN_SRC)
 
 format-check:
-	clang-format --dry-run -Werror $(OWN_SRC)
+	@clang-format --dry-run -Werror $(OWN_SRC)
 
 lint: format-check
-	cppcheck --quiet --error-exitcode=1 --enable=warning,portability --inline-suppr --std=c11 -I. --suppress=missingInclude --suppress=*:schema/gen/* $(filter %.c,$(OWN_SRC))
-	printf '%s\n' $(filter %.c,$(OWN_SRC)) | xargs -P $(shell nproc) -n 1 sh -c 'clang-tidy --quiet "$$0" -- $(subst ",\",$(CPPFLAGS)) -std=gnu11 $(PKG_CFLAGS) 2>$(B)/tidy.$$$$ || { cat $(B)/tidy.$$$$; exit 255; }'
+	@CFLAGS_LINT="$(PKG_CFLAGS)" scripts/lint.sh $(filter %.c,$(OWN_SRC))
 
 generate:
 	scripts/generate.py
--- /dev/null
+++ b/base/journal.h
@@ -0,0 +1,27 @@
+/* Journal: an append-only file of checksummed records, shared by the
+   replicated log and the ledger.  */
+
+#ifndef JC_JOURNAL_H
+#define JC_JOURNAL_H
+
+#include "base/disk.h"
+
+struct jc_journal;
+
+/* Gets each record in order when a journal is opened; an error ends the
+   opening.  */
+typedef enum jc_status jc_journal_record_fn (void *ctx, struct jc_str record);
+
+struct jc_journal *jc_journal_open (struct jc_disk *disk, const char *name,
+                                    jc_journal_record_fn *fn, void *ctx,
+                                    enum jc_status *status);
+void jc_journal_free (struct jc_journal *journal);
+enum jc_status jc_journal_append (struct jc_journal *journal,
+                                  struct jc_str record);
+enum jc_status jc_journal_sync (struct jc_journal *journal);
+enum jc_status jc_journal_rewrite (struct jc_journal *journal,
+                                   const GPtrArray *records);
+size_t jc_journal_size (const struct jc_journal *journal);
+bool jc_journal_failed (const struct jc_journal *journal);
+
+#endif
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -8,6 +8,7 @@
 #include "base/metrics.h"
 #include "conf/config.h"
 #include "member/members.h"
+#include "member/regions.h"
 #include "net/httpc.h"
 #include "net/httpd.h"
 #include "net/rpc.h"
@@ -20,6 +21,7 @@
   const struct jc_entry_settings *settings;
   struct jc_config *config;
   struct jc_members *members;
+  struct jc_regions *regions;
   struct jc_metrics *metrics;
   struct jc_policy policy;
   struct jc_httpc *httpc;
@@ -30,10 +32,48 @@
   bool draining;
 };
 
+/* Work on a caller's request, attached to it by jc_http_set_data.  GONE says
+   that the caller closed its connection and the work must end.  */
+struct work_class
+{
+  void (*gone) (void *work);
+};
+
+/* What a request asks for once its head was admitted.  PATH is the
+   endpoint's; DEADLINE_MS is in monotonic ms.  */
+struct work_order
+{
+  struct jc_http_req *req;
+  const struct jc_product *product;
+  const struct jc_route *route;
+  const char *path;
+  int64_t deadline_ms;
+};
+
 struct jc_httpd *callers_listen (struct entry *entry);
 struct jc_httpd *operators_listen (struct entry *entry);
-void request_start (struct entry *entry, struct jc_http_req *req);
-void request_gone (struct jc_http_req *req);
+
+/* request: idempotent requests.  */
+void request_start (struct entry *entry, const struct work_order *order);
+
+/* keyed: requests that must run at most once.  */
+void keyed_start (struct entry *entry, const struct work_order *order);
+void keyed_packet (struct entry *entry, struct jc_rpc_conn *conn,
+                   const struct rpc_packet *packet);
+
+/* handover: attempts handed over by or to another region.  */
+void handover_packet (struct entry *entry, struct jc_rpc_conn *conn,
+                      const struct rpc_packet *packet);
+void handover_down (struct entry *entry, struct jc_rpc_conn *conn);
+
+/* zone: membership shared between entry instances.  */
+void zone_start (struct entry *entry);
+void zone_stop (struct entry *entry);
+void zone_up (struct entry *entry, struct jc_rpc_conn *conn);
+void zone_packet (struct entry *entry, struct jc_rpc_conn *conn,
+                  const struct rpc_packet *packet);
+void zone_changed (struct entry *entry, const struct jc_endpoint *endpoint);
+
 void announce_handle (struct entry *entry, struct jc_http_req *req);
 void directory_handle (struct entry *entry, struct jc_http_req *req);
 void follower_up (struct entry *entry, struct jc_rpc_conn *conn);
--- a/entry/main.c
+++ b/entry/main.c
@@ -89,6 +89,7 @@
   entry->operators = operators_listen (entry);
   if (entry->callers == NULL || entry->operators == NULL)
     return JC_UNREACHABLE;
+  zone_start (entry);
   dial_peers (entry, s->state_peers);
   dial_peers (entry, s->entry_peers);
   return JC_OK;
@@ -97,6 +98,7 @@
 static void
 stop_tasks (struct entry *entry)
 {
+  zone_stop (entry);
   jc_httpd_free (entry->callers);
   jc_httpd_free (entry->operators);
   if (entry->rpc != NULL)
@@ -104,6 +106,7 @@
   if (entry->httpc != NULL)
     jc_httpc_free (entry->httpc);
   jc_members_free (entry->members);
+  jc_regions_free (entry->regions);
   jc_metrics_free (entry->metrics);
   jc_config_free (entry->config);
 }
@@ -152,6 +155,7 @@
   entry.loop = ev_default_loop (0);
   entry.config = jc_config_empty ();
   entry.members = jc_members_new ();
+  entry.regions = jc_regions_new ();
   entry.metrics = jc_metrics_new ();
   if (start_tasks (&entry) == JC_OK)
     run (&entry);
--- a/entry/request.c
+++ b/entry/request.c
@@ -21,6 +21,7 @@
 /* A request in flight and its current attempt.  */
 struct request
 {
+  const struct work_class *klass;
   struct entry *entry;
   struct jc_http_req *req;
   char *product;
@@ -226,90 +227,35 @@
     }
 }
 
-/* Return the route that the path "/r/NAME/..." of REQ names, or NULL; REST
-   becomes the endpoint's path.  */
-static const struct jc_route *
-request_route (const struct entry *entry, const struct jc_http_req *req,
-               const char **rest)
+static void
+request_gone (void *work)
 {
-  const char *path = jc_http_path (req);
-  const struct jc_route *route;
-  size_t len;
-  char *name;
+  struct request *request = work;
 
-  if (strncmp (path, "/r/", 3) != 0)
-    return NULL;
-  len = strcspn (path + 3, "/");
-  name = g_strndup (path + 3, len);
-  route = jc_config_find (entry->config, JC_OBJECT_ROUTE, name);
-  g_free (name);
-  *rest = path + 3 + len;
-  return route;
+  request_count (request, JC_CANCELLED);
+  request_free (request);
 }
 
-static enum jc_status
-request_admit (const struct entry *entry, const struct jc_product *product,
-               const struct jc_route *route)
-{
-  if (product == NULL)
-    return jc_fail (JC_UNAUTHORIZED, "No product has this key.");
-  if (route == NULL || strcmp (route->product, product->name) != 0)
-    return jc_fail (JC_UNKNOWN_ROUTE, "The product has no such route.");
-  if (!jc_config_allows (entry->config, product, route,
-                         entry->settings->region))
-    return jc_fail (JC_RESIDENCY_DENIED,
-                    "Requests of this route may not enter this region.");
-  if (!route->idempotent)
-    return jc_fail (JC_NOT_READY, "No ledger is at hand.");
-  if (entry->draining)
-    return jc_fail (JC_DRAINING, "This instance is draining.");
-  return JC_OK;
-}
+static const struct work_class request_class = { .gone = request_gone };
 
-/* Serve REQ, whose body has been read.  */
+/* Serve the idempotent request of ORDER.  */
 void
-request_start (struct entry *entry, struct jc_http_req *req)
+request_start (struct entry *entry, const struct work_order *order)
 {
-  const char *rest = "";
-  const char *token = http_bearer (req);
-  const struct jc_product *product
-      = jc_config_product_of_key (entry->config, token != NULL ? token : "");
-  const struct jc_route *route = request_route (entry, req, &rest);
-  const char *deadline = jc_http_header (req, "X-Deadline-Ms");
-  enum jc_status status = request_admit (entry, product, route);
-  struct request *request;
+  struct request *request = g_new0 (struct request, 1);
 
-  if (status != JC_OK)
-    {
-      jc_http_fail (req, status, jc_last_message (), RETRY_AFTER_MS);
-      return;
-    }
-  request = g_new0 (struct request, 1);
+  request->klass = &request_class;
   request->entry = entry;
-  request->req = req;
-  request->product = g_strdup (product->name);
-  request->service = g_strdup (route->service);
-  request->model = g_strdup (route->model_version);
-  request->path = g_strdup (rest);
-  request->idempotent = route->idempotent;
+  request->req = order->req;
+  request->product = g_strdup (order->product->name);
+  request->service = g_strdup (order->route->service);
+  request->model = g_strdup (order->route->model_version);
+  request->path = g_strdup (order->path);
+  request->idempotent = order->route->idempotent;
   request->answer = g_string_new (NULL);
   request->started_ms = jc_now_ms ();
-  request->deadline_ms = request->started_ms
-                         + (deadline != NULL ? strtoll (deadline, NULL, 10)
-                                             : route->deadline_ms);
+  request->deadline_ms = order->deadline_ms;
   entry->in_flight++;
-  jc_http_set_data (req, request);
+  jc_http_set_data (order->req, request);
   request_attempt (request);
 }
-
-/* The caller of REQ closed its connection.  */
-void
-request_gone (struct jc_http_req *req)
-{
-  struct request *request = jc_http_data (req);
-
-  if (request == NULL)
-    return;
-  request_count (request, JC_CANCELLED);
-  request_free (request);
-}
--- a/state/main.c
+++ b/state/main.c
@@ -47,12 +47,19 @@
                                       .incarnation = jc_random_id (),
                                       .heartbeat_ms = s->heartbeat_ms,
                                       .silent_ms = s->silent_ms };
-  enum jc_status status = store_load (state);
+  enum jc_status status;
 
+  state->disk = jc_disk_open (s->data_folder);
+  if (state->disk == NULL)
+    return JC_STORAGE_FAILED;
+  status = store_load (state);
   if (status != JC_OK)
     return status;
   state->rpc = jc_rpc_new (state->loop, &identity, &rpc_class, state);
   jc_rpc_set_config_version (state->rpc, state->config->version);
+  status = ledger_start (state);
+  if (status != JC_OK)
+    return status;
   return jc_rpc_listen (state->rpc, s->rpc);
 }
 
@@ -92,8 +99,11 @@
       jc_error (PART, "%s", jc_last_message ());
       code = JC_EXIT_FAILED;
     }
+  ledger_stop (&state);
   if (state.rpc != NULL)
     jc_rpc_free (state.rpc);
+  if (state.disk != NULL)
+    state.disk->klass->free (state.disk);
   jc_config_free (state.config);
   json_decref (state.answers);
   g_ptr_array_free (state.followers, TRUE);
--- a/state/state.h
+++ b/state/state.h
@@ -5,6 +5,7 @@
 
 #include <ev.h>
 
+#include "base/disk.h"
 #include "conf/config.h"
 #include "net/httpd.h"
 #include "net/rpc.h"
@@ -14,12 +15,41 @@
 {
   struct ev_loop *loop;
   const struct jc_state_settings *settings;
+  struct jc_disk *disk;
   struct jc_rpc *rpc;
   struct jc_config *config;
   json_t *answers;
   GPtrArray *followers;
 };
 
+/* Kinds of entries of the replicated log.  */
+enum log_kind
+{
+  LOG_NOOP,
+  LOG_CHANGE,
+  LOG_REPLICAS,
+  LOG_LEDGER
+};
+
+/* Hears what became of a proposal: JC_OK once it is committed, JC_NOT_LEADER
+   where it surely is not, else JC_OUTCOME_UNKNOWN.  */
+typedef void log_done_fn (void *ctx, enum jc_status status);
+
+/* log: the replicated log.  A ledger proposes LOG_LEDGER entries and is told
+   of committed ones in order, also while the log is replayed.  */
+void log_propose (struct state *state, enum log_kind kind, struct jc_str data,
+                  log_done_fn *done, void *ctx);
+
+/* ledger: homes of this instance's region.  */
+enum jc_status ledger_start (struct state *state);
+void ledger_stop (struct state *state);
+void ledger_up (struct state *state, struct jc_rpc_conn *conn);
+void ledger_down (struct state *state, struct jc_rpc_conn *conn);
+void ledger_packet (struct state *state, struct jc_rpc_conn *conn,
+                    const struct rpc_packet *packet);
+void ledger_config_changed (struct state *state);
+void ledger_applied (struct state *state, struct jc_str data);
+
 enum jc_status store_load (struct state *state);
 enum jc_status store_save (const struct state *state,
                            const struct jc_config *config,
--- a/state/store.c
+++ b/state/store.c
@@ -20,7 +20,7 @@
 {
   char *path = store_path (state, "config.json");
   json_t *json = json_load_file (path, 0, NULL);
-  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+  GPtrArray *faults;
   bool exists = access (path, F_OK) == 0;
 
   g_free (path);
@@ -38,13 +38,14 @@
     {
       json_t *version = json_object_get (json, "version");
 
+      faults = g_ptr_array_new_with_free_func (g_free);
       state->config = jc_config_from_json (
           json_object_get (json, "objects"),
           (uint64_t)json_integer_value (version), faults);
       state->answers = json_incref (json_object_get (json, "answers"));
+      g_ptr_array_free (faults, TRUE);
     }
   json_decref (json);
-  g_ptr_array_free (faults, TRUE);
   if (state->config == NULL)
     return jc_fail (JC_CORRUPT, "The configuration on disk is not valid.");
   return JC_OK;
