Decide a request's attempts in the library

Attempts, retries and whole answers were mixed with curl's callbacks, the end mark was looked for by substring and a stream could not go on elsewhere.

serve/request is a state machine of attempts with ids; serve/sse cuts events; serve/predict holds what was measured of endpoints, and the predicted policy uses it. entry/request.c carries the effects. A first byte has a third of the deadline, or twice the longest lately seen, and the last attempt all that is left. A slow caller's stream pauses the call; a paused call is not silent.

Each of these guards was taken out in a scratch copy, and the scripts failed: the current attempt's id, the comparison of a repeated stream, the end mark, not_run only where nothing was sent, framing, the stream's own error kind, the bound on attempts, the retry budget, whole events.

--- a/entry/callers.c
+++ b/entry/callers.c
@@ -146,12 +146,24 @@
     (*work)->gone ((void *)work);
 }
 
+static void
+callers_room (void *ctx, struct jc_http_req *req)
+{
+  const struct work_class *const *work = jc_http_data (req);
+
+  (void)ctx;
+  if (work != NULL && (*work)->room != NULL)
+    (*work)->room ((void *)work);
+}
+
 /* Open the listener for callers and endpoints.  */
 struct jc_httpd *
 callers_listen (struct entry *entry)
 {
-  static const struct jc_httpd_class klass
-      = { .head = callers_head, .body = callers_body, .gone = callers_gone };
+  static const struct jc_httpd_class klass = { .head = callers_head,
+                                               .body = callers_body,
+                                               .gone = callers_gone,
+                                               .room = callers_room };
 
   return jc_httpd_new (entry->loop, entry->settings->callers, &klass, entry,
                        (size_t)entry->settings->max_body_bytes);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -33,10 +33,12 @@
 };
 
 /* Work on a caller's request, attached to it by jc_http_set_data.  GONE says
-   that the caller closed its connection and the work must end.  */
+   that the caller closed its connection and the work must end; ROOM, which
+   may be NULL, that it took what a stream had buffered.  */
 struct work_class
 {
   void (*gone) (void *work);
+  void (*room) (void *work);
 };
 
 /* What a request asks for once its head was admitted.  PATH is the
--- a/entry/main.c
+++ b/entry/main.c
@@ -105,6 +105,7 @@
     jc_rpc_free (entry->rpc);
   if (entry->httpc != NULL)
     jc_httpc_free (entry->httpc);
+  jc_policy_clear (&entry->policy);
   jc_members_free (entry->members);
   jc_regions_free (entry->regions);
   jc_metrics_free (entry->metrics);
--- a/entry/request.c
+++ b/entry/request.c
@@ -1,4 +1,4 @@
-/* A caller's request: its route, its attempts and its answer.  */
+/* A caller's request: carries the effects of its attempts.  */
 
 #include <stdlib.h>
 #include <string.h>
@@ -6,63 +6,64 @@
 #include "base/log.h"
 #include "entry/entry.h"
 #include "net/program.h"
+#include "serve/request.h"
 
 #define PART "request"
 
 enum
 {
-  ATTEMPTS_MAX = 3,
   CONNECT_MS = 1000,
-  FIRST_BYTE_MS = 30000,
   IDLE_MS = 15000,
-  RETRY_AFTER_MS = 1000
+  RETRY_AFTER_MS = 1000,
+  STREAM_HIGH_BYTES = 256 * 1024
 };
 
-/* A request in flight and its current attempt.  */
+/* A request and its current attempt.  */
 struct request
 {
   const struct work_class *klass;
   struct entry *entry;
   struct jc_http_req *req;
+  struct jc_request machine;
   char *product;
   char *service;
   char *model;
   char *path;
-  bool idempotent;
+  uint64_t affinity;
   int64_t started_ms;
-  int64_t deadline_ms;
-  unsigned int attempts;
-  char *endpoint;
   struct jc_call *call;
-  GString *answer;
-  char *content_type;
-  int http;
-  bool streaming;
+  struct jc_run run;
+  bool heard;
+  bool resumed;
+  bool paused;
 };
 
-static void request_attempt (struct request *request);
+static struct jc_endpoint *
+request_endpoint (const struct request *request)
+{
+  return jc_members_find (request->entry->members, request->run.name);
+}
 
+/* The current attempt is over; ANSWERED tells that its answer was whole.  */
 static void
-request_free (struct request *request)
+attempt_over (struct request *request, bool answered)
 {
-  struct entry *entry = request->entry;
-  struct jc_endpoint *endpoint;
+  if (request->run.name == NULL)
+    return;
+  jc_predict_finish (request->entry->policy.predict, request_endpoint (request),
+                     &request->run, answered, jc_now_ms ());
+}
 
-  if (request->call != NULL)
-    {
-      jc_call_cancel (request->call);
-      endpoint = jc_members_find (entry->members, request->endpoint);
-      if (endpoint != NULL && endpoint->in_flight > 0)
-        endpoint->in_flight--;
-    }
-  entry->in_flight--;
+static void
+request_free (struct request *request)
+{
+  attempt_over (request, false);
+  request->entry->in_flight--;
+  jc_request_clear (&request->machine);
   g_free (request->product);
   g_free (request->service);
   g_free (request->model);
   g_free (request->path);
-  g_free (request->endpoint);
-  g_free (request->content_type);
-  g_string_free (request->answer, TRUE);
   g_free (request);
 }
 
@@ -83,166 +84,290 @@
 }
 
 static void
-request_fail (struct request *request, enum jc_status status,
-              const char *message)
+call_on_header (void *ctx, struct jc_str line)
 {
-  request_count (request, status);
-  if (request->streaming)
-    {
-      char *event = g_strdup_printf ("event: error\ndata: {\"error\":{\"kind\":"
-                                     "\"%s\",\"run\":\"unknown\"}}\n\n",
-                                     jc_status_name (status));
+  static const char name[] = "X-Resume-From:";
+  struct request *request = ctx;
+  size_t len = sizeof name - 1;
+  char *value;
 
-      jc_http_stream_write (request->req, jc_str_from (event));
-      jc_http_stream_end (request->req, false);
-      g_free (event);
-    }
-  else
-    jc_http_fail (request->req, status, message, RETRY_AFTER_MS);
-  request_free (request);
+  if (line.len <= len || g_ascii_strncasecmp (line.data, name, len) != 0)
+    return;
+  value = g_strndup (line.data + len, line.len - len);
+  request->resumed
+      = g_ascii_strtoull (value, NULL, 10) == request->machine.delivered;
+  g_free (value);
 }
 
 static void
-attempt_head (void *ctx, int http, const char *content_type)
+call_on_head (void *ctx, int http, const char *content_type)
 {
   struct request *request = ctx;
+  int64_t now = jc_now_ms ();
 
-  request->http = http;
-  g_free (request->content_type);
-  request->content_type = g_strdup (content_type);
-  if (http != 200 || content_type == NULL
-      || strncmp (content_type, "text/event-stream", 17) != 0)
-    return;
-  request->streaming = true;
-  jc_http_stream_begin (request->req, http, content_type, NULL);
+  request->heard = true;
+  jc_predict_first_byte (request->entry->policy.predict, &request->run, now);
+  jc_request_head (&request->machine, request->machine.current, http,
+                   content_type, request->resumed, now);
 }
 
 static void
-attempt_data (void *ctx, struct jc_str data)
+call_on_data (void *ctx, struct jc_str data)
 {
   struct request *request = ctx;
+  struct jc_call *call = request->call;
+  bool full = request->machine.begun
+              && jc_http_stream_buffered (request->req) > STREAM_HIGH_BYTES;
 
-  if (request->streaming)
+  if (full && !request->paused)
     {
-      jc_http_stream_write (request->req, data);
-      if (request->answer->len > 64)
-        g_string_erase (request->answer, 0, (gssize)request->answer->len - 64);
+      request->paused = true;
+      jc_call_pause (call, true);
     }
-  g_string_append_len (request->answer, data.data, (gssize)data.len);
+  jc_request_data (&request->machine, request->machine.current, data,
+                   jc_now_ms ());
 }
 
 static void
-request_answer (struct request *request)
+call_on_done (void *ctx, const struct jc_call_result *result)
 {
-  struct jc_http_header headers[]
-      = { { "X-Jaycove-Endpoint", request->endpoint }, { NULL, NULL } };
+  struct request *request = ctx;
+  int64_t now = jc_now_ms ();
+  uint64_t attempt = request->machine.current;
+  struct jc_attempt_end end = { .status = result->status,
+                                .sent = result->sent,
+                                .framed = result->framed,
+                                .message = result->message };
 
-  request_count (request, JC_OK);
-  if (request->streaming)
-    jc_http_stream_end (request->req, true);
-  else
-    jc_http_reply (request->req, request->http, request->content_type,
-                   jc_str_of (request->answer), headers);
-  request_free (request);
+  request->call = NULL;
+  request->paused = false;
+  if (!request->heard && result->status == JC_TIMEOUT)
+    jc_predict_first_byte (request->entry->policy.predict, &request->run, now);
+  attempt_over (request, result->status == JC_OK && result->http == 200);
+  jc_request_done (&request->machine, attempt, &end, now);
 }
 
-/* Decide after an attempt's end whether the answer is whole, another attempt
-   is due, or the request failed.  */
-static void
-attempt_done (void *ctx, const struct jc_call_result *result)
+static const struct jc_call_ops call_ops = { .header = call_on_header,
+                                             .head = call_on_head,
+                                             .data = call_on_data,
+                                             .done = call_on_done };
+
+static enum jc_status
+request_pick (void *ctx, const struct jc_request *machine, int64_t now_ms,
+              struct jc_target *target)
 {
   struct request *request = ctx;
   struct entry *entry = request->entry;
-  struct jc_endpoint *endpoint
-      = jc_members_find (entry->members, request->endpoint);
-  bool whole = result->status == JC_OK && result->framed;
+  GPtrArray *all = g_ptr_array_new ();
+  GPtrArray *fresh = g_ptr_array_new ();
+  struct jc_endpoint *endpoint;
 
-  request->call = NULL;
-  if (endpoint != NULL && endpoint->in_flight > 0)
-    endpoint->in_flight--;
-  if (request->streaming && strstr (request->answer->str, "[DONE]") == NULL)
-    whole = false;
-  if (whole)
-    request_answer (request);
-  else if (request->streaming)
-    request_fail (request, JC_STREAM_BROKEN, "The stream broke.");
-  else if (request->idempotent || !result->sent)
-    request_attempt (request);
-  else
-    request_fail (request, JC_ENDPOINT_FAILED, result->message);
+  jc_members_serving (entry->members, request->service, request->model, now_ms,
+                      all);
+  for (guint i = 0; i < all->len; i++)
+    {
+      endpoint = g_ptr_array_index (all, i);
+      if (!jc_request_tried (machine, endpoint->name))
+        g_ptr_array_add (fresh, endpoint);
+    }
+  endpoint = jc_policy_pick (&entry->policy, fresh->len > 0 ? fresh : all,
+                             request->affinity, now_ms);
+  g_ptr_array_free (all, TRUE);
+  g_ptr_array_free (fresh, TRUE);
+  if (endpoint == NULL)
+    return jc_fail (JC_NO_ENDPOINT, "No endpoint serves this route.");
+  target->name = endpoint->name;
+  target->usual_ms = jc_predict_usual_ms (entry->policy.predict, endpoint);
+  return JC_OK;
+}
+
+static bool
+request_may_retry (void *ctx, int64_t now_ms)
+{
+  (void)ctx;
+  (void)now_ms;
+  return true;
 }
 
 static void
 request_call (struct request *request, const struct jc_endpoint *endpoint,
-              int64_t left_ms)
+              const struct jc_attempt *attempt)
 {
-  static const struct jc_call_ops ops
-      = { .head = attempt_head, .data = attempt_data, .done = attempt_done };
   const char *type = jc_http_header (request->req, "Content-Type");
   char *url = g_strconcat ("http://", endpoint->address, request->path, NULL);
   char *header = g_strconcat (
       "Content-Type: ", type != NULL ? type : "application/json", NULL);
-  const char *headers[] = { header, NULL };
+  char *resume = g_strdup_printf ("X-Resume-From: %" G_GUINT64_FORMAT,
+                                  attempt->resume_from);
+  const char *headers[]
+      = { header, attempt->resume_from > 0 ? resume : NULL, NULL };
   struct jc_call_spec spec = { .method = jc_http_method (request->req),
                                .url = url,
                                .headers = headers,
                                .body = jc_http_body (request->req),
                                .connect_ms = CONNECT_MS,
-                               .first_byte_ms = FIRST_BYTE_MS,
+                               .first_byte_ms = (long)attempt->first_byte_ms,
                                .idle_ms = IDLE_MS,
-                               .total_ms = (long)left_ms,
-                               .fresh = !request->idempotent };
+                               .total_ms = (long)attempt->total_ms,
+                               .fresh = attempt->fresh };
 
-  request->call = jc_call_start (request->entry->httpc, &spec, &ops, request);
+  request->call
+      = jc_call_start (request->entry->httpc, &spec, &call_ops, request);
   g_free (url);
   g_free (header);
+  g_free (resume);
 }
 
 static void
-request_attempt (struct request *request)
+request_attempt (void *ctx, const struct jc_attempt *attempt)
 {
-  struct entry *entry = request->entry;
-  int64_t now = jc_now_ms ();
-  GPtrArray *endpoints = g_ptr_array_new ();
-  struct jc_endpoint *endpoint;
+  struct request *request = ctx;
+  struct jc_endpoint *endpoint
+      = jc_members_find (request->entry->members, attempt->target.name);
+
+  request->heard = false;
+  request->resumed = false;
+  jc_predict_start (request->entry->policy.predict, endpoint, jc_now_ms (),
+                    &request->run);
+  request_call (request, endpoint, attempt);
+}
+
+static void
+request_cancel (void *ctx, uint64_t attempt)
+{
+  struct request *request = ctx;
 
-  jc_members_serving (entry->members, request->service, request->model, now,
-                      endpoints);
-  endpoint = jc_policy_pick (&entry->policy, endpoints, 0, now);
-  g_ptr_array_free (endpoints, TRUE);
-  if (now >= request->deadline_ms)
-    request_fail (request, JC_DEADLINE_EXCEEDED, "The deadline has passed.");
-  else if (endpoint == NULL)
-    request_fail (request, JC_NO_ENDPOINT, "No endpoint serves this route.");
-  else if (request->attempts >= ATTEMPTS_MAX)
-    request_fail (request, JC_ENDPOINT_FAILED, "Every attempt failed.");
+  (void)attempt;
+  if (request->call != NULL)
+    jc_call_cancel (request->call);
+  request->call = NULL;
+  request->paused = false;
+  attempt_over (request, false);
+}
+
+static void
+request_avoid (void *ctx, const char *name, int64_t now_ms)
+{
+  struct request *request = ctx;
+
+  jc_predict_avoid (request->entry->policy.predict, name, now_ms);
+}
+
+static void
+request_begin (void *ctx, int http, const char *content_type)
+{
+  struct request *request = ctx;
+
+  jc_http_stream_begin (request->req, http, content_type, NULL);
+}
+
+static void
+request_write (void *ctx, struct jc_str data)
+{
+  struct request *request = ctx;
+
+  jc_http_stream_write (request->req, data);
+}
+
+static void
+request_answer (void *ctx, int http, const char *content_type,
+                struct jc_str body)
+{
+  struct request *request = ctx;
+  const GPtrArray *tried = request->machine.tried;
+  struct jc_http_header headers[]
+      = { { "X-Jaycove-Endpoint", g_ptr_array_index (tried, tried->len - 1) },
+          { NULL, NULL } };
+
+  request_count (request, JC_OK);
+  jc_http_reply (request->req, http, content_type, body, headers);
+  request_free (request);
+}
+
+static void
+request_end (void *ctx)
+{
+  struct request *request = ctx;
+
+  request_count (request, JC_OK);
+  jc_http_stream_end (request->req, true);
+  request_free (request);
+}
+
+/* End the stream of REQUEST with an error that the caller can tell from an
+   answer.  */
+static void
+request_break (struct request *request, enum jc_status status)
+{
+  const struct jc_status_row *row = jc_status_row (status);
+  char *event = g_strdup_printf (
+      "event: error\ndata: {\"error\":{\"kind\":\"%s\",\"run\":\"%s\","
+      "\"retry\":\"%s\"}}\n\n",
+      row->name, jc_run_state_name (row->run), jc_retry_rule_name (row->retry));
+
+  jc_http_stream_write (request->req, jc_str_from (event));
+  jc_http_stream_end (request->req, false);
+  g_free (event);
+}
+
+static void
+request_fail (void *ctx, enum jc_status status, const char *message)
+{
+  struct request *request = ctx;
+
+  request_count (request, status);
+  if (request->machine.begun)
+    request_break (request, status);
   else
-    {
-      request->attempts++;
-      g_free (request->endpoint);
-      request->endpoint = g_strdup (endpoint->name);
-      endpoint->in_flight++;
-      g_string_truncate (request->answer, 0);
-      request_call (request, endpoint, request->deadline_ms - now);
-    }
+    jc_http_fail (request->req, status, message, RETRY_AFTER_MS);
+  request_free (request);
 }
 
+static const struct jc_request_ops request_ops
+    = { .pick = request_pick,
+        .may_retry = request_may_retry,
+        .start = request_attempt,
+        .cancel = request_cancel,
+        .avoid = request_avoid,
+        .begin = request_begin,
+        .write = request_write,
+        .answer = request_answer,
+        .end = request_end,
+        .fail = request_fail };
+
 static void
 request_gone (void *work)
 {
   struct request *request = work;
 
   request_count (request, JC_CANCELLED);
+  jc_request_gone (&request->machine);
   request_free (request);
 }
 
-static const struct work_class request_class = { .gone = request_gone };
+/* The caller took what was buffered for it.  */
+static void
+request_room (void *work)
+{
+  struct request *request = work;
+
+  if (!request->paused || request->call == NULL)
+    return;
+  request->paused = false;
+  jc_call_pause (request->call, false);
+}
+
+static const struct work_class request_class
+    = { .gone = request_gone, .room = request_room };
 
 /* Serve the idempotent request of ORDER.  */
 void
 request_start (struct entry *entry, const struct work_order *order)
 {
   struct request *request = g_new0 (struct request, 1);
+  const struct jc_service *service = jc_config_find (
+      entry->config, JC_OBJECT_SERVICE, order->route->service);
+  struct jc_str body = jc_http_body (order->req);
 
   request->klass = &request_class;
   request->entry = entry;
@@ -251,11 +376,12 @@
   request->service = g_strdup (order->route->service);
   request->model = g_strdup (order->route->model_version);
   request->path = g_strdup (order->path);
-  request->idempotent = order->route->idempotent;
-  request->answer = g_string_new (NULL);
+  if (service != NULL && service->engine)
+    request->affinity = jc_policy_affinity (body.data, body.len);
   request->started_ms = jc_now_ms ();
-  request->deadline_ms = order->deadline_ms;
   entry->in_flight++;
   jc_http_set_data (order->req, request);
-  request_attempt (request);
+  jc_request_init (&request->machine, &request_ops, request,
+                   order->deadline_ms);
+  jc_request_start (&request->machine, request->started_ms);
 }
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -318,6 +318,8 @@
       g_free (call->content_type);
       call->content_type = g_strstrip (g_strndup (data + 13, len - 13));
     }
+  if (call->ops->header != NULL && !call->cancelled)
+    call->ops->header (call->ctx, (struct jc_str){ .data = data, .len = len });
   return len;
 }
 
@@ -410,10 +412,11 @@
   call_finish (call, NULL);
 }
 
-/* Stop or go on reading the answer of CALL.  Must not be called from within
-   its events to unpause.  */
+/* Stop or go on reading the answer of CALL; a stopped one is not taken for
+   silent.  Must not be called from within its events to unpause.  */
 void
 jc_call_pause (struct jc_call *call, bool paused)
 {
+  call_arm_silence (call, paused ? 0 : call->idle_ms);
   curl_easy_pause (call->easy, paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
 }
--- a/serve/policy.c
+++ b/serve/policy.c
@@ -4,6 +4,13 @@
 
 #include "serve/policy.h"
 
+enum
+{
+  AFFINITY_PREFIX_BYTES = 512,
+  AFFINITY_LOAD_PERCENT = 125,
+  AFFINITY_FINISH_PERCENT = 150
+};
+
 static struct jc_endpoint *
 pick_round_robin (struct jc_policy *policy, const GPtrArray *endpoints,
                   uint64_t affinity, int64_t now_ms)
@@ -42,8 +49,92 @@
   return best;
 }
 
+/* Return the rank of ENDPOINT for AFFINITY: the highest of a list is where
+   the prefix is kept, and goes on being so when others come or leave.  */
+static uint64_t
+affinity_rank (const struct jc_endpoint *endpoint, uint64_t affinity)
+{
+  uint64_t hash = affinity ^ (uint64_t)g_str_hash (endpoint->name) << 32;
+
+  hash = (hash ^ hash >> 33) * G_GUINT64_CONSTANT (0xff51afd7ed558ccd);
+  hash = (hash ^ hash >> 33) * G_GUINT64_CONSTANT (0xc4ceb9fe1a85ec53);
+  return hash ^ hash >> 33;
+}
+
+static struct jc_endpoint *
+affinity_home (const GPtrArray *endpoints, uint64_t affinity)
+{
+  struct jc_endpoint *home = NULL;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      if (home == NULL
+          || affinity_rank (endpoint, affinity)
+                 > affinity_rank (home, affinity))
+        home = endpoint;
+    }
+  return home;
+}
+
+/* Tell whether ENDPOINT holds no more than its bounded share of the load of
+   ENDPOINTS.  */
+static bool
+load_is_bounded (struct jc_policy *policy, const GPtrArray *endpoints,
+                 const struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  uint64_t work = 1;
+  uint64_t slots = 0;
+  uint64_t own = jc_predict_ahead (policy->predict, endpoint, now_ms) + 1;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      const struct jc_endpoint *other = g_ptr_array_index (endpoints, i);
+
+      work += jc_predict_ahead (policy->predict, other, now_ms);
+      slots += MAX (other->slots, 1);
+    }
+  return own * slots * 100
+         <= work * MAX (endpoint->slots, 1) * AFFINITY_LOAD_PERCENT
+                + slots * 100;
+}
+
+static struct jc_endpoint *
+pick_predicted (struct jc_policy *policy, const GPtrArray *endpoints,
+                uint64_t affinity, int64_t now_ms)
+{
+  guint start = (guint)(policy->turn++ % endpoints->len);
+  struct jc_endpoint *best = NULL;
+  struct jc_endpoint *home;
+  int64_t best_ms = 0;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      struct jc_endpoint *endpoint
+          = g_ptr_array_index (endpoints, (start + i) % endpoints->len);
+      int64_t ms = jc_predict_finish_ms (policy->predict, endpoint, now_ms);
+      bool less = best != NULL && ms == best_ms
+                  && endpoint->in_flight < best->in_flight;
+
+      if (best == NULL || ms < best_ms || less)
+        {
+          best = endpoint;
+          best_ms = ms;
+        }
+    }
+  if (affinity == 0)
+    return best;
+  home = affinity_home (endpoints, affinity);
+  if (load_is_bounded (policy, endpoints, home, now_ms)
+      && jc_predict_finish_ms (policy->predict, home, now_ms) * 100
+             <= best_ms * AFFINITY_FINISH_PERCENT)
+    return home;
+  return best;
+}
+
 static const struct jc_policy_class classes[]
-    = { { .name = "predicted", .pick = pick_least_inflight },
+    = { { .name = "predicted", .pick = pick_predicted },
         { .name = "nearest", .pick = pick_nearest },
         { .name = "round-robin", .pick = pick_round_robin },
         { .name = "least-inflight", .pick = pick_least_inflight } };
@@ -56,16 +147,50 @@
   for (size_t i = 0; i < G_N_ELEMENTS (classes); i++)
     if (strcmp (classes[i].name, name) == 0)
       policy->klass = &classes[i];
-  return policy->klass != NULL;
+  if (policy->klass == NULL)
+    return false;
+  policy->predict = jc_predict_new ();
+  return true;
+}
+
+/* Free what POLICY holds.  */
+void
+jc_policy_clear (struct jc_policy *policy)
+{
+  jc_predict_free (policy->predict);
+  policy->predict = NULL;
 }
 
 /* Return the endpoint that POLICY chooses, or NULL where ENDPOINTS is
-   empty.  */
+   empty.  One that failed lately is chosen only where all did.  */
 struct jc_endpoint *
 jc_policy_pick (struct jc_policy *policy, const GPtrArray *endpoints,
                 uint64_t affinity, int64_t now_ms)
 {
-  if (endpoints->len == 0)
-    return NULL;
-  return policy->klass->pick (policy, endpoints, affinity, now_ms);
+  GPtrArray *sound = g_ptr_array_new ();
+  struct jc_endpoint *picked = NULL;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    if (!jc_predict_avoided (policy->predict, g_ptr_array_index (endpoints, i),
+                             now_ms))
+      g_ptr_array_add (sound, g_ptr_array_index (endpoints, i));
+  if (endpoints->len > 0)
+    picked = policy->klass->pick (policy, sound->len > 0 ? sound : endpoints,
+                                  affinity, now_ms);
+  g_ptr_array_free (sound, TRUE);
+  return picked;
+}
+
+/* Return the affinity of a request whose body begins with LEN bytes at DATA;
+   0 where it is too short for a prefix worth keeping.  */
+uint64_t
+jc_policy_affinity (const char *data, size_t len)
+{
+  uint64_t hash = G_GUINT64_CONSTANT (0xcbf29ce484222325);
+
+  if (len < AFFINITY_PREFIX_BYTES)
+    return 0;
+  for (size_t i = 0; i < AFFINITY_PREFIX_BYTES; i++)
+    hash = (hash ^ (unsigned char)data[i]) * G_GUINT64_CONSTANT (0x100000001b3);
+  return MAX (hash, 1);
 }
--- a/serve/policy.h
+++ b/serve/policy.h
@@ -4,11 +4,12 @@
 #define JC_POLICY_H
 
 #include "member/members.h"
+#include "serve/predict.h"
 
 struct jc_policy;
 
 /* What a policy may do.  PICK chooses among ENDPOINTS (ordered by name, not
-   empty) for a request whose prefix hashes to AFFINITY.  */
+   empty) for a request whose prefix hashes to AFFINITY, 0 for none.  */
 struct jc_policy_class
 {
   const char *name;
@@ -21,11 +22,14 @@
 {
   const struct jc_policy_class *klass;
   uint64_t turn;
+  struct jc_predict *predict;
 };
 
 bool jc_policy_init (struct jc_policy *policy, const char *name);
+void jc_policy_clear (struct jc_policy *policy);
 struct jc_endpoint *jc_policy_pick (struct jc_policy *policy,
                                     const GPtrArray *endpoints,
                                     uint64_t affinity, int64_t now_ms);
+uint64_t jc_policy_affinity (const char *data, size_t len);
 
 #endif
--- /dev/null
+++ b/serve/predict.c
@@ -0,0 +1,279 @@
+/* Predictions.  The work at an endpoint is this process's own attempts, which
+   it knows exactly, and the others' as last reported less what was its own
+   then.  The service time is an average of what it measured.  */
+
+#include <string.h>
+
+#include "serve/predict.h"
+
+enum
+{
+  SERVICE_UNKNOWN_MS = 100,
+  SERVICE_WEIGHT = 8,
+  FORGET_HALF_MS = 10000,
+  AVOID_MS = 1000,
+  AVOID_DOUBLINGS_MAX = 3,
+  PEAK_SHARE = 64,
+  KEEP_MS = 600000,
+  PRUNE_ABOVE = 4096
+};
+
+/* What is known of one endpoint.  SERVICE_MS is for one slot; PEAK_MS is the
+   longest first byte, which fades.  OWN_AT_REPORT is what this process had in
+   flight when the report of REPORT_MS came.  */
+struct estimate
+{
+  double service_ms;
+  double peak_ms;
+  int64_t touched_ms;
+  int64_t avoid_until_ms;
+  unsigned int failures;
+  int64_t report_ms;
+  unsigned int own_at_report;
+};
+
+struct jc_predict
+{
+  GHashTable *estimates;
+  GHashTable *typical;
+};
+
+/* Return a table that knows nothing.  */
+struct jc_predict *
+jc_predict_new (void)
+{
+  struct jc_predict *predict = g_new0 (struct jc_predict, 1);
+
+  predict->estimates
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  predict->typical
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return predict;
+}
+
+/* Free PREDICT.  */
+void
+jc_predict_free (struct jc_predict *predict)
+{
+  if (predict == NULL)
+    return;
+  g_hash_table_destroy (predict->estimates);
+  g_hash_table_destroy (predict->typical);
+  g_free (predict);
+}
+
+static gboolean
+estimate_is_old (gpointer key, gpointer value, gpointer now)
+{
+  const struct estimate *estimate = value;
+
+  (void)key;
+  return *(const int64_t *)now - estimate->touched_ms > KEEP_MS;
+}
+
+static struct estimate *
+estimate_of (struct jc_predict *predict, const char *name, int64_t now_ms)
+{
+  struct estimate *estimate = g_hash_table_lookup (predict->estimates, name);
+
+  if (estimate != NULL)
+    return estimate;
+  if (g_hash_table_size (predict->estimates) > PRUNE_ABOVE)
+    g_hash_table_foreach_remove (predict->estimates, estimate_is_old, &now_ms);
+  estimate = g_new0 (struct estimate, 1);
+  estimate->touched_ms = now_ms;
+  g_hash_table_insert (predict->estimates, g_strdup (name), estimate);
+  return estimate;
+}
+
+/* Return the average service time of SERVICE's endpoints.  */
+static double *
+typical_of (struct jc_predict *predict, const char *service)
+{
+  double *typical = g_hash_table_lookup (predict->typical, service);
+
+  if (typical != NULL)
+    return typical;
+  typical = g_new0 (double, 1);
+  g_hash_table_insert (predict->typical, g_strdup (service), typical);
+  return typical;
+}
+
+static unsigned int
+slots_of (const struct jc_endpoint *endpoint)
+{
+  return MAX (endpoint->slots, 1);
+}
+
+/* Return the number of requests at ENDPOINT.  */
+unsigned int
+jc_predict_ahead (struct jc_predict *predict,
+                  const struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  struct estimate *estimate = estimate_of (predict, endpoint->name, now_ms);
+  unsigned int reported = endpoint->running + endpoint->queued;
+  unsigned int others = 0;
+
+  if (estimate->report_ms != endpoint->reported_ms)
+    {
+      estimate->report_ms = endpoint->reported_ms;
+      estimate->own_at_report = endpoint->in_flight;
+    }
+  if (reported > estimate->own_at_report)
+    others = reported - estimate->own_at_report;
+  return endpoint->in_flight + others;
+}
+
+/* Return the share of a measurement that still counts after IDLE_MS without
+   a new one: a half each FORGET_HALF_MS.  */
+static double
+share_kept (int64_t idle_ms)
+{
+  double share = 1;
+
+  for (; idle_ms >= FORGET_HALF_MS && share > 0.01; idle_ms -= FORGET_HALF_MS)
+    share /= 2;
+  return share * (1 - (double)MAX (idle_ms, 0) / (2 * FORGET_HALF_MS));
+}
+
+/* Return the time that ENDPOINT takes for a request once it runs, ms.  What
+   was measured long ago gives way to the service's average, so that an
+   endpoint that was slow is tried again.  */
+int64_t
+jc_predict_service_ms (struct jc_predict *predict,
+                       const struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  const struct estimate *estimate
+      = estimate_of (predict, endpoint->name, now_ms);
+  double typical = *typical_of (predict, endpoint->service);
+  double share = share_kept (now_ms - estimate->touched_ms);
+
+  if (typical <= 0)
+    typical = SERVICE_UNKNOWN_MS;
+  if (estimate->service_ms <= 0)
+    return (int64_t)typical;
+  return (int64_t)(typical + share * (estimate->service_ms - typical));
+}
+
+/* Return the time that a request sent to ENDPOINT now would wait there, ms. */
+int64_t
+jc_predict_wait_ms (struct jc_predict *predict,
+                    const struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  unsigned int ahead = jc_predict_ahead (predict, endpoint, now_ms);
+  unsigned int slots = slots_of (endpoint);
+
+  if (ahead < slots)
+    return 0;
+  return jc_predict_service_ms (predict, endpoint, now_ms)
+         * (int64_t)(ahead - slots + 1) / (int64_t)slots;
+}
+
+/* Return the time after which a request sent to ENDPOINT now would be done,
+   ms.  */
+int64_t
+jc_predict_finish_ms (struct jc_predict *predict,
+                      const struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  return jc_predict_wait_ms (predict, endpoint, now_ms)
+         + jc_predict_service_ms (predict, endpoint, now_ms);
+}
+
+/* Return the longest that ENDPOINT lately took to its first byte, ms; 0 where
+   that is not known.  */
+int64_t
+jc_predict_usual_ms (struct jc_predict *predict,
+                     const struct jc_endpoint *endpoint)
+{
+  const struct estimate *estimate
+      = g_hash_table_lookup (predict->estimates, endpoint->name);
+
+  return estimate != NULL ? (int64_t)estimate->peak_ms : 0;
+}
+
+/* Tell whether ENDPOINT failed lately.  Once the time is over it gets one
+   request, and more only when that was answered.  */
+bool
+jc_predict_avoided (struct jc_predict *predict,
+                    const struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  const struct estimate *estimate
+      = g_hash_table_lookup (predict->estimates, endpoint->name);
+
+  if (estimate == NULL || estimate->failures == 0)
+    return false;
+  return now_ms < estimate->avoid_until_ms || endpoint->in_flight > 0;
+}
+
+/* Note that the endpoint NAME failed to connect or missed its first byte.  */
+void
+jc_predict_avoid (struct jc_predict *predict, const char *name, int64_t now_ms)
+{
+  struct estimate *estimate = estimate_of (predict, name, now_ms);
+  unsigned int doublings = MIN (estimate->failures, AVOID_DOUBLINGS_MAX);
+
+  if (now_ms < estimate->avoid_until_ms)
+    return;
+  estimate->failures++;
+  estimate->avoid_until_ms = now_ms + ((int64_t)AVOID_MS << doublings);
+}
+
+/* Begin RUN at ENDPOINT.  */
+void
+jc_predict_start (struct jc_predict *predict, struct jc_endpoint *endpoint,
+                  int64_t now_ms, struct jc_run *run)
+{
+  run->name = g_strdup (endpoint->name);
+  run->ahead = jc_predict_ahead (predict, endpoint, now_ms);
+  run->started_ms = now_ms;
+  endpoint->in_flight++;
+}
+
+/* The first byte of RUN came, or was given up on, at NOW_MS.  */
+void
+jc_predict_first_byte (struct jc_predict *predict, const struct jc_run *run,
+                       int64_t now_ms)
+{
+  struct estimate *estimate = estimate_of (predict, run->name, now_ms);
+  double took_ms = (double)(now_ms - run->started_ms);
+
+  if (took_ms > estimate->peak_ms)
+    estimate->peak_ms = took_ms;
+  else
+    estimate->peak_ms -= (estimate->peak_ms - took_ms) / PEAK_SHARE;
+}
+
+static void
+average (double *value, double sample)
+{
+  if (*value <= 0)
+    *value = sample;
+  else
+    *value += (sample - *value) / SERVICE_WEIGHT;
+}
+
+/* End RUN at ENDPOINT, which is NULL where it is forgotten; RUN's name is
+   freed.  ANSWERED tells that the answer was whole.  */
+void
+jc_predict_finish (struct jc_predict *predict, struct jc_endpoint *endpoint,
+                   struct jc_run *run, bool answered, int64_t now_ms)
+{
+  struct estimate *estimate;
+  double took_ms;
+
+  if (endpoint != NULL && endpoint->in_flight > 0)
+    endpoint->in_flight--;
+  if (endpoint != NULL && answered)
+    {
+      estimate = estimate_of (predict, run->name, now_ms);
+      took_ms = (double)MAX (now_ms - run->started_ms, 1);
+      if (run->ahead >= slots_of (endpoint))
+        took_ms *= (double)slots_of (endpoint) / (run->ahead + 1);
+      average (&estimate->service_ms, MAX (took_ms, 1));
+      average (typical_of (predict, endpoint->service), MAX (took_ms, 1));
+      estimate->touched_ms = now_ms;
+      estimate->failures = 0;
+    }
+  g_free (run->name);
+  run->name = NULL;
+}
--- /dev/null
+++ b/serve/predict.h
@@ -0,0 +1,46 @@
+/* What this process measured of endpoints, and what it predicts from it.  */
+
+#ifndef JC_PREDICT_H
+#define JC_PREDICT_H
+
+#include "member/members.h"
+
+struct jc_predict;
+
+/* One attempt at an endpoint, from its start to its end.  AHEAD is the work
+   that was there before.  */
+struct jc_run
+{
+  char *name;
+  unsigned int ahead;
+  int64_t started_ms;
+};
+
+struct jc_predict *jc_predict_new (void);
+void jc_predict_free (struct jc_predict *predict);
+unsigned int jc_predict_ahead (struct jc_predict *predict,
+                               const struct jc_endpoint *endpoint,
+                               int64_t now_ms);
+int64_t jc_predict_service_ms (struct jc_predict *predict,
+                               const struct jc_endpoint *endpoint,
+                               int64_t now_ms);
+int64_t jc_predict_wait_ms (struct jc_predict *predict,
+                            const struct jc_endpoint *endpoint, int64_t now_ms);
+int64_t jc_predict_finish_ms (struct jc_predict *predict,
+                              const struct jc_endpoint *endpoint,
+                              int64_t now_ms);
+int64_t jc_predict_usual_ms (struct jc_predict *predict,
+                             const struct jc_endpoint *endpoint);
+bool jc_predict_avoided (struct jc_predict *predict,
+                         const struct jc_endpoint *endpoint, int64_t now_ms);
+void jc_predict_avoid (struct jc_predict *predict, const char *name,
+                       int64_t now_ms);
+void jc_predict_start (struct jc_predict *predict, struct jc_endpoint *endpoint,
+                       int64_t now_ms, struct jc_run *run);
+void jc_predict_first_byte (struct jc_predict *predict,
+                            const struct jc_run *run, int64_t now_ms);
+void jc_predict_finish (struct jc_predict *predict,
+                        struct jc_endpoint *endpoint, struct jc_run *run,
+                        bool answered, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/serve/request.c
@@ -0,0 +1,362 @@
+/* An idempotent request.  Each attempt has an id, and only what comes of the
+   current one counts.  A stream is passed on event by event; after a failure
+   another endpoint goes on from the events delivered, or repeats them byte
+   by byte, which are then skipped.  */
+
+#include <sodium.h>
+#include <string.h>
+
+#include "serve/request.h"
+
+enum
+{
+  FIRST_BYTE_LEAST_MS = 1000,
+  FIRST_BYTE_SHARE = 3,
+  ATTEMPT_LEAST_MS = 5,
+  ANSWER_BYTES_MAX = 16 * 1024 * 1024
+};
+
+/* Make REQUEST ready; its effects go to OPS with CTX.  DEADLINE_MS is in
+   monotonic ms.  */
+void
+jc_request_init (struct jc_request *request, const struct jc_request_ops *ops,
+                 void *ctx, int64_t deadline_ms)
+{
+  memset (request, 0, sizeof *request);
+  request->ops = ops;
+  request->ctx = ctx;
+  request->deadline_ms = deadline_ms;
+  request->tried = g_ptr_array_new_with_free_func (g_free);
+  request->body = g_string_new (NULL);
+  jc_sse_init (&request->sse);
+}
+
+/* Free what REQUEST holds.  */
+void
+jc_request_clear (struct jc_request *request)
+{
+  g_ptr_array_free (request->tried, TRUE);
+  g_string_free (request->body, TRUE);
+  jc_sse_free (&request->sse);
+  g_free (request->content_type);
+  g_free (request->message);
+}
+
+/* Tell whether REQUEST had an attempt at NAME.  */
+bool
+jc_request_tried (const struct jc_request *request, const char *name)
+{
+  for (guint i = 0; i < request->tried->len; i++)
+    if (strcmp (g_ptr_array_index (request->tried, i), name) == 0)
+      return true;
+  return false;
+}
+
+/* Return how long the first byte of an attempt may take.  The last attempt
+   gets all that is left.  */
+static int64_t
+first_byte_limit (const struct jc_request *request,
+                  const struct jc_target *target, int64_t left_ms)
+{
+  int64_t limit = left_ms / FIRST_BYTE_SHARE;
+
+  if (request->attempts >= JC_REQUEST_ATTEMPTS_MAX)
+    return left_ms;
+  if (target->usual_ms > 0)
+    limit = 2 * target->usual_ms;
+  return MIN (MAX (limit, FIRST_BYTE_LEAST_MS), MAX (left_ms / 2, 1));
+}
+
+/* Return the kind of a final failure.  One that says "not run" is taken only
+   where no byte of any attempt can have been sent.  */
+static enum jc_status
+failure_kind (const struct jc_request *request, enum jc_status status,
+              int64_t now_ms)
+{
+  bool late = now_ms + ATTEMPT_LEAST_MS > request->deadline_ms;
+
+  if (request->begun)
+    return JC_STREAM_BROKEN;
+  if (late)
+    return request->maybe_run ? JC_DEADLINE_EXCEEDED : JC_DEADLINE_UNMEETABLE;
+  if (request->maybe_run)
+    return JC_ENDPOINT_FAILED;
+  return jc_status_row (status)->run == JC_NOT_RUN ? status : JC_UNREACHABLE;
+}
+
+static void
+request_fail (struct jc_request *request, enum jc_status status, int64_t now_ms)
+{
+  enum jc_status kind = failure_kind (request, status, now_ms);
+  const char *message = request->message;
+
+  if (message == NULL)
+    message = jc_last_message ();
+  request->ended = true;
+  request->current = 0;
+  request->ops->fail (request->ctx, kind, message);
+}
+
+static void
+attempt_reset (struct jc_request *request)
+{
+  request->heard = false;
+  request->streaming = false;
+  request->diverged = false;
+  request->position = 0;
+  g_string_truncate (request->body, 0);
+  jc_sse_clear (&request->sse);
+  memset (request->replay_digest, 0, JC_REQUEST_DIGEST_BYTES);
+}
+
+/* Start the next attempt, or fail with STATUS where none is left.  */
+static void
+request_attempt (struct jc_request *request, enum jc_status status,
+                 int64_t now_ms)
+{
+  int64_t left = request->deadline_ms - now_ms;
+  struct jc_attempt attempt = { .fresh = request->attempts > 0 };
+
+  if (left < ATTEMPT_LEAST_MS || request->attempts >= JC_REQUEST_ATTEMPTS_MAX)
+    {
+      request_fail (request, status, now_ms);
+      return;
+    }
+  if (request->attempts > 0 && !request->ops->may_retry (request->ctx, now_ms))
+    {
+      request_fail (request, status, now_ms);
+      return;
+    }
+  status = request->ops->pick (request->ctx, request, now_ms, &attempt.target);
+  if (status != JC_OK)
+    {
+      request_fail (request, status, now_ms);
+      return;
+    }
+  attempt.id = ++request->attempts;
+  attempt.total_ms = left;
+  attempt.first_byte_ms = first_byte_limit (request, &attempt.target, left);
+  attempt.resume_from = request->delivered;
+  request->current = attempt.id;
+  g_ptr_array_add (request->tried, g_strdup (attempt.target.name));
+  attempt_reset (request);
+  request->ops->start (request->ctx, &attempt);
+}
+
+/* Begin with the first attempt.  */
+void
+jc_request_start (struct jc_request *request, int64_t now_ms)
+{
+  jc_fail (JC_DEADLINE_UNMEETABLE, "The deadline has passed.");
+  request_attempt (request, JC_DEADLINE_UNMEETABLE, now_ms);
+}
+
+static const char *
+current_name (const struct jc_request *request)
+{
+  return g_ptr_array_index (request->tried, request->tried->len - 1);
+}
+
+/* End the current attempt as failed and go on with another one.  */
+static void
+attempt_failed (struct jc_request *request, enum jc_status status,
+                const char *message, int64_t now_ms)
+{
+  request->current = 0;
+  g_free (request->message);
+  request->message = g_strdup (message);
+  request_attempt (request, status, now_ms);
+}
+
+/* Cancel the current attempt, whose answer can't be used.  */
+static void
+attempt_reject (struct jc_request *request, enum jc_status status,
+                const char *message, int64_t now_ms)
+{
+  request->maybe_run = true;
+  request->ops->cancel (request->ctx, request->current);
+  attempt_failed (request, status, message, now_ms);
+}
+
+/* The head of ATTEMPT's answer came.  RESUMED tells that the endpoint goes on
+   from the event that the attempt asked for.  */
+void
+jc_request_head (struct jc_request *request, uint64_t attempt, int http,
+                 const char *content_type, bool resumed, int64_t now_ms)
+{
+  (void)now_ms;
+  if (request->ended || attempt != request->current)
+    return;
+  request->heard = true;
+  request->http = http;
+  g_free (request->content_type);
+  request->content_type = g_strdup (content_type);
+  request->streaming
+      = http == 200 && content_type != NULL
+        && g_ascii_strncasecmp (content_type, "text/event-stream", 17) == 0;
+  if (resumed && request->streaming)
+    {
+      request->position = request->delivered;
+      memcpy (request->replay_digest, request->delivered_digest,
+              JC_REQUEST_DIGEST_BYTES);
+    }
+}
+
+/* Turn DIGEST of the events before into that with EVENT.  */
+static void
+digest_add (unsigned char *digest, struct jc_str event)
+{
+  unsigned char next[JC_REQUEST_DIGEST_BYTES];
+
+  crypto_generichash (next, sizeof next, (const unsigned char *)event.data,
+                      event.len, digest, JC_REQUEST_DIGEST_BYTES);
+  memcpy (digest, next, sizeof next);
+}
+
+/* Tell whether the events repeated are those that the caller has.  */
+static bool
+replay_equal (const struct jc_request *request)
+{
+  return memcmp (request->replay_digest, request->delivered_digest,
+                 JC_REQUEST_DIGEST_BYTES)
+         == 0;
+}
+
+static void
+event_deliver (struct jc_request *request, struct jc_str event)
+{
+  if (!request->begun)
+    request->ops->begin (request->ctx, request->http, request->content_type);
+  request->begun = true;
+  request->delivered++;
+  digest_add (request->delivered_digest, event);
+  request->ops->write (request->ctx, event);
+}
+
+/* Take a whole event of the current attempt: one that the caller has is only
+   compared, any other is passed on.  */
+static bool
+event_take (void *ctx, struct jc_str event)
+{
+  struct jc_request *request = ctx;
+  bool known = request->position < request->delivered;
+
+  if (request->end_seen)
+    return false;
+  request->position++;
+  if (known)
+    {
+      digest_add (request->replay_digest, event);
+      request->diverged
+          = request->position == request->delivered && !replay_equal (request);
+      return !request->diverged;
+    }
+  request->end_seen = jc_sse_is_end (event);
+  event_deliver (request, event);
+  return true;
+}
+
+/* Bytes of ATTEMPT's answer came.  */
+void
+jc_request_data (struct jc_request *request, uint64_t attempt,
+                 struct jc_str data, int64_t now_ms)
+{
+  if (request->ended || attempt != request->current)
+    return;
+  if (!request->streaming)
+    {
+      g_string_append_len (request->body, data.data, (gssize)data.len);
+      if (request->body->len > ANSWER_BYTES_MAX)
+        attempt_reject (request, JC_ENDPOINT_FAILED, "The answer is too large.",
+                        now_ms);
+      return;
+    }
+  if (jc_sse_feed (&request->sse, data, event_take, request) != JC_OK)
+    attempt_reject (request, JC_STREAM_BROKEN, jc_last_message (), now_ms);
+  else if (request->diverged)
+    attempt_reject (request, JC_STREAM_BROKEN,
+                    "Another endpoint's answer began differently.", now_ms);
+}
+
+static bool
+http_refuses (int http)
+{
+  return http == 429 || http == 503;
+}
+
+static bool
+http_failed (int http)
+{
+  return http == 502 || http == 504 || http < 200;
+}
+
+/* A whole plain answer came.  */
+static void
+answer_take (struct jc_request *request, int64_t now_ms)
+{
+  if (request->begun)
+    {
+      request->maybe_run = true;
+      attempt_failed (request, JC_STREAM_BROKEN,
+                      "No endpoint could go on with the stream.", now_ms);
+      return;
+    }
+  if (http_refuses (request->http))
+    {
+      attempt_failed (request, JC_ENDPOINT_REFUSED,
+                      "The endpoint refused the request.", now_ms);
+      return;
+    }
+  request->maybe_run = true;
+  if (http_failed (request->http))
+    {
+      attempt_failed (request, JC_ENDPOINT_FAILED,
+                      "The endpoint could not answer.", now_ms);
+      return;
+    }
+  request->ended = true;
+  request->current = 0;
+  request->ops->answer (request->ctx, request->http, request->content_type,
+                        jc_str_of (request->body));
+}
+
+/* ATTEMPT ended as END says.  */
+void
+jc_request_done (struct jc_request *request, uint64_t attempt,
+                 const struct jc_attempt_end *end, int64_t now_ms)
+{
+  bool whole = end->status == JC_OK && end->framed;
+
+  if (request->ended || attempt != request->current)
+    return;
+  if (request->streaming && request->end_seen)
+    {
+      request->ended = true;
+      request->current = 0;
+      request->ops->end (request->ctx);
+      return;
+    }
+  if (whole && request->heard && !request->streaming)
+    {
+      answer_take (request, now_ms);
+      return;
+    }
+  if (end->sent)
+    request->maybe_run = true;
+  if (!end->sent || !request->heard)
+    request->ops->avoid (request->ctx, current_name (request), now_ms);
+  attempt_failed (
+      request, end->status == JC_OK ? JC_ENDPOINT_FAILED : end->status,
+      end->status == JC_OK ? "The answer was cut." : end->message, now_ms);
+}
+
+/* The caller has gone: cancel the attempt that runs.  No further effect
+   follows.  */
+void
+jc_request_gone (struct jc_request *request)
+{
+  if (!request->ended && request->current != 0)
+    request->ops->cancel (request->ctx, request->current);
+  request->ended = true;
+  request->current = 0;
+}
--- /dev/null
+++ b/serve/request.h
@@ -0,0 +1,115 @@
+/* An idempotent request: its attempts, its retries and its answer.  */
+
+#ifndef JC_REQUEST_H
+#define JC_REQUEST_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/status.h"
+#include "base/str.h"
+#include "serve/sse.h"
+
+enum
+{
+  JC_REQUEST_ATTEMPTS_MAX = 3,
+  JC_REQUEST_DIGEST_BYTES = 32
+};
+
+/* Where an attempt goes.  USUAL_MS is the longest that a first byte lately
+   took there, 0 where not known.  */
+struct jc_target
+{
+  const char *name;
+  bool away;
+  int64_t usual_ms;
+};
+
+/* An attempt to start.  Times are in ms; RESUME_FROM counts the events that
+   the caller has.  FRESH asks for a new connection.  */
+struct jc_attempt
+{
+  uint64_t id;
+  struct jc_target target;
+  int64_t first_byte_ms;
+  int64_t total_ms;
+  uint64_t resume_from;
+  bool fresh;
+};
+
+/* How an attempt ended.  STATUS is JC_OK where all of the answer came; SENT
+   is false only where no byte can have reached an endpoint; FRAMED tells
+   that the answer's length was known.  */
+struct jc_attempt_end
+{
+  enum jc_status status;
+  bool sent;
+  bool framed;
+  const char *message;
+};
+
+struct jc_request;
+
+/* The effects of a request.  PICK sets TARGET or returns why there is none;
+   MAY_RETRY takes one retry from the budget; AVOID says that NAME failed to
+   connect or missed the first byte.  BEGIN and WRITE stream to the caller.
+   One of ANSWER, END and FAIL is the last effect: ANSWER is whole, END
+   closes a whole stream, FAIL is an error, after BEGIN as an event.  */
+struct jc_request_ops
+{
+  enum jc_status (*pick) (void *ctx, const struct jc_request *request,
+                          int64_t now_ms, struct jc_target *target);
+  bool (*may_retry) (void *ctx, int64_t now_ms);
+  void (*start) (void *ctx, const struct jc_attempt *attempt);
+  void (*cancel) (void *ctx, uint64_t attempt);
+  void (*avoid) (void *ctx, const char *name, int64_t now_ms);
+  void (*begin) (void *ctx, int http, const char *content_type);
+  void (*write) (void *ctx, struct jc_str data);
+  void (*answer) (void *ctx, int http, const char *content_type,
+                  struct jc_str body);
+  void (*end) (void *ctx);
+  void (*fail) (void *ctx, enum jc_status status, const char *message);
+};
+
+struct jc_request
+{
+  const struct jc_request_ops *ops;
+  void *ctx;
+  int64_t deadline_ms;
+  unsigned int attempts;
+  uint64_t current;
+  GPtrArray *tried;
+  char *message;
+  bool maybe_run;
+  bool heard;
+  bool streaming;
+  bool begun;
+  bool end_seen;
+  bool diverged;
+  bool ended;
+  int http;
+  char *content_type;
+  GString *body;
+  struct jc_sse sse;
+  uint64_t delivered;
+  uint64_t position;
+  unsigned char delivered_digest[JC_REQUEST_DIGEST_BYTES];
+  unsigned char replay_digest[JC_REQUEST_DIGEST_BYTES];
+};
+
+void jc_request_init (struct jc_request *request,
+                      const struct jc_request_ops *ops, void *ctx,
+                      int64_t deadline_ms);
+void jc_request_clear (struct jc_request *request);
+void jc_request_start (struct jc_request *request, int64_t now_ms);
+void jc_request_head (struct jc_request *request, uint64_t attempt, int http,
+                      const char *content_type, bool resumed, int64_t now_ms);
+void jc_request_data (struct jc_request *request, uint64_t attempt,
+                      struct jc_str data, int64_t now_ms);
+void jc_request_done (struct jc_request *request, uint64_t attempt,
+                      const struct jc_attempt_end *end, int64_t now_ms);
+void jc_request_gone (struct jc_request *request);
+bool jc_request_tried (const struct jc_request *request, const char *name);
+
+#endif
