--- a/net/httpc.c
+++ b/net/httpc.c
@@ -33,6 +33,7 @@
   void *ctx;
   ev_timer silence;
   long idle_ms;
+  bool paused;
   char *content_type;
   int http;
   bool head_told;
@@ -281,7 +282,7 @@
 call_arm_silence (struct jc_call *call, long ms)
 {
   ev_timer_stop (call->httpc->loop, &call->silence);
-  if (ms <= 0)
+  if (ms <= 0 || call->paused)
     return;
   ev_timer_set (&call->silence, (double)ms / MS_PER_S, 0);
   ev_timer_start (call->httpc->loop, &call->silence);
@@ -410,10 +411,14 @@
   call_finish (call, NULL);
 }
 
-/* Stop or go on reading the answer of CALL.  Must not be called from within
-   its events to unpause.  */
+/* Stop or go on reading the answer of CALL; a paused call is never taken for
+   silent.  Must not be called from within its events to unpause.  */
 void
 jc_call_pause (struct jc_call *call, bool paused)
 {
+  if (call->cancelled || call->paused == paused)
+    return;
+  call->paused = paused;
+  call_arm_silence (call, call->idle_ms);
   curl_easy_pause (call->easy, paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
 }
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -31,6 +31,7 @@
   ev_io epoll;
   ev_timer timer;
   ev_prepare prepare;
+  GHashTable *suspended;
   bool run_wanted;
   int port;
 };
@@ -113,6 +114,7 @@
   if (!req->suspended)
     return;
   req->suspended = false;
+  g_hash_table_remove (req->httpd->suspended, req);
   ev_io_stop (req->httpd->loop, &req->watch);
   MHD_resume_connection (req->conn);
   req->httpd->run_wanted = true;
@@ -158,6 +160,7 @@
     return;
   info = MHD_get_connection_info (req->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
   req->suspended = true;
+  g_hash_table_add (req->httpd->suspended, req);
   MHD_suspend_connection (req->conn);
   ev_io_set (&req->watch, info->connect_fd, EV_READ);
   ev_io_start (req->httpd->loop, &req->watch);
@@ -312,6 +315,7 @@
   httpd->klass = klass;
   httpd->ctx = ctx;
   httpd->max_body = max_body;
+  httpd->suspended = g_hash_table_new (NULL, NULL);
   jc_address_parse (address, &addr);
   httpd->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, NULL, NULL,
@@ -325,6 +329,7 @@
     {
       jc_fail (JC_UNREACHABLE, "Can't listen at %s: %s.", address,
                strerror (errno));
+      g_hash_table_destroy (httpd->suspended);
       g_free (httpd);
       return NULL;
     }
@@ -352,16 +357,34 @@
     shutdown (fd, SHUT_RDWR);
 }
 
-/* Stop HTTPD and free it.  No request may be owned any more.  */
+/* Give up what is still suspended: libmicrohttpd can't stop before.  */
+static void
+httpd_give_up (struct jc_httpd *httpd)
+{
+  GList *reqs = g_hash_table_get_keys (httpd->suspended);
+
+  for (GList *item = reqs; item != NULL; item = item->next)
+    {
+      req_tell_gone (item->data);
+      req_resume (item->data);
+    }
+  g_list_free (reqs);
+  httpd_run (httpd);
+}
+
+/* Stop HTTPD and free it.  Owners of requests are told that they are
+   gone.  */
 void
 jc_httpd_free (struct jc_httpd *httpd)
 {
   if (httpd == NULL)
     return;
+  httpd_give_up (httpd);
   ev_io_stop (httpd->loop, &httpd->epoll);
   ev_timer_stop (httpd->loop, &httpd->timer);
   ev_prepare_stop (httpd->loop, &httpd->prepare);
   MHD_stop_daemon (httpd->daemon);
+  g_hash_table_destroy (httpd->suspended);
   g_free (httpd);
 }
 
