--- a/base/fields.c
+++ b/base/fields.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/fields.h"
+#include "base/str.h"
 
 enum
 {
@@ -68,6 +69,18 @@
          && strspn (text, "0123456789abcdefABCDEF") == SECRET_DIGITS;
 }
 
+static bool
+choice_valid (const char *choices, const char *text)
+{
+  struct jc_str left = jc_str_from (choices);
+  struct jc_str word;
+
+  while (jc_str_cut (&left, '|', &word))
+    if (jc_str_equal (word, jc_str_from (text)))
+      return true;
+  return false;
+}
+
 /* Return what is wrong with TEXT as a value of FIELD, or NULL.  */
 static const char *
 text_fault (const struct jc_field *field, const char *text)
@@ -82,6 +95,8 @@
       return text[0] == '\0' || name_valid (text) ? NULL : "is not a name";
     case JC_FIELD_ADDRESS:
       return address_valid (text) ? NULL : "is not IP number and port";
+    case JC_FIELD_CHOICE:
+      return choice_valid (field->target, text) ? NULL : "is not a choice";
     case JC_FIELD_SECRET:
       return secret_valid (text) ? NULL : "is not 64 hex digits";
     default:
--- a/base/fields.h
+++ b/base/fields.h
@@ -21,12 +21,14 @@
   JC_FIELD_REF,
   JC_FIELD_REF_OPTIONAL,
   JC_FIELD_REFS,
-  JC_FIELD_LIST
+  JC_FIELD_LIST,
+  JC_FIELD_CHOICE
 };
 
 struct jc_table;
 
-/* One key of a JSON object and its place in the struct.  */
+/* One key of a JSON object and its place in the struct.  TARGET is the kind
+   of object referred to, or the words to choose from, split by '|'.  */
 struct jc_field
 {
   const char *key;
--- a/schema/gen/objects.h
+++ b/schema/gen/objects.h
@@ -41,7 +41,7 @@
   char *operator_token;
   /* Token that endpoints send as bearer; empty admits any.  */
   char *endpoint_token;
-  /* Routing policy: predicted, nearest, round-robin or least-inflight.  */
+  /* Routing policy.  */
   char *policy;
   /* Lease of an endpoint's announcement, ms.  */
   int64_t lease_ms;
@@ -53,7 +53,7 @@
   int64_t drain_limit_ms;
   /* Largest body of a request, bytes.  */
   int64_t max_body_bytes;
-  /* Least level logged: debug, info, warn or error.  */
+  /* Least level logged.  */
   char *log_level;
   /* Log as JSON lines.  */
   bool log_json;
@@ -92,7 +92,7 @@
   int64_t election_ms;
   /* Log entries after which a snapshot is taken.  */
   int64_t snapshot_entries;
-  /* Least level logged: debug, info, warn or error.  */
+  /* Least level logged.  */
   char *log_level;
   /* Log as JSON lines.  */
   bool log_json;
--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -14,7 +14,8 @@
 def split(field):
     """Returns the field kind and the table or object it names."""
     word, _, target = field["type"].partition(":")
-    extra = {"ref": "REF", "ref?": "REF_OPTIONAL", "refs": "REFS", "list": "LIST"}
+    extra = {"ref": "REF", "ref?": "REF_OPTIONAL", "refs": "REFS", "list": "LIST",
+             "choice": "CHOICE"}
     return extra.get(word) or KINDS[word], target
 
 
@@ -50,7 +51,7 @@
         parts += [f".min = {f['min']}", f".max = {f['max']}"]
     if kind in ("INT", "BOOL") and "default" in f:
         parts.append(f".preset = {int(f['default'])}")
-    if kind in ("STRING",) and f.get("default"):
+    if kind in ("STRING", "CHOICE") and f.get("default"):
         parts.append(f".preset_text = {quote(f['default'])}")
     if kind == "LIST":
         parts.append(f".table = &jc_{target}_table")
@@ -81,7 +82,7 @@
         for f in table["fields"]:
             default = "required" if f.get("required") else json.dumps(f.get("default"))
             bounds = f"{f['min']} to {f['max']}" if "min" in f else ""
-            out.append(f"| `{f['key']}` | {f['type']} | {default} | {bounds} | {f['doc']} |")
+            out.append(f"| `{f['key']}` | {f['type'].replace('|', ', ')} | {default} | {bounds} | {f['doc']} |")
         out.append("")
     return "\n".join(out)
 
