--- a/state/main.c
+++ b/state/main.c
@@ -58,6 +58,8 @@
   state->rpc = jc_rpc_new (state->loop, &identity, &rpc_class, state);
   jc_rpc_set_config_version (state->rpc, state->config->version);
   status = ledger_start (state);
+  if (status == JC_OK)
+    status = log_start (state);
   if (status != JC_OK)
     return status;
   return jc_rpc_listen (state->rpc, s->rpc);
@@ -100,6 +102,7 @@
       code = JC_EXIT_FAILED;
     }
   ledger_stop (&state);
+  log_stop (&state);
   if (state.rpc != NULL)
     jc_rpc_free (state.rpc);
   if (state.disk != NULL)
--- a/state/state.h
+++ b/state/state.h
@@ -20,6 +20,7 @@
   struct jc_config *config;
   json_t *answers;
   GPtrArray *followers;
+  struct log *log;
 };
 
 /* Kinds of entries of the replicated log.  */
@@ -37,6 +38,8 @@
 
 /* log: the replicated log.  A ledger proposes LOG_LEDGER entries and is told
    of committed ones in order, also while the log is replayed.  */
+enum jc_status log_start (struct state *state);
+void log_stop (struct state *state);
 void log_propose (struct state *state, enum log_kind kind, struct jc_str data,
                   log_done_fn *done, void *ctx);
 
