Give the stand-in endpoints batches, a prefix cache and faults

The engine batches continuously (slots, queue, token time growing with the batch), caches prefixes in limited memory, resumes at X-Resume-From, stops work of callers that went and echoes the caller's mark.

--- a/tests/standin-engine.c
+++ b/tests/standin-engine.c
@@ -1,7 +1,7 @@
-/* Stand-in model engine: chat completions, plain and as a stream.  */
+/* Stand-in model engine: chat completions, plain and as a stream, batched
+   continuously, with a prefix cache of limited memory.  */
 
 #include <argtable2.h>
-#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,88 +11,257 @@
 enum
 {
   TOKENS_DEFAULT = 8,
+  FIRST_TOKEN_DEFAULT_MS = 20,
+  TOKEN_DEFAULT_MS = 5,
+  BATCH_DEFAULT_PERCENT = 3,
+  WARM_DEFAULT_PERCENT = 20,
+  PREFIXES_DEFAULT = 64,
+  PERCENT = 100,
   MS_PER_S = 1000
 };
 
-/* The engine's pace, in ms.  */
+/* The engine.  A token takes TOKEN_MS for one completion and BATCH_PERCENT
+   more for each further one of the batch; a prompt whose prefix is cached
+   takes WARM_PERCENT of FIRST_TOKEN_MS.  PREFIXES holds the cached ones, the
+   latest used last.  */
 struct engine
 {
   struct standin standin;
   int first_token_ms;
   int token_ms;
+  int batch_percent;
+  int warm_percent;
+  guint prefixes_max;
+  GQueue waiting;
+  GQueue batch;
+  GQueue prefixes;
+  ev_timer step;
 };
 
-/* A completion that runs.  */
+/* A completion that waits, is prefilled or makes tokens.  */
 struct completion
 {
   struct engine *engine;
   struct jc_http_req *req;
+  char *mark;
+  char *prefix;
   bool stream;
+  bool begun;
+  bool placed;
+  enum standin_fault fault;
   int tokens;
   int made;
-  ev_timer timer;
+  ev_timer prefill;
 };
 
+static void engine_admit (struct engine *engine);
+
 static void
 completion_free (struct completion *completion)
 {
-  ev_timer_stop (completion->engine->standin.loop, &completion->timer);
-  completion->engine->standin.running--;
+  struct engine *engine = completion->engine;
+
+  ev_timer_stop (engine->standin.loop, &completion->prefill);
+  if (completion->placed)
+    engine->standin.running--;
+  if (g_queue_remove (&engine->waiting, completion))
+    engine->standin.queued--;
+  g_queue_remove (&engine->batch, completion);
+  g_free (completion->mark);
+  g_free (completion->prefix);
   g_free (completion);
+  engine_admit (engine);
 }
 
 static void
-completion_finish (struct completion *completion)
+completion_reply (const struct completion *completion)
 {
-  const struct standin *standin = &completion->engine->standin;
   GString *text = g_string_new (NULL);
+  json_t *answer;
+  char *body;
+
+  for (int i = 0; i < completion->tokens; i++)
+    g_string_append_printf (text, "%sw%d", i > 0 ? " " : "", i);
+  answer = json_pack ("{s:s,s:s,s:s,s:[{s:i,s:s,s:{s:s,s:s}}],s:{s:i}}", "id",
+                      completion->mark, "object", "chat.completion", "model",
+                      completion->engine->standin.model, "choices", "index", 0,
+                      "finish_reason", "stop", "message", "role", "assistant",
+                      "content", text->str, "usage", "completion_tokens",
+                      completion->tokens);
+  body = json_dumps (answer, JSON_COMPACT);
+  jc_http_reply (completion->req, 200, "application/json", jc_str_from (body),
+                 NULL);
+  free (body);
+  json_decref (answer);
+  g_string_free (text, TRUE);
+}
 
+static void
+completion_finish (struct completion *completion)
+{
   if (completion->stream)
     {
       jc_http_stream_write (completion->req, JC_STR_LIT ("data: [DONE]\n\n"));
       jc_http_stream_end (completion->req, true);
     }
   else
-    {
-      for (int i = 0; i < completion->tokens; i++)
-        g_string_append_printf (text, "%sw%d", i > 0 ? " " : "", i);
-      json_t *answer = json_pack (
-          "{s:s,s:s,s:[{s:i,s:s,s:{s:s,s:s}}],s:{s:i}}", "object",
-          "chat.completion", "model", standin->model, "choices", "index", 0,
-          "finish_reason", "stop", "message", "role", "assistant", "content",
-          text->str, "usage", "completion_tokens", completion->tokens);
-      char *body = json_dumps (answer, JSON_COMPACT);
-
-      jc_http_reply (completion->req, 200, "application/json",
-                     jc_str_from (body), NULL);
-      free (body);
-      json_decref (answer);
-    }
-  g_string_free (text, TRUE);
+    completion_reply (completion);
   completion_free (completion);
 }
 
-static void
-on_token (struct ev_loop *loop, ev_timer *watcher, int events)
+/* Make the next token of COMPLETION.  Return whether it was the last.  */
+static bool
+completion_token (struct completion *completion)
 {
-  struct completion *completion = watcher->data;
   char *event;
 
-  (void)loop;
-  (void)events;
-  if (completion->stream && completion->made == 0)
+  if (completion->stream && !completion->begun)
     jc_http_stream_begin (completion->req, 200, "text/event-stream", NULL);
+  completion->begun = true;
+  if (completion->made >= completion->tokens)
+    return true;
   if (completion->stream)
     {
       event = g_strdup_printf (
-          "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"%sw%d\"}"
-          "}]}\n\n",
-          completion->made > 0 ? " " : "", completion->made);
+          "data: {\"id\":\"%s\",\"choices\":[{\"index\":0,\"delta\":{"
+          "\"content\":\"%sw%d\"}}]}\n\n",
+          completion->mark, completion->made > 0 ? " " : "", completion->made);
       jc_http_stream_write (completion->req, jc_str_from (event));
       g_free (event);
     }
-  if (++completion->made >= completion->tokens)
-    completion_finish (completion);
+  return ++completion->made >= completion->tokens;
+}
+
+/* Break the stream of COMPLETION or its answer halfway.  */
+static void
+completion_cut (struct completion *completion)
+{
+  if (completion->stream)
+    jc_http_stream_end (completion->req, false);
+  else
+    standin_fault_answer (STANDIN_TRUNCATE, completion->req);
+  completion_free (completion);
+}
+
+static void
+engine_arm (struct engine *engine)
+{
+  guint further = MAX (g_queue_get_length (&engine->batch), 1) - 1;
+  double percent = PERCENT + (double)engine->batch_percent * further;
+
+  if (ev_is_active (&engine->step))
+    return;
+  ev_timer_set (&engine->step, engine->token_ms * percent / PERCENT / MS_PER_S,
+                0);
+  ev_timer_start (engine->standin.loop, &engine->step);
+}
+
+/* One step of the batch: a token for each completion in it.  */
+static void
+on_step (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct engine *engine = watcher->data;
+  GList *item = engine->batch.head;
+
+  (void)loop;
+  (void)events;
+  while (item != NULL)
+    {
+      struct completion *completion = item->data;
+      bool last;
+
+      item = item->next;
+      if (completion->fault == STANDIN_SILENT
+          && completion->made > completion->tokens / 2)
+        continue;
+      last = completion_token (completion);
+      if (completion->fault == STANDIN_TRUNCATE
+          && completion->made > completion->tokens / 2)
+        completion_cut (completion);
+      else if (last && completion->fault != STANDIN_SILENT)
+        completion_finish (completion);
+    }
+  if (!g_queue_is_empty (&engine->batch))
+    engine_arm (engine);
+}
+
+static void
+on_prefilled (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct completion *completion = watcher->data;
+
+  (void)loop;
+  (void)events;
+  g_queue_push_tail (&completion->engine->batch, completion);
+  engine_arm (completion->engine);
+}
+
+/* Return whether PREFIX is cached, and cache it.  */
+static bool
+prefix_warm (struct engine *engine, const char *prefix)
+{
+  GList *found
+      = g_queue_find_custom (&engine->prefixes, prefix, (GCompareFunc)strcmp);
+
+  if (found != NULL)
+    {
+      g_queue_unlink (&engine->prefixes, found);
+      g_queue_push_tail_link (&engine->prefixes, found);
+      return true;
+    }
+  g_queue_push_tail (&engine->prefixes, g_strdup (prefix));
+  if (g_queue_get_length (&engine->prefixes) > engine->prefixes_max)
+    g_free (g_queue_pop_head (&engine->prefixes));
+  return false;
+}
+
+static void
+completion_place (struct completion *completion)
+{
+  struct engine *engine = completion->engine;
+  double ms = engine->first_token_ms;
+
+  completion->placed = true;
+  engine->standin.running++;
+  if (prefix_warm (engine, completion->prefix))
+    ms = ms * engine->warm_percent / PERCENT;
+  if (completion->fault == STANDIN_DELAY)
+    ms += engine->standin.fault_ms;
+  ev_timer_init (&completion->prefill, on_prefilled, ms / MS_PER_S, 0);
+  completion->prefill.data = completion;
+  ev_timer_start (engine->standin.loop, &completion->prefill);
+}
+
+/* Give free slots to those that wait.  */
+static void
+engine_admit (struct engine *engine)
+{
+  while (engine->standin.running < engine->standin.slots
+         && !g_queue_is_empty (&engine->waiting))
+    {
+      engine->standin.queued--;
+      completion_place (g_queue_pop_head (&engine->waiting));
+    }
+}
+
+static struct completion *
+completion_new (struct engine *engine, struct jc_http_req *req,
+                const json_t *json)
+{
+  struct completion *completion = g_new0 (struct completion, 1);
+  json_int_t tokens = json_integer_value (json_object_get (json, "max_tokens"));
+  json_t *messages = json_object_get (json, "messages");
+  const char *resume = jc_http_header (req, "X-Resume-From");
+
+  completion->engine = engine;
+  completion->req = req;
+  completion->tokens = tokens > 0 ? (int)tokens : TOKENS_DEFAULT;
+  completion->made = resume != NULL ? atoi (resume) : 0;
+  completion->stream = json_is_true (json_object_get (json, "stream"));
+  completion->mark = g_strdup (standin_text (json, "user"));
+  completion->prefix
+      = g_strdup (standin_text (json_array_get (messages, 0), "content"));
+  return completion;
 }
 
 static void
@@ -100,37 +269,47 @@
 {
   struct engine *engine = ctx;
   struct jc_str body = jc_http_body (req);
-  json_t *json = json_loadb (body.data, body.len, 0, NULL);
-  json_int_t tokens = json_integer_value (json_object_get (json, "max_tokens"));
+  enum standin_fault fault;
   struct completion *completion;
+  json_t *json;
 
+  if (standin_control (&engine->standin, req))
+    return;
+  fault = standin_next_fault (&engine->standin);
+  if (fault != STANDIN_TRUNCATE && fault != STANDIN_SILENT
+      && standin_fault_answer (fault, req))
+    return;
+  json = json_loadb (body.data, body.len, 0, NULL);
   if (json == NULL)
     {
       jc_http_fail (req, JC_BAD_JSON, "The body is not JSON.", 0);
       return;
     }
-  completion = g_new0 (struct completion, 1);
-  completion->engine = engine;
-  completion->req = req;
-  completion->tokens = tokens > 0 ? (int)tokens : TOKENS_DEFAULT;
-  completion->stream = json_is_true (json_object_get (json, "stream"));
+  completion = completion_new (engine, req, json);
+  completion->fault = fault;
   json_decref (json);
   jc_http_set_data (req, completion);
-  engine->standin.running++;
-  engine->standin.executions++;
-  ev_timer_init (&completion->timer, on_token,
-                 (double)engine->first_token_ms / MS_PER_S,
-                 (double)engine->token_ms / MS_PER_S);
-  completion->timer.data = completion;
-  ev_timer_start (engine->standin.loop, &completion->timer);
+  standin_executed (&engine->standin, req);
+  g_queue_push_tail (&engine->waiting, completion);
+  engine->standin.queued++;
+  engine_admit (engine);
 }
 
 static void
 engine_gone (void *ctx, struct jc_http_req *req)
 {
-  (void)ctx;
-  if (jc_http_data (req) != NULL)
-    completion_free (jc_http_data (req));
+  struct engine *engine = ctx;
+
+  if (jc_http_data (req) == NULL)
+    return;
+  engine->standin.cancelled++;
+  completion_free (jc_http_data (req));
+}
+
+static int
+option (const struct arg_int *given, int preset)
+{
+  return given->count > 0 ? given->ival[0] : preset;
 }
 
 int
@@ -138,33 +317,29 @@
 {
   static const struct jc_httpd_class klass
       = { .body = engine_body, .gone = engine_gone };
-  struct arg_str *name = arg_str1 (NULL, "name", "NAME", "name");
-  struct arg_str *service = arg_str1 (NULL, "service", "NAME", "service");
   struct arg_str *model = arg_str1 (NULL, "model", "NAME", "model version");
-  struct arg_str *listen = arg_str1 (NULL, "listen", "IP:PORT", "listener");
-  struct arg_str *entries = arg_strn (NULL, "entry", "IP:PORT", 0,
-                                      STANDIN_ENTRIES_MAX, "entry instance");
-  struct arg_int *slots = arg_int0 (NULL, "slots", "N", "batch slots");
   struct arg_int *first = arg_int0 (NULL, "first-token-ms", "N", "prefill");
   struct arg_int *each = arg_int0 (NULL, "token-ms", "N", "per token");
-  struct arg_end *end = arg_end (8);
-  void *table[]
-      = { name, service, model, listen, entries, slots, first, each, end };
+  struct arg_int *batch
+      = arg_int0 (NULL, "batch-percent", "N", "slower per further completion");
+  struct arg_int *warm
+      = arg_int0 (NULL, "warm-percent", "N", "prefill of a cached prefix");
+  struct arg_int *prefixes
+      = arg_int0 (NULL, "prefixes", "N", "prefixes the cache holds");
+  void *table[] = { model, first, each, batch, warm, prefixes };
   struct engine engine = { 0 };
 
-  if (arg_parse (argc, argv, table) > 0)
-    {
-      arg_print_errors (stderr, end, "standin-engine");
-      return 2;
-    }
-  engine.standin.name = name->sval[0];
-  engine.standin.service = service->sval[0];
+  if (!standin_options (&engine.standin, argc, argv, table,
+                        sizeof table / sizeof *table))
+    return 2;
   engine.standin.model = model->sval[0];
-  engine.standin.slots = slots->count > 0 ? (unsigned int)slots->ival[0] : 8;
-  engine.first_token_ms = first->count > 0 ? first->ival[0] : 20;
-  engine.token_ms = each->count > 0 ? each->ival[0] : 5;
-  for (int i = 0; i < entries->count; i++)
-    engine.standin.entries[engine.standin.entry_count++] = entries->sval[i];
-  standin_start (&engine.standin, listen->sval[0], &klass, &engine);
+  engine.first_token_ms = option (first, FIRST_TOKEN_DEFAULT_MS);
+  engine.token_ms = option (each, TOKEN_DEFAULT_MS);
+  engine.batch_percent = option (batch, BATCH_DEFAULT_PERCENT);
+  engine.warm_percent = option (warm, WARM_DEFAULT_PERCENT);
+  engine.prefixes_max = (guint)option (prefixes, PREFIXES_DEFAULT);
+  ev_init (&engine.step, on_step);
+  engine.step.data = &engine;
+  standin_start (&engine.standin, &klass, &engine);
   return 0;
 }
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -1,8 +1,10 @@
 /* What the stand-in endpoints share.  */
 
+#include <argtable2.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
 
 #include "net/address.h"
@@ -14,9 +16,67 @@
   ANNOUNCE_S = 1,
   ANNOUNCE_TIMEOUT_MS = 800,
   BODY_MAX = 8 * 1024 * 1024,
-  LEAVE_S = 1
+  LEAVE_S = 1,
+  MS_PER_S = 1000,
+  COMMON_OPTIONS = 9,
+  OPTIONS_MAX = 24,
+  SLOTS_DEFAULT = 8
 };
 
+static const char *const fault_names[STANDIN_FAULTS]
+    = { "ok", "delay", "truncate", "fail", "silent", "garbage", "refuse" };
+
+static enum standin_fault
+fault_by_name (const char *name)
+{
+  for (int i = 0; i < STANDIN_FAULTS; i++)
+    if (strcmp (fault_names[i], name) == 0)
+      return (enum standin_fault)i;
+  return STANDIN_OK;
+}
+
+/* Read the options that all stand-ins share and the COUNT further ones of
+   TABLE.  Return false after a usage error.  */
+bool
+standin_options (struct standin *standin, int argc, char **argv, void **table,
+                 int count)
+{
+  struct arg_str *name = arg_str1 (NULL, "name", "NAME", "name");
+  struct arg_str *service = arg_str1 (NULL, "service", "NAME", "service");
+  struct arg_str *listen = arg_str1 (NULL, "listen", "IP:PORT", "listener");
+  struct arg_str *entries = arg_strn (NULL, "entry", "IP:PORT", 0,
+                                      STANDIN_ENTRIES_MAX, "entry instance");
+  struct arg_int *slots = arg_int0 (NULL, "slots", "N", "slots");
+  struct arg_int *lag = arg_int0 (NULL, "lag-ms", "N", "lag of load reports");
+  struct arg_int *copies
+      = arg_int0 (NULL, "copies", "N", "endpoints announced at this address");
+  struct arg_str *fault = arg_str0 (NULL, "fault", "KIND", "fault from start");
+  struct arg_end *end = arg_end (8);
+  void *all[OPTIONS_MAX]
+      = { name, service, listen, entries, slots, lag, copies, fault };
+
+  for (int i = 0; i < count; i++)
+    all[COMMON_OPTIONS - 1 + i] = table[i];
+  all[COMMON_OPTIONS - 1 + count] = end;
+  if (arg_parse (argc, argv, all) > 0)
+    {
+      arg_print_errors (stderr, end, "standin");
+      return false;
+    }
+  standin->name = name->sval[0];
+  standin->service = service->sval[0];
+  standin->listen = listen->sval[0];
+  standin->slots
+      = slots->count > 0 ? (unsigned int)slots->ival[0] : SLOTS_DEFAULT;
+  standin->lag_ms = lag->count > 0 ? lag->ival[0] : 0;
+  standin->copies = copies->count > 0 ? (unsigned int)copies->ival[0] : 1;
+  standin->fault
+      = fault->count > 0 ? fault_by_name (fault->sval[0]) : STANDIN_OK;
+  for (int i = 0; i < entries->count; i++)
+    standin->entries[standin->entry_count++] = entries->sval[i];
+  return true;
+}
+
 static void
 on_announced (void *ctx, const struct jc_call_result *result)
 {
@@ -24,18 +84,28 @@
   (void)result;
 }
 
-static void
-standin_announce (struct standin *standin)
+static char *
+announcement_of (struct standin *standin, const char *name)
 {
-  static const struct jc_call_ops ops = { .done = on_announced };
-  char *body = g_strdup_printf (
+  bool lagged = standin->lag_ms > 0;
+
+  return g_strdup_printf (
       "{\"name\":\"%s\",\"incarnation\":%" G_GUINT64_FORMAT
       ",\"sequence\":%" G_GUINT64_FORMAT
       ",\"leaving\":%s,\"address\":\"%s\",\"service\":\"%s\",\"models\":[\"%s"
       "\"],\"role\":\"any\",\"slots\":%u,\"running\":%u,\"queued\":%u}",
-      standin->name, standin->incarnation, ++standin->sequence,
+      name, standin->incarnation, ++standin->sequence,
       standin->leaving ? "true" : "false", standin->address, standin->service,
-      standin->model, standin->slots, standin->running, standin->queued);
+      standin->model, standin->slots,
+      lagged ? standin->reported_running : standin->running,
+      lagged ? standin->reported_queued : standin->queued);
+}
+
+static void
+announce_as (struct standin *standin, const char *name)
+{
+  static const struct jc_call_ops ops = { .done = on_announced };
+  char *body = announcement_of (standin, name);
 
   for (int i = 0; i < standin->entry_count; i++)
     {
@@ -53,6 +123,23 @@
   g_free (body);
 }
 
+static void
+standin_announce (struct standin *standin)
+{
+  if (standin->copies == 1)
+    {
+      announce_as (standin, standin->name);
+      return;
+    }
+  for (unsigned int i = 0; i < standin->copies; i++)
+    {
+      char *name = g_strdup_printf ("%s-%u", standin->name, i);
+
+      announce_as (standin, name);
+      g_free (name);
+    }
+}
+
 static void
 on_announce (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -61,6 +148,17 @@
   standin_announce (watcher->data);
 }
 
+static void
+on_sample (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct standin *standin = watcher->data;
+
+  (void)loop;
+  (void)events;
+  standin->reported_running = standin->running;
+  standin->reported_queued = standin->queued;
+}
+
 static void
 on_left (int revents, void *arg)
 {
@@ -85,11 +183,27 @@
   ev_once (loop, -1, 0, LEAVE_S, on_left, standin);
 }
 
-/* Listen at LISTEN, announce STANDIN each second and run until it has left
-   after SIGTERM.  */
+static void
+start_watchers (struct standin *standin)
+{
+  ev_timer_init (&standin->announce, on_announce, 0, ANNOUNCE_S);
+  standin->announce.data = standin;
+  ev_timer_start (standin->loop, &standin->announce);
+  ev_timer_init (&standin->sample, on_sample, 0,
+                 (double)standin->lag_ms / MS_PER_S);
+  standin->sample.data = standin;
+  if (standin->lag_ms > 0)
+    ev_timer_start (standin->loop, &standin->sample);
+  ev_signal_init (&standin->term, on_term, SIGTERM);
+  standin->term.data = standin;
+  ev_signal_start (standin->loop, &standin->term);
+}
+
+/* Listen, announce STANDIN each second and run until it has left after
+   SIGTERM.  */
 void
-standin_start (struct standin *standin, const char *listen,
-               const struct jc_httpd_class *klass, void *ctx)
+standin_start (struct standin *standin, const struct jc_httpd_class *klass,
+               void *ctx)
 {
   struct timespec now;
 
@@ -97,23 +211,125 @@
   clock_gettime (CLOCK_REALTIME, &now);
   standin->incarnation
       = (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+  standin->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   standin->loop = ev_default_loop (0);
   standin->httpc = jc_httpc_new (standin->loop);
-  standin->httpd = jc_httpd_new (standin->loop, listen, klass, ctx, BODY_MAX);
+  standin->httpd
+      = jc_httpd_new (standin->loop, standin->listen, klass, ctx, BODY_MAX);
   if (standin->httpd == NULL)
     {
       fprintf (stderr, "%s\n", jc_last_message ());
       exit (JC_EXIT_FAILED);
     }
   standin->address
-      = jc_address_with_port (listen, jc_httpd_port (standin->httpd));
+      = jc_address_with_port (standin->listen, jc_httpd_port (standin->httpd));
   printf ("%s\n", standin->address);
   fflush (stdout);
-  ev_timer_init (&standin->announce, on_announce, 0, ANNOUNCE_S);
-  standin->announce.data = standin;
-  ev_timer_start (standin->loop, &standin->announce);
-  ev_signal_init (&standin->term, on_term, SIGTERM);
-  standin->term.data = standin;
-  ev_signal_start (standin->loop, &standin->term);
+  start_watchers (standin);
   ev_run (standin->loop, 0);
 }
+
+/* Return the string KEY of JSON, or "".  */
+const char *
+standin_text (const json_t *json, const char *key)
+{
+  const char *text = json_string_value (json_object_get (json, key));
+
+  return text != NULL ? text : "";
+}
+
+static void
+reply_counts (const struct standin *standin, struct jc_http_req *req)
+{
+  GString *out = g_string_new (NULL);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer count;
+
+  g_string_append_printf (out, "total %lu\ncancelled %lu\n",
+                          standin->executions, standin->cancelled);
+  g_hash_table_iter_init (&iter, standin->runs);
+  while (g_hash_table_iter_next (&iter, &key, &count))
+    g_string_append_printf (out, "%s %u\n", (const char *)key,
+                            GPOINTER_TO_UINT (count));
+  jc_http_reply (req, 200, "text/plain", jc_str_of (out), NULL);
+  g_string_free (out, TRUE);
+}
+
+static void
+take_fault (struct standin *standin, struct jc_http_req *req)
+{
+  struct jc_str body = jc_http_body (req);
+  json_t *json = json_loadb (body.data, body.len, 0, NULL);
+
+  standin->fault = fault_by_name (standin_text (json, "kind"));
+  standin->fault_left
+      = (unsigned int)json_integer_value (json_object_get (json, "count"));
+  standin->fault_ms = (int)json_integer_value (json_object_get (json, "ms"));
+  json_decref (json);
+  jc_http_reply (req, 200, "text/plain",
+                 jc_str_from (fault_names[standin->fault]), NULL);
+}
+
+/* Answer REQ where it is for the stand-in itself: GET /counts, or POST
+   /fault with {"kind", "count", "ms"}.  Return whether it was.  */
+bool
+standin_control (struct standin *standin, struct jc_http_req *req)
+{
+  if (strcmp (jc_http_path (req), "/counts") == 0)
+    reply_counts (standin, req);
+  else if (strcmp (jc_http_path (req), "/fault") == 0)
+    take_fault (standin, req);
+  else
+    return false;
+  return true;
+}
+
+/* Return the fault that the next request meets.  */
+enum standin_fault
+standin_next_fault (struct standin *standin)
+{
+  enum standin_fault fault = standin->fault;
+
+  if (standin->fault_left > 0 && --standin->fault_left == 0)
+    standin->fault = STANDIN_OK;
+  return fault;
+}
+
+/* Answer REQ as FAULT wants it, or keep it without an answer.  Return false
+   where FAULT leaves the answer to the stand-in.  */
+bool
+standin_fault_answer (enum standin_fault fault, struct jc_http_req *req)
+{
+  if (fault == STANDIN_FAIL)
+    jc_http_reply (req, 500, "text/plain", JC_STR_LIT ("failed"), NULL);
+  else if (fault == STANDIN_GARBAGE)
+    jc_http_reply (req, 200, "application/json", JC_STR_LIT ("\1\377{]"), NULL);
+  else if (fault == STANDIN_REFUSE)
+    jc_http_fail (req, JC_ENDPOINT_REFUSED, "Refused.", 0);
+  else if (fault == STANDIN_TRUNCATE)
+    {
+      jc_http_stream_begin (req, 200, "application/json", NULL);
+      jc_http_stream_write (req, JC_STR_LIT ("{\"cut\":"));
+      jc_http_stream_end (req, false);
+    }
+  return fault != STANDIN_OK && fault != STANDIN_DELAY;
+}
+
+/* Count the execution of REQ.  Return how often its key has run now, 0 for a
+   request without one.  */
+unsigned int
+standin_executed (struct standin *standin, const struct jc_http_req *req)
+{
+  const char *key = jc_http_header (req, "Idempotency-Key");
+  unsigned int count = 0;
+
+  standin->executions++;
+  if (key != NULL)
+    {
+      count = GPOINTER_TO_UINT (g_hash_table_lookup (standin->runs, key)) + 1;
+      g_hash_table_replace (standin->runs, g_strdup (key),
+                            GUINT_TO_POINTER (count));
+    }
+  return count;
+}
