Predict what an endpoint will cost a request

It now weighs an average of measured service times and the work ahead: own attempts exactly, others' by the last report, which fades within a service time to what they usually have. Late attempts count as at least twice their time; small deviations from the service's average are mostly chance and count less. An endpoint that answered another attempt meanwhile is busy and not avoided.

--- a/entry/request.c
+++ b/entry/request.c
@@ -31,6 +31,7 @@
   char *path;
   uint64_t affinity;
   int64_t started_ms;
+  int64_t attempt_ms;
   struct jc_call *call;
   struct jc_run run;
   bool heard;
@@ -44,20 +45,20 @@
   return jc_members_find (request->entry->members, request->run.name);
 }
 
-/* The current attempt is over; ANSWERED tells that its answer was whole.  */
+/* The current attempt is over.  */
 static void
-attempt_over (struct request *request, bool answered)
+attempt_over (struct request *request, enum jc_run_end how)
 {
   if (request->run.name == NULL)
     return;
   jc_predict_finish (request->entry->policy.predict, request_endpoint (request),
-                     &request->run, answered, jc_now_ms ());
+                     &request->run, how, jc_now_ms ());
 }
 
 static void
 request_free (struct request *request)
 {
-  attempt_over (request, false);
+  attempt_over (request, JC_RUN_CUT);
   request->entry->in_flight--;
   jc_request_clear (&request->machine);
   g_free (request->product);
@@ -106,7 +107,8 @@
   int64_t now = jc_now_ms ();
 
   request->heard = true;
-  jc_predict_first_byte (request->entry->policy.predict, &request->run, now);
+  jc_predict_first_byte (request->entry->policy.predict, &request->run, true,
+                         now);
   jc_request_head (&request->machine, request->machine.current, http,
                    content_type, request->resumed, now);
 }
@@ -138,12 +140,19 @@
                                 .sent = result->sent,
                                 .framed = result->framed,
                                 .message = result->message };
+  enum jc_run_end how = result->status == JC_OK && result->http == 200
+                            ? JC_RUN_WHOLE
+                            : JC_RUN_CUT;
 
   request->call = NULL;
   request->paused = false;
   if (!request->heard && result->status == JC_TIMEOUT)
-    jc_predict_first_byte (request->entry->policy.predict, &request->run, now);
-  attempt_over (request, result->status == JC_OK && result->http == 200);
+    {
+      jc_predict_first_byte (request->entry->policy.predict, &request->run,
+                             false, now);
+      how = JC_RUN_LATE;
+    }
+  attempt_over (request, how);
   jc_request_done (&request->machine, attempt, &end, now);
 }
 
@@ -227,8 +236,9 @@
 
   request->heard = false;
   request->resumed = false;
-  jc_predict_start (request->entry->policy.predict, endpoint, jc_now_ms (),
-                    &request->run);
+  request->attempt_ms = jc_now_ms ();
+  jc_predict_start (request->entry->policy.predict, endpoint,
+                    request->attempt_ms, &request->run);
   request_call (request, endpoint, attempt);
 }
 
@@ -242,7 +252,7 @@
     jc_call_cancel (request->call);
   request->call = NULL;
   request->paused = false;
-  attempt_over (request, false);
+  attempt_over (request, JC_RUN_CUT);
 }
 
 static void
@@ -250,7 +260,8 @@
 {
   struct request *request = ctx;
 
-  jc_predict_avoid (request->entry->policy.predict, name, now_ms);
+  jc_predict_avoid (request->entry->policy.predict, name, request->attempt_ms,
+                    now_ms);
 }
 
 static void
--- a/serve/policy.c
+++ b/serve/policy.c
@@ -113,7 +113,7 @@
     {
       struct jc_endpoint *endpoint
           = g_ptr_array_index (endpoints, (start + i) % endpoints->len);
-      int64_t ms = jc_predict_finish_ms (policy->predict, endpoint, now_ms);
+      int64_t ms = jc_predict_cost_ms (policy->predict, endpoint, now_ms);
       bool less = best != NULL && ms == best_ms
                   && endpoint->in_flight < best->in_flight;
 
@@ -127,7 +127,7 @@
     return best;
   home = affinity_home (endpoints, affinity);
   if (load_is_bounded (policy, endpoints, home, now_ms)
-      && jc_predict_finish_ms (policy->predict, home, now_ms) * 100
+      && jc_predict_cost_ms (policy->predict, home, now_ms) * 100
              <= best_ms * AFFINITY_FINISH_PERCENT)
     return home;
   return best;
--- a/serve/predict.c
+++ b/serve/predict.c
@@ -2,14 +2,16 @@
    it knows exactly, and the others' as last reported less what was its own
    then.  The service time is an average of what it measured.  */
 
-#include <string.h>
+#include <math.h>
 
 #include "serve/predict.h"
 
 enum
 {
   SERVICE_UNKNOWN_MS = 100,
-  SERVICE_WEIGHT = 8,
+  SERVICE_WEIGHT = 32,
+  OTHERS_WEIGHT = 8,
+  LATE_FACTOR = 2,
   FORGET_HALF_MS = 10000,
   AVOID_MS = 1000,
   AVOID_DOUBLINGS_MAX = 3,
@@ -18,18 +20,23 @@
   PRUNE_ABOVE = 4096
 };
 
+static const double DEVIATION_CLEAR = 0.5;
+
 /* What is known of one endpoint.  SERVICE_MS is for one slot; PEAK_MS is the
-   longest first byte, which fades.  OWN_AT_REPORT is what this process had in
-   flight when the report of REPORT_MS came.  */
+   longest first byte, which fades.  HEARD_MS is when it last answered.
+   OWN_AT_REPORT is what this process had in flight when the report of REPORT_MS
+   came.  */
 struct estimate
 {
   double service_ms;
   double peak_ms;
   int64_t touched_ms;
+  int64_t heard_ms;
   int64_t avoid_until_ms;
   unsigned int failures;
   int64_t report_ms;
-  unsigned int own_at_report;
+  double others;
+  double usual_others;
 };
 
 struct jc_predict
@@ -105,23 +112,40 @@
   return MAX (endpoint->slots, 1);
 }
 
-/* Return the number of requests at ENDPOINT.  */
+/* Take the report of ENDPOINT where it is new: what is not this process's own
+   is others'.  */
+static void
+estimate_report (struct estimate *estimate, const struct jc_endpoint *endpoint)
+{
+  double others = (double)endpoint->running + endpoint->queued;
+
+  if (estimate->report_ms == endpoint->reported_ms)
+    return;
+  estimate->others = MAX (others - endpoint->in_flight, 0);
+  if (estimate->report_ms == 0)
+    estimate->usual_others = estimate->others;
+  estimate->usual_others
+      += (estimate->others - estimate->usual_others) / OTHERS_WEIGHT;
+  estimate->report_ms = endpoint->reported_ms;
+}
+
+/* Return the number of requests at ENDPOINT.  A report tells of the others'
+   work at its time; once a service time has passed, what they usually have
+   there tells more.  */
 unsigned int
 jc_predict_ahead (struct jc_predict *predict,
                   const struct jc_endpoint *endpoint, int64_t now_ms)
 {
   struct estimate *estimate = estimate_of (predict, endpoint->name, now_ms);
-  unsigned int reported = endpoint->running + endpoint->queued;
-  unsigned int others = 0;
-
-  if (estimate->report_ms != endpoint->reported_ms)
-    {
-      estimate->report_ms = endpoint->reported_ms;
-      estimate->own_at_report = endpoint->in_flight;
-    }
-  if (reported > estimate->own_at_report)
-    others = reported - estimate->own_at_report;
-  return endpoint->in_flight + others;
+  double service = MAX (estimate->service_ms, 1);
+  double age = (double)(now_ms - endpoint->reported_ms);
+  double others;
+
+  estimate_report (estimate, endpoint);
+  others = estimate->usual_others
+           + (estimate->others - estimate->usual_others) * service
+                 / (service + MAX (age, 0));
+  return endpoint->in_flight + (unsigned int)(others + 0.5);
 }
 
 /* Return the share of a measurement that still counts after IDLE_MS without
@@ -136,6 +160,14 @@
   return share * (1 - (double)MAX (idle_ms, 0) / (2 * FORGET_HALF_MS));
 }
 
+/* Return the part of DEVIATION, a share of the average, that is taken for the
+   endpoint's own: small ones are mostly chance.  */
+static double
+deviation_trusted (double deviation)
+{
+  return deviation * MIN (1, fabs (deviation) / DEVIATION_CLEAR);
+}
+
 /* Return the time that ENDPOINT takes for a request once it runs, ms.  What
    was measured long ago gives way to the service's average, so that an
    endpoint that was slow is tried again.  */
@@ -147,12 +179,14 @@
       = estimate_of (predict, endpoint->name, now_ms);
   double typical = *typical_of (predict, endpoint->service);
   double share = share_kept (now_ms - estimate->touched_ms);
+  double deviation;
 
   if (typical <= 0)
     typical = SERVICE_UNKNOWN_MS;
   if (estimate->service_ms <= 0)
     return (int64_t)typical;
-  return (int64_t)(typical + share * (estimate->service_ms - typical));
+  deviation = deviation_trusted (estimate->service_ms / typical - 1);
+  return MAX ((int64_t)(typical * (1 + share * deviation)), 1);
 }
 
 /* Return the time that a request sent to ENDPOINT now would wait there, ms. */
@@ -179,6 +213,19 @@
          + jc_predict_service_ms (predict, endpoint, now_ms);
 }
 
+/* Return what a request sent to ENDPOINT now costs there, in ms: its service
+   time, and its share of the work before it, also where slots seem free, since
+   reports are old and a fuller batch is slower.  */
+int64_t
+jc_predict_cost_ms (struct jc_predict *predict,
+                    const struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  int64_t service = jc_predict_service_ms (predict, endpoint, now_ms);
+  int64_t ahead = jc_predict_ahead (predict, endpoint, now_ms);
+
+  return service + service * ahead / (int64_t)slots_of (endpoint);
+}
+
 /* Return the longest that ENDPOINT lately took to its first byte, ms; 0 where
    that is not known.  */
 int64_t
@@ -205,14 +252,17 @@
   return now_ms < estimate->avoid_until_ms || endpoint->in_flight > 0;
 }
 
-/* Note that the endpoint NAME failed to connect or missed its first byte.  */
+/* Note that an attempt started at STARTED_MS failed to connect to the
+   endpoint NAME or missed its first byte.  One that has answered another
+   attempt since is busy, not gone, and is not avoided.  */
 void
-jc_predict_avoid (struct jc_predict *predict, const char *name, int64_t now_ms)
+jc_predict_avoid (struct jc_predict *predict, const char *name,
+                  int64_t started_ms, int64_t now_ms)
 {
   struct estimate *estimate = estimate_of (predict, name, now_ms);
   unsigned int doublings = MIN (estimate->failures, AVOID_DOUBLINGS_MAX);
 
-  if (now_ms < estimate->avoid_until_ms)
+  if (now_ms < estimate->avoid_until_ms || estimate->heard_ms > started_ms)
     return;
   estimate->failures++;
   estimate->avoid_until_ms = now_ms + ((int64_t)AVOID_MS << doublings);
@@ -229,10 +279,30 @@
   endpoint->in_flight++;
 }
 
-/* The first byte of RUN came, or was given up on, at NOW_MS.  */
+static void
+average (double *value, double sample)
+{
+  if (*value <= 0)
+    *value = sample;
+  else
+    *value += (sample - *value) / SERVICE_WEIGHT;
+}
+
+/* Return TOOK_MS of RUN as the time of one slot of ENDPOINT.  */
+static double
+slot_time (const struct jc_endpoint *endpoint, const struct jc_run *run,
+           double took_ms)
+{
+  if (run->ahead >= slots_of (endpoint))
+    took_ms *= (double)slots_of (endpoint) / (run->ahead + 1);
+  return MAX (took_ms, 1);
+}
+
+/* The first byte of RUN came at NOW_MS, or was given up on where it was not
+   HEARD.  */
 void
 jc_predict_first_byte (struct jc_predict *predict, const struct jc_run *run,
-                       int64_t now_ms)
+                       bool heard, int64_t now_ms)
 {
   struct estimate *estimate = estimate_of (predict, run->name, now_ms);
   double took_ms = (double)(now_ms - run->started_ms);
@@ -241,39 +311,33 @@
     estimate->peak_ms = took_ms;
   else
     estimate->peak_ms -= (estimate->peak_ms - took_ms) / PEAK_SHARE;
-}
-
-static void
-average (double *value, double sample)
-{
-  if (*value <= 0)
-    *value = sample;
-  else
-    *value += (sample - *value) / SERVICE_WEIGHT;
+  if (!heard)
+    return;
+  estimate->heard_ms = now_ms;
+  estimate->failures = 0;
 }
 
 /* End RUN at ENDPOINT, which is NULL where it is forgotten; RUN's name is
-   freed.  ANSWERED tells that the answer was whole.  */
+   freed.  */
 void
 jc_predict_finish (struct jc_predict *predict, struct jc_endpoint *endpoint,
-                   struct jc_run *run, bool answered, int64_t now_ms)
+                   struct jc_run *run, enum jc_run_end how, int64_t now_ms)
 {
-  struct estimate *estimate;
-  double took_ms;
+  struct estimate *estimate = estimate_of (predict, run->name, now_ms);
+  double took_ms = (double)(now_ms - run->started_ms);
 
   if (endpoint != NULL && endpoint->in_flight > 0)
     endpoint->in_flight--;
-  if (endpoint != NULL && answered)
+  if (endpoint != NULL && how != JC_RUN_CUT)
     {
-      estimate = estimate_of (predict, run->name, now_ms);
-      took_ms = (double)MAX (now_ms - run->started_ms, 1);
-      if (run->ahead >= slots_of (endpoint))
-        took_ms *= (double)slots_of (endpoint) / (run->ahead + 1);
-      average (&estimate->service_ms, MAX (took_ms, 1));
-      average (typical_of (predict, endpoint->service), MAX (took_ms, 1));
+      took_ms = slot_time (endpoint, run, took_ms);
+      if (how == JC_RUN_LATE)
+        took_ms *= LATE_FACTOR;
+      average (&estimate->service_ms, took_ms);
       estimate->touched_ms = now_ms;
-      estimate->failures = 0;
     }
+  if (endpoint != NULL && how == JC_RUN_WHOLE)
+    average (typical_of (predict, endpoint->service), took_ms);
   g_free (run->name);
   run->name = NULL;
 }
--- a/serve/predict.h
+++ b/serve/predict.h
@@ -16,6 +16,15 @@
   int64_t started_ms;
 };
 
+/* How an attempt ended: with a whole answer, given up on as late, or cut
+   short for another reason.  */
+enum jc_run_end
+{
+  JC_RUN_WHOLE,
+  JC_RUN_LATE,
+  JC_RUN_CUT
+};
+
 struct jc_predict *jc_predict_new (void);
 void jc_predict_free (struct jc_predict *predict);
 unsigned int jc_predict_ahead (struct jc_predict *predict,
@@ -29,18 +38,21 @@
 int64_t jc_predict_finish_ms (struct jc_predict *predict,
                               const struct jc_endpoint *endpoint,
                               int64_t now_ms);
+int64_t jc_predict_cost_ms (struct jc_predict *predict,
+                            const struct jc_endpoint *endpoint, int64_t now_ms);
 int64_t jc_predict_usual_ms (struct jc_predict *predict,
                              const struct jc_endpoint *endpoint);
 bool jc_predict_avoided (struct jc_predict *predict,
                          const struct jc_endpoint *endpoint, int64_t now_ms);
 void jc_predict_avoid (struct jc_predict *predict, const char *name,
-                       int64_t now_ms);
+                       int64_t started_ms, int64_t now_ms);
 void jc_predict_start (struct jc_predict *predict, struct jc_endpoint *endpoint,
                        int64_t now_ms, struct jc_run *run);
 void jc_predict_first_byte (struct jc_predict *predict,
-                            const struct jc_run *run, int64_t now_ms);
+                            const struct jc_run *run, bool heard,
+                            int64_t now_ms);
 void jc_predict_finish (struct jc_predict *predict,
                         struct jc_endpoint *endpoint, struct jc_run *run,
-                        bool answered, int64_t now_ms);
+                        enum jc_run_end how, int64_t now_ms);
 
 #endif
