Admit requests by limits, backlog and turns of products

An instance took whatever came, so an overload became timeouts at endpoints. serve/limit has rate, concurrency, retry budget and link share of products; serve/queue gives products turns by weight, levels and earliest deadlines inside; serve/admit refuses at once what the backlog can't serve in time, with Retry-After from it. An instance sends an endpoint at most a window of its own that each report moves, so that instances don't chase the same report. A late attempt's limit leaves time for two or gives all; halving what was left ran work twice.

--- /dev/null
+++ b/entry/admission.c
@@ -0,0 +1,308 @@
+/* Admission of requests: limits of products, and a queue for each pool of
+   endpoints.  */
+
+#include "entry/entry.h"
+#include "net/program.h"
+#include "serve/admit.h"
+
+enum
+{
+  QUEUE_BYTES_MAX = 64 * 1024 * 1024,
+  PUMP_MS = 20,
+  MS_PER_S = 1000
+};
+
+/* The requests that wait for one service and model.  */
+struct pool_queue
+{
+  struct entry *entry;
+  char *service;
+  char *model;
+  struct jc_queue *queue;
+};
+
+struct admission
+{
+  struct jc_limits *limits;
+  GHashTable *queues;
+  ev_timer pump;
+};
+
+static void
+pool_queue_free (gpointer data)
+{
+  struct pool_queue *pool = data;
+
+  jc_queue_free (pool->queue);
+  g_free (pool->service);
+  g_free (pool->model);
+  g_free (pool);
+}
+
+static struct pool_queue *
+pool_queue_of (struct entry *entry, const struct ticket *ticket)
+{
+  GHashTable *queues = entry->admission->queues;
+  char *key = g_strconcat (ticket->service, "/", ticket->model, NULL);
+  struct pool_queue *pool = g_hash_table_lookup (queues, key);
+
+  if (pool == NULL)
+    {
+      pool = g_new0 (struct pool_queue, 1);
+      pool->entry = entry;
+      pool->service = g_strdup (ticket->service);
+      pool->model = g_strdup (ticket->model);
+      pool->queue = jc_queue_new (QUEUE_BYTES_MAX);
+      g_hash_table_insert (queues, g_strdup (key), pool);
+    }
+  g_free (key);
+  return pool;
+}
+
+static void
+pool_of (const struct pool_queue *queue, struct jc_pool *pool)
+{
+  struct entry *entry = queue->entry;
+  GPtrArray *endpoints = g_ptr_array_new ();
+  int64_t now = jc_now_ms ();
+
+  jc_members_serving (entry->members, queue->service, queue->model, now,
+                      endpoints);
+  jc_admit_pool (entry->policy.predict, endpoints, now, pool);
+  g_ptr_array_free (endpoints, TRUE);
+}
+
+/* Return the limit of PRODUCT in force, or NULL where it is gone.  */
+const struct jc_limit *
+admission_limit (const struct entry *entry, const char *product)
+{
+  const struct jc_product *object
+      = jc_config_find (entry->config, JC_OBJECT_PRODUCT, product);
+
+  if (object == NULL)
+    return NULL;
+  return jc_config_find (entry->config, JC_OBJECT_LIMIT, object->limit);
+}
+
+static bool
+product_ready (void *ctx, const struct jc_waiter *waiter)
+{
+  struct entry *entry = ctx;
+  const struct jc_limit *limit = admission_limit (entry, waiter->product);
+
+  return limit == NULL
+         || jc_limits_room (entry->admission->limits, waiter->product, limit);
+}
+
+static void
+ticket_run (struct entry *entry, struct ticket *ticket)
+{
+  ticket->running = true;
+  jc_limits_start (entry->admission->limits, ticket->waiter.product);
+  ticket->klass->run (ticket);
+}
+
+/* Refuse what can't be answered in time any more.  */
+static void
+pool_queue_shed (struct pool_queue *queue, const struct jc_pool *pool)
+{
+  int64_t due = jc_now_ms () + jc_admit_needed_ms (pool);
+  struct jc_waiter *waiter;
+
+  while ((waiter = jc_queue_late (queue->queue, due)) != NULL)
+    {
+      struct ticket *ticket = waiter->owner;
+
+      jc_queue_remove (queue->queue, waiter);
+      ticket->klass->refuse (
+          ticket, JC_DEADLINE_UNMEETABLE, "No endpoint was free in time.",
+          jc_admit_wait_ms (pool, jc_queue_length (queue->queue)));
+    }
+}
+
+static void
+pool_queue_pump (struct pool_queue *queue)
+{
+  struct jc_pool pool;
+  struct jc_waiter *waiter;
+
+  pool_of (queue, &pool);
+  pool_queue_shed (queue, &pool);
+  while (pool.free
+         && (waiter = jc_queue_pop (queue->queue, product_ready, queue->entry))
+                != NULL)
+    {
+      ticket_run (queue->entry, waiter->owner);
+      pool_of (queue, &pool);
+    }
+}
+
+static void
+on_pump (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct entry *entry = watcher->data;
+  GHashTableIter iter;
+  gpointer value;
+  bool waiting = false;
+
+  (void)events;
+  ev_timer_stop (loop, watcher);
+  g_hash_table_iter_init (&iter, entry->admission->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct pool_queue *pool = value;
+
+      if (jc_queue_length (pool->queue) > 0)
+        pool_queue_pump (pool);
+      waiting |= jc_queue_length (pool->queue) > 0;
+    }
+  if (!waiting)
+    return;
+  ev_timer_set (watcher, (double)PUMP_MS / MS_PER_S, 0);
+  ev_timer_start (loop, watcher);
+}
+
+/* Begin to admit.  */
+void
+admission_start (struct entry *entry)
+{
+  struct admission *admission = g_new0 (struct admission, 1);
+
+  admission->limits = jc_limits_new ();
+  admission->queues = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                             pool_queue_free);
+  ev_init (&admission->pump, on_pump);
+  admission->pump.data = entry;
+  entry->admission = admission;
+}
+
+/* End admission.  */
+void
+admission_stop (struct entry *entry)
+{
+  struct admission *admission = entry->admission;
+
+  if (admission == NULL)
+    return;
+  ev_timer_stop (entry->loop, &admission->pump);
+  g_hash_table_destroy (admission->queues);
+  jc_limits_free (admission->limits);
+  g_free (admission);
+  entry->admission = NULL;
+}
+
+/* Return the limits of products.  */
+struct jc_limits *
+admission_limits (struct entry *entry)
+{
+  return entry->admission->limits;
+}
+
+static void
+pump_soon (struct entry *entry)
+{
+  ev_timer *pump = &entry->admission->pump;
+
+  ev_timer_stop (entry->loop, pump);
+  ev_timer_set (pump, 0, 0);
+  ev_timer_start (entry->loop, pump);
+}
+
+static void
+ticket_fill (const struct entry *entry, const struct work_order *order,
+             const struct jc_limit *limit, struct ticket *ticket)
+{
+  const struct jc_priority *priority = jc_config_find (
+      entry->config, JC_OBJECT_PRIORITY, order->route->priority);
+
+  ticket->service = g_strdup (order->route->service);
+  ticket->model = g_strdup (order->route->model_version);
+  ticket->waiter
+      = (struct jc_waiter){ .product = g_strdup (order->product->name),
+                            .weight = limit->requests_per_s,
+                            .level = priority != NULL ? priority->level : 0,
+                            .deadline_ms = order->deadline_ms,
+                            .bytes = jc_http_body (order->req).len,
+                            .owner = ticket };
+}
+
+/* Admit the request of ORDER: run, keep or refuse TICKET, whose class is
+   set.  Every ticket ends with admission_leave.  */
+void
+admission_offer (struct entry *entry, const struct work_order *order,
+                 struct ticket *ticket)
+{
+  const struct jc_limit *limit = admission_limit (entry, order->product->name);
+  struct pool_queue *queue;
+  struct jc_pool pool;
+  int64_t now = jc_now_ms ();
+  int64_t retry_after = 0;
+  enum jc_status status;
+  enum jc_admission verdict;
+  unsigned int ahead;
+
+  ticket_fill (entry, order, limit, ticket);
+  status = jc_limits_admit (entry->admission->limits, order->product->name,
+                            limit, now, &retry_after);
+  if (status != JC_OK)
+    {
+      ticket->klass->refuse (ticket, status, jc_last_message (), retry_after);
+      return;
+    }
+  queue = pool_queue_of (entry, ticket);
+  pool_of (queue, &pool);
+  ahead = jc_queue_ahead (queue->queue, &ticket->waiter);
+  verdict
+      = jc_admit_decide (&pool, ahead, order->deadline_ms - now, &retry_after);
+  if (verdict == JC_ADMIT_REFUSE)
+    ticket->klass->refuse (ticket, JC_DEADLINE_UNMEETABLE, jc_last_message (),
+                           retry_after);
+  else if (verdict == JC_ADMIT_RUN && product_ready (entry, &ticket->waiter))
+    ticket_run (entry, ticket);
+  else if (jc_queue_push (queue->queue, &ticket->waiter,
+                          (unsigned int)limit->queue)
+           != JC_OK)
+    ticket->klass->refuse (ticket, JC_OVERLOADED, jc_last_message (),
+                           MAX (jc_admit_wait_ms (&pool, ahead), 1));
+  else
+    pump_soon (entry);
+}
+
+/* End TICKET.  */
+void
+admission_leave (struct entry *entry, struct ticket *ticket)
+{
+  jc_queue_remove (pool_queue_of (entry, ticket)->queue, &ticket->waiter);
+  if (ticket->running)
+    {
+      jc_limits_finish (entry->admission->limits, ticket->waiter.product);
+      pump_soon (entry);
+    }
+  g_free (ticket->waiter.product);
+  g_free (ticket->service);
+  g_free (ticket->model);
+}
+
+/* Take one retry from the budget of TICKET's product.  */
+bool
+admission_retry (struct entry *entry, const struct ticket *ticket)
+{
+  const struct jc_limit *limit
+      = admission_limit (entry, ticket->waiter.product);
+
+  return limit != NULL
+         && jc_limits_retry (entry->admission->limits, ticket->waiter.product,
+                             limit, jc_now_ms ());
+}
+
+/* Return how long a further request of TICKET's kind would wait, ms.  */
+int64_t
+admission_backlog_ms (struct entry *entry, const struct ticket *ticket)
+{
+  const struct pool_queue *queue = pool_queue_of (entry, ticket);
+  struct jc_pool pool;
+
+  pool_of (queue, &pool);
+  return jc_admit_wait_ms (&pool,
+                           jc_queue_ahead (queue->queue, &ticket->waiter));
+}
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -12,7 +12,9 @@
 #include "net/httpc.h"
 #include "net/httpd.h"
 #include "net/rpc.h"
+#include "serve/limit.h"
 #include "serve/policy.h"
+#include "serve/queue.h"
 
 /* Everything of the process; each task is owned by one module.  */
 struct entry
@@ -24,6 +26,7 @@
   struct jc_regions *regions;
   struct jc_metrics *metrics;
   struct jc_policy policy;
+  struct admission *admission;
   struct jc_httpc *httpc;
   struct jc_httpd *callers;
   struct jc_httpd *operators;
@@ -55,6 +58,38 @@
 struct jc_httpd *callers_listen (struct entry *entry);
 struct jc_httpd *operators_listen (struct entry *entry);
 
+struct ticket;
+
+/* What the owner of a ticket does: RUN its request, or REFUSE it.  */
+struct ticket_class
+{
+  void (*run) (struct ticket *ticket);
+  void (*refuse) (struct ticket *ticket, enum jc_status status,
+                  const char *message, int64_t retry_after_ms);
+};
+
+/* A request's place at an instance, from its admission to its end.  */
+struct ticket
+{
+  const struct ticket_class *klass;
+  struct jc_waiter waiter;
+  char *service;
+  char *model;
+  bool running;
+};
+
+/* admission: limits of products, and requests that wait for an endpoint.  */
+void admission_start (struct entry *entry);
+void admission_stop (struct entry *entry);
+void admission_offer (struct entry *entry, const struct work_order *order,
+                      struct ticket *ticket);
+void admission_leave (struct entry *entry, struct ticket *ticket);
+bool admission_retry (struct entry *entry, const struct ticket *ticket);
+int64_t admission_backlog_ms (struct entry *entry, const struct ticket *ticket);
+const struct jc_limit *admission_limit (const struct entry *entry,
+                                        const char *product);
+struct jc_limits *admission_limits (struct entry *entry);
+
 /* request: idempotent requests.  */
 void request_start (struct entry *entry, const struct work_order *order);
 
--- a/entry/main.c
+++ b/entry/main.c
@@ -85,6 +85,7 @@
   entry->rpc = jc_rpc_new (entry->loop, &identity, &rpc_class, entry);
   if (jc_rpc_listen (entry->rpc, s->rpc) != JC_OK)
     return JC_UNREACHABLE;
+  admission_start (entry);
   entry->callers = callers_listen (entry);
   entry->operators = operators_listen (entry);
   if (entry->callers == NULL || entry->operators == NULL)
@@ -105,6 +106,7 @@
     jc_rpc_free (entry->rpc);
   if (entry->httpc != NULL)
     jc_httpc_free (entry->httpc);
+  admission_stop (entry);
   jc_policy_clear (&entry->policy);
   jc_members_free (entry->members);
   jc_regions_free (entry->regions);
--- a/entry/request.c
+++ b/entry/request.c
@@ -1,5 +1,6 @@
 /* A caller's request: carries the effects of its attempts.  */
 
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,7 +15,7 @@
 {
   CONNECT_MS = 1000,
   IDLE_MS = 15000,
-  RETRY_AFTER_MS = 1000,
+  RETRY_AFTER_LEAST_MS = 1000,
   STREAM_HIGH_BYTES = 256 * 1024
 };
 
@@ -25,9 +26,7 @@
   struct entry *entry;
   struct jc_http_req *req;
   struct jc_request machine;
-  char *product;
-  char *service;
-  char *model;
+  struct ticket ticket;
   char *path;
   uint64_t affinity;
   int64_t started_ms;
@@ -61,9 +60,7 @@
   attempt_over (request, JC_RUN_CUT);
   request->entry->in_flight--;
   jc_request_clear (&request->machine);
-  g_free (request->product);
-  g_free (request->service);
-  g_free (request->model);
+  admission_leave (request->entry, &request->ticket);
   g_free (request->path);
   g_free (request);
 }
@@ -72,8 +69,10 @@
 request_count (const struct request *request, enum jc_status status)
 {
   char *labels = g_strdup_printf ("product=\"%s\",status=\"%s\"",
-                                  request->product, jc_status_name (status));
-  char *product = g_strdup_printf ("product=\"%s\"", request->product);
+                                  request->ticket.waiter.product,
+                                  jc_status_name (status));
+  char *product
+      = g_strdup_printf ("product=\"%s\"", request->ticket.waiter.product);
   int64_t took = jc_now_ms () - request->started_ms;
 
   jc_metrics_count (request->entry->metrics, "jaycove_requests_total", labels,
@@ -171,8 +170,8 @@
   GPtrArray *fresh = g_ptr_array_new ();
   struct jc_endpoint *endpoint;
 
-  jc_members_serving (entry->members, request->service, request->model, now_ms,
-                      all);
+  jc_members_serving (entry->members, request->ticket.service,
+                      request->ticket.model, now_ms, all);
   for (guint i = 0; i < all->len; i++)
     {
       endpoint = g_ptr_array_index (all, i);
@@ -193,9 +192,10 @@
 static bool
 request_may_retry (void *ctx, int64_t now_ms)
 {
-  (void)ctx;
+  struct request *request = ctx;
+
   (void)now_ms;
-  return true;
+  return admission_retry (request->entry, &request->ticket);
 }
 
 static void
@@ -256,12 +256,15 @@
 }
 
 static void
-request_avoid (void *ctx, const char *name, int64_t now_ms)
+request_avoid (void *ctx, const char *name, bool sent, int64_t now_ms)
 {
   struct request *request = ctx;
 
-  jc_predict_avoid (request->entry->policy.predict, name, request->attempt_ms,
-                    now_ms);
+  if (sent)
+    jc_predict_missed (request->entry->policy.predict, name,
+                       request->attempt_ms, now_ms);
+  else
+    jc_predict_avoid (request->entry->policy.predict, name, now_ms);
 }
 
 static void
@@ -321,19 +324,29 @@
   g_free (event);
 }
 
+/* Give up on REQUEST at once and say when to come again.  */
 static void
-request_fail (void *ctx, enum jc_status status, const char *message)
+request_refuse (struct request *request, enum jc_status status,
+                const char *message, int64_t retry_after_ms)
 {
-  struct request *request = ctx;
-
   request_count (request, status);
   if (request->machine.begun)
     request_break (request, status);
   else
-    jc_http_fail (request->req, status, message, RETRY_AFTER_MS);
+    jc_http_fail (request->req, status, message,
+                  (unsigned int)MAX (retry_after_ms, RETRY_AFTER_LEAST_MS));
   request_free (request);
 }
 
+static void
+request_fail (void *ctx, enum jc_status status, const char *message)
+{
+  struct request *request = ctx;
+
+  request_refuse (request, status, message,
+                  admission_backlog_ms (request->entry, &request->ticket));
+}
+
 static const struct jc_request_ops request_ops
     = { .pick = request_pick,
         .may_retry = request_may_retry,
@@ -371,6 +384,28 @@
 static const struct work_class request_class
     = { .gone = request_gone, .room = request_room };
 
+static struct request *
+ticket_request (struct ticket *ticket)
+{
+  return (struct request *)((char *)ticket - offsetof (struct request, ticket));
+}
+
+static void
+request_run (struct ticket *ticket)
+{
+  jc_request_start (&ticket_request (ticket)->machine, jc_now_ms ());
+}
+
+static void
+request_not_admitted (struct ticket *ticket, enum jc_status status,
+                      const char *message, int64_t retry_after_ms)
+{
+  request_refuse (ticket_request (ticket), status, message, retry_after_ms);
+}
+
+static const struct ticket_class request_ticket_class
+    = { .run = request_run, .refuse = request_not_admitted };
+
 /* Serve the idempotent request of ORDER.  */
 void
 request_start (struct entry *entry, const struct work_order *order)
@@ -381,11 +416,9 @@
   struct jc_str body = jc_http_body (order->req);
 
   request->klass = &request_class;
+  request->ticket.klass = &request_ticket_class;
   request->entry = entry;
   request->req = order->req;
-  request->product = g_strdup (order->product->name);
-  request->service = g_strdup (order->route->service);
-  request->model = g_strdup (order->route->model_version);
   request->path = g_strdup (order->path);
   if (service != NULL && service->engine)
     request->affinity = jc_policy_affinity (body.data, body.len);
@@ -394,5 +427,5 @@
   jc_http_set_data (order->req, request);
   jc_request_init (&request->machine, &request_ops, request,
                    order->deadline_ms);
-  jc_request_start (&request->machine, request->started_ms);
+  admission_offer (entry, order, &request->ticket);
 }
--- /dev/null
+++ b/serve/admit.c
@@ -0,0 +1,79 @@
+/* Admission by the predicted backlog.  */
+
+#include "base/status.h"
+#include "serve/admit.h"
+
+enum
+{
+  SERVICE_MARGIN = 2
+};
+
+/* Sum up ENDPOINTS into POOL.  */
+void
+jc_admit_pool (struct jc_predict *predict, const GPtrArray *endpoints,
+               int64_t now_ms, struct jc_pool *pool)
+{
+  double service = 0;
+
+  *pool = (struct jc_pool){ .endpoints = endpoints->len };
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+      unsigned int slots = MAX (endpoint->slots, 1);
+      unsigned int work = jc_predict_ahead (predict, endpoint, now_ms);
+
+      if (jc_predict_avoided (predict, endpoint, now_ms))
+        continue;
+      pool->slots += slots;
+      pool->work += work;
+      service
+          += (double)jc_predict_service_ms (predict, endpoint, now_ms) * slots;
+      if (jc_predict_room (predict, endpoint, now_ms))
+        pool->free = true;
+    }
+  if (pool->slots > 0)
+    pool->service_ms = (int64_t)(service / pool->slots);
+  else
+    pool->free = true;
+}
+
+/* Return how long a request waits in POOL behind AHEAD others that wait, ms. */
+int64_t
+jc_admit_wait_ms (const struct jc_pool *pool, unsigned int ahead)
+{
+  int64_t work = (int64_t)pool->work + ahead + 1 - pool->slots;
+
+  if (pool->slots == 0 || work <= 0)
+    return 0;
+  return work * pool->service_ms / pool->slots;
+}
+
+/* Return the time that a request needs to its deadline when it starts, ms;
+   with less it would more often than not run in vain.  */
+int64_t
+jc_admit_needed_ms (const struct jc_pool *pool)
+{
+  return pool->service_ms * SERVICE_MARGIN;
+}
+
+/* Decide on a request with LEFT_MS to its deadline and AHEAD others before it
+   that wait.  Where it can't be answered in time it is refused with
+   JC_DEADLINE_UNMEETABLE as last message, and RETRY_AFTER_MS is when the
+   backlog leaves it room.  */
+enum jc_admission
+jc_admit_decide (const struct jc_pool *pool, unsigned int ahead,
+                 int64_t left_ms, int64_t *retry_after_ms)
+{
+  int64_t wait = jc_admit_wait_ms (pool, ahead);
+  int64_t needed = wait + jc_admit_needed_ms (pool);
+
+  *retry_after_ms = MAX (needed - left_ms, 1);
+  if (pool->slots > 0 && wait > 0 && needed > left_ms)
+    {
+      jc_fail (JC_DEADLINE_UNMEETABLE,
+               "The backlog is %d ms, the deadline in %d ms.", (int)wait,
+               (int)left_ms);
+      return JC_ADMIT_REFUSE;
+    }
+  return ahead == 0 && pool->free ? JC_ADMIT_RUN : JC_ADMIT_WAIT;
+}
--- /dev/null
+++ b/serve/admit.h
@@ -0,0 +1,35 @@
+/* Admission: whether a request runs now, waits or is refused at once.  */
+
+#ifndef JC_ADMIT_H
+#define JC_ADMIT_H
+
+#include "serve/predict.h"
+
+/* The endpoints that may serve a request, taken together.  FREE tells that
+   one of them has room.  */
+struct jc_pool
+{
+  unsigned int endpoints;
+  unsigned int slots;
+  unsigned int work;
+  int64_t service_ms;
+  bool free;
+};
+
+/* What becomes of a request.  */
+enum jc_admission
+{
+  JC_ADMIT_RUN,
+  JC_ADMIT_WAIT,
+  JC_ADMIT_REFUSE
+};
+
+void jc_admit_pool (struct jc_predict *predict, const GPtrArray *endpoints,
+                    int64_t now_ms, struct jc_pool *pool);
+int64_t jc_admit_wait_ms (const struct jc_pool *pool, unsigned int ahead);
+int64_t jc_admit_needed_ms (const struct jc_pool *pool);
+enum jc_admission jc_admit_decide (const struct jc_pool *pool,
+                                   unsigned int ahead, int64_t left_ms,
+                                   int64_t *retry_after_ms);
+
+#endif
--- a/serve/policy.c
+++ b/serve/policy.c
@@ -108,18 +108,22 @@
   struct jc_endpoint *best = NULL;
   struct jc_endpoint *home;
   int64_t best_ms = 0;
+  bool best_room = false;
 
   for (guint i = 0; i < endpoints->len; i++)
     {
       struct jc_endpoint *endpoint
           = g_ptr_array_index (endpoints, (start + i) % endpoints->len);
       int64_t ms = jc_predict_cost_ms (policy->predict, endpoint, now_ms);
+      bool room = jc_predict_room (policy->predict, endpoint, now_ms);
       bool less = best != NULL && ms == best_ms
                   && endpoint->in_flight < best->in_flight;
 
-      if (best == NULL || ms < best_ms || less)
+      if (best == NULL || room > best_room
+          || (room == best_room && (ms < best_ms || less)))
         {
           best = endpoint;
+          best_room = room;
           best_ms = ms;
         }
     }
--- a/serve/predict.c
+++ b/serve/predict.c
@@ -11,16 +11,19 @@
   SERVICE_UNKNOWN_MS = 100,
   SERVICE_WEIGHT = 32,
   OTHERS_WEIGHT = 8,
+  SLOW_FACTOR = 3,
   LATE_FACTOR = 2,
   FORGET_HALF_MS = 10000,
   AVOID_MS = 1000,
+  MISSED_LEAST_MS = 900,
   AVOID_DOUBLINGS_MAX = 3,
-  PEAK_SHARE = 64,
+  PEAK_SHARE = 16,
   KEEP_MS = 600000,
   PRUNE_ABOVE = 4096
 };
 
 static const double DEVIATION_CLEAR = 0.5;
+static const double FULL_SPARE = 0.125;
 
 /* What is known of one endpoint.  SERVICE_MS is for one slot; PEAK_MS is the
    longest first byte, which fades.  HEARD_MS is when it last answered.
@@ -37,6 +40,7 @@
   int64_t report_ms;
   double others;
   double usual_others;
+  double window;
 };
 
 struct jc_predict
@@ -112,21 +116,35 @@
   return MAX (endpoint->slots, 1);
 }
 
+/* Return how many of its own this process may have at ENDPOINT, which
+   reported TOTAL: a half of what is free beside those it has, since other
+   processes see the same report, or its share of what is not too much.  */
+static double
+window_of (const struct jc_endpoint *endpoint, double total)
+{
+  double full = slots_of (endpoint) * (1 + FULL_SPARE);
+
+  if (total > full)
+    return endpoint->in_flight * full / total;
+  return endpoint->in_flight + (full - total) / 2;
+}
+
 /* Take the report of ENDPOINT where it is new: what is not this process's own
    is others'.  */
 static void
 estimate_report (struct estimate *estimate, const struct jc_endpoint *endpoint)
 {
-  double others = (double)endpoint->running + endpoint->queued;
+  double total = (double)endpoint->running + endpoint->queued;
 
   if (estimate->report_ms == endpoint->reported_ms)
     return;
-  estimate->others = MAX (others - endpoint->in_flight, 0);
+  estimate->others = MAX (total - endpoint->in_flight, 0);
   if (estimate->report_ms == 0)
     estimate->usual_others = estimate->others;
   estimate->usual_others
       += (estimate->others - estimate->usual_others) / OTHERS_WEIGHT;
   estimate->report_ms = endpoint->reported_ms;
+  estimate->window = window_of (endpoint, total);
 }
 
 /* Return the number of requests at ENDPOINT.  A report tells of the others'
@@ -148,6 +166,21 @@
   return endpoint->in_flight + (unsigned int)(others + 0.5);
 }
 
+/* Tell whether this process may send one more to ENDPOINT without a queue
+   there.  A slow one gets one at a time, which shows when it has recovered.  */
+bool
+jc_predict_room (struct jc_predict *predict, const struct jc_endpoint *endpoint,
+                 int64_t now_ms)
+{
+  struct estimate *estimate = estimate_of (predict, endpoint->name, now_ms);
+
+  estimate_report (estimate, endpoint);
+  if (estimate->service_ms
+      > SLOW_FACTOR * *typical_of (predict, endpoint->service))
+    return endpoint->in_flight == 0;
+  return endpoint->in_flight < MAX (estimate->window, 1);
+}
+
 /* Return the share of a measurement that still counts after IDLE_MS without
    a new one: a half each FORGET_HALF_MS.  */
 static double
@@ -252,22 +285,33 @@
   return now_ms < estimate->avoid_until_ms || endpoint->in_flight > 0;
 }
 
-/* Note that an attempt started at STARTED_MS failed to connect to the
-   endpoint NAME or missed its first byte.  One that has answered another
-   attempt since is busy, not gone, and is not avoided.  */
+/* Note that the endpoint NAME could not be reached.  */
 void
-jc_predict_avoid (struct jc_predict *predict, const char *name,
-                  int64_t started_ms, int64_t now_ms)
+jc_predict_avoid (struct jc_predict *predict, const char *name, int64_t now_ms)
 {
   struct estimate *estimate = estimate_of (predict, name, now_ms);
   unsigned int doublings = MIN (estimate->failures, AVOID_DOUBLINGS_MAX);
 
-  if (now_ms < estimate->avoid_until_ms || estimate->heard_ms > started_ms)
+  if (now_ms < estimate->avoid_until_ms)
     return;
   estimate->failures++;
   estimate->avoid_until_ms = now_ms + ((int64_t)AVOID_MS << doublings);
 }
 
+/* Note that the endpoint NAME gave no first byte to an attempt started at
+   STARTED_MS.  One that has answered another attempt since is busy, and one
+   that had little time may yet answer; neither is avoided.  */
+void
+jc_predict_missed (struct jc_predict *predict, const char *name,
+                   int64_t started_ms, int64_t now_ms)
+{
+  const struct estimate *estimate = estimate_of (predict, name, now_ms);
+
+  if (now_ms - started_ms >= MISSED_LEAST_MS
+      && estimate->heard_ms <= started_ms)
+    jc_predict_avoid (predict, name, now_ms);
+}
+
 /* Begin RUN at ENDPOINT.  */
 void
 jc_predict_start (struct jc_predict *predict, struct jc_endpoint *endpoint,
--- a/serve/predict.h
+++ b/serve/predict.h
@@ -30,6 +30,8 @@
 unsigned int jc_predict_ahead (struct jc_predict *predict,
                                const struct jc_endpoint *endpoint,
                                int64_t now_ms);
+bool jc_predict_room (struct jc_predict *predict,
+                      const struct jc_endpoint *endpoint, int64_t now_ms);
 int64_t jc_predict_service_ms (struct jc_predict *predict,
                                const struct jc_endpoint *endpoint,
                                int64_t now_ms);
@@ -45,7 +47,9 @@
 bool jc_predict_avoided (struct jc_predict *predict,
                          const struct jc_endpoint *endpoint, int64_t now_ms);
 void jc_predict_avoid (struct jc_predict *predict, const char *name,
-                       int64_t started_ms, int64_t now_ms);
+                       int64_t now_ms);
+void jc_predict_missed (struct jc_predict *predict, const char *name,
+                        int64_t started_ms, int64_t now_ms);
 void jc_predict_start (struct jc_predict *predict, struct jc_endpoint *endpoint,
                        int64_t now_ms, struct jc_run *run);
 void jc_predict_first_byte (struct jc_predict *predict,
--- a/serve/request.c
+++ b/serve/request.c
@@ -52,18 +52,17 @@
   return false;
 }
 
-/* Return how long the first byte of an attempt may take.  The last attempt
-   gets all that is left.  */
-static int64_t
-first_byte_limit (const struct jc_request *request,
-                  const struct jc_target *target, int64_t left_ms)
+/* Return how long the first byte of the attempt numbered ATTEMPT (from 1) may
+   take, ms, where it usually comes within USUAL_MS, 0 for not known, and
+   LEFT_MS are left.  The last attempt gets all that is left, and so does one
+   after which there would be no time for another.  */
+int64_t
+jc_attempt_limit_ms (unsigned int attempt, int64_t usual_ms, int64_t left_ms)
 {
-  int64_t limit = left_ms / FIRST_BYTE_SHARE;
+  int64_t limit = usual_ms > 0 ? 2 * usual_ms : left_ms / FIRST_BYTE_SHARE;
 
-  if (request->attempts >= JC_REQUEST_ATTEMPTS_MAX)
+  if (attempt >= JC_REQUEST_ATTEMPTS_MAX || left_ms < 2 * usual_ms)
     return left_ms;
-  if (target->usual_ms > 0)
-    limit = 2 * target->usual_ms;
   return MIN (MAX (limit, FIRST_BYTE_LEAST_MS), MAX (left_ms / 2, 1));
 }
 
@@ -135,7 +134,8 @@
     }
   attempt.id = ++request->attempts;
   attempt.total_ms = left;
-  attempt.first_byte_ms = first_byte_limit (request, &attempt.target, left);
+  attempt.first_byte_ms
+      = jc_attempt_limit_ms (request->attempts, attempt.target.usual_ms, left);
   attempt.resume_from = request->delivered;
   request->current = attempt.id;
   g_ptr_array_add (request->tried, g_strdup (attempt.target.name));
@@ -344,7 +344,8 @@
   if (end->sent)
     request->maybe_run = true;
   if (!end->sent || !request->heard)
-    request->ops->avoid (request->ctx, current_name (request), now_ms);
+    request->ops->avoid (request->ctx, current_name (request), end->sent,
+                         now_ms);
   attempt_failed (
       request, end->status == JC_OK ? JC_ENDPOINT_FAILED : end->status,
       end->status == JC_OK ? "The answer was cut." : end->message, now_ms);
--- a/serve/request.h
+++ b/serve/request.h
@@ -52,10 +52,11 @@
 struct jc_request;
 
 /* The effects of a request.  PICK sets TARGET or returns why there is none;
-   MAY_RETRY takes one retry from the budget; AVOID says that NAME failed to
-   connect or missed the first byte.  BEGIN and WRITE stream to the caller.
-   One of ANSWER, END and FAIL is the last effect: ANSWER is whole, END
-   closes a whole stream, FAIL is an error, after BEGIN as an event.  */
+   MAY_RETRY takes one retry from the budget; AVOID says that NAME could not be
+   reached or, where the request was SENT, gave no first byte.  BEGIN and WRITE
+   stream to the caller. One of ANSWER, END and FAIL is the last effect: ANSWER
+   is whole, END closes a whole stream, FAIL is an error, after BEGIN as an
+   event.  */
 struct jc_request_ops
 {
   enum jc_status (*pick) (void *ctx, const struct jc_request *request,
@@ -63,7 +64,7 @@
   bool (*may_retry) (void *ctx, int64_t now_ms);
   void (*start) (void *ctx, const struct jc_attempt *attempt);
   void (*cancel) (void *ctx, uint64_t attempt);
-  void (*avoid) (void *ctx, const char *name, int64_t now_ms);
+  void (*avoid) (void *ctx, const char *name, bool sent, int64_t now_ms);
   void (*begin) (void *ctx, int http, const char *content_type);
   void (*write) (void *ctx, struct jc_str data);
   void (*answer) (void *ctx, int http, const char *content_type,
@@ -110,6 +111,8 @@
 void jc_request_done (struct jc_request *request, uint64_t attempt,
                       const struct jc_attempt_end *end, int64_t now_ms);
 void jc_request_gone (struct jc_request *request);
+int64_t jc_attempt_limit_ms (unsigned int attempt, int64_t usual_ms,
+                             int64_t left_ms);
 bool jc_request_tried (const struct jc_request *request, const char *name);
 
 #endif
--- /dev/null
+++ b/tests/test-serve-limit.c
@@ -0,0 +1,168 @@
+/* Tests of limits, the queue and admission.  */
+
+#include <glib.h>
+#include <string.h>
+
+#include "serve/admit.h"
+#include "serve/limit.h"
+#include "serve/queue.h"
+
+static void
+test_rate (void)
+{
+  struct jc_limits *limits = jc_limits_new ();
+  const struct jc_limit limit = { .requests_per_s = 10, .burst = 2 };
+  int64_t after = 0;
+
+  g_assert_cmpint (jc_limits_admit (limits, "p", &limit, 0, &after), ==, JC_OK);
+  g_assert_cmpint (jc_limits_admit (limits, "p", &limit, 0, &after), ==, JC_OK);
+  g_assert_cmpint (jc_limits_admit (limits, "p", &limit, 0, &after), ==,
+                   JC_RATE_LIMITED);
+  g_assert_cmpint (after, >=, 100);
+  g_assert_cmpint (jc_limits_admit (limits, "other", &limit, 0, &after), ==,
+                   JC_OK);
+  g_assert_cmpint (jc_limits_admit (limits, "p", &limit, after, &after), ==,
+                   JC_OK);
+  jc_limits_free (limits);
+}
+
+static void
+test_retries (void)
+{
+  struct jc_limits *limits = jc_limits_new ();
+  const struct jc_limit limit
+      = { .requests_per_s = 1000, .burst = 1000, .retry_percent = 20 };
+  const struct jc_limit none = { .retry_percent = 0 };
+  int64_t after;
+  int granted = 0;
+
+  for (int i = 0; i < 100; i++)
+    jc_limits_admit (limits, "p", &limit, 0, &after);
+  for (int i = 0; i < 100; i++)
+    granted += jc_limits_retry (limits, "p", &limit, 0);
+  g_assert_cmpint (granted, >=, 20);
+  g_assert_cmpint (granted, <=, 25);
+  g_assert_false (jc_limits_retry (limits, "q", &none, 0));
+  jc_limits_free (limits);
+}
+
+static void
+test_concurrency (void)
+{
+  struct jc_limits *limits = jc_limits_new ();
+  const struct jc_limit limit = { .concurrency = 1 };
+
+  g_assert_true (jc_limits_room (limits, "p", &limit));
+  jc_limits_start (limits, "p");
+  g_assert_false (jc_limits_room (limits, "p", &limit));
+  g_assert_true (jc_limits_room (limits, "q", &limit));
+  jc_limits_finish (limits, "p");
+  g_assert_true (jc_limits_room (limits, "p", &limit));
+  jc_limits_free (limits);
+}
+
+static void
+test_link (void)
+{
+  struct jc_limits *limits = jc_limits_new ();
+  const struct jc_limit limit = { .link_percent = 10 };
+  const struct jc_link link = { .name = "l", .bytes_per_s = 1000000 };
+
+  g_assert_true (jc_limits_link_room (limits, "p", &limit, &link, 0));
+  jc_limits_link_take (limits, "p", &link, 150000);
+  g_assert_false (jc_limits_link_room (limits, "p", &limit, &link, 500));
+  g_assert_true (jc_limits_link_room (limits, "q", &limit, &link, 500));
+  g_assert_true (jc_limits_link_room (limits, "p", &limit, &link, 1001));
+  jc_limits_free (limits);
+}
+
+static bool
+any_ready (void *ctx, const struct jc_waiter *waiter)
+{
+  return ctx == NULL || strcmp (ctx, waiter->product) != 0;
+}
+
+static void
+test_order (void)
+{
+  struct jc_queue *queue = jc_queue_new (100);
+  struct jc_waiter late = { .product = "p", .level = 1, .deadline_ms = 900 };
+  struct jc_waiter soon = { .product = "p", .level = 1, .deadline_ms = 500 };
+  struct jc_waiter first = { .product = "p", .level = 0, .deadline_ms = 999 };
+  struct jc_waiter big = { .product = "q", .bytes = 101 };
+  struct jc_waiter more = { .product = "p" };
+
+  g_assert_cmpint (jc_queue_push (queue, &late, 3), ==, JC_OK);
+  g_assert_cmpint (jc_queue_push (queue, &soon, 3), ==, JC_OK);
+  g_assert_cmpint (jc_queue_push (queue, &first, 3), ==, JC_OK);
+  g_assert_cmpint (jc_queue_push (queue, &more, 3), ==, JC_OVERLOADED);
+  g_assert_cmpint (jc_queue_push (queue, &big, 3), ==, JC_OVERLOADED);
+  g_assert_true (jc_queue_late (queue, 501) == &soon);
+  g_assert_null (jc_queue_late (queue, 500));
+  g_assert_null (jc_queue_pop (queue, any_ready, "p"));
+  g_assert_true (jc_queue_pop (queue, any_ready, NULL) == &first);
+  g_assert_true (jc_queue_pop (queue, any_ready, NULL) == &soon);
+  jc_queue_remove (queue, &late);
+  g_assert_null (jc_queue_pop (queue, any_ready, NULL));
+  jc_queue_free (queue);
+}
+
+/* A product with ten times the requests gets no more than its turns, and one
+   that comes late does not have to wait behind them.  */
+static void
+test_shares (void)
+{
+  struct jc_queue *queue = jc_queue_new (1000);
+  struct jc_waiter many[100] = { 0 };
+  struct jc_waiter few[10] = { 0 };
+  const struct jc_waiter probe = { .product = "few", .weight = 1 };
+  int served = 0;
+
+  for (int i = 0; i < 100; i++)
+    {
+      many[i] = (struct jc_waiter){ .product = "many", .weight = 1 };
+      g_assert_cmpint (jc_queue_push (queue, &many[i], 100), ==, JC_OK);
+    }
+  g_assert_cmpuint (jc_queue_ahead (queue, &probe), <=, 1);
+  for (int i = 0; i < 10; i++)
+    {
+      few[i] = (struct jc_waiter){ .product = "few", .weight = 1 };
+      g_assert_cmpint (jc_queue_push (queue, &few[i], 100), ==, JC_OK);
+    }
+  for (int i = 0; i < 20; i++)
+    served
+        += strcmp (jc_queue_pop (queue, any_ready, NULL)->product, "few") == 0;
+  g_assert_cmpint (served, >=, 9);
+  jc_queue_free (queue);
+}
+
+static void
+test_admit (void)
+{
+  const struct jc_pool idle
+      = { .endpoints = 1, .slots = 4, .work = 1, .service_ms = 100, .free = 1 };
+  const struct jc_pool full
+      = { .endpoints = 1, .slots = 4, .work = 40, .service_ms = 100 };
+  int64_t after = 0;
+
+  g_assert_cmpint (jc_admit_decide (&idle, 0, 1000, &after), ==, JC_ADMIT_RUN);
+  g_assert_cmpint (jc_admit_decide (&idle, 1, 1000, &after), ==, JC_ADMIT_WAIT);
+  g_assert_cmpint (jc_admit_decide (&full, 0, 2000, &after), ==, JC_ADMIT_WAIT);
+  g_assert_cmpint (jc_admit_decide (&full, 0, 500, &after), ==,
+                   JC_ADMIT_REFUSE);
+  g_assert_cmpint (after, >=, 400);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/rate", test_rate);
+  g_test_add_func ("/retries", test_retries);
+  g_test_add_func ("/concurrency", test_concurrency);
+  g_test_add_func ("/link", test_link);
+  g_test_add_func ("/order", test_order);
+  g_test_add_func ("/shares", test_shares);
+  g_test_add_func ("/admit", test_admit);
+  return g_test_run ();
+}
