--- a/base/status.c
+++ b/base/status.c
@@ -61,6 +61,7 @@
   [JC_USAGE] = { "usage", 400, JC_NOT_RUN, JC_RETRY_NEVER },
   [JC_UNREACHABLE] = { "unreachable", 503, JC_NOT_RUN, JC_RETRY_AFTER },
   [JC_INTERNAL] = { "internal", 500, JC_RUN_UNKNOWN, JC_RETRY_NEVER },
+  [JC_ANSWER_GONE] = { "answer_gone", 410, JC_RUN, JC_RETRY_NEVER },
 };
 
 /* Return the table row of STATUS.  An unlisted value reads as internal.  */
--- a/base/status.h
+++ b/base/status.h
@@ -46,6 +46,7 @@
   JC_USAGE,
   JC_UNREACHABLE,
   JC_INTERNAL,
+  JC_ANSWER_GONE,
   JC_STATUS_COUNT
 };
 
--- /dev/null
+++ b/ledger/owner.h
@@ -0,0 +1,62 @@
+/* Owner of one request that must run at most once: claim, one dispatch,
+   record, answer.  A deterministic state machine on monotonic ms.  */
+
+#ifndef JC_OWNER_H
+#define JC_OWNER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/status.h"
+#include "base/str.h"
+#include "schema/gen/messages.h"
+
+struct jc_owner;
+
+/* What an owner makes happen.  DISPATCH starts the one run, or tells by its
+   status that no byte was sent.  ANSWER and FAIL answer the caller, once in
+   all; ENDED comes after them and once nothing is left to be recorded.  */
+struct jc_owner_ops
+{
+  void (*claim) (void *ctx);
+  enum jc_status (*dispatch) (void *ctx, uint64_t fence);
+  void (*result) (void *ctx, enum jc_run_state outcome, uint64_t fence);
+  void (*answer) (void *ctx);
+  void (*answer_recorded) (void *ctx, const struct rpc_claim_reply *reply);
+  void (*fail) (void *ctx, enum jc_status status);
+  void (*ended) (void *ctx);
+};
+
+enum jc_owner_step
+{
+  JC_OWNER_CLAIMING,
+  JC_OWNER_RUNNING,
+  JC_OWNER_RECORDING,
+  JC_OWNER_ENDED
+};
+
+/* One owned request.  OUTCOME is what is to be recorded.  */
+struct jc_owner
+{
+  const struct jc_owner_ops *ops;
+  void *ctx;
+  enum jc_owner_step step;
+  int64_t deadline_ms;
+  int64_t sent_ms;
+  unsigned int claims;
+  bool answered;
+  uint64_t fence;
+  enum jc_run_state outcome;
+  enum jc_status why;
+};
+
+void jc_owner_start (struct jc_owner *owner, int64_t now_ms);
+void jc_owner_claim_reply (struct jc_owner *owner,
+                           const struct rpc_claim_reply *reply, int64_t now_ms);
+void jc_owner_claim_unsent (struct jc_owner *owner, int64_t now_ms);
+void jc_owner_ran (struct jc_owner *owner, bool whole, bool sent,
+                   enum jc_status why, int64_t now_ms);
+void jc_owner_recorded (struct jc_owner *owner, enum jc_status status);
+void jc_owner_tick (struct jc_owner *owner, int64_t now_ms);
+
+#endif
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -247,6 +247,7 @@
 	RPC_CLAIM_UNKNOWN = 4,
 	RPC_CLAIM_RECOVERING = 5,
 	RPC_CLAIM_REFUSED = 6,
+	RPC_CLAIM_ANSWER_GONE = 7,
 };
 typedef enum rpc_claim_state rpc_claim_state;
 
@@ -278,6 +279,43 @@
 };
 typedef struct rpc_result_reply rpc_result_reply;
 
+struct rpc_ledger_record {
+	int state;
+	u_quad_t sequence;
+	rpc_bytes id;
+	rpc_name product;
+	rpc_name route;
+	rpc_name key;
+	rpc_bytes digest;
+	rpc_name claim_id;
+	u_quad_t fence;
+	int http_status;
+	rpc_name content_type;
+	bool_t answer_kept;
+	rpc_bytes answer;
+	u_quad_t changed_ms;
+};
+typedef struct rpc_ledger_record rpc_ledger_record;
+
+struct rpc_ledger_member {
+	rpc_name name;
+	u_quad_t incarnation;
+};
+typedef struct rpc_ledger_member rpc_ledger_member;
+
+struct rpc_ledger_set {
+	rpc_name home;
+	u_quad_t revision;
+	u_quad_t epoch;
+	rpc_name ledger;
+	u_quad_t ledger_incarnation;
+	struct {
+		u_int members_len;
+		rpc_ledger_member *members_val;
+	} members;
+};
+typedef struct rpc_ledger_set rpc_ledger_set;
+
 struct rpc_ledger_copy {
 	rpc_name home;
 	u_quad_t ledger_incarnation;
@@ -285,6 +323,10 @@
 	bool_t full;
 	bool_t last;
 	rpc_bytes records;
+	bool_t pull;
+	u_quad_t fence;
+	u_quad_t transfer;
+	u_int part;
 };
 typedef struct rpc_ledger_copy rpc_ledger_copy;
 
@@ -294,6 +336,9 @@
 	u_quad_t sequence;
 	bool_t complete;
 	rpc_bytes records;
+	bool_t pull;
+	bool_t last;
+	u_int part;
 };
 typedef struct rpc_ledger_copy_reply rpc_ledger_copy_reply;
 
@@ -420,6 +465,9 @@
 extern  bool_t xdr_rpc_claim_reply (XDR *, rpc_claim_reply*);
 extern  bool_t xdr_rpc_result (XDR *, rpc_result*);
 extern  bool_t xdr_rpc_result_reply (XDR *, rpc_result_reply*);
+extern  bool_t xdr_rpc_ledger_record (XDR *, rpc_ledger_record*);
+extern  bool_t xdr_rpc_ledger_member (XDR *, rpc_ledger_member*);
+extern  bool_t xdr_rpc_ledger_set (XDR *, rpc_ledger_set*);
 extern  bool_t xdr_rpc_ledger_copy (XDR *, rpc_ledger_copy*);
 extern  bool_t xdr_rpc_ledger_copy_reply (XDR *, rpc_ledger_copy_reply*);
 extern  bool_t xdr_rpc_handover (XDR *, rpc_handover*);
@@ -459,6 +507,9 @@
 extern bool_t xdr_rpc_claim_reply ();
 extern bool_t xdr_rpc_result ();
 extern bool_t xdr_rpc_result_reply ();
+extern bool_t xdr_rpc_ledger_record ();
+extern bool_t xdr_rpc_ledger_member ();
+extern bool_t xdr_rpc_ledger_set ();
 extern bool_t xdr_rpc_ledger_copy ();
 extern bool_t xdr_rpc_ledger_copy_reply ();
 extern bool_t xdr_rpc_handover ();
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -522,6 +522,75 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_ledger_record (XDR *xdrs, rpc_ledger_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_rpc_bytes (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->product))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->route))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_rpc_bytes (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->claim_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->http_status))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->content_type))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->answer_kept))
+		 return FALSE;
+	 if (!xdr_rpc_bytes (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->changed_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_ledger_member (XDR *xdrs, rpc_ledger_member *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_ledger_set (XDR *xdrs, rpc_ledger_set *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->home))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->ledger))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ledger_incarnation))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 16,
+		sizeof (rpc_ledger_member), (xdrproc_t) xdr_rpc_ledger_member))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_ledger_copy (XDR *xdrs, rpc_ledger_copy *objp)
 {
@@ -539,6 +608,14 @@
 		 return FALSE;
 	 if (!xdr_rpc_bytes (xdrs, &objp->records))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->pull))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->transfer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->part))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -557,6 +634,12 @@
 		 return FALSE;
 	 if (!xdr_rpc_bytes (xdrs, &objp->records))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->pull))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->last))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->part))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -203,7 +203,8 @@
   RPC_CLAIM_CONFLICT = 3,
   RPC_CLAIM_UNKNOWN = 4,
   RPC_CLAIM_RECOVERING = 5,
-  RPC_CLAIM_REFUSED = 6
+  RPC_CLAIM_REFUSED = 6,
+  RPC_CLAIM_ANSWER_GONE = 7
 };
 
 struct rpc_claim_reply {
@@ -232,7 +233,45 @@
   int status;
 };
 
-/* Records of a home's ledger from sequence on; full starts a transfer.  */
+/* One key of a ledger, whole; state is an enum jc_key_state.  Times are wall
+   clock ms.  */
+struct rpc_ledger_record {
+  int state;
+  unsigned hyper sequence;
+  rpc_bytes id;
+  rpc_name product;
+  rpc_name route;
+  rpc_name key;
+  rpc_bytes digest;
+  rpc_name claim_id;
+  unsigned hyper fence;
+  int http_status;
+  rpc_name content_type;
+  bool answer_kept;
+  rpc_bytes answer;
+  unsigned hyper changed_ms;
+};
+
+struct rpc_ledger_member {
+  rpc_name name;
+  unsigned hyper incarnation;
+};
+
+/* Who keeps a home's ledger and who holds its copies, as the replicated log
+   records it.  An entry counts only where revision is that of the entry
+   before plus one.  */
+struct rpc_ledger_set {
+  rpc_name home;
+  unsigned hyper revision;
+  unsigned hyper epoch;
+  rpc_name ledger;
+  unsigned hyper ledger_incarnation;
+  rpc_ledger_member members<16>;
+};
+
+/* Records of a home's ledger up to sequence.  full is a part of a whole
+   transfer, pull asks the copy for its records from offset part on.  A copy
+   refuses a fence below the highest that it has seen.  */
 struct rpc_ledger_copy {
   rpc_name home;
   unsigned hyper ledger_incarnation;
@@ -240,14 +279,22 @@
   bool full;
   bool last;
   rpc_bytes records;
+  bool pull;
+  unsigned hyper fence;
+  unsigned hyper transfer;
+  unsigned int part;
 };
 
+/* The copy's sequence; pull answers carry records, and last the end.  */
 struct rpc_ledger_copy_reply {
   rpc_name home;
   unsigned hyper ledger_incarnation;
   unsigned hyper sequence;
   bool complete;
   rpc_bytes records;
+  bool pull;
+  bool last;
+  unsigned int part;
 };
 
 struct rpc_handover {
