Share a zone's endpoints between its entry instances

Instances of a zone kept only what endpoints told them. Each now relays it to the others: new endpoints and leaves at once, load in one batch a second that renews the leases by what is left of them. A receiver that misses a sequence asks for everything again. A leave ends its incarnation; what is gone is remembered for ten minutes, at most 4096 names.

Seen red with the guard taken out: lease started anew by relaying, leave not final, tombstones not asked, gap not noticed, nothing sent at once, draining flag ignored, a silent relayer trusted for ever (scripts member-*); tombstones without bound and every hearer relaying (test-member).

--- a/member/members.h
+++ b/member/members.h
@@ -12,7 +12,7 @@
 #include "schema/gen/messages.h"
 
 /* One endpoint.  Times are monotonic ms.  IN_FLIGHT counts the attempts of
-   this process.  */
+   this process.  TAG stands for name and incarnation.  */
 struct jc_endpoint
 {
   char *name;
@@ -31,6 +31,7 @@
   int64_t lease_until_ms;
   unsigned int in_flight;
   int64_t shunned_until_ms;
+  uint64_t tag;
 };
 
 struct jc_members;
@@ -40,12 +41,24 @@
 enum jc_status jc_members_announce (struct jc_members *members,
                                     const struct rpc_endpoint *said,
                                     int64_t now_ms);
+enum jc_status jc_members_load (struct jc_members *members,
+                                const struct rpc_zone_load *load,
+                                int64_t now_ms);
 void jc_members_expire (struct jc_members *members, int64_t now_ms);
 struct jc_endpoint *jc_members_find (const struct jc_members *members,
                                      const char *name);
+struct jc_endpoint *jc_members_by_tag (const struct jc_members *members,
+                                       uint64_t tag);
 guint jc_members_count (const struct jc_members *members);
+guint jc_members_tombstones (const struct jc_members *members);
+void jc_members_all (const struct jc_members *members, GPtrArray *out);
 void jc_members_serving (const struct jc_members *members, const char *service,
                          const char *model, int64_t now_ms, GPtrArray *out);
 bool jc_endpoint_usable (const struct jc_endpoint *endpoint, int64_t now_ms);
+void jc_endpoint_describe (const struct jc_endpoint *endpoint, int64_t now_ms,
+                           struct rpc_endpoint *out);
+struct rpc_zone_load jc_endpoint_load (const struct jc_endpoint *endpoint,
+                                       int64_t now_ms);
+uint64_t jc_member_hash (const char *a, const char *b);
 
 #endif
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -133,6 +133,14 @@
 };
 typedef struct rpc_endpoint rpc_endpoint;
 
+struct rpc_zone_load {
+	u_quad_t tag;
+	u_int sequence;
+	u_int work;
+	u_int pace;
+};
+typedef struct rpc_zone_load rpc_zone_load;
+
 struct rpc_zone_delta {
 	rpc_name instance;
 	u_quad_t incarnation;
@@ -144,6 +152,11 @@
 		u_int endpoints_len;
 		rpc_endpoint *endpoints_val;
 	} endpoints;
+	struct {
+		u_int loads_len;
+		rpc_zone_load *loads_val;
+	} loads;
+	bool_t resend;
 };
 typedef struct rpc_zone_delta rpc_zone_delta;
 
@@ -156,6 +169,23 @@
 };
 typedef struct rpc_summary_row rpc_summary_row;
 
+struct rpc_instance {
+	rpc_name name;
+	rpc_name zone;
+	rpc_name callers_address;
+	u_quad_t incarnation;
+	bool_t draining;
+};
+typedef struct rpc_instance rpc_instance;
+
+struct rpc_summary_load {
+	u_quad_t tag;
+	u_int endpoints;
+	u_int free_slots;
+	u_int expected_wait_ms;
+};
+typedef struct rpc_summary_load rpc_summary_load;
+
 struct rpc_region_summary {
 	rpc_name region;
 	rpc_name zone;
@@ -164,6 +194,16 @@
 		u_int rows_len;
 		rpc_summary_row *rows_val;
 	} rows;
+	struct {
+		u_int loads_len;
+		rpc_summary_load *loads_val;
+	} loads;
+	struct {
+		u_int instances_len;
+		rpc_instance *instances_val;
+	} instances;
+	bool_t follow;
+	bool_t unfollow;
 };
 typedef struct rpc_region_summary rpc_region_summary;
 
@@ -405,8 +445,11 @@
 extern  bool_t xdr_rpc_submit (XDR *, rpc_submit*);
 extern  bool_t xdr_rpc_submit_reply (XDR *, rpc_submit_reply*);
 extern  bool_t xdr_rpc_endpoint (XDR *, rpc_endpoint*);
+extern  bool_t xdr_rpc_zone_load (XDR *, rpc_zone_load*);
 extern  bool_t xdr_rpc_zone_delta (XDR *, rpc_zone_delta*);
 extern  bool_t xdr_rpc_summary_row (XDR *, rpc_summary_row*);
+extern  bool_t xdr_rpc_instance (XDR *, rpc_instance*);
+extern  bool_t xdr_rpc_summary_load (XDR *, rpc_summary_load*);
 extern  bool_t xdr_rpc_region_summary (XDR *, rpc_region_summary*);
 extern  bool_t xdr_rpc_vote (XDR *, rpc_vote*);
 extern  bool_t xdr_rpc_vote_reply (XDR *, rpc_vote_reply*);
@@ -444,8 +487,11 @@
 extern bool_t xdr_rpc_submit ();
 extern bool_t xdr_rpc_submit_reply ();
 extern bool_t xdr_rpc_endpoint ();
+extern bool_t xdr_rpc_zone_load ();
 extern bool_t xdr_rpc_zone_delta ();
 extern bool_t xdr_rpc_summary_row ();
+extern bool_t xdr_rpc_instance ();
+extern bool_t xdr_rpc_summary_load ();
 extern bool_t xdr_rpc_region_summary ();
 extern bool_t xdr_rpc_vote ();
 extern bool_t xdr_rpc_vote_reply ();
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -259,6 +259,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_zone_load (XDR *xdrs, rpc_zone_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->tag))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->work))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pace))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_zone_delta (XDR *xdrs, rpc_zone_delta *objp)
 {
@@ -279,6 +295,11 @@
 	 if (!xdr_array (xdrs, (char **)&objp->endpoints.endpoints_val, (u_int *) &objp->endpoints.endpoints_len, RPC_ITEMS_MAX,
 		sizeof (rpc_endpoint), (xdrproc_t) xdr_rpc_endpoint))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, RPC_ITEMS_MAX,
+		sizeof (rpc_zone_load), (xdrproc_t) xdr_rpc_zone_load))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->resend))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -300,6 +321,40 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_instance (XDR *xdrs, rpc_instance *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->callers_address))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_summary_load (XDR *xdrs, rpc_summary_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->tag))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->endpoints))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->free_slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->expected_wait_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_region_summary (XDR *xdrs, rpc_region_summary *objp)
 {
@@ -314,6 +369,16 @@
 	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, RPC_ITEMS_MAX,
 		sizeof (rpc_summary_row), (xdrproc_t) xdr_rpc_summary_row))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, RPC_ITEMS_MAX,
+		sizeof (rpc_summary_load), (xdrproc_t) xdr_rpc_summary_load))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->instances.instances_val, (u_int *) &objp->instances.instances_len, RPC_ITEMS_MAX,
+		sizeof (rpc_instance), (xdrproc_t) xdr_rpc_instance))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->follow))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->unfollow))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -109,7 +109,19 @@
   unsigned int lease_ms;
 };
 
-/* Changes of a zone's endpoints and the load of its entry instance.  */
+/* Load of an endpoint that its receiver knows.  tag stands for name and
+   incarnation; sequence has the low 32 bits; work is running << 16 | queued
+   and pace is lease_ms << 16 | tokens_per_s, each part at most 65535.  */
+struct rpc_zone_load {
+  unsigned hyper tag;
+  unsigned int sequence;
+  unsigned int work;
+  unsigned int pace;
+};
+
+/* Changes of a zone's endpoints as one entry instance hears them.  Sequences
+   count what goes from the sender to this receiver; resend asks for a full
+   one.  instance and callers_address are empty where full is not set.  */
 struct rpc_zone_delta {
   rpc_name instance;
   unsigned hyper incarnation;
@@ -118,6 +130,8 @@
   bool draining;
   rpc_name callers_address;
   rpc_endpoint endpoints<RPC_ITEMS_MAX>;
+  rpc_zone_load loads<RPC_ITEMS_MAX>;
+  bool resend;
 };
 
 struct rpc_summary_row {
@@ -128,11 +142,36 @@
   unsigned int expected_wait_ms;
 };
 
+/* An entry instance that callers may use.  */
+struct rpc_instance {
+  rpc_name name;
+  rpc_name zone;
+  rpc_name callers_address;
+  unsigned hyper incarnation;
+  bool draining;
+};
+
+/* Numbers of a row that its receiver knows; tag stands for service and
+   model.  */
+struct rpc_summary_load {
+  unsigned hyper tag;
+  unsigned int endpoints;
+  unsigned int free_slots;
+  unsigned int expected_wait_ms;
+};
+
+/* Capacity of a region, or of a zone to the other zones of its region.  Rows
+   give names, loads numbers alone; follow asks the receiver for its own from
+   now on.  */
 struct rpc_region_summary {
   rpc_name region;
   rpc_name zone;
   unsigned hyper sequence;
   rpc_summary_row rows<RPC_ITEMS_MAX>;
+  rpc_summary_load loads<RPC_ITEMS_MAX>;
+  rpc_instance instances<RPC_ITEMS_MAX>;
+  bool follow;
+  bool unfollow;
 };
 
 struct rpc_vote {
--- /dev/null
+++ b/tests/script-member.c
@@ -0,0 +1,242 @@
+/* Scripted runs of membership on virtual time.
+
+   instance NAME ZONE          start an entry instance
+   endpoint NAME INC A,B       announce each second to the instances A and B
+   say NAME INC SEQ up|leave I announce once; prints the status
+   leave NAME | crash NAME     let an endpoint leave or fall silent
+   lose A B COUNT              lose the next messages from A to B
+   cut A B | heal A B          drop or carry what A and B send
+   down A B | up A B           end or make their connection
+   restart NAME | drain NAME   of an entry instance
+   run MS                      let time pass
+   gone NAME MS                run until no instance uses an endpoint
+   held NAME MS A,B            run and tell whether these always used it
+   show                        print what each instance would use
+   views NAME                  print the instances that NAME would list  */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/zonenode.h"
+
+enum
+{
+  WORDS_MAX = 8,
+  GONE_STEP_MS = 10
+};
+
+/* One command and what it does with its WORDS.  */
+struct command
+{
+  const char *name;
+  int words;
+  void (*run) (struct zoneworld *world, char **words);
+};
+
+static void
+run_instance (struct zoneworld *world, char **words)
+{
+  zoneworld_add (world, words[1], words[2]);
+}
+
+static void
+run_endpoint (struct zoneworld *world, char **words)
+{
+  zoneworld_point (world, words[1], strtoull (words[2], NULL, 10), words[3]);
+}
+
+static void
+run_say (struct zoneworld *world, char **words)
+{
+  enum jc_status status = zonepoint_say (
+      world, words[1], strtoull (words[2], NULL, 10),
+      strtoull (words[3], NULL, 10), strcmp (words[4], "leave") == 0, words[5]);
+
+  printf ("%s\n", jc_status_name (status));
+}
+
+static void
+run_leave (struct zoneworld *world, char **words)
+{
+  zonepoint_leave (world, zoneworld_find_point (world, words[1]));
+}
+
+static void
+run_crash (struct zoneworld *world, char **words)
+{
+  zoneworld_find_point (world, words[1])->silent = true;
+}
+
+static void
+run_lose (struct zoneworld *world, char **words)
+{
+  zonenet_lose (world->net, words[1], words[2],
+                (unsigned int)strtoul (words[3], NULL, 10));
+}
+
+static void
+run_cut (struct zoneworld *world, char **words)
+{
+  zonenet_cut (world->net, words[1], words[2], strcmp (words[0], "cut") == 0);
+}
+
+static void
+run_link (struct zoneworld *world, char **words)
+{
+  zoneworld_link (world, words[1], words[2], strcmp (words[0], "up") == 0);
+}
+
+static void
+run_restart (struct zoneworld *world, char **words)
+{
+  zoneworld_restart (world, words[1]);
+}
+
+static void
+run_drain (struct zoneworld *world, char **words)
+{
+  jc_zone_drain (zoneworld_find (world, words[1])->sharing, world->now_ms);
+}
+
+static void
+run_run (struct zoneworld *world, char **words)
+{
+  zoneworld_run (world, strtoll (words[1], NULL, 10));
+}
+
+static bool
+used_anywhere (const struct zoneworld *world, const char *endpoint)
+{
+  for (guint i = 0; i < world->nodes->len; i++)
+    if (zonenode_uses (g_ptr_array_index (world->nodes, i), endpoint))
+      return true;
+  return false;
+}
+
+static void
+run_gone (struct zoneworld *world, char **words)
+{
+  int64_t until = world->now_ms + strtoll (words[2], NULL, 10);
+
+  while (world->now_ms < until && used_anywhere (world, words[1]))
+    zoneworld_run (world, GONE_STEP_MS);
+  printf ("%s is %s within %s ms\n", words[1],
+          used_anywhere (world, words[1]) ? "still used" : "used by none",
+          words[2]);
+}
+
+static bool
+used_by_all (struct zoneworld *world, const char *endpoint, char **names)
+{
+  for (char **name = names; *name != NULL; name++)
+    if (!zonenode_uses (zoneworld_find (world, *name), endpoint))
+      return false;
+  return true;
+}
+
+static void
+run_held (struct zoneworld *world, char **words)
+{
+  int64_t until = world->now_ms + strtoll (words[2], NULL, 10);
+  char **names = g_strsplit (words[3], ",", -1);
+  bool held = true;
+
+  while (world->now_ms < until)
+    {
+      zoneworld_run (world, GONE_STEP_MS);
+      held = held && used_by_all (world, words[1], names);
+    }
+  printf ("%s %s for %s ms\n", words[1], held ? "is held" : "is not held",
+          words[2]);
+  g_strfreev (names);
+}
+
+static void
+run_show (struct zoneworld *world, char **words)
+{
+  (void)words;
+  for (guint i = 0; i < world->nodes->len; i++)
+    {
+      const struct zonenode *node = g_ptr_array_index (world->nodes, i);
+      GPtrArray *list = g_ptr_array_new ();
+
+      jc_members_serving (node->members, "assist-llm", "", world->now_ms, list);
+      printf ("%s:", node->name);
+      for (guint k = 0; k < list->len; k++)
+        {
+          const struct jc_endpoint *endpoint = g_ptr_array_index (list, k);
+
+          printf (" %s/%llu", endpoint->name,
+                  (unsigned long long)endpoint->incarnation);
+        }
+      printf ("\n");
+      g_ptr_array_free (list, TRUE);
+    }
+}
+
+static void
+run_views (struct zoneworld *world, char **words)
+{
+  const struct zonenode *node = zoneworld_find (world, words[1]);
+  GPtrArray *list = g_ptr_array_new ();
+
+  jc_regions_instances (node->regions, NULL, world->now_ms, list);
+  printf ("%s lists:", words[1]);
+  for (guint i = 0; i < list->len; i++)
+    printf (
+        " %s",
+        ((const struct jc_instance_view *)g_ptr_array_index (list, i))->name);
+  printf ("\n");
+  g_ptr_array_free (list, TRUE);
+}
+
+static const struct command commands[]
+    = { { "instance", 3, run_instance }, { "endpoint", 4, run_endpoint },
+        { "say", 6, run_say },           { "leave", 2, run_leave },
+        { "crash", 2, run_crash },       { "lose", 4, run_lose },
+        { "cut", 3, run_cut },           { "heal", 3, run_cut },
+        { "down", 3, run_link },         { "up", 3, run_link },
+        { "restart", 2, run_restart },   { "drain", 2, run_drain },
+        { "run", 2, run_run },           { "gone", 3, run_gone },
+        { "held", 4, run_held },         { "show", 1, run_show },
+        { "views", 2, run_views } };
+
+static bool
+run_line (struct zoneworld *world, char *line)
+{
+  char **words = g_strsplit (g_strstrip (line), " ", WORDS_MAX);
+  int count = (int)g_strv_length (words);
+  bool known = count == 0 || words[0][0] == '#';
+
+  for (size_t i = 0; !known && i < G_N_ELEMENTS (commands); i++)
+    if (strcmp (commands[i].name, words[0]) == 0 && commands[i].words == count)
+      {
+        commands[i].run (world, words);
+        known = true;
+      }
+  if (!known)
+    fprintf (stderr, "Unknown line: %s\n", line);
+  g_strfreev (words);
+  return known;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct zoneworld *world = zoneworld_new ();
+  FILE *file = argc > 1 ? fopen (argv[1], "r") : NULL;
+  char line[256];
+  bool ok = file != NULL;
+
+  while (ok && fgets (line, sizeof line, file) != NULL)
+    {
+      if (line[0] == '#')
+        printf ("%s", line);
+      ok = run_line (world, line);
+    }
+  if (file != NULL)
+    fclose (file);
+  zoneworld_free (world);
+  return ok ? 0 : 1;
+}
--- /dev/null
+++ b/tests/zonenet.c
@@ -0,0 +1,224 @@
+/* A network on virtual time.  */
+
+#include <string.h>
+
+#include "tests/zonenet.h"
+
+enum
+{
+  RECORD_OVERHEAD_BYTES = 20
+};
+
+/* An encoded message under way.  */
+struct flight
+{
+  char *from;
+  char *to;
+  int64_t arrives_ms;
+  GByteArray *bytes;
+};
+
+struct zonenet
+{
+  zonenet_deliver_fn *deliver;
+  void *ctx;
+  GQueue *flights;
+  GHashTable *cuts;
+  GHashTable *losses;
+  GHashTable *sent;
+  GHashTable *received;
+  uint64_t messages;
+};
+
+static void
+flight_free (gpointer data)
+{
+  struct flight *flight = data;
+
+  g_free (flight->from);
+  g_free (flight->to);
+  g_byte_array_free (flight->bytes, TRUE);
+  g_free (flight);
+}
+
+/* Return a network that delivers to DELIVER with CTX.  */
+struct zonenet *
+zonenet_new (zonenet_deliver_fn *deliver, void *ctx)
+{
+  struct zonenet *net = g_new0 (struct zonenet, 1);
+
+  net->deliver = deliver;
+  net->ctx = ctx;
+  net->flights = g_queue_new ();
+  net->cuts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  net->losses = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  net->sent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  net->received
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return net;
+}
+
+/* Free NET and what is under way.  */
+void
+zonenet_free (struct zonenet *net)
+{
+  g_queue_free_full (net->flights, flight_free);
+  g_hash_table_destroy (net->cuts);
+  g_hash_table_destroy (net->losses);
+  g_hash_table_destroy (net->sent);
+  g_hash_table_destroy (net->received);
+  g_free (net);
+}
+
+static char *
+way (const char *from, const char *to)
+{
+  return g_strconcat (from, ">", to, NULL);
+}
+
+static void
+count (GHashTable *table, const char *node, uint64_t bytes)
+{
+  uint64_t *sum = g_hash_table_lookup (table, node);
+
+  if (sum == NULL)
+    {
+      sum = g_new0 (uint64_t, 1);
+      g_hash_table_insert (table, g_strdup (node), sum);
+    }
+  *sum += bytes;
+}
+
+/* Drop (CUT) or carry what nodes A and B send each other.  */
+void
+zonenet_cut (struct zonenet *net, const char *a, const char *b, bool cut)
+{
+  char *ways[] = { way (a, b), way (b, a) };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (ways); i++)
+    {
+      if (cut)
+        g_hash_table_add (net->cuts, g_strdup (ways[i]));
+      else
+        g_hash_table_remove (net->cuts, ways[i]);
+      g_free (ways[i]);
+    }
+}
+
+/* Lose the next COUNT messages from FROM to TO.  */
+void
+zonenet_lose (struct zonenet *net, const char *from, const char *to,
+              unsigned int count)
+{
+  g_hash_table_replace (net->losses, way (from, to), GUINT_TO_POINTER (count));
+}
+
+static bool
+is_lost (struct zonenet *net, const char *from, const char *to)
+{
+  char *path = way (from, to);
+  guint left = GPOINTER_TO_UINT (g_hash_table_lookup (net->losses, path));
+  bool cut = g_hash_table_contains (net->cuts, path);
+
+  if (left > 0)
+    g_hash_table_replace (net->losses, g_strdup (path),
+                          GUINT_TO_POINTER (left - 1));
+  g_free (path);
+  return cut || left > 0;
+}
+
+/* Send PACKET, which arrives at ARRIVES_MS unless it is lost.  */
+void
+zonenet_send (struct zonenet *net, const char *from, const char *to,
+              struct rpc_packet *packet, int64_t arrives_ms)
+{
+  struct flight *flight;
+  unsigned long size;
+  XDR xdr;
+
+  packet->head.group = (char *)"demo";
+  packet->head.sender = (char *)from;
+  size = xdr_sizeof ((xdrproc_t)xdr_rpc_packet, packet);
+  count (net->sent, from, size + RECORD_OVERHEAD_BYTES);
+  net->messages++;
+  if (is_lost (net, from, to))
+    return;
+  count (net->received, to, size + RECORD_OVERHEAD_BYTES);
+  flight = g_new0 (struct flight, 1);
+  flight->from = g_strdup (from);
+  flight->to = g_strdup (to);
+  flight->arrives_ms = arrives_ms;
+  flight->bytes = g_byte_array_new ();
+  g_byte_array_set_size (flight->bytes, (guint)size);
+  xdrmem_create (&xdr, (char *)flight->bytes->data, (u_int)size, XDR_ENCODE);
+  g_assert_true (xdr_rpc_packet (&xdr, packet));
+  xdr_destroy (&xdr);
+  g_queue_push_tail (net->flights, flight);
+}
+
+static void
+flight_land (struct zonenet *net, struct flight *flight)
+{
+  struct rpc_packet packet;
+  XDR xdr;
+
+  memset (&packet, 0, sizeof packet);
+  xdrmem_create (&xdr, (char *)flight->bytes->data, flight->bytes->len,
+                 XDR_DECODE);
+  g_assert_true (xdr_rpc_packet (&xdr, &packet));
+  xdr_destroy (&xdr);
+  net->deliver (net->ctx, flight->from, flight->to, &packet);
+  xdr_free ((xdrproc_t)xdr_rpc_packet, (char *)&packet);
+}
+
+/* Deliver what has arrived by NOW_MS, in the order it was sent.  */
+void
+zonenet_run (struct zonenet *net, int64_t now_ms)
+{
+  GList *item = net->flights->head;
+
+  while (item != NULL)
+    {
+      struct flight *flight = item->data;
+
+      if (flight->arrives_ms > now_ms)
+        {
+          item = item->next;
+          continue;
+        }
+      g_queue_unlink (net->flights, item);
+      flight_land (net, flight);
+      g_list_free_1 (item);
+      flight_free (flight);
+      item = net->flights->head;
+    }
+}
+
+static uint64_t
+counted (GHashTable *table, const char *node)
+{
+  const uint64_t *sum = g_hash_table_lookup (table, node);
+
+  return sum != NULL ? *sum : 0;
+}
+
+/* Return the bytes that NODE sent.  */
+uint64_t
+zonenet_sent (const struct zonenet *net, const char *node)
+{
+  return counted (net->sent, node);
+}
+
+/* Return the bytes that NODE received.  */
+uint64_t
+zonenet_received (const struct zonenet *net, const char *node)
+{
+  return counted (net->received, node);
+}
+
+/* Return the number of messages sent.  */
+uint64_t
+zonenet_messages (const struct zonenet *net)
+{
+  return net->messages;
+}
