Measure with open-loop load and whole answers checked

jaycove-load sends Poisson arrivals by class and seed, counts latency from the time a request was due, and takes an answer as whole only if it is complete and carries the mark of its own request. Profiles are read through the schema tables; table, CSV and JSON out. httpc tells headers to those that ask (net/httpc.[ch]: one optional callback).

--- a/net/httpc.c
+++ b/net/httpc.c
@@ -303,6 +303,22 @@
   call_finish (call, &result);
 }
 
+static void
+call_tell_header (struct jc_call *call, struct jc_str line)
+{
+  struct jc_str name;
+
+  if (call->ops->header == NULL || call->cancelled
+      || memchr (line.data, ':', line.len) == NULL)
+    return;
+  jc_str_cut (&line, ':', &name);
+  while (line.len > 0 && g_ascii_isspace (line.data[0]))
+    line = (struct jc_str){ .data = line.data + 1, .len = line.len - 1 };
+  while (line.len > 0 && g_ascii_isspace (line.data[line.len - 1]))
+    line.len--;
+  call->ops->header (call->ctx, name, line);
+}
+
 static size_t
 call_on_header (char *data, size_t size, size_t count, void *ctx)
 {
@@ -318,6 +334,7 @@
       g_free (call->content_type);
       call->content_type = g_strstrip (g_strndup (data + 13, len - 13));
     }
+  call_tell_header (call, (struct jc_str){ .data = data, .len = len });
   return len;
 }
 
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -40,10 +40,11 @@
   const char *message;
 };
 
-/* Where a call's events go.  HEAD and DATA may be NULL.  After DONE the call
-   is gone.  */
+/* Where a call's events go.  HEADER, HEAD and DATA may be NULL.  After DONE
+   the call is gone.  */
 struct jc_call_ops
 {
+  void (*header) (void *ctx, struct jc_str name, struct jc_str value);
   void (*head) (void *ctx, int http, const char *content_type);
   void (*data) (void *ctx, struct jc_str data);
   void (*done) (void *ctx, const struct jc_call_result *result);
--- a/schema/gen/objects.h
+++ b/schema/gen/objects.h
@@ -237,6 +237,65 @@
   char *home;
 };
 
+/* An address that jaycove-load sends requests to.  */
+struct jc_load_target
+{
+  /* Name of the target.  */
+  char *name;
+  /* Its listener for callers.  */
+  char *address;
+  /* Its region; answers from another one count as sent away.  */
+  char *region;
+};
+
+/* A kind of request that jaycove-load sends.  */
+struct jc_load_class
+{
+  /* Product, for the report.  */
+  char *product;
+  /* Name of the class, for the report.  */
+  char *name;
+  /* Caller's key, sent as bearer.  */
+  char *key;
+  /* Path of the requests.  */
+  char *path;
+  /* Mean arrivals a second over all of its targets.  */
+  int64_t rate_per_s;
+  /* Whether the requests are chat completions.  */
+  bool engine;
+  /* Whether the answers are streams.  */
+  bool stream;
+  /* Whether each request has an idempotency key.  */
+  bool keyed;
+  /* Tokens of a completion.  */
+  int64_t tokens;
+  /* Different prompt prefixes, drawn evenly.  */
+  int64_t prefixes;
+  /* Filling of the body, bytes.  */
+  int64_t body_bytes;
+  /* Deadline that is sent, ms; 0 for none.  */
+  int64_t deadline_ms;
+  /* Names of its targets, taken in turn; none for all.  */
+  GPtrArray *targets;
+};
+
+/* Profile of jaycove-load.  */
+struct jc_load_profile
+{
+  /* Where requests go.  */
+  GPtrArray *targets;
+  /* What is sent.  */
+  GPtrArray *classes;
+  /* Time during which requests arrive, s.  */
+  int64_t seconds;
+  /* Most requests in all.  */
+  int64_t count;
+  /* Most requests in flight; arrivals beyond it are counted as not_sent.  */
+  int64_t in_flight;
+  /* Time after the deadline at which an answer is given up, ms.  */
+  int64_t grace_ms;
+};
+
 /* Kinds of configuration objects.  */
 enum jc_object_kind
 {
@@ -268,6 +327,9 @@
 extern const struct jc_table jc_link_table;
 extern const struct jc_table jc_product_table;
 extern const struct jc_table jc_route_table;
+extern const struct jc_table jc_load_target_table;
+extern const struct jc_table jc_load_class_table;
+extern const struct jc_table jc_load_profile_table;
 extern const struct jc_table *const jc_object_tables[JC_OBJECT_KINDS];
 
 #endif
