--- a/load/capacity.py
+++ b/load/capacity.py
@@ -70,6 +70,11 @@
         return [(row["count"], row[column] / int(row["kind"].split("-")[1]))
                 for row in self.rows if row["kind"].startswith("changes-") and row["process"] == process]
 
+    def object_kb(self, process):
+        """Returns the memory of a product and its route, as held after changes were made."""
+        return fit([(row["count"], row["memory_kb"]) for row in self.rows
+                    if row["kind"].startswith("changes-") and row["process"] == process])[1]
+
     def at_size(self, process, column):
         """Returns COLUMN for one change at the greatest number of objects measured."""
         return self.change(process, column)[-1][1]
@@ -82,7 +87,7 @@
     idle_bytes, announce_bytes = slopes.line("members", "e1", "rpc_bytes", rate=True)
     _, shared_cpu = slopes.line("members", "e2", "cpu_ms", rate=True)
     _, shared_kb = slopes.line("members", "e2", "memory_kb")
-    _, object_kb = slopes.line("objects", "e2", "memory_kb")
+    object_kb = slopes.object_kb("e2")
     link = max(idle_bytes, 0) / PEERS_MEASURED
     zone_peers = ZONE_ENTRIES - 1
     return [
@@ -106,7 +111,7 @@
     idle_cpu, _ = slopes.line("members", "s1", "cpu_ms", rate=True)
     base_kb, _ = slopes.line("members", "s1", "memory_kb")
     idle_bytes, _ = slopes.line("members", "s1", "rpc_bytes", rate=True)
-    _, object_kb = slopes.line("objects", "s1", "memory_kb")
+    object_kb = slopes.object_kb("s1")
     link = max(idle_bytes, 0) / PEERS_MEASURED
     followers = STATE_FOLLOWERS
     change_bytes = slopes.at_size("s1", "rpc_bytes") / PEERS_MEASURED
@@ -146,7 +151,7 @@
         out.append(f"| at rest, a second | {role} | {max(cpu[0], 0):.2f} | {memory[0]:.0f} | {sent[0]:.0f} |")
         out.append(f"| an endpoint, a second | {role} | {cpu[1]:.4f} | {memory[1]:.2f} | {sent[1]:.2f} |")
     for process, role in (("e2", "entry"), ("s1", "state instance")):
-        out.append(f"| a product and its route | {role} | | {slopes.line('objects', process, 'memory_kb')[1]:.2f} | |")
+        out.append(f"| a product and its route | {role} | | {slopes.object_kb(process):.2f} | |")
         costs = zip(slopes.change(process, "cpu_ms"), slopes.change(process, "rpc_bytes"))
         for (objects, cpu), (_, sent) in costs:
             out.append(f"| a change at {objects:.0f} products | {role} | {cpu:.1f} | | {sent:.0f} |")
