Exchange capacity between regions over a planned set of connections

Every instance dialled every other and regions knew nothing of each other's capacity. A plan now keeps one connection to each instance of the own zone and one or two to each other zone of the region and each other region, next candidates in turn where a dial does not come up. Over it an instance follows one source per region: sums per service and model, names once and numbers by tag after that, and the list of instances where it changed. A silent source is replaced.

Weighed: summaries only between one elected instance per zone, forwarded inside the zone. Not taken: hand-over needs a connection from each instance to each region anyway, and following over it needs no election and no forwarding. Switching away from a draining source was tried and taken out: its numbers stay right until its connection goes.

--- a/member/regions.c
+++ b/member/regions.c
@@ -2,28 +2,40 @@
 
 #include <string.h>
 
+#include "member/members.h"
 #include "member/regions.h"
 
 enum
 {
   SUMMARY_STALE_MS = 5000,
-  INSTANCE_STALE_MS = 3000
+  INSTANCE_STALE_MS = 3000,
+  FORGET_MS = 600000,
+  ROWS_MAX = 4096
 };
 
-/* One zone's row for one service and model.  */
+/* One row for one service and model.  */
 struct row
 {
-  char *region;
   char *service;
   char *model;
-  uint64_t sequence;
   struct rpc_summary_row said;
   int64_t heard_ms;
 };
 
-struct jc_regions
+/* What one summary covers: a region, or a zone of the own region.  ROWS are
+   by tag, LISTED by name.  */
+struct group
 {
+  char *region;
+  uint64_t sequence;
+  int64_t heard_ms;
   GHashTable *rows;
+  GHashTable *listed;
+};
+
+struct jc_regions
+{
+  GHashTable *groups;
   GHashTable *instances;
 };
 
@@ -32,7 +44,6 @@
 {
   struct row *row = data;
 
-  g_free (row->region);
   g_free (row->service);
   g_free (row->model);
   g_free (row);
@@ -50,14 +61,25 @@
   g_free (view);
 }
 
+static void
+group_free (gpointer data)
+{
+  struct group *group = data;
+
+  g_free (group->region);
+  g_hash_table_destroy (group->rows);
+  g_hash_table_destroy (group->listed);
+  g_free (group);
+}
+
 /* Return an empty table.  */
 struct jc_regions *
 jc_regions_new (void)
 {
   struct jc_regions *regions = g_new0 (struct jc_regions, 1);
 
-  regions->rows
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
+  regions->groups
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, group_free);
   regions->instances
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, instance_free);
   return regions;
@@ -67,78 +89,220 @@
 void
 jc_regions_free (struct jc_regions *regions)
 {
-  g_hash_table_destroy (regions->rows);
+  g_hash_table_destroy (regions->groups);
   g_hash_table_destroy (regions->instances);
   g_free (regions);
 }
 
+/* Return the tag of the row of SERVICE and MODEL.  */
+uint64_t
+jc_summary_tag (const char *service, const char *model)
+{
+  return jc_member_hash (service, model);
+}
+
+static struct group *
+regions_group (struct jc_regions *regions, const char *region, const char *zone)
+{
+  char *key = g_strconcat (region, "/", zone, NULL);
+  struct group *group = g_hash_table_lookup (regions->groups, key);
+
+  if (group != NULL)
+    {
+      g_free (key);
+      return group;
+    }
+  group = g_new0 (struct group, 1);
+  group->region = g_strdup (region);
+  group->rows
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, row_free);
+  group->listed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, instance_free);
+  g_hash_table_insert (regions->groups, key, group);
+  return group;
+}
+
 static void
-row_take (struct jc_regions *regions, const struct rpc_region_summary *summary,
-          const struct rpc_summary_row *said, int64_t now_ms)
+row_take (struct group *group, const struct rpc_summary_row *said,
+          int64_t now_ms)
 {
-  char *key
-      = g_strconcat (summary->zone, "/", said->service, "/", said->model, NULL);
-  struct row *row = g_hash_table_lookup (regions->rows, key);
+  uint64_t tag = jc_summary_tag (said->service, said->model);
+  struct row *row = g_hash_table_lookup (group->rows, &tag);
 
+  if (row == NULL && g_hash_table_size (group->rows) >= ROWS_MAX)
+    return;
   if (row == NULL)
     {
       row = g_new0 (struct row, 1);
-      row->region = g_strdup (summary->region);
       row->service = g_strdup (said->service);
       row->model = g_strdup (said->model);
-      g_hash_table_insert (regions->rows, g_strdup (key), row);
+      g_hash_table_insert (group->rows, g_memdup2 (&tag, sizeof tag), row);
     }
-  g_free (key);
-  if (summary->sequence <= row->sequence)
-    return;
-  row->sequence = summary->sequence;
   row->said = *said;
   row->said.service = row->service;
   row->said.model = row->model;
   row->heard_ms = now_ms;
 }
 
-/* Take the SUMMARY of one zone.  */
-void
+static bool
+load_take (struct group *group, const struct rpc_summary_load *load,
+           int64_t now_ms)
+{
+  uint64_t tag = load->tag;
+  struct row *row = g_hash_table_lookup (group->rows, &tag);
+
+  if (row == NULL)
+    return false;
+  row->said.endpoints = load->endpoints;
+  row->said.free_slots = load->free_slots;
+  row->said.expected_wait_ms = load->expected_wait_ms;
+  row->heard_ms = now_ms;
+  return true;
+}
+
+static void
+view_set (GHashTable *table, const struct jc_instance_view *said)
+{
+  struct jc_instance_view *view = g_hash_table_lookup (table, said->name);
+
+  if (view == NULL)
+    {
+      view = g_new0 (struct jc_instance_view, 1);
+      view->name = g_strdup (said->name);
+      view->region = g_strdup (said->region);
+      view->zone = g_strdup (said->zone);
+      g_hash_table_insert (table, view->name, view);
+    }
+  if (g_strcmp0 (view->callers_address, said->callers_address) != 0)
+    {
+      g_free (view->callers_address);
+      view->callers_address = g_strdup (said->callers_address);
+    }
+  view->incarnation = said->incarnation;
+  view->draining = said->draining;
+  view->heard_ms = said->heard_ms;
+}
+
+static void
+group_list (struct group *group, const struct rpc_region_summary *summary,
+            int64_t now_ms)
+{
+  g_hash_table_remove_all (group->listed);
+  for (u_int i = 0; i < summary->instances.instances_len; i++)
+    {
+      const struct rpc_instance *said = &summary->instances.instances_val[i];
+      struct jc_instance_view view = { .name = said->name,
+                                       .region = summary->region,
+                                       .zone = said->zone,
+                                       .callers_address = said->callers_address,
+                                       .incarnation = said->incarnation,
+                                       .draining = said->draining,
+                                       .heard_ms = now_ms };
+
+      view_set (group->listed, &view);
+    }
+}
+
+/* Take the SUMMARY of a region or zone, unless a later one is known.  Return
+   false where it gives numbers of rows whose names are not known.  */
+bool
 jc_regions_summary (struct jc_regions *regions,
                     const struct rpc_region_summary *summary, int64_t now_ms)
 {
+  struct group *group = regions_group (regions, summary->region, summary->zone);
+  bool known = true;
+
+  if (summary->sequence <= group->sequence)
+    return true;
+  group->sequence = summary->sequence;
+  group->heard_ms = now_ms;
   for (u_int i = 0; i < summary->rows.rows_len; i++)
-    row_take (regions, summary, &summary->rows.rows_val[i], now_ms);
+    row_take (group, &summary->rows.rows_val[i], now_ms);
+  for (u_int i = 0; i < summary->loads.loads_len; i++)
+    if (!load_take (group, &summary->loads.loads_val[i], now_ms))
+      known = false;
+  if (summary->listed)
+    group_list (group, summary, now_ms);
+  return known;
 }
 
-/* Set OUT to what is known of SERVICE and MODEL in REGION.  Return false
-   where nothing fresh is known.  */
+/* Take the next summary of REGION and ZONE whatever its sequence, since it
+   comes from another sender.  */
+void
+jc_regions_forget_order (struct jc_regions *regions, const char *region,
+                         const char *zone)
+{
+  regions_group (regions, region, zone)->sequence = 0;
+}
+
+static bool
+row_fresh (const struct row *row, int64_t now_ms)
+{
+  return now_ms - row->heard_ms <= SUMMARY_STALE_MS;
+}
+
+static void
+capacity_add (struct jc_capacity *out, const struct row *row, bool first,
+              int64_t now_ms)
+{
+  if (first || row->said.expected_wait_ms < out->expected_wait_ms)
+    out->expected_wait_ms = row->said.expected_wait_ms;
+  out->endpoints += row->said.endpoints;
+  out->free_slots += row->said.free_slots;
+  out->age_ms = MAX (out->age_ms, now_ms - row->heard_ms);
+}
+
+/* Set OUT to what is known of SERVICE and MODEL in REGION; of the own region
+   that is its other zones.  Return false where nothing fresh is known.  */
 bool
 jc_regions_capacity (const struct jc_regions *regions, const char *region,
                      const char *service, const char *model, int64_t now_ms,
                      struct jc_capacity *out)
 {
+  uint64_t tag = jc_summary_tag (service, model);
   GHashTableIter iter;
   gpointer value;
   bool found = false;
 
   memset (out, 0, sizeof *out);
-  g_hash_table_iter_init (&iter, regions->rows);
+  g_hash_table_iter_init (&iter, regions->groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const struct row *row = value;
+      const struct group *group = value;
+      const struct row *row = g_hash_table_lookup (group->rows, &tag);
 
-      if (strcmp (row->region, region) != 0
-          || strcmp (row->service, service) != 0
-          || strcmp (row->model, model) != 0
-          || now_ms - row->heard_ms > SUMMARY_STALE_MS)
+      if (row == NULL || strcmp (group->region, region) != 0
+          || !row_fresh (row, now_ms))
         continue;
-      if (!found || row->said.expected_wait_ms < out->expected_wait_ms)
-        out->expected_wait_ms = row->said.expected_wait_ms;
-      out->endpoints += row->said.endpoints;
-      out->free_slots += row->said.free_slots;
-      out->age_ms = MAX (out->age_ms, now_ms - row->heard_ms);
+      capacity_add (out, row, !found, now_ms);
       found = true;
     }
   return found;
 }
 
+/* Give FN every fresh row of REGION.  */
+void
+jc_regions_rows (const struct jc_regions *regions, const char *region,
+                 int64_t now_ms, jc_regions_row_fn *fn, void *ctx)
+{
+  GHashTableIter groups;
+  GHashTableIter rows;
+  gpointer value;
+
+  g_hash_table_iter_init (&groups, regions->groups);
+  while (g_hash_table_iter_next (&groups, NULL, &value))
+    {
+      const struct group *group = value;
+
+      if (strcmp (group->region, region) != 0)
+        continue;
+      g_hash_table_iter_init (&rows, group->rows);
+      while (g_hash_table_iter_next (&rows, NULL, &value))
+        if (row_fresh (value, now_ms))
+          fn (ctx, &((const struct row *)value)->said);
+    }
+}
+
 /* Note that the entry instance NAME was heard.  */
 void
 jc_regions_instance (struct jc_regions *regions, const char *name,
@@ -146,22 +310,15 @@
                      const char *callers_address, uint64_t incarnation,
                      bool draining, int64_t now_ms)
 {
-  struct jc_instance_view *view
-      = g_hash_table_lookup (regions->instances, name);
+  struct jc_instance_view view = { .name = (char *)name,
+                                   .region = (char *)region,
+                                   .zone = (char *)zone,
+                                   .callers_address = (char *)callers_address,
+                                   .incarnation = incarnation,
+                                   .draining = draining,
+                                   .heard_ms = now_ms };
 
-  if (view == NULL)
-    {
-      view = g_new0 (struct jc_instance_view, 1);
-      view->name = g_strdup (name);
-      view->region = g_strdup (region);
-      view->zone = g_strdup (zone);
-      g_hash_table_insert (regions->instances, view->name, view);
-    }
-  g_free (view->callers_address);
-  view->callers_address = g_strdup (callers_address);
-  view->incarnation = incarnation;
-  view->draining = draining;
-  view->heard_ms = now_ms;
+  view_set (regions->instances, &view);
 }
 
 static int
@@ -173,8 +330,43 @@
   return strcmp (left->name, right->name);
 }
 
+static bool
+view_fresh (const struct jc_instance_view *view, int64_t now_ms)
+{
+  return view != NULL && now_ms - view->heard_ms <= INSTANCE_STALE_MS;
+}
+
+static bool
+view_wanted (const struct jc_instance_view *view, const char *region)
+{
+  return !view->draining
+         && (region == NULL || strcmp (view->region, region) == 0);
+}
+
+/* Add what GROUP lists and no connection shows better.  */
+static void
+group_instances (const struct jc_regions *regions, const struct group *group,
+                 const char *region, int64_t now_ms, GPtrArray *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now_ms - group->heard_ms > SUMMARY_STALE_MS)
+    return;
+  g_hash_table_iter_init (&iter, group->listed);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct jc_instance_view *view = value;
+
+      if (view_wanted (view, region)
+          && !view_fresh (g_hash_table_lookup (regions->instances, view->name),
+                          now_ms))
+        g_ptr_array_add (out, view);
+    }
+}
+
 /* Add to OUT, ordered by name, the entry instances of REGION (NULL for all)
-   that were heard lately and are not draining.  */
+   that were heard or listed lately and are not draining.  */
 void
 jc_regions_instances (const struct jc_regions *regions, const char *region,
                       int64_t now_ms, GPtrArray *out)
@@ -183,13 +375,45 @@
   gpointer value;
 
   g_hash_table_iter_init (&iter, regions->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (view_fresh (value, now_ms) && view_wanted (value, region))
+      g_ptr_array_add (out, value);
+  g_hash_table_iter_init (&iter, regions->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    group_instances (regions, value, region, now_ms, out);
+  g_ptr_array_sort (out, compare_views);
+}
+
+static void
+rows_expire (GHashTable *rows, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_ms - ((struct row *)value)->heard_ms > FORGET_MS)
+      g_hash_table_iter_remove (&iter);
+}
+
+/* Forget what was not heard for long before NOW_MS.  */
+void
+jc_regions_expire (struct jc_regions *regions, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, regions->instances);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_ms - ((struct jc_instance_view *)value)->heard_ms > FORGET_MS)
+      g_hash_table_iter_remove (&iter);
+  g_hash_table_iter_init (&iter, regions->groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      struct jc_instance_view *view = value;
+      struct group *group = value;
 
-      if ((region == NULL || strcmp (view->region, region) == 0)
-          && !view->draining && now_ms - view->heard_ms <= INSTANCE_STALE_MS)
-        g_ptr_array_add (out, view);
+      rows_expire (group->rows, now_ms);
+      if (now_ms - group->heard_ms > FORGET_MS)
+        g_hash_table_iter_remove (&iter);
     }
-  g_ptr_array_sort (out, compare_views);
 }
--- /dev/null
+++ b/member/summaries.h
@@ -0,0 +1,36 @@
+/* Exchange of capacity between zones: an instance follows one instance of
+   each other region and of each other zone of its own.  */
+
+#ifndef JC_SUMMARIES_H
+#define JC_SUMMARIES_H
+
+#include "member/members.h"
+#include "member/regions.h"
+#include "member/zone.h"
+
+struct jc_summaries;
+
+/* Where summaries go: SUMMARY is for the instance PEER and lives until the
+   call returns.  */
+struct jc_summaries_class
+{
+  void (*send) (void *ctx, const char *peer,
+                struct rpc_region_summary *summary);
+};
+
+struct jc_summaries *jc_summaries_new (const struct jc_zone_self *self,
+                                       const struct jc_zone_tables *tables,
+                                       const struct jc_summaries_class *klass,
+                                       void *ctx);
+void jc_summaries_free (struct jc_summaries *summaries);
+void jc_summaries_up (struct jc_summaries *summaries, const char *peer,
+                      const char *region, const char *zone,
+                      uint64_t incarnation, int64_t now_ms);
+void jc_summaries_down (struct jc_summaries *summaries, const char *peer);
+void jc_summaries_take (struct jc_summaries *summaries, const char *peer,
+                        const struct rpc_region_summary *summary,
+                        int64_t now_ms);
+void jc_summaries_tick (struct jc_summaries *summaries, int64_t now_ms);
+void jc_summaries_drain (struct jc_summaries *summaries, int64_t now_ms);
+
+#endif
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -202,6 +202,7 @@
 		u_int instances_len;
 		rpc_instance *instances_val;
 	} instances;
+	bool_t listed;
 	bool_t follow;
 	bool_t unfollow;
 };
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -375,6 +375,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->instances.instances_val, (u_int *) &objp->instances.instances_len, RPC_ITEMS_MAX,
 		sizeof (rpc_instance), (xdrproc_t) xdr_rpc_instance))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->listed))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->follow))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->unfollow))
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -160,9 +160,10 @@
   unsigned int expected_wait_ms;
 };
 
-/* Capacity of a region, or of a zone to the other zones of its region.  Rows
-   give names, loads numbers alone; follow asks the receiver for its own from
-   now on.  */
+/* Capacity of a region (zone is empty), or of a zone to the other zones of
+   its region.  Rows give names, loads numbers alone.  Where listed is set,
+   instances is the whole list; else it tells of the sender.  follow asks the
+   receiver for its own from now on, unfollow ends that.  */
 struct rpc_region_summary {
   rpc_name region;
   rpc_name zone;
@@ -170,6 +171,7 @@
   rpc_summary_row rows<RPC_ITEMS_MAX>;
   rpc_summary_load loads<RPC_ITEMS_MAX>;
   rpc_instance instances<RPC_ITEMS_MAX>;
+  bool listed;
   bool follow;
   bool unfollow;
 };
--- a/tests/script-member.c
+++ b/tests/script-member.c
@@ -1,12 +1,14 @@
 /* Scripted runs of membership on virtual time.
 
-   instance NAME ZONE          start an entry instance
+   instance NAME REGION ZONE   start an entry instance
    endpoint NAME INC A,B       announce each second to the instances A and B
    say NAME INC SEQ up|leave I announce once; prints the status
    leave NAME | crash NAME     let an endpoint leave or fall silent
    lose A B COUNT              lose the next messages from A to B
    cut A B | heal A B          drop or carry what A and B send
-   down A B | up A B           end or make their connection
+   down A B | up A B           end their connections, or let them connect
+   connections                 print how many each instance has
+   capacity NAME REGION        print what NAME knows of a region
    restart NAME | drain NAME   of an entry instance
    run MS                      let time pass
    gone NAME MS                run until no instance uses an endpoint
@@ -37,7 +39,7 @@
 static void
 run_instance (struct zoneworld *world, char **words)
 {
-  zoneworld_add (world, words[1], words[2]);
+  zoneworld_add (world, words[1], words[2], words[3]);
 }
 
 static void
@@ -84,7 +86,11 @@
 static void
 run_link (struct zoneworld *world, char **words)
 {
-  zoneworld_link (world, words[1], words[2], strcmp (words[0], "up") == 0);
+  bool down = strcmp (words[0], "down") == 0;
+
+  zonenet_cut (world->net, words[1], words[2], down);
+  if (down)
+    zoneworld_down (world, words[1], words[2]);
 }
 
 static void
@@ -96,7 +102,7 @@
 static void
 run_drain (struct zoneworld *world, char **words)
 {
-  jc_zone_drain (zoneworld_find (world, words[1])->sharing, world->now_ms);
+  zonenode_drain (zoneworld_find (world, words[1]));
 }
 
 static void
@@ -191,8 +197,35 @@
   g_ptr_array_free (list, TRUE);
 }
 
+static void
+run_connections (struct zoneworld *world, char **words)
+{
+  (void)words;
+  for (guint i = 0; i < world->nodes->len; i++)
+    {
+      const struct zonenode *node = g_ptr_array_index (world->nodes, i);
+
+      printf ("%s has %u connections\n", node->name,
+              zonenode_connections (node));
+    }
+}
+
+static void
+run_capacity (struct zoneworld *world, char **words)
+{
+  const struct zonenode *node = zoneworld_find (world, words[1]);
+  struct jc_capacity known;
+
+  if (!jc_regions_capacity (node->regions, words[2], "assist-llm",
+                            "assist-7b-v1", world->now_ms, &known))
+    printf ("%s knows nothing of %s\n", words[1], words[2]);
+  else
+    printf ("%s knows %u endpoints of %s, %s\n", words[1], known.endpoints,
+            words[2], known.free_slots > 0 ? "with free slots" : "busy");
+}
+
 static const struct command commands[]
-    = { { "instance", 3, run_instance }, { "endpoint", 4, run_endpoint },
+    = { { "instance", 4, run_instance }, { "endpoint", 4, run_endpoint },
         { "say", 6, run_say },           { "leave", 2, run_leave },
         { "crash", 2, run_crash },       { "lose", 4, run_lose },
         { "cut", 3, run_cut },           { "heal", 3, run_cut },
@@ -200,7 +233,8 @@
         { "restart", 2, run_restart },   { "drain", 2, run_drain },
         { "run", 2, run_run },           { "gone", 3, run_gone },
         { "held", 4, run_held },         { "show", 1, run_show },
-        { "views", 2, run_views } };
+        { "views", 2, run_views },       { "connections", 1, run_connections },
+        { "capacity", 3, run_capacity } };
 
 static bool
 run_line (struct zoneworld *world, char *line)
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -12,6 +12,10 @@
   ZONE_ENDPOINTS = 120,
   WARM_MS = 5000,
   MEASURED_S = 20,
+  GROUP_REGIONS = 11,
+  GROUP_ZONES = 28,
+  GROUP_MEASURED_S = 4,
+  CONNECTIONS_MAX = 60,
   MS_PER_S = 1000,
   NAMES = 6000,
   TABLE_MAX = 4096
@@ -107,76 +111,208 @@
   jc_members_free (members);
 }
 
-static struct zoneworld *
-full_zone (unsigned int heard_by)
+/* Add a zone of full size, each endpoint heard by HEARD_BY instances.  */
+static void
+add_zone (struct zoneworld *world, int number, unsigned int heard_by)
 {
-  struct zoneworld *world = zoneworld_new ();
+  char *region = g_strdup_printf ("region-%02d", number % GROUP_REGIONS);
+  char *zone = g_strdup_printf ("zone-%02d", number);
 
   for (int i = 0; i < ZONE_INSTANCES; i++)
     {
-      char *name = g_strdup_printf ("at-ost-1-entry-%02d", i);
+      char *name = g_strdup_printf ("%s-entry-%02d", zone, i);
 
-      zoneworld_add (world, name, "at-ost-1");
+      zoneworld_add (world, name, region, zone);
       g_free (name);
     }
   for (int i = 0; i < ZONE_ENDPOINTS; i++)
     {
-      char *name = g_strdup_printf ("at-ost-1-engine-%03d", i);
+      char *name = g_strdup_printf ("%s-engine-%03d", zone, i);
       GString *entries = g_string_new (NULL);
 
       for (unsigned int k = 0; k < heard_by; k++)
-        g_string_append_printf (entries, "%sat-ost-1-entry-%02u",
-                                k > 0 ? "," : "",
+        g_string_append_printf (entries, "%s%s-entry-%02u", k > 0 ? "," : "",
+                                zone,
                                 ((unsigned int)i + k * 5) % ZONE_INSTANCES);
       zoneworld_point (world, name, 1764800000000000U, entries->str);
       g_string_free (entries, TRUE);
       g_free (name);
     }
-  return world;
+  g_free (region);
+  g_free (zone);
 }
 
-/* Return the bytes a second that the busiest instance sends, and check that
-   every instance knows every endpoint.  */
-static uint64_t
-busiest (unsigned int heard_by)
+/* Bytes a second of the instances of a world.  */
+struct rates
 {
-  struct zoneworld *world = full_zone (heard_by);
-  uint64_t before[ZONE_INSTANCES];
-  uint64_t most = 0;
+  uint64_t busiest;
+  uint64_t mean;
+  uint64_t received;
+};
 
-  zoneworld_run (world, WARM_MS);
-  for (guint i = 0; i < ZONE_INSTANCES; i++)
+/* Measure WORLD for SECONDS.  */
+static struct rates
+measure (struct zoneworld *world, unsigned int seconds)
+{
+  struct rates rates = { 0 };
+  uint64_t *before = g_new0 (uint64_t, world->nodes->len);
+  uint64_t got = 0;
+
+  for (guint i = 0; i < world->nodes->len; i++)
     {
       const struct zonenode *node = g_ptr_array_index (world->nodes, i);
 
       before[i] = zonenet_sent (world->net, node->name);
+      got += zonenet_received (world->net, node->name);
     }
-  zoneworld_run (world, MEASURED_S * MS_PER_S);
-  for (guint i = 0; i < ZONE_INSTANCES; i++)
+  zoneworld_run (world, (int64_t)seconds * MS_PER_S);
+  for (guint i = 0; i < world->nodes->len; i++)
+    {
+      const struct zonenode *node = g_ptr_array_index (world->nodes, i);
+      uint64_t sent = zonenet_sent (world->net, node->name) - before[i];
+
+      rates.busiest = MAX (rates.busiest, sent / seconds);
+      rates.mean += sent / seconds;
+      rates.received += zonenet_received (world->net, node->name);
+    }
+  rates.mean /= MAX (world->nodes->len, 1);
+  rates.received
+      = (rates.received - got) / MAX (world->nodes->len, 1) / seconds;
+  g_free (before);
+  return rates;
+}
+
+/* Check that every instance knows every endpoint of its zone.  */
+static void
+check_known (const struct zoneworld *world)
+{
+  for (guint i = 0; i < world->nodes->len; i++)
     {
       const struct zonenode *node = g_ptr_array_index (world->nodes, i);
       GPtrArray *list = g_ptr_array_new ();
 
-      most = MAX (most, zonenet_sent (world->net, node->name) - before[i]);
       jc_members_serving (node->members, "assist-llm", "", world->now_ms, list);
       g_assert_cmpuint (list->len, ==, ZONE_ENDPOINTS);
       g_ptr_array_free (list, TRUE);
     }
-  zoneworld_free (world);
-  return most / MEASURED_S;
+}
+
+static void
+note_dial (void *ctx, const char *peer)
+{
+  g_string_append_printf (ctx, "+%s ", peer);
+}
+
+static void
+note_hang_up (void *ctx, const char *peer)
+{
+  g_string_append_printf (ctx, "-%s ", peer);
+}
+
+/* Of four instances that don't answer, each gets its turn.  */
+static void
+test_links_turns (void)
+{
+  static const struct jc_links_class klass
+      = { .dial = note_dial, .hang_up = note_hang_up };
+  GString *log = g_string_new (NULL);
+  struct jc_links *links = jc_links_new ("e1", "ost", "ost-1", &klass, log);
+  static const char *const far[] = { "s1", "s2", "s3", "s4" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (far); i++)
+    jc_links_add (links, far[i], "sued", "sued-1");
+  for (int64_t now = 1000; now < 6000; now += 500)
+    jc_links_tick (links, now);
+  for (size_t i = 0; i < G_N_ELEMENTS (far); i++)
+    {
+      char *dial = g_strconcat ("+", far[i], " ", NULL);
+
+      g_assert_nonnull (strstr (log->str, dial));
+      g_free (dial);
+    }
+  jc_links_free (links);
+  g_string_free (log, TRUE);
+}
+
+/* Of two connections between instances of a zone one is given up, by the
+   instance whose name comes second.  */
+static void
+test_links_one (void)
+{
+  static const struct jc_links_class klass
+      = { .dial = note_dial, .hang_up = note_hang_up };
+  GString *log = g_string_new (NULL);
+  struct jc_links *links = jc_links_new ("e5", "ost", "ost-1", &klass, log);
+
+  jc_links_add (links, "e3", "ost", "ost-1");
+  jc_links_add (links, "e7", "ost", "ost-1");
+  jc_links_tick (links, 1000);
+  g_assert_cmpstr (log->str, ==, "+e7 ");
+  jc_links_tick (links, 3000);
+  g_assert_cmpstr (log->str, ==, "+e7 +e3 ");
+  jc_links_set (links, "e3", true, true);
+  jc_links_set (links, "e7", true, true);
+  jc_links_tick (links, 3500);
+  g_assert_cmpstr (log->str, ==, "+e7 +e3 -e3 ");
+  jc_links_set (links, "e3", false, true);
+  jc_links_tick (links, 9000);
+  g_assert_cmpstr (log->str, ==, "+e7 +e3 -e3 ");
+  jc_links_free (links);
+  g_string_free (log, TRUE);
 }
 
 static void
 test_zone_bytes (void)
 {
-  uint64_t once = busiest (1);
-  uint64_t twice = busiest (2);
+  for (unsigned int heard_by = 1; heard_by <= 2; heard_by++)
+    {
+      struct zoneworld *world = zoneworld_new ();
+      struct rates rates;
+
+      add_zone (world, 0, heard_by);
+      zoneworld_run (world, WARM_MS);
+      rates = measure (world, MEASURED_S);
+      check_known (world);
+      g_test_message ("13 instances, 120 endpoints, each heard by %u: an "
+                      "instance sends %lu bytes/s, the busiest %lu.",
+                      heard_by, (unsigned long)rates.mean,
+                      (unsigned long)rates.busiest);
+      g_assert_cmpuint (rates.busiest, <=, BYTES_PER_S_MAX);
+      zoneworld_free (world);
+    }
+}
+
+/* The whole group: 28 zones of 13 instances and 120 endpoints.  */
+static void
+test_group_bytes (void)
+{
+  struct zoneworld *world = zoneworld_new ();
+  struct rates rates;
+  unsigned int most = 0;
+  guint total = 0;
+
+  for (int i = 0; i < GROUP_ZONES; i++)
+    add_zone (world, i, 1);
+  zoneworld_run (world, WARM_MS);
+  rates = measure (world, GROUP_MEASURED_S);
+  check_known (world);
+  for (guint i = 0; i < world->nodes->len; i++)
+    {
+      unsigned int count
+          = zonenode_connections (g_ptr_array_index (world->nodes, i));
 
-  g_test_message ("13 instances, 120 endpoints: the busiest instance sends "
-                  "%lu bytes/s, heard by two %lu bytes/s.",
-                  (unsigned long)once, (unsigned long)twice);
-  g_assert_cmpuint (once, <=, BYTES_PER_S_MAX);
-  g_assert_cmpuint (twice, <=, BYTES_PER_S_MAX);
+      most = MAX (most, count);
+      total += count;
+    }
+  g_test_message ("364 instances, 3360 endpoints: an instance sends %lu "
+                  "bytes/s and gets %lu, the busiest sends %lu; connections "
+                  "%u, most %u.",
+                  (unsigned long)rates.mean, (unsigned long)rates.received,
+                  (unsigned long)rates.busiest,
+                  total / MAX (world->nodes->len, 1), most);
+  g_assert_cmpuint (rates.mean, <=, BYTES_PER_S_MAX);
+  g_assert_cmpuint (most, <=, CONNECTIONS_MAX);
+  zoneworld_free (world);
 }
 
 int
@@ -186,6 +322,9 @@
   g_test_add_func ("/member/load", test_load);
   g_test_add_func ("/member/bounds", test_bounds);
   g_test_add_func ("/member/in-flight", test_in_flight);
+  g_test_add_func ("/member/links-turns", test_links_turns);
+  g_test_add_func ("/member/links-one", test_links_one);
   g_test_add_func ("/member/zone-bytes", test_zone_bytes);
+  g_test_add_func ("/member/group-bytes", test_group_bytes);
   return g_test_run ();
 }
--- a/tests/zonenet.c
+++ b/tests/zonenet.c
@@ -15,6 +15,7 @@
   char *from;
   char *to;
   int64_t arrives_ms;
+  uint64_t serial;
   GByteArray *bytes;
 };
 
@@ -22,7 +23,7 @@
 {
   zonenet_deliver_fn *deliver;
   void *ctx;
-  GQueue *flights;
+  GSequence *flights;
   GHashTable *cuts;
   GHashTable *losses;
   GHashTable *sent;
@@ -49,7 +50,7 @@
 
   net->deliver = deliver;
   net->ctx = ctx;
-  net->flights = g_queue_new ();
+  net->flights = g_sequence_new (flight_free);
   net->cuts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   net->losses = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   net->sent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -62,7 +63,7 @@
 void
 zonenet_free (struct zonenet *net)
 {
-  g_queue_free_full (net->flights, flight_free);
+  g_sequence_free (net->flights);
   g_hash_table_destroy (net->cuts);
   g_hash_table_destroy (net->losses);
   g_hash_table_destroy (net->sent);
@@ -105,6 +106,17 @@
     }
 }
 
+/* Tell whether what A sends B is dropped.  */
+bool
+zonenet_is_cut (const struct zonenet *net, const char *a, const char *b)
+{
+  char *path = way (a, b);
+  bool cut = g_hash_table_contains (net->cuts, path);
+
+  g_free (path);
+  return cut;
+}
+
 /* Lose the next COUNT messages from FROM to TO.  */
 void
 zonenet_lose (struct zonenet *net, const char *from, const char *to,
@@ -127,6 +139,18 @@
   return cut || left > 0;
 }
 
+static gint
+compare_flights (gconstpointer a, gconstpointer b, gpointer ctx)
+{
+  const struct flight *left = a;
+  const struct flight *right = b;
+
+  (void)ctx;
+  if (left->arrives_ms != right->arrives_ms)
+    return left->arrives_ms < right->arrives_ms ? -1 : 1;
+  return left->serial < right->serial ? -1 : left->serial > right->serial;
+}
+
 /* Send PACKET, which arrives at ARRIVES_MS unless it is lost.  */
 void
 zonenet_send (struct zonenet *net, const char *from, const char *to,
@@ -153,7 +177,8 @@
   xdrmem_create (&xdr, (char *)flight->bytes->data, (u_int)size, XDR_ENCODE);
   g_assert_true (xdr_rpc_packet (&xdr, packet));
   xdr_destroy (&xdr);
-  g_queue_push_tail (net->flights, flight);
+  flight->serial = net->messages;
+  g_sequence_insert_sorted (net->flights, flight, compare_flights, NULL);
 }
 
 static void
@@ -171,26 +196,18 @@
   xdr_free ((xdrproc_t)xdr_rpc_packet, (char *)&packet);
 }
 
-/* Deliver what has arrived by NOW_MS, in the order it was sent.  */
+/* Deliver what has arrived by NOW_MS, in the order of its arrival.  */
 void
 zonenet_run (struct zonenet *net, int64_t now_ms)
 {
-  GList *item = net->flights->head;
-
-  while (item != NULL)
+  while (!g_sequence_is_empty (net->flights))
     {
-      struct flight *flight = item->data;
-
-      if (flight->arrives_ms > now_ms)
-        {
-          item = item->next;
-          continue;
-        }
-      g_queue_unlink (net->flights, item);
-      flight_land (net, flight);
-      g_list_free_1 (item);
-      flight_free (flight);
-      item = net->flights->head;
+      GSequenceIter *first = g_sequence_get_begin_iter (net->flights);
+
+      if (((struct flight *)g_sequence_get (first))->arrives_ms > now_ms)
+        return;
+      flight_land (net, g_sequence_get (first));
+      g_sequence_remove (first);
     }
 }
 
--- a/tests/zonenet.h
+++ b/tests/zonenet.h
@@ -19,6 +19,7 @@
 struct zonenet *zonenet_new (zonenet_deliver_fn *deliver, void *ctx);
 void zonenet_free (struct zonenet *net);
 void zonenet_cut (struct zonenet *net, const char *a, const char *b, bool cut);
+bool zonenet_is_cut (const struct zonenet *net, const char *a, const char *b);
 void zonenet_lose (struct zonenet *net, const char *from, const char *to,
                    unsigned int count);
 void zonenet_send (struct zonenet *net, const char *from, const char *to,
--- a/tests/zonenode.c
+++ b/tests/zonenode.c
@@ -8,7 +8,9 @@
 {
   STEP_MS = 10,
   TICK_MS = 100,
+  LINKS_TICK_MS = 500,
   DELAY_MS = 2,
+  FAR_DELAY_MS = 80,
   LEASE_MS = 3000,
   ANNOUNCE_MS = 1000,
   SLOTS = 8,
@@ -16,6 +18,14 @@
   POINT_SPREAD_MS = 7
 };
 
+static int64_t
+delay_ms (const struct zonenode *node, const char *peer)
+{
+  const struct zonenode *other = zoneworld_find (node->world, peer);
+
+  return strcmp (node->region, other->region) == 0 ? DELAY_MS : FAR_DELAY_MS;
+}
+
 static void
 node_send (void *ctx, const char *peer, struct rpc_zone_delta *delta)
 {
@@ -24,10 +34,24 @@
 
   packet.body.rpc_body_u.zone_delta = *delta;
   zonenet_send (node->world->net, node->name, peer, &packet,
-                node->world->now_ms + DELAY_MS);
+                node->world->now_ms + delay_ms (node, peer));
+}
+
+static void
+node_send_summary (void *ctx, const char *peer,
+                   struct rpc_region_summary *summary)
+{
+  struct zonenode *node = ctx;
+  struct rpc_packet packet = { .body.type = RPC_REGION_SUMMARY };
+
+  packet.body.rpc_body_u.region_summary = *summary;
+  zonenet_send (node->world->net, node->name, peer, &packet,
+                node->world->now_ms + delay_ms (node, peer));
 }
 
 static const struct jc_zone_class zone_class = { .send = node_send };
+static const struct jc_summaries_class summaries_class
+    = { .send = node_send_summary };
 
 static void
 world_deliver (void *ctx, const char *from, const char *to,
@@ -39,6 +63,111 @@
   if (packet->body.type == RPC_ZONE_DELTA)
     jc_zone_delta (node->sharing, from, &packet->body.rpc_body_u.zone_delta,
                    world->now_ms);
+  else
+    jc_summaries_take (node->summaries, from,
+                       &packet->body.rpc_body_u.region_summary, world->now_ms);
+}
+
+static bool
+connected (const struct zoneworld *world, const char *dialer,
+           const char *listener)
+{
+  char *key = g_strconcat (dialer, ">", listener, NULL);
+  bool found = g_hash_table_contains (world->connections, key);
+
+  g_free (key);
+  return found;
+}
+
+static void
+tell_links (struct zonenode *node, const char *peer)
+{
+  jc_links_set (node->links, peer, connected (node->world, node->name, peer),
+                connected (node->world, peer, node->name));
+}
+
+static void
+tell_up (struct zonenode *node, const struct zonenode *peer)
+{
+  int64_t now = node->world->now_ms;
+
+  tell_links (node, peer->name);
+  if (strcmp (node->zone, peer->zone) == 0)
+    jc_zone_up (node->sharing, peer->name, peer->incarnation, now);
+  else
+    jc_summaries_up (node->summaries, peer->name, peer->region, peer->zone,
+                     peer->incarnation, now);
+}
+
+static void
+tell_down (struct zonenode *node, const struct zonenode *peer)
+{
+  tell_links (node, peer->name);
+  if (connected (node->world, node->name, peer->name)
+      || connected (node->world, peer->name, node->name))
+    return;
+  jc_zone_down (node->sharing, peer->name);
+  jc_summaries_down (node->summaries, peer->name);
+}
+
+static void
+connect_nodes (struct zonenode *dialer, struct zonenode *listener)
+{
+  struct zoneworld *world = dialer->world;
+
+  if (zonenet_is_cut (world->net, dialer->name, listener->name)
+      || connected (world, dialer->name, listener->name))
+    return;
+  g_hash_table_add (world->connections,
+                    g_strconcat (dialer->name, ">", listener->name, NULL));
+  tell_up (dialer, listener);
+  tell_up (listener, dialer);
+}
+
+static void
+disconnect_nodes (struct zonenode *dialer, struct zonenode *listener)
+{
+  char *key = g_strconcat (dialer->name, ">", listener->name, NULL);
+
+  if (g_hash_table_remove (dialer->world->connections, key))
+    {
+      tell_down (dialer, listener);
+      tell_down (listener, dialer);
+    }
+  g_free (key);
+}
+
+static void
+node_dial (void *ctx, const char *peer)
+{
+  struct zonenode *node = ctx;
+
+  g_hash_table_add (node->dials, g_strdup (peer));
+}
+
+static void
+node_hang_up (void *ctx, const char *peer)
+{
+  struct zonenode *node = ctx;
+
+  g_hash_table_remove (node->dials, peer);
+  disconnect_nodes (node, zoneworld_find (node->world, peer));
+}
+
+static const struct jc_links_class links_class
+    = { .dial = node_dial, .hang_up = node_hang_up };
+
+/* Decide the connections of NODE and make those that can be made.  */
+static void
+node_connect (struct zonenode *node)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  jc_links_tick (node->links, node->world->now_ms);
+  g_hash_table_iter_init (&iter, node->dials);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    connect_nodes (node, zoneworld_find (node->world, name));
 }
 
 /* Return a world without nodes.  */
@@ -49,6 +178,9 @@
 
   world->net = zonenet_new (world_deliver, world);
   world->nodes = g_ptr_array_new ();
+  world->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  world->connections
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   world->points = g_ptr_array_new ();
   return world;
 }
@@ -57,7 +189,7 @@
 node_start (struct zonenode *node)
 {
   struct jc_zone_self self = { .name = node->name,
-                               .region = "region",
+                               .region = node->region,
                                .zone = node->zone,
                                .callers_address = "10.0.0.1:8000",
                                .incarnation = ++node->incarnation };
@@ -68,14 +200,21 @@
   tables.members = node->members;
   tables.regions = node->regions;
   node->sharing = jc_zone_new (&self, &tables, &zone_class, node);
+  node->summaries = jc_summaries_new (&self, &tables, &summaries_class, node);
+  node->links
+      = jc_links_new (node->name, node->region, node->zone, &links_class, node);
+  node->dials = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
 static void
 node_stop (struct zonenode *node)
 {
+  jc_links_free (node->links);
+  jc_summaries_free (node->summaries);
   jc_zone_free (node->sharing);
   jc_members_free (node->members);
   jc_regions_free (node->regions);
+  g_hash_table_destroy (node->dials);
 }
 
 /* Free WORLD.  */
@@ -88,6 +227,7 @@
 
       node_stop (node);
       g_free (node->name);
+      g_free (node->region);
       g_free (node->zone);
       g_free (node);
     }
@@ -99,33 +239,41 @@
       g_strfreev (point->entries);
       g_free (point);
     }
+  g_hash_table_destroy (world->connections);
+  g_hash_table_destroy (world->by_name);
   g_ptr_array_free (world->nodes, TRUE);
   g_ptr_array_free (world->points, TRUE);
   zonenet_free (world->net);
   g_free (world);
 }
 
-/* Add the instance NAME, connected to the others of its zone.  */
+static void
+node_learn_others (struct zonenode *node)
+{
+  for (guint i = 0; i < node->world->nodes->len; i++)
+    {
+      const struct zonenode *other = g_ptr_array_index (node->world->nodes, i);
+
+      jc_links_add (node->links, other->name, other->region, other->zone);
+      jc_links_add (other->links, node->name, node->region, node->zone);
+    }
+}
+
+/* Add the instance NAME of REGION and ZONE.  */
 struct zonenode *
-zoneworld_add (struct zoneworld *world, const char *name, const char *zone)
+zoneworld_add (struct zoneworld *world, const char *name, const char *region,
+               const char *zone)
 {
   struct zonenode *node = g_new0 (struct zonenode, 1);
 
   node->world = world;
   node->name = g_strdup (name);
+  node->region = g_strdup (region);
   node->zone = g_strdup (zone);
   node_start (node);
-  for (guint i = 0; i < world->nodes->len; i++)
-    {
-      const struct zonenode *other = g_ptr_array_index (world->nodes, i);
-
-      if (strcmp (other->zone, zone) != 0)
-        continue;
-      jc_zone_up (node->sharing, other->name, other->incarnation,
-                  world->now_ms);
-      jc_zone_up (other->sharing, name, node->incarnation, world->now_ms);
-    }
+  node_learn_others (node);
   g_ptr_array_add (world->nodes, node);
+  g_hash_table_insert (world->by_name, node->name, node);
   return node;
 }
 
@@ -133,31 +281,34 @@
 struct zonenode *
 zoneworld_find (struct zoneworld *world, const char *name)
 {
-  for (guint i = 0; i < world->nodes->len; i++)
-    {
-      struct zonenode *node = g_ptr_array_index (world->nodes, i);
-
-      if (strcmp (node->name, name) == 0)
-        return node;
-    }
-  return NULL;
+  return g_hash_table_lookup (world->by_name, name);
 }
 
-/* Make (UP) or end the connection of A and B.  */
+/* End the connections of A and B.  */
 void
-zoneworld_link (struct zoneworld *world, const char *a, const char *b, bool up)
+zoneworld_down (struct zoneworld *world, const char *a, const char *b)
 {
   struct zonenode *left = zoneworld_find (world, a);
   struct zonenode *right = zoneworld_find (world, b);
 
-  if (up)
+  disconnect_nodes (left, right);
+  disconnect_nodes (right, left);
+}
+
+/* Return the number of NODE's connections.  */
+unsigned int
+zonenode_connections (const struct zonenode *node)
+{
+  unsigned int count = 0;
+
+  for (guint i = 0; i < node->world->nodes->len; i++)
     {
-      jc_zone_up (left->sharing, b, right->incarnation, world->now_ms);
-      jc_zone_up (right->sharing, a, left->incarnation, world->now_ms);
-      return;
+      const struct zonenode *other = g_ptr_array_index (node->world->nodes, i);
+
+      count += connected (node->world, node->name, other->name);
+      count += connected (node->world, other->name, node->name);
     }
-  jc_zone_down (left->sharing, b);
-  jc_zone_down (right->sharing, a);
+  return count;
 }
 
 /* Start the instance NAME anew, without what it knew.  */
@@ -166,18 +317,21 @@
 {
   struct zonenode *node = zoneworld_find (world, name);
 
+  for (guint i = 0; i < world->nodes->len; i++)
+    zoneworld_down (
+        world, name,
+        ((struct zonenode *)g_ptr_array_index (world->nodes, i))->name);
   node_stop (node);
   node_start (node);
-  for (guint i = 0; i < world->nodes->len; i++)
-    {
-      const struct zonenode *other = g_ptr_array_index (world->nodes, i);
+  node_learn_others (node);
+}
 
-      if (other != node && strcmp (other->zone, node->zone) == 0)
-        {
-          zoneworld_link (world, name, other->name, false);
-          zoneworld_link (world, name, other->name, true);
-        }
-    }
+/* Let NODE take no new work any longer.  */
+void
+zonenode_drain (struct zonenode *node)
+{
+  jc_zone_drain (node->sharing, node->world->now_ms);
+  jc_summaries_drain (node->summaries, node->world->now_ms);
 }
 
 /* Add an endpoint that announces itself to ENTRIES, split by commas.  */
@@ -269,10 +423,13 @@
       struct zonenode *node = g_ptr_array_index (world->nodes, i);
       int64_t phase = (int64_t)i * STEP_MS;
 
+      if ((world->now_ms + phase) % LINKS_TICK_MS == 0)
+        node_connect (node);
       if ((world->now_ms + phase) % TICK_MS != 0)
         continue;
       jc_members_expire (node->members, world->now_ms);
       jc_zone_tick (node->sharing, world->now_ms);
+      jc_summaries_tick (node->summaries, world->now_ms);
     }
 }
 
