Carry membership, directory and drain in the entry daemon

Endpoints' reports go through the zone's sharing; the directory lists every instance that was heard lately, does not drain and stands where the product may go, nearest first. One line in the operators' table for POST /drain; net/httpd counts requests until their answers are sent.

Found and mended in net/rpc.c: records of both ways had one key, so that a record could be sent back to its sender; the proof did not cover role, region, zone and incarnation; a peer was not held to the name it was dialled by; an opening that trickles was never given up; a failed socket() ended redialling for good; jc_rpc_find could return an older connection; down came from within a send; a connection of an earlier incarnation stayed up until it went silent; any message was decoded before the opening. Heartbeats go only where nothing else went since the last one; the version is reported to the user all the same. Names are left out of the head once proved.

--- a/entry/announce.c
+++ b/entry/announce.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "entry/entry.h"
+#include "member/directory.h"
 #include "net/program.h"
 
 enum
@@ -83,7 +84,7 @@
   status = announcement_parse (json, &said, models);
   said.lease_ms = (u_int)entry->settings->lease_ms;
   if (status == JC_OK)
-    status = jc_members_announce (entry->members, &said, jc_now_ms ());
+    status = zone_announced (entry, &said);
   if (status != JC_OK)
     jc_http_fail (req, status, jc_last_message (), 0);
   else
@@ -96,21 +97,55 @@
   json_decref (json);
 }
 
+static json_t *
+directory_json (const struct jc_directory_row *row)
+{
+  const struct jc_instance_view *view = row->view;
+
+  return json_pack ("{s:s,s:s,s:s,s:s,s:I}", "name", view->name, "address",
+                    view->callers_address, "availability_zone", view->zone,
+                    "region", view->region, "weight", (json_int_t)row->weight);
+}
+
+/* Fill QUERY for the caller of REQ: its zone is the one that it names, else
+   this instance's.  */
+static void
+directory_query (const struct entry *entry, const struct jc_http_req *req,
+                 struct jc_directory_query *query)
+{
+  const char *zone = jc_http_query (req, "availability_zone");
+  const char *region = NULL;
+
+  query->config = entry->config;
+  query->product = jc_config_product_of_key (entry->config, http_bearer (req));
+  if (zone != NULL)
+    region = jc_config_region_of_zone (entry->config, zone);
+  query->zone = region != NULL ? zone : entry->settings->availability_zone;
+  query->region = region != NULL ? region : entry->settings->region;
+}
+
 /* Handle GET /v1/instances: the entry instances that the caller may use.  */
 void
 directory_handle (struct entry *entry, struct jc_http_req *req)
 {
   json_t *list = json_array ();
+  struct jc_directory_query query;
+  GArray *rows;
   json_t *answer;
   char *text;
 
-  if (!entry->draining)
-    json_array_append_new (
-        list,
-        json_pack ("{s:s,s:s,s:s,s:s,s:i}", "name", entry->settings->name,
-                   "address", entry->settings->callers, "availability_zone",
-                   entry->settings->availability_zone, "region",
-                   entry->settings->region, "weight", 100));
+  directory_query (entry, req, &query);
+  if (query.product == NULL)
+    {
+      jc_http_fail (req, JC_UNAUTHORIZED, "No product has this key.", 0);
+      json_decref (list);
+      return;
+    }
+  rows = jc_directory_list (entry->regions, &query, jc_now_ms ());
+  for (guint i = 0; i < rows->len; i++)
+    json_array_append_new (list, directory_json (&g_array_index (
+                                     rows, struct jc_directory_row, i)));
+  g_array_free (rows, TRUE);
   answer = json_pack ("{s:i,s:o}", "ttl_s", DIRECTORY_TTL_S, "instances", list);
   text = json_dumps (answer, JSON_COMPACT);
   jc_http_reply (req, 200, "application/json", jc_str_from (text), NULL);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -28,8 +28,12 @@
   struct jc_httpd *callers;
   struct jc_httpd *operators;
   struct jc_rpc *rpc;
+  struct zone_task *zone;
   unsigned int in_flight;
   bool draining;
+  int64_t drain_ms;
+  int64_t drained_ms;
+  ev_timer drain_check;
 };
 
 /* Work on a caller's request, attached to it by jc_http_set_data.  GONE says
@@ -74,7 +78,15 @@
 void zone_up (struct entry *entry, struct jc_rpc_conn *conn);
 void zone_packet (struct entry *entry, struct jc_rpc_conn *conn,
                   const struct rpc_packet *packet);
-void zone_changed (struct entry *entry, const struct jc_endpoint *endpoint);
+void zone_down (struct entry *entry, struct jc_rpc_conn *conn);
+enum jc_status zone_announced (struct entry *entry,
+                               const struct rpc_endpoint *said);
+void zone_drain (struct entry *entry);
+
+/* drain: the end of the process without a cut.  */
+void drain_watch (struct entry *entry);
+void drain_start (struct entry *entry);
+void drain_handle (struct entry *entry, struct jc_http_req *req);
 
 void announce_handle (struct entry *entry, struct jc_http_req *req);
 void directory_handle (struct entry *entry, struct jc_http_req *req);
--- a/entry/main.c
+++ b/entry/main.c
@@ -18,39 +18,44 @@
 on_up (void *ctx, struct jc_rpc_conn *conn)
 {
   follower_up (ctx, conn);
+  zone_up (ctx, conn);
+}
+
+static void
+on_down (void *ctx, struct jc_rpc_conn *conn)
+{
+  zone_down (ctx, conn);
+  handover_down (ctx, conn);
 }
 
 static void
 on_packet (void *ctx, struct jc_rpc_conn *conn, const struct rpc_packet *packet)
 {
   follower_packet (ctx, conn, packet);
+  keyed_packet (ctx, conn, packet);
+  handover_packet (ctx, conn, packet);
+  zone_packet (ctx, conn, packet);
 }
 
 static const struct jc_rpc_class rpc_class
-    = { .up = on_up, .packet = on_packet };
+    = { .up = on_up, .down = on_down, .packet = on_packet };
 
 static void
 on_expire (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct entry *entry = watcher->data;
 
+  (void)loop;
   (void)events;
   jc_members_expire (entry->members, jc_now_ms ());
-  if (entry->draining && entry->in_flight == 0)
-    ev_break (loop, EVBREAK_ALL);
 }
 
 static void
 on_term (struct ev_loop *loop, ev_signal *watcher, int events)
 {
-  struct entry *entry = watcher->data;
-
   (void)loop;
   (void)events;
-  if (entry->draining)
-    return;
-  entry->draining = true;
-  jc_info (PART, "Draining %u requests.", entry->in_flight);
+  drain_start (watcher->data);
 }
 
 static void
@@ -90,19 +95,19 @@
   if (entry->callers == NULL || entry->operators == NULL)
     return JC_UNREACHABLE;
   zone_start (entry);
+  drain_watch (entry);
   dial_peers (entry, s->state_peers);
-  dial_peers (entry, s->entry_peers);
   return JC_OK;
 }
 
 static void
 stop_tasks (struct entry *entry)
 {
-  zone_stop (entry);
   jc_httpd_free (entry->callers);
   jc_httpd_free (entry->operators);
   if (entry->rpc != NULL)
     jc_rpc_free (entry->rpc);
+  zone_stop (entry);
   if (entry->httpc != NULL)
     jc_httpc_free (entry->httpc);
   jc_policy_clear (&entry->policy);
--- a/entry/operators.c
+++ b/entry/operators.c
@@ -137,6 +137,7 @@
 
 static const struct operator_verb verbs[]
     = { { "POST", "/config", handle_submit },
+        { "POST", "/drain", drain_handle },
         { "GET", "/config", handle_config },
         { "GET", "/status", handle_status },
         { "GET", "/metrics", handle_metrics } };
--- a/entry/zone.c
+++ b/entry/zone.c
@@ -1,27 +1,217 @@
-/* Membership shared between entry instances.  */
+/* Membership shared between entry instances: carries the sharing of the zone,
+   the exchange between regions and the plan of connections.  */
+
+#include <string.h>
 
 #include "entry/entry.h"
+#include "member/links.h"
+#include "member/summaries.h"
+#include "member/zone.h"
+#include "net/address.h"
+#include "net/program.h"
+
+enum
+{
+  TICK_MS = 100,
+  LINKS_MS = 500,
+  MS_PER_S = 1000
+};
+
+/* The task of membership.  */
+struct zone_task
+{
+  struct entry *entry;
+  struct jc_zone *sharing;
+  struct jc_summaries *summaries;
+  struct jc_links *links;
+  char *callers_address;
+  ev_timer tick;
+  int64_t links_ms;
+};
+
+static void
+send_delta (void *ctx, const char *peer, struct rpc_zone_delta *delta)
+{
+  const struct zone_task *task = ctx;
+  struct rpc_packet packet = { .body.type = RPC_ZONE_DELTA };
+
+  packet.body.rpc_body_u.zone_delta = *delta;
+  jc_rpc_send (jc_rpc_find (task->entry->rpc, peer), &packet);
+}
+
+static void
+send_summary (void *ctx, const char *peer, struct rpc_region_summary *summary)
+{
+  const struct zone_task *task = ctx;
+  struct rpc_packet packet = { .body.type = RPC_REGION_SUMMARY };
+
+  packet.body.rpc_body_u.region_summary = *summary;
+  jc_rpc_send (jc_rpc_find (task->entry->rpc, peer), &packet);
+}
+
+static void
+dial_peer (void *ctx, const char *name)
+{
+  const struct zone_task *task = ctx;
+  const GPtrArray *peers = task->entry->settings->entry_peers;
+
+  for (guint i = 0; i < peers->len; i++)
+    {
+      const struct jc_peer *peer = g_ptr_array_index (peers, i);
+
+      if (strcmp (peer->name, name) == 0)
+        {
+          jc_rpc_dial (task->entry->rpc, peer->name, peer->rpc);
+          return;
+        }
+    }
+}
+
+static void
+hang_up_peer (void *ctx, const char *name)
+{
+  const struct zone_task *task = ctx;
+
+  jc_rpc_hang_up (task->entry->rpc, name);
+}
+
+static const struct jc_zone_class zone_class = { .send = send_delta };
+static const struct jc_summaries_class summaries_class
+    = { .send = send_summary };
+static const struct jc_links_class links_class
+    = { .dial = dial_peer, .hang_up = hang_up_peer };
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct zone_task *task = watcher->data;
+  int64_t now = jc_now_ms ();
+
+  (void)loop;
+  (void)events;
+  jc_zone_tick (task->sharing, now);
+  jc_summaries_tick (task->summaries, now);
+  if (now - task->links_ms < LINKS_MS)
+    return;
+  task->links_ms = now;
+  jc_links_tick (task->links, now);
+}
+
+static struct jc_links *
+links_new (struct zone_task *task, const struct jc_entry_settings *settings)
+{
+  struct jc_links *links
+      = jc_links_new (settings->name, settings->region,
+                      settings->availability_zone, &links_class, task);
+
+  for (guint i = 0; i < settings->entry_peers->len; i++)
+    {
+      const struct jc_peer *peer = g_ptr_array_index (settings->entry_peers, i);
+
+      jc_links_add (links, peer->name, peer->region, peer->availability_zone);
+    }
+  return links;
+}
 
 /* Begin to share.  */
 void
 zone_start (struct entry *entry)
 {
-  (void)entry;
+  const struct jc_entry_settings *s = entry->settings;
+  struct zone_task *task = g_new0 (struct zone_task, 1);
+  struct jc_zone_tables tables
+      = { .members = entry->members, .regions = entry->regions };
+  struct jc_zone_self self = { .name = s->name,
+                               .region = s->region,
+                               .zone = s->availability_zone,
+                               .incarnation = jc_rpc_incarnation (entry->rpc) };
+
+  task->entry = entry;
+  task->callers_address
+      = jc_address_with_port (s->callers, jc_httpd_port (entry->callers));
+  self.callers_address = task->callers_address;
+  task->sharing = jc_zone_new (&self, &tables, &zone_class, task);
+  task->summaries = jc_summaries_new (&self, &tables, &summaries_class, task);
+  task->links = links_new (task, s);
+  entry->zone = task;
+  ev_timer_init (&task->tick, on_tick, 0, (double)TICK_MS / MS_PER_S);
+  task->tick.data = task;
+  ev_timer_start (entry->loop, &task->tick);
 }
 
 /* End sharing.  */
 void
 zone_stop (struct entry *entry)
 {
-  (void)entry;
+  struct zone_task *task = entry->zone;
+
+  if (task == NULL)
+    return;
+  ev_timer_stop (entry->loop, &task->tick);
+  jc_links_free (task->links);
+  jc_summaries_free (task->summaries);
+  jc_zone_free (task->sharing);
+  g_free (task->callers_address);
+  g_free (task);
+  entry->zone = NULL;
+}
+
+static bool
+conn_is_near (const struct entry *entry, const struct jc_rpc_conn *conn)
+{
+  return strcmp (jc_rpc_conn_region (conn), entry->settings->region) == 0
+         && strcmp (jc_rpc_conn_zone (conn), entry->settings->availability_zone)
+                == 0;
+}
+
+static bool
+conn_is_entry (const struct jc_rpc_conn *conn)
+{
+  return strcmp (jc_rpc_conn_role (conn), "entry") == 0;
+}
+
+static void
+tell_links (const struct entry *entry, const struct jc_rpc_conn *conn)
+{
+  const char *name = jc_rpc_conn_name (conn);
+  bool dialled;
+  bool accepted;
+
+  jc_rpc_ways (entry->rpc, name, &dialled, &accepted);
+  jc_links_set (entry->zone->links, name, dialled, accepted);
 }
 
 /* A peer came up.  */
 void
 zone_up (struct entry *entry, struct jc_rpc_conn *conn)
 {
-  (void)entry;
-  (void)conn;
+  const char *name = jc_rpc_conn_name (conn);
+  uint64_t incarnation = jc_rpc_conn_incarnation (conn);
+  int64_t now = jc_now_ms ();
+
+  if (!conn_is_entry (conn))
+    return;
+  tell_links (entry, conn);
+  if (conn_is_near (entry, conn))
+    jc_zone_up (entry->zone->sharing, name, incarnation, now);
+  else
+    jc_summaries_up (entry->zone->summaries, name, jc_rpc_conn_region (conn),
+                     jc_rpc_conn_zone (conn), incarnation, now);
+}
+
+/* A connection to a peer went down; another one may be left.  */
+void
+zone_down (struct entry *entry, struct jc_rpc_conn *conn)
+{
+  const char *name = jc_rpc_conn_name (conn);
+
+  if (entry->zone == NULL || !conn_is_entry (conn))
+    return;
+  tell_links (entry, conn);
+  if (jc_rpc_find (entry->rpc, name) != NULL)
+    return;
+  jc_zone_down (entry->zone->sharing, name);
+  jc_summaries_down (entry->zone->summaries, name);
 }
 
 /* Take a message of membership.  */
@@ -29,15 +219,32 @@
 zone_packet (struct entry *entry, struct jc_rpc_conn *conn,
              const struct rpc_packet *packet)
 {
-  (void)entry;
-  (void)conn;
-  (void)packet;
+  const char *name = jc_rpc_conn_name (conn);
+  int64_t now = jc_now_ms ();
+
+  if (!conn_is_entry (conn))
+    return;
+  if (packet->body.type == RPC_ZONE_DELTA)
+    jc_zone_delta (entry->zone->sharing, name,
+                   &packet->body.rpc_body_u.zone_delta, now);
+  else if (packet->body.type == RPC_REGION_SUMMARY)
+    jc_summaries_take (entry->zone->summaries, name,
+                       &packet->body.rpc_body_u.region_summary, now);
+}
+
+/* Take what an endpoint announced here.  */
+enum jc_status
+zone_announced (struct entry *entry, const struct rpc_endpoint *said)
+{
+  return jc_zone_announced (entry->zone->sharing, said, jc_now_ms ());
 }
 
-/* ENDPOINT announced a change here.  */
+/* Tell all peers that this instance takes no new work.  */
 void
-zone_changed (struct entry *entry, const struct jc_endpoint *endpoint)
+zone_drain (struct entry *entry)
 {
-  (void)entry;
-  (void)endpoint;
+  int64_t now = jc_now_ms ();
+
+  jc_zone_drain (entry->zone->sharing, now);
+  jc_summaries_drain (entry->zone->summaries, now);
 }
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -33,6 +33,7 @@
   ev_prepare prepare;
   GHashTable *suspended;
   bool run_wanted;
+  unsigned int requests;
   int port;
 };
 
@@ -190,6 +191,7 @@
 {
   struct jc_http_req *req = g_new0 (struct jc_http_req, 1);
 
+  httpd->requests++;
   req->httpd = httpd;
   req->conn = conn;
   req->method = method;
@@ -288,6 +290,7 @@
   (void)code;
   if (req == NULL)
     return;
+  req->httpd->requests--;
   req_stop_watch (req);
   req_tell_gone (req);
   if (req->response != NULL)
@@ -397,6 +400,13 @@
       ->num_connections;
 }
 
+/* Return the number of requests whose answers were not sent whole yet.  */
+unsigned int
+jc_httpd_requests (const struct jc_httpd *httpd)
+{
+  return httpd->requests;
+}
+
 /* Return the port that HTTPD listens at.  */
 int
 jc_httpd_port (const struct jc_httpd *httpd)
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -37,6 +37,7 @@
 void jc_httpd_free (struct jc_httpd *httpd);
 void jc_httpd_quiesce (struct jc_httpd *httpd);
 unsigned int jc_httpd_connections (const struct jc_httpd *httpd);
+unsigned int jc_httpd_requests (const struct jc_httpd *httpd);
 int jc_httpd_port (const struct jc_httpd *httpd);
 
 const char *jc_http_method (const struct jc_http_req *req);
--- a/net/rpc.c
+++ b/net/rpc.c
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <sodium.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -22,11 +23,14 @@
   KEY_BYTES = 32,
   RECORD_MAX = 20 * 1024 * 1024,
   RECORD_MAX_BEFORE_HELLO = 2048,
-  BACKLOG_MAX = 64 * 1024 * 1024,
+  BACKLOG_MAX = 24 * 1024 * 1024,
+  BUFFER_KEPT_BYTES = 256 * 1024,
   READ_BYTES = 64 * 1024,
   LISTEN_QUEUE = 512,
   CONNS_MAX = 4096,
+  HALF_OPEN_MAX = 512,
   REDIAL_MS = 200,
+  REDIAL_MAX_MS = 1600,
   MS_PER_S = 1000
 };
 
@@ -51,10 +55,12 @@
   int port;
   ev_io accept;
   ev_timer beat;
+  ev_timer reaper;
   GPtrArray *conns;
   GPtrArray *dials;
   GHashTable *pending;
   uint64_t last_xid;
+  uint64_t last_serial;
   uint64_t bytes_sent;
 };
 
@@ -66,12 +72,18 @@
   struct sockaddr_in addr;
   struct jc_rpc_conn *conn;
   ev_timer redial;
+  int redial_ms;
 };
 
+/* SERIAL counts connections as they come up.  BROKEN is why the connection
+   is dropped as soon as no caller is on the stack.  */
 struct jc_rpc_conn
 {
   struct jc_rpc *rpc;
   struct dial *dial;
+  bool dialled;
+  uint64_t serial;
+  const char *broken;
   int fd;
   ev_io reader;
   ev_io writer;
@@ -80,9 +92,14 @@
   size_t out_pos;
   unsigned char own_nonce[NONCE_BYTES];
   unsigned char peer_nonce[NONCE_BYTES];
-  unsigned char session[KEY_BYTES];
+  unsigned char send_key[KEY_BYTES];
+  unsigned char receive_key[KEY_BYTES];
   uint64_t sent;
   uint64_t received;
+  uint64_t sent_at_beat;
+  uint64_t peer_version;
+  bool beat_due;
+  ev_tstamp opened;
   ev_tstamp last_heard;
   bool hello_sent;
   bool up;
@@ -120,28 +137,61 @@
   crypto_generichash_final (&state, mac, MAC_BYTES);
 }
 
-/* Derive from both nonces of CONN and LABEL a value that only holders of the
-   group's key can make.  */
 static void
-conn_derive (const struct jc_rpc_conn *conn, const char *label,
-             const char *name, unsigned char *out)
+hash_text (crypto_generichash_state *state, const char *text)
+{
+  crypto_generichash_update (state, (const unsigned char *)text,
+                             strlen (text) + 1);
+}
+
+/* Begin in STATE a hash of both nonces of CONN and LABEL that only holders of
+   the group's key can make.  */
+static void
+conn_hash (const struct jc_rpc_conn *conn, const char *label,
+           crypto_generichash_state *state)
 {
   const unsigned char *first = conn->own_nonce;
   const unsigned char *second = conn->peer_nonce;
-  crypto_generichash_state state;
 
-  if (conn->dial == NULL)
+  if (!conn->dialled)
     {
       first = conn->peer_nonce;
       second = conn->own_nonce;
     }
-  crypto_generichash_init (&state, conn->rpc->key, KEY_BYTES, KEY_BYTES);
-  crypto_generichash_update (&state, (const unsigned char *)label,
-                             strlen (label) + 1);
-  crypto_generichash_update (&state, first, NONCE_BYTES);
-  crypto_generichash_update (&state, second, NONCE_BYTES);
-  crypto_generichash_update (&state, (const unsigned char *)name,
-                             strlen (name) + 1);
+  crypto_generichash_init (state, conn->rpc->key, KEY_BYTES, KEY_BYTES);
+  hash_text (state, label);
+  crypto_generichash_update (state, first, NONCE_BYTES);
+  crypto_generichash_update (state, second, NONCE_BYTES);
+}
+
+/* Compute the key of the records that go the way of LABEL.  */
+static void
+conn_derive_key (const struct jc_rpc_conn *conn, const char *label,
+                 unsigned char *out)
+{
+  crypto_generichash_state state;
+
+  conn_hash (conn, label, &state);
+  crypto_generichash_final (&state, out, KEY_BYTES);
+}
+
+/* Compute the proof of what PACKET, a hello, says of its sender.  */
+static void
+conn_derive_proof (const struct jc_rpc_conn *conn, const char *label,
+                   const struct rpc_packet *packet, unsigned char *out)
+{
+  const struct rpc_hello *hello = &packet->body.rpc_body_u.hello;
+  uint64_t incarnation = packet->head.incarnation;
+  crypto_generichash_state state;
+
+  conn_hash (conn, label, &state);
+  hash_text (&state, packet->head.group);
+  hash_text (&state, packet->head.sender);
+  hash_text (&state, hello->role);
+  hash_text (&state, hello->region);
+  hash_text (&state, hello->zone);
+  crypto_generichash_update (&state, (const unsigned char *)&incarnation,
+                             sizeof incarnation);
   crypto_generichash_final (&state, out, KEY_BYTES);
 }
 
@@ -179,8 +229,36 @@
   g_ptr_array_free (xids, TRUE);
 }
 
-/* Close CONN.  It is freed at the next beat, since callers may still hold it
-   on their stack.  */
+static void
+rpc_wake_reaper (struct jc_rpc *rpc)
+{
+  if (!ev_is_active (&rpc->reaper))
+    ev_timer_start (rpc->loop, &rpc->reaper);
+}
+
+/* Note that CONN failed while its user may be on the stack: it is dropped
+   from the loop.  */
+static void
+conn_break (struct jc_rpc_conn *conn, const char *why)
+{
+  if (conn->dead || conn->broken != NULL)
+    return;
+  conn->broken = why;
+  ev_io_stop (conn->rpc->loop, &conn->reader);
+  ev_io_stop (conn->rpc->loop, &conn->writer);
+  rpc_wake_reaper (conn->rpc);
+}
+
+static void
+dial_redial_later (struct dial *dial)
+{
+  ev_timer_set (&dial->redial, (double)dial->redial_ms / MS_PER_S, 0);
+  ev_timer_start (dial->rpc->loop, &dial->redial);
+  dial->redial_ms = MIN (2 * dial->redial_ms, REDIAL_MAX_MS);
+}
+
+/* Close CONN.  It is freed from the loop, since callers may still hold it on
+   their stack.  */
 static void
 conn_drop (struct jc_rpc_conn *conn, const char *why)
 {
@@ -205,9 +283,10 @@
   if (dial != NULL)
     {
       dial->conn = NULL;
-      ev_timer_set (&dial->redial, (double)REDIAL_MS / MS_PER_S, 0);
-      ev_timer_start (rpc->loop, &dial->redial);
+      conn->dial = NULL;
+      dial_redial_later (dial);
     }
+  rpc_wake_reaper (rpc);
 }
 
 static void
@@ -222,10 +301,23 @@
   g_free (conn);
 }
 
+/* Empty BUFFER, and give back the memory that a large record took.  */
+static void
+buffer_empty (GByteArray **buffer)
+{
+  if ((*buffer)->len <= BUFFER_KEPT_BYTES)
+    {
+      g_byte_array_set_size (*buffer, 0);
+      return;
+    }
+  g_byte_array_free (*buffer, TRUE);
+  *buffer = g_byte_array_new ();
+}
+
 static void
 conn_flush (struct jc_rpc_conn *conn)
 {
-  while (!conn->dead && conn->out_pos < conn->out->len)
+  while (!conn->dead && conn->broken == NULL && conn->out_pos < conn->out->len)
     {
       ssize_t put = send (conn->fd, conn->out->data + conn->out_pos,
                           conn->out->len - conn->out_pos, MSG_NOSIGNAL);
@@ -239,22 +331,26 @@
         }
       if (put < 0)
         {
-          conn_drop (conn, strerror (errno));
+          conn_break (conn, "sending failed");
           return;
         }
       conn->out_pos += (size_t)put;
       conn->rpc->bytes_sent += (uint64_t)put;
     }
-  g_byte_array_set_size (conn->out, 0);
+  buffer_empty (&conn->out);
   conn->out_pos = 0;
   ev_io_stop (conn->rpc->loop, &conn->writer);
 }
 
+/* Fill the head of PACKET.  Once a connection is up, the names that its
+   peer has proved are left out.  */
 static void
-packet_fill_head (const struct jc_rpc *rpc, struct rpc_packet *packet)
+packet_fill_head (const struct jc_rpc_conn *conn, struct rpc_packet *packet)
 {
-  packet->head.group = rpc->group;
-  packet->head.sender = rpc->name;
+  const struct jc_rpc *rpc = conn->rpc;
+
+  packet->head.group = conn->up ? (char *)"" : rpc->group;
+  packet->head.sender = conn->up ? (char *)"" : rpc->name;
   packet->head.incarnation = rpc->incarnation;
   packet->head.config_version = rpc->config_version;
 }
@@ -275,7 +371,7 @@
     return jc_fail (JC_TOO_LARGE, "The message is too large.");
   if (jc_rpc_conn_backlog (conn) + total > BACKLOG_MAX)
     {
-      conn_drop (conn, "its backlog is too long");
+      conn_break (conn, "its backlog is too long");
       return jc_fail (JC_UNREACHABLE, "The peer reads too slowly.");
     }
   g_byte_array_set_size (conn->out, at + MARK_BYTES + (guint)total);
@@ -290,9 +386,11 @@
       return jc_fail (JC_INTERNAL, "The message can't be encoded.");
     }
   if (sealed)
-    record_mac (body + size, conn->session, conn->sent++, body, size);
+    record_mac (body + size, conn->send_key, conn->sent++, body, size);
   conn_flush (conn);
-  return conn->dead ? JC_UNREACHABLE : JC_OK;
+  if (conn->dead || conn->broken != NULL)
+    return jc_fail (JC_UNREACHABLE, "The connection broke.");
+  return JC_OK;
 }
 
 static void
@@ -303,7 +401,7 @@
   struct rpc_packet packet = { .body.type = type };
   struct rpc_hello *hello = &packet.body.rpc_body_u.hello;
 
-  packet_fill_head (rpc, &packet);
+  packet_fill_head (conn, &packet);
   hello->role = rpc->role;
   hello->zone = rpc->zone;
   hello->region = rpc->region;
@@ -311,8 +409,8 @@
   hello->nonce.rpc_bytes_len = NONCE_BYTES;
   if (proven)
     {
-      conn_derive (conn, conn->dial != NULL ? "dialer" : "listener", rpc->name,
-                   proof);
+      conn_derive_proof (conn, conn->dialled ? "dialer" : "listener", &packet,
+                         proof);
       hello->proof.rpc_bytes_val = (char *)proof;
       hello->proof.rpc_bytes_len = KEY_BYTES;
     }
@@ -320,14 +418,42 @@
   conn_put (conn, &packet);
 }
 
+/* Drop what CONN, which is about to come up, takes the place of: connections
+   of an earlier incarnation of the peer, and an earlier one that was opened
+   from the same side.  */
+static void
+conn_supersede (const struct jc_rpc_conn *conn)
+{
+  const struct jc_rpc *rpc = conn->rpc;
+
+  for (guint i = rpc->conns->len; i > 0; i--)
+    {
+      struct jc_rpc_conn *other = g_ptr_array_index (rpc->conns, i - 1);
+
+      if (other != conn && other->up && strcmp (other->name, conn->name) == 0
+          && (other->incarnation != conn->incarnation
+              || other->dialled == conn->dialled))
+        conn_break (other, "a later one took its place");
+    }
+}
+
 static void
 conn_go_up (struct jc_rpc_conn *conn)
 {
-  conn_derive (conn, "session", "", conn->session);
+  struct jc_rpc *rpc = conn->rpc;
+
+  conn_derive_key (conn, conn->dialled ? "to listener" : "to dialer",
+                   conn->send_key);
+  conn_derive_key (conn, conn->dialled ? "to dialer" : "to listener",
+                   conn->receive_key);
+  conn_supersede (conn);
+  conn->serial = ++rpc->last_serial;
   conn->up = true;
+  if (conn->dial != NULL)
+    conn->dial->redial_ms = REDIAL_MS;
   jc_debug (PART, "Connection to %s is up.", conn->name);
-  if (conn->rpc->klass->up != NULL)
-    conn->rpc->klass->up (conn->rpc->ctx, conn);
+  if (rpc->klass->up != NULL)
+    rpc->klass->up (rpc->ctx, conn);
 }
 
 static bool
@@ -338,8 +464,7 @@
 
   if (hello->proof.rpc_bytes_len != KEY_BYTES)
     return false;
-  conn_derive (conn, conn->dial != NULL ? "listener" : "dialer", p->head.sender,
-               want);
+  conn_derive_proof (conn, conn->dialled ? "listener" : "dialer", p, want);
   return sodium_memcmp (want, hello->proof.rpc_bytes_val, KEY_BYTES) == 0;
 }
 
@@ -355,6 +480,16 @@
   conn->incarnation = packet->head.incarnation;
 }
 
+/* Tell whether the peer may be called NAME: not as this process, and where
+   this process dialled, as it expects.  */
+static bool
+conn_peer_wanted (const struct jc_rpc_conn *conn, const char *name)
+{
+  if (name[0] == '\0' || strcmp (name, conn->rpc->name) == 0)
+    return false;
+  return conn->dial == NULL || strcmp (name, conn->dial->name) == 0;
+}
+
 /* Handle the opening: the listener sends its nonce, the dialer answers with
    its own and a proof, the listener closes with its proof.  */
 static void
@@ -362,11 +497,12 @@
 {
   const struct rpc_hello *hello = &packet->body.rpc_body_u.hello;
   enum rpc_type type = packet->body.type;
-  bool dialer = conn->dial != NULL;
+  bool dialer = conn->dialled;
 
   if ((type != RPC_HELLO && type != RPC_HELLO_ACK)
       || strcmp (packet->head.group, conn->rpc->group) != 0
-      || hello->nonce.rpc_bytes_len != NONCE_BYTES)
+      || hello->nonce.rpc_bytes_len != NONCE_BYTES
+      || !conn_peer_wanted (conn, packet->head.sender))
     {
       conn_drop (conn, "its opening is not valid");
       return;
@@ -403,12 +539,8 @@
       conn_on_hello (conn, packet);
       return;
     }
-  if (packet->body.type == RPC_HEARTBEAT)
-    {
-      if (rpc->klass->packet != NULL)
-        rpc->klass->packet (rpc->ctx, conn, packet);
-      return;
-    }
+  conn->peer_version = packet->head.config_version;
+  conn->beat_due = packet->body.type != RPC_HEARTBEAT;
   pending = g_hash_table_lookup (rpc->pending, &reply_to);
   if (reply_to != 0 && pending != NULL && pending->conn == conn)
     {
@@ -430,10 +562,40 @@
 {
   unsigned char mac[MAC_BYTES];
 
-  record_mac (mac, conn->session, conn->received++, body, size);
+  record_mac (mac, conn->receive_key, conn->received++, body, size);
   return sodium_memcmp (mac, body + size, MAC_BYTES) == 0;
 }
 
+/* Tell whether BODY, a record before the opening is done, is a hello; nothing
+   else is decoded for a peer that has proved nothing.  */
+static bool
+record_is_hello (unsigned char *body, size_t size)
+{
+  struct rpc_head head;
+  enum rpc_type type = RPC_HEARTBEAT;
+  XDR xdr;
+  bool ok;
+
+  memset (&head, 0, sizeof head);
+  xdrmem_create (&xdr, (char *)body, (u_int)size, XDR_DECODE);
+  ok = xdr_rpc_head (&xdr, &head) && xdr_rpc_type (&xdr, &type);
+  xdr_destroy (&xdr);
+  xdr_free ((xdrproc_t)xdr_rpc_head, (char *)&head);
+  return ok && (type == RPC_HELLO || type == RPC_HELLO_ACK);
+}
+
+/* Put the names that the peer has proved into the head of PACKET, which
+   xdr_free frees.  */
+static void
+packet_name_sender (const struct jc_rpc_conn *conn, struct rpc_packet *packet)
+{
+  free (packet->head.group);
+  free (packet->head.sender);
+  packet->head.group = strdup (conn->rpc->group);
+  packet->head.sender = strdup (conn->name);
+  packet->head.incarnation = conn->incarnation;
+}
+
 static void
 conn_on_record (struct jc_rpc_conn *conn, unsigned char *body, size_t size)
 {
@@ -449,10 +611,19 @@
         }
       size -= MAC_BYTES;
     }
+  else if (!record_is_hello (body, size))
+    {
+      conn_drop (conn, "a record before its opening is not valid");
+      return;
+    }
   memset (&packet, 0, sizeof packet);
   xdrmem_create (&xdr, (char *)body, (u_int)size, XDR_DECODE);
   if (xdr_rpc_packet (&xdr, &packet))
-    conn_on_packet (conn, &packet);
+    {
+      if (conn->up)
+        packet_name_sender (conn, &packet);
+      conn_on_packet (conn, &packet);
+    }
   else
     conn_drop (conn, "a record is not valid");
   xdr_destroy (&xdr);
@@ -464,7 +635,8 @@
 {
   size_t pos = 0;
 
-  while (!conn->dead && conn->in->len - pos >= MARK_BYTES)
+  while (!conn->dead && conn->broken == NULL
+         && conn->in->len - pos >= MARK_BYTES)
     {
       uint32_t mark;
       size_t size;
@@ -483,7 +655,9 @@
       conn_on_record (conn, conn->in->data + pos + MARK_BYTES, size);
       pos += MARK_BYTES + size;
     }
-  if (pos > 0 && pos <= conn->in->len)
+  if (pos == conn->in->len)
+    buffer_empty (&conn->in);
+  else if (pos > 0)
     g_byte_array_remove_range (conn->in, 0, (guint)pos);
 }
 
@@ -525,6 +699,8 @@
   conn->rpc = rpc;
   conn->fd = fd;
   conn->dial = dial;
+  conn->dialled = dial != NULL;
+  conn->opened = ev_now (rpc->loop);
   conn->in = g_byte_array_new ();
   conn->out = g_byte_array_new ();
   conn->last_heard = ev_now (rpc->loop);
@@ -538,22 +714,48 @@
   return conn;
 }
 
+/* Drop the oldest accepted connection that has not come up where there are
+   too many of them.  */
+static void
+rpc_bound_half_open (const struct jc_rpc *rpc)
+{
+  struct jc_rpc_conn *oldest = NULL;
+  guint count = 0;
+
+  for (guint i = 0; i < rpc->conns->len; i++)
+    {
+      struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i);
+
+      if (conn->dialled || conn->up || conn->dead)
+        continue;
+      count++;
+      if (oldest == NULL || conn->opened < oldest->opened)
+        oldest = conn;
+    }
+  if (count > HALF_OPEN_MAX)
+    conn_drop (oldest, "too many are half open");
+}
+
 static void
 rpc_on_accept (struct ev_loop *loop, ev_io *watcher, int events)
 {
   struct jc_rpc *rpc = watcher->data;
   int fd = accept4 (watcher->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-  (void)loop;
   (void)events;
   if (fd < 0)
-    return;
+    {
+      if (errno == EMFILE || errno == ENFILE)
+        ev_io_stop (loop, watcher);
+      return;
+    }
   if (rpc->conns->len >= CONNS_MAX)
     {
       close (fd);
       return;
     }
   conn_send_hello (conn_new (rpc, fd, NULL), RPC_HELLO, false);
+  rpc_bound_half_open (rpc);
 }
 
 static void
@@ -563,13 +765,15 @@
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
   if (fd < 0)
-    return;
+    {
+      dial_redial_later (dial);
+      return;
+    }
   if (connect (fd, (struct sockaddr *)&dial->addr, sizeof dial->addr) != 0
       && errno != EINPROGRESS)
     {
       close (fd);
-      ev_timer_set (&dial->redial, (double)REDIAL_MS / MS_PER_S, 0);
-      ev_timer_start (rpc->loop, &dial->redial);
+      dial_redial_later (dial);
       return;
     }
   dial->conn = conn_new (rpc, fd, dial);
@@ -586,30 +790,96 @@
     dial_start (dial);
 }
 
-/* Each beat sends a heartbeat to every peer, drops the connections that went
-   silent and frees the dropped ones.  */
+/* Return why CONN is to be dropped at NOW, or NULL.  An opening has to be
+   done in the time that a peer may be silent, however much it sends.  */
+static const char *
+conn_expired (const struct jc_rpc_conn *conn, ev_tstamp now)
+{
+  double silent_s = (double)conn->rpc->silent_ms / MS_PER_S;
+
+  if (now - conn->last_heard > silent_s)
+    return "it went silent";
+  if (!conn->up && now - conn->opened > silent_s)
+    return "its opening takes too long";
+  return NULL;
+}
+
+/* Report what the peer's other messages said in place of a heartbeat.  */
+static void
+conn_report_beat (struct jc_rpc_conn *conn)
+{
+  struct rpc_packet beat = { .body.type = RPC_HEARTBEAT };
+
+  conn->beat_due = false;
+  beat.head.group = conn->rpc->group;
+  beat.head.sender = conn->name;
+  beat.head.incarnation = conn->incarnation;
+  beat.head.config_version = conn->peer_version;
+  conn->rpc->klass->packet (conn->rpc->ctx, conn, &beat);
+}
+
+static void
+conn_beat (struct jc_rpc_conn *conn)
+{
+  struct rpc_packet beat = { .body.type = RPC_HEARTBEAT };
+
+  if (conn->sent == conn->sent_at_beat)
+    jc_rpc_send (conn, &beat);
+  conn->sent_at_beat = conn->sent;
+  if (conn->beat_due)
+    conn_report_beat (conn);
+}
+
+/* Each beat sends a heartbeat to every peer that got nothing else since the
+   last one, and drops the connections that went silent.  It runs before any
+   reading, so that a process that was stopped drops what waited
+   meanwhile.  */
 static void
 rpc_on_beat (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct jc_rpc *rpc = watcher->data;
   ev_tstamp now = ev_now (loop);
-  double silent_s = (double)rpc->silent_ms / MS_PER_S;
 
   (void)events;
   for (guint i = rpc->conns->len; i > 0; i--)
     {
       struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i - 1);
-      struct rpc_packet beat = { .body.type = RPC_HEARTBEAT };
+      const char *why = conn_expired (conn, now);
 
-      if (!conn->dead && now - conn->last_heard > silent_s)
-        conn_drop (conn, "it went silent");
-      else if (!conn->dead && conn->up)
-        jc_rpc_send (conn, &beat);
-      if (conn->dead)
-        {
-          g_ptr_array_remove_index_fast (rpc->conns, i - 1);
-          conn_free (conn);
-        }
+      if (conn->dead || conn->broken != NULL)
+        continue;
+      if (why != NULL)
+        conn_drop (conn, why);
+      else if (conn->up)
+        conn_beat (conn);
+    }
+  if (rpc->listen_fd >= 0)
+    ev_io_start (loop, &rpc->accept);
+}
+
+/* Drop what broke and free what was dropped; no user is on the stack.  */
+static void
+rpc_on_reaper (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct jc_rpc *rpc = watcher->data;
+
+  (void)loop;
+  (void)events;
+  for (guint i = rpc->conns->len; i > 0; i--)
+    {
+      struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i - 1);
+
+      if (conn->broken != NULL)
+        conn_drop (conn, conn->broken);
+    }
+  for (guint i = rpc->conns->len; i > 0; i--)
+    {
+      struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i - 1);
+
+      if (!conn->dead)
+        continue;
+      g_ptr_array_remove_index_fast (rpc->conns, i - 1);
+      conn_free (conn);
     }
 }
 
@@ -641,6 +911,9 @@
   rpc->pending = g_hash_table_new (g_int64_hash, g_int64_equal);
   ev_timer_init (&rpc->beat, rpc_on_beat, beat_s, beat_s);
   rpc->beat.data = rpc;
+  ev_set_priority (&rpc->beat, EV_MAXPRI);
+  ev_timer_init (&rpc->reaper, rpc_on_reaper, 0, 0);
+  rpc->reaper.data = rpc;
   ev_timer_start (loop, &rpc->beat);
   return rpc;
 }
@@ -686,6 +959,7 @@
 
   dial->rpc = rpc;
   dial->name = g_strdup (name);
+  dial->redial_ms = REDIAL_MS;
   jc_address_parse (address, &dial->addr);
   ev_init (&dial->redial, dial_on_redial);
   dial->redial.data = dial;
@@ -713,10 +987,8 @@
         continue;
       if (dial->conn != NULL)
         {
-          struct jc_rpc_conn *conn = dial->conn;
-
-          conn->dial = NULL;
-          conn_drop (conn, "it is not wanted any longer");
+          dial->conn->dial = NULL;
+          conn_break (dial->conn, "it is not wanted any longer");
         }
       g_ptr_array_remove_index_fast (rpc->dials, i - 1);
       dial_free (dial);
@@ -731,6 +1003,7 @@
   gpointer value;
 
   ev_timer_stop (rpc->loop, &rpc->beat);
+  ev_timer_stop (rpc->loop, &rpc->reaper);
   if (rpc->listen_fd >= 0)
     {
       ev_io_stop (rpc->loop, &rpc->accept);
@@ -779,18 +1052,69 @@
   return rpc->incarnation;
 }
 
+static bool
+conn_usable (const struct jc_rpc_conn *conn)
+{
+  return conn->up && conn->broken == NULL;
+}
+
 /* Return the connection to the peer NAME that came up last, or NULL.  */
 struct jc_rpc_conn *
 jc_rpc_find (struct jc_rpc *rpc, const char *name)
 {
-  for (guint i = rpc->conns->len; i > 0; i--)
+  struct jc_rpc_conn *last = NULL;
+
+  for (guint i = 0; i < rpc->conns->len; i++)
     {
-      struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i - 1);
+      struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i);
 
-      if (conn->up && strcmp (conn->name, name) == 0)
-        return conn;
+      if (conn_usable (conn) && strcmp (conn->name, name) == 0
+          && (last == NULL || conn->serial > last->serial))
+        last = conn;
     }
-  return NULL;
+  return last;
+}
+
+/* Tell which connections to the peer NAME are up: DIALLED by this process,
+   ACCEPTED from the peer.  */
+void
+jc_rpc_ways (const struct jc_rpc *rpc, const char *name, bool *dialled,
+             bool *accepted)
+{
+  *dialled = false;
+  *accepted = false;
+  for (guint i = 0; i < rpc->conns->len; i++)
+    {
+      const struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i);
+
+      if (!conn_usable (conn) || strcmp (conn->name, name) != 0)
+        continue;
+      *dialled = *dialled || conn->dialled;
+      *accepted = *accepted || !conn->dialled;
+    }
+}
+
+/* Return the number of connections, whether they are up or not.  */
+unsigned int
+jc_rpc_conns (const struct jc_rpc *rpc)
+{
+  return rpc->conns->len;
+}
+
+/* Return the bytes that wait to be sent to all peers.  */
+size_t
+jc_rpc_backlog (const struct jc_rpc *rpc)
+{
+  size_t backlog = 0;
+
+  for (guint i = 0; i < rpc->conns->len; i++)
+    {
+      const struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i);
+
+      if (conn_usable (conn))
+        backlog += jc_rpc_conn_backlog (conn);
+    }
+  return backlog;
 }
 
 /* Return the bytes that RPC has sent since its start.  */
@@ -846,9 +1170,9 @@
 enum jc_status
 jc_rpc_send (struct jc_rpc_conn *conn, struct rpc_packet *packet)
 {
-  if (conn == NULL || conn->dead || !conn->up)
+  if (conn == NULL || !conn_usable (conn))
     return jc_fail (JC_UNREACHABLE, "The peer is not connected.");
-  packet_fill_head (conn->rpc, packet);
+  packet_fill_head (conn, packet);
   return conn_put (conn, packet);
 }
 
@@ -871,7 +1195,7 @@
   struct jc_rpc *rpc;
   struct pending *pending;
 
-  if (conn == NULL || conn->dead || !conn->up)
+  if (conn == NULL || !conn_usable (conn))
     {
       jc_fail (JC_UNREACHABLE, "The peer is not connected.");
       return 0;
--- a/net/rpc.h
+++ b/net/rpc.h
@@ -31,7 +31,9 @@
 };
 
 /* What a process does with its connections' events.  PACKET gets what no
-   pending call waits for and may not keep the packet.  */
+   pending call waits for and may not keep the packet.  Where a peer sends
+   other messages, a heartbeat with its version is reported all the same.
+   DOWN never comes from within a call of this interface.  */
 struct jc_rpc_class
 {
   void (*up) (void *ctx, struct jc_rpc_conn *conn);
@@ -55,6 +57,10 @@
 void jc_rpc_set_config_version (struct jc_rpc *rpc, uint64_t version);
 uint64_t jc_rpc_incarnation (const struct jc_rpc *rpc);
 struct jc_rpc_conn *jc_rpc_find (struct jc_rpc *rpc, const char *name);
+void jc_rpc_ways (const struct jc_rpc *rpc, const char *name, bool *dialled,
+                  bool *accepted);
+unsigned int jc_rpc_conns (const struct jc_rpc *rpc);
+size_t jc_rpc_backlog (const struct jc_rpc *rpc);
 uint64_t jc_rpc_bytes_sent (const struct jc_rpc *rpc);
 
 const char *jc_rpc_conn_name (const struct jc_rpc_conn *conn);
