--- a/tests/run.sh
+++ b/tests/run.sh
@@ -10,6 +10,7 @@
 
 verdict () # NAME STATUS
 {
+  echo "$1 $2" >>"$BUILD/verdicts.txt"
   if [ "$2" -eq 0 ]; then
     passed=$((passed + 1))
   elif [ -e KNOWN-RED.txt ] && grep -q "^$1 " KNOWN-RED.txt; then
@@ -21,6 +22,7 @@
   fi
 }
 
+rm -f "$BUILD/verdicts.txt"
 out=$(mktemp)
 for prog in "$BUILD"/tests/test-* "$BUILD"/tests/explore-*; do
   case $prog in *.o|*.d) continue;; esac
