--- a/tests/run.sh
+++ b/tests/run.sh
@@ -10,6 +10,7 @@
 
 verdict () # NAME STATUS
 {
+  echo "$1 $2" >>"$BUILD/verdicts.txt"
   if [ "$2" -eq 0 ]; then
     passed=$((passed + 1))
   elif [ -e KNOWN-RED.txt ] && grep -q "^$1 " KNOWN-RED.txt; then
@@ -21,6 +22,7 @@
   fi
 }
 
+rm -f "$BUILD/verdicts.txt"
 out=$(mktemp)
 for prog in "$BUILD"/tests/test-* "$BUILD"/tests/explore-*; do
   case $prog in *.o|*.d) continue;; esac
@@ -32,7 +34,7 @@
   while read -r case_name status; do verdict "$name$case_name" "$status"; done <"$out.rows"
   if [ $code -ne 0 ]; then
     grep -q '^not ok' "$out" || verdict "$name" 1
-    tail -20 "$out" "$out.err"
+    tail -n 20 "$out" "$out.err"
   fi
 done
 for script in tests/scripts/*.script; do
