--- a/entry/entry.h
+++ b/entry/entry.h
@@ -7,6 +7,7 @@
 
 #include "base/metrics.h"
 #include "conf/config.h"
+#include "ledger/copy.h"
 #include "member/members.h"
 #include "member/regions.h"
 #include "net/httpc.h"
@@ -28,6 +29,7 @@
   struct jc_httpd *callers;
   struct jc_httpd *operators;
   struct jc_rpc *rpc;
+  struct jc_copies *copies;
   unsigned int in_flight;
   bool draining;
 };
--- a/entry/main.c
+++ b/entry/main.c
@@ -24,6 +24,7 @@
 on_packet (void *ctx, struct jc_rpc_conn *conn, const struct rpc_packet *packet)
 {
   follower_packet (ctx, conn, packet);
+  keyed_packet (ctx, conn, packet);
 }
 
 static const struct jc_rpc_class rpc_class
@@ -106,6 +107,7 @@
   if (entry->httpc != NULL)
     jc_httpc_free (entry->httpc);
   jc_policy_clear (&entry->policy);
+  jc_copies_free (entry->copies);
   jc_members_free (entry->members);
   jc_regions_free (entry->regions);
   jc_metrics_free (entry->metrics);
--- a/ledger/ledger.h
+++ b/ledger/ledger.h
@@ -82,6 +82,8 @@
                         const struct rpc_ledger_set *set);
 void jc_ledger_flush (struct jc_ledger *ledger);
 void jc_ledger_tick (struct jc_ledger *ledger, int64_t now_ms, int64_t wall_ms);
+void jc_ledger_restored (struct jc_ledger *ledger,
+                         const struct rpc_ledger_set *set);
 enum jc_status jc_ledger_accept_loss (struct jc_ledger *ledger, int64_t now_ms);
 enum jc_ledger_state jc_ledger_state (const struct jc_ledger *ledger);
 const char *jc_ledger_state_name (enum jc_ledger_state state);
--- a/ledger/owner.c
+++ b/ledger/owner.c
@@ -125,6 +125,9 @@
       owner->ops->answer_recorded (owner->ctx, reply);
       end (owner);
     }
+  else if (reply->state == RPC_CLAIM_IN_PROGRESS
+           && now_ms < owner->wait_until_ms)
+    send_claim (owner, now_ms);
   else
     give_up (owner,
              state < sizeof kinds / sizeof *kinds ? kinds[state]
--- a/ledger/owner.h
+++ b/ledger/owner.h
@@ -35,13 +35,15 @@
   JC_OWNER_ENDED
 };
 
-/* One owned request.  OUTCOME is what is to be recorded.  */
+/* One owned request.  Until WAIT_UNTIL_MS it waits for a key that another
+   claim has; OUTCOME is what is to be recorded.  */
 struct jc_owner
 {
   const struct jc_owner_ops *ops;
   void *ctx;
   enum jc_owner_step step;
   int64_t deadline_ms;
+  int64_t wait_until_ms;
   int64_t sent_ms;
   unsigned int claims;
   bool answered;
--- a/ledger/replicas.c
+++ b/ledger/replicas.c
@@ -713,16 +713,11 @@
     }
 }
 
-/* The replicated log committed SET.  It counts only as the successor of the
-   entry in force; proposals that built on an older one are void.  */
-void
-jc_ledger_applied (struct jc_ledger *ledger, const struct rpc_ledger_set *set)
+static void
+set_in_force (struct jc_ledger *ledger, const struct rpc_ledger_set *set)
 {
   bool own = set->ledger_incarnation == ledger->incarnation;
 
-  if (strcmp (set->home, ledger->options.home) != 0
-      || set->revision != ledger->set.revision + 1)
-    return;
   set_take (ledger, set);
   if (set->revision > ledger->pending_revision)
     g_ptr_array_set_size (ledger->pending, 0);
@@ -737,6 +732,25 @@
   ledger_release (ledger);
 }
 
+/* The replicated log committed SET.  It counts only as the successor of the
+   entry in force; proposals that built on an older one are void.  */
+void
+jc_ledger_applied (struct jc_ledger *ledger, const struct rpc_ledger_set *set)
+{
+  if (strcmp (set->home, ledger->options.home) == 0
+      && set->revision == ledger->set.revision + 1)
+    set_in_force (ledger, set);
+}
+
+/* A snapshot of the replicated log has SET as the entry in force.  */
+void
+jc_ledger_restored (struct jc_ledger *ledger, const struct rpc_ledger_set *set)
+{
+  if (strcmp (set->home, ledger->options.home) == 0
+      && set->revision > ledger->set.revision)
+    set_in_force (ledger, set);
+}
+
 /* Go on with what is on disk although records may be lost: the operator's way
    out where no copy is left.  JC_NOT_FOUND where nothing is to be
    recovered.  */
--- a/schema/gen/objects.h
+++ b/schema/gen/objects.h
@@ -98,6 +98,16 @@
   bool log_json;
   /* Other state instances.  */
   GPtrArray *state_peers;
+  /* Copies that a home's ledger seeks in its region.  */
+  int64_t ledger_copies;
+  /* Whether claims that come together share one sync.  */
+  bool ledger_group_commit;
+  /* Absence of an owner after which its open claims end as unknown, ms.  */
+  int64_t ledger_owner_lost_ms;
+  /* Time for which the answer to a key is kept, s.  */
+  int64_t ledger_answer_keep_s;
+  /* Time for which a key and its outcome are kept, s.  */
+  int64_t ledger_key_keep_s;
 };
 
 /* A region.  */
--- a/state/main.c
+++ b/state/main.c
@@ -8,9 +8,16 @@
 
 #define PART "state"
 
+static void
+on_up (void *ctx, struct jc_rpc_conn *conn)
+{
+  ledger_up (ctx, conn);
+}
+
 static void
 on_down (void *ctx, struct jc_rpc_conn *conn)
 {
+  ledger_down (ctx, conn);
   followers_remove (ctx, conn);
 }
 
@@ -21,10 +28,14 @@
     submit_handle (ctx, conn, packet);
   else if (packet->body.type == RPC_CONFIG_FOLLOW)
     followers_add (ctx, conn, packet);
+  else if (packet->body.type == RPC_ADMIN)
+    ledger_admin (ctx, conn, packet);
+  else
+    ledger_packet (ctx, conn, packet);
 }
 
 static const struct jc_rpc_class rpc_class
-    = { .down = on_down, .packet = on_packet };
+    = { .up = on_up, .down = on_down, .packet = on_packet };
 
 static void
 on_term (struct ev_loop *loop, ev_signal *watcher, int events)
--- a/state/state.h
+++ b/state/state.h
@@ -21,6 +21,7 @@
   json_t *answers;
   GPtrArray *followers;
   struct log *log;
+  struct ledgers *ledgers;
 };
 
 /* Kinds of entries of the replicated log.  */
@@ -52,6 +53,10 @@
                     const struct rpc_packet *packet);
 void ledger_config_changed (struct state *state);
 void ledger_applied (struct state *state, struct jc_str data);
+void ledger_snapshot (const struct state *state, GPtrArray *entries);
+void ledger_restore (struct state *state, struct jc_str data);
+void ledger_admin (struct state *state, struct jc_rpc_conn *conn,
+                   const struct rpc_packet *packet);
 
 enum jc_status store_load (struct state *state);
 enum jc_status store_save (const struct state *state,
