--- a/tests/standin.c
+++ b/tests/standin.c
@@ -316,8 +316,9 @@
   return fault != STANDIN_OK && fault != STANDIN_DELAY;
 }
 
-/* Count the execution of REQ.  Return how often its key has run now, 0 for a
-   request without one.  */
+/* Count the execution of REQ, and print its key so that the count outlives
+   this process.  Return how often the key has run now, 0 for a request
+   without one.  */
 unsigned int
 standin_executed (struct standin *standin, const struct jc_http_req *req)
 {
@@ -330,6 +331,8 @@
       count = GPOINTER_TO_UINT (g_hash_table_lookup (standin->runs, key)) + 1;
       g_hash_table_replace (standin->runs, g_strdup (key),
                             GUINT_TO_POINTER (count));
+      printf ("ran %s\n", key);
+      fflush (stdout);
     }
   return count;
 }
