--- a/tests/ledgersim.c
+++ b/tests/ledgersim.c
@@ -528,8 +528,9 @@
     service_reply (sim, event, false, false);
   else if (request_lives (request))
     {
-      bool died
-          = event->from_incarnation != sim->nodes[SIM_SERVICE].incarnation;
+      const struct node *service = &sim->nodes[SIM_SERVICE];
+      bool died = !service->up
+                  || event->from_incarnation != service->incarnation;
 
       jc_owner_ran (&request->owner, event->whole && !died, event->sent,
                     JC_NO_ENDPOINT, sim->now);
