--- a/tests/explore-ledger.c
+++ b/tests/explore-ledger.c
@@ -64,7 +64,7 @@
 
   sim_run (sim, BOOT_MS);
   outcome->first = sim_steps (sim);
-  a = sim_ask (sim, SIM_E1, "A", "x");
+  sim_ask (sim, SIM_E1, "A", "x");
   sim_run (sim, BOOT_MS + 2);
   sim_ask (sim, SIM_E2, "A", "x");
   b = sim_ask (sim, SIM_E1, "B", "x");
@@ -73,7 +73,7 @@
   for (int i = 0; i < TRIES; i++)
     {
       sim_run (sim, sim_now (sim) + RETRY_MS);
-      a = sim_ask (sim, i % 2 == 0 ? SIM_E2 : SIM_E1, "A", "x");
+      sim_ask (sim, i % 2 == 0 ? SIM_E2 : SIM_E1, "A", "x");
       if (!settled (b))
         b = sim_ask (sim, i % 2 == 0 ? SIM_E2 : SIM_E1, "B", "x");
     }
--- a/tests/ledgersim.c
+++ b/tests/ledgersim.c
@@ -529,8 +529,8 @@
   else if (request_lives (request))
     {
       const struct node *service = &sim->nodes[SIM_SERVICE];
-      bool died = !service->up
-                  || event->from_incarnation != service->incarnation;
+      bool died
+          = !service->up || event->from_incarnation != service->incarnation;
 
       jc_owner_ran (&request->owner, event->whole && !died, event->sent,
                     JC_NO_ENDPOINT, sim->now);
--- a/tests/script-ledger.c
+++ b/tests/script-ledger.c
@@ -125,22 +125,22 @@
 struct verb
 {
   const char *name;
-  guint words;
   void (*run) (struct script *script, char **words);
+  guint words;
   enum sim_fault fault;
 };
 
 static const struct verb verbs[]
-    = { { "ask", 6, do_ask, SIM_NONE },
-        { "show", 3, do_show, SIM_NONE },
-        { "accept-loss", 3, do_accept_loss, SIM_NONE },
-        { "end", 3, do_end, SIM_NONE },
-        { "kill", 4, NULL, SIM_KILL },
-        { "wipe", 4, NULL, SIM_WIPE },
-        { "freeze", 4, NULL, SIM_FREEZE },
-        { "freeze-long", 4, NULL, SIM_FREEZE_LONG },
-        { "cut", 4, NULL, SIM_CUT },
-        { "disk", 4, NULL, SIM_DISK } };
+    = { { "ask", do_ask, 6, SIM_NONE },
+        { "show", do_show, 3, SIM_NONE },
+        { "accept-loss", do_accept_loss, 3, SIM_NONE },
+        { "end", do_end, 3, SIM_NONE },
+        { "kill", NULL, 4, SIM_KILL },
+        { "wipe", NULL, 4, SIM_WIPE },
+        { "freeze", NULL, 4, SIM_FREEZE },
+        { "freeze-long", NULL, 4, SIM_FREEZE_LONG },
+        { "cut", NULL, 4, SIM_CUT },
+        { "disk", NULL, 4, SIM_DISK } };
 
 /* Run the line of WORDS.  Return false where it is none.  */
 static bool
