--- a/conf/config.c
+++ b/conf/config.c
@@ -108,30 +108,44 @@
   return NULL;
 }
 
+/* Return "kind/name" of the object ITEM of a change, or NULL.  */
+static char *
+item_path (const json_t *item)
+{
+  const char *kind = json_string_value (json_object_get (item, "kind"));
+  const char *name = json_string_value (json_object_get (item, "name"));
+
+  if (kind == NULL || name == NULL || kind_by_name (kind) < 0)
+    return NULL;
+  return g_strconcat (kind, "/", name, NULL);
+}
+
+/* Return the object ITEM of a change without its kind.  */
+static json_t *
+item_object (const json_t *item)
+{
+  json_t *copy = json_copy ((json_t *)item);
+
+  json_object_del (copy, "kind");
+  return copy;
+}
+
 /* Put the object ITEM of a change into OBJECTS, or remove it.  */
 static void
 change_item (json_t *objects, const json_t *item, const char *at, bool put,
              GHashTable *seen, GPtrArray *faults)
 {
-  const char *kind = json_string_value (json_object_get (item, "kind"));
-  const char *name = json_string_value (json_object_get (item, "name"));
-  char *path;
-  json_t *copy;
+  char *path = item_path (item);
 
-  if (kind == NULL || name == NULL || kind_by_name (kind) < 0)
+  if (path == NULL)
     {
       jc_fault (faults, at, "needs a known kind and a name");
       return;
     }
-  path = g_strconcat (kind, "/", name, NULL);
   if (!g_hash_table_add (seen, g_strdup (path)))
     jc_fault (faults, at, "%s appears twice", path);
   if (put)
-    {
-      copy = json_copy ((json_t *)item);
-      json_object_del (copy, "kind");
-      json_object_set_new (objects, path, copy);
-    }
+    json_object_set_new (objects, path, item_object (item));
   else if (json_object_del (objects, path) != 0)
     jc_fault (faults, at, "%s does not exist", path);
   g_free (path);
@@ -190,6 +204,57 @@
   return config;
 }
 
+/* Return what CHANGE, which was accepted, puts by path; null stands for what
+   it deletes.  */
+json_t *
+jc_config_delta (const json_t *change)
+{
+  json_t *delta = json_object ();
+  const json_t *item;
+  size_t i;
+
+  json_array_foreach (json_object_get (change, "delete"), i, item)
+  {
+    char *path = item_path (item);
+
+    json_object_set_new (delta, path, json_null ());
+    g_free (path);
+  }
+  json_array_foreach (json_object_get (change, "put"), i, item)
+  {
+    char *path = item_path (item);
+
+    json_object_set_new (delta, path, item_object (item));
+    g_free (path);
+  }
+  return delta;
+}
+
+/* Make the configuration that DELTA, of jc_changes_delta, turns BASE into, at
+   VERSION.  Return NULL where it is not valid.  */
+struct jc_config *
+jc_config_patch (const struct jc_config *base, const json_t *delta,
+                 uint64_t version)
+{
+  json_t *objects = json_copy (base->json);
+  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+  struct jc_config *config;
+  const char *path;
+  json_t *value;
+
+  json_object_foreach ((json_t *)delta, path, value)
+  {
+    if (json_is_null (value))
+      json_object_del (objects, path);
+    else
+      json_object_set (objects, path, value);
+  }
+  config = jc_config_from_json (objects, version, faults);
+  g_ptr_array_free (faults, TRUE);
+  json_decref (objects);
+  return config;
+}
+
 /* Free CONFIG.  */
 void
 jc_config_free (struct jc_config *config)
--- a/conf/config.h
+++ b/conf/config.h
@@ -24,6 +24,9 @@
 struct jc_config *jc_config_apply (const struct jc_config *base,
                                    const json_t *change, uint64_t version,
                                    GPtrArray *faults);
+json_t *jc_config_delta (const json_t *change);
+struct jc_config *jc_config_patch (const struct jc_config *base,
+                                   const json_t *delta, uint64_t version);
 void jc_config_free (struct jc_config *config);
 const void *jc_config_find (const struct jc_config *config,
                             enum jc_object_kind kind, const char *name);
--- /dev/null
+++ b/conf/rlog.c
@@ -0,0 +1,650 @@
+/* Replicated log: opening, proposals, membership and the flush that makes
+   promises durable before they leave.  */
+
+#include <string.h>
+
+#include "base/log.h"
+#include "conf/rlogcore.h"
+
+#define PART "log"
+
+enum
+{
+  UNCOMMITTED_MAX = 4096
+};
+
+/* A proposal of this replica that is in its log.  */
+struct pending
+{
+  uint64_t index;
+  jc_rlog_done_fn *done;
+  void *ctx;
+};
+
+/* A message that waits for the next flush.  */
+struct letter
+{
+  char *to;
+  struct rpc_body body;
+};
+
+static void
+letter_free (gpointer data)
+{
+  struct letter *letter = data;
+
+  g_free (letter->to);
+  g_free (letter);
+}
+
+/* Return the name of ROLE.  */
+const char *
+jc_rlog_role_name (enum jc_rlog_role role)
+{
+  static const char *const names[]
+      = { [JC_RLOG_FOLLOWER] = "follower",
+          [JC_RLOG_PRE_CANDIDATE] = "pre-candidate",
+          [JC_RLOG_CANDIDATE] = "candidate",
+          [JC_RLOG_LEADER] = "leader",
+          [JC_RLOG_FAILED] = "failed" };
+
+  return names[role];
+}
+
+/* Tell whether this replica, on this disk, votes.  */
+bool
+jc_rlog_is_voter (const struct jc_rlog *log)
+{
+  const struct rpc_replica *self = jc_replicas_find (&log->replicas, log->name);
+
+  return self != NULL && self->voter
+         && self->incarnation == log->store->incarnation;
+}
+
+/* Take ROLE and tell the owner.  */
+void
+jc_rlog_set_role (struct jc_rlog *log, enum jc_rlog_role role)
+{
+  if (log->role == role)
+    return;
+  log->role = role;
+  log->klass->role (log->ctx, role);
+}
+
+/* Queue BODY, which points at nothing, for TO until the next flush.  */
+void
+jc_rlog_post (struct jc_rlog *log, const char *to, const struct rpc_body *body)
+{
+  struct letter *letter = g_new0 (struct letter, 1);
+
+  letter->to = g_strdup (to);
+  letter->body = *body;
+  g_queue_push_tail (&log->outbox, letter);
+}
+
+static void
+fail_pending (struct jc_rlog *log)
+{
+  struct pending *pending;
+
+  while ((pending = g_queue_pop_head (&log->pending)) != NULL)
+    {
+      pending->done (pending->ctx, JC_OUTCOME_UNKNOWN);
+      g_free (pending);
+    }
+}
+
+static void
+set_leader (struct jc_rlog *log, const char *leader)
+{
+  char *copy = g_strdup (leader);
+
+  g_free (log->leader);
+  log->leader = copy;
+}
+
+/* Become a follower in TERM, of LEADER where it is known.  */
+void
+jc_rlog_follow (struct jc_rlog *log, uint64_t term, const char *leader)
+{
+  bool led = log->role == JC_RLOG_LEADER;
+
+  if (term > log->store->term)
+    jc_rlogstore_set_hard (log->store, term, "");
+  set_leader (log, leader);
+  if (leader[0] != '\0')
+    log->leader_heard_ms = log->now_ms;
+  if (led || log->role != JC_RLOG_FOLLOWER || leader[0] != '\0')
+    jc_rlog_arm_election (log);
+  g_ptr_array_set_size (log->votes, 0);
+  g_ptr_array_set_size (log->peers, 0);
+  jc_rlog_set_role (log, JC_RLOG_FOLLOWER);
+  if (led)
+    fail_pending (log);
+}
+
+/* Find the latest replicas of the log.  */
+void
+jc_rlog_learn_replicas (struct jc_rlog *log)
+{
+  const struct jc_rlogstore *store = log->store;
+  uint64_t index = jc_rlogstore_last (store);
+  const struct rpc_log_entry *entry = NULL;
+
+  for (; index > store->snapshot_index; index--)
+    {
+      entry = jc_rlogstore_entry (store, index);
+      if (entry->kind == JC_RLOG_REPLICAS)
+        break;
+    }
+  jc_replicas_clear (&log->replicas);
+  log->replicas_index = index;
+  if (index > store->snapshot_index)
+    jc_replicas_decode ((struct jc_str){ .data = entry->data.rpc_bytes_val,
+                                         .len = entry->data.rpc_bytes_len },
+                        &log->replicas);
+  else
+    jc_replicas_copy (&log->replicas, &store->snapshot_replicas);
+}
+
+/* Append an entry of the current term; the caller leads or founds.  */
+void
+jc_rlog_append (struct jc_rlog *log, uint32_t kind, struct jc_str data)
+{
+  struct rpc_log_entry entry = { .term = log->store->term,
+                                 .kind = kind,
+                                 .data = { .rpc_bytes_val = (char *)data.data,
+                                           .rpc_bytes_len = (u_int)data.len } };
+
+  jc_rlogstore_put (log->store, jc_rlogstore_last (log->store) + 1, &entry);
+  if (kind != JC_RLOG_REPLICAS)
+    return;
+  jc_rlog_learn_replicas (log);
+  if (log->role == JC_RLOG_LEADER)
+    jc_rlog_sync_peers (log);
+}
+
+static void
+apply_next (struct jc_rlog *log)
+{
+  uint64_t index = log->applied + 1;
+  const struct rpc_log_entry *entry = jc_rlogstore_entry (log->store, index);
+  struct jc_str data
+      = { .data = entry->data.rpc_bytes_val, .len = entry->data.rpc_bytes_len };
+  struct pending *pending = g_queue_peek_head (&log->pending);
+
+  log->applied = index;
+  log->klass->applied (log->ctx, index, entry->kind, data);
+  if (pending == NULL || pending->index != index)
+    return;
+  g_queue_pop_head (&log->pending);
+  pending->done (pending->ctx, JC_OK);
+  g_free (pending);
+}
+
+static void
+restore (struct jc_rlog *log)
+{
+  log->applied = log->store->snapshot_index;
+  log->klass->restore (log->ctx, log->applied,
+                       jc_str_of (log->store->snapshot));
+}
+
+/* Open the log on DISK as OPTIONS say.  The applied state is handed over to
+   KLASS with CTX before this returns.  Return NULL and set STATUS where the
+   disk fails or is damaged.  */
+struct jc_rlog *
+jc_rlog_open (struct jc_disk *disk, const struct jc_rlog_options *options,
+              const struct jc_rlog_class *klass, void *ctx, int64_t now_ms,
+              enum jc_status *status)
+{
+  struct jc_rlogstore *store
+      = jc_rlogstore_open (disk, options->fresh_incarnation, status);
+  struct jc_rlog *log;
+
+  if (store == NULL)
+    return NULL;
+  log = g_new0 (struct jc_rlog, 1);
+  log->klass = klass;
+  log->ctx = ctx;
+  log->store = store;
+  log->name = g_strdup (options->name);
+  log->options = *options;
+  log->options.name = log->name;
+  log->random = options->seed;
+  log->now_ms = now_ms;
+  log->leader = g_strdup ("");
+  log->leader_heard_ms = now_ms - options->election_ms;
+  log->peers = g_ptr_array_new_with_free_func (jc_rlog_peer_free);
+  log->votes = g_ptr_array_new_with_free_func (g_free);
+  log->install = g_byte_array_new ();
+  log->snapshot_message = g_string_new (NULL);
+  g_queue_init (&log->pending);
+  g_queue_init (&log->outbox);
+  jc_rlog_learn_replicas (log);
+  jc_rlog_arm_election (log);
+  log->commit = store->commit;
+  if (store->snapshot_index > 0)
+    restore (log);
+  while (log->applied < log->commit)
+    apply_next (log);
+  return log;
+}
+
+/* Free LOG.  Proposals that are pending hear that their outcome is not
+   known.  */
+void
+jc_rlog_free (struct jc_rlog *log)
+{
+  if (log == NULL)
+    return;
+  fail_pending (log);
+  g_queue_clear_full (&log->outbox, letter_free);
+  jc_replicas_clear (&log->replicas);
+  jc_rlogstore_free (log->store);
+  g_ptr_array_free (log->peers, TRUE);
+  g_ptr_array_free (log->votes, TRUE);
+  g_byte_array_free (log->install, TRUE);
+  g_string_free (log->snapshot_message, TRUE);
+  g_free (log->leader);
+  g_free (log->name);
+  g_free (log);
+}
+
+/* Found the log LOG_ID with this replica as its only voter and OTHERS, which
+   are bound to their disks when they answer.  */
+enum jc_status
+jc_rlog_bootstrap (struct jc_rlog *log, uint64_t log_id,
+                   const struct rpc_replicas *others)
+{
+  struct rpc_replica self = { .name = log->name,
+                              .incarnation = log->store->incarnation,
+                              .standing = true,
+                              .voter = true };
+  struct rpc_replicas all;
+  GString *data;
+
+  if (jc_rlog_founded (log))
+    return jc_fail (JC_USAGE, "The data folder holds a log already.");
+  jc_replicas_copy (&all, others);
+  jc_replicas_put (&all, &self);
+  data = g_string_new (NULL);
+  jc_replicas_encode (&all, data);
+  jc_rlogstore_set_log_id (log->store, log_id);
+  jc_rlogstore_set_hard (log->store, 1, "");
+  jc_rlog_append (log, JC_RLOG_REPLICAS, jc_str_of (data));
+  jc_replicas_clear (&all);
+  g_string_free (data, TRUE);
+  return jc_rlogstore_sync (log->store);
+}
+
+static bool
+log_matches (struct jc_rlog *log, const char *from, uint64_t log_id)
+{
+  if (log->store->log_id == log_id)
+    return true;
+  if (log->store->log_id != 0)
+    jc_warn (PART, "%s belongs to another log and is refused.", from);
+  return false;
+}
+
+/* Only a leader that knows this replica sends it entries, so an empty disk
+   joins the log of the first that does.  */
+static bool
+log_joins (struct jc_rlog *log, const char *from, uint64_t log_id)
+{
+  if (log->store->log_id == 0 && log_id != 0)
+    jc_rlogstore_set_log_id (log->store, log_id);
+  return log_matches (log, from, log_id);
+}
+
+/* Take BODY from the replica FROM.  */
+void
+jc_rlog_receive (struct jc_rlog *log, const char *from,
+                 const struct rpc_body *body, int64_t now_ms)
+{
+  log->now_ms = now_ms;
+  if (log->role == JC_RLOG_FAILED)
+    return;
+  switch (body->type)
+    {
+    case RPC_VOTE:
+      if (log_matches (log, from, body->rpc_body_u.vote.log_id))
+        jc_rlog_take_vote (log, from, &body->rpc_body_u.vote);
+      break;
+    case RPC_VOTE_REPLY:
+      jc_rlog_take_vote_reply (log, from, &body->rpc_body_u.vote_reply);
+      break;
+    case RPC_APPEND:
+      if (log_joins (log, from, body->rpc_body_u.append.log_id))
+        jc_rlog_take_append (log, from, &body->rpc_body_u.append);
+      break;
+    case RPC_APPEND_REPLY:
+      jc_rlog_take_append_reply (log, from, &body->rpc_body_u.append_reply);
+      break;
+    case RPC_INSTALL:
+      if (log_joins (log, from, body->rpc_body_u.install.log_id))
+        jc_rlog_take_install (log, from, &body->rpc_body_u.install);
+      break;
+    case RPC_INSTALL_REPLY:
+      jc_rlog_take_install_reply (log, from, &body->rpc_body_u.install_reply);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+tick_leader (struct jc_rlog *log)
+{
+  if (!jc_rlog_has_quorum (log)
+      || (!jc_rlog_is_voter (log) && log->replicas_index <= log->applied))
+    {
+      jc_rlog_follow (log, log->store->term, "");
+      return;
+    }
+  jc_rlog_tend_replicas (log);
+  if (log->now_ms < log->beat_at_ms)
+    return;
+  log->beat_at_ms = log->now_ms + log->options.heartbeat_ms;
+  jc_rlog_set_due (log);
+}
+
+/* Let the time pass to NOW_MS.  */
+void
+jc_rlog_tick (struct jc_rlog *log, int64_t now_ms)
+{
+  log->now_ms = now_ms;
+  if (log->role == JC_RLOG_FAILED)
+    return;
+  if (log->role == JC_RLOG_LEADER)
+    tick_leader (log);
+  else if (now_ms >= log->election_at_ms)
+    jc_rlog_campaign (log);
+}
+
+/* Propose an entry of KIND with DATA; DONE gets CTX and what became of it.
+   It leaves with the next flush.  */
+void
+jc_rlog_propose (struct jc_rlog *log, uint32_t kind, struct jc_str data,
+                 jc_rlog_done_fn *done, void *ctx)
+{
+  struct pending *pending;
+
+  if (log->role != JC_RLOG_LEADER)
+    {
+      done (ctx, JC_NOT_LEADER);
+      return;
+    }
+  if (jc_rlogstore_last (log->store) - log->commit >= UNCOMMITTED_MAX)
+    {
+      done (ctx, JC_OVERLOADED);
+      return;
+    }
+  jc_rlog_append (log, kind, data);
+  jc_rlog_set_due (log);
+  pending = g_new0 (struct pending, 1);
+  pending->index = jc_rlogstore_last (log->store);
+  pending->done = done;
+  pending->ctx = ctx;
+  g_queue_push_tail (&log->pending, pending);
+}
+
+static void
+propose_replicas (struct jc_rlog *log, const struct rpc_replicas *replicas,
+                  jc_rlog_done_fn *done, void *ctx)
+{
+  GString *data = g_string_new (NULL);
+
+  jc_replicas_encode (replicas, data);
+  jc_rlog_propose (log, JC_RLOG_REPLICAS, jc_str_of (data), done, ctx);
+  g_string_free (data, TRUE);
+}
+
+/* Tell whether the replicas may change now: one change at a time, and only
+   once an entry of this leader's term is committed.  */
+bool
+jc_rlog_may_change (const struct jc_rlog *log)
+{
+  return log->role == JC_RLOG_LEADER && log->replicas_index <= log->commit
+         && log->commit >= log->term_start;
+}
+
+static void
+change_replicas (struct jc_rlog *log, const struct rpc_replica *put,
+                 const char *remove, jc_rlog_done_fn *done, void *ctx)
+{
+  struct rpc_replicas next;
+  enum jc_status status = JC_OK;
+
+  if (!jc_rlog_may_change (log))
+    {
+      done (ctx, JC_NOT_LEADER);
+      return;
+    }
+  jc_replicas_copy (&next, &log->replicas);
+  if (put != NULL)
+    jc_replicas_put (&next, put);
+  else if (!jc_replicas_remove (&next, remove))
+    status = JC_NOT_FOUND;
+  if (status == JC_OK && jc_replicas_voters (&next) == 0)
+    status = JC_BAD_REQUEST;
+  if (status == JC_OK)
+    propose_replicas (log, &next, done, ctx);
+  else
+    done (ctx, status);
+  jc_replicas_clear (&next);
+}
+
+/* Put REPLICA into the log's replicas.  */
+void
+jc_rlog_put (struct jc_rlog *log, const struct rpc_replica *replica,
+             jc_rlog_done_fn *done, void *ctx)
+{
+  change_replicas (log, replica, NULL, done, ctx);
+}
+
+/* Add the replica NAME, or change whether it is STANDING for promotion.
+   Where it stood already its disk and vote stay.  */
+void
+jc_rlog_put_replica (struct jc_rlog *log, const char *name, bool standing,
+                     jc_rlog_done_fn *done, void *ctx)
+{
+  const struct rpc_replica *known = jc_replicas_find (&log->replicas, name);
+  struct rpc_replica next = { .name = (char *)name, .standing = standing };
+
+  if (known != NULL)
+    {
+      next.incarnation = known->incarnation;
+      next.voter = known->voter && standing;
+    }
+  change_replicas (log, &next, NULL, done, ctx);
+}
+
+/* Remove the replica NAME.  */
+void
+jc_rlog_remove_replica (struct jc_rlog *log, const char *name,
+                        jc_rlog_done_fn *done, void *ctx)
+{
+  change_replicas (log, NULL, name, done, ctx);
+}
+
+static void
+step_aside (struct jc_rlog *log)
+{
+  jc_error (PART, "The disk failed; this replica steps aside: %s",
+            jc_last_message ());
+  g_queue_clear_full (&log->outbox, letter_free);
+  g_ptr_array_set_size (log->peers, 0);
+  set_leader (log, "");
+  jc_rlog_set_role (log, JC_RLOG_FAILED);
+  fail_pending (log);
+}
+
+static bool
+send_outbox (struct jc_rlog *log)
+{
+  struct letter *letter;
+  bool any = false;
+
+  while ((letter = g_queue_pop_head (&log->outbox)) != NULL)
+    {
+      log->klass->send (log->ctx, letter->to, &letter->body);
+      letter_free (letter);
+      any = true;
+    }
+  return any;
+}
+
+/* Return the replicas as they were at INDEX, which is committed.  */
+static void
+replicas_at (const struct jc_rlog *log, uint64_t index,
+             struct rpc_replicas *replicas)
+{
+  for (uint64_t at = index; at > log->store->snapshot_index; at--)
+    {
+      const struct rpc_log_entry *entry = jc_rlogstore_entry (log->store, at);
+
+      if (entry->kind != JC_RLOG_REPLICAS)
+        continue;
+      jc_replicas_decode ((struct jc_str){ .data = entry->data.rpc_bytes_val,
+                                           .len = entry->data.rpc_bytes_len },
+                          replicas);
+      return;
+    }
+  jc_replicas_copy (replicas, &log->store->snapshot_replicas);
+}
+
+static enum jc_status
+compact (struct jc_rlog *log)
+{
+  struct rpc_replicas replicas;
+  GString *snapshot;
+  enum jc_status status;
+
+  if (log->applied - log->store->snapshot_index < log->options.snapshot_entries)
+    return JC_OK;
+  snapshot = g_string_new (NULL);
+  log->klass->snapshot (log->ctx, snapshot);
+  replicas_at (log, log->applied, &replicas);
+  status = jc_rlogstore_compact (log->store, log->applied, &replicas, snapshot);
+  g_string_truncate (log->snapshot_message, 0);
+  jc_replicas_clear (&replicas);
+  return status;
+}
+
+static bool
+apply_committed (struct jc_rlog *log)
+{
+  bool any = false;
+
+  if (log->applied < log->store->snapshot_index)
+    {
+      restore (log);
+      any = true;
+    }
+  while (log->applied < log->store->commit)
+    {
+      apply_next (log);
+      any = true;
+    }
+  return any;
+}
+
+/* Do one step of a flush.  Return whether there may be more.  Nothing is
+   sent and nothing applied before all that it rests on is durable.  */
+static bool
+flush_step (struct jc_rlog *log)
+{
+  bool any;
+
+  if (log->store->dirty && jc_rlogstore_sync (log->store) != JC_OK)
+    {
+      step_aside (log);
+      return false;
+    }
+  any = apply_committed (log);
+  any = send_outbox (log) || any;
+  if (log->role == JC_RLOG_LEADER && jc_rlog_advance_commit (log))
+    jc_rlog_set_due (log);
+  if (log->commit > log->store->commit)
+    jc_rlogstore_set_commit (log->store, log->commit);
+  any = jc_rlog_send_due (log) || any;
+  if (compact (log) != JC_OK)
+    {
+      step_aside (log);
+      return false;
+    }
+  return any || log->store->dirty;
+}
+
+/* Make durable what was promised since the last flush, then send messages
+   and apply entries.  A disk that fails makes this replica step aside until
+   it is opened anew.  */
+void
+jc_rlog_flush (struct jc_rlog *log, int64_t now_ms)
+{
+  log->now_ms = now_ms;
+  if (log->flushing || log->role == JC_RLOG_FAILED)
+    return;
+  log->flushing = true;
+  while (flush_step (log))
+    continue;
+  log->flushing = false;
+}
+
+/* Return the role of this replica.  */
+enum jc_rlog_role
+jc_rlog_role (const struct jc_rlog *log)
+{
+  return log->role;
+}
+
+/* Return the name of the leader, or "" where it is not known.  */
+const char *
+jc_rlog_leader (const struct jc_rlog *log)
+{
+  return log->role == JC_RLOG_LEADER ? log->name : log->leader;
+}
+
+/* Tell whether this disk belongs to a log.  */
+bool
+jc_rlog_founded (const struct jc_rlog *log)
+{
+  return log->store->log_id != 0;
+}
+
+/* Return the current term.  */
+uint64_t
+jc_rlog_term (const struct jc_rlog *log)
+{
+  return log->store->term;
+}
+
+/* Return the index of the last entry handed over.  */
+uint64_t
+jc_rlog_applied (const struct jc_rlog *log)
+{
+  return log->applied;
+}
+
+/* Return the index of the last entry.  */
+uint64_t
+jc_rlog_last (const struct jc_rlog *log)
+{
+  return jc_rlogstore_last (log->store);
+}
+
+/* Return the incarnation of this replica's disk.  */
+uint64_t
+jc_rlog_incarnation (const struct jc_rlog *log)
+{
+  return log->store->incarnation;
+}
+
+/* Return the latest replicas of the log.  */
+const struct rpc_replicas *
+jc_rlog_replicas (const struct jc_rlog *log)
+{
+  return &log->replicas;
+}
--- /dev/null
+++ b/conf/rlog.h
@@ -0,0 +1,91 @@
+/* Replicated log: one agreed order of entries on a few disks.  A
+   deterministic state machine: messages, ticks and proposals go in with the
+   time, effects come out of jc_rlog_flush.  */
+
+#ifndef JC_RLOG_H
+#define JC_RLOG_H
+
+#include <stdint.h>
+
+#include "base/disk.h"
+#include "schema/gen/messages.h"
+
+struct jc_rlog;
+
+/* Kinds of entries that the log itself reads; all others are its owner's.  */
+enum jc_rlog_kind
+{
+  JC_RLOG_NOOP = 0,
+  JC_RLOG_REPLICAS = 2
+};
+
+enum jc_rlog_role
+{
+  JC_RLOG_FOLLOWER,
+  JC_RLOG_PRE_CANDIDATE,
+  JC_RLOG_CANDIDATE,
+  JC_RLOG_LEADER,
+  JC_RLOG_FAILED
+};
+
+/* What a log does to the world.  SEND gives BODY to the replica TO and may
+   lose it.  RESTORE replaces the applied state by a snapshot; APPLIED hands
+   over each committed entry in order, once its commit position is durable
+   here; SNAPSHOT appends the applied state to OUT.  */
+struct jc_rlog_class
+{
+  void (*send) (void *ctx, const char *to, const struct rpc_body *body);
+  void (*restore) (void *ctx, uint64_t index, struct jc_str snapshot);
+  void (*applied) (void *ctx, uint64_t index, uint32_t kind,
+                   struct jc_str data);
+  void (*snapshot) (void *ctx, GString *out);
+  void (*role) (void *ctx, enum jc_rlog_role role);
+};
+
+/* Hears what became of a proposal: JC_OK right after it was applied,
+   JC_NOT_LEADER or JC_OVERLOADED where it surely is not in the log, else
+   JC_OUTCOME_UNKNOWN.  */
+typedef void jc_rlog_done_fn (void *ctx, enum jc_status status);
+
+/* FRESH_INCARNATION names the disk where it is empty.  An election starts
+   after ELECTION_MS to twice that without a leader.  */
+struct jc_rlog_options
+{
+  const char *name;
+  uint64_t seed;
+  uint64_t fresh_incarnation;
+  int64_t election_ms;
+  int64_t heartbeat_ms;
+  uint64_t snapshot_entries;
+  size_t chunk_bytes;
+};
+
+struct jc_rlog *jc_rlog_open (struct jc_disk *disk,
+                              const struct jc_rlog_options *options,
+                              const struct jc_rlog_class *klass, void *ctx,
+                              int64_t now_ms, enum jc_status *status);
+void jc_rlog_free (struct jc_rlog *log);
+enum jc_status jc_rlog_bootstrap (struct jc_rlog *log, uint64_t log_id,
+                                  const struct rpc_replicas *others);
+void jc_rlog_receive (struct jc_rlog *log, const char *from,
+                      const struct rpc_body *body, int64_t now_ms);
+void jc_rlog_tick (struct jc_rlog *log, int64_t now_ms);
+void jc_rlog_propose (struct jc_rlog *log, uint32_t kind, struct jc_str data,
+                      jc_rlog_done_fn *done, void *ctx);
+void jc_rlog_put_replica (struct jc_rlog *log, const char *name, bool standing,
+                          jc_rlog_done_fn *done, void *ctx);
+void jc_rlog_remove_replica (struct jc_rlog *log, const char *name,
+                             jc_rlog_done_fn *done, void *ctx);
+void jc_rlog_flush (struct jc_rlog *log, int64_t now_ms);
+
+enum jc_rlog_role jc_rlog_role (const struct jc_rlog *log);
+const char *jc_rlog_role_name (enum jc_rlog_role role);
+const char *jc_rlog_leader (const struct jc_rlog *log);
+bool jc_rlog_founded (const struct jc_rlog *log);
+uint64_t jc_rlog_term (const struct jc_rlog *log);
+uint64_t jc_rlog_applied (const struct jc_rlog *log);
+uint64_t jc_rlog_last (const struct jc_rlog *log);
+uint64_t jc_rlog_incarnation (const struct jc_rlog *log);
+const struct rpc_replicas *jc_rlog_replicas (const struct jc_rlog *log);
+
+#endif
--- /dev/null
+++ b/conf/rlogfeed.c
@@ -0,0 +1,396 @@
+/* Leader of the replicated log: feeds the other replicas, counts what they
+   hold and tends their membership.  */
+
+#include <string.h>
+
+#include "base/log.h"
+#include "conf/rlogcore.h"
+
+#define PART "log"
+
+enum
+{
+  BATCH_ENTRIES = 512,
+  BATCH_BYTES = 1024 * 1024,
+  WINDOW_ENTRIES = 4096,
+  FRESH_BEATS = 3,
+  CHUNK_BEATS = 4
+};
+
+/* Free a struct jc_rlog_peer.  */
+void
+jc_rlog_peer_free (gpointer data)
+{
+  struct jc_rlog_peer *peer = data;
+
+  g_free (peer->name);
+  g_free (peer);
+}
+
+static struct jc_rlog_peer *
+find_peer (const struct jc_rlog *log, const char *name)
+{
+  for (guint i = 0; i < log->peers->len; i++)
+    {
+      struct jc_rlog_peer *peer = g_ptr_array_index (log->peers, i);
+
+      if (strcmp (peer->name, name) == 0)
+        return peer;
+    }
+  return NULL;
+}
+
+static void
+add_peer (struct jc_rlog *log, const char *name)
+{
+  struct jc_rlog_peer *peer = g_new0 (struct jc_rlog_peer, 1);
+
+  peer->name = g_strdup (name);
+  peer->next = jc_rlogstore_last (log->store) + 1;
+  peer->acked_ms = log->now_ms;
+  peer->due = true;
+  g_ptr_array_add (log->peers, peer);
+}
+
+/* Make the peers agree with the replicas.  */
+void
+jc_rlog_sync_peers (struct jc_rlog *log)
+{
+  for (guint i = log->peers->len; i > 0; i--)
+    {
+      const struct jc_rlog_peer *peer = g_ptr_array_index (log->peers, i - 1);
+
+      if (jc_replicas_find (&log->replicas, peer->name) == NULL)
+        g_ptr_array_remove_index (log->peers, i - 1);
+    }
+  for (u_int i = 0; i < log->replicas.list.list_len; i++)
+    {
+      const char *name = log->replicas.list.list_val[i].name;
+
+      if (strcmp (name, log->name) != 0 && find_peer (log, name) == NULL)
+        add_peer (log, name);
+    }
+}
+
+/* Become the leader of the current term.  */
+void
+jc_rlog_lead (struct jc_rlog *log)
+{
+  g_ptr_array_set_size (log->votes, 0);
+  g_ptr_array_set_size (log->peers, 0);
+  jc_rlog_set_role (log, JC_RLOG_LEADER);
+  jc_rlog_append (log, JC_RLOG_NOOP, JC_STR_LIT (""));
+  log->term_start = jc_rlogstore_last (log->store);
+  jc_rlog_sync_peers (log);
+  log->beat_at_ms = log->now_ms + log->options.heartbeat_ms;
+}
+
+/* Ask for a message to every other replica.  */
+void
+jc_rlog_set_due (struct jc_rlog *log)
+{
+  for (guint i = 0; i < log->peers->len; i++)
+    ((struct jc_rlog_peer *)g_ptr_array_index (log->peers, i))->due = true;
+}
+
+static void
+send_chunk (struct jc_rlog *log, struct jc_rlog_peer *peer)
+{
+  const struct jc_rlogstore *store = log->store;
+  struct rpc_body body = { .type = RPC_INSTALL };
+  struct rpc_install *install = &body.rpc_body_u.install;
+  size_t left;
+
+  if (peer->install_index == store->snapshot_index
+      && log->now_ms < peer->chunk_until_ms)
+    return;
+  peer->chunk_until_ms = log->now_ms + CHUNK_BEATS * log->options.heartbeat_ms;
+  if (log->snapshot_message->len == 0)
+    jc_rlogstore_encode_snapshot (store, log->snapshot_message);
+  if (peer->install_index != store->snapshot_index)
+    {
+      peer->install_index = store->snapshot_index;
+      peer->install_offset = 0;
+    }
+  left = log->snapshot_message->len - peer->install_offset;
+  install->term = store->term;
+  install->last_index = store->snapshot_index;
+  install->last_term = store->snapshot_term;
+  install->offset = peer->install_offset;
+  install->done = left <= log->options.chunk_bytes;
+  install->data.rpc_bytes_val
+      = log->snapshot_message->str + peer->install_offset;
+  install->data.rpc_bytes_len = (u_int)MIN (left, log->options.chunk_bytes);
+  install->log_id = store->log_id;
+  install->round = ++log->round;
+  log->klass->send (log->ctx, peer->name, &body);
+}
+
+/* Copy the entries for PEER into BATCH, which has room for BATCH_ENTRIES.
+   Return how many; a peer that has not yet answered gets none.  */
+static u_int
+fill_batch (const struct jc_rlog *log, const struct jc_rlog_peer *peer,
+            struct rpc_log_entry *batch)
+{
+  size_t bytes = 0;
+  u_int count = 0;
+
+  if (peer->incarnation == 0)
+    return 0;
+  while (count < BATCH_ENTRIES && bytes < BATCH_BYTES)
+    {
+      const struct rpc_log_entry *entry
+          = jc_rlogstore_entry (log->store, peer->next + count);
+
+      if (entry == NULL || peer->next + count > peer->match + WINDOW_ENTRIES)
+        break;
+      batch[count++] = *entry;
+      bytes += entry->data.rpc_bytes_len;
+    }
+  return count;
+}
+
+static void
+send_entries (struct jc_rlog *log, struct jc_rlog_peer *peer)
+{
+  const struct jc_rlogstore *store = log->store;
+  struct rpc_log_entry batch[BATCH_ENTRIES];
+  struct rpc_body body = { .type = RPC_APPEND };
+  struct rpc_append *append = &body.rpc_body_u.append;
+  u_int count = fill_batch (log, peer, batch);
+
+  append->term = store->term;
+  append->prev_index = peer->next - 1;
+  append->prev_term = jc_rlogstore_term_at (store, append->prev_index);
+  append->commit = log->commit;
+  append->round = ++log->round;
+  append->entries.entries_val = batch;
+  append->entries.entries_len = count;
+  append->log_id = store->log_id;
+  peer->next += count;
+  peer->due = count == BATCH_ENTRIES;
+  log->klass->send (log->ctx, peer->name, &body);
+}
+
+/* Send to each replica that is due.  Return whether there was any.  */
+bool
+jc_rlog_send_due (struct jc_rlog *log)
+{
+  bool any = false;
+
+  for (guint i = 0; i < log->peers->len; i++)
+    {
+      struct jc_rlog_peer *peer = g_ptr_array_index (log->peers, i);
+
+      if (!peer->due)
+        continue;
+      peer->due = false;
+      any = true;
+      if (peer->next <= log->store->snapshot_index)
+        send_chunk (log, peer);
+      else
+        send_entries (log, peer);
+    }
+  return any;
+}
+
+/* Return the last index that REPLICA holds durably on the disk that its name
+   is bound to.  */
+static uint64_t
+held_by (const struct jc_rlog *log, const struct rpc_replica *replica)
+{
+  const struct jc_rlog_peer *peer;
+
+  if (strcmp (replica->name, log->name) == 0)
+    return log->store->synced;
+  peer = find_peer (log, replica->name);
+  if (peer == NULL || peer->incarnation != replica->incarnation)
+    return 0;
+  return peer->match;
+}
+
+static bool
+most_hold (const struct jc_rlog *log, uint64_t index)
+{
+  unsigned int holding = 0;
+
+  for (u_int i = 0; i < log->replicas.list.list_len; i++)
+    {
+      const struct rpc_replica *replica = &log->replicas.list.list_val[i];
+
+      if (replica->voter && held_by (log, replica) >= index)
+        holding++;
+    }
+  return holding > jc_replicas_voters (&log->replicas) / 2;
+}
+
+/* Move the commit position on as far as most voters hold the log; entries of
+   earlier terms only together with one of this term.  */
+bool
+jc_rlog_advance_commit (struct jc_rlog *log)
+{
+  uint64_t index = jc_rlogstore_last (log->store);
+
+  while (index > log->commit && !most_hold (log, index))
+    index--;
+  if (index <= log->commit
+      || jc_rlogstore_term_at (log->store, index) != log->store->term)
+    return false;
+  log->commit = index;
+  return true;
+}
+
+/* Tell whether most voters answered within the last election time.  */
+bool
+jc_rlog_has_quorum (const struct jc_rlog *log)
+{
+  unsigned int heard = 0;
+
+  for (u_int i = 0; i < log->replicas.list.list_len; i++)
+    {
+      const struct rpc_replica *replica = &log->replicas.list.list_val[i];
+      const struct jc_rlog_peer *peer = find_peer (log, replica->name);
+      bool self = strcmp (replica->name, log->name) == 0;
+
+      if (replica->voter
+          && (self
+              || (peer != NULL
+                  && log->now_ms - peer->acked_ms < log->options.election_ms)))
+        heard++;
+    }
+  return heard > jc_replicas_voters (&log->replicas) / 2;
+}
+
+static void
+ignore_done (void *ctx, enum jc_status status)
+{
+  (void)ctx;
+  (void)status;
+}
+
+/* Change what must change of REPLICA: bind its name to the disk that answers,
+   then promote it once that disk has caught up.  Return whether anything.  */
+static bool
+tend_replica (struct jc_rlog *log, const struct rpc_replica *replica,
+              const struct jc_rlog_peer *peer)
+{
+  struct rpc_replica next = *replica;
+  int64_t fresh_ms = FRESH_BEATS * log->options.heartbeat_ms;
+
+  if (peer->incarnation == 0)
+    return false;
+  if (peer->incarnation != replica->incarnation)
+    {
+      next.incarnation = peer->incarnation;
+      next.voter = false;
+    }
+  else if (replica->standing && !replica->voter && peer->match >= log->commit
+           && log->now_ms - peer->acked_ms < fresh_ms)
+    next.voter = true;
+  else
+    return false;
+  next.name = g_strdup (replica->name);
+  jc_info (PART, "%s is bound to disk %lx and %s.", next.name,
+           (unsigned long)next.incarnation,
+           next.voter ? "votes" : "does not vote");
+  jc_rlog_put (log, &next, ignore_done, NULL);
+  g_free (next.name);
+  return true;
+}
+
+/* Make one change of the replicas where one is due and may be made.  */
+void
+jc_rlog_tend_replicas (struct jc_rlog *log)
+{
+  if (!jc_rlog_may_change (log))
+    return;
+  for (u_int i = 0; i < log->replicas.list.list_len; i++)
+    {
+      const struct rpc_replica *replica = &log->replicas.list.list_val[i];
+      const struct jc_rlog_peer *peer = find_peer (log, replica->name);
+
+      if (peer != NULL && tend_replica (log, replica, peer))
+        return;
+    }
+}
+
+/* Note that the disk INCARNATION answered ROUND.  Return whether the answer
+   is of the disk that answers now.  */
+static bool
+note_disk (struct jc_rlog *log, struct jc_rlog_peer *peer, uint64_t incarnation,
+           uint64_t round)
+{
+  if (peer->incarnation == incarnation)
+    return true;
+  if (round <= peer->bound_round)
+    return false;
+  peer->incarnation = incarnation;
+  peer->bound_round = log->round;
+  peer->match = 0;
+  peer->install_index = 0;
+  return true;
+}
+
+/* Take the answer of FROM to entries.  */
+void
+jc_rlog_take_append_reply (struct jc_rlog *log, const char *from,
+                           const struct rpc_append_reply *reply)
+{
+  struct jc_rlog_peer *peer = find_peer (log, from);
+
+  if (reply->term > log->store->term)
+    {
+      jc_rlog_follow (log, reply->term, "");
+      return;
+    }
+  if (log->role != JC_RLOG_LEADER || reply->term < log->store->term
+      || peer == NULL
+      || !note_disk (log, peer, reply->disk_incarnation, reply->round))
+    return;
+  peer->acked_ms = log->now_ms;
+  if (reply->ok)
+    {
+      peer->match = MAX (peer->match, reply->match_index);
+      peer->next = MAX (peer->next, peer->match + 1);
+    }
+  else if (reply->round <= peer->retry_round)
+    return;
+  else
+    peer->next
+        = MAX (peer->match, MIN (peer->next - 1, reply->match_index)) + 1;
+  if (!reply->ok)
+    peer->retry_round = log->round;
+  if (!reply->ok || peer->next <= jc_rlogstore_last (log->store))
+    peer->due = true;
+}
+
+/* Take the answer of FROM to a part of the snapshot.  */
+void
+jc_rlog_take_install_reply (struct jc_rlog *log, const char *from,
+                            const struct rpc_install_reply *reply)
+{
+  struct jc_rlog_peer *peer = find_peer (log, from);
+
+  if (reply->term > log->store->term)
+    {
+      jc_rlog_follow (log, reply->term, "");
+      return;
+    }
+  if (log->role != JC_RLOG_LEADER || reply->term < log->store->term
+      || peer == NULL
+      || !note_disk (log, peer, reply->disk_incarnation, reply->round))
+    return;
+  peer->acked_ms = log->now_ms;
+  peer->chunk_until_ms = 0;
+  if (reply->offset == INSTALLED_OFFSET)
+    {
+      peer->match = MAX (peer->match, reply->last_index);
+      peer->next = MAX (peer->next, peer->match + 1);
+    }
+  else if (reply->last_index != peer->install_index
+           || reply->offset > log->snapshot_message->len)
+    return;
+  else
+    peer->install_offset = reply->offset;
+  peer->due = true;
+}
--- /dev/null
+++ b/conf/rlogstore.h
@@ -0,0 +1,54 @@
+/* Log store: what one replica of the log keeps on its disk.  */
+
+#ifndef JC_RLOGSTORE_H
+#define JC_RLOGSTORE_H
+
+#include "base/disk.h"
+#include "schema/gen/messages.h"
+
+struct jc_journal;
+
+/* The durable state of a replica and its copy in memory.  ENTRIES holds
+   struct rpc_log_entry from SNAPSHOT_INDEX + 1 on.  Changes last once
+   jc_rlogstore_sync succeeds; SYNCED is the last index that does.  */
+struct jc_rlogstore
+{
+  struct jc_journal *journal;
+  uint64_t incarnation;
+  uint64_t log_id;
+  uint64_t term;
+  char *vote;
+  uint64_t commit;
+  uint64_t snapshot_index;
+  uint64_t snapshot_term;
+  struct rpc_replicas snapshot_replicas;
+  GString *snapshot;
+  GPtrArray *entries;
+  uint64_t synced;
+  bool dirty;
+};
+
+struct jc_rlogstore *jc_rlogstore_open (struct jc_disk *disk, uint64_t fresh,
+                                        enum jc_status *status);
+void jc_rlogstore_free (struct jc_rlogstore *store);
+uint64_t jc_rlogstore_last (const struct jc_rlogstore *store);
+uint64_t jc_rlogstore_term_at (const struct jc_rlogstore *store,
+                               uint64_t index);
+const struct rpc_log_entry *
+jc_rlogstore_entry (const struct jc_rlogstore *store, uint64_t index);
+void jc_rlogstore_set_log_id (struct jc_rlogstore *store, uint64_t log_id);
+void jc_rlogstore_set_hard (struct jc_rlogstore *store, uint64_t term,
+                            const char *vote);
+void jc_rlogstore_put (struct jc_rlogstore *store, uint64_t index,
+                       const struct rpc_log_entry *entry);
+void jc_rlogstore_set_commit (struct jc_rlogstore *store, uint64_t commit);
+enum jc_status jc_rlogstore_sync (struct jc_rlogstore *store);
+enum jc_status jc_rlogstore_compact (struct jc_rlogstore *store, uint64_t index,
+                                     const struct rpc_replicas *replicas,
+                                     GString *snapshot);
+enum jc_status jc_rlogstore_install (struct jc_rlogstore *store,
+                                     const struct rpc_record_snapshot *record);
+void jc_rlogstore_encode_snapshot (const struct jc_rlogstore *store,
+                                   GString *out);
+
+#endif
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -66,6 +66,8 @@
 	RPC_HANDOVER_CANCEL = 54,
 	RPC_ADMIN = 60,
 	RPC_ADMIN_REPLY = 61,
+	RPC_PROPOSE = 70,
+	RPC_PROPOSE_REPLY = 71,
 };
 typedef enum rpc_type rpc_type;
 
@@ -172,6 +174,7 @@
 	bool_t pre;
 	u_quad_t last_index;
 	u_quad_t last_term;
+	u_quad_t log_id;
 };
 typedef struct rpc_vote rpc_vote;
 
@@ -179,6 +182,7 @@
 	u_quad_t term;
 	bool_t pre;
 	bool_t granted;
+	u_quad_t disk_incarnation;
 };
 typedef struct rpc_vote_reply rpc_vote_reply;
 
@@ -199,6 +203,7 @@
 		u_int entries_len;
 		rpc_log_entry *entries_val;
 	} entries;
+	u_quad_t log_id;
 };
 typedef struct rpc_append rpc_append;
 
@@ -218,6 +223,8 @@
 	u_quad_t offset;
 	bool_t done;
 	rpc_bytes data;
+	u_quad_t log_id;
+	u_quad_t round;
 };
 typedef struct rpc_install rpc_install;
 
@@ -226,6 +233,7 @@
 	u_quad_t last_index;
 	u_quad_t offset;
 	u_quad_t disk_incarnation;
+	u_quad_t round;
 };
 typedef struct rpc_install_reply rpc_install_reply;
 
@@ -350,6 +358,80 @@
 };
 typedef struct rpc_admin_reply rpc_admin_reply;
 
+struct rpc_replica {
+	rpc_name name;
+	u_quad_t incarnation;
+	bool_t standing;
+	bool_t voter;
+};
+typedef struct rpc_replica rpc_replica;
+
+struct rpc_replicas {
+	struct {
+		u_int list_len;
+		rpc_replica *list_val;
+	} list;
+};
+typedef struct rpc_replicas rpc_replicas;
+
+enum rpc_record_type {
+	RPC_RECORD_META = 1,
+	RPC_RECORD_HARD = 2,
+	RPC_RECORD_SNAPSHOT = 3,
+	RPC_RECORD_ENTRY = 4,
+	RPC_RECORD_COMMIT = 5,
+};
+typedef enum rpc_record_type rpc_record_type;
+
+struct rpc_record_meta {
+	u_quad_t incarnation;
+	u_quad_t log_id;
+};
+typedef struct rpc_record_meta rpc_record_meta;
+
+struct rpc_record_hard {
+	u_quad_t term;
+	rpc_name vote;
+};
+typedef struct rpc_record_hard rpc_record_hard;
+
+struct rpc_record_snapshot {
+	u_quad_t index;
+	u_quad_t term;
+	rpc_replicas replicas;
+	rpc_bytes data;
+};
+typedef struct rpc_record_snapshot rpc_record_snapshot;
+
+struct rpc_record_entry {
+	u_quad_t index;
+	rpc_log_entry entry;
+};
+typedef struct rpc_record_entry rpc_record_entry;
+
+struct rpc_record {
+	rpc_record_type type;
+	union {
+		rpc_record_meta meta;
+		rpc_record_hard hard;
+		rpc_record_snapshot snapshot;
+		rpc_record_entry entry;
+		u_quad_t commit;
+	} rpc_record_u;
+};
+typedef struct rpc_record rpc_record;
+
+struct rpc_propose {
+	u_int kind;
+	rpc_bytes data;
+};
+typedef struct rpc_propose rpc_propose;
+
+struct rpc_propose_reply {
+	int status;
+};
+typedef struct rpc_propose_reply rpc_propose_reply;
+
 struct rpc_body {
 	rpc_type type;
 	union {
@@ -381,6 +463,8 @@
 		rpc_handover_cancel handover_cancel;
 		rpc_admin admin;
 		rpc_admin_reply admin_reply;
+		rpc_propose propose;
+		rpc_propose_reply propose_reply;
 	} rpc_body_u;
 };
 typedef struct rpc_body rpc_body;
@@ -429,6 +513,16 @@
 extern  bool_t xdr_rpc_handover_cancel (XDR *, rpc_handover_cancel*);
 extern  bool_t xdr_rpc_admin (XDR *, rpc_admin*);
 extern  bool_t xdr_rpc_admin_reply (XDR *, rpc_admin_reply*);
+extern  bool_t xdr_rpc_replica (XDR *, rpc_replica*);
+extern  bool_t xdr_rpc_replicas (XDR *, rpc_replicas*);
+extern  bool_t xdr_rpc_record_type (XDR *, rpc_record_type*);
+extern  bool_t xdr_rpc_record_meta (XDR *, rpc_record_meta*);
+extern  bool_t xdr_rpc_record_hard (XDR *, rpc_record_hard*);
+extern  bool_t xdr_rpc_record_snapshot (XDR *, rpc_record_snapshot*);
+extern  bool_t xdr_rpc_record_entry (XDR *, rpc_record_entry*);
+extern  bool_t xdr_rpc_record (XDR *, rpc_record*);
+extern  bool_t xdr_rpc_propose (XDR *, rpc_propose*);
+extern  bool_t xdr_rpc_propose_reply (XDR *, rpc_propose_reply*);
 extern  bool_t xdr_rpc_body (XDR *, rpc_body*);
 extern  bool_t xdr_rpc_packet (XDR *, rpc_packet*);
 
@@ -468,6 +562,16 @@
 extern bool_t xdr_rpc_handover_cancel ();
 extern bool_t xdr_rpc_admin ();
 extern bool_t xdr_rpc_admin_reply ();
+extern bool_t xdr_rpc_replica ();
+extern bool_t xdr_rpc_replicas ();
+extern bool_t xdr_rpc_record_type ();
+extern bool_t xdr_rpc_record_meta ();
+extern bool_t xdr_rpc_record_hard ();
+extern bool_t xdr_rpc_record_snapshot ();
+extern bool_t xdr_rpc_record_entry ();
+extern bool_t xdr_rpc_record ();
+extern bool_t xdr_rpc_propose ();
+extern bool_t xdr_rpc_propose_reply ();
 extern bool_t xdr_rpc_body ();
 extern bool_t xdr_rpc_packet ();
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -330,6 +330,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->last_term))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->log_id))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -344,6 +346,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->granted))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->disk_incarnation))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -379,6 +383,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, RPC_ITEMS_MAX,
 		sizeof (rpc_log_entry), (xdrproc_t) xdr_rpc_log_entry))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->log_id))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -417,6 +423,10 @@
 		 return FALSE;
 	 if (!xdr_rpc_bytes (xdrs, &objp->data))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->log_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->round))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -433,6 +443,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->disk_incarnation))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->round))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -666,6 +678,151 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_replica (XDR *xdrs, rpc_replica *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->standing))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->voter))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_replicas (XDR *xdrs, rpc_replicas *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, 64,
+		sizeof (rpc_replica), (xdrproc_t) xdr_rpc_replica))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_record_type (XDR *xdrs, rpc_record_type *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_record_meta (XDR *xdrs, rpc_record_meta *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->log_id))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_record_hard (XDR *xdrs, rpc_record_hard *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->vote))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_record_snapshot (XDR *xdrs, rpc_record_snapshot *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_rpc_replicas (xdrs, &objp->replicas))
+		 return FALSE;
+	 if (!xdr_rpc_bytes (xdrs, &objp->data))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_record_entry (XDR *xdrs, rpc_record_entry *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_rpc_log_entry (xdrs, &objp->entry))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_record (XDR *xdrs, rpc_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_record_type (xdrs, &objp->type))
+		 return FALSE;
+	switch (objp->type) {
+	case RPC_RECORD_META:
+		 if (!xdr_rpc_record_meta (xdrs, &objp->rpc_record_u.meta))
+			 return FALSE;
+		break;
+	case RPC_RECORD_HARD:
+		 if (!xdr_rpc_record_hard (xdrs, &objp->rpc_record_u.hard))
+			 return FALSE;
+		break;
+	case RPC_RECORD_SNAPSHOT:
+		 if (!xdr_rpc_record_snapshot (xdrs, &objp->rpc_record_u.snapshot))
+			 return FALSE;
+		break;
+	case RPC_RECORD_ENTRY:
+		 if (!xdr_rpc_record_entry (xdrs, &objp->rpc_record_u.entry))
+			 return FALSE;
+		break;
+	case RPC_RECORD_COMMIT:
+		 if (!xdr_u_quad_t (xdrs, &objp->rpc_record_u.commit))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_propose (XDR *xdrs, rpc_propose *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_rpc_bytes (xdrs, &objp->data))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_propose_reply (XDR *xdrs, rpc_propose_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->status))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_body (XDR *xdrs, rpc_body *objp)
 {
@@ -788,6 +945,14 @@
 		 if (!xdr_rpc_admin_reply (xdrs, &objp->rpc_body_u.admin_reply))
 			 return FALSE;
 		break;
+	case RPC_PROPOSE:
+		 if (!xdr_rpc_propose (xdrs, &objp->rpc_body_u.propose))
+			 return FALSE;
+		break;
+	case RPC_PROPOSE_REPLY:
+		 if (!xdr_rpc_propose_reply (xdrs, &objp->rpc_body_u.propose_reply))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -48,7 +48,9 @@
   RPC_HANDOVER_END = 53,
   RPC_HANDOVER_CANCEL = 54,
   RPC_ADMIN = 60,
-  RPC_ADMIN_REPLY = 61
+  RPC_ADMIN_REPLY = 61,
+  RPC_PROPOSE = 70,
+  RPC_PROPOSE_REPLY = 71
 };
 
 struct rpc_hello {
@@ -140,12 +142,14 @@
   bool pre;
   unsigned hyper last_index;
   unsigned hyper last_term;
+  unsigned hyper log_id;
 };
 
 struct rpc_vote_reply {
   unsigned hyper term;
   bool pre;
   bool granted;
+  unsigned hyper disk_incarnation;
 };
 
 struct rpc_log_entry {
@@ -161,6 +165,7 @@
   unsigned hyper commit;
   unsigned hyper round;
   rpc_log_entry entries<RPC_ITEMS_MAX>;
+  unsigned hyper log_id;
 };
 
 struct rpc_append_reply {
@@ -178,6 +183,8 @@
   unsigned hyper offset;
   bool done;
   rpc_bytes data;
+  unsigned hyper log_id;
+  unsigned hyper round;
 };
 
 struct rpc_install_reply {
@@ -185,6 +192,7 @@
   unsigned hyper last_index;
   unsigned hyper offset;
   unsigned hyper disk_incarnation;
+  unsigned hyper round;
 };
 
 struct rpc_claim {
@@ -298,6 +306,68 @@
   rpc_bytes json;
 };
 
+/* A replica of the log and the disk that its name is bound to, 0 for none
+   yet.  A standing replica is promoted to voter once it has caught up.  */
+struct rpc_replica {
+  rpc_name name;
+  unsigned hyper incarnation;
+  bool standing;
+  bool voter;
+};
+
+struct rpc_replicas {
+  rpc_replica list<64>;
+};
+
+/* Records of the log's journal.  */
+enum rpc_record_type {
+  RPC_RECORD_META = 1,
+  RPC_RECORD_HARD = 2,
+  RPC_RECORD_SNAPSHOT = 3,
+  RPC_RECORD_ENTRY = 4,
+  RPC_RECORD_COMMIT = 5
+};
+
+struct rpc_record_meta {
+  unsigned hyper incarnation;
+  unsigned hyper log_id;
+};
+
+struct rpc_record_hard {
+  unsigned hyper term;
+  rpc_name vote;
+};
+
+struct rpc_record_snapshot {
+  unsigned hyper index;
+  unsigned hyper term;
+  rpc_replicas replicas;
+  rpc_bytes data;
+};
+
+struct rpc_record_entry {
+  unsigned hyper index;
+  rpc_log_entry entry;
+};
+
+union rpc_record switch (rpc_record_type type) {
+case RPC_RECORD_META: rpc_record_meta meta;
+case RPC_RECORD_HARD: rpc_record_hard hard;
+case RPC_RECORD_SNAPSHOT: rpc_record_snapshot snapshot;
+case RPC_RECORD_ENTRY: rpc_record_entry entry;
+case RPC_RECORD_COMMIT: unsigned hyper commit;
+};
+
+/* A proposal that a replica hands to the leader.  */
+struct rpc_propose {
+  unsigned int kind;
+  rpc_bytes data;
+};
+
+struct rpc_propose_reply {
+  int status;
+};
+
 union rpc_body switch (rpc_type type) {
 case RPC_HELLO: rpc_hello hello;
 case RPC_HELLO_ACK: rpc_hello hello_ack;
@@ -328,6 +398,8 @@
 case RPC_HANDOVER_CANCEL: rpc_handover_cancel handover_cancel;
 case RPC_ADMIN: rpc_admin admin;
 case RPC_ADMIN_REPLY: rpc_admin_reply admin_reply;
+case RPC_PROPOSE: rpc_propose propose;
+case RPC_PROPOSE_REPLY: rpc_propose_reply propose_reply;
 };
 
 struct rpc_packet {
--- /dev/null
+++ b/tests/logsim.h
@@ -0,0 +1,71 @@
+/* Replicas of the log on virtual time: a network that cuts, delays and
+   duplicates, disks that crash, and checks that hold at every step.  */
+
+#ifndef LOGSIM_H
+#define LOGSIM_H
+
+#include "conf/changes.h"
+#include "conf/rlog.h"
+
+enum
+{
+  LOGSIM_MAX = 6,
+  LOGSIM_ALL_MS = 30000
+};
+
+enum logsim_fault_kind
+{
+  LOGSIM_KILL,
+  LOGSIM_KILL_TORN,
+  LOGSIM_KILL_WIPE,
+  LOGSIM_FREEZE,
+  LOGSIM_CUT_IN,
+  LOGSIM_CUT_OUT,
+  LOGSIM_CUT_BOTH,
+  LOGSIM_DISK_FAIL,
+  LOGSIM_DUPLICATE,
+  LOGSIM_REORDER,
+  LOGSIM_DELAY,
+  LOGSIM_FAULTS
+};
+
+/* A fault at a counted step; a message fault hits the message sent there.  */
+struct logsim_fault
+{
+  uint64_t step;
+  enum logsim_fault_kind kind;
+  int target;
+};
+
+struct logsim;
+
+/* Hears the answer to a submission: JC_OUTCOME_UNKNOWN and JC_NOT_LEADER come
+   with version 0.  */
+typedef void logsim_answer_fn (void *ctx, const char *change_id,
+                               enum jc_status status, uint64_t version);
+
+struct logsim *logsim_new (int replicas, uint64_t seed);
+void logsim_free (struct logsim *sim);
+void logsim_plan (struct logsim *sim, const struct logsim_fault *fault);
+void logsim_inject (struct logsim *sim, enum logsim_fault_kind kind,
+                    int target);
+void logsim_undo (struct logsim *sim, enum logsim_fault_kind kind, int target);
+void logsim_run (struct logsim *sim, int64_t ms);
+void logsim_submit (struct logsim *sim, int replica, const char *change_id,
+                    uint64_t expected, const char *object,
+                    logsim_answer_fn *answer, void *ctx);
+struct jc_rlog *logsim_log (const struct logsim *sim, int replica);
+uint64_t logsim_version (const struct logsim *sim, int replica);
+uint64_t logsim_in_force (const struct logsim *sim);
+int logsim_leader (const struct logsim *sim);
+int64_t logsim_now (const struct logsim *sim);
+uint64_t logsim_steps (const struct logsim *sim);
+const char *logsim_violation (const struct logsim *sim);
+bool logsim_converged (const struct logsim *sim);
+bool logsim_repaired (const struct logsim *sim, int target);
+bool logsim_all_vote (const struct logsim *sim);
+const char *logsim_fault_name (enum logsim_fault_kind kind);
+void logsim_check_accepted (struct logsim *sim, const char *change_id,
+                            enum jc_status status, uint64_t version);
+
+#endif
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -22,7 +22,7 @@
 }
 
 out=$(mktemp)
-for prog in "$BUILD"/tests/test-*; do
+for prog in "$BUILD"/tests/test-* "$BUILD"/tests/explore-*; do
   case $prog in *.o|*.d) continue;; esac
   [ -x "$prog" ] || continue
   name=$(basename "$prog")
