--- a/entry/entry.h
+++ b/entry/entry.h
@@ -7,6 +7,7 @@
 
 #include "base/metrics.h"
 #include "conf/config.h"
+#include "ledger/copy.h"
 #include "member/members.h"
 #include "member/regions.h"
 #include "net/httpc.h"
@@ -28,15 +29,18 @@
   struct jc_httpd *callers;
   struct jc_httpd *operators;
   struct jc_rpc *rpc;
+  struct jc_copies *copies;
   unsigned int in_flight;
   bool draining;
 };
 
 /* Work on a caller's request, attached to it by jc_http_set_data.  GONE says
-   that the caller closed its connection and the work must end.  */
+   that the caller closed its connection and the work must end; ROOM, which
+   may be NULL, that it took what a stream had buffered.  */
 struct work_class
 {
   void (*gone) (void *work);
+  void (*room) (void *work);
 };
 
 /* What a request asks for once its head was admitted.  PATH is the
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -33,6 +33,7 @@
   void *ctx;
   ev_timer silence;
   long idle_ms;
+  bool paused;
   char *content_type;
   int http;
   bool head_told;
@@ -281,7 +282,7 @@
 call_arm_silence (struct jc_call *call, long ms)
 {
   ev_timer_stop (call->httpc->loop, &call->silence);
-  if (ms <= 0)
+  if (ms <= 0 || call->paused)
     return;
   ev_timer_set (&call->silence, (double)ms / MS_PER_S, 0);
   ev_timer_start (call->httpc->loop, &call->silence);
@@ -303,6 +304,22 @@
   call_finish (call, &result);
 }
 
+static void
+call_tell_header (struct jc_call *call, struct jc_str line)
+{
+  struct jc_str name;
+
+  if (call->ops->header == NULL || call->cancelled
+      || memchr (line.data, ':', line.len) == NULL)
+    return;
+  jc_str_cut (&line, ':', &name);
+  while (line.len > 0 && g_ascii_isspace (line.data[0]))
+    line = (struct jc_str){ .data = line.data + 1, .len = line.len - 1 };
+  while (line.len > 0 && g_ascii_isspace (line.data[line.len - 1]))
+    line.len--;
+  call->ops->header (call->ctx, name, line);
+}
+
 static size_t
 call_on_header (char *data, size_t size, size_t count, void *ctx)
 {
@@ -318,6 +335,7 @@
       g_free (call->content_type);
       call->content_type = g_strstrip (g_strndup (data + 13, len - 13));
     }
+  call_tell_header (call, (struct jc_str){ .data = data, .len = len });
   return len;
 }
 
@@ -410,10 +428,14 @@
   call_finish (call, NULL);
 }
 
-/* Stop or go on reading the answer of CALL.  Must not be called from within
-   its events to unpause.  */
+/* Stop or go on reading the answer of CALL; a paused call is never taken for
+   silent.  Must not be called from within its events to unpause.  */
 void
 jc_call_pause (struct jc_call *call, bool paused)
 {
+  if (call->cancelled || call->paused == paused)
+    return;
+  call->paused = paused;
+  call_arm_silence (call, call->idle_ms);
   curl_easy_pause (call->easy, paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
 }
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -135,6 +135,14 @@
 };
 typedef struct rpc_endpoint rpc_endpoint;
 
+struct rpc_zone_load {
+	u_quad_t tag;
+	u_int sequence;
+	u_int work;
+	u_int pace;
+};
+typedef struct rpc_zone_load rpc_zone_load;
+
 struct rpc_zone_delta {
 	rpc_name instance;
 	u_quad_t incarnation;
@@ -146,6 +154,11 @@
 		u_int endpoints_len;
 		rpc_endpoint *endpoints_val;
 	} endpoints;
+	struct {
+		u_int loads_len;
+		rpc_zone_load *loads_val;
+	} loads;
+	bool_t resend;
 };
 typedef struct rpc_zone_delta rpc_zone_delta;
 
@@ -158,6 +171,23 @@
 };
 typedef struct rpc_summary_row rpc_summary_row;
 
+struct rpc_instance {
+	rpc_name name;
+	rpc_name zone;
+	rpc_name callers_address;
+	u_quad_t incarnation;
+	bool_t draining;
+};
+typedef struct rpc_instance rpc_instance;
+
+struct rpc_summary_load {
+	u_quad_t tag;
+	u_int endpoints;
+	u_int free_slots;
+	u_int expected_wait_ms;
+};
+typedef struct rpc_summary_load rpc_summary_load;
+
 struct rpc_region_summary {
 	rpc_name region;
 	rpc_name zone;
@@ -166,6 +196,16 @@
 		u_int rows_len;
 		rpc_summary_row *rows_val;
 	} rows;
+	struct {
+		u_int loads_len;
+		rpc_summary_load *loads_val;
+	} loads;
+	struct {
+		u_int instances_len;
+		rpc_instance *instances_val;
+	} instances;
+	bool_t follow;
+	bool_t unfollow;
 };
 typedef struct rpc_region_summary rpc_region_summary;
 
@@ -255,6 +295,7 @@
 	RPC_CLAIM_UNKNOWN = 4,
 	RPC_CLAIM_RECOVERING = 5,
 	RPC_CLAIM_REFUSED = 6,
+	RPC_CLAIM_ANSWER_GONE = 7,
 };
 typedef enum rpc_claim_state rpc_claim_state;
 
@@ -286,6 +327,43 @@
 };
 typedef struct rpc_result_reply rpc_result_reply;
 
+struct rpc_ledger_record {
+	int state;
+	u_quad_t sequence;
+	rpc_bytes id;
+	rpc_name product;
+	rpc_name route;
+	rpc_name key;
+	rpc_bytes digest;
+	rpc_name claim_id;
+	u_quad_t fence;
+	int http_status;
+	rpc_name content_type;
+	bool_t answer_kept;
+	rpc_bytes answer;
+	u_quad_t changed_ms;
+};
+typedef struct rpc_ledger_record rpc_ledger_record;
+
+struct rpc_ledger_member {
+	rpc_name name;
+	u_quad_t incarnation;
+};
+typedef struct rpc_ledger_member rpc_ledger_member;
+
+struct rpc_ledger_set {
+	rpc_name home;
+	u_quad_t revision;
+	u_quad_t epoch;
+	rpc_name ledger;
+	u_quad_t ledger_incarnation;
+	struct {
+		u_int members_len;
+		rpc_ledger_member *members_val;
+	} members;
+};
+typedef struct rpc_ledger_set rpc_ledger_set;
+
 struct rpc_ledger_copy {
 	rpc_name home;
 	u_quad_t ledger_incarnation;
@@ -293,6 +371,10 @@
 	bool_t full;
 	bool_t last;
 	rpc_bytes records;
+	bool_t pull;
+	u_quad_t fence;
+	u_quad_t transfer;
+	u_int part;
 };
 typedef struct rpc_ledger_copy rpc_ledger_copy;
 
@@ -302,6 +384,9 @@
 	u_quad_t sequence;
 	bool_t complete;
 	rpc_bytes records;
+	bool_t pull;
+	bool_t last;
+	u_int part;
 };
 typedef struct rpc_ledger_copy_reply rpc_ledger_copy_reply;
 
@@ -489,8 +574,11 @@
 extern  bool_t xdr_rpc_submit (XDR *, rpc_submit*);
 extern  bool_t xdr_rpc_submit_reply (XDR *, rpc_submit_reply*);
 extern  bool_t xdr_rpc_endpoint (XDR *, rpc_endpoint*);
+extern  bool_t xdr_rpc_zone_load (XDR *, rpc_zone_load*);
 extern  bool_t xdr_rpc_zone_delta (XDR *, rpc_zone_delta*);
 extern  bool_t xdr_rpc_summary_row (XDR *, rpc_summary_row*);
+extern  bool_t xdr_rpc_instance (XDR *, rpc_instance*);
+extern  bool_t xdr_rpc_summary_load (XDR *, rpc_summary_load*);
 extern  bool_t xdr_rpc_region_summary (XDR *, rpc_region_summary*);
 extern  bool_t xdr_rpc_vote (XDR *, rpc_vote*);
 extern  bool_t xdr_rpc_vote_reply (XDR *, rpc_vote_reply*);
@@ -504,6 +592,9 @@
 extern  bool_t xdr_rpc_claim_reply (XDR *, rpc_claim_reply*);
 extern  bool_t xdr_rpc_result (XDR *, rpc_result*);
 extern  bool_t xdr_rpc_result_reply (XDR *, rpc_result_reply*);
+extern  bool_t xdr_rpc_ledger_record (XDR *, rpc_ledger_record*);
+extern  bool_t xdr_rpc_ledger_member (XDR *, rpc_ledger_member*);
+extern  bool_t xdr_rpc_ledger_set (XDR *, rpc_ledger_set*);
 extern  bool_t xdr_rpc_ledger_copy (XDR *, rpc_ledger_copy*);
 extern  bool_t xdr_rpc_ledger_copy_reply (XDR *, rpc_ledger_copy_reply*);
 extern  bool_t xdr_rpc_handover (XDR *, rpc_handover*);
@@ -538,8 +629,11 @@
 extern bool_t xdr_rpc_submit ();
 extern bool_t xdr_rpc_submit_reply ();
 extern bool_t xdr_rpc_endpoint ();
+extern bool_t xdr_rpc_zone_load ();
 extern bool_t xdr_rpc_zone_delta ();
 extern bool_t xdr_rpc_summary_row ();
+extern bool_t xdr_rpc_instance ();
+extern bool_t xdr_rpc_summary_load ();
 extern bool_t xdr_rpc_region_summary ();
 extern bool_t xdr_rpc_vote ();
 extern bool_t xdr_rpc_vote_reply ();
@@ -553,6 +647,9 @@
 extern bool_t xdr_rpc_claim_reply ();
 extern bool_t xdr_rpc_result ();
 extern bool_t xdr_rpc_result_reply ();
+extern bool_t xdr_rpc_ledger_record ();
+extern bool_t xdr_rpc_ledger_member ();
+extern bool_t xdr_rpc_ledger_set ();
 extern bool_t xdr_rpc_ledger_copy ();
 extern bool_t xdr_rpc_ledger_copy_reply ();
 extern bool_t xdr_rpc_handover ();
--- a/schema/gen/objects.h
+++ b/schema/gen/objects.h
@@ -41,7 +41,7 @@
   char *operator_token;
   /* Token that endpoints send as bearer; empty admits any.  */
   char *endpoint_token;
-  /* Routing policy: predicted, nearest, round-robin or least-inflight.  */
+  /* Routing policy.  */
   char *policy;
   /* Lease of an endpoint's announcement, ms.  */
   int64_t lease_ms;
@@ -53,7 +53,7 @@
   int64_t drain_limit_ms;
   /* Largest body of a request, bytes.  */
   int64_t max_body_bytes;
-  /* Least level logged: debug, info, warn or error.  */
+  /* Least level logged.  */
   char *log_level;
   /* Log as JSON lines.  */
   bool log_json;
@@ -92,12 +92,22 @@
   int64_t election_ms;
   /* Log entries after which a snapshot is taken.  */
   int64_t snapshot_entries;
-  /* Least level logged: debug, info, warn or error.  */
+  /* Least level logged.  */
   char *log_level;
   /* Log as JSON lines.  */
   bool log_json;
   /* Other state instances.  */
   GPtrArray *state_peers;
+  /* Copies that a home's ledger seeks in its region.  */
+  int64_t ledger_copies;
+  /* Whether claims that come together share one sync.  */
+  bool ledger_group_commit;
+  /* Absence of an owner after which its open claims end as unknown, ms.  */
+  int64_t ledger_owner_lost_ms;
+  /* Time for which the answer to a key is kept, s.  */
+  int64_t ledger_answer_keep_s;
+  /* Time for which a key and its outcome are kept, s.  */
+  int64_t ledger_key_keep_s;
 };
 
 /* A region.  */
@@ -237,6 +247,65 @@
   char *home;
 };
 
+/* An address that jaycove-load sends requests to.  */
+struct jc_load_target
+{
+  /* Name of the target.  */
+  char *name;
+  /* Its listener for callers.  */
+  char *address;
+  /* Its region; answers from another one count as sent away.  */
+  char *region;
+};
+
+/* A kind of request that jaycove-load sends.  */
+struct jc_load_class
+{
+  /* Product, for the report.  */
+  char *product;
+  /* Name of the class, for the report.  */
+  char *name;
+  /* Caller's key, sent as bearer.  */
+  char *key;
+  /* Path of the requests.  */
+  char *path;
+  /* Mean arrivals a second over all of its targets.  */
+  int64_t rate_per_s;
+  /* Whether the requests are chat completions.  */
+  bool engine;
+  /* Whether the answers are streams.  */
+  bool stream;
+  /* Whether each request has an idempotency key.  */
+  bool keyed;
+  /* Tokens of a completion.  */
+  int64_t tokens;
+  /* Different prompt prefixes, drawn evenly.  */
+  int64_t prefixes;
+  /* Filling of the body, bytes.  */
+  int64_t body_bytes;
+  /* Deadline that is sent, ms; 0 for none.  */
+  int64_t deadline_ms;
+  /* Names of its targets, taken in turn; none for all.  */
+  GPtrArray *targets;
+};
+
+/* Profile of jaycove-load.  */
+struct jc_load_profile
+{
+  /* Where requests go.  */
+  GPtrArray *targets;
+  /* What is sent.  */
+  GPtrArray *classes;
+  /* Time during which requests arrive, s.  */
+  int64_t seconds;
+  /* Most requests in all.  */
+  int64_t count;
+  /* Most requests in flight; arrivals beyond it are counted as not_sent.  */
+  int64_t in_flight;
+  /* Time after the deadline at which an answer is given up, ms.  */
+  int64_t grace_ms;
+};
+
 /* Kinds of configuration objects.  */
 enum jc_object_kind
 {
@@ -268,6 +337,9 @@
 extern const struct jc_table jc_link_table;
 extern const struct jc_table jc_product_table;
 extern const struct jc_table jc_route_table;
+extern const struct jc_table jc_load_target_table;
+extern const struct jc_table jc_load_class_table;
+extern const struct jc_table jc_load_profile_table;
 extern const struct jc_table *const jc_object_tables[JC_OBJECT_KINDS];
 
 #endif
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -111,7 +111,19 @@
   unsigned int lease_ms;
 };
 
-/* Changes of a zone's endpoints and the load of its entry instance.  */
+/* Load of an endpoint that its receiver knows.  tag stands for name and
+   incarnation; sequence has the low 32 bits; work is running << 16 | queued
+   and pace is lease_ms << 16 | tokens_per_s, each part at most 65535.  */
+struct rpc_zone_load {
+  unsigned hyper tag;
+  unsigned int sequence;
+  unsigned int work;
+  unsigned int pace;
+};
+
+/* Changes of a zone's endpoints as one entry instance hears them.  Sequences
+   count what goes from the sender to this receiver; resend asks for a full
+   one.  instance and callers_address are empty where full is not set.  */
 struct rpc_zone_delta {
   rpc_name instance;
   unsigned hyper incarnation;
@@ -120,6 +132,8 @@
   bool draining;
   rpc_name callers_address;
   rpc_endpoint endpoints<RPC_ITEMS_MAX>;
+  rpc_zone_load loads<RPC_ITEMS_MAX>;
+  bool resend;
 };
 
 struct rpc_summary_row {
@@ -130,11 +144,36 @@
   unsigned int expected_wait_ms;
 };
 
+/* An entry instance that callers may use.  */
+struct rpc_instance {
+  rpc_name name;
+  rpc_name zone;
+  rpc_name callers_address;
+  unsigned hyper incarnation;
+  bool draining;
+};
+
+/* Numbers of a row that its receiver knows; tag stands for service and
+   model.  */
+struct rpc_summary_load {
+  unsigned hyper tag;
+  unsigned int endpoints;
+  unsigned int free_slots;
+  unsigned int expected_wait_ms;
+};
+
+/* Capacity of a region, or of a zone to the other zones of its region.  Rows
+   give names, loads numbers alone; follow asks the receiver for its own from
+   now on.  */
 struct rpc_region_summary {
   rpc_name region;
   rpc_name zone;
   unsigned hyper sequence;
   rpc_summary_row rows<RPC_ITEMS_MAX>;
+  rpc_summary_load loads<RPC_ITEMS_MAX>;
+  rpc_instance instances<RPC_ITEMS_MAX>;
+  bool follow;
+  bool unfollow;
 };
 
 struct rpc_vote {
@@ -211,7 +250,8 @@
   RPC_CLAIM_CONFLICT = 3,
   RPC_CLAIM_UNKNOWN = 4,
   RPC_CLAIM_RECOVERING = 5,
-  RPC_CLAIM_REFUSED = 6
+  RPC_CLAIM_REFUSED = 6,
+  RPC_CLAIM_ANSWER_GONE = 7
 };
 
 struct rpc_claim_reply {
@@ -240,7 +280,45 @@
   int status;
 };
 
-/* Records of a home's ledger from sequence on; full starts a transfer.  */
+/* One key of a ledger, whole; state is an enum jc_key_state.  Times are wall
+   clock ms.  */
+struct rpc_ledger_record {
+  int state;
+  unsigned hyper sequence;
+  rpc_bytes id;
+  rpc_name product;
+  rpc_name route;
+  rpc_name key;
+  rpc_bytes digest;
+  rpc_name claim_id;
+  unsigned hyper fence;
+  int http_status;
+  rpc_name content_type;
+  bool answer_kept;
+  rpc_bytes answer;
+  unsigned hyper changed_ms;
+};
+
+struct rpc_ledger_member {
+  rpc_name name;
+  unsigned hyper incarnation;
+};
+
+/* Who keeps a home's ledger and who holds its copies, as the replicated log
+   records it.  An entry counts only where revision is that of the entry
+   before plus one.  */
+struct rpc_ledger_set {
+  rpc_name home;
+  unsigned hyper revision;
+  unsigned hyper epoch;
+  rpc_name ledger;
+  unsigned hyper ledger_incarnation;
+  rpc_ledger_member members<16>;
+};
+
+/* Records of a home's ledger up to sequence.  full is a part of a whole
+   transfer, pull asks the copy for its records from offset part on.  A copy
+   refuses a fence below the highest that it has seen.  */
 struct rpc_ledger_copy {
   rpc_name home;
   unsigned hyper ledger_incarnation;
@@ -248,14 +326,22 @@
   bool full;
   bool last;
   rpc_bytes records;
+  bool pull;
+  unsigned hyper fence;
+  unsigned hyper transfer;
+  unsigned int part;
 };
 
+/* The copy's sequence; pull answers carry records, and last the end.  */
 struct rpc_ledger_copy_reply {
   rpc_name home;
   unsigned hyper ledger_incarnation;
   unsigned hyper sequence;
   bool complete;
   rpc_bytes records;
+  bool pull;
+  bool last;
+  unsigned int part;
 };
 
 struct rpc_handover {
