Run the replicated log between the state instances

Submissions, replicas and the ledger's facts go through one log; a replica that does not lead forwards once. The former file of the whole configuration is gone.

--- a/entry/operators.c
+++ b/entry/operators.c
@@ -23,8 +23,9 @@
   return JC_OK;
 }
 
-/* A submission under way; REQ is NULL once its operator has gone.  */
-struct submission
+/* A question to a state instance under way; REQ is NULL once its operator has
+ * gone.  */
+struct question
 {
   struct jc_http_req *req;
 };
@@ -33,15 +34,20 @@
 on_submit_reply (void *ctx, enum jc_status status,
                  const struct rpc_packet *reply)
 {
-  struct submission *submission = ctx;
-  struct jc_http_req *req = submission->req;
+  struct question *question = ctx;
+  struct jc_http_req *req = question->req;
   const struct rpc_submit_reply *said;
   char *text;
 
-  g_free (submission);
+  g_free (question);
   if (req == NULL)
     return;
   jc_http_set_data (req, NULL);
+  if (status == JC_NOT_LEADER || status == JC_OVERLOADED)
+    {
+      jc_http_fail (req, status, jc_last_message (), RETRY_AFTER_MS);
+      return;
+    }
   if (status != JC_OK)
     {
       jc_http_fail (req, JC_OUTCOME_UNKNOWN,
@@ -67,7 +73,7 @@
   const char *expected = jc_http_query (req, "expected_version");
   const char *id = jc_http_query (req, "change_id");
   struct jc_str body = jc_http_body (req);
-  struct submission *submission;
+  struct question *question;
 
   if (expected == NULL || id == NULL)
     {
@@ -80,20 +86,81 @@
   submit->expected_version = strtoull (expected, NULL, 10);
   submit->json.rpc_bytes_val = (char *)body.data;
   submit->json.rpc_bytes_len = (u_int)body.len;
-  submission = g_new0 (struct submission, 1);
-  submission->req = req;
+  question = g_new0 (struct question, 1);
+  question->req = req;
   if (jc_rpc_call (follower_state_conn (entry), &packet, SUBMIT_MS,
-                   on_submit_reply, submission)
+                   on_submit_reply, question)
       != 0)
     {
-      jc_http_set_data (req, submission);
+      jc_http_set_data (req, question);
       return;
     }
-  g_free (submission);
+  g_free (question);
   jc_http_fail (req, JC_NOT_READY, "No state instance is reachable.",
                 RETRY_AFTER_MS);
 }
 
+static void
+on_admin_reply (void *ctx, enum jc_status status,
+                const struct rpc_packet *reply)
+{
+  struct question *asked = ctx;
+  struct jc_http_req *req = asked->req;
+  const struct rpc_admin_reply *said;
+
+  g_free (asked);
+  if (req == NULL)
+    return;
+  jc_http_set_data (req, NULL);
+  if (status != JC_OK || reply->body.type != RPC_ADMIN_REPLY)
+    {
+      jc_http_fail (req, status == JC_OK ? JC_INTERNAL : status,
+                    jc_last_message (), RETRY_AFTER_MS);
+      return;
+    }
+  said = &reply->body.rpc_body_u.admin_reply;
+  jc_http_reply (req, jc_status_row ((enum jc_status)said->status)->http,
+                 "application/json",
+                 (struct jc_str){ .data = said->json.rpc_bytes_val,
+                                  .len = said->json.rpc_bytes_len },
+                 NULL);
+}
+
+/* Hand the verb of the query with the JSON body to the state instance that
+   the query names, else to the nearest.  */
+static void
+handle_admin (struct entry *entry, struct jc_http_req *req)
+{
+  struct rpc_packet packet = { .body.type = RPC_ADMIN };
+  struct rpc_admin *admin = &packet.body.rpc_body_u.admin;
+  const char *verb = jc_http_query (req, "verb");
+  const char *name = jc_http_query (req, "state");
+  struct jc_str body = jc_http_body (req);
+  struct question *asked;
+
+  if (verb == NULL)
+    {
+      jc_http_fail (req, JC_BAD_REQUEST, "verb is needed.", 0);
+      return;
+    }
+  admin->verb = (char *)verb;
+  admin->json.rpc_bytes_val = (char *)body.data;
+  admin->json.rpc_bytes_len = (u_int)body.len;
+  asked = g_new0 (struct question, 1);
+  asked->req = req;
+  if (jc_rpc_call (name != NULL ? jc_rpc_find (entry->rpc, name)
+                                : follower_state_conn (entry),
+                   &packet, SUBMIT_MS, on_admin_reply, asked)
+      != 0)
+    {
+      jc_http_set_data (req, asked);
+      return;
+    }
+  g_free (asked);
+  jc_http_fail (req, JC_NOT_READY, "That state instance is not reachable.",
+                RETRY_AFTER_MS);
+}
+
 static void
 handle_status (struct entry *entry, struct jc_http_req *req)
 {
@@ -138,6 +205,7 @@
 static const struct operator_verb verbs[]
     = { { "POST", "/config", handle_submit },
         { "GET", "/config", handle_config },
+        { "POST", "/admin", handle_admin },
         { "GET", "/status", handle_status },
         { "GET", "/metrics", handle_metrics } };
 
@@ -158,11 +226,11 @@
 static void
 operators_gone (void *ctx, struct jc_http_req *req)
 {
-  struct submission *submission = jc_http_data (req);
+  struct question *question = jc_http_data (req);
 
   (void)ctx;
-  if (submission != NULL)
-    submission->req = NULL;
+  if (question != NULL)
+    question->req = NULL;
 }
 
 /* Open the listener for operators.  */
--- a/state/log.c
+++ b/state/log.c
@@ -1,70 +1,417 @@
-/* Log task: the replicated log of the group, so far of one replica.  */
+/* Log task: the replicated log between the state instances.  What came in
+   one turn of the loop shares one sync.  */
 
-#include "base/journal.h"
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "conf/replicas.h"
+#include "conf/rlog.h"
+#include "net/program.h"
+#include "state/call.h"
 #include "state/state.h"
 
-/* The log of this instance.  */
+#define PART "log"
+
+enum
+{
+  BEATS_IN_ELECTION = 5,
+  TICKS_IN_BEAT = 4,
+  CHUNK_BYTES = 256 * 1024,
+  BACKLOG_MAX = 8 * 1024 * 1024,
+  VOTERS_MAX = 5,
+  PROPOSE_MS = 3000,
+  RETRY_AFTER_MS = 500,
+  MS_PER_S = 1000
+};
+
+/* The log of this instance.  RUNNING says that the log was replayed.  */
 struct log
 {
-  struct jc_journal *journal;
+  struct jc_rlog *rlog;
+  ev_timer tick;
+  ev_prepare flush;
+  bool running;
 };
 
 static void
-log_apply (struct state *state, struct jc_str record)
+on_send (void *ctx, const char *to, const struct rpc_body *body)
+{
+  struct state *state = ctx;
+  struct jc_rpc_conn *conn = jc_rpc_find (state->rpc, to);
+  struct rpc_packet packet = { .body = *body };
+
+  if (conn != NULL && jc_rpc_conn_backlog (conn) < BACKLOG_MAX)
+    jc_rpc_send (conn, &packet);
+}
+
+/* Take over the configuration that the log came to.  */
+static void
+take_config (struct state *state)
+{
+  if (state->config == state->changes->config)
+    return;
+  state->config = state->changes->config;
+  jc_rpc_set_config_version (state->rpc, state->config->version);
+  if (state->log != NULL && state->log->running)
+    ledger_config_changed (state);
+}
+
+static void
+on_applied (void *ctx, uint64_t index, uint32_t kind, struct jc_str data)
 {
-  struct jc_str data = { .data = record.data + 1, .len = record.len - 1 };
+  struct state *state = ctx;
 
-  if (record.data[0] == LOG_LEDGER)
+  (void)index;
+  if (kind == LOG_CHANGE)
+    state->answer = jc_changes_apply (state->changes, data);
+  else if (kind == LOG_LEDGER)
     ledger_applied (state, data);
+  take_config (state);
+}
+
+static void
+restore_ledger (struct state *state, const json_t *entries)
+{
+  const json_t *entry;
+  size_t i;
+
+  json_array_foreach ((json_t *)entries, i, entry)
+  {
+    gsize len;
+    guchar *data = g_base64_decode (json_string_value (entry), &len);
+
+    ledger_restore (state,
+                    (struct jc_str){ .data = (const char *)data, .len = len });
+    g_free (data);
+  }
+}
+
+static void
+on_restore (void *ctx, uint64_t index, struct jc_str snapshot)
+{
+  struct state *state = ctx;
+  json_t *json = json_loadb (snapshot.data, snapshot.len, 0, NULL);
+
+  (void)index;
+  if (jc_changes_restore (state->changes, json) != JC_OK)
+    {
+      jc_error (PART, "The snapshot can't be read.");
+      state->broken = true;
+      ev_break (state->loop, EVBREAK_ALL);
+    }
+  else
+    restore_ledger (state, json_object_get (json, "ledger"));
+  take_config (state);
+  json_decref (json);
+}
+
+static void
+on_snapshot (void *ctx, GString *out)
+{
+  const struct state *state = ctx;
+  GPtrArray *entries
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  json_t *json = json_object ();
+  json_t *ledger = json_array ();
+  char *text;
+
+  jc_changes_snapshot (state->changes, json);
+  ledger_snapshot (state, entries);
+  for (guint i = 0; i < entries->len; i++)
+    {
+      gsize len;
+      const guchar *data = g_bytes_get_data (entries->pdata[i], &len);
+      char *coded = g_base64_encode (data, len);
+
+      json_array_append_new (ledger, json_string (coded));
+      g_free (coded);
+    }
+  json_object_set_new (json, "ledger", ledger);
+  text = json_dumps (json, JSON_COMPACT);
+  g_string_append (out, text);
+  free (text);
+  json_decref (json);
+  g_ptr_array_free (entries, TRUE);
+}
+
+static void
+on_role (void *ctx, enum jc_rlog_role role)
+{
+  (void)ctx;
+  jc_info (PART, "This replica is %s.", jc_rlog_role_name (role));
+}
+
+static const struct jc_rlog_class log_class = { .send = on_send,
+                                                .restore = on_restore,
+                                                .applied = on_applied,
+                                                .snapshot = on_snapshot,
+                                                .role = on_role };
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct state *state = watcher->data;
+
+  (void)loop;
+  (void)events;
+  jc_rlog_tick (state->log->rlog, jc_now_ms ());
+}
+
+static void
+on_flush (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  struct state *state = watcher->data;
+
+  (void)loop;
+  (void)events;
+  jc_rlog_flush (state->log->rlog, jc_now_ms ());
+  followers_push (state);
 }
 
 static enum jc_status
-on_record (void *ctx, struct jc_str record)
+bootstrap (struct state *state)
 {
-  if (record.len == 0)
-    return jc_fail (JC_CORRUPT, "The log has an empty entry.");
-  log_apply (ctx, record);
-  return JC_OK;
+  const GPtrArray *peers = state->settings->state_peers;
+  struct rpc_replicas others = { 0 };
+  enum jc_status status;
+
+  for (guint i = 0; i < peers->len; i++)
+    {
+      const struct jc_peer *peer = g_ptr_array_index (peers, i);
+      struct rpc_replica row
+          = { .name = peer->name, .standing = i + 1 < VOTERS_MAX };
+
+      jc_replicas_put (&others, &row);
+    }
+  status = jc_rlog_bootstrap (state->log->rlog, jc_random_id (), &others);
+  jc_replicas_clear (&others);
+  return status;
+}
+
+static void
+start_watchers (struct state *state)
+{
+  struct log *log = state->log;
+  double tick_s = (double)state->settings->election_ms / BEATS_IN_ELECTION
+                  / TICKS_IN_BEAT / MS_PER_S;
+
+  ev_timer_init (&log->tick, on_tick, tick_s, tick_s);
+  log->tick.data = state;
+  ev_timer_start (state->loop, &log->tick);
+  ev_prepare_init (&log->flush, on_flush);
+  log->flush.data = state;
+  ev_prepare_start (state->loop, &log->flush);
 }
 
-/* Open the log and hand over its committed entries.  */
+/* Open the log and take over what is committed on this disk; FOUND founds a
+   new log with the peers of the settings.  */
 enum jc_status
-log_start (struct state *state)
+log_start (struct state *state, bool found)
 {
+  const struct jc_state_settings *s = state->settings;
+  struct jc_rlog_options options
+      = { .name = s->name,
+          .seed = jc_random_id (),
+          .fresh_incarnation = jc_random_id (),
+          .election_ms = s->election_ms,
+          .heartbeat_ms = s->election_ms / BEATS_IN_ELECTION,
+          .snapshot_entries = (uint64_t)s->snapshot_entries,
+          .chunk_bytes = CHUNK_BYTES };
   enum jc_status status;
 
   state->log = g_new0 (struct log, 1);
-  state->log->journal
-      = jc_journal_open (state->disk, "log", on_record, state, &status);
-  return status;
+  state->log->rlog = jc_rlog_open (state->disk, &options, &log_class, state,
+                                   jc_now_ms (), &status);
+  if (status == JC_OK && state->broken)
+    status = jc_fail (JC_CORRUPT, "The snapshot on disk is not valid.");
+  if (status == JC_OK && found)
+    status = bootstrap (state);
+  if (status != JC_OK)
+    return status;
+  if (!jc_rlog_founded (state->log->rlog))
+    jc_info (PART, "The data folder is empty; waiting for a leader.");
+  state->log->running = true;
+  start_watchers (state);
+  ledger_config_changed (state);
+  return JC_OK;
 }
 
 /* Close the log.  */
 void
 log_stop (struct state *state)
 {
-  if (state->log == NULL)
+  struct log *log = state->log;
+
+  if (log == NULL)
     return;
-  jc_journal_free (state->log->journal);
-  g_free (state->log);
+  if (log->running)
+    {
+      ev_timer_stop (state->loop, &log->tick);
+      ev_prepare_stop (state->loop, &log->flush);
+    }
+  jc_rlog_free (log->rlog);
+  g_free (log);
   state->log = NULL;
 }
 
-/* Propose DATA as an entry of KIND; DONE gets CTX and what became of it.  */
+/* Return the connection to the leader, or NULL where none is known or this
+   replica leads.  */
+struct jc_rpc_conn *
+log_leader_conn (struct state *state)
+{
+  const char *leader;
+
+  if (state->log->rlog == NULL)
+    return NULL;
+  leader = jc_rlog_leader (state->log->rlog);
+  return leader[0] != '\0' ? jc_rpc_find (state->rpc, leader) : NULL;
+}
+
+/* Tell whether this replica leads; it does not while it is opened.  */
+bool
+log_leads (const struct state *state)
+{
+  return state->log->rlog != NULL
+         && jc_rlog_role (state->log->rlog) == JC_RLOG_LEADER;
+}
+
+/* A proposal that was handed to the leader.  */
+struct handed
+{
+  log_done_fn *done;
+  void *ctx;
+};
+
+static void
+on_handed (void *ctx, enum jc_status status, const struct rpc_packet *reply)
+{
+  struct handed *handed = ctx;
+
+  if (status == JC_OK && reply->body.type == RPC_PROPOSE_REPLY)
+    status = (enum jc_status)reply->body.rpc_body_u.propose_reply.status;
+  else if (status != JC_NOT_LEADER && status != JC_OVERLOADED)
+    status = JC_OUTCOME_UNKNOWN;
+  handed->done (handed->ctx, status);
+  g_free (handed);
+}
+
+static void
+hand_to_leader (struct state *state, enum log_kind kind, struct jc_str data,
+                log_done_fn *done, void *ctx)
+{
+  struct rpc_packet packet = { .body.type = RPC_PROPOSE };
+  struct rpc_propose *propose = &packet.body.rpc_body_u.propose;
+  struct handed *handed = g_new0 (struct handed, 1);
+
+  propose->kind = kind;
+  propose->data.rpc_bytes_val = (char *)data.data;
+  propose->data.rpc_bytes_len = (u_int)data.len;
+  handed->done = done;
+  handed->ctx = ctx;
+  if (jc_rpc_call (log_leader_conn (state), &packet, PROPOSE_MS, on_handed,
+                   handed)
+      != 0)
+    return;
+  g_free (handed);
+  done (ctx, JC_NOT_LEADER);
+}
+
+/* Propose DATA as an entry of KIND; DONE gets CTX and what became of it.  A
+   replica that does not lead hands it to the leader.  */
 void
 log_propose (struct state *state, enum log_kind kind, struct jc_str data,
              log_done_fn *done, void *ctx)
 {
-  GString *record = g_string_new (NULL);
-  enum jc_status status;
+  if (log_leads (state))
+    jc_rlog_propose (state->log->rlog, kind, data, done, ctx);
+  else
+    hand_to_leader (state, kind, data, done, ctx);
+}
+
+static void
+on_proposed (void *ctx, enum jc_status status)
+{
+  struct rpc_packet answer = { .body.type = RPC_PROPOSE_REPLY };
 
-  g_string_append_c (record, (char)kind);
-  g_string_append_len (record, data.data, (gssize)data.len);
-  status = jc_journal_append (state->log->journal, jc_str_of (record));
-  if (status == JC_OK)
-    status = jc_journal_sync (state->log->journal);
-  if (status == JC_OK)
-    log_apply (state, jc_str_of (record));
-  g_string_free (record, TRUE);
-  done (ctx, status == JC_OK ? JC_OK : JC_OUTCOME_UNKNOWN);
+  answer.body.rpc_body_u.propose_reply.status = (int)status;
+  call_answer (ctx, &answer);
+}
+
+static void
+take_proposal (struct state *state, struct jc_rpc_conn *conn,
+               const struct rpc_packet *packet)
+{
+  const struct rpc_propose *propose = &packet->body.rpc_body_u.propose;
+
+  jc_rlog_propose (state->log->rlog, propose->kind,
+                   (struct jc_str){ .data = propose->data.rpc_bytes_val,
+                                    .len = propose->data.rpc_bytes_len },
+                   on_proposed, call_keep (state->rpc, conn, packet));
+}
+
+/* Take a message of another replica.  */
+void
+log_packet (struct state *state, struct jc_rpc_conn *conn,
+            const struct rpc_packet *packet)
+{
+  enum rpc_type type = packet->body.type;
+
+  if (strcmp (jc_rpc_conn_role (conn), "state") != 0)
+    return;
+  if (type == RPC_PROPOSE && packet->body.rpc_body_u.propose.kind == LOG_LEDGER)
+    take_proposal (state, conn, packet);
+  else if (type >= RPC_VOTE && type <= RPC_INSTALL_REPLY)
+    jc_rlog_receive (state->log->rlog, jc_rpc_conn_name (conn), &packet->body,
+                     jc_now_ms ());
+}
+
+static json_t *
+replica_json (const struct rpc_replica *replica)
+{
+  char disk[2 * sizeof replica->incarnation + 1];
+
+  g_snprintf (disk, sizeof disk, "%" G_GINT64_MODIFIER "x",
+              (guint64)replica->incarnation);
+  return json_pack ("{s:s,s:s,s:b,s:b}", "name", replica->name, "disk", disk,
+                    "standing", replica->standing, "voter", replica->voter);
+}
+
+/* Put what this replica knows of the log into SAID.  */
+void
+log_describe (const struct state *state, json_t *said)
+{
+  const struct jc_rlog *rlog = state->log->rlog;
+  const struct rpc_replicas *rows = jc_rlog_replicas (rlog);
+  json_t *list = json_array ();
+
+  for (u_int i = 0; i < rows->list.list_len; i++)
+    json_array_append_new (list, replica_json (&rows->list.list_val[i]));
+  json_object_set_new (said, "replica", json_string (state->settings->name));
+  json_object_set_new (said, "role",
+                       json_string (jc_rlog_role_name (jc_rlog_role (rlog))));
+  json_object_set_new (said, "leader", json_string (jc_rlog_leader (rlog)));
+  json_object_set_new (said, "term",
+                       json_integer ((json_int_t)jc_rlog_term (rlog)));
+  json_object_set_new (said, "applied",
+                       json_integer ((json_int_t)jc_rlog_applied (rlog)));
+  json_object_set_new (said, "version",
+                       json_integer ((json_int_t)state->config->version));
+  json_object_set_new (said, "replicas", list);
+}
+
+/* Add the replica NAME, STANDING for promotion or not.  */
+void
+log_put_replica (struct state *state, const char *name, bool standing,
+                 log_done_fn *done, void *ctx)
+{
+  jc_rlog_put_replica (state->log->rlog, name, standing, done, ctx);
+}
+
+/* Remove the replica NAME.  */
+void
+log_remove_replica (struct state *state, const char *name, log_done_fn *done,
+                    void *ctx)
+{
+  jc_rlog_remove_replica (state->log->rlog, name, done, ctx);
 }
--- a/state/main.c
+++ b/state/main.c
@@ -29,9 +29,15 @@
   else if (packet->body.type == RPC_CONFIG_FOLLOW)
     followers_add (ctx, conn, packet);
   else if (packet->body.type == RPC_ADMIN)
-    ledger_admin (ctx, conn, packet);
+    {
+      if (!admin_handle (ctx, conn, packet))
+        ledger_admin (ctx, conn, packet);
+    }
   else
-    ledger_packet (ctx, conn, packet);
+    {
+      log_packet (ctx, conn, packet);
+      ledger_packet (ctx, conn, packet);
+    }
 }
 
 static const struct jc_rpc_class rpc_class
@@ -45,8 +51,21 @@
   ev_break (loop, EVBREAK_ALL);
 }
 
+static void
+dial_peers (struct state *state)
+{
+  const GPtrArray *peers = state->settings->state_peers;
+
+  for (guint i = 0; i < peers->len; i++)
+    {
+      const struct jc_peer *peer = g_ptr_array_index (peers, i);
+
+      jc_rpc_dial (state->rpc, peer->name, peer->rpc);
+    }
+}
+
 static enum jc_status
-start (struct state *state)
+start (struct state *state, bool found)
 {
   const struct jc_state_settings *s = state->settings;
   struct jc_rpc_identity identity = { .group = s->group,
@@ -63,17 +82,19 @@
   state->disk = jc_disk_open (s->data_folder);
   if (state->disk == NULL)
     return JC_STORAGE_FAILED;
-  status = store_load (state);
-  if (status != JC_OK)
-    return status;
+  state->changes = jc_changes_new ();
+  state->config = state->changes->config;
   state->rpc = jc_rpc_new (state->loop, &identity, &rpc_class, state);
   jc_rpc_set_config_version (state->rpc, state->config->version);
   status = ledger_start (state);
   if (status == JC_OK)
-    status = log_start (state);
+    status = log_start (state, found);
   if (status != JC_OK)
     return status;
-  return jc_rpc_listen (state->rpc, s->rpc);
+  status = jc_rpc_listen (state->rpc, s->rpc);
+  if (status == JC_OK)
+    dial_peers (state);
+  return status;
 }
 
 int
@@ -98,10 +119,10 @@
   jc_log_setup (jc_log_level_by_name (state.settings->log_level),
                 state.settings->log_json);
   state.loop = ev_default_loop (0);
-  state.followers = g_ptr_array_new ();
+  state.followers = g_ptr_array_new_with_free_func (g_free);
   ev_signal_init (&term, on_term, SIGTERM);
   ev_signal_start (state.loop, &term);
-  if (start (&state) == JC_OK)
+  if (start (&state, bootstrap) == JC_OK)
     {
       jc_info (PART, "Serving version %" G_GUINT64_FORMAT ".",
                state.config->version);
@@ -118,8 +139,7 @@
     jc_rpc_free (state.rpc);
   if (state.disk != NULL)
     state.disk->klass->free (state.disk);
-  jc_config_free (state.config);
-  json_decref (state.answers);
+  jc_changes_free (state.changes);
   g_ptr_array_free (state.followers, TRUE);
   jc_table_free (program.table, settings);
   return code;
--- a/state/state.h
+++ b/state/state.h
@@ -6,11 +6,12 @@
 #include <ev.h>
 
 #include "base/disk.h"
-#include "conf/config.h"
+#include "conf/changes.h"
 #include "net/httpd.h"
 #include "net/rpc.h"
 
-/* Everything of the process.  */
+/* Everything of the process.  CONFIG is that of CHANGES; ANSWER is the one to
+   the change that was applied last.  */
 struct state
 {
   struct ev_loop *loop;
@@ -18,9 +19,11 @@
   struct jc_disk *disk;
   struct jc_rpc *rpc;
   struct jc_config *config;
-  json_t *answers;
+  struct jc_changes *changes;
+  const struct jc_answer *answer;
   GPtrArray *followers;
   struct log *log;
+  bool broken;
   struct ledgers *ledgers;
 };
 
@@ -39,11 +42,23 @@
 
 /* log: the replicated log.  A ledger proposes LOG_LEDGER entries and is told
    of committed ones in order, also while the log is replayed.  */
-enum jc_status log_start (struct state *state);
+enum jc_status log_start (struct state *state, bool found);
 void log_stop (struct state *state);
 void log_propose (struct state *state, enum log_kind kind, struct jc_str data,
                   log_done_fn *done, void *ctx);
 
+bool log_leads (const struct state *state);
+struct jc_rpc_conn *log_leader_conn (struct state *state);
+void log_packet (struct state *state, struct jc_rpc_conn *conn,
+                 const struct rpc_packet *packet);
+void log_describe (const struct state *state, json_t *said);
+void log_put_replica (struct state *state, const char *name, bool standing,
+                      log_done_fn *done, void *ctx);
+void log_remove_replica (struct state *state, const char *name,
+                         log_done_fn *done, void *ctx);
+bool admin_handle (struct state *state, struct jc_rpc_conn *conn,
+                   const struct rpc_packet *packet);
+
 /* ledger: homes of this instance's region.  */
 enum jc_status ledger_start (struct state *state);
 void ledger_stop (struct state *state);
@@ -58,10 +73,6 @@
 void ledger_admin (struct state *state, struct jc_rpc_conn *conn,
                    const struct rpc_packet *packet);
 
-enum jc_status store_load (struct state *state);
-enum jc_status store_save (const struct state *state,
-                           const struct jc_config *config,
-                           const json_t *answers);
 void submit_handle (struct state *state, struct jc_rpc_conn *conn,
                     const struct rpc_packet *packet);
 void followers_add (struct state *state, struct jc_rpc_conn *conn,
--- a/state/submit.c
+++ b/state/submit.c
@@ -1,16 +1,41 @@
-/* Submissions of operators and the followers of the configuration.  */
+/* Submissions of operators.  Each goes through the log, so that its answer is
+   the first one for its change id and rests on the current version.  */
 
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/log.h"
+#include "state/call.h"
 #include "state/state.h"
 
 #define PART "submit"
 
+enum
+{
+  FORWARD_MS = 4000,
+  RETRY_AFTER_MS = 500
+};
+
+/* A submission under way.  */
+struct submission
+{
+  struct state *state;
+  struct call *call;
+};
+
+static struct submission *
+submission_new (struct state *state, struct jc_rpc_conn *conn,
+                const struct rpc_packet *packet)
+{
+  struct submission *submission = g_new0 (struct submission, 1);
+
+  submission->state = state;
+  submission->call = call_keep (state->rpc, conn, packet);
+  return submission;
+}
+
 static void
-reply (struct jc_rpc_conn *conn, const struct rpc_packet *question,
-       enum jc_status status, uint64_t version, const char *faults)
+answer (struct submission *submission, enum jc_status status, uint64_t version,
+        const char *faults)
 {
   struct rpc_packet packet = { .body.type = RPC_SUBMIT_REPLY };
   struct rpc_submit_reply *said = &packet.body.rpc_body_u.submit_reply;
@@ -19,131 +44,91 @@
   said->at_version = version;
   said->faults.rpc_bytes_val = (char *)faults;
   said->faults.rpc_bytes_len = (u_int)strlen (faults);
-  jc_rpc_answer (conn, question, &packet);
+  call_answer (submission->call, &packet);
+  g_free (submission);
 }
 
-static char *
-faults_text (const GPtrArray *faults)
+static void
+refuse (struct submission *submission, enum jc_status status)
 {
-  json_t *list = json_array ();
-  char *text;
-
-  for (guint i = 0; i < faults->len; i++)
-    json_array_append_new (list, json_string (g_ptr_array_index (faults, i)));
-  text = json_dumps (list, JSON_COMPACT);
-  json_decref (list);
-  return text;
+  jc_fail (status, status == JC_OUTCOME_UNKNOWN
+                       ? "The outcome is not known; send the same change id "
+                         "again."
+                       : "No leader is known here; send it again.");
+  call_fail (submission->call, status, RETRY_AFTER_MS);
+  g_free (submission);
 }
 
-/* Put CONFIG in place of the current one, once it is durable.  */
-static enum jc_status
-accept_config (struct state *state, struct jc_config *config,
-               const char *change_id)
+static void
+on_done (void *ctx, enum jc_status status)
 {
-  json_t *answers = json_copy (state->answers);
-  enum jc_status status;
+  struct submission *submission = ctx;
+  const struct jc_answer *first = submission->state->answer;
 
-  json_object_set_new (answers, change_id,
-                       json_integer ((json_int_t)config->version));
-  status = store_save (state, config, answers);
   if (status != JC_OK)
     {
-      json_decref (answers);
-      return status;
+      refuse (submission, status);
+      return;
     }
-  json_decref (state->answers);
-  jc_config_free (state->config);
-  state->answers = answers;
-  state->config = config;
-  jc_rpc_set_config_version (state->rpc, config->version);
-  jc_info (PART, "Version %" G_GUINT64_FORMAT " is accepted.", config->version);
-  followers_push (state);
-  return JC_OK;
+  jc_info (PART, "Change %s: %s, version %" G_GUINT64_FORMAT ".",
+           first->change_id != NULL ? first->change_id : "",
+           jc_status_name (first->status), first->version);
+  answer (submission, first->status, first->version, first->faults);
 }
 
 static void
-submit_change (struct state *state, struct jc_rpc_conn *conn,
-               const struct rpc_packet *packet)
+on_forwarded (void *ctx, enum jc_status status, const struct rpc_packet *reply)
 {
-  const struct rpc_submit *submit = &packet->body.rpc_body_u.submit;
-  json_t *change = json_loadb (submit->json.rpc_bytes_val,
-                               submit->json.rpc_bytes_len, 0, NULL);
-  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
-  struct jc_config *config = NULL;
-  enum jc_status status = JC_CHECK_FAILED;
-  char *text;
-
-  if (change == NULL)
-    jc_fault (faults, "change", "is not JSON");
-  else
-    config = jc_config_apply (state->config, change, state->config->version + 1,
-                              faults);
-  if (config != NULL)
-    status = accept_config (state, config, submit->change_id);
-  if (config != NULL && status != JC_OK)
-    jc_config_free (config);
-  text = faults_text (faults);
-  reply (conn, packet, status, state->config->version, text);
-  free (text);
-  g_ptr_array_free (faults, TRUE);
-  json_decref (change);
-}
+  struct submission *submission = ctx;
+  const struct rpc_submit_reply *said;
+  char *faults;
 
-/* Handle the submission PACKET of an operator.  */
-void
-submit_handle (struct state *state, struct jc_rpc_conn *conn,
-               const struct rpc_packet *packet)
-{
-  const struct rpc_submit *submit = &packet->body.rpc_body_u.submit;
-  const json_t *known = json_object_get (state->answers, submit->change_id);
-
-  if (known != NULL)
-    reply (conn, packet, JC_OK, (uint64_t)json_integer_value (known), "[]");
-  else if (submit->expected_version != state->config->version)
-    reply (conn, packet, JC_VERSION_CONFLICT, state->config->version, "[]");
-  else
-    submit_change (state, conn, packet);
+  if (status != JC_OK || reply->body.type != RPC_SUBMIT_REPLY)
+    {
+      refuse (submission, status == JC_NOT_LEADER || status == JC_OVERLOADED
+                              ? status
+                              : JC_OUTCOME_UNKNOWN);
+      return;
+    }
+  said = &reply->body.rpc_body_u.submit_reply;
+  faults = g_strndup (said->faults.rpc_bytes_val, said->faults.rpc_bytes_len);
+  answer (submission, (enum jc_status)said->status, said->at_version, faults);
+  g_free (faults);
 }
 
 static void
-followers_send (struct state *state, struct jc_rpc_conn *conn)
-{
-  struct rpc_packet packet = { .body.type = RPC_CONFIG_DELTA };
-  struct rpc_config_delta *delta = &packet.body.rpc_body_u.config_delta;
-  char *text = json_dumps (state->config->json, JSON_COMPACT);
-
-  delta->to_version = state->config->version;
-  delta->durable_version = state->config->version;
-  delta->json.rpc_bytes_val = text;
-  delta->json.rpc_bytes_len = (u_int)strlen (text);
-  jc_rpc_send (conn, &packet);
-  free (text);
-}
-
-/* Send CONN every version from now on.  */
-void
-followers_add (struct state *state, struct jc_rpc_conn *conn,
-               const struct rpc_packet *packet)
+forward (struct state *state, struct submission *submission,
+         const struct rpc_submit *submit)
 {
-  uint64_t have = packet->body.rpc_body_u.config_follow.have_version;
+  struct rpc_packet packet = { .body.type = RPC_SUBMIT };
 
-  if (!g_ptr_array_find (state->followers, conn, NULL))
-    g_ptr_array_add (state->followers, conn);
-  if (have < state->config->version)
-    followers_send (state, conn);
+  packet.body.rpc_body_u.submit = *submit;
+  if (jc_rpc_call (log_leader_conn (state), &packet, FORWARD_MS, on_forwarded,
+                   submission)
+      == 0)
+    refuse (submission, JC_NOT_LEADER);
 }
 
-/* Forget CONN, which went down.  */
+/* Handle the submission PACKET of an operator.  A replica that does not lead
+   forwards it to the leader, once.  */
 void
-followers_remove (struct state *state, struct jc_rpc_conn *conn)
+submit_handle (struct state *state, struct jc_rpc_conn *conn,
+               const struct rpc_packet *packet)
 {
-  g_ptr_array_remove_fast (state->followers, conn);
-}
+  const struct rpc_submit *submit = &packet->body.rpc_body_u.submit;
+  struct submission *submission = submission_new (state, conn, packet);
+  bool forwarded = strcmp (jc_rpc_conn_role (conn), "state") == 0;
+  GString *data;
 
-/* Send the current version to every follower.  */
-void
-followers_push (struct state *state)
-{
-  for (guint i = 0; i < state->followers->len; i++)
-    followers_send (state, g_ptr_array_index (state->followers, i));
+  if (!log_leads (state) && !forwarded)
+    {
+      forward (state, submission, submit);
+      return;
+    }
+  data = jc_changes_encode (submit);
+  if (log_leads (state))
+    log_propose (state, LOG_CHANGE, jc_str_of (data), on_done, submission);
+  else
+    refuse (submission, JC_NOT_LEADER);
+  g_string_free (data, TRUE);
 }
