--- a/entry/operators.c
+++ b/entry/operators.c
@@ -202,13 +202,11 @@
   void (*handle) (struct entry *entry, struct jc_http_req *req);
 };
 
-static const struct operator_verb verbs[]
-    = { { "POST", "/config", handle_submit },
-        { "POST", "/drain", drain_handle },
-        { "GET", "/config", handle_config },
-        { "POST", "/admin", handle_admin },
-        { "GET", "/status", handle_status },
-        { "GET", "/metrics", handle_metrics } };
+static const struct operator_verb verbs[] = {
+  { "POST", "/config", handle_submit }, { "POST", "/drain", drain_handle },
+  { "GET", "/config", handle_config },  { "POST", "/admin", handle_admin },
+  { "GET", "/status", handle_status },  { "GET", "/metrics", handle_metrics }
+};
 
 static void
 operators_body (void *ctx, struct jc_http_req *req)
