--- a/entry/request.c
+++ b/entry/request.c
@@ -10,6 +10,7 @@
 #include "serve/request.h"
 
 #define PART "request"
+#define RESUME_HEADER "X-Resume-From"
 
 enum
 {
@@ -84,19 +85,18 @@
 }
 
 static void
-call_on_header (void *ctx, struct jc_str line)
+call_on_header (void *ctx, struct jc_str name, struct jc_str value)
 {
-  static const char name[] = "X-Resume-From:";
   struct request *request = ctx;
-  size_t len = sizeof name - 1;
-  char *value;
+  char *offset;
 
-  if (line.len <= len || g_ascii_strncasecmp (line.data, name, len) != 0)
+  if (name.len != sizeof RESUME_HEADER - 1
+      || g_ascii_strncasecmp (name.data, RESUME_HEADER, name.len) != 0)
     return;
-  value = g_strndup (line.data + len, line.len - len);
+  offset = jc_str_dup (value);
   request->resumed
-      = g_ascii_strtoull (value, NULL, 10) == request->machine.delivered;
-  g_free (value);
+      = g_ascii_strtoull (offset, NULL, 10) == request->machine.delivered;
+  g_free (offset);
 }
 
 static void
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -66,6 +66,8 @@
 	RPC_HANDOVER_CANCEL = 54,
 	RPC_ADMIN = 60,
 	RPC_ADMIN_REPLY = 61,
+	RPC_PROPOSE = 70,
+	RPC_PROPOSE_REPLY = 71,
 };
 typedef enum rpc_type rpc_type;
 
@@ -133,6 +135,14 @@
 };
 typedef struct rpc_endpoint rpc_endpoint;
 
+struct rpc_zone_load {
+	u_quad_t tag;
+	u_int sequence;
+	u_int work;
+	u_int pace;
+};
+typedef struct rpc_zone_load rpc_zone_load;
+
 struct rpc_zone_delta {
 	rpc_name instance;
 	u_quad_t incarnation;
@@ -144,6 +154,11 @@
 		u_int endpoints_len;
 		rpc_endpoint *endpoints_val;
 	} endpoints;
+	struct {
+		u_int loads_len;
+		rpc_zone_load *loads_val;
+	} loads;
+	bool_t resend;
 };
 typedef struct rpc_zone_delta rpc_zone_delta;
 
@@ -156,6 +171,23 @@
 };
 typedef struct rpc_summary_row rpc_summary_row;
 
+struct rpc_instance {
+	rpc_name name;
+	rpc_name zone;
+	rpc_name callers_address;
+	u_quad_t incarnation;
+	bool_t draining;
+};
+typedef struct rpc_instance rpc_instance;
+
+struct rpc_summary_load {
+	u_quad_t tag;
+	u_int endpoints;
+	u_int free_slots;
+	u_int expected_wait_ms;
+};
+typedef struct rpc_summary_load rpc_summary_load;
+
 struct rpc_region_summary {
 	rpc_name region;
 	rpc_name zone;
@@ -164,6 +196,17 @@
 		u_int rows_len;
 		rpc_summary_row *rows_val;
 	} rows;
+	struct {
+		u_int loads_len;
+		rpc_summary_load *loads_val;
+	} loads;
+	struct {
+		u_int instances_len;
+		rpc_instance *instances_val;
+	} instances;
+	bool_t listed;
+	bool_t follow;
+	bool_t unfollow;
 };
 typedef struct rpc_region_summary rpc_region_summary;
 
@@ -172,6 +215,7 @@
 	bool_t pre;
 	u_quad_t last_index;
 	u_quad_t last_term;
+	u_quad_t log_id;
 };
 typedef struct rpc_vote rpc_vote;
 
@@ -179,6 +223,7 @@
 	u_quad_t term;
 	bool_t pre;
 	bool_t granted;
+	u_quad_t disk_incarnation;
 };
 typedef struct rpc_vote_reply rpc_vote_reply;
 
@@ -199,6 +244,7 @@
 		u_int entries_len;
 		rpc_log_entry *entries_val;
 	} entries;
+	u_quad_t log_id;
 };
 typedef struct rpc_append rpc_append;
 
@@ -218,6 +264,8 @@
 	u_quad_t offset;
 	bool_t done;
 	rpc_bytes data;
+	u_quad_t log_id;
+	u_quad_t round;
 };
 typedef struct rpc_install rpc_install;
 
@@ -226,6 +274,7 @@
 	u_quad_t last_index;
 	u_quad_t offset;
 	u_quad_t disk_incarnation;
+	u_quad_t round;
 };
 typedef struct rpc_install_reply rpc_install_reply;
 
@@ -247,6 +296,7 @@
 	RPC_CLAIM_UNKNOWN = 4,
 	RPC_CLAIM_RECOVERING = 5,
 	RPC_CLAIM_REFUSED = 6,
+	RPC_CLAIM_ANSWER_GONE = 7,
 };
 typedef enum rpc_claim_state rpc_claim_state;
 
@@ -278,6 +328,43 @@
 };
 typedef struct rpc_result_reply rpc_result_reply;
 
+struct rpc_ledger_record {
+	int state;
+	u_quad_t sequence;
+	rpc_bytes id;
+	rpc_name product;
+	rpc_name route;
+	rpc_name key;
+	rpc_bytes digest;
+	rpc_name claim_id;
+	u_quad_t fence;
+	int http_status;
+	rpc_name content_type;
+	bool_t answer_kept;
+	rpc_bytes answer;
+	u_quad_t changed_ms;
+};
+typedef struct rpc_ledger_record rpc_ledger_record;
+
+struct rpc_ledger_member {
+	rpc_name name;
+	u_quad_t incarnation;
+};
+typedef struct rpc_ledger_member rpc_ledger_member;
+
+struct rpc_ledger_set {
+	rpc_name home;
+	u_quad_t revision;
+	u_quad_t epoch;
+	rpc_name ledger;
+	u_quad_t ledger_incarnation;
+	struct {
+		u_int members_len;
+		rpc_ledger_member *members_val;
+	} members;
+};
+typedef struct rpc_ledger_set rpc_ledger_set;
+
 struct rpc_ledger_copy {
 	rpc_name home;
 	u_quad_t ledger_incarnation;
@@ -285,6 +372,10 @@
 	bool_t full;
 	bool_t last;
 	rpc_bytes records;
+	bool_t pull;
+	u_quad_t fence;
+	u_quad_t transfer;
+	u_int part;
 };
 typedef struct rpc_ledger_copy rpc_ledger_copy;
 
@@ -294,6 +385,9 @@
 	u_quad_t sequence;
 	bool_t complete;
 	rpc_bytes records;
+	bool_t pull;
+	bool_t last;
+	u_int part;
 };
 typedef struct rpc_ledger_copy_reply rpc_ledger_copy_reply;
 
@@ -350,6 +444,80 @@
 };
 typedef struct rpc_admin_reply rpc_admin_reply;
 
+struct rpc_replica {
+	rpc_name name;
+	u_quad_t incarnation;
+	bool_t standing;
+	bool_t voter;
+};
+typedef struct rpc_replica rpc_replica;
+
+struct rpc_replicas {
+	struct {
+		u_int list_len;
+		rpc_replica *list_val;
+	} list;
+};
+typedef struct rpc_replicas rpc_replicas;
+
+enum rpc_record_type {
+	RPC_RECORD_META = 1,
+	RPC_RECORD_HARD = 2,
+	RPC_RECORD_SNAPSHOT = 3,
+	RPC_RECORD_ENTRY = 4,
+	RPC_RECORD_COMMIT = 5,
+};
+typedef enum rpc_record_type rpc_record_type;
+
+struct rpc_record_meta {
+	u_quad_t incarnation;
+	u_quad_t log_id;
+};
+typedef struct rpc_record_meta rpc_record_meta;
+
+struct rpc_record_hard {
+	u_quad_t term;
+	rpc_name vote;
+};
+typedef struct rpc_record_hard rpc_record_hard;
+
+struct rpc_record_snapshot {
+	u_quad_t index;
+	u_quad_t term;
+	rpc_replicas replicas;
+	rpc_bytes data;
+};
+typedef struct rpc_record_snapshot rpc_record_snapshot;
+
+struct rpc_record_entry {
+	u_quad_t index;
+	rpc_log_entry entry;
+};
+typedef struct rpc_record_entry rpc_record_entry;
+
+struct rpc_record {
+	rpc_record_type type;
+	union {
+		rpc_record_meta meta;
+		rpc_record_hard hard;
+		rpc_record_snapshot snapshot;
+		rpc_record_entry entry;
+		u_quad_t commit;
+	} rpc_record_u;
+};
+typedef struct rpc_record rpc_record;
+
+struct rpc_propose {
+	u_int kind;
+	rpc_bytes data;
+};
+typedef struct rpc_propose rpc_propose;
+
+struct rpc_propose_reply {
+	int status;
+};
+typedef struct rpc_propose_reply rpc_propose_reply;
+
 struct rpc_body {
 	rpc_type type;
 	union {
@@ -381,6 +549,8 @@
 		rpc_handover_cancel handover_cancel;
 		rpc_admin admin;
 		rpc_admin_reply admin_reply;
+		rpc_propose propose;
+		rpc_propose_reply propose_reply;
 	} rpc_body_u;
 };
 typedef struct rpc_body rpc_body;
@@ -405,8 +575,11 @@
 extern  bool_t xdr_rpc_submit (XDR *, rpc_submit*);
 extern  bool_t xdr_rpc_submit_reply (XDR *, rpc_submit_reply*);
 extern  bool_t xdr_rpc_endpoint (XDR *, rpc_endpoint*);
+extern  bool_t xdr_rpc_zone_load (XDR *, rpc_zone_load*);
 extern  bool_t xdr_rpc_zone_delta (XDR *, rpc_zone_delta*);
 extern  bool_t xdr_rpc_summary_row (XDR *, rpc_summary_row*);
+extern  bool_t xdr_rpc_instance (XDR *, rpc_instance*);
+extern  bool_t xdr_rpc_summary_load (XDR *, rpc_summary_load*);
 extern  bool_t xdr_rpc_region_summary (XDR *, rpc_region_summary*);
 extern  bool_t xdr_rpc_vote (XDR *, rpc_vote*);
 extern  bool_t xdr_rpc_vote_reply (XDR *, rpc_vote_reply*);
@@ -420,6 +593,9 @@
 extern  bool_t xdr_rpc_claim_reply (XDR *, rpc_claim_reply*);
 extern  bool_t xdr_rpc_result (XDR *, rpc_result*);
 extern  bool_t xdr_rpc_result_reply (XDR *, rpc_result_reply*);
+extern  bool_t xdr_rpc_ledger_record (XDR *, rpc_ledger_record*);
+extern  bool_t xdr_rpc_ledger_member (XDR *, rpc_ledger_member*);
+extern  bool_t xdr_rpc_ledger_set (XDR *, rpc_ledger_set*);
 extern  bool_t xdr_rpc_ledger_copy (XDR *, rpc_ledger_copy*);
 extern  bool_t xdr_rpc_ledger_copy_reply (XDR *, rpc_ledger_copy_reply*);
 extern  bool_t xdr_rpc_handover (XDR *, rpc_handover*);
@@ -429,6 +605,16 @@
 extern  bool_t xdr_rpc_handover_cancel (XDR *, rpc_handover_cancel*);
 extern  bool_t xdr_rpc_admin (XDR *, rpc_admin*);
 extern  bool_t xdr_rpc_admin_reply (XDR *, rpc_admin_reply*);
+extern  bool_t xdr_rpc_replica (XDR *, rpc_replica*);
+extern  bool_t xdr_rpc_replicas (XDR *, rpc_replicas*);
+extern  bool_t xdr_rpc_record_type (XDR *, rpc_record_type*);
+extern  bool_t xdr_rpc_record_meta (XDR *, rpc_record_meta*);
+extern  bool_t xdr_rpc_record_hard (XDR *, rpc_record_hard*);
+extern  bool_t xdr_rpc_record_snapshot (XDR *, rpc_record_snapshot*);
+extern  bool_t xdr_rpc_record_entry (XDR *, rpc_record_entry*);
+extern  bool_t xdr_rpc_record (XDR *, rpc_record*);
+extern  bool_t xdr_rpc_propose (XDR *, rpc_propose*);
+extern  bool_t xdr_rpc_propose_reply (XDR *, rpc_propose_reply*);
 extern  bool_t xdr_rpc_body (XDR *, rpc_body*);
 extern  bool_t xdr_rpc_packet (XDR *, rpc_packet*);
 
@@ -444,8 +630,11 @@
 extern bool_t xdr_rpc_submit ();
 extern bool_t xdr_rpc_submit_reply ();
 extern bool_t xdr_rpc_endpoint ();
+extern bool_t xdr_rpc_zone_load ();
 extern bool_t xdr_rpc_zone_delta ();
 extern bool_t xdr_rpc_summary_row ();
+extern bool_t xdr_rpc_instance ();
+extern bool_t xdr_rpc_summary_load ();
 extern bool_t xdr_rpc_region_summary ();
 extern bool_t xdr_rpc_vote ();
 extern bool_t xdr_rpc_vote_reply ();
@@ -459,6 +648,9 @@
 extern bool_t xdr_rpc_claim_reply ();
 extern bool_t xdr_rpc_result ();
 extern bool_t xdr_rpc_result_reply ();
+extern bool_t xdr_rpc_ledger_record ();
+extern bool_t xdr_rpc_ledger_member ();
+extern bool_t xdr_rpc_ledger_set ();
 extern bool_t xdr_rpc_ledger_copy ();
 extern bool_t xdr_rpc_ledger_copy_reply ();
 extern bool_t xdr_rpc_handover ();
@@ -468,6 +660,16 @@
 extern bool_t xdr_rpc_handover_cancel ();
 extern bool_t xdr_rpc_admin ();
 extern bool_t xdr_rpc_admin_reply ();
+extern bool_t xdr_rpc_replica ();
+extern bool_t xdr_rpc_replicas ();
+extern bool_t xdr_rpc_record_type ();
+extern bool_t xdr_rpc_record_meta ();
+extern bool_t xdr_rpc_record_hard ();
+extern bool_t xdr_rpc_record_snapshot ();
+extern bool_t xdr_rpc_record_entry ();
+extern bool_t xdr_rpc_record ();
+extern bool_t xdr_rpc_propose ();
+extern bool_t xdr_rpc_propose_reply ();
 extern bool_t xdr_rpc_body ();
 extern bool_t xdr_rpc_packet ();
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -259,6 +259,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_zone_load (XDR *xdrs, rpc_zone_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->tag))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->work))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pace))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_zone_delta (XDR *xdrs, rpc_zone_delta *objp)
 {
@@ -279,6 +295,11 @@
 	 if (!xdr_array (xdrs, (char **)&objp->endpoints.endpoints_val, (u_int *) &objp->endpoints.endpoints_len, RPC_ITEMS_MAX,
 		sizeof (rpc_endpoint), (xdrproc_t) xdr_rpc_endpoint))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, RPC_ITEMS_MAX,
+		sizeof (rpc_zone_load), (xdrproc_t) xdr_rpc_zone_load))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->resend))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -300,6 +321,40 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_instance (XDR *xdrs, rpc_instance *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->callers_address))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_summary_load (XDR *xdrs, rpc_summary_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->tag))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->endpoints))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->free_slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->expected_wait_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_region_summary (XDR *xdrs, rpc_region_summary *objp)
 {
@@ -314,6 +369,18 @@
 	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, RPC_ITEMS_MAX,
 		sizeof (rpc_summary_row), (xdrproc_t) xdr_rpc_summary_row))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, RPC_ITEMS_MAX,
+		sizeof (rpc_summary_load), (xdrproc_t) xdr_rpc_summary_load))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->instances.instances_val, (u_int *) &objp->instances.instances_len, RPC_ITEMS_MAX,
+		sizeof (rpc_instance), (xdrproc_t) xdr_rpc_instance))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->listed))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->follow))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->unfollow))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -330,6 +397,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->last_term))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->log_id))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -344,6 +413,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->granted))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->disk_incarnation))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -379,6 +450,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, RPC_ITEMS_MAX,
 		sizeof (rpc_log_entry), (xdrproc_t) xdr_rpc_log_entry))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->log_id))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -417,6 +490,10 @@
 		 return FALSE;
 	 if (!xdr_rpc_bytes (xdrs, &objp->data))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->log_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->round))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -433,6 +510,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->disk_incarnation))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->round))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -522,6 +601,75 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_ledger_record (XDR *xdrs, rpc_ledger_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_rpc_bytes (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->product))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->route))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_rpc_bytes (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->claim_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->http_status))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->content_type))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->answer_kept))
+		 return FALSE;
+	 if (!xdr_rpc_bytes (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->changed_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_ledger_member (XDR *xdrs, rpc_ledger_member *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_ledger_set (XDR *xdrs, rpc_ledger_set *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->home))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->ledger))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ledger_incarnation))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 16,
+		sizeof (rpc_ledger_member), (xdrproc_t) xdr_rpc_ledger_member))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_ledger_copy (XDR *xdrs, rpc_ledger_copy *objp)
 {
@@ -539,6 +687,14 @@
 		 return FALSE;
 	 if (!xdr_rpc_bytes (xdrs, &objp->records))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->pull))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->transfer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->part))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -557,6 +713,12 @@
 		 return FALSE;
 	 if (!xdr_rpc_bytes (xdrs, &objp->records))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->pull))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->last))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->part))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -666,6 +828,151 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_replica (XDR *xdrs, rpc_replica *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->standing))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->voter))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_replicas (XDR *xdrs, rpc_replicas *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, 64,
+		sizeof (rpc_replica), (xdrproc_t) xdr_rpc_replica))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_record_type (XDR *xdrs, rpc_record_type *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_record_meta (XDR *xdrs, rpc_record_meta *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->log_id))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_record_hard (XDR *xdrs, rpc_record_hard *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->vote))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_record_snapshot (XDR *xdrs, rpc_record_snapshot *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_rpc_replicas (xdrs, &objp->replicas))
+		 return FALSE;
+	 if (!xdr_rpc_bytes (xdrs, &objp->data))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_record_entry (XDR *xdrs, rpc_record_entry *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_rpc_log_entry (xdrs, &objp->entry))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_record (XDR *xdrs, rpc_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_record_type (xdrs, &objp->type))
+		 return FALSE;
+	switch (objp->type) {
+	case RPC_RECORD_META:
+		 if (!xdr_rpc_record_meta (xdrs, &objp->rpc_record_u.meta))
+			 return FALSE;
+		break;
+	case RPC_RECORD_HARD:
+		 if (!xdr_rpc_record_hard (xdrs, &objp->rpc_record_u.hard))
+			 return FALSE;
+		break;
+	case RPC_RECORD_SNAPSHOT:
+		 if (!xdr_rpc_record_snapshot (xdrs, &objp->rpc_record_u.snapshot))
+			 return FALSE;
+		break;
+	case RPC_RECORD_ENTRY:
+		 if (!xdr_rpc_record_entry (xdrs, &objp->rpc_record_u.entry))
+			 return FALSE;
+		break;
+	case RPC_RECORD_COMMIT:
+		 if (!xdr_u_quad_t (xdrs, &objp->rpc_record_u.commit))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_propose (XDR *xdrs, rpc_propose *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_rpc_bytes (xdrs, &objp->data))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_propose_reply (XDR *xdrs, rpc_propose_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->status))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_body (XDR *xdrs, rpc_body *objp)
 {
@@ -788,6 +1095,14 @@
 		 if (!xdr_rpc_admin_reply (xdrs, &objp->rpc_body_u.admin_reply))
 			 return FALSE;
 		break;
+	case RPC_PROPOSE:
+		 if (!xdr_rpc_propose (xdrs, &objp->rpc_body_u.propose))
+			 return FALSE;
+		break;
+	case RPC_PROPOSE_REPLY:
+		 if (!xdr_rpc_propose_reply (xdrs, &objp->rpc_body_u.propose_reply))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -48,7 +48,9 @@
   RPC_HANDOVER_END = 53,
   RPC_HANDOVER_CANCEL = 54,
   RPC_ADMIN = 60,
-  RPC_ADMIN_REPLY = 61
+  RPC_ADMIN_REPLY = 61,
+  RPC_PROPOSE = 70,
+  RPC_PROPOSE_REPLY = 71
 };
 
 struct rpc_hello {
@@ -109,7 +111,19 @@
   unsigned int lease_ms;
 };
 
-/* Changes of a zone's endpoints and the load of its entry instance.  */
+/* Load of an endpoint that its receiver knows.  tag stands for name and
+   incarnation; sequence has the low 32 bits; work is running << 16 | queued
+   and pace is lease_ms << 16 | tokens_per_s, each part at most 65535.  */
+struct rpc_zone_load {
+  unsigned hyper tag;
+  unsigned int sequence;
+  unsigned int work;
+  unsigned int pace;
+};
+
+/* Changes of a zone's endpoints as one entry instance hears them.  Sequences
+   count what goes from the sender to this receiver; resend asks for a full
+   one.  instance and callers_address are empty where full is not set.  */
 struct rpc_zone_delta {
   rpc_name instance;
   unsigned hyper incarnation;
@@ -118,6 +132,8 @@
   bool draining;
   rpc_name callers_address;
   rpc_endpoint endpoints<RPC_ITEMS_MAX>;
+  rpc_zone_load loads<RPC_ITEMS_MAX>;
+  bool resend;
 };
 
 struct rpc_summary_row {
@@ -128,11 +144,38 @@
   unsigned int expected_wait_ms;
 };
 
+/* An entry instance that callers may use.  */
+struct rpc_instance {
+  rpc_name name;
+  rpc_name zone;
+  rpc_name callers_address;
+  unsigned hyper incarnation;
+  bool draining;
+};
+
+/* Numbers of a row that its receiver knows; tag stands for service and
+   model.  */
+struct rpc_summary_load {
+  unsigned hyper tag;
+  unsigned int endpoints;
+  unsigned int free_slots;
+  unsigned int expected_wait_ms;
+};
+
+/* Capacity of a region (zone is empty), or of a zone to the other zones of
+   its region.  Rows give names, loads numbers alone.  Where listed is set,
+   instances is the whole list; else it tells of the sender.  follow asks the
+   receiver for its own from now on, unfollow ends that.  */
 struct rpc_region_summary {
   rpc_name region;
   rpc_name zone;
   unsigned hyper sequence;
   rpc_summary_row rows<RPC_ITEMS_MAX>;
+  rpc_summary_load loads<RPC_ITEMS_MAX>;
+  rpc_instance instances<RPC_ITEMS_MAX>;
+  bool listed;
+  bool follow;
+  bool unfollow;
 };
 
 struct rpc_vote {
@@ -140,12 +183,14 @@
   bool pre;
   unsigned hyper last_index;
   unsigned hyper last_term;
+  unsigned hyper log_id;
 };
 
 struct rpc_vote_reply {
   unsigned hyper term;
   bool pre;
   bool granted;
+  unsigned hyper disk_incarnation;
 };
 
 struct rpc_log_entry {
@@ -161,6 +206,7 @@
   unsigned hyper commit;
   unsigned hyper round;
   rpc_log_entry entries<RPC_ITEMS_MAX>;
+  unsigned hyper log_id;
 };
 
 struct rpc_append_reply {
@@ -178,6 +224,8 @@
   unsigned hyper offset;
   bool done;
   rpc_bytes data;
+  unsigned hyper log_id;
+  unsigned hyper round;
 };
 
 struct rpc_install_reply {
@@ -185,6 +233,7 @@
   unsigned hyper last_index;
   unsigned hyper offset;
   unsigned hyper disk_incarnation;
+  unsigned hyper round;
 };
 
 struct rpc_claim {
@@ -203,7 +252,8 @@
   RPC_CLAIM_CONFLICT = 3,
   RPC_CLAIM_UNKNOWN = 4,
   RPC_CLAIM_RECOVERING = 5,
-  RPC_CLAIM_REFUSED = 6
+  RPC_CLAIM_REFUSED = 6,
+  RPC_CLAIM_ANSWER_GONE = 7
 };
 
 struct rpc_claim_reply {
@@ -232,7 +282,45 @@
   int status;
 };
 
-/* Records of a home's ledger from sequence on; full starts a transfer.  */
+/* One key of a ledger, whole; state is an enum jc_key_state.  Times are wall
+   clock ms.  */
+struct rpc_ledger_record {
+  int state;
+  unsigned hyper sequence;
+  rpc_bytes id;
+  rpc_name product;
+  rpc_name route;
+  rpc_name key;
+  rpc_bytes digest;
+  rpc_name claim_id;
+  unsigned hyper fence;
+  int http_status;
+  rpc_name content_type;
+  bool answer_kept;
+  rpc_bytes answer;
+  unsigned hyper changed_ms;
+};
+
+struct rpc_ledger_member {
+  rpc_name name;
+  unsigned hyper incarnation;
+};
+
+/* Who keeps a home's ledger and who holds its copies, as the replicated log
+   records it.  An entry counts only where revision is that of the entry
+   before plus one.  */
+struct rpc_ledger_set {
+  rpc_name home;
+  unsigned hyper revision;
+  unsigned hyper epoch;
+  rpc_name ledger;
+  unsigned hyper ledger_incarnation;
+  rpc_ledger_member members<16>;
+};
+
+/* Records of a home's ledger up to sequence.  full is a part of a whole
+   transfer, pull asks the copy for its records from offset part on.  A copy
+   refuses a fence below the highest that it has seen.  */
 struct rpc_ledger_copy {
   rpc_name home;
   unsigned hyper ledger_incarnation;
@@ -240,14 +328,22 @@
   bool full;
   bool last;
   rpc_bytes records;
+  bool pull;
+  unsigned hyper fence;
+  unsigned hyper transfer;
+  unsigned int part;
 };
 
+/* The copy's sequence; pull answers carry records, and last the end.  */
 struct rpc_ledger_copy_reply {
   rpc_name home;
   unsigned hyper ledger_incarnation;
   unsigned hyper sequence;
   bool complete;
   rpc_bytes records;
+  bool pull;
+  bool last;
+  unsigned int part;
 };
 
 struct rpc_handover {
@@ -298,6 +394,68 @@
   rpc_bytes json;
 };
 
+/* A replica of the log and the disk that its name is bound to, 0 for none
+   yet.  A standing replica is promoted to voter once it has caught up.  */
+struct rpc_replica {
+  rpc_name name;
+  unsigned hyper incarnation;
+  bool standing;
+  bool voter;
+};
+
+struct rpc_replicas {
+  rpc_replica list<64>;
+};
+
+/* Records of the log's journal.  */
+enum rpc_record_type {
+  RPC_RECORD_META = 1,
+  RPC_RECORD_HARD = 2,
+  RPC_RECORD_SNAPSHOT = 3,
+  RPC_RECORD_ENTRY = 4,
+  RPC_RECORD_COMMIT = 5
+};
+
+struct rpc_record_meta {
+  unsigned hyper incarnation;
+  unsigned hyper log_id;
+};
+
+struct rpc_record_hard {
+  unsigned hyper term;
+  rpc_name vote;
+};
+
+struct rpc_record_snapshot {
+  unsigned hyper index;
+  unsigned hyper term;
+  rpc_replicas replicas;
+  rpc_bytes data;
+};
+
+struct rpc_record_entry {
+  unsigned hyper index;
+  rpc_log_entry entry;
+};
+
+union rpc_record switch (rpc_record_type type) {
+case RPC_RECORD_META: rpc_record_meta meta;
+case RPC_RECORD_HARD: rpc_record_hard hard;
+case RPC_RECORD_SNAPSHOT: rpc_record_snapshot snapshot;
+case RPC_RECORD_ENTRY: rpc_record_entry entry;
+case RPC_RECORD_COMMIT: unsigned hyper commit;
+};
+
+/* A proposal that a replica hands to the leader.  */
+struct rpc_propose {
+  unsigned int kind;
+  rpc_bytes data;
+};
+
+struct rpc_propose_reply {
+  int status;
+};
+
 union rpc_body switch (rpc_type type) {
 case RPC_HELLO: rpc_hello hello;
 case RPC_HELLO_ACK: rpc_hello hello_ack;
@@ -328,6 +486,8 @@
 case RPC_HANDOVER_CANCEL: rpc_handover_cancel handover_cancel;
 case RPC_ADMIN: rpc_admin admin;
 case RPC_ADMIN_REPLY: rpc_admin_reply admin_reply;
+case RPC_PROPOSE: rpc_propose propose;
+case RPC_PROPOSE_REPLY: rpc_propose_reply propose_reply;
 };
 
 struct rpc_packet {
