Hand attempts over to another region

A lost connection or a missed first byte fails the attempt as perhaps run; a caller that goes cancels the endpoint's work.

tests/process/serve-away.sh passed: whole and streamed answers from the other region, a bound route refused in both, cancellation, and a broken stream after kill -9 of the receiving instances.

--- a/entry/admission.c
+++ b/entry/admission.c
@@ -306,3 +306,23 @@
   return jc_admit_wait_ms (&pool,
                            jc_queue_ahead (queue->queue, &ticket->waiter));
 }
+
+/* Return when a further request of TICKET's kind would surely be done here,
+   ms from now; negative where no endpoint can serve it.  */
+int64_t
+admission_here_ms (struct entry *entry, const struct ticket *ticket)
+{
+  struct jc_pool pool;
+
+  pool_of (pool_queue_of (entry, ticket), &pool);
+  if (pool.slots == 0)
+    return -1;
+  return admission_backlog_ms (entry, ticket) + jc_admit_needed_ms (&pool);
+}
+
+/* Return the time that a request of TICKET's kind takes once it runs, ms.  */
+int64_t
+admission_service_ms (struct entry *entry, const struct ticket *ticket)
+{
+  return jc_predict_typical_ms (entry->policy.predict, ticket->service);
+}
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -28,6 +28,8 @@
   struct jc_metrics *metrics;
   struct jc_policy policy;
   struct admission *admission;
+  GPtrArray *handovers;
+  GPtrArray *guests;
   struct jc_httpc *httpc;
   struct jc_httpd *callers;
   struct jc_httpd *operators;
@@ -92,6 +94,8 @@
 void admission_leave (struct entry *entry, struct ticket *ticket);
 bool admission_retry (struct entry *entry, const struct ticket *ticket);
 int64_t admission_backlog_ms (struct entry *entry, const struct ticket *ticket);
+int64_t admission_here_ms (struct entry *entry, const struct ticket *ticket);
+int64_t admission_service_ms (struct entry *entry, const struct ticket *ticket);
 const struct jc_limit *admission_limit (const struct entry *entry,
                                         const char *product);
 struct jc_limits *admission_limits (struct entry *entry);
@@ -105,6 +109,8 @@
                    const struct rpc_packet *packet);
 
 /* handover: attempts handed over by or to another region.  */
+void handover_start (struct entry *entry);
+void handover_stop (struct entry *entry);
 void handover_packet (struct entry *entry, struct jc_rpc_conn *conn,
                       const struct rpc_packet *packet);
 void handover_down (struct entry *entry, struct jc_rpc_conn *conn);
--- a/entry/main.c
+++ b/entry/main.c
@@ -91,6 +91,7 @@
   if (jc_rpc_listen (entry->rpc, s->rpc) != JC_OK)
     return JC_UNREACHABLE;
   admission_start (entry);
+  handover_start (entry);
   entry->callers = callers_listen (entry);
   entry->operators = operators_listen (entry);
   if (entry->callers == NULL || entry->operators == NULL)
@@ -106,6 +107,7 @@
 {
   jc_httpd_free (entry->callers);
   jc_httpd_free (entry->operators);
+  handover_stop (entry);
   if (entry->rpc != NULL)
     jc_rpc_free (entry->rpc);
   zone_stop (entry);
--- a/entry/request.c
+++ b/entry/request.c
@@ -5,7 +5,9 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "entry/away.h"
 #include "entry/entry.h"
+#include "entry/handover.h"
 #include "net/program.h"
 #include "serve/request.h"
 
@@ -17,7 +19,10 @@
   CONNECT_MS = 1000,
   IDLE_MS = 15000,
   RETRY_AFTER_LEAST_MS = 1000,
-  STREAM_HIGH_BYTES = 256 * 1024
+  STREAM_HIGH_BYTES = 256 * 1024,
+  AWAY_STREAM_MAX_BYTES = 4 * 1024 * 1024,
+  ANSWER_USUAL_BYTES = 4096,
+  COLD_SHARE = 4
 };
 
 /* A request and its current attempt.  */
@@ -32,11 +37,16 @@
   uint64_t affinity;
   int64_t started_ms;
   int64_t attempt_ms;
+  char *route;
   struct jc_call *call;
+  struct handover *handover;
+  struct away_choice choice;
   struct jc_run run;
   bool heard;
   bool resumed;
   bool paused;
+  bool go_away;
+  bool went_away;
 };
 
 static struct jc_endpoint *
@@ -63,6 +73,7 @@
   jc_request_clear (&request->machine);
   admission_leave (request->entry, &request->ticket);
   g_free (request->path);
+  g_free (request->route);
   g_free (request);
 }
 
@@ -88,15 +99,10 @@
 call_on_header (void *ctx, struct jc_str name, struct jc_str value)
 {
   struct request *request = ctx;
-  char *offset;
 
-  if (name.len != sizeof RESUME_HEADER - 1
-      || g_ascii_strncasecmp (name.data, RESUME_HEADER, name.len) != 0)
-    return;
-  offset = jc_str_dup (value);
-  request->resumed
-      = g_ascii_strtoull (offset, NULL, 10) == request->machine.delivered;
-  g_free (offset);
+  if (jc_request_is_resume (name))
+    request->resumed
+        = jc_request_resume_from (value) == request->machine.delivered;
 }
 
 static void
@@ -160,6 +166,107 @@
                                              .data = call_on_data,
                                              .done = call_on_done };
 
+/* Take BYTES over the link of the current hand-over from its budget.  */
+static void
+away_take (struct request *request, uint64_t bytes)
+{
+  struct entry *entry = request->entry;
+  char *labels = g_strdup_printf ("product=\"%s\",region=\"%s\"",
+                                  request->ticket.waiter.product,
+                                  request->choice.region);
+
+  jc_limits_link_take (admission_limits (entry), request->ticket.waiter.product,
+                       request->choice.link, bytes);
+  jc_metrics_count (entry->metrics, "jaycove_away_bytes_total", labels, bytes);
+  g_free (labels);
+}
+
+static void
+away_on_head (void *ctx, const struct rpc_handover_head *head)
+{
+  struct request *request = ctx;
+
+  jc_request_head (&request->machine, request->machine.current,
+                   head->http_status, head->content_type, head->resumed,
+                   jc_now_ms ());
+}
+
+static void
+away_on_data (void *ctx, struct jc_str data)
+{
+  struct request *request = ctx;
+  bool full = request->machine.begun
+              && jc_http_stream_buffered (request->req) > AWAY_STREAM_MAX_BYTES;
+
+  away_take (request, data.len);
+  if (full)
+    {
+      const struct jc_attempt_end end = { .status = JC_OVERLOADED,
+                                          .sent = true,
+                                          .message = "The caller is slow." };
+
+      handover_cancel (request->handover);
+      request->handover = NULL;
+      jc_request_done (&request->machine, request->machine.current, &end,
+                       jc_now_ms ());
+      return;
+    }
+  jc_request_data (&request->machine, request->machine.current, data,
+                   jc_now_ms ());
+}
+
+static void
+away_on_done (void *ctx, const struct jc_attempt_end *end)
+{
+  struct request *request = ctx;
+
+  request->handover = NULL;
+  jc_request_done (&request->machine, request->machine.current, end,
+                   jc_now_ms ());
+}
+
+static const struct handover_ops away_ops
+    = { .head = away_on_head, .data = away_on_data, .done = away_on_done };
+
+/* Find out whether REQUEST goes to another region, and where.  LATE tells
+   that it can't be served here in time whatever was predicted.  */
+static bool
+request_away (struct request *request, bool late)
+{
+  struct entry *entry = request->entry;
+  const struct jc_product *product = jc_config_find (
+      entry->config, JC_OBJECT_PRODUCT, request->ticket.waiter.product);
+  const struct jc_route *route
+      = jc_config_find (entry->config, JC_OBJECT_ROUTE, request->route);
+  int64_t left = request->machine.deadline_ms - jc_now_ms ();
+  int64_t here = admission_here_ms (entry, &request->ticket);
+  int64_t service = admission_service_ms (entry, &request->ticket);
+  struct away_ask ask = { .product = product, .route = route };
+
+  if (request->went_away || product == NULL || route == NULL)
+    return false;
+  if (late && here >= 0)
+    here = MAX (here, left + 1);
+  ask.query = (struct jc_away_query){
+    .left_ms = left,
+    .here_ms = here,
+    .service_ms = service,
+    .cold_ms = request->affinity != 0 ? service / COLD_SHARE : 0,
+    .bytes = jc_http_body (request->req).len + ANSWER_USUAL_BYTES
+  };
+  return away_choose (entry, &ask, NULL, NULL, &request->choice);
+}
+
+static enum jc_status
+pick_away (struct request *request, struct jc_target *target)
+{
+  request->go_away = false;
+  request->went_away = true;
+  target->name = jc_rpc_conn_name (request->choice.conn);
+  target->away = true;
+  return JC_OK;
+}
+
 static enum jc_status
 request_pick (void *ctx, const struct jc_request *machine, int64_t now_ms,
               struct jc_target *target)
@@ -182,6 +289,8 @@
                              request->affinity, now_ms);
   g_ptr_array_free (all, TRUE);
   g_ptr_array_free (fresh, TRUE);
+  if (request->go_away || (endpoint == NULL && request_away (request, true)))
+    return pick_away (request, target);
   if (endpoint == NULL)
     return jc_fail (JC_NO_ENDPOINT, "No endpoint serves this route.");
   target->name = endpoint->name;
@@ -227,16 +336,44 @@
   g_free (resume);
 }
 
+static void
+request_hand_over (struct request *request, const struct jc_attempt *attempt)
+{
+  const char *type = jc_http_header (request->req, "Content-Type");
+  const struct handover_spec spec
+      = { .product = request->ticket.waiter.product,
+          .route = request->route,
+          .method = jc_http_method (request->req),
+          .path = request->path,
+          .content_type = type != NULL ? type : "application/json",
+          .body = jc_http_body (request->req),
+          .attempt = attempt };
+  const struct jc_attempt_end unsent
+      = { .status = JC_UNREACHABLE, .message = "No way to the region." };
+
+  request->handover = handover_send (request->entry, request->choice.conn,
+                                     &spec, &away_ops, request);
+  if (request->handover != NULL)
+    away_take (request, spec.body.len);
+  else
+    jc_request_done (&request->machine, attempt->id, &unsent, jc_now_ms ());
+}
+
 static void
 request_attempt (void *ctx, const struct jc_attempt *attempt)
 {
   struct request *request = ctx;
-  struct jc_endpoint *endpoint
-      = jc_members_find (request->entry->members, attempt->target.name);
+  struct jc_endpoint *endpoint;
 
   request->heard = false;
   request->resumed = false;
   request->attempt_ms = jc_now_ms ();
+  if (attempt->target.away)
+    {
+      request_hand_over (request, attempt);
+      return;
+    }
+  endpoint = jc_members_find (request->entry->members, attempt->target.name);
   jc_predict_start (request->entry->policy.predict, endpoint,
                     request->attempt_ms, &request->run);
   request_call (request, endpoint, attempt);
@@ -250,7 +387,10 @@
   (void)attempt;
   if (request->call != NULL)
     jc_call_cancel (request->call);
+  if (request->handover != NULL)
+    handover_cancel (request->handover);
   request->call = NULL;
+  request->handover = NULL;
   request->paused = false;
   attempt_over (request, JC_RUN_CUT);
 }
@@ -260,6 +400,8 @@
 {
   struct request *request = ctx;
 
+  if (jc_members_find (request->entry->members, name) == NULL)
+    return;
   if (sent)
     jc_predict_missed (request->entry->policy.predict, name,
                        request->attempt_ms, now_ms);
@@ -396,11 +538,22 @@
   jc_request_start (&ticket_request (ticket)->machine, jc_now_ms ());
 }
 
+/* A request that this region can't serve in time goes to another one where
+   that can, else it is refused at once.  */
 static void
 request_not_admitted (struct ticket *ticket, enum jc_status status,
                       const char *message, int64_t retry_after_ms)
 {
-  request_refuse (ticket_request (ticket), status, message, retry_after_ms);
+  struct request *request = ticket_request (ticket);
+  bool full = status == JC_DEADLINE_UNMEETABLE || status == JC_OVERLOADED;
+  char *said = g_strdup (message);
+
+  request->go_away = full && request_away (request, true);
+  if (request->go_away)
+    jc_request_start (&request->machine, jc_now_ms ());
+  else
+    request_refuse (request, status, said, retry_after_ms);
+  g_free (said);
 }
 
 static const struct ticket_class request_ticket_class
@@ -420,6 +573,7 @@
   request->entry = entry;
   request->req = order->req;
   request->path = g_strdup (order->path);
+  request->route = g_strdup (order->route->name);
   if (service != NULL && service->engine)
     request->affinity = jc_policy_affinity (body.data, body.len);
   request->started_ms = jc_now_ms ();
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -409,6 +409,7 @@
 	int http_status;
 	rpc_name content_type;
 	rpc_name endpoint;
+	bool_t resumed;
 };
 typedef struct rpc_handover_head rpc_handover_head;
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -761,6 +761,8 @@
 		 return FALSE;
 	 if (!xdr_rpc_name (xdrs, &objp->endpoint))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->resumed))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -363,6 +363,7 @@
   int http_status;
   rpc_name content_type;
   rpc_name endpoint;
+  bool resumed;
 };
 
 struct rpc_handover_data {
--- a/serve/predict.c
+++ b/serve/predict.c
@@ -110,6 +110,15 @@
   return typical;
 }
 
+/* Return the time that a request to SERVICE takes once it runs, ms.  */
+int64_t
+jc_predict_typical_ms (struct jc_predict *predict, const char *service)
+{
+  double typical = *typical_of (predict, service);
+
+  return typical >= 1 ? (int64_t)typical : SERVICE_UNKNOWN_MS;
+}
+
 static unsigned int
 slots_of (const struct jc_endpoint *endpoint)
 {
@@ -210,12 +219,10 @@
 {
   const struct estimate *estimate
       = estimate_of (predict, endpoint->name, now_ms);
-  double typical = *typical_of (predict, endpoint->service);
+  double typical = (double)jc_predict_typical_ms (predict, endpoint->service);
   double share = share_kept (now_ms - estimate->touched_ms);
   double deviation;
 
-  if (typical <= 0)
-    typical = SERVICE_UNKNOWN_MS;
   if (estimate->service_ms <= 0)
     return (int64_t)typical;
   deviation = deviation_trusted (estimate->service_ms / typical - 1);
--- a/serve/predict.h
+++ b/serve/predict.h
@@ -35,6 +35,7 @@
 int64_t jc_predict_service_ms (struct jc_predict *predict,
                                const struct jc_endpoint *endpoint,
                                int64_t now_ms);
+int64_t jc_predict_typical_ms (struct jc_predict *predict, const char *service);
 int64_t jc_predict_wait_ms (struct jc_predict *predict,
                             const struct jc_endpoint *endpoint, int64_t now_ms);
 int64_t jc_predict_finish_ms (struct jc_predict *predict,
--- a/serve/request.c
+++ b/serve/request.c
@@ -52,6 +52,27 @@
   return false;
 }
 
+/* Tell whether the header NAME says from which event on an answer goes.  */
+bool
+jc_request_is_resume (struct jc_str name)
+{
+  static const char want[] = "X-Resume-From";
+
+  return name.len == sizeof want - 1
+         && g_ascii_strncasecmp (name.data, want, name.len) == 0;
+}
+
+/* Return the event from which on an answer with that header's VALUE goes.  */
+uint64_t
+jc_request_resume_from (struct jc_str value)
+{
+  char *text = jc_str_dup (value);
+  uint64_t from = g_ascii_strtoull (text, NULL, 10);
+
+  g_free (text);
+  return from;
+}
+
 /* Return how long the first byte of the attempt numbered ATTEMPT (from 1) may
    take, ms, where it usually comes within USUAL_MS, 0 for not known, and
    LEFT_MS are left.  The last attempt gets all that is left, and so does one
--- a/serve/request.h
+++ b/serve/request.h
@@ -113,6 +113,8 @@
 void jc_request_gone (struct jc_request *request);
 int64_t jc_attempt_limit_ms (unsigned int attempt, int64_t usual_ms,
                              int64_t left_ms);
+bool jc_request_is_resume (struct jc_str name);
+uint64_t jc_request_resume_from (struct jc_str value);
 bool jc_request_tried (const struct jc_request *request, const char *name);
 
 #endif
--- /dev/null
+++ b/tests/process/serve-away.sh
@@ -0,0 +1,80 @@
+# Requests of a region without endpoints are answered by the other one, whole
+# and streamed; one that may not leave is refused as not run; a dead instance
+# of the other region costs no answer that looks whole.
+set -eu
+. scripts/cluster.sh
+trap stop_all EXIT
+
+# none_here OPERATORS_PORT: succeed once the instance knows no endpoint.
+none_here ()
+{
+  [ "$(ctl "$1" status | jq .endpoints)" = 0 ]
+}
+
+# away_answers CALLERS_PORT: succeed once the other region answers.
+away_answers ()
+{
+  ask "$1" /r/assist/v1/chat/completions '{"max_tokens": 2}' | jq -e '.choices[0].message.content == "w0 w1"'
+}
+
+# refused KIND: succeed where the answer says KIND and not run.
+refused ()
+{
+  jq -e ".error.kind == \"$1\" and .error.run == \"not_run\""
+}
+
+# events COUNT FILE: succeed once FILE holds so many events.
+events ()
+{
+  [ "$(grep -c '^data: {' "$2")" -ge "$1" ]
+}
+
+# cancelled: succeed once the other region's engine had work cancelled.
+cancelled ()
+{
+  curl -sS -m 5 "http://$(cat "$DIR/engine-2.out")/counts" | grep -q '^cancelled [1-9]'
+}
+
+# no_way: succeed once nothing serves the request, and it is said so.
+no_way ()
+{
+  ask "$C1" /r/assist/v1/chat/completions '{"max_tokens": 2}' | refused no_endpoint
+}
+
+# fails COMMAND...: succeed where the command does not.
+fails ()
+{
+  if "$@"; then echo "did not fail: $*" >&2; return 1; fi
+}
+
+start_two_zones
+apply_demo_objects
+echo '{"put": [{"kind": "link", "name": "ost-sued", "a": "at-ost", "b": "at-sued", "latency_ms": 1},
+ {"kind": "residency", "name": "ost", "regions": ["at-ost"]},
+ {"kind": "route", "name": "bound", "product": "treasury", "service": "assist-llm", "model_version": "assist-7b-v1", "priority": "interactive", "residency": "ost"}]}' >"$DIR/more.json"
+ctl "$O1" --expected-version 1 --change-id more apply "$DIR/more.json"
+for o in "$O1" "$O2" "$O3" "$O4"; do wait_for 10 has_version "$o" 2; done
+kill "$(pid engine-1)" "$(pid service-1)"
+wait_for 15 none_here "$O1"
+wait_for 15 away_answers "$C1"
+ask "$C1" /r/assist/v1/chat/completions '{"max_tokens": 50, "stream": true}' >"$DIR/stream"
+[ "$(grep -c '^data: {' "$DIR/stream")" = 50 ]
+tail -n 2 "$DIR/stream" | grep -q 'data: \[DONE\]'
+ask "$C1" /r/bound/v1/chat/completions '{"max_tokens": 2}' | refused no_endpoint
+ask "$C3" /r/bound/v1/chat/completions '{"max_tokens": 2}' | refused residency_denied
+
+curl -sSN -m 60 -H "Authorization: Bearer $CALLER_KEY" -d '{"max_tokens": 100000, "stream": true}' "http://127.0.0.1:$C1/r/assist/v1/chat/completions" >"$DIR/left" &
+caller=$!
+wait_for 20 events 3 "$DIR/left"
+kill "$caller"
+wait_for 10 cancelled
+
+curl -sSN -m 60 -H "Authorization: Bearer $CALLER_KEY" -d '{"max_tokens": 100000, "stream": true}' "http://127.0.0.1:$C1/r/assist/v1/chat/completions" >"$DIR/cut" &
+caller=$!
+wait_for 20 events 3 "$DIR/cut"
+kill -9 "$(pid e3)" "$(pid e4)"
+fails wait "$caller"
+grep -q '^event: error' "$DIR/cut"
+grep -q stream_broken "$DIR/cut"
+fails grep -q DONE "$DIR/cut"
+wait_for 15 no_way
