Explain where a request would go

GET /explain?product=&route= on the operators' listener says residency, each endpoint's measured service time, work, room and cost, the predicted wait, and the verdict on every other region. tests/process/serve-away.sh asks it with and without endpoints of the own region; it passed.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -100,6 +100,9 @@
                                         const char *product);
 struct jc_limits *admission_limits (struct entry *entry);
 
+/* explain: why a request would go where.  */
+void explain_handle (struct entry *entry, struct jc_http_req *req);
+
 /* request: idempotent requests.  */
 void request_start (struct entry *entry, const struct work_order *order);
 
--- /dev/null
+++ b/entry/explain.c
@@ -0,0 +1,147 @@
+/* GET /explain: why a request of a route would go where.  */
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/away.h"
+#include "net/program.h"
+#include "serve/admit.h"
+
+enum
+{
+  BODY_BYTES = 4096
+};
+
+/* A request as an operator imagines it.  */
+struct explanation
+{
+  struct entry *entry;
+  const struct jc_product *product;
+  const struct jc_route *route;
+  int64_t now_ms;
+  struct jc_pool pool;
+};
+
+static json_t *
+endpoint_json (const struct explanation *about,
+               const struct jc_endpoint *endpoint)
+{
+  struct jc_predict *predict = about->entry->policy.predict;
+  int64_t now = about->now_ms;
+
+  return json_pack (
+      "{s:s,s:i,s:i,s:i,s:I,s:I,s:b,s:b}", "name", endpoint->name, "slots",
+      (int)endpoint->slots, "in_flight", (int)endpoint->in_flight, "ahead",
+      (int)jc_predict_ahead (predict, endpoint, now), "service_ms",
+      (json_int_t)jc_predict_service_ms (predict, endpoint, now), "cost_ms",
+      (json_int_t)jc_predict_cost_ms (predict, endpoint, now), "room",
+      jc_predict_room (predict, endpoint, now) ? 1 : 0, "avoided",
+      jc_predict_avoided (predict, endpoint, now) ? 1 : 0);
+}
+
+static void
+explain_here (struct explanation *about, json_t *out)
+{
+  struct entry *entry = about->entry;
+  GPtrArray *endpoints = g_ptr_array_new ();
+  json_t *list = json_array ();
+  const struct jc_endpoint *pick;
+
+  jc_members_serving (entry->members, about->route->service,
+                      about->route->model_version, about->now_ms, endpoints);
+  jc_admit_pool (entry->policy.predict, endpoints, about->now_ms, &about->pool);
+  for (guint i = 0; i < endpoints->len; i++)
+    json_array_append_new (
+        list, endpoint_json (about, g_ptr_array_index (endpoints, i)));
+  pick = jc_policy_pick (&entry->policy, endpoints, 0, about->now_ms);
+  json_object_set_new (out, "endpoints", list);
+  json_object_set_new (out, "endpoint",
+                       pick != NULL ? json_string (pick->name) : json_null ());
+  g_ptr_array_free (endpoints, TRUE);
+}
+
+static void
+explain_verdict (void *ctx, const char *region, enum jc_away verdict,
+                 int64_t finish_ms)
+{
+  json_array_append_new (ctx, json_pack ("{s:s,s:s,s:I}", "region", region,
+                                         "verdict", jc_away_name (verdict),
+                                         "done_ms", (json_int_t)finish_ms));
+}
+
+/* Explain each region, and where the request goes at last.  */
+static void
+explain_away (struct explanation *about, json_t *out)
+{
+  struct entry *entry = about->entry;
+  struct jc_pool *pool = &about->pool;
+  struct away_choice choice = { 0 };
+  json_t *regions = json_array ();
+  int64_t wait = jc_admit_wait_ms (pool, 0);
+  struct away_ask ask
+      = { .product = about->product,
+          .route = about->route,
+          .query = { .left_ms = about->route->deadline_ms,
+                     .here_ms
+                     = pool->slots > 0 ? wait + jc_admit_needed_ms (pool) : -1,
+                     .service_ms = jc_predict_typical_ms (
+                         entry->policy.predict, about->route->service),
+                     .bytes = BODY_BYTES } };
+  bool goes = away_choose (entry, &ask, explain_verdict, regions, &choice);
+
+  json_object_set_new (out, "wait_ms", json_integer (wait));
+  json_object_set_new (out, "done_ms", json_integer (ask.query.here_ms));
+  json_object_set_new (out, "other_regions", regions);
+  json_object_set_new (
+      out, "goes_to",
+      json_string (goes ? choice.region : entry->settings->region));
+}
+
+static void
+explain_reply (struct explanation *about, struct jc_http_req *req)
+{
+  struct entry *entry = about->entry;
+  bool allowed = jc_config_allows (entry->config, about->product, about->route,
+                                   entry->settings->region);
+  json_t *out = json_pack (
+      "{s:s,s:s,s:s,s:b,s:b,s:I}", "product", about->product->name, "route",
+      about->route->name, "policy", entry->policy.klass->name, "idempotent",
+      about->route->idempotent ? 1 : 0, "allowed_here", allowed ? 1 : 0,
+      "deadline_ms", (json_int_t)about->route->deadline_ms);
+  char *text;
+
+  if (allowed)
+    {
+      explain_here (about, out);
+      explain_away (about, out);
+    }
+  text = json_dumps (out, JSON_COMPACT);
+  jc_http_reply (req, 200, "application/json", jc_str_from (text), NULL);
+  free (text);
+  json_decref (out);
+}
+
+/* Say why a request of the product and route that REQ names would go where. */
+void
+explain_handle (struct entry *entry, struct jc_http_req *req)
+{
+  const char *product = jc_http_query (req, "product");
+  const char *route = jc_http_query (req, "route");
+  struct explanation about = { .entry = entry, .now_ms = jc_now_ms () };
+
+  if (product == NULL || route == NULL)
+    {
+      jc_http_fail (req, JC_BAD_REQUEST, "product and route are needed.", 0);
+      return;
+    }
+  about.product = jc_config_find (entry->config, JC_OBJECT_PRODUCT, product);
+  about.route = jc_config_find (entry->config, JC_OBJECT_ROUTE, route);
+  if (about.product == NULL || about.route == NULL
+      || strcmp (about.route->product, product) != 0)
+    {
+      jc_http_fail (req, JC_UNKNOWN_ROUTE, "The product has no such route.", 0);
+      return;
+    }
+  explain_reply (&about, req);
+}
--- a/entry/handover.c
+++ b/entry/handover.c
@@ -414,7 +414,7 @@
   struct jc_endpoint *endpoint = NULL;
   int64_t now = jc_now_ms ();
 
-  if (status == JC_OK)
+  if (status == JC_OK && route != NULL)
     {
       jc_members_serving (entry->members, route->service, route->model_version,
                           now, endpoints);
@@ -424,7 +424,7 @@
       else if (!jc_predict_room (entry->policy.predict, endpoint, now))
         status = jc_fail (JC_OVERLOADED, "No endpoint of the region is free.");
     }
-  if (status == JC_OK)
+  if (status == JC_OK && endpoint != NULL)
     guest_start (entry, conn, packet, endpoint);
   else
     send_end (conn, said->attempt, status, JC_NOT_RUN, jc_last_message ());
--- a/entry/operators.c
+++ b/entry/operators.c
@@ -203,9 +203,10 @@
 };
 
 static const struct operator_verb verbs[] = {
-  { "POST", "/config", handle_submit }, { "POST", "/drain", drain_handle },
-  { "GET", "/config", handle_config },  { "POST", "/admin", handle_admin },
-  { "GET", "/status", handle_status },  { "GET", "/metrics", handle_metrics }
+  { "POST", "/config", handle_submit },  { "POST", "/drain", drain_handle },
+  { "GET", "/config", handle_config },   { "POST", "/admin", handle_admin },
+  { "GET", "/explain", explain_handle }, { "GET", "/status", handle_status },
+  { "GET", "/metrics", handle_metrics }
 };
 
 static void
--- a/tests/process/serve-away.sh
+++ b/tests/process/serve-away.sh
@@ -23,6 +23,12 @@
   jq -e ".error.kind == \"$1\" and .error.run == \"not_run\""
 }
 
+# explain OPERATORS_PORT ROUTE: print why a request would go where.
+explain ()
+{
+  curl -sS -m 5 -H "Authorization: Bearer $TOKEN" "http://127.0.0.1:$1/explain?product=treasury&route=$2"
+}
+
 # events COUNT FILE: succeed once FILE holds so many events.
 events ()
 {
@@ -57,6 +63,9 @@
 kill "$(pid engine-1)" "$(pid service-1)"
 wait_for 15 none_here "$O1"
 wait_for 15 away_answers "$C1"
+explain "$O1" assist | jq -e '.goes_to == "at-sued" and .allowed_here and .endpoint == null'
+explain "$O3" assist | jq -e '.goes_to == "at-sued" and .endpoint == "engine-2" and (.other_regions | length) == 1'
+explain "$O3" bound | jq -e '.allowed_here | not'
 ask "$C1" /r/assist/v1/chat/completions '{"max_tokens": 50, "stream": true}' >"$DIR/stream"
 [ "$(grep -c '^data: {' "$DIR/stream")" = 50 ]
 tail -n 2 "$DIR/stream" | grep -q 'data: \[DONE\]'
