--- a/tests/test-ledger.c
+++ b/tests/test-ledger.c
@@ -9,6 +9,7 @@
 {
   BOOT_MS = 6000,
   CALL_MS = 500,
+  JOIN_MS = 2500,
   DAY_MS = 24 * 3600 * 1000
 };
 
@@ -172,6 +173,31 @@
   sim_free (sim);
 }
 
+/* A member that a proposal under way adds must have every grant already: it
+   may be the only one left once the proposal has committed.  */
+static void
+test_pending (void)
+{
+  for (int64_t offset_ms = 0; offset_ms < JOIN_MS; offset_ms += 2)
+    {
+      struct sim *sim = sim_booted ();
+
+      sim_strike (sim, SIM_KILL, SIM_E1);
+      sim_pass (sim, offset_ms);
+      sim_strike (sim, SIM_CUT, SIM_E1);
+      sim_strike (sim, SIM_CUT, SIM_E3);
+      sim_ask (sim, SIM_E2, "A", "x");
+      sim_pass (sim, CALL_MS / 5);
+      sim_strike (sim, SIM_WIPE, SIM_LEDGER);
+      sim_strike (sim, SIM_KILL, SIM_E2);
+      sim_pass (sim, 2 * BOOT_MS);
+      sim_ask (sim, SIM_E3, "A", "x");
+      sim_pass (sim, CALL_MS);
+      g_assert_cmpstr (sim_check (sim), ==, NULL);
+      sim_free (sim);
+    }
+}
+
 /* A copy takes no records of a ledger that another one pulled from.  */
 static void
 test_copy_fence (void)
@@ -212,6 +238,7 @@
   g_test_add_func ("/fences", test_fences);
   g_test_add_func ("/accept-loss", test_accept_loss);
   g_test_add_func ("/alone", test_alone);
+  g_test_add_func ("/pending", test_pending);
   g_test_add_func ("/copy-fence", test_copy_fence);
   return g_test_run ();
 }
