--- a/conf/config.c
+++ b/conf/config.c
@@ -5,6 +5,7 @@
 
 #include "conf/check.h"
 #include "conf/config.h"
+#include "conf/homes.h"
 
 enum
 {
@@ -194,6 +195,8 @@
   change_list (objects, change, "delete", seen, faults);
   change_list (objects, change, "put", seen, faults);
   config = jc_config_from_json (objects, version, faults);
+  if (config != NULL)
+    jc_homes_check (base, config, faults);
   if (config != NULL && faults->len > before)
     {
       jc_config_free (config);
--- /dev/null
+++ b/conf/homes.h
@@ -0,0 +1,13 @@
+/* Checks over the homes of routes from one configuration to the next.  */
+
+#ifndef JC_HOMES_H
+#define JC_HOMES_H
+
+#include <glib.h>
+
+struct jc_config;
+
+void jc_homes_check (const struct jc_config *base,
+                     const struct jc_config *config, GPtrArray *faults);
+
+#endif
--- a/tests/test-ledger.c
+++ b/tests/test-ledger.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "conf/config.h"
 #include "tests/fakedisk.h"
 #include "tests/ledgersim.h"
 
@@ -198,6 +199,69 @@
     }
 }
 
+/* An entry of the log that does not follow the one in force is void.  */
+static void
+test_void_entries (void)
+{
+  struct sim *sim = sim_booted ();
+  struct rpc_ledger_set stale = {
+    .home = "home", .revision = 1, .ledger = "s1", .ledger_incarnation = 77
+  };
+
+  jc_ledger_applied (sim_ledger (sim), &stale);
+  stale.revision = 1000;
+  jc_ledger_applied (sim_ledger (sim), &stale);
+  g_assert_cmpint (jc_ledger_state (sim_ledger (sim)), ==, JC_LEDGER_SERVING);
+  g_assert_cmpuint (jc_ledger_members (sim_ledger (sim)), ==, 2);
+  sim_free (sim);
+}
+
+static struct jc_config *
+with_home (const struct jc_config *base, const char *home, GPtrArray *faults)
+{
+  char *text = g_strdup_printf (
+      "{\"put\":[{\"kind\":\"region\",\"name\":\"a\"},"
+      "{\"kind\":\"region\",\"name\":\"b\"},"
+      "{\"kind\":\"service\",\"name\":\"s\"},"
+      "{\"kind\":\"priority\",\"name\":\"p\"},"
+      "{\"kind\":\"limit\",\"name\":\"l\"},"
+      "{\"kind\":\"residency\",\"name\":\"ab\",\"regions\":[\"a\",\"b\"]},"
+      "{\"kind\":\"product\",\"name\":\"x\",\"residency\":\"ab\","
+      "\"limit\":\"l\"},{\"kind\":\"route\",\"name\":\"r\",\"product\":\"x\","
+      "\"service\":\"s\",\"priority\":\"p\",\"idempotent\":false,"
+      "\"home\":\"%s\"}]}",
+      home);
+  json_t *change = json_loads (text, 0, NULL);
+  struct jc_config *config
+      = jc_config_apply (base, change, base->version + 1, faults);
+
+  json_decref (change);
+  g_free (text);
+  return config;
+}
+
+/* The home of a route can't be changed: its keys would run again.  */
+static void
+test_home_stays (void)
+{
+  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+  struct jc_config *empty = jc_config_empty ();
+  struct jc_config *first = with_home (empty, "a", faults);
+  struct jc_config *same;
+
+  g_assert_nonnull (first);
+  same = with_home (first, "a", faults);
+  g_assert_nonnull (same);
+  g_assert_null (with_home (first, "b", faults));
+  g_assert_cmpuint (faults->len, ==, 1);
+  g_assert_true (strstr (g_ptr_array_index (faults, 0), "route/r.home")
+                 != NULL);
+  jc_config_free (same);
+  jc_config_free (first);
+  jc_config_free (empty);
+  g_ptr_array_free (faults, TRUE);
+}
+
 /* A copy takes no records of a ledger that another one pulled from.  */
 static void
 test_copy_fence (void)
@@ -239,6 +303,8 @@
   g_test_add_func ("/accept-loss", test_accept_loss);
   g_test_add_func ("/alone", test_alone);
   g_test_add_func ("/pending", test_pending);
+  g_test_add_func ("/void-entries", test_void_entries);
+  g_test_add_func ("/home-stays", test_home_stays);
   g_test_add_func ("/copy-fence", test_copy_fence);
   return g_test_run ();
 }
