--- /dev/null
+++ b/ctl/entry.c
@@ -0,0 +1,41 @@
+/* Verbs of one entry instance.  */
+
+#include "ctl/verbs.h"
+
+static int
+run_status (const struct options *options)
+{
+  return ask_and_print (options, "/status", NULL);
+}
+
+static int
+run_metrics (const struct options *options)
+{
+  return ask_and_print (options, "/metrics", NULL);
+}
+
+static int
+run_drain (const struct options *options)
+{
+  return ask_and_print (options, "/drain", "");
+}
+
+static int
+run_explain (const struct options *options)
+{
+  char *path = g_strdup_printf ("/explain?product=%s&route=%s",
+                                options->args[0], options->args[1]);
+  int code = ask_and_print (options, path, NULL);
+
+  g_free (path);
+  return code;
+}
+
+const struct verb entry_verbs[]
+    = { { "status", NULL, "", 0, "show an entry instance", run_status },
+        { "metrics", NULL, "", 0, "show counters and histograms", run_metrics },
+        { "drain", NULL, "", 0, "let an entry instance end its work",
+          run_drain },
+        { "explain", NULL, "PRODUCT ROUTE", 2, "show where a request would go",
+          run_explain },
+        { NULL, NULL, NULL, 0, NULL, NULL } };
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -1,212 +1,88 @@
 /* jaycove-ctl: the operators' command.  */
 
 #include <argtable2.h>
-#include <curl/curl.h>
 #include <sodium.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include "conf/config.h"
-#include "net/program.h"
+#include "ctl/verbs.h"
 
 enum
 {
-  REQUEST_TIMEOUT_S = 15,
-  HTTP_OK = 200,
-  CHANGE_ID_BYTES = 12
+  HELP_NAME_CHARS = 24
 };
 
-/* The command line once read.  */
-struct options
-{
-  const char *verb;
-  const char *arg;
-  const char *server;
-  const char *token;
-  const char *change_id;
-  int expected;
-};
-
-/* One verb of the command.  */
-struct verb
-{
-  const char *name;
-  const char *args;
-  const char *what;
-  int (*run) (const struct options *options);
-};
-
-static size_t
-on_answer (char *data, size_t size, size_t count, void *ctx)
-{
-  g_string_append_len (ctx, data, (gssize)(size * count));
-  return size * count;
-}
+static const struct verb *const parts[]
+    = { config_verbs, replica_verbs, entry_verbs };
 
-/* Ask the server for PATH, with BODY as a POST unless it is NULL.  Return the
-   HTTP status, 0 where no answer came.  */
-static long
-ask (const struct options *options, const char *path, const char *body,
-     GString *answer)
-{
-  CURL *easy = curl_easy_init ();
-  char *url = g_strconcat ("http://", options->server, path, NULL);
-  char *auth = g_strconcat ("Authorization: Bearer ", options->token, NULL);
-  struct curl_slist *headers = curl_slist_append (NULL, auth);
-  long http = 0;
-
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT, (long)REQUEST_TIMEOUT_S);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_answer);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, answer);
-  if (body != NULL)
-    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
-  if (curl_easy_perform (easy) == CURLE_OK)
-    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &http);
-  curl_slist_free_all (headers);
-  curl_easy_cleanup (easy);
-  g_free (auth);
-  g_free (url);
-  return http;
-}
-
-static int
-exit_code_of (long http, const char *answer)
-{
-  if (http == HTTP_OK)
-    return JC_EXIT_OK;
-  if (http == 0 || strstr (answer, "outcome_unknown") != NULL)
-    return JC_EXIT_UNKNOWN;
-  return JC_EXIT_REFUSED;
-}
-
-static int
-show (const struct options *options, const char *path)
-{
-  GString *answer = g_string_new (NULL);
-  long http = ask (options, path, NULL, answer);
-  int code = exit_code_of (http, answer->str);
-
-  printf ("%s\n", http != 0 ? answer->str : "no answer");
-  g_string_free (answer, TRUE);
-  return code;
-}
-
-static int
-run_status (const struct options *options)
-{
-  return show (options, "/status");
-}
-
-static int
-run_config (const struct options *options)
-{
-  return show (options, "/config");
-}
-
-static int
-run_metrics (const struct options *options)
-{
-  return show (options, "/metrics");
-}
-
-static int
-run_check (const struct options *options)
-{
-  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
-  json_error_t error;
-  json_t *change = json_load_file (options->arg, 0, &error);
-  struct jc_config *base = jc_config_empty ();
-  struct jc_config *config = NULL;
-
-  if (change == NULL)
-    jc_fault (faults, options->arg, "line %d: %s", error.line, error.text);
-  else
-    config = jc_config_apply (base, change, 1, faults);
-  for (guint i = 0; i < faults->len; i++)
-    printf ("%s\n", (const char *)g_ptr_array_index (faults, i));
-  if (config != NULL)
-    printf ("ok\n");
-  jc_config_free (base);
-  jc_config_free (config);
-  json_decref (change);
-  g_ptr_array_free (faults, TRUE);
-  return config != NULL ? JC_EXIT_OK : JC_EXIT_REFUSED;
-}
-
-static char *
-random_change_id (void)
-{
-  unsigned char bytes[CHANGE_ID_BYTES];
-  char hex[2 * CHANGE_ID_BYTES + 1];
-
-  randombytes_buf (bytes, sizeof bytes);
-  return g_strdup (sodium_bin2hex (hex, sizeof hex, bytes, sizeof bytes));
-}
-
-static int
-run_apply (const struct options *options)
+static void
+print_verb (const struct verb *verb)
 {
-  GString *answer = g_string_new (NULL);
-  char *id = options->change_id != NULL ? g_strdup (options->change_id)
-                                        : random_change_id ();
-  char *path = g_strdup_printf ("/config?expected_version=%d&change_id=%s",
-                                options->expected, id);
-  char *body = NULL;
-  int code = JC_EXIT_REFUSED;
-  long http;
+  char *name = g_strjoin (" ", verb->word,
+                          verb->second != NULL ? verb->second : verb->args,
+                          verb->second != NULL ? verb->args : NULL, NULL);
 
-  if (!g_file_get_contents (options->arg, &body, NULL, NULL))
-    printf ("%s can't be read\n", options->arg);
-  else
-    {
-      http = ask (options, path, body, answer);
-      code = exit_code_of (http, answer->str);
-      printf ("%s\n", http != 0 ? answer->str : "no answer");
-      if (code == JC_EXIT_UNKNOWN)
-        printf ("Resend with --change-id %s.\n", id);
-    }
-  g_free (body);
-  g_free (path);
-  g_free (id);
-  g_string_free (answer, TRUE);
-  return code;
+  printf ("  %-*s %s\n", HELP_NAME_CHARS, name, verb->what);
+  g_free (name);
 }
 
-static const struct verb verbs[]
-    = { { "check", "FILE", "check a change without a server", run_check },
-        { "apply", "FILE", "submit a change", run_apply },
-        { "status", "", "show an entry instance", run_status },
-        { "config", "", "show the configuration in force", run_config },
-        { "metrics", "", "show counters and histograms", run_metrics } };
-
 static void
 print_help (void **table)
 {
   printf ("Usage: jaycove-ctl");
   arg_print_syntax (stdout, table, "\n\nVerbs:\n");
-  for (size_t i = 0; i < G_N_ELEMENTS (verbs); i++)
-    printf ("  %-8s %-6s %s\n", verbs[i].name, verbs[i].args, verbs[i].what);
-  printf ("\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (parts); i++)
+    for (const struct verb *verb = parts[i]; verb->word != NULL; verb++)
+      print_verb (verb);
+  printf ("\nOptions:\n");
   arg_print_glossary (stdout, table, "  %-24s %s\n");
-  printf ("\nExit codes: 0 done, 2 usage, 4 refused, 5 outcome unknown.\n");
+  printf ("\nExit codes:\n"
+          "  0  done, and in effect\n"
+          "  1  failed here\n"
+          "  2  wrong usage\n"
+          "  4  refused: surely not done\n"
+          "  5  outcome unknown or no answer: send the same again\n");
+}
+
+/* Return the verb that the words of OPTIONS name, and leave its arguments.  */
+static const struct verb *
+take_verb (struct options *options, const char **words, int count)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (parts); i++)
+    for (const struct verb *verb = parts[i]; verb->word != NULL; verb++)
+      {
+        int used = verb->second != NULL ? 2 : 1;
+
+        if (count < used || strcmp (verb->word, words[0]) != 0
+            || (used == 2 && strcmp (verb->second, words[1]) != 0)
+            || count - used != verb->needs)
+          continue;
+        options->arg_count = count - used;
+        for (int k = used; k < count; k++)
+          options->args[k - used] = words[k];
+        return verb;
+      }
+  return NULL;
 }
 
 static int
-run_verb (const struct options *options)
+run_words (struct options *options, const char **words, int count)
 {
-  for (size_t i = 0; i < G_N_ELEMENTS (verbs); i++)
-    if (strcmp (verbs[i].name, options->verb) == 0
-        && (verbs[i].args[0] == '\0' || options->arg != NULL))
-      return verbs[i].run (options);
-  fprintf (stderr, "jaycove-ctl: unknown verb or missing argument: %s\n",
-           options->verb);
+  const struct verb *verb = take_verb (options, words, count);
+
+  if (verb != NULL)
+    return verb->run (options);
+  fprintf (stderr, "jaycove-ctl: unknown verb or wrong arguments: %s\n",
+           words[0]);
   return JC_EXIT_USAGE;
 }
 
+static const char *
+text_or (const struct arg_str *arg, const char *preset)
+{
+  return arg->count > 0 ? arg->sval[0] : preset;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -219,9 +95,17 @@
                                        "version that the change builds on");
   struct arg_str *id
       = arg_str0 (NULL, "change-id", "ID", "id of the change, for resending");
-  struct arg_str *words = arg_strn (NULL, NULL, "VERB [ARG]", 0, 3, NULL);
+  struct arg_str *base = arg_str0 (NULL, "base", "FILE",
+                                   "configuration to check a change against");
+  struct arg_str *state
+      = arg_str0 (NULL, "state", "NAME", "state instance to ask");
+  struct arg_lit *non_voting
+      = arg_lit0 (NULL, "non-voting", "add a replica that never votes");
+  struct arg_str *words
+      = arg_strn (NULL, NULL, "VERB [ARG]", 0, VERB_WORDS_MAX, NULL);
   struct arg_end *end = arg_end (8);
-  void *table[] = { help, version, server, token, expected, id, words, end };
+  void *table[] = { help, version, server,     token, expected, id,
+                    base, state,   non_voting, words, end };
   int errors = arg_parse (argc, argv, table);
   int code = JC_EXIT_USAGE;
 
@@ -242,14 +126,15 @@
   else
     {
       struct options options
-          = { .verb = words->sval[0],
-              .arg = words->count > 1 ? words->sval[1] : NULL,
-              .server = server->count > 0 ? server->sval[0] : "127.0.0.1:0",
-              .token = token->count > 0 ? token->sval[0] : "",
-              .change_id = id->count > 0 ? id->sval[0] : NULL,
+          = { .server = text_or (server, "127.0.0.1:0"),
+              .token = text_or (token, ""),
+              .change_id = text_or (id, NULL),
+              .base = text_or (base, NULL),
+              .state = text_or (state, NULL),
+              .non_voting = non_voting->count > 0,
               .expected = expected->count > 0 ? expected->ival[0] : 0 };
 
-      code = run_verb (&options);
+      code = run_words (&options, words->sval, words->count);
     }
   arg_freetable (table, sizeof table / sizeof *table);
   return code;
--- /dev/null
+++ b/ctl/verbs.h
@@ -0,0 +1,55 @@
+/* Verbs of jaycove-ctl and what they share.  */
+
+#ifndef VERBS_H
+#define VERBS_H
+
+#include <glib.h>
+
+#include "net/program.h"
+
+enum
+{
+  VERB_WORDS_MAX = 4
+};
+
+/* The command line once read.  ARGS are the words after the verb.  */
+struct options
+{
+  const char *args[VERB_WORDS_MAX];
+  int arg_count;
+  const char *server;
+  const char *token;
+  const char *change_id;
+  const char *base;
+  const char *state;
+  bool non_voting;
+  int expected;
+};
+
+/* One verb: a word, perhaps a second one, and the number of arguments that it
+   needs.  */
+struct verb
+{
+  const char *word;
+  const char *second;
+  const char *args;
+  int needs;
+  const char *what;
+  int (*run) (const struct options *options);
+};
+
+/* The verbs of one part; the list ends with a NULL word.  */
+extern const struct verb config_verbs[];
+extern const struct verb replica_verbs[];
+extern const struct verb entry_verbs[];
+
+/* ask: requests to an operators' listener.  */
+long ask_server (const struct options *options, const char *path,
+                 const char *body, GString *answer);
+int ask_exit_code (long http, const char *answer);
+int ask_and_print (const struct options *options, const char *path,
+                   const char *body);
+int ask_state (const struct options *options, const char *verb,
+               const char *json);
+
+#endif
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -144,6 +144,77 @@
   done
 }
 
+# start_three_states: three regions with a state instance and an entry
+# instance each. Sets O1..O3 (operators' ports).
+start_three_states ()
+{
+  for i in 1 2 3; do
+    eval "SR$i=$(port); SO$i=$(port); C$i=$(port); O$i=$(port); R$i=$(port)"
+  done
+  p1=$(peer s1 "$SR1" at-ost at-ost-1); p2=$(peer s2 "$SR2" at-sued at-sued-1); p3=$(peer s3 "$SR3" at-west at-west-1)
+  state_settings s1 at-ost at-ost-1 "$SR1" "$SO1" "$p2, $p3"
+  state_settings s2 at-sued at-sued-1 "$SR2" "$SO2" "$p1, $p3"
+  state_settings s3 at-west at-west-1 "$SR3" "$SO3" "$p1, $p2"
+  entry_settings e1 at-ost at-ost-1 "$C1" "$O1" "$R1" "$p1, $p2, $p3" ""
+  entry_settings e2 at-sued at-sued-1 "$C2" "$O2" "$R2" "$p2, $p3, $p1" ""
+  entry_settings e3 at-west at-west-1 "$C3" "$O3" "$R3" "$p3, $p1, $p2" ""
+  start s1 "$BUILD/jaycove-state" --settings "$DIR/s1.json" --bootstrap
+  for i in 2 3; do start_state "s$i"; done
+  for i in 1 2 3; do start "e$i" "$BUILD/jaycove-entry" --settings "$DIR/e$i.json"; done
+  wait_for 20 all_vote
+}
+
+# start_state NAME: start a state instance that founds nothing.
+start_state ()
+{
+  start "$1" "$BUILD/jaycove-state" --settings "$DIR/$1.json"
+}
+
+# all_vote: succeed once all three replicas vote and each knows it.
+all_vote ()
+{
+  for i in 1 2 3; do
+    eval "port=\$O$i"
+    [ "$(ctl "$port" --state "s$i" replicas list | jq '[.replicas[] | select(.voter)] | length')" = 3 ] || return 1
+  done
+}
+
+# leader OPERATORS_PORT: print the name of the leader as an entry instance's
+# nearest state instance knows it.
+leader ()
+{
+  ctl "$1" replicas list | jq -r .leader
+}
+
+# race NAME COUNT PORT...: an operator that submits COUNT changes, resends the
+# same id until it has an answer, and builds on what a conflict tells it. The
+# accepted ones go to $DIR/NAME.accepted as "version id".
+race ()
+{
+  who=$1; left=$2; shift 2
+  known=0; serial=0
+  : >"$DIR/$who.accepted"
+  while [ "$serial" -lt "$left" ]; do
+    serial=$((serial + 1))
+    id=$who-$serial
+    tries=0
+    printf '{"put": [{"kind": "region", "name": "%s"}]}' "$id" >"$DIR/$id.json"
+    while :; do
+      said=$(ctl "$1" --expected-version "$known" --change-id "$id" apply "$DIR/$id.json" 2>/dev/null || true)
+      status=$(printf '%s' "$said" | jq -r '.status // "none"' 2>/dev/null || echo none)
+      case $status in
+        ok|version_conflict) break;;
+      esac
+      tries=$((tries + 1))
+      [ "$tries" -lt 300 ] || { echo "$id has no answer" >&2; return 1; }
+      set -- "$@" "$1"; shift
+      sleep 0.1
+    done
+    known=$(printf '%s' "$said" | jq .version)
+    [ "$status" != ok ] || echo "$known $id" >>"$DIR/$who.accepted"
+  done
+}
+
 # apply_demo_objects: publish the demo's objects and wait until they are in
 # force and the endpoints are known everywhere.
 apply_demo_objects ()
--- a/state/admin.c
+++ b/state/admin.c
@@ -182,7 +182,7 @@
 
   if (verb == NULL)
     return false;
-  call = call_keep (state->rpc, conn, packet);
+  call = call_keep (state->calls, conn, packet);
   if (verb->leader && !log_leads (state) && !forwarded)
     {
       forward (state, admin, call);
--- a/state/call.c
+++ b/state/call.c
@@ -1,45 +1,48 @@
-/* A question of a peer that is answered later, perhaps after its connection
-   has gone.  */
+/* Questions of peers that are answered later, over the connection that each
+   came by; once that is down nobody waits for the answer.  */
 
 #include "state/call.h"
 
+/* CONN is NULL once it went down.  */
 struct call
 {
-  struct jc_rpc *rpc;
-  char *name;
-  uint64_t incarnation;
+  GPtrArray *calls;
+  struct jc_rpc_conn *conn;
   uint64_t xid;
 };
 
-/* Keep QUESTION, which came over CONN, until call_answer or call_fail.  */
+/* Keep QUESTION, which came over CONN, in CALLS until call_answer or
+   call_fail.  */
 struct call *
-call_keep (struct jc_rpc *rpc, struct jc_rpc_conn *conn,
+call_keep (GPtrArray *calls, struct jc_rpc_conn *conn,
            const struct rpc_packet *question)
 {
   struct call *call = g_new0 (struct call, 1);
 
-  call->rpc = rpc;
-  call->name = g_strdup (jc_rpc_conn_name (conn));
-  call->incarnation = jc_rpc_conn_incarnation (conn);
+  call->calls = calls;
+  call->conn = conn;
   call->xid = question->head.xid;
+  g_ptr_array_add (calls, call);
   return call;
 }
 
-/* Return the asker's connection, or NULL where it has gone.  */
-static struct jc_rpc_conn *
-call_conn (const struct call *call)
+/* Forget CONN, which went down.  */
+void
+call_down (GPtrArray *calls, const struct jc_rpc_conn *conn)
 {
-  struct jc_rpc_conn *conn = jc_rpc_find (call->rpc, call->name);
+  for (guint i = 0; i < calls->len; i++)
+    {
+      struct call *call = g_ptr_array_index (calls, i);
 
-  if (conn == NULL || jc_rpc_conn_incarnation (conn) != call->incarnation)
-    return NULL;
-  return conn;
+      if (call->conn == conn)
+        call->conn = NULL;
+    }
 }
 
 static void
 call_free (struct call *call)
 {
-  g_free (call->name);
+  g_ptr_array_remove_fast (call->calls, call);
   g_free (call);
 }
 
@@ -48,10 +51,9 @@
 call_answer (struct call *call, struct rpc_packet *answer)
 {
   struct rpc_packet question = { .head.xid = call->xid };
-  struct jc_rpc_conn *conn = call_conn (call);
 
-  if (conn != NULL)
-    jc_rpc_answer (conn, &question, answer);
+  if (call->conn != NULL)
+    jc_rpc_answer (call->conn, &question, answer);
   call_free (call);
 }
 
@@ -61,10 +63,9 @@
            unsigned int retry_after_ms)
 {
   struct rpc_packet question = { .head.xid = call->xid };
-  struct jc_rpc_conn *conn = call_conn (call);
 
-  if (conn != NULL)
-    jc_rpc_answer_failure (conn, &question, status, jc_last_message (),
+  if (call->conn != NULL)
+    jc_rpc_answer_failure (call->conn, &question, status, jc_last_message (),
                            retry_after_ms);
   call_free (call);
 }
--- a/state/call.h
+++ b/state/call.h
@@ -1,4 +1,4 @@
-/* A question of a peer that is answered later.  */
+/* Questions of peers that are answered later.  */
 
 #ifndef CALL_H
 #define CALL_H
@@ -7,8 +7,9 @@
 
 struct call;
 
-struct call *call_keep (struct jc_rpc *rpc, struct jc_rpc_conn *conn,
+struct call *call_keep (GPtrArray *calls, struct jc_rpc_conn *conn,
                         const struct rpc_packet *question);
+void call_down (GPtrArray *calls, const struct jc_rpc_conn *conn);
 void call_answer (struct call *call, struct rpc_packet *answer);
 void call_fail (struct call *call, enum jc_status status,
                 unsigned int retry_after_ms);
--- a/state/log.c
+++ b/state/log.c
@@ -347,7 +347,7 @@
   jc_rlog_propose (state->log->rlog, propose->kind,
                    (struct jc_str){ .data = propose->data.rpc_bytes_val,
                                     .len = propose->data.rpc_bytes_len },
-                   on_proposed, call_keep (state->rpc, conn, packet));
+                   on_proposed, call_keep (state->calls, conn, packet));
 }
 
 /* Take a message of another replica.  */
--- a/state/main.c
+++ b/state/main.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "net/program.h"
+#include "state/call.h"
 #include "state/state.h"
 
 #define PART "state"
@@ -19,6 +20,7 @@
 {
   ledger_down (ctx, conn);
   followers_remove (ctx, conn);
+  call_down (((struct state *)ctx)->calls, conn);
 }
 
 static void
@@ -120,6 +122,7 @@
                 state.settings->log_json);
   state.loop = ev_default_loop (0);
   state.followers = g_ptr_array_new_with_free_func (g_free);
+  state.calls = g_ptr_array_new ();
   ev_signal_init (&term, on_term, SIGTERM);
   ev_signal_start (state.loop, &term);
   if (start (&state, bootstrap) == JC_OK)
@@ -141,6 +144,7 @@
     state.disk->klass->free (state.disk);
   jc_changes_free (state.changes);
   g_ptr_array_free (state.followers, TRUE);
+  g_ptr_array_free (state.calls, TRUE);
   jc_table_free (program.table, settings);
   return code;
 }
--- a/state/state.h
+++ b/state/state.h
@@ -22,6 +22,7 @@
   struct jc_changes *changes;
   const struct jc_answer *answer;
   GPtrArray *followers;
+  GPtrArray *calls;
   struct log *log;
   bool broken;
   struct ledgers *ledgers;
--- a/state/submit.c
+++ b/state/submit.c
@@ -29,7 +29,7 @@
   struct submission *submission = g_new0 (struct submission, 1);
 
   submission->state = state;
-  submission->call = call_keep (state->rpc, conn, packet);
+  submission->call = call_keep (state->calls, conn, packet);
   return submission;
 }
 
