List every fault of a change with its path

Homes outside residency, routes that no region may serve, models of another service, links with equal ends or twice, caller keys of two products. Faults come in the order of their text, so that the list is the same everywhere. Ruled out: stopping at the first fault.

--- a/conf/check.c
+++ b/conf/check.c
@@ -5,6 +5,11 @@
 #include "conf/check.h"
 #include "conf/config.h"
 
+enum
+{
+  KEY_HASH_CHARS = 64
+};
+
 static int
 kind_of_target (const char *target)
 {
@@ -64,10 +69,196 @@
       }
 }
 
-/* Add to FAULTS every broken reference and conflict of CONFIG.  */
+static char *
+path_of (const char *kind, const char *name, const char *key)
+{
+  return g_strconcat (kind, "/", name, ".", key, NULL);
+}
+
+/* Tell whether any region may serve ROUTE.  */
+static bool
+any_region_serves (const struct jc_config *config,
+                   const struct jc_product *product,
+                   const struct jc_route *route)
+{
+  GHashTableIter iter;
+  gpointer region;
+
+  g_hash_table_iter_init (&iter, config->by_name[JC_OBJECT_REGION]);
+  while (g_hash_table_iter_next (&iter, &region, NULL))
+    if (jc_config_allows (config, product, route, region))
+      return true;
+  return false;
+}
+
+static void
+check_home (const struct jc_config *config, const struct jc_product *product,
+            const struct jc_route *route, GPtrArray *faults)
+{
+  char *path = path_of ("route", route->name, "home");
+
+  if (!route->idempotent && route->home[0] == '\0')
+    jc_fault (faults, path, "a route that is not idempotent needs a home");
+  if (route->home[0] != '\0' && product != NULL
+      && jc_config_find (config, JC_OBJECT_REGION, route->home) != NULL
+      && !jc_config_allows (config, product, route, route->home))
+    jc_fault (faults, path, "residency does not allow region %s", route->home);
+  g_free (path);
+}
+
+static void
+check_model (const struct jc_config *config, const struct jc_route *route,
+             GPtrArray *faults)
+{
+  const struct jc_model_version *model
+      = jc_config_find (config, JC_OBJECT_MODEL_VERSION, route->model_version);
+  char *path;
+
+  if (model == NULL || strcmp (model->service, route->service) == 0)
+    return;
+  path = path_of ("route", route->name, "model_version");
+  jc_fault (faults, path, "%s is of service %s, not of %s", model->name,
+            model->service, route->service);
+  g_free (path);
+}
+
+/* Tell whether the rule called NAME, or none, can be judged.  */
+static bool
+rule_known (const struct jc_config *config, const char *name)
+{
+  return name[0] == '\0'
+         || jc_config_find (config, JC_OBJECT_RESIDENCY, name) != NULL;
+}
+
+static void
+check_route (const struct jc_config *config, const void *object,
+             GPtrArray *faults)
+{
+  const struct jc_route *route = object;
+  const struct jc_product *product
+      = jc_config_find (config, JC_OBJECT_PRODUCT, route->product);
+  char *path;
+
+  if (product != NULL
+      && (!rule_known (config, product->residency)
+          || !rule_known (config, route->residency)))
+    product = NULL;
+  check_home (config, product, route, faults);
+  check_model (config, route, faults);
+  if (product == NULL || any_region_serves (config, product, route))
+    return;
+  path = path_of ("route", route->name, "residency");
+  jc_fault (faults, path,
+            "no region may serve it: %s and %s have none in "
+            "common",
+            product->residency, route->residency);
+  g_free (path);
+}
+
+static bool
+same_ends (const struct jc_link *one, const struct jc_link *other)
+{
+  return (strcmp (one->a, other->a) == 0 && strcmp (one->b, other->b) == 0)
+         || (strcmp (one->a, other->b) == 0 && strcmp (one->b, other->a) == 0);
+}
+
+static void
+check_link (const struct jc_config *config, const void *object,
+            GPtrArray *faults)
+{
+  const struct jc_link *link = object;
+  char *path = path_of ("link", link->name, "b");
+  GHashTableIter iter;
+  gpointer value;
+
+  if (strcmp (link->a, link->b) == 0)
+    jc_fault (faults, path, "both ends are %s", link->a);
+  g_hash_table_iter_init (&iter, config->by_name[JC_OBJECT_LINK]);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct jc_link *other = value;
+
+      if (strcmp (link->name, other->name) > 0 && same_ends (link, other))
+        jc_fault (faults, path, "%s joins the same regions", other->name);
+    }
+  g_free (path);
+}
+
+static void
+check_key_hash (const char *hash, const char *path, GPtrArray *faults)
+{
+  size_t len = strspn (hash, "0123456789abcdef");
+
+  if (len != KEY_HASH_CHARS || hash[len] != '\0')
+    jc_fault (faults, path, "must be %d lower-case hex digits", KEY_HASH_CHARS);
+}
+
+/* Check the caller keys of each product; OWNERS maps a hash to the product
+   that comes first by name.  */
+static void
+check_product_keys (const struct jc_product *product, GHashTable *owners,
+                    GPtrArray *faults)
+{
+  for (guint i = 0; i < product->key_hashes->len; i++)
+    {
+      char *hash = g_ptr_array_index (product->key_hashes, i);
+      const char *owner = g_hash_table_lookup (owners, hash);
+      char *path
+          = g_strdup_printf ("product/%s.key_hashes[%u]", product->name, i);
+
+      check_key_hash (hash, path, faults);
+      if (owner != NULL)
+        jc_fault (faults, path, "is a key of product %s already", owner);
+      else
+        g_hash_table_insert (owners, hash, product->name);
+      g_free (path);
+    }
+}
+
+static void
+check_keys (const struct jc_config *config, GPtrArray *faults)
+{
+  GHashTable *products = config->by_name[JC_OBJECT_PRODUCT];
+  GHashTable *owners = g_hash_table_new (g_str_hash, g_str_equal);
+  GList *names
+      = g_list_sort (g_hash_table_get_keys (products), (GCompareFunc)strcmp);
+
+  for (const GList *at = names; at != NULL; at = at->next)
+    check_product_keys (g_hash_table_lookup (products, at->data), owners,
+                        faults);
+  g_list_free (names);
+  g_hash_table_destroy (owners);
+}
+
+static void
+check_each (const struct jc_config *config, enum jc_object_kind kind,
+            void (*check) (const struct jc_config *config, const void *object,
+                           GPtrArray *faults),
+            GPtrArray *faults)
+{
+  GHashTableIter iter;
+  gpointer object;
+
+  g_hash_table_iter_init (&iter, config->by_name[kind]);
+  while (g_hash_table_iter_next (&iter, NULL, &object))
+    check (config, object, faults);
+}
+
+static gint
+by_text (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(char *const *)a, *(char *const *)b);
+}
+
+/* Add to FAULTS every broken reference and conflict of CONFIG.  All of FAULTS
+   are in order of their text then.  */
 void
 jc_config_check (const struct jc_config *config, GPtrArray *faults)
 {
   for (int kind = 0; kind < JC_OBJECT_KINDS; kind++)
     check_refs (config, kind, faults);
+  check_each (config, JC_OBJECT_ROUTE, check_route, faults);
+  check_each (config, JC_OBJECT_LINK, check_link, faults);
+  check_keys (config, faults);
+  g_ptr_array_sort (faults, by_text);
 }
