Wait for a key in progress claim by claim; let faults meet calls in flight

A caller whose key is with a frozen owner was told home_unreachable at its deadline; it is told key_in_progress now. An answer over 1 MiB is marked as dropped instead of never being recorded.

--- a/entry/keyed.c
+++ b/entry/keyed.c
@@ -18,12 +18,13 @@
   CONNECT_MS = 1000,
   CLAIM_WAIT_MS = 800,
   WAIT_MAX_MS = 10000,
-  WAIT_MARGIN_MS = 300,
+  WAIT_MARGIN_MS = 1000,
   RPC_TIMEOUT_MS = 5000,
   RUN_GRACE_MS = 30000,
   RETRY_AFTER_MS = 1000,
   ATTEMPTS_MAX = 3,
   KEY_MAX = 128,
+  ANSWER_MAX_BYTES = 1024 * 1024,
   DIGEST_BYTES = 32
 };
 
@@ -187,7 +188,8 @@
   result->outcome = (int)outcome;
   result->http_status = keyed->http;
   result->content_type = keyed->answer_type != NULL ? keyed->answer_type : "";
-  if (outcome == JC_RUN)
+  result->answer_dropped = keyed->answer->len > ANSWER_MAX_BYTES;
+  if (outcome == JC_RUN && !result->answer_dropped)
     {
       result->answer.rpc_bytes_val = keyed->answer->str;
       result->answer.rpc_bytes_len = (u_int)keyed->answer->len;
--- a/ledger/ledger.c
+++ b/ledger/ledger.c
@@ -523,7 +523,8 @@
   key->http = result->http_status;
   set_text (&key->content_type, result->content_type);
   g_clear_pointer (&key->answer, g_bytes_unref);
-  if (result->answer.rpc_bytes_len <= ledger->options.answer_max)
+  if (!result->answer_dropped
+      && result->answer.rpc_bytes_len <= ledger->options.answer_max)
     set_bytes (&key->answer, &result->answer);
   ledger->counts.done++;
   write_key (ledger, key);
--- a/ledger/owner.c
+++ b/ledger/owner.c
@@ -127,7 +127,10 @@
     }
   else if (reply->state == RPC_CLAIM_IN_PROGRESS
            && now_ms < owner->wait_until_ms)
-    send_claim (owner, now_ms);
+    {
+      owner->waiting = true;
+      send_claim (owner, now_ms);
+    }
   else
     give_up (owner,
              state < sizeof kinds / sizeof *kinds ? kinds[state]
@@ -177,7 +180,8 @@
   bool late = now_ms >= owner->deadline_ms;
 
   if (owner->step == JC_OWNER_CLAIMING && late)
-    give_up (owner, JC_HOME_UNREACHABLE, true, now_ms);
+    give_up (owner, owner->waiting ? JC_KEY_IN_PROGRESS : JC_HOME_UNREACHABLE,
+             true, now_ms);
   else if (owner->step == JC_OWNER_CLAIMING
            && now_ms - owner->sent_ms >= CLAIM_RESEND_MS)
     send_claim (owner, now_ms);
--- a/ledger/owner.h
+++ b/ledger/owner.h
@@ -46,6 +46,7 @@
   int64_t wait_until_ms;
   int64_t sent_ms;
   unsigned int claims;
+  bool waiting;
   bool answered;
   uint64_t fence;
   enum jc_run_state outcome;
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -320,6 +320,7 @@
 	int http_status;
 	rpc_name content_type;
 	rpc_bytes answer;
+	bool_t answer_dropped;
 };
 typedef struct rpc_result rpc_result;
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -588,6 +588,8 @@
 		 return FALSE;
 	 if (!xdr_rpc_bytes (xdrs, &objp->answer))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->answer_dropped))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -265,7 +265,8 @@
   string message<512>;
 };
 
-/* outcome is an enum jc_run_state.  */
+/* outcome is an enum jc_run_state; an answer too large to be kept is
+   dropped.  */
 struct rpc_result {
   rpc_name product;
   rpc_name route;
@@ -276,6 +277,7 @@
   int http_status;
   rpc_name content_type;
   rpc_bytes answer;
+  bool answer_dropped;
 };
 
 struct rpc_result_reply {
--- a/tests/ledgersim.c
+++ b/tests/ledgersim.c
@@ -17,7 +17,8 @@
   CUT_MS = 5000,
   LATE_MS = 6000,
   TICK_MS = 400,
-  REQUEST_MS = 3000
+  REQUEST_MS = 3000,
+  WAIT_MS = 2500
 };
 
 static const char *const names[SIM_NODES]
@@ -357,6 +358,7 @@
   request->owner.ops = &owner_ops;
   request->owner.ctx = request;
   request->owner.deadline_ms = sim->now + REQUEST_MS;
+  request->owner.wait_until_ms = sim->now + WAIT_MS;
   g_ptr_array_add (sim->requests, request);
   if (sim->nodes[node].up && sim->nodes[node].frozen_until <= sim->now)
     jc_owner_start (&request->owner, sim->now);
--- a/tests/process/keyed-faults.sh
+++ b/tests/process/keyed-faults.sh
@@ -33,7 +33,7 @@
 
 start_service () # LIFE
 {
-  start "service-1-$1" "$BUILD/tests/standin-service" --name service-1 --service kassa-ledger --delay-ms 20 --listen 127.0.0.1:0 --entry "127.0.0.1:$C1" --entry "127.0.0.1:$C2"
+  start "service-1-$1" "$BUILD/tests/standin-service" --name service-1 --service kassa-ledger --delay-ms 150 --listen 127.0.0.1:0 --entry "127.0.0.1:$C1" --entry "127.0.0.1:$C2"
 }
 
 freeze () # NAME SECONDS
@@ -43,7 +43,27 @@
   kill -CONT "$(pid "$1")"
 }
 
+runs ()
+{
+  cat "$DIR"/service-*.out | grep -c '^ran '
+}
+
+# flowing: wait until some more calls have run, so that a fault meets calls in
+# flight, or until the callers are through.
+flowing ()
+{
+  before=$(runs)
+  wait_for 20 more_runs
+}
+
+more_runs ()
+{
+  [ "$(runs)" -ge $((before + 5)) ] || ! kill -0 "$callers"
+}
+
 start_two_zones
+slay service-1
+start_service 0
 sed "s/@KEY_HASH@/$(key_hash "$CALLER_KEY")/" examples/demo-objects.json \
   | jq '.put += [{"kind": "route", "name": "grant", "product": "treasury", "service": "kassa-ledger", "priority": "interactive", "deadline_ms": 5000, "idempotent": false, "home": "at-ost"}]' >"$DIR/objects.json"
 wait_for 10 ctl "$O1" --expected-version 0 --change-id first apply "$DIR/objects.json"
@@ -61,19 +81,26 @@
 callers=$!
 PIDS="$PIDS $callers"
 life=0
-service=service-1
+service=service-1-0
 while kill -0 "$callers" 2>/dev/null; do
   life=$((life + 1))
+  flowing
   slay e2
   start e2 "$BUILD/jaycove-entry" --settings "$DIR/e2.json"
+  flowing
   freeze e1 1
+  flowing
   slay s1
   restart_state
+  flowing
   freeze s1 1
+  flowing
   slay "$service"
   service=service-1-$life
   start_service "$life"
+  flowing
   freeze "$service" 1
+  flowing
   freeze e3 3
   [ "$life" -lt 60 ]
 done
--- a/tests/process/keyed_callers.py
+++ b/tests/process/keyed_callers.py
@@ -13,7 +13,6 @@
 CALLERS = 16
 TRIES = 40
 PAUSE_S = 0.25
-PACE_S = 0.25
 
 ports, token, path, keys, seed = (sys.argv[1].split(","), sys.argv[2],
                                   sys.argv[3], int(sys.argv[4]),
@@ -48,7 +47,6 @@
         time.sleep(PAUSE_S)
         if kind == "outcome_unknown" and rng.random() < 0.5:
             break
-    time.sleep(PACE_S)
     return key, kind
 
 
