--- a/entry/main.c
+++ b/entry/main.c
@@ -90,6 +90,7 @@
   entry->rpc = jc_rpc_new (entry->loop, &identity, &rpc_class, entry);
   if (jc_rpc_listen (entry->rpc, s->rpc) != JC_OK)
     return JC_UNREACHABLE;
+  admission_start (entry);
   entry->callers = callers_listen (entry);
   entry->operators = operators_listen (entry);
   if (entry->callers == NULL || entry->operators == NULL)
@@ -110,6 +111,7 @@
   zone_stop (entry);
   if (entry->httpc != NULL)
     jc_httpc_free (entry->httpc);
+  admission_stop (entry);
   jc_policy_clear (&entry->policy);
   jc_copies_free (entry->copies);
   jc_members_free (entry->members);
