--- a/ctl/main.c
+++ b/ctl/main.c
@@ -13,7 +13,7 @@
 };
 
 static const struct verb *const parts[]
-    = { config_verbs, replica_verbs, entry_verbs };
+    = { config_verbs, replica_verbs, entry_verbs, ledger_verbs };
 
 static void
 print_verb (const struct verb *verb)
--- a/ctl/verbs.h
+++ b/ctl/verbs.h
@@ -42,6 +42,7 @@
 extern const struct verb config_verbs[];
 extern const struct verb replica_verbs[];
 extern const struct verb entry_verbs[];
+extern const struct verb ledger_verbs[];
 
 /* ask: requests to an operators' listener.  */
 long ask_server (const struct options *options, const char *path,
--- a/state/ledger-admin.c
+++ b/state/ledger-admin.c
@@ -98,7 +98,13 @@
   json_t *asked;
 
   if (ledger == NULL)
-    return JC_NOT_FOUND;
+    {
+      json_object_set_new (
+          said, "message",
+          json_string ("This instance keeps no ledger; ask the first by name "
+                       "of the home region."));
+      return JC_NOT_FOUND;
+    }
   asked = json_loadb (admin->json.rpc_bytes_val, admin->json.rpc_bytes_len, 0,
                       NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (verbs); i++)
--- a/tests/process/keyed-faults.sh
+++ b/tests/process/keyed-faults.sh
@@ -77,6 +77,10 @@
 grant "$C3" warm-1 >"$DIR/second"
 cmp "$DIR/first" "$DIR/second"
 
+ctl "$O1" ledger show warm-1 | jq -e '.keys[0].state == "done"'
+ctl "$O1" --state s1 ledger list | jq -e '.found >= 1 and .state == "serving"'
+[ "$(ctl "$O1" --state s1 ledger accept-loss | jq -r .state)" = serving ]
+
 python3 tests/process/keyed_callers.py "$C1,$C2,$C3" "$CALLER_KEY" /r/grant/book "$KEYS" "$SEED" >"$DIR/outcomes" &
 callers=$!
 PIDS="$PIDS $callers"
@@ -123,6 +127,7 @@
   jq -e '.service == "kassa-ledger" or .error.kind == "outcome_unknown"' "$DIR/answer"
 }
 wait_for 30 granted "$C1" last-1
+ctl "$O1" ledger list --state unknown | jq .found
 for key in $(awk 'NF == 2 && $2 != "done" {print $1}' "$DIR/outcomes"); do
   wait_for 30 outcome "$key"
 done
