--- a/state/ledger-admin.c
+++ b/state/ledger-admin.c
@@ -98,7 +98,13 @@
   json_t *asked;
 
   if (ledger == NULL)
-    return JC_NOT_FOUND;
+    {
+      json_object_set_new (
+          said, "message",
+          json_string ("This instance keeps no ledger; ask the first by name "
+                       "of the home region."));
+      return JC_NOT_FOUND;
+    }
   asked = json_loadb (admin->json.rpc_bytes_val, admin->json.rpc_bytes_len, 0,
                       NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (verbs); i++)
@@ -109,6 +115,8 @@
       json_string (jc_ledger_state_name (jc_ledger_state (ledger))));
   json_object_set_new (said, "copies",
                        json_integer (jc_ledger_members (ledger)));
+  json_object_set_new (said, "copies_held",
+                       json_integer (jc_ledger_held (ledger)));
   json_decref (asked);
   return status;
 }
