Test an instance that starts in a cut-off zone

With the region's state instance and all other zones stopped, an instance that is killed and started anew gets the configuration from its neighbour and the endpoints from announcements and deltas, and serves; the others are dropped from the directory by age and listed again when they come back.

--- /dev/null
+++ b/tests/process/member-cutoff.sh
@@ -0,0 +1,27 @@
+# A zone that is cut off from all others and from its region's state instance:
+# an instance of it that starts anew gets the configuration from its neighbour,
+# the endpoints from both, and serves.
+set -eu
+. scripts/cluster.sh
+trap stop_all EXIT
+
+lists_only () { ask "$1" /v1/instances | jq -e --arg n "$2" '[.instances[].name] | sort | join(" ") == $n'; }
+serves () { ask "$1" /r/balance/lookup '{}' | jq -e '.endpoint == "service-1"'; }
+
+start_two_zones
+apply_demo_objects
+wait_for 10 lists_only "$C1" "e1 e2 e3 e4"
+for n in s1 e3 e4; do kill -STOP "$(pid $n)"; done
+wait_for 10 lists_only "$C1" "e1 e2"
+wait_for 10 serves "$C1"
+p=$(pid e2)
+kill -9 "$p"
+wait "$p" 2>/dev/null || true
+start e2 "$BUILD/jaycove-entry" --settings "$DIR/e2.json"
+wait_for 10 has_version "$O2" 1
+wait_for 10 has_endpoints "$O2" 2
+wait_for 10 lists_only "$C2" "e1 e2"
+wait_for 10 serves "$C2"
+# The others come back, and are listed again.
+for n in s1 e3 e4; do kill -CONT "$(pid $n)"; done
+wait_for 10 lists_only "$C2" "e1 e2 e3 e4"
--- a/tests/relay.c
+++ b/tests/relay.c
@@ -127,7 +127,7 @@
 relay_on_accept (struct ev_loop *loop, ev_io *watcher, int events)
 {
   struct relay *relay = watcher->data;
-  struct sockaddr_in peer;
+  struct sockaddr_in peer = { 0 };
   socklen_t len = sizeof peer;
   struct sockaddr_in target = loopback (relay->target_port);
   int near = accept (watcher->fd, (struct sockaddr *)&peer, &len);
