Send summaries as changes and stretch intervals with the zone's size

Batches now go each 120 ms per peer, from 500 to 1500 ms; summaries each 300 ms per follower, from 1 to 3 s, and only rows that changed by more than an eighth. Of two connections between far instances one is given up, as within a zone.

Seen red with the guard taken out: rows gone not told, rows kept over a change of source. Not seen red: the comparison of endpoint counts (their slots change with them).

--- a/member/links.c
+++ b/member/links.c
@@ -177,6 +177,15 @@
   links->klass->hang_up (links->ctx, peer->name);
 }
 
+/* Tell whether PEER's own connection serves as well, so that the one from
+   here, which comes second by name, is to go.  */
+static bool
+peer_is_double (const struct jc_links *links, const struct peer *peer)
+{
+  return peer->dialled && peer->accepted_up
+         && strcmp (links->name, peer->name) > 0;
+}
+
 /* Settle the connection to an instance of the own zone: one is enough.  */
 static void
 near_settle (struct jc_links *links, struct peer *peer, int64_t now_ms)
@@ -187,7 +196,7 @@
     peer->lonely_ms = -1;
   else if (peer->lonely_ms < 0)
     peer->lonely_ms = now_ms;
-  if (peer->dialled && peer->accepted_up && !first)
+  if (peer_is_double (links, peer))
     peer_hang_up (links, peer);
   else if (!peer->dialled && !peer_is_up (peer)
            && (first || now_ms - peer->lonely_ms >= DIAL_MS))
@@ -216,6 +225,8 @@
           peer_hang_up (links, peer);
           peer->failed_ms = now_ms;
         }
+      else if (peer_is_double (links, peer))
+        peer_hang_up (links, peer);
       if (peer_is_up (peer) || peer_is_dialling (peer))
         count++;
     }
--- a/member/regions.c
+++ b/member/regions.c
@@ -7,7 +7,7 @@
 
 enum
 {
-  SUMMARY_STALE_MS = 5000,
+  SUMMARY_STALE_MS = 8000,
   INSTANCE_STALE_MS = 3000,
   FORGET_MS = 600000,
   ROWS_MAX = 4096
@@ -19,7 +19,6 @@
   char *service;
   char *model;
   struct rpc_summary_row said;
-  int64_t heard_ms;
 };
 
 /* What one summary covers: a region, or a zone of the own region.  ROWS are
@@ -123,8 +122,7 @@
 }
 
 static void
-row_take (struct group *group, const struct rpc_summary_row *said,
-          int64_t now_ms)
+row_take (struct group *group, const struct rpc_summary_row *said)
 {
   uint64_t tag = jc_summary_tag (said->service, said->model);
   struct row *row = g_hash_table_lookup (group->rows, &tag);
@@ -141,12 +139,10 @@
   row->said = *said;
   row->said.service = row->service;
   row->said.model = row->model;
-  row->heard_ms = now_ms;
 }
 
 static bool
-load_take (struct group *group, const struct rpc_summary_load *load,
-           int64_t now_ms)
+load_take (struct group *group, const struct rpc_summary_load *load)
 {
   uint64_t tag = load->tag;
   struct row *row = g_hash_table_lookup (group->rows, &tag);
@@ -156,7 +152,6 @@
   row->said.endpoints = load->endpoints;
   row->said.free_slots = load->free_slots;
   row->said.expected_wait_ms = load->expected_wait_ms;
-  row->heard_ms = now_ms;
   return true;
 }
 
@@ -214,20 +209,22 @@
 
   if (summary->sequence <= group->sequence)
     return true;
+  if (group->sequence == 0)
+    g_hash_table_remove_all (group->rows);
   group->sequence = summary->sequence;
   group->heard_ms = now_ms;
   for (u_int i = 0; i < summary->rows.rows_len; i++)
-    row_take (group, &summary->rows.rows_val[i], now_ms);
+    row_take (group, &summary->rows.rows_val[i]);
   for (u_int i = 0; i < summary->loads.loads_len; i++)
-    if (!load_take (group, &summary->loads.loads_val[i], now_ms))
+    if (!load_take (group, &summary->loads.loads_val[i]))
       known = false;
   if (summary->listed)
     group_list (group, summary, now_ms);
   return known;
 }
 
-/* Take the next summary of REGION and ZONE whatever its sequence, since it
-   comes from another sender.  */
+/* Take the next summary of REGION and ZONE whatever its sequence, and in place
+   of all before, since it comes from another sender.  */
 void
 jc_regions_forget_order (struct jc_regions *regions, const char *region,
                          const char *zone)
@@ -236,20 +233,20 @@
 }
 
 static bool
-row_fresh (const struct row *row, int64_t now_ms)
+group_fresh (const struct group *group, int64_t now_ms)
 {
-  return now_ms - row->heard_ms <= SUMMARY_STALE_MS;
+  return now_ms - group->heard_ms <= SUMMARY_STALE_MS;
 }
 
 static void
 capacity_add (struct jc_capacity *out, const struct row *row, bool first,
-              int64_t now_ms)
+              int64_t age_ms)
 {
   if (first || row->said.expected_wait_ms < out->expected_wait_ms)
     out->expected_wait_ms = row->said.expected_wait_ms;
   out->endpoints += row->said.endpoints;
   out->free_slots += row->said.free_slots;
-  out->age_ms = MAX (out->age_ms, now_ms - row->heard_ms);
+  out->age_ms = MAX (out->age_ms, age_ms);
 }
 
 /* Set OUT to what is known of SERVICE and MODEL in REGION; of the own region
@@ -271,10 +268,11 @@
       const struct group *group = value;
       const struct row *row = g_hash_table_lookup (group->rows, &tag);
 
-      if (row == NULL || strcmp (group->region, region) != 0
-          || !row_fresh (row, now_ms))
+      if (row == NULL || row->said.endpoints == 0
+          || strcmp (group->region, region) != 0
+          || !group_fresh (group, now_ms))
         continue;
-      capacity_add (out, row, !found, now_ms);
+      capacity_add (out, row, !found, now_ms - group->heard_ms);
       found = true;
     }
   return found;
@@ -294,11 +292,11 @@
     {
       const struct group *group = value;
 
-      if (strcmp (group->region, region) != 0)
+      if (strcmp (group->region, region) != 0 || !group_fresh (group, now_ms))
         continue;
       g_hash_table_iter_init (&rows, group->rows);
       while (g_hash_table_iter_next (&rows, NULL, &value))
-        if (row_fresh (value, now_ms))
+        if (((const struct row *)value)->said.endpoints > 0)
           fn (ctx, &((const struct row *)value)->said);
     }
 }
@@ -351,7 +349,7 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (now_ms - group->heard_ms > SUMMARY_STALE_MS)
+  if (!group_fresh (group, now_ms))
     return;
   g_hash_table_iter_init (&iter, group->listed);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -384,18 +382,6 @@
   g_ptr_array_sort (out, compare_views);
 }
 
-static void
-rows_expire (GHashTable *rows, int64_t now_ms)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, rows);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now_ms - ((struct row *)value)->heard_ms > FORGET_MS)
-      g_hash_table_iter_remove (&iter);
-}
-
 /* Forget what was not heard for long before NOW_MS.  */
 void
 jc_regions_expire (struct jc_regions *regions, int64_t now_ms)
@@ -409,11 +395,6 @@
       g_hash_table_iter_remove (&iter);
   g_hash_table_iter_init (&iter, regions->groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct group *group = value;
-
-      rows_expire (group->rows, now_ms);
-      if (now_ms - group->heard_ms > FORGET_MS)
-        g_hash_table_iter_remove (&iter);
-    }
+    if (now_ms - ((struct group *)value)->heard_ms > FORGET_MS)
+      g_hash_table_iter_remove (&iter);
 }
--- a/member/summaries.c
+++ b/member/summaries.c
@@ -1,8 +1,9 @@
 /* Exchange of capacity between zones.
 
    Who follows asks once on a connection and then gets a summary each
-   interval: the numbers of each service and model, by tag once their names
-   were sent, and the list of instances where it changed.  A source that goes
+   interval: the numbers of each service and model that changed by more than
+   a share, by tag once their names were sent, and the list of instances where
+   it changed.  A source that goes
    silent is replaced by another connected instance of its region.  */
 
 #include <string.h>
@@ -11,14 +12,18 @@
 
 enum
 {
-  SUMMARY_MS = 2000,
-  SOURCE_SILENT_MS = 4500,
+  SUMMARY_MIN_MS = 1000,
+  SUMMARY_MAX_MS = 3000,
+  SUMMARY_PER_FOLLOWER_MS = 300,
+  SOURCE_SILENT_MS = 7000,
   LISTED_PER_ZONE = 4,
+  CLOSE_SHARE = 8,
   ASSUMED_SERVICE_MS = 1000
 };
 
 /* A connected instance of another zone.  GROUP_ZONE is empty where it is of
-   another region.  FOLLOWS: it gets this instance's summaries.  */
+   another region.  FOLLOWS: it gets this instance's summaries; TOLD
+   has the last numbers by tag.  */
 struct peer
 {
   char *name;
@@ -30,7 +35,7 @@
   bool draining;
   bool follows;
   uint64_t sent;
-  GHashTable *named;
+  GHashTable *told;
   uint64_t listed;
   bool source;
   int64_t heard_ms;
@@ -69,7 +74,7 @@
   g_free (peer->region);
   g_free (peer->zone);
   g_free (peer->callers_address);
-  g_hash_table_destroy (peer->named);
+  g_hash_table_destroy (peer->told);
   g_free (peer);
 }
 
@@ -92,7 +97,7 @@
   summaries->regions = tables->regions;
   summaries->peers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
-  summaries->sent_ms = -SUMMARY_MS;
+  summaries->sent_ms = -SUMMARY_MAX_MS;
   return summaries;
 }
 
@@ -155,8 +160,8 @@
   peer->group_zone = sibling ? peer->zone : "";
   peer->callers_address = g_strdup ("");
   peer->incarnation = incarnation;
-  peer->named
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  peer->told
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   peer->heard_ms = now_ms;
   g_hash_table_replace (summaries->peers, peer->name, peer);
   peer_introduce (summaries, peer);
@@ -297,35 +302,83 @@
     g_hash_table_destroy (offer->table);
 }
 
-/* Divide the rows of TABLE into those whose names PEER knows, as numbers
-   alone, and the others.  */
+static bool
+numbers_close (unsigned int a, unsigned int b)
+{
+  unsigned int more = MAX (a, b);
+  unsigned int less = MIN (a, b);
+
+  return (less > 0 || more == 0) && more - less <= more / CLOSE_SHARE;
+}
+
+/* Tell whether a follower that was last told LAST needs no other numbers.  */
+static bool
+loads_close (const struct rpc_summary_load *last,
+             const struct rpc_summary_load *load)
+{
+  return last->endpoints == load->endpoints
+         && numbers_close (last->free_slots, load->free_slots)
+         && numbers_close (last->expected_wait_ms, load->expected_wait_ms);
+}
+
+/* Add what changed of the row of TAG to ROWS, where PEER does not know its
+   names, or to LOADS.  */
 static void
-peer_divide (struct peer *peer, GHashTable *table, GArray *rows, GArray *loads)
+peer_add_row (struct peer *peer, uint64_t tag,
+              const struct rpc_summary_row *row, GArray *rows, GArray *loads)
+{
+  struct rpc_summary_load load = { .tag = tag,
+                                   .endpoints = row->endpoints,
+                                   .free_slots = row->free_slots,
+                                   .expected_wait_ms = row->expected_wait_ms };
+  struct rpc_summary_load *last = g_hash_table_lookup (peer->told, &tag);
+
+  if (last == NULL)
+    {
+      g_hash_table_insert (peer->told, g_memdup2 (&tag, sizeof tag),
+                           g_memdup2 (&load, sizeof load));
+      g_array_append_val (rows, *row);
+    }
+  else if (!loads_close (last, &load))
+    {
+      *last = load;
+      g_array_append_val (loads, load);
+    }
+}
+
+/* Add to LOADS what PEER was told of and TABLE no longer has.  */
+static void
+peer_add_gone (struct peer *peer, GHashTable *table, GArray *loads)
 {
   GHashTableIter iter;
   gpointer key;
   gpointer value;
 
-  g_hash_table_iter_init (&iter, table);
+  g_hash_table_iter_init (&iter, peer->told);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
-      const struct rpc_summary_row *row = value;
-      struct rpc_summary_load load
-          = { .tag = *(uint64_t *)key,
-              .endpoints = row->endpoints,
-              .free_slots = row->free_slots,
-              .expected_wait_ms = row->expected_wait_ms };
-
-      if (g_hash_table_contains (peer->named, key))
-        {
-          g_array_append_val (loads, load);
-          continue;
-        }
-      g_hash_table_add (peer->named, g_memdup2 (key, sizeof (uint64_t)));
-      g_array_append_val (rows, *row);
+      struct rpc_summary_load *last = value;
+
+      if (last->endpoints == 0 || g_hash_table_contains (table, key))
+        continue;
+      *last = (struct rpc_summary_load){ .tag = *(uint64_t *)key };
+      g_array_append_val (loads, *last);
     }
 }
 
+static void
+peer_divide (struct peer *peer, GHashTable *table, GArray *rows, GArray *loads)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    peer_add_row (peer, *(uint64_t *)key, value, rows, loads);
+  peer_add_gone (peer, table, loads);
+}
+
 /* Send PEER the OFFER; its list goes only where PEER has another.  */
 static void
 peer_send (struct jc_summaries *summaries, struct peer *peer,
@@ -373,7 +426,7 @@
 
   peer->follows = true;
   peer->listed = 0;
-  g_hash_table_remove_all (peer->named);
+  g_hash_table_remove_all (peer->told);
   offer_init (summaries, &offer, offer_zone (summaries, peer), true, now_ms);
   peer_send (summaries, peer, &offer);
   offer_clear (&offer);
@@ -531,11 +584,26 @@
   offer_clear (&zone);
 }
 
+/* Return the interval of summaries: the more followers, the longer.  */
+static int64_t
+summaries_interval_ms (const struct jc_summaries *summaries)
+{
+  GHashTableIter iter;
+  gpointer value;
+  int64_t followers = 0;
+
+  g_hash_table_iter_init (&iter, summaries->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    followers += ((struct peer *)value)->follows;
+  return CLAMP (followers * SUMMARY_PER_FOLLOWER_MS, SUMMARY_MIN_MS,
+                SUMMARY_MAX_MS);
+}
+
 /* Do what is due at NOW_MS; to be called several times an interval.  */
 void
 jc_summaries_tick (struct jc_summaries *summaries, int64_t now_ms)
 {
-  bool due = now_ms - summaries->sent_ms >= SUMMARY_MS;
+  bool due = now_ms - summaries->sent_ms >= summaries_interval_ms (summaries);
   GHashTableIter iter;
   gpointer value;
 
--- a/member/zone.c
+++ b/member/zone.c
@@ -11,8 +11,9 @@
 
 enum
 {
-  BATCH_MS = 1000,
-  RELAY_SILENT_MS = 1200,
+  BATCH_MIN_MS = 500,
+  BATCH_MAX_MS = 1500,
+  BATCH_PER_PEER_MS = 120,
   FULL_INTERVAL_MS = 500,
   ASK_INTERVAL_MS = 500,
   PEER_FORGET_MS = 600000,
@@ -114,7 +115,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
   zone->relays
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, relay_free);
-  zone->batch_ms = -BATCH_MS;
+  zone->batch_ms = -BATCH_MAX_MS;
   return zone;
 }
 
@@ -451,13 +452,25 @@
   peer_settle (zone, peer, now_ms);
 }
 
+/* Return the interval of batches: the more instances a zone has, the longer,
+   so that what each of them sends stays bounded.  */
+static int64_t
+zone_interval_ms (const struct jc_zone *zone)
+{
+  int64_t peers = g_hash_table_size (zone->peers);
+
+  return CLAMP (peers * BATCH_PER_PEER_MS, BATCH_MIN_MS, BATCH_MAX_MS);
+}
+
 /* Tell whether a peer that ranks before this instance for the endpoint of
    RELAY relays it.  */
 static bool
 relay_is_covered (const struct jc_zone *zone, const struct relay *relay,
                   int64_t now_ms)
 {
-  if (relay->relayer == NULL || now_ms - relay->relayed_ms > RELAY_SILENT_MS)
+  int64_t silent_ms = zone_interval_ms (zone) * 5 / 4;
+
+  if (relay->relayer == NULL || now_ms - relay->relayed_ms > silent_ms)
     return false;
   return jc_member_hash (relay->relayer, relay->name)
          < jc_member_hash (zone->name, relay->name);
@@ -529,7 +542,7 @@
                        zone->callers_address, zone->incarnation, zone->draining,
                        now_ms);
   zone_settle_all (zone, now_ms);
-  if (now_ms - zone->batch_ms < BATCH_MS)
+  if (now_ms - zone->batch_ms < zone_interval_ms (zone))
     return;
   zone->batch_ms = now_ms;
   zone->urgent = 0;
--- a/tests/zonenet.h
+++ b/tests/zonenet.h
@@ -24,6 +24,7 @@
                    unsigned int count);
 void zonenet_send (struct zonenet *net, const char *from, const char *to,
                    struct rpc_packet *packet, int64_t arrives_ms);
+void zonenet_beat (struct zonenet *net, const char *from, const char *to);
 void zonenet_run (struct zonenet *net, int64_t now_ms);
 uint64_t zonenet_sent (const struct zonenet *net, const char *node);
 uint64_t zonenet_received (const struct zonenet *net, const char *node);
--- a/tests/zonenode.h
+++ b/tests/zonenode.h
@@ -46,6 +46,7 @@
   GHashTable *by_name;
   GHashTable *connections;
   GPtrArray *points;
+  unsigned int models;
   int64_t now_ms;
 };
 
