--- a/entry/zone.c
+++ b/entry/zone.c
@@ -14,6 +14,7 @@
 {
   TICK_MS = 100,
   LINKS_MS = 500,
+  OPEN_WAIT_MS = 2000,
   MS_PER_S = 1000
 };
 
@@ -26,7 +27,9 @@
   struct jc_links *links;
   char *callers_address;
   ev_timer tick;
+  int64_t started_ms;
   int64_t links_ms;
+  bool open;
 };
 
 static void
@@ -81,6 +84,22 @@
 static const struct jc_links_class links_class
     = { .dial = dial_peer, .hang_up = hang_up_peer };
 
+/* Let callers come once a configuration is in force and endpoints are known;
+   a zone without endpoints is opened all the same after a while.  */
+static void
+task_open (struct zone_task *task, int64_t now_ms)
+{
+  const struct entry *entry = task->entry;
+
+  if (task->open || entry->config->version == 0
+      || (jc_members_count (entry->members) == 0
+          && now_ms - task->started_ms < OPEN_WAIT_MS))
+    return;
+  task->open = true;
+  jc_zone_open (task->sharing, task->callers_address, now_ms);
+  jc_summaries_open (task->summaries, task->callers_address);
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -89,6 +108,7 @@
 
   (void)loop;
   (void)events;
+  task_open (task, now);
   jc_zone_tick (task->sharing, now);
   jc_summaries_tick (task->summaries, now);
   if (now - task->links_ms < LINKS_MS)
@@ -129,7 +149,8 @@
   task->entry = entry;
   task->callers_address
       = jc_address_with_port (s->callers, jc_httpd_port (entry->callers));
-  self.callers_address = task->callers_address;
+  self.callers_address = "";
+  task->started_ms = jc_now_ms ();
   task->sharing = jc_zone_new (&self, &tables, &zone_class, task);
   task->summaries = jc_summaries_new (&self, &tables, &summaries_class, task);
   task->links = links_new (task, s);
@@ -243,8 +264,6 @@
 void
 zone_drain (struct entry *entry)
 {
-  int64_t now = jc_now_ms ();
-
-  jc_zone_drain (entry->zone->sharing, now);
-  jc_summaries_drain (entry->zone->summaries, now);
+  jc_zone_drain (entry->zone->sharing, jc_now_ms ());
+  jc_summaries_drain (entry->zone->summaries);
 }
--- a/member/summaries.c
+++ b/member/summaries.c
@@ -620,16 +620,31 @@
   jc_regions_expire (summaries->regions, now_ms);
 }
 
-/* Tell all connected instances at once that this one takes no new work.  */
-void
-jc_summaries_drain (struct jc_summaries *summaries, int64_t now_ms)
+static void
+introduce_all (struct jc_summaries *summaries)
 {
   GHashTableIter iter;
   gpointer value;
 
-  (void)now_ms;
-  summaries->draining = true;
   g_hash_table_iter_init (&iter, summaries->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     peer_introduce (summaries, value);
 }
+
+/* Tell all connected instances that callers may come to CALLERS_ADDRESS from
+   now on.  */
+void
+jc_summaries_open (struct jc_summaries *summaries, const char *callers_address)
+{
+  g_free ((char *)summaries->self.callers_address);
+  summaries->self.callers_address = g_strdup (callers_address);
+  introduce_all (summaries);
+}
+
+/* Tell all connected instances at once that this one takes no new work.  */
+void
+jc_summaries_drain (struct jc_summaries *summaries)
+{
+  summaries->draining = true;
+  introduce_all (summaries);
+}
--- a/member/summaries.h
+++ b/member/summaries.h
@@ -31,6 +31,8 @@
                         const struct rpc_region_summary *summary,
                         int64_t now_ms);
 void jc_summaries_tick (struct jc_summaries *summaries, int64_t now_ms);
-void jc_summaries_drain (struct jc_summaries *summaries, int64_t now_ms);
+void jc_summaries_open (struct jc_summaries *summaries,
+                        const char *callers_address);
+void jc_summaries_drain (struct jc_summaries *summaries);
 
 #endif
--- a/member/zone.c
+++ b/member/zone.c
@@ -532,15 +532,22 @@
     }
 }
 
+/* Keep this instance in its own table.  */
+static void
+zone_show_self (const struct jc_zone *zone, int64_t now_ms)
+{
+  jc_regions_instance (zone->regions, zone->name, zone->region, zone->zone,
+                       zone->callers_address, zone->incarnation, zone->draining,
+                       now_ms);
+}
+
 /* Do what is due at NOW_MS; to be called several times an interval.  */
 void
 jc_zone_tick (struct jc_zone *zone, int64_t now_ms)
 {
   struct batch batch;
 
-  jc_regions_instance (zone->regions, zone->name, zone->region, zone->zone,
-                       zone->callers_address, zone->incarnation, zone->draining,
-                       now_ms);
+  zone_show_self (zone, now_ms);
   zone_settle_all (zone, now_ms);
   if (now_ms - zone->batch_ms < zone_interval_ms (zone))
     return;
@@ -552,6 +559,22 @@
   batch_clear (&batch);
 }
 
+/* Tell the peers that callers may come to CALLERS_ADDRESS from now on.  */
+void
+jc_zone_open (struct jc_zone *zone, const char *callers_address, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_free (zone->callers_address);
+  zone->callers_address = g_strdup (callers_address);
+  zone_show_self (zone, now_ms);
+  g_hash_table_iter_init (&iter, zone->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct peer *)value)->wants_full = true;
+  zone_settle_all (zone, now_ms);
+}
+
 /* Tell the peers at once that this instance takes no new work.  */
 void
 jc_zone_drain (struct jc_zone *zone, int64_t now_ms)
@@ -559,7 +582,6 @@
   if (zone->draining)
     return;
   zone->draining = true;
-  jc_regions_instance (zone->regions, zone->name, zone->region, zone->zone,
-                       zone->callers_address, zone->incarnation, true, now_ms);
+  zone_show_self (zone, now_ms);
   zone_send_one (zone, NULL, now_ms);
 }
--- a/member/zone.h
+++ b/member/zone.h
@@ -16,7 +16,8 @@
   void (*send) (void *ctx, const char *peer, struct rpc_zone_delta *delta);
 };
 
-/* The entry instance that shares.  */
+/* The entry instance that shares.  CALLERS_ADDRESS is empty until callers may
+   come.  */
 struct jc_zone_self
 {
   const char *name;
@@ -46,6 +47,8 @@
 void jc_zone_delta (struct jc_zone *zone, const char *peer,
                     const struct rpc_zone_delta *delta, int64_t now_ms);
 void jc_zone_tick (struct jc_zone *zone, int64_t now_ms);
+void jc_zone_open (struct jc_zone *zone, const char *callers_address,
+                   int64_t now_ms);
 void jc_zone_drain (struct jc_zone *zone, int64_t now_ms);
 
 #endif
--- a/tests/script-member.c
+++ b/tests/script-member.c
@@ -9,7 +9,8 @@
    down A B | up A B           end their connections, or let them connect
    connections                 print how many each instance has
    capacity NAME REGION        print what NAME knows of a region
-   restart NAME | drain NAME   of an entry instance
+   restart NAME                start an instance anew, not open to callers
+   open NAME | drain NAME      let callers come to it, or no longer
    run MS                      let time pass
    gone NAME MS                run until no instance uses an endpoint
    held NAME MS A,B            run and tell whether these always used it
@@ -105,6 +106,12 @@
   zonenode_drain (zoneworld_find (world, words[1]));
 }
 
+static void
+run_open (struct zoneworld *world, char **words)
+{
+  zonenode_open (zoneworld_find (world, words[1]));
+}
+
 static void
 run_run (struct zoneworld *world, char **words)
 {
@@ -190,9 +197,12 @@
   jc_regions_instances (node->regions, NULL, world->now_ms, list);
   printf ("%s lists:", words[1]);
   for (guint i = 0; i < list->len; i++)
-    printf (
-        " %s",
-        ((const struct jc_instance_view *)g_ptr_array_index (list, i))->name);
+    {
+      const struct jc_instance_view *view = g_ptr_array_index (list, i);
+
+      if (view->callers_address[0] != '\0')
+        printf (" %s", view->name);
+    }
   printf ("\n");
   g_ptr_array_free (list, TRUE);
 }
@@ -225,15 +235,25 @@
 }
 
 static const struct command commands[]
-    = { { "instance", 4, run_instance }, { "endpoint", 4, run_endpoint },
-        { "say", 6, run_say },           { "leave", 2, run_leave },
-        { "crash", 2, run_crash },       { "lose", 4, run_lose },
-        { "cut", 3, run_cut },           { "heal", 3, run_cut },
-        { "down", 3, run_link },         { "up", 3, run_link },
-        { "restart", 2, run_restart },   { "drain", 2, run_drain },
-        { "run", 2, run_run },           { "gone", 3, run_gone },
-        { "held", 4, run_held },         { "show", 1, run_show },
-        { "views", 2, run_views },       { "connections", 1, run_connections },
+    = { { "instance", 4, run_instance },
+        { "endpoint", 4, run_endpoint },
+        { "say", 6, run_say },
+        { "leave", 2, run_leave },
+        { "crash", 2, run_crash },
+        { "lose", 4, run_lose },
+        { "cut", 3, run_cut },
+        { "heal", 3, run_cut },
+        { "down", 3, run_link },
+        { "up", 3, run_link },
+        { "restart", 2, run_restart },
+        { "open", 2, run_open },
+        { "drain", 2, run_drain },
+        { "run", 2, run_run },
+        { "gone", 3, run_gone },
+        { "held", 4, run_held },
+        { "show", 1, run_show },
+        { "views", 2, run_views },
+        { "connections", 1, run_connections },
         { "capacity", 3, run_capacity } };
 
 static bool
--- a/tests/zonenode.c
+++ b/tests/zonenode.c
@@ -192,7 +192,7 @@
   struct jc_zone_self self = { .name = node->name,
                                .region = node->region,
                                .zone = node->zone,
-                               .callers_address = "10.0.0.1:8000",
+                               .callers_address = "",
                                .incarnation = ++node->incarnation };
   struct jc_zone_tables tables;
 
@@ -275,6 +275,7 @@
   node_learn_others (node);
   g_ptr_array_add (world->nodes, node);
   g_hash_table_insert (world->by_name, node->name, node);
+  zonenode_open (node);
   return node;
 }
 
@@ -345,12 +346,20 @@
   node_learn_others (node);
 }
 
+/* Let callers come to NODE.  */
+void
+zonenode_open (struct zonenode *node)
+{
+  jc_zone_open (node->sharing, "10.0.0.1:8000", node->world->now_ms);
+  jc_summaries_open (node->summaries, "10.0.0.1:8000");
+}
+
 /* Let NODE take no new work any longer.  */
 void
 zonenode_drain (struct zonenode *node)
 {
   jc_zone_drain (node->sharing, node->world->now_ms);
-  jc_summaries_drain (node->summaries, node->world->now_ms);
+  jc_summaries_drain (node->summaries);
 }
 
 /* Add an endpoint that announces itself to ENTRIES, split by commas.  */
--- a/tests/zonenode.h
+++ b/tests/zonenode.h
@@ -67,6 +67,7 @@
                               bool leaving, const char *entry);
 void zonepoint_leave (struct zoneworld *world, struct zonepoint *point);
 void zoneworld_run (struct zoneworld *world, int64_t ms);
+void zonenode_open (struct zonenode *node);
 void zonenode_drain (struct zonenode *node);
 bool zonenode_uses (const struct zonenode *node, const char *endpoint);
 
