Share unchanged objects between versions of the configuration

A change rebuilt every object. Objects are held by each version that has them, faults make their paths only when they are, and a follower does not check again what the log accepted.

--- a/base/fields.c
+++ b/base/fields.c
@@ -1,5 +1,6 @@
 /* Field tables.  */
 
+#include <stddef.h>
 #include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdarg.h>
@@ -225,6 +226,22 @@
   return false;
 }
 
+/* What stands before each struct: how many hold it.  */
+union object_head
+{
+  unsigned int holders;
+  max_align_t align;
+};
+
+static char *
+object_new (const struct jc_table *table)
+{
+  union object_head *head = g_malloc0 (sizeof *head + table->size);
+
+  head->holders = 1;
+  return (char *)(head + 1);
+}
+
 /* Make a struct of TABLE from JSON.  PATH names it in FAULTS, to which every
    fault is added.  Return the struct, also where there were faults, or NULL
    where JSON is no object.  */
@@ -241,7 +258,7 @@
       jc_fault (faults, path, "must be an object");
       return NULL;
     }
-  object = g_malloc0 (table->size);
+  object = object_new (table);
   for (size_t i = 0; i < table->count; i++)
     {
       const struct jc_field *field = &table->fields[i];
@@ -308,13 +325,27 @@
     }
 }
 
-/* Free OBJECT, made by jc_table_parse with TABLE.  NULL is allowed.  */
+/* Return OBJECT, made by jc_table_parse, for one more holder, who must call
+   jc_table_free as well.  */
+void *
+jc_table_hold (void *object)
+{
+  union object_head *head = (union object_head *)object - 1;
+
+  head->holders++;
+  return object;
+}
+
+/* Free OBJECT, made by jc_table_parse with TABLE, where no other holds it.
+   NULL is allowed.  */
 void
 jc_table_free (const struct jc_table *table, void *object)
 {
-  if (object == NULL)
+  union object_head *head = (union object_head *)object - 1;
+
+  if (object == NULL || --head->holders > 0)
     return;
   for (size_t i = 0; i < table->count; i++)
     free_field (&table->fields[i], object);
-  g_free (object);
+  g_free (head);
 }
--- a/conf/check.c
+++ b/conf/check.c
@@ -19,54 +19,88 @@
   return -1;
 }
 
+/* The field of an object that is checked; its path is made only for a
+   fault.  */
+struct place
+{
+  const struct jc_table *table;
+  const struct jc_field *field;
+  const char *name;
+};
+
 static void
-check_ref (const struct jc_config *config, const struct jc_field *field,
-           const char *name, const char *path, GPtrArray *faults)
+place_fault (const struct place *place, GPtrArray *faults, const char *what,
+             const char *kind, const char *name)
 {
-  int kind = kind_of_target (field->target);
+  char *path = g_strdup_printf ("%s/%s.%s", place->table->name, place->name,
+                                place->field->key);
 
-  if (name[0] == '\0')
-    return;
-  if (jc_config_find (config, (enum jc_object_kind)kind, name) == NULL)
-    jc_fault (faults, path, "no %s is called %s", field->target, name);
+  if (kind != NULL)
+    jc_fault (faults, path, "no %s is called %s", kind, name);
+  else
+    jc_fault (faults, path, "%s", what);
+  g_free (path);
+}
+
+static void
+check_ref (const struct jc_config *config, const struct place *place, int kind,
+           const char *name, GPtrArray *faults)
+{
+  if (name[0] != '\0'
+      && jc_config_find (config, (enum jc_object_kind)kind, name) == NULL)
+    place_fault (place, faults, NULL, place->field->target, name);
 }
 
 static void
-check_field (const struct jc_config *config, const struct jc_field *field,
-             const char *object, const char *path, GPtrArray *faults)
+check_field (const struct jc_config *config, const struct place *place,
+             const char *object, int kind, GPtrArray *faults)
 {
-  const void *slot = object + field->offset;
+  const void *slot = object + place->field->offset;
   const GPtrArray *names;
 
-  if (field->kind == JC_FIELD_REF || field->kind == JC_FIELD_REF_OPTIONAL)
-    check_ref (config, field, *(char *const *)slot, path, faults);
-  if (field->kind != JC_FIELD_REFS)
-    return;
+  if (place->field->kind != JC_FIELD_REFS)
+    {
+      check_ref (config, place, kind, *(char *const *)slot, faults);
+      return;
+    }
   names = *(GPtrArray *const *)slot;
   if (names->len == 0)
-    jc_fault (faults, path, "must not be empty");
+    place_fault (place, faults, "must not be empty", NULL, NULL);
   for (guint i = 0; i < names->len; i++)
-    check_ref (config, field, g_ptr_array_index (names, i), path, faults);
+    check_ref (config, place, kind, g_ptr_array_index (names, i), faults);
 }
 
 static void
-check_refs (const struct jc_config *config, int kind, GPtrArray *faults)
+check_refs_of_field (const struct jc_config *config, int kind,
+                     const struct jc_field *field, GPtrArray *faults)
 {
-  const struct jc_table *table = jc_object_tables[kind];
+  struct place place = { .table = jc_object_tables[kind], .field = field };
+  int target = kind_of_target (field->target);
   GHashTableIter iter;
   gpointer name;
   gpointer object;
 
   g_hash_table_iter_init (&iter, config->by_name[kind]);
   while (g_hash_table_iter_next (&iter, &name, &object))
-    for (size_t i = 0; i < table->count; i++)
-      {
-        char *path = g_strdup_printf ("%s/%s.%s", table->name,
-                                      (const char *)name, table->fields[i].key);
-
-        check_field (config, &table->fields[i], object, path, faults);
-        g_free (path);
-      }
+    {
+      place.name = name;
+      check_field (config, &place, object, target, faults);
+    }
+}
+
+static void
+check_refs (const struct jc_config *config, int kind, GPtrArray *faults)
+{
+  const struct jc_table *table = jc_object_tables[kind];
+
+  for (size_t i = 0; i < table->count; i++)
+    {
+      const struct jc_field *field = &table->fields[i];
+
+      if (field->kind == JC_FIELD_REF || field->kind == JC_FIELD_REF_OPTIONAL
+          || field->kind == JC_FIELD_REFS)
+        check_refs_of_field (config, kind, field, faults);
+    }
 }
 
 static char *
@@ -95,8 +129,11 @@
 check_home (const struct jc_config *config, const struct jc_product *product,
             const struct jc_route *route, GPtrArray *faults)
 {
-  char *path = path_of ("route", route->name, "home");
+  char *path;
 
+  if (route->idempotent && route->home[0] == '\0')
+    return;
+  path = path_of ("route", route->name, "home");
   if (!route->idempotent && route->home[0] == '\0')
     jc_fault (faults, path, "a route that is not idempotent needs a home");
   if (route->home[0] != '\0' && product != NULL
@@ -184,13 +221,12 @@
   g_free (path);
 }
 
-static void
-check_key_hash (const char *hash, const char *path, GPtrArray *faults)
+static bool
+is_key_hash (const char *hash)
 {
   size_t len = strspn (hash, "0123456789abcdef");
 
-  if (len != KEY_HASH_CHARS || hash[len] != '\0')
-    jc_fault (faults, path, "must be %d lower-case hex digits", KEY_HASH_CHARS);
+  return len == KEY_HASH_CHARS && hash[len] == '\0';
 }
 
 /* Check the caller keys of each product; OWNERS maps a hash to the product
@@ -203,14 +239,18 @@
     {
       char *hash = g_ptr_array_index (product->key_hashes, i);
       const char *owner = g_hash_table_lookup (owners, hash);
-      char *path
-          = g_strdup_printf ("product/%s.key_hashes[%u]", product->name, i);
+      char *path;
 
-      check_key_hash (hash, path, faults);
+      if (owner == NULL)
+        g_hash_table_insert (owners, hash, product->name);
+      if (owner == NULL && is_key_hash (hash))
+        continue;
+      path = g_strdup_printf ("product/%s.key_hashes[%u]", product->name, i);
       if (owner != NULL)
         jc_fault (faults, path, "is a key of product %s already", owner);
-      else
-        g_hash_table_insert (owners, hash, product->name);
+      if (!is_key_hash (hash))
+        jc_fault (faults, path, "must be %d lower-case hex digits",
+                  KEY_HASH_CHARS);
       g_free (path);
     }
 }
--- a/conf/config.c
+++ b/conf/config.c
@@ -108,6 +108,56 @@
   return NULL;
 }
 
+/* Let CONFIG hold all objects of BASE but those of the paths in TOUCHED.  */
+static void
+config_share (struct jc_config *config, const struct jc_config *base,
+              GHashTable *touched)
+{
+  GString *path = g_string_new (NULL);
+
+  for (int kind = 0; kind < JC_OBJECT_KINDS; kind++)
+    {
+      GHashTableIter iter;
+      gpointer object;
+
+      g_hash_table_iter_init (&iter, base->by_name[kind]);
+      while (g_hash_table_iter_next (&iter, NULL, &object))
+        {
+          g_string_printf (path, "%s/%s", jc_object_tables[kind]->name,
+                           object_name (object));
+          if (!g_hash_table_contains (touched, path->str))
+            g_hash_table_insert (config->by_name[kind],
+                                 (gpointer)object_name (object),
+                                 jc_table_hold (object));
+        }
+    }
+  g_string_free (path, TRUE);
+}
+
+/* Make the configuration of OBJECTS, which differ from those of BASE at the
+   paths in TOUCHED only.  Objects that stay are shared.  */
+static struct jc_config *
+config_derive (const struct jc_config *base, json_t *objects,
+               GHashTable *touched, uint64_t version, GPtrArray *faults)
+{
+  struct jc_config *config = config_new (version);
+  GHashTableIter iter;
+  gpointer path;
+
+  config->json = json_incref (objects);
+  config_share (config, base, touched);
+  g_hash_table_iter_init (&iter, touched);
+  while (g_hash_table_iter_next (&iter, &path, NULL))
+    {
+      const json_t *object = json_object_get (objects, path);
+
+      if (object != NULL)
+        config_add (config, path, object, faults);
+    }
+  config_index_keys (config);
+  return config;
+}
+
 /* Return "kind/name" of the object ITEM of a change, or NULL.  */
 static char *
 item_path (const json_t *item)
@@ -193,8 +243,9 @@
   }
   change_list (objects, change, "delete", seen, faults);
   change_list (objects, change, "put", seen, faults);
-  config = jc_config_from_json (objects, version, faults);
-  if (config != NULL && faults->len > before)
+  config = config_derive (base, objects, seen, version, faults);
+  jc_config_check (config, faults);
+  if (faults->len > before)
     {
       jc_config_free (config);
       config = NULL;
@@ -231,26 +282,35 @@
 }
 
 /* Make the configuration that DELTA, of jc_changes_delta, turns BASE into, at
-   VERSION.  Return NULL where it is not valid.  */
+   VERSION.  It was checked as a whole when it was accepted.  Return NULL where
+   an object can't be read.  */
 struct jc_config *
 jc_config_patch (const struct jc_config *base, const json_t *delta,
                  uint64_t version)
 {
   json_t *objects = json_copy (base->json);
   GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+  GHashTable *touched = g_hash_table_new (g_str_hash, g_str_equal);
   struct jc_config *config;
   const char *path;
   json_t *value;
 
   json_object_foreach ((json_t *)delta, path, value)
   {
+    g_hash_table_add (touched, (gpointer)path);
     if (json_is_null (value))
       json_object_del (objects, path);
     else
       json_object_set (objects, path, value);
   }
-  config = jc_config_from_json (objects, version, faults);
+  config = config_derive (base, objects, touched, version, faults);
+  if (faults->len > 0)
+    {
+      jc_config_free (config);
+      config = NULL;
+    }
   g_ptr_array_free (faults, TRUE);
+  g_hash_table_destroy (touched);
   json_decref (objects);
   return config;
 }
