--- a/conf/config.c
+++ b/conf/config.c
@@ -5,6 +5,7 @@
 
 #include "conf/check.h"
 #include "conf/config.h"
+#include "conf/homes.h"
 
 enum
 {
@@ -245,6 +246,8 @@
   change_list (objects, change, "put", seen, faults);
   config = config_derive (base, objects, seen, version, faults);
   jc_config_check (config, faults);
+  if (faults->len == before)
+    jc_homes_check (base, config, faults);
   if (faults->len > before)
     {
       jc_config_free (config);
--- a/tests/standin-engine.c
+++ b/tests/standin-engine.c
@@ -109,6 +109,17 @@
   completion_free (completion);
 }
 
+/* Begin the stream of COMPLETION, saying from which event on it goes.  */
+static void
+completion_begin (const struct completion *completion)
+{
+  const char *resume = jc_http_header (completion->req, "X-Resume-From");
+  struct jc_http_header headers[]
+      = { { "X-Resume-From", resume != NULL ? resume : "0" }, { NULL, NULL } };
+
+  jc_http_stream_begin (completion->req, 200, "text/event-stream", headers);
+}
+
 /* Make the next token of COMPLETION.  Return whether it was the last.  */
 static bool
 completion_token (struct completion *completion)
@@ -116,7 +127,7 @@
   char *event;
 
   if (completion->stream && !completion->begun)
-    jc_http_stream_begin (completion->req, 200, "text/event-stream", NULL);
+    completion_begin (completion);
   completion->begun = true;
   if (completion->made >= completion->tokens)
     return true;
