--- a/tests/test-conf.c
+++ b/tests/test-conf.c
@@ -220,6 +220,7 @@
   json_t *snapshot = json_object ();
   double apply_s = 0;
   double patch_s = 0;
+  size_t delta_bytes = 0;
   char *dumped;
 
   g_assert_cmpint (jc_changes_apply (changes, jc_str_of (data))->status, ==,
@@ -236,6 +237,8 @@
                        ==, JC_OK);
       apply_s += g_test_timer_elapsed ();
       delta = jc_changes_delta (changes, follower->version, &from);
+      if (i > 0)
+        delta_bytes += json_dumpb (delta, NULL, 0, JSON_COMPACT);
       g_test_timer_start ();
       next = jc_config_patch (follower, delta, changes->config->version);
       patch_s += i > 0 ? g_test_timer_elapsed () : 0;
@@ -246,9 +249,9 @@
   jc_changes_snapshot (changes, snapshot);
   dumped = json_dumps (snapshot, JSON_COMPACT);
   g_test_message ("%d products: snapshot %zu bytes, apply %.2f ms, follower's "
-                  "patch %.2f ms a change",
+                  "patch %.2f ms and delta %zu bytes a change",
                   PRODUCTS, strlen (dumped), apply_s * 1000 / CHANGES,
-                  patch_s * 1000 / (CHANGES - 1));
+                  patch_s * 1000 / (CHANGES - 1), delta_bytes / (CHANGES - 1));
   free (dumped);
   json_decref (snapshot);
   g_string_free (data, TRUE);
