--- /dev/null
+++ b/tests/process/config-replicas.sh
@@ -0,0 +1,31 @@
+# Replicas are removed and added through ctl; a change is checked offline
+# against what is in force.
+set -eu
+. scripts/cluster.sh
+trap stop_all EXIT
+
+# row NAME VOTER STANDING: succeed once the leader lists the replica so.
+row ()
+{
+  ctl "$O1" replicas list | jq -e ".replicas[] | select(.name == \"$1\") | (.voter == $2) and (.standing == $3)"
+}
+
+start_three_states
+wait_for 20 ctl "$O1" replicas remove s3
+[ "$(ctl "$O1" replicas list | jq '[.replicas[] | select(.name == "s3")] | length')" = 0 ]
+wait_for 20 ctl "$O1" --non-voting replicas add s3
+wait_for 20 row s3 false false
+wait_for 20 ctl "$O1" replicas add s3
+wait_for 20 all_vote
+code=0
+ctl "$O1" replicas remove nobody || code=$?
+[ "$code" = 4 ]
+race a 3 "$O1" "$O2"
+wait_for 20 has_version "$O3" 3
+ctl "$O3" config history | jq -e '[.changes[].version] == [3, 2, 1]'
+ctl "$O1" config show >"$DIR/base.json"
+echo '{"delete": [{"kind": "region", "name": "a-1"}]}' >"$DIR/delete.json"
+"$BUILD/jaycove-ctl" --base "$DIR/base.json" check "$DIR/delete.json"
+code=0
+"$BUILD/jaycove-ctl" check "$DIR/delete.json" || code=$?
+[ "$code" = 4 ]
