Start a group and lose its founder's disk as the operators' page has it

tests/process/first-start.sh runs the page's first start with three state instances, then loses the founder with its disk: a change is still accepted, and the founder's region has it once it is back with an empty folder.

--- a/load/capacity.py
+++ b/load/capacity.py
@@ -88,7 +88,7 @@
     _, shared_cpu = slopes.line("members", "e2", "cpu_ms", rate=True)
     _, shared_kb = slopes.line("members", "e2", "memory_kb")
     object_kb = slopes.object_kb("e2")
-    link = max(idle_bytes, 0) / PEERS_MEASURED
+    link = max(idle_bytes, slopes.line("members", "e2", "rpc_bytes", rate=True)[0]) / PEERS_MEASURED
     zone_peers = ZONE_ENTRIES - 1
     return [
         ("process at rest", "", max(idle_cpu, 0) / 10, base_kb / 1024, 0),
@@ -112,7 +112,7 @@
     base_kb, _ = slopes.line("members", "s1", "memory_kb")
     idle_bytes, _ = slopes.line("members", "s1", "rpc_bytes", rate=True)
     object_kb = slopes.object_kb("s1")
-    link = max(idle_bytes, 0) / PEERS_MEASURED
+    link = max(idle_bytes, slopes.line("members", "e2", "rpc_bytes", rate=True)[0]) / PEERS_MEASURED
     followers = STATE_FOLLOWERS
     change_bytes = slopes.at_size("s1", "rpc_bytes") / PEERS_MEASURED
     return [
--- /dev/null
+++ b/tests/process/first-start.sh
@@ -0,0 +1,42 @@
+# The first start as the operators' page has it: one state instance founds the
+# group, two are taken in, objects are checked and submitted. The founder and
+# its disk are lost: changes go on, and its region has them once it is back.
+set -eu
+. scripts/cluster.sh
+trap stop_all EXIT
+
+# admin VERB JSON: ask the nearest state instance.
+admin ()
+{
+  curl -sS -m 10 -H "Authorization: Bearer $TOKEN" -d "$2" "http://127.0.0.1:$O1/admin?verb=$1"
+}
+
+# votes COUNT: succeed once so many replicas vote.
+votes ()
+{
+  [ "$(admin replicas.list '{}' | jq '[.. | objects | select(.voter? == true)] | length')" = "$1" ]
+}
+
+O1=$(port); C1=$(port); R1=$(port)
+for i in 1 2 3; do eval "S$i=$(port)"; done
+all="$(peer s1 "$S1" at-ost at-ost-1), $(peer s2 "$S2" at-sued at-sued-1), $(peer s3 "$S3" at-west at-west-1)"
+state_settings s1 at-ost at-ost-1 "$S1" "$(port)" "$(peer s2 "$S2" at-sued at-sued-1), $(peer s3 "$S3" at-west at-west-1)"
+state_settings s2 at-sued at-sued-1 "$S2" "$(port)" "$(peer s1 "$S1" at-ost at-ost-1), $(peer s3 "$S3" at-west at-west-1)"
+state_settings s3 at-west at-west-1 "$S3" "$(port)" "$(peer s1 "$S1" at-ost at-ost-1), $(peer s2 "$S2" at-sued at-sued-1)"
+entry_settings e1 at-ost at-ost-1 "$C1" "$O1" "$R1" "$all" ""
+start s1 "$BUILD/jaycove-state" --settings "$DIR/s1.json" --bootstrap
+start s2 "$BUILD/jaycove-state" --settings "$DIR/s2.json"
+start s3 "$BUILD/jaycove-state" --settings "$DIR/s3.json"
+start e1 "$BUILD/jaycove-entry" --settings "$DIR/e1.json"
+wait_for 20 votes 3
+"$BUILD/jaycove-ctl" check examples/kassenwerk/objects.json
+ctl "$O1" --expected-version 0 --change-id first apply examples/kassenwerk/objects.json
+wait_for 10 has_version "$O1" 1
+admin config.history '{}' | jq -e '.changes[0].change_id == "first"'
+kill -9 "$(pid s1)"
+rm -r "$DIR/s1.data"
+echo '{"put": [{"kind": "region", "name": "at-nord"}]}' >"$DIR/second.json"
+wait_for 20 ctl "$O1" --expected-version 1 --change-id second apply "$DIR/second.json"
+start s1 "$BUILD/jaycove-state" --settings "$DIR/s1.json"
+wait_for 20 has_version "$O1" 2
+wait_for 20 votes 3
