--- a/tests/process/first-start.sh
+++ b/tests/process/first-start.sh
@@ -5,16 +5,10 @@
 . scripts/cluster.sh
 trap stop_all EXIT
 
-# admin VERB JSON: ask the nearest state instance.
-admin ()
-{
-  curl -sS -m 10 -H "Authorization: Bearer $TOKEN" -d "$2" "http://127.0.0.1:$O1/admin?verb=$1"
-}
-
 # votes COUNT: succeed once so many replicas vote.
 votes ()
 {
-  [ "$(admin replicas.list '{}' | jq '[.. | objects | select(.voter? == true)] | length')" = "$1" ]
+  [ "$(ctl "$O1" replicas list | jq '[.. | objects | select(.voter? == true)] | length')" = "$1" ]
 }
 
 O1=$(port); C1=$(port); R1=$(port)
@@ -32,10 +26,12 @@
 "$BUILD/jaycove-ctl" check examples/kassenwerk/objects.json
 ctl "$O1" --expected-version 0 --change-id first apply examples/kassenwerk/objects.json
 wait_for 10 has_version "$O1" 1
-admin config.history '{}' | jq -e '.changes[0].change_id == "first"'
+ctl "$O1" config history | jq -e '.changes[0].change_id == "first"'
+ctl "$O1" config show >"$DIR/base.json"
+echo '{"put": [{"kind": "availability_zone", "name": "at-ost-2", "region": "at-ost"}]}' >"$DIR/second.json"
+"$BUILD/jaycove-ctl" --base "$DIR/base.json" check "$DIR/second.json"
 kill -9 "$(pid s1)"
 rm -r "$DIR/s1.data"
-echo '{"put": [{"kind": "region", "name": "at-nord"}]}' >"$DIR/second.json"
 wait_for 20 ctl "$O1" --expected-version 1 --change-id second apply "$DIR/second.json"
 start s1 "$BUILD/jaycove-state" --settings "$DIR/s1.json"
 wait_for 20 has_version "$O1" 2
