Run on slow endpoints only what is done sooner there

Cause: a slow endpoint always got one request of each process at a time. At 3.3 times the capacity that is over 1% of all requests, so a product within its share saw the slow one in its p99; and the backlog was overrated, since the pool's speed was taken as the mean of times, not of rates. The test now merges five seeds, the bound is the same.

--- a/entry/admission.c
+++ b/entry/admission.c
@@ -9,6 +9,7 @@
 {
   QUEUE_BYTES_MAX = 64 * 1024 * 1024,
   PUMP_MS = 20,
+  SLOW_MARGIN = 2,
   MS_PER_S = 1000
 };
 
@@ -120,6 +121,30 @@
     }
 }
 
+/* Run on slow endpoints what is done sooner there than by waiting: the last
+   of the longest line, so that no product in its share is slowed down.  */
+static void
+pool_queue_spill (struct pool_queue *queue, struct jc_pool *pool)
+{
+  struct ticket *ticket;
+  struct jc_waiter *waiter;
+  unsigned int length = jc_queue_length (queue->queue);
+
+  while (length > 0 && jc_admit_slow_is_sooner (pool, length - 1))
+    {
+      waiter = jc_queue_pop_last (queue->queue,
+                                  jc_now_ms () + SLOW_MARGIN * pool->slow_ms,
+                                  product_ready, queue->entry);
+      if (waiter == NULL)
+        return;
+      ticket = waiter->owner;
+      ticket->to_slow = true;
+      ticket_run (queue->entry, ticket);
+      pool_of (queue, pool);
+      length = jc_queue_length (queue->queue);
+    }
+}
+
 static void
 pool_queue_pump (struct pool_queue *queue)
 {
@@ -135,6 +160,7 @@
       ticket_run (queue->entry, waiter->owner);
       pool_of (queue, &pool);
     }
+  pool_queue_spill (queue, &pool);
 }
 
 static void
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -76,7 +76,9 @@
                   const char *message, int64_t retry_after_ms);
 };
 
-/* A request's place at an instance, from its admission to its end.  */
+/* A request's place at an instance, from its admission to its end.  TO_SLOW
+   sends its first attempt to a slow endpoint, where it is done sooner than by
+   waiting.  */
 struct ticket
 {
   const struct ticket_class *klass;
@@ -84,6 +86,7 @@
   char *service;
   char *model;
   bool running;
+  bool to_slow;
 };
 
 /* admission: limits of products, and requests that wait for an endpoint.  */
--- a/entry/explain.c
+++ b/entry/explain.c
@@ -31,12 +31,13 @@
   int64_t now = about->now_ms;
 
   return json_pack (
-      "{s:s,s:i,s:i,s:i,s:I,s:I,s:b,s:b}", "name", endpoint->name, "slots",
+      "{s:s,s:i,s:i,s:i,s:I,s:I,s:b,s:b,s:b}", "name", endpoint->name, "slots",
       (int)endpoint->slots, "in_flight", (int)endpoint->in_flight, "ahead",
       (int)jc_predict_ahead (predict, endpoint, now), "service_ms",
       (json_int_t)jc_predict_service_ms (predict, endpoint, now), "cost_ms",
       (json_int_t)jc_predict_cost_ms (predict, endpoint, now), "room",
-      jc_predict_room (predict, endpoint, now) ? 1 : 0, "avoided",
+      jc_predict_room (predict, endpoint, now) ? 1 : 0, "slow",
+      jc_predict_slow (predict, endpoint, now) ? 1 : 0, "avoided",
       jc_predict_avoided (predict, endpoint, now) ? 1 : 0);
 }
 
--- a/entry/handover.c
+++ b/entry/handover.c
@@ -421,7 +421,8 @@
       endpoint = jc_policy_pick (&entry->policy, endpoints, 0, now);
       if (endpoint == NULL)
         status = jc_fail (JC_NO_ENDPOINT, "No endpoint serves this route.");
-      else if (!jc_predict_room (entry->policy.predict, endpoint, now))
+      else if (!jc_predict_room (entry->policy.predict, endpoint, now)
+               || jc_predict_slow (entry->policy.predict, endpoint, now))
         status = jc_fail (JC_OVERLOADED, "No endpoint of the region is free.");
     }
   if (status == JC_OK && endpoint != NULL)
--- a/entry/request.c
+++ b/entry/request.c
@@ -285,8 +285,13 @@
       if (!jc_request_tried (machine, endpoint->name))
         g_ptr_array_add (fresh, endpoint);
     }
-  endpoint = jc_policy_pick (&entry->policy, fresh->len > 0 ? fresh : all,
-                             request->affinity, now_ms);
+  endpoint = request->ticket.to_slow
+                 ? jc_policy_pick_slow (&entry->policy, fresh, now_ms)
+                 : NULL;
+  request->ticket.to_slow = false;
+  if (endpoint == NULL)
+    endpoint = jc_policy_pick (&entry->policy, fresh->len > 0 ? fresh : all,
+                               request->affinity, now_ms);
   g_ptr_array_free (all, TRUE);
   g_ptr_array_free (fresh, TRUE);
   if (request->go_away || (endpoint == NULL && request_away (request, true)))
--- a/serve/admit.c
+++ b/serve/admit.c
@@ -8,13 +8,27 @@
   SERVICE_MARGIN = 2
 };
 
+/* Add the speed and the room of ENDPOINT to POOL.  */
+static void
+pool_add (struct jc_pool *pool, struct jc_predict *predict,
+          const struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  int64_t service = jc_predict_service_ms (predict, endpoint, now_ms);
+
+  pool->per_ms += (double)MAX (endpoint->slots, 1) / (double)service;
+  if (!jc_predict_room (predict, endpoint, now_ms))
+    return;
+  if (!jc_predict_slow (predict, endpoint, now_ms))
+    pool->free = true;
+  else if (pool->slow_ms == 0 || service < pool->slow_ms)
+    pool->slow_ms = service;
+}
+
 /* Sum up ENDPOINTS into POOL.  */
 void
 jc_admit_pool (struct jc_predict *predict, const GPtrArray *endpoints,
                int64_t now_ms, struct jc_pool *pool)
 {
-  double service = 0;
-
   *pool = (struct jc_pool){ .endpoints = endpoints->len };
   for (guint i = 0; i < endpoints->len; i++)
     {
@@ -26,13 +40,10 @@
         continue;
       pool->slots += slots;
       pool->work += work;
-      service
-          += (double)jc_predict_service_ms (predict, endpoint, now_ms) * slots;
-      if (jc_predict_room (predict, endpoint, now_ms))
-        pool->free = true;
+      pool_add (pool, predict, endpoint, now_ms);
     }
   if (pool->slots > 0)
-    pool->service_ms = (int64_t)(service / pool->slots);
+    pool->service_ms = (int64_t)(pool->slots / pool->per_ms);
   else
     pool->free = true;
 }
@@ -45,7 +56,16 @@
 
   if (pool->slots == 0 || work <= 0)
     return 0;
-  return work * pool->service_ms / pool->slots;
+  return (int64_t)((double)work / pool->per_ms);
+}
+
+/* Tell whether a request that has AHEAD others before it in the queue is done
+   sooner at the slow endpoint that has room than when it waits.  */
+bool
+jc_admit_slow_is_sooner (const struct jc_pool *pool, unsigned int ahead)
+{
+  return !pool->free && pool->slow_ms > 0
+         && jc_admit_wait_ms (pool, ahead) + pool->service_ms > pool->slow_ms;
 }
 
 /* Return the time that a request needs to its deadline when it starts, ms;
--- a/serve/policy.c
+++ b/serve/policy.c
@@ -115,7 +115,8 @@
       struct jc_endpoint *endpoint
           = g_ptr_array_index (endpoints, (start + i) % endpoints->len);
       int64_t ms = jc_predict_cost_ms (policy->predict, endpoint, now_ms);
-      bool room = jc_predict_room (policy->predict, endpoint, now_ms);
+      bool room = jc_predict_room (policy->predict, endpoint, now_ms)
+                  && !jc_predict_slow (policy->predict, endpoint, now_ms);
       bool less = best != NULL && ms == best_ms
                   && endpoint->in_flight < best->in_flight;
 
@@ -185,6 +186,29 @@
   return picked;
 }
 
+/* Return the quickest of the slow ENDPOINTS that have room, or NULL.  */
+struct jc_endpoint *
+jc_policy_pick_slow (struct jc_policy *policy, const GPtrArray *endpoints,
+                     int64_t now_ms)
+{
+  struct jc_endpoint *best = NULL;
+  int64_t best_ms = INT64_MAX;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+      int64_t ms = jc_predict_service_ms (policy->predict, endpoint, now_ms);
+
+      if (ms >= best_ms || !jc_predict_slow (policy->predict, endpoint, now_ms)
+          || !jc_predict_room (policy->predict, endpoint, now_ms)
+          || jc_predict_avoided (policy->predict, endpoint, now_ms))
+        continue;
+      best = endpoint;
+      best_ms = ms;
+    }
+  return best;
+}
+
 /* Return the affinity of a request whose body begins with LEN bytes at DATA;
    0 where it is too short for a prefix worth keeping.  */
 uint64_t
--- a/serve/policy.h
+++ b/serve/policy.h
@@ -30,6 +30,9 @@
 struct jc_endpoint *jc_policy_pick (struct jc_policy *policy,
                                     const GPtrArray *endpoints,
                                     uint64_t affinity, int64_t now_ms);
+struct jc_endpoint *jc_policy_pick_slow (struct jc_policy *policy,
+                                         const GPtrArray *endpoints,
+                                         int64_t now_ms);
 uint64_t jc_policy_affinity (const char *data, size_t len);
 
 #endif
--- a/serve/predict.c
+++ b/serve/predict.c
@@ -23,7 +23,6 @@
 };
 
 static const double DEVIATION_CLEAR = 0.5;
-static const double FULL_SPARE = 0.125;
 
 /* What is known of one endpoint.  SERVICE_MS is for one slot; PEAK_MS is the
    longest first byte, which fades.  HEARD_MS is when it last answered.
@@ -131,7 +130,7 @@
 static double
 window_of (const struct jc_endpoint *endpoint, double total)
 {
-  double full = slots_of (endpoint) * (1 + FULL_SPARE);
+  double full = slots_of (endpoint);
 
   if (total > full)
     return endpoint->in_flight * full / total;
@@ -175,8 +174,17 @@
   return endpoint->in_flight + (unsigned int)(others + 0.5);
 }
 
+/* Tell whether ENDPOINT takes much longer than its service usually does.  */
+bool
+jc_predict_slow (struct jc_predict *predict, const struct jc_endpoint *endpoint,
+                 int64_t now_ms)
+{
+  return jc_predict_service_ms (predict, endpoint, now_ms)
+         > SLOW_FACTOR * jc_predict_typical_ms (predict, endpoint->service);
+}
+
 /* Tell whether this process may send one more to ENDPOINT without a queue
-   there.  A slow one gets one at a time, which shows when it has recovered.  */
+   there.  */
 bool
 jc_predict_room (struct jc_predict *predict, const struct jc_endpoint *endpoint,
                  int64_t now_ms)
@@ -184,9 +192,6 @@
   struct estimate *estimate = estimate_of (predict, endpoint->name, now_ms);
 
   estimate_report (estimate, endpoint);
-  if (estimate->service_ms
-      > SLOW_FACTOR * *typical_of (predict, endpoint->service))
-    return endpoint->in_flight == 0;
   return endpoint->in_flight < MAX (estimate->window, 1);
 }
 
--- a/serve/predict.h
+++ b/serve/predict.h
@@ -30,6 +30,8 @@
 unsigned int jc_predict_ahead (struct jc_predict *predict,
                                const struct jc_endpoint *endpoint,
                                int64_t now_ms);
+bool jc_predict_slow (struct jc_predict *predict,
+                      const struct jc_endpoint *endpoint, int64_t now_ms);
 bool jc_predict_room (struct jc_predict *predict,
                       const struct jc_endpoint *endpoint, int64_t now_ms);
 int64_t jc_predict_service_ms (struct jc_predict *predict,
--- a/serve/queue.c
+++ b/serve/queue.c
@@ -162,6 +162,41 @@
   return first;
 }
 
+/* Take out, of the product whose line is the longest for its weight, the last
+   one whose deadline is not before DUE_MS.  Return NULL where there is none or
+   READY does not allow it.  */
+struct jc_waiter *
+jc_queue_pop_last (struct jc_queue *queue, int64_t due_ms,
+                   jc_queue_ready_fn *ready, void *ctx)
+{
+  GHashTableIter iter;
+  gpointer value;
+  const struct line *longest = NULL;
+  double length = 0;
+  GSequenceIter *at;
+  struct jc_waiter *waiter;
+
+  g_hash_table_iter_init (&iter, queue->lines);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct line *line = value;
+      double own = g_sequence_get_length (line->waiters) / (double)line->weight;
+
+      if (own <= length)
+        continue;
+      longest = line;
+      length = own;
+    }
+  if (longest == NULL)
+    return NULL;
+  at = g_sequence_iter_prev (g_sequence_get_end_iter (longest->waiters));
+  waiter = g_sequence_get (at);
+  if (waiter->deadline_ms < due_ms || !ready (ctx, waiter))
+    return NULL;
+  jc_queue_remove (queue, waiter);
+  return waiter;
+}
+
 /* Return one that waits and whose deadline is before DUE_MS, or NULL.  */
 struct jc_waiter *
 jc_queue_late (const struct jc_queue *queue, int64_t due_ms)
--- a/serve/queue.h
+++ b/serve/queue.h
@@ -35,6 +35,8 @@
 void jc_queue_remove (struct jc_queue *queue, struct jc_waiter *waiter);
 struct jc_waiter *jc_queue_pop (struct jc_queue *queue,
                                 jc_queue_ready_fn *ready, void *ctx);
+struct jc_waiter *jc_queue_pop_last (struct jc_queue *queue, int64_t due_ms,
+                                     jc_queue_ready_fn *ready, void *ctx);
 struct jc_waiter *jc_queue_late (const struct jc_queue *queue, int64_t due_ms);
 unsigned int jc_queue_length (const struct jc_queue *queue);
 unsigned int jc_queue_ahead (const struct jc_queue *queue,
--- a/tests/test-serve-model.c
+++ b/tests/test-serve-model.c
@@ -24,7 +24,10 @@
   DYING_FROM_MS = 20000,
   DYING_UNTIL_MS = 40000,
   PRODUCTS = 2,
-  QUEUE_MAX = 200
+  QUEUE_MAX = 200,
+  SLOW_MARGIN = 2,
+  SEED = 17,
+  SHARES_SEEDS = 5
 };
 
 static const char *const product_names[PRODUCTS] = { "quiet", "loud" };
@@ -146,9 +149,10 @@
                      answered ? JC_RUN_WHOLE : JC_RUN_LATE, model->now_ms);
 }
 
-/* Send JOB to an endpoint not tried yet.  Return false where it is lost.  */
+/* Send JOB to an endpoint not tried yet, a slow one with TO_SLOW.  Return false
+   where it is lost.  */
 static bool
-job_send (struct model *model, struct job *job)
+job_send (struct model *model, struct job *job, bool to_slow)
 {
   struct jc_policy *policy = &model->policies[job->instance];
   GPtrArray *all = g_ptr_array_new ();
@@ -164,7 +168,8 @@
       if (job->tried & 1U << (one->name[2] - '0'))
         g_ptr_array_remove_index (all, i);
     }
-  endpoint = jc_policy_pick (policy, all, 0, model->now_ms);
+  endpoint = to_slow ? jc_policy_pick_slow (policy, all, model->now_ms)
+                     : jc_policy_pick (policy, all, 0, model->now_ms);
   g_ptr_array_free (all, TRUE);
   if (endpoint == NULL || job->attempts >= JC_REQUEST_ATTEMPTS_MAX || left <= 0)
     return false;
@@ -202,7 +207,7 @@
                         product_names[job->product], &model_limit,
                         model->now_ms))
     return true;
-  return !job_send (model, job);
+  return !job_send (model, job, false);
 }
 
 static bool
@@ -224,9 +229,9 @@
 }
 
 static void
-job_run (struct model *model, struct job *job)
+job_run (struct model *model, struct job *job, bool to_slow)
 {
-  if (job_send (model, job))
+  if (job_send (model, job, to_slow))
     g_queue_push_tail (&model->jobs, job);
   else
     g_free (job);
@@ -253,7 +258,17 @@
   while (pool.free
          && (waiter = jc_queue_pop (queue, always_ready, NULL)) != NULL)
     {
-      job_run (model, waiter->owner);
+      job_run (model, waiter->owner, false);
+      model_pool (model, instance, &pool);
+    }
+  while (jc_queue_length (queue) > 0
+         && jc_admit_slow_is_sooner (&pool, jc_queue_length (queue) - 1)
+         && (waiter = jc_queue_pop_last (
+                 queue, model->now_ms + SLOW_MARGIN * pool.slow_ms,
+                 always_ready, NULL))
+                != NULL)
+    {
+      job_run (model, waiter->owner, true);
       model_pool (model, instance, &pool);
     }
 }
@@ -282,7 +297,7 @@
       &pool, jc_queue_ahead (model->queues[job->instance], &job->waiter),
       DEADLINE_MS, &after);
   if (verdict == JC_ADMIT_RUN)
-    job_run (model, job);
+    job_run (model, job, false);
   else if (verdict == JC_ADMIT_REFUSE
            || jc_queue_push (model->queues[job->instance], &job->waiter,
                              QUEUE_MAX)
@@ -323,13 +338,13 @@
 /* Run POLICY with both products at LOADS times the capacity without the slow
    endpoint.  */
 static struct model *
-model_run (const char *policy, const double *loads)
+model_run (const char *policy, const double *loads, uint64_t seed)
 {
   struct model *model = g_new0 (struct model, 1);
   double capacity = (double)(ENDPOINTS - 1) * SLOTS / SERVICE_MS;
   const double arrivals[] = { loads[0] * capacity, loads[1] * capacity };
 
-  model->seed = 17;
+  model->seed = seed;
   for (int i = 0; i < INSTANCES; i++)
     {
       jc_policy_init (&model->policies[i], policy);
@@ -386,11 +401,11 @@
   static const char *const baselines[]
       = { "nearest", "round-robin", "least-inflight" };
   const double loads[] = { *(const double *)data, 0 };
-  struct model *predicted = model_run ("predicted", loads);
+  struct model *predicted = model_run ("predicted", loads, SEED);
 
   for (size_t i = 0; i < G_N_ELEMENTS (baselines); i++)
     {
-      struct model *other = model_run (baselines[i], loads);
+      struct model *other = model_run (baselines[i], loads, SEED);
 
       if (loads[0] < 1)
         {
@@ -403,6 +418,22 @@
   model_free (predicted);
 }
 
+/* Return the p99 of the first product over several seeds, ms.  */
+static uint64_t
+quiet_p99 (const double *loads)
+{
+  struct jc_hist all = { 0 };
+
+  for (uint64_t seed = SEED; seed < SEED + SHARES_SEEDS; seed++)
+    {
+      struct model *model = model_run ("predicted", loads, seed);
+
+      jc_hist_merge (&all, &model->took[0]);
+      model_free (model);
+    }
+  return jc_hist_quantile (&all, 0.99);
+}
+
 /* A product at ten times its load raises another one's p99 by no more than a
    tenth.  */
 static void
@@ -410,13 +441,8 @@
 {
   const double calm[] = { 0.3, 0.3 };
   const double stormy[] = { 0.3, 3 };
-  struct model *before = model_run ("predicted", calm);
-  struct model *after = model_run ("predicted", stormy);
 
-  g_assert_cmpuint (jc_hist_quantile (&after->took[0], 0.99) * 10, <=,
-                    jc_hist_quantile (&before->took[0], 0.99) * 11);
-  model_free (before);
-  model_free (after);
+  g_assert_cmpuint (quiet_p99 (stormy) * 10, <=, quiet_p99 (calm) * 11);
 }
 
 int
