--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -320,6 +320,7 @@
 	int http_status;
 	rpc_name content_type;
 	rpc_bytes answer;
+	bool_t answer_dropped;
 };
 typedef struct rpc_result rpc_result;
 
@@ -409,6 +410,7 @@
 	int http_status;
 	rpc_name content_type;
 	rpc_name endpoint;
+	bool_t resumed;
 };
 typedef struct rpc_handover_head rpc_handover_head;
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -588,6 +588,8 @@
 		 return FALSE;
 	 if (!xdr_rpc_bytes (xdrs, &objp->answer))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->answer_dropped))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -761,6 +763,8 @@
 		 return FALSE;
 	 if (!xdr_rpc_name (xdrs, &objp->endpoint))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->resumed))
+		 return FALSE;
 	return TRUE;
 }
 
