--- a/base/fields.c
+++ b/base/fields.c
@@ -300,11 +300,18 @@
   return object;
 }
 
+static void
+free_list (const struct jc_table *table, GPtrArray *items)
+{
+  for (guint i = 0; i < items->len; i++)
+    jc_table_free (table, g_ptr_array_index (items, i));
+  g_ptr_array_free (items, TRUE);
+}
+
 static void
 free_field (const struct jc_field *field, char *object)
 {
-  void **slot = (void **)(object + field->offset);
-  GPtrArray *items = *slot;
+  void *slot = object + field->offset;
 
   switch (field->kind)
     {
@@ -312,16 +319,14 @@
     case JC_FIELD_BOOL:
       return;
     case JC_FIELD_LIST:
-      for (guint i = 0; i < items->len; i++)
-        jc_table_free (field->table, g_ptr_array_index (items, i));
-      g_ptr_array_free (items, TRUE);
+      free_list (field->table, *(GPtrArray **)slot);
       return;
     case JC_FIELD_STRINGS:
     case JC_FIELD_REFS:
-      g_ptr_array_free (items, TRUE);
+      g_ptr_array_free (*(GPtrArray **)slot, TRUE);
       return;
     default:
-      g_free (*slot);
+      g_free (*(char **)slot);
     }
 }
 
--- a/net/program.c
+++ b/net/program.c
@@ -65,16 +65,19 @@
   struct arg_lit *version = arg_lit0 (NULL, "version", "print the version");
   struct arg_lit *check
       = arg_lit0 (NULL, "check-settings", "check the settings and exit");
-  struct arg_lit *boot
-      = arg_lit0 (NULL, "bootstrap", "found a new group (first start only)");
+  struct arg_lit *boot = bootstrap != NULL
+                             ? arg_lit0 (NULL, "bootstrap",
+                                         "found a new group (first start only)")
+                             : NULL;
   struct arg_file *file = arg_file0 (NULL, "settings", "FILE", "settings");
   struct arg_end *end = arg_end (8);
   void *table[] = { help, version, check, file, boot, end };
+  size_t count = G_N_ELEMENTS (table);
   int errors;
   bool run = false;
 
-  if (bootstrap == NULL)
-    table[4] = arg_rem (NULL, NULL);
+  if (boot == NULL)
+    table[--count - 1] = end;
   errors = arg_parse (argc, argv, table);
   *exit_code = JC_EXIT_OK;
   signal (SIGPIPE, SIG_IGN);
@@ -102,9 +105,9 @@
       if (*settings == NULL)
         *exit_code = JC_EXIT_SETTINGS;
       run = *settings != NULL && check->count == 0;
-      if (bootstrap != NULL)
+      if (boot != NULL)
         *bootstrap = boot->count > 0;
     }
-  arg_freetable (table, sizeof table / sizeof *table);
+  arg_freetable (table, count);
   return run;
 }
--- a/tests/test-serve-limit.c
+++ b/tests/test-serve-limit.c
@@ -139,10 +139,15 @@
 static void
 test_admit (void)
 {
-  const struct jc_pool idle
-      = { .endpoints = 1, .slots = 4, .work = 1, .service_ms = 100, .free = 1 };
-  const struct jc_pool full
-      = { .endpoints = 1, .slots = 4, .work = 40, .service_ms = 100 };
+  const struct jc_pool idle = { .endpoints = 1,
+                                .slots = 4,
+                                .work = 1,
+                                .service_ms = 100,
+                                .per_ms = 0.04,
+                                .free = 1 };
+  const struct jc_pool full = {
+    .endpoints = 1, .slots = 4, .work = 40, .service_ms = 100, .per_ms = 0.04
+  };
   int64_t after = 0;
 
   g_assert_cmpint (jc_admit_decide (&idle, 0, 1000, &after), ==, JC_ADMIT_RUN);
@@ -153,6 +158,36 @@
   g_assert_cmpint (after, >=, 400);
 }
 
+/* A request goes to a slow endpoint only where it is done sooner there: the
+   last of the longest line that can still be answered in time.  */
+static void
+test_slow (void)
+{
+  struct jc_pool pool = {
+    .slots = 4, .work = 4, .service_ms = 100, .slow_ms = 400, .per_ms = 0.04
+  };
+  struct jc_queue *queue = jc_queue_new (1000);
+  struct jc_waiter calm = { .product = "calm", .weight = 1 };
+  struct jc_waiter loud[3];
+
+  g_assert_false (jc_admit_slow_is_sooner (&pool, 8));
+  g_assert_true (jc_admit_slow_is_sooner (&pool, 12));
+  pool.free = true;
+  g_assert_false (jc_admit_slow_is_sooner (&pool, 12));
+  jc_queue_push (queue, &calm, 100);
+  for (int i = 0; i < 3; i++)
+    {
+      loud[i] = (struct jc_waiter){ .product = "loud",
+                                    .weight = 1,
+                                    .deadline_ms = 1000 + i };
+      jc_queue_push (queue, &loud[i], 100);
+    }
+  g_assert_null (jc_queue_pop_last (queue, 1003, any_ready, NULL));
+  g_assert_true (jc_queue_pop_last (queue, 1002, any_ready, NULL) == &loud[2]);
+  g_assert_cmpuint (jc_queue_length (queue), ==, 3);
+  jc_queue_free (queue);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -164,5 +199,6 @@
   g_test_add_func ("/order", test_order);
   g_test_add_func ("/shares", test_shares);
   g_test_add_func ("/admit", test_admit);
+  g_test_add_func ("/slow", test_slow);
   return g_test_run ();
 }
