--- a/entry/request.c
+++ b/entry/request.c
@@ -41,6 +41,7 @@
   struct jc_call *call;
   struct handover *handover;
   struct away_choice choice;
+  char *region;
   struct jc_run run;
   bool heard;
   bool resumed;
@@ -74,6 +75,7 @@
   admission_leave (request->entry, &request->ticket);
   g_free (request->path);
   g_free (request->route);
+  g_free (request->region);
   g_free (request);
 }
 
@@ -373,6 +375,10 @@
   request->heard = false;
   request->resumed = false;
   request->attempt_ms = jc_now_ms ();
+  g_free (request->region);
+  request->region
+      = g_strdup (attempt->target.away ? request->choice.region
+                                       : request->entry->settings->region);
   if (attempt->target.away)
     {
       request_hand_over (request, attempt);
@@ -418,8 +424,10 @@
 request_begin (void *ctx, int http, const char *content_type)
 {
   struct request *request = ctx;
+  struct jc_http_header headers[]
+      = { { "X-Jaycove-Region", request->region }, { NULL, NULL } };
 
-  jc_http_stream_begin (request->req, http, content_type, NULL);
+  jc_http_stream_begin (request->req, http, content_type, headers);
 }
 
 static void
@@ -438,6 +446,7 @@
   const GPtrArray *tried = request->machine.tried;
   struct jc_http_header headers[]
       = { { "X-Jaycove-Endpoint", g_ptr_array_index (tried, tried->len - 1) },
+          { "X-Jaycove-Region", request->region },
           { NULL, NULL } };
 
   request_count (request, JC_OK);
--- /dev/null
+++ b/net/rpccall.c
@@ -0,0 +1,117 @@
+/* RPC task: calls and their replies.  */
+
+#include "net/rpcprivate.h"
+
+void
+rpc_pending_finish (struct pending *pending, enum jc_status status,
+                    const struct rpc_packet *reply)
+{
+  jc_rpc_reply_fn *fn = pending->reply;
+  void *ctx = pending->ctx;
+
+  jc_rpc_forget (pending->rpc, pending->xid);
+  fn (ctx, status, reply);
+}
+
+void
+rpc_pending_fail (struct jc_rpc_conn *conn)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GPtrArray *xids = g_ptr_array_new_with_free_func (g_free);
+
+  g_hash_table_iter_init (&iter, conn->rpc->pending);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct pending *)value)->conn == conn)
+      g_ptr_array_add (
+          xids, g_memdup2 (&((struct pending *)value)->xid, sizeof (uint64_t)));
+  for (guint i = 0; i < xids->len; i++)
+    {
+      struct pending *pending = g_hash_table_lookup (
+          conn->rpc->pending, g_ptr_array_index (xids, i));
+
+      if (pending != NULL)
+        rpc_pending_finish (pending, JC_UNREACHABLE, NULL);
+    }
+  g_ptr_array_free (xids, TRUE);
+}
+
+static void
+pending_on_timeout (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  jc_fail (JC_TIMEOUT, "The peer did not answer in time.");
+  rpc_pending_finish (watcher->data, JC_TIMEOUT, NULL);
+}
+
+/* Send PACKET as a call that REPLY with CTX hears of exactly once: with the
+   reply, JC_TIMEOUT after TIMEOUT_MS, or JC_UNREACHABLE when the connection
+   goes.  Return its xid, or 0 where nothing was sent and REPLY is not told.  */
+uint64_t
+jc_rpc_call (struct jc_rpc_conn *conn, struct rpc_packet *packet,
+             long timeout_ms, jc_rpc_reply_fn *reply, void *ctx)
+{
+  struct jc_rpc *rpc;
+  struct pending *pending;
+
+  if (conn == NULL || !rpc_conn_usable (conn))
+    {
+      jc_fail (JC_UNREACHABLE, "The peer is not connected.");
+      return 0;
+    }
+  rpc = conn->rpc;
+  packet->head.xid = ++rpc->last_xid;
+  packet->head.deadline_ms = (u_int)timeout_ms;
+  if (jc_rpc_send (conn, packet) != JC_OK)
+    return 0;
+  pending = g_new0 (struct pending, 1);
+  pending->rpc = rpc;
+  pending->conn = conn;
+  pending->xid = packet->head.xid;
+  pending->reply = reply;
+  pending->ctx = ctx;
+  ev_timer_init (&pending->timer, pending_on_timeout,
+                 (double)timeout_ms / MS_PER_S, 0);
+  pending->timer.data = pending;
+  ev_timer_start (rpc->loop, &pending->timer);
+  g_hash_table_insert (rpc->pending, &pending->xid, pending);
+  return pending->xid;
+}
+
+/* Wait no longer for the reply to the call XID.  */
+void
+jc_rpc_forget (struct jc_rpc *rpc, uint64_t xid)
+{
+  struct pending *pending = g_hash_table_lookup (rpc->pending, &xid);
+
+  if (pending == NULL)
+    return;
+  ev_timer_stop (rpc->loop, &pending->timer);
+  g_hash_table_remove (rpc->pending, &xid);
+  g_free (pending);
+}
+
+/* Send ANSWER as the reply to QUESTION, which came over CONN.  */
+enum jc_status
+jc_rpc_answer (struct jc_rpc_conn *conn, const struct rpc_packet *question,
+               struct rpc_packet *answer)
+{
+  answer->head.reply_to = question->head.xid;
+  return jc_rpc_send (conn, answer);
+}
+
+/* Answer QUESTION with STATUS and MESSAGE in place of a reply.  */
+enum jc_status
+jc_rpc_answer_failure (struct jc_rpc_conn *conn,
+                       const struct rpc_packet *question, enum jc_status status,
+                       const char *message, unsigned int retry_after_ms)
+{
+  struct rpc_packet answer = { .body.type = RPC_FAILURE };
+  struct rpc_failure *failure = &answer.body.rpc_body_u.failure;
+
+  failure->status = (int)status;
+  failure->message = (char *)message;
+  failure->retry_after_ms = retry_after_ms;
+  return jc_rpc_answer (conn, question, &answer);
+}
--- /dev/null
+++ b/net/rpcconn.c
@@ -0,0 +1,584 @@
+/* RPC task: one connection, from its opening to its end.  */
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/log.h"
+#include "net/rpcprivate.h"
+
+#define PART "rpc"
+#define LAST_FRAGMENT 0x80000000U
+
+enum
+{
+  MARK_BYTES = 4,
+  RECORD_MAX = 20 * 1024 * 1024,
+  RECORD_MAX_BEFORE_HELLO = 2048,
+  BACKLOG_MAX = 24 * 1024 * 1024,
+  BUFFER_KEPT_BYTES = 256 * 1024,
+  READ_BYTES = 64 * 1024
+};
+
+/* Note that CONN failed while its user may be on the stack: it is dropped
+   from the loop.  */
+void
+rpc_conn_break (struct jc_rpc_conn *conn, const char *why)
+{
+  if (conn->dead || conn->broken != NULL)
+    return;
+  conn->broken = why;
+  ev_io_stop (conn->rpc->loop, &conn->reader);
+  ev_io_stop (conn->rpc->loop, &conn->writer);
+  rpc_wake_reaper (conn->rpc);
+}
+
+/* Close CONN.  It is freed from the loop, since callers may still hold it on
+   their stack.  */
+void
+rpc_conn_drop (struct jc_rpc_conn *conn, const char *why)
+{
+  struct jc_rpc *rpc = conn->rpc;
+  struct dial *dial = conn->dial;
+
+  if (conn->dead)
+    return;
+  conn->dead = true;
+  jc_debug (PART, "Connection to %s dropped: %s.",
+            conn->name != NULL ? conn->name : "?", why);
+  ev_io_stop (rpc->loop, &conn->reader);
+  ev_io_stop (rpc->loop, &conn->writer);
+  close (conn->fd);
+  if (conn->up)
+    {
+      conn->up = false;
+      if (rpc->klass->down != NULL)
+        rpc->klass->down (rpc->ctx, conn);
+    }
+  rpc_pending_fail (conn);
+  if (dial != NULL)
+    {
+      dial->conn = NULL;
+      conn->dial = NULL;
+      rpc_dial_later (dial);
+    }
+  rpc_wake_reaper (rpc);
+}
+
+void
+rpc_conn_free (struct jc_rpc_conn *conn)
+{
+  g_byte_array_free (conn->in, TRUE);
+  g_byte_array_free (conn->out, TRUE);
+  g_free (conn->name);
+  g_free (conn->role);
+  g_free (conn->region);
+  g_free (conn->zone);
+  g_free (conn);
+}
+
+/* Empty BUFFER, and give back the memory that a large record took.  */
+static void
+buffer_empty (GByteArray **buffer)
+{
+  if ((*buffer)->len <= BUFFER_KEPT_BYTES)
+    {
+      g_byte_array_set_size (*buffer, 0);
+      return;
+    }
+  g_byte_array_free (*buffer, TRUE);
+  *buffer = g_byte_array_new ();
+}
+
+static void
+conn_flush (struct jc_rpc_conn *conn)
+{
+  while (!conn->dead && conn->broken == NULL && conn->out_pos < conn->out->len)
+    {
+      ssize_t put = send (conn->fd, conn->out->data + conn->out_pos,
+                          conn->out->len - conn->out_pos, MSG_NOSIGNAL);
+
+      if (put < 0 && errno == EINTR)
+        continue;
+      if (put < 0 && (errno == EAGAIN || errno == ENOTCONN))
+        {
+          ev_io_start (conn->rpc->loop, &conn->writer);
+          return;
+        }
+      if (put < 0)
+        {
+          rpc_conn_break (conn, "sending failed");
+          return;
+        }
+      conn->out_pos += (size_t)put;
+      conn->rpc->bytes_sent += (uint64_t)put;
+    }
+  buffer_empty (&conn->out);
+  conn->out_pos = 0;
+  ev_io_stop (conn->rpc->loop, &conn->writer);
+}
+
+/* Fill the head of PACKET.  Once a connection is up, the names that its
+   peer has proved are left out.  */
+static void
+packet_fill_head (const struct jc_rpc_conn *conn, struct rpc_packet *packet)
+{
+  const struct jc_rpc *rpc = conn->rpc;
+
+  packet->head.group = conn->up ? (char *)"" : rpc->group;
+  packet->head.sender = conn->up ? (char *)"" : rpc->name;
+  packet->head.incarnation = rpc->incarnation;
+  packet->head.config_version = rpc->config_version;
+}
+
+static enum jc_status
+conn_put (struct jc_rpc_conn *conn, struct rpc_packet *packet)
+{
+  unsigned long size = xdr_sizeof ((xdrproc_t)xdr_rpc_packet, packet);
+  bool sealed = conn->up;
+  size_t total = size + (sealed ? MAC_BYTES : 0);
+  uint32_t mark = htonl ((uint32_t)total | LAST_FRAGMENT);
+  guint at = conn->out->len;
+  unsigned char *body;
+  XDR xdr;
+  bool ok;
+
+  if (size == 0 || total > RECORD_MAX)
+    return jc_fail (JC_TOO_LARGE, "The message is too large.");
+  if (jc_rpc_conn_backlog (conn) + total > BACKLOG_MAX)
+    {
+      rpc_conn_break (conn, "its backlog is too long");
+      return jc_fail (JC_UNREACHABLE, "The peer reads too slowly.");
+    }
+  g_byte_array_set_size (conn->out, at + MARK_BYTES + (guint)total);
+  memcpy (conn->out->data + at, &mark, MARK_BYTES);
+  body = conn->out->data + at + MARK_BYTES;
+  xdrmem_create (&xdr, (char *)body, (u_int)size, XDR_ENCODE);
+  ok = xdr_rpc_packet (&xdr, packet);
+  xdr_destroy (&xdr);
+  if (!ok)
+    {
+      g_byte_array_set_size (conn->out, at);
+      return jc_fail (JC_INTERNAL, "The message can't be encoded.");
+    }
+  if (sealed)
+    rpc_seal_make (body + size, conn->send_key, conn->sent++, body, size);
+  conn_flush (conn);
+  if (conn->dead || conn->broken != NULL)
+    return jc_fail (JC_UNREACHABLE, "The connection broke.");
+  return JC_OK;
+}
+
+void
+rpc_conn_send_hello (struct jc_rpc_conn *conn, enum rpc_type type, bool proven)
+{
+  struct jc_rpc *rpc = conn->rpc;
+  unsigned char proof[KEY_BYTES];
+  struct rpc_packet packet = { .body.type = type };
+  struct rpc_hello *hello = &packet.body.rpc_body_u.hello;
+
+  packet_fill_head (conn, &packet);
+  hello->role = rpc->role;
+  hello->zone = rpc->zone;
+  hello->region = rpc->region;
+  hello->nonce.rpc_bytes_val = (char *)conn->own_nonce;
+  hello->nonce.rpc_bytes_len = NONCE_BYTES;
+  if (proven)
+    {
+      rpc_seal_proof (conn, conn->dialled ? "dialer" : "listener", &packet,
+                      proof);
+      hello->proof.rpc_bytes_val = (char *)proof;
+      hello->proof.rpc_bytes_len = KEY_BYTES;
+    }
+  conn->hello_sent = true;
+  conn_put (conn, &packet);
+}
+
+/* Drop what CONN, which is about to come up, takes the place of: connections
+   of an earlier incarnation of the peer, and an earlier one that was opened
+   from the same side.  */
+static void
+conn_supersede (const struct jc_rpc_conn *conn)
+{
+  const struct jc_rpc *rpc = conn->rpc;
+
+  for (guint i = rpc->conns->len; i > 0; i--)
+    {
+      struct jc_rpc_conn *other = g_ptr_array_index (rpc->conns, i - 1);
+
+      if (other != conn && other->up && strcmp (other->name, conn->name) == 0
+          && (other->incarnation != conn->incarnation
+              || other->dialled == conn->dialled))
+        rpc_conn_break (other, "a later one took its place");
+    }
+}
+
+static void
+conn_go_up (struct jc_rpc_conn *conn)
+{
+  struct jc_rpc *rpc = conn->rpc;
+
+  rpc_seal_key (conn, conn->dialled ? "to listener" : "to dialer",
+                conn->send_key);
+  rpc_seal_key (conn, conn->dialled ? "to dialer" : "to listener",
+                conn->receive_key);
+  conn_supersede (conn);
+  conn->serial = ++rpc->last_serial;
+  conn->up = true;
+  if (conn->dial != NULL)
+    conn->dial->redial_ms = REDIAL_MS;
+  jc_debug (PART, "Connection to %s is up.", conn->name);
+  if (rpc->klass->up != NULL)
+    rpc->klass->up (rpc->ctx, conn);
+}
+
+static bool
+conn_proof_valid (const struct jc_rpc_conn *conn, const struct rpc_packet *p)
+{
+  const struct rpc_hello *hello = &p->body.rpc_body_u.hello;
+  unsigned char want[KEY_BYTES];
+
+  if (hello->proof.rpc_bytes_len != KEY_BYTES)
+    return false;
+  rpc_seal_proof (conn, conn->dialled ? "listener" : "dialer", p, want);
+  return sodium_memcmp (want, hello->proof.rpc_bytes_val, KEY_BYTES) == 0;
+}
+
+static void
+conn_learn_peer (struct jc_rpc_conn *conn, const struct rpc_packet *packet)
+{
+  const struct rpc_hello *hello = &packet->body.rpc_body_u.hello;
+
+  conn->name = g_strdup (packet->head.sender);
+  conn->role = g_strdup (hello->role);
+  conn->region = g_strdup (hello->region);
+  conn->zone = g_strdup (hello->zone);
+  conn->incarnation = packet->head.incarnation;
+}
+
+/* Tell whether the peer may be called NAME: not as this process, and where
+   this process dialled, as it expects.  */
+static bool
+conn_peer_wanted (const struct jc_rpc_conn *conn, const char *name)
+{
+  if (name[0] == '\0' || strcmp (name, conn->rpc->name) == 0)
+    return false;
+  return conn->dial == NULL || strcmp (name, conn->dial->name) == 0;
+}
+
+/* Handle the opening: the listener sends its nonce, the dialer answers with
+   its own and a proof, the listener closes with its proof.  */
+static void
+conn_on_hello (struct jc_rpc_conn *conn, const struct rpc_packet *packet)
+{
+  const struct rpc_hello *hello = &packet->body.rpc_body_u.hello;
+  enum rpc_type type = packet->body.type;
+  bool dialer = conn->dialled;
+
+  if ((type != RPC_HELLO && type != RPC_HELLO_ACK)
+      || strcmp (packet->head.group, conn->rpc->group) != 0
+      || hello->nonce.rpc_bytes_len != NONCE_BYTES
+      || !conn_peer_wanted (conn, packet->head.sender))
+    {
+      rpc_conn_drop (conn, "its opening is not valid");
+      return;
+    }
+  if (dialer && type == RPC_HELLO && !conn->hello_sent)
+    {
+      memcpy (conn->peer_nonce, hello->nonce.rpc_bytes_val, NONCE_BYTES);
+      rpc_conn_send_hello (conn, RPC_HELLO, true);
+      return;
+    }
+  if (!dialer)
+    memcpy (conn->peer_nonce, hello->nonce.rpc_bytes_val, NONCE_BYTES);
+  if ((type == RPC_HELLO) == dialer || !conn_proof_valid (conn, packet))
+    {
+      rpc_conn_drop (conn, "its proof is not valid");
+      return;
+    }
+  conn_learn_peer (conn, packet);
+  if (!dialer)
+    rpc_conn_send_hello (conn, RPC_HELLO_ACK, true);
+  if (!conn->dead)
+    conn_go_up (conn);
+}
+
+static void
+conn_on_packet (struct jc_rpc_conn *conn, const struct rpc_packet *packet)
+{
+  struct jc_rpc *rpc = conn->rpc;
+  struct pending *pending;
+  uint64_t reply_to = packet->head.reply_to;
+
+  if (!conn->up)
+    {
+      conn_on_hello (conn, packet);
+      return;
+    }
+  conn->peer_version = packet->head.config_version;
+  conn->beat_due = packet->body.type != RPC_HEARTBEAT;
+  pending = g_hash_table_lookup (rpc->pending, &reply_to);
+  if (reply_to != 0 && pending != NULL && pending->conn == conn)
+    {
+      enum jc_status status = JC_OK;
+
+      if (packet->body.type == RPC_FAILURE)
+        status
+            = jc_fail ((enum jc_status)packet->body.rpc_body_u.failure.status,
+                       "%s", packet->body.rpc_body_u.failure.message);
+      rpc_pending_finish (pending, status, packet);
+      return;
+    }
+  rpc->klass->packet (rpc->ctx, conn, packet);
+}
+
+/* Tell whether BODY, a record before the opening is done, is a hello; nothing
+   else is decoded for a peer that has proved nothing.  */
+static bool
+record_is_hello (unsigned char *body, size_t size)
+{
+  struct rpc_head head;
+  enum rpc_type type = RPC_HEARTBEAT;
+  XDR xdr;
+  bool ok;
+
+  memset (&head, 0, sizeof head);
+  xdrmem_create (&xdr, (char *)body, (u_int)size, XDR_DECODE);
+  ok = xdr_rpc_head (&xdr, &head) && xdr_rpc_type (&xdr, &type);
+  xdr_destroy (&xdr);
+  xdr_free ((xdrproc_t)xdr_rpc_head, (char *)&head);
+  return ok && (type == RPC_HELLO || type == RPC_HELLO_ACK);
+}
+
+/* Put the names that the peer has proved into the head of PACKET, which
+   xdr_free frees.  */
+static void
+packet_name_sender (const struct jc_rpc_conn *conn, struct rpc_packet *packet)
+{
+  free (packet->head.group);
+  free (packet->head.sender);
+  packet->head.group = strdup (conn->rpc->group);
+  packet->head.sender = strdup (conn->name);
+  packet->head.incarnation = conn->incarnation;
+}
+
+static void
+conn_on_record (struct jc_rpc_conn *conn, unsigned char *body, size_t size)
+{
+  struct rpc_packet packet;
+  XDR xdr;
+
+  if (conn->up)
+    {
+      if (size < MAC_BYTES || !rpc_seal_valid (conn, body, size - MAC_BYTES))
+        {
+          rpc_conn_drop (conn, "a record's seal is not valid");
+          return;
+        }
+      size -= MAC_BYTES;
+    }
+  else if (!record_is_hello (body, size))
+    {
+      rpc_conn_drop (conn, "a record before its opening is not valid");
+      return;
+    }
+  memset (&packet, 0, sizeof packet);
+  xdrmem_create (&xdr, (char *)body, (u_int)size, XDR_DECODE);
+  if (xdr_rpc_packet (&xdr, &packet))
+    {
+      if (conn->up)
+        packet_name_sender (conn, &packet);
+      conn_on_packet (conn, &packet);
+    }
+  else
+    rpc_conn_drop (conn, "a record is not valid");
+  xdr_destroy (&xdr);
+  xdr_free ((xdrproc_t)xdr_rpc_packet, (char *)&packet);
+}
+
+static void
+conn_take_records (struct jc_rpc_conn *conn)
+{
+  size_t pos = 0;
+
+  while (!conn->dead && conn->broken == NULL
+         && conn->in->len - pos >= MARK_BYTES)
+    {
+      uint32_t mark;
+      size_t size;
+      size_t limit = conn->up ? RECORD_MAX : RECORD_MAX_BEFORE_HELLO;
+
+      memcpy (&mark, conn->in->data + pos, MARK_BYTES);
+      mark = ntohl (mark);
+      size = mark & ~LAST_FRAGMENT;
+      if (!(mark & LAST_FRAGMENT) || size == 0 || size > limit)
+        {
+          rpc_conn_drop (conn, "a record mark is not valid");
+          return;
+        }
+      if (conn->in->len - pos - MARK_BYTES < size)
+        break;
+      conn_on_record (conn, conn->in->data + pos + MARK_BYTES, size);
+      pos += MARK_BYTES + size;
+    }
+  if (pos == conn->in->len)
+    buffer_empty (&conn->in);
+  else if (pos > 0)
+    g_byte_array_remove_range (conn->in, 0, (guint)pos);
+}
+
+static void
+conn_on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct jc_rpc_conn *conn = watcher->data;
+  unsigned char buf[READ_BYTES];
+  ssize_t got = recv (conn->fd, buf, sizeof buf, 0);
+
+  (void)events;
+  if (got < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (got <= 0)
+    {
+      rpc_conn_drop (conn, got == 0 ? "it closed" : strerror (errno));
+      return;
+    }
+  conn->last_heard = ev_now (loop);
+  g_byte_array_append (conn->in, buf, (guint)got);
+  conn_take_records (conn);
+}
+
+static void
+conn_on_writable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  conn_flush (watcher->data);
+}
+
+struct jc_rpc_conn *
+rpc_conn_new (struct jc_rpc *rpc, int fd, struct dial *dial)
+{
+  struct jc_rpc_conn *conn = g_new0 (struct jc_rpc_conn, 1);
+  int on = 1;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  conn->rpc = rpc;
+  conn->fd = fd;
+  conn->dial = dial;
+  conn->dialled = dial != NULL;
+  conn->opened = ev_now (rpc->loop);
+  conn->in = g_byte_array_new ();
+  conn->out = g_byte_array_new ();
+  conn->last_heard = ev_now (rpc->loop);
+  randombytes_buf (conn->own_nonce, NONCE_BYTES);
+  ev_io_init (&conn->reader, conn_on_readable, fd, EV_READ);
+  ev_io_init (&conn->writer, conn_on_writable, fd, EV_WRITE);
+  conn->reader.data = conn;
+  conn->writer.data = conn;
+  ev_io_start (rpc->loop, &conn->reader);
+  g_ptr_array_add (rpc->conns, conn);
+  return conn;
+}
+
+/* Return why CONN is to be dropped at NOW, or NULL.  An opening has to be
+   done in the time that a peer may be silent, however much it sends.  */
+const char *
+rpc_conn_expired (const struct jc_rpc_conn *conn, ev_tstamp now)
+{
+  double silent_s = (double)conn->rpc->silent_ms / MS_PER_S;
+
+  if (now - conn->last_heard > silent_s)
+    return "it went silent";
+  if (!conn->up && now - conn->opened > silent_s)
+    return "its opening takes too long";
+  return NULL;
+}
+
+/* Report what the peer's other messages said in place of a heartbeat.  */
+static void
+conn_report_beat (struct jc_rpc_conn *conn)
+{
+  struct rpc_packet beat = { .body.type = RPC_HEARTBEAT };
+
+  conn->beat_due = false;
+  beat.head.group = conn->rpc->group;
+  beat.head.sender = conn->name;
+  beat.head.incarnation = conn->incarnation;
+  beat.head.config_version = conn->peer_version;
+  conn->rpc->klass->packet (conn->rpc->ctx, conn, &beat);
+}
+
+void
+rpc_conn_beat (struct jc_rpc_conn *conn)
+{
+  struct rpc_packet beat = { .body.type = RPC_HEARTBEAT };
+
+  if (conn->sent == conn->sent_at_beat)
+    jc_rpc_send (conn, &beat);
+  conn->sent_at_beat = conn->sent;
+  if (conn->beat_due)
+    conn_report_beat (conn);
+}
+
+bool
+rpc_conn_usable (const struct jc_rpc_conn *conn)
+{
+  return conn->up && conn->broken == NULL;
+}
+
+/* Return the peer's name, as it proved it.  */
+const char *
+jc_rpc_conn_name (const struct jc_rpc_conn *conn)
+{
+  return conn->name;
+}
+
+/* Return the peer's role: "entry", "state" or "ctl".  */
+const char *
+jc_rpc_conn_role (const struct jc_rpc_conn *conn)
+{
+  return conn->role;
+}
+
+/* Return the peer's region.  */
+const char *
+jc_rpc_conn_region (const struct jc_rpc_conn *conn)
+{
+  return conn->region;
+}
+
+/* Return the peer's availability zone.  */
+const char *
+jc_rpc_conn_zone (const struct jc_rpc_conn *conn)
+{
+  return conn->zone;
+}
+
+/* Return the peer's incarnation.  */
+uint64_t
+jc_rpc_conn_incarnation (const struct jc_rpc_conn *conn)
+{
+  return conn->incarnation;
+}
+
+/* Return the bytes that wait to be sent to the peer.  */
+size_t
+jc_rpc_conn_backlog (const struct jc_rpc_conn *conn)
+{
+  return conn->out->len - conn->out_pos;
+}
+
+/* Send PACKET, whose head is filled in but for its deadline and reply_to.  */
+enum jc_status
+jc_rpc_send (struct jc_rpc_conn *conn, struct rpc_packet *packet)
+{
+  if (conn == NULL || !rpc_conn_usable (conn))
+    return jc_fail (JC_UNREACHABLE, "The peer is not connected.");
+  packet_fill_head (conn, packet);
+  return conn_put (conn, packet);
+}
--- /dev/null
+++ b/net/rpcprivate.h
@@ -0,0 +1,137 @@
+/* What the files of the RPC task share; not for others.  */
+
+#ifndef JC_RPC_PRIVATE_H
+#define JC_RPC_PRIVATE_H
+
+#include <netinet/in.h>
+
+#include "net/rpc.h"
+
+enum
+{
+  MAC_BYTES = 16,
+  NONCE_BYTES = 16,
+  KEY_BYTES = 32,
+  HALF_OPEN_MAX = 512,
+  REDIAL_MS = 200,
+  MS_PER_S = 1000
+};
+
+struct jc_rpc
+{
+  struct ev_loop *loop;
+  const struct jc_rpc_class *klass;
+  void *ctx;
+  char *group;
+  char *name;
+  char *role;
+  char *region;
+  char *zone;
+  unsigned char key[KEY_BYTES];
+  uint64_t incarnation;
+  uint64_t config_version;
+  long heartbeat_ms;
+  long silent_ms;
+  int listen_fd;
+  int port;
+  ev_io accept;
+  ev_timer beat;
+  ev_timer reaper;
+  GPtrArray *conns;
+  GPtrArray *dials;
+  GHashTable *pending;
+  uint64_t last_xid;
+  uint64_t last_serial;
+  uint64_t bytes_sent;
+};
+
+/* A peer that this process keeps a connection to.  */
+struct dial
+{
+  struct jc_rpc *rpc;
+  char *name;
+  struct sockaddr_in addr;
+  struct jc_rpc_conn *conn;
+  ev_timer redial;
+  int redial_ms;
+};
+
+/* SERIAL counts connections as they come up.  BROKEN is why the connection
+   is dropped as soon as no caller is on the stack.  */
+struct jc_rpc_conn
+{
+  struct jc_rpc *rpc;
+  struct dial *dial;
+  bool dialled;
+  uint64_t serial;
+  const char *broken;
+  int fd;
+  ev_io reader;
+  ev_io writer;
+  GByteArray *in;
+  GByteArray *out;
+  size_t out_pos;
+  unsigned char own_nonce[NONCE_BYTES];
+  unsigned char peer_nonce[NONCE_BYTES];
+  unsigned char send_key[KEY_BYTES];
+  unsigned char receive_key[KEY_BYTES];
+  uint64_t sent;
+  uint64_t received;
+  uint64_t sent_at_beat;
+  uint64_t peer_version;
+  bool beat_due;
+  ev_tstamp opened;
+  ev_tstamp last_heard;
+  bool hello_sent;
+  bool up;
+  bool dead;
+  char *name;
+  char *role;
+  char *region;
+  char *zone;
+  uint64_t incarnation;
+};
+
+/* A call that waits for its reply.  */
+struct pending
+{
+  struct jc_rpc *rpc;
+  struct jc_rpc_conn *conn;
+  uint64_t xid;
+  ev_timer timer;
+  jc_rpc_reply_fn *reply;
+  void *ctx;
+};
+
+/* In rpc.c.  */
+void rpc_wake_reaper (struct jc_rpc *rpc);
+void rpc_dial_later (struct dial *dial);
+
+/* In rpcconn.c.  */
+void rpc_conn_drop (struct jc_rpc_conn *conn, const char *why);
+void rpc_conn_send_hello (struct jc_rpc_conn *conn, enum rpc_type type,
+                          bool proven);
+struct jc_rpc_conn *rpc_conn_new (struct jc_rpc *rpc, int fd,
+                                  struct dial *dial);
+const char *rpc_conn_expired (const struct jc_rpc_conn *conn, ev_tstamp now);
+void rpc_conn_beat (struct jc_rpc_conn *conn);
+void rpc_conn_free (struct jc_rpc_conn *conn);
+void rpc_conn_break (struct jc_rpc_conn *conn, const char *why);
+bool rpc_conn_usable (const struct jc_rpc_conn *conn);
+
+/* In rpccall.c.  */
+void rpc_pending_fail (struct jc_rpc_conn *conn);
+void rpc_pending_finish (struct pending *pending, enum jc_status status,
+                         const struct rpc_packet *reply);
+
+/* In rpcseal.c.  */
+void rpc_seal_make (unsigned char *mac, const unsigned char *key, uint64_t seq,
+                    const void *data, size_t size);
+void rpc_seal_proof (const struct jc_rpc_conn *conn, const char *label,
+                     const struct rpc_packet *packet, unsigned char *out);
+void rpc_seal_key (const struct jc_rpc_conn *conn, const char *label,
+                   unsigned char *out);
+bool rpc_seal_valid (struct jc_rpc_conn *conn, const unsigned char *body,
+                     size_t size);
+
+#endif
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -14,10 +14,11 @@
   python3 -c 'import socket; s = socket.socket(); s.bind(("127.0.0.1", 0)); print(s.getsockname()[1])'
 }
 
-# wait_for SECONDS COMMAND...: wait until the command succeeds.
+# wait_for SECONDS COMMAND...: wait until the command succeeds. SECONDS are
+# those of an idle machine; a busy one gets six times as many.
 wait_for ()
 {
-  tries=$(($1 * 20))
+  tries=$(($1 * 20 * 6))
   shift
   while ! "$@" >/dev/null 2>&1; do
     tries=$((tries - 1))
--- a/tests/process/serve-away.sh
+++ b/tests/process/serve-away.sh
@@ -69,6 +69,8 @@
 ask "$C1" /r/assist/v1/chat/completions '{"max_tokens": 50, "stream": true}' >"$DIR/stream"
 [ "$(grep -c '^data: {' "$DIR/stream")" = 50 ]
 tail -n 2 "$DIR/stream" | grep -q 'data: \[DONE\]'
+curl -sS -m 20 -D "$DIR/head" -o "$DIR/body" -H "Authorization: Bearer $CALLER_KEY" -d '{"max_tokens": 2}' "http://127.0.0.1:$C1/r/assist/v1/chat/completions"
+grep -qi '^X-Jaycove-Region: at-sued' "$DIR/head"
 ask "$C1" /r/bound/v1/chat/completions '{"max_tokens": 2}' | refused no_endpoint
 ask "$C3" /r/bound/v1/chat/completions '{"max_tokens": 2}' | refused residency_denied
 
