--- a/conf/rlogfeed.c
+++ b/conf/rlogfeed.c
@@ -331,23 +331,36 @@
   return true;
 }
 
+/* Return the peer FROM, whose answer of TERM and ROUND this leader may count
+   for the disk INCARNATION, or NULL.  */
+static struct jc_rlog_peer *
+replying_peer (struct jc_rlog *log, const char *from, uint64_t term,
+               uint64_t incarnation, uint64_t round)
+{
+  struct jc_rlog_peer *peer = find_peer (log, from);
+
+  if (term > log->store->term)
+    {
+      jc_rlog_follow (log, term, "");
+      return NULL;
+    }
+  if (log->role != JC_RLOG_LEADER || term < log->store->term || peer == NULL
+      || !note_disk (log, peer, incarnation, round))
+    return NULL;
+  peer->acked_ms = log->now_ms;
+  return peer;
+}
+
 /* Take the answer of FROM to entries.  */
 void
 jc_rlog_take_append_reply (struct jc_rlog *log, const char *from,
                            const struct rpc_append_reply *reply)
 {
-  struct jc_rlog_peer *peer = find_peer (log, from);
+  struct jc_rlog_peer *peer = replying_peer (
+      log, from, reply->term, reply->disk_incarnation, reply->round);
 
-  if (reply->term > log->store->term)
-    {
-      jc_rlog_follow (log, reply->term, "");
-      return;
-    }
-  if (log->role != JC_RLOG_LEADER || reply->term < log->store->term
-      || peer == NULL
-      || !note_disk (log, peer, reply->disk_incarnation, reply->round))
+  if (peer == NULL)
     return;
-  peer->acked_ms = log->now_ms;
   if (reply->ok)
     {
       peer->match = MAX (peer->match, reply->match_index);
@@ -369,18 +382,11 @@
 jc_rlog_take_install_reply (struct jc_rlog *log, const char *from,
                             const struct rpc_install_reply *reply)
 {
-  struct jc_rlog_peer *peer = find_peer (log, from);
+  struct jc_rlog_peer *peer = replying_peer (
+      log, from, reply->term, reply->disk_incarnation, reply->round);
 
-  if (reply->term > log->store->term)
-    {
-      jc_rlog_follow (log, reply->term, "");
-      return;
-    }
-  if (log->role != JC_RLOG_LEADER || reply->term < log->store->term
-      || peer == NULL
-      || !note_disk (log, peer, reply->disk_incarnation, reply->round))
+  if (peer == NULL)
     return;
-  peer->acked_ms = log->now_ms;
   peer->chunk_until_ms = 0;
   if (reply->offset == INSTALLED_OFFSET)
     {
--- a/entry/main.c
+++ b/entry/main.c
@@ -58,17 +58,6 @@
   drain_start (watcher->data);
 }
 
-static void
-dial_peers (struct entry *entry, const GPtrArray *peers)
-{
-  for (guint i = 0; i < peers->len; i++)
-    {
-      const struct jc_peer *peer = g_ptr_array_index (peers, i);
-
-      jc_rpc_dial (entry->rpc, peer->name, peer->rpc);
-    }
-}
-
 static enum jc_status
 start_tasks (struct entry *entry)
 {
@@ -98,7 +87,7 @@
     return JC_UNREACHABLE;
   zone_start (entry);
   drain_watch (entry);
-  dial_peers (entry, s->state_peers);
+  jc_rpc_dial_all (entry->rpc, s->state_peers);
   return JC_OK;
 }
 
--- a/net/rpc.c
+++ b/net/rpc.c
@@ -9,6 +9,7 @@
 
 #include "net/address.h"
 #include "net/rpcprivate.h"
+#include "schema/gen/objects.h"
 
 static void dial_start (struct dial *dial);
 
@@ -247,6 +248,19 @@
   dial_start (dial);
 }
 
+/* Keep a connection to each of PEERS, an array of struct jc_peer, from now
+   on.  */
+void
+jc_rpc_dial_all (struct jc_rpc *rpc, const GPtrArray *peers)
+{
+  for (guint i = 0; i < peers->len; i++)
+    {
+      const struct jc_peer *peer = g_ptr_array_index (peers, i);
+
+      jc_rpc_dial (rpc, peer->name, peer->rpc);
+    }
+}
+
 static void
 dial_free (struct dial *dial)
 {
--- a/net/rpc.h
+++ b/net/rpc.h
@@ -53,6 +53,7 @@
 enum jc_status jc_rpc_listen (struct jc_rpc *rpc, const char *address);
 int jc_rpc_port (const struct jc_rpc *rpc);
 void jc_rpc_dial (struct jc_rpc *rpc, const char *name, const char *address);
+void jc_rpc_dial_all (struct jc_rpc *rpc, const GPtrArray *peers);
 void jc_rpc_hang_up (struct jc_rpc *rpc, const char *name);
 void jc_rpc_set_config_version (struct jc_rpc *rpc, uint64_t version);
 uint64_t jc_rpc_incarnation (const struct jc_rpc *rpc);
--- a/state/main.c
+++ b/state/main.c
@@ -53,19 +53,6 @@
   ev_break (loop, EVBREAK_ALL);
 }
 
-static void
-dial_peers (struct state *state)
-{
-  const GPtrArray *peers = state->settings->state_peers;
-
-  for (guint i = 0; i < peers->len; i++)
-    {
-      const struct jc_peer *peer = g_ptr_array_index (peers, i);
-
-      jc_rpc_dial (state->rpc, peer->name, peer->rpc);
-    }
-}
-
 static enum jc_status
 start (struct state *state, bool found)
 {
@@ -95,7 +82,7 @@
     return status;
   status = jc_rpc_listen (state->rpc, s->rpc);
   if (status == JC_OK)
-    dial_peers (state);
+    jc_rpc_dial_all (state->rpc, s->state_peers);
   return status;
 }
 
