Pass a request's path and query on as they came

Cause: the listener decoded %XX and dropped the query, so a plain service got another path than its caller had asked for. Ruled out: encoding again, which can't tell %2F from /.

--- a/entry/callers.c
+++ b/entry/callers.c
@@ -42,14 +42,14 @@
 route_of (const struct entry *entry, const struct jc_http_req *req,
           const char **rest)
 {
-  const char *path = jc_http_path (req);
+  const char *path = jc_http_target (req);
   const struct jc_route *route;
   size_t len;
   char *name;
 
   if (strncmp (path, "/r/", 3) != 0)
     return NULL;
-  len = strcspn (path + 3, "/");
+  len = strcspn (path + 3, "/?");
   name = g_strndup (path + 3, len);
   route = jc_config_find (entry->config, JC_OBJECT_ROUTE, name);
   g_free (name);
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -54,6 +54,8 @@
   struct MHD_Connection *conn;
   const char *method;
   char *path;
+  char *target;
+  GPtrArray *decoded;
   GString *body;
   struct MHD_Response *response;
   unsigned int http;
@@ -185,6 +187,42 @@
   return result;
 }
 
+/* Keep %XX as it came, so that a path can be passed on unchanged.  */
+static size_t
+httpd_keep_escapes (void *cls, struct MHD_Connection *conn, char *text)
+{
+  (void)cls;
+  (void)conn;
+  return strlen (text);
+}
+
+/* Append one query argument to the target at CLS.  libmicrohttpd has turned
+   each '+' into a space.  */
+static enum MHD_Result
+target_add (void *cls, enum MHD_ValueKind kind, const char *key,
+            const char *value)
+{
+  GString *target = cls;
+  gsize at = target->len;
+
+  (void)kind;
+  g_string_append_c (target, strchr (target->str, '?') == NULL ? '?' : '&');
+  g_string_append (target, key);
+  if (value != NULL)
+    g_string_append_printf (target, "=%s", value);
+  g_strdelimit (target->str + at, " ", '+');
+  return MHD_YES;
+}
+
+static char *
+target_of (struct MHD_Connection *conn, const char *url)
+{
+  GString *target = g_string_new (url);
+
+  MHD_get_connection_values (conn, MHD_GET_ARGUMENT_KIND, target_add, target);
+  return g_string_free (target, FALSE);
+}
+
 static struct jc_http_req *
 req_new (struct jc_httpd *httpd, struct MHD_Connection *conn, const char *url,
          const char *method)
@@ -196,6 +234,8 @@
   req->conn = conn;
   req->method = method;
   req->path = g_strdup (url);
+  req->target = target_of (conn, url);
+  req->decoded = g_ptr_array_new_with_free_func (g_free);
   req->body = g_string_new (NULL);
   ev_init (&req->watch, req_on_readable);
   req->watch.data = req;
@@ -298,6 +338,8 @@
   if (req->out != NULL)
     g_string_free (req->out, TRUE);
   g_string_free (req->body, TRUE);
+  g_ptr_array_free (req->decoded, TRUE);
+  g_free (req->target);
   g_free (req->path);
   g_free (req);
   *slot = NULL;
@@ -323,6 +365,7 @@
   httpd->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, NULL, NULL,
       httpd_on_access, httpd, MHD_OPTION_SOCK_ADDR, &addr,
+      MHD_OPTION_UNESCAPE_CALLBACK, httpd_keep_escapes, NULL,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
       httpd_on_completed, NULL, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)HEADER_MEMORY_BYTES, MHD_OPTION_CONNECTION_LIMIT,
@@ -421,13 +464,20 @@
   return req->method;
 }
 
-/* Return the path of REQ, decoded, without its query.  */
+/* Return the path of REQ as it came, without its query.  */
 const char *
 jc_http_path (const struct jc_http_req *req)
 {
   return req->path;
 }
 
+/* Return the path of REQ with its query, as they came.  */
+const char *
+jc_http_target (const struct jc_http_req *req)
+{
+  return req->target;
+}
+
 /* Return the header NAME of REQ, or NULL.  */
 const char *
 jc_http_header (const struct jc_http_req *req, const char *name)
@@ -435,11 +485,17 @@
   return MHD_lookup_connection_value (req->conn, MHD_HEADER_KIND, name);
 }
 
-/* Return the query argument NAME of REQ, or NULL.  */
+/* Return the query argument NAME of REQ, decoded, or NULL.  */
 const char *
 jc_http_query (const struct jc_http_req *req, const char *name)
 {
-  return MHD_lookup_connection_value (req->conn, MHD_GET_ARGUMENT_KIND, name);
+  const char *raw
+      = MHD_lookup_connection_value (req->conn, MHD_GET_ARGUMENT_KIND, name);
+  char *text = raw != NULL ? g_uri_unescape_string (raw, NULL) : NULL;
+
+  if (text != NULL)
+    g_ptr_array_add (req->decoded, text);
+  return text;
 }
 
 /* Return the body of REQ, valid until it is answered.  */
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -42,6 +42,7 @@
 
 const char *jc_http_method (const struct jc_http_req *req);
 const char *jc_http_path (const struct jc_http_req *req);
+const char *jc_http_target (const struct jc_http_req *req);
 const char *jc_http_header (const struct jc_http_req *req, const char *name);
 const char *jc_http_query (const struct jc_http_req *req, const char *name);
 struct jc_str jc_http_body (const struct jc_http_req *req);
--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -54,6 +54,12 @@
 
   if (strcmp (path, "/echo") == 0)
     jc_http_reply (req, 200, "text/plain", jc_http_body (req), NULL);
+  else if (g_str_has_prefix (path, "/target"))
+    jc_http_reply (req, 200, "text/plain", jc_str_from (jc_http_target (req)),
+                   NULL);
+  else if (strcmp (path, "/query") == 0)
+    jc_http_reply (req, 200, "text/plain",
+                   jc_str_from (jc_http_query (req, "x")), NULL);
   else if (strcmp (path, "/hold") == 0)
     f->held = req;
   else
@@ -151,6 +157,22 @@
   g_assert_cmpstr (f->got->str, ==, "hello");
 }
 
+/* A path and its query can be passed on as they came.  */
+static void
+test_target (struct fixture *f, gconstpointer unused)
+{
+  static const char target[] = "/target/a%20b%2Fc?x=1%262&y=a+b&flag";
+
+  (void)unused;
+  post (f, target, JC_STR_LIT (""), false);
+  run_until_done (f, 1);
+  g_assert_cmpstr (f->got->str, ==, target);
+  g_string_truncate (f->got, 0);
+  post (f, "/query?x=1%262", JC_STR_LIT (""), false);
+  run_until_done (f, 2);
+  g_assert_cmpstr (f->got->str, ==, "1&2");
+}
+
 static void
 test_refused_and_too_large (struct fixture *f, gconstpointer unused)
 {
@@ -225,6 +247,7 @@
   g_test_add (path, struct fixture, NULL, setup, fn, teardown)
   CASE ("/echo", test_echo);
   CASE ("/refused-and-too-large", test_refused_and_too_large);
+  CASE ("/target", test_target);
   CASE ("/streams", test_streams);
   CASE ("/caller-gone", test_caller_gone);
   CASE ("/stop-while-held", test_stop_while_held);
