Give tests ports that no outgoing connection can take

Cause: tests took ports of the range that the kernel gives to outgoing connections; one of those, or a dial that is retried and connects to itself, can hold a port before its daemon listens.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -8,10 +8,26 @@
 TOKEN=operator-token
 CALLER_KEY=caller-key-1
 
-# port: print a port that is free now.
+# port: print a port that is free now and was not printed before. It is below
+# those that the kernel gives to outgoing connections, so that none takes it
+# before its daemon listens, and none that is retried connects to itself.
 port ()
 {
-  python3 -c 'import socket; s = socket.socket(); s.bind(("127.0.0.1", 0)); print(s.getsockname()[1])'
+  python3 - "$DIR/port.last" <<'X'
+import os, random, socket, sys
+name = sys.argv[1]
+port = int(open(name).read()) if os.path.exists(name) else random.randrange(15000, 30000)
+while True:
+    port = port + 1 if port < 32000 else 15000
+    with socket.socket() as s:
+        try:
+            s.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+    break
+open(name, "w").write(str(port))
+print(port)
+X
 }
 
 # wait_for SECONDS COMMAND...: wait until the command succeeds. SECONDS are
