--- a/Makefile
+++ b/Makefile
@@ -14,12 +14,12 @@
 
 B ?= build
 CC = gcc
-PKGS = libtirpc glib-2.0 jansson libsodium libmicrohttpd libcurl
+PKGS = libtirpc glib-2.0 jansson libsodium
 CPPFLAGS += -D_GNU_SOURCE -DJC_VERSION='"$(VERSION)"' -I.
 CFLAGS ?= -O2 -g
 WARN = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
-LDLIBS := $(shell pkg-config --libs $(PKGS)) -largtable2 -lev -lm -lpthread
+LDLIBS := $(shell pkg-config --libs $(PKGS)) -largtable2 -lev -lhttp_parser -lm
 ifeq ($(SANITIZE),1)
 B = build-san
 CFLAGS += -fsanitize=address,undefined -fno-omit-frame-pointer
--- a/base/status.c
+++ b/base/status.c
@@ -62,6 +62,8 @@
   [JC_UNREACHABLE] = { "unreachable", 503, JC_NOT_RUN, JC_RETRY_AFTER },
   [JC_INTERNAL] = { "internal", 500, JC_RUN_UNKNOWN, JC_RETRY_NEVER },
   [JC_ANSWER_GONE] = { "answer_gone", 410, JC_RUN, JC_RETRY_NEVER },
+  [JC_HEAD_TOO_LARGE] = { "head_too_large", 431, JC_NOT_RUN, JC_RETRY_NEVER },
+  [JC_HEAD_TIMEOUT] = { "head_timeout", 408, JC_NOT_RUN, JC_RETRY_NOW },
 };
 
 /* Return the table row of STATUS.  An unlisted value reads as internal.  */
--- a/ctl/ask.c
+++ b/ctl/ask.c
@@ -1,22 +1,40 @@
 /* Requests to an operators' listener.  */
 
-#include <curl/curl.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "ctl/verbs.h"
+#include "net/httpc.h"
 
 enum
 {
-  REQUEST_TIMEOUT_S = 15,
+  REQUEST_TIMEOUT_MS = 15000,
   HTTP_OK = 200
 };
 
-static size_t
-on_answer (char *data, size_t size, size_t count, void *ctx)
+/* An answer under way.  HTTP is 0 until it is whole.  */
+struct asked
 {
-  g_string_append_len (ctx, data, (gssize)(size * count));
-  return size * count;
+  struct ev_loop *loop;
+  GString *answer;
+  long http;
+};
+
+static void
+on_data (void *ctx, struct jc_str data)
+{
+  struct asked *asked = ctx;
+
+  g_string_append_len (asked->answer, data.data, (gssize)data.len);
+}
+
+static void
+on_done (void *ctx, const struct jc_call_result *result)
+{
+  struct asked *asked = ctx;
+
+  asked->http = result->status == JC_OK ? result->http : 0;
+  ev_break (asked->loop, EVBREAK_ALL);
 }
 
 /* Ask the server for PATH, with BODY as a POST unless it is NULL.  Return the
@@ -25,27 +43,26 @@
 ask_server (const struct options *options, const char *path, const char *body,
             GString *answer)
 {
-  CURL *easy = curl_easy_init ();
+  static const struct jc_call_ops ops = { .data = on_data, .done = on_done };
   char *url = g_strconcat ("http://", options->server, path, NULL);
   char *auth = g_strconcat ("Authorization: Bearer ", options->token, NULL);
-  struct curl_slist *headers = curl_slist_append (NULL, auth);
-  long http = 0;
+  const char *headers[] = { auth, NULL };
+  struct jc_call_spec spec = { .method = body != NULL ? "POST" : "GET",
+                               .url = url,
+                               .headers = headers,
+                               .body = jc_str_from (body != NULL ? body : ""),
+                               .total_ms = REQUEST_TIMEOUT_MS,
+                               .fresh = true };
+  struct asked asked = { .loop = ev_loop_new (0), .answer = answer };
+  struct jc_httpc *httpc = jc_httpc_new (asked.loop);
 
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT, (long)REQUEST_TIMEOUT_S);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_answer);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, answer);
-  if (body != NULL)
-    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
-  if (curl_easy_perform (easy) == CURLE_OK)
-    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &http);
-  curl_slist_free_all (headers);
-  curl_easy_cleanup (easy);
+  jc_call_start (httpc, &spec, &ops, &asked);
+  ev_run (asked.loop, 0);
+  jc_httpc_free (httpc);
+  ev_loop_destroy (asked.loop);
   g_free (auth);
   g_free (url);
-  return http;
+  return asked.http;
 }
 
 /* Return the exit code for the status HTTP with ANSWER.  */
--- a/entry/keyed.c
+++ b/entry/keyed.c
@@ -28,9 +28,6 @@
   DIGEST_BYTES = 32
 };
 
-/* libcurl sends a request again where an expectation is refused.  */
-#define NO_EXPECT "Expect:"
-
 /* A request that this instance owns.  REQ is NULL once its caller left.  */
 struct keyed
 {
@@ -367,7 +364,7 @@
   char *key = g_strconcat ("Idempotency-Key: ", keyed->key, NULL);
   char *fence
       = g_strdup_printf ("X-Jaycove-Fence: %" G_GUINT64_FORMAT, keyed->fence);
-  const char *headers[] = { type, key, fence, NO_EXPECT, NULL };
+  const char *headers[] = { type, key, fence, NULL };
   struct jc_call_spec spec = { .method = keyed->method,
                                .url = url,
                                .headers = headers,
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -1,398 +1,350 @@
-/* HTTP client task.  */
+/* HTTP client task: calls.  */
 
-#include <curl/curl.h>
 #include <string.h>
 
-#include "net/httpc.h"
+#include "net/httpcprivate.h"
 
 enum
 {
-  POOL_IDLE_S = 10,
-  POOL_AGE_S = 300,
-  POOL_CONNECTIONS = 2000,
   MS_PER_S = 1000
 };
 
-struct jc_httpc
+/* Free what ended, when none of its functions is on the stack.  */
+static void
+on_reaper (struct ev_loop *loop, ev_timer *watcher, int events)
 {
-  struct ev_loop *loop;
-  CURLM *multi;
-  ev_timer timer;
-  ev_timer reaper;
-  GPtrArray *dead;
-  GHashTable *calls;
-};
+  struct jc_httpc *httpc = watcher->data;
+  GPtrArray *calls = httpc->dead_calls;
+  GPtrArray *links = httpc->dead_links;
 
-struct jc_call
+  (void)loop;
+  (void)events;
+  httpc->dead_calls = g_ptr_array_new ();
+  httpc->dead_links = g_ptr_array_new ();
+  for (guint i = 0; i < calls->len; i++)
+    {
+      struct jc_call *call = g_ptr_array_index (calls, i);
+
+      g_hash_table_remove (httpc->calls, call);
+    }
+  for (guint i = 0; i < links->len; i++)
+    link_free (g_ptr_array_index (links, i));
+  g_ptr_array_free (calls, TRUE);
+  g_ptr_array_free (links, TRUE);
+}
+
+/* Have what ended freed at the next turn.  */
+void
+httpc_wake_reaper (struct jc_httpc *httpc)
 {
-  struct jc_httpc *httpc;
-  CURL *easy;
-  struct curl_slist *headers;
-  char *body;
-  const struct jc_call_ops *ops;
-  void *ctx;
-  ev_timer silence;
-  long idle_ms;
-  bool paused;
-  char *content_type;
-  int http;
-  bool head_told;
-  bool framed;
-  bool cancelled;
-  char error[CURL_ERROR_SIZE];
-};
+  if (!ev_is_active (&httpc->reaper))
+    {
+      ev_timer_set (&httpc->reaper, 0, 0);
+      ev_timer_start (httpc->loop, &httpc->reaper);
+    }
+}
 
 static void
-call_free (struct jc_call *call)
+call_free (gpointer data)
 {
-  struct jc_httpc *httpc = call->httpc;
-
-  ev_timer_stop (httpc->loop, &call->silence);
-  curl_multi_remove_handle (httpc->multi, call->easy);
-  curl_easy_cleanup (call->easy);
-  curl_slist_free_all (call->headers);
-  g_hash_table_remove (httpc->calls, call);
-  g_free (call->content_type);
-  g_free (call->body);
+  struct jc_call *call = data;
+
+  ev_timer_stop (call->httpc->loop, &call->timer);
+  g_string_free (call->request, TRUE);
+  g_free (call->address);
+  g_free (call->method);
+  g_free (call->echo_name);
+  g_free (call->echo_value);
   g_free (call);
 }
 
 static void
-httpc_on_reaper (struct ev_loop *loop, ev_timer *watcher, int events)
+queue_free (gpointer data)
 {
-  struct jc_httpc *httpc = watcher->data;
-  GPtrArray *dead = httpc->dead;
+  GQueue *queue = data;
+  struct link *link;
 
-  (void)loop;
-  (void)events;
-  httpc->dead = g_ptr_array_new ();
-  for (guint i = 0; i < dead->len; i++)
-    call_free (g_ptr_array_index (dead, i));
-  g_ptr_array_free (dead, TRUE);
+  while ((link = g_queue_pop_head (queue)) != NULL)
+    {
+      link->idle = false;
+      link_close (link);
+    }
+  g_queue_free (queue);
 }
 
-/* Tell whether no byte of CALL's request can have left this process.  */
-static bool
-call_unsent (const struct jc_call *call, CURLcode code)
+/* Return a client on LOOP.  */
+struct jc_httpc *
+jc_httpc_new (struct ev_loop *loop)
 {
-  long size = 0;
+  struct jc_httpc *httpc = g_new0 (struct jc_httpc, 1);
 
-  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &size);
-  if (code == CURLE_COULDNT_CONNECT)
-    return true;
-  return size == 0;
+  httpc->loop = loop;
+  httpc->idle
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, queue_free);
+  httpc->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
+  httpc->dead_calls = g_ptr_array_new ();
+  httpc->dead_links = g_ptr_array_new ();
+  ev_init (&httpc->reaper, on_reaper);
+  httpc->reaper.data = httpc;
+  return httpc;
 }
 
-/* Take CALL out of use, tell its owner RESULT and free it later, when no
-   callback of libcurl is on the stack.  */
-static void
-call_finish (struct jc_call *call, const struct jc_call_result *result)
+/* Free HTTPC and all of its calls, whose owners are not told.  */
+void
+jc_httpc_free (struct jc_httpc *httpc)
 {
-  struct jc_httpc *httpc = call->httpc;
+  GList *calls = g_hash_table_get_keys (httpc->calls);
 
-  if (call->cancelled)
-    return;
-  call->cancelled = true;
-  ev_timer_stop (httpc->loop, &call->silence);
-  g_ptr_array_add (httpc->dead, call);
-  if (!ev_is_active (&httpc->reaper))
-    ev_timer_start (httpc->loop, &httpc->reaper);
-  if (result != NULL)
-    call->ops->done (call->ctx, result);
-}
+  for (GList *item = calls; item != NULL; item = item->next)
+    {
+      struct jc_call *call = item->data;
 
-static enum jc_status
-call_status (CURLcode code)
-{
-  if (code == CURLE_OK)
-    return JC_OK;
-  if (code == CURLE_OPERATION_TIMEDOUT)
-    return JC_TIMEOUT;
-  if (code == CURLE_COULDNT_CONNECT)
-    return JC_UNREACHABLE;
-  return JC_ENDPOINT_FAILED;
+      call->cancelled = true;
+      if (call->link != NULL)
+        link_close (call->link);
+    }
+  g_list_free (calls);
+  g_hash_table_destroy (httpc->idle);
+  ev_timer_stop (httpc->loop, &httpc->reaper);
+  for (guint i = 0; i < httpc->dead_links->len; i++)
+    link_free (g_ptr_array_index (httpc->dead_links, i));
+  g_ptr_array_free (httpc->dead_links, TRUE);
+  g_ptr_array_free (httpc->dead_calls, TRUE);
+  g_hash_table_destroy (httpc->calls);
+  g_free (httpc);
 }
 
-static void
-call_tell_head (struct jc_call *call)
+/* Close the kept connections to ADDRESS that carry no call.  */
+void
+jc_httpc_forget (struct jc_httpc *httpc, const char *address)
 {
-  long http = 0;
-
-  if (call->head_told)
-    return;
-  call->head_told = true;
-  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &http);
-  call->http = (int)http;
-  if (call->ops->head != NULL)
-    call->ops->head (call->ctx, call->http, call->content_type);
+  g_hash_table_remove (httpc->idle, address);
 }
 
-static void
-call_done (struct jc_call *call, CURLcode code)
+/* Return how many connections HTTPC has opened.  */
+uint64_t
+jc_httpc_opened (const struct jc_httpc *httpc)
 {
-  struct jc_call_result result
-      = { .status = call_status (code),
-          .sent = !call_unsent (call, code),
-          .framed = call->framed,
-          .message
-          = call->error[0] != '\0' ? call->error : curl_easy_strerror (code) };
-
-  if (code == CURLE_OK && !call->cancelled)
-    call_tell_head (call);
-  result.http = call->http;
-  call_finish (call, &result);
+  return httpc->opened;
 }
 
+/* Take CALL out of use and tell its owner RESULT, if there is any.  */
 static void
-httpc_reap (struct jc_httpc *httpc)
+call_finish (struct jc_call *call, const struct jc_call_result *result)
 {
-  CURLMsg *msg;
-  int left;
+  struct jc_httpc *httpc = call->httpc;
 
-  while ((msg = curl_multi_info_read (httpc->multi, &left)) != NULL)
+  if (call->cancelled)
+    return;
+  call->cancelled = true;
+  ev_timer_stop (httpc->loop, &call->timer);
+  if (call->link != NULL)
     {
-      struct jc_call *call;
-
-      if (msg->msg != CURLMSG_DONE)
-        continue;
-      curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &call);
-      call_done (call, msg->data.result);
+      call->link->call = NULL;
+      if (!call->link->idle)
+        link_close (call->link);
+      call->link = NULL;
     }
+  g_ptr_array_add (httpc->dead_calls, call);
+  httpc_wake_reaper (httpc);
+  if (result != NULL)
+    call->ops->done (call->ctx, result);
 }
 
+/* Arm CALL's timer for its earliest time.  */
 static void
-httpc_action (struct jc_httpc *httpc, curl_socket_t fd, int mask)
+call_arm (struct jc_call *call)
 {
-  int running;
+  ev_tstamp at = call->end_at;
+  struct ev_loop *loop = call->httpc->loop;
 
-  curl_multi_socket_action (httpc->multi, fd, mask, &running);
-  httpc_reap (httpc);
+  if (call->silent_at > 0 && !call->paused && (at == 0 || call->silent_at < at))
+    at = call->silent_at;
+  if (at == 0)
+    {
+      ev_timer_stop (loop, &call->timer);
+      return;
+    }
+  if (ev_is_active (&call->timer)
+      && ev_timer_remaining (loop, &call->timer) <= at - ev_now (loop))
+    return;
+  ev_timer_stop (loop, &call->timer);
+  ev_timer_set (&call->timer, MAX (at - ev_now (loop), 0), 0);
+  ev_timer_start (loop, &call->timer);
 }
 
 static void
-httpc_on_io (struct ev_loop *loop, ev_io *watcher, int events)
+call_set_silence (struct jc_call *call, long ms)
 {
-  int mask = 0;
-
-  (void)loop;
-  if (events & EV_READ)
-    mask |= CURL_CSELECT_IN;
-  if (events & EV_WRITE)
-    mask |= CURL_CSELECT_OUT;
-  httpc_action (watcher->data, watcher->fd, mask);
+  call->silent_at
+      = ms > 0 ? ev_now (call->httpc->loop) + (double)ms / MS_PER_S : 0;
+  call_arm (call);
 }
 
 static void
-httpc_on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
-  (void)loop;
+  struct jc_call *call = watcher->data;
+  ev_tstamp now = ev_now (loop);
+  bool ended = call->end_at > 0 && call->end_at <= now;
+  bool silent = call->silent_at > 0 && !call->paused && call->silent_at <= now;
+
   (void)events;
-  httpc_action (watcher->data, CURL_SOCKET_TIMEOUT, 0);
+  if (!ended && !silent)
+    call_arm (call);
+  else if (call->link != NULL && !call->link->connected && !ended)
+    call_failed (call, JC_UNREACHABLE, "No connection came up in time.");
+  else
+    call_failed (call, JC_TIMEOUT,
+                 ended ? "The time for the call is over."
+                       : "The endpoint went silent.");
 }
 
-static int
-httpc_socket_cb (CURL *easy, curl_socket_t fd, int what, void *ctx, void *slot)
+/* The connection of CALL is up.  */
+void
+call_connected (struct jc_call *call)
 {
-  struct jc_httpc *httpc = ctx;
-  ev_io *watcher = slot;
-  int events = 0;
-
-  (void)easy;
-  if (what == CURL_POLL_REMOVE)
-    {
-      if (watcher != NULL)
-        ev_io_stop (httpc->loop, watcher);
-      g_free (watcher);
-      curl_multi_assign (httpc->multi, fd, NULL);
-      return 0;
-    }
-  if (watcher == NULL)
-    {
-      watcher = g_new0 (ev_io, 1);
-      ev_init (watcher, httpc_on_io);
-      watcher->data = httpc;
-      curl_multi_assign (httpc->multi, fd, watcher);
-    }
-  if (what & CURL_POLL_IN)
-    events |= EV_READ;
-  if (what & CURL_POLL_OUT)
-    events |= EV_WRITE;
-  ev_io_stop (httpc->loop, watcher);
-  ev_io_set (watcher, fd, events);
-  ev_io_start (httpc->loop, watcher);
-  return 0;
+  call_set_silence (call, call->first_byte_ms);
 }
 
-static int
-httpc_timer_cb (CURLM *multi, long ms, void *ctx)
+/* Bytes of CALL's request have left.  */
+void
+call_wrote (struct jc_call *call)
 {
-  struct jc_httpc *httpc = ctx;
-
-  (void)multi;
-  ev_timer_stop (httpc->loop, &httpc->timer);
-  if (ms < 0)
-    return 0;
-  ev_timer_set (&httpc->timer, (double)ms / MS_PER_S, 0);
-  ev_timer_start (httpc->loop, &httpc->timer);
-  return 0;
+  call->sent = true;
 }
 
-/* Return a client on LOOP.  */
-struct jc_httpc *
-jc_httpc_new (struct ev_loop *loop)
+/* Bytes of an answer came.  */
+void
+call_heard (struct jc_call *call)
 {
-  struct jc_httpc *httpc = g_new0 (struct jc_httpc, 1);
+  call->silent_at = call->idle_ms > 0 ? ev_now (call->httpc->loop)
+                                            + (double)call->idle_ms / MS_PER_S
+                                      : 0;
+  call_arm (call);
+}
 
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  httpc->loop = loop;
-  httpc->multi = curl_multi_init ();
-  httpc->dead = g_ptr_array_new ();
-  httpc->calls = g_hash_table_new (NULL, NULL);
-  ev_init (&httpc->timer, httpc_on_timer);
-  httpc->timer.data = httpc;
-  ev_timer_init (&httpc->reaper, httpc_on_reaper, 0, 0);
-  httpc->reaper.data = httpc;
-  curl_multi_setopt (httpc->multi, CURLMOPT_SOCKETFUNCTION, httpc_socket_cb);
-  curl_multi_setopt (httpc->multi, CURLMOPT_SOCKETDATA, httpc);
-  curl_multi_setopt (httpc->multi, CURLMOPT_TIMERFUNCTION, httpc_timer_cb);
-  curl_multi_setopt (httpc->multi, CURLMOPT_TIMERDATA, httpc);
-  curl_multi_setopt (httpc->multi, CURLMOPT_MAXCONNECTS,
-                     (long)POOL_CONNECTIONS);
-  return httpc;
+static void
+tell_fields (struct jc_call *call, const struct jc_head *head)
+{
+  for (unsigned int i = 0; i < head->count && !call->cancelled; i++)
+    call->ops->header (call->ctx, jc_str_from (head->fields[i].name),
+                       jc_str_from (head->fields[i].value));
 }
 
-/* Free HTTPC and all of its calls, whose owners are not told.  */
+/* The head of CALL's answer came.  */
 void
-jc_httpc_free (struct jc_httpc *httpc)
+call_head (struct jc_call *call, const struct jc_head *head, bool framed)
 {
-  GList *calls = g_hash_table_get_keys (httpc->calls);
-
-  for (GList *item = calls; item != NULL; item = item->next)
-    call_free (item->data);
-  g_list_free (calls);
-  ev_timer_stop (httpc->loop, &httpc->reaper);
-  g_ptr_array_free (httpc->dead, TRUE);
-  g_hash_table_destroy (httpc->calls);
-  curl_multi_cleanup (httpc->multi);
-  ev_timer_stop (httpc->loop, &httpc->timer);
-  g_free (httpc);
+  call->http = head->status;
+  call->framed = framed;
+  if (call->ops->header != NULL)
+    tell_fields (call, head);
+  if (call->ops->heads != NULL && !call->cancelled)
+    call->ops->heads (call->ctx, head);
+  if (call->ops->head != NULL && !call->cancelled)
+    call->ops->head (call->ctx, call->http,
+                     jc_head_field (head, "Content-Type"));
 }
 
-static void
-call_arm_silence (struct jc_call *call, long ms)
+/* Body bytes of CALL's answer came.  */
+void
+call_data (struct jc_call *call, struct jc_str data)
 {
-  ev_timer_stop (call->httpc->loop, &call->silence);
-  if (ms <= 0 || call->paused)
-    return;
-  ev_timer_set (&call->silence, (double)ms / MS_PER_S, 0);
-  ev_timer_start (call->httpc->loop, &call->silence);
+  if (call->ops->data != NULL && !call->cancelled)
+    call->ops->data (call->ctx, data);
 }
 
-static void
-call_on_silence (struct ev_loop *loop, ev_timer *watcher, int events)
+/* The answer of CALL is whole.  */
+void
+call_whole (struct jc_call *call)
 {
-  struct jc_call *call = watcher->data;
-  struct jc_call_result result
-      = { .status = JC_TIMEOUT,
-          .http = call->http,
-          .sent = !call_unsent (call, CURLE_OPERATION_TIMEDOUT),
-          .framed = call->framed,
-          .message = "The endpoint went silent." };
+  const struct jc_call_result result = { .status = JC_OK,
+                                         .http = call->http,
+                                         .sent = true,
+                                         .framed = call->framed,
+                                         .reused = call->reused,
+                                         .message = "" };
 
-  (void)loop;
-  (void)events;
   call_finish (call, &result);
 }
 
 static void
-call_tell_header (struct jc_call *call, struct jc_str line)
+call_dispatch (struct jc_call *call, bool fresh)
 {
-  struct jc_str name;
-
-  if (call->ops->header == NULL || call->cancelled
-      || memchr (line.data, ':', line.len) == NULL)
-    return;
-  jc_str_cut (&line, ':', &name);
-  while (line.len > 0 && g_ascii_isspace (line.data[0]))
-    line = (struct jc_str){ .data = line.data + 1, .len = line.len - 1 };
-  while (line.len > 0 && g_ascii_isspace (line.data[line.len - 1]))
-    line.len--;
-  call->ops->header (call->ctx, name, line);
+  struct link *link = fresh ? NULL : link_idle (call->httpc, call->address);
+
+  call->reused = link != NULL;
+  if (link == NULL)
+    link = link_open (call->httpc, call->address);
+  call_set_silence (call,
+                    link->connected ? call->first_byte_ms : call->connect_ms);
+  call->link = link;
+  link_carry (link, call);
 }
 
-static size_t
-call_on_header (char *data, size_t size, size_t count, void *ctx)
+/* CALL can't go on: STATUS and MESSAGE say why.  A request that was lost with
+   a kept connection, before any answer, is sent again.  */
+void
+call_failed (struct jc_call *call, enum jc_status status, const char *message)
 {
-  struct jc_call *call = ctx;
-  size_t len = size * count;
-
-  if (len > 15 && g_ascii_strncasecmp (data, "Content-Length:", 15) == 0)
-    call->framed = true;
-  if (len > 18 && g_ascii_strncasecmp (data, "Transfer-Encoding:", 18) == 0)
-    call->framed = true;
-  if (len > 13 && g_ascii_strncasecmp (data, "Content-Type:", 13) == 0)
+  const struct jc_call_result result = { .status = status,
+                                         .http = call->http,
+                                         .sent = call->sent,
+                                         .framed = call->framed,
+                                         .reused = call->reused,
+                                         .message = message };
+  struct link *link = call->link;
+
+  if (call->cancelled)
+    return;
+  if (call->reused && call->http == 0 && status == JC_ENDPOINT_FAILED
+      && (!call->once || !call->sent))
     {
-      g_free (call->content_type);
-      call->content_type = g_strstrip (g_strndup (data + 13, len - 13));
+      link->call = NULL;
+      link_close (link);
+      call_dispatch (call, true);
+      return;
     }
-  call_tell_header (call, (struct jc_str){ .data = data, .len = len });
-  return len;
+  call_finish (call, &result);
 }
 
-static size_t
-call_on_data (char *data, size_t size, size_t count, void *ctx)
+static bool
+has_field (const char *const *headers, const char *name)
 {
-  struct jc_call *call = ctx;
-  size_t len = size * count;
+  size_t len = strlen (name);
 
-  if (call->cancelled)
-    return 0;
-  call_arm_silence (call, call->idle_ms);
-  call_tell_head (call);
-  if (call->ops->data != NULL && !call->cancelled)
-    call->ops->data (call->ctx, (struct jc_str){ .data = data, .len = len });
-  return call->cancelled ? 0 : len;
+  for (; headers != NULL && *headers != NULL; headers++)
+    if (g_ascii_strncasecmp (*headers, name, len) == 0
+        && (*headers)[len] == ':')
+      return true;
+  return false;
 }
 
 static void
-call_setup (struct jc_call *call, const struct jc_call_spec *spec)
+build_request (struct jc_call *call, const struct jc_call_spec *spec,
+               const char *target)
 {
-  CURL *easy = call->easy;
-
-  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
-  curl_easy_setopt (easy, CURLOPT_URL, spec->url);
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, call->error);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, call_on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, call_on_data);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, spec->connect_ms);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, spec->total_ms);
-  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long)POOL_IDLE_S);
-  curl_easy_setopt (easy, CURLOPT_MAXLIFETIME_CONN, (long)POOL_AGE_S);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
-  if (spec->fresh)
+  GString *out = call->request;
+  bool bodiless = strcmp (spec->method, "GET") == 0
+                  || strcmp (spec->method, "HEAD") == 0
+                  || strcmp (spec->method, "DELETE") == 0;
+
+  g_string_append_printf (out, "%s %s HTTP/1.1\r\n", spec->method,
+                          target[0] != '\0' ? target : "/");
+  if (!has_field (spec->headers, "Host"))
+    g_string_append_printf (out, "Host: %s\r\n", call->address);
+  for (const char *const *h = spec->headers; h != NULL && *h != NULL; h++)
     {
-      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+      g_string_append (out, *h);
+      g_string_append (out, "\r\n");
     }
-}
-
-static void
-call_setup_method (struct jc_call *call, const struct jc_call_spec *spec)
-{
-  if (strcmp (spec->method, "GET") == 0)
-    return;
-  call->body = g_memdup2 (spec->body.data, spec->body.len);
-  curl_easy_setopt (call->easy, CURLOPT_POST, 1L);
-  curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, spec->method);
-  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE, (long)spec->body.len);
-  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS,
-                    call->body != NULL ? call->body : "");
+  if (spec->body.len > 0 || !bodiless)
+    g_string_append_printf (out, "Content-Length: %zu\r\n", spec->body.len);
+  if (spec->fresh)
+    g_string_append (out, "Connection: close\r\n");
+  g_string_append (out, "\r\n");
+  g_string_append_len (out, spec->body.data, (gssize)spec->body.len);
 }
 
 /* Start the call of SPEC, which is copied; its events go to OPS with CTX,
@@ -402,22 +354,32 @@
                const struct jc_call_ops *ops, void *ctx)
 {
   struct jc_call *call = g_new0 (struct jc_call, 1);
+  const char *host = spec->url;
+  size_t host_len;
 
+  if (g_str_has_prefix (host, "http://"))
+    host += strlen ("http://");
+  host_len = strcspn (host, "/");
   call->httpc = httpc;
   call->ops = ops;
   call->ctx = ctx;
+  call->address = g_strndup (host, host_len);
+  call->method = g_strdup (spec->method);
+  call->request = g_string_sized_new (512 + spec->body.len);
+  call->echo_name = g_strdup (spec->echo_name);
+  call->echo_value = g_strdup (spec->echo_value);
+  call->connect_ms = spec->connect_ms;
+  call->first_byte_ms = spec->first_byte_ms;
   call->idle_ms = spec->idle_ms;
-  call->easy = curl_easy_init ();
-  call->headers = curl_slist_append (NULL, "Expect:");
-  for (const char *const *h = spec->headers; h != NULL && *h != NULL; h++)
-    call->headers = curl_slist_append (call->headers, *h);
-  ev_init (&call->silence, call_on_silence);
-  call->silence.data = call;
-  call_setup (call, spec);
-  call_setup_method (call, spec);
+  call->fresh = spec->fresh;
+  call->once = spec->once || spec->fresh;
+  if (spec->total_ms > 0)
+    call->end_at = ev_now (httpc->loop) + (double)spec->total_ms / MS_PER_S;
+  ev_init (&call->timer, on_timer);
+  call->timer.data = call;
+  build_request (call, spec, host + host_len);
   g_hash_table_add (httpc->calls, call);
-  call_arm_silence (call, spec->first_byte_ms);
-  curl_multi_add_handle (httpc->multi, call->easy);
+  call_dispatch (call, spec->fresh);
   return call;
 }
 
@@ -429,13 +391,15 @@
 }
 
 /* Stop or go on reading the answer of CALL; a paused call is never taken for
-   silent.  Must not be called from within its events to unpause.  */
+   silent.  */
 void
 jc_call_pause (struct jc_call *call, bool paused)
 {
   if (call->cancelled || call->paused == paused)
     return;
   call->paused = paused;
-  call_arm_silence (call, call->idle_ms);
-  curl_easy_pause (call->easy, paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+  if (!paused)
+    call_heard (call);
+  if (call->link != NULL)
+    link_pause (call->link, paused);
 }
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -1,4 +1,5 @@
-/* HTTP client task: libcurl's multi interface carried by a libev loop.  */
+/* HTTP client task: kept connections on a libev loop, answers read by
+   http-parser.  */
 
 #ifndef JC_HTTPC_H
 #define JC_HTTPC_H
@@ -8,13 +9,17 @@
 
 #include "base/status.h"
 #include "base/str.h"
+#include "net/httphead.h"
 
 struct jc_httpc;
 struct jc_call;
 
 /* What to ask.  Times are in ms, 0 for no limit; HEADERS is a NULL-ended
-   list of "Name: value" or NULL.  FRESH asks for a connection of its own
-   that is never pooled, so that libcurl can't send a request twice.  */
+   list of "Name: value" or NULL.  A request that finds its kept connection
+   closed is sent again on a new one, but for ONCE.  FRESH asks for a
+   connection of its own that is not kept.  Answers whose header ECHO_NAME has
+   another value than ECHO_VALUE belong to earlier requests and are skipped;
+   ECHO_NAME may be NULL.  */
 struct jc_call_spec
 {
   const char *method;
@@ -26,25 +31,31 @@
   long idle_ms;
   long total_ms;
   bool fresh;
+  bool once;
+  const char *echo_name;
+  const char *echo_value;
 };
 
 /* How a call ended.  STATUS is JC_OK where the whole answer came, whatever
    HTTP says; SENT is false only where no byte of the request can have reached
-   the peer; FRAMED tells that the answer's length was known or chunked.  */
+   the peer; FRAMED tells that the answer's length was known or chunked;
+   REUSED that the connection had served before.  */
 struct jc_call_result
 {
   enum jc_status status;
   int http;
   bool sent;
   bool framed;
+  bool reused;
   const char *message;
 };
 
-/* Where a call's events go.  HEADER, HEAD and DATA may be NULL.  After DONE
-   the call is gone.  */
+/* Where a call's events go.  HEADER, HEAD, HEADS and DATA may be NULL; HEADS
+   gets the whole head right before HEAD.  After DONE the call is gone.  */
 struct jc_call_ops
 {
   void (*header) (void *ctx, struct jc_str name, struct jc_str value);
+  void (*heads) (void *ctx, const struct jc_head *head);
   void (*head) (void *ctx, int http, const char *content_type);
   void (*data) (void *ctx, struct jc_str data);
   void (*done) (void *ctx, const struct jc_call_result *result);
@@ -52,6 +63,8 @@
 
 struct jc_httpc *jc_httpc_new (struct ev_loop *loop);
 void jc_httpc_free (struct jc_httpc *httpc);
+void jc_httpc_forget (struct jc_httpc *httpc, const char *address);
+uint64_t jc_httpc_opened (const struct jc_httpc *httpc);
 struct jc_call *jc_call_start (struct jc_httpc *httpc,
                                const struct jc_call_spec *spec,
                                const struct jc_call_ops *ops, void *ctx);
--- /dev/null
+++ b/net/httpconn.c
@@ -0,0 +1,531 @@
+/* HTTP server task: one connection, its requests in turn.  */
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net/httpdprivate.h"
+
+enum
+{
+  READ_BYTES = 64 * 1024,
+  PIPELINED_BYTES_MAX = 64 * 1024,
+  OUT_KEPT_BYTES = 64 * 1024,
+  STREAM_LOW_BYTES = 64 * 1024,
+  /* A peer that acknowledges nothing for so long is gone.  */
+  USER_TIMEOUT_MS = 10000,
+  KEEPALIVE_S = 5,
+  KEEPALIVE_PROBES = 2,
+  /* After a refusal what the peer still sends is read and dropped, so that a
+     reset does not overtake the answer.  */
+  LINGER_MS = 1000,
+  MS_PER_S = 1000
+};
+
+static void conn_advance (struct httpd_conn *conn);
+
+static void
+set_due (struct httpd_conn *conn, long ms)
+{
+  ev_tstamp now = ev_now (conn->httpd->loop);
+
+  conn->due = ms > 0 ? now + (double)ms / MS_PER_S : 0;
+  if (conn->due == 0
+      || (ev_is_active (&conn->timer)
+          && ev_timer_remaining (conn->httpd->loop, &conn->timer)
+                 <= conn->due - now))
+    return;
+  ev_timer_stop (conn->httpd->loop, &conn->timer);
+  ev_timer_set (&conn->timer, conn->due - now, 0);
+  ev_timer_start (conn->httpd->loop, &conn->timer);
+}
+
+/* Close CONN; it is freed at the end of the turn.  The owner of its request
+   is told.  */
+void
+httpd_conn_close (struct httpd_conn *conn)
+{
+  struct jc_http_req *req = conn->req;
+
+  if (conn->dead)
+    return;
+  conn->dead = true;
+  ev_io_stop (conn->httpd->loop, &conn->reader);
+  ev_io_stop (conn->httpd->loop, &conn->writer);
+  ev_timer_stop (conn->httpd->loop, &conn->timer);
+  close (conn->fd);
+  conn->req = NULL;
+  if (req != NULL)
+    {
+      req->conn = NULL;
+      http_req_gone (req);
+    }
+  httpd_conn_want_flush (conn);
+}
+
+/* Free CONN, which was closed.  */
+void
+httpd_conn_free (struct httpd_conn *conn)
+{
+  g_string_free (conn->in, TRUE);
+  g_string_free (conn->out, TRUE);
+  g_free (conn);
+}
+
+/* Have CONN written, or freed, at the end of the turn.  */
+void
+httpd_conn_want_flush (struct httpd_conn *conn)
+{
+  if (conn->flush_due)
+    return;
+  conn->flush_due = true;
+  g_ptr_array_add (conn->httpd->unflushed, conn);
+}
+
+/* Have the close of FD reach the peer as a reset: the end of a broken answer
+   without a length must not look like a whole one.  */
+static void
+reset_on_close (int fd)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
+static void
+finish_writing (struct httpd_conn *conn)
+{
+  ev_io_stop (conn->httpd->loop, &conn->writer);
+  if (!conn->close_after)
+    return;
+  if (conn->refused)
+    {
+      shutdown (conn->fd, SHUT_WR);
+      set_due (conn, LINGER_MS);
+      return;
+    }
+  if (conn->reset)
+    reset_on_close (conn->fd);
+  httpd_conn_close (conn);
+}
+
+/* Write what waits.  */
+void
+httpd_conn_flush (struct httpd_conn *conn)
+{
+  struct jc_http_req *req = conn->req;
+  bool any = conn->out_pos < conn->out->len;
+
+  if (conn->dead)
+    return;
+  while (conn->out_pos < conn->out->len)
+    {
+      ssize_t put = send (conn->fd, conn->out->str + conn->out_pos,
+                          conn->out->len - conn->out_pos, MSG_NOSIGNAL);
+
+      if (put < 0 && errno == EINTR)
+        continue;
+      if (put < 0 && errno == EAGAIN)
+        {
+          ev_io_start (conn->httpd->loop, &conn->writer);
+          return;
+        }
+      if (put < 0)
+        {
+          httpd_conn_close (conn);
+          return;
+        }
+      conn->out_pos += (size_t)put;
+    }
+  conn->out_pos = 0;
+  if (conn->out->allocated_len > OUT_KEPT_BYTES)
+    {
+      g_string_free (conn->out, TRUE);
+      conn->out = g_string_new (NULL);
+    }
+  else
+    g_string_truncate (conn->out, 0);
+  finish_writing (conn);
+  if (any && !conn->dead && req != NULL && req->phase == REQ_STREAMING
+      && conn->httpd->klass->room != NULL)
+    conn->httpd->klass->room (conn->httpd->ctx, req);
+}
+
+static void
+on_writable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  httpd_conn_flush (watcher->data);
+}
+
+/* Answer what can't be read as a request, and close.  */
+static void
+conn_refuse (struct httpd_conn *conn, enum jc_status status)
+{
+  if (conn->req == NULL)
+    conn->req = http_req_new (conn);
+  conn->refused = true;
+  conn->req->close = true;
+  conn->req->phase = REQ_OWNED;
+  jc_http_fail (conn->req, status, jc_last_message (), 0);
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t len)
+{
+  struct httpd_conn *conn = parser->data;
+
+  jc_head_build_target (&conn->build, at, len);
+  return 0;
+}
+
+static int
+on_name (http_parser *parser, const char *at, size_t len)
+{
+  struct httpd_conn *conn = parser->data;
+
+  jc_head_build_name (&conn->build, at, len);
+  return conn->build.overflow ? 1 : 0;
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t len)
+{
+  struct httpd_conn *conn = parser->data;
+
+  jc_head_build_value (&conn->build, at, len);
+  return 0;
+}
+
+static int
+on_head_end (http_parser *parser)
+{
+  struct httpd_conn *conn = parser->data;
+
+  jc_head_build_end (&conn->build, parser);
+  return 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t len)
+{
+  struct httpd_conn *conn = parser->data;
+  struct jc_http_req *req = conn->req;
+
+  if (req->body->len + len > conn->httpd->limits.max_body)
+    {
+      jc_fail (JC_TOO_LARGE, "The body is over %zu bytes.",
+               conn->httpd->limits.max_body);
+      return 1;
+    }
+  g_string_append_len (req->body, at, (gssize)len);
+  return 0;
+}
+
+/* Stop the parser between two messages, so that what follows waits.  */
+static int
+on_message_end (http_parser *parser)
+{
+  struct httpd_conn *conn = parser->data;
+
+  conn->body_done = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings
+    = { .on_url = on_url,
+        .on_header_field = on_name,
+        .on_header_value = on_value,
+        .on_headers_complete = on_head_end,
+        .on_body = on_body,
+        .on_message_complete = on_message_end };
+
+static enum jc_status
+check_head (const struct jc_http_req *req, const http_parser *parser)
+{
+  const struct jc_head *head = &req->head;
+  unsigned int hosts = 0;
+
+  for (unsigned int i = 0; i < head->count; i++)
+    hosts += g_ascii_strcasecmp (head->fields[i].name, "Host") == 0 ? 1 : 0;
+  if (hosts > 1 || (hosts == 0 && !head->old_version))
+    return jc_fail (JC_BAD_REQUEST, "A request names one host.");
+  if (!jc_head_is_framed_once (head) || parser->upgrade)
+    return jc_fail (JC_BAD_REQUEST, "The length of the body is not clear.");
+  if (head->target == NULL || head->target[0] != '/')
+    return jc_fail (JC_BAD_REQUEST, "The target is not a path.");
+  if (parser->content_length != UINT64_MAX
+      && parser->content_length > req->httpd->limits.max_body)
+    return jc_fail (JC_TOO_LARGE, "The body is over %zu bytes.",
+                    req->httpd->limits.max_body);
+  return JC_OK;
+}
+
+static void
+say_continue (struct httpd_conn *conn)
+{
+  const char *expect = jc_head_field (&conn->req->head, "Expect");
+
+  if (expect == NULL || g_ascii_strcasecmp (expect, "100-continue") != 0)
+    return;
+  g_string_append (conn->out, "HTTP/1.1 100 Continue\r\n\r\n");
+  httpd_conn_want_flush (conn);
+}
+
+/* Read the head, the first LEN bytes of IN.  */
+static void
+conn_take_head (struct httpd_conn *conn, size_t len)
+{
+  struct jc_str bytes = { .data = conn->in->str, .len = len };
+  struct jc_http_req *req;
+  enum jc_status status = JC_OK;
+  size_t used;
+
+  if (!jc_head_is_strict (bytes))
+    {
+      jc_fail (JC_BAD_REQUEST, "The head has a malformed line.");
+      conn_refuse (conn, JC_BAD_REQUEST);
+      return;
+    }
+  conn->req = req = http_req_new (conn);
+  jc_head_take (&req->head, bytes);
+  conn->build = (struct jc_head_build){ .head = &req->head };
+  conn->body_done = false;
+  http_parser_init (&conn->parser, HTTP_REQUEST);
+  conn->parser.data = conn;
+  used = http_parser_execute (&conn->parser, &parser_settings, req->head.bytes,
+                              len);
+  g_string_erase (conn->in, 0, (gssize)len);
+  if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK
+      && HTTP_PARSER_ERRNO (&conn->parser) != HPE_PAUSED)
+    status
+        = jc_fail (JC_BAD_REQUEST, "The head can't be read: %s.",
+                   http_errno_description (HTTP_PARSER_ERRNO (&conn->parser)));
+  else if (used < len && !conn->body_done)
+    status = jc_fail (JC_BAD_REQUEST, "The head can't be read.");
+  if (status == JC_OK)
+    status = check_head (req, &conn->parser);
+  if (status != JC_OK)
+    {
+      conn_refuse (conn, status);
+      return;
+    }
+  req->path = g_strndup (req->head.target, strcspn (req->head.target, "?"));
+  req->close = !req->head.keep_alive;
+  conn->in_body = true;
+  if (conn->httpd->klass->head != NULL)
+    status = conn->httpd->klass->head (conn->httpd->ctx, req);
+  if (status == JC_OK)
+    {
+      say_continue (conn);
+      return;
+    }
+  req->phase = REQ_OWNED;
+  if (!conn->body_done)
+    {
+      req->close = true;
+      conn->refused = true;
+    }
+  jc_http_fail (req, status, jc_last_message (), 0);
+}
+
+/* Read body bytes from IN.  */
+static void
+conn_take_body (struct httpd_conn *conn)
+{
+  size_t used;
+
+  if (conn->in->len == 0 || conn->body_done)
+    return;
+  used = http_parser_execute (&conn->parser, &parser_settings, conn->in->str,
+                              conn->in->len);
+  g_string_erase (conn->in, 0, (gssize)used);
+  if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_OK
+      || HTTP_PARSER_ERRNO (&conn->parser) == HPE_PAUSED)
+    return;
+  if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_CB_body)
+    {
+      conn_refuse (conn, JC_TOO_LARGE);
+      return;
+    }
+  jc_fail (JC_BAD_REQUEST, "The body can't be read: %s.",
+           http_errno_description (HTTP_PARSER_ERRNO (&conn->parser)));
+  conn_refuse (conn, JC_BAD_REQUEST);
+}
+
+/* Try to begin with the next request.  Return whether its head is whole.  */
+static bool
+conn_next_head (struct httpd_conn *conn)
+{
+  struct jc_str bytes;
+  ssize_t len;
+
+  /* Blank lines before a request are allowed.  */
+  while (conn->in->len >= 2 && memcmp (conn->in->str, "\r\n", 2) == 0)
+    g_string_erase (conn->in, 0, 2);
+  if (conn->in->len == 0)
+    {
+      set_due (conn, conn->httpd->limits.idle_ms);
+      return false;
+    }
+  bytes = jc_str_of (conn->in);
+  len = jc_head_end (bytes, &conn->scanned);
+  if (len > 0 && (size_t)len <= conn->httpd->limits.max_head)
+    {
+      conn->due = 0;
+      conn_take_head (conn, (size_t)len);
+      return true;
+    }
+  if (len > 0 || conn->in->len > conn->httpd->limits.max_head)
+    {
+      jc_fail (JC_HEAD_TOO_LARGE, "The head is over %zu bytes.",
+               conn->httpd->limits.max_head);
+      conn_refuse (conn, JC_HEAD_TOO_LARGE);
+      return false;
+    }
+  if (!conn->head_begun)
+    {
+      conn->head_begun = true;
+      set_due (conn, conn->httpd->limits.head_ms);
+    }
+  return false;
+}
+
+/* Go as far as the bytes in IN allow.  */
+static void
+conn_advance (struct httpd_conn *conn)
+{
+  while (!conn->dead && !conn->refused && !conn->close_after)
+    {
+      if (conn->req == NULL && !conn_next_head (conn))
+        return;
+      if (conn->dead || conn->req == NULL || conn->refused)
+        continue;
+      if (conn->req->phase != REQ_READING)
+        return;
+      conn_take_body (conn);
+      if (conn->dead || conn->refused || conn->req == NULL)
+        continue;
+      if (!conn->body_done)
+        return;
+      conn->req->phase = REQ_OWNED;
+      conn->httpd->klass->body (conn->httpd->ctx, conn->req);
+    }
+}
+
+/* The answer to the request under way was handed over whole; go on with the
+   next one.  */
+void
+httpd_conn_answered (struct httpd_conn *conn)
+{
+  conn->req = NULL;
+  conn->head_begun = false;
+  httpd_conn_want_flush (conn);
+  if (conn->close_after)
+    return;
+  set_due (conn, conn->httpd->limits.idle_ms);
+  if (conn->in->len > 0)
+    ev_feed_event (conn->httpd->loop, &conn->reader, EV_CUSTOM);
+  if (!ev_is_active (&conn->reader))
+    ev_io_start (conn->httpd->loop, &conn->reader);
+}
+
+/* Read what came.  Return false where the peer is gone.  */
+static bool
+conn_read (struct httpd_conn *conn)
+{
+  gsize at = conn->in->len;
+  ssize_t got;
+
+  g_string_set_size (conn->in, at + READ_BYTES);
+  got = recv (conn->fd, conn->in->str + at, READ_BYTES, 0);
+  g_string_set_size (conn->in, at + (got > 0 ? (gsize)got : 0));
+  if (got < 0)
+    return errno == EAGAIN || errno == EINTR;
+  return got > 0;
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct httpd_conn *conn = watcher->data;
+
+  if ((events & EV_READ) && !conn_read (conn))
+    {
+      httpd_conn_close (conn);
+      return;
+    }
+  if (conn->refused)
+    {
+      g_string_truncate (conn->in, 0);
+      return;
+    }
+  conn_advance (conn);
+  if (!conn->dead && conn->req != NULL && conn->body_done
+      && conn->in->len > PIPELINED_BYTES_MAX)
+    ev_io_stop (loop, watcher);
+}
+
+/* Close a connection that is idle for too long or slow with a head.  */
+static void
+on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct httpd_conn *conn = watcher->data;
+  ev_tstamp left;
+
+  (void)events;
+  if (conn->due == 0)
+    return;
+  left = conn->due - ev_now (loop);
+  if (left > 0)
+    {
+      ev_timer_set (watcher, left, 0);
+      ev_timer_start (loop, watcher);
+      return;
+    }
+  conn->due = 0;
+  if (conn->req == NULL && conn->in->len > 0 && !conn->refused)
+    {
+      jc_fail (JC_HEAD_TIMEOUT, "The head took too long.");
+      conn_refuse (conn, JC_HEAD_TIMEOUT);
+    }
+  else
+    httpd_conn_close (conn);
+}
+
+/* Return a connection of HTTPD on FD.  */
+struct httpd_conn *
+httpd_conn_new (struct jc_httpd *httpd, int fd)
+{
+  struct httpd_conn *conn = g_new0 (struct httpd_conn, 1);
+  unsigned int user_timeout = USER_TIMEOUT_MS;
+  int on = 1;
+  int idle = KEEPALIVE_S;
+  int probes = KEEPALIVE_PROBES;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
+              sizeof user_timeout);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof idle);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  conn->httpd = httpd;
+  conn->fd = fd;
+  conn->in = g_string_new (NULL);
+  conn->out = g_string_new (NULL);
+  ev_io_init (&conn->reader, on_readable, fd, EV_READ);
+  ev_io_init (&conn->writer, on_writable, fd, EV_WRITE);
+  ev_init (&conn->timer, on_timer);
+  conn->reader.data = conn;
+  conn->writer.data = conn;
+  conn->timer.data = conn;
+  ev_io_start (httpd->loop, &conn->reader);
+  set_due (conn, httpd->limits.idle_ms);
+  return conn;
+}
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -1,4 +1,5 @@
-/* HTTP server task: a listener of libmicrohttpd carried by a libev loop.  */
+/* HTTP server task: a listener on a libev loop, its messages read by
+   http-parser.  */
 
 #ifndef JC_HTTPD_H
 #define JC_HTTPD_H
@@ -8,6 +9,7 @@
 
 #include "base/status.h"
 #include "base/str.h"
+#include "net/httphead.h"
 
 struct jc_httpd;
 struct jc_http_req;
@@ -31,15 +33,29 @@
   const char *value;
 };
 
+/* What a listener allows its peers.  A head must be whole HEAD_MS after its
+   first byte; a connection without a request is closed after IDLE_MS.  */
+struct jc_httpd_limits
+{
+  size_t max_head;
+  size_t max_body;
+  long head_ms;
+  long idle_ms;
+};
+
 struct jc_httpd *jc_httpd_new (struct ev_loop *loop, const char *address,
                                const struct jc_httpd_class *klass, void *ctx,
                                size_t max_body);
 void jc_httpd_free (struct jc_httpd *httpd);
+void jc_httpd_set_limits (struct jc_httpd *httpd,
+                          const struct jc_httpd_limits *limits);
+void jc_httpd_announce_close (struct jc_httpd *httpd);
 void jc_httpd_quiesce (struct jc_httpd *httpd);
 unsigned int jc_httpd_connections (const struct jc_httpd *httpd);
 unsigned int jc_httpd_requests (const struct jc_httpd *httpd);
 int jc_httpd_port (const struct jc_httpd *httpd);
 
+const struct jc_head *jc_http_head (const struct jc_http_req *req);
 const char *jc_http_method (const struct jc_http_req *req);
 const char *jc_http_path (const struct jc_http_req *req);
 const char *jc_http_target (const struct jc_http_req *req);
--- /dev/null
+++ b/net/httpdprivate.h
@@ -0,0 +1,93 @@
+/* What the files of the HTTP server task share; not for others.  */
+
+#ifndef JC_HTTPD_PRIVATE_H
+#define JC_HTTPD_PRIVATE_H
+
+#include "net/httpd.h"
+
+struct httpd_conn;
+
+struct jc_httpd
+{
+  struct ev_loop *loop;
+  const struct jc_httpd_class *klass;
+  void *ctx;
+  struct jc_httpd_limits limits;
+  int fd;
+  int port;
+  bool closing;
+  ev_io accept;
+  ev_timer accept_again;
+  ev_prepare flush;
+  GPtrArray *conns;
+  GPtrArray *unflushed;
+  unsigned int requests;
+};
+
+enum req_phase
+{
+  REQ_READING,
+  REQ_OWNED,
+  REQ_STREAMING,
+  REQ_ANSWERED,
+  REQ_GONE
+};
+
+/* CONN is NULL once the connection went away.  CHUNKED streams carry their
+   own end; others end with their connection.  */
+struct jc_http_req
+{
+  struct jc_httpd *httpd;
+  struct httpd_conn *conn;
+  struct jc_head head;
+  char *path;
+  GPtrArray *decoded;
+  GString *body;
+  void *data;
+  enum req_phase phase;
+  bool chunked;
+  bool close;
+};
+
+/* A connection and the one request under way on it; what follows waits in
+   IN.  SCANNED bytes of IN hold no end of a head.  DUE is the time of its
+   next timeout, 0 for none.  */
+struct httpd_conn
+{
+  struct jc_httpd *httpd;
+  int fd;
+  ev_io reader;
+  ev_io writer;
+  ev_timer timer;
+  ev_tstamp due;
+  GString *in;
+  size_t scanned;
+  GString *out;
+  size_t out_pos;
+  http_parser parser;
+  struct jc_head_build build;
+  struct jc_http_req *req;
+  bool in_body;
+  bool body_done;
+  bool refused;
+  bool close_after;
+  bool flush_due;
+  bool dead;
+  bool head_begun;
+  bool reset;
+};
+
+/* In httpconn.c.  */
+struct httpd_conn *httpd_conn_new (struct jc_httpd *httpd, int fd);
+void httpd_conn_close (struct httpd_conn *conn);
+void httpd_conn_free (struct httpd_conn *conn);
+void httpd_conn_flush (struct httpd_conn *conn);
+void httpd_conn_want_flush (struct httpd_conn *conn);
+void httpd_conn_answered (struct httpd_conn *conn);
+
+/* In httpreq.c.  */
+struct jc_http_req *http_req_new (struct httpd_conn *conn);
+void http_req_free (struct jc_http_req *req);
+void http_req_gone (struct jc_http_req *req);
+
+#endif
--- /dev/null
+++ b/net/httphead.c
@@ -0,0 +1,237 @@
+/* Heads of HTTP/1.1 messages.  */
+
+#include <string.h>
+
+#include "net/httphead.h"
+
+/* Return the length of the head at the start of BYTES with its blank line, or
+   -1 where it is not whole.  SCANNED bytes are known to hold no end.  */
+ssize_t
+jc_head_end (struct jc_str bytes, size_t *scanned)
+{
+  size_t from = *scanned > 3 ? *scanned - 3 : 0;
+  const char *end = memmem (bytes.data + from, bytes.len - from, "\r\n\r\n", 4);
+
+  if (end == NULL)
+    {
+      *scanned = bytes.len;
+      return -1;
+    }
+  *scanned = 0;
+  return end - bytes.data + 4;
+}
+
+static bool
+is_token_char (char c)
+{
+  return g_ascii_isalnum (c) || (c != '\0' && strchr ("!#$%&'*+-.^_`|~", c));
+}
+
+/* Tell whether LINE, without its end, is "name:value".  */
+static bool
+field_is_strict (struct jc_str line)
+{
+  size_t i = 0;
+
+  while (i < line.len && is_token_char (line.data[i]))
+    i++;
+  return i > 0 && i < line.len && line.data[i] == ':';
+}
+
+/* Tell whether every line of the head BYTES ends with CR LF, holds no other
+   CR, LF or NUL, and, after the first one, starts with a name and a colon.
+   What fails this may be read in two ways by two parsers.  */
+bool
+jc_head_is_strict (struct jc_str bytes)
+{
+  bool first = true;
+
+  while (bytes.len > 2)
+    {
+      const char *end = memchr (bytes.data, '\n', bytes.len);
+      struct jc_str line = { .data = bytes.data };
+
+      if (end == NULL || end == bytes.data || end[-1] != '\r')
+        return false;
+      line.len = (size_t)(end - bytes.data) - 1;
+      if (memchr (line.data, '\0', line.len) != NULL
+          || memchr (line.data, '\r', line.len) != NULL)
+        return false;
+      if (!first && !field_is_strict (line))
+        return false;
+      first = false;
+      bytes.len -= line.len + 2;
+      bytes.data += line.len + 2;
+    }
+  return !first;
+}
+
+/* Tell whether HEAD says at most once, and in one way, how long its body
+   is.  */
+bool
+jc_head_is_framed_once (const struct jc_head *head)
+{
+  unsigned int lengths = 0;
+  unsigned int codings = 0;
+
+  for (unsigned int i = 0; i < head->count; i++)
+    {
+      const struct jc_head_field *field = &head->fields[i];
+
+      if (g_ascii_strcasecmp (field->name, "Content-Length") == 0)
+        {
+          lengths++;
+          if (field->value[strspn (field->value, "0123456789")] != '\0')
+            return false;
+        }
+      else if (g_ascii_strcasecmp (field->name, "Transfer-Encoding") == 0)
+        {
+          codings++;
+          if (g_ascii_strcasecmp (field->value, "chunked") != 0)
+            return false;
+        }
+    }
+  return lengths + codings <= 1;
+}
+
+/* Return the value of HEAD's first field NAME, or NULL.  */
+const char *
+jc_head_field (const struct jc_head *head, const char *name)
+{
+  for (unsigned int i = 0; i < head->count; i++)
+    if (g_ascii_strcasecmp (head->fields[i].name, name) == 0)
+      return head->fields[i].value;
+  return NULL;
+}
+
+/* Tell whether a field NAME of HEAD has WORD in its comma-separated list.  */
+bool
+jc_head_lists (const struct jc_head *head, const char *name, const char *word)
+{
+  for (unsigned int i = 0; i < head->count; i++)
+    {
+      struct jc_str rest;
+      struct jc_str item;
+
+      if (g_ascii_strcasecmp (head->fields[i].name, name) != 0)
+        continue;
+      rest = jc_str_from (head->fields[i].value);
+      while (jc_str_cut (&rest, ',', &item))
+        {
+          char *text = g_strstrip (jc_str_dup (item));
+          bool same = g_ascii_strcasecmp (text, word) == 0;
+
+          g_free (text);
+          if (same)
+            return true;
+        }
+    }
+  return false;
+}
+
+/* Tell whether the field NAME of HEAD concerns only one connection.  */
+bool
+jc_head_is_hop (const struct jc_head *head, const char *name)
+{
+  static const char *const hop[]
+      = { "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
+          "Trailer",    "Transfer-Encoding", "Upgrade",          "Expect" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (hop); i++)
+    if (g_ascii_strcasecmp (name, hop[i]) == 0)
+      return true;
+  return jc_head_field (head, "Connection") != NULL
+         && jc_head_lists (head, "Connection", name);
+}
+
+/* Make HEAD a copy of BYTES without fields yet.  */
+void
+jc_head_take (struct jc_head *head, struct jc_str bytes)
+{
+  head->bytes = g_malloc (bytes.len + 1);
+  memcpy (head->bytes, bytes.data, bytes.len);
+  head->bytes[bytes.len] = '\0';
+  head->len = bytes.len;
+  head->count = 0;
+  head->target = NULL;
+  head->method = NULL;
+  head->status = 0;
+}
+
+/* Free what HEAD holds.  */
+void
+jc_head_clear (struct jc_head *head)
+{
+  g_free (head->bytes);
+  head->bytes = NULL;
+  head->count = 0;
+}
+
+/* Take LEN bytes of the request's target AT.  */
+void
+jc_head_build_target (struct jc_head_build *build, const char *at, size_t len)
+{
+  if (build->head->target == NULL)
+    build->head->target = at;
+  build->target_len += len;
+}
+
+static void
+close_value (struct jc_head_build *build)
+{
+  struct jc_head_field *field = &build->head->fields[build->head->count - 1];
+  char *end = (char *)field->value + build->value_len;
+
+  *end = '\0';
+  while (end > field->value && (end[-1] == ' ' || end[-1] == '\t'))
+    *--end = '\0';
+  build->in_value = false;
+}
+
+/* Take LEN bytes of a field's name AT.  The parser sees the head in one
+   piece, so each name comes whole.  */
+void
+jc_head_build_name (struct jc_head_build *build, const char *at, size_t len)
+{
+  struct jc_head *head = build->head;
+
+  if (build->in_value)
+    close_value (build);
+  if (head->count == JC_HEAD_FIELDS_MAX)
+    {
+      build->overflow = true;
+      return;
+    }
+  head->fields[head->count].name = at;
+  head->fields[head->count].value = "";
+  head->count++;
+  ((char *)at)[len] = '\0';
+}
+
+/* Take LEN bytes of a field's value AT.  */
+void
+jc_head_build_value (struct jc_head_build *build, const char *at, size_t len)
+{
+  if (build->overflow)
+    return;
+  build->head->fields[build->head->count - 1].value = at;
+  build->value_len = len;
+  build->in_value = true;
+}
+
+/* End the head that PARSER has read.  */
+void
+jc_head_build_end (struct jc_head_build *build, const http_parser *parser)
+{
+  struct jc_head *head = build->head;
+
+  if (build->in_value)
+    close_value (build);
+  if (head->target != NULL)
+    ((char *)head->target)[build->target_len] = '\0';
+  head->method = http_method_str ((enum http_method)parser->method);
+  head->status = (int)parser->status_code;
+  head->old_version = parser->http_major < 1
+                      || (parser->http_major == 1 && parser->http_minor == 0);
+  head->keep_alive = http_should_keep_alive (parser) != 0;
+}
--- /dev/null
+++ b/net/httphead.h
@@ -0,0 +1,68 @@
+/* Heads of HTTP/1.1 messages: the lexical check that comes before parsing,
+   and the header lines of one message.  */
+
+#ifndef JC_HTTPHEAD_H
+#define JC_HTTPHEAD_H
+
+#include <http_parser.h>
+#include <stdbool.h>
+
+#include "base/str.h"
+
+enum
+{
+  JC_HEAD_FIELDS_MAX = 100
+};
+
+/* One header line; both point into the bytes of their head and end in a
+   NUL.  */
+struct jc_head_field
+{
+  const char *name;
+  const char *value;
+};
+
+/* The head of one message.  BYTES holds it with NULs between its parts;
+   TARGET is a request's path and query, STATUS a response's code.  */
+struct jc_head
+{
+  char *bytes;
+  size_t len;
+  struct jc_head_field fields[JC_HEAD_FIELDS_MAX];
+  unsigned int count;
+  const char *method;
+  const char *target;
+  int status;
+  bool old_version;
+  bool keep_alive;
+};
+
+/* What a parser fills while it reads a head.  */
+struct jc_head_build
+{
+  struct jc_head *head;
+  size_t target_len;
+  size_t value_len;
+  bool in_value;
+  bool overflow;
+};
+
+ssize_t jc_head_end (struct jc_str bytes, size_t *scanned);
+bool jc_head_is_strict (struct jc_str bytes);
+bool jc_head_is_framed_once (const struct jc_head *head);
+const char *jc_head_field (const struct jc_head *head, const char *name);
+bool jc_head_lists (const struct jc_head *head, const char *name,
+                    const char *word);
+bool jc_head_is_hop (const struct jc_head *head, const char *name);
+void jc_head_take (struct jc_head *head, struct jc_str bytes);
+void jc_head_clear (struct jc_head *head);
+
+void jc_head_build_target (struct jc_head_build *build, const char *at,
+                           size_t len);
+void jc_head_build_name (struct jc_head_build *build, const char *at,
+                         size_t len);
+void jc_head_build_value (struct jc_head_build *build, const char *at,
+                          size_t len);
+void jc_head_build_end (struct jc_head_build *build, const http_parser *parser);
+
+#endif
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that jaycove builds and tests with.
 set -eu
 packages="gcc make pkg-config clang-format clang-tidy cppcheck curl jq python3
-libev-dev libmicrohttpd-dev libcurl4-openssl-dev libtirpc-dev rpcsvc-proto
+libev-dev libhttp-parser-dev libtirpc-dev rpcsvc-proto
 libargtable2-dev libjansson-dev libglib2.0-dev libsodium-dev"
 missing=
 for p in $packages; do
--- a/tests/test-resend.c
+++ b/tests/test-resend.c
@@ -1,5 +1,5 @@
-/* libcurl sends a request again by itself when a reused connection dies
-   before an answer; a fresh call must not.  */
+/* The client sends a request again by itself when a reused connection dies
+   before an answer; a fresh call, or one that may go out once, must not.  */
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -84,7 +84,7 @@
 
 /* Make one call and wait for its end.  */
 static struct jc_call_result
-call (struct server *server, struct jc_httpc *httpc, bool fresh)
+call (struct server *server, struct jc_httpc *httpc, bool fresh, bool once)
 {
   static const struct jc_call_ops ops = { .done = on_done };
   struct jc_call_result result = { .status = JC_STATUS_COUNT };
@@ -93,7 +93,8 @@
                                .url = url,
                                .body = JC_STR_LIT ("{}"),
                                .total_ms = WAIT_MS,
-                               .fresh = fresh };
+                               .fresh = fresh,
+                               .once = once };
 
   jc_call_start (httpc, &spec, &ops, &result);
   while (result.status == JC_STATUS_COUNT)
@@ -104,15 +105,15 @@
 
 /* Return how often the second of two calls reached the server.  */
 static unsigned int
-sent_for_second (bool fresh, struct jc_call_result *second)
+sent_for_second (bool fresh, bool once, struct jc_call_result *second)
 {
   struct server server = { 0 };
   struct jc_httpc *httpc;
 
   server_start (&server);
   httpc = jc_httpc_new (server.loop);
-  g_assert_cmpint (call (&server, httpc, fresh).status, ==, JC_OK);
-  *second = call (&server, httpc, fresh);
+  g_assert_cmpint (call (&server, httpc, fresh, once).status, ==, JC_OK);
+  *second = call (&server, httpc, fresh, once);
   jc_httpc_free (httpc);
   ev_io_stop (server.loop, &server.accept);
   close (server.fd);
@@ -126,7 +127,7 @@
 {
   struct jc_call_result second;
 
-  g_assert_cmpuint (sent_for_second (false, &second), ==, 2);
+  g_assert_cmpuint (sent_for_second (false, false, &second), ==, 2);
 }
 
 static void
@@ -134,16 +135,28 @@
 {
   struct jc_call_result second;
 
-  g_assert_cmpuint (sent_for_second (true, &second), ==, 1);
+  g_assert_cmpuint (sent_for_second (true, false, &second), ==, 1);
   g_assert_cmpint (second.status, ==, JC_ENDPOINT_FAILED);
   g_assert_true (second.sent);
 }
 
+static void
+test_once (void)
+{
+  struct jc_call_result second;
+
+  g_assert_cmpuint (sent_for_second (false, true, &second), ==, 1);
+  g_assert_cmpint (second.status, ==, JC_ENDPOINT_FAILED);
+  g_assert_true (second.sent);
+  g_assert_true (second.reused);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/pooled", test_pooled);
   g_test_add_func ("/fresh", test_fresh);
+  g_test_add_func ("/once", test_once);
   return g_test_run ();
 }
