--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 LIB_DIRS = base schema/gen serve conf ledger member
 LIB_SRC := $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c))
 NET_SRC := $(wildcard net/*.c)
+PLATFORM_SRC := $(wildcard platform/*.c)
 PROGS = entry state ctl load
 TEST_PROGS := $(patsubst tests/%.c,$(B)/tests/%,$(wildcard tests/test-*.c tests/script-*.c tests/explore-*.c))
 TEST_SUPPORT := $(filter-out tests/test-%.c tests/script-%.c tests/explore-%.c tests/standin-%.c,$(wildcard tests/*.c))
@@ -41,9 +42,11 @@
 TESTLIB = $(B)/libjctest.a
 .SECONDARY:
 
-.PHONY: all check demo lint format format-check generate generate-check install clean matrix bench
+.PHONY: all daemons check demo lint format format-check generate generate-check install clean matrix bench
 all: $(BINS) $(STANDINS)
 
+daemons: $(B)/jaycove-entry $(B)/jaycove-state
+
 $(B)/obj/schema/gen/%.o: schema/gen/%.c
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) -Wno-unused-variable -Wno-unused-parameter $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
@@ -61,7 +64,7 @@
 	$(Q)ar rcs $@ $^
 
 define prog_rule
-$(B)/jaycove-$(1): $(call obj,$(wildcard $(1)/*.c)) $(NETLIB) $(LIB)
+$(B)/jaycove-$(1): $(call obj,$(wildcard $(1)/*.c)) $(call obj,$(PLATFORM_SRC)) $(NETLIB) $(LIB)
 	$$(Q)$$(CC) $$(CFLAGS) $$(LDFLAGS) -o $$@ $$^ $$(LDLIBS)
 endef
 $(foreach p,$(PROGS),$(eval $(call prog_rule,$(p))))
@@ -86,7 +89,7 @@
 bench: all
 	@BUILD=$(B) sh load/bench.sh
 
-OWN_SRC = $(wildcard base/*.[ch] net/*.[ch] serve/*.[ch] conf/*.[ch] ledger/*.[ch] member/*.[ch] entry/*.[ch] state/*.[ch] ctl/*.[ch] load/*.[ch] tests/*.[ch] examples/*.c)
+OWN_SRC = $(wildcard base/*.[ch] net/*.[ch] serve/*.[ch] conf/*.[ch] ledger/*.[ch] member/*.[ch] entry/*.[ch] state/*.[ch] ctl/*.[ch] load/*.[ch] tests/*.[ch] platform/*.[ch] examples/*.c)
 
 format:
 	clang-format -i $(OWN_SRC)
--- /dev/null
+++ b/base/event.h
@@ -0,0 +1,44 @@
+/* Structured log on standard output: one line for each decision, in bounded
+   volume, never waiting for its reader.  */
+
+#ifndef JC_EVENT_H
+#define JC_EVENT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Kinds of lines.  docs/OPERATIONS.md tells what each means.  */
+enum jc_event
+{
+  JC_EVENT_START,
+  JC_EVENT_STOP,
+  JC_EVENT_RELOAD,
+  JC_EVENT_PEER_UP,
+  JC_EVENT_PEER_DOWN,
+  JC_EVENT_ROLE,
+  JC_EVENT_REPLICAS,
+  JC_EVENT_STORAGE,
+  JC_EVENT_ORDER,
+  JC_EVENT_READ,
+  JC_EVENT_IN_FORCE,
+  JC_EVENT_ENDPOINT,
+  JC_EVENT_ENTRY,
+  JC_EVENT_ADMIT,
+  JC_EVENT_ATTEMPT,
+  JC_EVENT_ATTEMPT_END,
+  JC_EVENT_SERVED,
+  JC_EVENT_REFUSED,
+  JC_EVENT_FAILED,
+  JC_EVENT_GONE,
+  JC_EVENT_BAD_INPUT,
+  JC_EVENT_KINDS
+};
+
+const char *jc_event_name (enum jc_event event);
+void jc_event (enum jc_event event, const char *fmt, ...)
+    __attribute__ ((format (printf, 2, 3)));
+void jc_event_setup (bool enabled);
+bool jc_event_flush (bool all);
+uint64_t jc_event_dropped (enum jc_event event);
+
+#endif
--- a/base/fields.c
+++ b/base/fields.c
@@ -138,6 +138,21 @@
               field->max);
 }
 
+static void
+parse_number (const struct jc_field *field, const json_t *value, double *slot,
+              const char *path, GPtrArray *faults)
+{
+  if (!json_is_number (value))
+    {
+      jc_fault (faults, path, "must be a number");
+      return;
+    }
+  *slot = json_number_value (value);
+  if (!(*slot >= (double)field->min && *slot <= (double)field->max))
+    jc_fault (faults, path, "must be from %" PRId64 " to %" PRId64, field->min,
+              field->max);
+}
+
 static void
 parse_items (const struct jc_field *field, const json_t *value,
              GPtrArray *items, const char *path, GPtrArray *faults)
@@ -176,6 +191,9 @@
     case JC_FIELD_INT:
       parse_int (field, value, slot, path, faults);
       break;
+    case JC_FIELD_NUMBER:
+      parse_number (field, value, slot, path, faults);
+      break;
     case JC_FIELD_BOOL:
       if (!json_is_boolean (value))
         jc_fault (faults, path, "must be true or false");
@@ -201,6 +219,9 @@
     case JC_FIELD_INT:
       *(int64_t *)slot = field->preset;
       break;
+    case JC_FIELD_NUMBER:
+      *(double *)slot = g_ascii_strtod (field->preset_text, NULL);
+      break;
     case JC_FIELD_BOOL:
       *(bool *)slot = field->preset != 0;
       break;
@@ -316,6 +337,7 @@
   switch (field->kind)
     {
     case JC_FIELD_INT:
+    case JC_FIELD_NUMBER:
     case JC_FIELD_BOOL:
       return;
     case JC_FIELD_LIST:
--- /dev/null
+++ b/conf/orders.c
@@ -0,0 +1,213 @@
+/* Orders of operators.  */
+
+#include <string.h>
+
+#include "conf/orders.h"
+
+/* Return orders before the first one.  */
+struct jc_orders *
+jc_orders_new (void)
+{
+  struct jc_orders *orders = g_new0 (struct jc_orders, 1);
+
+  orders->text = g_string_new (NULL);
+  orders->evacuated
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return orders;
+}
+
+/* Free ORDERS; NULL is allowed.  */
+void
+jc_orders_free (struct jc_orders *orders)
+{
+  if (orders == NULL)
+    return;
+  g_string_free (orders->text, TRUE);
+  g_hash_table_destroy (orders->evacuated);
+  g_free (orders);
+}
+
+/* Return ORDER as an entry of the log carries it.  */
+GString *
+jc_orders_encode (const struct rpc_order *order)
+{
+  unsigned long size = xdr_sizeof ((xdrproc_t)xdr_rpc_order, (void *)order);
+  GString *out = g_string_new (NULL);
+  XDR xdr;
+
+  g_string_set_size (out, size);
+  xdrmem_create (&xdr, out->str, (u_int)size, XDR_ENCODE);
+  xdr_rpc_order (&xdr, (struct rpc_order *)order);
+  xdr_destroy (&xdr);
+  return out;
+}
+
+static char *
+zone_of (const struct rpc_order *order)
+{
+  return g_strndup (order->data.rpc_bytes_val, order->data.rpc_bytes_len);
+}
+
+/* Tell whether ORDER, carried out now, would change nothing.  */
+bool
+jc_orders_settled (const struct jc_orders *orders,
+                   const struct rpc_order *order)
+{
+  char *zone;
+  bool evacuated;
+
+  if (order->kind == RPC_ORDER_ROUTES)
+    return order->table_version <= orders->version;
+  zone = zone_of (order);
+  evacuated = jc_orders_evacuated (orders, zone);
+  g_free (zone);
+  return evacuated == (order->kind == RPC_ORDER_EVACUATE);
+}
+
+static void
+carry_out (struct jc_orders *orders, const struct rpc_order *order)
+{
+  char *zone;
+
+  if (order->kind == RPC_ORDER_ROUTES)
+    {
+      orders->version = order->table_version;
+      g_string_truncate (orders->text, 0);
+      g_string_append_len (orders->text, order->data.rpc_bytes_val,
+                           (gssize)order->data.rpc_bytes_len);
+      return;
+    }
+  zone = zone_of (order);
+  if (order->kind == RPC_ORDER_EVACUATE)
+    g_hash_table_add (orders->evacuated, g_strdup (zone));
+  else
+    g_hash_table_remove (orders->evacuated, zone);
+  g_free (zone);
+}
+
+/* Carry out the order in DATA, entry INDEX of the log.  A route table takes
+   effect only where its version is higher than the one in force.  Return
+   whether anything changed.  */
+bool
+jc_orders_apply (struct jc_orders *orders, uint64_t index, struct jc_str data)
+{
+  struct rpc_order order;
+  bool changed;
+  XDR xdr;
+
+  memset (&order, 0, sizeof order);
+  xdrmem_create (&xdr, (char *)data.data, (u_int)data.len, XDR_DECODE);
+  changed = xdr_rpc_order (&xdr, &order) && !jc_orders_settled (orders, &order);
+  if (changed)
+    {
+      carry_out (orders, &order);
+      orders->position = index;
+    }
+  xdr_destroy (&xdr);
+  xdr_free ((xdrproc_t)xdr_rpc_order, (char *)&order);
+  return changed;
+}
+
+/* Tell whether the availability zone ZONE is evacuated.  */
+bool
+jc_orders_evacuated (const struct jc_orders *orders, const char *zone)
+{
+  return g_hash_table_contains (orders->evacuated, zone);
+}
+
+/* Take NEWS from a state instance where they are later than ORDERS.  Return
+   whether they were taken.  News without a text keep the one here, so they
+   are taken only where their version is here.  */
+bool
+jc_orders_take (struct jc_orders *orders, const struct rpc_orders *news)
+{
+  if (news->position <= orders->position
+      || news->table_version < orders->version)
+    return false;
+  if (news->text.rpc_bytes_len == 0 && news->table_version != orders->version)
+    return false;
+  orders->position = news->position;
+  if (news->text.rpc_bytes_len > 0)
+    {
+      orders->version = news->table_version;
+      g_string_truncate (orders->text, 0);
+      g_string_append_len (orders->text, news->text.rpc_bytes_val,
+                           (gssize)news->text.rpc_bytes_len);
+    }
+  g_hash_table_remove_all (orders->evacuated);
+  for (u_int i = 0; i < news->evacuated.evacuated_len; i++)
+    g_hash_table_add (orders->evacuated,
+                      g_strdup (news->evacuated.evacuated_val[i]));
+  return true;
+}
+
+/* Fill OUT, which borrows from ORDERS, for a receiver that has HAVE_VERSION
+   of the route table.  The list of zones is the caller's to free.  */
+void
+jc_orders_describe (const struct jc_orders *orders, uint64_t have_version,
+                    struct rpc_orders *out)
+{
+  GHashTableIter iter;
+  gpointer zone;
+  u_int i = 0;
+
+  memset (out, 0, sizeof *out);
+  out->position = orders->position;
+  out->table_version = orders->version;
+  if (have_version != orders->version)
+    {
+      out->text.rpc_bytes_val = orders->text->str;
+      out->text.rpc_bytes_len = (u_int)orders->text->len;
+    }
+  out->evacuated.evacuated_len = g_hash_table_size (orders->evacuated);
+  out->evacuated.evacuated_val
+      = g_new0 (rpc_name, out->evacuated.evacuated_len + 1);
+  g_hash_table_iter_init (&iter, orders->evacuated);
+  while (g_hash_table_iter_next (&iter, &zone, NULL))
+    out->evacuated.evacuated_val[i++] = zone;
+}
+
+/* Put ORDERS into the snapshot OUT.  */
+void
+jc_orders_snapshot (const struct jc_orders *orders, json_t *out)
+{
+  json_t *zones = json_array ();
+  GHashTableIter iter;
+  gpointer zone;
+
+  g_hash_table_iter_init (&iter, orders->evacuated);
+  while (g_hash_table_iter_next (&iter, &zone, NULL))
+    json_array_append_new (zones, json_string (zone));
+  json_object_set_new (
+      out, "orders",
+      json_pack ("{s:I,s:I,s:s%,s:o}", "position", (json_int_t)orders->position,
+                 "version", (json_int_t)orders->version, "text",
+                 orders->text->str, orders->text->len, "evacuated", zones));
+}
+
+/* Put what the snapshot IN holds in place of ORDERS.  A snapshot of a log
+   without orders holds none.  */
+enum jc_status
+jc_orders_restore (struct jc_orders *orders, const json_t *in)
+{
+  const json_t *said = json_object_get (in, "orders");
+  const json_t *zones = json_object_get (said, "evacuated");
+  const json_t *zone;
+  size_t i;
+
+  if (said != NULL && !json_is_string (json_object_get (said, "text")))
+    return jc_fail (JC_CORRUPT, "The orders can't be read.");
+  orders->position
+      = (uint64_t)json_integer_value (json_object_get (said, "position"));
+  orders->version
+      = (uint64_t)json_integer_value (json_object_get (said, "version"));
+  g_string_assign (
+      orders->text,
+      said != NULL ? json_string_value (json_object_get (said, "text")) : "");
+  g_hash_table_remove_all (orders->evacuated);
+  json_array_foreach ((json_t *)zones, i, zone)
+  {
+    g_hash_table_add (orders->evacuated, g_strdup (json_string_value (zone)));
+  }
+  return JC_OK;
+}
--- /dev/null
+++ b/conf/orders.h
@@ -0,0 +1,38 @@
+/* Orders of operators in the order that the replicated log agreed on: the
+   newest route table and the availability zones that are evacuated.  */
+
+#ifndef JC_ORDERS_H
+#define JC_ORDERS_H
+
+#include <jansson.h>
+
+#include "base/status.h"
+#include "base/str.h"
+#include "schema/gen/messages.h"
+
+/* POSITION is the log's index of the latest order that changed something.
+   TEXT is the route table as it was sent, empty before the first; EVACUATED
+   maps the names of zones to themselves.  */
+struct jc_orders
+{
+  uint64_t position;
+  uint64_t version;
+  GString *text;
+  GHashTable *evacuated;
+};
+
+struct jc_orders *jc_orders_new (void);
+void jc_orders_free (struct jc_orders *orders);
+GString *jc_orders_encode (const struct rpc_order *order);
+bool jc_orders_apply (struct jc_orders *orders, uint64_t index,
+                      struct jc_str data);
+bool jc_orders_settled (const struct jc_orders *orders,
+                        const struct rpc_order *order);
+bool jc_orders_evacuated (const struct jc_orders *orders, const char *zone);
+bool jc_orders_take (struct jc_orders *orders, const struct rpc_orders *news);
+void jc_orders_describe (const struct jc_orders *orders, uint64_t have_version,
+                         struct rpc_orders *out);
+void jc_orders_snapshot (const struct jc_orders *orders, json_t *out);
+enum jc_status jc_orders_restore (struct jc_orders *orders, const json_t *in);
+
+#endif
--- a/conf/rlog.h
+++ b/conf/rlog.h
@@ -86,6 +86,9 @@
 uint64_t jc_rlog_applied (const struct jc_rlog *log);
 uint64_t jc_rlog_last (const struct jc_rlog *log);
 uint64_t jc_rlog_incarnation (const struct jc_rlog *log);
+int64_t jc_rlog_silent_ms (const struct jc_rlog *log, const char *name,
+                           int64_t now_ms);
+bool jc_rlog_caught_up (const struct jc_rlog *log, const char *name);
 const struct rpc_replicas *jc_rlog_replicas (const struct jc_rlog *log);
 
 #endif
--- a/conf/rlogfeed.c
+++ b/conf/rlogfeed.c
@@ -261,6 +261,28 @@
   return heard > jc_replicas_voters (&log->replicas) / 2;
 }
 
+/* Return for how long the replica NAME has not answered this leader at
+   NOW_MS, 0 for this replica and where it does not lead.  */
+int64_t
+jc_rlog_silent_ms (const struct jc_rlog *log, const char *name, int64_t now_ms)
+{
+  const struct jc_rlog_peer *peer = find_peer (log, name);
+
+  if (log->role != JC_RLOG_LEADER || peer == NULL)
+    return 0;
+  return MAX (now_ms - peer->acked_ms, 0);
+}
+
+/* Tell whether the replica NAME holds all that this leader has committed.  */
+bool
+jc_rlog_caught_up (const struct jc_rlog *log, const char *name)
+{
+  const struct jc_rlog_peer *peer = find_peer (log, name);
+
+  return log->role == JC_RLOG_LEADER && peer != NULL && peer->incarnation != 0
+         && peer->match >= log->commit;
+}
+
 static void
 ignore_done (void *ctx, enum jc_status status)
 {
--- /dev/null
+++ b/entry/choice.c
@@ -0,0 +1,237 @@
+/* Choice: which endpoint, or which other entry instance, gets a request.  */
+
+#include <string.h>
+
+#include "entry/hosts.h"
+#include "net/program.h"
+
+enum
+{
+  /* What the way to another region and back takes, and what a cold cache
+     there costs: a request goes there only where it gains more.  */
+  AWAY_COST_MS = 250,
+  ROOMS_MAX = 64,
+  NEIGHBOUR_FRESH_MS = 3000
+};
+
+static bool
+was_tried (const GPtrArray *tried, const char *name)
+{
+  return g_ptr_array_find_with_equal_func ((GPtrArray *)tried, name,
+                                           g_str_equal, NULL);
+}
+
+static bool
+is_fresh (const struct neighbour *neighbour, int64_t now_ms)
+{
+  return now_ms - neighbour->heard_ms < NEIGHBOUR_FRESH_MS;
+}
+
+/* Return until when ENDPOINT is cold: it says so, or its zone was taken
+   back lately.  */
+static int64_t
+cold_until (const struct hosts *hosts, const struct jc_endpoint *endpoint,
+            const struct jc_hostservice *service)
+{
+  const int64_t *readmitted
+      = g_hash_table_lookup (hosts->readmitted, endpoint->zone);
+
+  if (readmitted == NULL)
+    return endpoint->warm_ms;
+  return MAX (endpoint->warm_ms, *readmitted + service->cold_ms);
+}
+
+/* Tell whether this instance, of all in its region, sends to ENDPOINT while
+   that is cold.  All agree on one without a word, as long as they know of
+   each other.  */
+static bool
+owns_cold (const struct hosts *hosts, const struct jc_endpoint *endpoint,
+           int64_t now_ms)
+{
+  const struct jc_entry_settings *settings = hosts->entry->settings;
+  uint64_t own = jc_member_hash (endpoint->name, settings->name);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct neighbour *neighbour = value;
+
+      if (is_fresh (neighbour, now_ms) && !neighbour->said.draining
+          && strcmp (neighbour->said.region, settings->region) == 0
+          && jc_member_hash (endpoint->name, neighbour->said.name) > own)
+        return false;
+    }
+  return true;
+}
+
+/* Tell whether ENDPOINT may get a request now, as far as coldness goes.  */
+static bool
+is_warm_enough (struct hosts *hosts, const struct jc_endpoint *endpoint,
+                const struct jc_hostservice *service, int64_t now_ms)
+{
+  if (service->cold_per_s <= 0
+      || cold_until (hosts, endpoint, service) <= now_ms)
+    return true;
+  return owns_cold (hosts, endpoint, now_ms)
+         && jc_budgets_cold (hosts->budgets, endpoint->name,
+                             service->cold_per_s, false, now_ms);
+}
+
+/* Add to OUT the endpoints of SERVICE that may get a request now.  */
+static void
+usable_endpoints (struct hosts *hosts, const char *name, const GPtrArray *tried,
+                  int64_t now_ms, GPtrArray *out)
+{
+  const struct jc_hostservice *service
+      = jc_routetable_service (hosts->routes, name);
+
+  if (service == NULL)
+    return;
+  jc_members_serving (hosts->endpoints, name, NULL, now_ms, out);
+  for (guint i = out->len; i > 0; i--)
+    {
+      const struct jc_endpoint *endpoint = g_ptr_array_index (out, i - 1);
+
+      if (jc_orders_evacuated (hosts->orders, endpoint->zone)
+          || (tried != NULL && was_tried (tried, endpoint->name))
+          || !is_warm_enough (hosts, endpoint, service, now_ms))
+        g_ptr_array_remove_index (out, i - 1);
+    }
+}
+
+static const struct rpc_service_room *
+room_of (const struct neighbour *neighbour, const char *service)
+{
+  for (u_int i = 0; i < neighbour->said.rooms.rooms_len; i++)
+    {
+      const struct rpc_service_room *room = &neighbour->said.rooms.rooms_val[i];
+
+      if (strcmp (room->service, service) == 0)
+        return room->endpoints > 0 ? room : NULL;
+    }
+  return NULL;
+}
+
+/* Return the instance of another region with the shortest wait for QUERY's
+   service, or NULL; WAIT_MS is that wait.  Of equal ones a random one is
+   taken.  */
+static const struct neighbour *
+best_neighbour (struct hosts *hosts, const struct choice_query *query,
+                int64_t *wait_ms)
+{
+  const char *region = hosts->entry->settings->region;
+  const struct neighbour *best = NULL;
+  unsigned int equal = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct neighbour *neighbour = value;
+      const struct rpc_presence *said = &neighbour->said;
+      const struct rpc_service_room *room = room_of (neighbour, query->service);
+
+      if (room == NULL || said->draining || strcmp (said->region, region) == 0
+          || !is_fresh (neighbour, query->now_ms)
+          || !jc_hostroute_allows (query->route, said->region)
+          || was_tried (query->tried, said->name))
+        continue;
+      if (best != NULL && (int64_t)room->wait_ms > *wait_ms)
+        continue;
+      if (best != NULL && (int64_t)room->wait_ms == *wait_ms
+          && g_random_int_range (0, (gint32)++equal + 1) != 0)
+        continue;
+      if (best == NULL || (int64_t)room->wait_ms < *wait_ms)
+        equal = 0;
+      best = neighbour;
+      *wait_ms = room->wait_ms;
+    }
+  return best;
+}
+
+/* Choose where the request of QUERY goes.  Return JC_NO_ENDPOINT where there
+   is no place for it.  */
+enum jc_status
+choice_make (struct hosts *hosts, const struct choice_query *query,
+             struct choice *choice)
+{
+  GPtrArray *endpoints = g_ptr_array_new ();
+  const struct neighbour *neighbour = NULL;
+  struct jc_endpoint *endpoint = NULL;
+  int64_t away_ms = 0;
+
+  if (jc_hostroute_allows (query->route, hosts->entry->settings->region))
+    usable_endpoints (hosts, query->service, query->tried, query->now_ms,
+                      endpoints);
+  if (endpoints->len > 0)
+    endpoint = jc_engines_pick (hosts->engines, endpoints, query->demand,
+                                query->now_ms);
+  if (!query->here_only)
+    neighbour = best_neighbour (hosts, query, &away_ms);
+  if (endpoint != NULL && neighbour != NULL
+      && jc_engines_wait_ms (hosts->engines, endpoint, query->demand,
+                             query->now_ms)
+             <= away_ms + jc_demand_read_ms (query->demand) + AWAY_COST_MS)
+    neighbour = NULL;
+  g_ptr_array_free (endpoints, TRUE);
+  choice->neighbour = neighbour;
+  choice->endpoint = neighbour != NULL ? NULL : endpoint;
+  if (neighbour == NULL && endpoint == NULL)
+    return jc_fail (JC_NO_ENDPOINT, "No endpoint of %s can take it.",
+                    query->service);
+  return JC_OK;
+}
+
+static unsigned int
+shortest_wait (struct hosts *hosts, const GPtrArray *endpoints, int64_t now_ms)
+{
+  static const struct jc_demand smallest = { .prompt_tokens = 1 };
+  static const struct jc_demand plain = { .prompt_tokens = 0 };
+  int64_t least = INT32_MAX;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+      const struct jc_hostservice *service
+          = jc_routetable_service (hosts->routes, endpoint->service);
+      int64_t wait = jc_engines_wait_ms (
+          hosts->engines, endpoint,
+          service->engine.slots > 0 ? &smallest : &plain, now_ms);
+
+      least = MIN (least, wait);
+    }
+  return (unsigned int)least;
+}
+
+/* Fill the rooms of OUT, which has place for 64: what this instance can do
+   for each service.  */
+void
+choice_rooms (struct hosts *hosts, struct rpc_presence *out)
+{
+  GPtrArray *endpoints = g_ptr_array_new ();
+  int64_t now = jc_now_ms ();
+  GHashTableIter iter;
+  gpointer name;
+
+  out->rooms.rooms_len = 0;
+  if (hosts->routes != NULL)
+    {
+      g_hash_table_iter_init (&iter, hosts->routes->services);
+      while (g_hash_table_iter_next (&iter, &name, NULL)
+             && out->rooms.rooms_len < ROOMS_MAX)
+        {
+          struct rpc_service_room *room
+              = &out->rooms.rooms_val[out->rooms.rooms_len++];
+
+          g_ptr_array_set_size (endpoints, 0);
+          usable_endpoints (hosts, name, NULL, now, endpoints);
+          room->service = name;
+          room->endpoints = endpoints->len;
+          room->wait_ms = shortest_wait (hosts, endpoints, now);
+        }
+    }
+  g_ptr_array_free (endpoints, TRUE);
+}
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -35,6 +35,7 @@
   struct jc_httpd *operators;
   struct jc_rpc *rpc;
   struct zone_task *zone;
+  struct hosts *hosts;
   struct jc_copies *copies;
   unsigned int in_flight;
   bool draining;
--- /dev/null
+++ b/entry/following.c
@@ -0,0 +1,338 @@
+/* What state instances tell an entry instance: orders, endpoints, and other
+   entry instances.  */
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "entry/hosts.h"
+#include "member/presence.h"
+#include "net/program.h"
+
+enum
+{
+  /* Interval of this instance's own reports.  */
+  REPORT_MS = 500,
+  STATE_NAMES_MAX = 64,
+  /* Endpoints are kept for so long where no state instance is connected that
+     could tell of them.  */
+  KEEP_ALONE_MS = 600000,
+  ROOMS_MAX = 64,
+  NEIGHBOUR_KEPT_MS = 8000
+};
+
+static bool
+is_state (const struct jc_rpc_conn *conn)
+{
+  return strcmp (jc_rpc_conn_role (conn), "state") == 0;
+}
+
+static char *
+host_of (const char *address)
+{
+  return g_strndup (address, strcspn (address, ":"));
+}
+
+/* Keep a connection to the state instance NAME, an IP number.  */
+static void
+meet (struct hosts *hosts, const char *name)
+{
+  char *address;
+
+  if (name[0] == '\0' || g_hash_table_contains (hosts->state_names, name)
+      || g_hash_table_size (hosts->state_names) >= STATE_NAMES_MAX)
+    return;
+  g_hash_table_add (hosts->state_names, g_strdup (name));
+  address = g_strdup_printf ("%s:%d", name, jc_rpc_port (hosts->entry->rpc));
+  jc_rpc_dial (hosts->entry->rpc, name, address);
+  g_free (address);
+}
+
+/* Connect to the state instances that the settings name.  */
+void
+following_start (struct hosts *hosts)
+{
+  const GPtrArray *seeds = hosts->entry->settings->state_seeds;
+
+  for (guint i = 0; i < seeds->len; i++)
+    {
+      char *name = host_of (g_ptr_array_index (seeds, i));
+
+      meet (hosts, name);
+      g_free (name);
+    }
+}
+
+static void
+ask_orders (struct hosts *hosts, struct jc_rpc_conn *conn)
+{
+  struct rpc_packet packet = { .body.type = RPC_ORDERS_FOLLOW };
+
+  packet.body.rpc_body_u.orders_follow.have_position = hosts->orders->position;
+  packet.body.rpc_body_u.orders_follow.have_version = hosts->orders->version;
+  jc_rpc_send (conn, &packet);
+}
+
+/* Report this instance to CONN.  */
+static void
+report_to (struct hosts *hosts, struct jc_rpc_conn *conn)
+{
+  struct entry *entry = hosts->entry;
+  struct rpc_packet packet = { .body.type = RPC_PRESENCE };
+  struct rpc_presence *said = &packet.body.rpc_body_u.presence;
+  struct rpc_service_room rooms[ROOMS_MAX];
+
+  said->name = entry->settings->name;
+  said->region = entry->settings->region;
+  said->zone = entry->settings->availability_zone;
+  said->callers_address = entry->settings->callers;
+  said->handover_address = entry->settings->handover;
+  said->draining = entry->draining;
+  said->ready = hosts->routes != NULL;
+  said->rooms.rooms_val = rooms;
+  choice_rooms (hosts, said);
+  jc_rpc_send (conn, &packet);
+}
+
+/* Report this instance to every state instance.  */
+void
+following_report (struct hosts *hosts)
+{
+  GPtrArray *conns = g_ptr_array_new ();
+
+  hosts->told_ms = jc_now_ms ();
+  jc_rpc_list (hosts->entry->rpc, "state", conns);
+  for (guint i = 0; i < conns->len; i++)
+    report_to (hosts, g_ptr_array_index (conns, i));
+  g_ptr_array_free (conns, TRUE);
+}
+
+/* CONN came up.  */
+void
+following_up (struct hosts *hosts, struct jc_rpc_conn *conn)
+{
+  if (!is_state (conn))
+    return;
+  ask_orders (hosts, conn);
+  report_to (hosts, conn);
+}
+
+static void
+take_limits (struct hosts *hosts)
+{
+  const struct jc_caller_limits *said = &hosts->routes->limits;
+  const struct jc_entry_settings *settings = hosts->entry->settings;
+  struct jc_httpd_limits limits
+      = { .max_head = 32 * 1024,
+          .max_body = (size_t)settings->max_body_bytes,
+          .head_ms = 10000,
+          .idle_ms = 120000 };
+
+  if (said->head_bytes > 0)
+    limits.max_head = said->head_bytes;
+  if (said->body_bytes > 0)
+    limits.max_body = said->body_bytes;
+  if (said->head_ms > 0)
+    limits.head_ms = said->head_ms;
+  if (said->idle_ms > 0)
+    limits.idle_ms = said->idle_ms;
+  jc_httpd_set_limits (hosts->entry->callers, &limits);
+}
+
+/* Put the route table of the orders in force.  */
+static void
+take_table (struct hosts *hosts)
+{
+  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+  struct jc_routetable *table
+      = hosts->dialect->routes (jc_str_of (hosts->orders->text), faults);
+
+  if (table == NULL || faults->len > 0)
+    {
+      jc_event (
+          JC_EVENT_BAD_INPUT, "from=state version=%" PRIu64 " why=\"%.100s\"",
+          hosts->orders->version,
+          faults->len > 0 ? (const char *)g_ptr_array_index (faults, 0) : "");
+      jc_routetable_free (table);
+    }
+  else
+    {
+      jc_routetable_free (hosts->routes);
+      hosts->routes = table;
+      take_limits (hosts);
+    }
+  g_ptr_array_free (faults, TRUE);
+}
+
+/* Note which zones NEWS take back, since their endpoints may be cold.  */
+static void
+note_readmitted (struct hosts *hosts, const struct rpc_orders *news)
+{
+  GHashTableIter iter;
+  gpointer zone;
+
+  g_hash_table_iter_init (&iter, hosts->orders->evacuated);
+  while (g_hash_table_iter_next (&iter, &zone, NULL))
+    {
+      bool still = false;
+
+      for (u_int i = 0; i < news->evacuated.evacuated_len; i++)
+        still = still || strcmp (news->evacuated.evacuated_val[i], zone) == 0;
+      if (!still)
+        {
+          int64_t *at = g_new (int64_t, 1);
+
+          *at = jc_now_ms ();
+          g_hash_table_replace (hosts->readmitted, g_strdup (zone), at);
+        }
+    }
+}
+
+static void
+take_orders (struct hosts *hosts, struct jc_rpc_conn *conn,
+             const struct rpc_orders *news)
+{
+  uint64_t had_version = hosts->orders->version;
+  bool first = hosts->routes == NULL;
+
+  if (news->position > hosts->orders->position)
+    note_readmitted (hosts, news);
+  if (!jc_orders_take (hosts->orders, news))
+    return;
+  if (hosts->orders->version != had_version)
+    take_table (hosts);
+  jc_event (JC_EVENT_IN_FORCE,
+            "position=%" PRIu64 " version=%" PRIu64 " evacuated=%u from=%s",
+            hosts->orders->position, hosts->orders->version,
+            g_hash_table_size (hosts->orders->evacuated),
+            jc_rpc_conn_name (conn));
+  if (first && hosts->routes != NULL)
+    following_report (hosts);
+}
+
+static bool
+in_region (const struct hosts *hosts, const char *zone)
+{
+  const struct jc_entry_settings *settings = hosts->entry->settings;
+
+  for (guint i = 0; i < settings->zones->len; i++)
+    {
+      const struct jc_zone_place *place
+          = g_ptr_array_index (settings->zones, i);
+
+      if (strcmp (place->name, zone) == 0)
+        return strcmp (place->region, settings->region) == 0;
+    }
+  return strcmp (zone, settings->availability_zone) == 0;
+}
+
+static void
+take_endpoint (struct hosts *hosts, const struct rpc_endpoint *said)
+{
+  int64_t now = jc_now_ms ();
+  const struct jc_endpoint *known
+      = jc_members_find (hosts->endpoints, said->name);
+  bool was_leaving = known != NULL && known->leaving;
+  bool news;
+
+  if (said->leaving && said->address[0] == '\0')
+    jc_members_leave (hosts->endpoints, said->name, said->incarnation);
+  else if (!in_region (hosts, said->zone)
+           || jc_members_announce (hosts->endpoints, said, now) != JC_OK)
+    return;
+  news = known == NULL || was_leaving != said->leaving;
+  known = jc_members_find (hosts->endpoints, said->name);
+  if (known != NULL && news)
+    jc_event (JC_EVENT_ENDPOINT,
+              "endpoint=%s incarnation=%" PRIu64 " sequence=%" PRIu64
+              " service=%s address=%s zone=%s leaving=%d cold_ms=%u",
+              known->name, known->incarnation, known->sequence, known->service,
+              known->address, known->zone, known->leaving, said->cold_ms);
+}
+
+static void
+take_entries (struct hosts *hosts, const struct rpc_entries *entries)
+{
+  int64_t now = jc_now_ms ();
+
+  for (u_int i = 0; i < entries->list.list_len; i++)
+    {
+      const struct rpc_presence *said = &entries->list.list_val[i];
+      struct neighbour *neighbour;
+
+      if (strcmp (said->name, hosts->entry->settings->name) == 0)
+        continue;
+      neighbour = g_new0 (struct neighbour, 1);
+      jc_presence_copy (&neighbour->said, said);
+      neighbour->heard_ms = now;
+      g_hash_table_replace (hosts->neighbours, neighbour->said.name, neighbour);
+    }
+  jc_budgets_set_instances (hosts->budgets,
+                            g_hash_table_size (hosts->neighbours) + 1, now);
+}
+
+static void
+take_group (struct hosts *hosts, const struct rpc_group *group)
+{
+  for (u_int i = 0; i < group->names.names_len; i++)
+    meet (hosts, group->names.names_val[i]);
+}
+
+/* Take a message of a state instance.  */
+void
+following_packet (struct hosts *hosts, struct jc_rpc_conn *conn,
+                  const struct rpc_packet *packet)
+{
+  const struct rpc_body *body = &packet->body;
+
+  if (!is_state (conn))
+    return;
+  if (body->type == RPC_ORDERS)
+    take_orders (hosts, conn, &body->rpc_body_u.orders);
+  else if (body->type == RPC_GROUP)
+    take_group (hosts, &body->rpc_body_u.group);
+  else if (body->type == RPC_ENTRIES)
+    take_entries (hosts, &body->rpc_body_u.entries);
+  else if (body->type == RPC_FLEET)
+    {
+      const struct rpc_fleet *fleet = &body->rpc_body_u.fleet;
+
+      for (u_int i = 0; i < fleet->endpoints.endpoints_len; i++)
+        take_endpoint (hosts, &fleet->endpoints.endpoints_val[i]);
+    }
+  else if (packet->head.config_version > hosts->orders->position)
+    ask_orders (hosts, conn);
+}
+
+/* Forget entry instances that no state instance tells of any longer.  */
+static void
+expire_neighbours (struct hosts *hosts, int64_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now - ((struct neighbour *)value)->heard_ms > NEIGHBOUR_KEPT_MS)
+      g_hash_table_iter_remove (&iter);
+}
+
+/* Let the time pass.  Endpoints are only forgotten while there is somebody
+   who would tell of them.  */
+void
+following_tick (struct hosts *hosts)
+{
+  GPtrArray *conns = g_ptr_array_new ();
+  int64_t now = jc_now_ms ();
+
+  jc_rpc_list (hosts->entry->rpc, "state", conns);
+  if (conns->len > 0)
+    hosts->heard_ms = now;
+  if (conns->len > 0 || now - hosts->heard_ms > KEEP_ALONE_MS)
+    jc_members_expire (hosts->endpoints, now);
+  g_ptr_array_free (conns, TRUE);
+  expire_neighbours (hosts, now);
+  jc_engines_expire (hosts->engines, now);
+  if (now - hosts->told_ms >= REPORT_MS)
+    following_report (hosts);
+}
--- /dev/null
+++ b/entry/hosts.c
@@ -0,0 +1,248 @@
+/* Routing by hosts: the start, the end and the listeners of its tasks.  */
+
+#include <string.h>
+#include <sys/stat.h>
+
+#include "base/event.h"
+#include "base/log.h"
+#include "entry/hosts.h"
+#include "member/presence.h"
+#include "net/loopevents.h"
+#include "net/program.h"
+#include "platform/platform.h"
+
+#define PART "hosts"
+
+enum
+{
+  TICK_MS = 100,
+  /* Callers may use an answer of the directory for three times its life, so
+     an instance that stops still answers for so long.  */
+  DRAIN_LINGER_MS = 5000,
+  /* What is left of the grace for the process to end by itself.  */
+  DRAIN_MARGIN_MS = 400,
+  SMALL_BODY_MAX = 64 * 1024,
+  MS_PER_S = 1000
+};
+
+/* Tell whether the settings ask for routing by hosts.  */
+bool
+hosts_wanted (const struct entry *entry)
+{
+  return strcmp (entry->settings->routing, "hosts") == 0;
+}
+
+static void
+on_up (void *ctx, struct jc_rpc_conn *conn)
+{
+  struct entry *entry = ctx;
+
+  jc_event (JC_EVENT_PEER_UP, "peer=%s role=%s", jc_rpc_conn_name (conn),
+            jc_rpc_conn_role (conn));
+  following_up (entry->hosts, conn);
+}
+
+static void
+on_down (void *ctx, struct jc_rpc_conn *conn)
+{
+  (void)ctx;
+  jc_event (JC_EVENT_PEER_DOWN, "peer=%s role=%s", jc_rpc_conn_name (conn),
+            jc_rpc_conn_role (conn));
+}
+
+static void
+on_packet (void *ctx, struct jc_rpc_conn *conn, const struct rpc_packet *packet)
+{
+  struct entry *entry = ctx;
+
+  following_packet (entry->hosts, conn, packet);
+}
+
+const struct jc_rpc_class hosts_rpc_class
+    = { .up = on_up, .down = on_down, .packet = on_packet };
+
+static enum jc_status
+on_caller_head (void *ctx, struct jc_http_req *req)
+{
+  return passage_head (((struct entry *)ctx)->hosts, req);
+}
+
+static void
+on_caller_body (void *ctx, struct jc_http_req *req)
+{
+  passage_start (((struct entry *)ctx)->hosts, req, false);
+}
+
+static void
+on_guest_body (void *ctx, struct jc_http_req *req)
+{
+  passage_start (((struct entry *)ctx)->hosts, req, true);
+}
+
+static void
+on_gone (void *ctx, struct jc_http_req *req)
+{
+  (void)ctx;
+  passage_gone (req);
+}
+
+static void
+on_room (void *ctx, struct jc_http_req *req)
+{
+  (void)ctx;
+  passage_room (req);
+}
+
+static void
+on_ready_body (void *ctx, struct jc_http_req *req)
+{
+  const struct entry *entry = ctx;
+
+  if (!entry->hosts->dialect->is_readiness (jc_http_path (req)))
+    jc_http_fail (req, JC_NOT_FOUND, "There is no such call.", 0);
+  else if (entry->draining || entry->hosts->routes == NULL)
+    jc_http_fail (req, entry->draining ? JC_DRAINING : JC_NOT_READY,
+                  "This instance takes no callers.", 0);
+  else
+    jc_http_reply (req, 200, "text/plain", JC_STR_LIT ("ready\n"), NULL);
+}
+
+static void
+free_neighbour (gpointer data)
+{
+  struct neighbour *neighbour = data;
+
+  jc_presence_clear (&neighbour->said);
+  g_free (neighbour);
+}
+
+static void
+drain_tick (struct entry *entry)
+{
+  int64_t waited = jc_now_ms () - entry->drain_ms;
+  bool idle = entry->in_flight == 0 && jc_httpd_requests (entry->callers) == 0
+              && jc_httpd_requests (entry->hosts->handover) == 0;
+
+  if ((idle && waited >= DRAIN_LINGER_MS)
+      || waited >= entry->settings->grace_ms - DRAIN_MARGIN_MS)
+    ev_break (entry->loop, EVBREAK_ALL);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct entry *entry = watcher->data;
+
+  (void)loop;
+  (void)events;
+  following_tick (entry->hosts);
+  if (entry->draining)
+    drain_tick (entry);
+}
+
+/* Begin to drain: this instance is no longer listed, but answers whoever
+   still comes.  */
+void
+hosts_drain (struct entry *entry)
+{
+  if (entry->draining)
+    return;
+  entry->draining = true;
+  entry->drain_ms = jc_now_ms ();
+  jc_event (JC_EVENT_STOP, "role=entry name=%s in_flight=%u phase=drain",
+            entry->settings->name, entry->in_flight);
+  jc_httpd_announce_close (entry->callers);
+  following_report (entry->hosts);
+}
+
+static enum jc_status
+open_listeners (struct entry *entry)
+{
+  static const struct jc_httpd_class callers = { .head = on_caller_head,
+                                                 .body = on_caller_body,
+                                                 .gone = on_gone,
+                                                 .room = on_room };
+  static const struct jc_httpd_class guests = { .head = on_caller_head,
+                                                .body = on_guest_body,
+                                                .gone = on_gone,
+                                                .room = on_room };
+  static const struct jc_httpd_class ready = { .body = on_ready_body };
+  const struct jc_entry_settings *settings = entry->settings;
+  struct hosts *hosts = entry->hosts;
+
+  entry->callers = jc_httpd_new (entry->loop, settings->callers, &callers,
+                                 entry, (size_t)settings->max_body_bytes);
+  hosts->handover = jc_httpd_new (entry->loop, settings->handover, &guests,
+                                  entry, (size_t)settings->max_body_bytes);
+  hosts->ready = jc_httpd_new (entry->loop, settings->ready, &ready, entry,
+                               SMALL_BODY_MAX);
+  entry->operators = operators_listen (entry);
+  if (entry->callers == NULL || hosts->handover == NULL || hosts->ready == NULL
+      || entry->operators == NULL)
+    return JC_UNREACHABLE;
+  return JC_OK;
+}
+
+/* Start the tasks of ENTRY, whose loop, client and RPC task run.  */
+enum jc_status
+hosts_start (struct entry *entry)
+{
+  const struct jc_entry_settings *settings = entry->settings;
+  const struct jc_budget_terms terms
+      = { .retry_ratio = settings->retry_ratio,
+          .retry_slack = settings->retry_slack,
+          .retry_window_ms = settings->retry_window_ms,
+          .cold_ratio = settings->cold_ratio,
+          .cold_slack = settings->cold_slack };
+  struct hosts *hosts = entry->hosts = g_new0 (struct hosts, 1);
+  double every_s = (double)TICK_MS / MS_PER_S;
+
+  jc_loopevents_start (entry->loop);
+  jc_event (JC_EVENT_START, "role=entry name=%s region=%s zone=%s",
+            settings->name, settings->region, settings->availability_zone);
+  hosts->entry = entry;
+  hosts->dialect = &platform_dialect;
+  hosts->orders = jc_orders_new ();
+  hosts->readmitted
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  hosts->endpoints = jc_members_new ();
+  jc_members_own_addresses (hosts->endpoints);
+  hosts->engines = jc_engines_new ();
+  hosts->budgets = jc_budgets_new (&terms);
+  hosts->neighbours
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_neighbour);
+  hosts->state_names
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  hosts->started_ms = jc_now_ms ();
+  ev_timer_init (&hosts->tick, on_tick, every_s, every_s);
+  hosts->tick.data = entry;
+  ev_timer_start (entry->loop, &hosts->tick);
+  following_start (hosts);
+  return open_listeners (entry);
+}
+
+/* End the tasks; listeners of ENTRY are freed before, its RPC task after.  */
+void
+hosts_stop (struct entry *entry)
+{
+  struct hosts *hosts = entry->hosts;
+
+  if (hosts == NULL)
+    return;
+  jc_event (JC_EVENT_STOP, "role=entry name=%s in_flight=%u phase=end",
+            entry->settings->name, entry->in_flight);
+  ev_timer_stop (entry->loop, &hosts->tick);
+  jc_httpd_free (hosts->handover);
+  jc_httpd_free (hosts->ready);
+  jc_engines_free (hosts->engines);
+  jc_budgets_free (hosts->budgets);
+  jc_members_free (hosts->endpoints);
+  jc_orders_free (hosts->orders);
+  jc_routetable_free (hosts->routes);
+  g_hash_table_destroy (hosts->readmitted);
+  g_hash_table_destroy (hosts->neighbours);
+  g_hash_table_destroy (hosts->state_names);
+  g_free (hosts);
+  entry->hosts = NULL;
+  jc_loopevents_stop (entry->loop);
+}
--- /dev/null
+++ b/entry/hosts.h
@@ -0,0 +1,88 @@
+/* Routing by hosts: what its tasks share.  */
+
+#ifndef ENTRY_HOSTS_H
+#define ENTRY_HOSTS_H
+
+#include "conf/orders.h"
+#include "entry/entry.h"
+#include "serve/budget.h"
+#include "serve/dialect.h"
+#include "serve/engine.h"
+
+/* What this instance knows and owns for routing by hosts.  ROUTES is made
+   from the text of ORDERS and never goes back in the life of the process.
+   ENTRIES maps names of other entry instances to struct neighbour.  */
+struct hosts
+{
+  struct entry *entry;
+  const struct jc_dialect *dialect;
+  struct jc_orders *orders;
+  struct jc_routetable *routes;
+  GHashTable *readmitted;
+  struct jc_members *endpoints;
+  struct jc_engines *engines;
+  struct jc_budgets *budgets;
+  GHashTable *neighbours;
+  GHashTable *state_names;
+  struct jc_httpd *handover;
+  struct jc_httpd *ready;
+  ev_timer tick;
+  int64_t told_ms;
+  int64_t heard_ms;
+  int64_t started_ms;
+};
+
+/* Another entry instance, as a state instance told of it last at
+   HEARD_MS.  */
+struct neighbour
+{
+  struct rpc_presence said;
+  int64_t heard_ms;
+};
+
+/* hosts: the tasks' start and end.  */
+bool hosts_wanted (const struct entry *entry);
+enum jc_status hosts_start (struct entry *entry);
+void hosts_stop (struct entry *entry);
+void hosts_drain (struct entry *entry);
+extern const struct jc_rpc_class hosts_rpc_class;
+
+/* following: what state instances tell.  */
+void following_start (struct hosts *hosts);
+void following_up (struct hosts *hosts, struct jc_rpc_conn *conn);
+void following_packet (struct hosts *hosts, struct jc_rpc_conn *conn,
+                       const struct rpc_packet *packet);
+void following_tick (struct hosts *hosts);
+void following_report (struct hosts *hosts);
+
+/* choice: which endpoint, or which other instance, gets a request.  */
+struct choice
+{
+  struct jc_endpoint *endpoint;
+  const struct neighbour *neighbour;
+};
+
+/* What a choice rests on.  TRIED holds names that are left out; HERE_ONLY
+   leaves out other instances.  */
+struct choice_query
+{
+  const struct jc_hostroute *route;
+  const char *service;
+  const struct jc_demand *demand;
+  const GPtrArray *tried;
+  bool here_only;
+  int64_t now_ms;
+};
+
+enum jc_status choice_make (struct hosts *hosts,
+                            const struct choice_query *query,
+                            struct choice *choice);
+void choice_rooms (struct hosts *hosts, struct rpc_presence *out);
+
+/* passage: one caller's request from its head to its answer.  */
+enum jc_status passage_head (struct hosts *hosts, struct jc_http_req *req);
+void passage_start (struct hosts *hosts, struct jc_http_req *req, bool guest);
+void passage_gone (struct jc_http_req *req);
+void passage_room (struct jc_http_req *req);
+
+#endif
--- a/entry/main.c
+++ b/entry/main.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "entry/entry.h"
+#include "entry/hosts.h"
 #include "net/program.h"
 
 #define PART "entry"
@@ -55,7 +56,12 @@
 {
   (void)loop;
   (void)events;
-  drain_start (watcher->data);
+  struct entry *entry = watcher->data;
+
+  if (entry->hosts != NULL)
+    hosts_drain (entry);
+  else
+    drain_start (entry);
 }
 
 static enum jc_status
@@ -76,9 +82,13 @@
     return jc_fail (JC_BAD_SETTINGS, "settings.policy: unknown policy %s.",
                     s->policy);
   entry->httpc = jc_httpc_new (entry->loop);
-  entry->rpc = jc_rpc_new (entry->loop, &identity, &rpc_class, entry);
+  entry->rpc = jc_rpc_new (entry->loop, &identity,
+                           hosts_wanted (entry) ? &hosts_rpc_class : &rpc_class,
+                           entry);
   if (jc_rpc_listen (entry->rpc, s->rpc) != JC_OK)
     return JC_UNREACHABLE;
+  if (hosts_wanted (entry))
+    return hosts_start (entry);
   admission_start (entry);
   handover_start (entry);
   entry->callers = callers_listen (entry);
@@ -96,6 +106,7 @@
 {
   jc_httpd_free (entry->callers);
   jc_httpd_free (entry->operators);
+  hosts_stop (entry);
   handover_stop (entry);
   if (entry->rpc != NULL)
     jc_rpc_free (entry->rpc);
--- a/member/members.c
+++ b/member/members.c
@@ -13,6 +13,12 @@
   PART_MAX = 0xFFFF
 };
 
+static bool members_free_address (struct jc_members *members,
+                                  const struct rpc_endpoint *said,
+                                  int64_t now_ms);
+static void members_give_up_address (struct jc_members *members,
+                                     const struct jc_endpoint *endpoint);
+
 #define FNV_START 14695981039346656037U
 #define FNV_PRIME 1099511628211U
 
@@ -31,6 +37,7 @@
 {
   GHashTable *by_name;
   GHashTable *by_tag;
+  GHashTable *by_address;
   GHashTable *tombstones;
   GQueue *tombstone_order;
 };
@@ -52,6 +59,7 @@
   g_free (endpoint->name);
   g_free (endpoint->address);
   g_free (endpoint->service);
+  g_free (endpoint->zone);
   g_free (endpoint->role);
   g_ptr_array_free (endpoint->models, TRUE);
   g_free (endpoint);
@@ -72,10 +80,21 @@
   return members;
 }
 
+/* Have each address belong to the endpoint of the latest incarnation that
+   reports it, so that a report that was held up does not bring back an
+   endpoint whose address another one got.  Incarnations are then times.  */
+void
+jc_members_own_addresses (struct jc_members *members)
+{
+  members->by_address = g_hash_table_new (g_str_hash, g_str_equal);
+}
+
 /* Free MEMBERS and its endpoints.  */
 void
 jc_members_free (struct jc_members *members)
 {
+  if (members->by_address != NULL)
+    g_hash_table_destroy (members->by_address);
   g_hash_table_destroy (members->by_tag);
   g_hash_table_destroy (members->by_name);
   g_queue_free (members->tombstone_order);
@@ -136,6 +155,8 @@
   endpoint->tokens_per_s = said->tokens_per_s;
   endpoint->reported_ms = now_ms;
   endpoint->lease_until_ms = now_ms + said->lease_ms;
+  endpoint->warm_ms = now_ms + said->cold_ms;
+  set_text (&endpoint->zone, said->zone != NULL ? said->zone : "");
   set_text (&endpoint->address, said->address);
   set_text (&endpoint->service, said->service);
   set_text (&endpoint->role, said->role);
@@ -209,12 +230,18 @@
 
   if (!members_accept (members, said))
     return jc_fail (JC_BEHIND, "A later report of %s is known.", said->name);
+  if (!members_free_address (members, said, now_ms))
+    return jc_fail (JC_BEHIND, "%s belongs to a later endpoint.",
+                    said->address);
   if (endpoint == NULL && jc_members_count (members) >= ENDPOINTS_MAX)
     return jc_fail (JC_OVERLOADED, "The zone has too many endpoints.");
   if (endpoint == NULL)
     endpoint = members_add (members, said->name);
   renewed = endpoint->incarnation != said->incarnation;
+  members_give_up_address (members, endpoint);
   endpoint_update (endpoint, said, now_ms);
+  if (members->by_address != NULL)
+    g_hash_table_replace (members->by_address, endpoint->address, endpoint);
   if (renewed)
     {
       endpoint->shunned_until_ms = 0;
@@ -262,6 +289,12 @@
   return (unsigned int)MAX (endpoint->lease_until_ms - now_ms, 0);
 }
 
+static unsigned int
+cold_left (const struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  return (unsigned int)MAX (endpoint->warm_ms - now_ms, 0);
+}
+
 /* Fill OUT, which borrows its strings from ENDPOINT, with the lease that is
    left at NOW_MS.  */
 void
@@ -274,12 +307,14 @@
                                 .leaving = endpoint->leaving,
                                 .address = endpoint->address,
                                 .service = endpoint->service,
+                                .zone = endpoint->zone,
                                 .role = endpoint->role,
                                 .slots = endpoint->slots,
                                 .running = endpoint->running,
                                 .queued = endpoint->queued,
                                 .tokens_per_s = endpoint->tokens_per_s,
-                                .lease_ms = lease_left (endpoint, now_ms) };
+                                .lease_ms = lease_left (endpoint, now_ms),
+                                .cold_ms = cold_left (endpoint, now_ms) };
   out->models.models_val = (rpc_name *)endpoint->models->pdata;
   out->models.models_len = endpoint->models->len;
 }
@@ -299,6 +334,16 @@
                                  .pace = lease_ms << PART_BITS | tokens_per_s };
 }
 
+static void
+members_give_up_address (struct jc_members *members,
+                         const struct jc_endpoint *endpoint)
+{
+  if (members->by_address != NULL && endpoint->address != NULL
+      && g_hash_table_lookup (members->by_address, endpoint->address)
+             == endpoint)
+    g_hash_table_remove (members->by_address, endpoint->address);
+}
+
 static void
 tombstone_drop (struct jc_members *members)
 {
@@ -341,6 +386,53 @@
     tombstone_drop (members);
 }
 
+static void
+members_unlink (struct jc_members *members, struct jc_endpoint *endpoint,
+                int64_t now_ms)
+{
+  tombstone_add (members, endpoint, now_ms);
+  members_give_up_address (members, endpoint);
+  if (g_hash_table_lookup (members->by_tag, &endpoint->tag) == endpoint)
+    g_hash_table_remove (members->by_tag, &endpoint->tag);
+}
+
+/* Make way for SAID at its address.  Return false where an endpoint of a
+   later incarnation has it.  One that had it before is gone.  */
+static bool
+members_free_address (struct jc_members *members,
+                      const struct rpc_endpoint *said, int64_t now_ms)
+{
+  struct jc_endpoint *other
+      = members->by_address != NULL
+            ? g_hash_table_lookup (members->by_address, said->address)
+            : NULL;
+
+  if (other == NULL || strcmp (other->name, said->name) == 0)
+    return true;
+  if (other->incarnation > said->incarnation)
+    return false;
+  other->leaving = true;
+  other->lease_until_ms = now_ms - 1;
+  members_give_up_address (members, other);
+  return true;
+}
+
+/* Note that the endpoint NAME takes its leave; INCARNATION is 0 where it is
+   not known which one does.  Return JC_NOT_FOUND where no such endpoint is
+   known.  */
+enum jc_status
+jc_members_leave (struct jc_members *members, const char *name,
+                  uint64_t incarnation)
+{
+  struct jc_endpoint *endpoint = g_hash_table_lookup (members->by_name, name);
+
+  if (endpoint == NULL
+      || (incarnation != 0 && endpoint->incarnation != incarnation))
+    return jc_fail (JC_NOT_FOUND, "No endpoint %s is known.", name);
+  endpoint->leaving = true;
+  return JC_OK;
+}
+
 /* Forget the endpoints whose lease ended before NOW_MS and that have no
    attempt in flight; what must not return is remembered for a while.  */
 void
@@ -357,9 +449,7 @@
 
       if (endpoint->lease_until_ms >= now_ms || endpoint->in_flight > 0)
         continue;
-      tombstone_add (members, endpoint, now_ms);
-      if (g_hash_table_lookup (members->by_tag, &endpoint->tag) == endpoint)
-        g_hash_table_remove (members->by_tag, &endpoint->tag);
+      members_unlink (members, endpoint, now_ms);
       g_hash_table_iter_remove (&iter);
     }
 }
--- a/member/members.h
+++ b/member/members.h
@@ -12,7 +12,8 @@
 #include "schema/gen/messages.h"
 
 /* One endpoint.  Times are monotonic ms.  IN_FLIGHT counts the attempts of
-   this process.  TAG stands for name and incarnation.  */
+   this process.  TAG stands for name and incarnation.  It is cold until
+   WARM_MS.  */
 struct jc_endpoint
 {
   char *name;
@@ -21,6 +22,7 @@
   bool leaving;
   char *address;
   char *service;
+  char *zone;
   GPtrArray *models;
   char *role;
   unsigned int slots;
@@ -32,18 +34,22 @@
   unsigned int in_flight;
   int64_t shunned_until_ms;
   uint64_t tag;
+  int64_t warm_ms;
 };
 
 struct jc_members;
 
 struct jc_members *jc_members_new (void);
 void jc_members_free (struct jc_members *members);
+void jc_members_own_addresses (struct jc_members *members);
 enum jc_status jc_members_announce (struct jc_members *members,
                                     const struct rpc_endpoint *said,
                                     int64_t now_ms);
 enum jc_status jc_members_load (struct jc_members *members,
                                 const struct rpc_zone_load *load,
                                 int64_t now_ms);
+enum jc_status jc_members_leave (struct jc_members *members, const char *name,
+                                 uint64_t incarnation);
 void jc_members_expire (struct jc_members *members, int64_t now_ms);
 struct jc_endpoint *jc_members_find (const struct jc_members *members,
                                      const char *name);
--- /dev/null
+++ b/member/presence.h
@@ -0,0 +1,12 @@
+/* Presence of entry instances: copies of what they report of themselves.  */
+
+#ifndef JC_PRESENCE_H
+#define JC_PRESENCE_H
+
+#include "schema/gen/messages.h"
+
+void jc_presence_copy (struct rpc_presence *out,
+                       const struct rpc_presence *said);
+void jc_presence_clear (struct rpc_presence *said);
+
+#endif
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -6,6 +6,7 @@
 
 #include <ev.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 #include "base/status.h"
 #include "base/str.h"
@@ -69,6 +70,9 @@
                     struct jc_str body, const struct jc_http_header *headers);
 void jc_http_fail (struct jc_http_req *req, enum jc_status status,
                    const char *message, unsigned int retry_after_ms);
+void jc_http_fail_after (struct jc_http_req *req, enum jc_status status,
+                         const char *message, const char *retry_after,
+                         int64_t retry_after_ms);
 void jc_http_stream_begin (struct jc_http_req *req, int http,
                            const char *content_type,
                            const struct jc_http_header *headers);
--- a/net/httphead.c
+++ b/net/httphead.c
@@ -158,6 +158,25 @@
   head->status = 0;
 }
 
+/* Make TO, which is overwritten unread, a copy of FROM, whose fields are
+   read.  */
+void
+jc_head_copy (struct jc_head *to, const struct jc_head *from)
+{
+  *to = *from;
+  to->bytes = g_memdup2 (from->bytes, from->len + 1);
+  to->target = NULL;
+  for (unsigned int i = 0; i < from->count; i++)
+    {
+      const struct jc_head_field *field = &from->fields[i];
+
+      to->fields[i].name = to->bytes + (field->name - from->bytes);
+      to->fields[i].value = field->value[0] != '\0'
+                                ? to->bytes + (field->value - from->bytes)
+                                : "";
+    }
+}
+
 /* Free what HEAD holds.  */
 void
 jc_head_clear (struct jc_head *head)
--- a/net/httphead.h
+++ b/net/httphead.h
@@ -55,6 +55,7 @@
                     const char *word);
 bool jc_head_is_hop (const struct jc_head *head, const char *name);
 void jc_head_take (struct jc_head *head, struct jc_str bytes);
+void jc_head_copy (struct jc_head *to, const struct jc_head *from);
 void jc_head_clear (struct jc_head *head);
 
 void jc_head_build_target (struct jc_head_build *build, const char *at,
--- a/net/httpreq.c
+++ b/net/httpreq.c
@@ -197,37 +197,48 @@
   req_end (req);
 }
 
-/* Answer REQ with the table row of STATUS as a JSON error.  RETRY_AFTER_MS
-   is said where the row has the caller come again later.  */
+/* Answer REQ with the table row of STATUS as a JSON error.  RETRY_AFTER is
+   the text of the header of that name, which stands for RETRY_AFTER_MS; NULL
+   for none.  */
 void
-jc_http_fail (struct jc_http_req *req, enum jc_status status,
-              const char *message, unsigned int retry_after_ms)
+jc_http_fail_after (struct jc_http_req *req, enum jc_status status,
+                    const char *message, const char *retry_after,
+                    int64_t retry_after_ms)
 {
   const struct jc_status_row *row = jc_status_row (status);
-  unsigned int seconds = (retry_after_ms + MS_PER_S - 1) / MS_PER_S;
-  char retry_after[16];
   struct jc_http_header headers[]
       = { { "X-Jaycove-Error", row->name },
           { "X-Jaycove-Run", jc_run_state_name (row->run) },
-          { NULL, NULL },
+          { retry_after != NULL ? "Retry-After" : NULL, retry_after },
           { NULL, NULL } };
-  json_t *error = json_pack (
-      "{s:{s:s,s:s,s:s,s:s,s:i}}", "error", "kind", row->name, "message",
-      message, "run", jc_run_state_name (row->run), "retry",
-      jc_retry_rule_name (row->retry), "retry_after_ms", (int)retry_after_ms);
+  json_t *error
+      = json_pack ("{s:{s:s,s:s,s:s,s:s,s:I}}", "error", "kind", row->name,
+                   "message", message, "run", jc_run_state_name (row->run),
+                   "retry", jc_retry_rule_name (row->retry), "retry_after_ms",
+                   (json_int_t)retry_after_ms);
   char *text = json_dumps (error, JSON_COMPACT);
 
-  if (row->retry == JC_RETRY_AFTER)
-    {
-      g_snprintf (retry_after, sizeof retry_after, "%u", MAX (seconds, 1));
-      headers[2] = (struct jc_http_header){ "Retry-After", retry_after };
-    }
   jc_http_reply (req, row->http, "application/json",
                  jc_str_from (text != NULL ? text : "{}"), headers);
   free (text);
   json_decref (error);
 }
 
+/* Answer REQ as jc_http_fail_after does.  RETRY_AFTER_MS is said, in whole
+   seconds, where the row of STATUS has the caller come again later.  */
+void
+jc_http_fail (struct jc_http_req *req, enum jc_status status,
+              const char *message, unsigned int retry_after_ms)
+{
+  bool later = jc_status_row (status)->retry == JC_RETRY_AFTER;
+  unsigned int seconds = (retry_after_ms + MS_PER_S - 1) / MS_PER_S;
+  char text[16];
+
+  g_snprintf (text, sizeof text, "%u", MAX (seconds, 1));
+  jc_http_fail_after (req, status, message, later ? text : NULL,
+                      retry_after_ms);
+}
+
 /* Begin an answer of unknown length to REQ.  */
 void
 jc_http_stream_begin (struct jc_http_req *req, int http,
--- a/net/rpc.c
+++ b/net/rpc.c
@@ -363,6 +363,21 @@
   return last;
 }
 
+/* Add to OUT the connections to peers of ROLE that are up, one for each
+   peer.  */
+void
+jc_rpc_list (const struct jc_rpc *rpc, const char *role, GPtrArray *out)
+{
+  for (guint i = 0; i < rpc->conns->len; i++)
+    {
+      struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i);
+
+      if (rpc_conn_usable (conn) && strcmp (conn->role, role) == 0
+          && jc_rpc_find ((struct jc_rpc *)rpc, conn->name) == conn)
+        g_ptr_array_add (out, conn);
+    }
+}
+
 /* Tell which connections to the peer NAME are up: DIALLED by this process,
    ACCEPTED from the peer.  */
 void
--- a/net/rpc.h
+++ b/net/rpc.h
@@ -60,6 +60,7 @@
 struct jc_rpc_conn *jc_rpc_find (struct jc_rpc *rpc, const char *name);
 void jc_rpc_ways (const struct jc_rpc *rpc, const char *name, bool *dialled,
                   bool *accepted);
+void jc_rpc_list (const struct jc_rpc *rpc, const char *role, GPtrArray *out);
 unsigned int jc_rpc_conns (const struct jc_rpc *rpc);
 size_t jc_rpc_backlog (const struct jc_rpc *rpc);
 uint64_t jc_rpc_bytes_sent (const struct jc_rpc *rpc);
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -68,6 +68,13 @@
 	RPC_ADMIN_REPLY = 61,
 	RPC_PROPOSE = 70,
 	RPC_PROPOSE_REPLY = 71,
+	RPC_GROUP = 80,
+	RPC_ORDERS_FOLLOW = 81,
+	RPC_ORDERS = 82,
+	RPC_ORDERS_READ = 83,
+	RPC_FLEET = 84,
+	RPC_PRESENCE = 85,
+	RPC_ENTRIES = 86,
 };
 typedef enum rpc_type rpc_type;
 
@@ -132,6 +139,8 @@
 	u_int queued;
 	u_int tokens_per_s;
 	u_int lease_ms;
+	rpc_name zone;
+	u_int cold_ms;
 };
 typedef struct rpc_endpoint rpc_endpoint;
 
@@ -520,6 +529,83 @@
 };
 typedef struct rpc_propose_reply rpc_propose_reply;
 
+struct rpc_group {
+	struct {
+		u_int names_len;
+		rpc_name *names_val;
+	} names;
+};
+typedef struct rpc_group rpc_group;
+
+enum rpc_order_kind {
+	RPC_ORDER_ROUTES = 1,
+	RPC_ORDER_EVACUATE = 2,
+	RPC_ORDER_READMIT = 3,
+};
+typedef enum rpc_order_kind rpc_order_kind;
+
+struct rpc_order {
+	rpc_order_kind kind;
+	u_quad_t table_version;
+	rpc_bytes data;
+};
+typedef struct rpc_order rpc_order;
+
+struct rpc_orders_follow {
+	u_quad_t have_position;
+	u_quad_t have_version;
+};
+typedef struct rpc_orders_follow rpc_orders_follow;
+
+struct rpc_orders {
+	u_quad_t position;
+	u_quad_t table_version;
+	rpc_bytes text;
+	struct {
+		u_int evacuated_len;
+		rpc_name *evacuated_val;
+	} evacuated;
+};
+typedef struct rpc_orders rpc_orders;
+
+struct rpc_fleet {
+	struct {
+		u_int endpoints_len;
+		rpc_endpoint *endpoints_val;
+	} endpoints;
+};
+typedef struct rpc_fleet rpc_fleet;
+
+struct rpc_service_room {
+	rpc_name service;
+	u_int endpoints;
+	u_int wait_ms;
+};
+typedef struct rpc_service_room rpc_service_room;
+
+struct rpc_presence {
+	rpc_name name;
+	rpc_name region;
+	rpc_name zone;
+	rpc_name callers_address;
+	rpc_name handover_address;
+	bool_t draining;
+	bool_t ready;
+	struct {
+		u_int rooms_len;
+		rpc_service_room *rooms_val;
+	} rooms;
+};
+typedef struct rpc_presence rpc_presence;
+
+struct rpc_entries {
+	struct {
+		u_int list_len;
+		rpc_presence *list_val;
+	} list;
+};
+typedef struct rpc_entries rpc_entries;
+
 struct rpc_body {
 	rpc_type type;
 	union {
@@ -553,6 +639,12 @@
 		rpc_admin_reply admin_reply;
 		rpc_propose propose;
 		rpc_propose_reply propose_reply;
+		rpc_group group;
+		rpc_orders_follow orders_follow;
+		rpc_orders orders;
+		rpc_fleet fleet;
+		rpc_presence presence;
+		rpc_entries entries;
 	} rpc_body_u;
 };
 typedef struct rpc_body rpc_body;
@@ -617,6 +709,15 @@
 extern  bool_t xdr_rpc_record (XDR *, rpc_record*);
 extern  bool_t xdr_rpc_propose (XDR *, rpc_propose*);
 extern  bool_t xdr_rpc_propose_reply (XDR *, rpc_propose_reply*);
+extern  bool_t xdr_rpc_group (XDR *, rpc_group*);
+extern  bool_t xdr_rpc_order_kind (XDR *, rpc_order_kind*);
+extern  bool_t xdr_rpc_order (XDR *, rpc_order*);
+extern  bool_t xdr_rpc_orders_follow (XDR *, rpc_orders_follow*);
+extern  bool_t xdr_rpc_orders (XDR *, rpc_orders*);
+extern  bool_t xdr_rpc_fleet (XDR *, rpc_fleet*);
+extern  bool_t xdr_rpc_service_room (XDR *, rpc_service_room*);
+extern  bool_t xdr_rpc_presence (XDR *, rpc_presence*);
+extern  bool_t xdr_rpc_entries (XDR *, rpc_entries*);
 extern  bool_t xdr_rpc_body (XDR *, rpc_body*);
 extern  bool_t xdr_rpc_packet (XDR *, rpc_packet*);
 
@@ -672,6 +773,15 @@
 extern bool_t xdr_rpc_record ();
 extern bool_t xdr_rpc_propose ();
 extern bool_t xdr_rpc_propose_reply ();
+extern bool_t xdr_rpc_group ();
+extern bool_t xdr_rpc_order_kind ();
+extern bool_t xdr_rpc_order ();
+extern bool_t xdr_rpc_orders_follow ();
+extern bool_t xdr_rpc_orders ();
+extern bool_t xdr_rpc_fleet ();
+extern bool_t xdr_rpc_service_room ();
+extern bool_t xdr_rpc_presence ();
+extern bool_t xdr_rpc_entries ();
 extern bool_t xdr_rpc_body ();
 extern bool_t xdr_rpc_packet ();
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -181,13 +181,18 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->lease_ms))
 				 return FALSE;
+
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->slots);
-			IXDR_PUT_U_LONG(buf, objp->running);
-			IXDR_PUT_U_LONG(buf, objp->queued);
-			IXDR_PUT_U_LONG(buf, objp->tokens_per_s);
-			IXDR_PUT_U_LONG(buf, objp->lease_ms);
+		IXDR_PUT_U_LONG(buf, objp->slots);
+		IXDR_PUT_U_LONG(buf, objp->running);
+		IXDR_PUT_U_LONG(buf, objp->queued);
+		IXDR_PUT_U_LONG(buf, objp->tokens_per_s);
+		IXDR_PUT_U_LONG(buf, objp->lease_ms);
 		}
+		 if (!xdr_rpc_name (xdrs, &objp->zone))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->cold_ms))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_rpc_name (xdrs, &objp->name))
@@ -219,13 +224,18 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->lease_ms))
 				 return FALSE;
+
 		} else {
-			objp->slots = IXDR_GET_U_LONG(buf);
-			objp->running = IXDR_GET_U_LONG(buf);
-			objp->queued = IXDR_GET_U_LONG(buf);
-			objp->tokens_per_s = IXDR_GET_U_LONG(buf);
-			objp->lease_ms = IXDR_GET_U_LONG(buf);
+		objp->slots = IXDR_GET_U_LONG(buf);
+		objp->running = IXDR_GET_U_LONG(buf);
+		objp->queued = IXDR_GET_U_LONG(buf);
+		objp->tokens_per_s = IXDR_GET_U_LONG(buf);
+		objp->lease_ms = IXDR_GET_U_LONG(buf);
 		}
+		 if (!xdr_rpc_name (xdrs, &objp->zone))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->cold_ms))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -256,6 +266,10 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->lease_ms))
 		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -977,6 +991,131 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_group (XDR *xdrs, rpc_group *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->names.names_val, (u_int *) &objp->names.names_len, 64,
+		sizeof (rpc_name), (xdrproc_t) xdr_rpc_name))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_order_kind (XDR *xdrs, rpc_order_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_order (XDR *xdrs, rpc_order *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_order_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->table_version))
+		 return FALSE;
+	 if (!xdr_rpc_bytes (xdrs, &objp->data))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_orders_follow (XDR *xdrs, rpc_orders_follow *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->have_position))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->have_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_orders (XDR *xdrs, rpc_orders *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->position))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->table_version))
+		 return FALSE;
+	 if (!xdr_rpc_bytes (xdrs, &objp->text))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, 256,
+		sizeof (rpc_name), (xdrproc_t) xdr_rpc_name))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_fleet (XDR *xdrs, rpc_fleet *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->endpoints.endpoints_val, (u_int *) &objp->endpoints.endpoints_len, RPC_ITEMS_MAX,
+		sizeof (rpc_endpoint), (xdrproc_t) xdr_rpc_endpoint))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_service_room (XDR *xdrs, rpc_service_room *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->endpoints))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_presence (XDR *xdrs, rpc_presence *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->region))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->callers_address))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->handover_address))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->ready))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, 64,
+		sizeof (rpc_service_room), (xdrproc_t) xdr_rpc_service_room))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_entries (XDR *xdrs, rpc_entries *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, 1024,
+		sizeof (rpc_presence), (xdrproc_t) xdr_rpc_presence))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_body (XDR *xdrs, rpc_body *objp)
 {
@@ -1107,6 +1246,32 @@
 		 if (!xdr_rpc_propose_reply (xdrs, &objp->rpc_body_u.propose_reply))
 			 return FALSE;
 		break;
+	case RPC_GROUP:
+		 if (!xdr_rpc_group (xdrs, &objp->rpc_body_u.group))
+			 return FALSE;
+		break;
+	case RPC_ORDERS_FOLLOW:
+		 if (!xdr_rpc_orders_follow (xdrs, &objp->rpc_body_u.orders_follow))
+			 return FALSE;
+		break;
+	case RPC_ORDERS:
+		 if (!xdr_rpc_orders (xdrs, &objp->rpc_body_u.orders))
+			 return FALSE;
+		break;
+	case RPC_ORDERS_READ:
+		break;
+	case RPC_FLEET:
+		 if (!xdr_rpc_fleet (xdrs, &objp->rpc_body_u.fleet))
+			 return FALSE;
+		break;
+	case RPC_PRESENCE:
+		 if (!xdr_rpc_presence (xdrs, &objp->rpc_body_u.presence))
+			 return FALSE;
+		break;
+	case RPC_ENTRIES:
+		 if (!xdr_rpc_entries (xdrs, &objp->rpc_body_u.entries))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/schema/gen/objects.h
+++ b/schema/gen/objects.h
@@ -18,6 +18,15 @@
   char *availability_zone;
 };
 
+/* Where an availability zone is.  */
+struct jc_zone_place
+{
+  /* Name of the zone.  */
+  char *name;
+  /* Region of the zone.  */
+  char *region;
+};
+
 /* Settings of jaycove-entry.  */
 struct jc_entry_settings
 {
@@ -53,6 +62,30 @@
   int64_t drain_limit_ms;
   /* Largest body of a request, bytes.  */
   int64_t max_body_bytes;
+  /* How callers' requests find their route: by product and name, or by host and path.  */
+  char *routing;
+  /* Addresses, IP:PORT, of some state instances; their RPC listeners have this process's RPC port. Needed for routing by hosts.  */
+  GPtrArray *state_seeds;
+  /* All availability zones, for routing by hosts.  */
+  GPtrArray *zones;
+  /* Listener that says whether this instance is ready; needed for routing by hosts.  */
+  char *ready;
+  /* Listener for requests that other entry instances hand over; needed for routing by hosts.  */
+  char *handover;
+  /* Time from the stop signal until the process is killed, ms.  */
+  int64_t grace_ms;
+  /* Interval at which endpoints report themselves, ms.  */
+  int64_t report_ms;
+  /* Retries allowed for each request, over all entry instances.  */
+  double retry_ratio;
+  /* Retries allowed beyond the ratio in each window, over all entry instances.  */
+  int64_t retry_slack;
+  /* Window over which retries are counted, ms.  */
+  int64_t retry_window_ms;
+  /* How far the rate of a cold endpoint may be exceeded.  */
+  double cold_ratio;
+  /* Requests that a cold endpoint may get in a second beyond its rate.  */
+  int64_t cold_slack;
   /* Least level logged.  */
   char *log_level;
   /* Log as JSON lines.  */
@@ -92,6 +125,20 @@
   int64_t election_ms;
   /* Log entries after which a snapshot is taken.  */
   int64_t snapshot_entries;
+  /* How callers' requests find their route: by product and name, or by host and path.  */
+  char *routing;
+  /* Addresses, IP:PORT, of some state instances; their RPC listeners have this process's RPC port. Needed for routing by hosts.  */
+  GPtrArray *state_seeds;
+  /* Whether the whole group starts for the first time, so that the first seed founds the log.  */
+  bool first_start;
+  /* Disks that may be lost at once; orders rest on one more.  */
+  int64_t losses;
+  /* Listener that tells callers which entry instances to use; needed for routing by hosts.  */
+  char *directory;
+  /* Interval at which endpoints report themselves, ms.  */
+  int64_t report_ms;
+  /* Time after which an entry instance that is not heard is left out of the directory, ms.  */
+  int64_t contact_ms;
   /* Least level logged.  */
   char *log_level;
   /* Log as JSON lines.  */
@@ -324,6 +371,7 @@
 };
 
 extern const struct jc_table jc_peer_table;
+extern const struct jc_table jc_zone_place_table;
 extern const struct jc_table jc_entry_settings_table;
 extern const struct jc_table jc_state_settings_table;
 extern const struct jc_table jc_region_table;
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -50,7 +50,14 @@
   RPC_ADMIN = 60,
   RPC_ADMIN_REPLY = 61,
   RPC_PROPOSE = 70,
-  RPC_PROPOSE_REPLY = 71
+  RPC_PROPOSE_REPLY = 71,
+  RPC_GROUP = 80,
+  RPC_ORDERS_FOLLOW = 81,
+  RPC_ORDERS = 82,
+  RPC_ORDERS_READ = 83,
+  RPC_FLEET = 84,
+  RPC_PRESENCE = 85,
+  RPC_ENTRIES = 86
 };
 
 struct rpc_hello {
@@ -94,7 +101,8 @@
   rpc_bytes faults;
 };
 
-/* An endpoint as its instance of the zone knows it.  */
+/* An endpoint as its instance of the zone knows it.  cold_ms is how much
+   longer it is cold; zone may be empty where all share one.  */
 struct rpc_endpoint {
   rpc_name name;
   unsigned hyper incarnation;
@@ -109,6 +117,8 @@
   unsigned int queued;
   unsigned int tokens_per_s;
   unsigned int lease_ms;
+  rpc_name zone;
+  unsigned int cold_ms;
 };
 
 /* Load of an endpoint that its receiver knows.  tag stands for name and
@@ -459,6 +469,68 @@
   int status;
 };
 
+/* Names of the state instances that are known; each is an IP number.  */
+struct rpc_group {
+  rpc_name names<64>;
+};
+
+/* One order of an operator, as an entry of the log.  data is the text of a
+   route table with its version, or the name of an availability zone.  */
+enum rpc_order_kind {
+  RPC_ORDER_ROUTES = 1,
+  RPC_ORDER_EVACUATE = 2,
+  RPC_ORDER_READMIT = 3
+};
+
+struct rpc_order {
+  rpc_order_kind kind;
+  unsigned hyper table_version;
+  rpc_bytes data;
+};
+
+struct rpc_orders_follow {
+  unsigned hyper have_position;
+  unsigned hyper have_version;
+};
+
+/* The outcome of all orders up to position in the log.  text is the route
+   table of version, left out where the receiver has that version.  */
+struct rpc_orders {
+  unsigned hyper position;
+  unsigned hyper table_version;
+  rpc_bytes text;
+  rpc_name evacuated<256>;
+};
+
+/* Endpoints as they reported themselves to a state instance.  */
+struct rpc_fleet {
+  rpc_endpoint endpoints<RPC_ITEMS_MAX>;
+};
+
+/* What an entry instance can do for one service: usable endpoints there, and
+   the wait before a request would begin to run.  */
+struct rpc_service_room {
+  rpc_name service;
+  unsigned int endpoints;
+  unsigned int wait_ms;
+};
+
+/* An entry instance as it reports itself.  Addresses are IP:PORT.  */
+struct rpc_presence {
+  rpc_name name;
+  rpc_name region;
+  rpc_name zone;
+  rpc_name callers_address;
+  rpc_name handover_address;
+  bool draining;
+  bool ready;
+  rpc_service_room rooms<64>;
+};
+
+struct rpc_entries {
+  rpc_presence list<1024>;
+};
+
 union rpc_body switch (rpc_type type) {
 case RPC_HELLO: rpc_hello hello;
 case RPC_HELLO_ACK: rpc_hello hello_ack;
@@ -491,6 +563,13 @@
 case RPC_ADMIN_REPLY: rpc_admin_reply admin_reply;
 case RPC_PROPOSE: rpc_propose propose;
 case RPC_PROPOSE_REPLY: rpc_propose_reply propose_reply;
+case RPC_GROUP: rpc_group group;
+case RPC_ORDERS_FOLLOW: rpc_orders_follow orders_follow;
+case RPC_ORDERS: rpc_orders orders;
+case RPC_ORDERS_READ: void;
+case RPC_FLEET: rpc_fleet fleet;
+case RPC_PRESENCE: rpc_presence presence;
+case RPC_ENTRIES: rpc_entries entries;
 };
 
 struct rpc_packet {
--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -6,8 +6,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SCHEMA = json.loads((ROOT / "schema/schema.json").read_text())
 KINDS = {"name": "NAME", "string": "STRING", "secret": "SECRET", "address": "ADDRESS",
-         "int": "INT", "bool": "BOOL", "strings": "STRINGS"}
-CTYPES = {"INT": "int64_t ", "BOOL": "bool ", "STRINGS": "GPtrArray *", "REFS": "GPtrArray *",
+         "int": "INT", "number": "NUMBER", "bool": "BOOL", "strings": "STRINGS"}
+CTYPES = {"INT": "int64_t ", "NUMBER": "double ", "BOOL": "bool ", "STRINGS": "GPtrArray *", "REFS": "GPtrArray *",
           "LIST": "GPtrArray *"}
 
 
@@ -47,12 +47,14 @@
              f".offset = offsetof (struct jc_{name}, {f['key']})"]
     if f.get("required"):
         parts.append(".required = true")
-    if kind == "INT":
+    if kind in ("INT", "NUMBER"):
         parts += [f".min = {f['min']}", f".max = {f['max']}"]
     if kind in ("INT", "BOOL") and "default" in f:
         parts.append(f".preset = {int(f['default'])}")
     if kind in ("STRING", "CHOICE") and f.get("default"):
         parts.append(f".preset_text = {quote(f['default'])}")
+    if kind == "NUMBER":
+        parts.append(f'.preset_text = "{f["default"]}"')
     if kind == "LIST":
         parts.append(f".table = &jc_{target}_table")
     elif target:
--- /dev/null
+++ b/serve/budget.c
@@ -0,0 +1,156 @@
+/* Budgets that all entry instances share.  */
+
+#include "serve/budget.h"
+#include "serve/window.h"
+
+enum
+{
+  /* The platform names no number of instances; until others are known this
+     many are assumed, more than the deployments have.  */
+  INSTANCES_ASSUMED = 12,
+  /* An instance that is not seen any longer may be cut off and still spend
+     its share.  */
+  INSTANCES_KEPT_MS = 60000,
+  /* Views of who owns a cold endpoint that may differ at one time.  */
+  COLD_OWNERS = 2,
+  COLD_WINDOW_MS = 1000,
+  COLD_KEPT_MS = 60000
+};
+
+struct service
+{
+  struct jc_window requests;
+  struct jc_window retries;
+};
+
+struct cold
+{
+  struct jc_window sent;
+  int64_t used_ms;
+};
+
+struct jc_budgets
+{
+  struct jc_budget_terms terms;
+  GHashTable *services;
+  GHashTable *cold;
+  unsigned int instances;
+  int64_t instances_ms;
+};
+
+/* Return budgets under TERMS, with nothing spent.  */
+struct jc_budgets *
+jc_budgets_new (const struct jc_budget_terms *terms)
+{
+  struct jc_budgets *budgets = g_new0 (struct jc_budgets, 1);
+
+  budgets->terms = *terms;
+  budgets->instances = INSTANCES_ASSUMED;
+  budgets->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  budgets->cold
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return budgets;
+}
+
+/* Free BUDGETS.  */
+void
+jc_budgets_free (struct jc_budgets *budgets)
+{
+  if (budgets == NULL)
+    return;
+  g_hash_table_destroy (budgets->services);
+  g_hash_table_destroy (budgets->cold);
+  g_free (budgets);
+}
+
+/* COUNT instances are seen.  Fewer than before count only once those that are
+   missing have been so for long.  */
+void
+jc_budgets_set_instances (struct jc_budgets *budgets, unsigned int count,
+                          int64_t now_ms)
+{
+  if (count >= budgets->instances
+      || now_ms - budgets->instances_ms > INSTANCES_KEPT_MS)
+    {
+      budgets->instances = MAX (count, 1);
+      budgets->instances_ms = now_ms;
+    }
+}
+
+static struct service *
+service_of (struct jc_budgets *budgets, const char *name)
+{
+  struct service *service = g_hash_table_lookup (budgets->services, name);
+
+  if (service != NULL)
+    return service;
+  service = g_new0 (struct service, 1);
+  jc_window_init (&service->requests, budgets->terms.retry_window_ms);
+  jc_window_init (&service->retries, budgets->terms.retry_window_ms);
+  g_hash_table_insert (budgets->services, g_strdup (name), service);
+  return service;
+}
+
+/* A caller's request for SERVICE came.  */
+void
+jc_budgets_request (struct jc_budgets *budgets, const char *service,
+                    int64_t now_ms)
+{
+  jc_window_add (&service_of (budgets, service)->requests, now_ms);
+}
+
+/* Take one retry from the budget of SERVICE.  Return whether there was
+   one.  */
+bool
+jc_budgets_retry (struct jc_budgets *budgets, const char *service,
+                  int64_t now_ms)
+{
+  struct service *state = service_of (budgets, service);
+  double allowed
+      = budgets->terms.retry_ratio * jc_window_least (&state->requests, now_ms)
+        + (double)budgets->terms.retry_slack / budgets->instances;
+
+  if (jc_window_most (&state->retries, now_ms) + 1 > allowed)
+    return false;
+  jc_window_add (&state->retries, now_ms);
+  return true;
+}
+
+static void
+cold_expire (struct jc_budgets *budgets, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, budgets->cold);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_ms - ((struct cold *)value)->used_ms > COLD_KEPT_MS)
+      g_hash_table_iter_remove (&iter);
+}
+
+/* Tell whether the cold ENDPOINT, which bears PER_S requests a second, may
+   get one more from this instance; with SPEND it does.  */
+bool
+jc_budgets_cold (struct jc_budgets *budgets, const char *endpoint, double per_s,
+                 bool spend, int64_t now_ms)
+{
+  struct cold *cold = g_hash_table_lookup (budgets->cold, endpoint);
+  double allowed
+      = (per_s * budgets->terms.cold_ratio + (double)budgets->terms.cold_slack)
+        / COLD_OWNERS;
+
+  if (cold == NULL)
+    {
+      cold_expire (budgets, now_ms);
+      cold = g_new0 (struct cold, 1);
+      jc_window_init (&cold->sent, COLD_WINDOW_MS);
+      g_hash_table_insert (budgets->cold, g_strdup (endpoint), cold);
+    }
+  if (jc_window_most (&cold->sent, now_ms) + 1 > allowed)
+    return false;
+  cold->used_ms = now_ms;
+  if (spend)
+    jc_window_add (&cold->sent, now_ms);
+  return true;
+}
--- /dev/null
+++ b/serve/budget.h
@@ -0,0 +1,36 @@
+/* Budgets that all entry instances share: retries of a service, and requests
+   to a cold endpoint.  Each instance spends a share that it computes alone, so
+   that the sum keeps the bound also where instances can't talk.  */
+
+#ifndef JC_BUDGET_H
+#define JC_BUDGET_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+/* Bounds over all instances.  RETRY_RATIO of the requests and RETRY_SLACK
+   more may be retried in each window; a cold endpoint may get COLD_RATIO of
+   its rate and COLD_SLACK more in each second.  */
+struct jc_budget_terms
+{
+  double retry_ratio;
+  int64_t retry_slack;
+  int64_t retry_window_ms;
+  double cold_ratio;
+  int64_t cold_slack;
+};
+
+struct jc_budgets;
+
+struct jc_budgets *jc_budgets_new (const struct jc_budget_terms *terms);
+void jc_budgets_free (struct jc_budgets *budgets);
+void jc_budgets_set_instances (struct jc_budgets *budgets, unsigned int count,
+                               int64_t now_ms);
+void jc_budgets_request (struct jc_budgets *budgets, const char *service,
+                         int64_t now_ms);
+bool jc_budgets_retry (struct jc_budgets *budgets, const char *service,
+                       int64_t now_ms);
+bool jc_budgets_cold (struct jc_budgets *budgets, const char *endpoint,
+                      double per_s, bool spend, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/serve/engine.h
@@ -0,0 +1,60 @@
+/* Engines: what this instance knows of the endpoints' work and of what they
+   have read, and which of them gets a request.  Own requests are known
+   exactly; what others sent only from the load that answers report.  */
+
+#ifndef JC_ENGINE_H
+#define JC_ENGINE_H
+
+#include "member/members.h"
+#include "serve/dialect.h"
+
+/* What a request asks of an endpoint.  CHAIN[i] stands for the prompt's parts
+   up to the one numbered i, which end after TOKENS[i] tokens.  PROMPT_TOKENS
+   is 0 where it is no prompt.  */
+struct jc_demand
+{
+  unsigned int prompt_tokens;
+  unsigned int answer_tokens;
+  unsigned int parts;
+  uint64_t chain[JC_PROMPT_PARTS_MAX];
+  unsigned int tokens[JC_PROMPT_PARTS_MAX];
+};
+
+struct jc_engines;
+
+/* A request at an endpoint, from its sending to its end.  */
+struct jc_engine_run;
+
+enum jc_engine_end
+{
+  JC_ENGINE_SERVED,
+  JC_ENGINE_REFUSED,
+  JC_ENGINE_UNREACHABLE,
+  JC_ENGINE_BROKEN,
+  JC_ENGINE_LEFT
+};
+
+struct jc_engines *jc_engines_new (void);
+void jc_engines_free (struct jc_engines *engines);
+void jc_engines_expire (struct jc_engines *engines, int64_t now_ms);
+
+void jc_demand_of (const struct jc_ask *ask, struct jc_demand *demand);
+int64_t jc_demand_read_ms (const struct jc_demand *demand);
+struct jc_endpoint *jc_engines_pick (struct jc_engines *engines,
+                                     const GPtrArray *endpoints,
+                                     const struct jc_demand *demand,
+                                     int64_t now_ms);
+int64_t jc_engines_wait_ms (struct jc_engines *engines,
+                            const struct jc_endpoint *endpoint,
+                            const struct jc_demand *demand, int64_t now_ms);
+struct jc_engine_run *jc_engines_start (struct jc_engines *engines,
+                                        const struct jc_endpoint *endpoint,
+                                        const struct jc_demand *demand,
+                                        int64_t now_ms);
+void jc_engine_run_begun (struct jc_engine_run *run, int64_t now_ms);
+void jc_engine_run_end (struct jc_engine_run *run, enum jc_engine_end how,
+                        int64_t now_ms);
+void jc_engine_run_load (struct jc_engine_run *run, unsigned int running,
+                         unsigned int queued, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/serve/relay.h
@@ -0,0 +1,63 @@
+/* Relay: what to do with a caller's request after each attempt at an
+   endpoint.  */
+
+#ifndef JC_RELAY_H
+#define JC_RELAY_H
+
+#include "base/status.h"
+#include "conf/routetable.h"
+
+enum
+{
+  /* Endpoints asked for one request, those included that refused it.  */
+  JC_RELAY_TRIES_MAX = 4
+};
+
+/* How an attempt ended.  WHOLE: the answer came whole, with HTTP as its code.
+   SENT is false only where no byte can have reached the endpoint.  */
+struct jc_relay_end
+{
+  bool whole;
+  bool sent;
+  bool not_run;
+  bool genuine;
+  bool late;
+  int http;
+};
+
+/* What comes next: another attempt, the endpoint's answer for the caller, a
+   failure of the gateway's own, or the end of a stream that has begun, whole
+   or broken off.  */
+enum jc_relay_step
+{
+  JC_RELAY_TRY,
+  JC_RELAY_PASS,
+  JC_RELAY_FAIL,
+  JC_RELAY_END,
+  JC_RELAY_BREAK
+};
+
+/* A request under way.  TRIED counts attempts, SENT those that may have run;
+   LAST_EVENT is the last event that the caller has, -1 for none.  */
+struct jc_relay
+{
+  enum jc_route_kind kind;
+  bool resumable;
+  unsigned int endpoints_max;
+  int64_t deadline_ms;
+  unsigned int tried;
+  unsigned int sent;
+  bool begun;
+  int64_t last_event;
+};
+
+void jc_relay_init (struct jc_relay *relay, const struct jc_hostroute *route,
+                    int64_t deadline_ms, int64_t resume_after);
+bool jc_relay_is_idempotent (const struct jc_relay *relay);
+bool jc_relay_may_try (const struct jc_relay *relay, int64_t now_ms);
+enum jc_relay_step jc_relay_after (struct jc_relay *relay,
+                                   const struct jc_relay_end *end,
+                                   int64_t now_ms);
+enum jc_status jc_relay_failure (const struct jc_relay *relay, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/serve/window.c
@@ -0,0 +1,63 @@
+/* Counts over a sliding window of time.  */
+
+#include <string.h>
+
+#include "serve/window.h"
+
+/* Make WINDOW, of LENGTH_MS, empty.  */
+void
+jc_window_init (struct jc_window *window, int64_t length_ms)
+{
+  memset (window, 0, sizeof *window);
+  window->length_ms = length_ms;
+}
+
+/* One cell more than the window has is kept, so that a count over whole cells
+   can cover all of it.  */
+static int64_t
+cell_ms (const struct jc_window *window)
+{
+  int64_t length = window->length_ms / (JC_WINDOW_CELLS - 1);
+
+  return length > 0 ? length : 1;
+}
+
+/* Count one more at NOW_MS.  */
+void
+jc_window_add (struct jc_window *window, int64_t now_ms)
+{
+  int64_t cell = now_ms / cell_ms (window) + 1;
+  unsigned int slot = (unsigned int)(cell % JC_WINDOW_CELLS);
+
+  if (window->cell[slot] != cell)
+    {
+      window->cell[slot] = cell;
+      window->count[slot] = 0;
+    }
+  window->count[slot]++;
+}
+
+static unsigned int
+sum_from (const struct jc_window *window, int64_t first)
+{
+  unsigned int sum = 0;
+
+  for (unsigned int i = 0; i < JC_WINDOW_CELLS; i++)
+    if (window->cell[i] >= first)
+      sum += window->count[i];
+  return sum;
+}
+
+/* Return at least what was counted in the window that ends at NOW_MS.  */
+unsigned int
+jc_window_most (const struct jc_window *window, int64_t now_ms)
+{
+  return sum_from (window, (now_ms - window->length_ms) / cell_ms (window) + 1);
+}
+
+/* Return at most what was counted in the window that ends at NOW_MS.  */
+unsigned int
+jc_window_least (const struct jc_window *window, int64_t now_ms)
+{
+  return sum_from (window, (now_ms - window->length_ms) / cell_ms (window) + 2);
+}
--- /dev/null
+++ b/state/group.c
@@ -0,0 +1,283 @@
+/* Group of state instances.  Each is named by its IP number and finds others
+   by the seeds of its settings and by what those tell.  The leader makes
+   replicas of those that turn up, and has a newcomer take the place of a
+   replica that is silent for long.  */
+
+#include <string.h>
+
+#include "base/event.h"
+#include "base/log.h"
+#include "conf/replicas.h"
+#include "net/address.h"
+#include "net/program.h"
+#include "state/state.h"
+
+#define PART "group"
+
+enum
+{
+  TICK_MS = 250,
+  /* A replica silent for so long makes way for one that has caught up; over
+     an election, and under the time in which a newcomer counts as well.  */
+  REPLACE_MS = 2500,
+  /* A replica without a vote that is silent for so long is forgotten.  */
+  FORGET_MS = 30000,
+  NAMES_MAX = 64,
+  MS_PER_S = 1000
+};
+
+/* KNOWN has the names of the instances that this one dials.  */
+struct group
+{
+  ev_timer tick;
+  GHashTable *known;
+  bool changing;
+};
+
+static char *
+host_of (const char *address)
+{
+  return g_strndup (address, strcspn (address, ":"));
+}
+
+static void
+meet (struct state *state, const char *name)
+{
+  char *address;
+
+  if (strcmp (name, state->settings->name) == 0 || name[0] == '\0'
+      || g_hash_table_contains (state->group->known, name)
+      || g_hash_table_size (state->group->known) >= NAMES_MAX)
+    return;
+  g_hash_table_add (state->group->known, g_strdup (name));
+  address = g_strdup_printf ("%s:%d", name, jc_rpc_port (state->rpc));
+  jc_rpc_dial (state->rpc, name, address);
+  g_free (address);
+}
+
+/* Tell whether this instance founds the log: the first seed does, at the
+   group's first start.  */
+bool
+group_founds (const struct state *state)
+{
+  const GPtrArray *seeds = state->settings->state_seeds;
+  char *first;
+  bool own;
+
+  if (!state->settings->first_start || seeds->len == 0)
+    return false;
+  first = host_of (g_ptr_array_index (seeds, 0));
+  own = strcmp (first, state->settings->name) == 0;
+  g_free (first);
+  return own;
+}
+
+static unsigned int
+standing (const struct rpc_replicas *replicas)
+{
+  unsigned int count = 0;
+
+  for (u_int i = 0; i < replicas->list.list_len; i++)
+    count += replicas->list.list_val[i].standing ? 1 : 0;
+  return count;
+}
+
+static void
+on_changed (void *ctx, enum jc_status status)
+{
+  struct state *state = ctx;
+
+  state->group->changing = false;
+  if (status != JC_OK)
+    jc_event (JC_EVENT_REPLICAS, "outcome=%s", jc_status_name (status));
+}
+
+static void
+put (struct state *state, const char *name, bool stands, const char *why)
+{
+  char *copy = g_strdup (name);
+
+  jc_event (JC_EVENT_REPLICAS, "put=%s standing=%d why=%s", copy, stands, why);
+  state->group->changing = true;
+  log_put_replica (state, copy, stands, on_changed, state);
+  g_free (copy);
+}
+
+static void
+drop (struct state *state, const char *name, int64_t silent_ms)
+{
+  char *copy = g_strdup (name);
+
+  jc_event (JC_EVENT_REPLICAS, "drop=%s silent_ms=%" G_GINT64_FORMAT, copy,
+            silent_ms);
+  state->group->changing = true;
+  log_remove_replica (state, copy, on_changed, state);
+  g_free (copy);
+}
+
+/* Voters that the group aims at: with one more than half of them, as many
+   disks as the settings name may be lost.  */
+static unsigned int
+wanted (const struct state *state)
+{
+  return 2 * (unsigned int)state->settings->losses + 1;
+}
+
+/* Have a caught-up replica without a vote stand, or make room for it where a
+   standing one is silent.  Return whether anything was changed.  */
+static bool
+promote (struct state *state, const struct rpc_replicas *replicas)
+{
+  const struct rpc_replica *fresh = NULL;
+  const struct rpc_replica *silent = NULL;
+  int64_t longest = REPLACE_MS;
+
+  for (u_int i = 0; i < replicas->list.list_len; i++)
+    {
+      const struct rpc_replica *replica = &replicas->list.list_val[i];
+      int64_t silent_ms = log_silent_ms (state, replica->name);
+
+      if (!replica->standing && silent_ms < MS_PER_S
+          && log_caught_up (state, replica->name))
+        fresh = replica;
+      if (replica->standing && silent_ms > longest)
+        {
+          silent = replica;
+          longest = silent_ms;
+        }
+    }
+  if (fresh == NULL)
+    return false;
+  if (standing (replicas) < wanted (state))
+    put (state, fresh->name, true, "place");
+  else if (silent != NULL)
+    drop (state, silent->name, longest);
+  else
+    return false;
+  return true;
+}
+
+/* Make a replica of an instance that is connected and is none yet.  */
+static bool
+admit (struct state *state, const struct rpc_replicas *replicas)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  g_hash_table_iter_init (&iter, state->group->known);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      if (jc_replicas_find (replicas, name) != NULL
+          || jc_rpc_find (state->rpc, name) == NULL)
+        continue;
+      put (state, name, standing (replicas) < wanted (state), "newcomer");
+      return true;
+    }
+  return false;
+}
+
+static void
+forget (struct state *state, const struct rpc_replicas *replicas)
+{
+  for (u_int i = 0; i < replicas->list.list_len; i++)
+    {
+      const struct rpc_replica *replica = &replicas->list.list_val[i];
+      int64_t silent_ms = log_silent_ms (state, replica->name);
+
+      if (replica->standing || silent_ms < FORGET_MS)
+        continue;
+      drop (state, replica->name, silent_ms);
+      return;
+    }
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct state *state = watcher->data;
+  const struct rpc_replicas *replicas;
+
+  (void)loop;
+  (void)events;
+  if (state->group->changing || !log_leads (state))
+    return;
+  replicas = log_replicas (state);
+  if (admit (state, replicas) || promote (state, replicas))
+    return;
+  forget (state, replicas);
+}
+
+/* Send CONN the names of the state instances that are known here.  */
+static void
+introduce (struct state *state, struct jc_rpc_conn *conn)
+{
+  struct rpc_packet packet = { .body.type = RPC_GROUP };
+  struct rpc_group *group = &packet.body.rpc_body_u.group;
+  const struct rpc_replicas *replicas = log_replicas (state);
+  rpc_name names[NAMES_MAX];
+
+  group->names.names_val = names;
+  names[group->names.names_len++] = state->settings->name;
+  for (u_int i = 0; i < replicas->list.list_len; i++)
+    if (group->names.names_len < NAMES_MAX
+        && strcmp (replicas->list.list_val[i].name, state->settings->name) != 0)
+      names[group->names.names_len++] = replicas->list.list_val[i].name;
+  jc_rpc_send (conn, &packet);
+}
+
+/* CONN came up.  */
+void
+group_up (struct state *state, struct jc_rpc_conn *conn)
+{
+  if (strcmp (jc_rpc_conn_role (conn), "state") == 0)
+    meet (state, jc_rpc_conn_name (conn));
+  introduce (state, conn);
+}
+
+/* Learn names that another state instance knows.  */
+void
+group_packet (struct state *state, struct jc_rpc_conn *conn,
+              const struct rpc_packet *packet)
+{
+  const struct rpc_group *group = &packet->body.rpc_body_u.group;
+
+  if (packet->body.type != RPC_GROUP
+      || strcmp (jc_rpc_conn_role (conn), "state") != 0)
+    return;
+  for (u_int i = 0; i < group->names.names_len; i++)
+    meet (state, group->names.names_val[i]);
+}
+
+/* Begin to look for the group.  */
+void
+group_start (struct state *state)
+{
+  const GPtrArray *seeds = state->settings->state_seeds;
+  double every_s = (double)TICK_MS / MS_PER_S;
+
+  state->group = g_new0 (struct group, 1);
+  state->group->known
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < seeds->len; i++)
+    {
+      char *name = host_of (g_ptr_array_index (seeds, i));
+
+      meet (state, name);
+      g_free (name);
+    }
+  ev_timer_init (&state->group->tick, on_tick, every_s, every_s);
+  state->group->tick.data = state;
+  ev_timer_start (state->loop, &state->group->tick);
+}
+
+/* Stop looking.  */
+void
+group_stop (struct state *state)
+{
+  if (state->group == NULL)
+    return;
+  ev_timer_stop (state->loop, &state->group->tick);
+  g_hash_table_destroy (state->group->known);
+  g_free (state->group);
+  state->group = NULL;
+}
--- a/state/log.c
+++ b/state/log.c
@@ -1,9 +1,11 @@
 /* Log task: the replicated log between the state instances.  What came in
    one turn of the loop shares one sync.  */
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/event.h"
 #include "base/log.h"
 #include "conf/replicas.h"
 #include "conf/rlog.h"
@@ -57,16 +59,29 @@
     ledger_config_changed (state);
 }
 
+/* Tell entry instances of the orders that the log came to.  */
+static void
+take_orders (struct state *state)
+{
+  jc_event (JC_EVENT_IN_FORCE,
+            "position=%" PRIu64 " version=%" PRIu64 " evacuated=%u",
+            state->orders->position, state->orders->version,
+            g_hash_table_size (state->orders->evacuated));
+  if (state->log != NULL && state->log->running)
+    orders_changed (state);
+}
+
 static void
 on_applied (void *ctx, uint64_t index, uint32_t kind, struct jc_str data)
 {
   struct state *state = ctx;
 
-  (void)index;
   if (kind == LOG_CHANGE)
     state->answer = jc_changes_apply (state->changes, data);
   else if (kind == LOG_LEDGER)
     ledger_applied (state, data);
+  else if (kind == LOG_ORDER && jc_orders_apply (state->orders, index, data))
+    take_orders (state);
   take_config (state);
 }
 
@@ -94,7 +109,8 @@
   json_t *json = json_loadb (snapshot.data, snapshot.len, 0, NULL);
 
   (void)index;
-  if (jc_changes_restore (state->changes, json) != JC_OK)
+  if (jc_changes_restore (state->changes, json) != JC_OK
+      || jc_orders_restore (state->orders, json) != JC_OK)
     {
       jc_error (PART, "The snapshot can't be read.");
       state->broken = true;
@@ -103,6 +119,7 @@
   else
     restore_ledger (state, json_object_get (json, "ledger"));
   take_config (state);
+  take_orders (state);
   json_decref (json);
 }
 
@@ -117,6 +134,7 @@
   char *text;
 
   jc_changes_snapshot (state->changes, json);
+  jc_orders_snapshot (state->orders, json);
   ledger_snapshot (state, entries);
   for (guint i = 0; i < entries->len; i++)
     {
@@ -138,8 +156,14 @@
 static void
 on_role (void *ctx, enum jc_rlog_role role)
 {
-  (void)ctx;
+  const struct state *state = ctx;
+
   jc_info (PART, "This replica is %s.", jc_rlog_role_name (role));
+  if (state->log == NULL || state->log->rlog == NULL)
+    return;
+  jc_event (JC_EVENT_ROLE, "role=%s term=%" PRIu64 " last=%" PRIu64,
+            jc_rlog_role_name (role), jc_rlog_term (state->log->rlog),
+            jc_rlog_last (state->log->rlog));
 }
 
 static const struct jc_rlog_class log_class = { .send = on_send,
@@ -225,6 +249,8 @@
                                    jc_now_ms (), &status);
   if (status == JC_OK && state->broken)
     status = jc_fail (JC_CORRUPT, "The snapshot on disk is not valid.");
+  if (status == JC_OK && !found && !jc_rlog_founded (state->log->rlog))
+    found = group_founds (state);
   if (status == JC_OK && found)
     status = bootstrap (state);
   if (status != JC_OK)
@@ -276,6 +302,37 @@
          && jc_rlog_role (state->log->rlog) == JC_RLOG_LEADER;
 }
 
+/* Tell whether a quorum of the voters has more disks than may be lost at
+   once.  */
+bool
+log_rests_on_enough (const struct state *state)
+{
+  unsigned int voters = jc_replicas_voters (log_replicas (state));
+
+  return voters / 2 + 1 > (unsigned int)state->settings->losses;
+}
+
+/* Return the replicas of the log.  */
+const struct rpc_replicas *
+log_replicas (const struct state *state)
+{
+  return jc_rlog_replicas (state->log->rlog);
+}
+
+/* Return for how long the replica NAME has not answered this leader, ms.  */
+int64_t
+log_silent_ms (const struct state *state, const char *name)
+{
+  return jc_rlog_silent_ms (state->log->rlog, name, jc_now_ms ());
+}
+
+/* Tell whether the replica NAME holds all that is committed.  */
+bool
+log_caught_up (const struct state *state, const char *name)
+{
+  return jc_rlog_caught_up (state->log->rlog, name);
+}
+
 /* A proposal that was handed to the leader.  */
 struct handed
 {
@@ -350,6 +407,15 @@
                    on_proposed, call_keep (state->calls, conn, packet));
 }
 
+/* Changes of the configuration and of the replicas go other ways.  */
+static bool
+may_be_handed (const struct rpc_packet *packet)
+{
+  u_int kind = packet->body.rpc_body_u.propose.kind;
+
+  return kind == LOG_LEDGER || kind == LOG_ORDER;
+}
+
 /* Take a message of another replica.  */
 void
 log_packet (struct state *state, struct jc_rpc_conn *conn,
@@ -359,7 +425,7 @@
 
   if (strcmp (jc_rpc_conn_role (conn), "state") != 0)
     return;
-  if (type == RPC_PROPOSE && packet->body.rpc_body_u.propose.kind == LOG_LEDGER)
+  if (type == RPC_PROPOSE && may_be_handed (packet))
     take_proposal (state, conn, packet);
   else if (type >= RPC_VOTE && type <= RPC_INSTALL_REPLY)
     jc_rlog_receive (state->log->rlog, jc_rpc_conn_name (conn), &packet->body,
--- a/state/main.c
+++ b/state/main.c
@@ -1,9 +1,13 @@
 /* jaycove-state: an instance with a disk.  */
 
 #include <signal.h>
+#include <string.h>
 
+#include "base/event.h"
 #include "base/log.h"
+#include "net/loopevents.h"
 #include "net/program.h"
+#include "platform/platform.h"
 #include "state/call.h"
 #include "state/state.h"
 
@@ -45,6 +49,43 @@
 static const struct jc_rpc_class rpc_class
     = { .up = on_up, .down = on_down, .packet = on_packet };
 
+static void
+on_hosts_up (void *ctx, struct jc_rpc_conn *conn)
+{
+  jc_event (JC_EVENT_PEER_UP, "peer=%s role=%s", jc_rpc_conn_name (conn),
+            jc_rpc_conn_role (conn));
+  group_up (ctx, conn);
+  fleet_up (ctx, conn);
+}
+
+static void
+on_hosts_down (void *ctx, struct jc_rpc_conn *conn)
+{
+  jc_event (JC_EVENT_PEER_DOWN, "peer=%s role=%s", jc_rpc_conn_name (conn),
+            jc_rpc_conn_role (conn));
+  orders_down (ctx, conn);
+  call_down (((struct state *)ctx)->calls, conn);
+}
+
+static void
+on_hosts_packet (void *ctx, struct jc_rpc_conn *conn,
+                 const struct rpc_packet *packet)
+{
+  log_packet (ctx, conn, packet);
+  group_packet (ctx, conn, packet);
+  orders_packet (ctx, conn, packet);
+  presence_packet (ctx, conn, packet);
+}
+
+static const struct jc_rpc_class hosts_rpc_class
+    = { .up = on_hosts_up, .down = on_hosts_down, .packet = on_hosts_packet };
+
+static bool
+routes_by_hosts (const struct state *state)
+{
+  return strcmp (state->settings->routing, "hosts") == 0;
+}
+
 static void
 on_term (struct ev_loop *loop, ev_signal *watcher, int events)
 {
@@ -53,6 +94,19 @@
   ev_break (loop, EVBREAK_ALL);
 }
 
+/* Start what routing by hosts needs beside the log.  */
+static enum jc_status
+start_hosts (struct state *state)
+{
+  jc_rpc_set_config_version (state->rpc, state->orders->position);
+  fleet_start (state);
+  presence_start (state);
+  group_start (state);
+  jc_event (JC_EVENT_START, "role=state name=%s position=%" G_GUINT64_FORMAT,
+            state->settings->name, state->orders->position);
+  return control_start (state);
+}
+
 static enum jc_status
 start (struct state *state, bool found)
 {
@@ -73,17 +127,42 @@
     return JC_STORAGE_FAILED;
   state->changes = jc_changes_new ();
   state->config = state->changes->config;
-  state->rpc = jc_rpc_new (state->loop, &identity, &rpc_class, state);
+  state->orders = jc_orders_new ();
+  state->rpc = jc_rpc_new (
+      state->loop, &identity,
+      routes_by_hosts (state) ? &hosts_rpc_class : &rpc_class, state);
   jc_rpc_set_config_version (state->rpc, state->config->version);
   status = ledger_start (state);
   if (status == JC_OK)
     status = log_start (state, found);
+  if (status == JC_OK)
+    status = jc_rpc_listen (state->rpc, s->rpc);
   if (status != JC_OK)
     return status;
-  status = jc_rpc_listen (state->rpc, s->rpc);
-  if (status == JC_OK)
-    jc_rpc_dial_all (state->rpc, s->state_peers);
-  return status;
+  if (routes_by_hosts (state))
+    return start_hosts (state);
+  jc_rpc_dial_all (state->rpc, s->state_peers);
+  return JC_OK;
+}
+
+static void
+stop (struct state *state)
+{
+  control_stop (state);
+  presence_stop (state);
+  fleet_stop (state);
+  group_stop (state);
+  ledger_stop (state);
+  log_stop (state);
+  if (state->rpc != NULL)
+    jc_rpc_free (state->rpc);
+  if (state->disk != NULL)
+    state->disk->klass->free (state->disk);
+  jc_orders_free (state->orders);
+  jc_changes_free (state->changes);
+  g_ptr_array_free (state->followers, TRUE);
+  g_ptr_array_free (state->order_followers, TRUE);
+  g_ptr_array_free (state->calls, TRUE);
 }
 
 int
@@ -109,7 +188,12 @@
                 state.settings->log_json);
   state.loop = ev_default_loop (0);
   state.followers = g_ptr_array_new_with_free_func (g_free);
+  state.order_followers = g_ptr_array_new_with_free_func (g_free);
   state.calls = g_ptr_array_new ();
+  state.dialect = &platform_dialect;
+  state.started_ms = jc_now_ms ();
+  if (routes_by_hosts (&state))
+    jc_loopevents_start (state.loop);
   ev_signal_init (&term, on_term, SIGTERM);
   ev_signal_start (state.loop, &term);
   if (start (&state, bootstrap) == JC_OK)
@@ -123,15 +207,10 @@
       jc_error (PART, "%s", jc_last_message ());
       code = JC_EXIT_FAILED;
     }
-  ledger_stop (&state);
-  log_stop (&state);
-  if (state.rpc != NULL)
-    jc_rpc_free (state.rpc);
-  if (state.disk != NULL)
-    state.disk->klass->free (state.disk);
-  jc_changes_free (state.changes);
-  g_ptr_array_free (state.followers, TRUE);
-  g_ptr_array_free (state.calls, TRUE);
+  jc_event (JC_EVENT_STOP, "role=state name=%s code=%d", state.settings->name,
+            code);
+  stop (&state);
+  jc_loopevents_stop (state.loop);
   jc_table_free (program.table, settings);
   return code;
 }
--- a/state/state.h
+++ b/state/state.h
@@ -6,9 +6,13 @@
 #include <ev.h>
 
 #include "base/disk.h"
+#include "base/metrics.h"
 #include "conf/changes.h"
+#include "conf/orders.h"
+#include "member/members.h"
 #include "net/httpd.h"
 #include "net/rpc.h"
+#include "serve/dialect.h"
 
 /* Everything of the process.  CONFIG is that of CHANGES; ANSWER is the one to
    the change that was applied last.  */
@@ -26,6 +30,15 @@
   struct log *log;
   bool broken;
   struct ledgers *ledgers;
+  struct jc_metrics *metrics;
+  const struct jc_dialect *dialect;
+  struct jc_orders *orders;
+  GPtrArray *order_followers;
+  struct group *group;
+  struct control *control;
+  struct fleet *fleet;
+  struct presence *presence;
+  int64_t started_ms;
 };
 
 /* Kinds of entries of the replicated log.  */
@@ -34,7 +47,8 @@
   LOG_NOOP,
   LOG_CHANGE,
   LOG_REPLICAS,
-  LOG_LEDGER
+  LOG_LEDGER,
+  LOG_ORDER
 };
 
 /* Hears what became of a proposal: JC_OK once it is committed, JC_NOT_LEADER
@@ -49,6 +63,10 @@
                   log_done_fn *done, void *ctx);
 
 bool log_leads (const struct state *state);
+bool log_rests_on_enough (const struct state *state);
+const struct rpc_replicas *log_replicas (const struct state *state);
+int64_t log_silent_ms (const struct state *state, const char *name);
+bool log_caught_up (const struct state *state, const char *name);
 struct jc_rpc_conn *log_leader_conn (struct state *state);
 void log_packet (struct state *state, struct jc_rpc_conn *conn,
                  const struct rpc_packet *packet);
@@ -74,6 +92,46 @@
 void ledger_admin (struct state *state, struct jc_rpc_conn *conn,
                    const struct rpc_packet *packet);
 
+/* group: state instances that find each other by seeds, and the replicas of
+   the log among them.  */
+void group_start (struct state *state);
+void group_stop (struct state *state);
+bool group_founds (const struct state *state);
+void group_up (struct state *state, struct jc_rpc_conn *conn);
+void group_packet (struct state *state, struct jc_rpc_conn *conn,
+                   const struct rpc_packet *packet);
+
+/* control: calls of endpoints and operators.  */
+enum jc_status control_start (struct state *state);
+void control_stop (struct state *state);
+
+/* orders: what operators ask for, and its way to entry instances.  */
+void orders_packet (struct state *state, struct jc_rpc_conn *conn,
+                    const struct rpc_packet *packet);
+void orders_submit (struct state *state, const struct rpc_order *order,
+                    log_done_fn *done, void *ctx);
+void orders_read (struct state *state, log_done_fn *done, void *ctx);
+void orders_changed (struct state *state);
+void orders_down (struct state *state, struct jc_rpc_conn *conn);
+
+/* fleet: endpoints as they report themselves here.  */
+void fleet_start (struct state *state);
+void fleet_stop (struct state *state);
+enum jc_status fleet_report (struct state *state,
+                             const struct rpc_endpoint *said);
+enum jc_status fleet_leave (struct state *state, const char *name,
+                            uint64_t incarnation);
+void fleet_up (struct state *state, struct jc_rpc_conn *conn);
+
+/* presence: entry instances and the directory of them.  */
+void presence_start (struct state *state);
+void presence_stop (struct state *state);
+void presence_packet (struct state *state, struct jc_rpc_conn *conn,
+                      const struct rpc_packet *packet);
+void presence_list (struct state *state, const struct jc_whereabouts *where,
+                    GPtrArray *addresses);
+unsigned int presence_connected (const struct state *state, const char *region);
+
 void submit_handle (struct state *state, struct jc_rpc_conn *conn,
                     const struct rpc_packet *packet);
 void followers_add (struct state *state, struct jc_rpc_conn *conn,
