Read settings again; keep hand-overs to their endpoints; refuse streams late in a drain

Change: settings are read again on SIGHUP and when their file changes; the receiver is told how many endpoints are left; streams are refused once a draining instance has under 5 s; the directory's answers last 1 s.

--- a/entry/following.c
+++ b/entry/following.c
@@ -48,12 +48,10 @@
   g_free (address);
 }
 
-/* Connect to the state instances that the settings name.  */
+/* Connect to the state instances that SEEDS name.  */
 void
-following_start (struct hosts *hosts)
+following_seeds (struct hosts *hosts, const GPtrArray *seeds)
 {
-  const GPtrArray *seeds = hosts->entry->settings->state_seeds;
-
   for (guint i = 0; i < seeds->len; i++)
     {
       char *name = host_of (g_ptr_array_index (seeds, i));
--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -1,7 +1,6 @@
 /* Routing by hosts: the start, the end and the listeners of its tasks.  */
 
 #include <string.h>
-#include <sys/stat.h>
 
 #include "base/event.h"
 #include "base/log.h"
@@ -18,7 +17,7 @@
   TICK_MS = 100,
   /* Callers may use an answer of the directory for three times its life, so
      an instance that stops still answers for so long.  */
-  DRAIN_LINGER_MS = 5000,
+  DRAIN_LINGER_MS = 3500,
   /* What is left of the grace for the process to end by itself.  */
   DRAIN_MARGIN_MS = 400,
   SMALL_BODY_MAX = 64 * 1024,
@@ -116,6 +115,14 @@
   g_free (neighbour);
 }
 
+/* Return the time until a draining instance ends at the latest, ms.  */
+int64_t
+hosts_drain_left_ms (const struct entry *entry)
+{
+  return entry->drain_ms + entry->settings->grace_ms - DRAIN_MARGIN_MS
+         - jc_now_ms ();
+}
+
 static void
 drain_tick (struct entry *entry)
 {
@@ -123,8 +130,7 @@
   bool idle = entry->in_flight == 0 && jc_httpd_requests (entry->callers) == 0
               && jc_httpd_requests (entry->hosts->handover) == 0;
 
-  if ((idle && waited >= DRAIN_LINGER_MS)
-      || waited >= entry->settings->grace_ms - DRAIN_MARGIN_MS)
+  if ((idle && waited >= DRAIN_LINGER_MS) || hosts_drain_left_ms (entry) <= 0)
     ev_break (entry->loop, EVBREAK_ALL);
 }
 
@@ -155,6 +161,16 @@
   following_report (entry->hosts);
 }
 
+/* Take what may change in SETTINGS, read anew: where state instances are.  */
+void
+hosts_reload (void *ctx, const void *settings)
+{
+  struct entry *entry = ctx;
+
+  following_seeds (entry->hosts,
+                   ((const struct jc_entry_settings *)settings)->state_seeds);
+}
+
 static enum jc_status
 open_listeners (struct entry *entry)
 {
@@ -217,7 +233,7 @@
   ev_timer_init (&hosts->tick, on_tick, every_s, every_s);
   hosts->tick.data = entry;
   ev_timer_start (entry->loop, &hosts->tick);
-  following_start (hosts);
+  following_seeds (hosts, settings->state_seeds);
   return open_listeners (entry);
 }
 
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -45,10 +45,12 @@
 enum jc_status hosts_start (struct entry *entry);
 void hosts_stop (struct entry *entry);
 void hosts_drain (struct entry *entry);
+int64_t hosts_drain_left_ms (const struct entry *entry);
+void hosts_reload (void *ctx, const void *settings);
 extern const struct jc_rpc_class hosts_rpc_class;
 
 /* following: what state instances tell.  */
-void following_start (struct hosts *hosts);
+void following_seeds (struct hosts *hosts, const GPtrArray *seeds);
 void following_up (struct hosts *hosts, struct jc_rpc_conn *conn);
 void following_packet (struct hosts *hosts, struct jc_rpc_conn *conn,
                        const struct rpc_packet *packet);
--- a/entry/main.c
+++ b/entry/main.c
@@ -6,6 +6,7 @@
 #include "entry/entry.h"
 #include "entry/hosts.h"
 #include "net/program.h"
+#include "net/reload.h"
 
 #define PART "entry"
 
@@ -64,6 +65,11 @@
     drain_start (entry);
 }
 
+static const struct jc_program program
+    = { .name = "jaycove-entry",
+        .purpose = "Serves callers and routes their requests to endpoints.",
+        .table = &jc_entry_settings_table };
+
 static enum jc_status
 start_tasks (struct entry *entry)
 {
@@ -88,7 +94,10 @@
   if (jc_rpc_listen (entry->rpc, s->rpc) != JC_OK)
     return JC_UNREACHABLE;
   if (hosts_wanted (entry))
-    return hosts_start (entry);
+    {
+      jc_reload_start (entry->loop, &program, hosts_reload, entry);
+      return hosts_start (entry);
+    }
   admission_start (entry);
   handover_start (entry);
   entry->callers = callers_listen (entry);
@@ -147,10 +156,6 @@
 int
 main (int argc, char **argv)
 {
-  static const struct jc_program program
-      = { .name = "jaycove-entry",
-          .purpose = "Serves callers and routes their requests to endpoints.",
-          .table = &jc_entry_settings_table };
   struct entry entry = { 0 };
   void *settings = NULL;
   int code;
--- a/entry/passage.c
+++ b/entry/passage.c
@@ -22,6 +22,8 @@
   BUFFERED_MAX = 256 * 1024,
   /* An answer shows that its endpoint is there, whatever its reports do.  */
   LEASE_BY_ANSWER_MS = 4000,
+  /* An instance that stops takes streams while it has this much time.  */
+  DRAIN_STREAM_MS = 5000,
   HEADERS_MAX = JC_HEAD_FIELDS_MAX + 2,
   /* When a refused caller may come back: the least, and over how long those
      that come at once are spread.  */
@@ -34,6 +36,8 @@
 /* Headers that one entry instance sets for another.  */
 #define HEADER_ERROR "X-Jaycove-Error"
 #define HEADER_RUN "X-Jaycove-Run"
+/* At how many endpoints the receiver may run the request.  */
+#define HEADER_ENDPOINTS "X-Jaycove-Endpoints"
 
 /* A request under way.  REQ lives as long as this.  TABLE is the one that
    ROUTE is of.  PLACE names where the current attempt goes, AWAY that it is
@@ -113,12 +117,13 @@
 {
   jc_event (event,
             "id=%s route=%s service=%s outcome=%s place=%s tried=%u sent=%u "
-            "ms=%" PRId64 " left_ms=%" PRId64 " version=%" PRIu64 " guest=%d",
+            "ms=%" PRId64 " left_ms=%" PRId64 " version=%" PRIu64
+            " guest=%d heard=%d last_event=%" PRId64,
             id_of (passage), passage->route->name, passage->service, outcome,
             passage->place != NULL ? passage->place : "-", passage->relay.tried,
             passage->relay.sent, jc_now_ms () - passage->started_ms,
             passage->relay.deadline_ms - jc_now_ms (), passage->table->version,
-            passage->guest);
+            passage->guest, passage->heard, passage->relay.last_event);
 }
 
 /* Answer by a failure of this gateway's own.  */
@@ -392,12 +397,14 @@
 on_done (void *ctx, const struct jc_call_result *result)
 {
   struct passage *passage = ctx;
-  struct jc_relay_end end = { .whole = result->status == JC_OK,
-                              .sent = result->sent,
-                              .not_run = passage->signs.not_run,
-                              .genuine = passage->signs.genuine,
-                              .late = result->status == JC_TIMEOUT,
-                              .http = result->http };
+  struct jc_relay_end end
+      = { .whole = result->status == JC_OK,
+          .sent = result->sent,
+          .not_run = passage->signs.not_run,
+          .genuine = passage->signs.genuine,
+          .late = result->status == JC_TIMEOUT,
+          .http = result->http,
+          .endpoints = passage->away ? jc_relay_left (&passage->relay) : 1 };
 
   passage->call = NULL;
   passage->paused = false;
@@ -452,11 +459,15 @@
       const struct jc_head_field *field = &head->fields[i];
 
       if (dialect->to_endpoint (field->name)
+          && g_ascii_strcasecmp (field->name, HEADER_ENDPOINTS) != 0
           && !jc_head_is_hop (head, field->name))
         g_ptr_array_add (lines,
                          g_strconcat (field->name, ": ", field->value, NULL));
     }
   dialect->terms (terms, lines);
+  if (passage->away)
+    g_ptr_array_add (lines, g_strdup_printf (HEADER_ENDPOINTS ": %u",
+                                             jc_relay_left (&passage->relay)));
   g_ptr_array_add (lines, NULL);
   return lines;
 }
@@ -595,6 +606,21 @@
   return JC_OK;
 }
 
+/* Tell whether an instance that drains has the time for a request of ROUTE.
+   How long a stream lasts is not known; most end in the time that is left
+   soon after the start.  */
+static bool
+drain_allows (const struct entry *entry, const struct jc_hostroute *route)
+{
+  int64_t left = hosts_drain_left_ms (entry);
+
+  if (!entry->draining)
+    return true;
+  if (route->kind == JC_ROUTE_STREAM)
+    return left >= DRAIN_STREAM_MS;
+  return left >= route->timeout_ms;
+}
+
 /* Check the head of REQ before its body is read.  */
 enum jc_status
 passage_head (struct hosts *hosts, struct jc_http_req *req)
@@ -603,6 +629,8 @@
   struct jc_ask ask;
   enum jc_status status = find_route (hosts, req, &route);
 
+  if (status == JC_OK && !drain_allows (hosts->entry, route))
+    status = jc_fail (JC_DRAINING, "This instance is about to stop.");
   if (status == JC_OK)
     status = hosts->dialect->ask (jc_http_head (req), &ask);
   if (status != JC_OK)
@@ -625,6 +653,19 @@
                          : (uint64_t)g_random_int ();
 }
 
+/* Keep RELAY, of a request that was handed over, to the endpoints that the
+   instance before allows.  */
+static void
+take_endpoints (struct jc_relay *relay, const struct jc_http_req *req)
+{
+  const char *allowed = jc_http_header (req, HEADER_ENDPOINTS);
+
+  if (allowed != NULL)
+    relay->endpoints_max
+        = MIN (relay->endpoints_max,
+               (unsigned int)g_ascii_strtoull (allowed, NULL, 10));
+}
+
 /* Begin with REQ, whose body is read.  A GUEST was handed over by another
    entry instance and goes to no other.  */
 void
@@ -662,7 +703,9 @@
                  ask.resume_after);
   jc_http_set_data (req, passage);
   hosts->entry->in_flight++;
-  if (!guest)
+  if (guest)
+    take_endpoints (&passage->relay, req);
+  else
     jc_budgets_request (hosts->budgets, passage->service, passage->started_ms);
   passage_attempt (passage);
 }
--- a/net/program.c
+++ b/net/program.c
@@ -14,6 +14,15 @@
   NS_PER_MS = 1000000
 };
 
+static char *settings_file;
+
+/* Return the file that the settings were read from.  */
+const char *
+jc_program_settings_file (void)
+{
+  return settings_file;
+}
+
 /* Return the monotonic time in ms.  */
 int64_t
 jc_now_ms (void)
@@ -81,6 +90,8 @@
   errors = arg_parse (argc, argv, table);
   *exit_code = JC_EXIT_OK;
   signal (SIGPIPE, SIG_IGN);
+  /* Until a daemon that reads its settings again is ready to.  */
+  signal (SIGHUP, SIG_IGN);
   if (sodium_init () < 0)
     *exit_code = JC_EXIT_FAILED;
   else if (help->count > 0)
@@ -101,7 +112,9 @@
     }
   else
     {
-      *settings = load_settings (program, file->filename[0]);
+      g_free (settings_file);
+      settings_file = g_strdup (file->filename[0]);
+      *settings = load_settings (program, settings_file);
       if (*settings == NULL)
         *exit_code = JC_EXIT_SETTINGS;
       run = *settings != NULL && check->count == 0;
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -42,6 +42,16 @@
   return jc_relay_is_idempotent (relay) && relay->sent < relay->endpoints_max;
 }
 
+/* Return at how many more endpoints the request may run.  */
+unsigned int
+jc_relay_left (const struct jc_relay *relay)
+{
+  if (!jc_relay_is_idempotent (relay))
+    return relay->sent == 0 ? 1 : 0;
+  return relay->endpoints_max > relay->sent ? relay->endpoints_max - relay->sent
+                                            : 0;
+}
+
 static enum jc_relay_step
 try_or (const struct jc_relay *relay, enum jc_relay_step otherwise,
         int64_t now_ms)
@@ -58,7 +68,7 @@
 
   relay->tried++;
   if (end->sent && !(end->whole && end->not_run))
-    relay->sent++;
+    relay->sent += end->endpoints > 1 ? end->endpoints : 1;
   if (relay->begun)
     return answered ? JC_RELAY_END : try_or (relay, JC_RELAY_BREAK, now_ms);
   if (end->whole && end->not_run)
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -14,7 +14,8 @@
 };
 
 /* How an attempt ended.  WHOLE: the answer came whole, with HTTP as its code.
-   SENT is false only where no byte can have reached the endpoint.  */
+   SENT is false only where no byte can have reached the endpoint; ENDPOINTS
+   is at how many it may have run, where that is more than one.  */
 struct jc_relay_end
 {
   bool whole;
@@ -23,6 +24,7 @@
   bool genuine;
   bool late;
   int http;
+  unsigned int endpoints;
 };
 
 /* What comes next: another attempt, the endpoint's answer for the caller, a
@@ -37,7 +39,8 @@
   JC_RELAY_BREAK
 };
 
-/* A request under way.  TRIED counts attempts, SENT those that may have run;
+/* A request under way.  TRIED counts attempts, SENT endpoints where it may
+   have run;
    LAST_EVENT is the last event that the caller has, -1 for none.  */
 struct jc_relay
 {
@@ -55,6 +58,7 @@
                     int64_t deadline_ms, int64_t resume_after);
 bool jc_relay_is_idempotent (const struct jc_relay *relay);
 bool jc_relay_may_try (const struct jc_relay *relay, int64_t now_ms);
+unsigned int jc_relay_left (const struct jc_relay *relay);
 enum jc_relay_step jc_relay_after (struct jc_relay *relay,
                                    const struct jc_relay_end *end,
                                    int64_t now_ms);
--- a/state/control.c
+++ b/state/control.c
@@ -14,8 +14,9 @@
   BODY_MAX = 16 * 1024 * 1024,
   SMALL_BODY_MAX = 64 * 1024,
   RETRY_AFTER_MS = 300,
-  /* How long callers may use an answer of the directory.  */
-  DIRECTORY_TTL_S = 2,
+  /* How long callers may use an answer of the directory: an instance that
+     stops gets callers for up to three times that.  */
+  DIRECTORY_TTL_S = 1,
   /* After its start an instance waits so long for entry instances to connect,
      before it takes leaves that it could tell nobody.  */
   SETTLE_MS = 1500
--- a/state/group.c
+++ b/state/group.c
@@ -248,16 +248,10 @@
     meet (state, group->names.names_val[i]);
 }
 
-/* Begin to look for the group.  */
+/* Look for the group at SEEDS as well.  */
 void
-group_start (struct state *state)
+group_take_seeds (struct state *state, const GPtrArray *seeds)
 {
-  const GPtrArray *seeds = state->settings->state_seeds;
-  double every_s = (double)TICK_MS / MS_PER_S;
-
-  state->group = g_new0 (struct group, 1);
-  state->group->known
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (guint i = 0; i < seeds->len; i++)
     {
       char *name = host_of (g_ptr_array_index (seeds, i));
@@ -265,6 +259,18 @@
       meet (state, name);
       g_free (name);
     }
+}
+
+/* Begin to look for the group.  */
+void
+group_start (struct state *state)
+{
+  double every_s = (double)TICK_MS / MS_PER_S;
+
+  state->group = g_new0 (struct group, 1);
+  state->group->known
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  group_take_seeds (state, state->settings->state_seeds);
   ev_timer_init (&state->group->tick, on_tick, every_s, every_s);
   state->group->tick.data = state;
   ev_timer_start (state->loop, &state->group->tick);
--- a/state/main.c
+++ b/state/main.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "net/loopevents.h"
 #include "net/program.h"
+#include "net/reload.h"
 #include "platform/platform.h"
 #include "state/call.h"
 #include "state/state.h"
@@ -107,6 +108,13 @@
   return control_start (state);
 }
 
+static void
+on_reload (void *ctx, const void *settings)
+{
+  group_take_seeds (ctx,
+                    ((const struct jc_state_settings *)settings)->state_seeds);
+}
+
 static enum jc_status
 start (struct state *state, bool found)
 {
@@ -165,13 +173,14 @@
   g_ptr_array_free (state->calls, TRUE);
 }
 
+static const struct jc_program program
+    = { .name = "jaycove-state",
+        .purpose = "Keeps the configuration and the ledger on disk.",
+        .table = &jc_state_settings_table };
+
 int
 main (int argc, char **argv)
 {
-  static const struct jc_program program
-      = { .name = "jaycove-state",
-          .purpose = "Keeps the configuration and the ledger on disk.",
-          .table = &jc_state_settings_table };
   struct state state = { 0 };
   void *settings = NULL;
   bool bootstrap;
@@ -193,7 +202,10 @@
   state.dialect = &platform_dialect;
   state.started_ms = jc_now_ms ();
   if (routes_by_hosts (&state))
-    jc_loopevents_start (state.loop);
+    {
+      jc_loopevents_start (state.loop);
+      jc_reload_start (state.loop, &program, on_reload, &state);
+    }
   ev_signal_init (&term, on_term, SIGTERM);
   ev_signal_start (state.loop, &term);
   if (start (&state, bootstrap) == JC_OK)
--- a/state/state.h
+++ b/state/state.h
@@ -96,6 +96,7 @@
    the log among them.  */
 void group_start (struct state *state);
 void group_stop (struct state *state);
+void group_take_seeds (struct state *state, const GPtrArray *seeds);
 bool group_founds (const struct state *state);
 void group_up (struct state *state, struct jc_rpc_conn *conn);
 void group_packet (struct state *state, struct jc_rpc_conn *conn,
