Have the directory keep to homes; drain without leaving a region alone

Change: other regions are named only if every route of the host may be served there; draining instances are named where there is no other; a draining instance closes its port after 1.3 s only while another one of its region takes callers, and ends once idle.

--- a/conf/routetable.c
+++ b/conf/routetable.c
@@ -191,6 +191,22 @@
   return route;
 }
 
+/* Tell whether REGION may serve every route of HOST.  */
+bool
+jc_routetable_host_allows (const struct jc_routetable *table, const char *host,
+                           const char *region)
+{
+  for (guint i = 0; i < table->routes->len; i++)
+    {
+      const struct jc_hostroute *route = g_ptr_array_index (table->routes, i);
+
+      if (g_ascii_strcasecmp (route->host, host) == 0
+          && !jc_hostroute_allows (route, region))
+        return false;
+    }
+  return true;
+}
+
 /* Return the service NAME of TABLE, or NULL.  */
 const struct jc_hostservice *
 jc_routetable_service (const struct jc_routetable *table, const char *name)
--- a/conf/routetable.h
+++ b/conf/routetable.h
@@ -97,6 +97,8 @@
 const struct jc_hostroute *
 jc_routetable_find (const struct jc_routetable *table, const char *host,
                     const char *path);
+bool jc_routetable_host_allows (const struct jc_routetable *table,
+                                const char *host, const char *region);
 const struct jc_hostservice *
 jc_routetable_service (const struct jc_routetable *table, const char *name);
 const char *jc_hostroute_pick (const struct jc_hostroute *route, uint64_t draw);
--- a/entry/following.c
+++ b/entry/following.c
@@ -18,7 +18,9 @@
      could tell of them.  */
   KEEP_ALONE_MS = 600000,
   ROOMS_MAX = 64,
-  NEIGHBOUR_KEPT_MS = 8000
+  NEIGHBOUR_KEPT_MS = 8000,
+  /* An instance told of within two reports takes callers still.  */
+  STAND_IN_FRESH_MS = 1200
 };
 
 static bool
@@ -302,6 +304,28 @@
     ask_orders (hosts, conn);
 }
 
+/* Tell whether another instance of this region takes callers.  */
+bool
+following_has_stand_in (const struct hosts *hosts)
+{
+  const char *region = hosts->entry->settings->region;
+  int64_t now = jc_now_ms ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct neighbour *neighbour = value;
+
+      if (!neighbour->said.draining && neighbour->said.ready
+          && strcmp (neighbour->said.region, region) == 0
+          && now - neighbour->heard_ms < STAND_IN_FRESH_MS)
+        return true;
+    }
+  return false;
+}
+
 /* Forget entry instances that no state instance tells of any longer.  */
 static void
 expire_neighbours (struct hosts *hosts, int64_t now)
--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -15,9 +15,10 @@
 enum
 {
   TICK_MS = 100,
-  /* Callers may use an answer of the directory for three times its life, so
-     an instance that stops still answers for so long.  */
-  DRAIN_LINGER_MS = 3500,
+  /* Most callers have asked the directory again by then, which gives its
+     answers 1 s; later ones find the port closed and go elsewhere, if there
+     is another instance in the region.  */
+  DRAIN_LISTEN_MS = 1300,
   /* What is left of the grace for the process to end by itself.  */
   DRAIN_MARGIN_MS = 400,
   SMALL_BODY_MAX = 64 * 1024,
@@ -127,10 +128,13 @@
 drain_tick (struct entry *entry)
 {
   int64_t waited = jc_now_ms () - entry->drain_ms;
-  bool idle = entry->in_flight == 0 && jc_httpd_requests (entry->callers) == 0
+  bool idle = waited >= DRAIN_LISTEN_MS && entry->in_flight == 0
+              && jc_httpd_requests (entry->callers) == 0
               && jc_httpd_requests (entry->hosts->handover) == 0;
 
-  if ((idle && waited >= DRAIN_LINGER_MS) || hosts_drain_left_ms (entry) <= 0)
+  if (waited >= DRAIN_LISTEN_MS && following_has_stand_in (entry->hosts))
+    jc_httpd_quiesce (entry->callers);
+  if (idle || hosts_drain_left_ms (entry) <= 0)
     ev_break (entry->loop, EVBREAK_ALL);
 }
 
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -54,6 +54,7 @@
 void following_up (struct hosts *hosts, struct jc_rpc_conn *conn);
 void following_packet (struct hosts *hosts, struct jc_rpc_conn *conn,
                        const struct rpc_packet *packet);
+bool following_has_stand_in (const struct hosts *hosts);
 void following_tick (struct hosts *hosts);
 void following_report (struct hosts *hosts);
 
--- a/state/log.c
+++ b/state/log.c
@@ -59,10 +59,28 @@
     ledger_config_changed (state);
 }
 
+/* Read the route table that the log came to; it was checked before.  */
+static void
+take_routes (struct state *state)
+{
+  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+
+  if (state->orders->version > 0
+      && (state->routes == NULL
+          || state->routes->version != state->orders->version))
+    {
+      jc_routetable_free (state->routes);
+      state->routes
+          = state->dialect->routes (jc_str_of (state->orders->text), faults);
+    }
+  g_ptr_array_free (faults, TRUE);
+}
+
 /* Tell entry instances of the orders that the log came to.  */
 static void
 take_orders (struct state *state)
 {
+  take_routes (state);
   jc_event (JC_EVENT_IN_FORCE,
             "position=%" PRIu64 " version=%" PRIu64 " evacuated=%u",
             state->orders->position, state->orders->version,
--- a/state/main.c
+++ b/state/main.c
@@ -167,6 +167,7 @@
   if (state->disk != NULL)
     state->disk->klass->free (state->disk);
   jc_orders_free (state->orders);
+  jc_routetable_free (state->routes);
   jc_changes_free (state->changes);
   g_ptr_array_free (state->followers, TRUE);
   g_ptr_array_free (state->order_followers, TRUE);
--- a/state/presence.c
+++ b/state/presence.c
@@ -165,9 +165,21 @@
   return NEAR_NOWHERE;
 }
 
+/* Tell whether callers WHERE they stand may be sent to REGION: to their own,
+   and to those that may serve every route of their host.  */
+static bool
+may_send_to (const struct state *state, const struct jc_whereabouts *where,
+             const char *region)
+{
+  if (where->region != NULL && strcmp (where->region, region) == 0)
+    return true;
+  return state->routes == NULL || where->host == NULL
+         || jc_routetable_host_allows (state->routes, where->host, region);
+}
+
 static void
 list_near (const struct state *state, const struct jc_whereabouts *where,
-           enum nearness near, GPtrArray *addresses)
+           enum nearness near, bool draining, GPtrArray *addresses)
 {
   GHashTableIter iter;
   gpointer value;
@@ -178,21 +190,25 @@
     {
       const struct entry_view *view = value;
 
-      if (!view->said.draining && view->said.ready
+      if (view->said.draining == draining && view->said.ready
           && view_is_fresh (state, view)
-          && nearness_of (&view->said, where) == near)
+          && nearness_of (&view->said, where) == near
+          && may_send_to (state, where, view->said.region))
         g_ptr_array_add (addresses, view->said.callers_address);
     }
 }
 
 /* Add to ADDRESSES, which borrows them, the entry instances that a caller
-   WHERE it stands should use: the nearest that there are.  */
+   WHERE it stands should use: the nearest that there are.  Where all are
+   about to stop, those of its region still answer.  */
 void
 presence_list (struct state *state, const struct jc_whereabouts *where,
                GPtrArray *addresses)
 {
   for (int near = 0; near < NEARNESS_COUNT && addresses->len == 0; near++)
-    list_near (state, where, (enum nearness)near, addresses);
+    list_near (state, where, (enum nearness)near, false, addresses);
+  for (int near = 0; near < NEAR_NOWHERE && addresses->len == 0; near++)
+    list_near (state, where, (enum nearness)near, true, addresses);
 }
 
 /* Return how many entry instances of REGION are connected.  */
--- a/state/state.h
+++ b/state/state.h
@@ -33,6 +33,7 @@
   struct jc_metrics *metrics;
   const struct jc_dialect *dialect;
   struct jc_orders *orders;
+  struct jc_routetable *routes;
   GPtrArray *order_followers;
   struct group *group;
   struct control *control;
