Share loads within a region; cost an endpoint by the time of the whole answer

Ruled out: processor of entry instances (0.014 of a core at most). Change: entry instances of a region tell each other their requests, unread tokens and rate of tokens at each endpoint every 100 ms; the cost is the predicted time of the first event and of all steps, and what reading takes from others; another region is used where a usual request is done sooner there, with a share of the requests that grows with the gain.

--- a/entry/choice.c
+++ b/entry/choice.c
@@ -14,6 +14,12 @@
   NEIGHBOUR_FRESH_MS = 3000
 };
 
+/* Requests by which regions are compared: a prompt that must be read in full
+   and its answer, and a plain request.  */
+static const struct jc_demand usual_prompt
+    = { .prompt_tokens = 1000, .answer_tokens = 200 };
+static const struct jc_demand usual_plain = { .prompt_tokens = 0 };
+
 static bool
 was_tried (const GPtrArray *tried, const char *name)
 {
@@ -152,6 +158,22 @@
   return best;
 }
 
+/* Tell whether the request of QUERY is served sooner in another region, where
+   the usual request takes AWAY_MS, than at ENDPOINT.  All instances here see
+   the same room there, so only a share of what would gain goes.  */
+static bool
+gains_away (struct hosts *hosts, const struct choice_query *query,
+            const struct jc_endpoint *endpoint, int64_t away_ms)
+{
+  const struct jc_demand *usual
+      = query->demand->prompt_tokens > 0 ? &usual_prompt : &usual_plain;
+  int64_t here_ms
+      = jc_engines_answer_ms (hosts->engines, endpoint, usual, query->now_ms);
+  int64_t gain = here_ms - away_ms - AWAY_COST_MS;
+
+  return gain > 0 && g_random_int_range (0, (gint32)here_ms + 1) < gain;
+}
+
 /* Choose where the request of QUERY goes.  Return JC_NO_ENDPOINT where there
    is no place for it.  */
 enum jc_status
@@ -172,9 +194,7 @@
   if (!query->here_only)
     neighbour = best_neighbour (hosts, query, &away_ms);
   if (endpoint != NULL && neighbour != NULL
-      && jc_engines_wait_ms (hosts->engines, endpoint, query->demand,
-                             query->now_ms)
-             <= away_ms + jc_demand_read_ms (query->demand) + AWAY_COST_MS)
+      && !gains_away (hosts, query, endpoint, away_ms))
     neighbour = NULL;
   g_ptr_array_free (endpoints, TRUE);
   choice->neighbour = neighbour;
@@ -188,8 +208,6 @@
 static unsigned int
 shortest_wait (struct hosts *hosts, const GPtrArray *endpoints, int64_t now_ms)
 {
-  static const struct jc_demand smallest = { .prompt_tokens = 1 };
-  static const struct jc_demand plain = { .prompt_tokens = 0 };
   int64_t least = INT32_MAX;
 
   for (guint i = 0; i < endpoints->len; i++)
@@ -197,9 +215,9 @@
       const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
       const struct jc_hostservice *service
           = jc_routetable_service (hosts->routes, endpoint->service);
-      int64_t wait = jc_engines_wait_ms (
+      int64_t wait = jc_engines_answer_ms (
           hosts->engines, endpoint,
-          service->engine.slots > 0 ? &smallest : &plain, now_ms);
+          service->engine.slots > 0 ? &usual_prompt : &usual_plain, now_ms);
 
       least = MIN (least, wait);
     }
--- a/entry/following.c
+++ b/entry/following.c
@@ -266,6 +266,7 @@
       jc_presence_copy (&neighbour->said, said);
       neighbour->heard_ms = now;
       g_hash_table_replace (hosts->neighbours, neighbour->said.name, neighbour);
+      loads_meet (hosts, said);
     }
   jc_budgets_set_instances (hosts->budgets,
                             g_hash_table_size (hosts->neighbours) + 1, now);
@@ -335,8 +336,14 @@
 
   g_hash_table_iter_init (&iter, hosts->neighbours);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now - ((struct neighbour *)value)->heard_ms > NEIGHBOUR_KEPT_MS)
+    {
+      const struct neighbour *neighbour = value;
+
+      if (now - neighbour->heard_ms <= NEIGHBOUR_KEPT_MS)
+        continue;
+      loads_part (hosts, neighbour->said.name);
       g_hash_table_iter_remove (&iter);
+    }
 }
 
 /* Let the time pass.  Endpoints are only forgotten while there is somebody
--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -56,6 +56,7 @@
   struct entry *entry = ctx;
 
   following_packet (entry->hosts, conn, packet);
+  loads_packet (entry->hosts, conn, packet);
 }
 
 const struct jc_rpc_class hosts_rpc_class
@@ -146,6 +147,7 @@
   (void)loop;
   (void)events;
   following_tick (entry->hosts);
+  loads_tick (entry->hosts);
   if (entry->draining)
     drain_tick (entry);
 }
@@ -233,6 +235,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_neighbour);
   hosts->state_names
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  hosts->fellows
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   hosts->started_ms = jc_now_ms ();
   ev_timer_init (&hosts->tick, on_tick, every_s, every_s);
   hosts->tick.data = entry;
@@ -262,6 +266,7 @@
   g_hash_table_destroy (hosts->readmitted);
   g_hash_table_destroy (hosts->neighbours);
   g_hash_table_destroy (hosts->state_names);
+  g_hash_table_destroy (hosts->fellows);
   g_free (hosts);
   entry->hosts = NULL;
   jc_loopevents_stop (entry->loop);
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -24,10 +24,12 @@
   struct jc_budgets *budgets;
   GHashTable *neighbours;
   GHashTable *state_names;
+  GHashTable *fellows;
   struct jc_httpd *handover;
   struct jc_httpd *ready;
   ev_timer tick;
   int64_t told_ms;
+  int64_t loads_told_ms;
   int64_t heard_ms;
   int64_t started_ms;
 };
@@ -58,6 +60,13 @@
 void following_tick (struct hosts *hosts);
 void following_report (struct hosts *hosts);
 
+/* loads: what the instances of a region have at each endpoint.  */
+void loads_meet (struct hosts *hosts, const struct rpc_presence *neighbour);
+void loads_part (struct hosts *hosts, const char *name);
+void loads_tick (struct hosts *hosts);
+void loads_packet (struct hosts *hosts, struct jc_rpc_conn *conn,
+                   const struct rpc_packet *packet);
+
 /* choice: which endpoint, or which other instance, gets a request.  */
 struct choice
 {
--- /dev/null
+++ b/entry/loads.c
@@ -0,0 +1,86 @@
+/* Loads: entry instances of a region tell each other what they have at each
+   endpoint, since each of them sends there.  */
+
+#include <string.h>
+
+#include "entry/hosts.h"
+#include "net/address.h"
+#include "net/program.h"
+
+enum
+{
+  /* Interval of telling: a fraction of the time that a prompt takes to be
+     read.  */
+  TELL_MS = 100
+};
+
+static bool
+is_fellow (const struct hosts *hosts, const struct jc_rpc_conn *conn)
+{
+  return strcmp (jc_rpc_conn_role (conn), "entry") == 0
+         && strcmp (jc_rpc_conn_region (conn), hosts->entry->settings->region)
+                == 0;
+}
+
+/* Keep a connection to NEIGHBOUR where it is of this region.  Of each pair
+   the one with the lesser name dials.  */
+void
+loads_meet (struct hosts *hosts, const struct rpc_presence *neighbour)
+{
+  const struct jc_entry_settings *settings = hosts->entry->settings;
+  char *address;
+
+  if (strcmp (neighbour->region, settings->region) != 0
+      || strcmp (settings->name, neighbour->name) >= 0
+      || g_hash_table_contains (hosts->fellows, neighbour->name))
+    return;
+  g_hash_table_add (hosts->fellows, g_strdup (neighbour->name));
+  address = jc_address_with_port (neighbour->handover_address,
+                                  jc_rpc_port (hosts->entry->rpc));
+  jc_rpc_dial (hosts->entry->rpc, neighbour->name, address);
+  g_free (address);
+}
+
+/* Keep no connection to the instance NAME, which is gone.  */
+void
+loads_part (struct hosts *hosts, const char *name)
+{
+  if (g_hash_table_remove (hosts->fellows, name))
+    jc_rpc_hang_up (hosts->entry->rpc, name);
+}
+
+/* Tell the other instances of the region, where it is time.  */
+void
+loads_tick (struct hosts *hosts)
+{
+  int64_t now = jc_now_ms ();
+  struct rpc_packet packet = { .body.type = RPC_LOADS };
+  struct rpc_loads *loads = &packet.body.rpc_body_u.loads;
+  GPtrArray *conns;
+  GArray *rows;
+
+  if (now - hosts->loads_told_ms < TELL_MS)
+    return;
+  hosts->loads_told_ms = now;
+  conns = g_ptr_array_new ();
+  rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
+  jc_rpc_list (hosts->entry->rpc, "entry", conns);
+  jc_engines_loads (hosts->engines, now, rows);
+  loads->rows.rows_val = (struct rpc_load *)rows->data;
+  loads->rows.rows_len = rows->len;
+  for (guint i = 0; i < conns->len && rows->len > 0; i++)
+    if (is_fellow (hosts, g_ptr_array_index (conns, i)))
+      jc_rpc_send (g_ptr_array_index (conns, i), &packet);
+  g_array_free (rows, TRUE);
+  g_ptr_array_free (conns, TRUE);
+}
+
+/* Take what another instance told.  */
+void
+loads_packet (struct hosts *hosts, struct jc_rpc_conn *conn,
+              const struct rpc_packet *packet)
+{
+  if (packet->body.type == RPC_LOADS && is_fellow (hosts, conn))
+    jc_engines_take (hosts->engines, jc_rpc_conn_name (conn),
+                     &packet->body.rpc_body_u.loads, jc_now_ms ());
+}
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -75,6 +75,7 @@
 	RPC_FLEET = 84,
 	RPC_PRESENCE = 85,
 	RPC_ENTRIES = 86,
+	RPC_LOADS = 87,
 };
 typedef enum rpc_type rpc_type;
 
@@ -606,6 +607,22 @@
 };
 typedef struct rpc_entries rpc_entries;
 
+struct rpc_load {
+	rpc_name endpoint;
+	u_int running;
+	u_int unread_tokens;
+	u_int tokens_per_s;
+};
+typedef struct rpc_load rpc_load;
+
+struct rpc_loads {
+	struct {
+		u_int rows_len;
+		rpc_load *rows_val;
+	} rows;
+};
+typedef struct rpc_loads rpc_loads;
+
 struct rpc_body {
 	rpc_type type;
 	union {
@@ -645,6 +662,7 @@
 		rpc_fleet fleet;
 		rpc_presence presence;
 		rpc_entries entries;
+		rpc_loads loads;
 	} rpc_body_u;
 };
 typedef struct rpc_body rpc_body;
@@ -718,6 +736,8 @@
 extern  bool_t xdr_rpc_service_room (XDR *, rpc_service_room*);
 extern  bool_t xdr_rpc_presence (XDR *, rpc_presence*);
 extern  bool_t xdr_rpc_entries (XDR *, rpc_entries*);
+extern  bool_t xdr_rpc_load (XDR *, rpc_load*);
+extern  bool_t xdr_rpc_loads (XDR *, rpc_loads*);
 extern  bool_t xdr_rpc_body (XDR *, rpc_body*);
 extern  bool_t xdr_rpc_packet (XDR *, rpc_packet*);
 
@@ -782,6 +802,8 @@
 extern bool_t xdr_rpc_service_room ();
 extern bool_t xdr_rpc_presence ();
 extern bool_t xdr_rpc_entries ();
+extern bool_t xdr_rpc_load ();
+extern bool_t xdr_rpc_loads ();
 extern bool_t xdr_rpc_body ();
 extern bool_t xdr_rpc_packet ();
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1116,6 +1116,33 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_load (XDR *xdrs, rpc_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->unread_tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens_per_s))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_loads (XDR *xdrs, rpc_loads *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, 4096,
+		sizeof (rpc_load), (xdrproc_t) xdr_rpc_load))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_body (XDR *xdrs, rpc_body *objp)
 {
@@ -1272,6 +1299,10 @@
 		 if (!xdr_rpc_entries (xdrs, &objp->rpc_body_u.entries))
 			 return FALSE;
 		break;
+	case RPC_LOADS:
+		 if (!xdr_rpc_loads (xdrs, &objp->rpc_body_u.loads))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -57,7 +57,8 @@
   RPC_ORDERS_READ = 83,
   RPC_FLEET = 84,
   RPC_PRESENCE = 85,
-  RPC_ENTRIES = 86
+  RPC_ENTRIES = 86,
+  RPC_LOADS = 87
 };
 
 struct rpc_hello {
@@ -531,6 +532,19 @@
   rpc_presence list<1024>;
 };
 
+/* What one entry instance has at an endpoint: requests, tokens of prompts
+   that are not read yet, and tokens a second that it sent there lately.  */
+struct rpc_load {
+  rpc_name endpoint;
+  unsigned int running;
+  unsigned int unread_tokens;
+  unsigned int tokens_per_s;
+};
+
+struct rpc_loads {
+  rpc_load rows<4096>;
+};
+
 union rpc_body switch (rpc_type type) {
 case RPC_HELLO: rpc_hello hello;
 case RPC_HELLO_ACK: rpc_hello hello_ack;
@@ -570,6 +584,7 @@
 case RPC_FLEET: rpc_fleet fleet;
 case RPC_PRESENCE: rpc_presence presence;
 case RPC_ENTRIES: rpc_entries entries;
+case RPC_LOADS: rpc_loads loads;
 };
 
 struct rpc_packet {
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -1,18 +1,29 @@
 /* Engines.  */
 
+#include <math.h>
 #include <string.h>
 
 #include "serve/engine.h"
 
+/* Figures of the deployments' engines, from their data sheet: prompt tokens
+   read in a ms, time of a step and what each running request adds to it, ms,
+   and the time from the end of the reading to the first event.  */
+#define PROMPT_TOKENS_A_MS 56.9
+#define STEP_MS 3.09
+#define STEP_RUNNING_MS 0.102
+#define FIRST_EVENT_MS 16.0
+/* Prompt tokens that are read in one step, between two tokens of each running
+   request.  */
+#define CHUNK_TOKENS 4096.0
+/* No engine is taken to spend more of its time on reading than this.  */
+#define BUSY_MAX 0.95
+/* Weight of the time that a request's reading takes from each running one
+   against its own time: a delay matters only where it makes an answer
+   late.  */
+#define OTHERS_WEIGHT 0.1
+
 enum
 {
-  /* Prompt tokens that an engine reads in a ms, from the data sheet of the
-     deployments' engines (56.9).  */
-  PROMPT_TOKENS_A_MS = 56,
-  /* Time from the end of the reading to the first event, and what each
-     running request adds to it, us.  */
-  FIRST_EVENT_US = 16000,
-  RUNNING_US = 400,
   /* A plain request's usual time, until it is measured.  */
   PLAIN_MS = 40,
   /* Reports of load older than this say nothing.  */
@@ -28,7 +39,18 @@
      that after FAILURE_HALF_MS.  */
   FAILURE_MS = 300,
   FAILURE_HALF_MS = 2000,
-  US_PER_MS = 1000
+  /* Time over which the rate of tokens is averaged.  */
+  RATE_MS = 1500,
+  INSTANCES_MAX = 32,
+  MS_PER_S = 1000
+};
+
+/* What another instance has at an engine, as it told at HEARD_MS.  */
+struct share
+{
+  uint64_t instance;
+  struct rpc_load said;
+  int64_t heard_ms;
 };
 
 struct engine
@@ -36,8 +58,10 @@
   char *name;
   unsigned int running;
   uint64_t unread_tokens;
-  unsigned int others;
-  int64_t load_ms;
+  double rate;
+  int64_t rate_ms;
+  unsigned int reported;
+  int64_t reported_ms;
   double plain_ms;
   double failures;
   int64_t failures_ms;
@@ -46,6 +70,17 @@
   int64_t used_ms;
   unsigned int holders;
   GHashTable *parts;
+  struct share shares[INSTANCES_MAX];
+  unsigned int shares_count;
+};
+
+/* Work at an engine, of all instances.  BUSY is the part of its time that
+   it reads prompts.  */
+struct work
+{
+  double running;
+  double unread_tokens;
+  double busy;
 };
 
 struct jc_engines
@@ -150,7 +185,7 @@
 int64_t
 jc_demand_read_ms (const struct jc_demand *demand)
 {
-  return demand->prompt_tokens / PROMPT_TOKENS_A_MS;
+  return (int64_t)(demand->prompt_tokens / PROMPT_TOKENS_A_MS);
 }
 
 /* Return how many of DEMAND's first tokens ENGINE has read lately.  */
@@ -172,45 +207,129 @@
 static double
 failures_now (const struct engine *engine, int64_t now_ms)
 {
-  int64_t age = now_ms - engine->failures_ms;
-  double left = engine->failures;
+  double age = (double)(now_ms - engine->failures_ms);
 
-  for (; age >= FAILURE_HALF_MS && left > 0.01; age -= FAILURE_HALF_MS)
-    left /= 2;
-  return left;
+  return engine->failures * exp2 (-age / FAILURE_HALF_MS);
 }
 
-/* Return the requests at ENGINE, those of others as far as they are
-   known.  */
-static unsigned int
-requests_at (const struct engine *engine, int64_t now_ms)
+/* Return the tokens a second that this instance sent ENGINE lately.  */
+static double
+rate_now (const struct engine *engine, int64_t now_ms)
+{
+  return engine->rate * exp (-(double)(now_ms - engine->rate_ms) / RATE_MS);
+}
+
+static void
+rate_add (struct engine *engine, uint64_t tokens, int64_t now_ms)
+{
+  engine->rate
+      = rate_now (engine, now_ms) + (double)tokens * MS_PER_S / RATE_MS;
+  engine->rate_ms = now_ms;
+}
+
+/* Sum the work at ENGINE.  Where no other instance tells of its share, what
+   the engine itself reported counts.  */
+static struct work
+work_at (const struct engine *engine, int64_t now_ms)
+{
+  struct work work = { .running = engine->running,
+                       .unread_tokens = (double)engine->unread_tokens,
+                       .busy = rate_now (engine, now_ms) };
+  bool told = false;
+
+  for (unsigned int i = 0; i < engine->shares_count; i++)
+    {
+      const struct share *share = &engine->shares[i];
+
+      if (now_ms - share->heard_ms >= LOAD_FRESH_MS)
+        continue;
+      told = true;
+      work.running += share->said.running;
+      work.unread_tokens += share->said.unread_tokens;
+      work.busy += share->said.tokens_per_s;
+    }
+  if (!told && now_ms - engine->reported_ms < LOAD_FRESH_MS)
+    work.running = MAX (work.running, engine->reported);
+  work.busy = MIN (work.busy / (PROMPT_TOKENS_A_MS * MS_PER_S), BUSY_MAX);
+  return work;
+}
+
+static double
+step_ms (const struct work *work)
+{
+  return STEP_MS + STEP_RUNNING_MS * work->running;
+}
+
+/* Return the wait for a place where all SLOTS are taken, ms: requests ahead,
+   each with the time of a step for every token of a short answer.  */
+static double
+slot_wait_ms (const struct work *work, unsigned int slots)
+{
+  double over = work->running - MAX (slots, 1) + 1;
+
+  return over > 0 ? over * step_ms (work) * 4 : 0;
+}
+
+/* Return the time until ENDPOINT has read UNREAD tokens more and the first
+   event is there, ms.  */
+static double
+first_ms (const struct work *work, const struct jc_endpoint *endpoint,
+          double unread)
+{
+  double tokens = work->unread_tokens + unread;
+
+  return tokens / PROMPT_TOKENS_A_MS + tokens / CHUNK_TOKENS * step_ms (work)
+         + FIRST_EVENT_MS + slot_wait_ms (work, endpoint->slots);
+}
+
+/* Return the time that the answer to DEMAND takes after its first event, ms:
+   steps wait while prompts are read.  */
+static double
+decode_ms (const struct work *work, const struct jc_demand *demand)
+{
+  return demand->answer_tokens * step_ms (work) / (1 - work->busy);
+}
+
+static double
+plain_ms (const struct engine *engine, const struct work *work,
+          const struct jc_endpoint *endpoint)
+{
+  double slots = MAX (endpoint->slots, 1);
+  double over = work->running - slots + 1;
+
+  return engine->plain_ms * (1 + (over > 0 ? over / slots : 0));
+}
+
+/* Return the time until the first event of DEMAND at ENDPOINT, or a plain
+   request's answer, ms.  */
+int64_t
+jc_engines_wait_ms (struct jc_engines *engines,
+                    const struct jc_endpoint *endpoint,
+                    const struct jc_demand *demand, int64_t now_ms)
 {
-  bool fresh = now_ms - engine->load_ms < LOAD_FRESH_MS;
+  const struct engine *engine = engine_of (engines, endpoint->name);
+  struct work work = work_at (engine, now_ms);
 
-  return engine->running + (fresh ? engine->others : 0);
+  if (demand->prompt_tokens == 0)
+    return (int64_t)plain_ms (engine, &work, endpoint);
+  return (int64_t)first_ms (&work, endpoint,
+                            demand->prompt_tokens
+                                - tokens_read (engine, demand, now_ms));
 }
 
-/* Return the time that a request of DEMAND would wait at ENDPOINT for its
-   first event, or a plain one for its answer, in us.  */
-static int64_t
-wait_us (const struct engine *engine, const struct jc_endpoint *endpoint,
-         const struct jc_demand *demand, int64_t now_ms)
+/* Return the time until the whole answer to DEMAND is there if it goes to
+   ENDPOINT now, ms.  */
+int64_t
+jc_engines_answer_ms (struct jc_engines *engines,
+                      const struct jc_endpoint *endpoint,
+                      const struct jc_demand *demand, int64_t now_ms)
 {
-  unsigned int requests = requests_at (engine, now_ms);
-  unsigned int slots = MAX (endpoint->slots, 1);
-  uint64_t tokens;
+  struct work work = work_at (engine_of (engines, endpoint->name), now_ms);
+  int64_t first = jc_engines_wait_ms (engines, endpoint, demand, now_ms);
 
   if (demand->prompt_tokens == 0)
-    return (int64_t)(engine->plain_ms * US_PER_MS
-                     * (1
-                        + (requests >= slots ? requests - slots + 1 : 0)
-                              / (double)slots));
-  tokens = engine->unread_tokens + demand->prompt_tokens
-           - tokens_read (engine, demand, now_ms);
-  return (int64_t)(tokens * US_PER_MS / PROMPT_TOKENS_A_MS) + FIRST_EVENT_US
-         + (int64_t)requests * RUNNING_US
-         + (requests >= slots ? (int64_t)(requests - slots + 1) * 20 * US_PER_MS
-                              : 0);
+    return first;
+  return first + (int64_t)decode_ms (&work, demand);
 }
 
 /* Return the shared parts' weight for a rendezvous: the same in every
@@ -249,23 +368,29 @@
   return best;
 }
 
-/* Return the cost of sending a request of DEMAND to ENDPOINT, us: its wait,
-   what reading shared parts once more takes away from others, and the
-   endpoint's failures.  */
-static int64_t
-cost_us (struct jc_engines *engines, const struct jc_endpoint *endpoint,
+/* Return the cost of sending a request of DEMAND to ENDPOINT, ms: the time of
+   its answer, what its reading takes from the requests that run there, what
+   reading shared parts once more takes away later, and the endpoint's
+   failures.  */
+static double
+cost_ms (struct jc_engines *engines, const struct jc_endpoint *endpoint,
          const struct jc_demand *demand, const struct jc_endpoint *meeting,
          int64_t now_ms)
 {
   const struct engine *engine = engine_of (engines, endpoint->name);
-  int64_t cost = wait_us (engine, endpoint, demand, now_ms);
+  struct work work = work_at (engine, now_ms);
+  double cost = failures_now (engine, now_ms) * FAILURE_MS;
   unsigned int shared
       = demand->parts > 1 ? demand->tokens[demand->parts - 2] : 0;
-  unsigned int read = MIN (tokens_read (engine, demand, now_ms), shared);
+  unsigned int read = tokens_read (engine, demand, now_ms);
+  double unread = demand->prompt_tokens - read;
 
-  if (endpoint != meeting)
-    cost += (int64_t)(shared - read) * US_PER_MS / PROMPT_TOKENS_A_MS;
-  cost += (int64_t)(failures_now (engine, now_ms) * FAILURE_MS * US_PER_MS);
+  if (demand->prompt_tokens == 0)
+    return cost + plain_ms (engine, &work, endpoint);
+  cost += first_ms (&work, endpoint, unread) + decode_ms (&work, demand);
+  cost += unread / PROMPT_TOKENS_A_MS * work.running * OTHERS_WEIGHT;
+  if (endpoint != meeting && read < shared)
+    cost += (shared - read) / PROMPT_TOKENS_A_MS;
   return cost;
 }
 
@@ -277,17 +402,17 @@
 {
   const struct jc_endpoint *meeting = meeting_place (endpoints, demand);
   struct jc_endpoint *best = NULL;
-  int64_t least = 0;
+  double least = 0;
 
   for (guint i = 0; i < endpoints->len; i++)
     {
       struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
       const struct engine *engine = engine_of (engines, endpoint->name);
-      int64_t cost;
+      double cost;
 
       if (engine->rest_until_ms > now_ms)
         continue;
-      cost = cost_us (engines, endpoint, demand, meeting, now_ms);
+      cost = cost_ms (engines, endpoint, demand, meeting, now_ms);
       if (best == NULL || cost < least)
         {
           best = endpoint;
@@ -297,17 +422,6 @@
   return best;
 }
 
-/* Return the time until the first event, or the answer, of a request of
-   DEMAND that is sent to ENDPOINT now, ms.  */
-int64_t
-jc_engines_wait_ms (struct jc_engines *engines,
-                    const struct jc_endpoint *endpoint,
-                    const struct jc_demand *demand, int64_t now_ms)
-{
-  return wait_us (engine_of (engines, endpoint->name), endpoint, demand, now_ms)
-         / US_PER_MS;
-}
-
 static void
 note_parts (struct engine *engine, const struct jc_demand *demand,
             int64_t now_ms)
@@ -349,6 +463,7 @@
   engine->running++;
   engine->unread_tokens += run->unread;
   engine->used_ms = now_ms;
+  rate_add (engine, run->unread, now_ms);
   note_parts (engine, demand, now_ms);
   return run;
 }
@@ -371,11 +486,71 @@
 jc_engine_run_load (struct jc_engine_run *run, unsigned int running,
                     unsigned int queued, int64_t now_ms)
 {
-  struct engine *engine = run->engine;
-  unsigned int all = running + queued;
+  run->engine->reported = running + queued;
+  run->engine->reported_ms = now_ms;
+}
+
+/* Append to ROWS, of struct rpc_load, what this instance has at each engine;
+   names are borrowed.  */
+void
+jc_engines_loads (struct jc_engines *engines, int64_t now_ms, GArray *rows)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, engines->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct engine *engine = value;
+      struct rpc_load row
+          = { .endpoint = engine->name,
+              .running = engine->running,
+              .unread_tokens = (u_int)MIN (engine->unread_tokens, UINT32_MAX),
+              .tokens_per_s = (u_int)rate_now (engine, now_ms) };
+
+      if (now_ms - engine->used_ms < LOAD_FRESH_MS || row.running > 0)
+        g_array_append_val (rows, row);
+    }
+}
+
+static struct share *
+share_of (struct engine *engine, uint64_t instance)
+{
+  struct share *oldest = &engine->shares[0];
+
+  for (unsigned int i = 0; i < engine->shares_count; i++)
+    {
+      struct share *share = &engine->shares[i];
+
+      if (share->instance == instance)
+        return share;
+      if (share->heard_ms < oldest->heard_ms)
+        oldest = share;
+    }
+  if (engine->shares_count < INSTANCES_MAX)
+    return &engine->shares[engine->shares_count++];
+  return oldest;
+}
 
-  engine->others = all > engine->running ? all - engine->running : 0;
-  engine->load_ms = now_ms;
+/* Take the LOADS that the entry instance INSTANCE told of.  */
+void
+jc_engines_take (struct jc_engines *engines, const char *instance,
+                 const struct rpc_loads *loads, int64_t now_ms)
+{
+  uint64_t id = jc_member_hash (instance, "");
+
+  for (u_int i = 0; i < loads->rows.rows_len; i++)
+    {
+      const struct rpc_load *row = &loads->rows.rows_val[i];
+      struct engine *engine = engine_of (engines, row->endpoint);
+      struct share *share = share_of (engine, id);
+
+      share->instance = id;
+      share->said = *row;
+      share->said.endpoint = engine->name;
+      share->heard_ms = now_ms;
+      engine->used_ms = MAX (engine->used_ms, now_ms - LOAD_FRESH_MS);
+    }
 }
 
 static void
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -1,6 +1,6 @@
 /* Engines: what this instance knows of the endpoints' work and of what they
    have read, and which of them gets a request.  Own requests are known
-   exactly; what others sent only from the load that answers report.  */
+   exactly, those of the other instances of the region as these told last.  */
 
 #ifndef JC_ENGINE_H
 #define JC_ENGINE_H
@@ -47,6 +47,9 @@
 int64_t jc_engines_wait_ms (struct jc_engines *engines,
                             const struct jc_endpoint *endpoint,
                             const struct jc_demand *demand, int64_t now_ms);
+int64_t jc_engines_answer_ms (struct jc_engines *engines,
+                              const struct jc_endpoint *endpoint,
+                              const struct jc_demand *demand, int64_t now_ms);
 struct jc_engine_run *jc_engines_start (struct jc_engines *engines,
                                         const struct jc_endpoint *endpoint,
                                         const struct jc_demand *demand,
@@ -56,5 +59,9 @@
                         int64_t now_ms);
 void jc_engine_run_load (struct jc_engine_run *run, unsigned int running,
                          unsigned int queued, int64_t now_ms);
+void jc_engines_loads (struct jc_engines *engines, int64_t now_ms,
+                       GArray *rows);
+void jc_engines_take (struct jc_engines *engines, const char *instance,
+                      const struct rpc_loads *loads, int64_t now_ms);
 
 #endif
