--- a/entry/passage.c
+++ b/entry/passage.c
@@ -15,6 +15,9 @@
   CONNECT_AWAY_MS = 1000,
   /* Shortest wait for the first byte of an attempt that may be repeated.  */
   FIRST_BYTE_LEAST_MS = 500,
+  /* A stream's prompt may wait its turn: a second endpoint, which would read
+     it anew, is asked after this many times the objective.  */
+  STREAM_OBJECTIVES = 2,
   /* A stream that pauses this many times its allowed pause goes on
      elsewhere.  */
   PAUSES_MAX = 3,
@@ -42,7 +45,9 @@
 /* A request under way.  REQ lives as long as this.  TABLE is the one that
    ROUTE is of.  PLACE names where the current attempt goes, AWAY that it is
    another entry instance.  HEAD is that of the answer's first attempt that
-   the caller was shown, or of the last one.  */
+   the caller was shown, or of the last one.  FIRST_MS is how long the first
+   event took, GAP_MS the longest pause after it, EVENT_MS when the last one
+   came.  */
 struct passage
 {
   struct hosts *hosts;
@@ -73,6 +78,9 @@
   struct jc_sse sse;
   GString *burst;
   bool paused;
+  int64_t first_ms;
+  int64_t event_ms;
+  int64_t gap_ms;
 };
 
 static void passage_attempt (struct passage *passage);
@@ -118,12 +126,14 @@
   jc_event (event,
             "id=%s route=%s service=%s outcome=%s place=%s tried=%u sent=%u "
             "ms=%" PRId64 " left_ms=%" PRId64 " version=%" PRIu64
-            " guest=%d heard=%d last_event=%" PRId64,
+            " guest=%d heard=%d last_event=%" PRId64 " first_ms=%" PRId64
+            " gap_ms=%" PRId64,
             id_of (passage), passage->route->name, passage->service, outcome,
             passage->place != NULL ? passage->place : "-", passage->relay.tried,
             passage->relay.sent, jc_now_ms () - passage->started_ms,
             passage->relay.deadline_ms - jc_now_ms (), passage->table->version,
-            passage->guest, passage->heard, passage->relay.last_event);
+            passage->guest, passage->heard, passage->relay.last_event,
+            passage->first_ms, passage->gap_ms);
 }
 
 /* Answer by a failure of this gateway's own.  */
@@ -355,13 +365,27 @@
   return true;
 }
 
+/* Note the time of an event: how fast the endpoint is.  */
+static void
+note_event (struct passage *passage)
+{
+  int64_t now = jc_now_ms ();
+
+  if (passage->run != NULL)
+    jc_engine_run_begun (passage->run, now);
+  if (passage->event_ms == 0)
+    passage->first_ms = now - passage->started_ms;
+  else
+    passage->gap_ms = MAX (passage->gap_ms, now - passage->event_ms);
+  passage->event_ms = now;
+}
+
 static void
 pass_burst (struct passage *passage)
 {
   if (passage->burst->len == 0)
     return;
-  if (passage->run != NULL)
-    jc_engine_run_begun (passage->run, jc_now_ms ());
+  note_event (passage);
   begin_stream (passage);
   jc_http_stream_write (passage->req, jc_str_of (passage->burst));
   g_string_truncate (passage->burst, 0);
@@ -697,6 +721,8 @@
   passage->burst = g_string_new (NULL);
   jc_sse_init (&passage->sse);
   jc_demand_of (&ask, &passage->demand);
+  passage->demand.objective_ms = route->objective_ms;
+  passage->demand.gap_ms = route->gap_ms;
   wait_ms = ask.wait_ms > 0 ? MIN (ask.wait_ms, route->timeout_ms)
                             : route->timeout_ms;
   jc_relay_init (&passage->relay, route, passage->started_ms + wait_ms,
--- a/serve/dialect.h
+++ b/serve/dialect.h
@@ -28,7 +28,8 @@
 /* What the head of a caller's request asks for.  Strings borrow from the
    head.  ID names this attempt of the caller, NULL where it has none; WAIT_MS
    is how long the caller waits, 0 where it does not say; RESUME_AFTER is the
-   last event that it has, -1 where it begins anew.  */
+   last event that it has, -1 where it begins anew.  ANSWER_TOKENS is the best
+   guess at the answer's length.  */
 struct jc_ask
 {
   const char *id;
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -6,12 +6,16 @@
 #include "serve/engine.h"
 
 /* Figures of the deployments' engines, from their data sheet: prompt tokens
-   read in a ms, time of a step and what each running request adds to it, ms,
-   and the time from the end of the reading to the first event.  */
+   read in a ms, what each pair of a token with one before it adds to that,
+   time of a step and what each running request adds to it, ms, and the time
+   from the end of the reading to the first event.  */
 #define PROMPT_TOKENS_A_MS 56.9
+#define PAIR_MS 0.165e-6
 #define STEP_MS 3.09
 #define STEP_RUNNING_MS 0.102
 #define FIRST_EVENT_MS 16.0
+/* Tokens that one event of a stream holds.  */
+#define EVENT_TOKENS 8.0
 /* Prompt tokens that are read in one step, between two tokens of each running
    request.  */
 #define CHUNK_TOKENS 4096.0
@@ -21,6 +25,15 @@
    against its own time: a delay matters only where it makes an answer
    late.  */
 #define OTHERS_WEIGHT 0.1
+/* Time that an answer made late weighs: most of its worth is lost.  */
+#define LATE_MS 1000.0
+/* An engine's pace against the data sheet: bounds, and the weight of one
+   measurement.  */
+#define PACE_LEAST 0.7
+#define PACE_MOST 8.0
+#define PACE_WEIGHT 0.1
+/* Readings shorter than this say little of the pace.  */
+#define PACE_READ_MS 30.0
 
 enum
 {
@@ -63,6 +76,7 @@
   unsigned int reported;
   int64_t reported_ms;
   double plain_ms;
+  double pace;
   double failures;
   int64_t failures_ms;
   int64_t rest_ms;
@@ -75,12 +89,13 @@
 };
 
 /* Work at an engine, of all instances.  BUSY is the part of its time that
-   it reads prompts.  */
+   it reads prompts, PACE how many times the data sheet's times it takes.  */
 struct work
 {
   double running;
   double unread_tokens;
   double busy;
+  double pace;
 };
 
 struct jc_engines
@@ -93,6 +108,7 @@
   struct engine *engine;
   struct jc_demand demand;
   uint64_t unread;
+  double expected_ms;
   int64_t started_ms;
   bool begun;
 };
@@ -153,6 +169,7 @@
   engine = g_new0 (struct engine, 1);
   engine->name = g_strdup (name);
   engine->plain_ms = PLAIN_MS;
+  engine->pace = 1;
   engine->holders = 1;
   engine->parts
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
@@ -181,11 +198,22 @@
   demand->parts = ask->parts_count;
 }
 
+/* Return what reading the tokens of DEMAND from READ on takes, as a number of
+   plain tokens: those late in a long prompt take longer.  */
+static double
+reading (const struct jc_demand *demand, unsigned int read)
+{
+  double all = demand->prompt_tokens;
+  double pairs = (all * all - (double)read * read) / 2;
+
+  return all - read + pairs * PAIR_MS * PROMPT_TOKENS_A_MS;
+}
+
 /* Return how long an engine reads the whole prompt of DEMAND, ms.  */
 int64_t
 jc_demand_read_ms (const struct jc_demand *demand)
 {
-  return (int64_t)(demand->prompt_tokens / PROMPT_TOKENS_A_MS);
+  return (int64_t)(reading (demand, 0) / PROMPT_TOKENS_A_MS);
 }
 
 /* Return how many of DEMAND's first tokens ENGINE has read lately.  */
@@ -234,7 +262,8 @@
 {
   struct work work = { .running = engine->running,
                        .unread_tokens = (double)engine->unread_tokens,
-                       .busy = rate_now (engine, now_ms) };
+                       .busy = rate_now (engine, now_ms),
+                       .pace = engine->pace };
   bool told = false;
 
   for (unsigned int i = 0; i < engine->shares_count; i++)
@@ -250,14 +279,15 @@
     }
   if (!told && now_ms - engine->reported_ms < LOAD_FRESH_MS)
     work.running = MAX (work.running, engine->reported);
-  work.busy = MIN (work.busy / (PROMPT_TOKENS_A_MS * MS_PER_S), BUSY_MAX);
+  work.busy
+      = MIN (work.busy * work.pace / (PROMPT_TOKENS_A_MS * MS_PER_S), BUSY_MAX);
   return work;
 }
 
 static double
 step_ms (const struct work *work)
 {
-  return STEP_MS + STEP_RUNNING_MS * work->running;
+  return (STEP_MS + STEP_RUNNING_MS * work->running) * work->pace;
 }
 
 /* Return the wait for a place where all SLOTS are taken, ms: requests ahead,
@@ -278,8 +308,21 @@
 {
   double tokens = work->unread_tokens + unread;
 
-  return tokens / PROMPT_TOKENS_A_MS + tokens / CHUNK_TOKENS * step_ms (work)
-         + FIRST_EVENT_MS + slot_wait_ms (work, endpoint->slots);
+  return tokens / PROMPT_TOKENS_A_MS * work->pace
+         + tokens / CHUNK_TOKENS * step_ms (work) + FIRST_EVENT_MS * work->pace
+         + slot_wait_ms (work, endpoint->slots);
+}
+
+/* Return the longest pause of a stream that runs while TOKENS are read, ms:
+   between two of its events there are as many steps as an event has tokens,
+   and each of them reads a chunk while there is any.  */
+static double
+pause_ms (const struct work *work, double tokens)
+{
+  double chunks = MIN (tokens / CHUNK_TOKENS, EVENT_TOKENS);
+
+  return chunks * CHUNK_TOKENS / PROMPT_TOKENS_A_MS * work->pace
+         + EVENT_TOKENS * step_ms (work);
 }
 
 /* Return the time that the answer to DEMAND takes after its first event, ms:
@@ -312,9 +355,8 @@
 
   if (demand->prompt_tokens == 0)
     return (int64_t)plain_ms (engine, &work, endpoint);
-  return (int64_t)first_ms (&work, endpoint,
-                            demand->prompt_tokens
-                                - tokens_read (engine, demand, now_ms));
+  return (int64_t)first_ms (
+      &work, endpoint, reading (demand, tokens_read (engine, demand, now_ms)));
 }
 
 /* Return the time until the whole answer to DEMAND is there if it goes to
@@ -368,6 +410,27 @@
   return best;
 }
 
+/* Return what it costs that answers become late where a request of DEMAND
+   with UNREAD tokens goes to an engine with WORK, ms: its own, and those of
+   the streams that would pause for too long only because of it.  */
+static double
+lateness_ms (const struct work *work, const struct jc_demand *demand,
+             double first, double unread)
+{
+  double gap = (double)demand->gap_ms;
+  double cost = 0;
+
+  if (demand->objective_ms > 0 && first > (double)demand->objective_ms)
+    cost += LATE_MS;
+  if (gap <= 0)
+    return cost;
+  if (pause_ms (work, work->unread_tokens) > gap)
+    cost += LATE_MS / 2;
+  else if (pause_ms (work, work->unread_tokens + unread) > gap)
+    cost += work->running * LATE_MS / 4;
+  return cost;
+}
+
 /* Return the cost of sending a request of DEMAND to ENDPOINT, ms: the time of
    its answer, what its reading takes from the requests that run there, what
    reading shared parts once more takes away later, and the endpoint's
@@ -383,11 +446,14 @@
   unsigned int shared
       = demand->parts > 1 ? demand->tokens[demand->parts - 2] : 0;
   unsigned int read = tokens_read (engine, demand, now_ms);
-  double unread = demand->prompt_tokens - read;
+  double unread = reading (demand, read);
+  double first;
 
   if (demand->prompt_tokens == 0)
     return cost + plain_ms (engine, &work, endpoint);
-  cost += first_ms (&work, endpoint, unread) + decode_ms (&work, demand);
+  first = first_ms (&work, endpoint, unread);
+  cost += first + decode_ms (&work, demand)
+          + lateness_ms (&work, demand, first, unread);
   cost += unread / PROMPT_TOKENS_A_MS * work.running * OTHERS_WEIGHT;
   if (endpoint != meeting && read < shared)
     cost += (shared - read) / PROMPT_TOKENS_A_MS;
@@ -446,6 +512,29 @@
     }
 }
 
+/* Return the time that the data sheet gives for RUN's first event, ms.  */
+static double
+run_expected_ms (const struct jc_engine_run *run, int64_t now_ms)
+{
+  struct work work = work_at (run->engine, now_ms);
+  double tokens = work.unread_tokens + (double)run->unread;
+
+  work.pace = 1;
+  return tokens / PROMPT_TOKENS_A_MS + tokens / CHUNK_TOKENS * step_ms (&work);
+}
+
+/* Learn from the time of RUN's first event how fast its engine is.  */
+static void
+learn_pace (const struct jc_engine_run *run, int64_t now_ms)
+{
+  struct engine *engine = run->engine;
+  double took = (double)(now_ms - run->started_ms) - FIRST_EVENT_MS;
+  double pace = CLAMP (took / run->expected_ms, PACE_LEAST, PACE_MOST);
+
+  if (run->expected_ms >= PACE_READ_MS)
+    engine->pace += (pace - engine->pace) * PACE_WEIGHT;
+}
+
 /* A request of DEMAND goes to ENDPOINT.  */
 struct jc_engine_run *
 jc_engines_start (struct jc_engines *engines,
@@ -458,7 +547,9 @@
   run->engine = engine;
   run->demand = *demand;
   run->started_ms = now_ms;
-  run->unread = demand->prompt_tokens - tokens_read (engine, demand, now_ms);
+  run->unread
+      = (uint64_t)reading (demand, tokens_read (engine, demand, now_ms));
+  run->expected_ms = run_expected_ms (run, now_ms);
   engine->holders++;
   engine->running++;
   engine->unread_tokens += run->unread;
@@ -475,6 +566,7 @@
   if (run->begun)
     return;
   run->begun = true;
+  learn_pace (run, now_ms);
   run->engine->unread_tokens -= run->unread;
   run->engine->rest_ms = 0;
   note_parts (run->engine, &run->demand, now_ms);
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -10,7 +10,8 @@
 
 /* What a request asks of an endpoint.  CHAIN[i] stands for the prompt's parts
    up to the one numbered i, which end after TOKENS[i] tokens.  PROMPT_TOKENS
-   is 0 where it is no prompt.  */
+   is 0 where it is no prompt.  The answer is late where its first event takes
+   over OBJECTIVE_MS or a pause is over GAP_MS; 0 for no bound.  */
 struct jc_demand
 {
   unsigned int prompt_tokens;
@@ -18,6 +19,8 @@
   unsigned int parts;
   uint64_t chain[JC_PROMPT_PARTS_MAX];
   unsigned int tokens[JC_PROMPT_PARTS_MAX];
+  int64_t objective_ms;
+  int64_t gap_ms;
 };
 
 struct jc_engines;
