Weigh the time after a stream's first event a quarter

Cause: the predicted time of all steps, which differs by seconds between engines, outweighed where shared parts are kept. Change: that time weighs 0.25; a request that would not be whole in 0.8 of the time left weighs as two late answers.

--- a/entry/passage.c
+++ b/entry/passage.c
@@ -603,7 +603,10 @@
                                       .here_only = passage->guest,
                                       .now_ms = jc_now_ms () };
   struct choice choice;
-  enum jc_status status = choice_make (hosts, &query, &choice);
+  enum jc_status status;
+
+  passage->demand.left_ms = passage->relay.deadline_ms - query.now_ms;
+  status = choice_make (hosts, &query, &choice);
 
   if (status == JC_OK && passage->arrived
       && !jc_budgets_retry (hosts->budgets, passage->service, query.now_ms))
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -25,8 +25,15 @@
    against its own time: a delay matters only where it makes an answer
    late.  */
 #define OTHERS_WEIGHT 0.1
-/* Time that an answer made late weighs: most of its worth is lost.  */
+/* Weight of the time between the first event and the last: the caller reads
+   along, so only pauses and the deadline matter much.  */
+#define DECODE_WEIGHT 0.25
+/* Time that an answer made late weighs: most of its worth is lost.  One that
+   reaches its deadline weighs twice that.  */
 #define LATE_MS 1000.0
+/* The length of an answer is a guess, so it must fit into this part of the
+   time that is left.  */
+#define LEFT_PART 0.8
 /* An engine's pace against the data sheet: bounds, and the weight of one
    measurement.  */
 #define PACE_LEAST 0.7
@@ -448,12 +455,17 @@
   unsigned int read = tokens_read (engine, demand, now_ms);
   double unread = reading (demand, read);
   double first;
+  double decode;
 
   if (demand->prompt_tokens == 0)
     return cost + plain_ms (engine, &work, endpoint);
   first = first_ms (&work, endpoint, unread);
-  cost += first + decode_ms (&work, demand)
+  decode = decode_ms (&work, demand);
+  cost += first + decode * DECODE_WEIGHT
           + lateness_ms (&work, demand, first, unread);
+  if (demand->left_ms > 0
+      && first + decode > (double)demand->left_ms * LEFT_PART)
+    cost += 2 * LATE_MS;
   cost += unread / PROMPT_TOKENS_A_MS * work.running * OTHERS_WEIGHT;
   if (endpoint != meeting && read < shared)
     cost += (shared - read) / PROMPT_TOKENS_A_MS;
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -11,7 +11,8 @@
 /* What a request asks of an endpoint.  CHAIN[i] stands for the prompt's parts
    up to the one numbered i, which end after TOKENS[i] tokens.  PROMPT_TOKENS
    is 0 where it is no prompt.  The answer is late where its first event takes
-   over OBJECTIVE_MS or a pause is over GAP_MS; 0 for no bound.  */
+   over OBJECTIVE_MS or a pause is over GAP_MS; it must be whole in LEFT_MS.
+   0 for no bound.  */
 struct jc_demand
 {
   unsigned int prompt_tokens;
@@ -21,6 +22,7 @@
   unsigned int tokens[JC_PROMPT_PARTS_MAX];
   int64_t objective_ms;
   int64_t gap_ms;
+  int64_t left_ms;
 };
 
 struct jc_engines;
