Admit prompts by how busy engines are, by urgency

Change: a request goes only to an engine whose part of time spent on reading is under a limit that falls with the route's urgency (0.94, 0.86, 0.72, 0.6) and where it is whole in the time left; else to another region with 0.15 more room; else it is refused at once.

--- a/entry/choice.c
+++ b/entry/choice.c
@@ -11,9 +11,14 @@
      there costs: a request goes there only where it gains more.  */
   AWAY_COST_MS = 250,
   ROOMS_MAX = 64,
+  PERMILLE = 1000,
   NEIGHBOUR_FRESH_MS = 3000
 };
 
+/* Part of an engine's time that is left where work from other regions
+   goes.  */
+#define AWAY_BUSY_LEFT 0.15
+
 /* Requests by which regions are compared: a prompt that must be read in full
    and its answer, and a plain request.  */
 static const struct jc_demand usual_prompt
@@ -120,12 +125,22 @@
   return NULL;
 }
 
-/* Return the instance of another region with the shortest wait for QUERY's
-   service, or NULL; WAIT_MS is that wait.  Of equal ones a random one is
-   taken.  */
+/* Tell whether a request of DEMAND would be taken at ROOM.  What is told of it
+   is some time old, so some of the room is left.  */
+static bool
+has_room (const struct rpc_service_room *room, const struct jc_demand *demand)
+{
+  return demand->prompt_tokens == 0
+         || room->busy_permille
+                < (jc_demand_busy_limit (demand) - AWAY_BUSY_LEFT) * PERMILLE;
+}
+
+/* Return the instance of another region where a usual request of QUERY's
+   service takes the least time, or NULL; ANSWER_MS is that time.  Of equal
+   ones a random one is taken.  */
 static const struct neighbour *
 best_neighbour (struct hosts *hosts, const struct choice_query *query,
-                int64_t *wait_ms)
+                int64_t *answer_ms)
 {
   const char *region = hosts->entry->settings->region;
   const struct neighbour *best = NULL;
@@ -143,17 +158,18 @@
       if (room == NULL || said->draining || strcmp (said->region, region) == 0
           || !is_fresh (neighbour, query->now_ms)
           || !jc_hostroute_allows (query->route, said->region)
-          || was_tried (query->tried, said->name))
+          || was_tried (query->tried, said->name)
+          || !has_room (room, query->demand))
         continue;
-      if (best != NULL && (int64_t)room->wait_ms > *wait_ms)
+      if (best != NULL && (int64_t)room->answer_ms > *answer_ms)
         continue;
-      if (best != NULL && (int64_t)room->wait_ms == *wait_ms
+      if (best != NULL && (int64_t)room->answer_ms == *answer_ms
           && g_random_int_range (0, (gint32)++equal + 1) != 0)
         continue;
-      if (best == NULL || (int64_t)room->wait_ms < *wait_ms)
+      if (best == NULL || (int64_t)room->answer_ms < *answer_ms)
         equal = 0;
       best = neighbour;
-      *wait_ms = room->wait_ms;
+      *answer_ms = room->answer_ms;
     }
   return best;
 }
@@ -174,8 +190,19 @@
   return gain > 0 && g_random_int_range (0, (gint32)here_ms + 1) < gain;
 }
 
+/* Leave out those of ENDPOINTS that DEMAND should not go to now.  */
+static void
+admitting_endpoints (struct hosts *hosts, const struct choice_query *query,
+                     GPtrArray *endpoints)
+{
+  for (guint i = endpoints->len; i > 0; i--)
+    if (!jc_engines_admit (hosts->engines, g_ptr_array_index (endpoints, i - 1),
+                           query->demand, query->now_ms))
+      g_ptr_array_remove_index (endpoints, i - 1);
+}
+
 /* Choose where the request of QUERY goes.  Return JC_NO_ENDPOINT where there
-   is no place for it.  */
+   is no place for it, JC_OVERLOADED where there are only full ones.  */
 enum jc_status
 choice_make (struct hosts *hosts, const struct choice_query *query,
              struct choice *choice)
@@ -184,10 +211,13 @@
   const struct neighbour *neighbour = NULL;
   struct jc_endpoint *endpoint = NULL;
   int64_t away_ms = 0;
+  guint usable;
 
   if (jc_hostroute_allows (query->route, hosts->entry->settings->region))
     usable_endpoints (hosts, query->service, query->tried, query->now_ms,
                       endpoints);
+  usable = endpoints->len;
+  admitting_endpoints (hosts, query, endpoints);
   if (endpoints->len > 0)
     endpoint = jc_engines_pick (hosts->engines, endpoints, query->demand,
                                 query->now_ms);
@@ -199,29 +229,39 @@
   g_ptr_array_free (endpoints, TRUE);
   choice->neighbour = neighbour;
   choice->endpoint = neighbour != NULL ? NULL : endpoint;
+  if (neighbour == NULL && endpoint == NULL && usable > 0)
+    return jc_fail (JC_OVERLOADED, "All endpoints of %s have too much to do.",
+                    query->service);
   if (neighbour == NULL && endpoint == NULL)
     return jc_fail (JC_NO_ENDPOINT, "No endpoint of %s can take it.",
                     query->service);
   return JC_OK;
 }
 
-static unsigned int
-shortest_wait (struct hosts *hosts, const GPtrArray *endpoints, int64_t now_ms)
+/* Fill ROOM for ENDPOINTS, all of one service.  */
+static void
+measure_room (struct hosts *hosts, const GPtrArray *endpoints, int64_t now_ms,
+              struct rpc_service_room *room)
 {
-  int64_t least = INT32_MAX;
+  int64_t least_ms = INT32_MAX;
+  double least_busy = 1;
 
   for (guint i = 0; i < endpoints->len; i++)
     {
       const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
       const struct jc_hostservice *service
           = jc_routetable_service (hosts->routes, endpoint->service);
-      int64_t wait = jc_engines_answer_ms (
+      int64_t answer_ms = jc_engines_answer_ms (
           hosts->engines, endpoint,
           service->engine.slots > 0 ? &usual_prompt : &usual_plain, now_ms);
 
-      least = MIN (least, wait);
+      least_ms = MIN (least_ms, answer_ms);
+      least_busy = MIN (least_busy,
+                        jc_engines_busy (hosts->engines, endpoint, now_ms));
     }
-  return (unsigned int)least;
+  room->endpoints = endpoints->len;
+  room->answer_ms = (u_int)least_ms;
+  room->busy_permille = (u_int)(least_busy * PERMILLE);
 }
 
 /* Fill the rooms of OUT, which has place for 64: what this instance can do
@@ -247,8 +287,7 @@
           g_ptr_array_set_size (endpoints, 0);
           usable_endpoints (hosts, name, NULL, now, endpoints);
           room->service = name;
-          room->endpoints = endpoints->len;
-          room->wait_ms = shortest_wait (hosts, endpoints, now);
+          measure_room (hosts, endpoints, now, room);
         }
     }
   g_ptr_array_free (endpoints, TRUE);
--- a/entry/passage.c
+++ b/entry/passage.c
@@ -726,6 +726,7 @@
   jc_demand_of (&ask, &passage->demand);
   passage->demand.objective_ms = route->objective_ms;
   passage->demand.gap_ms = route->gap_ms;
+  passage->demand.priority = route->priority;
   wait_ms = ask.wait_ms > 0 ? MIN (ask.wait_ms, route->timeout_ms)
                             : route->timeout_ms;
   jc_relay_init (&passage->relay, route, passage->started_ms + wait_ms,
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -580,7 +580,8 @@
 struct rpc_service_room {
 	rpc_name service;
 	u_int endpoints;
-	u_int wait_ms;
+	u_int answer_ms;
+	u_int busy_permille;
 };
 typedef struct rpc_service_room rpc_service_room;
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1075,7 +1075,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->endpoints))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+	 if (!xdr_u_int (xdrs, &objp->answer_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->busy_permille))
 		 return FALSE;
 	return TRUE;
 }
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -508,12 +508,14 @@
   rpc_endpoint endpoints<RPC_ITEMS_MAX>;
 };
 
-/* What an entry instance can do for one service: usable endpoints there, and
-   the wait before a request would begin to run.  */
+/* What an entry instance can do for one service: usable endpoints there, the
+   time that a usual request takes at the best of them, and the part of its
+   time that the least busy one spends on reading prompts.  */
 struct rpc_service_room {
   rpc_name service;
   unsigned int endpoints;
-  unsigned int wait_ms;
+  unsigned int answer_ms;
+  unsigned int busy_permille;
 };
 
 /* An entry instance as it reports itself.  Addresses are IP:PORT.  */
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -438,6 +438,46 @@
   return cost;
 }
 
+/* Return the part of its time that ENDPOINT spends on reading prompts.  */
+double
+jc_engines_busy (struct jc_engines *engines, const struct jc_endpoint *endpoint,
+                 int64_t now_ms)
+{
+  return work_at (engine_of (engines, endpoint->name), now_ms).busy;
+}
+
+/* Return how busy an engine may be for a request of DEMAND to go there.
+   Streams that run pause while prompts are read: beyond a limit most of them
+   end late, so the less urgent ones are refused before.  */
+double
+jc_demand_busy_limit (const struct jc_demand *demand)
+{
+  static const double limits[] = { 0.94, 0.86, 0.72, 0.6 };
+
+  return limits[MIN (demand->priority, G_N_ELEMENTS (limits) - 1)];
+}
+
+/* Tell whether a request of DEMAND is worth sending to ENDPOINT: it is whole
+   in time, and leaves time for what is more urgent.  */
+bool
+jc_engines_admit (struct jc_engines *engines,
+                  const struct jc_endpoint *endpoint,
+                  const struct jc_demand *demand, int64_t now_ms)
+{
+  const struct engine *engine = engine_of (engines, endpoint->name);
+  struct work work = work_at (engine, now_ms);
+  double unread = reading (demand, tokens_read (engine, demand, now_ms));
+  double first;
+
+  if (demand->prompt_tokens == 0)
+    return true;
+  if (work.busy > jc_demand_busy_limit (demand))
+    return false;
+  first = first_ms (&work, endpoint, unread);
+  return demand->left_ms <= 0
+         || first + decode_ms (&work, demand) <= (double)demand->left_ms;
+}
+
 /* Return the cost of sending a request of DEMAND to ENDPOINT, ms: the time of
    its answer, what its reading takes from the requests that run there, what
    reading shared parts once more takes away later, and the endpoint's
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -12,7 +12,7 @@
    up to the one numbered i, which end after TOKENS[i] tokens.  PROMPT_TOKENS
    is 0 where it is no prompt.  The answer is late where its first event takes
    over OBJECTIVE_MS or a pause is over GAP_MS; it must be whole in LEFT_MS.
-   0 for no bound.  */
+   0 for no bound.  PRIORITY 0 is the most urgent.  */
 struct jc_demand
 {
   unsigned int prompt_tokens;
@@ -23,6 +23,7 @@
   int64_t objective_ms;
   int64_t gap_ms;
   int64_t left_ms;
+  unsigned int priority;
 };
 
 struct jc_engines;
@@ -45,6 +46,12 @@
 
 void jc_demand_of (const struct jc_ask *ask, struct jc_demand *demand);
 int64_t jc_demand_read_ms (const struct jc_demand *demand);
+double jc_engines_busy (struct jc_engines *engines,
+                        const struct jc_endpoint *endpoint, int64_t now_ms);
+double jc_demand_busy_limit (const struct jc_demand *demand);
+bool jc_engines_admit (struct jc_engines *engines,
+                       const struct jc_endpoint *endpoint,
+                       const struct jc_demand *demand, int64_t now_ms);
 struct jc_endpoint *jc_engines_pick (struct jc_engines *engines,
                                      const GPtrArray *endpoints,
                                      const struct jc_demand *demand,
