Keep shared parts together; see the depth of long prompts

Cause: a fifth of what engines read had been read elsewhere before; a prompt of 50 k tokens makes each step a third longer at its end, which the predicted pause did not see. Change: a part read at one more engine weighs three times its reading; the pause counts the depth of the last chunks.

--- a/serve/engine.c
+++ b/serve/engine.c
@@ -28,6 +28,9 @@
 /* Weight of the time between the first event and the last: the caller reads
    along, so only pauses and the deadline matter much.  */
 #define DECODE_WEIGHT 0.25
+/* Weight of reading shared parts at one more engine: it takes memory from what
+   is kept there, and later requests scatter too.  */
+#define SCATTER_WEIGHT 3.0
 /* Time that an answer made late weighs: most of its worth is lost.  One that
    reaches its deadline weighs twice that.  */
 #define LATE_MS 1000.0
@@ -322,14 +325,25 @@
 
 /* Return the longest pause of a stream that runs while TOKENS are read, ms:
    between two of its events there are as many steps as an event has tokens,
-   and each of them reads a chunk while there is any.  */
+   and each of them reads a chunk while there is any.  DEPTH is how many
+   tokens come before the last chunks.  */
 static double
-pause_ms (const struct work *work, double tokens)
+pause_ms (const struct work *work, double tokens, double depth)
 {
   double chunks = MIN (tokens / CHUNK_TOKENS, EVENT_TOKENS);
+  double chunk_ms = CHUNK_TOKENS * (1 / PROMPT_TOKENS_A_MS + depth * PAIR_MS);
 
-  return chunks * CHUNK_TOKENS / PROMPT_TOKENS_A_MS * work->pace
-         + EVENT_TOKENS * step_ms (work);
+  return chunks * chunk_ms * work->pace + EVENT_TOKENS * step_ms (work);
+}
+
+/* Return how many tokens of DEMAND come before the middle of the chunks that
+   are read between two events of other streams, at the end of its reading.  */
+static double
+depth_of (const struct jc_demand *demand)
+{
+  double depth = demand->prompt_tokens - CHUNK_TOKENS * EVENT_TOKENS / 2;
+
+  return MAX (depth, 0);
 }
 
 /* Return the time that the answer to DEMAND takes after its first event, ms:
@@ -431,9 +445,10 @@
     cost += LATE_MS;
   if (gap <= 0)
     return cost;
-  if (pause_ms (work, work->unread_tokens) > gap)
+  if (pause_ms (work, work->unread_tokens, 0) > gap)
     cost += LATE_MS / 2;
-  else if (pause_ms (work, work->unread_tokens + unread) > gap)
+  else if (pause_ms (work, work->unread_tokens + unread, depth_of (demand))
+           > gap)
     cost += work->running * LATE_MS / 4;
   return cost;
 }
@@ -508,7 +523,7 @@
     cost += 2 * LATE_MS;
   cost += unread / PROMPT_TOKENS_A_MS * work.running * OTHERS_WEIGHT;
   if (endpoint != meeting && read < shared)
-    cost += (shared - read) / PROMPT_TOKENS_A_MS;
+    cost += (shared - read) / PROMPT_TOKENS_A_MS * SCATTER_WEIGHT;
   return cost;
 }
 
