--- a/Makefile
+++ b/Makefile
@@ -73,7 +73,7 @@
 	@rm -f $@
 	$(Q)ar rcs $@ $^
 
-$(B)/tests/%: $(B)/obj/tests/%.o $(TESTLIB) $(NETLIB) $(LIB)
+$(B)/tests/%: $(B)/obj/tests/%.o $(call obj,$(PLATFORM_SRC)) $(TESTLIB) $(NETLIB) $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
--- a/entry/passage.c
+++ b/entry/passage.c
@@ -32,6 +32,7 @@
      that come at once are spread.  */
   RETRY_LEAST_MS = 200,
   RETRY_SPREAD_MS = 400,
+  WHY_BYTES = 200,
   HTTP_OK = 200,
   HTTP_WRONG_ENDPOINT = 421
 };
@@ -510,7 +511,7 @@
 
 static void
 attempt_send (struct passage *passage, const char *address,
-              const char *endpoint)
+              const char *endpoint, const char *why)
 {
   const struct jc_relay *relay = &passage->relay;
   int64_t left = relay->deadline_ms - passage->attempt_ms;
@@ -534,12 +535,11 @@
           .echo_name = passage->hosts->dialect->echo_header,
           .echo_value = passage->ask.id != NULL ? passage->ask.id : "" };
 
-  jc_event (
-      JC_EVENT_ATTEMPT,
-      "id=%s route=%s place=%s address=%s away=%d number=%u left_ms=%" PRId64
-      " resume_after=%" PRId64,
-      id_of (passage), passage->route->name, passage->place, address,
-      passage->away, relay->tried + 1, left, relay->last_event);
+  jc_event (JC_EVENT_ATTEMPT,
+            "id=%s route=%s place=%s away=%d number=%u left_ms=%" PRId64
+            " resume_after=%" PRId64 " %s",
+            id_of (passage), passage->route->name, passage->place,
+            passage->away, relay->tried + 1, left, relay->last_event, why);
   passage->call
       = jc_call_start (passage->hosts->entry->httpc, &spec, &call_ops, passage);
   g_ptr_array_free (lines, TRUE);
@@ -554,6 +554,7 @@
   const struct jc_endpoint *endpoint = choice->endpoint;
   const struct jc_hostservice *service
       = jc_routetable_service (passage->table, passage->service);
+  char why[WHY_BYTES];
 
   attempt_reset (passage);
   passage->away = endpoint == NULL;
@@ -564,15 +565,18 @@
   g_ptr_array_add (passage->tried, g_strdup (passage->place));
   if (passage->away)
     {
-      attempt_send (passage, choice->neighbour->said.handover_address, NULL);
+      attempt_send (passage, choice->neighbour->said.handover_address, NULL,
+                    "");
       return;
     }
+  jc_engines_explain (hosts->engines, endpoint, &passage->demand,
+                      passage->attempt_ms, why, sizeof why);
   passage->run = jc_engines_start (hosts->engines, endpoint, &passage->demand,
                                    passage->attempt_ms);
   if (service != NULL && service->cold_per_s > 0)
     jc_budgets_cold (hosts->budgets, endpoint->name, service->cold_per_s, true,
                      passage->attempt_ms);
-  attempt_send (passage, endpoint->address, endpoint->name);
+  attempt_send (passage, endpoint->address, endpoint->name, why);
 }
 
 /* End a passage for which there is no further attempt, by STATUS.  */
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -21,6 +21,9 @@
 #define CHUNK_TOKENS 4096.0
 /* No engine is taken to spend more of its time on reading than this.  */
 #define BUSY_MAX 0.95
+/* What a request's own reading counts at most against the limit, so that the
+   longest prompts find a place too.  */
+#define BUSY_BY_MAX 0.15
 /* Weight of the time that a request's reading takes from each running one
    against its own time: a delay matters only where it makes an answer
    late.  */
@@ -453,6 +456,13 @@
   return cost;
 }
 
+/* Return the part of an engine's time that reading UNREAD tokens adds.  */
+static double
+busy_by (double unread)
+{
+  return unread / PROMPT_TOKENS_A_MS / RATE_MS;
+}
+
 /* Return the part of its time that ENDPOINT spends on reading prompts.  */
 double
 jc_engines_busy (struct jc_engines *engines, const struct jc_endpoint *endpoint,
@@ -467,7 +477,7 @@
 double
 jc_demand_busy_limit (const struct jc_demand *demand)
 {
-  static const double limits[] = { 0.94, 0.86, 0.72, 0.6 };
+  static const double limits[] = { 0.97, 0.88, 0.78, 0.65 };
 
   return limits[MIN (demand->priority, G_N_ELEMENTS (limits) - 1)];
 }
@@ -486,7 +496,8 @@
 
   if (demand->prompt_tokens == 0)
     return true;
-  if (work.busy > jc_demand_busy_limit (demand))
+  if (work.busy + MIN (busy_by (unread) * work.pace, BUSY_BY_MAX)
+      > jc_demand_busy_limit (demand))
     return false;
   first = first_ms (&work, endpoint, unread);
   return demand->left_ms <= 0
@@ -555,6 +566,28 @@
   return best;
 }
 
+/* Write to OUT what the cost of a request of DEMAND at ENDPOINT rests on, as
+   fields of a log line.  */
+void
+jc_engines_explain (struct jc_engines *engines,
+                    const struct jc_endpoint *endpoint,
+                    const struct jc_demand *demand, int64_t now_ms, char *out,
+                    size_t size)
+{
+  const struct engine *engine = engine_of (engines, endpoint->name);
+  struct work work = work_at (engine, now_ms);
+  unsigned int read = tokens_read (engine, demand, now_ms);
+  double unread = reading (demand, read);
+
+  g_snprintf (out, size,
+              "running=%.0f unread=%.0f busy=%.2f pace=%.2f failures=%.1f "
+              "prompt=%u read=%u first=%.0f answer=%.0f pause=%.0f",
+              work.running, work.unread_tokens, work.busy, work.pace,
+              failures_now (engine, now_ms), demand->prompt_tokens, read,
+              first_ms (&work, endpoint, unread), decode_ms (&work, demand),
+              pause_ms (&work, work.unread_tokens + unread, depth_of (demand)));
+}
+
 static void
 note_parts (struct engine *engine, const struct jc_demand *demand,
             int64_t now_ms)
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -62,6 +62,10 @@
 int64_t jc_engines_answer_ms (struct jc_engines *engines,
                               const struct jc_endpoint *endpoint,
                               const struct jc_demand *demand, int64_t now_ms);
+void jc_engines_explain (struct jc_engines *engines,
+                         const struct jc_endpoint *endpoint,
+                         const struct jc_demand *demand, int64_t now_ms,
+                         char *out, size_t size);
 struct jc_engine_run *jc_engines_start (struct jc_engines *engines,
                                         const struct jc_endpoint *endpoint,
                                         const struct jc_demand *demand,
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -6,6 +6,7 @@
 {
   /* Less time than this is not enough for any answer.  */
   TRY_LEAST_MS = 20,
+  HTTP_OK = 200,
   HTTP_SERVER_ERROR = 500
 };
 
@@ -70,7 +71,9 @@
   if (end->sent && !(end->whole && end->not_run))
     relay->sent += end->endpoints > 1 ? end->endpoints : 1;
   if (relay->begun)
-    return answered ? JC_RELAY_END : try_or (relay, JC_RELAY_BREAK, now_ms);
+    return answered && end->http == HTTP_OK
+               ? JC_RELAY_END
+               : try_or (relay, JC_RELAY_BREAK, now_ms);
   if (end->whole && end->not_run)
     return try_or (relay, JC_RELAY_FAIL, now_ms);
   if (answered && end->http < HTTP_SERVER_ERROR)
--- /dev/null
+++ b/tests/enginesim.c
@@ -0,0 +1,316 @@
+/* Engines and entry instances on virtual time.  */
+
+#include <math.h>
+#include <string.h>
+
+#include "tests/enginesim.h"
+
+enum
+{
+  SLOTS = 64,
+  CHUNK = 4096,
+  EVENT_TOKENS = 8,
+  TELL_MS = 100,
+  KEPT_PARTS = 40,
+  MS_PER_S = 1000
+};
+
+/* A request at an engine.  */
+struct job
+{
+  const struct sim_kind *kind;
+  struct sim_result *result;
+  struct jc_engine_run *run;
+  double arrived;
+  double unread;
+  double depth;
+  unsigned int made;
+  double last_event;
+  bool late;
+};
+
+struct sim_engine
+{
+  struct jc_endpoint endpoint;
+  char name[16];
+  double pace;
+  double free_at;
+  GQueue jobs;
+  uint64_t kept[KEPT_PARTS];
+  unsigned int kept_next;
+  unsigned int own[SIM_INSTANCES_MAX];
+};
+
+struct sim
+{
+  const struct sim_plan *plan;
+  struct sim_report *report;
+  GRand *rand;
+  struct sim_engine engines[SIM_ENGINES_MAX];
+  struct jc_engines *views[SIM_INSTANCES_MAX];
+  GHashTable *ever_read;
+};
+
+static bool
+keeps (struct sim_engine *engine, uint64_t part)
+{
+  for (unsigned int i = 0; i < KEPT_PARTS; i++)
+    if (engine->kept[i] == part)
+      return true;
+  engine->kept[engine->kept_next++ % KEPT_PARTS] = part;
+  return false;
+}
+
+static void
+job_over (struct sim_engine *engine, struct job *job, bool whole, double now)
+{
+  if (!whole)
+    job->result->failed++;
+  else if (job->late)
+    job->result->late++;
+  else
+    job->result->in_aim++;
+  jc_engine_run_end (job->run, whole ? JC_ENGINE_SERVED : JC_ENGINE_LEFT,
+                     (int64_t)now);
+  g_queue_remove (&engine->jobs, job);
+  g_free (job);
+}
+
+/* A step made one token for JOB.  */
+static void
+job_token (struct job *job, double now)
+{
+  if (job->made == 0)
+    {
+      jc_engine_run_begun (job->run, (int64_t)now);
+      job->late = now - job->arrived > (double)job->kind->objective_ms;
+      job->last_event = now;
+    }
+  job->made++;
+  if (job->made % EVENT_TOKENS != 0)
+    return;
+  job->late = job->late || now - job->last_event > (double)job->kind->gap_ms;
+  job->last_event = now;
+}
+
+/* Return the job whose prompt is read next: the more urgent, then the
+   older.  */
+static struct job *
+next_unread (const struct sim_engine *engine)
+{
+  struct job *next = NULL;
+
+  for (GList *item = engine->jobs.head; item != NULL; item = item->next)
+    {
+      struct job *job = item->data;
+
+      if (job->unread > 0 && next == NULL)
+        next = job;
+    }
+  return next;
+}
+
+/* Make one step: a chunk of a prompt and a token of each running request.  */
+static void
+engine_step (struct sim_engine *engine, double now)
+{
+  struct job *reading = next_unread (engine);
+  unsigned int running = MIN (g_queue_get_length (&engine->jobs), SLOTS);
+  double took = 3.09 + 0.102 * running;
+  unsigned int index = 0;
+
+  if (reading != NULL)
+    {
+      double chunk = MIN (reading->unread, CHUNK);
+
+      took += chunk / 56.9 + chunk * reading->depth * 0.165e-6;
+      reading->depth += chunk;
+      reading->unread -= chunk;
+    }
+  engine->free_at = now + took * engine->pace;
+  for (GList *item = engine->jobs.head; item != NULL && index < SLOTS; index++)
+    {
+      struct job *job = item->data;
+
+      item = item->next;
+      if (engine->free_at - job->arrived > (double)job->kind->deadline_ms)
+        {
+          job_over (engine, job, false, engine->free_at);
+          continue;
+        }
+      if (job->unread > 0)
+        continue;
+      job_token (job, engine->free_at);
+      if (job->made >= job->kind->answer)
+        job_over (engine, job, true, engine->free_at);
+    }
+}
+
+static struct sim_engine *
+choose (struct sim *sim, unsigned int instance, const struct jc_demand *demand,
+        int64_t now_ms)
+{
+  const struct sim_plan *plan = sim->plan;
+  struct sim_engine *best = &sim->engines[0];
+  GPtrArray *list;
+  struct jc_endpoint *picked;
+
+  if (plan->policy == SIM_RANDOM)
+    return &sim->engines[g_rand_int_range (sim->rand, 0, (int)plan->engines)];
+  if (plan->policy == SIM_FEWEST)
+    {
+      for (unsigned int i = 1; i < plan->engines; i++)
+        if (sim->engines[i].own[instance] < best->own[instance])
+          best = &sim->engines[i];
+      return best;
+    }
+  list = g_ptr_array_new ();
+  for (unsigned int i = 0; i < plan->engines; i++)
+    if (jc_engines_admit (sim->views[instance], &sim->engines[i].endpoint,
+                          demand, now_ms))
+      g_ptr_array_add (list, &sim->engines[i].endpoint);
+  picked = jc_engines_pick (sim->views[instance], list, demand, now_ms);
+  g_ptr_array_free (list, TRUE);
+  return (struct sim_engine *)picked;
+}
+
+static void
+fill_demand (const struct sim_kind *kind, uint64_t thing, uint64_t own,
+             struct jc_demand *demand)
+{
+  struct jc_ask ask
+      = { .prompt_tokens = kind->prompt, .answer_tokens = kind->answer };
+
+  if (kind->shared > 0)
+    ask.parts[ask.parts_count++]
+        = (struct jc_prompt_part){ .id = thing, .tokens = kind->shared };
+  ask.parts[ask.parts_count++]
+      = (struct jc_prompt_part){ .id = own,
+                                 .tokens = kind->prompt - kind->shared };
+  jc_demand_of (&ask, demand);
+  demand->objective_ms = kind->objective_ms;
+  demand->gap_ms = kind->gap_ms;
+  demand->left_ms = kind->deadline_ms;
+  demand->priority = kind->priority;
+}
+
+static void
+arrive (struct sim *sim, unsigned int index, double now)
+{
+  const struct sim_kind *kind = &sim->plan->kinds[index];
+  unsigned int instance = (unsigned int)g_rand_int_range (
+      sim->rand, 0, (int)sim->plan->instances);
+  uint64_t thing
+      = 1000 * (index + 1)
+        + (uint64_t)g_rand_int_range (sim->rand, 0, (int)MAX (kind->things, 1));
+  struct sim_result *result = &sim->report->kinds[index];
+  struct jc_demand demand;
+  struct sim_engine *engine;
+  struct job *job;
+
+  result->asked++;
+  fill_demand (kind, thing, g_rand_int (sim->rand) + 100000, &demand);
+  engine = choose (sim, instance, &demand, (int64_t)now);
+  if (engine == NULL)
+    {
+      result->refused++;
+      return;
+    }
+  sim->report->arrivals[engine - sim->engines]++;
+  job = g_new0 (struct job, 1);
+  job->kind = kind;
+  job->result = result;
+  job->arrived = now;
+  job->unread = kind->prompt;
+  if (kind->shared > 0 && keeps (engine, thing))
+    {
+      job->unread -= kind->shared;
+      job->depth = kind->shared;
+    }
+  else if (kind->shared > 0
+           && !g_hash_table_add (sim->ever_read, GUINT_TO_POINTER (thing)))
+    sim->report->tokens_again += kind->shared;
+  sim->report->tokens_read += job->unread;
+  job->run = jc_engines_start (sim->views[instance], &engine->endpoint, &demand,
+                               (int64_t)now);
+  engine->own[instance]++;
+  g_queue_push_tail (&engine->jobs, job);
+}
+
+static void
+tell (struct sim *sim, int64_t now_ms)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
+  char name[16];
+
+  for (unsigned int from = 0; from < sim->plan->instances; from++)
+    {
+      struct rpc_loads loads;
+
+      g_array_set_size (rows, 0);
+      jc_engines_loads (sim->views[from], now_ms, rows);
+      loads.rows.rows_val = (struct rpc_load *)rows->data;
+      loads.rows.rows_len = rows->len;
+      g_snprintf (name, sizeof name, "entry-%u", from);
+      for (unsigned int to = 0; to < sim->plan->instances; to++)
+        if (to != from)
+          jc_engines_take (sim->views[to], name, &loads, now_ms);
+    }
+  g_array_free (rows, TRUE);
+}
+
+static void
+sim_start (struct sim *sim)
+{
+  for (unsigned int i = 0; i < sim->plan->engines; i++)
+    {
+      struct sim_engine *engine = &sim->engines[i];
+
+      g_snprintf (engine->name, sizeof engine->name, "e%u", i);
+      engine->endpoint.name = engine->name;
+      engine->endpoint.slots = SLOTS;
+      engine->pace = sim->plan->pace[i] > 0 ? sim->plan->pace[i] : 1;
+      g_queue_init (&engine->jobs);
+    }
+  for (unsigned int i = 0; i < sim->plan->instances; i++)
+    sim->views[i] = jc_engines_new ();
+}
+
+/* Play PLAN and fill REPORT.  Requests that run at the end don't count.  */
+void
+sim_run (const struct sim_plan *plan, struct sim_report *report)
+{
+  struct sim sim = { .plan = plan,
+                     .report = report,
+                     .rand = g_rand_new_with_seed (plan->seed),
+                     .ever_read = g_hash_table_new (NULL, NULL) };
+
+  memset (report, 0, sizeof *report);
+  sim_start (&sim);
+  for (int64_t now = 0; now < plan->length_ms; now++)
+    {
+      for (unsigned int i = 0; i < plan->kinds_count; i++)
+        if (g_rand_double (sim.rand) < plan->kinds[i].per_s / MS_PER_S)
+          arrive (&sim, i, (double)now);
+      for (unsigned int i = 0; i < plan->engines; i++)
+        while (sim.engines[i].jobs.length > 0
+               && sim.engines[i].free_at <= (double)now)
+          engine_step (&sim.engines[i],
+                       MAX (sim.engines[i].free_at, (double)now - 1));
+      if (now % TELL_MS == 0)
+        tell (&sim, now);
+    }
+  for (unsigned int i = 0; i < plan->engines; i++)
+    while (sim.engines[i].jobs.length > 0)
+      {
+        struct job *job = sim.engines[i].jobs.head->data;
+
+        job->result->asked--;
+        job->result->failed--;
+        job_over (&sim.engines[i], job, false, (double)plan->length_ms);
+      }
+  for (unsigned int i = 0; i < plan->instances; i++)
+    jc_engines_free (sim.views[i]);
+  g_hash_table_destroy (sim.ever_read);
+  g_rand_free (sim.rand);
+}
--- /dev/null
+++ b/tests/script-relay.c
@@ -0,0 +1,118 @@
+/* Runs a script of one request's attempts on virtual time and prints what
+   comes after each.  */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "serve/relay.h"
+
+enum
+{
+  WORDS_MAX = 10,
+  LINE_BYTES = 256
+};
+
+static const char *const steps[]
+    = { [JC_RELAY_TRY] = "try",
+        [JC_RELAY_PASS] = "pass the answer",
+        [JC_RELAY_FAIL] = "fail",
+        [JC_RELAY_END] = "end the stream",
+        [JC_RELAY_BREAK] = "break the stream off" };
+
+/* A request, the time and whether it is over.  */
+struct world
+{
+  struct jc_relay relay;
+  int64_t now_ms;
+  bool over;
+};
+
+/* "request KIND ENDPOINTS DEADLINE": a stream is "stream" or "resumable".  */
+static void
+run_request (struct world *world, char **words)
+{
+  struct jc_hostroute route = { .kind = JC_ROUTE_STREAM };
+
+  if (strcmp (words[1], "idempotent") == 0)
+    route.kind = JC_ROUTE_IDEMPOTENT;
+  else if (strcmp (words[1], "once") == 0)
+    route.kind = JC_ROUTE_ONCE;
+  route.resumable = strcmp (words[1], "resumable") == 0;
+  route.endpoints_max = (unsigned int)atoi (words[2]);
+  jc_relay_init (&world->relay, &route, atoll (words[3]), -1);
+  world->now_ms = 0;
+  world->over = false;
+}
+
+/* "end WORDS...": how an attempt ended.  */
+static void
+run_end (struct world *world, char **words)
+{
+  struct jc_relay_end end = { .sent = true, .genuine = true, .http = 200 };
+  enum jc_relay_step step;
+
+  for (char **word = words + 1; *word != NULL; word++)
+    {
+      end.whole = end.whole || strcmp (*word, "whole") == 0;
+      end.not_run = end.not_run || strcmp (*word, "not-run") == 0;
+      end.late = end.late || strcmp (*word, "late") == 0;
+      if (strcmp (*word, "unsent") == 0)
+        end.sent = false;
+      if (strcmp (*word, "unsigned") == 0)
+        end.genuine = false;
+      if (strncmp (*word, "http=", 5) == 0)
+        end.http = atoi (*word + 5);
+      if (strncmp (*word, "endpoints=", 10) == 0)
+        end.endpoints = (unsigned int)atoi (*word + 10);
+    }
+  step = jc_relay_after (&world->relay, &end, world->now_ms);
+  printf ("%s", steps[step]);
+  if (step == JC_RELAY_FAIL)
+    printf (" as %s",
+            jc_status_name (jc_relay_failure (&world->relay, world->now_ms)));
+  if (step == JC_RELAY_TRY)
+    printf (" at up to %u", jc_relay_left (&world->relay));
+  printf ("\n");
+}
+
+static void
+run_line (struct world *world, char *line)
+{
+  char *words[WORDS_MAX + 1] = { NULL };
+  int count = 0;
+
+  for (char *word = strtok (line, " \n"); word != NULL && count < WORDS_MAX;
+       word = strtok (NULL, " \n"))
+    words[count++] = word;
+  if (count == 0)
+    return;
+  if (strcmp (words[0], "request") == 0)
+    run_request (world, words);
+  else if (strcmp (words[0], "at") == 0)
+    world->now_ms = atoll (words[1]);
+  else if (strcmp (words[0], "begun") == 0)
+    world->relay.begun = true;
+  else
+    run_end (world, words);
+}
+
+int
+main (int argc, char **argv)
+{
+  FILE *script = argc == 2 ? fopen (argv[1], "r") : NULL;
+  struct world world = { 0 };
+  char line[LINE_BYTES];
+
+  if (script == NULL)
+    return 2;
+  while (fgets (line, sizeof line, script) != NULL)
+    {
+      if (line[0] == '#')
+        printf ("%s", line);
+      else
+        run_line (&world, line);
+    }
+  fclose (script);
+  return 0;
+}
--- /dev/null
+++ b/tests/test-budget.c
@@ -0,0 +1,152 @@
+/* Tests of budgets that all entry instances share: the sum over instances is
+   checked against the bound itself, in every window, on virtual time.  */
+
+#include <glib.h>
+#include <string.h>
+
+#include "serve/budget.h"
+
+enum
+{
+  INSTANCES_MAX = 9,
+  SECONDS = 60,
+  MS_PER_S = 1000,
+  ROUNDS = 40
+};
+
+static const struct jc_budget_terms terms = { .retry_ratio = 0.2,
+                                              .retry_slack = 54,
+                                              .retry_window_ms = 10000,
+                                              .cold_ratio = 1.5,
+                                              .cold_slack = 3 };
+
+/* What happened in each ms, over all instances.  */
+struct record
+{
+  unsigned short requests[SECONDS * MS_PER_S];
+  unsigned short retries[SECONDS * MS_PER_S];
+  unsigned short cold[SECONDS * MS_PER_S];
+};
+
+static struct record record;
+
+static unsigned int
+sum (const unsigned short *counts, int64_t from, int64_t to)
+{
+  unsigned int all = 0;
+
+  for (int64_t ms = MAX (from, 0); ms < to; ms++)
+    all += counts[ms];
+  return all;
+}
+
+/* Check every window of 10 s that ends on a tenth of a second.  */
+static void
+check_retries (void)
+{
+  int64_t window = terms.retry_window_ms;
+
+  for (int64_t end = 100; end <= SECONDS * MS_PER_S; end += 100)
+    {
+      double requests = sum (record.requests, end - window, end);
+
+      g_assert_cmpfloat (sum (record.retries, end - window, end), <=,
+                         terms.retry_ratio * requests
+                             + (double)terms.retry_slack);
+    }
+}
+
+/* One draw of instances that come late, are cut off, restart and are asked
+   for a retry after every other request.  */
+static void
+play_retries (GRand *rand)
+{
+  struct jc_budgets *budgets[INSTANCES_MAX];
+  unsigned int count = (unsigned int)g_rand_int_range (rand, 3, INSTANCES_MAX);
+  int64_t restart = g_rand_int_range (rand, 10000, 50000);
+
+  memset (&record, 0, sizeof record);
+  for (unsigned int i = 0; i < count; i++)
+    budgets[i] = jc_budgets_new (&terms);
+  for (int64_t ms = 0; ms < SECONDS * MS_PER_S; ms++)
+    {
+      unsigned int at = (unsigned int)g_rand_int_range (rand, 0, (int)count);
+
+      if (ms % 500 == 0)
+        for (unsigned int i = 1; i < count; i++)
+          jc_budgets_set_instances (budgets[i], count, ms);
+      if (ms == restart)
+        {
+          jc_budgets_free (budgets[at]);
+          budgets[at] = jc_budgets_new (&terms);
+        }
+      if (g_rand_int_range (rand, 0, 12) != 0)
+        continue;
+      jc_budgets_request (budgets[at], "s", ms);
+      record.requests[ms]++;
+      if (g_rand_boolean (rand) && jc_budgets_retry (budgets[at], "s", ms))
+        record.retries[ms]++;
+    }
+  for (unsigned int i = 0; i < count; i++)
+    jc_budgets_free (budgets[i]);
+  check_retries ();
+}
+
+static void
+test_retries_in_every_window (void)
+{
+  GRand *rand = g_rand_new_with_seed (20261204);
+
+  for (int round = 0; round < ROUNDS; round++)
+    play_retries (rand);
+  g_rand_free (rand);
+}
+
+/* A cut-off instance and its fellows have two owners for one cold endpoint;
+   together they keep to the bound in every second.  */
+static void
+test_cold_in_every_second (void)
+{
+  GRand *rand = g_rand_new_with_seed (7);
+  struct jc_budgets *owners[2]
+      = { jc_budgets_new (&terms), jc_budgets_new (&terms) };
+  double bound = 2.1 * terms.cold_ratio + (double)terms.cold_slack;
+
+  memset (&record, 0, sizeof record);
+  for (int64_t ms = 0; ms < SECONDS * MS_PER_S; ms++)
+    {
+      struct jc_budgets *owner = owners[g_rand_int_range (rand, 0, 2)];
+
+      if (g_rand_int_range (rand, 0, 20) == 0
+          && jc_budgets_cold (owner, "e", 2.1, true, ms))
+        record.cold[ms]++;
+    }
+  for (int64_t end = MS_PER_S; end <= SECONDS * MS_PER_S; end++)
+    g_assert_cmpfloat (sum (record.cold, end - MS_PER_S, end), <=, bound);
+  g_assert_cmpuint (sum (record.cold, 0, SECONDS * MS_PER_S), >, 2 * SECONDS);
+  jc_budgets_free (owners[0]);
+  jc_budgets_free (owners[1]);
+  g_rand_free (rand);
+}
+
+/* Asking whether a request may go spends nothing.  */
+static void
+test_asking_is_free (void)
+{
+  struct jc_budgets *budgets = jc_budgets_new (&terms);
+
+  for (int i = 0; i < 100; i++)
+    g_assert_true (jc_budgets_cold (budgets, "e", 2.1, false, 0));
+  jc_budgets_free (budgets);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/budget/retries-in-every-window",
+                   test_retries_in_every_window);
+  g_test_add_func ("/budget/cold-in-every-second", test_cold_in_every_second);
+  g_test_add_func ("/budget/asking-is-free", test_asking_is_free);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test-routetable.c
@@ -0,0 +1,263 @@
+/* Tests of route tables and of operators' orders.  */
+
+#include <glib.h>
+#include <string.h>
+
+#include "conf/orders.h"
+#include "conf/routetable.h"
+
+static struct jc_hostroute *
+add_route (struct jc_routetable *table, const char *host, const char *prefix,
+           const char *service)
+{
+  struct jc_hostroute *route = jc_hostroute_new ();
+
+  route->name = g_strconcat (host, prefix, NULL);
+  route->host = g_strdup (host);
+  route->prefix = g_strdup (prefix);
+  route->timeout_ms = 1000;
+  route->endpoints_max = 1;
+  jc_hostroute_add_split (route, service, 1);
+  g_ptr_array_add (table->routes, route);
+  return route;
+}
+
+static struct jc_routetable *
+new_table (void)
+{
+  static const struct jc_hostservice service
+      = { .name = (char *)"s", .health_path = (char *)"/" };
+  struct jc_routetable *table = jc_routetable_new (1);
+
+  jc_routetable_add_service (table, &service);
+  return table;
+}
+
+static guint
+faults_of (struct jc_routetable *table)
+{
+  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+  guint count;
+
+  jc_routetable_check (table, faults);
+  count = faults->len;
+  g_ptr_array_free (faults, TRUE);
+  return count;
+}
+
+static void
+test_longest_prefix (void)
+{
+  struct jc_routetable *table = new_table ();
+
+  add_route (table, "a.example", "/x/", "s");
+  add_route (table, "a.example", "/x/y/", "s");
+  add_route (table, "b.example", "/", "s");
+  g_assert_cmpuint (faults_of (table), ==, 0);
+  g_assert_cmpstr (jc_routetable_find (table, "a.example", "/x/1")->prefix, ==,
+                   "/x/");
+  g_assert_cmpstr (jc_routetable_find (table, "A.example:80", "/x/y/1")->prefix,
+                   ==, "/x/y/");
+  g_assert_cmpstr (
+      jc_routetable_find (table, "a.example", "/x/?q=/x/y/")->prefix, ==,
+      "/x/");
+  g_assert_cmpstr (jc_routetable_find (table, "b.example", "/z")->prefix, ==,
+                   "/");
+  g_assert_null (jc_routetable_find (table, "a.example", "/xy/"));
+  g_assert_null (jc_routetable_find (table, "a.example", "/x"));
+  g_assert_null (jc_routetable_find (table, "c.example", "/x/"));
+  jc_routetable_free (table);
+}
+
+static void
+test_faults (void)
+{
+  struct jc_routetable *table = new_table ();
+
+  add_route (table, "a.example", "/x/", "unknown");
+  g_assert_cmpuint (faults_of (table), ==, 1);
+  jc_routetable_free (table);
+  table = new_table ();
+  add_route (table, "a.example", "/x/", "s");
+  add_route (table, "a.example", "/x/", "s");
+  g_assert_cmpuint (faults_of (table), ==, 1);
+  jc_routetable_free (table);
+  table = new_table ();
+  add_route (table, "a.example", "/x/", "s")->timeout_ms = 0;
+  g_assert_cmpuint (faults_of (table), ==, 1);
+  jc_routetable_free (table);
+  table = new_table ();
+  g_array_index (add_route (table, "a.example", "/x/", "s")->splits,
+                 struct jc_split, 0)
+      .weight
+      = 0;
+  g_assert_cmpuint (faults_of (table), ==, 1);
+  jc_routetable_free (table);
+  table = new_table ();
+  add_route (table, "a.example", "x", "s");
+  g_assert_cmpuint (faults_of (table), ==, 1);
+  jc_routetable_free (table);
+}
+
+static void
+test_splits (void)
+{
+  struct jc_hostroute *route = jc_hostroute_new ();
+  unsigned int b = 0;
+  struct jc_routetable *table = jc_routetable_new (1);
+
+  jc_hostroute_add_split (route, "a", 9);
+  jc_hostroute_add_split (route, "b", 1);
+  jc_hostroute_add_split (route, "c", 0);
+  for (uint64_t draw = 0; draw < 1000; draw++)
+    {
+      const char *service = jc_hostroute_pick (route, draw);
+
+      g_assert_cmpstr (service, !=, "c");
+      b += strcmp (service, "b") == 0 ? 1 : 0;
+    }
+  g_assert_cmpuint (b, ==, 100);
+  g_ptr_array_add (table->routes, route);
+  jc_routetable_free (table);
+}
+
+static void
+test_homes (void)
+{
+  struct jc_routetable *table = new_table ();
+  struct jc_hostroute *bound = add_route (table, "a.example", "/x/", "s");
+
+  add_route (table, "a.example", "/y/", "s");
+  add_route (table, "b.example", "/x/", "s");
+  g_ptr_array_add (bound->homes, g_strdup ("north"));
+  g_assert_true (jc_hostroute_allows (bound, "north"));
+  g_assert_false (jc_hostroute_allows (bound, "south"));
+  g_assert_true (jc_routetable_host_allows (table, "a.example", "north"));
+  g_assert_false (jc_routetable_host_allows (table, "a.example", "south"));
+  g_assert_true (jc_routetable_host_allows (table, "b.example", "south"));
+  jc_routetable_free (table);
+}
+
+static bool
+order (struct jc_orders *orders, uint64_t index, enum rpc_order_kind kind,
+       uint64_t table_version, const char *text)
+{
+  struct rpc_order said = { .kind = kind, .table_version = table_version };
+  GString *data;
+  bool changed;
+
+  said.data.rpc_bytes_val = (char *)text;
+  said.data.rpc_bytes_len = (u_int)strlen (text);
+  data = jc_orders_encode (&said);
+  changed = jc_orders_apply (orders, index, jc_str_of (data));
+  g_string_free (data, TRUE);
+  return changed;
+}
+
+static void
+test_highest_version (void)
+{
+  struct jc_orders *orders = jc_orders_new ();
+
+  g_assert_true (order (orders, 1, RPC_ORDER_ROUTES, 7, "seven"));
+  g_assert_false (order (orders, 2, RPC_ORDER_ROUTES, 5, "five"));
+  g_assert_false (order (orders, 3, RPC_ORDER_ROUTES, 7, "other seven"));
+  g_assert_cmpstr (orders->text->str, ==, "seven");
+  g_assert_cmpuint (orders->position, ==, 1);
+  g_assert_true (order (orders, 4, RPC_ORDER_ROUTES, 9, "nine"));
+  g_assert_cmpstr (orders->text->str, ==, "nine");
+  g_assert_cmpuint (orders->position, ==, 4);
+  g_assert_false (jc_orders_apply (orders, 5, JC_STR_LIT ("junk")));
+  jc_orders_free (orders);
+}
+
+static void
+test_evacuation (void)
+{
+  struct jc_orders *orders = jc_orders_new ();
+
+  g_assert_true (order (orders, 1, RPC_ORDER_EVACUATE, 0, "z1"));
+  g_assert_false (order (orders, 2, RPC_ORDER_EVACUATE, 0, "z1"));
+  g_assert_true (jc_orders_evacuated (orders, "z1"));
+  g_assert_true (order (orders, 3, RPC_ORDER_READMIT, 0, "z1"));
+  g_assert_false (jc_orders_evacuated (orders, "z1"));
+  g_assert_cmpuint (orders->position, ==, 3);
+  jc_orders_free (orders);
+}
+
+static void
+test_snapshot (void)
+{
+  struct jc_orders *orders = jc_orders_new ();
+  struct jc_orders *copy = jc_orders_new ();
+  json_t *json = json_object ();
+  json_t *bad = json_pack ("{s:{s:i}}", "orders", "position", 1);
+
+  order (orders, 3, RPC_ORDER_ROUTES, 7, "{\"x\":\"\\u00e4\"}");
+  order (orders, 4, RPC_ORDER_EVACUATE, 0, "z1");
+  jc_orders_snapshot (orders, json);
+  order (copy, 1, RPC_ORDER_EVACUATE, 0, "z2");
+  g_assert_cmpint (jc_orders_restore (copy, json), ==, JC_OK);
+  g_assert_cmpuint (copy->position, ==, 4);
+  g_assert_cmpuint (copy->version, ==, 7);
+  g_assert_cmpstr (copy->text->str, ==, orders->text->str);
+  g_assert_true (jc_orders_evacuated (copy, "z1"));
+  g_assert_false (jc_orders_evacuated (copy, "z2"));
+  g_assert_cmpint (jc_orders_restore (copy, bad), ==, JC_CORRUPT);
+  json_decref (json);
+  json_decref (bad);
+  jc_orders_free (orders);
+  jc_orders_free (copy);
+}
+
+/* What an entry instance is told by state instances that are behind each
+   other never takes it back.  */
+static void
+test_never_back (void)
+{
+  struct jc_orders *ahead = jc_orders_new ();
+  struct jc_orders *behind = jc_orders_new ();
+  struct jc_orders *entry = jc_orders_new ();
+  struct rpc_orders news;
+
+  order (behind, 1, RPC_ORDER_ROUTES, 7, "seven");
+  order (ahead, 1, RPC_ORDER_ROUTES, 7, "seven");
+  order (ahead, 2, RPC_ORDER_ROUTES, 9, "nine");
+  jc_orders_describe (ahead, 0, &news);
+  g_assert_true (jc_orders_take (entry, &news));
+  g_free (news.evacuated.evacuated_val);
+  jc_orders_describe (behind, 0, &news);
+  g_assert_false (jc_orders_take (entry, &news));
+  g_free (news.evacuated.evacuated_val);
+  g_assert_cmpstr (entry->text->str, ==, "nine");
+  order (ahead, 3, RPC_ORDER_EVACUATE, 0, "z1");
+  jc_orders_describe (ahead, 9, &news);
+  g_assert_cmpuint (news.text.rpc_bytes_len, ==, 0);
+  g_assert_true (jc_orders_take (entry, &news));
+  g_free (news.evacuated.evacuated_val);
+  g_assert_cmpstr (entry->text->str, ==, "nine");
+  g_assert_true (jc_orders_evacuated (entry, "z1"));
+  /* Without its text a version that is not here can't be taken.  */
+  order (ahead, 4, RPC_ORDER_ROUTES, 11, "eleven");
+  jc_orders_describe (ahead, 11, &news);
+  g_assert_false (jc_orders_take (entry, &news));
+  g_free (news.evacuated.evacuated_val);
+  jc_orders_free (ahead);
+  jc_orders_free (behind);
+  jc_orders_free (entry);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/routetable/longest-prefix", test_longest_prefix);
+  g_test_add_func ("/routetable/faults", test_faults);
+  g_test_add_func ("/routetable/splits", test_splits);
+  g_test_add_func ("/routetable/homes", test_homes);
+  g_test_add_func ("/orders/highest-version", test_highest_version);
+  g_test_add_func ("/orders/evacuation", test_evacuation);
+  g_test_add_func ("/orders/snapshot", test_snapshot);
+  g_test_add_func ("/orders/never-back", test_never_back);
+  return g_test_run ();
+}
