--- a/state/group.c
+++ b/state/group.c
@@ -26,11 +26,13 @@
   MS_PER_S = 1000
 };
 
-/* KNOWN has the names of the instances that this one dials.  */
+/* KNOWN has the names of the instances that this one dials; TOLD is a sum over
+   the names that peers were told last.  */
 struct group
 {
   ev_timer tick;
   GHashTable *known;
+  uint64_t told;
   bool changing;
 };
 
@@ -191,20 +193,26 @@
     }
 }
 
-static void
-on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+/* Fill NAMES with those of the state instances known here, this one first.
+   Return how many.  */
+static u_int
+list_names (const struct state *state, rpc_name *names)
 {
-  struct state *state = watcher->data;
-  const struct rpc_replicas *replicas;
+  const struct rpc_replicas *replicas = log_replicas (state);
+  u_int count = 0;
+  GHashTableIter iter;
+  gpointer name;
 
-  (void)loop;
-  (void)events;
-  if (state->group->changing || !log_leads (state))
-    return;
-  replicas = log_replicas (state);
-  if (admit (state, replicas) || promote (state, replicas))
-    return;
-  forget (state, replicas);
+  names[count++] = state->settings->name;
+  for (u_int i = 0; i < replicas->list.list_len && count < NAMES_MAX; i++)
+    if (strcmp (replicas->list.list_val[i].name, state->settings->name) != 0)
+      names[count++] = replicas->list.list_val[i].name;
+  g_hash_table_iter_init (&iter, state->group->known);
+  while (g_hash_table_iter_next (&iter, &name, NULL) && count < NAMES_MAX)
+    if (jc_replicas_find (replicas, name) == NULL
+        && jc_rpc_find (state->rpc, name) != NULL)
+      names[count++] = name;
+  return count;
 }
 
 /* Send CONN the names of the state instances that are known here.  */
@@ -213,18 +221,58 @@
 {
   struct rpc_packet packet = { .body.type = RPC_GROUP };
   struct rpc_group *group = &packet.body.rpc_body_u.group;
-  const struct rpc_replicas *replicas = log_replicas (state);
   rpc_name names[NAMES_MAX];
 
   group->names.names_val = names;
-  names[group->names.names_len++] = state->settings->name;
-  for (u_int i = 0; i < replicas->list.list_len; i++)
-    if (group->names.names_len < NAMES_MAX
-        && strcmp (replicas->list.list_val[i].name, state->settings->name) != 0)
-      names[group->names.names_len++] = replicas->list.list_val[i].name;
+  group->names.names_len = list_names (state, names);
   jc_rpc_send (conn, &packet);
 }
 
+static void
+introduce_to_all (struct state *state, const char *role)
+{
+  GPtrArray *conns = g_ptr_array_new ();
+
+  jc_rpc_list (state->rpc, role, conns);
+  for (guint i = 0; i < conns->len; i++)
+    introduce (state, g_ptr_array_index (conns, i));
+  g_ptr_array_free (conns, TRUE);
+}
+
+/* Tell every peer where the names known here changed.  */
+static void
+tell_changes (struct state *state)
+{
+  rpc_name names[NAMES_MAX];
+  u_int count = list_names (state, names);
+  uint64_t sum = 0;
+
+  for (u_int i = 0; i < count; i++)
+    sum += jc_member_hash (names[i], "");
+  if (sum == state->group->told)
+    return;
+  state->group->told = sum;
+  introduce_to_all (state, "state");
+  introduce_to_all (state, "entry");
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct state *state = watcher->data;
+  const struct rpc_replicas *replicas;
+
+  (void)loop;
+  (void)events;
+  tell_changes (state);
+  if (state->group->changing || !log_leads (state))
+    return;
+  replicas = log_replicas (state);
+  if (admit (state, replicas) || promote (state, replicas))
+    return;
+  forget (state, replicas);
+}
+
 /* CONN came up.  */
 void
 group_up (struct state *state, struct jc_rpc_conn *conn)
