Gather long prompts at a part of the engines

Change: an eighth of a region's engines, the same in every instance, take the long prompts, the others the rest, unless that costs 400 ms more; the tokens of an event come from the configuration.

--- a/conf/routetable.h
+++ b/conf/routetable.h
@@ -45,10 +45,13 @@
   GPtrArray *homes;
 };
 
-/* The engines of a service.  KV_TOKENS is the memory of one for prompts.  */
+/* The engines of a service.  KV_TOKENS is the memory of one for prompts,
+   EVENT_TOKENS how many tokens an event of a stream holds; 0 for not
+   known.  */
 struct jc_engine_terms
 {
   unsigned int slots;
+  unsigned int event_tokens;
   uint64_t kv_tokens;
 };
 
--- a/entry/passage.c
+++ b/entry/passage.c
@@ -697,6 +697,15 @@
                (unsigned int)g_ascii_strtoull (allowed, NULL, 10));
 }
 
+static unsigned int
+event_tokens (const struct passage *passage)
+{
+  const struct jc_hostservice *service
+      = jc_routetable_service (passage->table, passage->service);
+
+  return service != NULL ? service->engine.event_tokens : 0;
+}
+
 /* Begin with REQ, whose body is read.  A GUEST was handed over by another
    entry instance and goes to no other.  */
 void
@@ -731,6 +740,7 @@
   passage->demand.objective_ms = route->objective_ms;
   passage->demand.gap_ms = route->gap_ms;
   passage->demand.priority = route->priority;
+  passage->demand.event_tokens = event_tokens (passage);
   wait_ms = ask.wait_ms > 0 ? MIN (ask.wait_ms, route->timeout_ms)
                             : route->timeout_ms;
   jc_relay_init (&passage->relay, route, passage->started_ms + wait_ms,
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -14,8 +14,13 @@
 #define STEP_MS 3.09
 #define STEP_RUNNING_MS 0.102
 #define FIRST_EVENT_MS 16.0
-/* Tokens that one event of a stream holds.  */
+/* Tokens that one event of a stream holds where nobody says.  */
 #define EVENT_TOKENS 8.0
+/* Part of the engines at which long prompts gather: those that make streams
+   beside them pause for too long.  They are a seventh of all reading.  */
+#define GATHER_PART 0.12
+/* Time that it weighs to go to the other part of the engines.  */
+#define GATHER_MS 400.0
 /* Prompt tokens that are read in one step, between two tokens of each running
    request.  */
 #define CHUNK_TOKENS 4096.0
@@ -326,17 +331,26 @@
          + slot_wait_ms (work, endpoint->slots);
 }
 
+/* Return how many steps an engine makes for one event of DEMAND's answer.  */
+static double
+event_steps (const struct jc_demand *demand)
+{
+  return demand->event_tokens > 0 ? demand->event_tokens : EVENT_TOKENS;
+}
+
 /* Return the longest pause of a stream that runs while TOKENS are read, ms:
    between two of its events there are as many steps as an event has tokens,
    and each of them reads a chunk while there is any.  DEPTH is how many
    tokens come before the last chunks.  */
 static double
-pause_ms (const struct work *work, double tokens, double depth)
+pause_ms (const struct work *work, const struct jc_demand *demand,
+          double tokens, double depth)
 {
-  double chunks = MIN (tokens / CHUNK_TOKENS, EVENT_TOKENS);
+  double steps = event_steps (demand);
+  double chunks = MIN (tokens / CHUNK_TOKENS, steps);
   double chunk_ms = CHUNK_TOKENS * (1 / PROMPT_TOKENS_A_MS + depth * PAIR_MS);
 
-  return chunks * chunk_ms * work->pace + EVENT_TOKENS * step_ms (work);
+  return chunks * chunk_ms * work->pace + steps * step_ms (work);
 }
 
 /* Return how many tokens of DEMAND come before the middle of the chunks that
@@ -344,7 +358,8 @@
 static double
 depth_of (const struct jc_demand *demand)
 {
-  double depth = demand->prompt_tokens - CHUNK_TOKENS * EVENT_TOKENS / 2;
+  double depth
+      = demand->prompt_tokens - CHUNK_TOKENS * event_steps (demand) / 2;
 
   return MAX (depth, 0);
 }
@@ -434,6 +449,46 @@
   return best;
 }
 
+/* Tell whether the prompt of DEMAND, read in one go by an engine that does
+   little else, makes its streams pause for too long.  */
+static bool
+is_long (const struct jc_demand *demand)
+{
+  static const struct work light = { .running = 8, .pace = 1 };
+
+  return demand->gap_ms > 0
+         && pause_ms (&light, demand, reading (demand, 0), depth_of (demand))
+                > (double)demand->gap_ms;
+}
+
+static int
+compare_gather (gconstpointer a, gconstpointer b)
+{
+  const struct jc_endpoint *left = *(struct jc_endpoint *const *)a;
+  const struct jc_endpoint *right = *(struct jc_endpoint *const *)b;
+  uint64_t left_hash = jc_member_hash (left->name, "gather");
+  uint64_t right_hash = jc_member_hash (right->name, "gather");
+
+  return left_hash < right_hash ? -1 : left_hash > right_hash;
+}
+
+/* Split ENDPOINTS, in the same way in every instance, into those at which
+   long prompts gather, added to APART, and the REST.  */
+static void
+split_gather (const GPtrArray *endpoints, GPtrArray *apart, GPtrArray *rest)
+{
+  guint count = (guint)(endpoints->len * GATHER_PART);
+
+  for (guint i = 0; i < endpoints->len; i++)
+    g_ptr_array_add (rest, g_ptr_array_index (endpoints, i));
+  if (count == 0)
+    return;
+  g_ptr_array_sort (rest, compare_gather);
+  for (guint i = 0; i < count; i++)
+    g_ptr_array_add (apart, g_ptr_array_index (rest, i));
+  g_ptr_array_remove_range (rest, 0, count);
+}
+
 /* Return what it costs that answers become late where a request of DEMAND
    with UNREAD tokens goes to an engine with WORK, ms: its own, and those of
    the streams that would pause for too long only because of it.  */
@@ -448,9 +503,10 @@
     cost += LATE_MS;
   if (gap <= 0)
     return cost;
-  if (pause_ms (work, work->unread_tokens, 0) > gap)
+  if (pause_ms (work, demand, work->unread_tokens, 0) > gap)
     cost += LATE_MS / 2;
-  else if (pause_ms (work, work->unread_tokens + unread, depth_of (demand))
+  else if (pause_ms (work, demand, work->unread_tokens + unread,
+                     depth_of (demand))
            > gap)
     cost += work->running * LATE_MS / 4;
   return cost;
@@ -538,15 +594,14 @@
   return cost;
 }
 
-/* Return the endpoint of ENDPOINTS at which DEMAND costs least, or NULL where
-   all rest.  */
-struct jc_endpoint *
-jc_engines_pick (struct jc_engines *engines, const GPtrArray *endpoints,
-                 const struct jc_demand *demand, int64_t now_ms)
+/* Return the endpoint of ENDPOINTS at which DEMAND costs least and set LEAST
+   to that cost, or return NULL where all rest.  */
+static struct jc_endpoint *
+cheapest (struct jc_engines *engines, const GPtrArray *endpoints,
+          const struct jc_demand *demand, int64_t now_ms, double *least)
 {
   const struct jc_endpoint *meeting = meeting_place (endpoints, demand);
   struct jc_endpoint *best = NULL;
-  double least = 0;
 
   for (guint i = 0; i < endpoints->len; i++)
     {
@@ -557,15 +612,48 @@
       if (engine->rest_until_ms > now_ms)
         continue;
       cost = cost_ms (engines, endpoint, demand, meeting, now_ms);
-      if (best == NULL || cost < least)
+      if (best == NULL || cost < *least)
         {
           best = endpoint;
-          least = cost;
+          *least = cost;
         }
     }
   return best;
 }
 
+/* Return the endpoint of ENDPOINTS at which DEMAND costs least, or NULL where
+   all rest.  Long prompts go to one part of them and all others to the rest,
+   unless that costs much.  */
+struct jc_endpoint *
+jc_engines_pick (struct jc_engines *engines, const GPtrArray *endpoints,
+                 const struct jc_demand *demand, int64_t now_ms)
+{
+  GPtrArray *apart = g_ptr_array_new ();
+  GPtrArray *rest = g_ptr_array_new ();
+  struct jc_endpoint *there = NULL;
+  struct jc_endpoint *here;
+  double there_ms = 0;
+  double here_ms = 0;
+
+  if (demand->prompt_tokens == 0)
+    here = cheapest (engines, endpoints, demand, now_ms, &here_ms);
+  else
+    {
+      bool lengthy = is_long (demand);
+
+      split_gather (endpoints, apart, rest);
+      here = cheapest (engines, lengthy ? apart : rest, demand, now_ms,
+                       &here_ms);
+      there = cheapest (engines, lengthy ? rest : apart, demand, now_ms,
+                        &there_ms);
+    }
+  g_ptr_array_free (apart, TRUE);
+  g_ptr_array_free (rest, TRUE);
+  if (here == NULL || (there != NULL && there_ms + GATHER_MS < here_ms))
+    return there;
+  return here;
+}
+
 /* Write to OUT what the cost of a request of DEMAND at ENDPOINT rests on, as
    fields of a log line.  */
 void
@@ -579,13 +667,14 @@
   unsigned int read = tokens_read (engine, demand, now_ms);
   double unread = reading (demand, read);
 
-  g_snprintf (out, size,
-              "running=%.0f unread=%.0f busy=%.2f pace=%.2f failures=%.1f "
-              "prompt=%u read=%u first=%.0f answer=%.0f pause=%.0f",
-              work.running, work.unread_tokens, work.busy, work.pace,
-              failures_now (engine, now_ms), demand->prompt_tokens, read,
-              first_ms (&work, endpoint, unread), decode_ms (&work, demand),
-              pause_ms (&work, work.unread_tokens + unread, depth_of (demand)));
+  g_snprintf (
+      out, size,
+      "running=%.0f unread=%.0f busy=%.2f pace=%.2f failures=%.1f "
+      "prompt=%u read=%u first=%.0f answer=%.0f pause=%.0f",
+      work.running, work.unread_tokens, work.busy, work.pace,
+      failures_now (engine, now_ms), demand->prompt_tokens, read,
+      first_ms (&work, endpoint, unread), decode_ms (&work, demand),
+      pause_ms (&work, demand, work.unread_tokens + unread, depth_of (demand)));
 }
 
 static void
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -12,7 +12,8 @@
    up to the one numbered i, which end after TOKENS[i] tokens.  PROMPT_TOKENS
    is 0 where it is no prompt.  The answer is late where its first event takes
    over OBJECTIVE_MS or a pause is over GAP_MS; it must be whole in LEFT_MS.
-   0 for no bound.  PRIORITY 0 is the most urgent.  */
+   0 for no bound.  PRIORITY 0 is the most urgent.
+   EVENT_TOKENS of the answer come as one event, 0 for not known.  */
 struct jc_demand
 {
   unsigned int prompt_tokens;
@@ -24,6 +25,7 @@
   int64_t gap_ms;
   int64_t left_ms;
   unsigned int priority;
+  unsigned int event_tokens;
 };
 
 struct jc_engines;
