Tell loads sooner in small regions; compare a sample of engines in large ones

Change: loads are told each 6 ms for every instance of the region, between 20 and 100 ms; a request compares 8 engines drawn at random and the one where its shared parts meet.

--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -15,6 +15,7 @@
 enum
 {
   TICK_MS = 100,
+  LOADS_TICK_MS = 20,
   /* Most callers have asked the directory again by then, which gives its
      answers 1 s; later ones find the port closed and go elsewhere, if there
      is another instance in the region.  */
@@ -147,11 +148,20 @@
   (void)loop;
   (void)events;
   following_tick (entry->hosts);
-  loads_tick (entry->hosts);
   if (entry->draining)
     drain_tick (entry);
 }
 
+static void
+on_loads_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct entry *entry = watcher->data;
+
+  (void)loop;
+  (void)events;
+  loads_tick (entry->hosts);
+}
+
 /* Begin to drain: this instance is no longer listed, but answers whoever
    still comes.  */
 void
@@ -241,6 +251,10 @@
   ev_timer_init (&hosts->tick, on_tick, every_s, every_s);
   hosts->tick.data = entry;
   ev_timer_start (entry->loop, &hosts->tick);
+  every_s = (double)LOADS_TICK_MS / MS_PER_S;
+  ev_timer_init (&hosts->loads_tick, on_loads_tick, every_s, every_s);
+  hosts->loads_tick.data = entry;
+  ev_timer_start (entry->loop, &hosts->loads_tick);
   following_seeds (hosts, settings->state_seeds);
   return open_listeners (entry);
 }
@@ -256,6 +270,7 @@
   jc_event (JC_EVENT_STOP, "role=entry name=%s in_flight=%u phase=end",
             entry->settings->name, entry->in_flight);
   ev_timer_stop (entry->loop, &hosts->tick);
+  ev_timer_stop (entry->loop, &hosts->loads_tick);
   jc_httpd_free (hosts->handover);
   jc_httpd_free (hosts->ready);
   jc_engines_free (hosts->engines);
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -28,6 +28,7 @@
   struct jc_httpd *handover;
   struct jc_httpd *ready;
   ev_timer tick;
+  ev_timer loads_tick;
   int64_t told_ms;
   int64_t loads_told_ms;
   int64_t heard_ms;
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -9,11 +9,20 @@
 
 enum
 {
-  /* Interval of telling: a fraction of the time that a prompt takes to be
-     read.  */
-  TELL_MS = 100
+  /* Interval of telling.  It grows with the instances of the region, so that
+     what each has to read stays about the same.  */
+  TELL_A_FELLOW_MS = 6,
+  TELL_LEAST_MS = 20,
+  TELL_MOST_MS = 100
 };
 
+static int64_t
+interval_ms (const GPtrArray *conns)
+{
+  return CLAMP ((int64_t)conns->len * TELL_A_FELLOW_MS, TELL_LEAST_MS,
+                TELL_MOST_MS);
+}
+
 static bool
 is_fellow (const struct hosts *hosts, const struct jc_rpc_conn *conn)
 {
@@ -49,22 +58,13 @@
     jc_rpc_hang_up (hosts->entry->rpc, name);
 }
 
-/* Tell the other instances of the region, where it is time.  */
-void
-loads_tick (struct hosts *hosts)
+static void
+tell (struct hosts *hosts, const GPtrArray *conns, int64_t now)
 {
-  int64_t now = jc_now_ms ();
   struct rpc_packet packet = { .body.type = RPC_LOADS };
   struct rpc_loads *loads = &packet.body.rpc_body_u.loads;
-  GPtrArray *conns;
-  GArray *rows;
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
 
-  if (now - hosts->loads_told_ms < TELL_MS)
-    return;
-  hosts->loads_told_ms = now;
-  conns = g_ptr_array_new ();
-  rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
-  jc_rpc_list (hosts->entry->rpc, "entry", conns);
   jc_engines_loads (hosts->engines, now, rows);
   loads->rows.rows_val = (struct rpc_load *)rows->data;
   loads->rows.rows_len = rows->len;
@@ -72,6 +72,24 @@
     if (is_fellow (hosts, g_ptr_array_index (conns, i)))
       jc_rpc_send (g_ptr_array_index (conns, i), &packet);
   g_array_free (rows, TRUE);
+}
+
+/* Tell the other instances of the region, where it is time.  */
+void
+loads_tick (struct hosts *hosts)
+{
+  int64_t now = jc_now_ms ();
+  GPtrArray *conns;
+
+  if (now - hosts->loads_told_ms < TELL_LEAST_MS)
+    return;
+  conns = g_ptr_array_new ();
+  jc_rpc_list (hosts->entry->rpc, "entry", conns);
+  if (now - hosts->loads_told_ms >= interval_ms (conns))
+    {
+      hosts->loads_told_ms = now;
+      tell (hosts, conns, now);
+    }
   g_ptr_array_free (conns, TRUE);
 }
 
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -73,6 +73,10 @@
   /* Time over which the rate of tokens is averaged.  */
   RATE_MS = 1500,
   INSTANCES_MAX = 32,
+  /* Engines that one request compares, beside the one where its shared parts
+     meet: all instances see the same load some time late, and would go to the
+     same engine.  */
+  COMPARED = 8,
   MS_PER_S = 1000
 };
 
@@ -594,6 +598,14 @@
   return cost;
 }
 
+/* Tell whether the next of COUNT engines is one of those that are
+   compared.  */
+static bool
+is_compared (guint count)
+{
+  return count <= COMPARED || g_random_int_range (0, (gint32)count) < COMPARED;
+}
+
 /* Return the endpoint of ENDPOINTS at which DEMAND costs least and set LEAST
    to that cost, or return NULL where all rest.  */
 static struct jc_endpoint *
@@ -609,7 +621,8 @@
       const struct engine *engine = engine_of (engines, endpoint->name);
       double cost;
 
-      if (engine->rest_until_ms > now_ms)
+      if (engine->rest_until_ms > now_ms
+          || (endpoint != meeting && !is_compared (endpoints->len)))
         continue;
       cost = cost_ms (engines, endpoint, demand, meeting, now_ms);
       if (best == NULL || cost < *least)
