Check the framing of chunked bodies exactly

Cause: Debian's http-parser is built without its strict mode: it takes any byte for the LF after a chunk's size and for the CR LF after its data, so that two parsers may see different bodies. Found by two new cases of test-http-raw, which gave up waiting before. Change: net/chunks follows the framing byte by byte beside the parser, for requests and for answers.

--- a/net/httpconn.c
+++ b/net/httpconn.c
@@ -296,6 +296,7 @@
   jc_head_take (&req->head, bytes);
   conn->build = (struct jc_head_build){ .head = &req->head };
   conn->body_done = false;
+  jc_chunks_init (&conn->chunks);
   http_parser_init (&conn->parser, HTTP_REQUEST);
   conn->parser.data = conn;
   used = http_parser_execute (&conn->parser, &parser_settings, req->head.bytes,
@@ -334,6 +335,16 @@
   jc_http_fail (req, status, jc_last_message (), 0);
 }
 
+/* Tell whether the first USED bytes of IN frame the body as they must.  */
+static bool
+body_is_strict (struct httpd_conn *conn, size_t used)
+{
+  if ((conn->parser.flags & F_CHUNKED) == 0)
+    return true;
+  return jc_chunks_feed (&conn->chunks, (struct jc_str){ .data = conn->in->str,
+                                                         .len = used });
+}
+
 /* Read body bytes from IN.  */
 static void
 conn_take_body (struct httpd_conn *conn)
@@ -344,6 +355,12 @@
     return;
   used = http_parser_execute (&conn->parser, &parser_settings, conn->in->str,
                               conn->in->len);
+  if (!body_is_strict (conn, MIN (used, conn->in->len)))
+    {
+      jc_fail (JC_BAD_REQUEST, "The chunks of the body are malformed.");
+      conn_refuse (conn, JC_BAD_REQUEST);
+      return;
+    }
   g_string_erase (conn->in, 0, (gssize)used);
   if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_OK
       || HTTP_PARSER_ERRNO (&conn->parser) == HPE_PAUSED)
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -3,6 +3,7 @@
 #ifndef JC_HTTPC_PRIVATE_H
 #define JC_HTTPC_PRIVATE_H
 
+#include "net/chunks.h"
 #include "net/httpc.h"
 
 /* IDLE maps an address to a GQueue of its kept connections, latest first.  */
@@ -37,6 +38,7 @@
   http_parser parser;
   struct jc_head head;
   struct jc_head_build build;
+  struct jc_chunks chunks;
   GString *in;
   size_t scanned;
   bool head_done;
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -3,6 +3,7 @@
 #ifndef JC_HTTPD_PRIVATE_H
 #define JC_HTTPD_PRIVATE_H
 
+#include "net/chunks.h"
 #include "net/httpd.h"
 
 struct httpd_conn;
@@ -66,6 +67,7 @@
   size_t out_pos;
   http_parser parser;
   struct jc_head_build build;
+  struct jc_chunks chunks;
   struct jc_http_req *req;
   bool in_body;
   bool body_done;
--- a/net/httplink.c
+++ b/net/httplink.c
@@ -126,6 +126,7 @@
   link->skipping = false;
   link->message_done = false;
   link->scanned = 0;
+  jc_chunks_init (&link->chunks);
   http_parser_init (&link->parser, HTTP_RESPONSE);
   link->parser.data = link;
 }
@@ -208,12 +209,23 @@
   call_whole (call);
 }
 
+/* Tell whether the first USED bytes of IN frame the body as they must.  */
+static bool
+body_is_strict (struct link *link, size_t used)
+{
+  if ((link->parser.flags & F_CHUNKED) == 0)
+    return true;
+  return jc_chunks_feed (&link->chunks, (struct jc_str){ .data = link->in->str,
+                                                         .len = used });
+}
+
 /* Run the parser over IN.  Return whether it may go on.  */
 static bool
 link_parse (struct link *link)
 {
   size_t used = 0;
   enum http_errno error;
+  bool strict;
 
   if (!link->head_done)
     {
@@ -250,8 +262,9 @@
       error = HTTP_PARSER_ERRNO (&link->parser);
       if (link->call == NULL || link->dead)
         return false;
+      strict = body_is_strict (link, MIN (used, link->in->len));
       g_string_erase (link->in, 0, (gssize)used);
-      if (error != HPE_OK && error != HPE_PAUSED)
+      if (!strict || (error != HPE_OK && error != HPE_PAUSED))
         {
           link_fail (link, JC_ENDPOINT_FAILED, "The answer's body is invalid.");
           return false;
--- /dev/null
+++ b/tests/test-http-raw.c
@@ -0,0 +1,543 @@
+/* Tests of the HTTP tasks against raw bytes: what may be read in two ways is
+   refused, and bytes that belong to no request touch none.  */
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net/address.h"
+#include "net/httpc.h"
+#include "net/httpd.h"
+
+enum
+{
+  BODY_MAX = 1000,
+  GIVE_UP_S = 20,
+  SHORT_MS = 50
+};
+
+/* A listener, a raw peer of it and what was seen.  */
+struct fixture
+{
+  struct ev_loop *loop;
+  struct jc_httpd *httpd;
+  int fd;
+  GString *got;
+  GString *bodies;
+  int requests;
+  bool closed;
+  ev_io reader;
+  ev_timer give_up;
+};
+
+static void
+on_give_up (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)watcher;
+  (void)events;
+  g_error ("gave up waiting");
+}
+
+static void
+on_body (void *ctx, struct jc_http_req *req)
+{
+  struct fixture *f = ctx;
+  struct jc_str body = jc_http_body (req);
+
+  f->requests++;
+  g_string_append_printf (f->bodies, "[%s %s %.*s]", jc_http_method (req),
+                          jc_http_target (req), JC_STR_ARG (body));
+  jc_http_reply (req, 200, "text/plain", JC_STR_LIT ("ok"), NULL);
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct fixture *f = watcher->data;
+  char data[4096];
+  ssize_t len = recv (watcher->fd, data, sizeof data, 0);
+
+  (void)events;
+  if (len > 0)
+    {
+      g_string_append_len (f->got, data, len);
+      return;
+    }
+  f->closed = true;
+  ev_io_stop (loop, watcher);
+}
+
+static int
+dial (int port)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET,
+                              .sin_port = htons ((uint16_t)port),
+                              .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  g_assert_cmpint (connect (fd, (struct sockaddr *)&addr, sizeof addr), ==, 0);
+  return fd;
+}
+
+static void
+setup (struct fixture *f, gconstpointer unused)
+{
+  static const struct jc_httpd_class klass = { .body = on_body };
+
+  (void)unused;
+  f->loop = ev_loop_new (0);
+  f->httpd = jc_httpd_new (f->loop, "127.0.0.1:0", &klass, f, BODY_MAX);
+  f->fd = dial (jc_httpd_port (f->httpd));
+  f->got = g_string_new (NULL);
+  f->bodies = g_string_new (NULL);
+  ev_io_init (&f->reader, on_readable, f->fd, EV_READ);
+  f->reader.data = f;
+  ev_io_start (f->loop, &f->reader);
+  ev_timer_init (&f->give_up, on_give_up, GIVE_UP_S, 0);
+  ev_timer_start (f->loop, &f->give_up);
+}
+
+static void
+teardown (struct fixture *f, gconstpointer unused)
+{
+  (void)unused;
+  ev_io_stop (f->loop, &f->reader);
+  close (f->fd);
+  jc_httpd_free (f->httpd);
+  ev_timer_stop (f->loop, &f->give_up);
+  ev_loop_destroy (f->loop);
+  g_string_free (f->got, TRUE);
+  g_string_free (f->bodies, TRUE);
+}
+
+static void
+put (struct fixture *f, const char *data, size_t len)
+{
+  g_assert_cmpint (send (f->fd, data, len, MSG_NOSIGNAL), ==, len);
+}
+
+#define PUT(f, text) put (f, text, sizeof text - 1)
+
+static void
+run_until_closed (struct fixture *f)
+{
+  while (!f->closed)
+    ev_run (f->loop, EVRUN_ONCE);
+}
+
+/* Each of these must be refused with 400 and a close, and nothing of it may
+   reach the owner: not the request, nor one hidden in its body.  */
+static const struct
+{
+  const char *name;
+  const char *bytes;
+  size_t len;
+} smuggled[] = {
+#define CASE(name, text)                                                       \
+  {                                                                            \
+    name, text, sizeof text - 1                                                \
+  }
+  CASE ("two-lengths",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        "Content-Length: 30\r\n\r\nabcdGET /hidden HTTP/1.1\r\n\r\n"),
+  CASE ("length-and-chunks",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"),
+  CASE ("unknown-coding",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n"
+        "\r\n0\r\n\r\n"),
+  CASE ("other-coding", "POST /a HTTP/1.1\r\nHost: h\r\n"
+                        "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"),
+  CASE ("negative-length",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n"),
+  CASE ("signed-length",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: +4\r\n\r\nabcd"),
+  CASE ("nul-in-path", "GET /a\0b HTTP/1.1\r\nHost: h\r\n\r\n"),
+  CASE ("nul-in-value", "GET /a HTTP/1.1\r\nHost: h\r\nX: a\0b\r\n\r\n"),
+  CASE ("blank-before-colon",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length : 4\r\n\r\nabcd"),
+  CASE ("bare-lf", "GET /a HTTP/1.1\nHost: h\r\n\r\n"),
+  CASE ("bare-cr", "GET /a HTTP/1.1\r\nHost: h\rX: y\r\n\r\n"),
+  CASE ("folded", "GET /a HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n"),
+  CASE ("no-host", "GET /a HTTP/1.1\r\n\r\n"),
+  CASE ("two-hosts", "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n"),
+  CASE ("no-path", "GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n"),
+  CASE ("not-http", "\x16\x03\x01 hello there\r\n\r\n"),
+  CASE ("bad-chunk-size", "POST /a HTTP/1.1\r\nHost: h\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n"),
+  CASE ("signed-chunk-size", "POST /a HTTP/1.1\r\nHost: h\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n-1\r\nabc\r\n"),
+  CASE ("bare-lf-in-chunk-size",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n3\nabc\r\n0\r\n\r\n"),
+  CASE ("bare-cr-in-chunk-size",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n3\rXabc\r\n0\r\n\r\n"),
+  CASE ("bytes-after-chunk",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n3\r\nabcdef\r\n0\r\n\r\n"),
+  CASE ("no-name", "GET /a HTTP/1.1\r\nHost: h\r\n: x\r\n\r\n")
+#undef CASE
+};
+
+static void
+test_smuggled (gconstpointer data)
+{
+  size_t i = GPOINTER_TO_SIZE (data);
+  struct fixture f = { 0 };
+
+  setup (&f, NULL);
+  put (&f, smuggled[i].bytes, smuggled[i].len);
+  run_until_closed (&f);
+  g_assert_true (g_str_has_prefix (f.got->str, "HTTP/1.1 400 "));
+  g_assert_nonnull (strstr (f.got->str, "Connection: close\r\n"));
+  g_assert_nonnull (strstr (f.got->str, "X-Jaycove-Error: bad_request\r\n"));
+  g_assert_null (strstr (f.got->str + 9, "HTTP/1.1 "));
+  g_assert_cmpint (f.requests, ==, 0);
+  teardown (&f, NULL);
+}
+
+/* Requests that come together are answered in turn, bodies unchanged.  */
+static void
+test_pipelined (struct fixture *f, gconstpointer unused)
+{
+  (void)unused;
+  PUT (f, "POST /a?x=%41 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+          "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "2\r\nde\r\n1;x=y\r\nf\r\n0\r\n\r\n"
+          "GET /c HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+          "Connection: close\r\n\r\ngh");
+  run_until_closed (f);
+  g_assert_cmpstr (f->bodies->str, ==,
+                   "[POST /a?x=%41 abc][POST /b def][GET /c gh]");
+}
+
+static void
+test_byte_by_byte (struct fixture *f, gconstpointer unused)
+{
+  static const char text[] = "POST /a HTTP/1.1\r\nHost: h\r\n"
+                             "Transfer-Encoding: chunked\r\n"
+                             "Connection: close\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+
+  (void)unused;
+  for (size_t i = 0; i < sizeof text - 1; i++)
+    {
+      put (f, text + i, 1);
+      ev_run (f->loop, EVRUN_NOWAIT);
+    }
+  run_until_closed (f);
+  g_assert_cmpstr (f->bodies->str, ==, "[POST /a abc]");
+}
+
+static void
+test_slow_head (struct fixture *f, gconstpointer unused)
+{
+  const struct jc_httpd_limits limits = { .max_head = 1000,
+                                          .max_body = BODY_MAX,
+                                          .head_ms = SHORT_MS,
+                                          .idle_ms = 60000 };
+
+  (void)unused;
+  jc_httpd_set_limits (f->httpd, &limits);
+  PUT (f, "GET /a HTTP/1.1\r\nHost");
+  run_until_closed (f);
+  g_assert_true (g_str_has_prefix (f->got->str, "HTTP/1.1 408 "));
+}
+
+static void
+test_large_head (struct fixture *f, gconstpointer unused)
+{
+  const struct jc_httpd_limits limits = {
+    .max_head = 100, .max_body = BODY_MAX, .head_ms = 60000, .idle_ms = 60000
+  };
+  char *big = g_strnfill (200, 'x');
+
+  (void)unused;
+  jc_httpd_set_limits (f->httpd, &limits);
+  PUT (f, "GET /a HTTP/1.1\r\nHost: h\r\nX: ");
+  put (f, big, strlen (big));
+  run_until_closed (f);
+  g_assert_true (g_str_has_prefix (f->got->str, "HTTP/1.1 431 "));
+  g_free (big);
+}
+
+static void
+test_idle (struct fixture *f, gconstpointer unused)
+{
+  const struct jc_httpd_limits limits = { .max_head = 1000,
+                                          .max_body = BODY_MAX,
+                                          .head_ms = 60000,
+                                          .idle_ms = SHORT_MS };
+
+  (void)unused;
+  jc_httpd_set_limits (f->httpd, &limits);
+  PUT (f, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_until_closed (f);
+  g_assert_true (g_str_has_prefix (f->got->str, "HTTP/1.1 200 "));
+}
+
+static void
+test_closing (struct fixture *f, gconstpointer unused)
+{
+  (void)unused;
+  jc_httpd_announce_close (f->httpd);
+  PUT (f, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_until_closed (f);
+  g_assert_nonnull (strstr (f->got->str, "Connection: close\r\n"));
+}
+
+/* A raw server that says ANSWERS, one for each request that it reads, and a
+   client of it.  */
+struct raw_server
+{
+  struct ev_loop *loop;
+  int fd;
+  int conn;
+  int conns;
+  const char *const *answers;
+  bool close_after;
+  ev_io accept;
+  ev_io reader;
+  ev_timer give_up;
+};
+
+static void
+on_request (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct raw_server *server = watcher->data;
+  char data[4096];
+  ssize_t len = recv (watcher->fd, data, sizeof data, 0);
+
+  (void)events;
+  if (len <= 0)
+    {
+      ev_io_stop (loop, watcher);
+      close (watcher->fd);
+      return;
+    }
+  if (*server->answers == NULL)
+    return;
+  send (watcher->fd, *server->answers, strlen (*server->answers), MSG_NOSIGNAL);
+  server->answers++;
+  if (!server->close_after)
+    return;
+  ev_io_stop (loop, watcher);
+  close (watcher->fd);
+}
+
+static void
+on_connection (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct raw_server *server = watcher->data;
+
+  (void)events;
+  ev_io_stop (loop, &server->reader);
+  server->conn = accept (watcher->fd, NULL, NULL);
+  server->conns++;
+  ev_io_init (&server->reader, on_request, server->conn, EV_READ);
+  server->reader.data = server;
+  ev_io_start (loop, &server->reader);
+}
+
+static int
+server_start (struct raw_server *server, const char *const *answers)
+{
+  struct sockaddr_in addr
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof addr;
+
+  memset (server, 0, sizeof *server);
+  server->loop = ev_loop_new (0);
+  server->answers = answers;
+  server->fd = socket (AF_INET, SOCK_STREAM, 0);
+  g_assert_cmpint (bind (server->fd, (struct sockaddr *)&addr, len), ==, 0);
+  g_assert_cmpint (listen (server->fd, 8), ==, 0);
+  getsockname (server->fd, (struct sockaddr *)&addr, &len);
+  ev_init (&server->reader, on_request);
+  ev_io_init (&server->accept, on_connection, server->fd, EV_READ);
+  server->accept.data = server;
+  ev_io_start (server->loop, &server->accept);
+  ev_timer_init (&server->give_up, on_give_up, GIVE_UP_S, 0);
+  ev_timer_start (server->loop, &server->give_up);
+  return ntohs (addr.sin_port);
+}
+
+static void
+server_stop (struct raw_server *server)
+{
+  ev_io_stop (server->loop, &server->reader);
+  ev_io_stop (server->loop, &server->accept);
+  ev_timer_stop (server->loop, &server->give_up);
+  close (server->fd);
+  ev_loop_destroy (server->loop);
+}
+
+/* What a call gave.  */
+struct seen
+{
+  GString *body;
+  struct jc_call_result result;
+  bool done;
+};
+
+static void
+on_seen_data (void *ctx, struct jc_str data)
+{
+  g_string_append_len (((struct seen *)ctx)->body, data.data, (gssize)data.len);
+}
+
+static void
+on_seen_done (void *ctx, const struct jc_call_result *result)
+{
+  struct seen *seen = ctx;
+
+  seen->result = *result;
+  seen->done = true;
+}
+
+static void
+call (struct raw_server *server, struct jc_httpc *httpc, int port,
+      const char *id, struct seen *seen)
+{
+  static const struct jc_call_ops ops
+      = { .data = on_seen_data, .done = on_seen_done };
+  char *url = g_strdup_printf ("http://127.0.0.1:%d/", port);
+  const struct jc_call_spec spec = { .method = "GET",
+                                     .url = url,
+                                     .once = true,
+                                     .echo_name = "X-Id",
+                                     .echo_value = id };
+
+  g_string_truncate (seen->body, 0);
+  seen->done = false;
+  jc_call_start (httpc, &spec, &ops, seen);
+  while (!seen->done)
+    ev_run (server->loop, EVRUN_ONCE);
+  g_free (url);
+}
+
+/* An answer that comes late, in place of the next one, belongs to an earlier
+   request.  */
+static void
+test_late_answer (void)
+{
+  static const char *const answers[]
+      = { "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\na",
+          "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nlate"
+          "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 1\r\n\r\nb",
+          NULL };
+  struct raw_server server;
+  struct seen seen = { .body = g_string_new (NULL) };
+  int port = server_start (&server, answers);
+  struct jc_httpc *httpc = jc_httpc_new (server.loop);
+
+  call (&server, httpc, port, "1", &seen);
+  g_assert_cmpstr (seen.body->str, ==, "a");
+  call (&server, httpc, port, "2", &seen);
+  g_assert_cmpstr (seen.body->str, ==, "b");
+  g_assert_true (seen.result.reused);
+  jc_httpc_free (httpc);
+  server_stop (&server);
+  g_string_free (seen.body, TRUE);
+}
+
+/* A connection with bytes after a whole answer is not used again.  */
+static void
+test_extra_bytes (void)
+{
+  static const char *const answers[]
+      = { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naEXTRA",
+          "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb", NULL };
+  struct raw_server server;
+  struct seen seen = { .body = g_string_new (NULL) };
+  int port = server_start (&server, answers);
+  struct jc_httpc *httpc = jc_httpc_new (server.loop);
+
+  call (&server, httpc, port, "1", &seen);
+  g_assert_cmpstr (seen.body->str, ==, "a");
+  call (&server, httpc, port, "2", &seen);
+  g_assert_cmpstr (seen.body->str, ==, "b");
+  g_assert_false (seen.result.reused);
+  g_assert_cmpint (server.conns, ==, 2);
+  jc_httpc_free (httpc);
+  server_stop (&server);
+  g_string_free (seen.body, TRUE);
+}
+
+/* An answer without a length is whole where its connection is closed; one
+   that is shorter than it says is not.  */
+static void
+test_unframed_and_short (void)
+{
+  static const char *const unframed[] = { "HTTP/1.1 200 OK\r\n\r\nabc", NULL };
+  static const char *const cut[]
+      = { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", NULL };
+  struct raw_server server;
+  struct seen seen = { .body = g_string_new (NULL) };
+  int port = server_start (&server, unframed);
+  struct jc_httpc *httpc = jc_httpc_new (server.loop);
+
+  server.close_after = true;
+  call (&server, httpc, port, "1", &seen);
+  g_assert_cmpint (seen.result.status, ==, JC_OK);
+  g_assert_false (seen.result.framed);
+  server.answers = cut;
+  call (&server, httpc, port, "1", &seen);
+  g_assert_cmpint (seen.result.status, !=, JC_OK);
+  g_assert_true (seen.result.sent);
+  jc_httpc_free (httpc);
+  server_stop (&server);
+  g_string_free (seen.body, TRUE);
+}
+
+/* What is no answer fails the call.  */
+static void
+test_garbage (void)
+{
+  static const char *const answers[]
+      = { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+          "nonsense\r\n\r\n", "HTTP/1.1 200 OK\nX: y\r\n\r\n", NULL };
+  struct raw_server server;
+  struct seen seen = { .body = g_string_new (NULL) };
+  int port = server_start (&server, answers);
+  struct jc_httpc *httpc = jc_httpc_new (server.loop);
+
+  for (int i = 0; i < 3; i++)
+    {
+      call (&server, httpc, port, "1", &seen);
+      g_assert_cmpint (seen.result.status, ==, JC_ENDPOINT_FAILED);
+    }
+  jc_httpc_free (httpc);
+  server_stop (&server);
+  g_string_free (seen.body, TRUE);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (smuggled); i++)
+    {
+      char *path = g_strconcat ("/smuggled/", smuggled[i].name, NULL);
+
+      g_test_add_data_func (path, GSIZE_TO_POINTER (i), test_smuggled);
+      g_free (path);
+    }
+#define CASE(path, fn)                                                         \
+  g_test_add (path, struct fixture, NULL, setup, fn, teardown)
+  CASE ("/pipelined", test_pipelined);
+  CASE ("/byte-by-byte", test_byte_by_byte);
+  CASE ("/slow-head", test_slow_head);
+  CASE ("/large-head", test_large_head);
+  CASE ("/idle", test_idle);
+  CASE ("/closing", test_closing);
+  g_test_add_func ("/late-answer", test_late_answer);
+  g_test_add_func ("/extra-bytes", test_extra_bytes);
+  g_test_add_func ("/unframed-and-short", test_unframed_and_short);
+  g_test_add_func ("/garbage", test_garbage);
+  return g_test_run ();
+}
