Take orders only once they outlast a loss; test routing by hosts as processes

Cause: an order was acknowledged while two of three replicas voted; with one of the two killed 0.3 s later there was no quorum until it came back, 60 s in hosts-changes (seen before the mend). Change: orders wait until as many replicas vote as the losses to be borne ask for, or as many as are known. New process tests, with stand-ins that speak the platform's wire: the whole path; crashes, leaves, evacuation and a killed state instance; a drain with a stream in flight.

--- a/net/httpconn.c
+++ b/net/httpconn.c
@@ -341,8 +341,8 @@
 {
   if ((conn->parser.flags & F_CHUNKED) == 0)
     return true;
-  return jc_chunks_feed (&conn->chunks, (struct jc_str){ .data = conn->in->str,
-                                                         .len = used });
+  return jc_chunks_feed (&conn->chunks,
+                         (struct jc_str){ .data = conn->in->str, .len = used });
 }
 
 /* Read body bytes from IN.  */
--- a/net/httplink.c
+++ b/net/httplink.c
@@ -215,8 +215,8 @@
 {
   if ((link->parser.flags & F_CHUNKED) == 0)
     return true;
-  return jc_chunks_feed (&link->chunks, (struct jc_str){ .data = link->in->str,
-                                                         .len = used });
+  return jc_chunks_feed (&link->chunks,
+                         (struct jc_str){ .data = link->in->str, .len = used });
 }
 
 /* Run the parser over IN.  Return whether it may go on.  */
--- /dev/null
+++ b/scripts/hosts.sh
@@ -0,0 +1,42 @@
+# Functions that start a small jaycove with routing by hosts on loopback: three
+# state instances and two entry instances, each with an IP number of its own.
+# Sourced after cluster.sh.
+
+# start_hosts: start all; addresses go to $DIR/addresses.json.
+start_hosts ()
+{
+  rpc=$(port)
+  control=$(port)
+  directory=$(port)
+  seeds="\"127.0.9.1:$control\", \"127.0.9.2:$control\", \"127.0.9.3:$control\""
+  for i in 1 2 3; do
+    ip=127.0.9.$i
+    mkdir -p "$DIR/s$i"
+    cat >"$DIR/s$i.json" <<X
+{ "routing": "hosts", "group": "g", "name": "$ip", "region": "r1", "availability_zone": "z1",
+  "rpc": "$ip:$rpc", "operators": "$ip:$control", "directory": "$ip:$directory",
+  "group_key": "$GROUP_KEY", "operator_token": "", "data_folder": "$DIR/s$i", "state_seeds": [$seeds],
+  "first_start": true, "report_ms": 200, "snapshot_entries": 16 }
+X
+    start "s$i" "$BUILD/jaycove-state" --settings "$DIR/s$i.json"
+  done
+  for i in 1 2; do
+    ip=127.0.9.1$i
+    callers=$(port)
+    ready=$(port)
+    cat >"$DIR/e$i.json" <<X
+{ "routing": "hosts", "group": "g", "name": "e$i", "region": "r1", "availability_zone": "z1",
+  "zones": [{"name": "z1", "region": "r1"}, {"name": "z2", "region": "r1"}],
+  "callers": "$ip:$callers", "ready": "$ip:$ready", "operators": "$ip:$(port)", "rpc": "$ip:$rpc",
+  "handover": "$ip:$(port)", "group_key": "$GROUP_KEY", "operator_token": "", "state_peers": [],
+  "state_seeds": [$seeds], "grace_ms": 60000, "report_ms": 200 }
+X
+    start "e$i" "$BUILD/jaycove-entry" --settings "$DIR/e$i.json"
+    eval "callers$i=$ip:$callers ready$i=$ip:$ready"
+  done
+  cat >"$DIR/addresses.json" <<X
+{ "control": ["127.0.9.1:$control", "127.0.9.2:$control", "127.0.9.3:$control"],
+  "directory": ["127.0.9.1:$directory", "127.0.9.2:$directory", "127.0.9.3:$directory"],
+  "entries": ["$callers1", "$callers2"], "ready": ["$ready1", "$ready2"] }
+X
+}
--- a/state/log.c
+++ b/state/log.c
@@ -320,14 +320,21 @@
          && jc_rlog_role (state->log->rlog) == JC_RLOG_LEADER;
 }
 
-/* Tell whether a quorum of the voters has more disks than may be lost at
-   once.  */
+/* Tell whether orders last here whatever may be lost at once: a quorum of the
+   voters has more disks than that, and without them there still is a quorum.
+   Until all instances of a small group vote, there are fewer of them.  */
 bool
 log_rests_on_enough (const struct state *state)
 {
-  unsigned int voters = jc_replicas_voters (log_replicas (state));
+  const struct jc_state_settings *settings = state->settings;
+  const struct rpc_replicas *replicas = log_replicas (state);
+  unsigned int voters = jc_replicas_voters (replicas);
+  unsigned int known
+      = MAX (replicas->list.list_len, settings->state_seeds->len);
+  unsigned int wanted = 2 * (unsigned int)settings->losses + 1;
 
-  return voters / 2 + 1 > (unsigned int)state->settings->losses;
+  return voters >= MIN (wanted, known)
+         && voters / 2 + 1 > (unsigned int)settings->losses;
 }
 
 /* Return the replicas of the log.  */
--- /dev/null
+++ b/tests/process/hosts_standin.py
@@ -0,0 +1,331 @@
+"""Stand-ins that speak the platform's wire: endpoints that report themselves,
+an operator and callers. Usage: hosts_standin.py SCRIPT DIR, where SCRIPT names
+a function below and DIR holds addresses.json."""
+import asyncio
+import json
+import os
+import random
+import sys
+import time
+
+DIR = sys.argv[2]
+ADDRESSES = json.load(open(os.path.join(DIR, "addresses.json")))
+HEARTBEAT_S = 0.2
+WAIT_S = 60
+
+
+class Reply:
+    def __init__(self, status, headers, body, whole):
+        self.status, self.headers, self.body, self.whole = status, headers, body, whole
+
+
+async def read_head(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    fields = dict((k.lower(), v.strip()) for k, _, v in (line.partition(":") for line in head[1:] if line))
+    return head[0], fields
+
+
+async def read_body(reader, fields, on_chunk=None):
+    """Returns the body and whether it is whole."""
+    body = b""
+    try:
+        if "content-length" in fields:
+            return await reader.readexactly(int(fields["content-length"])), True
+        if fields.get("transfer-encoding") == "chunked":
+            while True:
+                size = int((await reader.readline()).split(b";")[0], 16)
+                data = await reader.readexactly(size + 2)
+                if size == 0:
+                    return body, True
+                body += data[:-2]
+                if on_chunk:
+                    on_chunk(body)
+        return await reader.read(), True
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        return body, False
+
+
+async def ask(address, method, path, headers=(), body=b"", on_chunk=None):
+    host, port = address.rsplit(":", 1)
+    reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 5)
+    try:
+        lines = [f"{method} {path} HTTP/1.1"] + [f"{k}: {v}" for k, v in headers]
+        if not any(k == "Host" for k, _ in headers):
+            lines.append("Host: x")
+        lines.append(f"Content-Length: {len(body)}")
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        start, fields = await read_head(reader)
+        data, whole = await read_body(reader, fields, on_chunk)
+        return Reply(int(start.split()[1]), fields, data, whole)
+    finally:
+        writer.close()
+
+
+class Endpoint:
+    """A server of a service. Streams have EVENTS events, one each PAUSE_S. The first
+    that comes to the event CRASH_AT crashes in it."""
+    crash_at = None
+
+    def __init__(self, name, service, zone, events=6, pause_s=0.02):
+        self.name, self.service, self.zone = name, service, zone
+        self.events, self.pause_s = events, pause_s
+        self.state, self.sequence, self.born = "ready", 0, int(time.time() * 1000)
+        self.ran, self.writers, self.fail_next = [], set(), 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.task = asyncio.create_task(self.report())
+        return self
+
+    async def report(self):
+        while True:
+            await self.report_once()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def report_once(self):
+        self.sequence += 1
+        body = json.dumps({"service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
+                           "slots": 8, "state": self.state, "warmup-left-ms": 0, "sequence": self.sequence,
+                           "born": self.born}).encode()
+        for control in random.sample(ADDRESSES["control"], len(ADDRESSES["control"])):
+            try:
+                reply = await ask(control, "POST", "/v1/Instances.Heartbeat/" + self.name, body=body)
+                if reply.status == 200:
+                    return True
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                pass
+        return False
+
+    def crash(self):
+        self.task.cancel()
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while await self.serve_one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        self.writers.discard(writer)
+        writer.close()
+
+    async def serve_one(self, reader, writer):
+        start, fields = await read_head(reader)
+        body, _ = await read_body(reader, fields) if "content-length" in fields else (b"", True)
+        attempt = fields.get("x-jaycove-attempt-id", "")
+        head = f"X-Jaycove-Attempt-Id: {attempt}\r\nX-Jaycove-Server-Load: 1,0,8\r\n"
+        if fields.get("x-jaycove-expect-instance") != self.name:
+            writer.write(f"HTTP/1.1 421 Misdirected\r\n{head}Content-Length: 0\r\n\r\n".encode())
+            return True
+        self.ran.append((attempt, start, body, fields))
+        head += f"X-Jaycove-Server-Stamp: {self.name}\r\n"
+        if self.fail_next > 0:
+            self.fail_next -= 1
+            writer.write(f"HTTP/1.1 500 Error\r\n{head}Content-Length: 0\r\n\r\n".encode())
+            return True
+        if "/stream/" not in start:
+            text = f"{self.name} {attempt}".encode()
+            writer.write(f"HTTP/1.1 200 OK\r\n{head}Content-Length: {len(text)}\r\n\r\n".encode() + text)
+            return True
+        writer.write(f"HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n".encode())
+        for event in range(int(fields.get("last-event-id", -1)) + 1, self.events):
+            data = f"id: {event}\ndata: token-{event}\n\n".encode()
+            if Endpoint.crash_at == event:
+                Endpoint.crash_at = None
+                writer.write(b"%x\r\n%s" % (len(data), data[:5]))
+                await writer.drain()
+                self.crash()
+                return False
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+            await writer.drain()
+            await asyncio.sleep(self.pause_s)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+def route(name, kind, service, **more):
+    return {"name": name, "host": "site.example", "path-prefix": f"/{name}/", "route-kind": kind, "timeout-ms": 20000,
+            "slo-ms": 2000, "priority": 0, "service": service, "max-attempts": 2, "sticky": False,
+            "resumable": kind == "stream", "gap-slo-ms": 800, "home-regions": []} | more
+
+
+def configuration(version, routes):
+    return json.dumps({"version": version, "routes": routes,
+                       "services": [{"name": n, "health-path": "/", "max-conns": 9, "warmup-s": 0, "warmup-per-s": 0}
+                                    for n in ("plain", "engine")],
+                       "limits": {"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000,
+                                  "idle-timeout-ms": 15000}}).encode()
+
+
+async def until(what, condition):
+    """Waits for the coroutine function CONDITION; the time is that of a busy machine."""
+    end = time.monotonic() + WAIT_S
+    while time.monotonic() < end:
+        try:
+            if await condition():
+                return
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass
+        await asyncio.sleep(0.05)
+    raise SystemExit("gave up waiting for: " + what)
+
+
+async def order(path, body=b"", controls=None):
+    """Sends an order until it is acknowledged."""
+    async def sent():
+        reply = await ask(random.choice(controls or ADDRESSES["control"]), "POST", path, body=body)
+        assert reply.status in (200, 503), reply.status
+        return reply.status == 200
+    await until("an acknowledgement of " + path, sent)
+
+
+async def in_force(entries, path, status):
+    async def seen():
+        replies = [await request(e, "GET", path) for e in entries]
+        return all(r.status == status for r in replies)
+    await until(f"{path} to give {status}", seen)
+
+
+async def request(entry, method, path, body=b"", attempt=None, headers=(), on_chunk=None):
+    attempt = attempt or "%016x" % random.getrandbits(64)
+    return await ask(entry, method, path, [("Host", "site.example"), ("X-Jaycove-Attempt-Id", attempt),
+                                           ("X-Jaycove-Deadline-Ms", "15000"), *headers], body, on_chunk)
+
+
+def pid(name):
+    return int(open(os.path.join(DIR, name + ".pid")).read())
+
+
+ROUTES = [route("read", "safe", "plain"), route("write", "unsafe", "plain"), route("stream", "stream", "engine")]
+
+
+async def start_all():
+    endpoints = [await Endpoint(f"{service}-{i}", service, zone).start()
+                 for i, (service, zone) in enumerate([("plain", "z1"), ("plain", "z2"), ("engine", "z1"),
+                                                      ("engine", "z2")])]
+    await order("/v1/Config.Replace", configuration(3, ROUTES))
+    await in_force(ADDRESSES["entries"], "/read/x", 200)
+    return endpoints
+
+
+async def path():
+    """The whole path: orders, directory, and all kinds of requests."""
+    endpoints = await start_all()
+    entry = ADDRESSES["entries"][0]
+    control = ADDRESSES["control"][0]
+
+    async def listed():
+        reply = await ask(ADDRESSES["directory"][0], "GET", "/v1/resolve?name=site.example&region=r1&zone=z1")
+        return reply.status == 200 and sorted(json.loads(reply.body)["addresses"]) == sorted(ADDRESSES["entries"])
+    await until("both entry instances in the directory", listed)
+    for ready in ADDRESSES["ready"]:
+        assert (await ask(ready, "GET", "/v1/readyz")).status == 200
+
+    reply = await request(entry, "POST", "/write/a?b=%41", b"body", attempt="feed")
+    assert reply.status == 200 and reply.body.endswith(b" feed"), reply.body
+    ran = [r for e in endpoints for r in e.ran if r[0] == "feed"]
+    assert len(ran) == 1 and ran[0][1] == "POST /write/a?b=%41 HTTP/1.1" and ran[0][2] == b"body"
+    assert 0 < int(ran[0][3]["x-jaycove-deadline-ms"]) <= 15000
+
+    reply = await request(entry, "POST", "/write/a", b"", headers=[("X-Jaycove-Hold", "h"), ("Kv-From", "k")],
+                          attempt="beef")
+    ran = [r for e in endpoints for r in e.ran if r[0] == "beef"]
+    assert len(ran) == 1 and "x-jaycove-hold" not in ran[0][3] and "kv-from" not in ran[0][3]
+
+    reply = await request(entry, "POST", "/stream/a")
+    assert reply.status == 200 and reply.whole
+    assert reply.body == b"".join(b"id: %d\ndata: token-%d\n\n" % (i, i) for i in range(6)), reply.body
+
+    assert (await request(entry, "GET", "/none/x")).status == 404
+    for endpoint in endpoints:
+        endpoint.fail_next = 1 if endpoint.service == "plain" else 0
+    assert (await request(entry, "GET", "/read/x")).status == 500
+    assert (await request(entry, "GET", "/read/x")).status == 200
+
+    # Orders: an older one is acknowledged and changes nothing; a bad one is refused.
+    assert (await ask(control, "POST", "/v1/Config.Replace", body=configuration(2, []))).status == 200
+    assert (await ask(control, "POST", "/v1/Config.Replace", body=configuration(9, [route("a", "safe", "?")]))).status == 400
+    reply = await ask(control, "GET", "/v1/Config.Read")
+    assert reply.status == 200 and reply.body == configuration(3, ROUTES)
+    await order("/v1/Config.Replace", configuration(10, ROUTES + [route("more", "safe", "plain")]))
+    await in_force(ADDRESSES["entries"], "/more/x", 200)
+
+
+async def changes():
+    """Endpoints that crash, leave and are evacuated; a state instance that is killed."""
+    endpoints = await start_all()
+    entry = ADDRESSES["entries"][0]
+    engines = [e for e in endpoints if e.service == "engine"]
+
+    # A stream goes on elsewhere, whole, after its endpoint crashed in an event.
+    Endpoint.crash_at = 3
+    reply = await request(entry, "POST", "/stream/a", attempt="cafe")
+    assert sorted(e.server.is_serving() for e in engines) == [False, True]
+    assert reply.whole, reply.body
+    assert reply.body == b"".join(b"id: %d\ndata: token-%d\n\n" % (i, i) for i in range(6)), reply.body
+
+    # One that leaves gets nothing once that is acknowledged and passed on.
+    leaving, staying = [e for e in endpoints if e.service == "plain"]
+    leaving.state = "draining"
+
+    async def acknowledged():
+        return await leaving.report_once()
+    await until("the leave to be acknowledged", acknowledged)
+
+    async def gets_nothing():
+        before = len(leaving.ran)
+        for e in ADDRESSES["entries"]:
+            assert (await request(e, "GET", "/read/x")).status == 200
+        return len(leaving.ran) == before
+    await until("the leaving endpoint to get nothing", gets_nothing)
+    for e in ADDRESSES["entries"]:
+        for _ in range(10):
+            assert (await request(e, "GET", "/read/x")).body.startswith(staying.name.encode())
+
+    # Orders last while a state instance is gone.
+    os.kill(pid("s1"), 9)
+    rest = ADDRESSES["control"][1:]
+    await order("/v1/Evacuation.Begin/" + staying.zone, controls=rest)
+    await in_force(ADDRESSES["entries"], "/read/x", 503)
+    await order("/v1/Evacuation.Finish/" + staying.zone, controls=rest)
+    await in_force(ADDRESSES["entries"], "/read/x", 200)
+    await order("/v1/Config.Replace", configuration(20, ROUTES + [route("more", "safe", "plain")]), controls=rest)
+    await in_force(ADDRESSES["entries"], "/more/x", 200)
+
+    async def read_back():
+        reply = await ask(rest[0], "GET", "/v1/Config.Read")
+        assert reply.status != 200 or json.loads(reply.body)["version"] == 20
+        return reply.status == 200
+    await until("the configuration to be read back", read_back)
+
+
+async def drain():
+    """An entry instance stops without cutting a stream, and a changed settings file cuts nothing."""
+    endpoints = await start_all()
+    for endpoint in endpoints:
+        endpoint.events, endpoint.pause_s = 40, 0.05
+    entry = ADDRESSES["entries"][0]
+    begun = asyncio.Event()
+    stream = asyncio.create_task(request(entry, "POST", "/stream/a", on_chunk=lambda _: begun.set()))
+    await begun.wait()
+    os.kill(pid("e1"), 1)
+    os.kill(pid("e1"), 15)
+
+    async def not_ready():
+        return (await ask(ADDRESSES["ready"][0], "GET", "/v1/readyz")).status == 503
+    await until("the instance not to be ready", not_ready)
+    reply = await stream
+    assert reply.whole and reply.body.count(b"id: ") == 40, reply.body
+
+    async def listed():
+        reply = await ask(ADDRESSES["directory"][0], "GET", "/v1/resolve?name=site.example&region=r1&zone=z1")
+        return json.loads(reply.body)["addresses"] == [ADDRESSES["entries"][1]]
+    await until("the instance to leave the directory", listed)
+
+
+asyncio.run({"path": path, "changes": changes, "drain": drain}[sys.argv[1]]())
