--- a/conf/routetable.c
+++ b/conf/routetable.c
@@ -218,7 +218,8 @@
 const char *
 jc_hostroute_pick (const struct jc_hostroute *route, uint64_t draw)
 {
-  uint64_t at = draw % total_weight (route);
+  uint64_t total = total_weight (route);
+  uint64_t at = total > 0 ? draw % total : 0;
 
   for (guint i = 0; i < route->splits->len; i++)
     {
--- a/entry/passage.c
+++ b/entry/passage.c
@@ -656,7 +656,7 @@
 enum jc_status
 passage_head (struct hosts *hosts, struct jc_http_req *req)
 {
-  const struct jc_hostroute *route;
+  const struct jc_hostroute *route = NULL;
   struct jc_ask ask;
   enum jc_status status = find_route (hosts, req, &route);
 
@@ -712,7 +712,7 @@
 passage_start (struct hosts *hosts, struct jc_http_req *req, bool guest)
 {
   struct passage *passage;
-  const struct jc_hostroute *route;
+  const struct jc_hostroute *route = NULL;
   struct jc_ask ask;
   int64_t wait_ms;
 
@@ -722,7 +722,8 @@
       jc_http_fail (req, JC_UNKNOWN_ROUTE, jc_last_message (), 0);
       return;
     }
-  hosts->dialect->ask (jc_http_head (req), &ask);
+  if (hosts->dialect->ask (jc_http_head (req), &ask) != JC_OK)
+    memset (&ask, 0, sizeof ask);
   passage = g_new0 (struct passage, 1);
   passage->hosts = hosts;
   passage->req = req;
--- a/tests/script-relay.c
+++ b/tests/script-relay.c
@@ -52,7 +52,7 @@
   struct jc_relay_end end = { .sent = true, .genuine = true, .http = 200 };
   enum jc_relay_step step;
 
-  for (char **word = words + 1; *word != NULL; word++)
+  for (char **word = words + 1; **word != '\0'; word++)
     {
       end.whole = end.whole || strcmp (*word, "whole") == 0;
       end.not_run = end.not_run || strcmp (*word, "not-run") == 0;
@@ -79,9 +79,12 @@
 static void
 run_line (struct world *world, char *line)
 {
-  char *words[WORDS_MAX + 1] = { NULL };
+  char *words[WORDS_MAX + 1];
   int count = 0;
 
+  for (int i = 0; i <= WORDS_MAX; i++)
+    words[i] = (char *)"";
+
   for (char *word = strtok (line, " \n"); word != NULL && count < WORDS_MAX;
        word = strtok (NULL, " \n"))
     words[count++] = word;
--- a/tests/test-http-raw.c
+++ b/tests/test-http-raw.c
@@ -119,7 +119,7 @@
   g_assert_cmpint (send (f->fd, data, len, MSG_NOSIGNAL), ==, len);
 }
 
-#define PUT(f, text) put (f, text, sizeof text - 1)
+#define PUT(f, text) put (f, (text), sizeof (text) - 1)
 
 static void
 run_until_closed (struct fixture *f)
@@ -138,7 +138,7 @@
 } smuggled[] = {
 #define CASE(name, text)                                                       \
   {                                                                            \
-    name, text, sizeof text - 1                                                \
+    (name), (text), sizeof (text) - 1                                          \
   }
   CASE ("two-lengths",
         "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
