--- /dev/null
+++ b/serve/engineprivate.h
@@ -0,0 +1,91 @@
+/* What the files of the engines module share; not for others.  */
+
+#ifndef JC_ENGINE_PRIVATE_H
+#define JC_ENGINE_PRIVATE_H
+
+#include "serve/engine.h"
+
+/* Figures of the deployments' engines, from their data sheet: prompt tokens
+   read in a ms, what each pair of a token with one before it adds to that,
+   time of a step and what each running request adds to it, ms, and the time
+   from the end of the reading to the first event.  */
+#define PROMPT_TOKENS_A_MS 56.9
+#define PAIR_MS 0.165e-6
+#define STEP_MS 3.09
+#define STEP_RUNNING_MS 0.102
+#define FIRST_EVENT_MS 16.0
+/* Prompt tokens that are read in one step, between two tokens of each running
+   request.  */
+#define CHUNK_TOKENS 4096.0
+
+enum
+{
+  /* Time over which the rate of tokens is averaged.  */
+  RATE_MS = 1500,
+  INSTANCES_MAX = 32,
+  MS_PER_S = 1000
+};
+
+/* What another instance has at an engine, as it told at HEARD_MS.  */
+struct share
+{
+  uint64_t instance;
+  struct rpc_load said;
+  int64_t heard_ms;
+};
+
+struct engine
+{
+  char *name;
+  unsigned int running;
+  uint64_t unread_tokens;
+  double rate;
+  int64_t rate_ms;
+  unsigned int reported;
+  int64_t reported_ms;
+  double plain_ms;
+  double pace;
+  double failures;
+  int64_t failures_ms;
+  int64_t rest_ms;
+  int64_t rest_until_ms;
+  int64_t used_ms;
+  unsigned int holders;
+  GHashTable *parts;
+  struct share shares[INSTANCES_MAX];
+  unsigned int shares_count;
+};
+
+/* Work at an engine, of all instances.  BUSY is the part of its time that
+   it reads prompts, PACE how many times the data sheet's times it takes.  */
+struct work
+{
+  double running;
+  double unread_tokens;
+  double busy;
+  double pace;
+};
+
+struct jc_engines
+{
+  GHashTable *by_name;
+};
+
+/* In engine.c.  */
+struct engine *engine_of (struct jc_engines *engines, const char *name);
+unsigned int engine_tokens_read (const struct engine *engine,
+                                 const struct jc_demand *demand,
+                                 int64_t now_ms);
+double engine_failures (const struct engine *engine, int64_t now_ms);
+struct work engine_work (const struct engine *engine, int64_t now_ms);
+
+/* In enginecost.c.  */
+double engine_reading (const struct jc_demand *demand, unsigned int read);
+double engine_step_ms (const struct work *work);
+double engine_cost_ms (struct jc_engines *engines,
+                       const struct jc_endpoint *endpoint,
+                       const struct jc_demand *demand,
+                       const struct jc_endpoint *meeting, int64_t now_ms);
+bool engine_is_long (const struct jc_demand *demand);
+
+#endif
