Open the log anew after a disk failed; spend nothing shared before the group is known

Ruled out: going on without reading the disk again; opening writes the whole log once more, so that nothing rests on a failed sync. Change: state instances reopen their log each 0.5 s after a failure; budgets give no share before another instance told of the others; jaycove-ctl trace follows an id through logs; a lint rule keeps wire names in platform/.

--- a/Makefile
+++ b/Makefile
@@ -98,6 +98,7 @@
 	@clang-format --dry-run -Werror $(OWN_SRC)
 
 lint: format-check
+	@scripts/lint-wire.sh
 	@CFLAGS_LINT="$(PKG_CFLAGS)" scripts/lint.sh $(filter %.c,$(OWN_SRC))
 
 generate:
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -13,7 +13,7 @@
 };
 
 static const struct verb *const parts[]
-    = { config_verbs, replica_verbs, entry_verbs, ledger_verbs };
+    = { config_verbs, replica_verbs, entry_verbs, ledger_verbs, trace_verbs };
 
 static void
 print_verb (const struct verb *verb)
@@ -44,6 +44,12 @@
           "  5  outcome unknown or no answer: send the same again\n");
 }
 
+static bool
+takes (const struct verb *verb, int args)
+{
+  return verb->needs == VERB_NEEDS_SOME ? args >= 2 : args == verb->needs;
+}
+
 /* Return the verb that the words of OPTIONS name, and leave its arguments.  */
 static const struct verb *
 take_verb (struct options *options, const char **words, int count)
@@ -55,7 +61,7 @@
 
         if (count < used || strcmp (verb->word, words[0]) != 0
             || (used == 2 && strcmp (verb->second, words[1]) != 0)
-            || count - used != verb->needs)
+            || !takes (verb, count - used))
           continue;
         options->arg_count = count - used;
         for (int k = used; k < count; k++)
--- a/ctl/verbs.h
+++ b/ctl/verbs.h
@@ -9,7 +9,9 @@
 
 enum
 {
-  VERB_WORDS_MAX = 4
+  VERB_WORDS_MAX = 64,
+  /* A verb that needs two arguments or more.  */
+  VERB_NEEDS_SOME = -1
 };
 
 /* The command line once read.  ARGS are the words after the verb.  */
@@ -27,7 +29,7 @@
 };
 
 /* One verb: a word, perhaps a second one, and the number of arguments that it
-   needs.  */
+   needs, or VERB_NEEDS_SOME.  */
 struct verb
 {
   const char *word;
@@ -43,6 +45,7 @@
 extern const struct verb replica_verbs[];
 extern const struct verb entry_verbs[];
 extern const struct verb ledger_verbs[];
+extern const struct verb trace_verbs[];
 
 /* ask: requests to an operators' listener.  */
 long ask_server (const struct options *options, const char *path,
--- a/net/program.c
+++ b/net/program.c
@@ -90,6 +90,8 @@
   errors = arg_parse (argc, argv, table);
   *exit_code = JC_EXIT_OK;
   signal (SIGPIPE, SIG_IGN);
+  /* A file that may not grow makes writes fail instead.  */
+  signal (SIGXFSZ, SIG_IGN);
   /* Until a daemon that reads its settings again is ready to.  */
   signal (SIGHUP, SIG_IGN);
   if (sodium_init () < 0)
--- a/serve/budget.c
+++ b/serve/budget.c
@@ -5,9 +5,6 @@
 
 enum
 {
-  /* The platform names no number of instances; until others are known this
-     many are assumed, more than the deployments have.  */
-  INSTANCES_ASSUMED = 12,
   /* An instance that is not seen any longer may be cut off and still spend
      its share.  */
   INSTANCES_KEPT_MS = 60000,
@@ -45,7 +42,6 @@
   struct jc_budgets *budgets = g_new0 (struct jc_budgets, 1);
 
   budgets->terms = *terms;
-  budgets->instances = INSTANCES_ASSUMED;
   budgets->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   budgets->cold
@@ -100,6 +96,16 @@
   jc_window_add (&service_of (budgets, service)->requests, now_ms);
 }
 
+/* Return this instance's share of the retries beyond the ratio: nothing
+   before it is known how many instances there are.  */
+static double
+slack_share (const struct jc_budgets *budgets)
+{
+  if (budgets->instances == 0)
+    return 0;
+  return (double)budgets->terms.retry_slack / budgets->instances;
+}
+
 /* Take one retry from the budget of SERVICE.  Return whether there was
    one.  */
 bool
@@ -109,7 +115,7 @@
   struct service *state = service_of (budgets, service);
   double allowed
       = budgets->terms.retry_ratio * jc_window_least (&state->requests, now_ms)
-        + (double)budgets->terms.retry_slack / budgets->instances;
+        + slack_share (budgets);
 
   if (jc_window_most (&state->retries, now_ms) + 1 > allowed)
     return false;
@@ -140,6 +146,9 @@
       = (per_s * budgets->terms.cold_ratio + (double)budgets->terms.cold_slack)
         / COLD_OWNERS;
 
+  /* An instance that knows no other could take each endpoint for its own.  */
+  if (budgets->instances == 0 && !spend)
+    return false;
   if (cold == NULL)
     {
       cold_expire (budgets, now_ms);
--- a/state/log.c
+++ b/state/log.c
@@ -24,12 +24,16 @@
   VOTERS_MAX = 5,
   PROPOSE_MS = 3000,
   RETRY_AFTER_MS = 500,
+  /* A disk that failed, being full or slow to answer, is tried again.  */
+  REOPEN_MS = 500,
   MS_PER_S = 1000
 };
 
-/* The log of this instance.  RUNNING says that the log was replayed.  */
+/* The log of this instance.  RUNNING says that the log was replayed,
+   REOPEN_MS when it is opened anew after its disk failed.  */
 struct log
 {
+  int64_t reopen_ms;
   struct jc_rlog *rlog;
   ev_timer tick;
   ev_prepare flush;
@@ -177,6 +181,9 @@
   const struct state *state = ctx;
 
   jc_info (PART, "This replica is %s.", jc_rlog_role_name (role));
+  if (role == JC_RLOG_FAILED)
+    jc_event (JC_EVENT_STORAGE, "what=failed why=\"%.150s\"",
+              jc_last_message ());
   if (state->log == NULL || state->log->rlog == NULL)
     return;
   jc_event (JC_EVENT_ROLE, "role=%s term=%" PRIu64 " last=%" PRIu64,
@@ -190,6 +197,56 @@
                                                 .snapshot = on_snapshot,
                                                 .role = on_role };
 
+/* Open the log on this disk and take over what is committed there.  */
+static struct jc_rlog *
+open_rlog (struct state *state, enum jc_status *status)
+{
+  const struct jc_state_settings *s = state->settings;
+  const struct jc_rlog_options options
+      = { .name = s->name,
+          .seed = jc_random_id (),
+          .fresh_incarnation = jc_random_id (),
+          .election_ms = s->election_ms,
+          .heartbeat_ms = s->election_ms / BEATS_IN_ELECTION,
+          .snapshot_entries = (uint64_t)s->snapshot_entries,
+          .chunk_bytes = CHUNK_BYTES };
+  struct jc_rlog *rlog = jc_rlog_open (state->disk, &options, &log_class, state,
+                                       jc_now_ms (), status);
+
+  if (*status == JC_OK && state->broken)
+    *status = jc_fail (JC_CORRUPT, "The snapshot on disk is not valid.");
+  return rlog;
+}
+
+/* Open the log anew after its disk failed, each time it is due until that
+   succeeds.  Opening writes all of it once more, so nothing rests on what the
+   disk did before.  The ledgers of routing by products do not allow it.  */
+static void
+reopen (struct state *state)
+{
+  struct log *log = state->log;
+  int64_t now = jc_now_ms ();
+  struct jc_rlog *fresh;
+  enum jc_status status;
+
+  if (now < log->reopen_ms || strcmp (state->settings->routing, "hosts") != 0)
+    return;
+  log->reopen_ms = now + REOPEN_MS;
+  log->running = false;
+  fresh = open_rlog (state, &status);
+  log->running = true;
+  jc_event (JC_EVENT_STORAGE, "what=reopen outcome=%s position=%" PRIu64,
+            jc_status_name (status), state->orders->position);
+  if (status != JC_OK)
+    {
+      jc_rlog_free (fresh);
+      return;
+    }
+  jc_rlog_free (log->rlog);
+  log->rlog = fresh;
+  orders_changed (state);
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -197,7 +254,10 @@
 
   (void)loop;
   (void)events;
-  jc_rlog_tick (state->log->rlog, jc_now_ms ());
+  if (jc_rlog_role (state->log->rlog) == JC_RLOG_FAILED)
+    reopen (state);
+  else
+    jc_rlog_tick (state->log->rlog, jc_now_ms ());
 }
 
 static void
@@ -251,22 +311,10 @@
 enum jc_status
 log_start (struct state *state, bool found)
 {
-  const struct jc_state_settings *s = state->settings;
-  struct jc_rlog_options options
-      = { .name = s->name,
-          .seed = jc_random_id (),
-          .fresh_incarnation = jc_random_id (),
-          .election_ms = s->election_ms,
-          .heartbeat_ms = s->election_ms / BEATS_IN_ELECTION,
-          .snapshot_entries = (uint64_t)s->snapshot_entries,
-          .chunk_bytes = CHUNK_BYTES };
   enum jc_status status;
 
   state->log = g_new0 (struct log, 1);
-  state->log->rlog = jc_rlog_open (state->disk, &options, &log_class, state,
-                                   jc_now_ms (), &status);
-  if (status == JC_OK && state->broken)
-    status = jc_fail (JC_CORRUPT, "The snapshot on disk is not valid.");
+  state->log->rlog = open_rlog (state, &status);
   if (status == JC_OK && !found && !jc_rlog_founded (state->log->rlog))
     found = group_founds (state);
   if (status == JC_OK && found)
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -304,6 +304,32 @@
     await until("the configuration to be read back", read_back)
 
 
+def limit_file_size(name, size):
+    import resource
+    resource.prlimit(pid(name), resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY))
+
+
+async def disk():
+    """Disks that take no more bytes: orders go on while one of three is full, nothing is
+    acknowledged while two are, and both come back by themselves."""
+    await start_all()
+    limit_file_size("s2", 0)
+    for i in range(5):
+        await order("/v1/Config.Replace", configuration(30 + i, ROUTES))
+    limit_file_size("s3", 0)
+    for _ in range(20):
+        reply = await ask(ADDRESSES["control"][0], "POST", "/v1/Config.Replace", body=configuration(40, ROUTES))
+        assert reply.status == 503, reply.status
+        await asyncio.sleep(0.02)
+    limit_file_size("s2", -1)
+    await order("/v1/Config.Replace", configuration(50, ROUTES + [route("more", "safe", "plain")]))
+    limit_file_size("s3", -1)
+    os.kill(pid("s1"), 9)
+    await order("/v1/Config.Replace", configuration(60, ROUTES + [route("most", "safe", "plain")]),
+                controls=ADDRESSES["control"][1:])
+    await in_force(ADDRESSES["entries"], "/most/x", 200)
+
+
 async def drain():
     """An entry instance stops without cutting a stream, and a changed settings file cuts nothing."""
     endpoints = await start_all()
@@ -328,4 +354,4 @@
     await until("the instance to leave the directory", listed)
 
 
-asyncio.run({"path": path, "changes": changes, "drain": drain}[sys.argv[1]]())
+asyncio.run({"path": path, "changes": changes, "disk": disk, "drain": drain}[sys.argv[1]]())
--- a/tests/test-budget.c
+++ b/tests/test-budget.c
@@ -113,6 +113,8 @@
   double bound = 2.1 * terms.cold_ratio + (double)terms.cold_slack;
 
   memset (&record, 0, sizeof record);
+  for (int i = 0; i < 2; i++)
+    jc_budgets_set_instances (owners[i], 3, 0);
   for (int64_t ms = 0; ms < SECONDS * MS_PER_S; ms++)
     {
       struct jc_budgets *owner = owners[g_rand_int_range (rand, 0, 2)];
@@ -135,11 +137,33 @@
 {
   struct jc_budgets *budgets = jc_budgets_new (&terms);
 
+  jc_budgets_set_instances (budgets, 3, 0);
   for (int i = 0; i < 100; i++)
     g_assert_true (jc_budgets_cold (budgets, "e", 2.1, false, 0));
   jc_budgets_free (budgets);
 }
 
+/* Where the whole group starts again, no instance knows of the others: none
+   spends from what all share, and none owns a cold endpoint.  */
+static void
+test_unknown_instances (void)
+{
+  struct jc_budgets *budgets = jc_budgets_new (&terms);
+  int retries = 0;
+
+  for (int ms = 0; ms < 1000; ms++)
+    {
+      jc_budgets_request (budgets, "s", ms);
+      retries += jc_budgets_retry (budgets, "s", ms) ? 1 : 0;
+    }
+  g_assert_cmpint (retries, <=, 200);
+  g_assert_false (jc_budgets_cold (budgets, "e", 2.1, false, 0));
+  jc_budgets_set_instances (budgets, 2, 1000);
+  g_assert_true (jc_budgets_retry (budgets, "s", 1000));
+  g_assert_true (jc_budgets_cold (budgets, "e", 2.1, false, 0));
+  jc_budgets_free (budgets);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -148,5 +172,6 @@
                    test_retries_in_every_window);
   g_test_add_func ("/budget/cold-in-every-second", test_cold_in_every_second);
   g_test_add_func ("/budget/asking-is-free", test_asking_is_free);
+  g_test_add_func ("/budget/unknown-instances", test_unknown_instances);
   return g_test_run ();
 }
