Tell only what changed of the loads

Change: rows carry a hash of the name and go out when they change, all of them each 0.5 s; a rate that is not told of again fades at the receiver.

--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -31,6 +31,7 @@
   ev_timer loads_tick;
   int64_t told_ms;
   int64_t loads_told_ms;
+  int64_t loads_full_ms;
   int64_t heard_ms;
   int64_t started_ms;
 };
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -13,7 +13,8 @@
      what each has to read stays about the same.  */
   TELL_A_FELLOW_MS = 6,
   TELL_LEAST_MS = 20,
-  TELL_MOST_MS = 100
+  TELL_MOST_MS = 100,
+  FULL_MS = 500
 };
 
 static int64_t
@@ -58,6 +59,8 @@
     jc_rpc_hang_up (hosts->entry->rpc, name);
 }
 
+/* Tell CONNS what changed; from time to time everything, since a message may
+   be lost with its connection.  */
 static void
 tell (struct hosts *hosts, const GPtrArray *conns, int64_t now)
 {
@@ -65,10 +68,13 @@
   struct rpc_loads *loads = &packet.body.rpc_body_u.loads;
   GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
 
-  jc_engines_loads (hosts->engines, now, rows);
+  loads->full = now - hosts->loads_full_ms >= FULL_MS;
+  jc_engines_loads (hosts->engines, loads->full, now, rows);
   loads->rows.rows_val = (struct rpc_load *)rows->data;
   loads->rows.rows_len = rows->len;
-  for (guint i = 0; i < conns->len && rows->len > 0; i++)
+  if (loads->full)
+    hosts->loads_full_ms = now;
+  for (guint i = 0; i < conns->len && (rows->len > 0 || loads->full); i++)
     if (is_fellow (hosts, g_ptr_array_index (conns, i)))
       jc_rpc_send (g_ptr_array_index (conns, i), &packet);
   g_array_free (rows, TRUE);
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -609,7 +609,7 @@
 typedef struct rpc_entries rpc_entries;
 
 struct rpc_load {
-	rpc_name endpoint;
+	u_quad_t tag;
 	u_int running;
 	u_int unread_tokens;
 	u_int tokens_per_s;
@@ -617,6 +617,7 @@
 typedef struct rpc_load rpc_load;
 
 struct rpc_loads {
+	bool_t full;
 	struct {
 		u_int rows_len;
 		rpc_load *rows_val;
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1123,7 +1123,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_rpc_name (xdrs, &objp->endpoint))
+	 if (!xdr_u_quad_t (xdrs, &objp->tag))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running))
 		 return FALSE;
@@ -1139,6 +1139,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_bool (xdrs, &objp->full))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, 4096,
 		sizeof (rpc_load), (xdrproc_t) xdr_rpc_load))
 		 return FALSE;
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -535,15 +535,18 @@
 };
 
 /* What one entry instance has at an endpoint: requests, tokens of prompts
-   that are not read yet, and tokens a second that it sent there lately.  */
+   that are not read yet, and tokens a second that it sent there lately.  tag
+   is a hash of the endpoint's name.  */
 struct rpc_load {
-  rpc_name endpoint;
+  unsigned hyper tag;
   unsigned int running;
   unsigned int unread_tokens;
   unsigned int tokens_per_s;
 };
 
+/* Rows that changed since the sender told last; full has all of them.  */
 struct rpc_loads {
+  bool full;
   rpc_load rows<4096>;
 };
 
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -62,6 +62,9 @@
 
   engines->by_name
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, engine_release);
+  engines->by_tag = g_hash_table_new (g_int64_hash, g_int64_equal);
+  engines->fellows
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   return engines;
 }
 
@@ -71,7 +74,9 @@
 {
   if (engines == NULL)
     return;
+  g_hash_table_destroy (engines->by_tag);
   g_hash_table_destroy (engines->by_name);
+  g_hash_table_destroy (engines->fellows);
   g_free (engines);
 }
 
@@ -84,8 +89,14 @@
 
   g_hash_table_iter_init (&iter, engines->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now_ms - ((struct engine *)value)->used_ms > ENGINE_KEPT_MS)
+    {
+      struct engine *engine = value;
+
+      if (now_ms - engine->used_ms <= ENGINE_KEPT_MS)
+        continue;
+      g_hash_table_remove (engines->by_tag, &engine->tag);
       g_hash_table_iter_remove (&iter);
+    }
 }
 
 struct engine *
@@ -102,7 +113,9 @@
   engine->holders = 1;
   engine->parts
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  engine->tag = jc_member_hash (name, "");
   g_hash_table_insert (engines->by_name, engine->name, engine);
+  g_hash_table_insert (engines->by_tag, &engine->tag, engine);
   return engine;
 }
 
@@ -151,11 +164,19 @@
   return engine->failures * exp2 (-age / FAILURE_HALF_MS);
 }
 
+/* Return what RATE, tokens a second, has become after AGE_MS in which nothing
+   was sent.  */
+static double
+rate_after (double rate, int64_t age_ms)
+{
+  return rate * exp (-(double)age_ms / RATE_MS);
+}
+
 /* Return the tokens a second that this instance sent ENGINE lately.  */
 static double
 rate_now (const struct engine *engine, int64_t now_ms)
 {
-  return engine->rate * exp (-(double)(now_ms - engine->rate_ms) / RATE_MS);
+  return rate_after (engine->rate, now_ms - engine->rate_ms);
 }
 
 static void
@@ -181,12 +202,13 @@
     {
       const struct share *share = &engine->shares[i];
 
-      if (now_ms - share->heard_ms >= LOAD_FRESH_MS)
+      if (now_ms - share->fellow->heard_ms >= LOAD_FRESH_MS)
         continue;
       told = true;
       work.running += share->said.running;
       work.unread_tokens += share->said.unread_tokens;
-      work.busy += share->said.tokens_per_s;
+      work.busy
+          += rate_after (share->said.tokens_per_s, now_ms - share->said_ms);
     }
   if (!told && now_ms - engine->reported_ms < LOAD_FRESH_MS)
     work.running = MAX (work.running, engine->reported);
@@ -259,6 +281,7 @@
       demand, engine_tokens_read (engine, demand, now_ms));
   run->expected_ms = run_expected_ms (run, now_ms);
   engine->holders++;
+  engine->changed = true;
   engine->running++;
   engine->unread_tokens += run->unread;
   engine->used_ms = now_ms;
@@ -276,6 +299,7 @@
   run->begun = true;
   learn_pace (run, now_ms);
   run->engine->unread_tokens -= run->unread;
+  run->engine->changed = true;
   run->engine->rest_ms = 0;
   note_parts (run->engine, &run->demand, now_ms);
 }
@@ -290,10 +314,11 @@
   run->engine->reported_ms = now_ms;
 }
 
-/* Append to ROWS, of struct rpc_load, what this instance has at each engine;
-   names are borrowed.  */
+/* Append to ROWS, of struct rpc_load, what this instance has at each engine
+   where that changed since the last time; with FULL at all that it uses.  */
 void
-jc_engines_loads (struct jc_engines *engines, int64_t now_ms, GArray *rows)
+jc_engines_loads (struct jc_engines *engines, bool full, int64_t now_ms,
+                  GArray *rows)
 {
   GHashTableIter iter;
   gpointer value;
@@ -301,20 +326,39 @@
   g_hash_table_iter_init (&iter, engines->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const struct engine *engine = value;
+      struct engine *engine = value;
       struct rpc_load row
-          = { .endpoint = engine->name,
+          = { .tag = engine->tag,
               .running = engine->running,
               .unread_tokens = (u_int)MIN (engine->unread_tokens, UINT32_MAX),
               .tokens_per_s = (u_int)rate_now (engine, now_ms) };
 
-      if (now_ms - engine->used_ms < LOAD_FRESH_MS || row.running > 0)
+      if (engine->changed
+          || (full && (engine->running > 0 || row.tokens_per_s > 0)))
         g_array_append_val (rows, row);
+      engine->changed = false;
+    }
+}
+
+static struct fellow *
+fellow_of (struct jc_engines *engines, const char *name)
+{
+  uint64_t id = jc_member_hash (name, "");
+  struct fellow *fellow = g_hash_table_lookup (engines->fellows, &id);
+
+  if (fellow == NULL)
+    {
+      fellow = g_new0 (struct fellow, 1);
+      fellow->id = id;
+      g_hash_table_insert (engines->fellows, &fellow->id, fellow);
     }
+  return fellow;
 }
 
+/* Return the place for what FELLOW has at ENGINE; where there is none left,
+   that of the instance that was silent for longest.  */
 static struct share *
-share_of (struct engine *engine, uint64_t instance)
+share_of (struct engine *engine, const struct fellow *fellow)
 {
   struct share *oldest = &engine->shares[0];
 
@@ -322,9 +366,9 @@
     {
       struct share *share = &engine->shares[i];
 
-      if (share->instance == instance)
+      if (share->fellow == fellow)
         return share;
-      if (share->heard_ms < oldest->heard_ms)
+      if (share->fellow->heard_ms < oldest->fellow->heard_ms)
         oldest = share;
     }
   if (engine->shares_count < INSTANCES_MAX)
@@ -332,25 +376,50 @@
   return oldest;
 }
 
+/* FELLOW told of everything: what it has not named since is over.  */
+static void
+forget_rest (struct jc_engines *engines, const struct fellow *fellow,
+             int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, engines->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct engine *engine = value;
+
+      for (unsigned int i = 0; i < engine->shares_count; i++)
+        if (engine->shares[i].fellow == fellow
+            && engine->shares[i].said_ms != now_ms)
+          memset (&engine->shares[i].said, 0, sizeof engine->shares[i].said);
+    }
+}
+
 /* Take the LOADS that the entry instance INSTANCE told of.  */
 void
 jc_engines_take (struct jc_engines *engines, const char *instance,
                  const struct rpc_loads *loads, int64_t now_ms)
 {
-  uint64_t id = jc_member_hash (instance, "");
+  struct fellow *fellow = fellow_of (engines, instance);
 
+  fellow->heard_ms = now_ms;
   for (u_int i = 0; i < loads->rows.rows_len; i++)
     {
       const struct rpc_load *row = &loads->rows.rows_val[i];
-      struct engine *engine = engine_of (engines, row->endpoint);
-      struct share *share = share_of (engine, id);
+      uint64_t tag = row->tag;
+      struct engine *engine = g_hash_table_lookup (engines->by_tag, &tag);
+      struct share *share;
 
-      share->instance = id;
-      share->said = *row;
-      share->said.endpoint = engine->name;
-      share->heard_ms = now_ms;
+      if (engine == NULL)
+        continue;
+      share = share_of (engine, fellow);
+      *share
+          = (struct share){ .fellow = fellow, .said = *row, .said_ms = now_ms };
       engine->used_ms = MAX (engine->used_ms, now_ms - LOAD_FRESH_MS);
     }
+  if (loads->full)
+    forget_rest (engines, fellow, now_ms);
 }
 
 static void
@@ -377,6 +446,7 @@
   if (!run->begun)
     engine->unread_tokens -= run->unread;
   engine->running--;
+  engine->changed = true;
   if (how == JC_ENGINE_SERVED)
     {
       engine->rest_ms = 0;
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -77,7 +77,7 @@
                         int64_t now_ms);
 void jc_engine_run_load (struct jc_engine_run *run, unsigned int running,
                          unsigned int queued, int64_t now_ms);
-void jc_engines_loads (struct jc_engines *engines, int64_t now_ms,
+void jc_engines_loads (struct jc_engines *engines, bool full, int64_t now_ms,
                        GArray *rows);
 void jc_engines_take (struct jc_engines *engines, const char *instance,
                       const struct rpc_loads *loads, int64_t now_ms);
--- a/serve/engineprivate.h
+++ b/serve/engineprivate.h
@@ -26,17 +26,27 @@
   MS_PER_S = 1000
 };
 
-/* What another instance has at an engine, as it told at HEARD_MS.  */
+/* Another instance of the region, and when it told anything last.  */
+struct fellow
+{
+  uint64_t id;
+  int64_t heard_ms;
+};
+
+/* What another instance has at an engine, as it told at SAID_MS.  It stands
+   until told otherwise, as long as that instance tells anything.  */
 struct share
 {
-  uint64_t instance;
+  const struct fellow *fellow;
   struct rpc_load said;
-  int64_t heard_ms;
+  int64_t said_ms;
 };
 
 struct engine
 {
   char *name;
+  uint64_t tag;
+  bool changed;
   unsigned int running;
   uint64_t unread_tokens;
   double rate;
@@ -69,6 +79,8 @@
 struct jc_engines
 {
   GHashTable *by_name;
+  GHashTable *by_tag;
+  GHashTable *fellows;
 };
 
 /* In engine.c.  */
--- a/tests/enginesim.c
+++ b/tests/enginesim.c
@@ -11,6 +11,7 @@
   CHUNK = 4096,
   EVENT_TOKENS = 8,
   TELL_MS = 100,
+  FULL_MS = 500,
   KEPT_PARTS = 40,
   MS_PER_S = 1000
 };
@@ -245,10 +246,10 @@
 
   for (unsigned int from = 0; from < sim->plan->instances; from++)
     {
-      struct rpc_loads loads;
+      struct rpc_loads loads = { .full = now_ms % FULL_MS == 0 };
 
       g_array_set_size (rows, 0);
-      jc_engines_loads (sim->views[from], now_ms, rows);
+      jc_engines_loads (sim->views[from], loads.full, now_ms, rows);
       loads.rows.rows_val = (struct rpc_load *)rows->data;
       loads.rows.rows_len = rows->len;
       g_snprintf (name, sizeof name, "entry-%u", from);
