Spread hand-overs over a region's instances; wait for them as long as there is time

Change: the region with the least mean time of a usual request is chosen, then any instance there; regions are compared by means over endpoints.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -227,8 +227,10 @@
   const struct jc_relay *relay = &passage->relay;
   int64_t limit = MAX (passage->route->objective_ms, FIRST_BYTE_LEAST_MS);
 
-  if (!jc_relay_is_idempotent (relay) || relay->sent + 1 >= relay->endpoints_max
-      || limit * 2 > left_ms)
+  if (relay->kind == JC_ROUTE_STREAM)
+    limit *= STREAM_OBJECTIVES;
+  if (passage->away || !jc_relay_is_idempotent (relay)
+      || relay->sent + 1 >= relay->endpoints_max || limit * 2 > left_ms)
     return 0;
   return (long)limit;
 }
--- a/entry/choice.c
+++ b/entry/choice.c
@@ -135,16 +135,31 @@
                 < (jc_demand_busy_limit (demand) - AWAY_BUSY_LEFT) * PERMILLE;
 }
 
-/* Return the instance of another region where a usual request of QUERY's
-   service takes the least time, or NULL; ANSWER_MS is that time.  Of equal
-   ones a random one is taken.  */
-static const struct neighbour *
-best_neighbour (struct hosts *hosts, const struct choice_query *query,
-                int64_t *answer_ms)
+/* Tell whether NEIGHBOUR, in another region, may be asked for QUERY's
+   service.  */
+static bool
+may_ask (const struct hosts *hosts, const struct choice_query *query,
+         const struct neighbour *neighbour)
 {
-  const char *region = hosts->entry->settings->region;
-  const struct neighbour *best = NULL;
-  unsigned int equal = 0;
+  const struct rpc_presence *said = &neighbour->said;
+  const struct rpc_service_room *room = room_of (neighbour, query->service);
+
+  return room != NULL && !said->draining
+         && strcmp (said->region, hosts->entry->settings->region) != 0
+         && is_fresh (neighbour, query->now_ms)
+         && jc_hostroute_allows (query->route, said->region)
+         && !was_tried (query->tried, said->name)
+         && has_room (room, query->demand);
+}
+
+/* Return the region where a usual request of QUERY's service takes the least
+   time, by the instance there that says the most, or NULL; ANSWER_MS is that
+   time.  */
+static const char *
+best_region (struct hosts *hosts, const struct choice_query *query,
+             int64_t *answer_ms)
+{
+  const char *best = NULL;
   GHashTableIter iter;
   gpointer value;
 
@@ -152,39 +167,68 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct neighbour *neighbour = value;
-      const struct rpc_presence *said = &neighbour->said;
-      const struct rpc_service_room *room = room_of (neighbour, query->service);
-
-      if (room == NULL || said->draining || strcmp (said->region, region) == 0
-          || !is_fresh (neighbour, query->now_ms)
-          || !jc_hostroute_allows (query->route, said->region)
-          || was_tried (query->tried, said->name)
-          || !has_room (room, query->demand))
-        continue;
-      if (best != NULL && (int64_t)room->answer_ms > *answer_ms)
+      const struct rpc_service_room *room;
+
+      if (!may_ask (hosts, query, neighbour))
         continue;
-      if (best != NULL && (int64_t)room->answer_ms == *answer_ms
-          && g_random_int_range (0, (gint32)++equal + 1) != 0)
+      room = room_of (neighbour, query->service);
+      if (best != NULL && (int64_t)room->answer_ms >= *answer_ms)
         continue;
-      if (best == NULL || (int64_t)room->answer_ms < *answer_ms)
-        equal = 0;
-      best = neighbour;
+      best = neighbour->said.region;
       *answer_ms = room->answer_ms;
     }
   return best;
 }
 
+/* Return an instance drawn evenly from those of the best region, or NULL:
+   each of them sends to the same endpoints there.  ANSWER_MS is the time of a
+   usual request.  */
+static const struct neighbour *
+best_neighbour (struct hosts *hosts, const struct choice_query *query,
+                int64_t *answer_ms)
+{
+  const char *region = best_region (hosts, query, answer_ms);
+  const struct neighbour *drawn = NULL;
+  gint32 seen = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (region != NULL && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct neighbour *neighbour = value;
+
+      if (strcmp (neighbour->said.region, region) == 0
+          && may_ask (hosts, query, neighbour)
+          && g_random_int_range (0, ++seen) == 0)
+        drawn = neighbour;
+    }
+  return drawn;
+}
+
+/* Return the mean time of a usual request like QUERY's at ENDPOINTS, ms.  */
+static int64_t
+usual_ms (struct hosts *hosts, const struct choice_query *query,
+          const GPtrArray *endpoints)
+{
+  const struct jc_demand *usual
+      = query->demand->prompt_tokens > 0 ? &usual_prompt : &usual_plain;
+  int64_t sum = 0;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    sum += jc_engines_answer_ms (
+        hosts->engines, g_ptr_array_index (endpoints, i), usual, query->now_ms);
+  return sum / MAX ((int64_t)endpoints->len, 1);
+}
+
 /* Tell whether the request of QUERY is served sooner in another region, where
-   the usual request takes AWAY_MS, than at ENDPOINT.  All instances here see
+   the usual request takes AWAY_MS, than at ENDPOINTS.  All instances here see
    the same room there, so only a share of what would gain goes.  */
 static bool
 gains_away (struct hosts *hosts, const struct choice_query *query,
-            const struct jc_endpoint *endpoint, int64_t away_ms)
+            const GPtrArray *endpoints, int64_t away_ms)
 {
-  const struct jc_demand *usual
-      = query->demand->prompt_tokens > 0 ? &usual_prompt : &usual_plain;
-  int64_t here_ms
-      = jc_engines_answer_ms (hosts->engines, endpoint, usual, query->now_ms);
+  int64_t here_ms = usual_ms (hosts, query, endpoints);
   int64_t gain = here_ms - away_ms - AWAY_COST_MS;
 
   return gain > 0 && g_random_int_range (0, (gint32)here_ms + 1) < gain;
@@ -224,7 +268,7 @@
   if (!query->here_only)
     neighbour = best_neighbour (hosts, query, &away_ms);
   if (endpoint != NULL && neighbour != NULL
-      && !gains_away (hosts, query, endpoint, away_ms))
+      && !gains_away (hosts, query, endpoints, away_ms))
     neighbour = NULL;
   g_ptr_array_free (endpoints, TRUE);
   choice->neighbour = neighbour;
@@ -243,25 +287,24 @@
 measure_room (struct hosts *hosts, const GPtrArray *endpoints, int64_t now_ms,
               struct rpc_service_room *room)
 {
-  int64_t least_ms = INT32_MAX;
-  double least_busy = 1;
+  int64_t answer_ms = 0;
+  double busy = 0;
+  guint count = MAX (endpoints->len, 1);
 
   for (guint i = 0; i < endpoints->len; i++)
     {
       const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
       const struct jc_hostservice *service
           = jc_routetable_service (hosts->routes, endpoint->service);
-      int64_t answer_ms = jc_engines_answer_ms (
+
+      answer_ms += jc_engines_answer_ms (
           hosts->engines, endpoint,
           service->engine.slots > 0 ? &usual_prompt : &usual_plain, now_ms);
-
-      least_ms = MIN (least_ms, answer_ms);
-      least_busy = MIN (least_busy,
-                        jc_engines_busy (hosts->engines, endpoint, now_ms));
+      busy += jc_engines_busy (hosts->engines, endpoint, now_ms);
     }
   room->endpoints = endpoints->len;
-  room->answer_ms = (u_int)least_ms;
-  room->busy_permille = (u_int)(least_busy * PERMILLE);
+  room->answer_ms = (u_int)(answer_ms / (int64_t)count);
+  room->busy_permille = (u_int)(busy / count * PERMILLE);
 }
 
 /* Fill the rooms of OUT, which has place for 64: what this instance can do
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -508,9 +508,9 @@
   rpc_endpoint endpoints<RPC_ITEMS_MAX>;
 };
 
-/* What an entry instance can do for one service: usable endpoints there, the
-   time that a usual request takes at the best of them, and the part of its
-   time that the least busy one spends on reading prompts.  */
+/* What an entry instance can do for one service: usable endpoints there, and
+   the means over them of the time that a usual request takes and of the part
+   of their time that they spend on reading prompts.  */
 struct rpc_service_room {
   rpc_name service;
   unsigned int endpoints;
