--- a/entry/choice.c
+++ b/entry/choice.c
@@ -4,21 +4,15 @@
 
 #include "entry/hosts.h"
 #include "net/program.h"
+#include "serve/elsewhere.h"
 
 enum
 {
-  /* What the way to another region and back takes, and what a cold cache
-     there costs: a request goes there only where it gains more.  */
-  AWAY_COST_MS = 250,
   ROOMS_MAX = 64,
   PERMILLE = 1000,
   NEIGHBOUR_FRESH_MS = 3000
 };
 
-/* Part of an engine's time that is left where work from other regions
-   goes.  */
-#define AWAY_BUSY_LEFT 0.15
-
 /* Requests by which regions are compared: a prompt that must be read in full
    and its answer, and a plain request.  */
 static const struct jc_demand usual_prompt
@@ -125,16 +119,6 @@
   return NULL;
 }
 
-/* Tell whether a request of DEMAND would be taken at ROOM.  What is told of it
-   is some time old, so some of the room is left.  */
-static bool
-has_room (const struct rpc_service_room *room, const struct jc_demand *demand)
-{
-  return demand->prompt_tokens == 0
-         || room->busy_permille
-                < (jc_demand_busy_limit (demand) - AWAY_BUSY_LEFT) * PERMILLE;
-}
-
 /* Tell whether NEIGHBOUR, in another region, may be asked for QUERY's
    service.  */
 static bool
@@ -149,61 +133,39 @@
          && is_fresh (neighbour, query->now_ms)
          && jc_hostroute_allows (query->route, said->region)
          && !was_tried (query->tried, said->name)
-         && has_room (room, query->demand);
-}
-
-/* Return the region where a usual request of QUERY's service takes the least
-   time, by the instance there that says the most, or NULL; ANSWER_MS is that
-   time.  */
-static const char *
-best_region (struct hosts *hosts, const struct choice_query *query,
-             int64_t *answer_ms)
-{
-  const char *best = NULL;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, hosts->neighbours);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct neighbour *neighbour = value;
-      const struct rpc_service_room *room;
-
-      if (!may_ask (hosts, query, neighbour))
-        continue;
-      room = room_of (neighbour, query->service);
-      if (best != NULL && (int64_t)room->answer_ms >= *answer_ms)
-        continue;
-      best = neighbour->said.region;
-      *answer_ms = room->answer_ms;
-    }
-  return best;
+         && jc_elsewhere_has_room (room, query->demand);
 }
 
-/* Return an instance drawn evenly from those of the best region, or NULL:
-   each of them sends to the same endpoints there.  ANSWER_MS is the time of a
-   usual request.  */
+/* Return an instance of another region that may be asked for QUERY's service,
+   or NULL; ANSWER_MS is the time of a usual request there.  */
 static const struct neighbour *
 best_neighbour (struct hosts *hosts, const struct choice_query *query,
                 int64_t *answer_ms)
 {
-  const char *region = best_region (hosts, query, answer_ms);
-  const struct neighbour *drawn = NULL;
-  gint32 seen = 0;
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (struct jc_elsewhere));
+  const struct neighbour *best = NULL;
+  const struct jc_elsewhere *picked;
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, hosts->neighbours);
-  while (region != NULL && g_hash_table_iter_next (&iter, NULL, &value))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct neighbour *neighbour = value;
+      struct jc_elsewhere one = { .instance = &neighbour->said,
+                                  .room = room_of (neighbour, query->service) };
 
-      if (strcmp (neighbour->said.region, region) == 0
-          && may_ask (hosts, query, neighbour)
-          && g_random_int_range (0, ++seen) == 0)
-        drawn = neighbour;
+      if (may_ask (hosts, query, neighbour))
+        g_array_append_val (list, one);
+    }
+  picked = jc_elsewhere_pick (list, g_random_int ());
+  if (picked != NULL)
+    {
+      best = g_hash_table_lookup (hosts->neighbours, picked->instance->name);
+      *answer_ms = picked->room->answer_ms;
     }
-  return drawn;
+  g_array_free (list, TRUE);
+  return best;
 }
 
 /* Return the mean time of a usual request like QUERY's at ENDPOINTS, ms.  */
@@ -221,19 +183,6 @@
   return sum / MAX ((int64_t)endpoints->len, 1);
 }
 
-/* Tell whether the request of QUERY is served sooner in another region, where
-   the usual request takes AWAY_MS, than at ENDPOINTS.  All instances here see
-   the same room there, so only a share of what would gain goes.  */
-static bool
-gains_away (struct hosts *hosts, const struct choice_query *query,
-            const GPtrArray *endpoints, int64_t away_ms)
-{
-  int64_t here_ms = usual_ms (hosts, query, endpoints);
-  int64_t gain = here_ms - away_ms - AWAY_COST_MS;
-
-  return gain > 0 && g_random_int_range (0, (gint32)here_ms + 1) < gain;
-}
-
 /* Leave out those of ENDPOINTS that DEMAND should not go to now.  */
 static void
 admitting_endpoints (struct hosts *hosts, const struct choice_query *query,
@@ -268,7 +217,8 @@
   if (!query->here_only)
     neighbour = best_neighbour (hosts, query, &away_ms);
   if (endpoint != NULL && neighbour != NULL
-      && !gains_away (hosts, query, endpoints, away_ms))
+      && !jc_elsewhere_gains (usual_ms (hosts, query, endpoints), away_ms,
+                              g_random_double ()))
     neighbour = NULL;
   g_ptr_array_free (endpoints, TRUE);
   choice->neighbour = neighbour;
--- /dev/null
+++ b/serve/elsewhere.h
@@ -0,0 +1,23 @@
+/* Elsewhere: which entry instance of another region is asked to serve a
+   request.  */
+
+#ifndef JC_ELSEWHERE_H
+#define JC_ELSEWHERE_H
+
+#include "serve/engine.h"
+
+/* One instance of another region that may be asked, with the room that it
+   tells of.  */
+struct jc_elsewhere
+{
+  const struct rpc_presence *instance;
+  const struct rpc_service_room *room;
+};
+
+bool jc_elsewhere_has_room (const struct rpc_service_room *room,
+                            const struct jc_demand *demand);
+const struct jc_elsewhere *jc_elsewhere_pick (const GArray *instances,
+                                              uint32_t draw);
+bool jc_elsewhere_gains (int64_t here_ms, int64_t away_ms, double draw);
+
+#endif
