--- a/base/status.h
+++ b/base/status.h
@@ -49,6 +49,7 @@
   JC_ANSWER_GONE,
   JC_HEAD_TOO_LARGE,
   JC_HEAD_TIMEOUT,
+  JC_CROWDED,
   JC_STATUS_COUNT
 };
 
--- a/entry/choice.c
+++ b/entry/choice.c
@@ -195,7 +195,8 @@
 }
 
 /* Choose where the request of QUERY goes.  Return JC_NO_ENDPOINT where there
-   is no place for it, JC_OVERLOADED where there are only full ones.  */
+   is no place for it, JC_OVERLOADED where there are only full ones, JC_CROWDED
+   where it should wait for its turn.  */
 enum jc_status
 choice_make (struct hosts *hosts, const struct choice_query *query,
              struct choice *choice)
@@ -221,6 +222,10 @@
                               g_random_double ()))
     neighbour = NULL;
   g_ptr_array_free (endpoints, TRUE);
+  if (query->may_wait && endpoint != NULL && neighbour == NULL
+      && jc_engines_crowded (hosts->engines, endpoint, query->demand,
+                             query->now_ms))
+    return jc_fail (JC_CROWDED, "Much is to be read at %s.", endpoint->name);
   choice->neighbour = neighbour;
   choice->endpoint = neighbour != NULL ? NULL : endpoint;
   if (neighbour == NULL && endpoint == NULL && usable > 0)
--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -160,6 +160,7 @@
   (void)loop;
   (void)events;
   loads_tick (entry->hosts);
+  waiting_tick (entry->hosts);
 }
 
 /* Begin to drain: this instance is no longer listed, but answers whoever
@@ -247,6 +248,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   hosts->fellows
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  waiting_start (hosts);
   hosts->started_ms = jc_now_ms ();
   ev_timer_init (&hosts->tick, on_tick, every_s, every_s);
   hosts->tick.data = entry;
@@ -273,6 +275,7 @@
   ev_timer_stop (entry->loop, &hosts->loads_tick);
   jc_httpd_free (hosts->handover);
   jc_httpd_free (hosts->ready);
+  waiting_stop (hosts);
   jc_engines_free (hosts->engines);
   jc_budgets_free (hosts->budgets);
   jc_members_free (hosts->endpoints);
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -9,6 +9,8 @@
 #include "serve/dialect.h"
 #include "serve/engine.h"
 
+struct passage;
+
 /* What this instance knows and owns for routing by hosts.  ROUTES is made
    from the text of ORDERS and never goes back in the life of the process.
    ENTRIES maps names of other entry instances to struct neighbour.  */
@@ -29,6 +31,7 @@
   struct jc_httpd *ready;
   ev_timer tick;
   ev_timer loads_tick;
+  GQueue waiting;
   int64_t told_ms;
   int64_t loads_told_ms;
   int64_t loads_full_ms;
@@ -77,7 +80,7 @@
 };
 
 /* What a choice rests on.  TRIED holds names that are left out; HERE_ONLY
-   leaves out other instances.  */
+   leaves out other instances; MAY_WAIT allows JC_CROWDED as an outcome.  */
 struct choice_query
 {
   const struct jc_hostroute *route;
@@ -85,6 +88,7 @@
   const struct jc_demand *demand;
   const GPtrArray *tried;
   bool here_only;
+  bool may_wait;
   int64_t now_ms;
 };
 
@@ -93,6 +97,13 @@
                             struct choice *choice);
 void choice_rooms (struct hosts *hosts, struct rpc_presence *out);
 
+/* waiting: requests whose turn at an engine has not come.  */
+void waiting_start (struct hosts *hosts);
+void waiting_stop (struct hosts *hosts);
+void waiting_add (struct hosts *hosts, struct passage *passage);
+void waiting_remove (struct hosts *hosts, struct passage *passage);
+void waiting_tick (struct hosts *hosts);
+
 /* passage: one caller's request from its head to its answer.  */
 enum jc_status passage_head (struct hosts *hosts, struct jc_http_req *req);
 void passage_start (struct hosts *hosts, struct jc_http_req *req, bool guest);
--- a/entry/passage.c
+++ b/entry/passage.c
@@ -13,12 +13,13 @@
   DRAIN_STREAM_MS = 5000,
   /* When a refused caller may come back: the least, and over how long those
      that come at once are spread.  */
+  /* A request waits for its turn at an engine for one of so many parts of its
+     objective, so that there is time to read it.  */
+  WAIT_PARTS = 3,
   RETRY_LEAST_MS = 200,
   RETRY_SPREAD_MS = 400
 };
 
-static void passage_attempt (struct passage *passage);
-
 /* Return the id of PASSAGE as log lines carry it.  */
 const char *
 passage_id (const struct passage *passage)
@@ -209,26 +210,33 @@
     passage_fail (passage, status);
 }
 
-/* Make the next attempt.  One more that arrives at an endpoint is taken from
-   the budget of retries.  */
-static void
+/* Make the next attempt, or wait for its turn.  One more that arrives at an
+   endpoint is taken from the budget of retries.  */
+void
 passage_attempt (struct passage *passage)
 {
   struct hosts *hosts = passage->hosts;
+  int64_t now = jc_now_ms ();
   const struct choice_query query = { .route = passage->route,
                                       .service = passage->service,
                                       .demand = &passage->demand,
                                       .tried = passage->tried,
                                       .here_only = passage->guest,
-                                      .now_ms = jc_now_ms () };
+                                      .may_wait = now < passage->wait_until_ms,
+                                      .now_ms = now };
   struct choice choice;
   enum jc_status status;
 
-  passage->demand.left_ms = passage->relay.deadline_ms - query.now_ms;
+  passage->demand.left_ms = passage->relay.deadline_ms - now;
   status = choice_make (hosts, &query, &choice);
-
+  if (status == JC_CROWDED)
+    {
+      waiting_add (hosts, passage);
+      return;
+    }
+  waiting_remove (hosts, passage);
   if (status == JC_OK && passage->arrived
-      && !jc_budgets_retry (hosts->budgets, passage->service, query.now_ms))
+      && !jc_budgets_retry (hosts->budgets, passage->service, now))
     status = jc_fail (JC_OVERLOADED, "The budget of retries is spent.");
   if (status == JC_OK)
     attempt_start (passage, &choice);
@@ -359,6 +367,8 @@
   passage->demand.event_tokens = event_tokens (passage);
   wait_ms = ask.wait_ms > 0 ? MIN (ask.wait_ms, route->timeout_ms)
                             : route->timeout_ms;
+  passage->wait_until_ms
+      = passage->started_ms + route->objective_ms / WAIT_PARTS;
   jc_relay_init (&passage->relay, route, passage->started_ms + wait_ms,
                  ask.resume_after);
   jc_http_set_data (req, passage);
@@ -380,6 +390,7 @@
     return;
   log_end (passage, JC_EVENT_GONE, "caller_left");
   count (passage, "caller_left");
+  waiting_remove (passage->hosts, passage);
   if (passage->call != NULL)
     jc_call_cancel (passage->call);
   passage_run_over (passage, JC_ENGINE_LEFT);
--- a/entry/passage.h
+++ b/entry/passage.h
@@ -23,9 +23,10 @@
 /* A request under way.  REQ lives as long as this.  TABLE is the one that
    ROUTE is of.  PLACE names where the current attempt goes, AWAY that it is
    another entry instance.  HEAD is that of the answer's first attempt that
-   the caller was shown, or of the last one.  FIRST_MS is how long the first
-   event took, GAP_MS the longest pause after it, EVENT_MS when the last one
-   came.  */
+   the caller was shown, or of the last one.  WAITING tells that its turn has
+   not come; it waits until WAIT_UNTIL_MS at the latest.  FIRST_MS is how long
+   the first event took, GAP_MS the longest pause after it, EVENT_MS when the
+   last one came.  */
 struct passage
 {
   struct hosts *hosts;
@@ -56,6 +57,8 @@
   struct jc_sse sse;
   GString *burst;
   bool paused;
+  bool waiting;
+  int64_t wait_until_ms;
   int64_t first_ms;
   int64_t event_ms;
   int64_t gap_ms;
@@ -68,6 +71,8 @@
 void passage_run_over (struct passage *passage, enum jc_engine_end how);
 void passage_step (struct passage *passage, const struct jc_relay_end *end);
 
+void passage_attempt (struct passage *passage);
+
 /* In attempt.c.  */
 void attempt_start (struct passage *passage, const struct choice *choice);
 
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -54,6 +54,9 @@
 bool jc_engines_admit (struct jc_engines *engines,
                        const struct jc_endpoint *endpoint,
                        const struct jc_demand *demand, int64_t now_ms);
+bool jc_engines_crowded (struct jc_engines *engines,
+                         const struct jc_endpoint *endpoint,
+                         const struct jc_demand *demand, int64_t now_ms);
 struct jc_endpoint *jc_engines_pick (struct jc_engines *engines,
                                      const GPtrArray *endpoints,
                                      const struct jc_demand *demand,
--- a/serve/enginecost.c
+++ b/serve/enginecost.c
@@ -25,6 +25,9 @@
 #define LEFT_PART 0.8
 /* Time that a recent failure weighs against an endpoint.  */
 #define FAILURE_MS 300.0
+/* Part of the allowed pause from which on an engine is crowded: loads are told
+   some time late.  */
+#define CROWDED_PART 0.9
 /* Tokens of a short answer: what a request waits for where all places are
    taken.  */
 #define SHORT_ANSWER_TOKENS 4
@@ -231,6 +234,27 @@
          || first + decode_ms (&work, demand) <= (double)demand->left_ms;
 }
 
+/* Tell whether a request of DEMAND would make the streams at ENDPOINT pause
+   for too long because of what is still to be read there.  It is read as soon
+   if it waits outside for its turn, and nobody pauses.  */
+bool
+jc_engines_crowded (struct jc_engines *engines,
+                    const struct jc_endpoint *endpoint,
+                    const struct jc_demand *demand, int64_t now_ms)
+{
+  const struct engine *engine = engine_of (engines, endpoint->name);
+  struct work work = engine_work (engine, now_ms);
+  double unread;
+
+  if (demand->prompt_tokens == 0 || demand->gap_ms == 0
+      || work.unread_tokens < CHUNK_TOKENS)
+    return false;
+  unread = engine_reading (demand, engine_tokens_read (engine, demand, now_ms));
+  return pause_ms (&work, demand, work.unread_tokens + unread,
+                   depth_of (demand))
+         > (double)demand->gap_ms * CROWDED_PART;
+}
+
 /* Return the cost of sending a request of DEMAND to ENDPOINT, ms: the time of
    its answer, what its reading takes from the requests that run there, what
    reading shared parts once more takes away later, and the endpoint's
