--- a/serve/engineprivate.h
+++ b/serve/engineprivate.h
@@ -20,8 +20,10 @@
 
 enum
 {
-  /* Time over which the rate of tokens is averaged.  */
+  /* Times over which the rate of tokens is averaged: for how busy an engine
+     is, and for the pauses of its streams.  */
   RATE_MS = 1500,
+  RECENT_MS = 400,
   INSTANCES_MAX = 32,
   MS_PER_S = 1000
 };
@@ -50,6 +52,7 @@
   unsigned int running;
   uint64_t unread_tokens;
   double rate;
+  double recent;
   int64_t rate_ms;
   unsigned int reported;
   int64_t reported_ms;
@@ -67,12 +70,14 @@
 };
 
 /* Work at an engine, of all instances.  BUSY is the part of its time that
-   it reads prompts, PACE how many times the data sheet's times it takes.  */
+   it reads prompts, RECENT the tokens a ms that it got just now, PACE how many
+   times the data sheet's times it takes.  */
 struct work
 {
   double running;
   double unread_tokens;
   double busy;
+  double recent;
   double pace;
 };
 
