--- a/entry/choice.c
+++ b/entry/choice.c
@@ -8,6 +8,9 @@
 
 enum
 {
+  /* From this priority on a request whose turn does not come is refused; more
+     urgent ones go all the same.  */
+  CROWDED_REFUSED = 2,
   ROOMS_MAX = 64,
   PERMILLE = 1000,
   NEIGHBOUR_FRESH_MS = 3000
@@ -222,10 +225,12 @@
                               g_random_double ()))
     neighbour = NULL;
   g_ptr_array_free (endpoints, TRUE);
-  if (query->may_wait && endpoint != NULL && neighbour == NULL
+  if (endpoint != NULL && neighbour == NULL
+      && (query->may_wait || query->demand->priority >= CROWDED_REFUSED)
       && jc_engines_crowded (hosts->engines, endpoint, query->demand,
                              query->now_ms))
-    return jc_fail (JC_CROWDED, "Much is to be read at %s.", endpoint->name);
+    return jc_fail (query->may_wait ? JC_CROWDED : JC_OVERLOADED,
+                    "Much is to be read at %s.", endpoint->name);
   choice->neighbour = neighbour;
   choice->endpoint = neighbour != NULL ? NULL : endpoint;
   if (neighbour == NULL && endpoint == NULL && usable > 0)
