--- a/serve/enginecost.c
+++ b/serve/enginecost.c
@@ -213,7 +213,7 @@
 double
 jc_demand_busy_limit (const struct jc_demand *demand)
 {
-  static const double limits[] = { 0.97, 0.88, 0.78, 0.65 };
+  static const double limits[] = { 0.97, 0.88, 0.72, 0.6 };
 
   return limits[MIN (demand->priority, G_N_ELEMENTS (limits) - 1)];
 }
