Follow one state instance for orders

Ruled out: that the log itself carries it more often than once a replica.

Change: an entry instance follows the nearest state instance. Heartbeats of the others show that it lags; then one of them is asked once, at first after 2 s, and each try in vain doubles that. A text on its way holds heartbeats of its sender back, so that a slow link is no lag.

--- a/base/event.c
+++ b/base/event.c
@@ -42,6 +42,7 @@
   [JC_EVENT_ORDER] = { "order", 100, true },
   [JC_EVENT_READ] = { "read", 50, false },
   [JC_EVENT_IN_FORCE] = { "in_force", 100, true },
+  [JC_EVENT_ORDERS_ASKED] = { "orders_asked", 10, true },
   [JC_EVENT_ENDPOINT] = { "endpoint", 100, true },
   [JC_EVENT_ENTRY] = { "entry", 100, true },
   [JC_EVENT_ADMIT] = { "admit", 50, false },
--- a/entry/following.c
+++ b/entry/following.c
@@ -20,7 +20,12 @@
   ROOMS_MAX = 64,
   NEIGHBOUR_KEPT_MS = 8000,
   /* An instance told of within two reports takes callers still.  */
-  STAND_IN_FRESH_MS = 1200
+  STAND_IN_FRESH_MS = 1200,
+  /* The instance that is followed may be behind the others for so long: four
+     times what a commit over regions takes, with its heartbeat.  Each time
+     that another one is asked in vain doubles it, up to the most.  */
+  BEHIND_MS = 2000,
+  BEHIND_MOST_MS = 32000
 };
 
 static bool
@@ -63,11 +68,14 @@
     }
 }
 
+/* Ask CONN for the orders that are lacking, and with FOLLOW for each change
+   from now on.  */
 static void
-ask_orders (struct hosts *hosts, struct jc_rpc_conn *conn)
+ask_orders (struct hosts *hosts, struct jc_rpc_conn *conn, bool follow)
 {
   struct rpc_packet packet = { .body.type = RPC_ORDERS_FOLLOW };
 
+  packet.body.rpc_body_u.orders_follow.follow = follow;
   packet.body.rpc_body_u.orders_follow.have_position = hosts->orders->position;
   packet.body.rpc_body_u.orders_follow.have_version = hosts->orders->version;
   jc_rpc_send (conn, &packet);
@@ -107,13 +115,48 @@
   g_ptr_array_free (conns, TRUE);
 }
 
+/* Return how near CONN is: 0 in the own zone, 1 in the region, else 2.  */
+static int
+distance (const struct hosts *hosts, const struct jc_rpc_conn *conn)
+{
+  const struct jc_entry_settings *settings = hosts->entry->settings;
+
+  if (strcmp (jc_rpc_conn_zone (conn), settings->availability_zone) == 0)
+    return 0;
+  return strcmp (jc_rpc_conn_region (conn), settings->region) == 0 ? 1 : 2;
+}
+
+/* Follow the nearest state instance that is up.  The others show by their
+   heartbeats how far they are; a copy from each of them would fill the link
+   where the configuration is large.  */
+static void
+choose_source (struct hosts *hosts)
+{
+  GPtrArray *conns = g_ptr_array_new ();
+  struct jc_rpc_conn *best = NULL;
+
+  jc_rpc_list (hosts->entry->rpc, "state", conns);
+  for (guint i = 0; i < conns->len; i++)
+    {
+      struct jc_rpc_conn *conn = g_ptr_array_index (conns, i);
+
+      if (best == NULL || distance (hosts, conn) < distance (hosts, best))
+        best = conn;
+    }
+  g_ptr_array_free (conns, TRUE);
+  if (best == NULL || best == hosts->source)
+    return;
+  hosts->source = best;
+  ask_orders (hosts, best, true);
+}
+
 /* CONN came up.  */
 void
 following_up (struct hosts *hosts, struct jc_rpc_conn *conn)
 {
   if (!is_state (conn))
     return;
-  ask_orders (hosts, conn);
+  choose_source (hosts);
   report_to (hosts, conn);
 }
 
@@ -199,6 +242,8 @@
     note_readmitted (hosts, news);
   if (!jc_orders_take (hosts->orders, news))
     return;
+  hosts->behind_ms = 0;
+  hosts->source_lags = false;
   if (hosts->orders->version != had_version)
     take_table (hosts);
   jc_event (JC_EVENT_IN_FORCE,
@@ -279,6 +324,37 @@
     meet (hosts, group->names.names_val[i]);
 }
 
+/* CONN says that it is at POSITION.  What the instance that is followed sends
+   comes in order, so that a heartbeat of it that shows an old position says
+   that it has not begun to send the newer one: then another one is asked,
+   once.  While a large text is on its way from it no heartbeat passes.  */
+static void
+note_position (struct hosts *hosts, struct jc_rpc_conn *conn, uint64_t position)
+{
+  int64_t now = jc_now_ms ();
+
+  if (position <= hosts->orders->position)
+    {
+      if (conn == hosts->source && hosts->behind_ms != 0
+          && now - hosts->behind_ms >= hosts->behind_wait_ms)
+        hosts->source_lags = true;
+      return;
+    }
+  if (hosts->behind_ms == 0)
+    {
+      hosts->behind_ms = now;
+      hosts->behind_wait_ms = BEHIND_MS;
+    }
+  if (conn != hosts->source && !hosts->source_lags)
+    return;
+  hosts->behind_ms = now;
+  hosts->behind_wait_ms = MIN (2 * hosts->behind_wait_ms, BEHIND_MOST_MS);
+  hosts->source_lags = false;
+  jc_event (JC_EVENT_ORDERS_ASKED, "peer=%s position=%" PRIu64 " own=%" PRIu64,
+            jc_rpc_conn_name (conn), position, hosts->orders->position);
+  ask_orders (hosts, conn, conn == hosts->source);
+}
+
 /* Take a message of a state instance.  */
 void
 following_packet (struct hosts *hosts, struct jc_rpc_conn *conn,
@@ -301,8 +377,17 @@
       for (u_int i = 0; i < fleet->endpoints.endpoints_len; i++)
         take_endpoint (hosts, &fleet->endpoints.endpoints_val[i]);
     }
-  else if (packet->head.config_version > hosts->orders->position)
-    ask_orders (hosts, conn);
+  note_position (hosts, conn, packet->head.config_version);
+}
+
+/* CONN went down.  */
+void
+following_down (struct hosts *hosts, const struct jc_rpc_conn *conn)
+{
+  if (hosts->source != conn)
+    return;
+  hosts->source = NULL;
+  choose_source (hosts);
 }
 
 /* Tell whether another instance of this region takes callers.  */
--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -46,9 +46,11 @@
 static void
 on_down (void *ctx, struct jc_rpc_conn *conn)
 {
-  (void)ctx;
+  struct entry *entry = ctx;
+
   jc_event (JC_EVENT_PEER_DOWN, "peer=%s role=%s", jc_rpc_conn_name (conn),
             jc_rpc_conn_role (conn));
+  following_down (entry->hosts, conn);
 }
 
 static void
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -13,6 +13,9 @@
 
 /* What this instance knows and owns for routing by hosts.  ROUTES is made
    from the text of ORDERS and never goes back in the life of the process.
+   SOURCE is the connection to the state instance that tells of each change;
+   BEHIND_MS is when another one was first seen to know more, 0 for not, and
+   after BEHIND_WAIT_MS a heartbeat of the source shows that it lags.
    ENTRIES maps names of other entry instances to struct neighbour.  */
 struct hosts
 {
@@ -36,6 +39,10 @@
   int64_t loads_told_ms;
   int64_t loads_full_ms;
   int64_t heard_ms;
+  int64_t behind_ms;
+  int64_t behind_wait_ms;
+  bool source_lags;
+  struct jc_rpc_conn *source;
   int64_t started_ms;
 };
 
@@ -59,6 +66,7 @@
 /* following: what state instances tell.  */
 void following_seeds (struct hosts *hosts, const GPtrArray *seeds);
 void following_up (struct hosts *hosts, struct jc_rpc_conn *conn);
+void following_down (struct hosts *hosts, const struct jc_rpc_conn *conn);
 void following_packet (struct hosts *hosts, struct jc_rpc_conn *conn,
                        const struct rpc_packet *packet);
 bool following_has_stand_in (const struct hosts *hosts);
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -555,6 +555,7 @@
 struct rpc_orders_follow {
 	u_quad_t have_position;
 	u_quad_t have_version;
+	bool_t follow;
 };
 typedef struct rpc_orders_follow rpc_orders_follow;
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1035,6 +1035,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->have_version))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->follow))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -489,9 +489,12 @@
   rpc_bytes data;
 };
 
+/* Asks for the orders after have_position; follow asks for each change from
+   now on too.  */
 struct rpc_orders_follow {
   unsigned hyper have_position;
   unsigned hyper have_version;
+  bool follow;
 };
 
 /* The outcome of all orders up to position in the log.  text is the route
--- a/state/orders.c
+++ b/state/orders.c
@@ -87,21 +87,25 @@
     }
 }
 
+/* Tell CONN what it lacks, and each change from now on where it asks for
+   that.  */
 static void
 follow (struct state *state, struct jc_rpc_conn *conn,
         const struct rpc_orders_follow *asked)
 {
-  struct follower *follower = g_new0 (struct follower, 1);
+  struct follower *follower;
 
   orders_down (state, conn);
+  if (state->orders->position > asked->have_position)
+    tell (state, conn, asked->have_version);
+  if (!asked->follow)
+    return;
+  follower = g_new0 (struct follower, 1);
   follower->conn = conn;
-  follower->version = asked->have_version;
+  follower->version = state->orders->position > asked->have_position
+                          ? state->orders->version
+                          : asked->have_version;
   g_ptr_array_add (state->order_followers, follower);
-  if (state->orders->position > asked->have_position)
-    {
-      tell (state, conn, asked->have_version);
-      follower->version = state->orders->version;
-    }
 }
 
 /* A question of another state instance for the newest orders.  */
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -330,6 +330,27 @@
     await in_force(ADDRESSES["entries"], "/most/x", 200)
 
 
+async def catch_up(changes=1000):
+    """Measures how long a state instance takes to hold what 1,000 changes made while it was away; it must answer
+    a read itself, so it has asked the leader and is as far."""
+    await start_all()
+    os.kill(pid("s3"), 9)
+    begun = time.monotonic()
+    for i in range(changes):
+        await order("/v1/Config.Replace", configuration(100 + i, ROUTES), controls=ADDRESSES["control"][:1])
+    print("%d changes acknowledged in %.2f s" % (changes, time.monotonic() - begun), flush=True)
+    os.rename(os.path.join(DIR, "s3.pid"), os.path.join(DIR, "s3.old"))
+    while not os.path.exists(os.path.join(DIR, "s3.pid")):
+        await asyncio.sleep(0.01)
+    begun = time.monotonic()
+
+    async def caught_up():
+        reply = await ask(ADDRESSES["control"][2], "GET", "/v1/Config.Read")
+        return reply.status == 200 and json.loads(reply.body)["version"] == 99 + changes
+    await until("the instance to catch up", caught_up)
+    print("caught up %.2f s after its start" % (time.monotonic() - begun))
+
+
 async def drain():
     """An entry instance stops without cutting a stream, and a changed settings file cuts nothing."""
     endpoints = await start_all()
@@ -354,4 +375,5 @@
     await until("the instance to leave the directory", listed)
 
 
-asyncio.run({"path": path, "changes": changes, "disk": disk, "drain": drain}[sys.argv[1]]())
+asyncio.run({"path": path, "changes": changes, "disk": disk, "drain": drain,
+             "catch_up": catch_up}[sys.argv[1]]())
