Ask for the orders once at the start of an entry instance

Ruled out: lost answers; each text came. Test: hosts-path.sh starts an entry instance late; seen failing before with four questions.

--- a/entry/following.c
+++ b/entry/following.c
@@ -126,6 +126,16 @@
   return strcmp (jc_rpc_conn_region (conn), settings->region) == 0 ? 1 : 2;
 }
 
+/* Ask CONN for no more changes: a question of one that lacks nothing.  */
+static void
+stop_following (struct jc_rpc_conn *conn)
+{
+  struct rpc_packet packet = { .body.type = RPC_ORDERS_FOLLOW };
+
+  packet.body.rpc_body_u.orders_follow.have_position = G_MAXUINT64;
+  jc_rpc_send (conn, &packet);
+}
+
 /* Follow the nearest state instance that is up.  The others show by their
    heartbeats how far they are; a copy from each of them would fill the link
    where the configuration is large.  */
@@ -146,6 +156,8 @@
   g_ptr_array_free (conns, TRUE);
   if (best == NULL || best == hosts->source)
     return;
+  if (hosts->source != NULL)
+    stop_following (hosts->source);
   hosts->source = best;
   ask_orders (hosts, best, true);
 }
@@ -327,7 +339,9 @@
 /* CONN says that it is at POSITION.  What the instance that is followed sends
    comes in order, so that a heartbeat of it that shows an old position says
    that it has not begun to send the newer one: then another one is asked,
-   once.  While a large text is on its way from it no heartbeat passes.  */
+   once.  While a large text is on its way from it no heartbeat passes.  A
+   newer position in its own heartbeat may have crossed the question for it;
+   where that stays so, it is asked anew.  */
 static void
 note_position (struct hosts *hosts, struct jc_rpc_conn *conn, uint64_t position)
 {
@@ -345,7 +359,8 @@
       hosts->behind_ms = now;
       hosts->behind_wait_ms = BEHIND_MS;
     }
-  if (conn != hosts->source && !hosts->source_lags)
+  if (conn == hosts->source ? now - hosts->behind_ms < hosts->behind_wait_ms
+                            : !hosts->source_lags)
     return;
   hosts->behind_ms = now;
   hosts->behind_wait_ms = MIN (2 * hosts->behind_wait_ms, BEHIND_MOST_MS);
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -490,7 +490,7 @@
 };
 
 /* Asks for the orders after have_position; follow asks for each change from
-   now on too.  */
+   now on too.  Without it the sender is told of no more changes.  */
 struct rpc_orders_follow {
   unsigned hyper have_position;
   unsigned hyper have_version;
--- a/tests/process/hosts-path.sh
+++ b/tests/process/hosts-path.sh
@@ -7,3 +7,14 @@
 
 start_hosts
 python3 tests/process/hosts_standin.py path "$DIR" || { tail -n 30 "$DIR"/*.out "$DIR"/*.log; exit 1; }
+
+# An entry instance that comes late has its orders from one state instance,
+# though the heartbeats of all three show it what it lacks.
+kill -9 "$(pid e1)"
+start e1 "$BUILD/jaycove-entry" --settings "$DIR/e1.json"
+wait_for 10 grep -q event=in_force "$DIR/e1.out"
+wait_for 10 sh -c "[ \$(grep -c 'event=peer_up.*role=state' $DIR/e1.out) -ge 3 ]"
+sleep 1
+if grep event=orders_asked "$DIR/e1.out"; then
+  exit 1
+fi
