Let one of two replicas that ask for votes at once give way

Each agreed to the other's question, so both stood and voted for themselves. Ruled out: the wiped replica (it votes only once it holds all again), a lost vote on disk, silent links: all messages came within 170 ms. Change: of two that ask at once the one that holds more goes first, else the one whose name sorts first; the other agrees and waits. Only the question before an election changes, so that safety rests on what it did.

--- a/conf/rlogvote.c
+++ b/conf/rlogvote.c
@@ -134,6 +134,35 @@
   return true;
 }
 
+/* Tell whether FROM goes first where it and this replica ask for votes at the
+   same time: the one that holds more does, else the one whose name sorts
+   first.  If each agreed to the other, both would stand and neither win.  */
+static bool
+goes_first (const struct jc_rlog *log, const char *from,
+            const struct rpc_vote *vote)
+{
+  uint64_t last = jc_rlogstore_last (log->store);
+
+  return vote->last_term != jc_rlogstore_term_at (log->store, last)
+         || vote->last_index != last || strcmp (from, log->name) < 0;
+}
+
+/* Tell whether this replica would elect FROM in a new term.  One that asks for
+   votes itself gives way by that.  */
+static bool
+agree (struct jc_rlog *log, const char *from, const struct rpc_vote *vote)
+{
+  if (vote->term <= log->store->term || !up_to_date (log, vote))
+    return false;
+  if (log->role == JC_RLOG_PRE_CANDIDATE)
+    {
+      if (!goes_first (log, from, vote))
+        return false;
+      jc_rlog_follow (log, log->store->term, "");
+    }
+  return true;
+}
+
 /* Answer the candidate FROM.  While a leader is at work nobody is elected,
    and no term is taken over from a candidate.  */
 void
@@ -148,7 +177,7 @@
   if (vote->term > log->store->term && leader_lives (log))
     return;
   if (vote->pre)
-    reply->granted = vote->term > log->store->term && up_to_date (log, vote);
+    reply->granted = agree (log, from, vote);
   else
     {
       if (vote->term > log->store->term)
