Name one reason where a request's head is refused

Cause: the linter saw a route that may be missing behind a status; the second check of a head answered unknown_route without a configuration, and left what it could not read at zero. Now both checks fail with their own reason and a line in the log.

--- a/entry/passage.c
+++ b/entry/passage.c
@@ -244,20 +244,25 @@
     no_attempt (passage, status);
 }
 
-/* Find the route of REQ, or say why there is none.  */
-static enum jc_status
+/* Return the route of REQ, or NULL with the reason in STATUS.  */
+static const struct jc_hostroute *
 find_route (const struct hosts *hosts, const struct jc_http_req *req,
-            const struct jc_hostroute **route)
+            enum jc_status *status)
 {
   const char *host = jc_http_header (req, "Host");
+  const struct jc_hostroute *route = NULL;
 
   if (hosts->routes == NULL)
-    return jc_fail (JC_NOT_READY, "No configuration is in force yet.");
-  *route = jc_routetable_find (hosts->routes, host != NULL ? host : "",
-                               jc_http_path (req));
-  if (*route == NULL)
-    return jc_fail (JC_UNKNOWN_ROUTE, "No route has this host and path.");
-  return JC_OK;
+    {
+      *status = jc_fail (JC_NOT_READY, "No configuration is in force yet.");
+      return NULL;
+    }
+  route = jc_routetable_find (hosts->routes, host != NULL ? host : "",
+                              jc_http_path (req));
+  *status = route != NULL ? JC_OK
+                          : jc_fail (JC_UNKNOWN_ROUTE,
+                                     "No route has this host and path.");
+  return route;
 }
 
 /* Tell whether an instance that drains has the time for a request of ROUTE.
@@ -275,26 +280,33 @@
   return left >= route->timeout_ms;
 }
 
+/* Log that REQ is refused for STATUS by its head.  */
+static void
+note_refused_head (const struct hosts *hosts, const struct jc_http_req *req,
+                   enum jc_status status)
+{
+  const char *host = jc_http_header (req, "Host");
+
+  jc_event (JC_EVENT_REFUSED,
+            "id=- method=%s path=%.80s host=%.60s outcome=%s version=%" PRIu64,
+            jc_http_method (req), jc_http_path (req), host != NULL ? host : "-",
+            jc_status_name (status), hosts->orders->version);
+}
+
 /* Check the head of REQ before its body is read.  */
 enum jc_status
 passage_head (struct hosts *hosts, struct jc_http_req *req)
 {
-  const struct jc_hostroute *route = NULL;
   struct jc_ask ask;
-  enum jc_status status = find_route (hosts, req, &route);
+  enum jc_status status;
+  const struct jc_hostroute *route = find_route (hosts, req, &status);
 
-  if (status == JC_OK && !drain_allows (hosts->entry, route))
+  if (route != NULL && !drain_allows (hosts->entry, route))
     status = jc_fail (JC_DRAINING, "This instance is about to stop.");
   if (status == JC_OK)
     status = hosts->dialect->ask (jc_http_head (req), &ask);
   if (status != JC_OK)
-    jc_event (
-        JC_EVENT_REFUSED,
-        "id=- method=%s path=%.80s host=%.60s outcome=%s version=%" PRIu64,
-        jc_http_method (req), jc_http_path (req),
-        jc_http_header (req, "Host") != NULL ? jc_http_header (req, "Host")
-                                             : "-",
-        jc_status_name (status), hosts->orders->version);
+    note_refused_head (hosts, req, status);
   return status;
 }
 
@@ -335,18 +347,20 @@
 passage_start (struct hosts *hosts, struct jc_http_req *req, bool guest)
 {
   struct passage *passage;
-  const struct jc_hostroute *route = NULL;
   struct jc_ask ask;
   int64_t wait_ms;
-
+  enum jc_status status;
   /* The configuration may have changed while the body was read.  */
-  if (find_route (hosts, req, &route) != JC_OK)
+  const struct jc_hostroute *route = find_route (hosts, req, &status);
+
+  if (status == JC_OK)
+    status = hosts->dialect->ask (jc_http_head (req), &ask);
+  if (status != JC_OK || route == NULL)
     {
-      jc_http_fail (req, JC_UNKNOWN_ROUTE, jc_last_message (), 0);
+      note_refused_head (hosts, req, status);
+      jc_http_fail (req, status, jc_last_message (), 0);
       return;
     }
-  if (hosts->dialect->ask (jc_http_head (req), &ask) != JC_OK)
-    memset (&ask, 0, sizeof ask);
   passage = g_new0 (struct passage, 1);
   passage->hosts = hosts;
   passage->req = req;
