--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -614,7 +614,6 @@
 	u_int running;
 	u_int unread_tokens;
 	u_int tokens_per_s;
-	u_int recent_tokens_per_s;
 };
 typedef struct rpc_load rpc_load;
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1125,49 +1125,6 @@
 {
 	register int32_t *buf;
 
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->tag))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->running))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->unread_tokens))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->tokens_per_s))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->recent_tokens_per_s))
-				 return FALSE;
-		} else {
-			IXDR_PUT_U_LONG(buf, objp->running);
-			IXDR_PUT_U_LONG(buf, objp->unread_tokens);
-			IXDR_PUT_U_LONG(buf, objp->tokens_per_s);
-			IXDR_PUT_U_LONG(buf, objp->recent_tokens_per_s);
-		}
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->tag))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->running))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->unread_tokens))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->tokens_per_s))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->recent_tokens_per_s))
-				 return FALSE;
-		} else {
-			objp->running = IXDR_GET_U_LONG(buf);
-			objp->unread_tokens = IXDR_GET_U_LONG(buf);
-			objp->tokens_per_s = IXDR_GET_U_LONG(buf);
-			objp->recent_tokens_per_s = IXDR_GET_U_LONG(buf);
-		}
-	 return TRUE;
-	}
-
 	 if (!xdr_u_quad_t (xdrs, &objp->tag))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running))
@@ -1176,8 +1133,6 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->tokens_per_s))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->recent_tokens_per_s))
-		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -538,14 +538,13 @@
 };
 
 /* What one entry instance has at an endpoint: requests, tokens of prompts
-   that are not read yet, and tokens a second that it sent there lately, over
-   two spans of time.  tag is a hash of the endpoint's name.  */
+   that are not read yet, and tokens a second that it sent there lately.  tag is
+   a hash of the endpoint's name.  */
 struct rpc_load {
   unsigned hyper tag;
   unsigned int running;
   unsigned int unread_tokens;
   unsigned int tokens_per_s;
-  unsigned int recent_tokens_per_s;
 };
 
 /* Rows that changed since the sender told last; full has all of them.  */
--- a/serve/enginecost.c
+++ b/serve/enginecost.c
@@ -43,13 +43,6 @@
   return all - read + pairs * PAIR_MS * PROMPT_TOKENS_A_MS;
 }
 
-/* Return how long an engine reads the whole prompt of DEMAND, ms.  */
-int64_t
-jc_demand_read_ms (const struct jc_demand *demand)
-{
-  return (int64_t)(engine_reading (demand, 0) / PROMPT_TOKENS_A_MS);
-}
-
 double
 engine_step_ms (const struct work *work)
 {
@@ -162,14 +155,6 @@
   return first + (int64_t)decode_ms (&work, demand);
 }
 
-/* Return the tokens that an engine reads while a stream beside them waits for
-   its next event: those that wait, and more like those that came just now.  */
-static double
-to_read_soon (const struct work *work, const struct jc_demand *demand)
-{
-  return MAX (work->unread_tokens, work->recent * (double)demand->gap_ms);
-}
-
 /* Return what it costs that answers become late where a request of DEMAND
    with UNREAD tokens goes to an engine with WORK, ms: its own, and those of
    the streams that would pause for too long only because of it.  */
@@ -178,16 +163,17 @@
              double first, double unread)
 {
   double gap = (double)demand->gap_ms;
-  double soon = to_read_soon (work, demand);
   double cost = 0;
 
   if (demand->objective_ms > 0 && first > (double)demand->objective_ms)
     cost += LATE_MS;
   if (gap <= 0)
     return cost;
-  if (pause_ms (work, demand, soon, 0) > gap)
+  if (pause_ms (work, demand, work->unread_tokens, 0) > gap)
     cost += LATE_MS / 2;
-  else if (pause_ms (work, demand, soon + unread, depth_of (demand)) > gap)
+  else if (pause_ms (work, demand, work->unread_tokens + unread,
+                     depth_of (demand))
+           > gap)
     cost += work->running * LATE_MS / 4;
   return cost;
 }
@@ -242,7 +228,7 @@
 }
 
 /* Tell whether a request of DEMAND would make the streams at ENDPOINT pause
-   for too long, with what is still to be read and what came just now.  It is
+   for too long, with what is still to be read.  It is
    read as soon if it waits outside for its turn, and nobody pauses.  A long
    prompt has them pause by itself; it has engines of its own.  */
 bool
@@ -258,7 +244,7 @@
       || engine_is_long (demand))
     return false;
   unread = engine_reading (demand, engine_tokens_read (engine, demand, now_ms));
-  return pause_ms (&work, demand, to_read_soon (&work, demand) + unread, 0)
+  return pause_ms (&work, demand, work.unread_tokens + unread, 0)
          > (double)demand->gap_ms * CROWDED_PART;
 }
 
--- a/serve/engineprivate.h
+++ b/serve/engineprivate.h
@@ -20,10 +20,9 @@
 
 enum
 {
-  /* Times over which the rate of tokens is averaged: for how busy an engine
-     is, and for the pauses of its streams.  */
+  /* Time over which the rate of tokens is averaged: a few times that of a long
+     prompt.  */
   RATE_MS = 1500,
-  RECENT_MS = 400,
   INSTANCES_MAX = 32,
   MS_PER_S = 1000
 };
@@ -52,7 +51,6 @@
   unsigned int running;
   uint64_t unread_tokens;
   double rate;
-  double recent;
   int64_t rate_ms;
   unsigned int reported;
   int64_t reported_ms;
@@ -70,14 +68,12 @@
 };
 
 /* Work at an engine, of all instances.  BUSY is the part of its time that
-   it reads prompts, RECENT the tokens a ms that it got just now, PACE how many
-   times the data sheet's times it takes.  */
+   it reads prompts, PACE how many times the data sheet's times it takes.  */
 struct work
 {
   double running;
   double unread_tokens;
   double busy;
-  double recent;
   double pace;
 };
 
--- a/tests/enginesim.c
+++ b/tests/enginesim.c
@@ -19,8 +19,8 @@
 /* A request at an engine.  */
 struct job
 {
-  const struct sim_kind *kind;
-  struct sim_result *result;
+  const struct enginesim_kind *kind;
+  struct enginesim_result *result;
   struct jc_engine_run *run;
   double arrived;
   double unread;
@@ -39,16 +39,16 @@
   GQueue jobs;
   uint64_t kept[KEPT_PARTS];
   unsigned int kept_next;
-  unsigned int own[SIM_INSTANCES_MAX];
+  unsigned int own[ENGINESIM_INSTANCES_MAX];
 };
 
 struct sim
 {
-  const struct sim_plan *plan;
-  struct sim_report *report;
+  const struct enginesim_plan *plan;
+  struct enginesim_report *report;
   GRand *rand;
-  struct sim_engine engines[SIM_ENGINES_MAX];
-  struct jc_engines *views[SIM_INSTANCES_MAX];
+  struct sim_engine engines[ENGINESIM_ENGINES_MAX];
+  struct jc_engines *views[ENGINESIM_INSTANCES_MAX];
   GHashTable *ever_read;
 };
 
@@ -151,14 +151,14 @@
 choose (struct sim *sim, unsigned int instance, const struct jc_demand *demand,
         int64_t now_ms)
 {
-  const struct sim_plan *plan = sim->plan;
+  const struct enginesim_plan *plan = sim->plan;
   struct sim_engine *best = &sim->engines[0];
   GPtrArray *list;
   struct jc_endpoint *picked;
 
-  if (plan->policy == SIM_RANDOM)
+  if (plan->policy == ENGINESIM_RANDOM)
     return &sim->engines[g_rand_int_range (sim->rand, 0, (int)plan->engines)];
-  if (plan->policy == SIM_FEWEST)
+  if (plan->policy == ENGINESIM_FEWEST)
     {
       for (unsigned int i = 1; i < plan->engines; i++)
         if (sim->engines[i].own[instance] < best->own[instance])
@@ -176,7 +176,7 @@
 }
 
 static void
-fill_demand (const struct sim_kind *kind, uint64_t thing, uint64_t own,
+fill_demand (const struct enginesim_kind *kind, uint64_t thing, uint64_t own,
              struct jc_demand *demand)
 {
   struct jc_ask ask
@@ -198,13 +198,13 @@
 static void
 arrive (struct sim *sim, unsigned int index, double now)
 {
-  const struct sim_kind *kind = &sim->plan->kinds[index];
+  const struct enginesim_kind *kind = &sim->plan->kinds[index];
   unsigned int instance = (unsigned int)g_rand_int_range (
       sim->rand, 0, (int)sim->plan->instances);
   uint64_t thing
       = 1000 * (index + 1)
         + (uint64_t)g_rand_int_range (sim->rand, 0, (int)MAX (kind->things, 1));
-  struct sim_result *result = &sim->report->kinds[index];
+  struct enginesim_result *result = &sim->report->kinds[index];
   struct jc_demand demand;
   struct sim_engine *engine;
   struct job *job;
@@ -279,7 +279,8 @@
 
 /* Play PLAN and fill REPORT.  Requests that run at the end don't count.  */
 void
-sim_run (const struct sim_plan *plan, struct sim_report *report)
+enginesim_run (const struct enginesim_plan *plan,
+               struct enginesim_report *report)
 {
   struct sim sim = { .plan = plan,
                      .report = report,
--- a/tests/enginesim.h
+++ b/tests/enginesim.h
@@ -8,13 +8,13 @@
 
 enum
 {
-  SIM_ENGINES_MAX = 16,
-  SIM_INSTANCES_MAX = 4
+  ENGINESIM_ENGINES_MAX = 16,
+  ENGINESIM_INSTANCES_MAX = 4
 };
 
 /* A kind of request.  SHARED of the prompt's tokens are one of THINGS parts
    that requests share.  */
-struct sim_kind
+struct enginesim_kind
 {
   const char *name;
   double per_s;
@@ -29,7 +29,7 @@
 };
 
 /* What became of the requests of a kind.  */
-struct sim_result
+struct enginesim_result
 {
   unsigned int asked;
   unsigned int in_aim;
@@ -40,35 +40,36 @@
 
 /* How requests find their engine: by the engines module, to the one with the
    fewest own requests, or at random.  */
-enum sim_policy
+enum enginesim_policy
 {
-  SIM_ENGINES,
-  SIM_FEWEST,
-  SIM_RANDOM
+  ENGINESIM_ENGINES,
+  ENGINESIM_FEWEST,
+  ENGINESIM_RANDOM
 };
 
 /* A run: PACE is each engine's, 0 for 1.  */
-struct sim_plan
+struct enginesim_plan
 {
-  enum sim_policy policy;
+  enum enginesim_policy policy;
   unsigned int engines;
   unsigned int instances;
-  double pace[SIM_ENGINES_MAX];
-  const struct sim_kind *kinds;
+  double pace[ENGINESIM_ENGINES_MAX];
+  const struct enginesim_kind *kinds;
   unsigned int kinds_count;
   int64_t length_ms;
   uint32_t seed;
 };
 
 /* Results by kind, tokens read in all and again, and arrivals by engine.  */
-struct sim_report
+struct enginesim_report
 {
-  struct sim_result kinds[8];
+  struct enginesim_result kinds[8];
   double tokens_read;
   double tokens_again;
-  unsigned int arrivals[SIM_ENGINES_MAX];
+  unsigned int arrivals[ENGINESIM_ENGINES_MAX];
 };
 
-void sim_run (const struct sim_plan *plan, struct sim_report *report);
+void enginesim_run (const struct enginesim_plan *plan,
+                    struct enginesim_report *report);
 
 #endif
--- a/tests/test-engine.c
+++ b/tests/test-engine.c
@@ -12,49 +12,49 @@
 
 /* Long prompts with shared parts, short ones whose answers are long, and
    short ones with short answers, from the least to the most urgent.  */
-static const struct sim_kind report_kind = { .name = "report",
-                                             .per_s = 8,
-                                             .prompt = 12000,
-                                             .shared = 5400,
-                                             .things = 50,
-                                             .answer = 380,
-                                             .objective_ms = 1200,
-                                             .gap_ms = 800,
-                                             .deadline_ms = 12000,
-                                             .priority = 2 };
-static const struct sim_kind letter_kind = { .name = "letter",
-                                             .per_s = 14,
-                                             .prompt = 830,
-                                             .answer = 290,
-                                             .objective_ms = 2000,
-                                             .gap_ms = 800,
-                                             .deadline_ms = 10000,
-                                             .priority = 1 };
-static const struct sim_kind check_kind = { .name = "check",
-                                            .per_s = 12,
-                                            .prompt = 2400,
-                                            .shared = 570,
-                                            .things = 110,
-                                            .answer = 24,
-                                            .objective_ms = 3000,
-                                            .gap_ms = 800,
-                                            .deadline_ms = 3000,
-                                            .priority = 0 };
+static const struct enginesim_kind report_kind = { .name = "report",
+                                                   .per_s = 8,
+                                                   .prompt = 12000,
+                                                   .shared = 5400,
+                                                   .things = 50,
+                                                   .answer = 380,
+                                                   .objective_ms = 1200,
+                                                   .gap_ms = 800,
+                                                   .deadline_ms = 12000,
+                                                   .priority = 2 };
+static const struct enginesim_kind letter_kind = { .name = "letter",
+                                                   .per_s = 14,
+                                                   .prompt = 830,
+                                                   .answer = 290,
+                                                   .objective_ms = 2000,
+                                                   .gap_ms = 800,
+                                                   .deadline_ms = 10000,
+                                                   .priority = 1 };
+static const struct enginesim_kind check_kind = { .name = "check",
+                                                  .per_s = 12,
+                                                  .prompt = 2400,
+                                                  .shared = 570,
+                                                  .things = 110,
+                                                  .answer = 24,
+                                                  .objective_ms = 3000,
+                                                  .gap_ms = 800,
+                                                  .deadline_ms = 3000,
+                                                  .priority = 0 };
 
 /* Play PLAN under POLICY with a few seeds and sum the reports.  */
-static struct sim_report
-play (struct sim_plan plan, enum sim_policy policy)
+static struct enginesim_report
+play (struct enginesim_plan plan, enum enginesim_policy policy)
 {
-  struct sim_report sum = { 0 };
+  struct enginesim_report sum = { 0 };
 
   plan.policy = policy;
   plan.length_ms = LENGTH_MS;
   for (uint32_t seed = 1; seed <= SEEDS; seed++)
     {
-      struct sim_report one;
+      struct enginesim_report one;
 
       plan.seed = seed;
-      sim_run (&plan, &one);
+      enginesim_run (&plan, &one);
       for (unsigned int i = 0; i < plan.kinds_count; i++)
         {
           sum.kinds[i].asked += one.kinds[i].asked;
@@ -79,7 +79,7 @@
 }
 
 static double
-part_in_aim (const struct sim_result *result)
+part_in_aim (const struct enginesim_result *result)
 {
   return (double)result->in_aim / MAX (result->asked, 1);
 }
@@ -88,10 +88,11 @@
 static void
 test_calm (void)
 {
-  const struct sim_kind kinds[] = { report_kind, letter_kind, check_kind };
-  const struct sim_plan plan
+  const struct enginesim_kind kinds[]
+      = { report_kind, letter_kind, check_kind };
+  const struct enginesim_plan plan
       = { .engines = 6, .instances = 3, .kinds = kinds, .kinds_count = 3 };
-  struct sim_report report = play (plan, SIM_ENGINES);
+  struct enginesim_report report = play (plan, ENGINESIM_ENGINES);
 
   for (unsigned int i = 0; i < 3; i++)
     {
@@ -105,11 +106,11 @@
 static void
 test_shared_parts (void)
 {
-  const struct sim_kind kinds[] = { report_kind };
-  const struct sim_plan plan
+  const struct enginesim_kind kinds[] = { report_kind };
+  const struct enginesim_plan plan
       = { .engines = 8, .instances = 3, .kinds = kinds, .kinds_count = 1 };
-  struct sim_report own = play (plan, SIM_ENGINES);
-  struct sim_report random = play (plan, SIM_RANDOM);
+  struct enginesim_report own = play (plan, ENGINESIM_ENGINES);
+  struct enginesim_report random = play (plan, ENGINESIM_RANDOM);
 
   g_assert_cmpfloat (own.tokens_again, <, random.tokens_again / 2);
 }
@@ -120,11 +121,11 @@
 static void
 test_peak (void)
 {
-  struct sim_kind kinds[] = { report_kind, letter_kind, check_kind };
-  const struct sim_plan plan
+  struct enginesim_kind kinds[] = { report_kind, letter_kind, check_kind };
+  const struct enginesim_plan plan
       = { .engines = 2, .instances = 3, .kinds = kinds, .kinds_count = 3 };
-  struct sim_report own;
-  struct sim_report fewest;
+  struct enginesim_report own;
+  struct enginesim_report fewest;
   unsigned int asked = 0;
   unsigned int served = 0;
   unsigned int served_fewest = 0;
@@ -132,8 +133,8 @@
   kinds[0].per_s = 10;
   kinds[1].per_s = 17;
   kinds[2].per_s = 14;
-  own = play (plan, SIM_ENGINES);
-  fewest = play (plan, SIM_FEWEST);
+  own = play (plan, ENGINESIM_ENGINES);
+  fewest = play (plan, ENGINESIM_FEWEST);
   for (unsigned int i = 0; i < 3; i++)
     {
       asked += own.kinds[i].asked;
@@ -155,19 +156,19 @@
 static void
 test_long_prompts (void)
 {
-  struct sim_kind kinds[] = { report_kind, letter_kind };
-  const struct sim_plan plan
+  struct enginesim_kind kinds[] = { report_kind, letter_kind };
+  const struct enginesim_plan plan
       = { .engines = 6, .instances = 3, .kinds = kinds, .kinds_count = 2 };
-  struct sim_report own;
-  struct sim_report fewest;
+  struct enginesim_report own;
+  struct enginesim_report fewest;
 
   kinds[0].prompt = 45000;
   kinds[0].shared = 0;
   kinds[0].things = 0;
   kinds[0].per_s = 2;
   kinds[1].per_s = 40;
-  own = play (plan, SIM_ENGINES);
-  fewest = play (plan, SIM_FEWEST);
+  own = play (plan, ENGINESIM_ENGINES);
+  fewest = play (plan, ENGINESIM_FEWEST);
   g_assert_cmpuint (own.kinds[1].late + own.kinds[1].failed, <,
                     fewest.kinds[1].late + fewest.kinds[1].failed);
 }
@@ -176,13 +177,13 @@
 static void
 test_slow_engine (void)
 {
-  const struct sim_kind kinds[] = { report_kind, check_kind };
-  const struct sim_plan plan = { .engines = 4,
-                                 .instances = 2,
-                                 .pace = { 4 },
-                                 .kinds = kinds,
-                                 .kinds_count = 2 };
-  struct sim_report own = play (plan, SIM_ENGINES);
+  const struct enginesim_kind kinds[] = { report_kind, check_kind };
+  const struct enginesim_plan plan = { .engines = 4,
+                                       .instances = 2,
+                                       .pace = { 4 },
+                                       .kinds = kinds,
+                                       .kinds_count = 2 };
+  struct enginesim_report own = play (plan, ENGINESIM_ENGINES);
   unsigned int others
       = (own.arrivals[1] + own.arrivals[2] + own.arrivals[3]) / 3;
 
