Notice at once that an empty state instance is followed

Change: the judgement is a module without network, conf/lag; without any own order it has no first wait. Of instances equally near, the one that is followed stays. Test: test-lag, /empty-source first asks at 0.3 s; with the wait at 2.1 s.

--- a/entry/following.c
+++ b/entry/following.c
@@ -20,12 +20,7 @@
   ROOMS_MAX = 64,
   NEIGHBOUR_KEPT_MS = 8000,
   /* An instance told of within two reports takes callers still.  */
-  STAND_IN_FRESH_MS = 1200,
-  /* The instance that is followed may be behind the others for so long: four
-     times what a commit over regions takes, with its heartbeat.  Each time
-     that another one is asked in vain doubles it, up to the most.  */
-  BEHIND_MS = 2000,
-  BEHIND_MOST_MS = 32000
+  STAND_IN_FRESH_MS = 1200
 };
 
 static bool
@@ -143,7 +138,7 @@
 choose_source (struct hosts *hosts)
 {
   GPtrArray *conns = g_ptr_array_new ();
-  struct jc_rpc_conn *best = NULL;
+  struct jc_rpc_conn *best = hosts->source;
 
   jc_rpc_list (hosts->entry->rpc, "state", conns);
   for (guint i = 0; i < conns->len; i++)
@@ -254,8 +249,7 @@
     note_readmitted (hosts, news);
   if (!jc_orders_take (hosts->orders, news))
     return;
-  hosts->behind_ms = 0;
-  hosts->source_lags = false;
+  jc_lag_end (&hosts->lag);
   if (hosts->orders->version != had_version)
     take_table (hosts);
   jc_event (JC_EVENT_IN_FORCE,
@@ -336,38 +330,19 @@
     meet (hosts, group->names.names_val[i]);
 }
 
-/* CONN says that it is at POSITION.  What the instance that is followed sends
-   comes in order, so that a heartbeat of it that shows an old position says
-   that it has not begun to send the newer one: then another one is asked,
-   once.  While a large text is on its way from it no heartbeat passes.  A
-   newer position in its own heartbeat may have crossed the question for it;
-   where that stays so, it is asked anew.  */
+/* CONN says that it is at POSITION.  */
 static void
 note_position (struct hosts *hosts, struct jc_rpc_conn *conn, uint64_t position)
 {
-  int64_t now = jc_now_ms ();
+  const struct jc_lag_sign sign = { .source = conn == hosts->source,
+                                    .position = position,
+                                    .own = hosts->orders->position };
 
-  if (position <= hosts->orders->position)
-    {
-      if (conn == hosts->source && hosts->behind_ms != 0
-          && now - hosts->behind_ms >= hosts->behind_wait_ms)
-        hosts->source_lags = true;
-      return;
-    }
-  if (hosts->behind_ms == 0)
-    {
-      hosts->behind_ms = now;
-      hosts->behind_wait_ms = BEHIND_MS;
-    }
-  if (conn == hosts->source ? now - hosts->behind_ms < hosts->behind_wait_ms
-                            : !hosts->source_lags)
+  if (!jc_lag_note (&hosts->lag, &sign, jc_now_ms ()))
     return;
-  hosts->behind_ms = now;
-  hosts->behind_wait_ms = MIN (2 * hosts->behind_wait_ms, BEHIND_MOST_MS);
-  hosts->source_lags = false;
   jc_event (JC_EVENT_ORDERS_ASKED, "peer=%s position=%" PRIu64 " own=%" PRIu64,
-            jc_rpc_conn_name (conn), position, hosts->orders->position);
-  ask_orders (hosts, conn, conn == hosts->source);
+            jc_rpc_conn_name (conn), position, sign.own);
+  ask_orders (hosts, conn, sign.source);
 }
 
 /* Take a message of a state instance.  */
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -3,6 +3,7 @@
 #ifndef ENTRY_HOSTS_H
 #define ENTRY_HOSTS_H
 
+#include "conf/lag.h"
 #include "conf/orders.h"
 #include "entry/entry.h"
 #include "serve/budget.h"
@@ -13,9 +14,7 @@
 
 /* What this instance knows and owns for routing by hosts.  ROUTES is made
    from the text of ORDERS and never goes back in the life of the process.
-   SOURCE is the connection to the state instance that tells of each change;
-   BEHIND_MS is when another one was first seen to know more, 0 for not, and
-   after BEHIND_WAIT_MS a heartbeat of the source shows that it lags.
+   SOURCE is the connection to the state instance that tells of each change.
    ENTRIES maps names of other entry instances to struct neighbour.  */
 struct hosts
 {
@@ -39,9 +38,7 @@
   int64_t loads_told_ms;
   int64_t loads_full_ms;
   int64_t heard_ms;
-  int64_t behind_ms;
-  int64_t behind_wait_ms;
-  bool source_lags;
+  struct jc_lag lag;
   struct jc_rpc_conn *source;
   int64_t started_ms;
 };
