Spend nothing shared until the group has turned up

Change: no share of what is beyond the ratio for 5 s from when any other instance is known. The ratio of the own requests stays.

--- a/serve/budget.c
+++ b/serve/budget.c
@@ -8,6 +8,9 @@
   /* An instance that is not seen any longer may be cut off and still spend
      its share.  */
   INSTANCES_KEPT_MS = 60000,
+  /* An instance that has just started knows but some of the others; those that
+     started with it turn up within a few reports and elections.  */
+  SETTLE_MS = 5000,
   /* Views of who owns a cold endpoint that may differ at one time.  */
   COLD_OWNERS = 2,
   COLD_WINDOW_MS = 1000,
@@ -33,6 +36,7 @@
   GHashTable *cold;
   unsigned int instances;
   int64_t instances_ms;
+  int64_t first_ms;
 };
 
 /* Return budgets under TERMS, with nothing spent.  */
@@ -66,6 +70,8 @@
 jc_budgets_set_instances (struct jc_budgets *budgets, unsigned int count,
                           int64_t now_ms)
 {
+  if (budgets->instances == 0)
+    budgets->first_ms = now_ms;
   if (count >= budgets->instances
       || now_ms - budgets->instances_ms > INSTANCES_KEPT_MS)
     {
@@ -99,9 +105,9 @@
 /* Return this instance's share of the retries beyond the ratio: nothing
    before it is known how many instances there are.  */
 static double
-slack_share (const struct jc_budgets *budgets)
+slack_share (const struct jc_budgets *budgets, int64_t now_ms)
 {
-  if (budgets->instances == 0)
+  if (budgets->instances == 0 || now_ms - budgets->first_ms < SETTLE_MS)
     return 0;
   return (double)budgets->terms.retry_slack / budgets->instances;
 }
@@ -115,7 +121,7 @@
   struct service *state = service_of (budgets, service);
   double allowed
       = budgets->terms.retry_ratio * jc_window_least (&state->requests, now_ms)
-        + slack_share (budgets);
+        + slack_share (budgets, now_ms);
 
   if (jc_window_most (&state->retries, now_ms) + 1 > allowed)
     return false;
