Give tests ports that are free at every IP number

State and entry instances of a copy of a test that was made by hand, without its clean-up, still held ports there; a port counted as free where 127.0.0.1 had it free, though these tests use other loopback numbers. Ruled out: the drain; no request was sent. Change: a port is free where no number has it.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -8,9 +8,10 @@
 TOKEN=operator-token
 CALLER_KEY=caller-key-1
 
-# port: print a port that is free now and was not printed before. It is below
-# those that the kernel gives to outgoing connections, so that none takes it
-# before its daemon listens, and none that is retried connects to itself.
+# port: print a port that is free now at every IP number of this machine and was
+# not printed before. It is below those that the kernel gives to outgoing
+# connections, so that none takes it before its daemon listens, and none that is
+# retried connects to itself.
 port ()
 {
   python3 - "$DIR/port.last" <<'X'
@@ -21,7 +22,7 @@
     port = port + 1 if port < 32000 else 15000
     with socket.socket() as s:
         try:
-            s.bind(("127.0.0.1", port))
+            s.bind(("0.0.0.0", port))
         except OSError:
             continue
     break
