Mend what fuzzing found: a crash by a garbled prompt header, a header lost after an empty one

Cause: found by the new fuzzing targets (tests/test-fuzz.c). - A prompt header with an empty part ("a:1,") read a string that was never set: an entry instance could be crashed from outside. - A header without a value ended one byte too late, on the first byte of the next header's name: that header was lost (a Host after it gave 400). - The HTTP parser, as Debian builds it, takes tabs and form feeds in a path. - A report whose address is no IP and port was spread to all entry instances, and a port that is no number read as 0. Ruled out: smuggling by the lost header; the parser itself refuses both forms that were tried (coding-after-empty-value, second-length-after-empty-value).

--- a/net/address.c
+++ b/net/address.c
@@ -2,16 +2,17 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
-#include <stdlib.h>
+#include <stdint.h>
 #include <string.h>
 
 #include "net/address.h"
 
-/* Parse TEXT, "IP:PORT", into ADDR.  */
+/* Parse TEXT, "IP:PORT", into ADDR.  Port 0 stands for any free one.  */
 enum jc_status
 jc_address_parse (const char *text, struct sockaddr_in *addr)
 {
   const char *colon = strrchr (text, ':');
+  guint64 port;
   char *host;
   int ok;
 
@@ -19,10 +20,12 @@
   addr->sin_family = AF_INET;
   if (colon == NULL)
     return jc_fail (JC_BAD_REQUEST, "%s has no port.", text);
+  if (!g_ascii_string_to_unsigned (colon + 1, 10, 0, UINT16_MAX, &port, NULL))
+    return jc_fail (JC_BAD_REQUEST, "%s has no port from 0 to 65535.", text);
   host = g_strndup (text, (gsize)(colon - text));
   ok = inet_pton (AF_INET, host, &addr->sin_addr);
   g_free (host);
-  addr->sin_port = htons ((uint16_t)strtoul (colon + 1, NULL, 10));
+  addr->sin_port = htons ((uint16_t)port);
   if (ok != 1)
     return jc_fail (JC_BAD_REQUEST, "%s has no IP number.", text);
   return JC_OK;
--- a/net/httpconn.c
+++ b/net/httpconn.c
@@ -257,7 +257,7 @@
     return jc_fail (JC_BAD_REQUEST, "A request names one host.");
   if (!jc_head_is_framed_once (head) || parser->upgrade)
     return jc_fail (JC_BAD_REQUEST, "The length of the body is not clear.");
-  if (head->target == NULL || head->target[0] != '/')
+  if (!jc_head_target_is_plain (head->target))
     return jc_fail (JC_BAD_REQUEST, "The target is not a path.");
   if (parser->content_length != UINT64_MAX
       && parser->content_length > req->httpd->limits.max_body)
--- a/net/httphead.c
+++ b/net/httphead.c
@@ -66,6 +66,20 @@
   return !first;
 }
 
+/* Tell whether TARGET is a path without blanks and control bytes: the parser,
+   as Debian builds it, takes tabs and form feeds, which others take for its
+   end.  */
+bool
+jc_head_target_is_plain (const char *target)
+{
+  if (target == NULL || target[0] != '/')
+    return false;
+  for (const char *c = target; *c != '\0'; c++)
+    if (*c == ' ' || g_ascii_iscntrl (*c))
+      return false;
+  return true;
+}
+
 /* Tell whether HEAD says at most once, and in one way, how long its body
    is.  */
 bool
@@ -227,11 +241,12 @@
   ((char *)at)[len] = '\0';
 }
 
-/* Take LEN bytes of a field's value AT.  */
+/* Take LEN bytes of a field's value AT.  Where there are none AT is the start
+   of the next line.  */
 void
 jc_head_build_value (struct jc_head_build *build, const char *at, size_t len)
 {
-  if (build->overflow)
+  if (build->overflow || len == 0)
     return;
   build->head->fields[build->head->count - 1].value = at;
   build->value_len = len;
--- a/net/httphead.h
+++ b/net/httphead.h
@@ -49,6 +49,7 @@
 
 ssize_t jc_head_end (struct jc_str bytes, size_t *scanned);
 bool jc_head_is_strict (struct jc_str bytes);
+bool jc_head_target_is_plain (const char *target);
 bool jc_head_is_framed_once (const struct jc_head *head);
 const char *jc_head_field (const struct jc_head *head, const char *name);
 bool jc_head_lists (const struct jc_head *head, const char *name,
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -133,7 +133,8 @@
     {
       hash = (hash ^ ask->parts[i].id) * 0x9E3779B97F4A7C15U;
       hash ^= hash >> 29;
-      tokens += ask->parts[i].tokens;
+      tokens = (unsigned int)MIN ((uint64_t)tokens + ask->parts[i].tokens,
+                                  ask->prompt_tokens);
       demand->chain[i] = hash;
       demand->tokens[i] = tokens;
     }
--- a/state/control.c
+++ b/state/control.c
@@ -6,6 +6,7 @@
 
 #include "base/event.h"
 #include "base/fields.h"
+#include "net/address.h"
 #include "net/program.h"
 #include "state/state.h"
 
@@ -189,12 +190,34 @@
   free (text);
 }
 
+/* Read the report that BODY of the endpoint NAME holds into REPORT, whose json
+   is NULL where that fails.  One at whose address nobody can be reached is no
+   use.  */
+static enum jc_status
+read_report (const struct state *state, const char *name, struct jc_str body,
+             struct jc_report *report)
+{
+  enum jc_status status = state->dialect->report (name, body, report);
+  struct sockaddr_in addr;
+
+  if (status != JC_OK)
+    return status;
+  status = jc_address_parse (report->said.address, &addr);
+  if (status == JC_OK && addr.sin_port == 0)
+    status = jc_fail (JC_BAD_REQUEST, "The report's address has port 0.");
+  if (status == JC_OK)
+    return JC_OK;
+  json_decref (report->json);
+  report->json = NULL;
+  return status;
+}
+
 static void
 take_report (struct state *state, struct jc_http_req *req, const char *name)
 {
   struct jc_report report;
   enum jc_status status
-      = state->dialect->report (name, jc_http_body (req), &report);
+      = read_report (state, name, jc_http_body (req), &report);
 
   if (status != JC_OK)
     {
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -247,6 +247,12 @@
     assert (await request(entry, "GET", "/read/x")).status == 500
     assert (await request(entry, "GET", "/read/x")).status == 200
 
+    # A report that names no address that can be reached is refused.
+    for address in ("nowhere", "10.0.0.1", "10.0.0.1:x", "10.0.0.1:0", "10.0.0.1:70000"):
+        body = json.dumps({"service": "plain", "address": address, "zone": "z1", "slots": 8, "state": "ready",
+                           "sequence": 1, "born": 1700000000000}).encode()
+        assert (await ask(control, "POST", "/v1/Instances.Heartbeat/lost", body=body)).status == 400, address
+
     # Orders: an older one is acknowledged and changes nothing; a bad one is refused.
     assert (await ask(control, "POST", "/v1/Config.Replace", body=configuration(2, []))).status == 200
     assert (await ask(control, "POST", "/v1/Config.Replace", body=configuration(9, [route("a", "safe", "?")]))).status == 400
--- /dev/null
+++ b/tests/test-fuzz.c
@@ -0,0 +1,427 @@
+/* Bytes that strangers may send against the parsers that meet them: heads,
+   chunks, events, and the platform's prompts, orders and reports.  What must
+   hold whatever comes: the same verdict however the bytes are cut, nothing
+   that two parsers may read in two ways, no value out of its bounds.  */
+
+#include <string.h>
+
+#include "net/chunks.h"
+#include "net/httphead.h"
+#include "platform/platform.h"
+#include "serve/sse.h"
+#include "tests/fuzz.h"
+
+enum
+{
+  PORT_MAX = 65535
+};
+
+static const char *const head_seeds[]
+    = { "GET /a/b?c=d HTTP/1.1\r\nHost: a.example\r\nAccept: */*\r\n\r\n",
+        "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 12\r\n"
+        "X-Jaycove-Token-Count: 1460,80\r\n"
+        "X-Jaycove-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\n"
+        "X-Jaycove-Deadline-Ms: 1200\r\nLast-Event-Id: 12\r\n\r\n",
+        "POST /x HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+        "Connection: keep-alive, x\r\nX: \r\n\r\n",
+        NULL };
+static const char *const head_words[]
+    = { "\r\n",
+        "\n",
+        "\r",
+        "\r\n ",
+        "Content-Length: 5\r\n",
+        "chunked",
+        "0",
+        "-1",
+        ",",
+        "Transfer-Encoding: gzip\r\n",
+        ": ",
+        "\t",
+        " ",
+        "18446744073709551616",
+        "HTTP/1.1",
+        "\r\n\r\n",
+        "X-Jaycove-Prompt-Prefix: a:9,b:9\r\n",
+        "99999999999",
+        NULL };
+
+static int
+on_target (http_parser *parser, const char *at, size_t len)
+{
+  jc_head_build_target (parser->data, at, len);
+  return 0;
+}
+
+static int
+on_name (http_parser *parser, const char *at, size_t len)
+{
+  jc_head_build_name (parser->data, at, len);
+  return 0;
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t len)
+{
+  jc_head_build_value (parser->data, at, len);
+  return 0;
+}
+
+static int
+on_head_end (http_parser *parser)
+{
+  jc_head_build_end (parser->data, parser);
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+/* Read BYTES into HEAD.  Return whether they are a head that may be used.  */
+static bool
+read_head (struct jc_str bytes, struct jc_head *head)
+{
+  static const http_parser_settings settings
+      = { .on_url = on_target,
+          .on_header_field = on_name,
+          .on_header_value = on_value,
+          .on_headers_complete = on_head_end };
+  struct jc_head_build build = { .head = head };
+  http_parser parser;
+  size_t scanned = 0;
+  ssize_t len = jc_head_end (bytes, &scanned);
+
+  memset (head, 0, sizeof *head);
+  if (len < 0)
+    return false;
+  bytes.len = (size_t)len;
+  if (!jc_head_is_strict (bytes))
+    return false;
+  jc_head_take (head, bytes);
+  http_parser_init (&parser, HTTP_REQUEST);
+  parser.data = &build;
+  http_parser_execute (&parser, &settings, head->bytes, bytes.len);
+  return HTTP_PARSER_ERRNO (&parser) == HPE_PAUSED && !build.overflow;
+}
+
+/* Return how many lines of TEXT, a head as it came, begin with NAME and a
+   colon.  */
+static unsigned int
+lines_of (struct jc_str text, const char *name)
+{
+  unsigned int count = 0;
+  struct jc_str line;
+
+  while (jc_str_cut (&text, '\n', &line))
+    if (line.len > strlen (name) && line.data[strlen (name)] == ':'
+        && g_ascii_strncasecmp (line.data, name, strlen (name)) == 0)
+      count++;
+  return count;
+}
+
+static void
+check_fields (const struct jc_head *head)
+{
+  g_assert_cmpuint (head->count, <=, JC_HEAD_FIELDS_MAX);
+  for (unsigned int i = 0; i < head->count; i++)
+    {
+      g_assert_cmpuint (strlen (head->fields[i].name), >, 0);
+      g_assert_null (strpbrk (head->fields[i].name, " \t\r\n:"));
+      g_assert_null (strpbrk (head->fields[i].value, "\r\n"));
+    }
+  if (jc_head_target_is_plain (head->target))
+    for (const char *c = head->target; *c != '\0'; c++)
+      g_assert_true ((unsigned char)*c > ' ' && *c != 0x7f);
+}
+
+static void
+check_prompt (const struct jc_head *head)
+{
+  struct jc_ask ask;
+
+  if (platform_ask (head, &ask) != JC_OK)
+    return;
+  g_assert_cmpuint (ask.parts_count, <=, JC_PROMPT_PARTS_MAX);
+  g_assert_cmpint (ask.wait_ms, >=, 0);
+  g_assert_cmpint (ask.resume_after, >=, -1);
+}
+
+/* A head that may be used says once how long its body is, as counted in the
+   bytes themselves, and a copy of it says the same.  */
+static void
+fuzz_head (struct jc_str bytes, GRand *rand)
+{
+  struct jc_head head;
+  struct jc_head copy;
+
+  (void)rand;
+  if (read_head (bytes, &head))
+    {
+      check_fields (&head);
+      check_prompt (&head);
+      bytes.len = head.len;
+      if (jc_head_is_framed_once (&head))
+        g_assert_cmpuint (lines_of (bytes, "Content-Length")
+                              + lines_of (bytes, "Transfer-Encoding"),
+                          <=, 1);
+      jc_head_copy (&copy, &head);
+      g_assert_cmpuint (copy.count, ==, head.count);
+      for (unsigned int i = 0; i < head.count; i++)
+        g_assert_cmpstr (copy.fields[i].value, ==, head.fields[i].value);
+      jc_head_clear (&copy);
+    }
+  jc_head_clear (&head);
+}
+
+static const char *const chunk_seeds[]
+    = { "5\r\nhello\r\n0\r\n\r\n", "a;x=y\r\n0123456789\r\n0\r\nT: v\r\n\r\n",
+        "1\r\na\r\n2 \r\nbc\r\n000\r\n\r\n", NULL };
+static const char *const chunk_words[]
+    = { "\r\n", "\n", "\r", "0\r\n\r\n", ";",        "f", "fffffffffffffff",
+        "-1",   " ",  "0x", "\r\n\r\n",  "T: v\r\n", "0", NULL };
+
+static bool
+feed_chunks (void *ctx, struct jc_str piece)
+{
+  return jc_chunks_feed (ctx, piece);
+}
+
+/* Return the length of the chunked body at the start of TEXT, read in the
+   plainest way, or -1 where it is not whole or not strict.  */
+static ssize_t
+chunked_length (const char *text, size_t len)
+{
+  const char *end = text + len;
+  const char *at = text;
+
+  for (;;)
+    {
+      size_t digits = 0;
+      guint64 size = 0;
+      const char *line = at;
+
+      while (at < end && g_ascii_isxdigit (*at))
+        {
+          size = size * 16 + (guint64)g_ascii_xdigit_value (*at++);
+          digits++;
+        }
+      at = memmem (at, (size_t)(end - at), "\r\n", 2);
+      if (at == NULL || digits == 0 || digits > 15
+          || memchr (line, '\n', (size_t)(at - line)) != NULL)
+        return -1;
+      at += 2;
+      if (size == 0)
+        break;
+      if ((guint64)(end - at) < size + 2 || memcmp (at + size, "\r\n", 2) != 0)
+        return -1;
+      at += size + 2;
+    }
+  while (end - at >= 2 && memcmp (at, "\r\n", 2) != 0)
+    {
+      const char *next = memmem (at, (size_t)(end - at), "\r\n", 2);
+
+      if (next == NULL)
+        return -1;
+      at = next + 2;
+    }
+  return end - at >= 2 ? at + 2 - text : -1;
+}
+
+/* However the bytes are cut the verdict is the same, and what is taken as
+   whole the plainest reader takes as whole too.  */
+static void
+fuzz_chunks (struct jc_str bytes, GRand *rand)
+{
+  struct jc_chunks whole;
+  struct jc_chunks pieces;
+  bool strict;
+
+  jc_chunks_init (&whole);
+  jc_chunks_init (&pieces);
+  strict = jc_chunks_feed (&whole, bytes);
+  fuzz_in_pieces (bytes, rand, feed_chunks, &pieces);
+  if (!strict)
+    return;
+  g_assert_cmpint (whole.state, ==, pieces.state);
+  g_assert_cmpuint (whole.left, ==, pieces.left);
+  if (whole.state == JC_CHUNKS_END)
+    g_assert_cmpint (chunked_length (bytes.data, bytes.len), ==,
+                     (ssize_t)bytes.len);
+}
+
+static const char *const event_seeds[]
+    = { "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+        "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+        "id: 7\rdata: x\r\r: comment\n\ndata: [DONE]\n\n", NULL };
+static const char *const event_words[]
+    = { "\n", "\r", "\r\n", "\n\n", "\r\n\r\n", "id: ", "data: ", ":", NULL };
+
+/* The events that were cut from a stream, one after the other.  */
+struct cut
+{
+  struct jc_sse sse;
+  GString *events;
+  unsigned int count;
+};
+
+static bool
+on_event (void *ctx, struct jc_str event)
+{
+  struct cut *cut = ctx;
+  int64_t id = -1;
+
+  g_assert_cmpuint (event.len, >=, 2);
+  if (platform_event_id (event, &id))
+    g_assert_cmpint (id, >=, 0);
+  g_string_append_len (cut->events, event.data, (gssize)event.len);
+  g_string_append_c (cut->events, '|');
+  cut->count++;
+  return true;
+}
+
+static bool
+feed_events (void *ctx, struct jc_str piece)
+{
+  struct cut *cut = ctx;
+
+  return jc_sse_feed (&cut->sse, piece, on_event, cut) == JC_OK;
+}
+
+static void
+cut_init (struct cut *cut)
+{
+  jc_sse_init (&cut->sse);
+  cut->events = g_string_new (NULL);
+  cut->count = 0;
+}
+
+static void
+cut_clear (struct cut *cut)
+{
+  jc_sse_free (&cut->sse);
+  g_string_free (cut->events, TRUE);
+}
+
+/* However the bytes are cut the events are the same, and no byte is lost.  */
+static void
+fuzz_events (struct jc_str bytes, GRand *rand)
+{
+  struct cut whole;
+  struct cut pieces;
+
+  cut_init (&whole);
+  cut_init (&pieces);
+  feed_events (&whole, bytes);
+  fuzz_in_pieces (bytes, rand, feed_events, &pieces);
+  g_assert_cmpmem (whole.events->str, whole.events->len, pieces.events->str,
+                   pieces.events->len);
+  g_assert_cmpuint (whole.events->len - whole.count + whole.sse.partial->len,
+                    ==, bytes.len);
+  cut_clear (&whole);
+  cut_clear (&pieces);
+}
+
+static const char *const order_seeds[]
+    = { "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"a.example\","
+        "\"path-prefix\":\"/x/\",\"route-kind\":\"safe\",\"timeout-ms\":100,"
+        "\"service\":\"s\",\"max-attempts\":2,\"home-regions\":[\"n\"]}],"
+        "\"services\":[{\"name\":\"s\",\"health-path\":\"/h\","
+        "\"max-conns\":9,\"warmup-s\":3.0,\"warmup-per-s\":2.1,"
+        "\"engine\":{\"slots\":64,\"kv-capacity\":1000}}],"
+        "\"limits\":{\"max-header-bytes\":100,\"max-body-bytes\":200,"
+        "\"header-timeout-ms\":300,\"idle-timeout-ms\":400}}",
+        "{\"version\":8,\"routes\":[{\"name\":\"q\",\"host\":\"b.example\","
+        "\"path-prefix\":\"/\",\"route-kind\":\"stream\",\"timeout-ms\":9,"
+        "\"resumable\":true,\"gap-slo-ms\":80,\"slo-ms\":5,\"priority\":1,"
+        "\"split\":[{\"service\":\"s\",\"weight\":90}]}],"
+        "\"services\":[{\"name\":\"s\",\"health-path\":\"/h\","
+        "\"max-conns\":9}],\"limits\":{\"max-header-bytes\":100,"
+        "\"max-body-bytes\":200,\"header-timeout-ms\":300,"
+        "\"idle-timeout-ms\":400}}",
+        NULL };
+static const char *const json_words[] = { "{",
+                                          "}",
+                                          "[",
+                                          "]",
+                                          "\"",
+                                          ",",
+                                          ":",
+                                          "null",
+                                          "-1",
+                                          "1e99",
+                                          "0",
+                                          "0.5",
+                                          "\"\"",
+                                          "true",
+                                          "\\u0000",
+                                          "9223372036854775808",
+                                          "\"service\":\"s\"",
+                                          "[]",
+                                          "{}",
+                                          NULL };
+
+static void
+check_route (const struct jc_hostroute *route)
+{
+  g_assert_nonnull (route->host);
+  g_assert_nonnull (route->prefix);
+  g_assert_cmpint (route->timeout_ms, >, 0);
+}
+
+/* An order without a fault has a table whose values are in their bounds.  */
+static void
+fuzz_orders (struct jc_str bytes, GRand *rand)
+{
+  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+  struct jc_routetable *table = platform_routes (bytes, faults);
+
+  (void)rand;
+  if (faults->len == 0)
+    {
+      g_assert_nonnull (table);
+      for (guint i = 0; i < table->routes->len; i++)
+        check_route (g_ptr_array_index (table->routes, i));
+      g_assert_cmpint (table->limits.head_ms, >=, 0);
+      g_assert_cmpint (table->limits.idle_ms, >=, 0);
+    }
+  if (table != NULL)
+    jc_routetable_free (table);
+  g_ptr_array_free (faults, TRUE);
+}
+
+static const char *const report_seeds[]
+    = { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"slots\":6,\"state\":\"ready\",\"sequence\":4,"
+        "\"born\":1700000000000,\"warmup-left-ms\":900}",
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"slots\":6,\"state\":\"draining\",\"sequence\":5}",
+        NULL };
+
+/* A report that is taken names a service, an address and a zone.  */
+static void
+fuzz_reports (struct jc_str bytes, GRand *rand)
+{
+  struct jc_report report;
+
+  (void)rand;
+  if (platform_report ("i-1", bytes, &report) != JC_OK)
+    return;
+  g_assert_cmpuint (strlen (report.said.service), >, 0);
+  g_assert_cmpuint (strlen (report.said.zone), >, 0);
+  g_assert_cmpuint (strlen (report.said.address), >, 0);
+  json_decref (report.json);
+}
+
+static const struct fuzz_target targets[]
+    = { { "/fuzz/heads", fuzz_head, head_seeds, head_words },
+        { "/fuzz/chunks", fuzz_chunks, chunk_seeds, chunk_words },
+        { "/fuzz/events", fuzz_events, event_seeds, event_words },
+        { "/fuzz/orders", fuzz_orders, order_seeds, json_words },
+        { "/fuzz/reports", fuzz_reports, report_seeds, json_words } };
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (targets); i++)
+    fuzz_add (&targets[i]);
+  return g_test_run ();
+}
--- a/tests/test-http-raw.c
+++ b/tests/test-http-raw.c
@@ -147,6 +147,13 @@
         "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
         "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"),
+  CASE ("coding-after-empty-value",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nX:\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"),
+  CASE ("second-length-after-empty-value",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nX:\r\n"
+        "Content-Length: 4\r\n\r\nabcd"),
   CASE ("unknown-coding",
         "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n"
         "\r\n0\r\n\r\n"),
@@ -157,6 +164,8 @@
   CASE ("signed-length",
         "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: +4\r\n\r\nabcd"),
   CASE ("nul-in-path", "GET /a\0b HTTP/1.1\r\nHost: h\r\n\r\n"),
+  CASE ("tab-in-path", "GET /a\tb HTTP/1.1\r\nHost: h\r\n\r\n"),
+  CASE ("form-feed-in-path", "GET /a\fb HTTP/1.1\r\nHost: h\r\n\r\n"),
   CASE ("nul-in-value", "GET /a HTTP/1.1\r\nHost: h\r\nX: a\0b\r\n\r\n"),
   CASE ("blank-before-colon",
         "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length : 4\r\n\r\nabcd"),
@@ -216,6 +225,17 @@
                    "[POST /a?x=%41 abc][POST /b def][GET /c gh]");
 }
 
+/* A header without a value leaves the one after it whole.  */
+static void
+test_empty_value (struct fixture *f, gconstpointer unused)
+{
+  (void)unused;
+  PUT (f, "POST /a HTTP/1.1\r\nX-One:\r\nHost: h\r\nX-Two: \r\n"
+          "Content-Length: 3\r\nX-Three:\r\nConnection: close\r\n\r\nabc");
+  run_until_closed (f);
+  g_assert_cmpstr (f->bodies->str, ==, "[POST /a abc]");
+}
+
 static void
 test_byte_by_byte (struct fixture *f, gconstpointer unused)
 {
@@ -531,6 +551,7 @@
   g_test_add (path, struct fixture, NULL, setup, fn, teardown)
   CASE ("/pipelined", test_pipelined);
   CASE ("/byte-by-byte", test_byte_by_byte);
+  CASE ("/empty-value", test_empty_value);
   CASE ("/slow-head", test_slow_head);
   CASE ("/large-head", test_large_head);
   CASE ("/idle", test_idle);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -184,6 +184,31 @@
   g_assert_cmpint (platform_ask (&head, &ask), ==, JC_BAD_REQUEST);
 }
 
+/* Parts of a prompt count up to the first one that can't be read.  */
+static void
+test_garbled_parts (void)
+{
+  static const struct
+  {
+    const char *text;
+    unsigned int parts;
+  } rows[] = { { "", 0 },         { ",", 0 },        { "a:1,", 1 },
+               { "a:1, ", 1 },    { "a:1,,b:2", 1 }, { ":1", 0 },
+               { "a", 0 },        { "a:", 0 },       { "a:-5", 0 },
+               { "a:1,b:2x", 1 }, { "a:1,b:2 ", 2 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      const struct jc_head_field fields[]
+          = { { "X-Jaycove-Prompt-Prefix", rows[i].text } };
+      struct jc_head head = head_of (fields, G_N_ELEMENTS (fields));
+      struct jc_ask ask;
+
+      g_assert_cmpint (platform_ask (&head, &ask), ==, JC_OK);
+      g_assert_cmpuint (ask.parts_count, ==, rows[i].parts);
+    }
+}
+
 /* What only the gateway may say never comes from a caller.  */
 static void
 test_headers_of_callers (void)
@@ -250,6 +275,7 @@
   g_test_add_func ("/platform/reports", test_reports);
   g_test_add_func ("/platform/garbled-reports", test_garbled_reports);
   g_test_add_func ("/platform/ask", test_ask);
+  g_test_add_func ("/platform/garbled-parts", test_garbled_parts);
   g_test_add_func ("/platform/headers-of-callers", test_headers_of_callers);
   g_test_add_func ("/platform/signs", test_signs);
   g_test_add_func ("/platform/events", test_events);
