Find the hand-over's port beside the operators'; tell beliefs in the metrics

Cause: the platform's template named 7385 as the port for hand-overs, while only the first and the last port of the range are told: a range elsewhere would have failed each hand-over. And the metrics held requests only; dropped log lines were counted for nobody, and with no operators' token set nobody could read metrics at all. Change: without a setting the hand-over listens at the port after the operators'; /metrics tells the configuration in force and its age, endpoints, entry instances, waiting requests, retries left and dropped lines, and is open where no token is set. Tests: hosts-path reads the metrics (401 before) and runs with the port found.

--- a/base/event.c
+++ b/base/event.c
@@ -1,5 +1,6 @@
 /* Structured log.  */
 
+#include <inttypes.h>
 #include <errno.h>
 #include <poll.h>
 #include <stdarg.h>
@@ -91,6 +92,17 @@
   return budgets[event].dropped;
 }
 
+/* Append to OUT, as text of metrics, how many lines of each kind were
+   dropped.  */
+void
+jc_event_print_dropped (GString *out)
+{
+  for (int i = 0; i < JC_EVENT_KINDS; i++)
+    g_string_append_printf (
+        out, "jaycove_log_dropped_total{event=\"%s\"} %" PRIu64 "\n",
+        kinds[i].name, budgets[i].dropped);
+}
+
 static bool
 spend (enum jc_event event, int64_t second)
 {
--- a/base/event.h
+++ b/base/event.h
@@ -4,6 +4,7 @@
 #ifndef JC_EVENT_H
 #define JC_EVENT_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -41,5 +42,6 @@
 void jc_event_setup (bool enabled);
 bool jc_event_flush (bool all);
 uint64_t jc_event_dropped (enum jc_event event);
+void jc_event_print_dropped (GString *out);
 
 #endif
--- a/entry/choice.c
+++ b/entry/choice.c
@@ -12,8 +12,7 @@
      urgent ones go all the same.  */
   CROWDED_REFUSED = 2,
   ROOMS_MAX = 64,
-  PERMILLE = 1000,
-  NEIGHBOUR_FRESH_MS = 3000
+  PERMILLE = 1000
 };
 
 /* Requests by which regions are compared: a prompt that must be read in full
@@ -32,7 +31,7 @@
 static bool
 is_fresh (const struct neighbour *neighbour, int64_t now_ms)
 {
-  return now_ms - neighbour->heard_ms < NEIGHBOUR_FRESH_MS;
+  return now_ms - neighbour->heard_ms < HOSTS_FRESH_MS;
 }
 
 /* Return until when ENDPOINT is cold: it says so, or its zone was taken
--- a/entry/following.c
+++ b/entry/following.c
@@ -89,7 +89,7 @@
   said->region = entry->settings->region;
   said->zone = entry->settings->availability_zone;
   said->callers_address = entry->settings->callers;
-  said->handover_address = entry->settings->handover;
+  said->handover_address = hosts->handover_address;
   said->draining = entry->draining;
   said->ready = hosts->routes != NULL;
   said->rooms.rooms_val = rooms;
--- /dev/null
+++ b/entry/gauges.c
@@ -0,0 +1,59 @@
+/* Gauges: what an entry instance with routing by hosts believes, and how old
+   that is, for its metrics.  */
+
+#include "entry/hosts.h"
+#include "net/program.h"
+
+static unsigned int
+fresh_neighbours (const struct hosts *hosts, int64_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  unsigned int count = 0;
+
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now - ((const struct neighbour *)value)->heard_ms < HOSTS_FRESH_MS)
+      count++;
+  return count;
+}
+
+/* Set the retries that each service of the configuration may spend now.  */
+static void
+set_retries (struct hosts *hosts, int64_t now)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  if (hosts->routes == NULL)
+    return;
+  g_hash_table_iter_init (&iter, hosts->routes->services);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      char *labels = g_strdup_printf ("service=\"%s\"", (const char *)name);
+
+      jc_metrics_gauge (hosts->entry->metrics, "jaycove_retries_left", labels,
+                        jc_budgets_retries_left (hosts->budgets, name, now));
+      g_free (labels);
+    }
+}
+
+/* Set the gauges of HOSTS to what holds now.  */
+void
+gauges_set (struct hosts *hosts)
+{
+  struct jc_metrics *metrics = hosts->entry->metrics;
+  int64_t now = jc_now_ms ();
+
+  jc_metrics_gauge (metrics, "jaycove_config_version", "",
+                    hosts->routes == NULL ? 0 : (double)hosts->routes->version);
+  jc_metrics_gauge (metrics, "jaycove_config_heard_ms_ago", "",
+                    (double)(now - hosts->heard_ms));
+  jc_metrics_gauge (metrics, "jaycove_endpoints", "",
+                    jc_members_count (hosts->endpoints));
+  jc_metrics_gauge (metrics, "jaycove_entry_instances", "",
+                    fresh_neighbours (hosts, now));
+  jc_metrics_gauge (metrics, "jaycove_waiting", "",
+                    g_queue_get_length (&hosts->waiting));
+  set_retries (hosts, now);
+}
--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "entry/hosts.h"
 #include "member/presence.h"
+#include "net/address.h"
 #include "net/loopevents.h"
 #include "net/program.h"
 #include "platform/platform.h"
@@ -190,6 +191,19 @@
                    ((const struct jc_entry_settings *)settings)->state_seeds);
 }
 
+/* Return the address at which other entry instances hand requests over; the
+   caller frees it.  Where none is set it is the port after the operators'.  */
+static char *
+handover_address (const struct jc_entry_settings *settings)
+{
+  struct sockaddr_in addr;
+
+  if (settings->handover[0] != '\0'
+      || jc_address_parse (settings->operators, &addr) != JC_OK)
+    return g_strdup (settings->handover);
+  return jc_address_with_port (settings->operators, ntohs (addr.sin_port) + 1);
+}
+
 static enum jc_status
 open_listeners (struct entry *entry)
 {
@@ -207,7 +221,8 @@
 
   entry->callers = jc_httpd_new (entry->loop, settings->callers, &callers,
                                  entry, (size_t)settings->max_body_bytes);
-  hosts->handover = jc_httpd_new (entry->loop, settings->handover, &guests,
+  hosts->handover_address = handover_address (settings);
+  hosts->handover = jc_httpd_new (entry->loop, hosts->handover_address, &guests,
                                   entry, (size_t)settings->max_body_bytes);
   hosts->ready = jc_httpd_new (entry->loop, settings->ready, &ready, entry,
                                SMALL_BODY_MAX);
@@ -276,6 +291,7 @@
   ev_timer_stop (entry->loop, &hosts->tick);
   ev_timer_stop (entry->loop, &hosts->loads_tick);
   jc_httpd_free (hosts->handover);
+  g_free (hosts->handover_address);
   jc_httpd_free (hosts->ready);
   waiting_stop (hosts);
   jc_engines_free (hosts->engines);
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -10,6 +10,13 @@
 #include "serve/dialect.h"
 #include "serve/engine.h"
 
+enum
+{
+  /* Another entry instance that was heard of this long ago counts as there:
+     a few times the interval at which they are told of.  */
+  HOSTS_FRESH_MS = 3000
+};
+
 struct passage;
 
 /* What this instance knows and owns for routing by hosts.  ROUTES is made
@@ -29,6 +36,7 @@
   GHashTable *neighbours;
   GHashTable *state_names;
   GHashTable *fellows;
+  char *handover_address;
   struct jc_httpd *handover;
   struct jc_httpd *ready;
   ev_timer tick;
@@ -77,6 +85,9 @@
 void loads_packet (struct hosts *hosts, struct jc_rpc_conn *conn,
                    const struct rpc_packet *packet);
 
+/* gauges: what this instance believes, for its metrics.  */
+void gauges_set (struct hosts *hosts);
+
 /* choice: which endpoint, or which other instance, gets a request.  */
 struct choice
 {
--- a/entry/operators.c
+++ b/entry/operators.c
@@ -3,7 +3,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/event.h"
 #include "entry/entry.h"
+#include "entry/hosts.h"
+
+#define METRICS_PATH "/metrics"
 
 enum
 {
@@ -12,12 +16,16 @@
   BODY_MAX = 16 * 1024 * 1024
 };
 
+/* Metrics are for any reader where no token is set.  */
 static enum jc_status
 operators_head (void *ctx, struct jc_http_req *req)
 {
   struct entry *entry = ctx;
   const char *token = http_bearer (req);
 
+  if (entry->settings->operator_token[0] == '\0'
+      && strcmp (jc_http_path (req), METRICS_PATH) == 0)
+    return JC_OK;
   if (token == NULL || strcmp (token, entry->settings->operator_token) != 0)
     return jc_fail (JC_UNAUTHORIZED, "The operator's token is wrong.");
   return JC_OK;
@@ -180,7 +188,10 @@
 {
   GString *out = g_string_new (NULL);
 
+  if (entry->hosts != NULL)
+    gauges_set (entry->hosts);
   jc_metrics_print (entry->metrics, out);
+  jc_event_print_dropped (out);
   jc_http_reply (req, 200, "text/plain; version=0.0.4", jc_str_of (out), NULL);
   g_string_free (out, TRUE);
 }
@@ -203,10 +214,10 @@
 };
 
 static const struct operator_verb verbs[] = {
-  { "POST", "/config", handle_submit },  { "POST", "/drain", drain_handle },
-  { "GET", "/config", handle_config },   { "POST", "/admin", handle_admin },
-  { "GET", "/explain", explain_handle }, { "GET", "/status", handle_status },
-  { "GET", "/metrics", handle_metrics }
+  { "POST", "/config", handle_submit },   { "POST", "/drain", drain_handle },
+  { "GET", "/config", handle_config },    { "POST", "/admin", handle_admin },
+  { "GET", "/explain", explain_handle },  { "GET", "/status", handle_status },
+  { "GET", METRICS_PATH, handle_metrics }
 };
 
 static void
--- a/schema/gen/objects.h
+++ b/schema/gen/objects.h
@@ -70,7 +70,7 @@
   GPtrArray *zones;
   /* Listener that says whether this instance is ready; needed for routing by hosts.  */
   char *ready;
-  /* Listener for requests that other entry instances hand over; needed for routing by hosts.  */
+  /* Listener for requests that other entry instances hand over, with routing by hosts; by default the port after that of `operators`.  */
   char *handover;
   /* Time from the stop signal until the process is killed, ms.  */
   int64_t grace_ms;
--- a/scripts/hosts.sh
+++ b/scripts/hosts.sh
@@ -24,19 +24,24 @@
     ip=127.0.9.1$i
     callers=$(port)
     ready=$(port)
+    # The port after that of the operators is for what is handed over.
+    operators=$(port)
+    handover=$(port)
+    while [ "$handover" -ne $((operators + 1)) ]; do operators=$handover; handover=$(port); done
     cat >"$DIR/e$i.json" <<X
 { "routing": "hosts", "group": "g", "name": "e$i", "region": "r1", "availability_zone": "z1",
   "zones": [{"name": "z1", "region": "r1"}, {"name": "z2", "region": "r1"}],
-  "callers": "$ip:$callers", "ready": "$ip:$ready", "operators": "$ip:$(port)", "rpc": "$ip:$rpc",
-  "handover": "$ip:$(port)", "group_key": "$GROUP_KEY", "operator_token": "", "state_peers": [],
+  "callers": "$ip:$callers", "ready": "$ip:$ready", "operators": "$ip:$operators", "rpc": "$ip:$rpc",
+  "group_key": "$GROUP_KEY", "operator_token": "", "state_peers": [],
   "state_seeds": [$seeds], "grace_ms": 60000, "report_ms": 200, "retry_window_ms": 1000 }
 X
     start "e$i" "$BUILD/jaycove-entry" --settings "$DIR/e$i.json"
-    eval "callers$i=$ip:$callers ready$i=$ip:$ready"
+    eval "callers$i=$ip:$callers ready$i=$ip:$ready operators$i=$ip:$operators"
   done
   cat >"$DIR/addresses.json" <<X
 { "control": ["127.0.9.1:$control", "127.0.9.2:$control", "127.0.9.3:$control"],
   "directory": ["127.0.9.1:$directory", "127.0.9.2:$directory", "127.0.9.3:$directory"],
-  "entries": ["$callers1", "$callers2"], "ready": ["$ready1", "$ready2"] }
+  "entries": ["$callers1", "$callers2"], "ready": ["$ready1", "$ready2"],
+  "operators": ["$operators1", "$operators2"] }
 X
 }
--- a/serve/budget.c
+++ b/serve/budget.c
@@ -119,6 +119,14 @@
                         keeps (budgets, now_ms));
 }
 
+/* Return how many retries of SERVICE this instance may spend now.  */
+double
+jc_budgets_retries_left (struct jc_budgets *budgets, const char *service,
+                         int64_t now_ms)
+{
+  return MIN (service_of (budgets, service)->retries, keeps (budgets, now_ms));
+}
+
 /* Take one retry from the budget of SERVICE.  Return whether there was
    one.  */
 bool
--- a/serve/budget.h
+++ b/serve/budget.h
@@ -29,6 +29,8 @@
                                int64_t now_ms);
 void jc_budgets_request (struct jc_budgets *budgets, const char *service,
                          int64_t now_ms);
+double jc_budgets_retries_left (struct jc_budgets *budgets, const char *service,
+                                int64_t now_ms);
 bool jc_budgets_retry (struct jc_budgets *budgets, const char *service,
                        int64_t now_ms);
 bool jc_budgets_cold (struct jc_budgets *budgets, const char *endpoint,
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -8,12 +8,19 @@
 import sys
 import time
 
-DIR = sys.argv[2]
-ADDRESSES = json.load(open(os.path.join(DIR, "addresses.json")))
+DIR = ""
+ADDRESSES = {}
 HEARTBEAT_S = 0.2
 WAIT_S = 60
 
 
+def use(directory):
+    """Speaks with the processes whose addresses and ids DIRECTORY holds."""
+    global DIR
+    DIR = directory
+    ADDRESSES.update(json.load(open(os.path.join(DIR, "addresses.json"))))
+
+
 class Reply:
     def __init__(self, status, headers, body, whole):
         self.status, self.headers, self.body, self.whole = status, headers, body, whole
@@ -247,6 +254,15 @@
     assert (await request(entry, "GET", "/read/x")).status == 500
     assert (await request(entry, "GET", "/read/x")).status == 200
 
+    # The metrics tell what the instance believes.
+    reply = await ask(ADDRESSES["operators"][0], "GET", "/metrics")
+    assert reply.status == 200, reply.body
+    metrics = dict(line.rsplit(" ", 1) for line in reply.body.decode().splitlines() if not line.startswith("#"))
+    assert metrics["jaycove_config_version{}"] == "3" and metrics["jaycove_endpoints{}"] == "4", metrics
+    assert metrics["jaycove_entry_instances{}"] == "1" and metrics["jaycove_waiting{}"] == "0", metrics
+    assert float(metrics['jaycove_retries_left{service="plain"}']) >= 0, metrics
+    assert metrics['jaycove_log_dropped_total{event="failed"}'] == "0", metrics
+
     # A report that names no address that can be reached is refused.
     for address in ("nowhere", "10.0.0.1", "10.0.0.1:x", "10.0.0.1:0", "10.0.0.1:70000"):
         body = json.dumps({"service": "plain", "address": address, "zone": "z1", "slots": 8, "state": "ready",
@@ -385,5 +401,7 @@
     await until("the instance to leave the directory", listed)
 
 
-asyncio.run({"path": path, "changes": changes, "disk": disk, "drain": drain,
-             "catch_up": catch_up}[sys.argv[1]]())
+if __name__ == "__main__":
+    use(sys.argv[2])
+    asyncio.run({"path": path, "changes": changes, "disk": disk, "drain": drain,
+                 "catch_up": catch_up}[sys.argv[1]]())
