Soak real processes under faults that overlap

Purpose: promises as callers and endpoints see them while processes are killed, paused, stopped, reloaded and filled up and endpoints misbehave, all at once.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 TESTLIB = $(B)/libjctest.a
 .SECONDARY:
 
-.PHONY: all daemons check demo lint format format-check generate generate-check install clean matrix bench
+.PHONY: all daemons check demo lint format format-check generate generate-check install clean matrix bench soak
 all: $(BINS) $(STANDINS)
 
 daemons: $(B)/jaycove-entry $(B)/jaycove-state
@@ -89,6 +89,11 @@
 bench: all
 	@BUILD=$(B) sh load/bench.sh
 
+SEEDS ?= 50
+FIRST ?= 1
+soak: all
+	@BUILD=$(B) sh tests/soak/run.sh $(FIRST) $(SEEDS) 10
+
 OWN_SRC = $(wildcard base/*.[ch] net/*.[ch] serve/*.[ch] conf/*.[ch] ledger/*.[ch] member/*.[ch] entry/*.[ch] state/*.[ch] ctl/*.[ch] load/*.[ch] tests/*.[ch] platform/*.[ch] examples/*.c)
 
 format:
