--- a/state/group.c
+++ b/state/group.c
@@ -1,12 +1,12 @@
 /* Group of state instances.  Each is named by its IP number and finds others
    by the seeds of its settings and by what those tell.  The leader makes
-   replicas of those that turn up, and has a newcomer take the place of a
-   replica that is silent for long.  */
+   replicas of those that turn up, as conf/grouping decides.  */
 
 #include <string.h>
 
 #include "base/event.h"
 #include "base/log.h"
+#include "conf/grouping.h"
 #include "conf/replicas.h"
 #include "net/address.h"
 #include "net/program.h"
@@ -17,11 +17,6 @@
 enum
 {
   TICK_MS = 250,
-  /* A replica silent for so long makes way for one that has caught up; over
-     an election, and under the time in which a newcomer counts as well.  */
-  REPLACE_MS = 2500,
-  /* A replica without a vote that is silent for so long is forgotten.  */
-  FORGET_MS = 30000,
   NAMES_MAX = 64,
   MS_PER_S = 1000
 };
@@ -74,16 +69,6 @@
   return own;
 }
 
-static unsigned int
-standing (const struct rpc_replicas *replicas)
-{
-  unsigned int count = 0;
-
-  for (u_int i = 0; i < replicas->list.list_len; i++)
-    count += replicas->list.list_val[i].standing ? 1 : 0;
-  return count;
-}
-
 static void
 on_changed (void *ctx, enum jc_status status)
 {
@@ -94,103 +79,56 @@
     jc_event (JC_EVENT_REPLICAS, "outcome=%s", jc_status_name (status));
 }
 
-static void
-put (struct state *state, const char *name, bool stands, const char *why)
-{
-  char *copy = g_strdup (name);
-
-  jc_event (JC_EVENT_REPLICAS, "put=%s standing=%d why=%s", copy, stands, why);
-  state->group->changing = true;
-  log_put_replica (state, copy, stands, on_changed, state);
-  g_free (copy);
-}
-
-static void
-drop (struct state *state, const char *name, int64_t silent_ms)
-{
-  char *copy = g_strdup (name);
-
-  jc_event (JC_EVENT_REPLICAS, "drop=%s silent_ms=%" G_GINT64_FORMAT, copy,
-            silent_ms);
-  state->group->changing = true;
-  log_remove_replica (state, copy, on_changed, state);
-  g_free (copy);
-}
-
-/* Voters that the group aims at: with one more than half of them, as many
-   disks as the settings name may be lost.  */
-static unsigned int
-wanted (const struct state *state)
-{
-  return 2 * (unsigned int)state->settings->losses + 1;
-}
-
-/* Have a caught-up replica without a vote stand, or make room for it where a
-   standing one is silent.  Return whether anything was changed.  */
-static bool
-promote (struct state *state, const struct rpc_replicas *replicas)
+/* Fill PEERS, which has place for twice NAMES_MAX, with the log's replicas and
+   the instances that are connected and are none.  Return how many.  */
+static guint
+list_peers (const struct state *state, struct jc_grouping_peer *peers)
 {
-  const struct rpc_replica *fresh = NULL;
-  const struct rpc_replica *silent = NULL;
-  int64_t longest = REPLACE_MS;
+  const struct rpc_replicas *replicas = log_replicas (state);
+  GHashTableIter iter;
+  gpointer name;
+  guint count = 0;
 
-  for (u_int i = 0; i < replicas->list.list_len; i++)
+  for (u_int i = 0; i < replicas->list.list_len && count < NAMES_MAX; i++)
     {
       const struct rpc_replica *replica = &replicas->list.list_val[i];
-      int64_t silent_ms = log_silent_ms (state, replica->name);
-
-      if (!replica->standing && silent_ms < MS_PER_S
-          && log_caught_up (state, replica->name))
-        fresh = replica;
-      if (replica->standing && silent_ms > longest)
-        {
-          silent = replica;
-          longest = silent_ms;
-        }
-    }
-  if (fresh == NULL)
-    return false;
-  if (standing (replicas) < wanted (state))
-    put (state, fresh->name, true, "place");
-  else if (silent != NULL)
-    drop (state, silent->name, longest);
-  else
-    return false;
-  return true;
-}
-
-/* Make a replica of an instance that is connected and is none yet.  */
-static bool
-admit (struct state *state, const struct rpc_replicas *replicas)
-{
-  GHashTableIter iter;
-  gpointer name;
 
+      peers[count++] = (struct jc_grouping_peer){
+        .name = replica->name,
+        .replica = true,
+        .standing = replica->standing,
+        .caught_up = log_caught_up (state, replica->name),
+        .silent_ms = log_silent_ms (state, replica->name)
+      };
+    }
   g_hash_table_iter_init (&iter, state->group->known);
   while (g_hash_table_iter_next (&iter, &name, NULL))
-    {
-      if (jc_replicas_find (replicas, name) != NULL
-          || jc_rpc_find (state->rpc, name) == NULL)
-        continue;
-      put (state, name, standing (replicas) < wanted (state), "newcomer");
-      return true;
-    }
-  return false;
+    if (jc_replicas_find (replicas, name) == NULL
+        && jc_rpc_find (state->rpc, name) != NULL)
+      peers[count++] = (struct jc_grouping_peer){ .name = name };
+  return count;
 }
 
+/* Make the change STEP of the log's replicas.  */
 static void
-forget (struct state *state, const struct rpc_replicas *replicas)
+take_step (struct state *state, const struct jc_grouping_step *step)
 {
-  for (u_int i = 0; i < replicas->list.list_len; i++)
-    {
-      const struct rpc_replica *replica = &replicas->list.list_val[i];
-      int64_t silent_ms = log_silent_ms (state, replica->name);
+  char *name = g_strdup (step->name);
 
-      if (replica->standing || silent_ms < FORGET_MS)
-        continue;
-      drop (state, replica->name, silent_ms);
-      return;
+  state->group->changing = true;
+  if (step->kind == JC_GROUPING_PUT)
+    {
+      jc_event (JC_EVENT_REPLICAS, "put=%s standing=%d why=%s", name,
+                step->stands, step->why);
+      log_put_replica (state, name, step->stands, on_changed, state);
     }
+  else
+    {
+      jc_event (JC_EVENT_REPLICAS, "drop=%s why=%s silent_ms=%" G_GINT64_FORMAT,
+                name, step->why, step->silent_ms);
+      log_remove_replica (state, name, on_changed, state);
+    }
+  g_free (name);
 }
 
 /* Fill NAMES with those of the state instances known here, this one first.
@@ -260,17 +198,18 @@
 on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct state *state = watcher->data;
-  const struct rpc_replicas *replicas;
+  struct jc_grouping_peer peers[2 * NAMES_MAX];
+  struct jc_grouping_step step;
 
   (void)loop;
   (void)events;
   tell_changes (state);
   if (state->group->changing || !log_leads (state))
     return;
-  replicas = log_replicas (state);
-  if (admit (state, replicas) || promote (state, replicas))
-    return;
-  forget (state, replicas);
+  step = jc_grouping_next (peers, list_peers (state, peers),
+                           (unsigned int)state->settings->losses);
+  if (step.kind != JC_GROUPING_NOTHING)
+    take_step (state, &step);
 }
 
 /* CONN came up.  */
--- a/state/log.c
+++ b/state/log.c
@@ -7,6 +7,7 @@
 
 #include "base/event.h"
 #include "base/log.h"
+#include "conf/grouping.h"
 #include "conf/replicas.h"
 #include "conf/rlog.h"
 #include "net/program.h"
@@ -368,21 +369,17 @@
          && jc_rlog_role (state->log->rlog) == JC_RLOG_LEADER;
 }
 
-/* Tell whether orders last here whatever may be lost at once: a quorum of the
-   voters has more disks than that, and without them there still is a quorum.
-   Until all instances of a small group vote, there are fewer of them.  */
+/* Tell whether orders last here whatever may be lost at once.  */
 bool
 log_rests_on_enough (const struct state *state)
 {
   const struct jc_state_settings *settings = state->settings;
   const struct rpc_replicas *replicas = log_replicas (state);
-  unsigned int voters = jc_replicas_voters (replicas);
-  unsigned int known
-      = MAX (replicas->list.list_len, settings->state_seeds->len);
-  unsigned int wanted = 2 * (unsigned int)settings->losses + 1;
 
-  return voters >= MIN (wanted, known)
-         && voters / 2 + 1 > (unsigned int)settings->losses;
+  return jc_grouping_lasts (
+      jc_replicas_voters (replicas),
+      MAX (replicas->list.list_len, settings->state_seeds->len),
+      (unsigned int)settings->losses);
 }
 
 /* Return the replicas of the log.  */
--- a/tests/logsim.c
+++ b/tests/logsim.c
@@ -87,6 +87,7 @@
 };
 
 static void start_replica (struct replica *replica);
+static void settle (struct replica *replica);
 
 static void
 violate (struct logsim *sim, const char *fmt, ...)
@@ -438,9 +439,10 @@
              (unsigned long)replica->handed);
 }
 
-/* Return REPLICAS replicas of which the first has founded the log.  */
-struct logsim *
-logsim_new (int replicas, uint64_t seed)
+/* Return REPLICAS replicas of which the first has founded the log, with the
+   others in it or ALONE.  */
+static struct logsim *
+sim_new (int replicas, uint64_t seed, bool alone)
 {
   struct logsim *sim = g_new0 (struct logsim, 1);
   struct rpc_replicas others = { 0 };
@@ -465,7 +467,7 @@
       replica->disk = fakedisk_new ();
       g_queue_init (&replica->held);
       start_replica (replica);
-      if (i > 0)
+      if (i > 0 && !alone)
         jc_replicas_put (&others, &row);
     }
   jc_rlog_bootstrap (sim->replicas[0].log, seed + 1, &others);
@@ -473,6 +475,43 @@
   return sim;
 }
 
+/* Return REPLICAS replicas of which the first has founded the log.  */
+struct logsim *
+logsim_new (int replicas, uint64_t seed)
+{
+  return sim_new (replicas, seed, false);
+}
+
+/* Return REPLICAS replicas of which the first has founded the log alone; the
+   others are in it once they are put there.  */
+struct logsim *
+logsim_new_alone (int replicas, uint64_t seed)
+{
+  return sim_new (replicas, seed, true);
+}
+
+/* Return the name of REPLICA.  */
+const char *
+logsim_name (const struct logsim *sim, int replica)
+{
+  return sim->replicas[replica].name;
+}
+
+/* Tell whether messages pass between ONE and ANOTHER, both ways.  */
+bool
+logsim_connected (const struct logsim *sim, int one, int another)
+{
+  return sim->replicas[one].log != NULL && sim->replicas[another].log != NULL
+         && sim->cuts[one][another] == 0 && sim->cuts[another][one] == 0;
+}
+
+/* Take what was just done at REPLICA to its disk and its peers.  */
+void
+logsim_settle (struct logsim *sim, int replica)
+{
+  settle (&sim->replicas[replica]);
+}
+
 /* Free SIM.  */
 void
 logsim_free (struct logsim *sim)
--- a/tests/logsim.h
+++ b/tests/logsim.h
@@ -45,6 +45,10 @@
                                enum jc_status status, uint64_t version);
 
 struct logsim *logsim_new (int replicas, uint64_t seed);
+struct logsim *logsim_new_alone (int replicas, uint64_t seed);
+const char *logsim_name (const struct logsim *sim, int replica);
+bool logsim_connected (const struct logsim *sim, int one, int another);
+void logsim_settle (struct logsim *sim, int replica);
 void logsim_free (struct logsim *sim);
 void logsim_plan (struct logsim *sim, const struct logsim_fault *fault);
 void logsim_inject (struct logsim *sim, enum logsim_fault_kind kind,
