Pass an endpoint's own failure on where all further attempts are refused

Change: a passage keeps an endpoint's own failure while it tries elsewhere and passes it on where nothing better comes. Test: hosts-changes, 502 before, the endpoint's 500 with its signature now.

--- a/entry/passage.c
+++ b/entry/passage.c
@@ -49,6 +49,8 @@
   jc_routetable_free (passage->table);
   g_ptr_array_free (passage->tried, TRUE);
   g_string_free (passage->body, TRUE);
+  jc_head_clear (&passage->kept);
+  g_string_free (passage->kept_body, TRUE);
   g_string_free (passage->burst, TRUE);
   jc_sse_free (&passage->sse);
   g_free (passage->place);
@@ -115,13 +117,25 @@
   headers[count].name = NULL;
 }
 
+/* Keep the answer of the current attempt, an endpoint's own failure.  */
+static void
+keep_answer (struct passage *passage)
+{
+  jc_head_clear (&passage->kept);
+  jc_head_copy (&passage->kept, &passage->head);
+  g_string_truncate (passage->kept_body, 0);
+  g_string_append_len (passage->kept_body, passage->body->str,
+                       (gssize)passage->body->len);
+  passage->kept_away = passage->away;
+}
+
 /* Answer with what the endpoint said.  */
 static void
-passage_pass (struct passage *passage)
+passage_pass (struct passage *passage, const char *outcome)
 {
   struct jc_http_header headers[PASSAGE_HEADERS_MAX];
 
-  log_end (passage, JC_EVENT_SERVED, "answer");
+  log_end (passage, JC_EVENT_SERVED, outcome);
   count (passage, passage->head.status < 500 ? "served" : "endpoint_error");
   passage_headers (passage, headers);
   jc_http_reply (passage->req, passage->head.status, NULL,
@@ -129,6 +143,27 @@
   passage_free (passage);
 }
 
+/* Give up for STATUS.  What an endpoint itself answered before tells the
+   caller more than a failure of this gateway's own.  */
+static void
+passage_give_up (struct passage *passage, enum jc_status status)
+{
+  GString *body = passage->body;
+
+  if (passage->kept.bytes == NULL)
+    {
+      passage_fail (passage, status);
+      return;
+    }
+  jc_head_clear (&passage->head);
+  passage->head = passage->kept;
+  passage->kept.bytes = NULL;
+  passage->body = passage->kept_body;
+  passage->kept_body = body;
+  passage->away = passage->kept_away;
+  passage_pass (passage, "kept_answer");
+}
+
 /* End the stream that has begun.  */
 static void
 passage_end_stream (struct passage *passage, bool whole)
@@ -177,16 +212,19 @@
             passage_id (passage), passage->place, end->whole, end->sent,
             end->not_run, end->genuine, end->http, end->late,
             now - passage->attempt_ms, step);
+  if (step == JC_RELAY_TRY && !passage->relay.begun && end->whole
+      && end->genuine && !end->not_run)
+    keep_answer (passage);
   switch (step)
     {
     case JC_RELAY_TRY:
       passage_attempt (passage);
       break;
     case JC_RELAY_PASS:
-      passage_pass (passage);
+      passage_pass (passage, "answer");
       break;
     case JC_RELAY_FAIL:
-      passage_fail (passage, jc_relay_failure (&passage->relay, now));
+      passage_give_up (passage, jc_relay_failure (&passage->relay, now));
       break;
     case JC_RELAY_END:
     case JC_RELAY_BREAK:
@@ -201,11 +239,8 @@
 {
   if (passage->relay.begun)
     passage_end_stream (passage, false);
-  else if (passage->relay.sent > 0 && passage->heard && passage->signs.genuine
-           && !passage->streaming && passage->head.status >= 500)
-    passage_pass (passage);
   else if (passage->relay.sent > 0)
-    passage_fail (passage, jc_relay_failure (&passage->relay, jc_now_ms ()));
+    passage_give_up (passage, jc_relay_failure (&passage->relay, jc_now_ms ()));
   else
     passage_fail (passage, status);
 }
@@ -372,6 +407,7 @@
   passage->started_ms = jc_now_ms ();
   passage->tried = g_ptr_array_new_with_free_func (g_free);
   passage->body = g_string_new (NULL);
+  passage->kept_body = g_string_new (NULL);
   passage->burst = g_string_new (NULL);
   jc_sse_init (&passage->sse);
   jc_demand_of (&ask, &passage->demand);
--- a/entry/passage.h
+++ b/entry/passage.h
@@ -23,7 +23,9 @@
 /* A request under way.  REQ lives as long as this.  TABLE is the one that
    ROUTE is of.  PLACE names where the current attempt goes, AWAY that it is
    another entry instance.  HEAD is that of the answer's first attempt that
-   the caller was shown, or of the last one.  WAITING tells that its turn has
+   the caller was shown, or of the last one.  KEPT and KEPT_BODY are an
+   endpoint's own failure, for the case that no further attempt does better;
+   KEPT_AWAY tells that it came by another instance.  WAITING tells that its turn has
    not come; it waits until WAIT_UNTIL_MS at the latest.  FIRST_MS is how long
    the first event took, GAP_MS the longest pause after it, EVENT_MS when the
    last one came.  */
@@ -54,6 +56,9 @@
   bool streaming;
   bool out_of_order;
   GString *body;
+  struct jc_head kept;
+  GString *kept_body;
+  bool kept_away;
   struct jc_sse sse;
   GString *burst;
   bool paused;
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -72,6 +72,8 @@
     """A server of a service. Streams have EVENTS events, one each PAUSE_S. The first
     that comes to the event CRASH_AT crashes in it."""
     crash_at = None
+    # What the next plain requests get, at whichever endpoint: "fail" or "refuse".
+    next_answers = []
 
     def __init__(self, name, service, zone, events=6, pause_s=0.02):
         self.name, self.service, self.zone = name, service, zone
@@ -128,10 +130,14 @@
         if fields.get("x-jaycove-expect-instance") != self.name:
             writer.write(f"HTTP/1.1 421 Misdirected\r\n{head}Content-Length: 0\r\n\r\n".encode())
             return True
+        answer = Endpoint.next_answers.pop(0) if self.service == "plain" and Endpoint.next_answers else ""
+        if answer == "refuse":
+            writer.write(f"HTTP/1.1 503 Full\r\n{head}X-Jaycove-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
+            return True
         self.ran.append((attempt, start, body, fields))
         head += f"X-Jaycove-Server-Stamp: {self.name}\r\n"
-        if self.fail_next > 0:
-            self.fail_next -= 1
+        if self.fail_next > 0 or answer == "fail":
+            self.fail_next = max(self.fail_next - 1, 0)
             writer.write(f"HTTP/1.1 500 Error\r\n{head}Content-Length: 0\r\n\r\n".encode())
             return True
         if "/stream/" not in start:
@@ -295,6 +301,14 @@
     assert reply.whole, reply.body
     assert reply.body == b"".join(b"id: %d\ndata: token-%d\n\n" % (i, i) for i in range(6)), reply.body
 
+    # An endpoint's own failure is what the caller gets where all others refuse.
+    for _ in range(10):
+        assert (await request(entry, "GET", "/read/x")).status == 200
+    Endpoint.next_answers = ["fail", "refuse"]
+    reply = await request(entry, "GET", "/read/x")
+    assert not Endpoint.next_answers
+    assert reply.status == 500 and "x-jaycove-server-stamp" in reply.headers, reply.status
+
     # One that leaves gets nothing once that is acknowledged and passed on.
     leaving, staying = [e for e in endpoints if e.service == "plain"]
     leaving.state = "draining"
