--- a/entry/passage.h
+++ b/entry/passage.h
@@ -25,10 +25,10 @@
    another entry instance.  HEAD is that of the answer's first attempt that
    the caller was shown, or of the last one.  KEPT and KEPT_BODY are an
    endpoint's own failure, for the case that no further attempt does better;
-   KEPT_AWAY tells that it came by another instance.  WAITING tells that its turn has
-   not come; it waits until WAIT_UNTIL_MS at the latest.  FIRST_MS is how long
-   the first event took, GAP_MS the longest pause after it, EVENT_MS when the
-   last one came.  */
+   KEPT_AWAY tells that it came by another instance.  WAITING tells that its
+   turn has not come; it waits until WAIT_UNTIL_MS at the latest.  FIRST_MS is
+   how long the first event took, GAP_MS the longest pause after it, EVENT_MS
+   when the last one came.  */
 struct passage
 {
   struct hosts *hosts;
