Send nothing to cold endpoints while the group of a region changes

Ruled out: reports of endpoints (all say cold, 1,968 ms); a restart that forgets what was sent (each sent in one life). Change: an instance sends to cold endpoints only after it has seen the same group for 2 s; one that drains leaves them to the others.

--- a/entry/choice.c
+++ b/entry/choice.c
@@ -50,13 +50,15 @@
 
 /* Tell whether this instance, of all in its region, sends to ENDPOINT while
    that is cold.  All agree on one without a word, as long as they know of
-   each other.  */
+   each other; one that drains leaves it to the others.  */
 static bool
 owns_cold (const struct hosts *hosts, const struct jc_endpoint *endpoint,
            int64_t now_ms)
 {
   const struct jc_entry_settings *settings = hosts->entry->settings;
   uint64_t own = jc_member_hash (endpoint->name, settings->name);
+  uint64_t group = 0;
+  bool owns = !hosts->entry->draining;
   GHashTableIter iter;
   gpointer value;
 
@@ -65,12 +67,15 @@
     {
       const struct neighbour *neighbour = value;
 
-      if (is_fresh (neighbour, now_ms) && !neighbour->said.draining
-          && strcmp (neighbour->said.region, settings->region) == 0
-          && jc_member_hash (endpoint->name, neighbour->said.name) > own)
-        return false;
+      if (!is_fresh (neighbour, now_ms) || neighbour->said.draining
+          || strcmp (neighbour->said.region, settings->region) != 0)
+        continue;
+      group += jc_member_hash (neighbour->said.name, "");
+      if (jc_member_hash (endpoint->name, neighbour->said.name) > own)
+        owns = false;
     }
-  return true;
+  jc_budgets_note_group (hosts->budgets, group, now_ms);
+  return owns;
 }
 
 /* Tell whether ENDPOINT may get a request now, as far as coldness goes.  */
--- a/serve/budget.c
+++ b/serve/budget.c
@@ -11,7 +11,11 @@
   /* Views of who owns a cold endpoint that may differ at one time.  */
   COLD_OWNERS = 2,
   COLD_WINDOW_MS = 1000,
-  COLD_KEPT_MS = 60000
+  COLD_KEPT_MS = 60000,
+  /* Nothing is sent to cold endpoints until the group has been the same for so
+     long: instances hear of a new one within 1 s, from its report each 0.5 s
+     and what state instances tell each 0.5 s; twice that.  */
+  GROUP_SETTLE_MS = 2000
 };
 
 /* Retries of a service that may be spent now.  Each request adds the ratio,
@@ -37,6 +41,8 @@
   unsigned int instances;
   int64_t instances_ms;
   int64_t started_ms;
+  uint64_t group;
+  int64_t group_ms;
 };
 
 /* Return budgets under TERMS of an instance that starts at NOW_MS.  */
@@ -47,6 +53,7 @@
 
   budgets->terms = *terms;
   budgets->started_ms = now_ms;
+  budgets->group_ms = now_ms - GROUP_SETTLE_MS;
   budgets->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   budgets->cold
@@ -142,6 +149,19 @@
   return true;
 }
 
+/* GROUP is a sum over those that may own cold endpoints, as they are seen at
+   NOW_MS.  While they come and go the views of who owns what differ, and more
+   than COLD_OWNERS could take one for their own.  */
+void
+jc_budgets_note_group (struct jc_budgets *budgets, uint64_t group,
+                       int64_t now_ms)
+{
+  if (group == budgets->group)
+    return;
+  budgets->group = group;
+  budgets->group_ms = now_ms;
+}
+
 static void
 cold_expire (struct jc_budgets *budgets, int64_t now_ms)
 {
@@ -166,7 +186,8 @@
         / COLD_OWNERS;
 
   /* An instance that knows no other could take each endpoint for its own.  */
-  if (budgets->instances == 0 && !spend)
+  if ((budgets->instances == 0 || now_ms - budgets->group_ms < GROUP_SETTLE_MS)
+      && !spend)
     return false;
   if (cold == NULL)
     {
--- a/serve/budget.h
+++ b/serve/budget.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 /* Bounds over all instances.  RETRY_RATIO of the requests and RETRY_SLACK
    more may be retried in each window of RETRY_WINDOW_MS; a cold endpoint may
@@ -33,6 +34,8 @@
                                 int64_t now_ms);
 bool jc_budgets_retry (struct jc_budgets *budgets, const char *service,
                        int64_t now_ms);
+void jc_budgets_note_group (struct jc_budgets *budgets, uint64_t group,
+                            int64_t now_ms);
 bool jc_budgets_cold (struct jc_budgets *budgets, const char *endpoint,
                       double per_s, bool spend, int64_t now_ms);
 
--- a/tests/test-budget.c
+++ b/tests/test-budget.c
@@ -132,6 +132,65 @@
   g_rand_free (rand);
 }
 
+/* A region comes back: its instances start within 1.5 s and hear of each other
+   up to 1 s later, each at another time.  Whoever takes a cold endpoint for its
+   own wants to send there at once.  */
+static void
+play_return (GRand *rand)
+{
+  const double bound = 2.1 * terms.cold_ratio + (double)terms.cold_slack;
+  struct jc_budgets *budgets[INSTANCES_MAX];
+  int64_t start[INSTANCES_MAX];
+  int64_t heard[INSTANCES_MAX][INSTANCES_MAX];
+
+  memset (&record, 0, sizeof record);
+  for (int i = 0; i < INSTANCES_MAX; i++)
+    {
+      start[i] = g_rand_int_range (rand, 0, 1500);
+      budgets[i] = jc_budgets_new (&terms, start[i]);
+    }
+  for (int i = 0; i < INSTANCES_MAX; i++)
+    for (int j = 0; j < INSTANCES_MAX; j++)
+      heard[i][j]
+          = MAX (start[i], start[j]) + g_rand_int_range (rand, 100, 1000);
+  for (int64_t ms = 0; ms < 8 * MS_PER_S; ms++)
+    for (int i = 0; i < INSTANCES_MAX; i++)
+      {
+        uint64_t group = 0;
+        bool owns = ms >= start[i];
+
+        /* The one with the greatest number known owns the endpoint.  */
+        for (int j = 0; j < INSTANCES_MAX; j++)
+          if (i != j && ms >= heard[i][j])
+            {
+              group += 1ULL << j;
+              owns = owns && i > j;
+            }
+        if (group != 0)
+          jc_budgets_set_instances (budgets[i], INSTANCES_MAX, ms);
+        jc_budgets_note_group (budgets[i], group, ms);
+        if (!owns || !jc_budgets_cold (budgets[i], "e", 2.1, false, ms))
+          continue;
+        jc_budgets_cold (budgets[i], "e", 2.1, true, ms);
+        record.cold[ms]++;
+      }
+  for (int64_t end = MS_PER_S; end <= 8 * MS_PER_S; end++)
+    g_assert_cmpfloat (sum (record.cold, end - MS_PER_S, end), <=, bound);
+  g_assert_cmpuint (sum (record.cold, 0, 8 * MS_PER_S), >, 6);
+  for (int i = 0; i < INSTANCES_MAX; i++)
+    jc_budgets_free (budgets[i]);
+}
+
+static void
+test_cold_while_region_returns (void)
+{
+  GRand *rand = g_rand_new_with_seed (29908);
+
+  for (int round = 0; round < ROUNDS; round++)
+    play_return (rand);
+  g_rand_free (rand);
+}
+
 /* Asking whether a request may go spends nothing.  */
 static void
 test_asking_is_free (void)
@@ -266,6 +325,8 @@
   g_test_add_func ("/budget/retries-in-every-window",
                    test_retries_in_every_window);
   g_test_add_func ("/budget/cold-in-every-second", test_cold_in_every_second);
+  g_test_add_func ("/budget/cold-while-region-returns",
+                   test_cold_while_region_returns);
   g_test_add_func ("/budget/asking-is-free", test_asking_is_free);
   g_test_add_func ("/budget/unknown-instances", test_unknown_instances);
   g_test_add_func ("/budget/group-turns-up", test_group_turns_up);
