--- a/serve/enginecost.c
+++ b/serve/enginecost.c
@@ -18,8 +18,8 @@
    is kept there, and later requests scatter too.  */
 #define SCATTER_WEIGHT 3.0
 /* What that weight lowers an engine's limit by at most, so that the largest
-   shared parts find a second place too.  Of 0.12, 0.2, 0.3 and 0.5 this serves
-   most in test-engine/peak-of-shared-parts.  */
+   shared parts find a second place too.  Of 0.12, 0.2, 0.3 and 0.5, tried as
+   flat margins, this served most in test-engine/peak-of-shared-parts.  */
 #define AGAIN_MOST 0.2
 /* Time that an answer made late weighs: most of its worth is lost.  One that
    reaches its deadline weighs twice that.  */
