Log on what grounds a request goes to a cold endpoint

The logs could not tell whether each counted nobody else, or whether their views differed while the group changed. No decision is changed.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -341,6 +341,7 @@
                     "");
       return;
     }
+  choice_log_cold (hosts, endpoint, passage_id (passage), passage->attempt_ms);
   jc_engines_explain (hosts->engines, endpoint, &passage->demand,
                       passage->attempt_ms, why, sizeof why);
   passage->run = jc_engines_start (hosts->engines, endpoint, &passage->demand,
--- a/entry/choice.c
+++ b/entry/choice.c
@@ -1,7 +1,9 @@
 /* Choice: which endpoint, or which other entry instance, gets a request.  */
 
+#include <inttypes.h>
 #include <string.h>
 
+#include "base/event.h"
 #include "entry/hosts.h"
 #include "net/program.h"
 #include "serve/elsewhere.h"
@@ -91,6 +93,47 @@
                              service->cold_per_s, false, now_ms);
 }
 
+/* Log on what grounds the request ID goes to ENDPOINT, where that is cold: how
+   many instances of the region are counted, and how old the news of the one
+   heard last and of the one heard first is, -1 where there is none.  */
+void
+choice_log_cold (const struct hosts *hosts, const struct jc_endpoint *endpoint,
+                 const char *id, int64_t now_ms)
+{
+  const struct jc_hostservice *service
+      = jc_routetable_service (hosts->routes, endpoint->service);
+  const char *region = hosts->entry->settings->region;
+  unsigned int known = 0;
+  unsigned int counted = 0;
+  int64_t newest = -1;
+  int64_t oldest = -1;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (service == NULL || service->cold_per_s <= 0
+      || cold_until (hosts, endpoint, service) <= now_ms)
+    return;
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct neighbour *neighbour = value;
+      int64_t age = now_ms - neighbour->heard_ms;
+
+      if (strcmp (neighbour->said.region, region) != 0)
+        continue;
+      known++;
+      counted += is_fresh (neighbour, now_ms) ? 1 : 0;
+      newest = newest < 0 ? age : MIN (newest, age);
+      oldest = MAX (oldest, age);
+    }
+  jc_event (JC_EVENT_COLD,
+            "id=%s endpoint=%s incarnation=%" PRIu64 " left_ms=%" PRId64
+            " known=%u counted=%u newest_ms=%" PRId64 " oldest_ms=%" PRId64,
+            id, endpoint->name, endpoint->incarnation,
+            cold_until (hosts, endpoint, service) - now_ms, known, counted,
+            newest, oldest);
+}
+
 /* Add to OUT the endpoints of SERVICE that may get a request now.  */
 static void
 usable_endpoints (struct hosts *hosts, const char *name, const GPtrArray *tried,
--- a/entry/gauges.c
+++ b/entry/gauges.c
@@ -18,6 +18,20 @@
   return count;
 }
 
+/* Return the age of the oldest news of another entry instance, ms.  */
+static int64_t
+neighbours_age_ms (const struct hosts *hosts, int64_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  int64_t age = 0;
+
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    age = MAX (age, now - ((const struct neighbour *)value)->heard_ms);
+  return age;
+}
+
 /* Set the retries that each service of the configuration may spend now.  */
 static void
 set_retries (struct hosts *hosts, int64_t now)
@@ -53,6 +67,8 @@
                     jc_members_count (hosts->endpoints));
   jc_metrics_gauge (metrics, "jaycove_entry_instances", "",
                     fresh_neighbours (hosts, now));
+  jc_metrics_gauge (metrics, "jaycove_entry_instances_heard_ms_ago", "",
+                    (double)neighbours_age_ms (hosts, now));
   jc_metrics_gauge (metrics, "jaycove_waiting", "",
                     g_queue_get_length (&hosts->waiting));
   set_retries (hosts, now);
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -111,6 +111,9 @@
 enum jc_status choice_make (struct hosts *hosts,
                             const struct choice_query *query,
                             struct choice *choice);
+void choice_log_cold (const struct hosts *hosts,
+                      const struct jc_endpoint *endpoint, const char *id,
+                      int64_t now_ms);
 void choice_rooms (struct hosts *hosts, struct rpc_presence *out);
 
 /* waiting: requests whose turn at an engine has not come.  */
