--- a/tests/test-budget.c
+++ b/tests/test-budget.c
@@ -191,6 +191,62 @@
   g_rand_free (rand);
 }
 
+/* The only state instance of a region stands still, so that its instances hear
+   nothing of each other for 6 s; an endpoint that is cold turns up in between.
+   All of them want to send there.  Those heard of within 3 s are counted, as in
+   entry/choice.  Return the most requests that it gets in a second.  */
+static unsigned int
+play_silence (GRand *rand)
+{
+  const int64_t silent_from = 2 * MS_PER_S;
+  const int64_t silent_to = 8 * MS_PER_S;
+  struct jc_budgets *budgets[INSTANCES_MAX];
+  int64_t cold_from = g_rand_int_range (rand, 0, 9000);
+  unsigned int most = 0;
+
+  memset (&record, 0, sizeof record);
+  for (int i = 0; i < INSTANCES_MAX; i++)
+    budgets[i] = jc_budgets_new (&terms, 0);
+  for (int64_t ms = 0; ms < 12 * MS_PER_S; ms++)
+    for (int i = 0; i < INSTANCES_MAX; i++)
+      {
+        bool hears = ms < silent_from || ms >= silent_to;
+        bool counts = ms < silent_from + 3000 || ms >= silent_to;
+        uint64_t group = counts ? (1ULL << INSTANCES_MAX) - (1ULL << i) : 0;
+        bool owns = !counts || i == INSTANCES_MAX - 1;
+
+        if (hears)
+          jc_budgets_set_instances (budgets[i], INSTANCES_MAX, ms);
+        if (ms < cold_from || !owns || g_rand_int_range (rand, 0, 10) != 0)
+          continue;
+        jc_budgets_note_group (budgets[i], group, ms);
+        if (!jc_budgets_cold (budgets[i], "e", 2.1, false, ms))
+          continue;
+        jc_budgets_cold (budgets[i], "e", 2.1, true, ms);
+        record.cold[ms]++;
+      }
+  for (int64_t end = MS_PER_S; end <= 12 * MS_PER_S; end++)
+    most = MAX (most, sum (record.cold, end - MS_PER_S, end));
+  for (int i = 0; i < INSTANCES_MAX; i++)
+    jc_budgets_free (budgets[i]);
+  return most;
+}
+
+/* Guards against instances that each take a cold endpoint for their own as
+   soon as they hear of nobody else.  */
+static void
+test_cold_while_news_stops (void)
+{
+  GRand *rand = g_rand_new_with_seed (1119);
+  unsigned int most = 0;
+
+  for (int round = 0; round < ROUNDS; round++)
+    most = MAX (most, play_silence (rand));
+  g_rand_free (rand);
+  g_assert_cmpfloat (most, <=,
+                     2.1 * terms.cold_ratio + (double)terms.cold_slack);
+}
+
 /* Asking whether a request may go spends nothing.  */
 static void
 test_asking_is_free (void)
@@ -322,11 +378,13 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_set_nonfatal_assertions ();
   g_test_add_func ("/budget/retries-in-every-window",
                    test_retries_in_every_window);
   g_test_add_func ("/budget/cold-in-every-second", test_cold_in_every_second);
   g_test_add_func ("/budget/cold-while-region-returns",
                    test_cold_while_region_returns);
+  g_test_add_func ("/budget/cold-while-news-stops", test_cold_while_news_stops);
   g_test_add_func ("/budget/asking-is-free", test_asking_is_free);
   g_test_add_func ("/budget/unknown-instances", test_unknown_instances);
   g_test_add_func ("/budget/group-turns-up", test_group_turns_up);
