Grant cold endpoints to one instance by the replicated log

Cause: each instance worked out the owner of a cold endpoint from the others it had lately heard of, which only state instances of its region tell. While the only one there stood still, all lists aged away, and whoever counts nobody owns every cold endpoint. Class of fault: silence taken for absence. Ruled out: coldness that is not known (left_ms near 2,980 in every line); views that differ while the group changes (counted=0 at all of them). Change: a right of one is given, not concluded. The log grants an incarnation of a cold endpoint to one process, first come and for good; without a grant nothing is sent. The owner keeps half of the bound, since an endpoint may start again under its name.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -324,8 +324,6 @@
 {
   struct hosts *hosts = passage->hosts;
   const struct jc_endpoint *endpoint = choice->endpoint;
-  const struct jc_hostservice *service
-      = jc_routetable_service (passage->table, passage->service);
   char why[WHY_BYTES];
 
   attempt_reset (passage);
@@ -346,8 +344,6 @@
                       passage->attempt_ms, why, sizeof why);
   passage->run = jc_engines_start (hosts->engines, endpoint, &passage->demand,
                                    passage->attempt_ms);
-  if (service != NULL && service->cold_per_s > 0)
-    jc_budgets_cold (hosts->budgets, endpoint->name, service->cold_per_s, true,
-                     passage->attempt_ms);
+  jc_budgets_cold_sent (hosts->budgets, endpoint->name, passage->attempt_ms);
   attempt_send (passage, endpoint->address, endpoint->name, why);
 }
--- a/entry/choice.c
+++ b/entry/choice.c
@@ -50,36 +50,6 @@
   return MAX (endpoint->warm_ms, *readmitted + service->cold_ms);
 }
 
-/* Tell whether this instance, of all in its region, sends to ENDPOINT while
-   that is cold.  All agree on one without a word, as long as they know of
-   each other; one that drains leaves it to the others.  */
-static bool
-owns_cold (const struct hosts *hosts, const struct jc_endpoint *endpoint,
-           int64_t now_ms)
-{
-  const struct jc_entry_settings *settings = hosts->entry->settings;
-  uint64_t own = jc_member_hash (endpoint->name, settings->name);
-  uint64_t group = 0;
-  bool owns = !hosts->entry->draining;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, hosts->neighbours);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct neighbour *neighbour = value;
-
-      if (!is_fresh (neighbour, now_ms) || neighbour->said.draining
-          || strcmp (neighbour->said.region, settings->region) != 0)
-        continue;
-      group += jc_member_hash (neighbour->said.name, "");
-      if (jc_member_hash (endpoint->name, neighbour->said.name) > own)
-        owns = false;
-    }
-  jc_budgets_note_group (hosts->budgets, group, now_ms);
-  return owns;
-}
-
 /* Tell whether ENDPOINT may get a request now, as far as coldness goes.  */
 static bool
 is_warm_enough (struct hosts *hosts, const struct jc_endpoint *endpoint,
@@ -88,50 +58,30 @@
   if (service->cold_per_s <= 0
       || cold_until (hosts, endpoint, service) <= now_ms)
     return true;
-  return owns_cold (hosts, endpoint, now_ms)
+  return !hosts->entry->draining
          && jc_budgets_cold (hosts->budgets, endpoint->name,
-                             service->cold_per_s, false, now_ms);
+                             endpoint->incarnation, service->cold_per_s,
+                             now_ms);
 }
 
-/* Log on what grounds the request ID goes to ENDPOINT, where that is cold: how
-   many instances of the region are counted, and how old the news of the one
-   heard last and of the one heard first is, -1 where there is none.  */
+/* Log that the request ID goes to ENDPOINT, where that is cold: only the
+   instance that is granted this incarnation of it may send there.  */
 void
 choice_log_cold (const struct hosts *hosts, const struct jc_endpoint *endpoint,
                  const char *id, int64_t now_ms)
 {
   const struct jc_hostservice *service
       = jc_routetable_service (hosts->routes, endpoint->service);
-  const char *region = hosts->entry->settings->region;
-  unsigned int known = 0;
-  unsigned int counted = 0;
-  int64_t newest = -1;
-  int64_t oldest = -1;
-  GHashTableIter iter;
-  gpointer value;
 
   if (service == NULL || service->cold_per_s <= 0
       || cold_until (hosts, endpoint, service) <= now_ms)
     return;
-  g_hash_table_iter_init (&iter, hosts->neighbours);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct neighbour *neighbour = value;
-      int64_t age = now_ms - neighbour->heard_ms;
-
-      if (strcmp (neighbour->said.region, region) != 0)
-        continue;
-      known++;
-      counted += is_fresh (neighbour, now_ms) ? 1 : 0;
-      newest = newest < 0 ? age : MIN (newest, age);
-      oldest = MAX (oldest, age);
-    }
   jc_event (JC_EVENT_COLD,
             "id=%s endpoint=%s incarnation=%" PRIu64 " left_ms=%" PRId64
-            " known=%u counted=%u newest_ms=%" PRId64 " oldest_ms=%" PRId64,
+            " reported_ms_ago=%" PRId64,
             id, endpoint->name, endpoint->incarnation,
-            cold_until (hosts, endpoint, service) - now_ms, known, counted,
-            newest, oldest);
+            cold_until (hosts, endpoint, service) - now_ms,
+            now_ms - endpoint->reported_ms);
 }
 
 /* Add to OUT the endpoints of SERVICE that may get a request now.  */
--- a/entry/following.c
+++ b/entry/following.c
@@ -323,6 +323,20 @@
                             g_hash_table_size (hosts->neighbours) + 1, now);
 }
 
+/* The log granted a cold endpoint to one process of an instance.  */
+static void
+take_grant (struct hosts *hosts, const struct rpc_grant *grant)
+{
+  if (strcmp (grant->instance, hosts->entry->settings->name) != 0
+      || grant->instance_incarnation != jc_rpc_incarnation (hosts->entry->rpc))
+    return;
+  if (jc_budgets_grant (hosts->budgets, grant->endpoint,
+                        grant->endpoint_incarnation))
+    jc_event (JC_EVENT_COLD,
+              "endpoint=%s incarnation=%" PRIu64 " outcome=granted",
+              grant->endpoint, grant->endpoint_incarnation);
+}
+
 static void
 take_group (struct hosts *hosts, const struct rpc_group *group)
 {
@@ -360,6 +374,8 @@
     take_group (hosts, &body->rpc_body_u.group);
   else if (body->type == RPC_ENTRIES)
     take_entries (hosts, &body->rpc_body_u.entries);
+  else if (body->type == RPC_GRANT)
+    take_grant (hosts, &body->rpc_body_u.grant);
   else if (body->type == RPC_FLEET)
     {
       const struct rpc_fleet *fleet = &body->rpc_body_u.fleet;
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -76,6 +76,7 @@
 	RPC_PRESENCE = 85,
 	RPC_ENTRIES = 86,
 	RPC_LOADS = 87,
+	RPC_GRANT = 88,
 };
 typedef enum rpc_type rpc_type;
 
@@ -601,6 +602,14 @@
 };
 typedef struct rpc_presence rpc_presence;
 
+struct rpc_grant {
+	rpc_name endpoint;
+	u_quad_t endpoint_incarnation;
+	rpc_name instance;
+	u_quad_t instance_incarnation;
+};
+typedef struct rpc_grant rpc_grant;
+
 struct rpc_entries {
 	struct {
 		u_int list_len;
@@ -676,6 +685,7 @@
 		rpc_presence presence;
 		rpc_entries entries;
 		rpc_loads loads;
+		rpc_grant grant;
 	} rpc_body_u;
 };
 typedef struct rpc_body rpc_body;
@@ -748,6 +758,7 @@
 extern  bool_t xdr_rpc_fleet (XDR *, rpc_fleet*);
 extern  bool_t xdr_rpc_service_room (XDR *, rpc_service_room*);
 extern  bool_t xdr_rpc_presence (XDR *, rpc_presence*);
+extern  bool_t xdr_rpc_grant (XDR *, rpc_grant*);
 extern  bool_t xdr_rpc_entries (XDR *, rpc_entries*);
 extern  bool_t xdr_rpc_load (XDR *, rpc_load*);
 extern  bool_t xdr_rpc_part_read (XDR *, rpc_part_read*);
@@ -815,6 +826,7 @@
 extern bool_t xdr_rpc_fleet ();
 extern bool_t xdr_rpc_service_room ();
 extern bool_t xdr_rpc_presence ();
+extern bool_t xdr_rpc_grant ();
 extern bool_t xdr_rpc_entries ();
 extern bool_t xdr_rpc_load ();
 extern bool_t xdr_rpc_part_read ();
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1109,6 +1109,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_grant (XDR *xdrs, rpc_grant *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint_incarnation))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->instance))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->instance_incarnation))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_entries (XDR *xdrs, rpc_entries *objp)
 {
@@ -1324,6 +1340,10 @@
 		 if (!xdr_rpc_loads (xdrs, &objp->rpc_body_u.loads))
 			 return FALSE;
 		break;
+	case RPC_GRANT:
+		 if (!xdr_rpc_grant (xdrs, &objp->rpc_body_u.grant))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -58,7 +58,8 @@
   RPC_FLEET = 84,
   RPC_PRESENCE = 85,
   RPC_ENTRIES = 86,
-  RPC_LOADS = 87
+  RPC_LOADS = 87,
+  RPC_GRANT = 88
 };
 
 struct rpc_hello {
@@ -533,6 +534,15 @@
   rpc_service_room rooms<64>;
 };
 
+/* One process of an entry instance may send to one incarnation of an endpoint
+   while that is cold.  */
+struct rpc_grant {
+  rpc_name endpoint;
+  unsigned hyper endpoint_incarnation;
+  rpc_name instance;
+  unsigned hyper instance_incarnation;
+};
+
 struct rpc_entries {
   rpc_presence list<1024>;
 };
@@ -602,6 +612,7 @@
 case RPC_PRESENCE: rpc_presence presence;
 case RPC_ENTRIES: rpc_entries entries;
 case RPC_LOADS: rpc_loads loads;
+case RPC_GRANT: rpc_grant grant;
 };
 
 struct rpc_packet {
--- a/scripts/hosts.sh
+++ b/scripts/hosts.sh
@@ -1,6 +1,12 @@
 # Functions that start a small jaycove with routing by hosts on loopback: three
-# state instances and two entry instances, each with an IP number of its own.
-# Sourced after cluster.sh.
+# state instances and ENTRIES entry instances, two where that is not set, each
+# with an IP number of its own. Sourced after cluster.sh.
+
+# quoted WORDS...: print the words as strings of JSON with commas.
+quoted ()
+{
+  printf '"%s", ' "$@" | sed 's/, $//'
+}
 
 # start_hosts: start all; addresses go to $DIR/addresses.json.
 start_hosts ()
@@ -20,7 +26,8 @@
 X
     start "s$i" "$BUILD/jaycove-state" --settings "$DIR/s$i.json"
   done
-  for i in 1 2; do
+  all_callers= all_ready= all_operators=
+  for i in $(seq 1 "${ENTRIES:-2}"); do
     ip=127.0.9.1$i
     callers=$(port)
     ready=$(port)
@@ -36,12 +43,14 @@
   "state_seeds": [$seeds], "grace_ms": 60000, "report_ms": 200, "retry_window_ms": 1000 }
 X
     start "e$i" "$BUILD/jaycove-entry" --settings "$DIR/e$i.json"
-    eval "callers$i=$ip:$callers ready$i=$ip:$ready operators$i=$ip:$operators"
+    all_callers="$all_callers $ip:$callers"
+    all_ready="$all_ready $ip:$ready"
+    all_operators="$all_operators $ip:$operators"
   done
   cat >"$DIR/addresses.json" <<X
 { "control": ["127.0.9.1:$control", "127.0.9.2:$control", "127.0.9.3:$control"],
   "directory": ["127.0.9.1:$directory", "127.0.9.2:$directory", "127.0.9.3:$directory"],
-  "entries": ["$callers1", "$callers2"], "ready": ["$ready1", "$ready2"],
-  "operators": ["$operators1", "$operators2"] }
+  "entries": [$(quoted $all_callers)], "ready": [$(quoted $all_ready)],
+  "operators": [$(quoted $all_operators)] }
 X
 }
--- a/serve/budget.c
+++ b/serve/budget.c
@@ -8,14 +8,12 @@
   /* An instance that is not seen any longer may be cut off and still spend
      its share.  */
   INSTANCES_KEPT_MS = 60000,
-  /* Views of who owns a cold endpoint that may differ at one time.  */
+  /* Grants by which a cold endpoint may get requests at one time: it may have
+     started again under its name, and each incarnation is granted apart.  */
   COLD_OWNERS = 2,
   COLD_WINDOW_MS = 1000,
-  COLD_KEPT_MS = 60000,
-  /* Nothing is sent to cold endpoints until the group has been the same for so
-     long: instances hear of a new one within 1 s, from its report each 0.5 s
-     and what state instances tell each 0.5 s; twice that.  */
-  GROUP_SETTLE_MS = 2000
+  /* As many as the log keeps; dropped ones are sent nothing while cold.  */
+  COLD_MAX = 4096
 };
 
 /* Retries of a service that may be spent now.  Each request adds the ratio,
@@ -27,10 +25,12 @@
   double retries;
 };
 
+/* GRANTED is the incarnation of the endpoint that this instance may send to
+   while it is cold.  */
 struct cold
 {
   struct jc_window sent;
-  int64_t used_ms;
+  uint64_t granted;
 };
 
 struct jc_budgets
@@ -41,8 +41,6 @@
   unsigned int instances;
   int64_t instances_ms;
   int64_t started_ms;
-  uint64_t group;
-  int64_t group_ms;
 };
 
 /* Return budgets under TERMS of an instance that starts at NOW_MS.  */
@@ -53,7 +51,6 @@
 
   budgets->terms = *terms;
   budgets->started_ms = now_ms;
-  budgets->group_ms = now_ms - GROUP_SETTLE_MS;
   budgets->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   budgets->cold
@@ -149,57 +146,58 @@
   return true;
 }
 
-/* GROUP is a sum over those that may own cold endpoints, as they are seen at
-   NOW_MS.  While they come and go the views of who owns what differ, and more
-   than COLD_OWNERS could take one for their own.  */
-void
-jc_budgets_note_group (struct jc_budgets *budgets, uint64_t group,
-                       int64_t now_ms)
+static struct cold *
+cold_of (struct jc_budgets *budgets, const char *endpoint)
 {
-  if (group == budgets->group)
-    return;
-  budgets->group = group;
-  budgets->group_ms = now_ms;
+  struct cold *cold = g_hash_table_lookup (budgets->cold, endpoint);
+
+  if (cold != NULL)
+    return cold;
+  if (g_hash_table_size (budgets->cold) >= COLD_MAX)
+    g_hash_table_remove_all (budgets->cold);
+  cold = g_new0 (struct cold, 1);
+  jc_window_init (&cold->sent, COLD_WINDOW_MS);
+  g_hash_table_insert (budgets->cold, g_strdup (endpoint), cold);
+  return cold;
 }
 
-static void
-cold_expire (struct jc_budgets *budgets, int64_t now_ms)
+/* INCARNATION of ENDPOINT is granted to this instance.  Return whether that is
+   news.  */
+bool
+jc_budgets_grant (struct jc_budgets *budgets, const char *endpoint,
+                  uint64_t incarnation)
 {
-  GHashTableIter iter;
-  gpointer value;
+  struct cold *cold = cold_of (budgets, endpoint);
 
-  g_hash_table_iter_init (&iter, budgets->cold);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now_ms - ((struct cold *)value)->used_ms > COLD_KEPT_MS)
-      g_hash_table_iter_remove (&iter);
+  if (incarnation <= cold->granted)
+    return false;
+  cold->granted = incarnation;
+  return true;
 }
 
-/* Tell whether the cold ENDPOINT, which bears PER_S requests a second, may
-   get one more from this instance; with SPEND it does.  */
+/* Tell whether INCARNATION of the cold ENDPOINT, which bears PER_S requests a
+   second, may get one more from this instance: it is granted, and the share of
+   its incarnation is not spent.  */
 bool
-jc_budgets_cold (struct jc_budgets *budgets, const char *endpoint, double per_s,
-                 bool spend, int64_t now_ms)
+jc_budgets_cold (struct jc_budgets *budgets, const char *endpoint,
+                 uint64_t incarnation, double per_s, int64_t now_ms)
 {
-  struct cold *cold = g_hash_table_lookup (budgets->cold, endpoint);
+  const struct cold *cold = g_hash_table_lookup (budgets->cold, endpoint);
   double allowed
       = (per_s * budgets->terms.cold_ratio + (double)budgets->terms.cold_slack)
         / COLD_OWNERS;
 
-  /* An instance that knows no other could take each endpoint for its own.  */
-  if ((budgets->instances == 0 || now_ms - budgets->group_ms < GROUP_SETTLE_MS)
-      && !spend)
-    return false;
-  if (cold == NULL)
-    {
-      cold_expire (budgets, now_ms);
-      cold = g_new0 (struct cold, 1);
-      jc_window_init (&cold->sent, COLD_WINDOW_MS);
-      g_hash_table_insert (budgets->cold, g_strdup (endpoint), cold);
-    }
-  if (jc_window_most (&cold->sent, now_ms) + 1 > allowed)
-    return false;
-  cold->used_ms = now_ms;
-  if (spend)
+  return cold != NULL && cold->granted == incarnation
+         && jc_window_most (&cold->sent, now_ms) + 1 <= allowed;
+}
+
+/* A request goes to ENDPOINT, of which this instance may hold a grant.  */
+void
+jc_budgets_cold_sent (struct jc_budgets *budgets, const char *endpoint,
+                      int64_t now_ms)
+{
+  struct cold *cold = g_hash_table_lookup (budgets->cold, endpoint);
+
+  if (cold != NULL)
     jc_window_add (&cold->sent, now_ms);
-  return true;
 }
--- a/serve/budget.h
+++ b/serve/budget.h
@@ -1,6 +1,7 @@
 /* Budgets that all entry instances share: retries of a service, and requests
-   to a cold endpoint.  Each instance spends a share that it computes alone, so
-   that the sum keeps the bound also where instances can't talk.  */
+   to a cold endpoint.  Each instance spends a share of the retries that it
+   computes alone, and sends to a cold endpoint only by a grant, so that the
+   sums keep the bounds also where instances can't talk.  */
 
 #ifndef JC_BUDGET_H
 #define JC_BUDGET_H
@@ -34,9 +35,11 @@
                                 int64_t now_ms);
 bool jc_budgets_retry (struct jc_budgets *budgets, const char *service,
                        int64_t now_ms);
-void jc_budgets_note_group (struct jc_budgets *budgets, uint64_t group,
-                            int64_t now_ms);
+bool jc_budgets_grant (struct jc_budgets *budgets, const char *endpoint,
+                       uint64_t incarnation);
 bool jc_budgets_cold (struct jc_budgets *budgets, const char *endpoint,
-                      double per_s, bool spend, int64_t now_ms);
+                      uint64_t incarnation, double per_s, int64_t now_ms);
+void jc_budgets_cold_sent (struct jc_budgets *budgets, const char *endpoint,
+                           int64_t now_ms);
 
 #endif
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -106,9 +106,30 @@
               row.name, row.incarnation, row.sequence, row.service, row.address,
               row.zone, row.leaving, row.cold_ms);
   pass_on (state, &row);
+  if (row.cold_ms > 0)
+    cold_consider (state, &row);
   return JC_OK;
 }
 
+/* Have an entry instance chosen for each endpoint of ZONE, any of which may be
+   cold.  */
+void
+fleet_consider_cold (struct state *state, const char *zone)
+{
+  GPtrArray *all = g_ptr_array_new ();
+
+  jc_members_all (state->fleet->members, all);
+  for (guint i = 0; i < all->len; i++)
+    {
+      struct rpc_endpoint row;
+
+      jc_endpoint_describe (g_ptr_array_index (all, i), jc_now_ms (), &row);
+      if (strcmp (row.zone, zone) == 0)
+        cold_consider (state, &row);
+    }
+  g_ptr_array_free (all, TRUE);
+}
+
 /* The endpoint NAME takes its leave; INCARNATION is 0 where it does not say
    which one.  Entry instances may know it from another state instance, so it
    is passed on also where it is not known here.  */
--- a/state/log.c
+++ b/state/log.c
@@ -92,6 +92,7 @@
             g_hash_table_size (state->orders->evacuated));
   if (state->log != NULL && state->log->running)
     orders_changed (state);
+  cold_orders_changed (state);
 }
 
 static void
@@ -103,6 +104,8 @@
     state->answer = jc_changes_apply (state->changes, data);
   else if (kind == LOG_LEDGER)
     ledger_applied (state, data);
+  else if (kind == LOG_GRANT)
+    cold_applied (state, data);
   else if (kind == LOG_ORDER && jc_orders_apply (state->orders, index, data))
     take_orders (state);
   take_config (state);
@@ -133,7 +136,8 @@
 
   (void)index;
   if (jc_changes_restore (state->changes, json) != JC_OK
-      || jc_orders_restore (state->orders, json) != JC_OK)
+      || jc_orders_restore (state->orders, json) != JC_OK
+      || jc_grants_restore (state->grants, json) != JC_OK)
     {
       jc_error (PART, "The snapshot can't be read.");
       state->broken = true;
@@ -158,6 +162,7 @@
 
   jc_changes_snapshot (state->changes, json);
   jc_orders_snapshot (state->orders, json);
+  jc_grants_snapshot (state->grants, json);
   ledger_snapshot (state, entries);
   for (guint i = 0; i < entries->len; i++)
     {
@@ -483,7 +488,7 @@
 {
   u_int kind = packet->body.rpc_body_u.propose.kind;
 
-  return kind == LOG_LEDGER || kind == LOG_ORDER;
+  return kind == LOG_LEDGER || kind == LOG_ORDER || kind == LOG_GRANT;
 }
 
 /* Take a message of another replica.  */
--- a/state/main.c
+++ b/state/main.c
@@ -57,6 +57,7 @@
             jc_rpc_conn_role (conn));
   group_up (ctx, conn);
   fleet_up (ctx, conn);
+  cold_up (ctx, conn);
 }
 
 static void
@@ -102,6 +103,7 @@
   jc_rpc_set_config_version (state->rpc, state->orders->position);
   fleet_start (state);
   presence_start (state);
+  cold_start (state);
   group_start (state);
   jc_event (JC_EVENT_START, "role=state name=%s position=%" G_GUINT64_FORMAT,
             state->settings->name, state->orders->position);
@@ -136,6 +138,7 @@
   state->changes = jc_changes_new ();
   state->config = state->changes->config;
   state->orders = jc_orders_new ();
+  state->grants = jc_grants_new ();
   state->rpc = jc_rpc_new (
       state->loop, &identity,
       routes_by_hosts (state) ? &hosts_rpc_class : &rpc_class, state);
@@ -157,6 +160,7 @@
 stop (struct state *state)
 {
   control_stop (state);
+  cold_stop (state);
   presence_stop (state);
   fleet_stop (state);
   group_stop (state);
@@ -167,6 +171,7 @@
   if (state->disk != NULL)
     state->disk->klass->free (state->disk);
   jc_orders_free (state->orders);
+  jc_grants_free (state->grants);
   jc_routetable_free (state->routes);
   jc_changes_free (state->changes);
   g_ptr_array_free (state->followers, TRUE);
--- a/state/presence.c
+++ b/state/presence.c
@@ -14,13 +14,17 @@
   TELL_MS = 500,
   LIST_MAX = 64,
   ENTRIES_MAX = 1024,
+  /* An entry instance reports itself each 0.5 s; one that missed two is not
+     given new work.  */
+  PICK_FRESH_MS = 1500,
   MS_PER_S = 1000
 };
 
-/* An entry instance and when it was heard last.  */
+/* An entry instance, its process and when it was heard last.  */
 struct entry_view
 {
   struct rpc_presence said;
+  uint64_t incarnation;
   int64_t heard_ms;
 };
 
@@ -57,6 +61,7 @@
               said->name, said->callers_address, said->ready, said->draining);
   view = g_new0 (struct entry_view, 1);
   jc_presence_copy (&view->said, said);
+  view->incarnation = jc_rpc_conn_incarnation (conn);
   view->heard_ms = jc_now_ms ();
   g_hash_table_replace (state->presence->by_name, view->said.name, view);
 }
@@ -211,6 +216,52 @@
     list_near (state, where, (enum nearness)near, true, addresses);
 }
 
+static const char *
+region_of_zone (const struct state *state, const char *zone)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, state->presence->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rpc_presence *said = &((struct entry_view *)value)->said;
+
+      if (strcmp (said->zone, zone) == 0)
+        return said->region;
+    }
+  return NULL;
+}
+
+/* Pick the entry instance that is to send to ENDPOINT while it is cold, by
+   rendezvous among those of its region, so that they share such endpoints.
+   Name it in GRANT, which borrows, and return whether there is one.  */
+bool
+presence_pick (const struct state *state, const struct rpc_endpoint *endpoint,
+               struct rpc_grant *grant)
+{
+  const char *region = region_of_zone (state, endpoint->zone);
+  uint64_t best = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, state->presence->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct entry_view *view = value;
+      uint64_t weight = jc_member_hash (endpoint->name, view->said.name);
+
+      if (region == NULL || strcmp (view->said.region, region) != 0
+          || view->said.draining || !view->said.ready || weight <= best
+          || jc_now_ms () - view->heard_ms > PICK_FRESH_MS)
+        continue;
+      best = weight;
+      grant->instance = view->said.name;
+      grant->instance_incarnation = view->incarnation;
+    }
+  return best > 0;
+}
+
 /* Return how many entry instances of REGION are connected.  */
 unsigned int
 presence_connected (const struct state *state, const char *region)
--- a/state/state.h
+++ b/state/state.h
@@ -9,6 +9,7 @@
 #include "base/metrics.h"
 #include "conf/changes.h"
 #include "conf/orders.h"
+#include "member/grants.h"
 #include "member/members.h"
 #include "net/httpd.h"
 #include "net/rpc.h"
@@ -39,6 +40,8 @@
   struct control *control;
   struct fleet *fleet;
   struct presence *presence;
+  struct jc_grants *grants;
+  struct cold *cold;
   int64_t started_ms;
 };
 
@@ -49,7 +52,8 @@
   LOG_CHANGE,
   LOG_REPLICAS,
   LOG_LEDGER,
-  LOG_ORDER
+  LOG_ORDER,
+  LOG_GRANT
 };
 
 /* Hears what became of a proposal: JC_OK once it is committed, JC_NOT_LEADER
@@ -124,6 +128,15 @@
 enum jc_status fleet_leave (struct state *state, const char *name,
                             uint64_t incarnation);
 void fleet_up (struct state *state, struct jc_rpc_conn *conn);
+void fleet_consider_cold (struct state *state, const char *zone);
+
+/* cold: which entry instance may send to a cold endpoint.  */
+void cold_start (struct state *state);
+void cold_stop (struct state *state);
+void cold_consider (struct state *state, const struct rpc_endpoint *endpoint);
+void cold_applied (struct state *state, struct jc_str data);
+void cold_up (struct state *state, struct jc_rpc_conn *conn);
+void cold_orders_changed (struct state *state);
 
 /* presence: entry instances and the directory of them.  */
 void presence_start (struct state *state);
@@ -132,6 +145,9 @@
                       const struct rpc_packet *packet);
 void presence_list (struct state *state, const struct jc_whereabouts *where,
                     GPtrArray *addresses);
+bool presence_pick (const struct state *state,
+                    const struct rpc_endpoint *endpoint,
+                    struct rpc_grant *grant);
 unsigned int presence_connected (const struct state *state, const char *region);
 
 void submit_handle (struct state *state, struct jc_rpc_conn *conn,
--- /dev/null
+++ b/tests/test-grants.c
@@ -0,0 +1,116 @@
+/* Tests of grants of cold endpoints: whatever is asked for and in which order,
+   an incarnation of an endpoint has one instance for good.  */
+
+#include <glib.h>
+#include <string.h>
+
+#include "member/grants.h"
+
+enum
+{
+  MORE_THAN_KEPT = 5000,
+  ENDPOINTS = 20,
+  ASKED = 20000
+};
+
+static bool
+ask (struct jc_grants *grants, const char *endpoint, uint64_t incarnation,
+     const char *instance)
+{
+  const struct rpc_grant asked = { .endpoint = (char *)endpoint,
+                                   .endpoint_incarnation = incarnation,
+                                   .instance = (char *)instance,
+                                   .instance_incarnation = 7 };
+  const struct rpc_grant *granted = NULL;
+  GString *data = jc_grants_encode (&asked);
+  bool given = jc_grants_apply (grants, jc_str_of (data), &granted);
+
+  g_assert_true (!given || strcmp (granted->instance, instance) == 0);
+  g_string_free (data, TRUE);
+  return given;
+}
+
+/* Guards against a second owner of a cold endpoint.  */
+static void
+test_first_stands (void)
+{
+  struct jc_grants *grants = jc_grants_new ();
+  GPtrArray *own = g_ptr_array_new ();
+
+  g_assert_false (ask (grants, "e", 0, "a"));
+  g_assert_true (ask (grants, "e", 5, "a"));
+  g_assert_false (ask (grants, "e", 5, "b"));
+  g_assert_false (ask (grants, "e", 5, "a"));
+  g_assert_false (ask (grants, "e", 4, "b"));
+  g_assert_true (ask (grants, "e", 6, "b"));
+  g_assert_false (ask (grants, "e", 5, "a"));
+  g_assert_true (ask (grants, "f", 1, "b"));
+  jc_grants_of (grants, "b", 7, own);
+  g_assert_cmpuint (own->len, ==, 2);
+  jc_grants_of (grants, "b", 8, own);
+  g_assert_cmpuint (own->len, ==, 2);
+  g_ptr_array_free (own, TRUE);
+  jc_grants_free (grants);
+}
+
+/* Guards against a bad entry of the log that is taken for a grant.  */
+static void
+test_garbled (void)
+{
+  struct jc_grants *grants = jc_grants_new ();
+  const struct rpc_grant *granted;
+
+  g_assert_false (jc_grants_apply (grants, JC_STR_LIT ("\0\0\0\1e"), &granted));
+  g_assert_cmpuint (jc_grants_count (grants), ==, 0);
+  jc_grants_free (grants);
+}
+
+/* Guards against a second owner after the first one's row made room for
+   others, and after a snapshot was taken over by another replica.  */
+static void
+test_full_table (void)
+{
+  GRand *rand = g_rand_new_with_seed (19);
+  GHashTable *given
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  struct jc_grants *grants = jc_grants_new ();
+
+  for (int i = 0; i < ASKED; i++)
+    {
+      int endpoint = g_rand_int_range (rand, 0, MORE_THAN_KEPT);
+      uint64_t incarnation
+          = 1 + (uint64_t)g_rand_int_range (rand, 0, ENDPOINTS);
+      char *name = g_strdup_printf ("e%d", endpoint);
+      char *key = g_strdup_printf ("%s %d", name, (int)incarnation);
+
+      if (ask (grants, name, incarnation, "a"))
+        g_assert_true (g_hash_table_add (given, g_strdup (key)));
+      if (i % 1000 == 0)
+        {
+          json_t *json = json_object ();
+
+          jc_grants_snapshot (grants, json);
+          jc_grants_free (grants);
+          grants = jc_grants_new ();
+          g_assert_cmpint (jc_grants_restore (grants, json), ==, JC_OK);
+          json_decref (json);
+        }
+      g_free (name);
+      g_free (key);
+    }
+  g_assert_cmpuint (jc_grants_count (grants), <=, 4096);
+  g_assert_cmpuint (g_hash_table_size (given), >, 4096);
+  g_hash_table_destroy (given);
+  jc_grants_free (grants);
+  g_rand_free (rand);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/grants/first-stands", test_first_stands);
+  g_test_add_func ("/grants/garbled", test_garbled);
+  g_test_add_func ("/grants/full-table", test_full_table);
+  return g_test_run ();
+}
