Earn retries by requests alone, not by a count of instances

What callers saw: nothing yet. Ruled out: counting only after 60 s or more slowly, which makes it rarer. Change: a request earns half of the ratio, to be spent within one window, and an instance keeps one retry for longer. A window then holds what two windows earned and one retry an instance, whatever anyone believes. The setting retry_slack and the count of instances are gone.

--- a/entry/following.c
+++ b/entry/following.c
@@ -319,8 +319,6 @@
       g_hash_table_replace (hosts->neighbours, neighbour->said.name, neighbour);
       loads_meet (hosts, said);
     }
-  jc_budgets_set_instances (hosts->budgets,
-                            g_hash_table_size (hosts->neighbours) + 1, now);
 }
 
 /* The log granted a cold endpoint to one process of an instance.  */
--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -240,7 +240,6 @@
   const struct jc_entry_settings *settings = entry->settings;
   const struct jc_budget_terms terms
       = { .retry_ratio = settings->retry_ratio,
-          .retry_slack = settings->retry_slack,
           .retry_window_ms = settings->retry_window_ms,
           .cold_ratio = settings->cold_ratio,
           .cold_slack = settings->cold_slack };
@@ -258,7 +257,7 @@
   hosts->endpoints = jc_members_new ();
   jc_members_own_addresses (hosts->endpoints);
   hosts->engines = jc_engines_new ();
-  hosts->budgets = jc_budgets_new (&terms, jc_now_ms ());
+  hosts->budgets = jc_budgets_new (&terms);
   hosts->neighbours
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_neighbour);
   hosts->state_names
--- a/schema/gen/objects.h
+++ b/schema/gen/objects.h
@@ -78,8 +78,6 @@
   int64_t report_ms;
   /* Retries allowed for each request, over all entry instances.  */
   double retry_ratio;
-  /* Retries allowed beyond the ratio in each window, over all entry instances.  */
-  int64_t retry_slack;
   /* Window over which retries are counted, ms.  */
   int64_t retry_window_ms;
   /* How far the rate of a cold endpoint may be exceeded.  */
--- a/scripts/hosts.sh
+++ b/scripts/hosts.sh
@@ -40,7 +40,7 @@
   "zones": [{"name": "z1", "region": "r1"}, {"name": "z2", "region": "r1"}],
   "callers": "$ip:$callers", "ready": "$ip:$ready", "operators": "$ip:$operators", "rpc": "$ip:$rpc",
   "group_key": "$GROUP_KEY", "operator_token": "", "state_peers": [],
-  "state_seeds": [$seeds], "grace_ms": 60000, "report_ms": 200, "retry_window_ms": 1000 }
+  "state_seeds": [$seeds], "grace_ms": 60000, "report_ms": 200 }
 X
     start "e$i" "$BUILD/jaycove-entry" --settings "$DIR/e$i.json"
     all_callers="$all_callers $ip:$callers"
--- a/serve/budget.c
+++ b/serve/budget.c
@@ -5,9 +5,12 @@
 
 enum
 {
-  /* An instance that is not seen any longer may be cut off and still spend
-     its share.  */
-  INSTANCES_KEPT_MS = 60000,
+  /* Parts of the window in which retries are earned; each is forgotten as a
+     whole.  */
+  EARNED_CELLS = 20,
+  /* A window may see retries of its own requests and of those of the window
+     before it: each request earns half of the ratio.  */
+  EARNING_WINDOWS = 2,
   /* Grants by which a cold endpoint may get requests at one time: it may have
      started again under its name, and each incarnation is granted apart.  */
   COLD_OWNERS = 2,
@@ -16,13 +19,22 @@
   COLD_MAX = 4096
 };
 
-/* Retries of a service that may be spent now.  Each request adds the ratio,
-   and no more is kept than this instance's share of the slack: then any window
-   holds at most the ratio of its own requests and the slack, whatever each
-   instance did before it, and a process that starts anew begins with none.  */
+/* A whole retry, summed up of fractions.  */
+static const double whole_retry = 1 - 1e-6;
+
+/* Retries of a service that may be spent now, by the time in which requests
+   earned them.  What is not spent within a window is forgotten but for KEPT,
+   one at most, for services with few requests.  So any window holds at most one
+   and what was earned in it and in the one before: half of the ratio of the
+   requests of both.  That holds for each instance alone, whatever it knows of
+   others, so that all of them stay within the ratio of one of the two windows
+   and a slack of one an instance.  A process that starts anew begins with none.
+ */
 struct service
 {
-  double retries;
+  double kept;
+  int64_t cell[EARNED_CELLS];
+  double earned[EARNED_CELLS];
 };
 
 /* GRANTED is the incarnation of the endpoint that this instance may send to
@@ -38,19 +50,15 @@
   struct jc_budget_terms terms;
   GHashTable *services;
   GHashTable *cold;
-  unsigned int instances;
-  int64_t instances_ms;
-  int64_t started_ms;
 };
 
-/* Return budgets under TERMS of an instance that starts at NOW_MS.  */
+/* Return budgets under TERMS, with no retry earned and nothing granted.  */
 struct jc_budgets *
-jc_budgets_new (const struct jc_budget_terms *terms, int64_t now_ms)
+jc_budgets_new (const struct jc_budget_terms *terms)
 {
   struct jc_budgets *budgets = g_new0 (struct jc_budgets, 1);
 
   budgets->terms = *terms;
-  budgets->started_ms = now_ms;
   budgets->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   budgets->cold
@@ -69,20 +77,6 @@
   g_free (budgets);
 }
 
-/* COUNT instances are seen.  Fewer than before count only once those that are
-   missing have been so for long.  */
-void
-jc_budgets_set_instances (struct jc_budgets *budgets, unsigned int count,
-                          int64_t now_ms)
-{
-  if (count >= budgets->instances
-      || now_ms - budgets->instances_ms > INSTANCES_KEPT_MS)
-    {
-      budgets->instances = MAX (count, 1);
-      budgets->instances_ms = now_ms;
-    }
-}
-
 static struct service *
 service_of (struct jc_budgets *budgets, const char *name)
 {
@@ -95,21 +89,35 @@
   return service;
 }
 
-/* Return how many retries of a service this instance may keep: its share of
-   the slack, none before it is known how many instances there are.  An
-   instance that has just started knows but some of them and keeps one.  Where
-   there are more instances than the slack has retries, none is kept.  */
+static int64_t
+cell_at (const struct jc_budgets *budgets, int64_t now_ms)
+{
+  return now_ms / (budgets->terms.retry_window_ms / EARNED_CELLS) + 1;
+}
+
+/* Forget what SERVICE earned longer ago than a window, all but one retry.  */
+static void
+expire (const struct jc_budgets *budgets, struct service *service,
+        int64_t now_ms)
+{
+  int64_t now = cell_at (budgets, now_ms);
+
+  for (unsigned int i = 0; i < EARNED_CELLS; i++)
+    if (service->cell[i] <= now - EARNED_CELLS)
+      {
+        service->kept = MIN (service->kept + service->earned[i], 1);
+        service->earned[i] = 0;
+      }
+}
+
 static double
-keeps (const struct jc_budgets *budgets, int64_t now_ms)
+earned (const struct service *service)
 {
-  double share;
+  double sum = service->kept;
 
-  if (budgets->instances == 0)
-    return 0;
-  share = (double)budgets->terms.retry_slack / budgets->instances;
-  return now_ms - budgets->started_ms < budgets->terms.retry_window_ms
-             ? MIN (share, 1)
-             : share;
+  for (unsigned int i = 0; i < EARNED_CELLS; i++)
+    sum += service->earned[i];
+  return sum;
 }
 
 /* A caller's request for SERVICE came.  */
@@ -118,9 +126,12 @@
                     int64_t now_ms)
 {
   struct service *state = service_of (budgets, service);
+  int64_t cell = cell_at (budgets, now_ms);
+  unsigned int slot = (unsigned int)(cell % EARNED_CELLS);
 
-  state->retries = MIN (state->retries + budgets->terms.retry_ratio,
-                        keeps (budgets, now_ms));
+  expire (budgets, state, now_ms);
+  state->cell[slot] = cell;
+  state->earned[slot] += budgets->terms.retry_ratio / EARNING_WINDOWS;
 }
 
 /* Return how many retries of SERVICE this instance may spend now.  */
@@ -128,21 +139,35 @@
 jc_budgets_retries_left (struct jc_budgets *budgets, const char *service,
                          int64_t now_ms)
 {
-  return MIN (service_of (budgets, service)->retries, keeps (budgets, now_ms));
+  struct service *state = service_of (budgets, service);
+
+  expire (budgets, state, now_ms);
+  return earned (state);
 }
 
-/* Take one retry from the budget of SERVICE.  Return whether there was
-   one.  */
+/* Take one retry from the budget of SERVICE, what was earned first to begin
+   with.  Return whether there was one.  */
 bool
 jc_budgets_retry (struct jc_budgets *budgets, const char *service,
                   int64_t now_ms)
 {
   struct service *state = service_of (budgets, service);
+  int64_t cell = cell_at (budgets, now_ms) + 1;
+  double owed = 1;
 
-  state->retries = MIN (state->retries, keeps (budgets, now_ms));
-  if (state->retries < 1)
+  expire (budgets, state, now_ms);
+  if (earned (state) < whole_retry)
     return false;
-  state->retries--;
+  owed -= state->kept;
+  state->kept = 0;
+  for (unsigned int i = 0; i < EARNED_CELLS; i++)
+    {
+      unsigned int slot = (unsigned int)((cell + i) % EARNED_CELLS);
+      double part = MIN (state->earned[slot], owed);
+
+      state->earned[slot] -= part;
+      owed -= part;
+    }
   return true;
 }
 
--- a/serve/budget.h
+++ b/serve/budget.h
@@ -10,13 +10,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Bounds over all instances.  RETRY_RATIO of the requests and RETRY_SLACK
-   more may be retried in each window of RETRY_WINDOW_MS; a cold endpoint may
+/* Bounds over all instances.  RETRY_RATIO of the requests may be retried in
+   each window of RETRY_WINDOW_MS, and one more an instance; a cold endpoint may
    get COLD_RATIO of its rate and COLD_SLACK more in each second.  */
 struct jc_budget_terms
 {
   double retry_ratio;
-  int64_t retry_slack;
   int64_t retry_window_ms;
   double cold_ratio;
   int64_t cold_slack;
@@ -24,11 +23,8 @@
 
 struct jc_budgets;
 
-struct jc_budgets *jc_budgets_new (const struct jc_budget_terms *terms,
-                                   int64_t now_ms);
+struct jc_budgets *jc_budgets_new (const struct jc_budget_terms *terms);
 void jc_budgets_free (struct jc_budgets *budgets);
-void jc_budgets_set_instances (struct jc_budgets *budgets, unsigned int count,
-                               int64_t now_ms);
 void jc_budgets_request (struct jc_budgets *budgets, const char *service,
                          int64_t now_ms);
 double jc_budgets_retries_left (struct jc_budgets *budgets, const char *service,
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -259,6 +259,8 @@
     assert reply.body == b"".join(b"id: %d\ndata: token-%d\n\n" % (i, i) for i in range(6)), reply.body
 
     assert (await request(entry, "GET", "/none/x")).status == 404
+    for _ in range(12):
+        assert (await request(entry, "GET", "/read/x")).status == 200
     for endpoint in endpoints:
         endpoint.fail_next = 1 if endpoint.service == "plain" else 0
     assert (await request(entry, "GET", "/read/x")).status == 500
@@ -295,9 +297,8 @@
     engines = [e for e in endpoints if e.service == "engine"]
 
     # A stream goes on elsewhere, whole, after its endpoint crashed in an event.
-    # Requests earn a retry once the instances know each other.
-    await asyncio.sleep(1.1)
-    for _ in range(10):
+    # Requests earn a retry.
+    for _ in range(12):
         assert (await request(entry, "POST", "/stream/a")).whole
     Endpoint.crash_at = 3
     reply = await request(entry, "POST", "/stream/a", attempt="cafe")
@@ -306,7 +307,7 @@
     assert reply.body == b"".join(b"id: %d\ndata: token-%d\n\n" % (i, i) for i in range(6)), reply.body
 
     # An endpoint's own failure is what the caller gets where all others refuse.
-    for _ in range(10):
+    for _ in range(12):
         assert (await request(entry, "GET", "/read/x")).status == 200
     Endpoint.next_answers = ["fail", "refuse"]
     reply = await request(entry, "GET", "/read/x")
--- a/tests/test-budget.c
+++ b/tests/test-budget.c
@@ -11,6 +11,8 @@
 {
   INSTANCES_MAX = 9,
   MANY = 79,
+  /* The slack of the stated bound: of nine instances, and of many.  */
+  SLACK = 54,
   MANY_SLACK = 186,
   SECONDS = 60,
   MS_PER_S = 1000,
@@ -18,7 +20,6 @@
 };
 
 static const struct jc_budget_terms terms = { .retry_ratio = 0.2,
-                                              .retry_slack = 54,
                                               .retry_window_ms = 10000,
                                               .cold_ratio = 1.5,
                                               .cold_slack = 3 };
@@ -58,6 +59,28 @@
     }
 }
 
+/* Check every window of 10 s against the requests of that window, of the one
+   before it or of the one half a window before it, whichever has most.  */
+static void
+check_retries_by_most (int64_t slack)
+{
+  int64_t window = terms.retry_window_ms;
+  double over = 0;
+
+  for (int64_t end = window; end <= SECONDS * MS_PER_S; end += 100)
+    {
+      double here = sum (record.requests, end - window, end);
+      double before = sum (record.requests, end - 2 * window, end - window);
+      double half
+          = sum (record.requests, end - window * 3 / 2, end - window / 2);
+      double allowed
+          = terms.retry_ratio * MAX (MAX (here, before), half) + (double)slack;
+
+      over = MAX (over, sum (record.retries, end - window, end) - allowed);
+    }
+  g_assert_cmpfloat (over, <=, 0);
+}
+
 /* One draw of instances that come late, are cut off, restart and are asked
    for a retry after every other request.  */
 static void
@@ -69,18 +92,15 @@
 
   memset (&record, 0, sizeof record);
   for (unsigned int i = 0; i < count; i++)
-    budgets[i] = jc_budgets_new (&terms, 0);
+    budgets[i] = jc_budgets_new (&terms);
   for (int64_t ms = 0; ms < SECONDS * MS_PER_S; ms++)
     {
       unsigned int at = (unsigned int)g_rand_int_range (rand, 0, (int)count);
 
-      if (ms % 500 == 0)
-        for (unsigned int i = 1; i < count; i++)
-          jc_budgets_set_instances (budgets[i], count, ms);
       if (ms == restart)
         {
           jc_budgets_free (budgets[at]);
-          budgets[at] = jc_budgets_new (&terms, ms);
+          budgets[at] = jc_budgets_new (&terms);
         }
       if (g_rand_int_range (rand, 0, 12) != 0)
         continue;
@@ -91,7 +111,7 @@
     }
   for (unsigned int i = 0; i < count; i++)
     jc_budgets_free (budgets[i]);
-  check_retries (terms.retry_slack);
+  check_retries (SLACK);
 }
 
 static void
@@ -138,7 +158,7 @@
 {
   GRand *rand = g_rand_new_with_seed (7);
   struct jc_budgets *owners[2]
-      = { jc_budgets_new (&terms, 0), jc_budgets_new (&terms, 0) };
+      = { jc_budgets_new (&terms), jc_budgets_new (&terms) };
 
   memset (&record, 0, sizeof record);
   for (int i = 0; i < 2; i++)
@@ -177,17 +197,17 @@
   region->grants = jc_grants_new ();
   for (int i = 0; i < INSTANCES_MAX; i++)
     {
-      region->budgets[i] = jc_budgets_new (&terms, 0);
+      region->budgets[i] = jc_budgets_new (&terms);
       region->process[i] = 100 + (uint64_t)i;
     }
 }
 
 /* The process of instance AT ends and another one starts.  */
 static void
-region_restart (struct region *region, int at, int64_t ms)
+region_restart (struct region *region, int at)
 {
   jc_budgets_free (region->budgets[at]);
-  region->budgets[at] = jc_budgets_new (&terms, ms);
+  region->budgets[at] = jc_budgets_new (&terms);
   region->process[at] += 1000;
 }
 
@@ -303,7 +323,7 @@
           region_propose (&region, i, ms, rand);
         region_want (&region, i, ms);
         if (g_rand_int_range (rand, 0, 2000) == 0)
-          region_restart (&region, i, ms);
+          region_restart (&region, i);
       }
   g_assert_cmpfloat (most_cold (12 * MS_PER_S), <=, cold_bound ());
   region_end (&region);
@@ -326,9 +346,8 @@
 static void
 test_asking_is_free (void)
 {
-  struct jc_budgets *budgets = jc_budgets_new (&terms, 0);
+  struct jc_budgets *budgets = jc_budgets_new (&terms);
 
-  jc_budgets_set_instances (budgets, 3, 0);
   g_assert_false (jc_budgets_cold (budgets, "e", 5, 2.1, 0));
   g_assert_true (jc_budgets_grant (budgets, "e", 5));
   g_assert_false (jc_budgets_grant (budgets, "e", 5));
@@ -339,29 +358,50 @@
   jc_budgets_free (budgets);
 }
 
-/* Where the whole group starts again, no instance knows of the others: none
-   spends from what all share.  */
+/* A process that has just started spends what its own requests earned, and
+   that for no longer than a window.  */
 static void
-test_unknown_instances (void)
+test_earned_first (void)
 {
-  struct jc_budgets *budgets = jc_budgets_new (&terms, 0);
+  struct jc_budgets *budgets = jc_budgets_new (&terms);
   int retries = 0;
 
+  g_assert_false (jc_budgets_retry (budgets, "s", 0));
   for (int ms = 0; ms < 1000; ms++)
     {
       jc_budgets_request (budgets, "s", ms);
       retries += jc_budgets_retry (budgets, "s", ms) ? 1 : 0;
     }
-  g_assert_cmpint (retries, <=, 200);
-  jc_budgets_set_instances (budgets, 2, 1000);
-  for (int ms = 1000; ms < 1010; ms++)
+  g_assert_cmpint (retries, >=, 99);
+  g_assert_cmpint (retries, <=, 100);
+  for (int ms = 1000; ms < 1100; ms++)
     jc_budgets_request (budgets, "s", ms);
-  g_assert_true (jc_budgets_retry (budgets, "s", 1010));
+  g_assert_false (jc_budgets_retry (budgets, "t", 1100));
+  g_assert_true (jc_budgets_retry (budgets, "s", 1100));
+  g_assert_cmpfloat (jc_budgets_retries_left (budgets, "s", 1100), >, 8);
+  g_assert_true (jc_budgets_retry (budgets, "s", 11100));
+  g_assert_false (jc_budgets_retry (budgets, "s", 11100));
   jc_budgets_free (budgets);
 }
 
-/* Where the whole group starts again, each instance gets to know the others
-   over 4 s.  All want a retry after every request.  */
+/* Guards against callers of a service with few requests who never get a
+   retry: one each 2 s earns one in 20 s.  */
+static void
+test_few_requests (void)
+{
+  struct jc_budgets *budgets = jc_budgets_new (&terms);
+  int retries = 0;
+
+  for (int ms = 0; ms < SECONDS * MS_PER_S; ms += 2000)
+    {
+      jc_budgets_request (budgets, "s", ms);
+      retries += jc_budgets_retry (budgets, "s", ms) ? 1 : 0;
+    }
+  g_assert_cmpint (retries, ==, 3);
+  jc_budgets_free (budgets);
+}
+
+/* The whole group starts, and all want a retry after every request.  */
 static void
 test_group_turns_up (void)
 {
@@ -369,15 +409,11 @@
 
   memset (&record, 0, sizeof record);
   for (unsigned int i = 0; i < INSTANCES_MAX; i++)
-    budgets[i] = jc_budgets_new (&terms, 0);
+    budgets[i] = jc_budgets_new (&terms);
   for (int64_t ms = 0; ms < SECONDS * MS_PER_S; ms++)
     {
       unsigned int at = (unsigned int)(ms % INSTANCES_MAX);
 
-      if (ms % 500 == 0)
-        for (unsigned int i = 0; i < INSTANCES_MAX; i++)
-          jc_budgets_set_instances (
-              budgets[i], (unsigned int)MIN (1 + ms / 200, INSTANCES_MAX), ms);
       jc_budgets_request (budgets[at], "s", ms);
       record.requests[ms]++;
       if (jc_budgets_retry (budgets[at], "s", ms))
@@ -385,11 +421,11 @@
     }
   for (unsigned int i = 0; i < INSTANCES_MAX; i++)
     jc_budgets_free (budgets[i]);
-  check_retries (terms.retry_slack);
+  check_retries (SLACK);
 }
 
-/* The whole group starts again at once, after each instance has spent its
-   share; all of them know the others soon.  */
+/* The whole group starts again at once, after each instance has spent what it
+   had.  */
 static void
 test_group_starts_again (void)
 {
@@ -404,8 +440,7 @@
       for (unsigned int i = 0; i < INSTANCES_MAX && ms % again == 0; i++)
         {
           jc_budgets_free (budgets[i]);
-          budgets[i] = jc_budgets_new (&terms, ms);
-          jc_budgets_set_instances (budgets[i], INSTANCES_MAX, ms);
+          budgets[i] = jc_budgets_new (&terms);
         }
       jc_budgets_request (budgets[at], "s", ms);
       record.requests[ms]++;
@@ -414,7 +449,7 @@
     }
   for (unsigned int i = 0; i < INSTANCES_MAX; i++)
     jc_budgets_free (budgets[i]);
-  check_retries (terms.retry_slack);
+  check_retries (SLACK);
   g_assert_cmpuint (sum (record.retries, 0, SECONDS * MS_PER_S), >, 3000);
 }
 
@@ -423,17 +458,12 @@
 static void
 test_many_instances (void)
 {
-  struct jc_budget_terms many = terms;
   struct jc_budgets *budgets[MANY];
   GRand *rand = g_rand_new_with_seed (5126);
 
-  many.retry_slack = MANY_SLACK;
   memset (&record, 0, sizeof record);
   for (unsigned int i = 0; i < MANY; i++)
-    {
-      budgets[i] = jc_budgets_new (&many, 0);
-      jc_budgets_set_instances (budgets[i], MANY, 0);
-    }
+    budgets[i] = jc_budgets_new (&terms);
   for (int64_t ms = 0; ms < SECONDS * MS_PER_S; ms++)
     {
       unsigned int at = (unsigned int)g_rand_int_range (rand, 0, MANY);
@@ -449,7 +479,66 @@
     jc_budgets_free (budgets[i]);
   g_rand_free (rand);
   check_retries (MANY_SLACK);
-  g_assert_cmpuint (sum (record.retries, 0, SECONDS * MS_PER_S), >, 4000);
+  check_retries_by_most (MANY);
+  /* Half of the ratio is to be had at any time.  */
+  g_assert_cmpfloat (sum (record.retries, 0, SECONDS * MS_PER_S), >,
+                     0.95 * terms.retry_ratio / 2
+                         * sum (record.requests, 0, SECONDS * MS_PER_S));
+}
+
+/* All processes start again inside a cut, so that none could know how many
+   there are.  Callers come and go; for a while no retry is wanted, then all at
+   once. No slack is needed.  */
+static void
+play_split (GRand *rand)
+{
+  struct jc_budgets *budgets[INSTANCES_MAX];
+  int64_t cut = g_rand_int_range (rand, 5000, 20000);
+  int64_t quiet_until = 0;
+  int64_t burst_until = 0;
+  int gap = 1;
+
+  memset (&record, 0, sizeof record);
+  for (unsigned int i = 0; i < INSTANCES_MAX; i++)
+    budgets[i] = jc_budgets_new (&terms);
+  for (int64_t ms = 0; ms < SECONDS * MS_PER_S; ms++)
+    {
+      unsigned int at = (unsigned int)g_rand_int_range (rand, 0, INSTANCES_MAX);
+
+      for (unsigned int i = 0; i < INSTANCES_MAX && ms == cut; i++)
+        {
+          jc_budgets_free (budgets[i]);
+          budgets[i] = jc_budgets_new (&terms);
+        }
+      if (ms >= burst_until)
+        {
+          quiet_until = ms + g_rand_int_range (rand, 0, 12000);
+          burst_until = quiet_until + g_rand_int_range (rand, 100, 6000);
+          gap = g_rand_int_range (rand, 1, 40);
+        }
+      if (ms % gap == 0)
+        {
+          jc_budgets_request (budgets[at], "s", ms);
+          record.requests[ms]++;
+        }
+      if (ms >= quiet_until && jc_budgets_retry (budgets[at], "s", ms))
+        record.retries[ms]++;
+    }
+  for (unsigned int i = 0; i < INSTANCES_MAX; i++)
+    jc_budgets_free (budgets[i]);
+  check_retries_by_most (INSTANCES_MAX);
+}
+
+/* Guards against instances that share the slack with those alone of whom they
+   hear.  */
+static void
+test_retries_while_group_is_split (void)
+{
+  GRand *rand = g_rand_new_with_seed (1910);
+
+  for (int round = 0; round < ROUNDS; round++)
+    play_split (rand);
+  g_rand_free (rand);
 }
 
 int
@@ -464,9 +553,12 @@
                    test_cold_while_region_returns);
   g_test_add_func ("/budget/cold-while-news-stops", test_cold_while_news_stops);
   g_test_add_func ("/budget/asking-is-free", test_asking_is_free);
-  g_test_add_func ("/budget/unknown-instances", test_unknown_instances);
+  g_test_add_func ("/budget/earned-first", test_earned_first);
+  g_test_add_func ("/budget/few-requests", test_few_requests);
   g_test_add_func ("/budget/group-turns-up", test_group_turns_up);
   g_test_add_func ("/budget/group-starts-again", test_group_starts_again);
   g_test_add_func ("/budget/many-instances", test_many_instances);
+  g_test_add_func ("/budget/retries-while-group-is-split",
+                   test_retries_while_group_is_split);
   return g_test_run ();
 }
