Take test ports from one counter for all runs of a machine

What was seen: starts of three state instances after which not all replicas vote, the symptom of both entries of KNOWN-RED.txt. Cause, in 1 of the first 86 starts, six loops at a time: a port that one run found free was taken by another run before its process listened ("Can't listen at 127.0.0.1:21517"); that entry instance ended, and the wait for all votes, which asks each entry instance, went on to its end. Ruled out in that run: elections, the taking in of replicas and disks; the logs show both votes 0.4 s after the leader's. Change: ports come from a counter under a lock, one for all runs; a wait ends at once, with the line, where a process could not listen. The soak uses it too.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -8,27 +8,10 @@
 TOKEN=operator-token
 CALLER_KEY=caller-key-1
 
-# port: print a port that is free now at every IP number of this machine and was
-# not printed before. It is below those that the kernel gives to outgoing
-# connections, so that none takes it before its daemon listens, and none that is
-# retried connects to itself.
+# port: print a port that is free now and that no other run gets soon.
 port ()
 {
-  python3 - "$DIR/port.last" <<'X'
-import os, random, socket, sys
-name = sys.argv[1]
-port = int(open(name).read()) if os.path.exists(name) else random.randrange(15000, 30000)
-while True:
-    port = port + 1 if port < 32000 else 15000
-    with socket.socket() as s:
-        try:
-            s.bind(("0.0.0.0", port))
-        except OSError:
-            continue
-    break
-open(name, "w").write(str(port))
-print(port)
-X
+  python3 scripts/port.py
 }
 
 # wait_for SECONDS COMMAND...: wait until the command succeeds. SECONDS are
@@ -39,6 +22,7 @@
   shift
   while ! "$@" >/dev/null 2>&1; do
     tries=$((tries - 1))
+    if grep -h "Can't listen at" "$DIR"/*.log >&2 2>/dev/null; then tries=0; fi
     [ "$tries" -gt 0 ] || { echo "gave up waiting for: $*" >&2; return 1; }
     sleep 0.05
   done
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -6,8 +6,11 @@
 import os
 import resource
 import signal
-import socket
 import subprocess
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../scripts"))
+import port  # noqa: E402
 
 GROUP_KEY = "%064d" % 7
 ZONES = ["z1", "z2", "z3"]
@@ -108,22 +111,12 @@
 class Fleet:
     """Three state instances and three entry instances, an availability zone each, at 127.0.NET.x."""
 
-    def __init__(self, build, directory, net, rand):
-        self.build, self.dir, self.net, self.rand = build, directory, net, rand
+    def __init__(self, build, directory, net):
+        self.build, self.dir, self.net = build, directory, net
         self.states, self.entries = [], []
 
-    def port(self):
-        while True:
-            port = self.rand.randrange(15000, 32000)
-            with socket.socket() as one:
-                try:
-                    one.bind(("0.0.0.0", port))
-                    return port
-                except OSError:
-                    pass
-
     def start(self):
-        rpc, control, directory = self.port(), self.port(), self.port()
+        rpc, control, directory = port.take(), port.take(), port.take()
         ips = [f"127.0.{self.net}.{i}" for i in (1, 2, 3)]
         seeds = [f"{ip}:{control}" for ip in ips]
         for i, ip in enumerate(ips):
@@ -137,14 +130,14 @@
         callers, ready = [], []
         for i in range(3):
             ip = f"127.0.{self.net}.1{i}"
-            callers.append(f"{ip}:{self.port()}")
-            ready.append(f"{ip}:{self.port()}")
+            callers.append(f"{ip}:{port.take()}")
+            ready.append(f"{ip}:{port.take()}")
             self.entries.append(Process(self, f"e{i}", os.path.join(self.build, "jaycove-entry"), {
                 "routing": "hosts", "group": "g", "name": f"e{i}", "region": "r1", "availability_zone": ZONES[i],
                 "zones": [{"name": z, "region": "r1"} for z in ZONES], "callers": callers[i], "ready": ready[i],
-                "operators": f"{ip}:{self.port()}", "rpc": f"{ip}:{rpc}", "handover": f"{ip}:{self.port()}",
+                "operators": f"{ip}:{port.take()}", "rpc": f"{ip}:{rpc}", "handover": f"{ip}:{port.take()}",
                 "group_key": GROUP_KEY, "operator_token": "", "state_peers": [], "state_seeds": seeds,
-                "grace_ms": GRACE_MS, "report_ms": 200, "retry_window_ms": 1000}))
+                "grace_ms": GRACE_MS, "report_ms": 200}))
         for process in self.states + self.entries:
             process.start()
         json.dump({"control": seeds, "directory": [f"{ip}:{directory}" for ip in ips], "entries": callers,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -87,7 +87,7 @@
     def __init__(self, build, seed, seconds, net):
         self.rand, self.seed, self.seconds = random.Random(seed), seed, seconds
         self.dir = tempfile.mkdtemp(prefix="soak-")
-        self.fleet = Fleet(build, self.dir, net, self.rand)
+        self.fleet = Fleet(build, self.dir, net)
         self.book, self.servers, self.gone = Book(), [], []
         self.version, self.acked, self.serial, self.told = 3, 3, 0, {}
         self.healing, self.calm, self.over = False, False, False
