--- a/state/control.c
+++ b/state/control.c
@@ -10,6 +10,8 @@
 #include "net/program.h"
 #include "state/state.h"
 
+#define METRICS_PATH "/metrics"
+
 enum
 {
   BODY_MAX = 16 * 1024 * 1024,
@@ -66,6 +68,21 @@
   return waiting;
 }
 
+/* Count what became of an order or a read, and how long it took.  */
+static void
+count (const struct waiting *waiting, enum jc_status status)
+{
+  char *labels = g_strdup_printf ("what=\"%s\",outcome=\"%s\"", waiting->what,
+                                  jc_status_name (status));
+
+  jc_metrics_count (waiting->state->metrics, "jaycove_orders_total", labels, 1);
+  g_free (labels);
+  labels = g_strdup_printf ("what=\"%s\"", waiting->what);
+  jc_metrics_observe (waiting->state->metrics, "jaycove_order_ms", labels,
+                      (uint64_t)(jc_now_ms () - waiting->since_ms));
+  g_free (labels);
+}
+
 /* Log what became of WAITING's order and free it; return its caller, or
    NULL.  */
 static struct jc_http_req *
@@ -73,6 +90,7 @@
 {
   struct jc_http_req *req = waiting->req;
 
+  count (waiting, status);
   jc_event (event,
             "what=%s version=%" PRIu64 " position=%" PRIu64
             " outcome=%s waited_ms=%" PRId64,
@@ -257,12 +275,27 @@
   answer_report (state, req);
 }
 
+static void
+answer_metrics (struct state *state, struct jc_http_req *req)
+{
+  GString *out = g_string_new (NULL);
+
+  gauges_print (state, out);
+  jc_http_reply (req, 200, "text/plain; version=0.0.4", jc_str_of (out), NULL);
+  g_string_free (out, TRUE);
+}
+
 static void
 on_call (void *ctx, struct jc_http_req *req)
 {
   struct state *state = ctx;
   struct jc_control call;
 
+  if (strcmp (jc_http_path (req), METRICS_PATH) == 0)
+    {
+      answer_metrics (state, req);
+      return;
+    }
   if (state->dialect->control (jc_http_method (req), jc_http_path (req), &call)
       != JC_OK)
     {
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -111,6 +111,13 @@
   return JC_OK;
 }
 
+/* Return how many endpoints are known here.  */
+unsigned int
+fleet_count (const struct state *state)
+{
+  return jc_members_count (state->fleet->members);
+}
+
 /* Have an entry instance chosen for each endpoint of ZONE, any of which may be
    cold.  */
 void
--- a/state/log.c
+++ b/state/log.c
@@ -31,13 +31,15 @@
 };
 
 /* The log of this instance.  RUNNING says that the log was replayed,
-   REOPEN_MS when it is opened anew after its disk failed.  */
+   REOPEN_MS when it is opened anew after its disk failed, FLUSHED up to which
+   entry it was flushed.  */
 struct log
 {
   int64_t reopen_ms;
   struct jc_rlog *rlog;
   ev_timer tick;
   ev_prepare flush;
+  uint64_t flushed;
   bool running;
 };
 
@@ -266,6 +268,27 @@
     jc_rlog_tick (state->log->rlog, jc_now_ms ());
 }
 
+/* Flush the log, and note how long that takes where there is something to be
+   written and synced.  */
+static void
+flush (struct state *state)
+{
+  struct log *log = state->log;
+  uint64_t last = jc_rlog_last (log->rlog);
+  int64_t begun_us;
+
+  if (last == log->flushed)
+    {
+      jc_rlog_flush (log->rlog, jc_now_ms ());
+      return;
+    }
+  begun_us = g_get_monotonic_time ();
+  jc_rlog_flush (log->rlog, jc_now_ms ());
+  log->flushed = last;
+  jc_metrics_observe (state->metrics, "jaycove_log_flush_us", "",
+                      (uint64_t)(g_get_monotonic_time () - begun_us));
+}
+
 static void
 on_flush (struct ev_loop *loop, ev_prepare *watcher, int events)
 {
@@ -273,7 +296,7 @@
 
   (void)loop;
   (void)events;
-  jc_rlog_flush (state->log->rlog, jc_now_ms ());
+  flush (state);
   followers_push (state);
 }
 
@@ -374,6 +397,13 @@
          && jc_rlog_role (state->log->rlog) == JC_RLOG_LEADER;
 }
 
+/* Return the term that this replica knows.  */
+uint64_t
+log_term (const struct state *state)
+{
+  return jc_rlog_term (state->log->rlog);
+}
+
 /* Tell whether orders last here whatever may be lost at once.  */
 bool
 log_rests_on_enough (const struct state *state)
--- a/state/main.c
+++ b/state/main.c
@@ -174,6 +174,7 @@
   jc_grants_free (state->grants);
   jc_routetable_free (state->routes);
   jc_changes_free (state->changes);
+  jc_metrics_free (state->metrics);
   g_ptr_array_free (state->followers, TRUE);
   g_ptr_array_free (state->order_followers, TRUE);
   g_ptr_array_free (state->calls, TRUE);
@@ -205,6 +206,7 @@
   state.followers = g_ptr_array_new_with_free_func (g_free);
   state.order_followers = g_ptr_array_new_with_free_func (g_free);
   state.calls = g_ptr_array_new ();
+  state.metrics = jc_metrics_new ();
   state.dialect = &platform_dialect;
   state.started_ms = jc_now_ms ();
   if (routes_by_hosts (&state))
--- a/state/presence.c
+++ b/state/presence.c
@@ -262,6 +262,13 @@
   return best > 0;
 }
 
+/* Return how many entry instances report here.  */
+unsigned int
+presence_count (const struct state *state)
+{
+  return g_hash_table_size (state->presence->by_name);
+}
+
 /* Return how many entry instances of REGION are connected.  */
 unsigned int
 presence_connected (const struct state *state, const char *region)
--- a/state/state.h
+++ b/state/state.h
@@ -9,6 +9,7 @@
 #include "base/metrics.h"
 #include "conf/changes.h"
 #include "conf/orders.h"
+#include "conf/replicas.h"
 #include "member/grants.h"
 #include "member/members.h"
 #include "net/httpd.h"
@@ -68,6 +69,7 @@
                   log_done_fn *done, void *ctx);
 
 bool log_leads (const struct state *state);
+uint64_t log_term (const struct state *state);
 bool log_rests_on_enough (const struct state *state);
 const struct rpc_replicas *log_replicas (const struct state *state);
 int64_t log_silent_ms (const struct state *state, const char *name);
@@ -128,8 +130,12 @@
 enum jc_status fleet_leave (struct state *state, const char *name,
                             uint64_t incarnation);
 void fleet_up (struct state *state, struct jc_rpc_conn *conn);
+unsigned int fleet_count (const struct state *state);
 void fleet_consider_cold (struct state *state, const char *zone);
 
+/* gauges: the metrics of this instance.  */
+void gauges_print (struct state *state, GString *out);
+
 /* cold: which entry instance may send to a cold endpoint.  */
 void cold_start (struct state *state);
 void cold_stop (struct state *state);
@@ -148,6 +154,7 @@
 bool presence_pick (const struct state *state,
                     const struct rpc_endpoint *endpoint,
                     struct rpc_grant *grant);
+unsigned int presence_count (const struct state *state);
 unsigned int presence_connected (const struct state *state, const char *region);
 
 void submit_handle (struct state *state, struct jc_rpc_conn *conn,
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -275,6 +275,13 @@
     assert float(metrics['jaycove_retries_left{service="plain"}']) >= 0, metrics
     assert metrics['jaycove_log_dropped_total{event="failed"}'] == "0", metrics
 
+    reply = await ask(control, "GET", "/metrics")
+    assert reply.status == 200, reply.body
+    metrics = dict(line.rsplit(" ", 1) for line in reply.body.decode().splitlines() if not line.startswith("#"))
+    assert metrics["jaycove_config_version{}"] == "3" and metrics["jaycove_entry_instances{}"] == "2", metrics
+    assert metrics["jaycove_replicas{}"] == "3" and metrics["jaycove_orders_last{}"] == "1", metrics
+    assert int(metrics["jaycove_log_flush_us_count{}"]) > 0, metrics
+
     # A report that names no address that can be reached is refused.
     for address in ("nowhere", "10.0.0.1", "10.0.0.1:x", "10.0.0.1:0", "10.0.0.1:70000"):
         body = json.dumps({"service": "plain", "address": address, "zone": "z1", "slots": 8, "state": "ready",
