Let prompts that share large parts meet in one region

Load pattern: each region's own peak, with prompts whose large parts are asked for from all regions. Change: a prompt that shares 1,000 tokens or more goes to the region where those meet, by rendezvous weighted with the regions' usable endpoints. Test: test-elsewhere/parts-meet (share by endpoints, only a lost region's parts move, small parts stay).

--- a/entry/choice.c
+++ b/entry/choice.c
@@ -138,15 +138,12 @@
          && jc_elsewhere_has_room (room, query->demand);
 }
 
-/* Return an instance of another region that may be asked for QUERY's service,
-   or NULL; ANSWER_MS is the time of a usual request there.  */
-static const struct neighbour *
-best_neighbour (struct hosts *hosts, const struct choice_query *query,
-                int64_t *answer_ms)
+/* Return the instances of other regions that may be asked for QUERY's service,
+   an array of struct jc_elsewhere.  */
+static GArray *
+list_elsewhere (struct hosts *hosts, const struct choice_query *query)
 {
   GArray *list = g_array_new (FALSE, FALSE, sizeof (struct jc_elsewhere));
-  const struct neighbour *best = NULL;
-  const struct jc_elsewhere *picked;
   GHashTableIter iter;
   gpointer value;
 
@@ -160,6 +157,76 @@
       if (may_ask (hosts, query, neighbour))
         g_array_append_val (list, one);
     }
+  return list;
+}
+
+/* Add REGION to REGIONS, or raise the number of its endpoints.  */
+static void
+note_region (GArray *regions, const char *name, unsigned int endpoints)
+{
+  const struct jc_elsewhere_region region
+      = { .name = name, .endpoints = endpoints };
+
+  for (guint i = 0; i < regions->len; i++)
+    {
+      struct jc_elsewhere_region *known
+          = &g_array_index (regions, struct jc_elsewhere_region, i);
+
+      if (strcmp (known->name, name) != 0)
+        continue;
+      known->endpoints = MAX (known->endpoints, endpoints);
+      return;
+    }
+  g_array_append_val (regions, region);
+}
+
+/* Leave in LIST the instances of the region where the shared parts of QUERY's
+   request meet.  Return false, with LIST as it is, where that is this region,
+   which has USABLE endpoints, or where they meet nowhere.  */
+static bool
+keep_home (const struct hosts *hosts, const struct choice_query *query,
+           guint usable, GArray *list)
+{
+  const char *own = hosts->entry->settings->region;
+  GArray *regions
+      = g_array_new (FALSE, FALSE, sizeof (struct jc_elsewhere_region));
+  const char *home;
+
+  if (usable > 0)
+    note_region (regions, own, usable);
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct jc_elsewhere *one
+          = &g_array_index (list, struct jc_elsewhere, i);
+
+      note_region (regions, one->instance->region, one->room->endpoints);
+    }
+  home = jc_elsewhere_home (regions, query->demand);
+  g_array_free (regions, TRUE);
+  if (home == NULL || strcmp (home, own) == 0 || query->tried->len > 0)
+    return false;
+  for (guint i = list->len; i > 0; i--)
+    if (strcmp (
+            g_array_index (list, struct jc_elsewhere, i - 1).instance->region,
+            home)
+        != 0)
+      g_array_remove_index_fast (list, i - 1);
+  return true;
+}
+
+/* Return an instance of another region that may be asked for QUERY's service,
+   or NULL; ANSWER_MS is the time of a usual request there.  HOME tells that its
+   region is where the request's shared parts meet; USABLE endpoints are in this
+   one.  */
+static const struct neighbour *
+best_neighbour (struct hosts *hosts, const struct choice_query *query,
+                guint usable, int64_t *answer_ms, bool *home)
+{
+  GArray *list = list_elsewhere (hosts, query);
+  const struct neighbour *best = NULL;
+  const struct jc_elsewhere *picked;
+
+  *home = keep_home (hosts, query, usable, list);
   picked = jc_elsewhere_pick (list, g_random_int ());
   if (picked != NULL)
     {
@@ -196,6 +263,7 @@
   const struct neighbour *neighbour = NULL;
   struct jc_endpoint *endpoint = NULL;
   int64_t away_ms = 0;
+  bool home = false;
   guint usable;
 
   if (jc_hostroute_allows (query->route, hosts->entry->settings->region))
@@ -207,8 +275,8 @@
     endpoint = jc_engines_pick (hosts->engines, endpoints, query->demand,
                                 query->now_ms);
   if (!query->here_only)
-    neighbour = best_neighbour (hosts, query, &away_ms);
-  if (endpoint != NULL && neighbour != NULL
+    neighbour = best_neighbour (hosts, query, usable, &away_ms, &home);
+  if (endpoint != NULL && neighbour != NULL && !home
       && !jc_elsewhere_gains (usual_ms (hosts, query, endpoints), away_ms,
                               g_random_double ()))
     neighbour = NULL;
--- a/serve/elsewhere.c
+++ b/serve/elsewhere.c
@@ -1,5 +1,6 @@
 /* Elsewhere.  */
 
+#include <math.h>
 #include <string.h>
 
 #include "serve/elsewhere.h"
@@ -13,6 +14,10 @@
   /* What the way to another region and back takes, and what a cold cache
      there costs: a request goes there only where it gains more.  */
   COST_MS = 250,
+  /* Shared tokens from which on a request goes to the region where they meet:
+     reading them takes 20 ms of an engine, as long as the hand-over takes of
+     the link and of two instances.  */
+  MEET_TOKENS = 1000,
   PERMILLE = 1000
 };
 
@@ -77,6 +82,48 @@
   return NULL;
 }
 
+/* Return an even draw from 0 to 1 that all instances share for the shared parts
+   of DEMAND in REGION.  */
+static double
+shared_draw (const char *region, const struct jc_demand *demand)
+{
+  uint64_t hash = demand->chain[demand->parts - 2];
+
+  for (const char *c = region; *c != '\0'; c++)
+    hash = (hash ^ (unsigned char)*c) * 1099511628211U;
+  hash = (hash ^ hash >> 31) * 0x94D049BB133111EBU;
+  hash ^= hash >> 29;
+  return ((double)(hash >> 11) + 1) / ((double)(1ULL << 53) + 1);
+}
+
+/* Return the name of the one of REGIONS, an array of struct
+   jc_elsewhere_region, where requests with the shared parts of DEMAND meet, or
+   NULL where these are too small for that.  Each region has as great a share of
+   all parts as of all endpoints, so that what callers of one region ask at
+   their peak is spread over all, and no part is read in each region.  */
+const char *
+jc_elsewhere_home (const GArray *regions, const struct jc_demand *demand)
+{
+  const char *best = NULL;
+  double most = 0;
+
+  if (demand->parts < 2 || demand->tokens[demand->parts - 2] < MEET_TOKENS)
+    return NULL;
+  for (guint i = 0; i < regions->len; i++)
+    {
+      const struct jc_elsewhere_region *region
+          = &g_array_index (regions, struct jc_elsewhere_region, i);
+      double weight
+          = region->endpoints / -log (shared_draw (region->name, demand));
+
+      if (best != NULL && weight <= most)
+        continue;
+      best = region->name;
+      most = weight;
+    }
+  return best;
+}
+
 /* Tell whether a request goes to another region, where a usual one takes
    AWAY_MS, rather than stay where it takes HERE_MS.  All instances of a region
    see the same room elsewhere, so only a share of what would gain goes: DRAW
--- a/serve/elsewhere.h
+++ b/serve/elsewhere.h
@@ -14,10 +14,19 @@
   const struct rpc_service_room *room;
 };
 
+/* A region that may serve a request, by its number of usable endpoints.  */
+struct jc_elsewhere_region
+{
+  const char *name;
+  unsigned int endpoints;
+};
+
 bool jc_elsewhere_has_room (const struct rpc_service_room *room,
                             const struct jc_demand *demand);
 const struct jc_elsewhere *jc_elsewhere_pick (const GArray *instances,
                                               uint32_t draw);
+const char *jc_elsewhere_home (const GArray *regions,
+                               const struct jc_demand *demand);
 bool jc_elsewhere_gains (int64_t here_ms, int64_t away_ms, double draw);
 
 #endif
--- a/tests/test-elsewhere.c
+++ b/tests/test-elsewhere.c
@@ -101,6 +101,53 @@
   g_assert_cmpuint (great, <, DRAWS);
 }
 
+static const char *
+home_of (unsigned int count, uint64_t part, unsigned int tokens)
+{
+  const struct jc_elsewhere_region all[]
+      = { { .name = "north", .endpoints = 60 },
+          { .name = "south", .endpoints = 30 },
+          { .name = "west", .endpoints = 10 } };
+  const struct jc_demand demand = { .prompt_tokens = tokens + 500,
+                                    .parts = 3,
+                                    .chain = { 7, part, part + 1 },
+                                    .tokens = { 400, tokens, tokens + 500 } };
+  GArray *regions
+      = g_array_new (FALSE, FALSE, sizeof (struct jc_elsewhere_region));
+  const char *home;
+
+  g_array_append_vals (regions, all, count);
+  home = jc_elsewhere_home (regions, &demand);
+  g_array_free (regions, TRUE);
+  return home;
+}
+
+/* Peaks that move from region to region, with prompts that share large parts:
+   whoever is asked sends a part to the same region, and each region gets as
+   great a share of all parts as it has of the endpoints.  Where one region is
+   gone, only its parts move.  */
+static void
+test_parts_meet (void)
+{
+  unsigned int north = 0;
+  unsigned int west = 0;
+
+  for (uint64_t i = 1; i <= DRAWS; i++)
+    {
+      uint64_t part = i * 0x9E3779B97F4A7C15U;
+      const char *home = home_of (3, part, 5000);
+
+      g_assert_true (home == home_of (3, part, 5000));
+      if (strcmp (home, "west") != 0)
+        g_assert_cmpstr (home_of (2, part, 5000), ==, home);
+      north += strcmp (home, "north") == 0 ? 1 : 0;
+      west += strcmp (home, "west") == 0 ? 1 : 0;
+      g_assert_null (home_of (3, part, 200));
+    }
+  g_assert_cmpfloat_with_epsilon ((double)north / DRAWS, 0.6, 0.03);
+  g_assert_cmpfloat_with_epsilon ((double)west / DRAWS, 0.1, 0.03);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -109,5 +156,6 @@
   g_test_add_func ("/elsewhere/none", test_none);
   g_test_add_func ("/elsewhere/room", test_room);
   g_test_add_func ("/elsewhere/share", test_share);
+  g_test_add_func ("/elsewhere/parts-meet", test_parts_meet);
   return g_test_run ();
 }
