Give a silent stream up only for another place

What callers saw: streams that broke off in the middle although their endpoint went on. Cause: a stream that may go on elsewhere was given up after three times the allowed pause, whether or not there was anywhere to go: no other endpoint with room, no retry earned, or an attempt that was handed over, after which none is left. The same held for the wait for a first byte. Ruled out: the endpoint (its run ends as "cut" by its peer), the deadline (9 s left), the change of the configuration beside it (the table is held by the request). Change: the client asks before it gives a silent call up; the passage says yes only where its next step is another attempt, a retry is earned and there is a place for it now, else it is asked again after as long. Evidence: hosts-changes, one engine left that stands still for 2.8 s: the stream broke after 2 of 6 events before, and is whole now.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -188,19 +188,29 @@
     passage_reject (passage, "An event of the stream is missing.");
 }
 
+/* Return how the current attempt would end now, sent but not WHOLE or whole. An
+   instance of another region may have used all endpoints that were left.  */
+static struct jc_relay_end
+attempt_end (const struct passage *passage, bool whole)
+{
+  return (struct jc_relay_end){
+    .whole = whole,
+    .sent = true,
+    .not_run = passage->signs.not_run,
+    .genuine = passage->signs.genuine,
+    .endpoints = passage->away ? jc_relay_left (&passage->relay) : 1
+  };
+}
+
 static void
 on_done (void *ctx, const struct jc_call_result *result)
 {
   struct passage *passage = ctx;
-  struct jc_relay_end end
-      = { .whole = result->status == JC_OK,
-          .sent = result->sent,
-          .not_run = passage->signs.not_run,
-          .genuine = passage->signs.genuine,
-          .late = result->status == JC_TIMEOUT,
-          .http = result->http,
-          .endpoints = passage->away ? jc_relay_left (&passage->relay) : 1 };
+  struct jc_relay_end end = attempt_end (passage, result->status == JC_OK);
 
+  end.sent = result->sent;
+  end.late = result->status == JC_TIMEOUT;
+  end.http = result->http;
   passage->call = NULL;
   passage->paused = false;
   if (passage->streaming && passage->sse.partial->len > 0)
@@ -215,8 +225,31 @@
   passage_step (passage, &end);
 }
 
-static const struct jc_call_ops call_ops
-    = { .heads = on_heads, .data = on_data, .done = on_done };
+/* The endpoint is silent for long.  Its answer may still come, so that it is
+   given up only where the request has another place to go to now.  */
+static bool
+on_silent (void *ctx)
+{
+  struct passage *passage = ctx;
+  struct jc_relay after = passage->relay;
+  const struct jc_relay_end end = attempt_end (passage, false);
+  int64_t now = jc_now_ms ();
+  struct choice_query query;
+  struct choice choice;
+
+  if (jc_relay_after (&after, &end, now) != JC_RELAY_TRY
+      || jc_budgets_retries_left (passage->hosts->budgets, passage->service,
+                                  now)
+             < 1)
+    return false;
+  query = passage_query (passage, now);
+  query.may_wait = false;
+  return choice_make (passage->hosts, &query, &choice) == JC_OK;
+}
+
+static const struct jc_call_ops call_ops = {
+  .heads = on_heads, .data = on_data, .silent = on_silent, .done = on_done
+};
 
 /* Return how long the first byte of the next attempt may take, ms; 0 for as
    long as there is.  Only where another endpoint could be asked instead is
--- a/entry/passage.c
+++ b/entry/passage.c
@@ -245,6 +245,20 @@
     passage_fail (passage, status);
 }
 
+/* Return what the choice of PASSAGE's next place rests on at NOW_MS.  */
+struct choice_query
+passage_query (struct passage *passage, int64_t now_ms)
+{
+  passage->demand.left_ms = passage->relay.deadline_ms - now_ms;
+  return (struct choice_query){ .route = passage->route,
+                                .service = passage->service,
+                                .demand = &passage->demand,
+                                .tried = passage->tried,
+                                .here_only = passage->guest,
+                                .may_wait = now_ms < passage->wait_until_ms,
+                                .now_ms = now_ms };
+}
+
 /* Make the next attempt, or wait for its turn.  One more that arrives at an
    endpoint is taken from the budget of retries.  */
 void
@@ -252,17 +266,10 @@
 {
   struct hosts *hosts = passage->hosts;
   int64_t now = jc_now_ms ();
-  const struct choice_query query = { .route = passage->route,
-                                      .service = passage->service,
-                                      .demand = &passage->demand,
-                                      .tried = passage->tried,
-                                      .here_only = passage->guest,
-                                      .may_wait = now < passage->wait_until_ms,
-                                      .now_ms = now };
+  const struct choice_query query = passage_query (passage, now);
   struct choice choice;
   enum jc_status status;
 
-  passage->demand.left_ms = passage->relay.deadline_ms - now;
   status = choice_make (hosts, &query, &choice);
   if (status == JC_CROWDED)
     {
--- a/entry/passage.h
+++ b/entry/passage.h
@@ -76,6 +76,7 @@
 void passage_run_over (struct passage *passage, enum jc_engine_end how);
 void passage_step (struct passage *passage, const struct jc_relay_end *end);
 
+struct choice_query passage_query (struct passage *passage, int64_t now_ms);
 void passage_attempt (struct passage *passage);
 
 /* In attempt.c.  */
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -176,11 +176,20 @@
 static void
 call_set_silence (struct jc_call *call, long ms)
 {
+  call->silence_ms = ms;
   call->silent_at
       = ms > 0 ? ev_now (call->httpc->loop) + (double)ms / MS_PER_S : 0;
   call_arm (call);
 }
 
+/* Tell whether CALL, whose peer is silent, goes on all the same.  */
+static bool
+call_bears_silence (struct jc_call *call)
+{
+  return call->link != NULL && call->link->connected
+         && call->ops->silent != NULL && !call->ops->silent (call->ctx);
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -194,6 +203,8 @@
     call_arm (call);
   else if (call->link != NULL && !call->link->connected && !ended)
     call_failed (call, JC_UNREACHABLE, "No connection came up in time.");
+  else if (!ended && call_bears_silence (call))
+    call_set_silence (call, call->silence_ms);
   else
     call_failed (call, JC_TIMEOUT,
                  ended ? "The time for the call is over."
@@ -218,10 +229,7 @@
 void
 call_heard (struct jc_call *call)
 {
-  call->silent_at = call->idle_ms > 0 ? ev_now (call->httpc->loop)
-                                            + (double)call->idle_ms / MS_PER_S
-                                      : 0;
-  call_arm (call);
+  call_set_silence (call, call->idle_ms);
 }
 
 static void
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -50,14 +50,17 @@
   const char *message;
 };
 
-/* Where a call's events go.  HEADER, HEAD, HEADS and DATA may be NULL; HEADS
-   gets the whole head right before HEAD.  After DONE the call is gone.  */
+/* Where a call's events go.  All but DONE may be NULL; HEADS gets the whole
+   head right before HEAD.  SILENT is asked where the peer lets FIRST_BYTE_MS or
+   IDLE_MS pass without a byte: the call ends if it returns true, else it is
+   asked again after as long.  After DONE the call is gone.  */
 struct jc_call_ops
 {
   void (*header) (void *ctx, struct jc_str name, struct jc_str value);
   void (*heads) (void *ctx, const struct jc_head *head);
   void (*head) (void *ctx, int http, const char *content_type);
   void (*data) (void *ctx, struct jc_str data);
+  bool (*silent) (void *ctx);
   void (*done) (void *ctx, const struct jc_call_result *result);
 };
 
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -46,8 +46,9 @@
   bool message_done;
 };
 
-/* A call and the request that it sends.  DUE_MS are its times on the loop's
-   clock, in seconds, 0 for none.  */
+/* A call and the request that it sends.  END_AT and SILENT_AT are times on the
+   loop's clock, in seconds, 0 for none; SILENCE_MS is the silence that leads to
+   the latter.  */
 struct jc_call
 {
   struct jc_httpc *httpc;
@@ -65,6 +66,7 @@
   ev_timer timer;
   ev_tstamp end_at;
   ev_tstamp silent_at;
+  long silence_ms;
   bool fresh;
   bool once;
   bool paused;
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -73,6 +73,8 @@
     """A server of a service. Streams have EVENTS events, one each PAUSE_S. The first
     that comes to the event CRASH_AT crashes in it."""
     crash_at = None
+    # The first stream that comes to the event STALL_AT stands still there for STALL_S.
+    stall_at, stall_s = None, 0
     # What the next plain requests get, at whichever endpoint: "fail" or "refuse".
     next_answers = []
 
@@ -157,6 +159,9 @@
                 await writer.drain()
                 self.crash()
                 return False
+            if Endpoint.stall_at == event:
+                Endpoint.stall_at = None
+                await asyncio.sleep(Endpoint.stall_s)
             writer.write(b"%x\r\n%s\r\n" % (len(data), data))
             await writer.drain()
             await asyncio.sleep(self.pause_s)
@@ -313,6 +318,12 @@
     assert reply.whole, reply.body
     assert reply.body == b"".join(b"id: %d\ndata: token-%d\n\n" % (i, i) for i in range(6)), reply.body
 
+    # A stream that stands still is not given up where there is no other endpoint: callers lost such streams
+    # after three times the allowed pause.
+    Endpoint.stall_at, Endpoint.stall_s = 2, 3.5 * ROUTES[2]["gap-slo-ms"] / 1000
+    reply = await request(entry, "POST", "/stream/a")
+    assert reply.whole and reply.body.count(b"id: ") == 6, reply.body
+
     # An endpoint's own failure is what the caller gets where all others refuse.
     for _ in range(12):
         assert (await request(entry, "GET", "/read/x")).status == 200
