Send plain requests away by what is offered in each region

Load pattern: a region's own peak of plain requests, at endpoints with few places. Cause: requests left a region by the wait that queues showed, up to 1 s late and exaggerated, so that its endpoints filled first and others got too much at once. Change: each instance tells the rate of its own callers' requests; all compute which part of a region's rate its endpoints can't serve, and where there is room. Service times are learned from requests that found a place at once.

--- a/entry/choice.c
+++ b/entry/choice.c
@@ -160,6 +160,95 @@
   return list;
 }
 
+/* A caller's request for SERVICE came.  Services that no configuration names
+   any longer are forgotten.  */
+void
+choice_count (struct hosts *hosts, const char *service, int64_t now_ms)
+{
+  struct jc_offered_rate *rate = g_hash_table_lookup (hosts->offered, service);
+
+  if (rate == NULL)
+    {
+      if (g_hash_table_size (hosts->offered) >= ROOMS_MAX)
+        g_hash_table_remove_all (hosts->offered);
+      rate = g_new0 (struct jc_offered_rate, 1);
+      g_hash_table_insert (hosts->offered, g_strdup (service), rate);
+    }
+  jc_offered_count (rate, now_ms);
+}
+
+static double
+offered_here (const struct hosts *hosts, const char *service, int64_t now_ms)
+{
+  const struct jc_offered_rate *rate
+      = g_hash_table_lookup (hosts->offered, service);
+
+  return rate != NULL ? jc_offered_now (rate, now_ms) : 0;
+}
+
+/* Add OFFERED and CAPACITY of one more instance to region NAME of REGIONS.  All
+   instances of a region have the same endpoints: the most that one tells
+   counts.  */
+static void
+note_offered (GArray *regions, const char *name, double offered,
+              double capacity)
+{
+  const struct jc_offered_region region
+      = { .name = name, .offered = offered, .capacity = capacity };
+
+  for (guint i = 0; i < regions->len; i++)
+    {
+      struct jc_offered_region *known
+          = &g_array_index (regions, struct jc_offered_region, i);
+
+      if (strcmp (known->name, name) != 0)
+        continue;
+      known->offered += offered;
+      known->capacity = MAX (known->capacity, capacity);
+      return;
+    }
+  g_array_append_val (regions, region);
+}
+
+/* Return the region that QUERY's plain request goes to since this one's callers
+   ask for more than it can serve, or NULL.  ENDPOINTS are those here.  */
+static const char *
+region_with_room (struct hosts *hosts, const struct choice_query *query,
+                  const GPtrArray *endpoints)
+{
+  const char *own = hosts->entry->settings->region;
+  GArray *regions
+      = g_array_new (FALSE, FALSE, sizeof (struct jc_offered_region));
+  double capacity = 0;
+  const char *to;
+  GHashTableIter iter;
+  gpointer value;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    capacity += jc_engines_capacity (hosts->engines,
+                                     g_ptr_array_index (endpoints, i));
+  note_offered (regions, own,
+                offered_here (hosts, query->service, query->now_ms), capacity);
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct neighbour *neighbour = value;
+      const struct rpc_presence *said = &neighbour->said;
+      const struct rpc_service_room *room = room_of (neighbour, query->service);
+
+      if (room != NULL && is_fresh (neighbour, query->now_ms)
+          && jc_hostroute_allows (query->route, said->region))
+        note_offered (regions, said->region,
+                      (double)room->offered_milli / PERMILLE,
+                      strcmp (said->region, own) == 0
+                          ? 0
+                          : (double)room->capacity_milli / PERMILLE);
+    }
+  to = jc_offered_away (regions, own, g_random_double ());
+  g_array_free (regions, TRUE);
+  return to;
+}
+
 /* Add REGION to REGIONS, or raise the number of its endpoints.  */
 static void
 note_region (GArray *regions, const char *name, unsigned int endpoints)
@@ -180,12 +269,23 @@
   g_array_append_val (regions, region);
 }
 
-/* Leave in LIST the instances of the region where the shared parts of QUERY's
-   request meet.  Return false, with LIST as it is, where that is this region,
-   which has USABLE endpoints, or where they meet nowhere.  */
-static bool
-keep_home (const struct hosts *hosts, const struct choice_query *query,
-           guint usable, GArray *list)
+/* Leave in LIST the instances of REGION.  */
+static void
+keep_region (GArray *list, const char *region)
+{
+  for (guint i = list->len; i > 0; i--)
+    if (strcmp (
+            g_array_index (list, struct jc_elsewhere, i - 1).instance->region,
+            region)
+        != 0)
+      g_array_remove_index_fast (list, i - 1);
+}
+
+/* Return the region where the shared parts of QUERY's request meet, or NULL;
+   this region has USABLE endpoints, LIST are the instances of others.  */
+static const char *
+meeting_region (const struct hosts *hosts, const struct choice_query *query,
+                guint usable, const GArray *list)
 {
   const char *own = hosts->entry->settings->region;
   GArray *regions
@@ -203,30 +303,28 @@
     }
   home = jc_elsewhere_home (regions, query->demand);
   g_array_free (regions, TRUE);
-  if (home == NULL || strcmp (home, own) == 0 || query->tried->len > 0)
-    return false;
-  for (guint i = list->len; i > 0; i--)
-    if (strcmp (
-            g_array_index (list, struct jc_elsewhere, i - 1).instance->region,
-            home)
-        != 0)
-      g_array_remove_index_fast (list, i - 1);
-  return true;
+  return home;
 }
 
 /* Return an instance of another region that may be asked for QUERY's service,
-   or NULL; ANSWER_MS is the time of a usual request there.  HOME tells that its
-   region is where the request's shared parts meet; USABLE endpoints are in this
-   one.  */
+   or NULL; ANSWER_MS is the time of a usual request there.  HOME tells that the
+   request is to go there at its first attempt, since its shared parts meet
+   there or its own region is asked for too much.  ENDPOINTS are in this one. */
 static const struct neighbour *
 best_neighbour (struct hosts *hosts, const struct choice_query *query,
-                guint usable, int64_t *answer_ms, bool *home)
+                const GPtrArray *endpoints, int64_t *answer_ms, bool *home)
 {
   GArray *list = list_elsewhere (hosts, query);
+  const char *region = query->demand->prompt_tokens > 0
+                           ? meeting_region (hosts, query, endpoints->len, list)
+                           : region_with_room (hosts, query, endpoints);
   const struct neighbour *best = NULL;
   const struct jc_elsewhere *picked;
 
-  *home = keep_home (hosts, query, usable, list);
+  *home = region != NULL && query->tried->len == 0
+          && strcmp (region, hosts->entry->settings->region) != 0;
+  if (*home)
+    keep_region (list, region);
   picked = jc_elsewhere_pick (list, g_random_int ());
   if (picked != NULL)
     {
@@ -270,12 +368,12 @@
     usable_endpoints (hosts, query->service, query->tried, query->now_ms,
                       endpoints);
   usable = endpoints->len;
+  if (!query->here_only)
+    neighbour = best_neighbour (hosts, query, endpoints, &away_ms, &home);
   jc_engines_admit (hosts->engines, query->demand, endpoints, query->now_ms);
   if (endpoints->len > 0)
     endpoint = jc_engines_pick (hosts->engines, endpoints, query->demand,
                                 query->now_ms);
-  if (!query->here_only)
-    neighbour = best_neighbour (hosts, query, usable, &away_ms, &home);
   if (endpoint != NULL && neighbour != NULL && !home
       && !jc_elsewhere_gains (usual_ms (hosts, query, endpoints), away_ms,
                               g_random_double ()))
@@ -305,6 +403,7 @@
 {
   int64_t answer_ms = 0;
   double busy = 0;
+  double capacity = 0;
   guint count = MAX (endpoints->len, 1);
 
   for (guint i = 0; i < endpoints->len; i++)
@@ -317,7 +416,12 @@
           hosts->engines, endpoint,
           service->engine.slots > 0 ? &usual_prompt : &usual_plain, now_ms);
       busy += jc_engines_busy (hosts->engines, endpoint, now_ms);
+      if (service->engine.slots == 0)
+        capacity += jc_engines_capacity (hosts->engines, endpoint);
     }
+  room->offered_milli
+      = (u_int)(offered_here (hosts, room->service, now_ms) * PERMILLE);
+  room->capacity_milli = (u_int)(capacity * PERMILLE);
   room->endpoints = endpoints->len;
   room->answer_ms = (u_int)(answer_ms / (int64_t)count);
   room->busy_permille = (u_int)(busy / count * PERMILLE);
--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -258,6 +258,8 @@
   jc_members_own_addresses (hosts->endpoints);
   hosts->engines = jc_engines_new ();
   hosts->budgets = jc_budgets_new (&terms);
+  hosts->offered
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   hosts->neighbours
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_neighbour);
   hosts->state_names
@@ -299,6 +301,7 @@
   jc_orders_free (hosts->orders);
   jc_routetable_free (hosts->routes);
   g_hash_table_destroy (hosts->readmitted);
+  g_hash_table_destroy (hosts->offered);
   g_hash_table_destroy (hosts->neighbours);
   g_hash_table_destroy (hosts->state_names);
   g_hash_table_destroy (hosts->fellows);
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -9,6 +9,7 @@
 #include "serve/budget.h"
 #include "serve/dialect.h"
 #include "serve/engine.h"
+#include "serve/offered.h"
 
 enum
 {
@@ -22,7 +23,8 @@
 /* What this instance knows and owns for routing by hosts.  ROUTES is made
    from the text of ORDERS and never goes back in the life of the process.
    SOURCE is the connection to the state instance that tells of each change.
-   ENTRIES maps names of other entry instances to struct neighbour.  */
+   NEIGHBOURS maps names of other entry instances to struct neighbour, OFFERED
+   those of services to the rate of requests of this instance's callers.  */
 struct hosts
 {
   struct entry *entry;
@@ -33,6 +35,7 @@
   struct jc_members *endpoints;
   struct jc_engines *engines;
   struct jc_budgets *budgets;
+  GHashTable *offered;
   GHashTable *neighbours;
   GHashTable *state_names;
   GHashTable *fellows;
@@ -114,6 +117,7 @@
 void choice_log_cold (const struct hosts *hosts,
                       const struct jc_endpoint *endpoint, const char *id,
                       int64_t now_ms);
+void choice_count (struct hosts *hosts, const char *service, int64_t now_ms);
 void choice_rooms (struct hosts *hosts, struct rpc_presence *out);
 
 /* waiting: requests whose turn at an engine has not come.  */
--- a/entry/passage.c
+++ b/entry/passage.c
@@ -433,7 +433,11 @@
   if (guest)
     take_endpoints (&passage->relay, req);
   else
-    jc_budgets_request (hosts->budgets, passage->service, passage->started_ms);
+    {
+      jc_budgets_request (hosts->budgets, passage->service,
+                          passage->started_ms);
+      choice_count (hosts, passage->service, passage->started_ms);
+    }
   passage_attempt (passage);
 }
 
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -584,6 +584,8 @@
 	u_int endpoints;
 	u_int answer_ms;
 	u_int busy_permille;
+	u_int offered_milli;
+	u_int capacity_milli;
 };
 typedef struct rpc_service_room rpc_service_room;
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1073,6 +1073,55 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_rpc_name (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->endpoints))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answer_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->busy_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->offered_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->capacity_milli))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->endpoints);
+			IXDR_PUT_U_LONG(buf, objp->answer_ms);
+			IXDR_PUT_U_LONG(buf, objp->busy_permille);
+			IXDR_PUT_U_LONG(buf, objp->offered_milli);
+			IXDR_PUT_U_LONG(buf, objp->capacity_milli);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_rpc_name (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->endpoints))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answer_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->busy_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->offered_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->capacity_milli))
+				 return FALSE;
+		} else {
+			objp->endpoints = IXDR_GET_U_LONG(buf);
+			objp->answer_ms = IXDR_GET_U_LONG(buf);
+			objp->busy_permille = IXDR_GET_U_LONG(buf);
+			objp->offered_milli = IXDR_GET_U_LONG(buf);
+			objp->capacity_milli = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_rpc_name (xdrs, &objp->service))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->endpoints))
@@ -1081,6 +1130,10 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->busy_permille))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->offered_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->capacity_milli))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -514,12 +514,16 @@
 
 /* What an entry instance can do for one service: usable endpoints there, and
    the means over them of the time that a usual request takes and of the part
-   of their time that they spend on reading prompts.  */
+   of their time that they spend on reading prompts.  offered_milli are the
+   requests of its own callers in 1,000 s, capacity_milli those that all
+   endpoints can serve, 0 for engines.  */
 struct rpc_service_room {
   rpc_name service;
   unsigned int endpoints;
   unsigned int answer_ms;
   unsigned int busy_permille;
+  unsigned int offered_milli;
+  unsigned int capacity_milli;
 };
 
 /* An entry instance as it reports itself.  Addresses are IP:PORT.  */
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -29,6 +29,7 @@
   FAILURE_HALF_MS = 2000
 };
 
+/* AT_ONCE tells that there was a place for it when it was sent.  */
 struct jc_engine_run
 {
   struct engine *engine;
@@ -37,6 +38,7 @@
   double expected_ms;
   int64_t started_ms;
   bool begun;
+  bool at_once;
 };
 
 static void
@@ -108,6 +110,7 @@
   engine = g_new0 (struct engine, 1);
   engine->name = g_strdup (name);
   engine->plain_ms = PLAIN_MS;
+  engine->served_ms = PLAIN_MS;
   engine->pace = 1;
   engine->holders = 1;
   engine->parts = engine_parts_new ();
@@ -239,6 +242,7 @@
   run->unread = (uint64_t)engine_reading (
       demand, engine_tokens_read (engine, demand, now_ms));
   run->expected_ms = run_expected_ms (run, now_ms);
+  run->at_once = engine_work (engine, now_ms).running < endpoint->slots;
   engine->holders++;
   engine->changed = true;
   engine->running++;
@@ -416,8 +420,13 @@
     {
       engine->rest_ms = 0;
       if (run->demand.prompt_tokens == 0)
-        engine->plain_ms
-            += ((double)(now_ms - run->started_ms) - engine->plain_ms) / 8;
+        {
+          double took = (double)(now_ms - run->started_ms);
+
+          engine->plain_ms += (took - engine->plain_ms) / 8;
+          if (run->at_once)
+            engine->served_ms += (took - engine->served_ms) / 8;
+        }
     }
   else if (how == JC_ENGINE_UNREACHABLE)
     rest (engine, now_ms);
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -47,6 +47,8 @@
 void jc_engines_expire (struct jc_engines *engines, int64_t now_ms);
 
 void jc_demand_of (const struct jc_ask *ask, struct jc_demand *demand);
+double jc_engines_capacity (struct jc_engines *engines,
+                            const struct jc_endpoint *endpoint);
 double jc_engines_busy (struct jc_engines *engines,
                         const struct jc_endpoint *endpoint, int64_t now_ms);
 double jc_demand_busy_limit (const struct jc_demand *demand);
--- a/serve/enginecost.c
+++ b/serve/enginecost.c
@@ -189,6 +189,16 @@
   return unread / PROMPT_TOKENS_A_MS / RATE_MS;
 }
 
+/* Return how many plain requests ENDPOINT serves in a second.  */
+double
+jc_engines_capacity (struct jc_engines *engines,
+                     const struct jc_endpoint *endpoint)
+{
+  const struct engine *engine = engine_of (engines, endpoint->name);
+
+  return MAX (endpoint->slots, 1) * MS_PER_S / MAX (engine->served_ms, 1);
+}
+
 /* Return the part of its time that ENDPOINT spends on reading prompts.  */
 double
 jc_engines_busy (struct jc_engines *engines, const struct jc_endpoint *endpoint,
--- a/serve/engineprivate.h
+++ b/serve/engineprivate.h
@@ -55,6 +55,7 @@
   unsigned int reported;
   int64_t reported_ms;
   double plain_ms;
+  double served_ms;
   double pace;
   double failures;
   int64_t failures_ms;
