Log why a silent endpoint is left or waited for; name what was unclear

What was missing: the decision on a silent endpoint wrote no line, and a state instance that starts while a zone is evacuated did not notice that it is taken back (only reports of cold endpoints asked for grants then). Change: event "silent", one function tells whether a retry may be spent, the set of evacuated zones begins with what the log says; comments and names after a newcomer's read of the diff. hosts-changes, hosts-cold and test-budget pass.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -225,26 +225,38 @@
   passage_step (passage, &end);
 }
 
-/* The endpoint is silent for long.  Its answer may still come, so that it is
-   given up only where the request has another place to go to now.  */
+/* Tell whether the request could go to another place now.  */
 static bool
-on_silent (void *ctx)
+has_other_place (struct passage *passage, int64_t now_ms)
 {
-  struct passage *passage = ctx;
+  struct hosts *hosts = passage->hosts;
   struct jc_relay after = passage->relay;
   const struct jc_relay_end end = attempt_end (passage, false);
-  int64_t now = jc_now_ms ();
   struct choice_query query;
   struct choice choice;
 
-  if (jc_relay_after (&after, &end, now) != JC_RELAY_TRY
-      || jc_budgets_retries_left (passage->hosts->budgets, passage->service,
-                                  now)
-             < 1)
+  if (jc_relay_after (&after, &end, now_ms) != JC_RELAY_TRY
+      || !jc_budgets_may_retry (hosts->budgets, passage->service, now_ms))
     return false;
-  query = passage_query (passage, now);
+  query = passage_query (passage, now_ms);
   query.may_wait = false;
-  return choice_make (passage->hosts, &query, &choice) == JC_OK;
+  return choice_make (hosts, &query, &choice) == JC_OK;
+}
+
+/* The endpoint is silent for long.  Its answer may still come, so that it is
+   given up only where there is another place for the request.  */
+static bool
+on_silent (void *ctx)
+{
+  struct passage *passage = ctx;
+  int64_t now = jc_now_ms ();
+  bool leaves = has_other_place (passage, now);
+
+  jc_event (JC_EVENT_SILENT,
+            "id=%s place=%s ms=%" PRId64 " last_event=%" PRId64 " leaves=%d",
+            passage_id (passage), passage->place, now - passage->attempt_ms,
+            passage->relay.last_event, leaves);
+  return leaves;
 }
 
 static const struct jc_call_ops call_ops = {
--- a/entry/choice.c
+++ b/entry/choice.c
@@ -160,8 +160,8 @@
   return list;
 }
 
-/* A caller's request for SERVICE came.  Services that no configuration names
-   any longer are forgotten.  */
+/* A caller's request for SERVICE came.  A full table, of services that no
+   configuration names any longer, is begun anew.  */
 void
 choice_count (struct hosts *hosts, const char *service, int64_t now_ms)
 {
--- a/serve/budget.c
+++ b/serve/budget.c
@@ -145,6 +145,14 @@
   return earned (state);
 }
 
+/* Tell whether this instance may spend a retry of SERVICE now.  */
+bool
+jc_budgets_may_retry (struct jc_budgets *budgets, const char *service,
+                      int64_t now_ms)
+{
+  return jc_budgets_retries_left (budgets, service, now_ms) >= whole_retry;
+}
+
 /* Take one retry from the budget of SERVICE, what was earned first to begin
    with.  Return whether there was one.  */
 bool
@@ -155,8 +163,7 @@
   int64_t cell = cell_at (budgets, now_ms) + 1;
   double owed = 1;
 
-  expire (budgets, state, now_ms);
-  if (earned (state) < whole_retry)
+  if (!jc_budgets_may_retry (budgets, service, now_ms))
     return false;
   owed -= state->kept;
   state->kept = 0;
--- a/serve/budget.h
+++ b/serve/budget.h
@@ -29,6 +29,8 @@
                          int64_t now_ms);
 double jc_budgets_retries_left (struct jc_budgets *budgets, const char *service,
                                 int64_t now_ms);
+bool jc_budgets_may_retry (struct jc_budgets *budgets, const char *service,
+                           int64_t now_ms);
 bool jc_budgets_retry (struct jc_budgets *budgets, const char *service,
                        int64_t now_ms);
 bool jc_budgets_grant (struct jc_budgets *budgets, const char *endpoint,
--- a/state/cold.c
+++ b/state/cold.c
@@ -41,6 +41,21 @@
   g_ptr_array_set_size (zones, 0);
 }
 
+/* Return a set of the zones that are evacuated now.  */
+static GHashTable *
+evacuated_now (const struct state *state)
+{
+  GHashTable *zones
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GHashTableIter iter;
+  gpointer zone;
+
+  g_hash_table_iter_init (&iter, state->orders->evacuated);
+  while (g_hash_table_iter_next (&iter, &zone, NULL))
+    g_hash_table_add (zones, g_strdup (zone));
+  return zones;
+}
+
 /* Begin without proposals.  */
 void
 cold_start (struct state *state)
@@ -48,8 +63,7 @@
   state->cold = g_new0 (struct cold, 1);
   state->cold->asked
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  state->cold->evacuated
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  state->cold->evacuated = evacuated_now (state);
   state->cold->readmitted = g_ptr_array_new_with_free_func (g_free);
   ev_timer_init (&state->cold->later, on_later, 0, 0);
   state->cold->later.data = state;
@@ -182,11 +196,7 @@
   if (state->cold == NULL)
     return;
   before = state->cold->evacuated;
-  state->cold->evacuated
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  g_hash_table_iter_init (&iter, state->orders->evacuated);
-  while (g_hash_table_iter_next (&iter, &zone, NULL))
-    g_hash_table_add (state->cold->evacuated, g_strdup (zone));
+  state->cold->evacuated = evacuated_now (state);
   g_hash_table_iter_init (&iter, before);
   while (g_hash_table_iter_next (&iter, &zone, NULL))
     if (!jc_orders_evacuated (state->orders, zone))
