--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -393,6 +393,20 @@
     await in_force(ADDRESSES["entries"], "/most/x", 200)
 
 
+async def blocked_log():
+    """Nobody reads the first entry instance's log: lines are dropped and counted, requests are served."""
+    await start_all()
+    entry = ADDRESSES["entries"][0]
+
+    async def dropped():
+        for _ in range(50):
+            assert (await request(entry, "GET", "/read/x")).status == 200
+        reply = await ask(ADDRESSES["operators"][0], "GET", "/metrics")
+        lines = [line for line in reply.body.decode().splitlines() if line.startswith("jaycove_log_dropped_total")]
+        return sum(int(line.rsplit(" ", 1)[1]) for line in lines) > 1000
+    await until("lines to be dropped", dropped)
+
+
 async def cold():
     """All state instances stand still until entry instances hear of nobody; meanwhile an endpoint starts cold."""
     per_s, cold_s, enough, sent = 2.1, 40, 12, {}
@@ -475,5 +489,5 @@
 
 if __name__ == "__main__":
     use(sys.argv[2])
-    asyncio.run({"path": path, "changes": changes, "disk": disk, "drain": drain, "cold": cold,
+    asyncio.run({"path": path, "changes": changes, "disk": disk, "drain": drain, "cold": cold, "blocked_log": blocked_log,
                  "catch_up": catch_up}[sys.argv[1]]())
