Judge paths to other zones by own evidence and stop asking those that are cut

Cause: the list of entry instances is hearsay by way of the third region, and each failed attempt was held against one instance. Ruled out: endpoints of the own region, which were up.

serve/paths keeps a belief for each zone, made of attempts, connections to state instances and what two other instances of the region tell; two attempts that reach nobody close it (one, where connections are down as well), a cheap probe opens it. A connect to another region may take 400 ms, one that is sent over a kept connection is given up when nothing is acknowledged for 1 s, the next attempt leaves that region out, and attempts that reached nobody don't use up the route's four.

--- a/base/event.c
+++ b/base/event.c
@@ -48,6 +48,7 @@
   [JC_EVENT_ENTRY] = { "entry", 100, true },
   [JC_EVENT_ADMIT] = { "admit", 50, false },
   [JC_EVENT_COLD] = { "cold", 50, true },
+  [JC_EVENT_PATH] = { "path", 50, true },
   [JC_EVENT_ATTEMPT] = { "attempt", 100, false },
   [JC_EVENT_SILENT] = { "silent", 50, false },
   [JC_EVENT_ATTEMPT_END] = { "attempt_end", 100, false },
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -9,8 +9,11 @@
 
 enum
 {
+  /* A connect over two round trips between regions is lost.  */
   CONNECT_MS = 400,
-  CONNECT_AWAY_MS = 1000,
+  /* An instance of another region that acknowledges nothing for so long can't
+     be reached: three round trips and a packet sent again twice.  */
+  ACK_AWAY_MS = 1000,
   /* Shortest wait for the first byte of an attempt that may be repeated.  */
   FIRST_BYTE_LEAST_MS = 500,
   /* A stream's prompt may wait its turn: a second endpoint, which would read
@@ -75,14 +78,24 @@
     endpoint->warm_ms = now + signs->cold_ms;
 }
 
+static struct jc_path_end
+path_end (const struct passage *passage)
+{
+  return (struct jc_path_end){ .instance = passage->place,
+                               .zone = passage->place_zone,
+                               .region = passage->place_region };
+}
+
 static void
 on_heads (void *ctx, const struct jc_head *head)
 {
   struct passage *passage = ctx;
   const char *type = jc_head_field (head, "Content-Type");
+  const struct jc_path_end end = path_end (passage);
 
   passage->hosts->dialect->signs (head, &passage->signs);
   passage->heard = true;
+  paths_answered (passage->hosts, &end);
   if (passage->away && refused_there (head))
     passage->signs.not_run = true;
   passage->streaming
@@ -202,6 +215,17 @@
   };
 }
 
+/* The attempt ended with RESULT and without an answer.  */
+static void
+note_unreached (struct passage *passage, const struct jc_call_result *result)
+{
+  const struct jc_path_end end = path_end (passage);
+
+  paths_unreached (passage->hosts, &end, passage->attempt_ms, result);
+  if (result->lost && passage->away)
+    g_ptr_array_add (passage->avoided, (gpointer)passage->place_region);
+}
+
 static void
 on_done (void *ctx, const struct jc_call_result *result)
 {
@@ -213,6 +237,8 @@
   end.http = result->http;
   passage->call = NULL;
   passage->paused = false;
+  if (!passage->heard && (result->lost || !result->sent))
+    note_unreached (passage, result);
   if (passage->streaming && passage->sse.partial->len > 0)
     end.whole = false;
   if (passage->relay.begun && !passage->streaming)
@@ -344,7 +370,8 @@
           .url = url,
           .headers = (const char *const *)lines->pdata,
           .body = jc_http_body (passage->req),
-          .connect_ms = passage->away ? CONNECT_AWAY_MS : CONNECT_MS,
+          .connect_ms = CONNECT_MS,
+          .ack_ms = passage->away ? ACK_AWAY_MS : 0,
           .first_byte_ms = first_byte_ms (passage, left),
           .idle_ms = pause_ms (passage),
           .total_ms = (long)left,
@@ -377,6 +404,11 @@
   g_free (passage->place);
   passage->place = g_strdup (passage->away ? choice->neighbour->said.name
                                            : endpoint->name);
+  passage->place_zone = g_intern_string (
+      passage->away ? choice->neighbour->said.zone : endpoint->zone);
+  passage->place_region
+      = g_intern_string (passage->away ? choice->neighbour->said.region
+                                       : hosts->entry->settings->region);
   g_ptr_array_add (passage->tried, g_strdup (passage->place));
   if (passage->away)
     {
--- a/entry/choice.c
+++ b/entry/choice.c
@@ -86,6 +86,28 @@
             now_ms - endpoint->reported_ms);
 }
 
+/* Leave out those of ENDPOINTS in zones that can't be reached, unless there are
+   no others.  */
+static void
+leave_out_cut (const struct hosts *hosts, GPtrArray *endpoints)
+{
+  GPtrArray *reached = g_ptr_array_new ();
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      if (jc_paths_open (hosts->paths, endpoint->zone))
+        g_ptr_array_add (reached, endpoint);
+    }
+  if (reached->len > 0 && reached->len < endpoints->len)
+    {
+      g_ptr_array_set_size (endpoints, 0);
+      g_ptr_array_extend (endpoints, reached, NULL, NULL);
+    }
+  g_ptr_array_free (reached, TRUE);
+}
+
 /* Add to OUT the endpoints of SERVICE that may get a request now.  */
 static void
 usable_endpoints (struct hosts *hosts, const char *name, const GPtrArray *tried,
@@ -106,6 +128,7 @@
           || !is_warm_enough (hosts, endpoint, service, now_ms))
         g_ptr_array_remove_index (out, i - 1);
     }
+  leave_out_cut (hosts, out);
 }
 
 static const struct rpc_service_room *
@@ -121,6 +144,15 @@
   return NULL;
 }
 
+/* Tell whether this instance, as far as it knows, can reach NEIGHBOUR.  */
+static bool
+is_reachable (const struct hosts *hosts, const struct neighbour *neighbour,
+              int64_t now_ms)
+{
+  return jc_paths_open (hosts->paths, neighbour->said.zone)
+         && !jc_paths_rests (hosts->paths, neighbour->said.name, now_ms);
+}
+
 /* Tell whether NEIGHBOUR, in another region, may be asked for QUERY's
    service.  */
 static bool
@@ -134,6 +166,8 @@
          && strcmp (said->region, hosts->entry->settings->region) != 0
          && is_fresh (neighbour, query->now_ms)
          && jc_hostroute_allows (query->route, said->region)
+         && is_reachable (hosts, neighbour, query->now_ms)
+         && !was_tried (query->avoided, said->region)
          && !was_tried (query->tried, said->name)
          && jc_elsewhere_has_room (room, query->demand);
 }
@@ -237,7 +271,9 @@
       const struct rpc_service_room *room = room_of (neighbour, query->service);
 
       if (room != NULL && is_fresh (neighbour, query->now_ms)
-          && jc_hostroute_allows (query->route, said->region))
+          && jc_hostroute_allows (query->route, said->region)
+          && (strcmp (said->region, own) == 0
+              || is_reachable (hosts, neighbour, query->now_ms)))
         note_offered (regions, said->region,
                       (double)room->offered_milli / PERMILLE,
                       strcmp (said->region, own) == 0
--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -41,6 +41,7 @@
 
   jc_event (JC_EVENT_PEER_UP, "peer=%s role=%s", jc_rpc_conn_name (conn),
             jc_rpc_conn_role (conn));
+  paths_link (entry->hosts, conn, true);
   following_up (entry->hosts, conn);
 }
 
@@ -51,6 +52,7 @@
 
   jc_event (JC_EVENT_PEER_DOWN, "peer=%s role=%s", jc_rpc_conn_name (conn),
             jc_rpc_conn_role (conn));
+  paths_link (entry->hosts, conn, false);
   following_down (entry->hosts, conn);
 }
 
@@ -78,10 +80,25 @@
   passage_start (((struct entry *)ctx)->hosts, req, false);
 }
 
+static bool
+is_probe (const struct jc_http_req *req)
+{
+  return strcmp (jc_http_path (req), PATHS_PROBE_TARGET) == 0;
+}
+
+static enum jc_status
+on_guest_head (void *ctx, struct jc_http_req *req)
+{
+  return is_probe (req) ? JC_OK : on_caller_head (ctx, req);
+}
+
 static void
 on_guest_body (void *ctx, struct jc_http_req *req)
 {
-  passage_start (((struct entry *)ctx)->hosts, req, true);
+  if (is_probe (req))
+    jc_http_reply (req, 200, "text/plain", JC_STR_LIT (""), NULL);
+  else
+    passage_start (((struct entry *)ctx)->hosts, req, true);
 }
 
 static void
@@ -151,6 +168,7 @@
   (void)loop;
   (void)events;
   following_tick (entry->hosts);
+  paths_tick (entry->hosts);
   if (entry->draining)
     drain_tick (entry);
 }
@@ -211,7 +229,7 @@
                                                  .body = on_caller_body,
                                                  .gone = on_gone,
                                                  .room = on_room };
-  static const struct jc_httpd_class guests = { .head = on_caller_head,
+  static const struct jc_httpd_class guests = { .head = on_guest_head,
                                                 .body = on_guest_body,
                                                 .gone = on_gone,
                                                 .room = on_room };
@@ -258,6 +276,7 @@
   jc_members_own_addresses (hosts->endpoints);
   hosts->engines = jc_engines_new ();
   hosts->budgets = jc_budgets_new (&terms);
+  hosts->paths = jc_paths_new ();
   hosts->offered
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   hosts->neighbours
@@ -297,6 +316,7 @@
   waiting_stop (hosts);
   jc_engines_free (hosts->engines);
   jc_budgets_free (hosts->budgets);
+  jc_paths_free (hosts->paths);
   jc_members_free (hosts->endpoints);
   jc_orders_free (hosts->orders);
   jc_routetable_free (hosts->routes);
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -10,6 +10,7 @@
 #include "serve/dialect.h"
 #include "serve/engine.h"
 #include "serve/offered.h"
+#include "serve/paths.h"
 
 enum
 {
@@ -35,6 +36,7 @@
   struct jc_members *endpoints;
   struct jc_engines *engines;
   struct jc_budgets *budgets;
+  struct jc_paths *paths;
   GHashTable *offered;
   GHashTable *neighbours;
   GHashTable *state_names;
@@ -88,6 +90,20 @@
 void loads_packet (struct hosts *hosts, struct jc_rpc_conn *conn,
                    const struct rpc_packet *packet);
 
+/* What other instances ask at the hand-over's address to learn whether the path
+   there is open.  */
+#define PATHS_PROBE_TARGET "/.jaycove/reachable"
+
+/* paths: the ways to other availability zones.  */
+void paths_unreached (struct hosts *hosts, const struct jc_path_end *end,
+                      int64_t begun_ms, const struct jc_call_result *result);
+void paths_answered (struct hosts *hosts, const struct jc_path_end *end);
+void paths_link (struct hosts *hosts, const struct jc_rpc_conn *conn, bool up);
+void paths_tick (struct hosts *hosts);
+void paths_list (const struct hosts *hosts, GArray *rows);
+void paths_told (struct hosts *hosts, const char *teller,
+                 const struct rpc_loads *loads);
+
 /* gauges: what this instance believes, for its metrics.  */
 void gauges_set (struct hosts *hosts);
 
@@ -98,14 +114,16 @@
   const struct neighbour *neighbour;
 };
 
-/* What a choice rests on.  TRIED holds names that are left out; HERE_ONLY
-   leaves out other instances; MAY_WAIT allows JC_CROWDED as an outcome.  */
+/* What a choice rests on.  TRIED holds names that are left out, AVOIDED regions
+   that this request did not reach; HERE_ONLY leaves out other instances;
+   MAY_WAIT allows JC_CROWDED as an outcome.  */
 struct choice_query
 {
   const struct jc_hostroute *route;
   const char *service;
   const struct jc_demand *demand;
   const GPtrArray *tried;
+  const GPtrArray *avoided;
   bool here_only;
   bool may_wait;
   int64_t now_ms;
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -69,6 +69,7 @@
   struct rpc_loads *loads = &packet.body.rpc_body_u.loads;
   GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
   GArray *parts = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
+  GArray *paths = g_array_new (FALSE, FALSE, sizeof (struct rpc_path_closed));
 
   loads->full = now - hosts->loads_full_ms >= FULL_MS;
   jc_engines_loads (hosts->engines, loads->full, now, rows, parts);
@@ -76,6 +77,9 @@
   loads->rows.rows_len = rows->len;
   loads->parts.parts_val = (struct rpc_part_read *)parts->data;
   loads->parts.parts_len = parts->len;
+  paths_list (hosts, paths);
+  loads->paths.paths_val = (struct rpc_path_closed *)paths->data;
+  loads->paths.paths_len = paths->len;
   if (loads->full)
     hosts->loads_full_ms = now;
   for (guint i = 0; i < conns->len && (rows->len > 0 || loads->full); i++)
@@ -83,6 +87,7 @@
       jc_rpc_send (g_ptr_array_index (conns, i), &packet);
   g_array_free (rows, TRUE);
   g_array_free (parts, TRUE);
+  g_array_free (paths, TRUE);
 }
 
 /* Tell the other instances of the region, where it is time.  */
@@ -109,7 +114,11 @@
 loads_packet (struct hosts *hosts, struct jc_rpc_conn *conn,
               const struct rpc_packet *packet)
 {
-  if (packet->body.type == RPC_LOADS && is_fellow (hosts, conn))
-    jc_engines_take (hosts->engines, jc_rpc_conn_name (conn),
-                     &packet->body.rpc_body_u.loads, jc_now_ms ());
+  const struct rpc_loads *loads = &packet->body.rpc_body_u.loads;
+
+  if (packet->body.type != RPC_LOADS || !is_fellow (hosts, conn))
+    return;
+  jc_engines_take (hosts->engines, jc_rpc_conn_name (conn), loads,
+                   jc_now_ms ());
+  paths_told (hosts, jc_rpc_conn_name (conn), loads);
 }
--- a/entry/passage.c
+++ b/entry/passage.c
@@ -48,6 +48,7 @@
     jc_head_clear (&passage->head);
   jc_routetable_free (passage->table);
   g_ptr_array_free (passage->tried, TRUE);
+  g_ptr_array_free (passage->avoided, TRUE);
   g_string_free (passage->body, TRUE);
   jc_head_clear (&passage->kept);
   g_string_free (passage->kept_body, TRUE);
@@ -254,6 +255,7 @@
                                 .service = passage->service,
                                 .demand = &passage->demand,
                                 .tried = passage->tried,
+                                .avoided = passage->avoided,
                                 .here_only = passage->guest,
                                 .may_wait = now_ms < passage->wait_until_ms,
                                 .now_ms = now_ms };
@@ -413,6 +415,7 @@
   passage->service = jc_hostroute_pick (route, draw_of (&ask));
   passage->started_ms = jc_now_ms ();
   passage->tried = g_ptr_array_new_with_free_func (g_free);
+  passage->avoided = g_ptr_array_new ();
   passage->body = g_string_new (NULL);
   passage->kept_body = g_string_new (NULL);
   passage->burst = g_string_new (NULL);
--- a/entry/passage.h
+++ b/entry/passage.h
@@ -21,14 +21,15 @@
 #define HEADER_ENDPOINTS "X-Jaycove-Endpoints"
 
 /* A request under way.  REQ lives as long as this.  TABLE is the one that
-   ROUTE is of.  PLACE names where the current attempt goes, AWAY that it is
-   another entry instance.  HEAD is that of the answer's first attempt that
-   the caller was shown, or of the last one.  KEPT and KEPT_BODY are an
-   endpoint's own failure, for the case that no further attempt does better;
-   KEPT_AWAY tells that it came by another instance.  WAITING tells that its
-   turn has not come; it waits until WAIT_UNTIL_MS at the latest.  FIRST_MS is
-   how long the first event took, GAP_MS the longest pause after it, EVENT_MS
-   when the last one came.  */
+   ROUTE is of.  PLACE names where the current attempt goes, in
+   PLACE_ZONE of PLACE_REGION, AWAY that it is another entry instance.  AVOIDED
+   holds other regions that an attempt did not reach.  HEAD is that of the
+   answer's first attempt that the caller was shown, or of the last one.  KEPT
+   and KEPT_BODY are an endpoint's own failure, for the case that no further
+   attempt does better; KEPT_AWAY tells that it came by another instance.
+   WAITING tells that its turn has not come; it waits until WAIT_UNTIL_MS at the
+   latest.  FIRST_MS is how long the first event took, GAP_MS the longest pause
+   after it, EVENT_MS when the last one came.  */
 struct passage
 {
   struct hosts *hosts;
@@ -42,10 +43,13 @@
   struct jc_relay relay;
   int64_t started_ms;
   GPtrArray *tried;
+  GPtrArray *avoided;
 
   struct jc_call *call;
   struct jc_engine_run *run;
   char *place;
+  const char *place_zone;
+  const char *place_region;
   bool away;
   bool arrived;
   int64_t attempt_ms;
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -202,7 +202,10 @@
   if (!ended && !silent)
     call_arm (call);
   else if (call->link != NULL && !call->link->connected && !ended)
-    call_failed (call, JC_UNREACHABLE, "No connection came up in time.");
+    {
+      call->lost = true;
+      call_failed (call, JC_UNREACHABLE, "No connection came up in time.");
+    }
   else if (!ended && call_bears_silence (call))
     call_set_silence (call, call->silence_ms);
   else
@@ -299,6 +302,7 @@
   const struct jc_call_result result = { .status = status,
                                          .http = call->http,
                                          .sent = call->sent,
+                                         .lost = call->lost,
                                          .framed = call->framed,
                                          .reused = call->reused,
                                          .message = message };
@@ -306,8 +310,8 @@
 
   if (call->cancelled)
     return;
-  if (call->reused && call->http == 0 && status == JC_ENDPOINT_FAILED
-      && (!call->once || !call->sent))
+  if (call->reused && !call->lost && call->http == 0
+      && status == JC_ENDPOINT_FAILED && (!call->once || !call->sent))
     {
       link->call = NULL;
       link_close (link);
@@ -377,6 +381,7 @@
   call->echo_name = g_strdup (spec->echo_name);
   call->echo_value = g_strdup (spec->echo_value);
   call->connect_ms = spec->connect_ms;
+  call->ack_ms = spec->ack_ms;
   call->first_byte_ms = spec->first_byte_ms;
   call->idle_ms = spec->idle_ms;
   call->fresh = spec->fresh;
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -15,7 +15,8 @@
 struct jc_call;
 
 /* What to ask.  Times are in ms, 0 for no limit; HEADERS is a NULL-ended
-   list of "Name: value" or NULL.  A request that finds its kept connection
+   list of "Name: value" or NULL.  A peer that acknowledges nothing for ACK_MS,
+   0 for a usual time, is given up.  A request that finds its kept connection
    closed is sent again on a new one, but for ONCE.  FRESH asks for a
    connection of its own that is not kept.  Answers whose header ECHO_NAME has
    another value than ECHO_VALUE belong to earlier requests and are skipped;
@@ -27,6 +28,7 @@
   const char *const *headers;
   struct jc_str body;
   long connect_ms;
+  long ack_ms;
   long first_byte_ms;
   long idle_ms;
   long total_ms;
@@ -38,13 +40,15 @@
 
 /* How a call ended.  STATUS is JC_OK where the whole answer came, whatever
    HTTP says; SENT is false only where no byte of the request can have reached
-   the peer; FRAMED tells that the answer's length was known or chunked;
-   REUSED that the connection had served before.  */
+   the peer; LOST that not even its host answered; FRAMED tells that the
+   answer's length was known or chunked; REUSED that the connection had served
+   before.  */
 struct jc_call_result
 {
   enum jc_status status;
   int http;
   bool sent;
+  bool lost;
   bool framed;
   bool reused;
   const char *message;
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -61,6 +61,7 @@
   char *echo_name;
   char *echo_value;
   long connect_ms;
+  long ack_ms;
   long first_byte_ms;
   long idle_ms;
   ev_timer timer;
@@ -72,6 +73,7 @@
   bool paused;
   bool cancelled;
   bool sent;
+  bool lost;
   bool reused;
   bool framed;
   int http;
--- a/net/httplink.c
+++ b/net/httplink.c
@@ -297,6 +297,13 @@
   link_fail (link, JC_ENDPOINT_FAILED, "The endpoint closed the connection.");
 }
 
+/* Tell whether ERROR says that not even the peer's host answers.  */
+static bool
+is_host_silent (int error)
+{
+  return error == ETIMEDOUT || error == EHOSTUNREACH || error == ENETUNREACH;
+}
+
 static void
 on_readable (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -317,6 +324,7 @@
       link_close (link);
       return;
     }
+  link->call->lost = got < 0 && is_host_silent (errno);
   if (got < 0)
     link_fail (link, JC_ENDPOINT_FAILED, "The connection was reset.");
   else if (got == 0)
@@ -375,6 +383,7 @@
       if (getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0
           || error != 0)
         {
+          link->call->lost = is_host_silent (error);
           link_fail (link, JC_UNREACHABLE, "No connection came up.");
           return;
         }
@@ -412,15 +421,21 @@
   return link;
 }
 
+static void
+set_ack_time (int fd, long ms)
+{
+  unsigned int timeout = ms > 0 ? (unsigned int)ms : USER_TIMEOUT_MS;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
 static void
 link_set_options (int fd)
 {
-  unsigned int user_timeout = USER_TIMEOUT_MS;
   int on = 1;
 
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
-              sizeof user_timeout);
+  set_ack_time (fd, 0);
 }
 
 /* Open a connection to ADDRESS, "IP:PORT".  One that can't come up fails at
@@ -467,6 +482,8 @@
 {
   link->call = call;
   link->out_pos = 0;
+  if (call->ack_ms > 0)
+    set_ack_time (link->fd, call->ack_ms);
   link_expect (link);
   /* The request leaves from the loop, so that no event comes before the
      caller has the call.  */
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -634,6 +634,13 @@
 };
 typedef struct rpc_part_read rpc_part_read;
 
+struct rpc_path_closed {
+	rpc_name zone;
+	rpc_name region;
+	u_int age_ms;
+};
+typedef struct rpc_path_closed rpc_path_closed;
+
 struct rpc_loads {
 	bool_t full;
 	struct {
@@ -644,6 +651,10 @@
 		u_int parts_len;
 		rpc_part_read *parts_val;
 	} parts;
+	struct {
+		u_int paths_len;
+		rpc_path_closed *paths_val;
+	} paths;
 };
 typedef struct rpc_loads rpc_loads;
 
@@ -764,6 +775,7 @@
 extern  bool_t xdr_rpc_entries (XDR *, rpc_entries*);
 extern  bool_t xdr_rpc_load (XDR *, rpc_load*);
 extern  bool_t xdr_rpc_part_read (XDR *, rpc_part_read*);
+extern  bool_t xdr_rpc_path_closed (XDR *, rpc_path_closed*);
 extern  bool_t xdr_rpc_loads (XDR *, rpc_loads*);
 extern  bool_t xdr_rpc_body (XDR *, rpc_body*);
 extern  bool_t xdr_rpc_packet (XDR *, rpc_packet*);
@@ -832,6 +844,7 @@
 extern bool_t xdr_rpc_entries ();
 extern bool_t xdr_rpc_load ();
 extern bool_t xdr_rpc_part_read ();
+extern bool_t xdr_rpc_path_closed ();
 extern bool_t xdr_rpc_loads ();
 extern bool_t xdr_rpc_body ();
 extern bool_t xdr_rpc_packet ();
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1217,6 +1217,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_path_closed (XDR *xdrs, rpc_path_closed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->region))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_loads (XDR *xdrs, rpc_loads *objp)
 {
@@ -1230,6 +1244,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, 4096,
 		sizeof (rpc_part_read), (xdrproc_t) xdr_rpc_part_read))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->paths.paths_val, (u_int *) &objp->paths.paths_len, 64,
+		sizeof (rpc_path_closed), (xdrproc_t) xdr_rpc_path_closed))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -570,10 +570,18 @@
 
 /* Rows that changed since the sender told last; full has all of them.  parts
    are those shared ones of which nobody told lately.  */
+/* A zone that its sender could not reach for age_ms.  */
+struct rpc_path_closed {
+  rpc_name zone;
+  rpc_name region;
+  unsigned int age_ms;
+};
+
 struct rpc_loads {
   bool full;
   rpc_load rows<4096>;
   rpc_part_read parts<4096>;
+  rpc_path_closed paths<64>;
 };
 
 union rpc_body switch (rpc_type type) {
--- /dev/null
+++ b/serve/paths.h
@@ -0,0 +1,49 @@
+/* Paths: which other availability zones this instance can reach.  */
+
+#ifndef JC_PATHS_H
+#define JC_PATHS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct jc_paths;
+
+/* Where an attempt goes: to INSTANCE, an endpoint or another entry instance, in
+   ZONE of REGION.  */
+struct jc_path_end
+{
+  const char *instance;
+  const char *zone;
+  const char *region;
+};
+
+/* A closed path, as others are told of it.  */
+struct jc_path_view
+{
+  const char *zone;
+  const char *region;
+  int64_t closed_ms;
+};
+
+struct jc_paths *jc_paths_new (void);
+void jc_paths_free (struct jc_paths *paths);
+bool jc_paths_failed (struct jc_paths *paths, const struct jc_path_end *end,
+                      int64_t begun_ms, int64_t now_ms);
+bool jc_paths_answered (struct jc_paths *paths, const struct jc_path_end *end,
+                        int64_t now_ms);
+void jc_paths_refused (struct jc_paths *paths, const struct jc_path_end *end,
+                       int64_t now_ms);
+bool jc_paths_link (struct jc_paths *paths, const struct jc_path_end *end,
+                    bool up, int64_t now_ms);
+bool jc_paths_told (struct jc_paths *paths, const char *teller,
+                    const struct jc_path_end *end, int64_t age_ms,
+                    int64_t now_ms);
+bool jc_paths_open (const struct jc_paths *paths, const char *zone);
+bool jc_paths_rests (const struct jc_paths *paths, const char *instance,
+                     int64_t now_ms);
+bool jc_paths_probe (struct jc_paths *paths, const char *zone, int64_t now_ms);
+void jc_paths_closed (const struct jc_paths *paths, GArray *views);
+void jc_paths_expire (struct jc_paths *paths, int64_t now_ms);
+
+#endif
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -36,6 +36,7 @@
 jc_relay_may_try (const struct jc_relay *relay, int64_t now_ms)
 {
   if (relay->tried >= JC_RELAY_TRIES_MAX
+      || relay->unreached >= JC_RELAY_UNREACHED_MAX
       || relay->deadline_ms - now_ms < TRY_LEAST_MS)
     return false;
   if (relay->sent == 0)
@@ -67,7 +68,10 @@
 {
   bool answered = end->whole && end->genuine;
 
-  relay->tried++;
+  if (end->sent)
+    relay->tried++;
+  else
+    relay->unreached++;
   if (end->sent && !(end->whole && end->not_run))
     relay->sent += end->endpoints > 1 ? end->endpoints : 1;
   if (relay->begun)
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -10,7 +10,10 @@
 enum
 {
   /* Endpoints asked for one request, those included that refused it.  */
-  JC_RELAY_TRIES_MAX = 4
+  JC_RELAY_TRIES_MAX = 4,
+  /* Attempts that reached nobody, beside those: they cost a connect each, and
+     the deadline bounds them too.  */
+  JC_RELAY_UNREACHED_MAX = 8
 };
 
 /* How an attempt ended.  WHOLE: the answer came whole, with HTTP as its code.
@@ -39,9 +42,9 @@
   JC_RELAY_BREAK
 };
 
-/* A request under way.  TRIED counts attempts, SENT endpoints where it may
-   have run;
-   LAST_EVENT is the last event that the caller has, -1 for none.  */
+/* A request under way.  TRIED counts attempts that reached somebody, UNREACHED
+   the others, SENT endpoints where it may have run; LAST_EVENT is the last
+   event that the caller has, -1 for none.  */
 struct jc_relay
 {
   enum jc_route_kind kind;
@@ -49,6 +52,7 @@
   unsigned int endpoints_max;
   int64_t deadline_ms;
   unsigned int tried;
+  unsigned int unreached;
   unsigned int sent;
   bool begun;
   int64_t last_event;
