Keep an attempt alive by progress of its answer, not by bytes

Callers waited for their whole deadline beside a free endpoint where an endpoint sent bytes without end: a head that drips, interim heads, a chunked body of one byte each 50 ms, comments, blank lines or the same event again and again (504 or a broken 200 after 15 s, up to 2.3 s of processor time a request). Cause: any byte reset the time in which the next one is due.

net/progress decides what brings an answer forward: a whole head, blocks of a plain body, the next event of a stream; interim heads and bytes without a step are bounded. Comments are held until an event follows, so that garbage of an endpoint that is given up never reaches the caller. The other side: a caller whose body stands still gets 408 after the idle limit (test-http-raw/slow-body, which failed before: the connection stayed for good).

--- a/base/event.c
+++ b/base/event.c
@@ -51,6 +51,7 @@
   [JC_EVENT_PATH] = { "path", 50, true },
   [JC_EVENT_ATTEMPT] = { "attempt", 100, false },
   [JC_EVENT_SILENT] = { "silent", 50, false },
+  [JC_EVENT_GIVEN_UP] = { "given_up", 50, true },
   [JC_EVENT_ATTEMPT_END] = { "attempt_end", 100, false },
   [JC_EVENT_SERVED] = { "served", 100, false },
   [JC_EVENT_REFUSED] = { "refused", 100, true },
--- a/base/status.c
+++ b/base/status.c
@@ -64,6 +64,7 @@
   [JC_ANSWER_GONE] = { "answer_gone", 410, JC_RUN, JC_RETRY_NEVER },
   [JC_HEAD_TOO_LARGE] = { "head_too_large", 431, JC_NOT_RUN, JC_RETRY_NEVER },
   [JC_HEAD_TIMEOUT] = { "head_timeout", 408, JC_NOT_RUN, JC_RETRY_NOW },
+  [JC_BODY_TIMEOUT] = { "body_timeout", 408, JC_NOT_RUN, JC_RETRY_NOW },
   [JC_CROWDED] = { "crowded", 503, JC_NOT_RUN, JC_RETRY_AFTER },
 };
 
--- a/entry/handover.c
+++ b/entry/handover.c
@@ -371,7 +371,7 @@
           .headers = headers,
           .body = { said->body.rpc_bytes_val, said->body.rpc_bytes_len },
           .connect_ms = CONNECT_MS,
-          .idle_ms = IDLE_MS,
+          .pause_ms = IDLE_MS,
           .total_ms = (long)packet->head.deadline_ms + GRACE_MS };
 
   guest->call = jc_call_start (guest->entry->httpc, &spec, &guest_ops, guest);
--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -279,6 +279,8 @@
   hosts->paths = jc_paths_new ();
   hosts->offered
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  hosts->answer_sizes
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   hosts->neighbours
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_neighbour);
   hosts->state_names
@@ -322,6 +324,7 @@
   jc_routetable_free (hosts->routes);
   g_hash_table_destroy (hosts->readmitted);
   g_hash_table_destroy (hosts->offered);
+  g_hash_table_destroy (hosts->answer_sizes);
   g_hash_table_destroy (hosts->neighbours);
   g_hash_table_destroy (hosts->state_names);
   g_hash_table_destroy (hosts->fellows);
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -25,7 +25,8 @@
    from the text of ORDERS and never goes back in the life of the process.
    SOURCE is the connection to the state instance that tells of each change.
    NEIGHBOURS maps names of other entry instances to struct neighbour, OFFERED
-   those of services to the rate of requests of this instance's callers.  */
+   those of services to the rate of requests of this instance's callers,
+   ANSWER_SIZES those of routes to the largest plain answer so far.  */
 struct hosts
 {
   struct entry *entry;
@@ -38,6 +39,7 @@
   struct jc_budgets *budgets;
   struct jc_paths *paths;
   GHashTable *offered;
+  GHashTable *answer_sizes;
   GHashTable *neighbours;
   GHashTable *state_names;
   GHashTable *fellows;
@@ -104,6 +106,10 @@
 void paths_told (struct hosts *hosts, const char *teller,
                  const struct rpc_loads *loads);
 
+/* sizes: how large the plain answers of each route are.  */
+size_t sizes_usual (const struct hosts *hosts, const char *route);
+void sizes_note (struct hosts *hosts, const char *route, size_t size);
+
 /* gauges: what this instance believes, for its metrics.  */
 void gauges_set (struct hosts *hosts);
 
--- a/entry/passage.c
+++ b/entry/passage.c
@@ -53,6 +53,7 @@
   jc_head_clear (&passage->kept);
   g_string_free (passage->kept_body, TRUE);
   g_string_free (passage->burst, TRUE);
+  g_string_free (passage->held, TRUE);
   jc_sse_free (&passage->sse);
   g_free (passage->place);
   g_free (passage);
@@ -419,6 +420,7 @@
   passage->body = g_string_new (NULL);
   passage->kept_body = g_string_new (NULL);
   passage->burst = g_string_new (NULL);
+  passage->held = g_string_new (NULL);
   jc_sse_init (&passage->sse);
   jc_demand_of (&ask, &passage->demand);
   passage->demand.objective_ms = route->objective_ms;
--- a/entry/passage.h
+++ b/entry/passage.h
@@ -27,9 +27,14 @@
    answer's first attempt that the caller was shown, or of the last one.  KEPT
    and KEPT_BODY are an endpoint's own failure, for the case that no further
    attempt does better; KEPT_AWAY tells that it came by another instance.
-   WAITING tells that its turn has not come; it waits until WAIT_UNTIL_MS at the
-   latest.  FIRST_MS is how long the first event took, GAP_MS the longest pause
-   after it, EVENT_MS when the last one came.  */
+   BURST holds events to
+   be passed on together, HELD comments until an event follows; NUMBERED tells
+   that the attempt sent an event with a number, STEP that BURST brings the
+   answer forward.  LARGE tells that
+   the body is larger than usual.  WAITING tells that its turn has not come; it
+   waits until WAIT_UNTIL_MS at the latest.  FIRST_MS is how long the first
+   event took, GAP_MS the longest pause after it, EVENT_MS when the last one
+   came.  */
 struct passage
 {
   struct hosts *hosts;
@@ -59,12 +64,16 @@
   bool heard;
   bool streaming;
   bool out_of_order;
+  bool large;
   GString *body;
   struct jc_head kept;
   GString *kept_body;
   bool kept_away;
   struct jc_sse sse;
   GString *burst;
+  GString *held;
+  bool numbered;
+  bool step;
   bool paused;
   bool waiting;
   int64_t wait_until_ms;
@@ -86,4 +95,7 @@
 /* In attempt.c.  */
 void attempt_start (struct passage *passage, const struct choice *choice);
 
+/* In answer.c.  */
+extern const struct jc_call_ops answer_ops;
+
 #endif
--- a/entry/request.c
+++ b/entry/request.c
@@ -331,8 +331,8 @@
                                .headers = headers,
                                .body = jc_http_body (request->req),
                                .connect_ms = CONNECT_MS,
-                               .first_byte_ms = (long)attempt->first_byte_ms,
-                               .idle_ms = IDLE_MS,
+                               .first_ms = (long)attempt->first_byte_ms,
+                               .pause_ms = IDLE_MS,
                                .total_ms = (long)attempt->total_ms,
                                .fresh = attempt->fresh };
 
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -173,12 +173,17 @@
   ev_timer_start (loop, &call->timer);
 }
 
+static int64_t
+call_now_ms (const struct jc_call *call)
+{
+  return (int64_t)(ev_now (call->httpc->loop) * MS_PER_S);
+}
+
+/* Arm CALL's timer for when its answer must be a step further.  */
 static void
-call_set_silence (struct jc_call *call, long ms)
+call_arm_progress (struct jc_call *call)
 {
-  call->silence_ms = ms;
-  call->silent_at
-      = ms > 0 ? ev_now (call->httpc->loop) + (double)ms / MS_PER_S : 0;
+  call->silent_at = (double)call->progress.due_ms / MS_PER_S;
   call_arm (call);
 }
 
@@ -207,18 +212,26 @@
       call_failed (call, JC_UNREACHABLE, "No connection came up in time.");
     }
   else if (!ended && call_bears_silence (call))
-    call_set_silence (call, call->silence_ms);
+    {
+      jc_progress_wait (&call->progress, call_now_ms (call));
+      call_arm_progress (call);
+    }
   else
-    call_failed (call, JC_TIMEOUT,
-                 ended ? "The time for the call is over."
-                       : "The endpoint went silent.");
+    {
+      if (!ended)
+        call->progress.fault = JC_PROGRESS_SILENT;
+      call_failed (call, JC_TIMEOUT,
+                   ended ? "The time for the call is over."
+                         : "The endpoint went silent.");
+    }
 }
 
 /* The connection of CALL is up.  */
 void
 call_connected (struct jc_call *call)
 {
-  call_set_silence (call, call->first_byte_ms);
+  jc_progress_start (&call->progress, &call->limits, call_now_ms (call));
+  call_arm_progress (call);
 }
 
 /* Bytes of CALL's request have left.  */
@@ -228,11 +241,30 @@
   call->sent = true;
 }
 
-/* Bytes of an answer came.  */
+/* COUNT bytes came.  Return false where that ended CALL, since they bring its
+   answer no further.  */
+bool
+call_heard (struct jc_call *call, size_t count)
+{
+  if (jc_progress_bytes (&call->progress, count))
+    return true;
+  call_failed (call, JC_ENDPOINT_FAILED, "The answer has no end.");
+  return false;
+}
+
+/* An interim head came.  Return false where there were too many.  */
+bool
+call_interim (struct jc_call *call)
+{
+  return jc_progress_interim (&call->progress);
+}
+
+/* The owner of CALL has read a further step of its answer.  */
 void
-call_heard (struct jc_call *call)
+jc_call_step (struct jc_call *call)
 {
-  call_set_silence (call, call->idle_ms);
+  jc_progress_step (&call->progress, call_now_ms (call));
+  call_arm_progress (call);
 }
 
 static void
@@ -249,6 +281,8 @@
 {
   call->http = head->status;
   call->framed = framed;
+  jc_progress_head (&call->progress, call_now_ms (call));
+  call_arm_progress (call);
   if (call->ops->header != NULL)
     tell_fields (call, head);
   if (call->ops->heads != NULL && !call->cancelled)
@@ -262,6 +296,8 @@
 void
 call_data (struct jc_call *call, struct jc_str data)
 {
+  jc_progress_body (&call->progress, data.len, call_now_ms (call));
+  call_arm_progress (call);
   if (call->ops->data != NULL && !call->cancelled)
     call->ops->data (call->ctx, data);
 }
@@ -288,9 +324,17 @@
   call->reused = link != NULL;
   if (link == NULL)
     link = link_open (call->httpc, call->address);
-  call_set_silence (call,
-                    link->connected ? call->first_byte_ms : call->connect_ms);
   call->link = link;
+  if (link->connected)
+    call_connected (call);
+  else
+    {
+      call->silent_at = call->connect_ms > 0
+                            ? ev_now (call->httpc->loop)
+                                  + (double)call->connect_ms / MS_PER_S
+                            : 0;
+      call_arm (call);
+    }
   link_carry (link, call);
 }
 
@@ -303,6 +347,7 @@
                                          .http = call->http,
                                          .sent = call->sent,
                                          .lost = call->lost,
+                                         .fault = call->progress.fault,
                                          .framed = call->framed,
                                          .reused = call->reused,
                                          .message = message };
@@ -382,8 +427,9 @@
   call->echo_value = g_strdup (spec->echo_value);
   call->connect_ms = spec->connect_ms;
   call->ack_ms = spec->ack_ms;
-  call->first_byte_ms = spec->first_byte_ms;
-  call->idle_ms = spec->idle_ms;
+  call->limits = (struct jc_progress_limits){ .kind = spec->steps,
+                                              .first_ms = spec->first_ms,
+                                              .pause_ms = spec->pause_ms };
   call->fresh = spec->fresh;
   call->once = spec->once || spec->fresh;
   if (spec->total_ms > 0)
@@ -412,7 +458,10 @@
     return;
   call->paused = paused;
   if (!paused)
-    call_heard (call);
+    {
+      jc_progress_wait (&call->progress, call_now_ms (call));
+      call_arm_progress (call);
+    }
   if (call->link != NULL)
     link_pause (call->link, paused);
 }
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -10,13 +10,15 @@
 #include "base/status.h"
 #include "base/str.h"
 #include "net/httphead.h"
+#include "net/progress.h"
 
 struct jc_httpc;
 struct jc_call;
 
 /* What to ask.  Times are in ms, 0 for no limit; HEADERS is a NULL-ended
    list of "Name: value" or NULL.  A peer that acknowledges nothing for ACK_MS,
-   0 for a usual time, is given up.  A request that finds its kept connection
+   0 for a usual time, is given up.  FIRST_MS, PAUSE_MS and STEPS limit how long
+   the answer may go without progress.  A request that finds its kept connection
    closed is sent again on a new one, but for ONCE.  FRESH asks for a
    connection of its own that is not kept.  Answers whose header ECHO_NAME has
    another value than ECHO_VALUE belong to earlier requests and are skipped;
@@ -29,8 +31,9 @@
   struct jc_str body;
   long connect_ms;
   long ack_ms;
-  long first_byte_ms;
-  long idle_ms;
+  long first_ms;
+  long pause_ms;
+  enum jc_progress_kind steps;
   long total_ms;
   bool fresh;
   bool once;
@@ -51,12 +54,13 @@
   bool lost;
   bool framed;
   bool reused;
+  enum jc_progress_fault fault;
   const char *message;
 };
 
 /* Where a call's events go.  All but DONE may be NULL; HEADS gets the whole
-   head right before HEAD.  SILENT is asked where the peer lets FIRST_BYTE_MS or
-   IDLE_MS pass without a byte: the call ends if it returns true, else it is
+   head right before HEAD.  SILENT is asked where the peer lets FIRST_MS or
+   PAUSE_MS pass without progress: the call ends if it returns true, else it is
    asked again after as long.  After DONE the call is gone.  */
 struct jc_call_ops
 {
@@ -76,6 +80,7 @@
                                const struct jc_call_spec *spec,
                                const struct jc_call_ops *ops, void *ctx);
 void jc_call_cancel (struct jc_call *call);
+void jc_call_step (struct jc_call *call);
 void jc_call_pause (struct jc_call *call, bool paused);
 
 #endif
--- a/net/httpconn.c
+++ b/net/httpconn.c
@@ -22,6 +22,9 @@
   /* After a refusal what the peer still sends is read and dropped, so that a
      reset does not overtake the answer.  */
   LINGER_MS = 1000,
+  /* Bytes of a body that show that its sender goes on: a window of a slow
+     connection.  */
+  BODY_BLOCK_BYTES = 16 * 1024,
   MS_PER_S = 1000
 };
 
@@ -324,6 +327,9 @@
   if (status == JC_OK)
     {
       say_continue (conn);
+      conn->body_block = 0;
+      if (!conn->body_done)
+        set_due (conn, conn->httpd->limits.idle_ms);
       return;
     }
   req->phase = REQ_OWNED;
@@ -345,6 +351,20 @@
                          (struct jc_str){ .data = conn->in->str, .len = used });
 }
 
+/* USED more bytes of the body were read.  */
+static void
+note_block (struct httpd_conn *conn, size_t used)
+{
+  conn->body_block += used;
+  if (conn->body_done)
+    conn->due = 0;
+  else if (conn->body_block >= BODY_BLOCK_BYTES)
+    {
+      conn->body_block = 0;
+      set_due (conn, conn->httpd->limits.idle_ms);
+    }
+}
+
 /* Read body bytes from IN.  */
 static void
 conn_take_body (struct httpd_conn *conn)
@@ -362,6 +382,7 @@
       return;
     }
   g_string_erase (conn->in, 0, (gssize)used);
+  note_block (conn, used);
   if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_OK
       || HTTP_PARSER_ERRNO (&conn->parser) == HPE_PAUSED)
     return;
@@ -488,7 +509,7 @@
     ev_io_stop (loop, watcher);
 }
 
-/* Close a connection that is idle for too long or slow with a head.  */
+/* Close a connection that is idle for too long or slow with a request.  */
 static void
 on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -511,6 +532,12 @@
       jc_fail (JC_HEAD_TIMEOUT, "The head took too long.");
       conn_refuse (conn, JC_HEAD_TIMEOUT);
     }
+  else if (conn->req != NULL && conn->req->phase == REQ_READING
+           && !conn->refused)
+    {
+      jc_fail (JC_BODY_TIMEOUT, "The body took too long.");
+      conn_refuse (conn, JC_BODY_TIMEOUT);
+    }
   else
     httpd_conn_close (conn);
 }
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -5,6 +5,7 @@
 
 #include "net/chunks.h"
 #include "net/httpc.h"
+#include "net/progress.h"
 
 /* IDLE maps an address to a GQueue of its kept connections, latest first.  */
 struct jc_httpc
@@ -47,8 +48,7 @@
 };
 
 /* A call and the request that it sends.  END_AT and SILENT_AT are times on the
-   loop's clock, in seconds, 0 for none; SILENCE_MS is the silence that leads to
-   the latter.  */
+   loop's clock, in seconds, 0 for none.  */
 struct jc_call
 {
   struct jc_httpc *httpc;
@@ -62,12 +62,11 @@
   char *echo_value;
   long connect_ms;
   long ack_ms;
-  long first_byte_ms;
-  long idle_ms;
+  struct jc_progress_limits limits;
+  struct jc_progress progress;
   ev_timer timer;
   ev_tstamp end_at;
   ev_tstamp silent_at;
-  long silence_ms;
   bool fresh;
   bool once;
   bool paused;
@@ -91,7 +90,8 @@
 /* In httpc.c.  */
 void call_connected (struct jc_call *call);
 void call_wrote (struct jc_call *call);
-void call_heard (struct jc_call *call);
+bool call_heard (struct jc_call *call, size_t count);
+bool call_interim (struct jc_call *call);
 void call_head (struct jc_call *call, const struct jc_head *head, bool framed);
 void call_data (struct jc_call *call, struct jc_str data);
 void call_whole (struct jc_call *call);
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -52,7 +52,8 @@
 
 /* A connection and the one request under way on it; what follows waits in
    IN.  SCANNED bytes of IN hold no end of a head.  DUE is the time of its
-   next timeout, 0 for none.  */
+   next timeout, 0 for none; BODY_BLOCK counts bytes of the body since it was
+   set last.  */
 struct httpd_conn
 {
   struct jc_httpd *httpd;
@@ -70,6 +71,7 @@
   struct jc_chunks chunks;
   struct jc_http_req *req;
   bool in_body;
+  size_t body_block;
   bool body_done;
   bool refused;
   bool close_after;
--- a/net/httplink.c
+++ b/net/httplink.c
@@ -82,7 +82,7 @@
   link->head_done = true;
   link->skipping = parser->status_code < 200 || !is_echoed (link);
   if (link->skipping)
-    return 0;
+    return call_interim (call) ? 0 : -1;
   take_keep_alive (link);
   bodiless
       = bodiless || parser->status_code == 204 || parser->status_code == 304;
@@ -331,9 +331,8 @@
     link_on_eof (link);
   else
     {
-      call_heard (link->call);
-      while (link_parse (link))
-        continue;
+      while (call_heard (link->call, (size_t)got) && link_parse (link))
+        got = 0;
     }
 }
 
--- a/serve/sse.c
+++ b/serve/sse.c
@@ -110,3 +110,21 @@
   return jc_str_equal (text, JC_STR_LIT ("data: [DONE]"))
          || jc_str_equal (text, JC_STR_LIT ("data:[DONE]"));
 }
+
+/* Tell whether EVENT has a data field, so that it is more than comments and
+   blank lines.  */
+bool
+jc_sse_has_data (struct jc_str event)
+{
+  size_t line = 0;
+
+  for (size_t i = 0; i < event.len; i++)
+    {
+      if (i == line && event.len - i >= 4
+          && memcmp (event.data + i, "data", 4) == 0)
+        return true;
+      if (event.data[i] == '\n' || event.data[i] == '\r')
+        line = i + 1;
+    }
+  return false;
+}
--- a/serve/sse.h
+++ b/serve/sse.h
@@ -25,5 +25,6 @@
 enum jc_status jc_sse_feed (struct jc_sse *sse, struct jc_str data,
                             jc_sse_event_fn *event, void *ctx);
 bool jc_sse_is_end (struct jc_str event);
+bool jc_sse_has_data (struct jc_str event);
 
 #endif
--- a/tests/test-http-raw.c
+++ b/tests/test-http-raw.c
@@ -268,6 +268,23 @@
   g_assert_true (g_str_has_prefix (f->got->str, "HTTP/1.1 408 "));
 }
 
+/* Guards against callers whose bodies drip without end: each of them held a
+   connection for good.  */
+static void
+test_slow_body (struct fixture *f, gconstpointer unused)
+{
+  const struct jc_httpd_limits limits = { .max_head = 1000,
+                                          .max_body = BODY_MAX,
+                                          .head_ms = 60000,
+                                          .idle_ms = SHORT_MS };
+
+  (void)unused;
+  jc_httpd_set_limits (f->httpd, &limits);
+  PUT (f, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab");
+  run_until_closed (f);
+  g_assert_true (g_str_has_prefix (f->got->str, "HTTP/1.1 408 "));
+}
+
 static void
 test_large_head (struct fixture *f, gconstpointer unused)
 {
@@ -553,6 +570,7 @@
   CASE ("/byte-by-byte", test_byte_by_byte);
   CASE ("/empty-value", test_empty_value);
   CASE ("/slow-head", test_slow_head);
+  CASE ("/slow-body", test_slow_body);
   CASE ("/large-head", test_large_head);
   CASE ("/idle", test_idle);
   CASE ("/closing", test_closing);
--- a/tests/test-lost.c
+++ b/tests/test-lost.c
@@ -39,7 +39,7 @@
                               .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
-  connect (fd, (struct sockaddr *)&addr, sizeof addr);
+  (void)connect (fd, (struct sockaddr *)&addr, sizeof addr);
   return fd;
 }
 
