Pass reports of endpoints to the entry instances of their region alone, and together

Callers paid for control traffic that nobody used: each report of an endpoint went as a packet of its own to every entry instance of all regions, of which only those of its region can reach it.

--- a/entry/following.c
+++ b/entry/following.c
@@ -18,6 +18,8 @@
      could tell of them.  */
   KEEP_ALONE_MS = 600000,
   ROOMS_MAX = 64,
+  /* Interval at which a state instance is asked for all endpoints at most.  */
+  FLEET_ASK_MS = 1000,
   NEIGHBOUR_KEPT_MS = 8000,
   /* An instance told of within two reports takes callers still.  */
   STAND_IN_FRESH_MS = 1200
@@ -301,6 +303,38 @@
               known->address, known->zone, known->leaving, said->cold_ms);
 }
 
+/* CONN tells of an endpoint that is not known here: ask it for all of them, but
+   not again and again.  */
+static void
+ask_fleet (struct hosts *hosts, struct jc_rpc_conn *conn)
+{
+  struct rpc_packet packet = { .body.type = RPC_FLEET_FOLLOW };
+  int64_t now = jc_now_ms ();
+
+  if (now - hosts->fleet_asked_ms < FLEET_ASK_MS)
+    return;
+  hosts->fleet_asked_ms = now;
+  jc_event (JC_EVENT_ENDPOINT, "endpoint=? asked=%s", jc_rpc_conn_name (conn));
+  jc_rpc_send (conn, &packet);
+}
+
+static void
+take_fleet (struct hosts *hosts, struct jc_rpc_conn *conn,
+            const struct rpc_fleet *fleet)
+{
+  bool unknown = false;
+
+  for (u_int i = 0; i < fleet->endpoints.endpoints_len; i++)
+    take_endpoint (hosts, &fleet->endpoints.endpoints_val[i]);
+  for (u_int i = 0; i < fleet->loads.loads_len; i++)
+    if (jc_members_load (hosts->endpoints, &fleet->loads.loads_val[i],
+                         jc_now_ms ())
+        == JC_NOT_FOUND)
+      unknown = true;
+  if (unknown)
+    ask_fleet (hosts, conn);
+}
+
 static void
 take_entries (struct hosts *hosts, const struct rpc_entries *entries)
 {
@@ -375,12 +409,7 @@
   else if (body->type == RPC_GRANT)
     take_grant (hosts, &body->rpc_body_u.grant);
   else if (body->type == RPC_FLEET)
-    {
-      const struct rpc_fleet *fleet = &body->rpc_body_u.fleet;
-
-      for (u_int i = 0; i < fleet->endpoints.endpoints_len; i++)
-        take_endpoint (hosts, &fleet->endpoints.endpoints_val[i]);
-    }
+    take_fleet (hosts, conn, &body->rpc_body_u.fleet);
   note_position (hosts, conn, packet->head.config_version);
 }
 
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -53,6 +53,7 @@
   int64_t loads_told_ms;
   int64_t loads_full_ms;
   int64_t heard_ms;
+  int64_t fleet_asked_ms;
   struct jc_lag lag;
   struct jc_rpc_conn *source;
   int64_t started_ms;
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -77,6 +77,7 @@
 	RPC_ENTRIES = 86,
 	RPC_LOADS = 87,
 	RPC_GRANT = 88,
+	RPC_FLEET_FOLLOW = 89,
 };
 typedef enum rpc_type rpc_type;
 
@@ -576,6 +577,10 @@
 		u_int endpoints_len;
 		rpc_endpoint *endpoints_val;
 	} endpoints;
+	struct {
+		u_int loads_len;
+		rpc_zone_load *loads_val;
+	} loads;
 };
 typedef struct rpc_fleet rpc_fleet;
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1065,6 +1065,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->endpoints.endpoints_val, (u_int *) &objp->endpoints.endpoints_len, RPC_ITEMS_MAX,
 		sizeof (rpc_endpoint), (xdrproc_t) xdr_rpc_endpoint))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, RPC_ITEMS_MAX,
+		sizeof (rpc_zone_load), (xdrproc_t) xdr_rpc_zone_load))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1268,6 +1271,8 @@
 		break;
 	case RPC_HEARTBEAT:
 		break;
+	case RPC_FLEET_FOLLOW:
+		break;
 	case RPC_FAILURE:
 		 if (!xdr_rpc_failure (xdrs, &objp->rpc_body_u.failure))
 			 return FALSE;
--- a/schema/gen/objects.h
+++ b/schema/gen/objects.h
@@ -127,6 +127,8 @@
   char *routing;
   /* Addresses, IP:PORT, of some state instances; their RPC listeners have this process's RPC port. Needed for routing by hosts.  */
   GPtrArray *state_seeds;
+  /* All availability zones, for routing by hosts.  */
+  GPtrArray *zones;
   /* Whether the whole group starts for the first time, so that the first seed founds the log.  */
   bool first_start;
   /* Disks that may be lost at once; orders rest on one more.  */
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -59,7 +59,8 @@
   RPC_PRESENCE = 85,
   RPC_ENTRIES = 86,
   RPC_LOADS = 87,
-  RPC_GRANT = 88
+  RPC_GRANT = 88,
+  RPC_FLEET_FOLLOW = 89
 };
 
 struct rpc_hello {
@@ -507,9 +508,11 @@
   rpc_name evacuated<256>;
 };
 
-/* Endpoints as they reported themselves to a state instance.  */
+/* Endpoints as they reported themselves to a state instance: those with news,
+   and what the others, which the receiver knows, reported again.  */
 struct rpc_fleet {
   rpc_endpoint endpoints<RPC_ITEMS_MAX>;
+  rpc_zone_load loads<RPC_ITEMS_MAX>;
 };
 
 /* What an entry instance can do for one service: usable endpoints there, and
@@ -588,6 +591,7 @@
 case RPC_HELLO: rpc_hello hello;
 case RPC_HELLO_ACK: rpc_hello hello_ack;
 case RPC_HEARTBEAT: void;
+case RPC_FLEET_FOLLOW: void;
 case RPC_FAILURE: rpc_failure failure;
 case RPC_CONFIG_FOLLOW: rpc_config_follow config_follow;
 case RPC_CONFIG_DELTA: rpc_config_delta config_delta;
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -14,15 +14,24 @@
   LEASE_REPORTS = 5,
   EXPIRE_MS = 500,
   BATCH_ROWS = 64,
+  /* Reports without news are passed on together: a small part of the interval
+     at which endpoints report.  */
+  REFRESH_MS = 250,
   MS_PER_S = 1000
 };
 
+/* REFRESHED holds the names of endpoints that reported again without news since
+   that was passed on.  */
 struct fleet
 {
   struct jc_members *members;
+  GHashTable *refreshed;
   ev_timer expire;
+  ev_timer refresh;
 };
 
+static void on_refresh (struct ev_loop *loop, ev_timer *watcher, int events);
+
 static void
 on_expire (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -45,6 +54,12 @@
   ev_timer_init (&state->fleet->expire, on_expire, every_s, every_s);
   state->fleet->expire.data = state;
   ev_timer_start (state->loop, &state->fleet->expire);
+  every_s = (double)REFRESH_MS / MS_PER_S;
+  state->fleet->refreshed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  ev_timer_init (&state->fleet->refresh, on_refresh, every_s, every_s);
+  state->fleet->refresh.data = state;
+  ev_timer_start (state->loop, &state->fleet->refresh);
 }
 
 /* Forget all endpoints.  */
@@ -54,6 +69,8 @@
   if (state->fleet == NULL)
     return;
   ev_timer_stop (state->loop, &state->fleet->expire);
+  ev_timer_stop (state->loop, &state->fleet->refresh);
+  g_hash_table_destroy (state->fleet->refreshed);
   jc_members_free (state->fleet->members);
   g_free (state->fleet);
   state->fleet = NULL;
@@ -70,18 +87,123 @@
   jc_rpc_send (conn, &packet);
 }
 
-/* Pass ROW on to every entry instance that is connected.  */
+/* Return the region of ZONE, or NULL where the settings name no such zone.  */
+static const char *
+region_of (const struct state *state, const char *zone)
+{
+  const GPtrArray *zones = state->settings->zones;
+
+  for (guint i = 0; i < zones->len; i++)
+    {
+      const struct jc_zone_place *place = g_ptr_array_index (zones, i);
+
+      if (strcmp (place->name, zone) == 0)
+        return place->region;
+    }
+  return NULL;
+}
+
+/* Tell whether the entry instance CONN may reach endpoints of REGION, NULL for
+   one that is not known.  */
+static bool
+is_concerned (const struct jc_rpc_conn *conn, const char *region)
+{
+  return region == NULL || strcmp (jc_rpc_conn_region (conn), region) == 0;
+}
+
+/* Pass ROW on to every entry instance that may reach its endpoint.  */
 static void
 pass_on (struct state *state, struct rpc_endpoint *row)
 {
+  const char *region = region_of (state, row->zone);
   GPtrArray *conns = g_ptr_array_new ();
 
   jc_rpc_list (state->rpc, "entry", conns);
   for (guint i = 0; i < conns->len; i++)
-    send_rows (g_ptr_array_index (conns, i), row, 1);
+    if (is_concerned (g_ptr_array_index (conns, i), region))
+      send_rows (g_ptr_array_index (conns, i), row, 1);
+  g_ptr_array_free (conns, TRUE);
+}
+
+/* Append to LOADS those of the endpoints that reported again and that an entry
+   instance of REGION may reach.  */
+static void
+list_refreshed (const struct state *state, const char *region, GArray *loads)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  g_hash_table_iter_init (&iter, state->fleet->refreshed);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      const struct jc_endpoint *endpoint
+          = jc_members_find (state->fleet->members, name);
+      const char *of
+          = endpoint != NULL ? region_of (state, endpoint->zone) : NULL;
+
+      if (endpoint != NULL && (of == NULL || strcmp (of, region) == 0))
+        {
+          struct rpc_zone_load load = jc_endpoint_load (endpoint, jc_now_ms ());
+
+          g_array_append_val (loads, load);
+        }
+    }
+}
+
+/* Pass on to the entry instances of REGION what reported again.  */
+static void
+refresh_region (struct state *state, const char *region, const GPtrArray *conns)
+{
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (struct rpc_zone_load));
+  struct rpc_packet packet = { .body.type = RPC_FLEET };
+  struct rpc_fleet *fleet = &packet.body.rpc_body_u.fleet;
+
+  list_refreshed (state, region, loads);
+  fleet->loads.loads_val = (struct rpc_zone_load *)loads->data;
+  fleet->loads.loads_len = loads->len;
+  for (guint i = 0; i < conns->len && loads->len > 0; i++)
+    if (is_concerned (g_ptr_array_index (conns, i), region))
+      jc_rpc_send (g_ptr_array_index (conns, i), &packet);
+  g_array_free (loads, TRUE);
+}
+
+static void
+on_refresh (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct state *state = watcher->data;
+  GHashTable *regions = g_hash_table_new (g_str_hash, g_str_equal);
+  GPtrArray *conns = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer region;
+
+  (void)loop;
+  (void)events;
+  if (g_hash_table_size (state->fleet->refreshed) > 0)
+    jc_rpc_list (state->rpc, "entry", conns);
+  for (guint i = 0; i < conns->len; i++)
+    g_hash_table_add (
+        regions, (gpointer)jc_rpc_conn_region (g_ptr_array_index (conns, i)));
+  g_hash_table_iter_init (&iter, regions);
+  while (g_hash_table_iter_next (&iter, &region, NULL))
+    refresh_region (state, region, conns);
+  g_hash_table_remove_all (state->fleet->refreshed);
+  g_hash_table_destroy (regions);
   g_ptr_array_free (conns, TRUE);
 }
 
+/* Tell whether SAID differs from what is KNOWN of an endpoint by more than that
+   it reported again.  */
+static bool
+is_news (const struct jc_endpoint *known, const struct rpc_endpoint *said)
+{
+  return known == NULL || known->incarnation != said->incarnation
+         || known->leaving != said->leaving || said->cold_ms > 0
+         || known->slots != said->slots
+         || strcmp (known->service, said->service) != 0
+         || strcmp (known->zone, said->zone) != 0
+         || strcmp (known->address, said->address) != 0;
+}
+
 /* Take what SAID reports and pass it on.  Return JC_BEHIND where the same or
    later is known.  */
 enum jc_status
@@ -90,9 +212,7 @@
   struct rpc_endpoint row = *said;
   const struct jc_endpoint *known
       = jc_members_find (state->fleet->members, said->name);
-  bool news = known == NULL || known->incarnation != said->incarnation
-              || known->leaving != said->leaving
-              || strcmp (known->address, said->address) != 0;
+  bool news = is_news (known, said);
   enum jc_status status;
 
   row.lease_ms = (u_int)(LEASE_REPORTS * state->settings->report_ms);
@@ -105,7 +225,10 @@
               " service=%s address=%s zone=%s leaving=%d cold_ms=%u",
               row.name, row.incarnation, row.sequence, row.service, row.address,
               row.zone, row.leaving, row.cold_ms);
-  pass_on (state, &row);
+  if (news)
+    pass_on (state, &row);
+  else
+    g_hash_table_add (state->fleet->refreshed, g_strdup (row.name));
   if (row.cold_ms > 0)
     cold_consider (state, &row);
   return JC_OK;
@@ -160,7 +283,8 @@
   return status;
 }
 
-/* Tell the entry instance CONN, which came up, of every endpoint.  */
+/* Tell the entry instance CONN, which came up or asks, of every endpoint that
+   it may reach.  */
 void
 fleet_up (struct state *state, struct jc_rpc_conn *conn)
 {
@@ -175,12 +299,17 @@
   jc_members_all (state->fleet->members, all);
   for (guint i = 0; i < all->len; i++)
     {
-      jc_endpoint_describe (g_ptr_array_index (all, i), now, &rows[count++]);
-      if (count == BATCH_ROWS || i + 1 == all->len)
-        {
-          send_rows (conn, rows, count);
-          count = 0;
-        }
+      const struct jc_endpoint *endpoint = g_ptr_array_index (all, i);
+
+      if (!is_concerned (conn, region_of (state, endpoint->zone)))
+        continue;
+      jc_endpoint_describe (endpoint, now, &rows[count++]);
+      if (count < BATCH_ROWS)
+        continue;
+      send_rows (conn, rows, count);
+      count = 0;
     }
+  if (count > 0)
+    send_rows (conn, rows, count);
   g_ptr_array_free (all, TRUE);
 }
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -55,7 +55,9 @@
 
 async def ask(address, method, path, headers=(), body=b"", on_chunk=None):
     host, port = address.rsplit(":", 1)
-    reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 5)
+    # asyncio.wait_for loses a cancellation that comes as the connection does, and the task never ends.
+    async with asyncio.timeout(5):
+        reader, writer = await asyncio.open_connection(host, int(port))
     try:
         lines = [f"{method} {path} HTTP/1.1"] + [f"{k}: {v}" for k, v in headers]
         if not any(k == "Host" for k, _ in headers):
