Tell entry instances of each other by changes, and of rooms by region

Callers of sites with two zones a region paid for the list of all entry instances, with all their rooms, that each state instance sent to each entry instance of its region twice a second: by the schema about 28 KB of 94 instances, so over 100 KB/s an instance. It grows with the square of the fleet. State instances now tell what changed and which instances are silent for 1.5 s, all of them once at the start of a connection, and one row for each region and service instead of one for each instance. entry/neighbours holds what is told, by teller, so that one cut-off state instance does not unsay what another says. A silent instance is no longer asked until the bound of contact.

--- a/entry/choice.c
+++ b/entry/choice.c
@@ -131,19 +131,6 @@
   leave_out_cut (hosts, out);
 }
 
-static const struct rpc_service_room *
-room_of (const struct neighbour *neighbour, const char *service)
-{
-  for (u_int i = 0; i < neighbour->said.rooms.rooms_len; i++)
-    {
-      const struct rpc_service_room *room = &neighbour->said.rooms.rooms_val[i];
-
-      if (strcmp (room->service, service) == 0)
-        return room->endpoints > 0 ? room : NULL;
-    }
-  return NULL;
-}
-
 /* Tell whether this instance, as far as it knows, can reach NEIGHBOUR.  */
 static bool
 is_reachable (const struct hosts *hosts, const struct neighbour *neighbour,
@@ -160,9 +147,10 @@
          const struct neighbour *neighbour)
 {
   const struct rpc_presence *said = &neighbour->said;
-  const struct rpc_service_room *room = room_of (neighbour, query->service);
+  const struct rpc_service_room *room
+      = neighbours_room (hosts, said->region, query->service, query->now_ms);
 
-  return room != NULL && !said->draining
+  return room != NULL && !said->draining && said->ready
          && strcmp (said->region, hosts->entry->settings->region) != 0
          && is_fresh (neighbour, query->now_ms)
          && jc_hostroute_allows (query->route, said->region)
@@ -185,8 +173,10 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct neighbour *neighbour = value;
-      struct jc_elsewhere one = { .instance = &neighbour->said,
-                                  .room = room_of (neighbour, query->service) };
+      struct jc_elsewhere one
+          = { .instance = &neighbour->said,
+              .room = neighbours_room (hosts, neighbour->said.region,
+                                       query->service, query->now_ms) };
 
       if (may_ask (hosts, query, neighbour))
         g_array_append_val (list, one);
@@ -220,28 +210,37 @@
   return rate != NULL ? jc_offered_now (rate, now_ms) : 0;
 }
 
-/* Add OFFERED and CAPACITY of one more instance to region NAME of REGIONS.  All
-   instances of a region have the same endpoints: the most that one tells
-   counts.  */
-static void
-note_offered (GArray *regions, const char *name, double offered,
-              double capacity)
+/* Tell whether an instance of REGION can be reached.  */
+static bool
+is_region_reachable (const struct hosts *hosts, const char *region,
+                     int64_t now_ms)
 {
-  const struct jc_offered_region region
-      = { .name = name, .offered = offered, .capacity = capacity };
+  GHashTableIter iter;
+  gpointer value;
 
-  for (guint i = 0; i < regions->len; i++)
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      struct jc_offered_region *known
-          = &g_array_index (regions, struct jc_offered_region, i);
+      const struct neighbour *neighbour = value;
 
-      if (strcmp (known->name, name) != 0)
-        continue;
-      known->offered += offered;
-      known->capacity = MAX (known->capacity, capacity);
-      return;
+      if (strcmp (neighbour->said.region, region) == 0
+          && is_fresh (neighbour, now_ms)
+          && is_reachable (hosts, neighbour, now_ms))
+        return true;
     }
-  g_array_append_val (regions, region);
+  return false;
+}
+
+/* Return the offered load of this region, of which OWN comes from this
+   instance's callers, as state instances tell.  */
+static double
+offered_in_region (const struct hosts *hosts, const struct choice_query *query,
+                   double own)
+{
+  const struct rpc_service_room *room = neighbours_room (
+      hosts, hosts->entry->settings->region, query->service, query->now_ms);
+
+  return room != NULL ? MAX (own, (double)room->offered_milli / PERMILLE) : own;
 }
 
 /* Return the region that QUERY's plain request goes to since this one's callers
@@ -253,32 +252,33 @@
   const char *own = hosts->entry->settings->region;
   GArray *regions
       = g_array_new (FALSE, FALSE, sizeof (struct jc_offered_region));
-  double capacity = 0;
+  struct jc_offered_region one = { .name = own };
   const char *to;
-  GHashTableIter iter;
-  gpointer value;
 
   for (guint i = 0; i < endpoints->len; i++)
-    capacity += jc_engines_capacity (hosts->engines,
-                                     g_ptr_array_index (endpoints, i));
-  note_offered (regions, own,
-                offered_here (hosts, query->service, query->now_ms), capacity);
-  g_hash_table_iter_init (&iter, hosts->neighbours);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+    one.capacity += jc_engines_capacity (hosts->engines,
+                                         g_ptr_array_index (endpoints, i));
+  one.offered = offered_in_region (
+      hosts, query, offered_here (hosts, query->service, query->now_ms));
+  g_array_append_val (regions, one);
+  for (guint i = 0; i < hosts->rooms->len; i++)
     {
-      const struct neighbour *neighbour = value;
-      const struct rpc_presence *said = &neighbour->said;
-      const struct rpc_service_room *room = room_of (neighbour, query->service);
-
-      if (room != NULL && is_fresh (neighbour, query->now_ms)
-          && jc_hostroute_allows (query->route, said->region)
-          && (strcmp (said->region, own) == 0
-              || is_reachable (hosts, neighbour, query->now_ms)))
-        note_offered (regions, said->region,
-                      (double)room->offered_milli / PERMILLE,
-                      strcmp (said->region, own) == 0
-                          ? 0
-                          : (double)room->capacity_milli / PERMILLE);
+      const struct region_room *known = g_ptr_array_index (hosts->rooms, i);
+      const struct rpc_service_room *room
+          = strcmp (known->region, own) != 0 ? neighbours_room (
+                hosts, known->region, query->service, query->now_ms)
+                                             : NULL;
+
+      if (room != &known->room
+          || !jc_hostroute_allows (query->route, known->region)
+          || !is_region_reachable (hosts, known->region, query->now_ms))
+        continue;
+      one = (struct jc_offered_region){
+        .name = known->region,
+        .offered = (double)room->offered_milli / PERMILLE,
+        .capacity = (double)room->capacity_milli / PERMILLE
+      };
+      g_array_append_val (regions, one);
     }
   to = jc_offered_away (regions, own, g_random_double ());
   g_array_free (regions, TRUE);
--- a/entry/following.c
+++ b/entry/following.c
@@ -6,7 +6,6 @@
 
 #include "base/event.h"
 #include "entry/hosts.h"
-#include "member/presence.h"
 #include "net/program.h"
 
 enum
@@ -20,9 +19,6 @@
   ROOMS_MAX = 64,
   /* Interval at which a state instance is asked for all endpoints at most.  */
   FLEET_ASK_MS = 1000,
-  NEIGHBOUR_KEPT_MS = 8000,
-  /* An instance told of within two reports takes callers still.  */
-  STAND_IN_FRESH_MS = 1200
 };
 
 static bool
@@ -335,26 +331,6 @@
     ask_fleet (hosts, conn);
 }
 
-static void
-take_entries (struct hosts *hosts, const struct rpc_entries *entries)
-{
-  int64_t now = jc_now_ms ();
-
-  for (u_int i = 0; i < entries->list.list_len; i++)
-    {
-      const struct rpc_presence *said = &entries->list.list_val[i];
-      struct neighbour *neighbour;
-
-      if (strcmp (said->name, hosts->entry->settings->name) == 0)
-        continue;
-      neighbour = g_new0 (struct neighbour, 1);
-      jc_presence_copy (&neighbour->said, said);
-      neighbour->heard_ms = now;
-      g_hash_table_replace (hosts->neighbours, neighbour->said.name, neighbour);
-      loads_meet (hosts, said);
-    }
-}
-
 /* The log granted a cold endpoint to one process of an instance.  */
 static void
 take_grant (struct hosts *hosts, const struct rpc_grant *grant)
@@ -405,7 +381,7 @@
   else if (body->type == RPC_GROUP)
     take_group (hosts, &body->rpc_body_u.group);
   else if (body->type == RPC_ENTRIES)
-    take_entries (hosts, &body->rpc_body_u.entries);
+    neighbours_take (hosts, conn, &body->rpc_body_u.entries);
   else if (body->type == RPC_GRANT)
     take_grant (hosts, &body->rpc_body_u.grant);
   else if (body->type == RPC_FLEET)
@@ -417,53 +393,14 @@
 void
 following_down (struct hosts *hosts, const struct jc_rpc_conn *conn)
 {
+  if (is_state (conn))
+    neighbours_down (hosts, conn);
   if (hosts->source != conn)
     return;
   hosts->source = NULL;
   choose_source (hosts);
 }
 
-/* Tell whether another instance of this region takes callers.  */
-bool
-following_has_stand_in (const struct hosts *hosts)
-{
-  const char *region = hosts->entry->settings->region;
-  int64_t now = jc_now_ms ();
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, hosts->neighbours);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct neighbour *neighbour = value;
-
-      if (!neighbour->said.draining && neighbour->said.ready
-          && strcmp (neighbour->said.region, region) == 0
-          && now - neighbour->heard_ms < STAND_IN_FRESH_MS)
-        return true;
-    }
-  return false;
-}
-
-/* Forget entry instances that no state instance tells of any longer.  */
-static void
-expire_neighbours (struct hosts *hosts, int64_t now)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, hosts->neighbours);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct neighbour *neighbour = value;
-
-      if (now - neighbour->heard_ms <= NEIGHBOUR_KEPT_MS)
-        continue;
-      loads_part (hosts, neighbour->said.name);
-      g_hash_table_iter_remove (&iter);
-    }
-}
-
 /* Let the time pass.  Endpoints are only forgotten while there is somebody
    who would tell of them.  */
 void
@@ -478,7 +415,7 @@
   if (conns->len > 0 || now - hosts->heard_ms > KEEP_ALONE_MS)
     jc_members_expire (hosts->endpoints, now);
   g_ptr_array_free (conns, TRUE);
-  expire_neighbours (hosts, now);
+  neighbours_expire (hosts, now);
   jc_engines_expire (hosts->engines, now);
   if (now - hosts->told_ms >= REPORT_MS)
     following_report (hosts);
--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -5,7 +5,6 @@
 #include "base/event.h"
 #include "base/log.h"
 #include "entry/hosts.h"
-#include "member/presence.h"
 #include "net/address.h"
 #include "net/loopevents.h"
 #include "net/program.h"
@@ -129,15 +128,6 @@
     jc_http_reply (req, 200, "text/plain", JC_STR_LIT ("ready\n"), NULL);
 }
 
-static void
-free_neighbour (gpointer data)
-{
-  struct neighbour *neighbour = data;
-
-  jc_presence_clear (&neighbour->said);
-  g_free (neighbour);
-}
-
 /* Return the time until a draining instance ends at the latest, ms.  */
 int64_t
 hosts_drain_left_ms (const struct entry *entry)
@@ -154,7 +144,7 @@
               && jc_httpd_requests (entry->callers) == 0
               && jc_httpd_requests (entry->hosts->handover) == 0;
 
-  if (waited >= DRAIN_LISTEN_MS && following_has_stand_in (entry->hosts))
+  if (waited >= DRAIN_LISTEN_MS && neighbours_have_stand_in (entry->hosts))
     jc_httpd_quiesce (entry->callers);
   if (idle || hosts_drain_left_ms (entry) <= 0)
     ev_break (entry->loop, EVBREAK_ALL);
@@ -281,8 +271,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   hosts->answer_sizes
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  hosts->neighbours
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_neighbour);
+  neighbours_start (hosts);
   hosts->state_names
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   hosts->fellows
@@ -325,7 +314,7 @@
   g_hash_table_destroy (hosts->readmitted);
   g_hash_table_destroy (hosts->offered);
   g_hash_table_destroy (hosts->answer_sizes);
-  g_hash_table_destroy (hosts->neighbours);
+  neighbours_stop (hosts);
   g_hash_table_destroy (hosts->state_names);
   g_hash_table_destroy (hosts->fellows);
   g_free (hosts);
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -24,9 +24,11 @@
 /* What this instance knows and owns for routing by hosts.  ROUTES is made
    from the text of ORDERS and never goes back in the life of the process.
    SOURCE is the connection to the state instance that tells of each change.
-   NEIGHBOURS maps names of other entry instances to struct neighbour, OFFERED
-   those of services to the rate of requests of this instance's callers,
-   ANSWER_SIZES those of routes to the largest plain answer so far.  */
+   TELLERS maps state instances to the sets of names that they say are there,
+   ROOMS holds struct region_room.  NEIGHBOURS maps names of other entry
+   instances to struct neighbour, OFFERED those of services to the rate of
+   requests of this instance's callers, ANSWER_SIZES those of routes to the
+   largest plain answer so far.  */
 struct hosts
 {
   struct entry *entry;
@@ -41,6 +43,8 @@
   GHashTable *offered;
   GHashTable *answer_sizes;
   GHashTable *neighbours;
+  GHashTable *tellers;
+  GPtrArray *rooms;
   GHashTable *state_names;
   GHashTable *fellows;
   char *handover_address;
@@ -82,10 +86,30 @@
 void following_down (struct hosts *hosts, const struct jc_rpc_conn *conn);
 void following_packet (struct hosts *hosts, struct jc_rpc_conn *conn,
                        const struct rpc_packet *packet);
-bool following_has_stand_in (const struct hosts *hosts);
 void following_tick (struct hosts *hosts);
 void following_report (struct hosts *hosts);
 
+/* What REGION can do for a service, as told at HEARD_MS.  */
+struct region_room
+{
+  char *region;
+  struct rpc_service_room room;
+  int64_t heard_ms;
+};
+
+/* neighbours: other entry instances and what their regions can do.  */
+void neighbours_start (struct hosts *hosts);
+void neighbours_stop (struct hosts *hosts);
+void neighbours_take (struct hosts *hosts, const struct jc_rpc_conn *conn,
+                      const struct rpc_entries *entries);
+void neighbours_down (struct hosts *hosts, const struct jc_rpc_conn *conn);
+const struct rpc_service_room *neighbours_room (const struct hosts *hosts,
+                                                const char *region,
+                                                const char *service,
+                                                int64_t now_ms);
+bool neighbours_have_stand_in (const struct hosts *hosts);
+void neighbours_expire (struct hosts *hosts, int64_t now_ms);
+
 /* loads: what the instances of a region have at each endpoint.  */
 void loads_meet (struct hosts *hosts, const struct rpc_presence *neighbour);
 void loads_part (struct hosts *hosts, const char *name);
--- /dev/null
+++ b/entry/neighbours.c
@@ -0,0 +1,229 @@
+/* Neighbours: other entry instances and what their regions can do, as state
+   instances of this region tell.  */
+
+#include <string.h>
+
+#include "entry/hosts.h"
+#include "member/presence.h"
+#include "net/program.h"
+
+enum
+{
+  NEIGHBOUR_KEPT_MS = 8000,
+  /* An instance told of within two reports takes callers still.  */
+  STAND_IN_FRESH_MS = 1200
+};
+
+static void
+free_neighbour (gpointer data)
+{
+  struct neighbour *neighbour = data;
+
+  jc_presence_clear (&neighbour->said);
+  g_free (neighbour);
+}
+
+static void
+free_room (gpointer data)
+{
+  struct region_room *known = data;
+
+  g_free (known->region);
+  g_free (known->room.service);
+  g_free (known);
+}
+
+static void
+free_names (gpointer data)
+{
+  g_hash_table_destroy (data);
+}
+
+/* Begin without neighbours.  */
+void
+neighbours_start (struct hosts *hosts)
+{
+  hosts->neighbours
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_neighbour);
+  hosts->tellers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_names);
+  hosts->rooms = g_ptr_array_new_with_free_func (free_room);
+}
+
+/* Forget all neighbours.  */
+void
+neighbours_stop (struct hosts *hosts)
+{
+  g_hash_table_destroy (hosts->neighbours);
+  g_hash_table_destroy (hosts->tellers);
+  g_ptr_array_free (hosts->rooms, TRUE);
+}
+
+/* Return the names that the state instance TELLER says are there.  */
+static GHashTable *
+names_of (struct hosts *hosts, const char *teller)
+{
+  GHashTable *names = g_hash_table_lookup (hosts->tellers, teller);
+
+  if (names != NULL)
+    return names;
+  names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_hash_table_insert (hosts->tellers, g_strdup (teller), names);
+  return names;
+}
+
+static void
+take_row (struct hosts *hosts, GHashTable *names,
+          const struct rpc_presence *said)
+{
+  struct neighbour *neighbour;
+
+  if (strcmp (said->name, hosts->entry->settings->name) == 0)
+    return;
+  neighbour = g_new0 (struct neighbour, 1);
+  jc_presence_copy (&neighbour->said, said);
+  g_hash_table_replace (hosts->neighbours, neighbour->said.name, neighbour);
+  g_hash_table_add (names, g_strdup (said->name));
+  loads_meet (hosts, said);
+}
+
+/* All of NAMES are there at NOW_MS, by the word of a state instance.  */
+static void
+touch (struct hosts *hosts, GHashTable *names, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  g_hash_table_iter_init (&iter, names);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      struct neighbour *neighbour
+          = g_hash_table_lookup (hosts->neighbours, name);
+
+      if (neighbour != NULL)
+        neighbour->heard_ms = now_ms;
+    }
+}
+
+static void
+take_room (struct hosts *hosts, const struct rpc_region_room *said,
+           int64_t now_ms)
+{
+  struct region_room *known = NULL;
+  char *service;
+
+  for (guint i = 0; i < hosts->rooms->len && known == NULL; i++)
+    {
+      struct region_room *one = g_ptr_array_index (hosts->rooms, i);
+
+      if (strcmp (one->region, said->region) == 0
+          && strcmp (one->room.service, said->room.service) == 0)
+        known = one;
+    }
+  if (known == NULL)
+    {
+      known = g_new0 (struct region_room, 1);
+      known->region = g_strdup (said->region);
+      known->room.service = g_strdup (said->room.service);
+      g_ptr_array_add (hosts->rooms, known);
+    }
+  service = known->room.service;
+  known->room = said->room;
+  known->room.service = service;
+  known->heard_ms = now_ms;
+}
+
+/* CONN, a state instance, told of ENTRIES.  */
+void
+neighbours_take (struct hosts *hosts, const struct jc_rpc_conn *conn,
+                 const struct rpc_entries *entries)
+{
+  GHashTable *names = names_of (hosts, jc_rpc_conn_name (conn));
+  int64_t now = jc_now_ms ();
+
+  if (entries->full)
+    g_hash_table_remove_all (names);
+  for (u_int i = 0; i < entries->list.list_len; i++)
+    take_row (hosts, names, &entries->list.list_val[i]);
+  for (u_int i = 0; i < entries->gone.gone_len; i++)
+    g_hash_table_remove (names, entries->gone.gone_val[i]);
+  touch (hosts, names, now);
+  for (u_int i = 0; i < entries->rooms.rooms_len; i++)
+    take_room (hosts, &entries->rooms.rooms_val[i], now);
+}
+
+/* The connection CONN to a state instance went down.  */
+void
+neighbours_down (struct hosts *hosts, const struct jc_rpc_conn *conn)
+{
+  g_hash_table_remove (hosts->tellers, jc_rpc_conn_name (conn));
+}
+
+/* Return what REGION was last told to be able to do for SERVICE, or NULL where
+   that is old or nothing.  */
+const struct rpc_service_room *
+neighbours_room (const struct hosts *hosts, const char *region,
+                 const char *service, int64_t now_ms)
+{
+  for (guint i = 0; i < hosts->rooms->len; i++)
+    {
+      const struct region_room *one = g_ptr_array_index (hosts->rooms, i);
+
+      if (strcmp (one->region, region) == 0
+          && strcmp (one->room.service, service) == 0)
+        return one->room.endpoints > 0
+                       && now_ms - one->heard_ms < HOSTS_FRESH_MS
+                   ? &one->room
+                   : NULL;
+    }
+  return NULL;
+}
+
+/* Tell whether another instance of this region takes callers.  */
+bool
+neighbours_have_stand_in (const struct hosts *hosts)
+{
+  const char *region = hosts->entry->settings->region;
+  int64_t now = jc_now_ms ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct neighbour *neighbour = value;
+
+      if (!neighbour->said.draining && neighbour->said.ready
+          && strcmp (neighbour->said.region, region) == 0
+          && now - neighbour->heard_ms < STAND_IN_FRESH_MS)
+        return true;
+    }
+  return false;
+}
+
+/* Forget entry instances and rooms that no state instance tells of any
+   longer.  */
+void
+neighbours_expire (struct hosts *hosts, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct neighbour *neighbour = value;
+
+      if (now_ms - neighbour->heard_ms <= NEIGHBOUR_KEPT_MS)
+        continue;
+      loads_part (hosts, neighbour->said.name);
+      g_hash_table_iter_remove (&iter);
+    }
+  for (guint i = hosts->rooms->len; i > 0; i--)
+    {
+      const struct region_room *one = g_ptr_array_index (hosts->rooms, i - 1);
+
+      if (now_ms - one->heard_ms > NEIGHBOUR_KEPT_MS)
+        g_ptr_array_remove_index_fast (hosts->rooms, i - 1);
+    }
+}
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -617,11 +617,26 @@
 };
 typedef struct rpc_grant rpc_grant;
 
+struct rpc_region_room {
+	rpc_name region;
+	rpc_service_room room;
+};
+typedef struct rpc_region_room rpc_region_room;
+
 struct rpc_entries {
+	bool_t full;
 	struct {
 		u_int list_len;
 		rpc_presence *list_val;
 	} list;
+	struct {
+		u_int gone_len;
+		rpc_name *gone_val;
+	} gone;
+	struct {
+		u_int rooms_len;
+		rpc_region_room *rooms_val;
+	} rooms;
 };
 typedef struct rpc_entries rpc_entries;
 
@@ -777,6 +792,7 @@
 extern  bool_t xdr_rpc_service_room (XDR *, rpc_service_room*);
 extern  bool_t xdr_rpc_presence (XDR *, rpc_presence*);
 extern  bool_t xdr_rpc_grant (XDR *, rpc_grant*);
+extern  bool_t xdr_rpc_region_room (XDR *, rpc_region_room*);
 extern  bool_t xdr_rpc_entries (XDR *, rpc_entries*);
 extern  bool_t xdr_rpc_load (XDR *, rpc_load*);
 extern  bool_t xdr_rpc_part_read (XDR *, rpc_part_read*);
@@ -846,6 +862,7 @@
 extern bool_t xdr_rpc_service_room ();
 extern bool_t xdr_rpc_presence ();
 extern bool_t xdr_rpc_grant ();
+extern bool_t xdr_rpc_region_room ();
 extern bool_t xdr_rpc_entries ();
 extern bool_t xdr_rpc_load ();
 extern bool_t xdr_rpc_part_read ();
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1181,14 +1181,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_region_room (XDR *xdrs, rpc_region_room *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->region))
+		 return FALSE;
+	 if (!xdr_rpc_service_room (xdrs, &objp->room))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_entries (XDR *xdrs, rpc_entries *objp)
 {
 	register int32_t *buf;
 
+	 if (!xdr_bool (xdrs, &objp->full))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, 1024,
 		sizeof (rpc_presence), (xdrproc_t) xdr_rpc_presence))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->gone.gone_val, (u_int *) &objp->gone.gone_len, 1024,
+		sizeof (rpc_name), (xdrproc_t) xdr_rpc_name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, 4096,
+		sizeof (rpc_region_room), (xdrproc_t) xdr_rpc_region_room))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -550,8 +550,21 @@
   unsigned hyper instance_incarnation;
 };
 
+/* What the entry instances of a region can do for one service, together:
+   offered_milli is their sum, the rest as one of them has it.  */
+struct rpc_region_room {
+  rpc_name region;
+  rpc_service_room room;
+};
+
+/* Entry instances, without rooms, that the receiver was not told of as they are
+   now, and names of those that are silent.  full tells that list is all of
+   them.  */
 struct rpc_entries {
+  bool full;
   rpc_presence list<1024>;
+  rpc_name gone<1024>;
+  rpc_region_room rooms<4096>;
 };
 
 /* What one entry instance has at an endpoint: requests, tokens of prompts
--- a/state/main.c
+++ b/state/main.c
@@ -57,6 +57,7 @@
             jc_rpc_conn_role (conn));
   group_up (ctx, conn);
   fleet_up (ctx, conn);
+  presence_up (ctx, conn);
   cold_up (ctx, conn);
 }
 
--- a/state/presence.c
+++ b/state/presence.c
@@ -17,15 +17,20 @@
   /* An entry instance reports itself each 0.5 s; one that missed two is not
      given new work.  */
   PICK_FRESH_MS = 1500,
+  ROOMS_MAX = 4096,
   MS_PER_S = 1000
 };
 
-/* An entry instance, its process and when it was heard last.  */
+/* An entry instance, its process and when it was heard last.  TOLD tells that
+   the entry instances of this region know of it, CHANGED that they know it
+   otherwise.  */
 struct entry_view
 {
   struct rpc_presence said;
   uint64_t incarnation;
   int64_t heard_ms;
+  bool told;
+  bool changed;
 };
 
 struct presence
@@ -43,29 +48,48 @@
   g_free (view);
 }
 
+/* Tell whether SAID is the same as what VIEW has of an entry instance, but for
+   its rooms.  */
+static bool
+is_same (const struct entry_view *view, const struct rpc_presence *said)
+{
+  return view->said.draining == said->draining
+         && view->said.ready == said->ready
+         && strcmp (view->said.callers_address, said->callers_address) == 0
+         && strcmp (view->said.handover_address, said->handover_address) == 0;
+}
+
 /* An entry instance reported itself over CONN.  */
 void
 presence_packet (struct state *state, struct jc_rpc_conn *conn,
                  const struct rpc_packet *packet)
 {
   const struct rpc_presence *said = &packet->body.rpc_body_u.presence;
+  const struct entry_view *known;
   struct entry_view *view;
 
   if (packet->body.type != RPC_PRESENCE
       || strcmp (said->name, jc_rpc_conn_name (conn)) != 0)
     return;
-  view = g_hash_table_lookup (state->presence->by_name, said->name);
-  if (view == NULL || view->said.draining != said->draining
-      || view->said.ready != said->ready)
+  known = g_hash_table_lookup (state->presence->by_name, said->name);
+  view = g_new0 (struct entry_view, 1);
+  view->told = known != NULL && known->told;
+  view->changed = known == NULL || known->changed || !is_same (known, said);
+  if (known == NULL || !is_same (known, said))
     jc_event (JC_EVENT_ENTRY, "entry=%s address=%s ready=%d draining=%d",
               said->name, said->callers_address, said->ready, said->draining);
-  view = g_new0 (struct entry_view, 1);
   jc_presence_copy (&view->said, said);
   view->incarnation = jc_rpc_conn_incarnation (conn);
   view->heard_ms = jc_now_ms ();
   g_hash_table_replace (state->presence->by_name, view->said.name, view);
 }
 
+static bool
+is_of_region (const struct state *state, const struct jc_rpc_conn *conn)
+{
+  return strcmp (jc_rpc_conn_region (conn), state->settings->region) == 0;
+}
+
 static bool
 view_is_fresh (const struct state *state, const struct entry_view *view)
 {
@@ -91,36 +115,189 @@
     }
 }
 
-/* Tell the entry instances of this region of all others.  */
+static bool
+is_silent (const struct entry_view *view)
+{
+  return jc_now_ms () - view->heard_ms >= PICK_FRESH_MS;
+}
+
+/* Merge the room that one more instance of its region tells into OUT: all of
+   them have the same endpoints, so their means and the greatest capacity
+   count, but each has callers of its own.  */
+static void
+merge_room (struct rpc_service_room *out, const struct rpc_service_room *said)
+{
+  u_int offered = out->offered_milli + said->offered_milli;
+
+  if (said->endpoints > out->endpoints
+      || (said->endpoints == out->endpoints
+          && said->capacity_milli >= out->capacity_milli))
+    *out = *said;
+  out->offered_milli = offered;
+}
+
+static struct rpc_service_room *
+room_of (GArray *rooms, const char *region, const char *service)
+{
+  struct rpc_region_room fresh
+      = { .region = (char *)region, .room.service = (char *)service };
+
+  for (guint i = 0; i < rooms->len; i++)
+    {
+      struct rpc_region_room *one
+          = &g_array_index (rooms, struct rpc_region_room, i);
+
+      if (strcmp (one->region, region) == 0
+          && strcmp (one->room.service, service) == 0)
+        return &one->room;
+    }
+  g_array_append_val (rooms, fresh);
+  return &g_array_index (rooms, struct rpc_region_room, rooms->len - 1).room;
+}
+
+/* Fill ROOMS, of struct rpc_region_room, from what entry instances told.  */
+static void
+sum_rooms (const struct state *state, GArray *rooms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, state->presence->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct entry_view *view = value;
+      const struct rpc_presence *said = &view->said;
+
+      for (u_int i = 0; i < said->rooms.rooms_len && !is_silent (view)
+                        && rooms->len < ROOMS_MAX;
+           i++)
+        merge_room (
+            room_of (rooms, said->region, said->rooms.rooms_val[i].service),
+            &said->rooms.rooms_val[i]);
+    }
+}
+
+/* What entry instances are told: rows of LIST and GONE borrow.  */
+struct news
+{
+  struct rpc_packet packet;
+  GArray *list;
+  GPtrArray *gone;
+  GArray *rooms;
+};
+
+static void
+news_init (struct news *news, bool full)
+{
+  memset (news, 0, sizeof *news);
+  news->packet.body.type = RPC_ENTRIES;
+  news->packet.body.rpc_body_u.entries.full = full;
+  news->list = g_array_new (FALSE, FALSE, sizeof (struct rpc_presence));
+  news->gone = g_ptr_array_new ();
+  news->rooms = g_array_new (FALSE, FALSE, sizeof (struct rpc_region_room));
+}
+
+static void
+news_add (struct news *news, const struct entry_view *view)
+{
+  struct rpc_presence row = view->said;
+
+  row.rooms.rooms_len = 0;
+  if (news->list->len < ENTRIES_MAX)
+    g_array_append_val (news->list, row);
+}
+
+static void
+news_send (struct news *news, struct jc_rpc_conn *conn)
+{
+  struct rpc_entries *entries = &news->packet.body.rpc_body_u.entries;
+
+  entries->list.list_val = (struct rpc_presence *)news->list->data;
+  entries->list.list_len = news->list->len;
+  entries->gone.gone_val = (rpc_name *)news->gone->pdata;
+  entries->gone.gone_len = news->gone->len;
+  entries->rooms.rooms_val = (struct rpc_region_room *)news->rooms->data;
+  entries->rooms.rooms_len = news->rooms->len;
+  jc_rpc_send (conn, &news->packet);
+}
+
+static void
+news_clear (struct news *news)
+{
+  g_array_free (news->list, TRUE);
+  g_ptr_array_free (news->gone, TRUE);
+  g_array_free (news->rooms, TRUE);
+}
+
+/* Collect in NEWS what changed since the last time.  */
+static void
+collect_changes (struct state *state, struct news *news)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, state->presence->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct entry_view *view = value;
+
+      if (is_silent (view))
+        {
+          if (view->told && news->gone->len < ENTRIES_MAX)
+            g_ptr_array_add (news->gone, view->said.name);
+          view->told = false;
+          continue;
+        }
+      if (!view->told || view->changed)
+        news_add (news, view);
+      view->told = true;
+      view->changed = false;
+    }
+}
+
+/* Tell the entry instances of this region what changed, and what each region
+   can do.  */
 static void
 on_tell (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct state *state = watcher->data;
-  struct rpc_packet packet = { .body.type = RPC_ENTRIES };
-  struct rpc_entries *entries = &packet.body.rpc_body_u.entries;
   GPtrArray *conns = g_ptr_array_new ();
-  struct rpc_presence *list = g_new0 (struct rpc_presence, ENTRIES_MAX);
-  GHashTableIter iter;
-  gpointer value;
+  struct news news;
 
   (void)loop;
   (void)events;
-  expire (state);
-  entries->list.list_val = list;
-  g_hash_table_iter_init (&iter, state->presence->by_name);
-  while (g_hash_table_iter_next (&iter, NULL, &value)
-         && entries->list.list_len < ENTRIES_MAX)
-    list[entries->list.list_len++] = ((struct entry_view *)value)->said;
+  news_init (&news, false);
+  collect_changes (state, &news);
+  sum_rooms (state, news.rooms);
   jc_rpc_list (state->rpc, "entry", conns);
   for (guint i = 0; i < conns->len; i++)
-    {
-      struct jc_rpc_conn *conn = g_ptr_array_index (conns, i);
-
-      if (strcmp (jc_rpc_conn_region (conn), state->settings->region) == 0)
-        jc_rpc_send (conn, &packet);
-    }
+    if (is_of_region (state, g_ptr_array_index (conns, i)))
+      news_send (&news, g_ptr_array_index (conns, i));
+  news_clear (&news);
   g_ptr_array_free (conns, TRUE);
-  g_free (list);
+  expire (state);
+}
+
+/* Tell the entry instance CONN, which came up, of all others that the instances
+   of this region know.  */
+void
+presence_up (struct state *state, struct jc_rpc_conn *conn)
+{
+  struct news news;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (strcmp (jc_rpc_conn_role (conn), "entry") != 0
+      || !is_of_region (state, conn))
+    return;
+  news_init (&news, true);
+  g_hash_table_iter_init (&iter, state->presence->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const struct entry_view *)value)->told)
+      news_add (&news, value);
+  sum_rooms (state, news.rooms);
+  news_send (&news, conn);
+  news_clear (&news);
 }
 
 /* Begin without entry instances.  */
--- a/state/state.h
+++ b/state/state.h
@@ -147,6 +147,7 @@
 /* presence: entry instances and the directory of them.  */
 void presence_start (struct state *state);
 void presence_stop (struct state *state);
+void presence_up (struct state *state, struct jc_rpc_conn *conn);
 void presence_packet (struct state *state, struct jc_rpc_conn *conn,
                       const struct rpc_packet *packet);
 void presence_list (struct state *state, const struct jc_whereabouts *where,
