Tell loads between zones by one instance of each zone

Instances of a zone still tell one another; the one with the least name that was heard within 0.7 s tells two instances of each other zone what all of its zone have together, and these pass it on. Places grow with the instances. test-engine/zones holds the bounds of one mesh, test-engine/shares failed before (running=32 of 60).

What an instance sends grows with the instances of its zone now, not with those of its region.

--- a/entry/loads.c
+++ b/entry/loads.c
@@ -1,5 +1,6 @@
 /* Loads: entry instances of a region tell each other what they have at each
-   endpoint, since each of them sends there.  */
+   endpoint, since each of them sends there.  Those of a zone tell one another;
+   one of them tells the other zones what they have together.  */
 
 #include <string.h>
 
@@ -9,18 +10,22 @@
 
 enum
 {
-  /* Interval of telling.  It grows with the instances of the region, so that
-     what each has to read stays about the same.  */
-  TELL_A_FELLOW_MS = 6,
+  /* Interval of telling.  It grows with the instances of the zone, so that what
+     each has to read stays about the same; what comes from another zone is up
+     to two of them old.  */
+  TELL_A_MATE_MS = 3,
   TELL_LEAST_MS = 20,
   TELL_MOST_MS = 100,
-  FULL_MS = 500
+  FULL_MS = 500,
+  /* Instances of another zone that its loads are told to: one of them may stand
+     still.  */
+  RECEIVERS = 2
 };
 
 static int64_t
-interval_ms (const GPtrArray *conns)
+interval_ms (const GPtrArray *mates)
 {
-  return CLAMP ((int64_t)conns->len * TELL_A_FELLOW_MS, TELL_LEAST_MS,
+  return CLAMP ((int64_t)mates->len * TELL_A_MATE_MS, TELL_LEAST_MS,
                 TELL_MOST_MS);
 }
 
@@ -59,35 +64,145 @@
     jc_rpc_hang_up (hosts->entry->rpc, name);
 }
 
-/* Tell CONNS what changed; from time to time everything, since a message may
+static bool
+is_mate (const struct hosts *hosts, const struct jc_rpc_conn *conn)
+{
+  return is_fellow (hosts, conn)
+         && strcmp (jc_rpc_conn_zone (conn),
+                    hosts->entry->settings->availability_zone)
+                == 0;
+}
+
+/* Return the connections to the other instances of this zone.  */
+static GPtrArray *
+list_mates (const struct hosts *hosts)
+{
+  GPtrArray *conns = g_ptr_array_new ();
+
+  jc_rpc_list (hosts->entry->rpc, "entry", conns);
+  for (guint i = conns->len; i > 0; i--)
+    if (!is_mate (hosts, g_ptr_array_index (conns, i - 1)))
+      g_ptr_array_remove_index_fast (conns, i - 1);
+  return conns;
+}
+
+/* Tell whether this instance tells the other zones of the region what its zone
+   has: it has the least name of those that are there.  */
+static bool
+is_relay (const struct hosts *hosts, const GPtrArray *mates, int64_t now)
+{
+  const char *own = hosts->entry->settings->name;
+
+  for (guint i = 0; i < mates->len; i++)
+    {
+      const char *name = jc_rpc_conn_name (g_ptr_array_index (mates, i));
+
+      if (strcmp (name, own) < 0
+          && jc_engines_heard (hosts->engines, name, now))
+        return false;
+    }
+  return true;
+}
+
+/* Rows of a message about loads.  */
+struct tale
+{
+  struct rpc_packet packet;
+  GArray *rows;
+  GArray *parts;
+  GArray *paths;
+};
+
+static void
+tale_init (struct tale *tale, enum rpc_type type)
+{
+  memset (tale, 0, sizeof *tale);
+  tale->packet.body.type = type;
+  tale->rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
+  tale->parts = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
+  tale->paths = g_array_new (FALSE, FALSE, sizeof (struct rpc_path_closed));
+}
+
+/* Have LOADS, a part of TALE's packet, borrow its rows.  */
+static void
+tale_fill (struct tale *tale, struct rpc_loads *loads)
+{
+  loads->rows.rows_val = (struct rpc_load *)tale->rows->data;
+  loads->rows.rows_len = tale->rows->len;
+  loads->parts.parts_val = (struct rpc_part_read *)tale->parts->data;
+  loads->parts.parts_len = tale->parts->len;
+  loads->paths.paths_val = (struct rpc_path_closed *)tale->paths->data;
+  loads->paths.paths_len = tale->paths->len;
+}
+
+static void
+tale_clear (struct tale *tale)
+{
+  g_array_free (tale->rows, TRUE);
+  g_array_free (tale->parts, TRUE);
+  g_array_free (tale->paths, TRUE);
+}
+
+/* Tell MATES what changed; from time to time everything, since a message may
    be lost with its connection.  A part that was read comes with a request, and
    so with a changed row.  */
 static void
-tell (struct hosts *hosts, const GPtrArray *conns, int64_t now)
-{
-  struct rpc_packet packet = { .body.type = RPC_LOADS };
-  struct rpc_loads *loads = &packet.body.rpc_body_u.loads;
-  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
-  GArray *parts = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
-  GArray *paths = g_array_new (FALSE, FALSE, sizeof (struct rpc_path_closed));
-
-  loads->full = now - hosts->loads_full_ms >= FULL_MS;
-  jc_engines_loads (hosts->engines, loads->full, now, rows, parts);
-  loads->rows.rows_val = (struct rpc_load *)rows->data;
-  loads->rows.rows_len = rows->len;
-  loads->parts.parts_val = (struct rpc_part_read *)parts->data;
-  loads->parts.parts_len = parts->len;
-  paths_list (hosts, paths);
-  loads->paths.paths_val = (struct rpc_path_closed *)paths->data;
-  loads->paths.paths_len = paths->len;
-  if (loads->full)
-    hosts->loads_full_ms = now;
-  for (guint i = 0; i < conns->len && (rows->len > 0 || loads->full); i++)
-    if (is_fellow (hosts, g_ptr_array_index (conns, i)))
-      jc_rpc_send (g_ptr_array_index (conns, i), &packet);
-  g_array_free (rows, TRUE);
-  g_array_free (parts, TRUE);
-  g_array_free (paths, TRUE);
+tell_mates (struct hosts *hosts, const GPtrArray *mates, bool full, int64_t now)
+{
+  struct tale tale;
+  struct rpc_loads *loads;
+
+  tale_init (&tale, RPC_LOADS);
+  loads = &tale.packet.body.rpc_body_u.loads;
+  loads->full = full;
+  jc_engines_loads (hosts->engines, full, now, tale.rows, tale.parts);
+  paths_list (hosts, tale.paths);
+  tale_fill (&tale, loads);
+  for (guint i = 0; i < mates->len && (tale.rows->len > 0 || full); i++)
+    jc_rpc_send (g_ptr_array_index (mates, i), &tale.packet);
+  tale_clear (&tale);
+}
+
+/* Send PACKET to the first instances of each other zone of the region.  */
+static void
+send_to_zones (struct hosts *hosts, struct rpc_packet *packet)
+{
+  GPtrArray *conns = g_ptr_array_new ();
+  GHashTable *sent = g_hash_table_new (g_str_hash, g_str_equal);
+
+  jc_rpc_list (hosts->entry->rpc, "entry", conns);
+  for (guint i = 0; i < conns->len; i++)
+    {
+      struct jc_rpc_conn *conn = g_ptr_array_index (conns, i);
+      const char *zone = jc_rpc_conn_zone (conn);
+      guint count = GPOINTER_TO_UINT (g_hash_table_lookup (sent, zone));
+
+      if (!is_fellow (hosts, conn) || is_mate (hosts, conn)
+          || count >= RECEIVERS)
+        continue;
+      g_hash_table_insert (sent, (gpointer)zone, GUINT_TO_POINTER (count + 1));
+      jc_rpc_send (conn, packet);
+    }
+  g_hash_table_destroy (sent);
+  g_ptr_array_free (conns, TRUE);
+}
+
+/* Tell the other zones of the region what this one has, together.  */
+static void
+tell_zones (struct hosts *hosts, bool full, int64_t now)
+{
+  struct tale tale;
+  struct rpc_zone_loads *said;
+
+  tale_init (&tale, RPC_ZONE_LOADS);
+  said = &tale.packet.body.rpc_body_u.zone_loads;
+  said->zone = hosts->entry->settings->availability_zone;
+  said->loads.full = full;
+  jc_engines_zone_loads (hosts->engines, full, now, tale.rows, tale.parts);
+  tale_fill (&tale, &said->loads);
+  if (tale.rows->len > 0 || full)
+    send_to_zones (hosts, &tale.packet);
+  tale_clear (&tale);
 }
 
 /* Tell the other instances of the region, where it is time.  */
@@ -95,18 +210,44 @@
 loads_tick (struct hosts *hosts)
 {
   int64_t now = jc_now_ms ();
-  GPtrArray *conns;
+  bool full = now - hosts->loads_full_ms >= FULL_MS;
+  GPtrArray *mates;
 
   if (now - hosts->loads_told_ms < TELL_LEAST_MS)
     return;
-  conns = g_ptr_array_new ();
-  jc_rpc_list (hosts->entry->rpc, "entry", conns);
-  if (now - hosts->loads_told_ms >= interval_ms (conns))
+  mates = list_mates (hosts);
+  if (now - hosts->loads_told_ms >= interval_ms (mates))
     {
       hosts->loads_told_ms = now;
-      tell (hosts, conns, now);
+      if (full)
+        hosts->loads_full_ms = now;
+      tell_mates (hosts, mates, full, now);
+      if (is_relay (hosts, mates, now))
+        tell_zones (hosts, full, now);
     }
-  g_ptr_array_free (conns, TRUE);
+  g_ptr_array_free (mates, TRUE);
+}
+
+/* Take what the zone of SAID told, and pass it on in this zone where CONN is of
+   that one.  */
+static void
+take_zone (struct hosts *hosts, struct jc_rpc_conn *conn,
+           const struct rpc_packet *packet)
+{
+  const struct rpc_zone_loads *said = &packet->body.rpc_body_u.zone_loads;
+  GPtrArray *mates;
+
+  jc_engines_take_zone (hosts->engines, said->zone, &said->loads, jc_now_ms ());
+  if (is_mate (hosts, conn))
+    return;
+  mates = list_mates (hosts);
+  for (guint i = 0; i < mates->len; i++)
+    {
+      struct rpc_packet on = { .body = packet->body };
+
+      jc_rpc_send (g_ptr_array_index (mates, i), &on);
+    }
+  g_ptr_array_free (mates, TRUE);
 }
 
 /* Take what another instance told.  */
@@ -116,7 +257,11 @@
 {
   const struct rpc_loads *loads = &packet->body.rpc_body_u.loads;
 
-  if (packet->body.type != RPC_LOADS || !is_fellow (hosts, conn))
+  if (!is_fellow (hosts, conn))
+    return;
+  if (packet->body.type == RPC_ZONE_LOADS)
+    take_zone (hosts, conn, packet);
+  if (packet->body.type != RPC_LOADS)
     return;
   jc_engines_take (hosts->engines, jc_rpc_conn_name (conn), loads,
                    jc_now_ms ());
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -78,6 +78,7 @@
 	RPC_LOADS = 87,
 	RPC_GRANT = 88,
 	RPC_FLEET_FOLLOW = 89,
+	RPC_ZONE_LOADS = 90,
 };
 typedef enum rpc_type rpc_type;
 
@@ -678,6 +679,12 @@
 };
 typedef struct rpc_loads rpc_loads;
 
+struct rpc_zone_loads {
+	rpc_name zone;
+	rpc_loads loads;
+};
+typedef struct rpc_zone_loads rpc_zone_loads;
+
 struct rpc_body {
 	rpc_type type;
 	union {
@@ -718,6 +725,7 @@
 		rpc_presence presence;
 		rpc_entries entries;
 		rpc_loads loads;
+		rpc_zone_loads zone_loads;
 		rpc_grant grant;
 	} rpc_body_u;
 };
@@ -798,6 +806,7 @@
 extern  bool_t xdr_rpc_part_read (XDR *, rpc_part_read*);
 extern  bool_t xdr_rpc_path_closed (XDR *, rpc_path_closed*);
 extern  bool_t xdr_rpc_loads (XDR *, rpc_loads*);
+extern  bool_t xdr_rpc_zone_loads (XDR *, rpc_zone_loads*);
 extern  bool_t xdr_rpc_body (XDR *, rpc_body*);
 extern  bool_t xdr_rpc_packet (XDR *, rpc_packet*);
 
@@ -868,6 +877,7 @@
 extern bool_t xdr_rpc_part_read ();
 extern bool_t xdr_rpc_path_closed ();
 extern bool_t xdr_rpc_loads ();
+extern bool_t xdr_rpc_zone_loads ();
 extern bool_t xdr_rpc_body ();
 extern bool_t xdr_rpc_packet ();
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1273,6 +1273,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_zone_loads (XDR *xdrs, rpc_zone_loads *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_rpc_loads (xdrs, &objp->loads))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_body (XDR *xdrs, rpc_body *objp)
 {
@@ -1435,6 +1447,10 @@
 		 if (!xdr_rpc_loads (xdrs, &objp->rpc_body_u.loads))
 			 return FALSE;
 		break;
+	case RPC_ZONE_LOADS:
+		 if (!xdr_rpc_zone_loads (xdrs, &objp->rpc_body_u.zone_loads))
+			 return FALSE;
+		break;
 	case RPC_GRANT:
 		 if (!xdr_rpc_grant (xdrs, &objp->rpc_body_u.grant))
 			 return FALSE;
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -60,7 +60,8 @@
   RPC_ENTRIES = 86,
   RPC_LOADS = 87,
   RPC_GRANT = 88,
-  RPC_FLEET_FOLLOW = 89
+  RPC_FLEET_FOLLOW = 89,
+  RPC_ZONE_LOADS = 90
 };
 
 struct rpc_hello {
@@ -600,6 +601,12 @@
   rpc_path_closed paths<64>;
 };
 
+/* Loads of all entry instances of a zone together.  */
+struct rpc_zone_loads {
+  rpc_name zone;
+  rpc_loads loads;
+};
+
 union rpc_body switch (rpc_type type) {
 case RPC_HELLO: rpc_hello hello;
 case RPC_HELLO_ACK: rpc_hello hello_ack;
@@ -641,6 +648,7 @@
 case RPC_PRESENCE: rpc_presence presence;
 case RPC_ENTRIES: rpc_entries entries;
 case RPC_LOADS: rpc_loads loads;
+case RPC_ZONE_LOADS: rpc_zone_loads zone_loads;
 case RPC_GRANT: rpc_grant grant;
 };
 
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -19,9 +19,13 @@
 {
   /* A plain request's usual time, until it is measured.  */
   PLAIN_MS = 40,
+  /* An instance that told nothing for so long stands still: each tells at least
+     every 500 ms.  */
+  HEARD_MS = 700,
   /* Reports of load older than this say nothing.  */
   LOAD_FRESH_MS = 1000,
   ENGINE_KEPT_MS = 120000,
+  SHARES_FIRST = 8,
   /* Rest of an endpoint that can't be reached: first and longest.  */
   REST_MS = 500,
   REST_MAX_MS = 4000,
@@ -49,6 +53,7 @@
   if (--engine->holders > 0)
     return;
   g_hash_table_destroy (engine->parts);
+  g_free (engine->shares);
   g_free (engine->name);
   g_free (engine);
 }
@@ -65,6 +70,8 @@
   engines->fellows
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   engines->news = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
+  engines->zone_news
+      = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
   return engines;
 }
 
@@ -78,6 +85,7 @@
   g_hash_table_destroy (engines->by_name);
   g_hash_table_destroy (engines->fellows);
   g_array_free (engines->news, TRUE);
+  g_array_free (engines->zone_news, TRUE);
   g_free (engines);
 }
 
@@ -158,6 +166,14 @@
   return rate * exp (-(double)age_ms / RATE_MS);
 }
 
+/* What this instance has at ENGINE changed.  */
+static void
+engine_note_change (struct engine *engine)
+{
+  engine->changed = true;
+  engine->zone_changed = true;
+}
+
 /* Return the tokens a second that this instance sent ENGINE lately.  */
 static double
 rate_now (const struct engine *engine, int64_t now_ms)
@@ -244,7 +260,7 @@
   run->expected_ms = run_expected_ms (run, now_ms);
   run->at_once = engine_work (engine, now_ms).running < endpoint->slots;
   engine->holders++;
-  engine->changed = true;
+  engine_note_change (engine);
   engine->running++;
   engine->unread_tokens += run->unread;
   engine->used_ms = now_ms;
@@ -262,7 +278,7 @@
   run->begun = true;
   learn_pace (run, now_ms);
   run->engine->unread_tokens -= run->unread;
-  run->engine->changed = true;
+  engine_note_change (run->engine);
   run->engine->rest_ms = 0;
   engine_parts_used (run->engine, &run->demand, now_ms);
 }
@@ -307,16 +323,67 @@
   g_array_set_size (engines->news, 0);
 }
 
+/* Return what all instances of this zone have at ENGINE together.  */
+static struct rpc_load
+zone_load (const struct engine *engine, int64_t now_ms)
+{
+  struct rpc_load sum
+      = { .tag = engine->tag,
+          .running = engine->running,
+          .unread_tokens = (u_int)MIN (engine->unread_tokens, UINT32_MAX),
+          .tokens_per_s = (u_int)rate_now (engine, now_ms) };
+
+  for (unsigned int i = 0; i < engine->shares_count; i++)
+    {
+      const struct share *share = &engine->shares[i];
+
+      if (!share->fellow->direct
+          || now_ms - share->fellow->heard_ms >= LOAD_FRESH_MS)
+        continue;
+      sum.running += share->said.running;
+      sum.unread_tokens += share->said.unread_tokens;
+      sum.tokens_per_s += (u_int)rate_after (share->said.tokens_per_s,
+                                             now_ms - share->said_ms);
+    }
+  return sum;
+}
+
+/* Append to ROWS and PARTS, as jc_engines_loads does, what all instances of
+   this zone have at each engine together and what they have read.  */
+void
+jc_engines_zone_loads (struct jc_engines *engines, bool full, int64_t now_ms,
+                       GArray *rows, GArray *parts)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, engines->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct engine *engine = value;
+      struct rpc_load row = zone_load (engine, now_ms);
+
+      if (engine->zone_changed
+          || (full && (row.running > 0 || row.tokens_per_s > 0)))
+        g_array_append_val (rows, row);
+      engine->zone_changed = false;
+    }
+  g_array_append_vals (parts, engines->zone_news->data,
+                       engines->zone_news->len);
+  g_array_set_size (engines->zone_news, 0);
+}
+
 static struct fellow *
-fellow_of (struct jc_engines *engines, const char *name)
+fellow_of (struct jc_engines *engines, const char *name, bool direct)
 {
-  uint64_t id = jc_member_hash (name, "");
+  uint64_t id = jc_member_hash (name, direct ? "" : "zone");
   struct fellow *fellow = g_hash_table_lookup (engines->fellows, &id);
 
   if (fellow == NULL)
     {
       fellow = g_new0 (struct fellow, 1);
       fellow->id = id;
+      fellow->direct = direct;
       g_hash_table_insert (engines->fellows, &fellow->id, fellow);
     }
   return fellow;
@@ -327,7 +394,7 @@
 static struct share *
 share_of (struct engine *engine, const struct fellow *fellow)
 {
-  struct share *oldest = &engine->shares[0];
+  struct share *oldest = engine->shares;
 
   for (unsigned int i = 0; i < engine->shares_count; i++)
     {
@@ -338,9 +405,15 @@
       if (share->fellow->heard_ms < oldest->fellow->heard_ms)
         oldest = share;
     }
-  if (engine->shares_count < INSTANCES_MAX)
-    return &engine->shares[engine->shares_count++];
-  return oldest;
+  if (engine->shares_count == INSTANCES_MAX)
+    return oldest;
+  if (engine->shares_count == engine->shares_room)
+    {
+      engine->shares_room = MAX (2 * engine->shares_room, SHARES_FIRST);
+      engine->shares
+          = g_renew (struct share, engine->shares, engine->shares_room);
+    }
+  return &engine->shares[engine->shares_count++];
 }
 
 /* FELLOW told of everything: what it has not named since is over.  */
@@ -363,13 +436,11 @@
     }
 }
 
-/* Take the LOADS that the entry instance INSTANCE told of.  */
-void
-jc_engines_take (struct jc_engines *engines, const char *instance,
-                 const struct rpc_loads *loads, int64_t now_ms)
+/* Take the LOADS of FELLOW.  */
+static void
+take_loads (struct jc_engines *engines, struct fellow *fellow,
+            const struct rpc_loads *loads, int64_t now_ms)
 {
-  struct fellow *fellow = fellow_of (engines, instance);
-
   fellow->heard_ms = now_ms;
   for (u_int i = 0; i < loads->rows.rows_len; i++)
     {
@@ -383,14 +454,44 @@
       share = share_of (engine, fellow);
       *share
           = (struct share){ .fellow = fellow, .said = *row, .said_ms = now_ms };
+      engine->zone_changed = engine->zone_changed || fellow->direct;
       engine->used_ms = MAX (engine->used_ms, now_ms - LOAD_FRESH_MS);
     }
   for (u_int i = 0; i < loads->parts.parts_len; i++)
-    engine_parts_heard (engines, &loads->parts.parts_val[i], now_ms);
+    engine_parts_heard (engines, &loads->parts.parts_val[i], fellow->direct,
+                        now_ms);
   if (loads->full)
     forget_rest (engines, fellow, now_ms);
 }
 
+/* Take the LOADS that the entry instance INSTANCE of this zone told of.  */
+void
+jc_engines_take (struct jc_engines *engines, const char *instance,
+                 const struct rpc_loads *loads, int64_t now_ms)
+{
+  take_loads (engines, fellow_of (engines, instance, true), loads, now_ms);
+}
+
+/* Take the LOADS of all instances of ZONE together.  */
+void
+jc_engines_take_zone (struct jc_engines *engines, const char *zone,
+                      const struct rpc_loads *loads, int64_t now_ms)
+{
+  take_loads (engines, fellow_of (engines, zone, false), loads, now_ms);
+}
+
+/* Tell whether the entry instance INSTANCE of this zone told of its loads
+   within the time that full ones are told in.  */
+bool
+jc_engines_heard (const struct jc_engines *engines, const char *instance,
+                  int64_t now_ms)
+{
+  uint64_t id = jc_member_hash (instance, "");
+  const struct fellow *fellow = g_hash_table_lookup (engines->fellows, &id);
+
+  return fellow != NULL && now_ms - fellow->heard_ms < HEARD_MS;
+}
+
 static void
 note_failure (struct engine *engine, int64_t now_ms)
 {
@@ -415,7 +516,7 @@
   if (!run->begun)
     engine->unread_tokens -= run->unread;
   engine->running--;
-  engine->changed = true;
+  engine_note_change (engine);
   if (how == JC_ENGINE_SERVED)
     {
       engine->rest_ms = 0;
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -83,7 +83,13 @@
                          unsigned int queued, int64_t now_ms);
 void jc_engines_loads (struct jc_engines *engines, bool full, int64_t now_ms,
                        GArray *rows, GArray *parts);
+void jc_engines_zone_loads (struct jc_engines *engines, bool full,
+                            int64_t now_ms, GArray *rows, GArray *parts);
 void jc_engines_take (struct jc_engines *engines, const char *instance,
                       const struct rpc_loads *loads, int64_t now_ms);
+void jc_engines_take_zone (struct jc_engines *engines, const char *zone,
+                           const struct rpc_loads *loads, int64_t now_ms);
+bool jc_engines_heard (const struct jc_engines *engines, const char *instance,
+                       int64_t now_ms);
 
 #endif
--- a/serve/engineparts.c
+++ b/serve/engineparts.c
@@ -85,6 +85,14 @@
     part_of (engine, demand->chain[i])->used_ms = now_ms;
 }
 
+/* READ is to be told to the other zones of the region.  */
+static void
+zone_news_add (struct jc_engines *engines, const struct rpc_part_read *read)
+{
+  if (engines->zone_news->len < NEWS_MAX)
+    g_array_append_val (engines->zone_news, *read);
+}
+
 /* The prompt of DEMAND went to ENGINE: the others are to hear of its shared
    parts.  */
 void
@@ -103,13 +111,15 @@
         continue;
       part->told_ms = now_ms;
       g_array_append_val (engines->news, news);
+      zone_news_add (engines, &news);
     }
 }
 
-/* Another instance told that a part was READ.  */
+/* Another instance told that a part was READ: one of this zone where DIRECT. */
 void
 engine_parts_heard (struct jc_engines *engines,
-                    const struct rpc_part_read *read, int64_t now_ms)
+                    const struct rpc_part_read *read, bool direct,
+                    int64_t now_ms)
 {
   uint64_t tag = read->tag;
   struct engine *engine = g_hash_table_lookup (engines->by_tag, &tag);
@@ -120,4 +130,6 @@
   part = part_of (engine, read->part);
   part->used_ms = now_ms;
   part->told_ms = now_ms;
+  if (direct)
+    zone_news_add (engines, read);
 }
--- a/serve/engineprivate.h
+++ b/serve/engineprivate.h
@@ -23,14 +23,17 @@
   /* Time over which the rate of tokens is averaged: a few times that of a long
      prompt.  */
   RATE_MS = 1500,
-  INSTANCES_MAX = 32,
+  /* Instances whose shares of an engine are kept: more than a zone has.  */
+  INSTANCES_MAX = 512,
   MS_PER_S = 1000
 };
 
-/* Another instance of the region, and when it told anything last.  */
+/* Another instance of this zone, or where it is not DIRECT all those of another
+   zone of the region together, and when it told anything last.  */
 struct fellow
 {
   uint64_t id;
+  bool direct;
   int64_t heard_ms;
 };
 
@@ -48,6 +51,7 @@
   char *name;
   uint64_t tag;
   bool changed;
+  bool zone_changed;
   unsigned int running;
   uint64_t unread_tokens;
   double rate;
@@ -64,8 +68,9 @@
   int64_t used_ms;
   unsigned int holders;
   GHashTable *parts;
-  struct share shares[INSTANCES_MAX];
+  struct share *shares;
   unsigned int shares_count;
+  unsigned int shares_room;
 };
 
 /* Work at an engine, of all instances.  BUSY is the part of its time that
@@ -84,6 +89,7 @@
   GHashTable *by_tag;
   GHashTable *fellows;
   GArray *news;
+  GArray *zone_news;
 };
 
 /* In engine.c.  */
@@ -103,7 +109,8 @@
 void engine_parts_sent (struct jc_engines *engines, struct engine *engine,
                         const struct jc_demand *demand, int64_t now_ms);
 void engine_parts_heard (struct jc_engines *engines,
-                         const struct rpc_part_read *read, int64_t now_ms);
+                         const struct rpc_part_read *read, bool direct,
+                         int64_t now_ms);
 
 /* In enginecost.c.  */
 double engine_reading (const struct jc_demand *demand, unsigned int read);
--- a/tests/enginesim.c
+++ b/tests/enginesim.c
@@ -237,33 +237,69 @@
   g_queue_push_tail (&engine->jobs, job);
 }
 
+static unsigned int
+zone_of (const struct sim *sim, unsigned int instance)
+{
+  return instance % MAX (sim->plan->zones, 1);
+}
+
 static void
-tell (struct sim *sim, int64_t now_ms)
+fill (const struct sim *sim, struct rpc_loads *loads, GArray *rows,
+      GArray *parts)
+{
+  loads->rows.rows_val = (struct rpc_load *)rows->data;
+  loads->rows.rows_len = rows->len;
+  loads->parts.parts_val = (struct rpc_part_read *)parts->data;
+  loads->parts.parts_len = sim->plan->silent ? 0 : parts->len;
+}
+
+/* The first instance of ZONE tells the other zones what all of it have.  */
+static void
+tell_zones (struct sim *sim, unsigned int zone, int64_t now_ms)
 {
   GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
   GArray *parts = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
+  struct rpc_loads loads = { .full = now_ms % FULL_MS == 0 };
   char name[16];
 
-  for (unsigned int from = 0; from < sim->plan->instances; from++)
-    {
-      struct rpc_loads loads = { .full = now_ms % FULL_MS == 0 };
-
-      g_array_set_size (rows, 0);
-      g_array_set_size (parts, 0);
-      jc_engines_loads (sim->views[from], loads.full, now_ms, rows, parts);
-      loads.rows.rows_val = (struct rpc_load *)rows->data;
-      loads.rows.rows_len = rows->len;
-      loads.parts.parts_val = (struct rpc_part_read *)parts->data;
-      loads.parts.parts_len = sim->plan->silent ? 0 : parts->len;
-      g_snprintf (name, sizeof name, "entry-%u", from);
-      for (unsigned int to = 0; to < sim->plan->instances; to++)
-        if (to != from)
-          jc_engines_take (sim->views[to], name, &loads, now_ms);
-    }
+  jc_engines_zone_loads (sim->views[zone], loads.full, now_ms, rows, parts);
+  fill (sim, &loads, rows, parts);
+  g_snprintf (name, sizeof name, "zone-%u", zone);
+  for (unsigned int to = 0; to < sim->plan->instances; to++)
+    if (zone_of (sim, to) != zone)
+      jc_engines_take_zone (sim->views[to], name, &loads, now_ms);
   g_array_free (rows, TRUE);
   g_array_free (parts, TRUE);
 }
 
+static void
+tell_mates (struct sim *sim, unsigned int from, int64_t now_ms)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
+  GArray *parts = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
+  struct rpc_loads loads = { .full = now_ms % FULL_MS == 0 };
+  char name[16];
+
+  jc_engines_loads (sim->views[from], loads.full, now_ms, rows, parts);
+  fill (sim, &loads, rows, parts);
+  g_snprintf (name, sizeof name, "entry-%u", from);
+  for (unsigned int to = 0; to < sim->plan->instances; to++)
+    if (to != from && zone_of (sim, to) == zone_of (sim, from))
+      jc_engines_take (sim->views[to], name, &loads, now_ms);
+  g_array_free (rows, TRUE);
+  g_array_free (parts, TRUE);
+}
+
+static void
+tell (struct sim *sim, int64_t now_ms)
+{
+  for (unsigned int zone = 0; sim->plan->zones > 1 && zone < sim->plan->zones;
+       zone++)
+    tell_zones (sim, zone, now_ms);
+  for (unsigned int from = 0; from < sim->plan->instances; from++)
+    tell_mates (sim, from, now_ms);
+}
+
 static void
 sim_start (struct sim *sim)
 {
--- a/tests/enginesim.h
+++ b/tests/enginesim.h
@@ -48,12 +48,15 @@
 };
 
 /* A run: PACE is each engine's, 0 for 1.  SILENT instances don't tell each
-   other which shared parts were read.  */
+   other which shared parts were read.  Where ZONES is over 1, instances tell
+   only those of their zone all they do, and one of each zone tells the other
+   zones, a round later, what they have together.  */
 struct enginesim_plan
 {
   enum enginesim_policy policy;
   unsigned int engines;
   unsigned int instances;
+  unsigned int zones;
   double pace[ENGINESIM_ENGINES_MAX];
   bool silent;
   const struct enginesim_kind *kinds;
--- a/tests/test-engine.c
+++ b/tests/test-engine.c
@@ -138,6 +138,58 @@
   g_assert_cmpfloat (part_in_aim (&own.kinds[0]), >=, 0.9);
 }
 
+/* Guards against zones that lose sight of each other when one instance of each
+   tells the other what all of it have: the bounds are those of one mesh.  */
+static void
+test_zones (void)
+{
+  struct enginesim_kind kinds[] = { report_kind, letter_kind, check_kind };
+  const struct enginesim_plan plan = {
+    .engines = 48, .instances = 24, .zones = 2, .kinds = kinds, .kinds_count = 3
+  };
+  struct enginesim_report own;
+  double shared;
+
+  kinds[0].per_s = 85;
+  kinds[0].things = 300;
+  kinds[1].per_s = 96;
+  kinds[2].per_s = 104;
+  own = play (plan, ENGINESIM_ENGINES);
+  shared = (double)kinds[0].shared * own.kinds[0].asked
+           + (double)kinds[2].shared * own.kinds[2].asked;
+  g_assert_cmpfloat (own.tokens_again, <, shared / 4);
+  for (unsigned int i = 0; i < 3; i++)
+    g_assert_cmpfloat (part_in_aim (&own.kinds[i]), >=, 0.9);
+}
+
+/* Guards against regions with more instances than an engine had places for:
+   what the last ones had there pushed out what others had.  */
+static void
+test_shares (void)
+{
+  enum
+  {
+    FELLOWS = 60
+  };
+  struct jc_engines *engines = jc_engines_new ();
+  struct jc_endpoint endpoint = { .name = (char *)"e", .slots = 6 };
+  struct rpc_load row = { .tag = jc_member_hash ("e", ""), .running = 1 };
+  struct rpc_loads loads = { .rows = { .rows_len = 1, .rows_val = &row } };
+  char name[16];
+  char why[200];
+
+  jc_engines_busy (engines, &endpoint, 0);
+  for (unsigned int i = 0; i < FELLOWS; i++)
+    {
+      g_snprintf (name, sizeof name, "entry-%u", i);
+      jc_engines_take (engines, name, &loads, 10);
+    }
+  jc_engines_explain (engines, &endpoint, &(struct jc_demand){ 0 }, 20, why,
+                      sizeof why);
+  g_assert_true (g_str_has_prefix (why, "running=60 "));
+  jc_engines_free (engines);
+}
+
 /* The same region in its own peak, above what its engines bear if they read
    each prompt in full.  Shared parts are read where they were read before, so
    that more is served than by instances that don't tell of them, and what is
@@ -290,6 +342,8 @@
   g_test_add_func ("/engine/calm", test_calm);
   g_test_add_func ("/engine/shared-parts", test_shared_parts);
   g_test_add_func ("/engine/many-instances", test_many_instances);
+  g_test_add_func ("/engine/zones", test_zones);
+  g_test_add_func ("/engine/shares", test_shares);
   g_test_add_func ("/engine/peak-of-shared-parts", test_peak_of_shared_parts);
   g_test_add_func ("/engine/peak", test_peak);
   g_test_add_func ("/engine/long-prompts", test_long_prompts);
