Ask a region that refused no further for the same request

Cause: only the instance that refused was left out, though all instances of a region see the same endpoints. Ruled out: instances that drain or are not ready, which speak for themselves alone and leave the region open.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -58,6 +58,20 @@
          && strcmp (run, jc_run_state_name (JC_NOT_RUN)) == 0;
 }
 
+/* The instance that was asked refused with HEAD.  All instances of its region
+   see the same endpoints, so that none of the others is asked after it, but
+   where it is only this one that takes nothing.  */
+static void
+note_refused_there (struct passage *passage, const struct jc_head *head)
+{
+  const char *error = jc_head_field (head, HEADER_ERROR);
+
+  passage->signs.not_run = true;
+  if (strcmp (error, jc_status_name (JC_DRAINING)) != 0
+      && strcmp (error, jc_status_name (JC_NOT_READY)) != 0)
+    g_ptr_array_add (passage->avoided, (gpointer)passage->place_region);
+}
+
 static void
 note_endpoint (struct passage *passage)
 {
@@ -101,7 +115,7 @@
   passage->heard = true;
   paths_answered (passage->hosts, &end);
   if (passage->away && refused_there (head))
-    passage->signs.not_run = true;
+    note_refused_there (passage, head);
   passage->streaming
       = passage->relay.kind == JC_ROUTE_STREAM
         && head->status == PASSAGE_HTTP_OK && passage->signs.genuine
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -146,8 +146,8 @@
 };
 
 /* What a choice rests on.  TRIED holds names that are left out, AVOIDED regions
-   that this request did not reach; HERE_ONLY leaves out other instances;
-   MAY_WAIT allows JC_CROWDED as an outcome.  */
+   that this request did not reach or that refused it; HERE_ONLY leaves out
+   other instances; MAY_WAIT allows JC_CROWDED as an outcome.  */
 struct choice_query
 {
   const struct jc_hostroute *route;
--- a/entry/passage.h
+++ b/entry/passage.h
@@ -23,18 +23,16 @@
 /* A request under way.  REQ lives as long as this.  TABLE is the one that
    ROUTE is of.  PLACE names where the current attempt goes, in
    PLACE_ZONE of PLACE_REGION, AWAY that it is another entry instance.  AVOIDED
-   holds other regions that an attempt did not reach.  HEAD is that of the
-   answer's first attempt that the caller was shown, or of the last one.  KEPT
-   and KEPT_BODY are an endpoint's own failure, for the case that no further
-   attempt does better; KEPT_AWAY tells that it came by another instance.
-   BURST holds events to
-   be passed on together, HELD comments until an event follows; NUMBERED tells
-   that the attempt sent an event with a number, STEP that BURST brings the
-   answer forward.  LARGE tells that
-   the body is larger than usual.  WAITING tells that its turn has not come; it
-   waits until WAIT_UNTIL_MS at the latest.  FIRST_MS is how long the first
-   event took, GAP_MS the longest pause after it, EVENT_MS when the last one
-   came.  */
+   holds other regions that an attempt did not reach, or that refused.  HEAD is
+   that of the answer's first attempt that the caller was shown, or of the last
+   one.  KEPT and KEPT_BODY are an endpoint's own failure, for the case that no
+   further attempt does better; KEPT_AWAY tells that it came by another
+   instance. BURST holds events to be passed on together, HELD comments until an
+   event follows; NUMBERED tells that the attempt sent an event with a number,
+   STEP that BURST brings the answer forward.  LARGE tells that the body is
+   larger than usual.  WAITING tells that its turn has not come; it waits until
+   WAIT_UNTIL_MS at the latest.  FIRST_MS is how long the first event took,
+   GAP_MS the longest pause after it, EVENT_MS when the last one came.  */
 struct passage
 {
   struct hosts *hosts;
