Ask for all entry instances again where some that are told of are not known

An instance that stood still for long could forget others while its state instances go on telling changes alone, and would not hear of them again before they change. A name that a state instance says is there, but that is not known here, now makes the instance ask for everything, once a second at most. hosts-neighbours plays kills, a stop of 9 s and the end of all state instances; it was not seen to fail without this guard, since the connection is replaced after 2 s of silence and begins with everything.

--- a/entry/following.c
+++ b/entry/following.c
@@ -299,10 +299,10 @@
               known->address, known->zone, known->leaving, said->cold_ms);
 }
 
-/* CONN tells of an endpoint that is not known here: ask it for all of them, but
-   not again and again.  */
-static void
-ask_fleet (struct hosts *hosts, struct jc_rpc_conn *conn)
+/* CONN tells of an endpoint or an entry instance that is not known here: ask it
+   for all of them, but not again and again.  */
+void
+following_ask_all (struct hosts *hosts, struct jc_rpc_conn *conn)
 {
   struct rpc_packet packet = { .body.type = RPC_FLEET_FOLLOW };
   int64_t now = jc_now_ms ();
@@ -310,7 +310,7 @@
   if (now - hosts->fleet_asked_ms < FLEET_ASK_MS)
     return;
   hosts->fleet_asked_ms = now;
-  jc_event (JC_EVENT_ENDPOINT, "endpoint=? asked=%s", jc_rpc_conn_name (conn));
+  jc_event (JC_EVENT_ORDERS_ASKED, "peer=%s what=all", jc_rpc_conn_name (conn));
   jc_rpc_send (conn, &packet);
 }
 
@@ -328,7 +328,7 @@
         == JC_NOT_FOUND)
       unknown = true;
   if (unknown)
-    ask_fleet (hosts, conn);
+    following_ask_all (hosts, conn);
 }
 
 /* The log granted a cold endpoint to one process of an instance.  */
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -88,6 +88,7 @@
                        const struct rpc_packet *packet);
 void following_tick (struct hosts *hosts);
 void following_report (struct hosts *hosts);
+void following_ask_all (struct hosts *hosts, struct jc_rpc_conn *conn);
 
 /* What REGION can do for a service, as told at HEARD_MS.  */
 struct region_room
@@ -100,7 +101,7 @@
 /* neighbours: other entry instances and what their regions can do.  */
 void neighbours_start (struct hosts *hosts);
 void neighbours_stop (struct hosts *hosts);
-void neighbours_take (struct hosts *hosts, const struct jc_rpc_conn *conn,
+void neighbours_take (struct hosts *hosts, struct jc_rpc_conn *conn,
                       const struct rpc_entries *entries);
 void neighbours_down (struct hosts *hosts, const struct jc_rpc_conn *conn);
 const struct rpc_service_room *neighbours_room (const struct hosts *hosts,
--- a/entry/neighbours.c
+++ b/entry/neighbours.c
@@ -87,10 +87,13 @@
   loads_meet (hosts, said);
 }
 
-/* All of NAMES are there at NOW_MS, by the word of a state instance.  */
-static void
+/* All of NAMES are there at NOW_MS, by the word of a state instance.  Return
+   whether all of them are known here: they may have been forgotten while this
+   process stood still.  */
+static bool
 touch (struct hosts *hosts, GHashTable *names, int64_t now_ms)
 {
+  bool known = true;
   GHashTableIter iter;
   gpointer name;
 
@@ -102,7 +105,10 @@
 
       if (neighbour != NULL)
         neighbour->heard_ms = now_ms;
+      else
+        known = false;
     }
+  return known;
 }
 
 static void
@@ -135,7 +141,7 @@
 
 /* CONN, a state instance, told of ENTRIES.  */
 void
-neighbours_take (struct hosts *hosts, const struct jc_rpc_conn *conn,
+neighbours_take (struct hosts *hosts, struct jc_rpc_conn *conn,
                  const struct rpc_entries *entries)
 {
   GHashTable *names = names_of (hosts, jc_rpc_conn_name (conn));
@@ -147,7 +153,8 @@
     take_row (hosts, names, &entries->list.list_val[i]);
   for (u_int i = 0; i < entries->gone.gone_len; i++)
     g_hash_table_remove (names, entries->gone.gone_val[i]);
-  touch (hosts, names, now);
+  if (!touch (hosts, names, now))
+    following_ask_all (hosts, conn);
   for (u_int i = 0; i < entries->rooms.rooms_len; i++)
     take_room (hosts, &entries->rooms.rooms_val[i], now);
 }
--- a/state/main.c
+++ b/state/main.c
@@ -78,8 +78,10 @@
   group_packet (ctx, conn, packet);
   orders_packet (ctx, conn, packet);
   presence_packet (ctx, conn, packet);
-  if (packet->body.type == RPC_FLEET_FOLLOW)
-    fleet_up (ctx, conn);
+  if (packet->body.type != RPC_FLEET_FOLLOW)
+    return;
+  fleet_up (ctx, conn);
+  presence_up (ctx, conn);
 }
 
 static const struct jc_rpc_class hosts_rpc_class
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -489,7 +489,15 @@
     await until("the instance to leave the directory", listed)
 
 
+async def counted():
+    """Waits until the first entry instance counts as many others as the last argument says."""
+    async def seen():
+        reply = await ask(ADDRESSES["operators"][0], "GET", "/metrics")
+        return "jaycove_entry_instances{} %s\n" % sys.argv[3] in reply.body.decode()
+    await until(sys.argv[3] + " other entry instances", seen)
+
+
 if __name__ == "__main__":
     use(sys.argv[2])
     asyncio.run({"path": path, "changes": changes, "disk": disk, "drain": drain, "cold": cold, "blocked_log": blocked_log,
-                 "catch_up": catch_up}[sys.argv[1]]())
+                 "catch_up": catch_up, "counted": counted}[sys.argv[1]]())
