Decide what a refusal says of its region in a module without network

What a refused hand-over tells of the other instances of a region stood beside the sockets. It moves to serve/elsewhere unchanged, and test-elsewhere/full-region names the pattern that it answers: peaks of two regions at once.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -6,6 +6,7 @@
 #include "base/event.h"
 #include "entry/passage.h"
 #include "net/program.h"
+#include "serve/elsewhere.h"
 
 enum
 {
@@ -58,17 +59,12 @@
          && strcmp (run, jc_run_state_name (JC_NOT_RUN)) == 0;
 }
 
-/* The instance that was asked refused with HEAD.  All instances of its region
-   see the same endpoints, so that none of the others is asked after it, but
-   where it is only this one that takes nothing.  */
+/* The instance that was asked refused with HEAD.  */
 static void
 note_refused_there (struct passage *passage, const struct jc_head *head)
 {
-  const char *error = jc_head_field (head, HEADER_ERROR);
-
   passage->signs.not_run = true;
-  if (strcmp (error, jc_status_name (JC_DRAINING)) != 0
-      && strcmp (error, jc_status_name (JC_NOT_READY)) != 0)
+  if (jc_elsewhere_refuses_all (jc_head_field (head, HEADER_ERROR)))
     g_ptr_array_add (passage->avoided, (gpointer)passage->place_region);
 }
 
--- a/serve/elsewhere.c
+++ b/serve/elsewhere.c
@@ -135,3 +135,13 @@
 
   return gain > 0 && draw * (double)here_ms < (double)gain;
 }
+
+/* Tell whether the other instances of a region would refuse a request too where
+   one of them did so with ERROR, the name of a status: they see the same
+   endpoints, so only what concerns that process alone tells nothing of them. */
+bool
+jc_elsewhere_refuses_all (const char *error)
+{
+  return strcmp (error, jc_status_name (JC_DRAINING)) != 0
+         && strcmp (error, jc_status_name (JC_NOT_READY)) != 0;
+}
--- a/serve/elsewhere.h
+++ b/serve/elsewhere.h
@@ -27,6 +27,7 @@
                                               uint32_t draw);
 const char *jc_elsewhere_home (const GArray *regions,
                                const struct jc_demand *demand);
+bool jc_elsewhere_refuses_all (const char *error);
 bool jc_elsewhere_gains (int64_t here_ms, int64_t away_ms, double draw);
 
 #endif
--- a/tests/test-elsewhere.c
+++ b/tests/test-elsewhere.c
@@ -80,6 +80,19 @@
   g_assert_true (jc_elsewhere_has_room (&room, &plain));
 }
 
+/* Guards against a request that goes from one instance of a full region to the
+   next, a round trip between regions each, and is refused by all: in a peak of
+   two regions at once nobody waits for what is known.  */
+static void
+test_full_region (void)
+{
+  g_assert_true (jc_elsewhere_refuses_all (jc_status_name (JC_OVERLOADED)));
+  g_assert_true (jc_elsewhere_refuses_all (jc_status_name (JC_CROWDED)));
+  g_assert_true (jc_elsewhere_refuses_all (jc_status_name (JC_NO_ENDPOINT)));
+  g_assert_false (jc_elsewhere_refuses_all (jc_status_name (JC_DRAINING)));
+  g_assert_false (jc_elsewhere_refuses_all (jc_status_name (JC_NOT_READY)));
+}
+
 /* All instances see the same gain at the same time: only a share goes, more
    where the gain is greater, none where the way costs more.  */
 static void
@@ -152,6 +165,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/elsewhere/full-region", test_full_region);
   g_test_add_func ("/elsewhere/spread", test_spread);
   g_test_add_func ("/elsewhere/none", test_none);
   g_test_add_func ("/elsewhere/room", test_room);
