Hold predictions of streams against what they took, from logs

Operators and developers had no figure of how far the prediction of an engine lies from what callers see. jaycove-ctl accuracy pairs the first attempt of each stream with its end, by route and by the requests that ran at the engine, and prints medians, 90th and 99th percentiles.

The model is not changed here.

--- a/ctl/main.c
+++ b/ctl/main.c
@@ -13,7 +13,8 @@
 };
 
 static const struct verb *const parts[]
-    = { config_verbs, replica_verbs, entry_verbs, ledger_verbs, trace_verbs };
+    = { config_verbs, replica_verbs, entry_verbs,
+        ledger_verbs, trace_verbs,   accuracy_verbs };
 
 static void
 print_verb (const struct verb *verb)
@@ -47,6 +48,8 @@
 static bool
 takes (const struct verb *verb, int args)
 {
+  if (verb->needs == VERB_NEEDS_FILES)
+    return args >= 1;
   return verb->needs == VERB_NEEDS_SOME ? args >= 2 : args == verb->needs;
 }
 
--- a/ctl/verbs.h
+++ b/ctl/verbs.h
@@ -11,7 +11,9 @@
 {
   VERB_WORDS_MAX = 64,
   /* A verb that needs two arguments or more.  */
-  VERB_NEEDS_SOME = -1
+  VERB_NEEDS_SOME = -1,
+  /* A verb that needs one argument or more.  */
+  VERB_NEEDS_FILES = -2
 };
 
 /* The command line once read.  ARGS are the words after the verb.  */
@@ -29,7 +31,7 @@
 };
 
 /* One verb: a word, perhaps a second one, and the number of arguments that it
-   needs, or VERB_NEEDS_SOME.  */
+   needs, or one of the above.  */
 struct verb
 {
   const char *word;
@@ -46,6 +48,7 @@
 extern const struct verb entry_verbs[];
 extern const struct verb ledger_verbs[];
 extern const struct verb trace_verbs[];
+extern const struct verb accuracy_verbs[];
 
 /* ask: requests to an operators' listener.  */
 long ask_server (const struct options *options, const char *path,
