--- a/tests/script-paths.c
+++ b/tests/script-paths.c
@@ -25,11 +25,12 @@
 end_of (const char *word)
 {
   char **parts = g_strsplit_set (word, "-/", 3);
-  struct jc_path_end end
-      = { .instance = word,
-          .zone = g_intern_string (g_strndup (word, strcspn (word, "/"))),
-          .region = g_intern_string (parts[0]) };
+  char *zone = g_strndup (word, strcspn (word, "/"));
+  struct jc_path_end end = { .instance = word,
+                             .zone = g_intern_string (zone),
+                             .region = g_intern_string (parts[0]) };
 
+  g_free (zone);
   g_strfreev (parts);
   return end;
 }
