Tell entry instances of a region without a state instance of the others

Cause: each state instance told only its own region of entry instances, so that a region whose state instances are all gone forgot after 3 s whom to hand over to.

An entry instance that follows a state instance of another region, since its own has none, is told there too. hosts-neighbours failed before (an instance of a second region counted nobody).

--- a/state/orders.c
+++ b/state/orders.c
@@ -87,6 +87,21 @@
     }
 }
 
+/* Tell whether CONN asked to be told of each change.  */
+bool
+orders_follows (const struct state *state, const struct jc_rpc_conn *conn)
+{
+  for (guint i = 0; i < state->order_followers->len; i++)
+    {
+      const struct follower *follower
+          = g_ptr_array_index (state->order_followers, i);
+
+      if (follower->conn == conn)
+        return true;
+    }
+  return false;
+}
+
 /* Tell CONN what it lacks, and each change from now on where it asks for
    that.  */
 static void
@@ -106,6 +121,7 @@
                           ? state->orders->version
                           : asked->have_version;
   g_ptr_array_add (state->order_followers, follower);
+  presence_up (state, conn);
 }
 
 /* A question of another state instance for the newest orders.  */
--- a/state/presence.c
+++ b/state/presence.c
@@ -22,7 +22,7 @@
 };
 
 /* An entry instance, its process and when it was heard last.  TOLD tells that
-   the entry instances of this region know of it, CHANGED that they know it
+   the entry instances that are told here know of it, CHANGED that they know it
    otherwise.  */
 struct entry_view
 {
@@ -84,10 +84,14 @@
   g_hash_table_replace (state->presence->by_name, view->said.name, view);
 }
 
+/* Tell whether the entry instance CONN is told of the others here: it is of
+   this region, or of one without a state instance, so that it follows this one.
+ */
 static bool
-is_of_region (const struct state *state, const struct jc_rpc_conn *conn)
+is_told (const struct state *state, const struct jc_rpc_conn *conn)
 {
-  return strcmp (jc_rpc_conn_region (conn), state->settings->region) == 0;
+  return strcmp (jc_rpc_conn_region (conn), state->settings->region) == 0
+         || orders_follows (state, conn);
 }
 
 static bool
@@ -255,8 +259,8 @@
     }
 }
 
-/* Tell the entry instances of this region what changed, and what each region
-   can do.  */
+/* Tell the entry instances that are told here what changed, and what each
+   region can do.  */
 static void
 on_tell (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -271,15 +275,15 @@
   sum_rooms (state, news.rooms);
   jc_rpc_list (state->rpc, "entry", conns);
   for (guint i = 0; i < conns->len; i++)
-    if (is_of_region (state, g_ptr_array_index (conns, i)))
+    if (is_told (state, g_ptr_array_index (conns, i)))
       news_send (&news, g_ptr_array_index (conns, i));
   news_clear (&news);
   g_ptr_array_free (conns, TRUE);
   expire (state);
 }
 
-/* Tell the entry instance CONN, which came up, of all others that the instances
-   of this region know.  */
+/* Tell the entry instance CONN, which came up, asks or begins to follow, of all
+   others that those told here know.  */
 void
 presence_up (struct state *state, struct jc_rpc_conn *conn)
 {
@@ -287,8 +291,7 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (strcmp (jc_rpc_conn_role (conn), "entry") != 0
-      || !is_of_region (state, conn))
+  if (strcmp (jc_rpc_conn_role (conn), "entry") != 0 || !is_told (state, conn))
     return;
   news_init (&news, true);
   g_hash_table_iter_init (&iter, state->presence->by_name);
--- a/state/state.h
+++ b/state/state.h
@@ -121,6 +121,7 @@
 void orders_read (struct state *state, log_done_fn *done, void *ctx);
 void orders_changed (struct state *state);
 void orders_down (struct state *state, struct jc_rpc_conn *conn);
+bool orders_follows (const struct state *state, const struct jc_rpc_conn *conn);
 
 /* fleet: endpoints as they report themselves here.  */
 void fleet_start (struct state *state);
--- a/tests/process/hosts-neighbours.sh
+++ b/tests/process/hosts-neighbours.sh
@@ -8,7 +8,7 @@
 
 counts ()
 {
-  python3 tests/process/hosts_standin.py counted "$DIR" "$1" || { tail -n 30 "$DIR"/*.out; exit 1; }
+  python3 tests/process/hosts_standin.py counted "$DIR" "${2:-0}" "$1" || { tail -n 30 "$DIR"/*.out; exit 1; }
 }
 
 ENTRIES=3
@@ -27,3 +27,13 @@
 counts 0
 for i in 1 2 3; do start "s$i" "$BUILD/jaycove-state" --settings "$DIR/s$i.json"; done
 counts 2
+
+# Guards against a region whose state instances are all gone that forgets the
+# other regions: an entry instance of it knows them by the one that it follows.
+kill -9 "$(pid e3)"
+counts 1
+sed -i 's/"region": "r1", "availability_zone": "z1"/"region": "r2", "availability_zone": "z3"/;
+  s/"zones": \[/"zones": [{"name": "z3", "region": "r2"}, /' "$DIR/e3.json"
+start e3 "$BUILD/jaycove-entry" --settings "$DIR/e3.json"
+counts 2
+counts 2 2
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -490,11 +490,11 @@
 
 
 async def counted():
-    """Waits until the first entry instance counts as many others as the last argument says."""
+    """Waits until an entry instance counts so many others: the arguments are its place in the list and the number."""
     async def seen():
-        reply = await ask(ADDRESSES["operators"][0], "GET", "/metrics")
-        return "jaycove_entry_instances{} %s\n" % sys.argv[3] in reply.body.decode()
-    await until(sys.argv[3] + " other entry instances", seen)
+        reply = await ask(ADDRESSES["operators"][int(sys.argv[3])], "GET", "/metrics")
+        return "jaycove_entry_instances{} %s\n" % sys.argv[4] in reply.body.decode()
+    await until(sys.argv[4] + " other entry instances", seen)
 
 
 if __name__ == "__main__":
