Name what instances send each other by the terms of the field

Readers met words of our own in the new code (tale, mates, tellers, news): they are an update of loads, peers of a zone, sources and reporters now.

--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -24,7 +24,7 @@
 /* What this instance knows and owns for routing by hosts.  ROUTES is made
    from the text of ORDERS and never goes back in the life of the process.
    SOURCE is the connection to the state instance that tells of each change.
-   TELLERS maps state instances to the sets of names that they say are there,
+   SOURCES maps state instances to the sets of names that they say are there,
    ROOMS holds struct region_room.  NEIGHBOURS maps names of other entry
    instances to struct neighbour, OFFERED those of services to the rate of
    requests of this instance's callers, ANSWER_SIZES those of routes to the
@@ -43,7 +43,7 @@
   GHashTable *offered;
   GHashTable *answer_sizes;
   GHashTable *neighbours;
-  GHashTable *tellers;
+  GHashTable *sources;
   GPtrArray *rooms;
   GHashTable *state_names;
   GHashTable *fellows;
@@ -129,8 +129,8 @@
 void paths_link (struct hosts *hosts, const struct jc_rpc_conn *conn, bool up);
 void paths_tick (struct hosts *hosts);
 void paths_list (const struct hosts *hosts, GArray *rows);
-void paths_told (struct hosts *hosts, const char *teller,
-                 const struct rpc_loads *loads);
+void paths_reported (struct hosts *hosts, const char *reporter,
+                     const struct rpc_loads *loads);
 
 /* sizes: how large the plain answers of each route are.  */
 size_t sizes_usual (const struct hosts *hosts, const char *route);
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -13,7 +13,7 @@
   /* Interval of telling.  It grows with the instances of the zone, so that what
      each has to read stays about the same; what comes from another zone is up
      to two of them old.  */
-  TELL_A_MATE_MS = 3,
+  TELL_A_PEER_MS = 3,
   TELL_LEAST_MS = 20,
   TELL_MOST_MS = 100,
   FULL_MS = 500,
@@ -23,9 +23,9 @@
 };
 
 static int64_t
-interval_ms (const GPtrArray *mates)
+interval_ms (const GPtrArray *peers)
 {
-  return CLAMP ((int64_t)mates->len * TELL_A_MATE_MS, TELL_LEAST_MS,
+  return CLAMP ((int64_t)peers->len * TELL_A_PEER_MS, TELL_LEAST_MS,
                 TELL_MOST_MS);
 }
 
@@ -65,7 +65,7 @@
 }
 
 static bool
-is_mate (const struct hosts *hosts, const struct jc_rpc_conn *conn)
+is_zone_peer (const struct hosts *hosts, const struct jc_rpc_conn *conn)
 {
   return is_fellow (hosts, conn)
          && strcmp (jc_rpc_conn_zone (conn),
@@ -75,13 +75,13 @@
 
 /* Return the connections to the other instances of this zone.  */
 static GPtrArray *
-list_mates (const struct hosts *hosts)
+list_zone_peers (const struct hosts *hosts)
 {
   GPtrArray *conns = g_ptr_array_new ();
 
   jc_rpc_list (hosts->entry->rpc, "entry", conns);
   for (guint i = conns->len; i > 0; i--)
-    if (!is_mate (hosts, g_ptr_array_index (conns, i - 1)))
+    if (!is_zone_peer (hosts, g_ptr_array_index (conns, i - 1)))
       g_ptr_array_remove_index_fast (conns, i - 1);
   return conns;
 }
@@ -89,13 +89,13 @@
 /* Tell whether this instance tells the other zones of the region what its zone
    has: it has the least name of those that are there.  */
 static bool
-is_relay (const struct hosts *hosts, const GPtrArray *mates, int64_t now)
+is_relay (const struct hosts *hosts, const GPtrArray *peers, int64_t now)
 {
   const char *own = hosts->entry->settings->name;
 
-  for (guint i = 0; i < mates->len; i++)
+  for (guint i = 0; i < peers->len; i++)
     {
-      const char *name = jc_rpc_conn_name (g_ptr_array_index (mates, i));
+      const char *name = jc_rpc_conn_name (g_ptr_array_index (peers, i));
 
       if (strcmp (name, own) < 0
           && jc_engines_heard (hosts->engines, name, now))
@@ -105,7 +105,7 @@
 }
 
 /* Rows of a message about loads.  */
-struct tale
+struct loads_update
 {
   struct rpc_packet packet;
   GArray *rows;
@@ -114,58 +114,59 @@
 };
 
 static void
-tale_init (struct tale *tale, enum rpc_type type)
+update_init (struct loads_update *update, enum rpc_type type)
 {
-  memset (tale, 0, sizeof *tale);
-  tale->packet.body.type = type;
-  tale->rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
-  tale->parts = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
-  tale->paths = g_array_new (FALSE, FALSE, sizeof (struct rpc_path_closed));
+  memset (update, 0, sizeof *update);
+  update->packet.body.type = type;
+  update->rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
+  update->parts = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
+  update->paths = g_array_new (FALSE, FALSE, sizeof (struct rpc_path_closed));
 }
 
-/* Have LOADS, a part of TALE's packet, borrow its rows.  */
+/* Have LOADS, a part of UPDATE's packet, borrow its rows.  */
 static void
-tale_fill (struct tale *tale, struct rpc_loads *loads)
+update_fill (struct loads_update *update, struct rpc_loads *loads)
 {
-  loads->rows.rows_val = (struct rpc_load *)tale->rows->data;
-  loads->rows.rows_len = tale->rows->len;
-  loads->parts.parts_val = (struct rpc_part_read *)tale->parts->data;
-  loads->parts.parts_len = tale->parts->len;
-  loads->paths.paths_val = (struct rpc_path_closed *)tale->paths->data;
-  loads->paths.paths_len = tale->paths->len;
+  loads->rows.rows_val = (struct rpc_load *)update->rows->data;
+  loads->rows.rows_len = update->rows->len;
+  loads->parts.parts_val = (struct rpc_part_read *)update->parts->data;
+  loads->parts.parts_len = update->parts->len;
+  loads->paths.paths_val = (struct rpc_path_closed *)update->paths->data;
+  loads->paths.paths_len = update->paths->len;
 }
 
 static void
-tale_clear (struct tale *tale)
+update_clear (struct loads_update *update)
 {
-  g_array_free (tale->rows, TRUE);
-  g_array_free (tale->parts, TRUE);
-  g_array_free (tale->paths, TRUE);
+  g_array_free (update->rows, TRUE);
+  g_array_free (update->parts, TRUE);
+  g_array_free (update->paths, TRUE);
 }
 
-/* Tell MATES what changed; from time to time everything, since a message may
+/* Tell PEERS what changed; from time to time everything, since a message may
    be lost with its connection.  A part that was read comes with a request, and
    so with a changed row.  */
 static void
-tell_mates (struct hosts *hosts, const GPtrArray *mates, bool full, int64_t now)
+notify_zone (struct hosts *hosts, const GPtrArray *peers, bool full,
+             int64_t now)
 {
-  struct tale tale;
+  struct loads_update update;
   struct rpc_loads *loads;
 
-  tale_init (&tale, RPC_LOADS);
-  loads = &tale.packet.body.rpc_body_u.loads;
+  update_init (&update, RPC_LOADS);
+  loads = &update.packet.body.rpc_body_u.loads;
   loads->full = full;
-  jc_engines_loads (hosts->engines, full, now, tale.rows, tale.parts);
-  paths_list (hosts, tale.paths);
-  tale_fill (&tale, loads);
-  for (guint i = 0; i < mates->len && (tale.rows->len > 0 || full); i++)
-    jc_rpc_send (g_ptr_array_index (mates, i), &tale.packet);
-  tale_clear (&tale);
+  jc_engines_loads (hosts->engines, full, now, update.rows, update.parts);
+  paths_list (hosts, update.paths);
+  update_fill (&update, loads);
+  for (guint i = 0; i < peers->len && (update.rows->len > 0 || full); i++)
+    jc_rpc_send (g_ptr_array_index (peers, i), &update.packet);
+  update_clear (&update);
 }
 
 /* Send PACKET to the first instances of each other zone of the region.  */
 static void
-send_to_zones (struct hosts *hosts, struct rpc_packet *packet)
+send_to_other_zones (struct hosts *hosts, struct rpc_packet *packet)
 {
   GPtrArray *conns = g_ptr_array_new ();
   GHashTable *sent = g_hash_table_new (g_str_hash, g_str_equal);
@@ -177,7 +178,7 @@
       const char *zone = jc_rpc_conn_zone (conn);
       guint count = GPOINTER_TO_UINT (g_hash_table_lookup (sent, zone));
 
-      if (!is_fellow (hosts, conn) || is_mate (hosts, conn)
+      if (!is_fellow (hosts, conn) || is_zone_peer (hosts, conn)
           || count >= RECEIVERS)
         continue;
       g_hash_table_insert (sent, (gpointer)zone, GUINT_TO_POINTER (count + 1));
@@ -189,20 +190,20 @@
 
 /* Tell the other zones of the region what this one has, together.  */
 static void
-tell_zones (struct hosts *hosts, bool full, int64_t now)
+notify_other_zones (struct hosts *hosts, bool full, int64_t now)
 {
-  struct tale tale;
+  struct loads_update update;
   struct rpc_zone_loads *said;
 
-  tale_init (&tale, RPC_ZONE_LOADS);
-  said = &tale.packet.body.rpc_body_u.zone_loads;
+  update_init (&update, RPC_ZONE_LOADS);
+  said = &update.packet.body.rpc_body_u.zone_loads;
   said->zone = hosts->entry->settings->availability_zone;
   said->loads.full = full;
-  jc_engines_zone_loads (hosts->engines, full, now, tale.rows, tale.parts);
-  tale_fill (&tale, &said->loads);
-  if (tale.rows->len > 0 || full)
-    send_to_zones (hosts, &tale.packet);
-  tale_clear (&tale);
+  jc_engines_zone_loads (hosts->engines, full, now, update.rows, update.parts);
+  update_fill (&update, &said->loads);
+  if (update.rows->len > 0 || full)
+    send_to_other_zones (hosts, &update.packet);
+  update_clear (&update);
 }
 
 /* Tell the other instances of the region, where it is time.  */
@@ -211,21 +212,21 @@
 {
   int64_t now = jc_now_ms ();
   bool full = now - hosts->loads_full_ms >= FULL_MS;
-  GPtrArray *mates;
+  GPtrArray *peers;
 
   if (now - hosts->loads_told_ms < TELL_LEAST_MS)
     return;
-  mates = list_mates (hosts);
-  if (now - hosts->loads_told_ms >= interval_ms (mates))
+  peers = list_zone_peers (hosts);
+  if (now - hosts->loads_told_ms >= interval_ms (peers))
     {
       hosts->loads_told_ms = now;
       if (full)
         hosts->loads_full_ms = now;
-      tell_mates (hosts, mates, full, now);
-      if (is_relay (hosts, mates, now))
-        tell_zones (hosts, full, now);
+      notify_zone (hosts, peers, full, now);
+      if (is_relay (hosts, peers, now))
+        notify_other_zones (hosts, full, now);
     }
-  g_ptr_array_free (mates, TRUE);
+  g_ptr_array_free (peers, TRUE);
 }
 
 /* Take what the zone of SAID told, and pass it on in this zone where CONN is of
@@ -235,19 +236,19 @@
            const struct rpc_packet *packet)
 {
   const struct rpc_zone_loads *said = &packet->body.rpc_body_u.zone_loads;
-  GPtrArray *mates;
+  GPtrArray *peers;
 
   jc_engines_take_zone (hosts->engines, said->zone, &said->loads, jc_now_ms ());
-  if (is_mate (hosts, conn))
+  if (is_zone_peer (hosts, conn))
     return;
-  mates = list_mates (hosts);
-  for (guint i = 0; i < mates->len; i++)
+  peers = list_zone_peers (hosts);
+  for (guint i = 0; i < peers->len; i++)
     {
       struct rpc_packet on = { .body = packet->body };
 
-      jc_rpc_send (g_ptr_array_index (mates, i), &on);
+      jc_rpc_send (g_ptr_array_index (peers, i), &on);
     }
-  g_ptr_array_free (mates, TRUE);
+  g_ptr_array_free (peers, TRUE);
 }
 
 /* Take what another instance told.  */
@@ -265,5 +266,5 @@
     return;
   jc_engines_take (hosts->engines, jc_rpc_conn_name (conn), loads,
                    jc_now_ms ());
-  paths_told (hosts, jc_rpc_conn_name (conn), loads);
+  paths_reported (hosts, jc_rpc_conn_name (conn), loads);
 }
--- a/entry/neighbours.c
+++ b/entry/neighbours.c
@@ -45,7 +45,7 @@
 {
   hosts->neighbours
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_neighbour);
-  hosts->tellers
+  hosts->sources
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_names);
   hosts->rooms = g_ptr_array_new_with_free_func (free_room);
 }
@@ -55,20 +55,20 @@
 neighbours_stop (struct hosts *hosts)
 {
   g_hash_table_destroy (hosts->neighbours);
-  g_hash_table_destroy (hosts->tellers);
+  g_hash_table_destroy (hosts->sources);
   g_ptr_array_free (hosts->rooms, TRUE);
 }
 
-/* Return the names that the state instance TELLER says are there.  */
+/* Return the names that the state instance SOURCE says are there.  */
 static GHashTable *
-names_of (struct hosts *hosts, const char *teller)
+names_of (struct hosts *hosts, const char *source)
 {
-  GHashTable *names = g_hash_table_lookup (hosts->tellers, teller);
+  GHashTable *names = g_hash_table_lookup (hosts->sources, source);
 
   if (names != NULL)
     return names;
   names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  g_hash_table_insert (hosts->tellers, g_strdup (teller), names);
+  g_hash_table_insert (hosts->sources, g_strdup (source), names);
   return names;
 }
 
@@ -163,7 +163,7 @@
 void
 neighbours_down (struct hosts *hosts, const struct jc_rpc_conn *conn)
 {
-  g_hash_table_remove (hosts->tellers, jc_rpc_conn_name (conn));
+  g_hash_table_remove (hosts->sources, jc_rpc_conn_name (conn));
 }
 
 /* Return what REGION was last told to be able to do for SERVICE, or NULL where
--- a/entry/paths.c
+++ b/entry/paths.c
@@ -184,21 +184,21 @@
   g_array_free (views, TRUE);
 }
 
-/* TELLER, another instance of this region, told of the closed paths of
+/* REPORTER, another instance of this region, told of the closed paths of
    LOADS.  */
 void
-paths_told (struct hosts *hosts, const char *teller,
-            const struct rpc_loads *loads)
+paths_reported (struct hosts *hosts, const char *reporter,
+                const struct rpc_loads *loads)
 {
   for (u_int i = 0; i < loads->paths.paths_len; i++)
     {
       const struct rpc_path_closed *row = &loads->paths.paths_val[i];
       const struct jc_path_end end
-          = { .instance = teller, .zone = row->zone, .region = row->region };
+          = { .instance = reporter, .zone = row->zone, .region = row->region };
 
       if (!is_own_zone (hosts, &end)
-          && jc_paths_told (hosts->paths, teller, &end, row->age_ms,
-                            jc_now_ms ()))
+          && jc_paths_reported (hosts->paths, reporter, &end, row->age_ms,
+                                jc_now_ms ()))
         log_path (hosts, &end, false, "told");
     }
 }
--- a/serve/paths.c
+++ b/serve/paths.c
@@ -12,11 +12,11 @@
   FAILURES_CLOSE = 2,
   /* Other instances of this region that must tell of a closed path before this
      one believes it: a single one may itself be cut off.  */
-  TELLERS_CLOSE = 2,
-  TELLERS_MAX = 4,
+  REPORTERS_CLOSE = 2,
+  REPORTERS_MAX = 4,
   /* News of others older than this say nothing: three times the interval at
      which they tell of everything.  */
-  TOLD_FRESH_MS = 1500,
+  REPORT_FRESH_MS = 1500,
   /* Time from the closing to the first probe, doubled with each that fails:
      one round trip between regions and a lost packet, up to the time in which
      a returned region is to be used again.  */
@@ -28,11 +28,11 @@
   INSTANCE_KEPT_MS = 30000
 };
 
-struct teller
+struct reporter
 {
   char *name;
   int64_t closed_ms;
-  int64_t told_ms;
+  int64_t reported_ms;
 };
 
 /* A zone.  LAST_FAILED is the instance of the last failure since ANSWERED_MS;
@@ -46,7 +46,7 @@
   int64_t answered_ms;
   unsigned int links_known;
   unsigned int links_up;
-  struct teller tellers[TELLERS_MAX];
+  struct reporter reporters[REPORTERS_MAX];
   bool closed;
   int64_t closed_ms;
   int64_t probe_ms;
@@ -70,8 +70,8 @@
 {
   struct zone *zone = data;
 
-  for (unsigned int i = 0; i < TELLERS_MAX; i++)
-    g_free (zone->tellers[i].name);
+  for (unsigned int i = 0; i < REPORTERS_MAX; i++)
+    g_free (zone->reporters[i].name);
   g_free (zone->last_failed);
   g_free (zone->region);
   g_free (zone->name);
@@ -239,47 +239,49 @@
   return false;
 }
 
-/* Return the place for what TELLER says of ZONE; where there is none left, the
-   oldest.  */
-static struct teller *
-teller_of (struct zone *zone, const char *name)
+/* Return the place for what REPORTER says of ZONE; where there is none left,
+   the oldest.  */
+static struct reporter *
+reporter_of (struct zone *zone, const char *name)
 {
-  struct teller *oldest = &zone->tellers[0];
+  struct reporter *oldest = &zone->reporters[0];
 
-  for (unsigned int i = 0; i < TELLERS_MAX; i++)
+  for (unsigned int i = 0; i < REPORTERS_MAX; i++)
     {
-      struct teller *teller = &zone->tellers[i];
-
-      if (g_strcmp0 (teller->name, name) == 0)
-        return teller;
-      if (teller->name == NULL
-          || (oldest->name != NULL && teller->told_ms < oldest->told_ms))
-        oldest = teller;
+      struct reporter *reporter = &zone->reporters[i];
+
+      if (g_strcmp0 (reporter->name, name) == 0)
+        return reporter;
+      if (reporter->name == NULL
+          || (oldest->name != NULL
+              && reporter->reported_ms < oldest->reported_ms))
+        oldest = reporter;
     }
   g_free (oldest->name);
   oldest->name = g_strdup (name);
   return oldest;
 }
 
-/* TELLER, another instance of this region, has had its path to END's zone
+/* REPORTER, another instance of this region, has had its path to END's zone
    closed for AGE_MS.  Return whether that closes this one's.  What this
    instance was answered since goes first.  */
 bool
-jc_paths_told (struct jc_paths *paths, const char *teller,
-               const struct jc_path_end *end, int64_t age_ms, int64_t now_ms)
+jc_paths_reported (struct jc_paths *paths, const char *reporter,
+                   const struct jc_path_end *end, int64_t age_ms,
+                   int64_t now_ms)
 {
   struct zone *zone = zone_of (paths, end);
-  struct teller *said = teller_of (zone, teller);
-  unsigned int tellers = 0;
+  struct reporter *said = reporter_of (zone, reporter);
+  unsigned int reporters = 0;
 
-  said->told_ms = now_ms;
+  said->reported_ms = now_ms;
   said->closed_ms = now_ms - age_ms;
-  for (unsigned int i = 0; i < TELLERS_MAX; i++)
-    if (zone->tellers[i].name != NULL
-        && now_ms - zone->tellers[i].told_ms < TOLD_FRESH_MS
-        && zone->tellers[i].closed_ms > zone->answered_ms)
-      tellers++;
-  return tellers >= TELLERS_CLOSE && zone_close (zone, now_ms);
+  for (unsigned int i = 0; i < REPORTERS_MAX; i++)
+    if (zone->reporters[i].name != NULL
+        && now_ms - zone->reporters[i].reported_ms < REPORT_FRESH_MS
+        && zone->reporters[i].closed_ms > zone->answered_ms)
+      reporters++;
+  return reporters >= REPORTERS_CLOSE && zone_close (zone, now_ms);
 }
 
 /* Tell whether the path to ZONE is taken for open.  */
--- a/serve/paths.h
+++ b/serve/paths.h
@@ -36,9 +36,9 @@
                        int64_t now_ms);
 bool jc_paths_link (struct jc_paths *paths, const struct jc_path_end *end,
                     bool up, int64_t now_ms);
-bool jc_paths_told (struct jc_paths *paths, const char *teller,
-                    const struct jc_path_end *end, int64_t age_ms,
-                    int64_t now_ms);
+bool jc_paths_reported (struct jc_paths *paths, const char *reporter,
+                        const struct jc_path_end *end, int64_t age_ms,
+                        int64_t now_ms);
 bool jc_paths_open (const struct jc_paths *paths, const char *zone);
 bool jc_paths_rests (const struct jc_paths *paths, const char *instance,
                      int64_t now_ms);
--- a/state/presence.c
+++ b/state/presence.c
@@ -21,15 +21,15 @@
   MS_PER_S = 1000
 };
 
-/* An entry instance, its process and when it was heard last.  TOLD tells that
-   the entry instances that are told here know of it, CHANGED that they know it
-   otherwise.  */
+/* An entry instance, its process and when it was heard last.  ANNOUNCED tells
+   that the entry instances that are told here know of it, CHANGED that they
+   know it otherwise.  */
 struct entry_view
 {
   struct rpc_presence said;
   uint64_t incarnation;
   int64_t heard_ms;
-  bool told;
+  bool announced;
   bool changed;
 };
 
@@ -73,7 +73,7 @@
     return;
   known = g_hash_table_lookup (state->presence->by_name, said->name);
   view = g_new0 (struct entry_view, 1);
-  view->told = known != NULL && known->told;
+  view->announced = known != NULL && known->announced;
   view->changed = known == NULL || known->changed || !is_same (known, said);
   if (known == NULL || !is_same (known, said))
     jc_event (JC_EVENT_ENTRY, "entry=%s address=%s ready=%d draining=%d",
@@ -88,7 +88,7 @@
    this region, or of one without a state instance, so that it follows this one.
  */
 static bool
-is_told (const struct state *state, const struct jc_rpc_conn *conn)
+is_notified (const struct state *state, const struct jc_rpc_conn *conn)
 {
   return strcmp (jc_rpc_conn_region (conn), state->settings->region) == 0
          || orders_follows (state, conn);
@@ -182,7 +182,7 @@
 }
 
 /* What entry instances are told: rows of LIST and GONE borrow.  */
-struct news
+struct update
 {
   struct rpc_packet packet;
   GArray *list;
@@ -191,51 +191,51 @@
 };
 
 static void
-news_init (struct news *news, bool full)
-{
-  memset (news, 0, sizeof *news);
-  news->packet.body.type = RPC_ENTRIES;
-  news->packet.body.rpc_body_u.entries.full = full;
-  news->list = g_array_new (FALSE, FALSE, sizeof (struct rpc_presence));
-  news->gone = g_ptr_array_new ();
-  news->rooms = g_array_new (FALSE, FALSE, sizeof (struct rpc_region_room));
+update_init (struct update *update, bool full)
+{
+  memset (update, 0, sizeof *update);
+  update->packet.body.type = RPC_ENTRIES;
+  update->packet.body.rpc_body_u.entries.full = full;
+  update->list = g_array_new (FALSE, FALSE, sizeof (struct rpc_presence));
+  update->gone = g_ptr_array_new ();
+  update->rooms = g_array_new (FALSE, FALSE, sizeof (struct rpc_region_room));
 }
 
 static void
-news_add (struct news *news, const struct entry_view *view)
+update_add (struct update *update, const struct entry_view *view)
 {
   struct rpc_presence row = view->said;
 
   row.rooms.rooms_len = 0;
-  if (news->list->len < ENTRIES_MAX)
-    g_array_append_val (news->list, row);
+  if (update->list->len < ENTRIES_MAX)
+    g_array_append_val (update->list, row);
 }
 
 static void
-news_send (struct news *news, struct jc_rpc_conn *conn)
+update_send (struct update *update, struct jc_rpc_conn *conn)
 {
-  struct rpc_entries *entries = &news->packet.body.rpc_body_u.entries;
+  struct rpc_entries *entries = &update->packet.body.rpc_body_u.entries;
 
-  entries->list.list_val = (struct rpc_presence *)news->list->data;
-  entries->list.list_len = news->list->len;
-  entries->gone.gone_val = (rpc_name *)news->gone->pdata;
-  entries->gone.gone_len = news->gone->len;
-  entries->rooms.rooms_val = (struct rpc_region_room *)news->rooms->data;
-  entries->rooms.rooms_len = news->rooms->len;
-  jc_rpc_send (conn, &news->packet);
+  entries->list.list_val = (struct rpc_presence *)update->list->data;
+  entries->list.list_len = update->list->len;
+  entries->gone.gone_val = (rpc_name *)update->gone->pdata;
+  entries->gone.gone_len = update->gone->len;
+  entries->rooms.rooms_val = (struct rpc_region_room *)update->rooms->data;
+  entries->rooms.rooms_len = update->rooms->len;
+  jc_rpc_send (conn, &update->packet);
 }
 
 static void
-news_clear (struct news *news)
+update_clear (struct update *update)
 {
-  g_array_free (news->list, TRUE);
-  g_ptr_array_free (news->gone, TRUE);
-  g_array_free (news->rooms, TRUE);
+  g_array_free (update->list, TRUE);
+  g_ptr_array_free (update->gone, TRUE);
+  g_array_free (update->rooms, TRUE);
 }
 
-/* Collect in NEWS what changed since the last time.  */
+/* Collect in UPDATE what changed since the last time.  */
 static void
-collect_changes (struct state *state, struct news *news)
+collect_changes (struct state *state, struct update *update)
 {
   GHashTableIter iter;
   gpointer value;
@@ -247,14 +247,14 @@
 
       if (is_silent (view))
         {
-          if (view->told && news->gone->len < ENTRIES_MAX)
-            g_ptr_array_add (news->gone, view->said.name);
-          view->told = false;
+          if (view->announced && update->gone->len < ENTRIES_MAX)
+            g_ptr_array_add (update->gone, view->said.name);
+          view->announced = false;
           continue;
         }
-      if (!view->told || view->changed)
-        news_add (news, view);
-      view->told = true;
+      if (!view->announced || view->changed)
+        update_add (update, view);
+      view->announced = true;
       view->changed = false;
     }
 }
@@ -266,18 +266,18 @@
 {
   struct state *state = watcher->data;
   GPtrArray *conns = g_ptr_array_new ();
-  struct news news;
+  struct update update;
 
   (void)loop;
   (void)events;
-  news_init (&news, false);
-  collect_changes (state, &news);
-  sum_rooms (state, news.rooms);
+  update_init (&update, false);
+  collect_changes (state, &update);
+  sum_rooms (state, update.rooms);
   jc_rpc_list (state->rpc, "entry", conns);
   for (guint i = 0; i < conns->len; i++)
-    if (is_told (state, g_ptr_array_index (conns, i)))
-      news_send (&news, g_ptr_array_index (conns, i));
-  news_clear (&news);
+    if (is_notified (state, g_ptr_array_index (conns, i)))
+      update_send (&update, g_ptr_array_index (conns, i));
+  update_clear (&update);
   g_ptr_array_free (conns, TRUE);
   expire (state);
 }
@@ -287,20 +287,21 @@
 void
 presence_up (struct state *state, struct jc_rpc_conn *conn)
 {
-  struct news news;
+  struct update update;
   GHashTableIter iter;
   gpointer value;
 
-  if (strcmp (jc_rpc_conn_role (conn), "entry") != 0 || !is_told (state, conn))
+  if (strcmp (jc_rpc_conn_role (conn), "entry") != 0
+      || !is_notified (state, conn))
     return;
-  news_init (&news, true);
+  update_init (&update, true);
   g_hash_table_iter_init (&iter, state->presence->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((const struct entry_view *)value)->told)
-      news_add (&news, value);
-  sum_rooms (state, news.rooms);
-  news_send (&news, conn);
-  news_clear (&news);
+    if (((const struct entry_view *)value)->announced)
+      update_add (&update, value);
+  sum_rooms (state, update.rooms);
+  update_send (&update, conn);
+  update_clear (&update);
 }
 
 /* Begin without entry instances.  */
--- a/tests/enginesim.c
+++ b/tests/enginesim.c
@@ -255,7 +255,7 @@
 
 /* The first instance of ZONE tells the other zones what all of it have.  */
 static void
-tell_zones (struct sim *sim, unsigned int zone, int64_t now_ms)
+send_between_zones (struct sim *sim, unsigned int zone, int64_t now_ms)
 {
   GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
   GArray *parts = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
@@ -273,7 +273,7 @@
 }
 
 static void
-tell_mates (struct sim *sim, unsigned int from, int64_t now_ms)
+send_in_zone (struct sim *sim, unsigned int from, int64_t now_ms)
 {
   GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
   GArray *parts = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
@@ -295,9 +295,9 @@
 {
   for (unsigned int zone = 0; sim->plan->zones > 1 && zone < sim->plan->zones;
        zone++)
-    tell_zones (sim, zone, now_ms);
+    send_between_zones (sim, zone, now_ms);
   for (unsigned int from = 0; from < sim->plan->instances; from++)
-    tell_mates (sim, from, now_ms);
+    send_in_zone (sim, from, now_ms);
 }
 
 static void
--- a/tests/script-paths.c
+++ b/tests/script-paths.c
@@ -81,14 +81,14 @@
       "opened");
 }
 
-/* "told TELLER END AGE".  */
+/* "reported REPORTER END AGE".  */
 static void
-run_told (struct world *world, char **words)
+run_reported (struct world *world, char **words)
 {
   struct jc_path_end end = end_of (words[2]);
 
-  print_change (jc_paths_told (world->paths, words[1], &end, atoll (words[3]),
-                               world->now_ms),
+  print_change (jc_paths_reported (world->paths, words[1], &end,
+                                   atoll (words[3]), world->now_ms),
                 "closed");
 }
 
@@ -134,11 +134,11 @@
 {
   const char *name;
   void (*run) (struct world *world, char **words);
-} verbs[] = { { "new", run_new },       { "at", run_at },
-              { "fail", run_fail },     { "answer", run_answer },
-              { "refuse", run_refuse }, { "link", run_link },
-              { "told", run_told },     { "ask", run_ask },
-              { "rests", run_rests },   { "probe", run_probe } };
+} verbs[] = { { "new", run_new },           { "at", run_at },
+              { "fail", run_fail },         { "answer", run_answer },
+              { "refuse", run_refuse },     { "link", run_link },
+              { "reported", run_reported }, { "ask", run_ask },
+              { "rests", run_rests },       { "probe", run_probe } };
 
 static void
 run_line (struct world *world, char *line)
