Hold back stop signals until a daemon has its handlers

Cause: until main had set its handlers the default action of the signal applied; settings, disk and listeners come before them. Ruled out: harness signals to the wrong process (the window is there by hand: TERM 2 to 4 ms after the start). What stays is the time before any of our code runs (exec and loader, about 1.5 ms).

--- a/entry/main.c
+++ b/entry/main.c
@@ -6,6 +6,7 @@
 #include "entry/entry.h"
 #include "entry/hosts.h"
 #include "net/program.h"
+#include "net/signals.h"
 #include "net/reload.h"
 
 #define PART "entry"
@@ -148,6 +149,7 @@
   ev_timer_start (entry->loop, &expire);
   ev_signal_start (entry->loop, &term);
   ev_signal_start (entry->loop, &interrupt);
+  jc_signals_take ();
   jc_info (PART, "Serving callers at port %d.", jc_httpd_port (entry->callers));
   ev_run (entry->loop, 0);
   jc_info (PART, "Stopped.");
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -45,6 +45,15 @@
   cat "$DIR/$1.pid"
 }
 
+# kill_now NAME...: end processes at once and wait until their ports are free.
+kill_now ()
+{
+  for killed; do
+    kill -9 "$(pid "$killed")" 2>/dev/null || true
+    wait "$(pid "$killed")" 2>/dev/null || true
+  done
+}
+
 # stop_all: end every process that was started and remove the files.
 stop_all ()
 {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -17,5 +17,5 @@
 echo "Asked: a call of the plain service."
 ask "$C2" /r/balance/lookup '{"account": "donations"}'; echo
 echo "Stopped: the state instance. Asked again."
-kill -9 "$(pid s1)"
+kill_now s1
 ask "$C4" /r/balance/lookup '{"account": "donations"}'; echo
--- a/state/main.c
+++ b/state/main.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "net/loopevents.h"
 #include "net/program.h"
+#include "net/signals.h"
 #include "net/reload.h"
 #include "platform/platform.h"
 #include "state/call.h"
@@ -221,6 +222,7 @@
     }
   ev_signal_init (&term, on_term, SIGTERM);
   ev_signal_start (state.loop, &term);
+  jc_signals_take ();
   if (start (&state, bootstrap) == JC_OK)
     {
       jc_info (PART, "Serving version %" G_GUINT64_FORMAT ".",
--- a/tests/process/config-kill.sh
+++ b/tests/process/config-kill.sh
@@ -23,7 +23,7 @@
 PIDS="$PIDS $A $B"
 wait_for 60 some_accepted 20
 dead=$(leader "$O1")
-kill -9 "$(pid "$dead")"
+kill_now "$dead"
 wait_for 60 some_accepted 50
 start_state "$dead"
 wait "$A" "$B"
--- a/tests/process/config-wipe.sh
+++ b/tests/process/config-wipe.sh
@@ -12,11 +12,11 @@
 start_three_states
 race a 30 "$O1" "$O2" "$O3"
 disk=$(ctl "$O1" replicas list | jq -r '.replicas[] | select(.name == "s2") | .disk')
-kill -9 "$(pid s2)"
+kill_now s2
 rm -r "$DIR/s2.data"
 start_state s2
 wait_for 30 is_bound s2 "$disk"
-kill -9 "$(pid s3)"
+kill_now s3
 rm -r "$DIR/s3.data"
 race b 30 "$O1" "$O2"
 start_state s3
--- a/tests/process/first-start.sh
+++ b/tests/process/first-start.sh
@@ -30,7 +30,7 @@
 ctl "$O1" config show >"$DIR/base.json"
 echo '{"put": [{"kind": "availability_zone", "name": "at-ost-2", "region": "at-ost"}]}' >"$DIR/second.json"
 "$BUILD/jaycove-ctl" --base "$DIR/base.json" check "$DIR/second.json"
-kill -9 "$(pid s1)"
+kill_now s1
 rm -r "$DIR/s1.data"
 wait_for 20 ctl "$O1" --expected-version 1 --change-id second apply "$DIR/second.json"
 start s1 "$BUILD/jaycove-state" --settings "$DIR/s1.json"
--- a/tests/process/hosts-neighbours.sh
+++ b/tests/process/hosts-neighbours.sh
@@ -14,7 +14,7 @@
 ENTRIES=3
 start_hosts
 counts 2
-kill -9 "$(pid e2)"
+kill_now e2
 counts 1
 start e2 "$BUILD/jaycove-entry" --settings "$DIR/e2.json"
 counts 2
@@ -23,14 +23,14 @@
 sleep 9
 kill -CONT "$(pid e1)"
 counts 2
-kill -9 "$(pid s1)" "$(pid s2)" "$(pid s3)"
+kill_now s1 s2 s3
 counts 0
 for i in 1 2 3; do start "s$i" "$BUILD/jaycove-state" --settings "$DIR/s$i.json"; done
 counts 2
 
 # Guards against a region whose state instances are all gone that forgets the
 # other regions: an entry instance of it knows them by the one that it follows.
-kill -9 "$(pid e3)"
+kill_now e3
 counts 1
 sed -i 's/"region": "r1", "availability_zone": "z1"/"region": "r2", "availability_zone": "z3"/;
   s/"zones": \[/"zones": [{"name": "z3", "region": "r2"}, /' "$DIR/e3.json"
--- a/tests/process/hosts-path.sh
+++ b/tests/process/hosts-path.sh
@@ -10,7 +10,7 @@
 
 # An entry instance that comes late has its orders from one state instance,
 # though the heartbeats of all three show it what it lacks.
-kill -9 "$(pid e1)"
+kill_now e1
 start e1 "$BUILD/jaycove-entry" --settings "$DIR/e1.json"
 wait_for 10 grep -q event=in_force "$DIR/e1.out"
 wait_for 10 sh -c "[ \$(grep -c 'event=peer_up.*role=state' $DIR/e1.out) -ge 3 ]"
--- a/tests/process/keyed-faults.sh
+++ b/tests/process/keyed-faults.sh
@@ -22,8 +22,7 @@
 
 slay () # NAME
 {
-  kill -9 "$(pid "$1")"
-  wait "$(pid "$1")" 2>/dev/null || true
+  kill_now "$1"
 }
 
 restart_state ()
--- a/tests/process/keyed-wipe.sh
+++ b/tests/process/keyed-wipe.sh
@@ -29,8 +29,7 @@
 
 lose () # NAME
 {
-  kill -9 "$(pid "$1")"
-  wait "$(pid "$1")" 2>/dev/null || true
+  kill_now "$1"
   rm -rf "$DIR/$1.data"
 }
 
@@ -75,6 +74,6 @@
 
 # Cut off from the majority of the log, the home serves on.
 wait_for 10 has_endpoints "$O1" 1
-kill -9 "$(pid s2)" "$(pid s3)"
+kill_now s2 s3
 for key in c-1 c-2 c-3; do granted "$C1" "$key"; done
 ctl "$O1" --state s1 ledger show c-3 | jq -e '.keys[0].state == "done"'
--- a/tests/process/path.sh
+++ b/tests/process/path.sh
@@ -12,7 +12,7 @@
 [ "$(grep -c '^data: {' "$DIR/stream")" = 2 ]
 tail -n 2 "$DIR/stream" | grep -q 'data: \[DONE\]'
 ask "$C2" /r/balance/lookup '{}' | jq -e '.service == "kassa-ledger"'
-kill -9 "$(pid s1)"
+kill_now s1
 for c in "$C1" "$C2" "$C3" "$C4"; do
   ask "$c" /r/balance/lookup '{}' | jq -e '.service == "kassa-ledger"'
   ask "$c" /r/assist/v1/chat/completions '{"max_tokens": 1}' | jq -e '.choices[0].message.content == "w0"'
--- a/tests/process/serve-away.sh
+++ b/tests/process/serve-away.sh
@@ -83,7 +83,7 @@
 curl -sSN -m 60 -H "Authorization: Bearer $CALLER_KEY" -d '{"max_tokens": 100000, "stream": true}' "http://127.0.0.1:$C1/r/assist/v1/chat/completions" >"$DIR/cut" &
 caller=$!
 wait_for 20 events 3 "$DIR/cut"
-kill -9 "$(pid e3)" "$(pid e4)"
+kill_now e3 e4
 fails wait "$caller"
 grep -q '^event: error' "$DIR/cut"
 grep -q stream_broken "$DIR/cut"
--- a/tests/process/serve-streams.sh
+++ b/tests/process/serve-streams.sh
@@ -53,7 +53,7 @@
 caller=$!
 wait_for 20 events 10 "$DIR/cut"
 if [ "$(count engine-a total)" = "$before" ]; then victim=engine-b other=engine-a; else victim=engine-a other=engine-b; fi
-kill -9 "$(pid $victim)"
+kill_now $victim
 wait "$caller"
 [ "$(grep -c '^data: {' "$DIR/cut")" = 100 ]
 [ "$(sort "$DIR/cut" | uniq -d | grep -c '^data: {')" = 0 ]
