Bound blank lines before a request, and bodies of other listeners

What users saw: 100 connections that send blank lines without end took a whole entry instance (73 s of processor in 60 s), kept all their connections for 60 s and more, and other callers got 503. Cause: blank lines before a request were dropped two bytes at a time from a buffer of 64 KB, counted towards nothing, and set the idle time anew. Ruled out: heads, chunks, extensions, trailers and bodies from callers (all ended in 15 s before too). Change: 16 bytes of blank lines before a request, then 400. Bodies to the other listeners had 120 s for each 16 KB; now 10 s, as heads.

--- a/entry/following.c
+++ b/entry/following.c
@@ -184,6 +184,7 @@
     limits.head_ms = said->head_ms;
   if (said->idle_ms > 0)
     limits.idle_ms = said->idle_ms;
+  limits.body_ms = limits.idle_ms;
   jc_httpd_set_limits (hosts->entry->callers, &limits);
 }
 
--- a/net/httpconn.c
+++ b/net/httpconn.c
@@ -22,6 +22,9 @@
   /* After a refusal what the peer still sends is read and dropped, so that a
      reset does not overtake the answer.  */
   LINGER_MS = 1000,
+  /* Bytes of blank lines that a peer may send before a request; RFC 9112, 2.2
+     asks for one line at least.  */
+  BLANK_BYTES_MAX = 16,
   /* Bytes of a body that show that its sender goes on: a window of a slow
      connection.  */
   BODY_BLOCK_BYTES = 16 * 1024,
@@ -329,7 +332,7 @@
       say_continue (conn);
       conn->body_block = 0;
       if (!conn->body_done)
-        set_due (conn, conn->httpd->limits.idle_ms);
+        set_due (conn, conn->httpd->limits.body_ms);
       return;
     }
   req->phase = REQ_OWNED;
@@ -361,7 +364,7 @@
   else if (conn->body_block >= BODY_BLOCK_BYTES)
     {
       conn->body_block = 0;
-      set_due (conn, conn->httpd->limits.idle_ms);
+      set_due (conn, conn->httpd->limits.body_ms);
     }
 }
 
@@ -396,6 +399,23 @@
   conn_refuse (conn, JC_BAD_REQUEST);
 }
 
+/* Drop blank lines before a request.  Return false where they are too many.  */
+static bool
+skip_blank_lines (struct httpd_conn *conn)
+{
+  const GString *in = conn->in;
+  gsize at = 0;
+
+  while (conn->blank_bytes <= BLANK_BYTES_MAX && in->len - at >= 2
+         && memcmp (in->str + at, "\r\n", 2) == 0)
+    {
+      at += 2;
+      conn->blank_bytes += 2;
+    }
+  g_string_erase (conn->in, 0, (gssize)at);
+  return conn->blank_bytes <= BLANK_BYTES_MAX;
+}
+
 /* Try to begin with the next request.  Return whether its head is whole.  */
 static bool
 conn_next_head (struct httpd_conn *conn)
@@ -403,19 +423,21 @@
   struct jc_str bytes;
   ssize_t len;
 
-  /* Blank lines before a request are allowed.  */
-  while (conn->in->len >= 2 && memcmp (conn->in->str, "\r\n", 2) == 0)
-    g_string_erase (conn->in, 0, 2);
-  if (conn->in->len == 0)
+  if (!skip_blank_lines (conn))
     {
-      set_due (conn, conn->httpd->limits.idle_ms);
+      jc_fail (JC_BAD_REQUEST, "Over %d bytes of blank lines.",
+               (int)BLANK_BYTES_MAX);
+      conn_refuse (conn, JC_BAD_REQUEST);
       return false;
     }
+  if (conn->in->len == 0)
+    return false;
   bytes = jc_str_of (conn->in);
   len = jc_head_end (bytes, &conn->scanned);
   if (len > 0 && (size_t)len <= conn->httpd->limits.max_head)
     {
       conn->due = 0;
+      conn->blank_bytes = 0;
       conn_take_head (conn, (size_t)len);
       return true;
     }
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -15,7 +15,9 @@
   ACCEPTS_A_TURN = 32,
   ACCEPT_AGAIN_MS = 50,
   HEAD_BYTES_MAX = 32 * 1024,
+  /* As long as a peer may acknowledge nothing: see USER_TIMEOUT_MS.  */
   HEAD_MS = 10000,
+  BODY_MS = 10000,
   IDLE_MS = 120000,
   MS_PER_S = 1000
 };
@@ -150,6 +152,7 @@
   httpd->limits = (struct jc_httpd_limits){ .max_head = HEAD_BYTES_MAX,
                                             .max_body = max_body,
                                             .head_ms = HEAD_MS,
+                                            .body_ms = BODY_MS,
                                             .idle_ms = IDLE_MS };
   httpd->fd = fd;
   httpd->port = port;
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -35,12 +35,14 @@
 };
 
 /* What a listener allows its peers.  A head must be whole HEAD_MS after its
-   first byte; a connection without a request is closed after IDLE_MS.  */
+   first byte, and a body must go on within each BODY_MS; a connection without
+   a request is closed after IDLE_MS.  */
 struct jc_httpd_limits
 {
   size_t max_head;
   size_t max_body;
   long head_ms;
+  long body_ms;
   long idle_ms;
 };
 
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -78,6 +78,8 @@
   bool flush_due;
   bool dead;
   bool head_begun;
+  /* Of blank lines since the request before.  */
+  unsigned int blank_bytes;
   bool reset;
 };
 
--- a/scripts/hosts.sh
+++ b/scripts/hosts.sh
@@ -26,7 +26,7 @@
 X
     start "s$i" "$BUILD/jaycove-state" --settings "$DIR/s$i.json"
   done
-  all_callers= all_ready= all_operators=
+  all_callers= all_ready= all_operators= all_rpc=
   for i in $(seq 1 "${ENTRIES:-2}"); do
     ip=127.0.9.1$i
     callers=$(port)
@@ -46,11 +46,12 @@
     all_callers="$all_callers $ip:$callers"
     all_ready="$all_ready $ip:$ready"
     all_operators="$all_operators $ip:$operators"
+    all_rpc="$all_rpc $ip:$rpc"
   done
   cat >"$DIR/addresses.json" <<X
 { "control": ["127.0.9.1:$control", "127.0.9.2:$control", "127.0.9.3:$control"],
   "directory": ["127.0.9.1:$directory", "127.0.9.2:$directory", "127.0.9.3:$directory"],
   "entries": [$(quoted $all_callers)], "ready": [$(quoted $all_ready)],
-  "operators": [$(quoted $all_operators)] }
+  "operators": [$(quoted $all_operators)], "rpc": [$(quoted $all_rpc)] }
 X
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -18,6 +18,11 @@
 GRACE_MS = 8000
 
 
+def hold_stops():
+    """No program can handle a signal that comes before its first instruction: the daemon inherits them held back."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGTERM, signal.SIGHUP])
+
+
 class Process:
     """A daemon that is started again whenever it ends, as its users do."""
 
@@ -29,7 +34,8 @@
         self.process, self.paused, self.stopping, self.exits = None, False, False, []
 
     def start(self):
-        self.process = subprocess.Popen([self.program, "--settings", self.file], stdout=self.log, stderr=self.log)
+        self.process = subprocess.Popen([self.program, "--settings", self.file], stdout=self.log, stderr=self.log,
+                                        preexec_fn=hold_stops)
         self.paused = self.stopping = False
 
     def send(self, number):
--- a/tests/test-http-raw.c
+++ b/tests/test-http-raw.c
@@ -276,7 +276,8 @@
   const struct jc_httpd_limits limits = { .max_head = 1000,
                                           .max_body = BODY_MAX,
                                           .head_ms = 60000,
-                                          .idle_ms = SHORT_MS };
+                                          .body_ms = SHORT_MS,
+                                          .idle_ms = 60000 };
 
   (void)unused;
   jc_httpd_set_limits (f->httpd, &limits);
@@ -285,6 +286,35 @@
   g_assert_true (g_str_has_prefix (f->got->str, "HTTP/1.1 408 "));
 }
 
+/* Guards against blank lines without end before a request: each kept its
+   connection open, and they took all of the processor.  */
+static void
+test_blank_lines (struct fixture *f, gconstpointer unused)
+{
+  char *blank = g_strnfill (2000, '\n');
+
+  (void)unused;
+  for (size_t i = 0; i < 2000; i += 2)
+    blank[i] = '\r';
+  put (f, blank, 2000);
+  run_until_closed (f);
+  g_assert_true (g_str_has_prefix (f->got->str, "HTTP/1.1 400 "));
+  g_free (blank);
+}
+
+/* Guards against a refusal of the blank line that some callers send after a
+   body.  */
+static void
+test_few_blank_lines (struct fixture *f, gconstpointer unused)
+{
+  (void)unused;
+  PUT (f, "\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n\r\n\r\n"
+          "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  run_until_closed (f);
+  g_assert_true (g_str_has_prefix (f->got->str, "HTTP/1.1 200 "));
+  g_assert_nonnull (strstr (f->got->str + 1, "HTTP/1.1 200 "));
+}
+
 static void
 test_large_head (struct fixture *f, gconstpointer unused)
 {
@@ -571,6 +601,8 @@
   CASE ("/empty-value", test_empty_value);
   CASE ("/slow-head", test_slow_head);
   CASE ("/slow-body", test_slow_body);
+  CASE ("/blank-lines", test_blank_lines);
+  CASE ("/few-blank-lines", test_few_blank_lines);
   CASE ("/large-head", test_large_head);
   CASE ("/idle", test_idle);
   CASE ("/closing", test_closing);
