--- a/entry/operators.c
+++ b/entry/operators.c
@@ -191,6 +191,7 @@
   if (entry->hosts != NULL)
     gauges_set (entry->hosts);
   jc_metrics_print (entry->metrics, out);
+  jc_rpc_print_traffic (entry->rpc, out);
   jc_event_print_dropped (out);
   jc_http_reply (req, 200, "text/plain; version=0.0.4", jc_str_of (out), NULL);
   g_string_free (out, TRUE);
--- a/net/rpc.c
+++ b/net/rpc.c
@@ -188,6 +188,7 @@
   sodium_hex2bin (rpc->key, KEY_BYTES, identity->key_hex,
                   strlen (identity->key_hex), NULL, NULL, NULL);
   rpc->conns = g_ptr_array_new ();
+  rpc->traffic = rpc_traffic_new ();
   rpc->dials = g_ptr_array_new ();
   rpc->pending = g_hash_table_new (g_int64_hash, g_int64_equal);
   ev_timer_init (&rpc->beat, rpc_on_beat, beat_s, beat_s);
@@ -323,6 +324,7 @@
   for (guint i = 0; i < rpc->dials->len; i++)
     dial_free (g_ptr_array_index (rpc->dials, i));
   g_ptr_array_free (rpc->conns, TRUE);
+  g_ptr_array_free (rpc->traffic, TRUE);
   g_ptr_array_free (rpc->dials, TRUE);
   g_free (rpc->group);
   g_free (rpc->name);
--- a/net/rpc.h
+++ b/net/rpc.h
@@ -63,6 +63,7 @@
 void jc_rpc_list (const struct jc_rpc *rpc, const char *role, GPtrArray *out);
 unsigned int jc_rpc_conns (const struct jc_rpc *rpc);
 size_t jc_rpc_backlog (const struct jc_rpc *rpc);
+void jc_rpc_print_traffic (const struct jc_rpc *rpc, GString *out);
 uint64_t jc_rpc_bytes_sent (const struct jc_rpc *rpc);
 
 const char *jc_rpc_conn_name (const struct jc_rpc_conn *conn);
--- a/net/rpcconn.c
+++ b/net/rpcconn.c
@@ -168,6 +168,8 @@
     }
   if (sealed)
     rpc_seal_make (body + size, conn->send_key, conn->sent++, body, size);
+  rpc_traffic_count (conn->rpc->traffic, packet->body.type, conn->zone,
+                     MARK_BYTES + total);
   conn_flush (conn);
   if (conn->dead || conn->broken != NULL)
     return jc_fail (JC_UNREACHABLE, "The connection broke.");
--- a/net/rpcprivate.h
+++ b/net/rpcprivate.h
@@ -43,6 +43,8 @@
   uint64_t last_xid;
   uint64_t last_serial;
   uint64_t bytes_sent;
+  /* See rpctraffic.c.  */
+  GPtrArray *traffic;
 };
 
 /* A peer that this process keeps a connection to.  */
@@ -134,4 +136,9 @@
 bool rpc_seal_valid (struct jc_rpc_conn *conn, const unsigned char *body,
                      size_t size);
 
+/* In rpctraffic.c.  */
+GPtrArray *rpc_traffic_new (void);
+void rpc_traffic_count (GPtrArray *rows, enum rpc_type type, const char *zone,
+                        size_t bytes);
+
 #endif
--- /dev/null
+++ b/net/rpctraffic.c
@@ -0,0 +1,126 @@
+/* What the RPC task sent, by kind of message and availability zone of the
+   peer.  */
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "net/rpcprivate.h"
+
+static const char *const kind_names[] = {
+  [RPC_HELLO] = "hello",
+  [RPC_HELLO_ACK] = "hello_ack",
+  [RPC_HEARTBEAT] = "heartbeat",
+  [RPC_FAILURE] = "failure",
+  [RPC_CONFIG_FOLLOW] = "config_follow",
+  [RPC_CONFIG_DELTA] = "config_delta",
+  [RPC_SUBMIT] = "submit",
+  [RPC_SUBMIT_REPLY] = "submit_reply",
+  [RPC_ZONE_DELTA] = "zone_delta",
+  [RPC_REGION_SUMMARY] = "region_summary",
+  [RPC_VOTE] = "vote",
+  [RPC_VOTE_REPLY] = "vote_reply",
+  [RPC_APPEND] = "append",
+  [RPC_APPEND_REPLY] = "append_reply",
+  [RPC_INSTALL] = "install",
+  [RPC_INSTALL_REPLY] = "install_reply",
+  [RPC_CLAIM] = "claim",
+  [RPC_CLAIM_REPLY] = "claim_reply",
+  [RPC_RESULT] = "result",
+  [RPC_RESULT_REPLY] = "result_reply",
+  [RPC_LEDGER_COPY] = "ledger_copy",
+  [RPC_LEDGER_COPY_REPLY] = "ledger_copy_reply",
+  [RPC_HANDOVER] = "handover",
+  [RPC_HANDOVER_HEAD] = "handover_head",
+  [RPC_HANDOVER_DATA] = "handover_data",
+  [RPC_HANDOVER_END] = "handover_end",
+  [RPC_HANDOVER_CANCEL] = "handover_cancel",
+  [RPC_ADMIN] = "admin",
+  [RPC_ADMIN_REPLY] = "admin_reply",
+  [RPC_PROPOSE] = "propose",
+  [RPC_PROPOSE_REPLY] = "propose_reply",
+  [RPC_GROUP] = "group",
+  [RPC_ORDERS_FOLLOW] = "orders_follow",
+  [RPC_ORDERS] = "orders",
+  [RPC_ORDERS_READ] = "orders_read",
+  [RPC_FLEET] = "fleet",
+  [RPC_PRESENCE] = "presence",
+  [RPC_ENTRIES] = "entries",
+  [RPC_LOADS] = "loads",
+  [RPC_GRANT] = "grant",
+  [RPC_FLEET_FOLLOW] = "fleet_follow",
+  [RPC_ZONE_LOADS] = "zone_loads",
+};
+
+/* Messages of one kind to one zone.  */
+struct traffic
+{
+  enum rpc_type type;
+  char *zone;
+  uint64_t messages;
+  uint64_t bytes;
+};
+
+static void
+free_row (gpointer data)
+{
+  struct traffic *row = data;
+
+  g_free (row->zone);
+  g_free (row);
+}
+
+/* Return an empty table of traffic.  */
+GPtrArray *
+rpc_traffic_new (void)
+{
+  return g_ptr_array_new_with_free_func (free_row);
+}
+
+static struct traffic *
+find_row (GPtrArray *rows, enum rpc_type type, const char *zone)
+{
+  struct traffic *row;
+
+  for (guint i = 0; i < rows->len; i++)
+    {
+      row = g_ptr_array_index (rows, i);
+      if (row->type == type && strcmp (row->zone, zone) == 0)
+        return row;
+    }
+  row = g_new0 (struct traffic, 1);
+  row->type = type;
+  row->zone = g_strdup (zone);
+  g_ptr_array_add (rows, row);
+  return row;
+}
+
+/* Count a message of TYPE and BYTES to a peer in ZONE, NULL where that is not
+   known yet.  */
+void
+rpc_traffic_count (GPtrArray *rows, enum rpc_type type, const char *zone,
+                   size_t bytes)
+{
+  struct traffic *row = find_row (rows, type, zone != NULL ? zone : "-");
+
+  row->messages++;
+  row->bytes += bytes;
+}
+
+/* Append to OUT, as metrics, what RPC sent so far.  */
+void
+jc_rpc_print_traffic (const struct jc_rpc *rpc, GString *out)
+{
+  for (guint i = 0; i < rpc->traffic->len; i++)
+    {
+      const struct traffic *row = g_ptr_array_index (rpc->traffic, i);
+      const char *kind = kind_names[row->type];
+
+      g_string_append_printf (out,
+                              "jaycove_rpc_sent_bytes_total{kind=\"%s\","
+                              "zone=\"%s\"} %" PRIu64 "\n"
+                              "jaycove_rpc_sent_total{kind=\"%s\","
+                              "zone=\"%s\"} %" PRIu64 "\n",
+                              kind, row->zone, row->bytes, kind, row->zone,
+                              row->messages);
+    }
+}
