Connect four instances of each zone to those of other zones

Cause: each entry instance kept a connection, with heartbeats both ways, to each instance of the other zones of its region, as many as there are pairs; only the instance that tells its zone's loads, and its two receivers, used theirs. Ruled out: paths (they look at links to state instances alone) and hand-over (it has its own listener). Change: the first four by name of each zone are connected to the first four of the others.

--- a/entry/loads.c
+++ b/entry/loads.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "entry/hosts.h"
+#include "member/bridges.h"
 #include "net/address.h"
 #include "net/program.h"
 
@@ -37,16 +38,14 @@
                 == 0;
 }
 
-/* Keep a connection to NEIGHBOUR where it is of this region.  Of each pair
-   the one with the lesser name dials.  */
-void
-loads_meet (struct hosts *hosts, const struct rpc_presence *neighbour)
+/* Keep a connection to NEIGHBOUR.  Of each pair the one with the lesser name
+   dials.  */
+static void
+connect_fellow (struct hosts *hosts, const struct rpc_presence *neighbour)
 {
-  const struct jc_entry_settings *settings = hosts->entry->settings;
   char *address;
 
-  if (strcmp (neighbour->region, settings->region) != 0
-      || strcmp (settings->name, neighbour->name) >= 0
+  if (strcmp (hosts->entry->settings->name, neighbour->name) >= 0
       || g_hash_table_contains (hosts->fellows, neighbour->name))
     return;
   g_hash_table_add (hosts->fellows, g_strdup (neighbour->name));
@@ -64,6 +63,72 @@
     jc_rpc_hang_up (hosts->entry->rpc, name);
 }
 
+/* Keep a connection to NEIGHBOUR where it is of this zone.  */
+void
+loads_meet (struct hosts *hosts, const struct rpc_presence *neighbour)
+{
+  if (strcmp (neighbour->zone, hosts->entry->settings->availability_zone) == 0)
+    connect_fellow (hosts, neighbour);
+}
+
+static bool
+is_other_zone (const struct hosts *hosts, const struct rpc_presence *neighbour)
+{
+  const struct jc_entry_settings *settings = hosts->entry->settings;
+
+  return strcmp (neighbour->region, settings->region) == 0
+         && strcmp (neighbour->zone, settings->availability_zone) != 0;
+}
+
+/* Return which instances of this region keep connections between its zones.  */
+static struct jc_bridges *
+find_bridges (const struct hosts *hosts, int64_t now)
+{
+  const struct jc_entry_settings *settings = hosts->entry->settings;
+  struct jc_bridges *bridges = jc_bridges_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  jc_bridges_note (bridges, settings->availability_zone, settings->name);
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct neighbour *neighbour = value;
+
+      if (strcmp (neighbour->said.region, settings->region) == 0
+          && now - neighbour->heard_ms < HOSTS_FRESH_MS)
+        jc_bridges_note (bridges, neighbour->said.zone, neighbour->said.name);
+    }
+  return bridges;
+}
+
+/* Keep those connections to the other zones of the region that are this
+   instance's.  */
+static void
+keep_bridges (struct hosts *hosts, int64_t now)
+{
+  const struct jc_entry_settings *settings = hosts->entry->settings;
+  struct jc_bridges *bridges = find_bridges (hosts, now);
+  bool own
+      = jc_bridges_has (bridges, settings->availability_zone, settings->name);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, hosts->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rpc_presence *said = &((struct neighbour *)value)->said;
+
+      if (!is_other_zone (hosts, said))
+        continue;
+      if (own && jc_bridges_has (bridges, said->zone, said->name))
+        connect_fellow (hosts, said);
+      else
+        loads_part (hosts, said->name);
+    }
+  jc_bridges_free (bridges);
+}
+
 static bool
 is_zone_peer (const struct hosts *hosts, const struct jc_rpc_conn *conn)
 {
@@ -221,7 +286,10 @@
     {
       hosts->loads_told_ms = now;
       if (full)
-        hosts->loads_full_ms = now;
+        {
+          hosts->loads_full_ms = now;
+          keep_bridges (hosts, now);
+        }
       notify_zone (hosts, peers, full, now);
       if (is_relay (hosts, peers, now))
         notify_other_zones (hosts, full, now);
