Pass on what another zone told once, not twice

Ruled out: a second sender (one instance of the other zone tells). Change: of those that hear it, the first by name passes it on; another one does where the first hasn't for 250 ms.

--- a/entry/hosts.c
+++ b/entry/hosts.c
@@ -5,6 +5,7 @@
 #include "base/event.h"
 #include "base/log.h"
 #include "entry/hosts.h"
+#include "member/passed.h"
 #include "net/address.h"
 #include "net/loopevents.h"
 #include "net/program.h"
@@ -276,6 +277,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   hosts->fellows
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  hosts->passed_on = jc_passed_new ();
   waiting_start (hosts);
   hosts->started_ms = jc_now_ms ();
   ev_timer_init (&hosts->tick, on_tick, every_s, every_s);
@@ -317,6 +319,7 @@
   neighbours_stop (hosts);
   g_hash_table_destroy (hosts->state_names);
   g_hash_table_destroy (hosts->fellows);
+  g_hash_table_destroy (hosts->passed_on);
   g_free (hosts);
   entry->hosts = NULL;
   jc_loopevents_stop (entry->loop);
--- a/entry/hosts.h
+++ b/entry/hosts.h
@@ -47,6 +47,8 @@
   GPtrArray *rooms;
   GHashTable *state_names;
   GHashTable *fellows;
+  /* See member/passed.h.  */
+  GHashTable *passed_on;
   char *handover_address;
   struct jc_httpd *handover;
   struct jc_httpd *ready;
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -6,6 +6,7 @@
 
 #include "entry/hosts.h"
 #include "member/bridges.h"
+#include "member/passed.h"
 #include "net/address.h"
 #include "net/program.h"
 
@@ -298,16 +299,23 @@
 }
 
 /* Take what the zone of SAID told, and pass it on in this zone where CONN is of
-   that one.  */
+   that one and no other instance does.  */
 static void
 take_zone (struct hosts *hosts, struct jc_rpc_conn *conn,
            const struct rpc_packet *packet)
 {
   const struct rpc_zone_loads *said = &packet->body.rpc_body_u.zone_loads;
+  int64_t now = jc_now_ms ();
   GPtrArray *peers;
 
-  jc_engines_take_zone (hosts->engines, said->zone, &said->loads, jc_now_ms ());
+  jc_engines_take_zone (hosts->engines, said->zone, &said->loads, now);
   if (is_zone_peer (hosts, conn))
+    {
+      jc_passed_note (hosts->passed_on, said->zone, jc_rpc_conn_name (conn),
+                      hosts->entry->settings->name, now);
+      return;
+    }
+  if (jc_passed_by_other (hosts->passed_on, said->zone, now))
     return;
   peers = list_zone_peers (hosts);
   for (guint i = 0; i < peers->len; i++)
