--- a/tests/process/endless_callers.py
+++ b/tests/process/endless_callers.py
@@ -169,6 +169,7 @@
              ("hand-over", "e1", "%s:%d" % (host, int(operators) + 1), b"/write/x"),
              ("rpc", "e1", ADDRESSES["rpc"][0], b"")]
     state = [("control", "s1", ADDRESSES["control"][0], b"/v1/Config.Replace"),
+             ("reports", "s1", ADDRESSES["control"][0], b"/v1/Instances.Heartbeat/plain-0"),
              ("directory", "s1", ADDRESSES["directory"][0], b"/v1/Directory.Register")]
     return 0 if all(await asyncio.gather(play_all(entry), play_all(state))) else 1
 
