Log the limits that endpoints name and the requests that go to limited ones

The header is decoded once into jc_answer_info; an event 'limit' is written when an endpoint names, changes or ends a limit, and for each request that goes to such an endpoint, with what was last heard, when, and what this instance sent there in the last 4 s. A malformed or repeated header is ignored with a line. An answer without a limit ends it only if its request was sent after the limit was last heard.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -98,6 +98,8 @@
       = MAX (endpoint->lease_until_ms, now + ANSWER_LEASE_MS);
   if (info->cold_ms >= 0)
     endpoint->warm_at_ms = now + info->cold_ms;
+  backpressure_note_answer (exchange->router, endpoint, info,
+                            exchange->attempt_started_ms);
 }
 
 static struct jc_path_target
--- a/entry/router.c
+++ b/entry/router.c
@@ -277,6 +277,7 @@
   jc_endpoints_require_unique_addresses (router->endpoints);
   router->engines = jc_engines_new ();
   router->budgets = jc_budgets_new (&budget_settings);
+  router->backpressure = jc_backpressure_new ();
   router->paths = jc_paths_new ();
   router->request_rates
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -320,6 +321,7 @@
   waitqueue_stop (router);
   jc_engines_free (router->engines);
   jc_budgets_free (router->budgets);
+  jc_backpressure_free (router->backpressure);
   jc_paths_free (router->paths);
   jc_endpoints_free (router->endpoints);
   jc_orders_free (router->orders);
--- a/entry/router.h
+++ b/entry/router.h
@@ -7,6 +7,7 @@
 #include "conf/lag.h"
 #include "conf/orders.h"
 #include "entry/entry.h"
+#include "serve/backpressure.h"
 #include "serve/budget.h"
 #include "serve/protocol.h"
 #include "serve/engine.h"
@@ -43,6 +44,7 @@
   struct jc_endpoints *endpoints;
   struct jc_engines *engines;
   struct jc_budgets *budgets;
+  struct jc_backpressure *backpressure;
   struct jc_paths *paths;
   GHashTable *request_rates;
   GHashTable *answer_sizes;
@@ -147,6 +149,15 @@
 void paths_reported (struct router *router, const char *reporter,
                      const struct rpc_loads *loads);
 
+/* backpressure: what endpoints ask for in their answers.  */
+void backpressure_note_answer (struct router *router,
+                               const struct jc_endpoint *endpoint,
+                               const struct jc_answer_info *info,
+                               int64_t sent_ms);
+void backpressure_note_send (struct router *router,
+                             const struct jc_endpoint *endpoint, const char *id,
+                             int64_t now_ms);
+
 /* answersizes: usual sizes of each route's plain answers.  */
 size_t answersizes_usual_max (const struct router *router, const char *route);
 void answersizes_record (struct router *router, const char *route, size_t size);
--- a/serve/protocol.h
+++ b/serve/protocol.h
@@ -55,7 +55,9 @@
 /* What the head of an endpoint's answer contains besides its status.  GENUINE
    is true if it has the endpoint's signature and a body of the requested type.
    NOT_RUN is true if the endpoint promises that the request did not run.
-   COLD_MS is -1 if not given.  */
+   COLD_MS is -1 if not given, and so is LIMIT_PER_S, the requests per second
+   that the endpoint accepts from all entry instances together.  MALFORMED is
+   the name of a header that was ignored because it can't be read, or NULL.  */
 struct jc_answer_info
 {
   bool genuine;
@@ -66,6 +68,8 @@
   unsigned int slots;
   const char *endpoint;
   int64_t cold_ms;
+  double limit_per_s;
+  const char *malformed;
 };
 
 /* Calls to a state instance.  */
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -258,6 +258,43 @@
   g_assert_true (answer.not_run);
 }
 
+/* Guards against reading a rate limit from a malformed header, and against
+   rejecting a legal one.  */
+static void
+test_answer_limits (void)
+{
+  static const struct
+  {
+    const char *value;
+    double per_s;
+  } cases[]
+      = { { "1", 1 },    { "1.2", 1.2 }, { ".5", 0.5 },
+          { "0", 0 },    { "", -1 },     { "99999999999999999999", 1000000 },
+          { ".", -1 },   { "-1", -1 },   { "+1", -1 },
+          { "nan", -1 }, { "inf", -1 },  { "1e999", -1 },
+          { "1,5", -1 }, { "1.2.3", -1 } };
+  struct jc_head_field fields[]
+      = { { "server-limit", NULL }, { "Server-Limit", "2" } };
+  struct jc_answer_info answer;
+  struct jc_head head = make_head (fields, 0);
+
+  platform_parse_answer (&head, &answer);
+  g_assert_cmpfloat (answer.limit_per_s, ==, -1);
+  g_assert_null (answer.malformed);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fields[0].value = cases[i].value;
+      head = make_head (fields, 1);
+      platform_parse_answer (&head, &answer);
+      g_assert_cmpfloat (answer.limit_per_s, ==, cases[i].per_s);
+      g_assert_true ((answer.malformed != NULL) == (cases[i].per_s < 0));
+    }
+  head = make_head (fields, 2);
+  platform_parse_answer (&head, &answer);
+  g_assert_cmpfloat (answer.limit_per_s, ==, -1);
+  g_assert_nonnull (answer.malformed);
+}
+
 static void
 test_event_ids (void)
 {
@@ -287,6 +324,7 @@
                    test_malformed_prompt_parts);
   g_test_add_func ("/platform/forwarded-headers", test_forwarded_headers);
   g_test_add_func ("/platform/answer-headers", test_answer_headers);
+  g_test_add_func ("/platform/answer-limits", test_answer_limits);
   g_test_add_func ("/platform/event-ids", test_event_ids);
   return g_test_run ();
 }
