--- /dev/null
+++ b/tests/process/limit_standin.py
@@ -0,0 +1,126 @@
+"""Endpoints that ask for less in their answers, and callers that measure what becomes of their requests.
+Usage: limit_standin.py SCRIPT DIR, where SCRIPT names a function below and DIR holds addresses.json."""
+import asyncio
+import random
+import sys
+import time
+
+import hosts_standin
+from hosts_standin import ADDRESSES, ROUTES, Endpoint, configuration, in_force, order, request, use
+
+REQUESTS_PER_S = 40
+# An entry instance that has heard a limit must keep to it after this time.
+HEARD_S = 0.5
+# The limit holds from this time after an endpoint first named it.
+CONTACT_S = 6.0
+WINDOW_S = 4.0
+# What a window may have beyond the limit.
+EXCESS, SLACK = 1.5, 5
+# A request that waits longer than this for its answer waited for an endpoint that it needn't have been sent to.
+ANSWER_S = 2.0
+# The entry instance that each attempt id was sent to.
+RECEIVED_BY = {}
+
+
+class Asking(Endpoint):
+    """An endpoint whose answers have the header lines ASKS; with REFUSES they are 503."""
+    asks, refuses = "", False
+
+    def __init__(self, *args, **more):
+        super().__init__(*args, **more)
+        # Requests as (time, entry instance), and when an answer with ASKS first went to each instance.
+        self.got, self.told = [], {}
+
+    async def serve_one(self, reader, writer):
+        start, fields = await hosts_standin.read_head(reader)
+        if "content-length" in fields:
+            await hosts_standin.read_body(reader, fields)
+        attempt = fields.get("x-jaycove-attempt-id", "")
+        instance = RECEIVED_BY.get(attempt)
+        self.got.append((time.monotonic(), instance))
+        head = f"X-Jaycove-Attempt-Id: {attempt}\r\nX-Jaycove-Server-Load: 1,0,8\r\n{self.asks}"
+        if fields.get("x-jaycove-expect-instance") != self.name:
+            writer.write(f"HTTP/1.1 421 Misdirected\r\n{head}Content-Length: 0\r\n\r\n".encode())
+            return True
+        await asyncio.sleep(0.02)
+        if self.refuses:
+            writer.write(f"HTTP/1.1 503 Full\r\n{head}X-Jaycove-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
+        else:
+            writer.write(f"HTTP/1.1 200 OK\r\n{head}X-Jaycove-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok".encode())
+        if self.asks:
+            self.told.setdefault(instance, time.monotonic())
+        return True
+
+    def from_told(self, after_s):
+        """The times of requests from entry instances that had been told AFTER_S before."""
+        return [t for t, instance in self.got if t >= self.told.get(instance, t + 1) + after_s]
+
+
+class Callers:
+    """Callers of all entry instances, REQUESTS_PER_S requests in all; counts answers by status, and slow ones."""
+
+    def __init__(self):
+        self.statuses, self.slow = {}, 0
+        self.tasks = set()
+
+    async def one(self, entry):
+        begun = time.monotonic()
+        attempt = "%016x" % random.getrandbits(64)
+        RECEIVED_BY[attempt] = entry
+        try:
+            status = (await request(entry, "GET", "/read/x", attempt=attempt)).status
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            status = 0
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+        self.slow += time.monotonic() - begun > ANSWER_S
+
+    async def run(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            task = asyncio.create_task(self.one(random.choice(ADDRESSES["entries"])))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+        await asyncio.gather(*self.tasks)
+
+    def check(self):
+        total = sum(self.statuses.values())
+        print("answers by status %s, slow %d" % (dict(sorted(self.statuses.items())), self.slow), flush=True)
+        assert self.statuses.get(200, 0) >= 0.99 * total, self.statuses
+        assert self.slow == 0, self.slow
+
+
+async def start_two():
+    asking = await Asking("asking", "plain", "z1").start()
+    free = await Asking("free", "plain", "z2").start()
+    await order("/v1/Config.Replace", configuration(3, ROUTES))
+    await in_force(ADDRESSES["entries"], "/read/x", 200)
+    return asking, free
+
+
+def most_in_window(times):
+    return max((sum(1 for t in times if end - WINDOW_S < t <= end) for end in times), default=0)
+
+
+async def limit():
+    """One of two endpoints names a limit; it is kept in every window, and at least half of it is used."""
+    per_s, run_s = 1.0, 24.0
+    asking, _ = await start_two()
+    asking.asks = f"Server-Limit: {per_s}\r\n"
+    callers = Callers()
+    begun = time.monotonic()
+    await callers.run(run_s)
+    first = min(asking.told.values())
+    # A window counts if it ends after the limit holds.
+    counted = [t for t in asking.from_told(HEARD_S) if t >= first + CONTACT_S - WINDOW_S]
+    most = most_in_window(counted)
+    used = sum(1 for t, _ in asking.got if t >= first + CONTACT_S) / (begun + run_s - first - CONTACT_S)
+    print("at most %d in %.0f s, %.2f a second used" % (most, WINDOW_S, used), flush=True)
+    assert most <= EXCESS * per_s * WINDOW_S + SLACK, most
+    assert used >= per_s / 2, used
+    callers.check()
+
+
+if __name__ == "__main__":
+    use(sys.argv[2])
+    asyncio.run({"limit": limit}[sys.argv[1]]())
