Keep the pause that an endpoint asks for when it turns a request away

Cause: nothing read Retry-After of an endpoint's answer, and a refusal left no trace in the choice. Ruled out: the relay, which asked elsewhere as long as retries were left.

serve/pauses keeps the end of each pause by incarnation, on a clock that counts suspension; a later refusal extends it and never shortens it. Nothing goes there meanwhile, as retry, resumed stream, hand-over or last resort, since all of them are chosen in one place. After it one request finds out whether the endpoint accepts again, so that no burst meets it. Where all endpoints of a service are held back, the caller is refused at once and told when the first accepts again, with a quarter of that as spread.

--- a/entry/backpressure.c
+++ b/entry/backpressure.c
@@ -14,6 +14,52 @@
                                      endpoint->incarnation);
 }
 
+/* Apply what INFO, an answer of ENDPOINT, tells about its limit.  */
+static void
+note_limit (struct router *router, const struct jc_endpoint *endpoint,
+            const struct jc_answer_info *info, uint64_t send_number)
+{
+  const struct jc_backpressure_answer answer
+      = { .endpoint = endpoint->name,
+          .incarnation = endpoint->incarnation,
+          .limit_per_s = info->limit_per_s,
+          .send_number = send_number,
+          .now_ms = jc_boot_ms () };
+
+  if (jc_backpressure_note_answer (router->backpressure, &answer))
+    jc_event (JC_EVENT_LIMIT, "endpoint=%s incarnation=%" PRIu64 " per_s=%.3f",
+              endpoint->name, endpoint->incarnation, info->limit_per_s);
+}
+
+static bool
+is_paused (const struct router *router, const struct jc_endpoint *endpoint)
+{
+  return jc_pauses_is_paused (router->pauses, endpoint->name,
+                              endpoint->incarnation);
+}
+
+/* Apply what INFO, an answer of ENDPOINT, tells about its pause.  */
+static void
+note_pause (struct router *router, const struct jc_endpoint *endpoint,
+            const struct jc_answer_info *info)
+{
+  int64_t now = jc_boot_ms ();
+
+  if (info->pause_ms >= 0)
+    {
+      if (jc_pauses_begin (router->pauses, endpoint->name,
+                           endpoint->incarnation, info->pause_ms, now))
+        jc_event (JC_EVENT_PAUSE,
+                  "endpoint=%s incarnation=%" PRIu64 " ms=%" PRId64,
+                  endpoint->name, endpoint->incarnation, info->pause_ms);
+    }
+  else if (!info->not_run
+           && jc_pauses_end (router->pauses, endpoint->name,
+                             endpoint->incarnation, now))
+    jc_event (JC_EVENT_PAUSE, "endpoint=%s incarnation=%" PRIu64 " ms=0",
+              endpoint->name, endpoint->incarnation);
+}
+
 /* Apply INFO, the answer of ENDPOINT to the request SEND_NUMBER.  */
 void
 backpressure_note_answer (struct router *router,
@@ -21,33 +67,52 @@
                           const struct jc_answer_info *info,
                           uint64_t send_number)
 {
-  struct jc_backpressure_answer answer = { .endpoint = endpoint->name,
-                                           .incarnation = endpoint->incarnation,
-                                           .limit_per_s = info->limit_per_s,
-                                           .send_number = send_number };
-
   if (info->malformed != NULL)
     jc_event (JC_EVENT_BAD_INPUT, "from=%s header=%s why=\"ignored\"",
               endpoint->name, info->malformed);
   /* A corrupted answer may have lost its limit.  */
-  if (info->limit_per_s < 0
-      && (!is_limited (router, endpoint) || (!info->genuine && !info->not_run)))
-    return;
-  answer.now_ms = jc_boot_ms ();
-  if (jc_backpressure_note_answer (router->backpressure, &answer))
-    jc_event (JC_EVENT_LIMIT, "endpoint=%s incarnation=%" PRIu64 " per_s=%.3f",
-              endpoint->name, endpoint->incarnation, info->limit_per_s);
+  if (info->limit_per_s >= 0
+      || (is_limited (router, endpoint) && (info->genuine || info->not_run)))
+    note_limit (router, endpoint, info, send_number);
+  if (info->pause_ms >= 0 || is_paused (router, endpoint))
+    note_pause (router, endpoint, info);
+}
+
+/* Return the time until a request may be sent to ENDPOINT as far as its limit
+   and pause are concerned, ms; -1 if that is not known.  */
+int64_t
+backpressure_wait_ms (struct router *router, const struct jc_endpoint *endpoint)
+{
+  int64_t now = jc_boot_ms ();
+  int64_t limit_ms = jc_backpressure_wait_ms (
+      router->backpressure, endpoint->name, endpoint->incarnation, now);
+  int64_t pause_ms = jc_pauses_wait_ms (router->pauses, endpoint->name,
+                                        endpoint->incarnation, now);
+
+  return limit_ms < 0 ? -1 : MAX (limit_ms, pause_ms);
 }
 
-/* Return whether a request may be sent to ENDPOINT now as far as its limit is
-   concerned.  */
+/* Return whether a request may be sent to ENDPOINT now as far as its limit and
+   pause are concerned.  */
 bool
 backpressure_may_send (struct router *router,
                        const struct jc_endpoint *endpoint)
 {
-  return !is_limited (router, endpoint)
-         || jc_backpressure_may_send (router->backpressure, endpoint->name,
-                                      endpoint->incarnation, jc_boot_ms ());
+  return (!is_paused (router, endpoint)
+          || jc_pauses_wait_ms (router->pauses, endpoint->name,
+                                endpoint->incarnation, jc_boot_ms ())
+                 == 0)
+         && (!is_limited (router, endpoint)
+             || jc_backpressure_may_send (router->backpressure, endpoint->name,
+                                          endpoint->incarnation,
+                                          jc_boot_ms ()));
+}
+
+/* Return whether ENDPOINT has named no limit and asked for no pause.  */
+bool
+backpressure_is_free (struct router *router, const struct jc_endpoint *endpoint)
+{
+  return !is_limited (router, endpoint) && !is_paused (router, endpoint);
 }
 
 /* Count the request ID, which is sent to ENDPOINT now.  Return its number, for
@@ -70,6 +135,9 @@
                 id, endpoint->name, limit.per_s, now - limit.heard_ms,
                 limit.slots, limit.credit);
     }
+  if (is_paused (router, endpoint))
+    jc_pauses_note_send (router->pauses, endpoint->name, endpoint->incarnation,
+                         jc_boot_ms ());
   return jc_backpressure_note_send (router->backpressure, endpoint->name,
                                     endpoint->incarnation, now);
 }
--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -114,14 +114,6 @@
   g_ptr_array_free (reachable, TRUE);
 }
 
-/* Return whether ENDPOINT has named no limit.  */
-static bool
-is_unlimited (struct router *router, const struct jc_endpoint *endpoint)
-{
-  return !jc_backpressure_is_limited (router->backpressure, endpoint->name,
-                                      endpoint->incarnation);
-}
-
 /* Append to OUT the endpoints of the service NAME that may get a request now
    and that ACCEPTS returns true for.  TRIED, which may be NULL, holds names to
    skip.  */
@@ -474,6 +466,32 @@
   return JC_OK;
 }
 
+/* Return the time until some endpoint of SERVICE in this region accepts
+   requests again, ms, if all of them are held back by limits and pauses;
+   otherwise 0.  */
+int64_t
+balancer_earliest_ms (struct router *router, const char *service,
+                      int64_t now_ms)
+{
+  GPtrArray *endpoints = g_ptr_array_new ();
+  int64_t earliest = 0;
+  bool all_wait = true;
+
+  jc_endpoints_list_serving (router->endpoints, service, NULL, now_ms,
+                             endpoints);
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      int64_t wait
+          = backpressure_wait_ms (router, g_ptr_array_index (endpoints, i));
+
+      all_wait = all_wait && wait != 0;
+      if (wait > 0 && (earliest == 0 || wait < earliest))
+        earliest = wait;
+    }
+  g_ptr_array_free (endpoints, TRUE);
+  return all_wait ? earliest : 0;
+}
+
 /* Fill ROOM with the load and capacity of ENDPOINTS, all of one service, whose
    name ROOM holds.  */
 static void
@@ -528,10 +546,10 @@
               = &out->rooms.rooms_val[out->rooms.rooms_len++];
 
           g_ptr_array_set_size (endpoints, 0);
-          /* Other regions would use up the limit, which is small, faster than
+          /* Other regions would use up a limit, which is small, faster than
              they hear of it.  */
-          collect_usable_endpoints (router, name, NULL, is_unlimited, now,
-                                    endpoints);
+          collect_usable_endpoints (router, name, NULL, backpressure_is_free,
+                                    now, endpoints);
           room->service = name;
           fill_room (router, endpoints, now, room);
         }
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -17,7 +17,9 @@
   /* A refused caller is told to retry after this time and a random part of the
      spread, so that callers refused at once do not come back at once.  */
   RETRY_AFTER_MIN_MS = 200,
-  RETRY_AFTER_SPREAD_MS = 400
+  RETRY_AFTER_SPREAD_MS = 400,
+  /* The spread is at least the time divided by this.  */
+  RETRY_AFTER_SPREAD_DIVISOR = 4
 };
 
 /* Return the id of EXCHANGE as log lines have it, "-" if the caller set
@@ -84,25 +86,37 @@
             exchange->first_event_ms, exchange->max_gap_ms);
 }
 
+/* Return when a refused caller should come back, ms: once an endpoint accepts
+   requests again, if that is known.  */
+static int64_t
+retry_after_ms (const struct exchange *exchange)
+{
+  int64_t earliest = balancer_earliest_ms (exchange->router, exchange->service,
+                                           jc_now_ms ());
+  int64_t after = MAX (earliest, RETRY_AFTER_MIN_MS);
+  int64_t spread
+      = MAX (after / RETRY_AFTER_SPREAD_DIVISOR, RETRY_AFTER_SPREAD_MS);
+
+  return after + g_random_int_range (0, (gint32)spread);
+}
+
 /* Answer with an error of this gateway and free EXCHANGE.  */
 static void
 exchange_fail (struct exchange *exchange, enum jc_status status)
 {
   const struct jc_status_info *row = jc_status_info (status);
   bool may_retry = row->run == JC_NOT_RUN && row->retry == JC_RETRY_AFTER;
-  int64_t retry_after_ms
-      = RETRY_AFTER_MIN_MS + g_random_int_range (0, RETRY_AFTER_SPREAD_MS);
+  int64_t after_ms = may_retry ? retry_after_ms (exchange) : 0;
   char retry_after[24];
 
   log_end (exchange,
            row->run == JC_NOT_RUN ? JC_EVENT_REFUSED : JC_EVENT_FAILED,
            row->name);
   count_outcome (exchange, row->name);
-  exchange->router->protocol->format_retry_after (retry_after_ms, retry_after,
+  exchange->router->protocol->format_retry_after (after_ms, retry_after,
                                                   sizeof retry_after);
   jc_http_fail_after (exchange->req, status, jc_last_message (),
-                      may_retry ? retry_after : NULL,
-                      may_retry ? retry_after_ms : 0);
+                      may_retry ? retry_after : NULL, after_ms);
   exchange_free (exchange);
 }
 
--- a/entry/router.c
+++ b/entry/router.c
@@ -279,6 +279,7 @@
   router->engines = jc_engines_new ();
   router->budgets = jc_budgets_new (&budget_settings);
   router->backpressure = jc_backpressure_new ();
+  router->pauses = jc_pauses_new ();
   router->paths = jc_paths_new ();
   router->request_rates
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -323,6 +324,7 @@
   jc_engines_free (router->engines);
   jc_budgets_free (router->budgets);
   jc_backpressure_free (router->backpressure);
+  jc_pauses_free (router->pauses);
   jc_paths_free (router->paths);
   jc_endpoints_free (router->endpoints);
   jc_orders_free (router->orders);
--- a/entry/router.h
+++ b/entry/router.h
@@ -11,6 +11,7 @@
 #include "serve/budget.h"
 #include "serve/protocol.h"
 #include "serve/engine.h"
+#include "serve/pauses.h"
 #include "serve/regionload.h"
 #include "serve/paths.h"
 
@@ -45,6 +46,7 @@
   struct jc_engines *engines;
   struct jc_budgets *budgets;
   struct jc_backpressure *backpressure;
+  struct jc_pauses *pauses;
   struct jc_paths *paths;
   GHashTable *request_rates;
   GHashTable *answer_sizes;
@@ -159,6 +161,10 @@
                                  const char *id);
 bool backpressure_may_send (struct router *router,
                             const struct jc_endpoint *endpoint);
+bool backpressure_is_free (struct router *router,
+                           const struct jc_endpoint *endpoint);
+int64_t backpressure_wait_ms (struct router *router,
+                              const struct jc_endpoint *endpoint);
 void backpressure_handle_reply (struct router *router,
                                 const struct rpc_limit_reply *reply);
 void backpressure_tick (struct router *router);
@@ -198,6 +204,8 @@
 enum jc_status balancer_pick (struct router *router,
                               const struct balancer_query *query,
                               struct balancer_target *target);
+int64_t balancer_earliest_ms (struct router *router, const char *service,
+                              int64_t now_ms);
 void balancer_log_cold (const struct router *router,
                         const struct jc_endpoint *endpoint, const char *id,
                         int64_t now_ms);
--- a/tests/process/limit_standin.py
+++ b/tests/process/backpressure_standin.py
@@ -1,5 +1,5 @@
 """Endpoints that ask for less in their answers, and callers that measure what becomes of their requests.
-Usage: limit_standin.py SCRIPT DIR, where SCRIPT names a function below and DIR holds addresses.json."""
+Usage: backpressure_standin.py SCRIPT DIR, where SCRIPT names a function below and DIR holds addresses.json."""
 import asyncio
 import random
 import sys
@@ -18,6 +18,11 @@
 WINDOW_S = 4.0
 # What a window may have beyond the limit.
 EXCESS, SLACK = 1.5, 5
+# A pause and a leave must be kept to after these times.
+PAUSE_S = 6.0
+DRAIN_S = 4.0
+# Requests before an endpoint asks for anything; they earn the retries that it then costs.
+EARNING_S = 4.0
 # A request that waits longer than this for its answer waited for an endpoint that it needn't have been sent to.
 ANSWER_S = 2.0
 # The entry instance that each attempt id was sent to.
@@ -30,8 +35,9 @@
 
     def __init__(self, *args, **more):
         super().__init__(*args, **more)
-        # Requests as (time, entry instance), and when an answer with ASKS first went to each instance.
-        self.got, self.told = [], {}
+        # Requests as (time, entry instance), when an answer with ASKS first went to each instance, and all of them as
+        # (time, entry instance).
+        self.got, self.told, self.asked = [], {}, []
 
     async def serve_one(self, reader, writer):
         start, fields = await hosts_standin.read_head(reader)
@@ -44,13 +50,15 @@
         if fields.get("x-jaycove-expect-instance") != self.name:
             writer.write(f"HTTP/1.1 421 Misdirected\r\n{head}Content-Length: 0\r\n\r\n".encode())
             return True
-        await asyncio.sleep(WORK_S)
+        if not self.refuses:
+            await asyncio.sleep(WORK_S)
         if self.refuses:
             writer.write(f"HTTP/1.1 503 Full\r\n{head}X-Jaycove-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
         else:
             writer.write(f"HTTP/1.1 200 OK\r\n{head}X-Jaycove-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok".encode())
         if self.asks:
             self.told.setdefault(instance, time.monotonic())
+            self.asked.append((time.monotonic(), instance))
         return True
 
     def from_told(self, after_s):
@@ -123,6 +131,52 @@
     callers.check()
 
 
+async def pause():
+    """One of two endpoints answers 503 with Retry-After; nothing reaches it in the pause from the instance that was
+    told, and callers are served by the other one."""
+    asking, free = await start_two()
+    callers = Callers()
+    await callers.run(EARNING_S)
+    asking.asks, asking.refuses = f"Retry-After: {PAUSE_S:.0f}\r\n", True
+    begun = time.monotonic()
+    await callers.run(16)
+    in_pause = {(t, who) for told, to in asking.asked for t, who in asking.got
+                if who == to and told + HEARD_S < t < told + PAUSE_S}
+    refused = sum(1 for t, _ in asking.got if t >= begun)
+    print("%d requests in a pause, %d refused" % (len(in_pause), refused), flush=True)
+    assert not in_pause, sorted(in_pause)[:9]
+    callers.check()
+
+    # Where all endpoints pause, callers are refused at once, with the time at which one is free again.
+    free.asks, free.refuses = asking.asks, True
+    await Callers().run(2)
+    begun = time.monotonic()
+    replies = [await request(e, "GET", "/read/x") for e in ADDRESSES["entries"] for _ in range(5)]
+    after = [float(r.headers["retry-after"]) for r in replies]
+    print("refused by all: %s after %.1f to %.1f s" % ({r.status for r in replies}, min(after), max(after)), flush=True)
+    assert {r.status for r in replies} == {503}
+    assert time.monotonic() - begun < ANSWER_S and len(set(after)) > 1
+    # The pauses began in the last 2 s or, of the first endpoint, in the last pause.
+    assert all(0.2 <= a <= PAUSE_S * 1.25 + 0.4 for a in after) and max(after) > 0.6, after
+
+
+async def leaving():
+    """One of two endpoints says in its answers that it leaves, while its reports still say that it is ready; nothing
+    reaches it later from the instances that were told."""
+    asking, _ = await start_two()
+    callers = Callers()
+    await callers.run(EARNING_S)
+    asking.asks = "Server-Leaving: 1\r\n"
+    await callers.run(10)
+    late = asking.from_told(DRAIN_S)
+    first = min(asking.told.values())
+    # Instances that the endpoint has not told hear of it from the others.
+    untold = sum(1 for t, _ in asking.got if t >= first + DRAIN_S)
+    print("%d requests later than %.0f s after an instance was told, %d from all" % (len(late), DRAIN_S, untold), flush=True)
+    assert not late and untold == 0
+    callers.check()
+
+
 if __name__ == "__main__":
     use(sys.argv[2])
-    asyncio.run({"limit": limit}[sys.argv[1]]())
+    asyncio.run({"limit": limit, "pause": pause, "leaving": leaving}[sys.argv[1]]())
--- a/tests/process/hosts-limit.sh
+++ b/tests/process/hosts-limit.sh
@@ -1,6 +1,6 @@
 # Guards against sending an endpoint more requests than the limit that it names
 # in its answers: each entry instance kept to none, or to the limit by itself, so
-# that all together went over it. See limit () of limit_standin.py.
+# that all together went over it. See limit () of backpressure_standin.py.
 set -eu
 . scripts/cluster.sh
 . scripts/hosts.sh
@@ -9,4 +9,4 @@
 ENTRIES=4
 Z2_FROM=3
 start_hosts
-python3 tests/process/limit_standin.py limit "$DIR" || { tail -n 5 "$DIR"/e*.out; exit 1; }
+python3 tests/process/backpressure_standin.py limit "$DIR" || { tail -n 5 "$DIR"/e*.out; exit 1; }
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -295,6 +295,51 @@
   g_assert_nonnull (answer.malformed);
 }
 
+/* Guards against reading a pause or a leave from a malformed header, or a pause
+   from an answer that is no refusal.  */
+static void
+test_answer_pauses_and_leaves (void)
+{
+  static const struct
+  {
+    const char *value;
+    int64_t pause_ms;
+    bool leaving;
+  } cases[] = { { "6", 6000, false },
+                { "1.25", 1250, false },
+                { "0", 0, false },
+                { "1", 1000, true },
+                { "99999999999999999999", 3600000, false },
+                { "", -1, false },
+                { "-1", -1, false },
+                { "nan", -1, false },
+                { "1e999", -1, false },
+                { "1,5", -1, false },
+                { "Fri, 04 Dec 2026 16:00:00 GMT", -1, false } };
+  struct jc_head_field fields[]
+      = { { "Retry-After", NULL }, { "Server-Leaving", NULL } };
+  struct jc_answer_info answer;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct jc_head head;
+
+      fields[0].value = cases[i].value;
+      fields[1].value = cases[i].value;
+      head = make_head (fields, 1);
+      head.status = 200;
+      platform_parse_answer (&head, &answer);
+      g_assert_cmpint (answer.pause_ms, ==, -1);
+      head.status = 503;
+      platform_parse_answer (&head, &answer);
+      g_assert_cmpint (answer.pause_ms, ==, cases[i].pause_ms);
+      g_assert_true ((answer.malformed != NULL) == (cases[i].pause_ms < 0));
+      head = make_head (fields, 2);
+      platform_parse_answer (&head, &answer);
+      g_assert_true (answer.leaving == cases[i].leaving);
+    }
+}
+
 static void
 test_event_ids (void)
 {
@@ -325,6 +370,8 @@
   g_test_add_func ("/platform/forwarded-headers", test_forwarded_headers);
   g_test_add_func ("/platform/answer-headers", test_answer_headers);
   g_test_add_func ("/platform/answer-limits", test_answer_limits);
+  g_test_add_func ("/platform/answer-pauses-and-leaves",
+                   test_answer_pauses_and_leaves);
   g_test_add_func ("/platform/event-ids", test_event_ids);
   return g_test_run ();
 }
