Stop sending to an endpoint whose answers say that it leaves

Cause: only reports were read.

The instance that reads it marks the incarnation as leaving at once, so that new requests, retries, resumed streams and requests that wait go elsewhere, whether or not it reaches a state instance; reports of ready on their way don't bring it back, a new incarnation does. It tells its state instance once, which forwards the first such message to the instances of the region. What runs there runs on.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -73,8 +73,9 @@
 }
 
 /* Update the endpoint of the current attempt from its answer: its load, its
-   lease, and when it is warm.  Status 421 means that its address now belongs to
-   another endpoint, so it is marked as leaving.  */
+   lease, when it is warm, and what it asks for.  Status 421 means that its
+   address now belongs to another endpoint, so it is marked as leaving.  An
+   answer of an earlier incarnation tells nothing about this one.  */
 static void
 update_endpoint (struct exchange *exchange)
 {
@@ -86,7 +87,7 @@
   if (info->has_load && exchange->engine_run != NULL)
     jc_engine_run_note_load (exchange->engine_run, info->running, info->queued,
                              now);
-  if (endpoint == NULL)
+  if (endpoint == NULL || endpoint->incarnation != exchange->target_incarnation)
     return;
   if (exchange->answer_head.status == HTTP_MISDIRECTED)
     {
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -180,6 +180,7 @@
     }
   balancer_log_cold (router, endpoint, exchange_id (exchange),
                      exchange->attempt_started_ms);
+  exchange->target_incarnation = endpoint->incarnation;
   exchange->send_number
       = backpressure_note_send (router, endpoint, exchange_id (exchange));
   jc_engines_explain (router->engines, endpoint, &exchange->demand,
--- a/entry/backpressure.c
+++ b/entry/backpressure.c
@@ -60,6 +60,27 @@
               endpoint->name, endpoint->incarnation);
 }
 
+/* ENDPOINT says that it is about to end: send it nothing from now on, whatever
+   its reports say, and tell a state instance, which tells the others.  */
+static void
+note_leaving (struct router *router, const struct jc_endpoint *endpoint)
+{
+  struct rpc_packet packet = { .body.type = RPC_LEAVING };
+  struct rpc_leaving *leaving = &packet.body.rpc_body_u.leaving;
+
+  if (endpoint->leaving)
+    return;
+  jc_endpoints_mark_leaving (router->endpoints, endpoint->name,
+                             endpoint->incarnation);
+  jc_event (JC_EVENT_ENDPOINT,
+            "endpoint=%s incarnation=%" PRIu64 " leaving=1 from=answer",
+            endpoint->name, endpoint->incarnation);
+  leaving->endpoint = endpoint->name;
+  leaving->endpoint_incarnation = endpoint->incarnation;
+  if (router->orders_source != NULL)
+    jc_rpc_send (router->orders_source, &packet);
+}
+
 /* Apply INFO, the answer of ENDPOINT to the request SEND_NUMBER.  */
 void
 backpressure_note_answer (struct router *router,
@@ -74,6 +95,8 @@
   if (info->limit_per_s >= 0
       || (is_limited (router, endpoint) && (info->genuine || info->not_run)))
     note_limit (router, endpoint, info, send_number);
+  if (info->leaving)
+    note_leaving (router, endpoint);
   if (info->pause_ms >= 0 || is_paused (router, endpoint))
     note_pause (router, endpoint, info);
 }
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -26,7 +26,8 @@
    table that ROUTE belongs to.  TRIED holds the names of the targets of all
    attempts, AVOIDED_REGIONS other regions that an attempt did not reach or that
    refused.  TARGET_NAME, in TARGET_ZONE of TARGET_REGION, is where the current
-   attempt goes; REMOTE means that it is an entry instance of another region.
+   attempt goes; REMOTE means that it is an entry instance of another region.  An
+   endpoint's incarnation is in TARGET_INCARNATION.
    ANY_SENT means that some attempt sent the request.  SEND_NUMBER is that of
    the current attempt for jc_backpressure_note_answer.  ANSWER_HEAD is that of
    the first attempt whose answer the caller was shown, or of the last attempt.
@@ -64,6 +65,7 @@
   bool any_sent;
   int64_t attempt_started_ms;
   uint64_t send_number;
+  uint64_t target_incarnation;
 
   struct jc_head answer_head;
   struct jc_answer_info answer_info;
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -81,6 +81,7 @@
 	RPC_ZONE_LOADS = 90,
 	RPC_LIMIT_REQUEST = 91,
 	RPC_LIMIT_REPLY = 92,
+	RPC_LEAVING = 93,
 };
 typedef enum rpc_type rpc_type;
 
@@ -620,6 +621,12 @@
 };
 typedef struct rpc_grant rpc_grant;
 
+struct rpc_leaving {
+	rpc_name endpoint;
+	u_quad_t endpoint_incarnation;
+};
+typedef struct rpc_leaving rpc_leaving;
+
 struct rpc_limited {
 	rpc_name endpoint;
 	u_quad_t endpoint_incarnation;
@@ -796,6 +803,7 @@
 		rpc_grant grant;
 		rpc_limit_request limit_request;
 		rpc_limit_reply limit_reply;
+		rpc_leaving leaving;
 	} rpc_body_u;
 };
 typedef struct rpc_body rpc_body;
@@ -869,6 +877,7 @@
 extern  bool_t xdr_rpc_service_room (XDR *, rpc_service_room*);
 extern  bool_t xdr_rpc_presence (XDR *, rpc_presence*);
 extern  bool_t xdr_rpc_grant (XDR *, rpc_grant*);
+extern  bool_t xdr_rpc_leaving (XDR *, rpc_leaving*);
 extern  bool_t xdr_rpc_limited (XDR *, rpc_limited*);
 extern  bool_t xdr_rpc_limit_request (XDR *, rpc_limit_request*);
 extern  bool_t xdr_rpc_limit_lease (XDR *, rpc_limit_lease*);
@@ -947,6 +956,7 @@
 extern bool_t xdr_rpc_service_room ();
 extern bool_t xdr_rpc_presence ();
 extern bool_t xdr_rpc_grant ();
+extern bool_t xdr_rpc_leaving ();
 extern bool_t xdr_rpc_limited ();
 extern bool_t xdr_rpc_limit_request ();
 extern bool_t xdr_rpc_limit_lease ();
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1181,6 +1181,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_leaving (XDR *xdrs, rpc_leaving *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint_incarnation))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_limited (XDR *xdrs, rpc_limited *objp)
 {
@@ -1567,6 +1579,10 @@
 		 if (!xdr_rpc_limit_reply (xdrs, &objp->rpc_body_u.limit_reply))
 			 return FALSE;
 		break;
+	case RPC_LEAVING:
+		 if (!xdr_rpc_leaving (xdrs, &objp->rpc_body_u.leaving))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -63,7 +63,8 @@
   RPC_FLEET_FOLLOW = 89,
   RPC_ZONE_LOADS = 90,
   RPC_LIMIT_REQUEST = 91,
-  RPC_LIMIT_REPLY = 92
+  RPC_LIMIT_REPLY = 92,
+  RPC_LEAVING = 93
 };
 
 struct rpc_hello {
@@ -553,6 +554,12 @@
   unsigned hyper instance_incarnation;
 };
 
+/* An answer of this incarnation of an endpoint said that it is about to end.  */
+struct rpc_leaving {
+  rpc_name endpoint;
+  unsigned hyper endpoint_incarnation;
+};
+
 /* An incarnation of an endpoint that names a rate limit in its answers.  named
    tells that an answer has named it since the sender's last request, ended that
    an answer to a later request named none.  */
@@ -711,6 +718,7 @@
 case RPC_GRANT: rpc_grant grant;
 case RPC_LIMIT_REQUEST: rpc_limit_request limit_request;
 case RPC_LIMIT_REPLY: rpc_limit_reply limit_reply;
+case RPC_LEAVING: rpc_leaving leaving;
 };
 
 struct rpc_packet {
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -289,6 +289,38 @@
   return status;
 }
 
+/* Handle a message of the entry instance CONN that an endpoint says in its
+   answers that it is about to end.  Only the first one is forwarded.  Other
+   messages are ignored.  */
+void
+fleet_handle_packet (struct state *state, struct jc_rpc_conn *conn,
+                     const struct rpc_packet *packet)
+{
+  const struct rpc_leaving *leaving = &packet->body.rpc_body_u.leaving;
+  const struct jc_endpoint *known;
+  struct rpc_endpoint row = { .leaving = true,
+                              .address = (char *)"",
+                              .service = (char *)"",
+                              .role = (char *)"" };
+
+  if (packet->body.type != RPC_LEAVING
+      || strcmp (jc_rpc_conn_role (conn), "entry") != 0)
+    return;
+  known = jc_endpoints_find (state->fleet->endpoints, leaving->endpoint);
+  if (known == NULL || known->incarnation != leaving->endpoint_incarnation
+      || known->leaving)
+    return;
+  jc_endpoints_mark_leaving (state->fleet->endpoints, known->name,
+                             known->incarnation);
+  jc_event (JC_EVENT_ENDPOINT,
+            "endpoint=%s incarnation=%" PRIu64 " leaving=1 from=%s",
+            known->name, known->incarnation, jc_rpc_conn_name (conn));
+  row.name = known->name;
+  row.incarnation = known->incarnation;
+  row.zone = known->zone;
+  forward_endpoint (state, &row);
+}
+
 /* Send CONN, if it is an entry instance, every endpoint to which it may send
    requests.  Called when it connects or asks for them.  */
 void
--- a/state/main.c
+++ b/state/main.c
@@ -82,6 +82,7 @@
   orders_handle_packet (ctx, conn, packet);
   presence_handle_packet (ctx, conn, packet);
   limits_handle_packet (ctx, conn, packet);
+  fleet_handle_packet (ctx, conn, packet);
   if (packet->body.type != RPC_FLEET_FOLLOW)
     return;
   fleet_send_snapshot (ctx, conn);
--- a/state/state.h
+++ b/state/state.h
@@ -143,6 +143,8 @@
                                     const struct rpc_endpoint *report);
 enum jc_status fleet_handle_leave (struct state *state, const char *name,
                                    uint64_t incarnation);
+void fleet_handle_packet (struct state *state, struct jc_rpc_conn *conn,
+                          const struct rpc_packet *packet);
 void fleet_send_snapshot (struct state *state, struct jc_rpc_conn *conn);
 unsigned int fleet_count (const struct state *state);
 void fleet_request_grants (struct state *state, const char *zone);
