Count a refusal of an endpoint against it in the choice

Callers were refused although another endpoint was free: an endpoint that turns each request away at once is never busy and so remained the first choice, until the retries were spent. Cause: an attempt that ended refused left no trace in the engine model. A refusal now counts like a failure: 300 ms of cost that halves every 2 s, so that the endpoint is the last choice while it refuses and the first one to be tried again soon after. test-engine/refusals failed before (the refusing endpoint was picked beside one with 12 requests in 6 slots).

--- a/serve/engine.c
+++ b/serve/engine.c
@@ -552,7 +552,7 @@
     }
   else if (outcome == JC_ENGINE_UNREACHABLE)
     start_backoff (engine, now_ms);
-  else if (outcome == JC_ENGINE_FAILED)
+  else if (outcome == JC_ENGINE_FAILED || outcome == JC_ENGINE_REFUSED)
     note_failure (engine, now_ms);
   engine_unref (engine);
   g_free (run);
--- a/serve/engineprivate.h
+++ b/serve/engineprivate.h
@@ -52,7 +52,8 @@
    engineprefix.c keeps of each.  RUNNING and UNREAD_TOKENS, the prompt tokens
    not yet prefilled, count this instance's requests only; REPORTED_REQUESTS is
    the engine's own figure.  PLAIN_LATENCY_MS is the average time of plain
-   requests, PLAIN_SERVICE_MS that of those that found a free slot.  */
+   requests, PLAIN_SERVICE_MS that of those that found a free slot.  FAILURES
+   counts failures and refusals, each decaying.  */
 struct engine
 {
   char *name;
--- a/tests/test-engine.c
+++ b/tests/test-engine.c
@@ -324,6 +324,39 @@
   jc_engines_free (engines);
 }
 
+/* Guards against an endpoint that refuses every request at once and so remains
+   the first choice, since it is never busy: retries and callers are used up
+   although another endpoint is free.  */
+static void
+test_refusals (void)
+{
+  struct jc_engines *engines = jc_engines_new ();
+  struct jc_endpoint endpoints[2] = { { .name = (char *)"a", .slots = 6 },
+                                      { .name = (char *)"b", .slots = 6 } };
+  const struct jc_demand plain = { .prompt_tokens = 0 };
+  GPtrArray *list = g_ptr_array_new ();
+  struct jc_engine_run *runs[12];
+
+  g_ptr_array_add (list, &endpoints[0]);
+  g_ptr_array_add (list, &endpoints[1]);
+  for (size_t i = 0; i < G_N_ELEMENTS (runs); i++)
+    runs[i] = jc_engines_start (engines, &endpoints[1], &plain, 0);
+  g_assert_true (jc_engines_pick (engines, list, &plain, 0) == &endpoints[0]);
+  for (int i = 0; i < 2; i++)
+    jc_engine_run_end (jc_engines_start (engines, &endpoints[0], &plain, 0),
+                       JC_ENGINE_REFUSED, 0);
+  g_assert_true (jc_engines_pick (engines, list, &plain, 0) == &endpoints[1]);
+  /* Not for ever, and not if there is no other one.  */
+  g_assert_true (jc_engines_pick (engines, list, &plain, 10000)
+                 == &endpoints[0]);
+  g_ptr_array_set_size (list, 1);
+  g_assert_true (jc_engines_pick (engines, list, &plain, 0) == &endpoints[0]);
+  for (size_t i = 0; i < G_N_ELEMENTS (runs); i++)
+    jc_engine_run_end (runs[i], JC_ENGINE_SERVED, 0);
+  g_ptr_array_free (list, TRUE);
+  jc_engines_free (engines);
+}
+
 /* A run may end after its table was freed.  */
 static void
 test_late_end (void)
@@ -351,6 +384,7 @@
   g_test_add_func ("/engine/long-prompts", test_long_prompts);
   g_test_add_func ("/engine/slow-engine", test_slow_engine);
   g_test_add_func ("/engine/failures", test_failures);
+  g_test_add_func ("/engine/refusals", test_refusals);
   g_test_add_func ("/engine/late-end", test_late_end);
   return g_test_run ();
 }
