--- a/state/main.c
+++ b/state/main.c
@@ -15,6 +15,12 @@
 
 #define LOG_COMPONENT "state"
 
+enum
+{
+  RETRY_START_MS = 500,
+  MS_PER_S = 1000
+};
+
 static void
 on_products_up (void *ctx, struct jc_rpc_conn *conn)
 {
@@ -168,6 +174,8 @@
   return JC_OK;
 }
 
+/* Stop the modules and free what start_modules allocated, so that it can be
+   called again.  */
 static void
 stop_modules (struct state *state)
 {
@@ -188,12 +196,70 @@
   jc_limit_slots_free (state->limit_slots);
   jc_routetable_unref (state->route_table);
   jc_confstate_free (state->confstate);
+  state->rpc = NULL;
+  state->disk = NULL;
+  state->orders = NULL;
+  state->grants = NULL;
+  state->limit_slots = NULL;
+  state->route_table = NULL;
+  state->confstate = NULL;
+  state->config = NULL;
+}
+
+static void
+state_clear (struct state *state)
+{
+  stop_modules (state);
   jc_metrics_free (state->metrics);
   g_ptr_array_free (state->config_subscribers, TRUE);
   g_ptr_array_free (state->order_subscribers, TRUE);
   g_ptr_array_free (state->deferred_calls, TRUE);
 }
 
+static void
+on_retry_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)watcher;
+  (void)events;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+/* Run the event loop for RETRY_START_MS.  Return false if SIGTERM comes
+   meanwhile.  */
+static bool
+wait_to_retry (struct state *state)
+{
+  ev_timer timer;
+  bool due;
+
+  ev_timer_init (&timer, on_retry_timer, (double)RETRY_START_MS / MS_PER_S, 0);
+  ev_timer_start (state->loop, &timer);
+  ev_run (state->loop, 0);
+  due = !ev_is_active (&timer);
+  ev_timer_stop (state->loop, &timer);
+  return due;
+}
+
+/* Start the modules.  Where requests are routed by hosts, a disk that refuses
+   writes is waited for, as it is while the program runs (log.c).  Return
+   JC_CANCELLED if SIGTERM comes meanwhile.  */
+static enum jc_status
+start_when_writable (struct state *state, bool create)
+{
+  enum jc_status status;
+
+  while ((status = start_modules (state, create)) == JC_STORAGE_FAILED
+         && state->disk != NULL && routes_by_hosts (state) && !create)
+    {
+      jc_event (JC_EVENT_STORAGE, "what=start outcome=%s why=\"%.150s\"",
+                jc_status_name (status), jc_last_message ());
+      stop_modules (state);
+      if (!wait_to_retry (state))
+        return JC_CANCELLED;
+    }
+  return status;
+}
+
 static const struct jc_program program
     = { .name = "jaycove-state",
         .purpose = "Keeps the configuration and the ledger on disk.",
@@ -207,6 +273,7 @@
   bool bootstrap;
   int code;
   ev_signal term;
+  enum jc_status status;
 
   if (!jc_program_start (&program, argc, argv, &bootstrap, &settings, &code))
     {
@@ -231,21 +298,22 @@
   ev_signal_init (&term, on_sigterm, SIGTERM);
   ev_signal_start (state.loop, &term);
   jc_signals_unblock ();
-  if (start_modules (&state, bootstrap) == JC_OK)
+  status = start_when_writable (&state, bootstrap);
+  if (status == JC_OK)
     {
       jc_info (LOG_COMPONENT,
                "Started with configuration version %" G_GUINT64_FORMAT ".",
                state.config->version);
       ev_run (state.loop, 0);
     }
-  else
+  else if (status != JC_CANCELLED)
     {
       jc_error (LOG_COMPONENT, "%s", jc_last_message ());
       code = JC_EXIT_FAILED;
     }
   jc_event (JC_EVENT_STOP, "role=state name=%s code=%d", state.settings->name,
             code);
-  stop_modules (&state);
+  state_clear (&state);
   jc_eventflush_stop (state.loop);
   jc_table_unref (program.table, settings);
   return code;
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -4,7 +4,9 @@
 import json
 import os
 import random
+import resource
 import signal
+import subprocess
 import sys
 import time
 
@@ -446,6 +448,35 @@
     assert deliveries, "nothing was sent to the cold endpoint"
 
 
+async def disk_at_start():
+    """A state instance starts on a disk that takes no bytes. It must wait for the disk and come back by itself, and end
+    with 0 on SIGTERM while it waits."""
+    await start_all()
+    os.kill(pid("s3"), 9)
+    command = [os.path.join(sys.argv[3], "jaycove-state"), "--settings", os.path.join(DIR, "s3.json")]
+
+    def fill_disk():
+        resource.setrlimit(resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
+    for stopped in (True, False):
+        process = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, preexec_fn=fill_disk)
+        try:
+            await asyncio.sleep(1.5)
+            assert process.poll() is None, "s3 ended with %s" % process.poll()
+            if stopped:
+                process.terminate()
+                assert process.wait(timeout=30) == 0
+                continue
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+
+            async def read():
+                reply = await ask(ADDRESSES["control"][2], "GET", "/v1/Config.Read")
+                return reply.status == 200 and json.loads(reply.body)["version"] == 3
+            await until("the instance to come back", read)
+        finally:
+            process.kill()
+            process.wait()
+
+
 async def catch_up(changes=1000):
     """Measures how long a restarted state instance takes to catch up with 1,000 changes. It must answer a read itself,
     for which it must have applied all that the leader has."""
@@ -535,4 +566,5 @@
 if __name__ == "__main__":
     use(sys.argv[2])
     asyncio.run({"path": path, "changes": changes, "disk": disk, "drain": drain, "cold": cold, "blocked_log": blocked_log,
+                 "disk_at_start": disk_at_start,
                  "catch_up": catch_up, "counted": counted, "bridges": bridges}[sys.argv[1]]())
