Let the soak's endpoints name limits, ask for pauses and leave in their answers

One endpoint of each service now names a limit of 2 a second all the time, others turn requests away with Retry-After or say in their answers that they leave while their reports don't.

--- a/tests/process/backpressure_standin.py
+++ b/tests/process/backpressure_standin.py
@@ -5,7 +5,6 @@
 import sys
 import time
 
-import hosts_standin
 from hosts_standin import ADDRESSES, ROUTES, Endpoint, configuration, in_force, order, request, use
 
 REQUESTS_PER_S = 40
@@ -30,40 +29,31 @@
 
 
 class Asking(Endpoint):
-    """An endpoint whose answers have the header lines ASKS; with REFUSES they are 503."""
-    asks, refuses = "", False
-
-    def __init__(self, *args, **more):
-        super().__init__(*args, **more)
-        # Requests as (time, entry instance), when an answer with ASKS first went to each instance, and all of them as
-        # (time, entry instance).
-        self.got, self.told, self.asked = [], {}, []
-
-    async def serve_one(self, reader, writer):
-        start, fields = await hosts_standin.read_head(reader)
-        if "content-length" in fields:
-            await hosts_standin.read_body(reader, fields)
-        attempt = fields.get("x-jaycove-attempt-id", "")
-        instance = RECEIVED_BY.get(attempt)
-        self.got.append((time.monotonic(), instance))
-        head = f"X-Jaycove-Attempt-Id: {attempt}\r\nX-Jaycove-Server-Load: 1,0,8\r\n{self.asks}"
-        if fields.get("x-jaycove-expect-instance") != self.name:
-            writer.write(f"HTTP/1.1 421 Misdirected\r\n{head}Content-Length: 0\r\n\r\n".encode())
-            return True
-        if not self.refuses:
-            await asyncio.sleep(WORK_S)
-        if self.refuses:
-            writer.write(f"HTTP/1.1 503 Full\r\n{head}X-Jaycove-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
-        else:
-            writer.write(f"HTTP/1.1 200 OK\r\n{head}X-Jaycove-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok".encode())
-        if self.asks:
-            self.told.setdefault(instance, time.monotonic())
-            self.asked.append((time.monotonic(), instance))
-        return True
+    """An endpoint of which the test knows which entry instance sent each request."""
+    work_s = WORK_S
+
+    @property
+    def got(self):
+        """Requests as (time, entry instance)."""
+        return [(t, RECEIVED_BY.get(attempt)) for t, attempt, _ in self.received]
+
+    @property
+    def asked(self):
+        """Answers that asked for something as (time, entry instance)."""
+        return [(t, RECEIVED_BY.get(attempt)) for t, attempt, asks in self.received if asks]
+
+    @property
+    def told(self):
+        """When each entry instance first got such an answer."""
+        first = {}
+        for t, instance in self.asked:
+            first.setdefault(instance, t)
+        return first
 
     def from_told(self, after_s):
         """The times of requests from entry instances that had been told AFTER_S before."""
-        return [t for t, instance in self.got if t >= self.told.get(instance, t + 1) + after_s]
+        told = self.told
+        return [t for t, instance in self.got if t >= told.get(instance, t + 1) + after_s]
 
 
 class Callers:
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -80,6 +80,10 @@
     stall_at, stall_s = None, 0
     # How the next plain requests are answered, at whichever endpoint: "fail" or "refuse".
     next_answers = []
+    # Header lines of all answers that ask for less work; with REFUSES requests are turned away.
+    asks, refuses = "", False
+    # Time that a request takes before its answer begins.
+    work_s = 0
 
     def __init__(self, name, service, zone, events=6, pause_s=0.02, cold_s=0):
         self.name, self.service, self.zone = name, service, zone
@@ -87,6 +91,8 @@
         self.state, self.sequence, self.born = "ready", 0, int(time.time() * 1000)
         self.ran, self.writers, self.fail_next = [], set(), 0
         self.cold_until, self.arrived = time.monotonic() + cold_s, []
+        # Requests that were meant for this endpoint: time, attempt id and what the answer asked for.
+        self.received = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -133,12 +139,15 @@
         start, fields = await read_head(reader)
         body, _ = await read_body(reader, fields) if "content-length" in fields else (b"", True)
         attempt = fields.get("x-jaycove-attempt-id", "")
-        head = f"X-Jaycove-Attempt-Id: {attempt}\r\nX-Jaycove-Server-Load: 1,0,8\r\n"
+        head = f"X-Jaycove-Attempt-Id: {attempt}\r\nX-Jaycove-Server-Load: 1,0,8\r\n{self.asks}"
         if fields.get("x-jaycove-expect-instance") != self.name:
             writer.write(f"HTTP/1.1 421 Misdirected\r\n{head}Content-Length: 0\r\n\r\n".encode())
             return True
+        self.received.append((time.monotonic(), attempt, self.asks))
+        if not self.refuses:
+            await asyncio.sleep(self.work_s)
         answer = Endpoint.next_answers.pop(0) if self.service == "plain" and Endpoint.next_answers else ""
-        if answer == "refuse":
+        if answer == "refuse" or self.refuses:
             writer.write(f"HTTP/1.1 503 Full\r\n{head}X-Jaycove-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
             return True
         self.ran.append((attempt, start, body, fields))
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../scripts"))
 import port  # noqa: E402
@@ -33,6 +34,8 @@
         json.dump(settings, open(self.settings_file, "w"))
         self.log = open(os.path.join(fleet.dir, name + ".log"), "ab")
         self.process, self.paused, self.stopping, self.exits = None, False, False, []
+        # Times at which it was paused, resumed or ended.
+        self.disturbed = []
 
     def start(self):
         self.process = subprocess.Popen([self.program, "--settings", self.settings_file], stdout=self.log,
@@ -45,6 +48,7 @@
 
     def set_paused(self, paused):
         self.paused = paused
+        self.disturbed.append(time.monotonic())
         self.send_signal(signal.SIGSTOP if paused else signal.SIGCONT)
 
     def set_disk_full(self, full):
@@ -56,6 +60,7 @@
             code = self.process.poll()
             if code is not None:
                 self.exits.append((code, self.stopping))
+                self.disturbed.append(time.monotonic())
                 await asyncio.sleep(RESTART_DELAY_S)
                 self.start()
             await asyncio.sleep(0.05)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,12 @@
 LOST_ANSWER_RATIO = 0.03
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 STREAM_EVENTS = 8
+# What endpoints ask for in their answers: the limit of some, in requests per second, and the pause of those that refuse.
+LIMIT_PER_S = 2.0
+PAUSE_S = 2.0
+# An entry instance keeps to a limit or a pause this long after it was told; a limit holds for all of them together this
+# long after the endpoint named it first, in windows of this length, with this excess and slack.
+HEARD_S, CONTACT_S, WINDOW_S, EXCESS, SLACK = 0.5, 6.0, 4.0, 1.5, 5
 
 
 class Results:
@@ -53,6 +59,8 @@
     def __init__(self, name, service, zone, rand):
         super().__init__(name, service, zone, events=STREAM_EVENTS, pause_s=0.03)
         self.rand, self.fault = rand, ""
+        # Times at which its link was impaired or became whole again.
+        self.disturbed = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -67,6 +75,7 @@
             start, fields = await standin.read_head(reader)
             if fields.get("x-jaycove-expect-instance") == self.name:
                 self.ran.append((fields.get("x-jaycove-attempt-id", ""), start, b"", fields))
+                self.received.append((time.monotonic(), fields.get("x-jaycove-attempt-id", ""), ""))
             await asyncio.sleep(0.01 if lost else 5)
             return False
         if self.fault == "errors" and self.rand.random() < 0.5:
@@ -91,6 +100,8 @@
         self.fleet = Fleet(build, self.dir, net)
         self.results, self.endpoints, self.stopped_endpoints = Results(), [], []
         self.version, self.acknowledged_version, self.last_id, self.outcomes = 3, 3, 0, {}
+        # When and to which entry instance each attempt was sent.
+        self.sent = {}
         self.faults_stopping, self.recovered, self.callers_stopping = False, False, False
 
     # Requests of callers and the checks of their answers.
@@ -107,6 +118,7 @@
             address = self.rand.choice(standin.ADDRESSES["entries"])
             conn = await asyncio.wait_for(asyncio.open_connection(*address.rsplit(":", 1)), 5)
         reader, writer = conn
+        self.sent[attempt] = (started, "%s:%s" % writer.get_extra_info("peername")[:2])
         writer.write((f"{method} /{kind}/a HTTP/1.1\r\nHost: site.example\r\nX-Jaycove-Attempt-Id: {attempt}\r\n"
                       f"X-Jaycove-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\nContent-Length: 0\r\n\r\n").encode())
         start, fields = await asyncio.wait_for(standin.read_head(reader), DEADLINE_S + LATE_TOLERANCE_S + 5)
@@ -219,14 +231,17 @@
                 process.set_disk_full(False)
 
     async def impair_link(self, duration_s):
-        relay = self.rand.choice(self.endpoints).relay
-        relay.fault = self.rand.choice(["stall", "stall_replies", "delay", "refuse"])
+        endpoint = self.rand.choice(self.endpoints)
+        endpoint.disturbed.append(time.monotonic())
+        endpoint.relay.fault = self.rand.choice(["stall", "stall_replies", "delay", "refuse"])
         await asyncio.sleep(duration_s)
-        relay.fault = ""
+        endpoint.relay.fault = ""
+        endpoint.disturbed.append(time.monotonic())
 
     async def reset_links(self, duration_s):
         for endpoint in self.endpoints:
             if self.rand.random() < 0.5:
+                endpoint.disturbed.append(time.monotonic())
                 endpoint.relay.abort_all()
 
     async def endpoint_fault(self, duration_s):
@@ -275,6 +290,31 @@
             self.results.count("fault " + fault.__name__)
             await fault(0.3 + 2 * self.rand.random())
 
+    async def run_asks(self):
+        """Endpoints ask for less in their answers: one of each service names a limit all the time, others turn requests
+        away for a while or say that they leave, which their reports don't. Draws from a generator of its own."""
+        rand = random.Random(self.seed + 1)
+        for endpoint in self.endpoints[:2]:
+            endpoint.asks = f"Server-Limit: {LIMIT_PER_S}\r\n"
+        while not self.faults_stopping:
+            await asyncio.sleep(0.5 + rand.random())
+            endpoint = rand.choice(self.endpoints)
+            others = [e for e in self.endpoints if e.service == endpoint.service and not e.asks and e != endpoint]
+            if endpoint.asks or not others:
+                continue
+            if rand.random() < 0.6:
+                endpoint.asks, endpoint.refuses = f"Retry-After: {PAUSE_S}\r\n", True
+                await asyncio.sleep(0.5 + rand.random())
+                endpoint.asks, endpoint.refuses = "", False
+            else:
+                endpoint.asks = "Server-Leaving: 1\r\n"
+                await asyncio.sleep(DRAIN_GRACE_S + 1.5)
+                if endpoint in self.endpoints:
+                    self.endpoints[self.endpoints.index(endpoint)] = await self.start_endpoint(endpoint.service,
+                                                                                               endpoint.zone)
+                    endpoint.task.cancel()
+                    self.stopped_endpoints.append(endpoint)
+
     # Recovery, checks at the end and the whole run.
 
     def end_faults(self):
@@ -284,6 +324,7 @@
                 process.set_disk_full(False)
         for endpoint in self.endpoints:
             endpoint.fault, endpoint.relay.fault, endpoint.state = "", "", "ready"
+            endpoint.asks, endpoint.refuses = "", False
 
     async def wait_for_recovery(self):
         """Waits until each entry instance serves all kinds of requests and the latest configuration is readable."""
@@ -317,6 +358,47 @@
         for names in (n for a, n in runs.items() if a not in self.outcomes):
             self.results.count("ran, caller got no answer")
 
+    def is_calm(self, endpoint, address, since, until):
+        """Whether the link of ENDPOINT and the entry instance at ADDRESS were not disturbed from SINCE to UNTIL. Answers
+        and requests that are on their way over a link when it stalls may arrive much later or never."""
+        process = self.fleet.entries[standin.ADDRESSES["entries"].index(address)]
+        return not any(since - 1 <= t <= until for t in endpoint.disturbed + process.disturbed)
+
+    def check_asks(self):
+        """Checks that what endpoints asked for in their answers was kept, as far as it had been heard."""
+        for endpoint in set(self.endpoints + self.stopped_endpoints):
+            got = [(t, asks, *self.sent[a]) for t, a, asks in endpoint.received if a in self.sent]
+            self.check_limit(endpoint, got)
+            for told, asks, _, address in got:
+                later = [(t, sent) for t, _, sent, to in got if to == address and sent > told + HEARD_S
+                         and self.is_calm(endpoint, address, told, t)]
+                if asks.startswith("Retry-After"):
+                    early = sum(1 for t, sent in later if t < told + PAUSE_S)
+                    self.results.check(early <= 2, "pause kept", f"{early} from {address} to {endpoint.name}")
+                if asks.startswith("Server-Leaving"):
+                    late = sum(1 for _, sent in later if sent > told + DRAIN_GRACE_S)
+                    self.results.check(not late, "leave kept", f"{late} from {address} to {endpoint.name}")
+
+    def check_limit(self, endpoint, got):
+        """Checks the limit that ENDPOINT named in every window over all entry instances together. GOT has its requests:
+        time, what the answer asked for, when the caller sent it and to which entry instance."""
+        first = next((t for t, asks, _, _ in got if asks.startswith("Server-Limit")), None)
+        if first is None:
+            return
+        counted = []
+        for t, _, _, address in got:
+            told = [u for u, asks, _, to in got if to == address and asks.startswith("Server-Limit")
+                    and u <= t - HEARD_S and self.is_calm(endpoint, address, u, t)]
+            if told:
+                counted.append(t)
+        for end in counted:
+            if end < first + CONTACT_S:
+                continue
+            self.results.count("limit windows")
+            most = sum(1 for t in counted if end - WINDOW_S < t <= end)
+            self.results.check(most <= EXCESS * WINDOW_S * LIMIT_PER_S + SLACK, "limit kept",
+                               f"{most} to {endpoint.name} in {WINDOW_S} s")
+
     def check_exits(self):
         for process in self.fleet.states + self.fleet.entries:
             for code, stopping in process.exits:
@@ -335,6 +417,7 @@
         callers = [asyncio.create_task(self.run_caller(i)) for i in range(CALLERS)]
         background = [asyncio.create_task(self.run_operator())]
         background += [asyncio.create_task(self.run_faults()) for _ in range(3)]
+        background.append(asyncio.create_task(self.run_asks()))
         await asyncio.sleep(self.seconds)
         self.faults_stopping = True
         await cancel_all(background)
@@ -350,6 +433,7 @@
             endpoint.relay.abort_all()
         await asyncio.sleep(0.1)
         self.check_executions()
+        self.check_asks()
         self.check_exits()
 
     def close(self, keep):
