Wake a state instance for limits only while there are any

The timer that gathers changes of slots ran ten times a second at each state instance, also where no endpoint names a limit; wake-ups are paid for. Changes are now proposed 100 ms after the first of them, and the cleanup of unused slots runs each second while there are slots. It also forgets the entry instances that request nothing any more, whose table grew with each name that was ever seen.

--- a/state/limits.c
+++ b/state/limits.c
@@ -20,18 +20,20 @@
   /* A lease is reported to an instance that requested slots here within this
      time.  */
   REQUESTER_MS = 2 * JC_LIMIT_LEASE_MS,
+  STRINGS_BLOCK_BYTES = 1024,
   MS_PER_S = 1000
 };
 
-/* CHANGES are to be proposed next; their strings are in STRINGS.  REQUESTED_MS
-   maps names of entry instances to when they requested slots here last.  */
+/* CHANGES are to be proposed when PROPOSE_TIMER ends; their strings are in
+   STRINGS.  REQUESTED_MS maps names of entry instances to when they requested
+   slots here last.  CLEANUP_TIMER runs while there are slots.  */
 struct limits
 {
   GArray *changes;
   GStringChunk *strings;
   GHashTable *requested_ms;
-  int64_t cleanup_ms;
-  ev_timer timer;
+  ev_timer propose_timer;
+  ev_timer cleanup_timer;
 };
 
 static void
@@ -45,14 +47,14 @@
 
 /* Propose the changes that have gathered.  */
 static void
-propose_changes (struct state *state)
+on_propose_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
+  struct state *state = watcher->data;
   struct limits *limits = state->limits;
-  GString *data;
+  GString *data = jc_limit_changes_encode (limits->changes);
 
-  if (limits->changes->len == 0)
-    return;
-  data = jc_limit_changes_encode (limits->changes);
+  (void)loop;
+  (void)events;
   g_array_set_size (limits->changes, 0);
   g_string_chunk_clear (limits->strings);
   log_propose (state, LOG_LIMITS, jc_str_from_gstring (data), on_proposed,
@@ -60,10 +62,21 @@
   g_string_free (data, TRUE);
 }
 
+static void
+start_timer (struct state *state, ev_timer *timer, int64_t delay_ms)
+{
+  if (ev_is_active (timer))
+    return;
+  ev_timer_set (timer, (double)delay_ms / MS_PER_S, 0);
+  ev_timer_start (state->loop, timer);
+}
+
 /* Add CHANGES to those that are proposed next.  */
 static void
-gather_changes (struct limits *limits, const GArray *changes)
+gather_changes (struct state *state, const GArray *changes)
 {
+  struct limits *limits = state->limits;
+
   for (guint i = 0; i < changes->len && limits->changes->len < CHANGES_MAX; i++)
     {
       struct rpc_limit_change change
@@ -75,10 +88,21 @@
           = g_string_chunk_insert_const (limits->strings, change.instance);
       g_array_append_val (limits->changes, change);
     }
+  if (limits->changes->len > 0)
+    start_timer (state, &limits->propose_timer, PROPOSE_INTERVAL_MS);
 }
 
+static gboolean
+is_old_request (gpointer key, gpointer value, gpointer now_ms)
+{
+  (void)key;
+  return *(const int64_t *)now_ms - *(const int64_t *)value > REQUESTER_MS;
+}
+
+/* Forget instances that request nothing any more.  The leader removes slots
+   that nobody uses.  */
 static void
-on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+on_cleanup_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct state *state = watcher->data;
   struct limits *limits = state->limits;
@@ -87,33 +111,35 @@
 
   (void)loop;
   (void)events;
-  if (log_is_leader (state) && now - limits->cleanup_ms >= CLEANUP_INTERVAL_MS)
+  g_hash_table_foreach_remove (limits->requested_ms, is_old_request, &now);
+  if (log_is_leader (state))
     {
-      limits->cleanup_ms = now;
       changes = g_array_new (FALSE, FALSE, sizeof (struct rpc_limit_change));
       jc_limit_slots_plan_cleanup (state->limit_slots, now, changes);
-      gather_changes (limits, changes);
+      gather_changes (state, changes);
       g_array_free (changes, TRUE);
     }
-  propose_changes (state);
+  if (jc_limit_slots_count (state->limit_slots) > 0)
+    start_timer (state, &limits->cleanup_timer, CLEANUP_INTERVAL_MS);
 }
 
 /* Start the module.  */
 void
 limits_start (struct state *state)
 {
-  double interval_s = (double)PROPOSE_INTERVAL_MS / MS_PER_S;
   struct limits *limits = g_new0 (struct limits, 1);
 
   limits->changes
       = g_array_new (FALSE, FALSE, sizeof (struct rpc_limit_change));
-  limits->strings = g_string_chunk_new (1024);
+  limits->strings = g_string_chunk_new (STRINGS_BLOCK_BYTES);
   limits->requested_ms
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   state->limits = limits;
-  ev_timer_init (&limits->timer, on_timer, interval_s, interval_s);
-  limits->timer.data = state;
-  ev_timer_start (state->loop, &limits->timer);
+  ev_init (&limits->propose_timer, on_propose_timer);
+  limits->propose_timer.data = state;
+  ev_init (&limits->cleanup_timer, on_cleanup_timer);
+  limits->cleanup_timer.data = state;
+  start_timer (state, &limits->cleanup_timer, CLEANUP_INTERVAL_MS);
 }
 
 /* Stop the module.  */
@@ -124,7 +150,8 @@
 
   if (limits == NULL)
     return;
-  ev_timer_stop (state->loop, &limits->timer);
+  ev_timer_stop (state->loop, &limits->propose_timer);
+  ev_timer_stop (state->loop, &limits->cleanup_timer);
   g_array_free (limits->changes, TRUE);
   g_string_chunk_free (limits->strings);
   g_hash_table_destroy (limits->requested_ms);
@@ -167,7 +194,7 @@
   jc_limit_slots_plan (state->limit_slots, &holder,
                        &packet->body.rpc_body_u.limit_request, now, changes,
                        ended);
-  gather_changes (state->limits, changes);
+  gather_changes (state, changes);
   send_ended (conn, ended);
   g_array_free (changes, TRUE);
   g_array_free (ended, TRUE);
@@ -219,7 +246,10 @@
                   " op=%d slot=%u instance=%s revision=%" PRIu64,
                   change->endpoint, change->endpoint_incarnation, change->op,
                   change->slot, change->instance, change->revision);
-        if (change->op == RPC_LIMIT_LEASE && state->limits != NULL)
+        if (state->limits == NULL)
+          continue;
+        start_timer (state, &state->limits->cleanup_timer, CLEANUP_INTERVAL_MS);
+        if (change->op == RPC_LIMIT_LEASE)
           report_lease (state, change);
       }
   xdr_free ((xdrproc_t)xdr_rpc_limit_changes, (char *)&changes);
