Report pauses to the other instances of the region

Callers paid with a retry in each instance: an endpoint that wants a pause turned each of them away in turn. Instances now report their pauses with the full loads, twice a second, to their zone, and one of each zone to the others; an endpoint that another instance was told to spare is the last choice for as long as that is reported, not excluded: each instance keeps its own pauses alone, so that a report that is wrong or lost breaks nothing. The messages between entry instances change.

--- a/entry/backpressure.c
+++ b/entry/backpressure.c
@@ -187,6 +187,61 @@
     }
 }
 
+/* Append to ROWS, an array of struct rpc_pause, the pauses of this instance,
+   and with WHOLE_ZONE those of its zone.  */
+void
+backpressure_append_pauses (const struct router *router, bool whole_zone,
+                            GArray *rows)
+{
+  GArray *pauses = g_array_new (FALSE, FALSE, sizeof (struct jc_pause_report));
+
+  jc_pauses_list (router->pauses, whole_zone, jc_boot_ms (), pauses);
+  for (guint i = 0; i < pauses->len; i++)
+    {
+      const struct jc_pause_report *pause
+          = &g_array_index (pauses, struct jc_pause_report, i);
+      const struct jc_endpoint *endpoint
+          = jc_endpoints_find (router->endpoints, pause->endpoint);
+      struct rpc_pause row = { .left_ms = (u_int)pause->left_ms };
+
+      if (endpoint == NULL || endpoint->incarnation != pause->incarnation)
+        continue;
+      row.tag = endpoint->tag;
+      g_array_append_val (rows, row);
+    }
+  g_array_free (pauses, TRUE);
+}
+
+/* Apply the pauses in LOADS, a report of another instance, which is of this
+   zone if IN_ZONE.  */
+void
+backpressure_handle_pauses (struct router *router,
+                            const struct rpc_loads *loads, bool in_zone)
+{
+  for (u_int i = 0; i < loads->pauses.pauses_len; i++)
+    {
+      const struct rpc_pause *row = &loads->pauses.pauses_val[i];
+      const struct jc_endpoint *endpoint
+          = jc_endpoints_find_by_tag (router->endpoints, row->tag);
+      struct jc_pause_report report = { .left_ms = row->left_ms };
+
+      if (endpoint == NULL)
+        continue;
+      report.endpoint = endpoint->name;
+      report.incarnation = endpoint->incarnation;
+      jc_pauses_note_report (router->pauses, &report, in_zone, jc_boot_ms ());
+    }
+}
+
+/* Return whether no other instance reported that ENDPOINT pauses.  */
+bool
+backpressure_is_unreported (const struct router *router,
+                            const struct jc_endpoint *endpoint)
+{
+  return !jc_pauses_is_reported (router->pauses, endpoint->name,
+                                 endpoint->incarnation, jc_boot_ms ());
+}
+
 /* Request slots from the state instance that this instance gets its orders
    from, if a request is due.  A draining instance leaves them to others.  */
 void
--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -92,26 +92,35 @@
             now_ms - endpoint->reported_ms);
 }
 
-/* Remove from ENDPOINTS those in zones whose network path is closed, unless
-   that would leave none.  */
+static bool
+is_in_reachable_zone (const struct router *router,
+                      const struct jc_endpoint *endpoint)
+{
+  return jc_paths_is_open (router->paths, endpoint->zone);
+}
+
+/* Remove from ENDPOINTS those that IS_GOOD returns false for, unless that would
+   leave none.  */
 static void
-drop_unreachable_zones (const struct router *router, GPtrArray *endpoints)
+prefer_endpoints (const struct router *router, GPtrArray *endpoints,
+                  bool (*is_good) (const struct router *router,
+                                   const struct jc_endpoint *endpoint))
 {
-  GPtrArray *reachable = g_ptr_array_new ();
+  GPtrArray *good = g_ptr_array_new ();
 
   for (guint i = 0; i < endpoints->len; i++)
     {
       struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
 
-      if (jc_paths_is_open (router->paths, endpoint->zone))
-        g_ptr_array_add (reachable, endpoint);
+      if (is_good (router, endpoint))
+        g_ptr_array_add (good, endpoint);
     }
-  if (reachable->len > 0 && reachable->len < endpoints->len)
+  if (good->len > 0 && good->len < endpoints->len)
     {
       g_ptr_array_set_size (endpoints, 0);
-      g_ptr_array_extend (endpoints, reachable, NULL, NULL);
+      g_ptr_array_extend (endpoints, good, NULL, NULL);
     }
-  g_ptr_array_free (reachable, TRUE);
+  g_ptr_array_free (good, TRUE);
 }
 
 /* Append to OUT the endpoints of the service NAME that may get a request now
@@ -140,7 +149,9 @@
           || !accepts (router, endpoint))
         g_ptr_array_remove_index (out, i - 1);
     }
-  drop_unreachable_zones (router, out);
+  prefer_endpoints (router, out, is_in_reachable_zone);
+  if (jc_pauses_has_reports (router->pauses))
+    prefer_endpoints (router, out, backpressure_is_unreported);
 }
 
 /* Return true if the path to NEIGHBOUR's zone is open and NEIGHBOUR itself is
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -186,6 +186,7 @@
   GArray *rows;
   GArray *parts;
   GArray *paths;
+  GArray *pauses;
 };
 
 static void
@@ -196,6 +197,7 @@
   update->rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
   update->parts = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
   update->paths = g_array_new (FALSE, FALSE, sizeof (struct rpc_path_closed));
+  update->pauses = g_array_new (FALSE, FALSE, sizeof (struct rpc_pause));
 }
 
 /* Point LOADS, a part of UPDATE's packet, to its arrays.  */
@@ -208,6 +210,8 @@
   loads->parts.parts_len = update->parts->len;
   loads->paths.paths_val = (struct rpc_path_closed *)update->paths->data;
   loads->paths.paths_len = update->paths->len;
+  loads->pauses.pauses_val = (struct rpc_pause *)update->pauses->data;
+  loads->pauses.pauses_len = update->pauses->len;
 }
 
 static void
@@ -216,6 +220,7 @@
   g_array_free (update->rows, TRUE);
   g_array_free (update->parts, TRUE);
   g_array_free (update->paths, TRUE);
+  g_array_free (update->pauses, TRUE);
 }
 
 /* Send PEERS the loads that changed, or all of them with FULL, which is sent
@@ -235,6 +240,8 @@
   jc_engines_collect_loads (router->engines, full, now, update.rows,
                             update.parts);
   paths_append_closed (router, update.paths);
+  if (full)
+    backpressure_append_pauses (router, false, update.pauses);
   update_fill (&update, loads);
   for (guint i = 0; i < peers->len && (update.rows->len > 0 || full); i++)
     jc_rpc_send (g_ptr_array_index (peers, i), &update.packet);
@@ -279,6 +286,8 @@
   zone_loads->loads.full = full;
   jc_engines_collect_zone_loads (router->engines, full, now, update.rows,
                                  update.parts);
+  if (full)
+    backpressure_append_pauses (router, true, update.pauses);
   update_fill (&update, &zone_loads->loads);
   if (update.rows->len > 0 || full)
     send_to_other_zones (router, &update.packet);
@@ -323,6 +332,7 @@
 
   jc_engines_apply_zone_loads (router->engines, zone_loads->zone,
                                &zone_loads->loads, now);
+  backpressure_handle_pauses (router, &zone_loads->loads, false);
   if (is_zone_peer (router, conn))
     {
       jc_forwarding_record (router->zone_forwarders, zone_loads->zone,
@@ -360,4 +370,5 @@
   jc_engines_apply_loads (router->engines, jc_rpc_conn_name (conn), loads,
                           jc_now_ms ());
   paths_reported (router, jc_rpc_conn_name (conn), loads);
+  backpressure_handle_pauses (router, loads, true);
 }
--- a/entry/router.h
+++ b/entry/router.h
@@ -167,6 +167,12 @@
                               const struct jc_endpoint *endpoint);
 void backpressure_handle_reply (struct router *router,
                                 const struct rpc_limit_reply *reply);
+void backpressure_append_pauses (const struct router *router, bool whole_zone,
+                                 GArray *rows);
+void backpressure_handle_pauses (struct router *router,
+                                 const struct rpc_loads *loads, bool in_zone);
+bool backpressure_is_unreported (const struct router *router,
+                                 const struct jc_endpoint *endpoint);
 void backpressure_tick (struct router *router);
 
 /* answersizes: usual sizes of each route's plain answers.  */
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -736,6 +736,12 @@
 };
 typedef struct rpc_path_closed rpc_path_closed;
 
+struct rpc_pause {
+	u_quad_t tag;
+	u_int left_ms;
+};
+typedef struct rpc_pause rpc_pause;
+
 struct rpc_loads {
 	bool_t full;
 	struct {
@@ -750,6 +756,10 @@
 		u_int paths_len;
 		rpc_path_closed *paths_val;
 	} paths;
+	struct {
+		u_int pauses_len;
+		rpc_pause *pauses_val;
+	} pauses;
 };
 typedef struct rpc_loads rpc_loads;
 
@@ -890,6 +900,7 @@
 extern  bool_t xdr_rpc_load (XDR *, rpc_load*);
 extern  bool_t xdr_rpc_part_read (XDR *, rpc_part_read*);
 extern  bool_t xdr_rpc_path_closed (XDR *, rpc_path_closed*);
+extern  bool_t xdr_rpc_pause (XDR *, rpc_pause*);
 extern  bool_t xdr_rpc_loads (XDR *, rpc_loads*);
 extern  bool_t xdr_rpc_zone_loads (XDR *, rpc_zone_loads*);
 extern  bool_t xdr_rpc_body (XDR *, rpc_body*);
@@ -969,6 +980,7 @@
 extern bool_t xdr_rpc_load ();
 extern bool_t xdr_rpc_part_read ();
 extern bool_t xdr_rpc_path_closed ();
+extern bool_t xdr_rpc_pause ();
 extern bool_t xdr_rpc_loads ();
 extern bool_t xdr_rpc_zone_loads ();
 extern bool_t xdr_rpc_body ();
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1370,6 +1370,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_pause (XDR *xdrs, rpc_pause *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->tag))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_loads (XDR *xdrs, rpc_loads *objp)
 {
@@ -1386,6 +1398,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->paths.paths_val, (u_int *) &objp->paths.paths_len, 64,
 		sizeof (rpc_path_closed), (xdrproc_t) xdr_rpc_path_closed))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->pauses.pauses_val, (u_int *) &objp->pauses.pauses_len, 4096,
+		sizeof (rpc_pause), (xdrproc_t) xdr_rpc_pause))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -651,8 +651,6 @@
   unsigned hyper part;
 };
 
-/* Rows that changed since the sender told last; full has all of them.  parts
-   are those shared ones of which nobody told lately.  */
 /* A zone that its sender could not reach for age_ms.  */
 struct rpc_path_closed {
   rpc_name zone;
@@ -660,11 +658,22 @@
   unsigned int age_ms;
 };
 
+/* An endpoint turned a request of the sender, or of its zone, away and wants no
+   other one from there for left_ms.  tag is of its name and incarnation.  */
+struct rpc_pause {
+  unsigned hyper tag;
+  unsigned int left_ms;
+};
+
+/* Rows that changed since the sender told last; full has all of them.  parts
+   are those shared ones of which nobody told lately,
+   pauses those that last, where full is set.  */
 struct rpc_loads {
   bool full;
   rpc_load rows<4096>;
   rpc_part_read parts<4096>;
   rpc_path_closed paths<64>;
+  rpc_pause pauses<4096>;
 };
 
 /* Loads of all entry instances of a zone together.  */
--- a/tests/test-pauses.c
+++ b/tests/test-pauses.c
@@ -72,6 +72,46 @@
   jc_pauses_free (pauses);
 }
 
+/* Guards against each instance of a region being turned away in turn: a pause
+   that one of them got makes the endpoint the last choice of all, but reports
+   of reports don't keep it alive.  */
+static void
+test_reports (void)
+{
+  struct jc_pauses *first = jc_pauses_new ();
+  struct jc_pauses *second = jc_pauses_new ();
+  struct jc_pauses *third = jc_pauses_new ();
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct jc_pause_report));
+
+  jc_pauses_begin (first, "e", 1, 6000, 0);
+  jc_pauses_list (first, false, 100, rows);
+  g_assert_cmpuint (rows->len, ==, 1);
+  g_assert_false (jc_pauses_is_reported (second, "e", 1, 100));
+  jc_pauses_note_report (
+      second, &g_array_index (rows, struct jc_pause_report, 0), true, 100);
+  g_assert_true (jc_pauses_is_reported (second, "e", 1, 1599));
+  g_assert_false (jc_pauses_is_reported (second, "e", 1, 1600));
+  g_assert_false (jc_pauses_is_reported (second, "e", 2, 100));
+  g_assert_true (may_send (second, 100));
+  /* The reporter of the zone tells other zones, and only of its own zone.  */
+  g_array_set_size (rows, 0);
+  jc_pauses_list (second, false, 200, rows);
+  g_assert_cmpuint (rows->len, ==, 0);
+  jc_pauses_list (second, true, 200, rows);
+  g_assert_cmpuint (rows->len, ==, 1);
+  g_assert_cmpint (g_array_index (rows, struct jc_pause_report, 0).left_ms, ==,
+                   5800);
+  jc_pauses_note_report (
+      third, &g_array_index (rows, struct jc_pause_report, 0), false, 200);
+  g_array_set_size (rows, 0);
+  jc_pauses_list (third, true, 200, rows);
+  g_assert_cmpuint (rows->len, ==, 0);
+  g_array_free (rows, TRUE);
+  jc_pauses_free (first);
+  jc_pauses_free (second);
+  jc_pauses_free (third);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -79,5 +119,6 @@
   g_test_add_func ("/pauses/kept", test_pause_is_kept);
   g_test_add_func ("/pauses/ends", test_what_ends_a_pause);
   g_test_add_func ("/pauses/one-request-after", test_one_request_after_a_pause);
+  g_test_add_func ("/pauses/reports", test_reports);
   return g_test_run ();
 }
