Fuzz what endpoints ask for in their answers

The parsers of Server-Limit, Retry-After and Server-Leaving read untrusted bytes and had tests of chosen values only.

--- a/tests/test-fuzz.c
+++ b/tests/test-fuzz.c
@@ -25,6 +25,8 @@
         "X-Jaycove-Deadline-Ms: 1200\r\nLast-Event-Id: 12\r\n\r\n",
         "POST /x HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
         "Connection: keep-alive, x\r\nX: \r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nServer-Limit: 1.25\r\nRetry-After: 6\r\n"
+        "Server-Leaving: 1\r\nX-Jaycove-Warmup-Ms: 70\r\n\r\n",
         NULL };
 static const char *const head_dictionary[]
     = { "\r\n",
@@ -45,6 +47,11 @@
         "\r\n\r\n",
         "X-Jaycove-Prompt-Prefix: a:9,b:9\r\n",
         "99999999999",
+        "Server-Limit: ",
+        "Retry-After: ",
+        "1e999",
+        "nan",
+        ".",
         NULL };
 
 static int
@@ -146,6 +153,22 @@
   g_assert_cmpint (request.resume_after, >=, -1);
 }
 
+/* What an endpoint asks for in an answer with these fields is within bounds,
+   whatever their values.  */
+static void
+check_answer (struct jc_head *head)
+{
+  struct jc_answer_info answer;
+
+  head->status = 503;
+  platform_parse_answer (head, &answer);
+  g_assert_true (answer.limit_per_s >= 0 ? answer.limit_per_s <= 1e6
+                                         : answer.limit_per_s > -1.5);
+  g_assert_cmpint (answer.pause_ms, >=, -1);
+  g_assert_cmpint (answer.pause_ms, <=, 3600000);
+  g_assert_cmpint (answer.cold_ms, >=, -1);
+}
+
 /* A head that is accepted gives the length of its body at most once, as counted
    in the unparsed bytes, and a copy of it has the same fields.  */
 static void
@@ -159,6 +182,7 @@
     {
       check_fields (&head);
       check_prompt (&head);
+      check_answer (&head);
       bytes.len = head.len;
       if (jc_head_has_clear_length (&head))
         g_assert_cmpuint (count_lines_with (bytes, "Content-Length")
