--- a/base/journal.c
+++ b/base/journal.c
@@ -157,8 +157,19 @@
   return status;
 }
 
-/* Append RECORD, which is durable after a successful jc_journal_sync.  After
-   any failure the content on disk is unknown, so all later operations on
+/* Return JC_TOO_LARGE if RECORD could not be read again.  */
+static enum jc_status
+check_size (const struct jc_journal *journal, struct jc_str record)
+{
+  if (record.len <= RECORD_BYTES_MAX)
+    return JC_OK;
+  return jc_fail (JC_TOO_LARGE, "A record of %zu bytes is too large for %s.",
+                  record.len, journal->name);
+}
+
+/* Append RECORD, which is durable after a successful jc_journal_sync.  Return
+   JC_TOO_LARGE, and write nothing, if it is longer than RECORD_BYTES_MAX. After
+   any other failure the content on disk is unknown, so all later operations on
    JOURNAL return JC_STORAGE_FAILED.  */
 enum jc_status
 jc_journal_append (struct jc_journal *journal, struct jc_str record)
@@ -168,6 +179,9 @@
 
   if (journal->failed)
     return jc_fail (JC_STORAGE_FAILED, "%s has failed.", journal->name);
+  status = check_size (journal, record);
+  if (status != JC_OK)
+    return journal_note_status (journal, status);
   bytes = g_byte_array_new ();
   record_encode (bytes, record);
   status = journal->disk->klass->append (
@@ -189,7 +203,8 @@
 }
 
 /* Replace all records by RECORDS, whose elements are pointers to struct jc_str.
-   The replacement is atomic, and durable on return.  */
+   The replacement is atomic, and durable on return.  Return JC_TOO_LARGE, and
+   replace nothing, if one is longer than RECORD_BYTES_MAX.  */
 enum jc_status
 jc_journal_rewrite (struct jc_journal *journal, const GPtrArray *records)
 {
@@ -198,6 +213,13 @@
 
   if (journal->failed)
     return jc_fail (JC_STORAGE_FAILED, "%s has failed.", journal->name);
+  for (guint i = 0; i < records->len; i++)
+    {
+      status = check_size (
+          journal, *(const struct jc_str *)g_ptr_array_index (records, i));
+      if (status != JC_OK)
+        return journal_note_status (journal, status);
+    }
   bytes = g_byte_array_new ();
   for (guint i = 0; i < records->len; i++)
     record_encode (bytes,
--- a/tests/test-journal.c
+++ b/tests/test-journal.c
@@ -8,7 +8,8 @@
   /* Length and checksum in front of each record.  */
   HEADER_BYTES = 4 + 16,
   /* The record "second" with its header.  */
-  SECOND_BYTES = HEADER_BYTES + 6
+  SECOND_BYTES = HEADER_BYTES + 6,
+  RECORD_BYTES_MAX = 64 * 1024 * 1024
 };
 
 static enum jc_status
@@ -112,6 +113,44 @@
   disk->klass->free (disk);
 }
 
+/* Guards against a record that can be written but not read: a start would
+   truncate it, though it was acknowledged, or refuse the file.  */
+static void
+test_too_large_record (void)
+{
+  char *bytes = g_malloc0 (RECORD_BYTES_MAX + 1);
+  struct jc_str record = { .data = bytes, .len = RECORD_BYTES_MAX + 1 };
+  GPtrArray *records = g_ptr_array_new ();
+
+  g_ptr_array_add (records, &record);
+  for (int rewrite = 0; rewrite < 2; rewrite++)
+    {
+      struct jc_disk *disk = fakedisk_new ();
+      GString *read = g_string_new (NULL);
+      enum jc_status status;
+      struct jc_journal *journal
+          = jc_journal_open (disk, "log", append_record, read, &status);
+      char *text;
+
+      jc_journal_append (journal, JC_STR_LIT ("first"));
+      g_assert_cmpint (jc_journal_sync (journal), ==, JC_OK);
+      g_assert_cmpint (rewrite ? jc_journal_rewrite (journal, records)
+                               : jc_journal_append (journal, record),
+                       ==, JC_TOO_LARGE);
+      /* Nothing that follows may be taken for durable.  */
+      g_assert_cmpint (jc_journal_sync (journal), ==, JC_STORAGE_FAILED);
+      jc_journal_free (journal);
+      text = read_records (disk, &status);
+      g_assert_cmpint (status, ==, JC_OK);
+      g_assert_cmpstr (text, ==, "first");
+      g_free (text);
+      g_string_free (read, TRUE);
+      disk->klass->free (disk);
+    }
+  g_ptr_array_free (records, TRUE);
+  g_free (bytes);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -119,5 +158,6 @@
   g_test_add_func ("/torn-tail", test_torn_tail);
   g_test_add_func ("/damaged-record", test_damaged_record);
   g_test_add_func ("/failed-sync", test_failed_sync);
+  g_test_add_func ("/too-large-record", test_too_large_record);
   return g_test_run ();
 }
