Drop single grants of cold endpoints, not all with their counts

State instances send all grants again when they are reconnected, so a cold endpoint could get the whole share twice in a second, and all others lost their grant until then. The grant of the endpoint that started first goes instead; it is the least likely to be cold still, and an endpoint without a grant gets nothing. test-budget/cold-with-many-grants failed before (the newest endpoint had lost its grant and counts) and passes.

--- a/serve/budget.c
+++ b/serve/budget.c
@@ -16,8 +16,9 @@
      separately.  */
   COLD_GRANTS_MAX = 2,
   COLD_WINDOW_MS = 1000,
-  /* As many as the table of grants in the log keeps.  An endpoint whose grant
-     was dropped here gets no requests from this instance while cold.  */
+  /* As many as the table of grants in the log keeps.  Beyond that the grants of
+     the endpoints that started first are dropped; these get no requests from
+     this instance while cold.  */
   COLD_ENDPOINTS_MAX = 4096
 };
 
@@ -184,6 +185,31 @@
   return true;
 }
 
+/* Drop the grant of the endpoint that started first: incarnations are start
+   times.  */
+static void
+drop_oldest_grant (struct jc_budgets *budgets)
+{
+  uint64_t oldest_incarnation = UINT64_MAX;
+  gpointer oldest = NULL;
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, budgets->cold_endpoints);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const struct cold_endpoint *cold_endpoint = value;
+
+      if (cold_endpoint->granted_incarnation >= oldest_incarnation)
+        continue;
+      oldest_incarnation = cold_endpoint->granted_incarnation;
+      oldest = name;
+    }
+  if (oldest != NULL)
+    g_hash_table_remove (budgets->cold_endpoints, oldest);
+}
+
 static struct cold_endpoint *
 cold_endpoint_get (struct jc_budgets *budgets, const char *endpoint)
 {
@@ -193,7 +219,7 @@
   if (cold_endpoint != NULL)
     return cold_endpoint;
   if (g_hash_table_size (budgets->cold_endpoints) >= COLD_ENDPOINTS_MAX)
-    g_hash_table_remove_all (budgets->cold_endpoints);
+    drop_oldest_grant (budgets);
   cold_endpoint = g_new0 (struct cold_endpoint, 1);
   jc_window_init (&cold_endpoint->sent_window, COLD_WINDOW_MS);
   g_hash_table_insert (budgets->cold_endpoints, g_strdup (endpoint),
--- a/tests/test-budget.c
+++ b/tests/test-budget.c
@@ -15,6 +15,8 @@
   SLACK = 54,
   MANY_INSTANCES_SLACK = 186,
   SECONDS = 60,
+  /* As many grants as an instance keeps.  */
+  COLD_GRANTS = 4096,
   MS_PER_S = 1000,
   ROUNDS = 40
 };
@@ -183,6 +185,41 @@
   g_rand_free (rand);
 }
 
+/* Guards against a full table of grants that is emptied together with the
+   counts of what was sent: an endpoint whose grant comes again then gets the
+   whole bound once more.  */
+static void
+test_cold_with_many_grants (void)
+{
+  struct jc_budgets *owner = jc_budgets_new (&settings);
+  unsigned int sent = 0;
+
+  for (uint64_t i = 1; i < COLD_GRANTS; i++)
+    {
+      char name[16];
+
+      g_snprintf (name, sizeof name, "old%u", (unsigned int)i);
+      jc_budgets_grant (owner, name, i);
+    }
+  for (int round = 0; round < 2; round++)
+    {
+      jc_budgets_grant (owner, "e", COLD_GRANTS);
+      while (jc_budgets_may_send_cold (owner, "e", COLD_GRANTS, 2.1, 0))
+        {
+          jc_budgets_note_cold_send (owner, "e", 0);
+          sent++;
+        }
+      jc_budgets_grant (owner, "new", COLD_GRANTS + 1);
+    }
+  g_assert_cmpuint (sent, >, 0);
+  g_assert_cmpfloat (sent, <=, cold_bound () / 2);
+  /* The grants of the endpoints that started first were dropped.  */
+  g_assert_false (jc_budgets_may_send_cold (owner, "old1", 1, 2.1, 0));
+  g_assert_true (
+      jc_budgets_may_send_cold (owner, "new", COLD_GRANTS + 1, 2.1, 0));
+  jc_budgets_free (owner);
+}
+
 /* The instances of a region, the incarnation of their processes, and the grants
    in the log.  A grant to the incarnation GRANTED_TO reaches it at
    GRANT_ARRIVES_MS.  */
@@ -562,6 +599,7 @@
   g_test_add_func ("/budget/retries-in-every-window",
                    test_retries_in_every_window);
   g_test_add_func ("/budget/cold-in-every-second", test_cold_in_every_second);
+  g_test_add_func ("/budget/cold-with-many-grants", test_cold_with_many_grants);
   g_test_add_func ("/budget/cold-while-region-returns",
                    test_cold_while_region_returns);
   g_test_add_func ("/budget/cold-without-heartbeats",
