--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -62,6 +62,28 @@
   g_ptr_array_free (faults, TRUE);
 }
 
+/* Guards against large numbers that are cut to other ones: a maximum of
+   attempts of 0, or a timeout of none.  */
+static void
+test_large_numbers (void)
+{
+  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+  struct jc_routetable *table = platform_parse_routes (
+      JC_STR_LIT (
+          CONFIG (ROUTE (",\"max-attempts\":4294967296,\"priority\":1e300,"
+                         "\"slo-ms\":1e300,\"service\":\"s\""))),
+      faults);
+  const struct jc_hostroute *route;
+
+  g_assert_cmpuint (faults->len, ==, 0);
+  route = jc_routetable_find (table, "a.example", "/x/1");
+  g_assert_cmpuint (route->endpoints_max, ==, INT32_MAX);
+  g_assert_cmpuint (route->priority, ==, INT32_MAX);
+  g_assert_cmpint (route->objective_ms, >, INT32_MAX);
+  jc_routetable_unref (table);
+  g_ptr_array_free (faults, TRUE);
+}
+
 static void
 test_invalid_configurations (void)
 {
@@ -360,6 +382,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/platform/configuration", test_configuration);
+  g_test_add_func ("/platform/large-numbers", test_large_numbers);
   g_test_add_func ("/platform/invalid-configurations",
                    test_invalid_configurations);
   g_test_add_func ("/platform/reports", test_reports);
