--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -362,6 +362,35 @@
     }
 }
 
+/* Guards against a load header with signs, exponents or leftovers that makes an
+   endpoint look full for ever.  */
+static void
+test_malformed_loads (void)
+{
+  static const char *const values[]
+      = { "",       "3",      "3,1",    "-1,0,8", "3,-1,8", "+3,1,8",
+          "3,1,8x", "3,1,8,", " 3,1,8", "a,b,c",  "3;1;8",  "1e9,0,8" };
+  struct jc_head_field field = { "X-Jaycove-Server-Load", "3, 1, 8" };
+  struct jc_head head = make_head (&field, 1);
+  struct jc_answer_info answer;
+
+  platform_parse_answer (&head, &answer);
+  g_assert_true (answer.has_load);
+  g_assert_cmpuint (answer.slots, ==, 8);
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      field.value = values[i];
+      head = make_head (&field, 1);
+      platform_parse_answer (&head, &answer);
+      g_assert_false (answer.has_load);
+    }
+  field.value = "99999999999999999999,0,8";
+  head = make_head (&field, 1);
+  platform_parse_answer (&head, &answer);
+  g_assert_true (answer.has_load);
+  g_assert_cmpuint (answer.running, ==, UINT32_MAX);
+}
+
 static void
 test_event_ids (void)
 {
@@ -395,6 +424,7 @@
   g_test_add_func ("/platform/answer-limits", test_answer_limits);
   g_test_add_func ("/platform/answer-pauses-and-leaves",
                    test_answer_pauses_and_leaves);
+  g_test_add_func ("/platform/malformed-loads", test_malformed_loads);
   g_test_add_func ("/platform/event-ids", test_event_ids);
   return g_test_run ();
 }
