Refuse ports with signs or spaces in settings

A port must begin with a digit now. test-base/addresses, nine bad and two good addresses, failed before at the first of them.

--- a/base/fields.c
+++ b/base/fields.c
@@ -54,7 +54,7 @@
   long port;
   bool ok;
 
-  if (colon == NULL || colon[1] == '\0')
+  if (colon == NULL || !g_ascii_isdigit (colon[1]))
     return false;
   host = g_strndup (text, (gsize)(colon - text));
   ok = inet_pton (AF_INET, host, &ip) == 1;
--- a/tests/test-base.c
+++ b/tests/test-base.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include <string.h>
+
 #include "base/metrics.h"
 #include "base/status.h"
 #include "schema/gen/objects.h"
@@ -44,6 +46,39 @@
   json_decref (json);
 }
 
+/* Return whether the settings' RPC address TEXT is reported as an error.  */
+static bool
+is_bad_address (const char *text)
+{
+  json_t *json = json_pack ("{s:s}", "rpc", text);
+  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+  void *settings
+      = jc_table_parse (&jc_entry_settings_table, json, "settings", faults);
+  bool bad = false;
+
+  for (guint i = 0; i < faults->len; i++)
+    bad = bad || strstr (g_ptr_array_index (faults, i), "IP number") != NULL;
+  jc_table_unref (&jc_entry_settings_table, settings);
+  g_ptr_array_free (faults, TRUE);
+  json_decref (json);
+  return bad;
+}
+
+/* Guards against ports that are no decimal number, which were taken for one. */
+static void
+test_addresses (void)
+{
+  static const char *const bad[]
+      = { "127.0.0.1:+5", "127.0.0.1: 5",    "127.0.0.1:-0",
+          "127.0.0.1:",   "127.0.0.1:70000", "127.0.0.1:5x",
+          "127.0.0.1",    "localhost:5",     "127.0.0.1:99999999999999999999" };
+
+  g_assert_false (is_bad_address ("127.0.0.1:5"));
+  g_assert_false (is_bad_address ("127.0.0.1:65535"));
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    g_assert_true (is_bad_address (bad[i]));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -51,5 +86,6 @@
   g_test_add_func ("/histogram-quantiles", test_histogram_quantiles);
   g_test_add_func ("/status-names", test_status_names);
   g_test_add_func ("/settings-errors", test_settings_errors);
+  g_test_add_func ("/addresses", test_addresses);
   return g_test_run ();
 }
