--- a/entry/backpressure.c
+++ b/entry/backpressure.c
@@ -216,11 +216,11 @@
    zone if IN_ZONE.  */
 void
 backpressure_handle_pauses (struct router *router,
-                            const struct rpc_loads *loads, bool in_zone)
+                            const struct rpc_pauses *pauses, bool in_zone)
 {
-  for (u_int i = 0; i < loads->pauses.pauses_len; i++)
+  for (u_int i = 0; i < pauses->list.list_len; i++)
     {
-      const struct rpc_pause *row = &loads->pauses.pauses_val[i];
+      const struct rpc_pause *row = &pauses->list.list_val[i];
       const struct jc_endpoint *endpoint
           = jc_endpoints_find_by_tag (router->endpoints, row->tag);
       struct jc_pause_report report = { .left_ms = row->left_ms };
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -186,7 +186,6 @@
   GArray *rows;
   GArray *parts;
   GArray *paths;
-  GArray *pauses;
 };
 
 static void
@@ -197,7 +196,6 @@
   update->rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_load));
   update->parts = g_array_new (FALSE, FALSE, sizeof (struct rpc_part_read));
   update->paths = g_array_new (FALSE, FALSE, sizeof (struct rpc_path_closed));
-  update->pauses = g_array_new (FALSE, FALSE, sizeof (struct rpc_pause));
 }
 
 /* Point LOADS, a part of UPDATE's packet, to its arrays.  */
@@ -210,8 +208,6 @@
   loads->parts.parts_len = update->parts->len;
   loads->paths.paths_val = (struct rpc_path_closed *)update->paths->data;
   loads->paths.paths_len = update->paths->len;
-  loads->pauses.pauses_val = (struct rpc_pause *)update->pauses->data;
-  loads->pauses.pauses_len = update->pauses->len;
 }
 
 static void
@@ -220,7 +216,6 @@
   g_array_free (update->rows, TRUE);
   g_array_free (update->parts, TRUE);
   g_array_free (update->paths, TRUE);
-  g_array_free (update->pauses, TRUE);
 }
 
 /* Send PEERS the loads that changed, or all of them with FULL, which is sent
@@ -240,8 +235,6 @@
   jc_engines_collect_loads (router->engines, full, now, update.rows,
                             update.parts);
   paths_append_closed (router, update.paths);
-  if (full)
-    backpressure_append_pauses (router, false, update.pauses);
   update_fill (&update, loads);
   for (guint i = 0; i < peers->len && (update.rows->len > 0 || full); i++)
     jc_rpc_send (g_ptr_array_index (peers, i), &update.packet);
@@ -286,14 +279,33 @@
   zone_loads->loads.full = full;
   jc_engines_collect_zone_loads (router->engines, full, now, update.rows,
                                  update.parts);
-  if (full)
-    backpressure_append_pauses (router, true, update.pauses);
   update_fill (&update, &zone_loads->loads);
   if (update.rows->len > 0 || full)
     send_to_other_zones (router, &update.packet);
   update_clear (&update);
 }
 
+/* Send the pauses of this instance to PEERS, or with WHOLE_ZONE those of its
+   zone to the other zones of the region.  */
+static void
+send_pauses (struct router *router, const GPtrArray *peers, bool whole_zone)
+{
+  struct rpc_packet packet = { .body.type = RPC_PAUSES };
+  struct rpc_pauses *pauses = &packet.body.rpc_body_u.pauses;
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_pause));
+
+  backpressure_append_pauses (router, whole_zone, rows);
+  pauses->zone
+      = whole_zone ? router->entry->settings->availability_zone : (char *)"";
+  pauses->list.list_val = (struct rpc_pause *)rows->data;
+  pauses->list.list_len = rows->len;
+  if (rows->len > 0 && whole_zone)
+    send_to_other_zones (router, &packet);
+  for (guint i = 0; i < peers->len && rows->len > 0 && !whole_zone; i++)
+    jc_rpc_send (g_ptr_array_index (peers, i), &packet);
+  g_array_free (rows, TRUE);
+}
+
 /* Send load reports if the interval is over.  */
 void
 loads_tick (struct router *router)
@@ -314,34 +326,29 @@
           update_bridges (router, now);
         }
       send_to_zone_peers (router, peers, full, now);
+      if (full)
+        send_pauses (router, peers, false);
       if (is_zone_reporter (router, peers, now))
-        send_zone_loads (router, full, now);
+        {
+          send_zone_loads (router, full, now);
+          if (full)
+            send_pauses (router, peers, true);
+        }
     }
   g_ptr_array_free (peers, TRUE);
 }
 
-/* Apply the loads of another zone.  If they came from that zone directly,
-   forward them to the peers in this zone, unless another instance does.  */
+/* Forward PACKET, which CONN sent about ZONE, another one, to the peers in this
+   zone if it came from there directly, unless another instance does.  */
 static void
-handle_zone_loads (struct router *router, struct jc_rpc_conn *conn,
-                   const struct rpc_packet *packet)
+forward_to_zone (struct router *router, struct jc_rpc_conn *conn,
+                 const char *zone, const struct rpc_packet *packet)
 {
-  const struct rpc_zone_loads *zone_loads = &packet->body.rpc_body_u.zone_loads;
-  int64_t now = jc_now_ms ();
   GPtrArray *peers;
 
-  jc_engines_apply_zone_loads (router->engines, zone_loads->zone,
-                               &zone_loads->loads, now);
-  backpressure_handle_pauses (router, &zone_loads->loads, false);
-  if (is_zone_peer (router, conn))
-    {
-      jc_forwarding_record (router->zone_forwarders, zone_loads->zone,
-                            jc_rpc_conn_name (conn),
-                            router->entry->settings->name, now);
-      return;
-    }
-  if (jc_forwarding_done_by_other (router->zone_forwarders, zone_loads->zone,
-                                   now))
+  if (is_zone_peer (router, conn)
+      || jc_forwarding_done_by_other (router->zone_forwarders, zone,
+                                      jc_now_ms ()))
     return;
   peers = list_zone_peers (router);
   for (guint i = 0; i < peers->len; i++)
@@ -353,6 +360,37 @@
   g_ptr_array_free (peers, TRUE);
 }
 
+/* Apply the loads of another zone and forward them.  */
+static void
+handle_zone_loads (struct router *router, struct jc_rpc_conn *conn,
+                   const struct rpc_packet *packet)
+{
+  const struct rpc_zone_loads *zone_loads = &packet->body.rpc_body_u.zone_loads;
+  int64_t now = jc_now_ms ();
+
+  jc_engines_apply_zone_loads (router->engines, zone_loads->zone,
+                               &zone_loads->loads, now);
+  if (is_zone_peer (router, conn))
+    jc_forwarding_record (router->zone_forwarders, zone_loads->zone,
+                          jc_rpc_conn_name (conn),
+                          router->entry->settings->name, now);
+  forward_to_zone (router, conn, zone_loads->zone, packet);
+}
+
+/* Apply the pauses of another instance, and forward them if they are those of
+   another zone.  */
+static void
+handle_pauses (struct router *router, struct jc_rpc_conn *conn,
+               const struct rpc_packet *packet)
+{
+  const struct rpc_pauses *pauses = &packet->body.rpc_body_u.pauses;
+  bool of_zone = pauses->zone[0] != '\0';
+
+  backpressure_handle_pauses (router, pauses, !of_zone);
+  if (of_zone)
+    forward_to_zone (router, conn, pauses->zone, packet);
+}
+
 /* Handle a load report of another entry instance in this region; other messages
    are ignored.  */
 void
@@ -365,10 +403,11 @@
     return;
   if (packet->body.type == RPC_ZONE_LOADS)
     handle_zone_loads (router, conn, packet);
+  if (packet->body.type == RPC_PAUSES)
+    handle_pauses (router, conn, packet);
   if (packet->body.type != RPC_LOADS)
     return;
   jc_engines_apply_loads (router->engines, jc_rpc_conn_name (conn), loads,
                           jc_now_ms ());
   paths_reported (router, jc_rpc_conn_name (conn), loads);
-  backpressure_handle_pauses (router, loads, true);
 }
--- a/entry/router.h
+++ b/entry/router.h
@@ -170,7 +170,7 @@
 void backpressure_append_pauses (const struct router *router, bool whole_zone,
                                  GArray *rows);
 void backpressure_handle_pauses (struct router *router,
-                                 const struct rpc_loads *loads, bool in_zone);
+                                 const struct rpc_pauses *pauses, bool in_zone);
 bool backpressure_is_unreported (const struct router *router,
                                  const struct jc_endpoint *endpoint);
 void backpressure_tick (struct router *router);
--- a/net/rpctraffic.c
+++ b/net/rpctraffic.c
@@ -50,6 +50,7 @@
   [RPC_LIMIT_REQUEST] = "limit_request",
   [RPC_LIMIT_REPLY] = "limit_reply",
   [RPC_LEAVING] = "leaving",
+  [RPC_PAUSES] = "pauses",
   [RPC_FLEET_FOLLOW] = "fleet_follow",
   [RPC_ZONE_LOADS] = "zone_loads",
 };
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -82,6 +82,7 @@
 	RPC_LIMIT_REQUEST = 91,
 	RPC_LIMIT_REPLY = 92,
 	RPC_LEAVING = 93,
+	RPC_PAUSES = 94,
 };
 typedef enum rpc_type rpc_type;
 
@@ -736,12 +737,6 @@
 };
 typedef struct rpc_path_closed rpc_path_closed;
 
-struct rpc_pause {
-	u_quad_t tag;
-	u_int left_ms;
-};
-typedef struct rpc_pause rpc_pause;
-
 struct rpc_loads {
 	bool_t full;
 	struct {
@@ -756,10 +751,6 @@
 		u_int paths_len;
 		rpc_path_closed *paths_val;
 	} paths;
-	struct {
-		u_int pauses_len;
-		rpc_pause *pauses_val;
-	} pauses;
 };
 typedef struct rpc_loads rpc_loads;
 
@@ -769,6 +760,21 @@
 };
 typedef struct rpc_zone_loads rpc_zone_loads;
 
+struct rpc_pause {
+	u_quad_t tag;
+	u_int left_ms;
+};
+typedef struct rpc_pause rpc_pause;
+
+struct rpc_pauses {
+	rpc_name zone;
+	struct {
+		u_int list_len;
+		rpc_pause *list_val;
+	} list;
+};
+typedef struct rpc_pauses rpc_pauses;
+
 struct rpc_body {
 	rpc_type type;
 	union {
@@ -814,6 +820,7 @@
 		rpc_limit_request limit_request;
 		rpc_limit_reply limit_reply;
 		rpc_leaving leaving;
+		rpc_pauses pauses;
 	} rpc_body_u;
 };
 typedef struct rpc_body rpc_body;
@@ -900,9 +907,10 @@
 extern  bool_t xdr_rpc_load (XDR *, rpc_load*);
 extern  bool_t xdr_rpc_part_read (XDR *, rpc_part_read*);
 extern  bool_t xdr_rpc_path_closed (XDR *, rpc_path_closed*);
-extern  bool_t xdr_rpc_pause (XDR *, rpc_pause*);
 extern  bool_t xdr_rpc_loads (XDR *, rpc_loads*);
 extern  bool_t xdr_rpc_zone_loads (XDR *, rpc_zone_loads*);
+extern  bool_t xdr_rpc_pause (XDR *, rpc_pause*);
+extern  bool_t xdr_rpc_pauses (XDR *, rpc_pauses*);
 extern  bool_t xdr_rpc_body (XDR *, rpc_body*);
 extern  bool_t xdr_rpc_packet (XDR *, rpc_packet*);
 
@@ -980,9 +988,10 @@
 extern bool_t xdr_rpc_load ();
 extern bool_t xdr_rpc_part_read ();
 extern bool_t xdr_rpc_path_closed ();
-extern bool_t xdr_rpc_pause ();
 extern bool_t xdr_rpc_loads ();
 extern bool_t xdr_rpc_zone_loads ();
+extern bool_t xdr_rpc_pause ();
+extern bool_t xdr_rpc_pauses ();
 extern bool_t xdr_rpc_body ();
 extern bool_t xdr_rpc_packet ();
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1370,18 +1370,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_rpc_pause (XDR *xdrs, rpc_pause *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_quad_t (xdrs, &objp->tag))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->left_ms))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_rpc_loads (XDR *xdrs, rpc_loads *objp)
 {
@@ -1398,9 +1386,6 @@
 	 if (!xdr_array (xdrs, (char **)&objp->paths.paths_val, (u_int *) &objp->paths.paths_len, 64,
 		sizeof (rpc_path_closed), (xdrproc_t) xdr_rpc_path_closed))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->pauses.pauses_val, (u_int *) &objp->pauses.pauses_len, 4096,
-		sizeof (rpc_pause), (xdrproc_t) xdr_rpc_pause))
-		 return FALSE;
 	return TRUE;
 }
 
@@ -1416,6 +1401,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_pause (XDR *xdrs, rpc_pause *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->tag))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_pauses (XDR *xdrs, rpc_pauses *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, 4096,
+		sizeof (rpc_pause), (xdrproc_t) xdr_rpc_pause))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_body (XDR *xdrs, rpc_body *objp)
 {
@@ -1598,6 +1608,10 @@
 		 if (!xdr_rpc_leaving (xdrs, &objp->rpc_body_u.leaving))
 			 return FALSE;
 		break;
+	case RPC_PAUSES:
+		 if (!xdr_rpc_pauses (xdrs, &objp->rpc_body_u.pauses))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -64,7 +64,8 @@
   RPC_ZONE_LOADS = 90,
   RPC_LIMIT_REQUEST = 91,
   RPC_LIMIT_REPLY = 92,
-  RPC_LEAVING = 93
+  RPC_LEAVING = 93,
+  RPC_PAUSES = 94
 };
 
 struct rpc_hello {
@@ -658,22 +659,13 @@
   unsigned int age_ms;
 };
 
-/* An endpoint turned a request of the sender, or of its zone, away and wants no
-   other one from there for left_ms.  tag is of its name and incarnation.  */
-struct rpc_pause {
-  unsigned hyper tag;
-  unsigned int left_ms;
-};
-
 /* Rows that changed since the sender told last; full has all of them.  parts
-   are those shared ones of which nobody told lately,
-   pauses those that last, where full is set.  */
+   are those shared ones of which nobody told lately.  */
 struct rpc_loads {
   bool full;
   rpc_load rows<4096>;
   rpc_part_read parts<4096>;
   rpc_path_closed paths<64>;
-  rpc_pause pauses<4096>;
 };
 
 /* Loads of all entry instances of a zone together.  */
@@ -682,6 +674,20 @@
   rpc_loads loads;
 };
 
+/* An endpoint turned a request away and wants no other one from there for
+   left_ms.  tag is of its name and incarnation.  */
+struct rpc_pause {
+  unsigned hyper tag;
+  unsigned int left_ms;
+};
+
+/* Pauses of all entry instances of zone, or, where that is empty, of the
+   sender.  */
+struct rpc_pauses {
+  rpc_name zone;
+  rpc_pause list<4096>;
+};
+
 union rpc_body switch (rpc_type type) {
 case RPC_HELLO: rpc_hello hello;
 case RPC_HELLO_ACK: rpc_hello hello_ack;
@@ -728,6 +734,7 @@
 case RPC_LIMIT_REQUEST: rpc_limit_request limit_request;
 case RPC_LIMIT_REPLY: rpc_limit_reply limit_reply;
 case RPC_LEAVING: rpc_leaving leaving;
+case RPC_PAUSES: rpc_pauses pauses;
 };
 
 struct rpc_packet {
