--- a/entry/answer.c
+++ b/entry/answer.c
@@ -72,12 +72,12 @@
                      (gpointer)exchange->target_region);
 }
 
-/* Update the endpoint of the current attempt from its answer: its load, its
-   lease, when it is warm, and what it asks for.  Status 421 means that its
-   address now belongs to another endpoint, so it is marked as leaving.  An
-   answer of an earlier incarnation tells nothing about this one.  */
+/* Update the endpoint of the current attempt from its answer with STATUS: its
+   load, its lease, when it is warm, and what it asks for.  Status 421 means
+   that its address now belongs to another endpoint, so it is marked as leaving.
+   An answer of an earlier incarnation tells nothing about this one.  */
 static void
-update_endpoint (struct exchange *exchange)
+update_endpoint (struct exchange *exchange, int status)
 {
   struct jc_endpoint *endpoint
       = jc_endpoints_find (exchange->router->endpoints, exchange->target_name);
@@ -89,7 +89,7 @@
                              now);
   if (endpoint == NULL || endpoint->incarnation != exchange->target_incarnation)
     return;
-  if (exchange->answer_head.status == HTTP_MISDIRECTED)
+  if (status == HTTP_MISDIRECTED)
     {
       jc_endpoints_mark_leaving (exchange->router->endpoints, endpoint->name,
                                  endpoint->incarnation);
@@ -135,7 +135,7 @@
     }
   exchange->answer_info.endpoint = NULL;
   if (!exchange->remote)
-    update_endpoint (exchange);
+    update_endpoint (exchange, head->status);
 }
 
 static void
--- a/entry/backpressure.c
+++ b/entry/backpressure.c
@@ -212,8 +212,8 @@
   g_array_free (pauses, TRUE);
 }
 
-/* Apply the pauses in LOADS, a report of another instance, which is of this
-   zone if IN_ZONE.  */
+/* Apply PAUSES, which another instance of this zone reported if IN_ZONE, else
+   another zone.  */
 void
 backpressure_handle_pauses (struct router *router,
                             const struct rpc_pauses *pauses, bool in_zone)
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -26,10 +26,10 @@
    table that ROUTE belongs to.  TRIED holds the names of the targets of all
    attempts, AVOIDED_REGIONS other regions that an attempt did not reach or that
    refused.  TARGET_NAME, in TARGET_ZONE of TARGET_REGION, is where the current
-   attempt goes; REMOTE means that it is an entry instance of another region. An
-   endpoint's incarnation is in TARGET_INCARNATION.
-   ANY_SENT means that some attempt sent the request.  SEND_NUMBER is that of
-   the current attempt for jc_backpressure_note_answer.  ANSWER_HEAD is that of
+   attempt goes; REMOTE means that it is an entry instance of another region.
+   TARGET_INCARNATION is that of the endpoint.  ANY_SENT means that some attempt
+   sent the request.  SEND_NUMBER is that of the current attempt for
+   jc_backpressure_note_answer.  ANSWER_HEAD is that of
    the first attempt whose answer the caller was shown, or of the last attempt.
    FALLBACK_HEAD and FALLBACK_BODY are an endpoint's own failure, which the
    caller gets if no further attempt does better; FALLBACK_REMOTE means that it
--- a/tests/process/backpressure_standin.py
+++ b/tests/process/backpressure_standin.py
@@ -5,7 +5,7 @@
 import sys
 import time
 
-from hosts_standin import ADDRESSES, ROUTES, Endpoint, configuration, in_force, order, request, use
+from hosts_standin import ADDRESSES, ROUTES, Endpoint, ask, configuration, in_force, order, request, until, use
 
 REQUESTS_PER_S = 40
 # Time that an endpoint takes for a request; one alone is then busy for most of its slots.
@@ -167,6 +167,39 @@
     callers.check()
 
 
+async def misdirected():
+    """A stream is resumed at an address that now belongs to another endpoint, which answers 421 and names a limit. That
+    is nobody's limit, and the endpoint that was meant is gone."""
+    first = await Endpoint("first", "engine", "z1", events=2).start()
+    await order("/v1/Config.Replace", configuration(3, ROUTES))
+    entry, operators = ADDRESSES["entries"][0], ADDRESSES["operators"][0]
+    await in_force([entry], "/stream/x", 200)
+
+    async def metric(name):
+        text = (await ask(operators, "GET", "/metrics")).body.decode()
+        return next(int(line.rsplit(" ", 1)[1]) for line in text.splitlines() if line.startswith(name + "{}"))
+    # These earn the retry.
+    for _ in range(20):
+        assert (await request(entry, "POST", "/stream/x")).status == 200
+    first.events, first.pause_s = 40, 0.1
+    begun = asyncio.Event()
+    stream = asyncio.create_task(request(entry, "POST", "/stream/a", on_chunk=lambda _: begun.set()))
+    await begun.wait()
+    second = await Endpoint("second", "engine", "z1").start()
+
+    async def both_known():
+        return await metric("jaycove_endpoints") == 2
+    await until("both endpoints to be known", both_known)
+    second.asks, second.name = "Server-Limit: 1\r\n", "other"
+    second.task.cancel()
+    first.crash()
+    reply = await stream
+    assert not reply.whole and second.misdirected == 1, second.misdirected
+    limited = await metric("jaycove_limited_endpoints")
+    print("%d limited endpoints" % limited, flush=True)
+    assert limited == 0
+
+
 if __name__ == "__main__":
     use(sys.argv[2])
-    asyncio.run({"limit": limit, "pause": pause, "leaving": leaving}[sys.argv[1]]())
+    asyncio.run({"limit": limit, "pause": pause, "leaving": leaving, "misdirected": misdirected}[sys.argv[1]]())
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -93,6 +93,8 @@
         self.cold_until, self.arrived = time.monotonic() + cold_s, []
         # Requests that were meant for this endpoint: time, attempt id and what the answer asked for.
         self.received = []
+        # Requests that were meant for another endpoint.
+        self.misdirected = 0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -141,6 +143,7 @@
         attempt = fields.get("x-jaycove-attempt-id", "")
         head = f"X-Jaycove-Attempt-Id: {attempt}\r\nX-Jaycove-Server-Load: 1,0,8\r\n{self.asks}"
         if fields.get("x-jaycove-expect-instance") != self.name:
+            self.misdirected += 1
             writer.write(f"HTTP/1.1 421 Misdirected\r\n{head}Content-Length: 0\r\n\r\n".encode())
             return True
         self.received.append((time.monotonic(), attempt, self.asks))
