--- a/entry/answer.c
+++ b/entry/answer.c
@@ -342,6 +342,41 @@
                      (gpointer)exchange->target_region);
 }
 
+/* Log that the endpoint broke off the current attempt, and what other requests
+   may share with it.  */
+static void
+log_broken (const struct exchange *exchange)
+{
+  GString *fingerprints = g_string_new (NULL);
+
+  jc_fingerprints_append_text (&exchange->fingerprints, fingerprints);
+  jc_event (JC_EVENT_BROKEN,
+            "id=%s endpoint=%s incarnation=%" PRIu64 " ms=%" PRId64
+            " event_ms_ago=%" PRId64 " fingerprints=%s",
+            exchange_id (exchange), exchange->target_name,
+            exchange->target_incarnation,
+            jc_now_ms () - exchange->attempt_started_ms,
+            exchange->last_event_ms >= exchange->attempt_started_ms
+                ? jc_now_ms () - exchange->last_event_ms
+                : -1,
+            fingerprints->str);
+  g_string_free (fingerprints, TRUE);
+  jc_metrics_counter_add (exchange->router->entry->metrics,
+                          "jaycove_broken_attempts_total", "", 1);
+}
+
+/* Return whether the endpoint broke off the attempt that ended with RESULT, as
+   one does that crashes.  */
+static bool
+is_broken_off (const struct exchange *exchange,
+               const struct jc_relay_result *result,
+               const struct jc_httpc_call_result *call)
+{
+  return !exchange->remote && result->sent && !result->whole && !result->late
+         && !call->host_unreachable
+         && call->progress_fault == JC_PROGRESS_NO_FAULT;
+}
+
 static void
 on_done (void *ctx, const struct jc_httpc_call_result *result)
 {
@@ -362,6 +397,8 @@
     attempt.whole = false;
   if (exchange->relay.begun && !exchange->streaming)
     attempt.genuine = false;
+  if (is_broken_off (exchange, &attempt, result))
+    log_broken (exchange);
   if (attempt.whole && exchange->streaming && attempt.genuine)
     flush_held_comments (exchange);
   if (attempt.whole && attempt.genuine && !exchange->streaming)
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -470,6 +470,7 @@
   exchange->batch = g_string_new (NULL);
   exchange->held_comments = g_string_new (NULL);
   jc_sse_init (&exchange->sse);
+  jc_fingerprints_init (&exchange->fingerprints, exchange->service, &info);
   jc_demand_init (&info, &exchange->demand);
   exchange->demand.first_event_limit_ms = route->objective_ms;
   exchange->demand.gap_limit_ms = route->gap_ms;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -5,6 +5,7 @@
 #define ENTRY_EXCHANGE_H
 
 #include "entry/router.h"
+#include "serve/fingerprint.h"
 #include "serve/relay.h"
 #include "serve/sse.h"
 
@@ -51,6 +52,7 @@
   const char *service;
   struct jc_request_info request_info;
   struct jc_demand demand;
+  struct jc_fingerprints fingerprints;
   struct jc_relay relay;
   int64_t started_ms;
   GPtrArray *tried;
