Test that a part of a prompt stops crashing endpoints, failing

The test plays it with four entry instances and eight endpoints: 3 requests a second with the part, 40 sound ones beside them, for 20 s.

--- /dev/null
+++ b/tests/process/crash_standin.py
@@ -0,0 +1,136 @@
+"""Endpoints that crash under certain requests, and callers that measure what becomes of sound ones.
+Usage: crash_standin.py SCRIPT DIR, where SCRIPT names a function below and DIR holds addresses.json."""
+import asyncio
+import random
+import sys
+import time
+
+from hosts_standin import ADDRESSES, Endpoint, configuration, in_force, order, request, route, use
+
+SOUND_PER_S = 40
+RUN_S = 20.0
+BACK_S = 2.0
+# Time from the beginning of a deadly answer to the crash.
+BEGIN_S = 0.05
+# Requests that crash endpoints must no longer reach them this long after the bound number of crashes.
+CONTACT_S = 6.0
+REACHED_MAX = 3
+# Share of the sound requests that must be whole from the second crash on.
+WHOLE_MIN = 0.95
+FIRST_PARTS = ["a1:300", "a2:300", "a3:300"]
+SUBJECTS = 30
+BAD_PART = "bad1:200"
+# When endpoints crashed, and when deadly requests reached one.
+CRASHES, REACHED = [], []
+
+
+class Fragile(Endpoint):
+    """An endpoint that crashes soon after it began to answer a deadly request, and is back after BACK_S at the same
+    address as another incarnation."""
+
+    async def die(self):
+        REACHED.append(time.monotonic())
+        await asyncio.sleep(BEGIN_S)
+        if self.server.is_serving():
+            CRASHES.append(time.monotonic())
+            self.crash()
+            asyncio.create_task(self.come_back())
+
+    async def come_back(self):
+        await asyncio.sleep(BACK_S)
+        self.sequence, self.born = 0, int(time.time() * 1000)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", int(self.address.rsplit(":", 1)[1]))
+        self.task = asyncio.create_task(self.report())
+
+
+class DeadlyPart(Fragile):
+    def is_deadly(self, start, fields, body):
+        return BAD_PART.split(":")[0] + ":" in fields.get("x-jaycove-prompt-prefix", "")
+
+
+class Callers:
+    """Callers of all entry instances; keeps when each sound request began and whether its answer was whole."""
+
+    def __init__(self):
+        self.sound, self.bad, self.tasks = [], {}, set()
+
+    async def one(self, path, parts, sound):
+        begun = time.monotonic()
+        try:
+            reply = await request(random.choice(ADDRESSES["entries"]), "POST", path,
+                                  headers=[("X-Jaycove-Model", "m"), ("X-Jaycove-Token-Count", "700,40"),
+                                           ("X-Jaycove-Prompt-Prefix", ",".join(parts))])
+            whole, status = reply.status == 200 and reply.whole, reply.status
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            whole, status = False, 0
+        if sound:
+            self.sound.append((begun, whole, parts[0], status))
+        else:
+            self.bad[status] = self.bad.get(status, 0) + 1
+
+    def start(self, *what):
+        task = asyncio.create_task(self.one(*what))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run(self, seconds, bad_per_s=0.0, make_bad=None):
+        begun = time.monotonic()
+        sound = bad = 0
+        while (now := time.monotonic() - begun) < seconds:
+            while sound < now * SOUND_PER_S:
+                sound += 1
+                self.start("/stream/x", [random.choice(FIRST_PARTS), f"b{random.randrange(SUBJECTS)}:200", own_part()], True)
+            while bad < now * bad_per_s:
+                bad += 1
+                self.start(*make_bad(), False)
+            await asyncio.sleep(0.005)
+        await asyncio.gather(*self.tasks)
+
+    def share_whole(self, since, before=float("inf"), first_part=None):
+        chosen = [whole for begun, whole, first, _ in self.sound
+                  if since <= begun < before and first_part in (None, first)]
+        return sum(chosen) / len(chosen) if chosen else 1.0
+
+
+def own_part():
+    return "%08x:100" % random.getrandbits(32)
+
+
+async def start_endpoints(kind):
+    for i in range(8):
+        await kind(f"engine-{i}", "engine", "z1" if i < 4 else "z2", events=10, pause_s=0.03).start()
+    await Endpoint("plain-0", "plain", "z1").start()
+    routes = [route("read", "safe", "plain"), route("stream", "stream", "engine", **{"sticky": True})]
+    await order("/v1/Config.Replace", configuration(3, routes))
+    await in_force(ADDRESSES["entries"], "/read/x", 200)
+
+
+def check(callers, bound_crashes, first_part=None):
+    bound = CRASHES[bound_crashes - 1] if len(CRASHES) >= bound_crashes else None
+    late = [t for t in REACHED if bound is not None and t > bound + CONTACT_S]
+    second = CRASHES[1] if len(CRASHES) > 1 else float("inf")
+    last = CRASHES[min(len(CRASHES), 5) - 1]
+    whole = callers.share_whole(second)
+    sharing = callers.share_whole(last + 2 * CONTACT_S, first_part=first_part)
+    refused = sum(1 for begun, _, _, status in callers.sound if status == 503 and begun >= CRASHES[0])
+    statuses = dict(sorted(callers.bad.items()))
+    print("%d crashes, %d requests reached endpoints, %d of them late; bad ones by status %s; sound ones whole from the "
+          "second crash on %.3f, with the same first part %.3f, refused %d"
+          % (len(CRASHES), len(REACHED), len(late), statuses, whole, sharing, refused), flush=True)
+    assert len(late) <= REACHED_MAX, len(late)
+    assert whole >= WHOLE_MIN, whole
+    assert sharing >= 0.5, sharing
+
+
+async def prompt_part():
+    """A part of a prompt crashes each endpoint that begins to answer it, in requests that are otherwise all different."""
+    await start_endpoints(DeadlyPart)
+    callers = Callers()
+    await callers.run(4)
+    await callers.run(RUN_S, 3, lambda: ("/stream/x", [FIRST_PARTS[0], BAD_PART, own_part()]))
+    check(callers, 5, FIRST_PARTS[0])
+
+
+if __name__ == "__main__":
+    use(sys.argv[2])
+    asyncio.run({"prompt_part": prompt_part}[sys.argv[1]]())
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -127,6 +127,10 @@
         for writer in self.writers:
             writer.transport.abort()
 
+    def is_deadly(self, start, fields, body):
+        """Whether the endpoint dies when it begins to answer this request."""
+        return False
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -147,6 +151,9 @@
             writer.write(f"HTTP/1.1 421 Misdirected\r\n{head}Content-Length: 0\r\n\r\n".encode())
             return True
         self.received.append((time.monotonic(), attempt, self.asks))
+        if self.is_deadly(start, fields, body):
+            await self.die()
+            return False
         if not self.refuses:
             await asyncio.sleep(self.work_s)
         answer = Endpoint.next_answers.pop(0) if self.service == "plain" and Endpoint.next_answers else ""
