Refuse requests with a part in their prompts that crashes endpoints

Cause: nothing connected a crash with what ran there; each instance took it for the failure of one endpoint and sent the next such request to the best endpoint that was left. Class: evidence that no one adds up.

Entry instances now report the requests that ran at an endpoint that broke off their attempts and refuses connections; the replicated log adds the evidence up, once for each crash, and blocks the part that was beside crash after crash without a whole answer since. Whole answers clear what is shared with sound requests. Crashes of one log entry count as one, so that many endpoints lost at once condemn nothing.

--- a/base/status.h
+++ b/base/status.h
@@ -10,7 +10,7 @@
    JC_BEHIND: one side has an older configuration or report than the other.
    JC_CROWDED: the request should wait, since the chosen endpoint has too much
    unread input.  JC_ANSWER_GONE: the request has run, but its answer is no
-   longer stored.  */
+   longer stored.  JC_REQUEST_BLOCKED: requests like it crashed endpoints.  */
 enum jc_status
 {
   JC_OK,
@@ -55,6 +55,7 @@
   JC_HEAD_TIMEOUT,
   JC_BODY_TIMEOUT,
   JC_CROWDED,
+  JC_REQUEST_BLOCKED,
   JC_STATUS_COUNT
 };
 
--- a/entry/answer.c
+++ b/entry/answer.c
@@ -209,6 +209,8 @@
     exchange->max_gap_ms
         = MAX (exchange->max_gap_ms, now - exchange->last_event_ms);
   exchange->last_event_ms = now;
+  if (exchange->attempt_first_event_ms == 0)
+    exchange->attempt_first_event_ms = now;
 }
 
 /* Forward the comments that were held; the stream is complete.  */
@@ -398,7 +400,13 @@
   if (exchange->relay.begun && !exchange->streaming)
     attempt.genuine = false;
   if (is_broken_off (exchange, &attempt, result))
-    log_broken (exchange);
+    {
+      log_broken (exchange);
+      crashes_note_broken (exchange);
+    }
+  else if (attempt.whole && attempt.genuine && !exchange->remote
+           && result->framed)
+    crashes_note_answered (exchange);
   if (attempt.whole && exchange->streaming && attempt.genuine)
     flush_held_comments (exchange);
   if (attempt.whole && attempt.genuine && !exchange->streaming)
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -106,6 +106,7 @@
   g_string_truncate (exchange->held_comments, 0);
   exchange->has_event_ids = false;
   exchange->progressed = false;
+  exchange->attempt_first_event_ms = 0;
   jc_sse_clear (&exchange->sse);
 }
 
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -18,6 +18,8 @@
      spread, so that callers refused at once do not come back at once.  */
   RETRY_AFTER_MIN_MS = 200,
   RETRY_AFTER_SPREAD_MS = 400,
+  /* A blocked request is hardly accepted again before an operator steps in.  */
+  RETRY_BLOCKED_MS = 300000,
   /* The spread is at least the time divided by this.  */
   RETRY_AFTER_SPREAD_DIVISOR = 4
 };
@@ -89,11 +91,13 @@
 /* Return when a refused caller should come back, ms: once an endpoint accepts
    requests again, if that is known.  */
 static int64_t
-retry_after_ms (const struct exchange *exchange)
+retry_after_ms (const struct exchange *exchange, enum jc_status status)
 {
   int64_t earliest = balancer_earliest_ms (exchange->router, exchange->service,
                                            jc_now_ms ());
-  int64_t after = MAX (earliest, RETRY_AFTER_MIN_MS);
+  int64_t after = status == JC_REQUEST_BLOCKED
+                      ? RETRY_BLOCKED_MS
+                      : MAX (earliest, RETRY_AFTER_MIN_MS);
   int64_t spread
       = MAX (after / RETRY_AFTER_SPREAD_DIVISOR, RETRY_AFTER_SPREAD_MS);
 
@@ -106,7 +110,7 @@
 {
   const struct jc_status_info *row = jc_status_info (status);
   bool may_retry = row->run == JC_NOT_RUN && row->retry == JC_RETRY_AFTER;
-  int64_t after_ms = may_retry ? retry_after_ms (exchange) : 0;
+  int64_t after_ms = may_retry ? retry_after_ms (exchange, status) : 0;
   char retry_after[24];
 
   log_end (exchange,
@@ -315,7 +319,9 @@
   struct balancer_target target;
   enum jc_status status;
 
-  status = balancer_pick (router, &query, &target);
+  status = crashes_check_request (exchange);
+  if (status == JC_OK)
+    status = balancer_pick (router, &query, &target);
   if (status == JC_CROWDED)
     {
       waitqueue_add (router, exchange);
--- a/entry/gauges.c
+++ b/entry/gauges.c
@@ -81,6 +81,10 @@
       jc_backpressure_count_limited (router->backpressure, jc_boot_ms ()));
   jc_metrics_gauge_set (metrics, "jaycove_paused_endpoints", "",
                         jc_pauses_count (router->pauses, jc_boot_ms ()));
+  jc_metrics_gauge_set (metrics, "jaycove_suspected_fingerprints", "",
+                        jc_suspects_count (router->suspects, RPC_SUSPECTED));
+  jc_metrics_gauge_set (metrics, "jaycove_blocked_fingerprints", "",
+                        jc_suspects_count (router->suspects, RPC_BLOCKED));
   jc_metrics_gauge_set (metrics, "jaycove_waiting", "",
                         g_queue_get_length (&router->wait_queue));
   set_retries (router, now);
--- a/entry/router.c
+++ b/entry/router.c
@@ -176,6 +176,7 @@
   (void)loop;
   (void)events;
   loads_tick (entry->router);
+  crashes_tick (entry->router);
   waitqueue_tick (entry->router);
 }
 
@@ -280,6 +281,7 @@
   router->budgets = jc_budgets_new (&budget_settings);
   router->backpressure = jc_backpressure_new ();
   router->pauses = jc_pauses_new ();
+  crashes_start (router);
   router->paths = jc_paths_new ();
   router->request_rates
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -325,6 +327,7 @@
   jc_budgets_free (router->budgets);
   jc_backpressure_free (router->backpressure);
   jc_pauses_free (router->pauses);
+  crashes_stop (router);
   jc_paths_free (router->paths);
   jc_endpoints_free (router->endpoints);
   jc_orders_free (router->orders);
--- a/entry/router.h
+++ b/entry/router.h
@@ -14,6 +14,7 @@
 #include "serve/pauses.h"
 #include "serve/regionload.h"
 #include "serve/paths.h"
+#include "serve/suspects.h"
 
 enum
 {
@@ -47,6 +48,8 @@
   struct jc_budgets *budgets;
   struct jc_backpressure *backpressure;
   struct jc_pauses *pauses;
+  struct jc_suspects *suspects;
+  GPtrArray *crash_probes;
   struct jc_paths *paths;
   GHashTable *request_rates;
   GHashTable *answer_sizes;
@@ -175,6 +178,16 @@
                                  const struct jc_endpoint *endpoint);
 void backpressure_tick (struct router *router);
 
+/* crashes: endpoints that crash, and the requests that they crash under.  */
+void crashes_start (struct router *router);
+void crashes_stop (struct router *router);
+void crashes_note_broken (struct exchange *exchange);
+void crashes_note_answered (struct exchange *exchange);
+void crashes_handle_update (struct router *router,
+                            const struct rpc_suspects *update);
+enum jc_status crashes_check_request (const struct exchange *exchange);
+void crashes_tick (struct router *router);
+
 /* answersizes: usual sizes of each route's plain answers.  */
 size_t answersizes_usual_max (const struct router *router, const char *route);
 void answersizes_record (struct router *router, const char *route, size_t size);
--- /dev/null
+++ b/member/crashes.c
@@ -0,0 +1,661 @@
+/* Crashes of endpoints: evidence and verdicts.  */
+
+#include <string.h>
+
+#include "member/crashes.h"
+
+enum
+{
+  /* Crashes that are remembered; older ones no longer count.  */
+  CRASHES_KEPT = 64,
+  REQUESTS_PER_CRASH_MAX = 1024,
+  FINGERPRINTS_MAX = 16
+};
+
+struct request
+{
+  bool starting;
+  unsigned int count;
+  uint64_t fingerprints[FINGERPRINTS_MAX];
+};
+
+/* A crash and the requests that ran there.  BATCH is the number of the change
+   that reported it first.  EXPLAINED means that one of them is blocked.  */
+struct crash
+{
+  char *endpoint;
+  uint64_t incarnation;
+  uint64_t batch;
+  GArray *requests;
+  bool explained;
+};
+
+/* The score of a fingerprint: what crashes of BATCH, the latest one that it was
+   beside, and of earlier ones add to it.  */
+struct score
+{
+  uint64_t batch;
+  unsigned int in_batch;
+  unsigned int earlier;
+};
+
+/* A blocked fingerprint: the change that blocked it or reported its last crash,
+   and when that was applied, local time.  */
+struct block
+{
+  uint64_t batch;
+  int64_t applied_ms;
+};
+
+/* BATCH counts the changes applied.  ANSWERED maps fingerprints to the change
+   that reported a whole answer: earlier crashes don't count against them.
+   BLOCKED maps fingerprints to struct block.  SCORES, which is derived from the
+   others, maps them to struct score.  */
+struct jc_crashes
+{
+  unsigned int block_score;
+  uint64_t batch;
+  GPtrArray *list;
+  GHashTable *answered;
+  GHashTable *blocked;
+  GHashTable *scores;
+};
+
+static void
+crash_free (gpointer data)
+{
+  struct crash *crash = data;
+
+  g_free (crash->endpoint);
+  g_array_free (crash->requests, TRUE);
+  g_free (crash);
+}
+
+static GHashTable *
+table_new (void)
+{
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+}
+
+static void
+table_set (GHashTable *table, uint64_t key, int64_t value)
+{
+  g_hash_table_replace (table, g_memdup2 (&key, sizeof key),
+                        g_memdup2 (&value, sizeof value));
+}
+
+/* Return the value of KEY in TABLE, or OTHERWISE if there is none.  */
+static int64_t
+table_get (GHashTable *table, uint64_t key, int64_t otherwise)
+{
+  const int64_t *value = g_hash_table_lookup (table, &key);
+
+  return value != NULL ? *value : otherwise;
+}
+
+/* Return a new table, in which fingerprints are blocked from BLOCK_SCORE on. */
+struct jc_crashes *
+jc_crashes_new (unsigned int block_score)
+{
+  struct jc_crashes *crashes = g_new0 (struct jc_crashes, 1);
+
+  crashes->block_score = block_score;
+  crashes->list = g_ptr_array_new_with_free_func (crash_free);
+  crashes->answered = table_new ();
+  crashes->blocked = table_new ();
+  crashes->scores = table_new ();
+  return crashes;
+}
+
+void
+jc_crashes_free (struct jc_crashes *crashes)
+{
+  if (crashes == NULL)
+    return;
+  g_ptr_array_free (crashes->list, TRUE);
+  g_hash_table_destroy (crashes->answered);
+  g_hash_table_destroy (crashes->blocked);
+  g_hash_table_destroy (crashes->scores);
+  g_free (crashes);
+}
+
+/* Return CHANGES encoded (XDR) as the data of a log entry.  */
+GString *
+jc_crashes_encode (const struct rpc_crash_changes *changes)
+{
+  void *message = (void *)changes;
+  unsigned long size = xdr_sizeof ((xdrproc_t)xdr_rpc_crash_changes, message);
+  GString *out = g_string_new (NULL);
+  XDR xdr;
+
+  g_string_set_size (out, size);
+  xdrmem_create (&xdr, out->str, (u_int)size, XDR_ENCODE);
+  xdr_rpc_crash_changes (&xdr, message);
+  xdr_destroy (&xdr);
+  return out;
+}
+
+/* Decode DATA, a log entry, into OUT, to be freed with xdr_free in any case.
+   Return false if it is malformed.  */
+bool
+jc_crashes_decode (struct jc_str data, struct rpc_crash_changes *out)
+{
+  XDR xdr;
+  bool ok;
+
+  memset (out, 0, sizeof *out);
+  xdrmem_create (&xdr, (char *)data.data, (u_int)data.len, XDR_DECODE);
+  ok = xdr_rpc_crash_changes (&xdr, out);
+  xdr_destroy (&xdr);
+  return ok;
+}
+
+/* Return the position of FINGERPRINT in REQUEST, -1 if it is not there.  */
+static int
+request_find (const struct request *request, uint64_t fingerprint)
+{
+  for (unsigned int i = 0; i < request->count; i++)
+    if (request->fingerprints[i] == fingerprint)
+      return (int)i;
+  return -1;
+}
+
+static struct crash *
+crash_find (const struct jc_crashes *crashes, const struct rpc_crash *reported)
+{
+  for (guint i = 0; i < crashes->list->len; i++)
+    {
+      struct crash *crash = g_ptr_array_index (crashes->list, i);
+
+      if (crash->incarnation == reported->endpoint_incarnation
+          && strcmp (crash->endpoint, reported->endpoint) == 0)
+        return crash;
+    }
+  return NULL;
+}
+
+static struct crash *
+crash_add (struct jc_crashes *crashes, const char *endpoint,
+           uint64_t incarnation, uint64_t batch)
+{
+  struct crash *crash = g_new0 (struct crash, 1);
+
+  crash->endpoint = g_strdup (endpoint);
+  crash->incarnation = incarnation;
+  crash->batch = batch;
+  crash->requests = g_array_new (FALSE, FALSE, sizeof (struct request));
+  if (crashes->list->len >= CRASHES_KEPT)
+    g_ptr_array_remove_index (crashes->list, 0);
+  g_ptr_array_add (crashes->list, crash);
+  return crash;
+}
+
+static void
+crash_add_request (struct crash *crash, const struct rpc_crash_request *from)
+{
+  struct request request = { .starting = from->starting };
+
+  if (crash->requests->len >= REQUESTS_PER_CRASH_MAX)
+    return;
+  request.count = MIN (from->fingerprints.fingerprints_len, FINGERPRINTS_MAX);
+  memcpy (request.fingerprints, from->fingerprints.fingerprints_val,
+          request.count * sizeof request.fingerprints[0]);
+  g_array_append_val (crash->requests, request);
+}
+
+/* Add what one entry instance reported of a crash.  */
+static void
+add_report (struct jc_crashes *crashes, const struct rpc_crash *reported)
+{
+  struct crash *crash = crash_find (crashes, reported);
+
+  if (crash == NULL)
+    crash = crash_add (crashes, reported->endpoint,
+                       reported->endpoint_incarnation, crashes->batch);
+  for (u_int i = 0; i < reported->requests.requests_len; i++)
+    crash_add_request (crash, &reported->requests.requests_val[i]);
+}
+
+/* Count REQUEST, which ran beside CRASH, for the scores of its
+   fingerprints.  */
+static void
+score_request (struct jc_crashes *crashes, const struct crash *crash,
+               const struct request *request)
+{
+  unsigned int score
+      = request->starting ? JC_CRASH_SCORE_STARTING : JC_CRASH_SCORE_RUNNING;
+
+  for (unsigned int f = 0; f < request->count; f++)
+    {
+      uint64_t key = request->fingerprints[f];
+      struct score *row = g_hash_table_lookup (crashes->scores, &key);
+
+      if ((int64_t)crash->batch <= table_get (crashes->answered, key, -1))
+        continue;
+      if (row == NULL)
+        {
+          row = g_new0 (struct score, 1);
+          g_hash_table_insert (crashes->scores, g_memdup2 (&key, sizeof key),
+                               row);
+        }
+      if (row->batch != crash->batch)
+        *row = (struct score){ .batch = crash->batch,
+                               .earlier = row->earlier + row->in_batch };
+      row->in_batch = MAX (row->in_batch, score);
+    }
+}
+
+/* Derive the scores of all fingerprints of unexplained crashes since they were
+   last answered whole.  The list is in the order of batches.  */
+static void
+update_scores (struct jc_crashes *crashes)
+{
+  g_hash_table_remove_all (crashes->scores);
+  for (guint i = 0; i < crashes->list->len; i++)
+    {
+      const struct crash *crash = g_ptr_array_index (crashes->list, i);
+
+      for (guint r = 0; !crash->explained && r < crash->requests->len; r++)
+        score_request (crashes, crash,
+                       &g_array_index (crash->requests, struct request, r));
+    }
+}
+
+/* Return the score of FINGERPRINT, 0 if no crash tells against it.  */
+unsigned int
+jc_crashes_score (const struct jc_crashes *crashes, uint64_t fingerprint)
+{
+  const struct score *row = g_hash_table_lookup (crashes->scores, &fingerprint);
+
+  return row != NULL ? row->earlier + row->in_batch : 0;
+}
+
+/* Return whether requests of CRASH with SCORE leave no other explanation than
+   FINGERPRINT: whatever else has that score is a more widely shared part of the
+   same requests.  */
+static bool
+is_unique (const struct jc_crashes *crashes, const struct crash *crash,
+           uint64_t fingerprint, unsigned int score)
+{
+  for (guint r = 0; r < crash->requests->len; r++)
+    {
+      const struct request *request
+          = &g_array_index (crash->requests, struct request, r);
+      int position = request_find (request, fingerprint);
+
+      for (unsigned int f = 0; f < request->count; f++)
+        if ((int)f > position
+            && jc_crashes_score (crashes, request->fingerprints[f]) >= score)
+          return false;
+    }
+  return true;
+}
+
+/* Find the fingerprint that CRASH is to be blamed on.  Return false if there is
+   none yet.  */
+static bool
+find_culprit (const struct jc_crashes *crashes, const struct crash *crash,
+              uint64_t *culprit)
+{
+  unsigned int top = crashes->block_score;
+  bool found = false;
+
+  for (guint r = 0; r < crash->requests->len; r++)
+    {
+      const struct request *request
+          = &g_array_index (crash->requests, struct request, r);
+
+      for (unsigned int f = 0; f < request->count; f++)
+        if (jc_crashes_score (crashes, request->fingerprints[f]) >= top)
+          {
+            top = jc_crashes_score (crashes, request->fingerprints[f]);
+            *culprit = request->fingerprints[f];
+            found = true;
+          }
+    }
+  return found
+         && (top >= JC_CRASH_CERTAIN_SCORE
+             || is_unique (crashes, crash, *culprit, top));
+}
+
+static void
+set_block (struct jc_crashes *crashes, uint64_t fingerprint, int64_t now_ms)
+{
+  const struct block row = { .batch = crashes->batch, .applied_ms = now_ms };
+
+  g_hash_table_replace (crashes->blocked,
+                        g_memdup2 (&fingerprint, sizeof fingerprint),
+                        g_memdup2 (&row, sizeof row));
+}
+
+/* Block FINGERPRINT.  If there are too many, the one whose last crash is the
+   oldest makes way.  */
+static void
+block_fingerprint (struct jc_crashes *crashes, uint64_t fingerprint,
+                   int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  uint64_t oldest = 0;
+  uint64_t oldest_batch = UINT64_MAX;
+
+  if (g_hash_table_size (crashes->blocked) >= JC_CRASH_BLOCKED_MAX)
+    {
+      g_hash_table_iter_init (&iter, crashes->blocked);
+      while (g_hash_table_iter_next (&iter, &key, &value))
+        {
+          const struct block *row = value;
+          uint64_t candidate = *(uint64_t *)key;
+
+          if (row->batch > oldest_batch
+              || (row->batch == oldest_batch && candidate >= oldest))
+            continue;
+          oldest_batch = row->batch;
+          oldest = candidate;
+        }
+      g_hash_table_remove (crashes->blocked, &oldest);
+    }
+  set_block (crashes, fingerprint, now_ms);
+}
+
+/* Mark the crashes that ran requests with a blocked fingerprint.  A new crash
+   beside one renews its block.  */
+static void
+mark_explained (struct jc_crashes *crashes, int64_t now_ms)
+{
+  for (guint i = 0; i < crashes->list->len; i++)
+    {
+      struct crash *crash = g_ptr_array_index (crashes->list, i);
+      bool explained = false;
+
+      for (guint r = 0; r < crash->requests->len; r++)
+        {
+          const struct request *request
+              = &g_array_index (crash->requests, struct request, r);
+
+          for (unsigned int f = 0; f < request->count; f++)
+            if (g_hash_table_contains (crashes->blocked,
+                                       &request->fingerprints[f]))
+              {
+                explained = true;
+                if (!crash->explained)
+                  set_block (crashes, request->fingerprints[f], now_ms);
+              }
+        }
+      crash->explained = explained;
+    }
+}
+
+static void
+update (struct jc_crashes *crashes, int64_t now_ms)
+{
+  uint64_t culprit;
+  bool found = true;
+
+  while (found)
+    {
+      mark_explained (crashes, now_ms);
+      update_scores (crashes);
+      found = false;
+      for (guint i = crashes->list->len; !found && i > 0; i--)
+        {
+          const struct crash *crash = g_ptr_array_index (crashes->list, i - 1);
+
+          if (!crash->explained && find_culprit (crashes, crash, &culprit))
+            {
+              block_fingerprint (crashes, culprit, now_ms);
+              found = true;
+            }
+        }
+    }
+}
+
+static gboolean
+is_before_crashes (gpointer key, gpointer value, gpointer data)
+{
+  const struct jc_crashes *crashes = data;
+  const struct crash *oldest
+      = crashes->list->len > 0 ? g_ptr_array_index (crashes->list, 0) : NULL;
+
+  (void)key;
+  return oldest == NULL || *(int64_t *)value < (int64_t)oldest->batch;
+}
+
+/* Apply CHANGES, a committed entry of the log, at NOW_MS of the local clock. */
+void
+jc_crashes_apply (struct jc_crashes *crashes,
+                  const struct rpc_crash_changes *changes, int64_t now_ms)
+{
+  crashes->batch++;
+  for (u_int i = 0; i < changes->crashes.crashes_len; i++)
+    add_report (crashes, &changes->crashes.crashes_val[i]);
+  for (u_int i = 0; i < changes->answered.answered_len; i++)
+    {
+      table_set (crashes->answered, changes->answered.answered_val[i],
+                 (int64_t)crashes->batch);
+      g_hash_table_remove (crashes->blocked,
+                           &changes->answered.answered_val[i]);
+    }
+  for (u_int i = 0; i < changes->expired.expired_len; i++)
+    {
+      table_set (crashes->answered, changes->expired.expired_val[i],
+                 (int64_t)crashes->batch);
+      g_hash_table_remove (crashes->blocked, &changes->expired.expired_val[i]);
+    }
+  update (crashes, now_ms);
+  g_hash_table_foreach_remove (crashes->answered, is_before_crashes, crashes);
+}
+
+bool
+jc_crashes_is_blocked (const struct jc_crashes *crashes, uint64_t fingerprint)
+{
+  return g_hash_table_contains (crashes->blocked, &fingerprint);
+}
+
+unsigned int
+jc_crashes_count_blocked (const struct jc_crashes *crashes)
+{
+  return g_hash_table_size (crashes->blocked);
+}
+
+static gint
+compare_rows (gconstpointer left, gconstpointer right)
+{
+  const struct rpc_suspect *a = left;
+  const struct rpc_suspect *b = right;
+
+  return a->fingerprint < b->fingerprint ? -1 : a->fingerprint > b->fingerprint;
+}
+
+/* Append to ROWS, an array of struct rpc_suspect, the suspected and the blocked
+   fingerprints, in ascending order.  */
+void
+jc_crashes_list (const struct jc_crashes *crashes, GArray *rows)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, crashes->blocked);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct rpc_suspect row = { .fingerprint = *(uint64_t *)key,
+                                 .state = RPC_BLOCKED,
+                                 .score = crashes->block_score };
+
+      g_array_append_val (rows, row);
+    }
+  g_hash_table_iter_init (&iter, crashes->scores);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct rpc_suspect row
+          = { .fingerprint = *(uint64_t *)key,
+              .state = RPC_SUSPECTED,
+              .score = jc_crashes_score (crashes, *(uint64_t *)key) };
+
+      if (row.score >= JC_CRASH_SUSPECT_SCORE
+          && !jc_crashes_is_blocked (crashes, row.fingerprint))
+        g_array_append_val (rows, row);
+    }
+  g_array_sort (rows, compare_rows);
+}
+
+/* Append to EXPIRED the fingerprints that were blocked, or last beside a crash,
+   JC_CRASH_BLOCK_MS before NOW_MS.  */
+void
+jc_crashes_plan_expiry (const struct jc_crashes *crashes, int64_t now_ms,
+                        GArray *expired)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, crashes->blocked);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (now_ms - ((const struct block *)value)->applied_ms >= JC_CRASH_BLOCK_MS)
+      g_array_append_val (expired, *(uint64_t *)key);
+}
+
+static json_t *
+fingerprints_to_json (const uint64_t *fingerprints, unsigned int count)
+{
+  json_t *list = json_array ();
+
+  for (unsigned int i = 0; i < count; i++)
+    json_array_append_new (list, json_integer ((json_int_t)fingerprints[i]));
+  return list;
+}
+
+static json_t *
+crash_to_json (const struct crash *crash)
+{
+  json_t *requests = json_array ();
+
+  for (guint r = 0; r < crash->requests->len; r++)
+    {
+      const struct request *request
+          = &g_array_index (crash->requests, struct request, r);
+
+      json_array_append_new (
+          requests, json_pack ("[b,o]", request->starting,
+                               fingerprints_to_json (request->fingerprints,
+                                                     request->count)));
+    }
+  return json_pack ("[s,I,I,b,o]", crash->endpoint,
+                    (json_int_t)crash->incarnation, (json_int_t)crash->batch,
+                    crash->explained, requests);
+}
+
+/* Store CRASHES in OUT, the JSON object of a snapshot, under "crashes".  */
+void
+jc_crashes_snapshot (const struct jc_crashes *crashes, json_t *out)
+{
+  json_t *list = json_array ();
+  json_t *answered = json_array ();
+  json_t *blocked = json_array ();
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  for (guint i = 0; i < crashes->list->len; i++)
+    json_array_append_new (
+        list, crash_to_json (g_ptr_array_index (crashes->list, i)));
+  g_hash_table_iter_init (&iter, crashes->answered);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    json_array_append_new (answered,
+                           json_pack ("[I,I]", (json_int_t) * (uint64_t *)key,
+                                      (json_int_t) * (int64_t *)value));
+  g_hash_table_iter_init (&iter, crashes->blocked);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    json_array_append_new (
+        blocked, json_pack ("[I,I]", (json_int_t) * (uint64_t *)key,
+                            (json_int_t)((const struct block *)value)->batch));
+  json_object_set_new (out, "crashes",
+                       json_pack ("{s:I,s:o,s:o,s:o}", "batch",
+                                  (json_int_t)crashes->batch, "list", list,
+                                  "answered", answered, "blocked", blocked));
+}
+
+static bool
+restore_request (struct crash *crash, const json_t *in)
+{
+  struct request request = { 0 };
+  const json_t *fingerprints;
+  int starting;
+
+  if (json_unpack ((json_t *)in, "[b,o]", &starting, &fingerprints) != 0
+      || json_array_size (fingerprints) > FINGERPRINTS_MAX)
+    return false;
+  request.starting = starting;
+  request.count = (unsigned int)json_array_size (fingerprints);
+  for (unsigned int i = 0; i < request.count; i++)
+    request.fingerprints[i]
+        = (uint64_t)json_integer_value (json_array_get (fingerprints, i));
+  g_array_append_val (crash->requests, request);
+  return true;
+}
+
+static bool
+restore_crash (struct jc_crashes *crashes, const json_t *in)
+{
+  const char *endpoint;
+  json_int_t incarnation;
+  json_int_t batch;
+  int explained;
+  const json_t *requests;
+  const json_t *request;
+  struct crash *crash;
+  bool ok = true;
+  size_t i;
+
+  if (json_unpack ((json_t *)in, "[s,I,I,b,o]", &endpoint, &incarnation, &batch,
+                   &explained, &requests)
+      != 0)
+    return false;
+  crash = crash_add (crashes, endpoint, (uint64_t)incarnation, (uint64_t)batch);
+  crash->explained = explained;
+  json_array_foreach ((json_t *)requests, i, request)
+  {
+    ok = ok && restore_request (crash, request);
+  }
+  return ok;
+}
+
+/* Replace the contents of CRASHES by those of IN, the JSON object of a
+   snapshot.  A snapshot without "crashes" empties the table.  Return JC_CORRUPT
+   if a row is malformed.  */
+enum jc_status
+jc_crashes_restore (struct jc_crashes *crashes, const json_t *in,
+                    int64_t now_ms)
+{
+  const json_t *saved = json_object_get (in, "crashes");
+  const json_t *row;
+  bool ok = true;
+  size_t i;
+
+  g_ptr_array_set_size (crashes->list, 0);
+  g_hash_table_remove_all (crashes->answered);
+  g_hash_table_remove_all (crashes->blocked);
+  crashes->batch
+      = (uint64_t)json_integer_value (json_object_get (saved, "batch"));
+  json_array_foreach (json_object_get (saved, "list"), i, row)
+  {
+    ok = ok && restore_crash (crashes, row);
+  }
+  json_array_foreach (json_object_get (saved, "answered"), i, row)
+  {
+    table_set (crashes->answered,
+               (uint64_t)json_integer_value (json_array_get (row, 0)),
+               json_integer_value (json_array_get (row, 1)));
+  }
+  json_array_foreach (json_object_get (saved, "blocked"), i, row)
+  {
+    uint64_t key = (uint64_t)json_integer_value (json_array_get (row, 0));
+
+    set_block (crashes, key, now_ms);
+    ((struct block *)g_hash_table_lookup (crashes->blocked, &key))->batch
+        = (uint64_t)json_integer_value (json_array_get (row, 1));
+  }
+  update_scores (crashes);
+  return ok ? JC_OK : jc_fail (JC_CORRUPT, "A crash can't be read.");
+}
--- a/net/rpctraffic.c
+++ b/net/rpctraffic.c
@@ -51,6 +51,8 @@
   [RPC_LIMIT_REPLY] = "limit_reply",
   [RPC_LEAVING] = "leaving",
   [RPC_PAUSES] = "pauses",
+  [RPC_CRASH_REPORT] = "crash_report",
+  [RPC_SUSPECTS] = "suspects",
   [RPC_FLEET_FOLLOW] = "fleet_follow",
   [RPC_ZONE_LOADS] = "zone_loads",
 };
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -83,6 +83,8 @@
 	RPC_LIMIT_REPLY = 92,
 	RPC_LEAVING = 93,
 	RPC_PAUSES = 94,
+	RPC_CRASH_REPORT = 95,
+	RPC_SUSPECTS = 96,
 };
 typedef enum rpc_type rpc_type;
 
@@ -775,6 +777,64 @@
 };
 typedef struct rpc_pauses rpc_pauses;
 
+struct rpc_crash_request {
+	bool_t starting;
+	struct {
+		u_int fingerprints_len;
+		u_quad_t *fingerprints_val;
+	} fingerprints;
+};
+typedef struct rpc_crash_request rpc_crash_request;
+
+struct rpc_crash {
+	rpc_name endpoint;
+	u_quad_t endpoint_incarnation;
+	struct {
+		u_int requests_len;
+		rpc_crash_request *requests_val;
+	} requests;
+};
+typedef struct rpc_crash rpc_crash;
+
+struct rpc_crash_changes {
+	struct {
+		u_int crashes_len;
+		rpc_crash *crashes_val;
+	} crashes;
+	struct {
+		u_int answered_len;
+		u_quad_t *answered_val;
+	} answered;
+	struct {
+		u_int expired_len;
+		u_quad_t *expired_val;
+	} expired;
+};
+typedef struct rpc_crash_changes rpc_crash_changes;
+
+enum rpc_suspicion {
+	RPC_CLEARED = 0,
+	RPC_SUSPECTED = 1,
+	RPC_BLOCKED = 2,
+};
+typedef enum rpc_suspicion rpc_suspicion;
+
+struct rpc_suspect {
+	u_quad_t fingerprint;
+	rpc_suspicion state;
+	u_int score;
+};
+typedef struct rpc_suspect rpc_suspect;
+
+struct rpc_suspects {
+	bool_t full;
+	struct {
+		u_int list_len;
+		rpc_suspect *list_val;
+	} list;
+};
+typedef struct rpc_suspects rpc_suspects;
+
 struct rpc_body {
 	rpc_type type;
 	union {
@@ -821,6 +881,8 @@
 		rpc_limit_reply limit_reply;
 		rpc_leaving leaving;
 		rpc_pauses pauses;
+		rpc_crash_changes crash_report;
+		rpc_suspects suspects;
 	} rpc_body_u;
 };
 typedef struct rpc_body rpc_body;
@@ -911,6 +973,12 @@
 extern  bool_t xdr_rpc_zone_loads (XDR *, rpc_zone_loads*);
 extern  bool_t xdr_rpc_pause (XDR *, rpc_pause*);
 extern  bool_t xdr_rpc_pauses (XDR *, rpc_pauses*);
+extern  bool_t xdr_rpc_crash_request (XDR *, rpc_crash_request*);
+extern  bool_t xdr_rpc_crash (XDR *, rpc_crash*);
+extern  bool_t xdr_rpc_crash_changes (XDR *, rpc_crash_changes*);
+extern  bool_t xdr_rpc_suspicion (XDR *, rpc_suspicion*);
+extern  bool_t xdr_rpc_suspect (XDR *, rpc_suspect*);
+extern  bool_t xdr_rpc_suspects (XDR *, rpc_suspects*);
 extern  bool_t xdr_rpc_body (XDR *, rpc_body*);
 extern  bool_t xdr_rpc_packet (XDR *, rpc_packet*);
 
@@ -992,6 +1060,12 @@
 extern bool_t xdr_rpc_zone_loads ();
 extern bool_t xdr_rpc_pause ();
 extern bool_t xdr_rpc_pauses ();
+extern bool_t xdr_rpc_crash_request ();
+extern bool_t xdr_rpc_crash ();
+extern bool_t xdr_rpc_crash_changes ();
+extern bool_t xdr_rpc_suspicion ();
+extern bool_t xdr_rpc_suspect ();
+extern bool_t xdr_rpc_suspects ();
 extern bool_t xdr_rpc_body ();
 extern bool_t xdr_rpc_packet ();
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1426,6 +1426,88 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_crash_request (XDR *xdrs, rpc_crash_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->starting))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->fingerprints.fingerprints_val, (u_int *) &objp->fingerprints.fingerprints_len, 16,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_crash (XDR *xdrs, rpc_crash *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint_incarnation))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->requests.requests_val, (u_int *) &objp->requests.requests_len, 256,
+		sizeof (rpc_crash_request), (xdrproc_t) xdr_rpc_crash_request))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_crash_changes (XDR *xdrs, rpc_crash_changes *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, 256,
+		sizeof (rpc_crash), (xdrproc_t) xdr_rpc_crash))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->answered.answered_val, (u_int *) &objp->answered.answered_len, 4096,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->expired.expired_val, (u_int *) &objp->expired.expired_len, 4096,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_suspicion (XDR *xdrs, rpc_suspicion *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_suspect (XDR *xdrs, rpc_suspect *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_rpc_suspicion (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->score))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_suspects (XDR *xdrs, rpc_suspects *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->full))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, 8192,
+		sizeof (rpc_suspect), (xdrproc_t) xdr_rpc_suspect))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_body (XDR *xdrs, rpc_body *objp)
 {
@@ -1612,6 +1694,14 @@
 		 if (!xdr_rpc_pauses (xdrs, &objp->rpc_body_u.pauses))
 			 return FALSE;
 		break;
+	case RPC_CRASH_REPORT:
+		 if (!xdr_rpc_crash_changes (xdrs, &objp->rpc_body_u.crash_report))
+			 return FALSE;
+		break;
+	case RPC_SUSPECTS:
+		 if (!xdr_rpc_suspects (xdrs, &objp->rpc_body_u.suspects))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -65,7 +65,9 @@
   RPC_LIMIT_REQUEST = 91,
   RPC_LIMIT_REPLY = 92,
   RPC_LEAVING = 93,
-  RPC_PAUSES = 94
+  RPC_PAUSES = 94,
+  RPC_CRASH_REPORT = 95,
+  RPC_SUSPECTS = 96
 };
 
 struct rpc_hello {
@@ -688,6 +690,51 @@
   rpc_pause list<4096>;
 };
 
+/* A request that ran at an endpoint when that crashed.  starting tells that it
+   had not begun to answer, or only just.  fingerprints are ordered from the most
+   to the least widely shared.  */
+struct rpc_crash_request {
+  bool starting;
+  unsigned hyper fingerprints<16>;
+};
+
+/* An incarnation of an endpoint that crashed, and what ran there.  */
+struct rpc_crash {
+  rpc_name endpoint;
+  unsigned hyper endpoint_incarnation;
+  rpc_crash_request requests<256>;
+};
+
+/* Reported by entry instances, and in the log: crashes, suspected or blocked
+   fingerprints of requests that were since answered whole, and, in the log
+   only, blocked fingerprints whose time is over.  */
+struct rpc_crash_changes {
+  rpc_crash crashes<256>;
+  unsigned hyper answered<4096>;
+  unsigned hyper expired<4096>;
+};
+
+enum rpc_suspicion {
+  RPC_CLEARED = 0,
+  RPC_SUSPECTED = 1,
+  RPC_BLOCKED = 2
+};
+
+/* What is known of the requests with a fingerprint: BLOCKED ones are refused.
+   score grows with the crashes that they were beside.  */
+struct rpc_suspect {
+  unsigned hyper fingerprint;
+  rpc_suspicion state;
+  unsigned int score;
+};
+
+/* Fingerprints that changed since the receiver was told last; full has all of
+   them.  */
+struct rpc_suspects {
+  bool full;
+  rpc_suspect list<8192>;
+};
+
 union rpc_body switch (rpc_type type) {
 case RPC_HELLO: rpc_hello hello;
 case RPC_HELLO_ACK: rpc_hello hello_ack;
@@ -735,6 +782,8 @@
 case RPC_LIMIT_REPLY: rpc_limit_reply limit_reply;
 case RPC_LEAVING: rpc_leaving leaving;
 case RPC_PAUSES: rpc_pauses pauses;
+case RPC_CRASH_REPORT: rpc_crash_changes crash_report;
+case RPC_SUSPECTS: rpc_suspects suspects;
 };
 
 struct rpc_packet {
--- a/state/log.c
+++ b/state/log.c
@@ -115,6 +115,8 @@
     coldgrants_apply (state, data);
   else if (kind == LOG_LIMITS)
     limits_apply (state, data);
+  else if (kind == LOG_CRASHES)
+    crashes_apply (state, data);
   else if (kind == LOG_ORDER && jc_orders_apply (state->orders, index, data))
     update_orders (state);
   update_config (state);
@@ -148,7 +150,8 @@
       || jc_orders_restore (state->orders, json) != JC_OK
       || jc_grants_restore (state->grants, json) != JC_OK
       || jc_limit_slots_restore (state->limit_slots, json, jc_now_ms ())
-             != JC_OK)
+             != JC_OK
+      || jc_crashes_restore (state->crash_table, json, jc_now_ms ()) != JC_OK)
     {
       jc_error (LOG_COMPONENT, "The log's snapshot is malformed.");
       state->snapshot_invalid = true;
@@ -158,6 +161,7 @@
     restore_ledger_entries (state, json_object_get (json, "ledger"));
   update_config (state);
   update_orders (state);
+  crashes_publish (state);
   json_decref (json);
 }
 
@@ -175,6 +179,7 @@
   jc_orders_snapshot (state->orders, json);
   jc_grants_snapshot (state->grants, json);
   jc_limit_slots_snapshot (state->limit_slots, json);
+  jc_crashes_snapshot (state->crash_table, json);
   ledger_snapshot (state, entries);
   for (guint i = 0; i < entries->len; i++)
     {
@@ -540,7 +545,7 @@
   u_int kind = packet->body.rpc_body_u.propose.kind;
 
   return kind == LOG_LEDGER_SET || kind == LOG_ORDER || kind == LOG_GRANT
-         || kind == LOG_LIMITS;
+         || kind == LOG_LIMITS || kind == LOG_CRASHES;
 }
 
 /* Handle a message about the log.  It is ignored unless another state instance
--- a/state/main.c
+++ b/state/main.c
@@ -88,6 +88,7 @@
   orders_handle_packet (ctx, conn, packet);
   presence_handle_packet (ctx, conn, packet);
   limits_handle_packet (ctx, conn, packet);
+  crashes_handle_packet (ctx, conn, packet);
   fleet_handle_packet (ctx, conn, packet);
   if (packet->body.type != RPC_FLEET_FOLLOW)
     return;
@@ -121,6 +122,7 @@
   presence_start (state);
   coldgrants_start (state);
   limits_start (state);
+  crashes_start (state);
   group_start (state);
   jc_event (JC_EVENT_START, "role=state name=%s position=%" G_GUINT64_FORMAT,
             state->settings->name, state->orders->position);
@@ -157,6 +159,7 @@
   state->orders = jc_orders_new ();
   state->grants = jc_grants_new ();
   state->limit_slots = jc_limit_slots_new ();
+  state->crash_table = jc_crashes_new (JC_CRASH_BLOCK_SCORE);
   state->rpc = jc_rpc_new (
       state->loop, &identity,
       routes_by_hosts (state) ? &hosts_rpc_class : &products_rpc_class, state);
@@ -180,6 +183,7 @@
 stop_modules (struct state *state)
 {
   control_stop (state);
+  crashes_stop (state);
   limits_stop (state);
   coldgrants_stop (state);
   presence_stop (state);
@@ -194,6 +198,7 @@
   jc_orders_free (state->orders);
   jc_grants_free (state->grants);
   jc_limit_slots_free (state->limit_slots);
+  jc_crashes_free (state->crash_table);
   jc_routetable_unref (state->route_table);
   jc_confstate_free (state->confstate);
   state->rpc = NULL;
@@ -201,6 +206,7 @@
   state->orders = NULL;
   state->grants = NULL;
   state->limit_slots = NULL;
+  state->crash_table = NULL;
   state->route_table = NULL;
   state->confstate = NULL;
   state->config = NULL;
--- a/state/state.h
+++ b/state/state.h
@@ -10,6 +10,7 @@
 #include "conf/confstate.h"
 #include "conf/orders.h"
 #include "conf/replicas.h"
+#include "member/crashes.h"
 #include "member/grants.h"
 #include "member/limitslots.h"
 #include "member/endpoints.h"
@@ -19,8 +20,8 @@
 
 /* The process.  CONFIG is the configuration in CONFSTATE, and
    LAST_SUBMIT_RESULT the result of the change that was applied last.  GROUP,
-   CONTROL, FLEET, PRESENCE, COLDGRANTS and LIMITS are NULL unless requests are
-   routed by hosts.  */
+   CONTROL, FLEET, PRESENCE, COLDGRANTS, LIMITS and CRASHES are NULL unless
+   requests are routed by hosts.  */
 struct state
 {
   struct ev_loop *loop;
@@ -48,6 +49,8 @@
   struct coldgrants *coldgrants;
   struct jc_limit_slots *limit_slots;
   struct limits *limits;
+  struct jc_crashes *crash_table;
+  struct crashes *crashes;
   int64_t started_ms;
 };
 
@@ -61,7 +64,8 @@
   LOG_LEDGER_SET,
   LOG_ORDER,
   LOG_GRANT,
-  LOG_LIMITS
+  LOG_LIMITS,
+  LOG_CRASHES
 };
 
 /* Called with the outcome of a proposal: JC_OK once it is committed,
@@ -169,6 +173,15 @@
                            const struct rpc_packet *packet);
 void limits_apply (struct state *state, struct jc_str data);
 
+/* crashes: endpoints that crash, and the requests that they crash under.  */
+void crashes_start (struct state *state);
+void crashes_stop (struct state *state);
+void crashes_handle_packet (struct state *state, struct jc_rpc_conn *conn,
+                            const struct rpc_packet *packet);
+void crashes_send_snapshot (struct state *state, struct jc_rpc_conn *conn);
+void crashes_publish (struct state *state);
+void crashes_apply (struct state *state, struct jc_str data);
+
 /* presence: the entry instances that report to this instance, and their
    directory for callers.  */
 void presence_start (struct state *state);
