--- a/entry/crashes.c
+++ b/entry/crashes.c
@@ -105,12 +105,17 @@
   const struct jc_broken_attempt attempt
       = { .endpoint = exchange->target_name,
           .incarnation = exchange->target_incarnation,
+          .request
+          = exchange->request_info.attempt_id != NULL
+                ? jc_name_pair_hash (exchange->request_info.attempt_id, "")
+                : 0,
           .fingerprints = &exchange->fingerprints,
           .starting = exchange->attempt_first_event_ms == 0
                       || now - exchange->attempt_first_event_ms < STARTING_MS };
 
   if (endpoint != NULL && endpoint->leaving)
     return;
+  exchange->broken_off = exchange->broken_off || attempt.starting;
   if (jc_suspects_note_broken (router->suspects, &attempt, now)
       && endpoint != NULL && endpoint->incarnation == attempt.incarnation)
     probe_endpoint (router, endpoint);
@@ -175,8 +180,8 @@
     }
 }
 
-/* Return JC_REQUEST_BLOCKED if the request of EXCHANGE crashes endpoints, else
-   JC_OK.  */
+/* Return JC_REQUEST_BLOCKED if the request of EXCHANGE crashes endpoints, or
+   may and was already at one that broke it off.  Else return JC_OK.  */
 enum jc_status
 crashes_check_request (const struct exchange *exchange)
 {
@@ -185,7 +190,12 @@
 
   if (!jc_suspects_find_blocked (router->suspects, &exchange->fingerprints,
                                  &blocked))
-    return JC_OK;
+    return exchange->broken_off
+                   && jc_suspects_is_suspected (router->suspects,
+                                                &exchange->fingerprints)
+               ? jc_fail (JC_REQUEST_BLOCKED,
+                          "Such requests may crash endpoints.")
+               : JC_OK;
   jc_event (JC_EVENT_CRASH, "id=%s fingerprint=%016" PRIx64 " outcome=refused",
             exchange_id (exchange), blocked);
   jc_metrics_counter_add (router->entry->metrics,
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -41,7 +41,8 @@
    in the wait queue, where it stays until WAIT_UNTIL_MS at the latest.
    FIRST_EVENT_MS is the time from the start to the first event, LAST_EVENT_MS
    when the last event came, ATTEMPT_FIRST_EVENT_MS when the first one of the
-   current attempt came, 0 for not yet, MAX_GAP_MS the longest pause between two
+   current attempt came, 0 for not yet, BROKEN_OFF that an endpoint broke off an
+   attempt that had only begun, MAX_GAP_MS the longest pause between two
    events.  */
 struct exchange
 {
@@ -91,6 +92,7 @@
   int64_t first_event_ms;
   int64_t last_event_ms;
   int64_t attempt_first_event_ms;
+  bool broken_off;
   int64_t max_gap_ms;
 };
 
--- a/member/crashes.c
+++ b/member/crashes.c
@@ -9,11 +9,14 @@
   /* Crashes that are remembered; older ones no longer count.  */
   CRASHES_KEPT = 64,
   REQUESTS_PER_CRASH_MAX = 1024,
-  FINGERPRINTS_MAX = 16
+  FINGERPRINTS_MAX = 16,
+  /* Endpoints that one request is sent to.  */
+  REPEATS_MAX = 4
 };
 
 struct request
 {
+  uint64_t id;
   bool starting;
   unsigned int count;
   uint64_t fingerprints[FINGERPRINTS_MAX];
@@ -31,9 +34,10 @@
 };
 
 /* The score of a fingerprint: what crashes of BATCH, the latest one that it was
-   beside, and of earlier ones add to it.  */
+   beside, and of earlier ones add to it.  CRASH is the latest of them.  */
 struct score
 {
+  const struct crash *crash;
   uint64_t batch;
   unsigned int in_batch;
   unsigned int earlier;
@@ -193,7 +197,7 @@
 static void
 crash_add_request (struct crash *crash, const struct rpc_crash_request *from)
 {
-  struct request request = { .starting = from->starting };
+  struct request request = { .id = from->request, .starting = from->starting };
 
   if (crash->requests->len >= REQUESTS_PER_CRASH_MAX)
     return;
@@ -216,14 +220,48 @@
     crash_add_request (crash, &reported->requests.requests_val[i]);
 }
 
-/* Count REQUEST, which ran beside CRASH, for the scores of its
+static bool
+crash_has_request (const struct crash *crash, uint64_t id)
+{
+  for (guint r = 0; r < crash->requests->len; r++)
+    if (g_array_index (crash->requests, struct request, r).id == id)
+      return true;
+  return false;
+}
+
+/* Return whether REQUEST, which ran at the crash number INDEX, ran at an
+   earlier one of the same batch too.  The one then came after the other,
+   however close they are.  Where many endpoints were lost at once this is not
+   looked for.  */
+static bool
+is_repeated (const struct jc_crashes *crashes, guint index,
+             const struct request *request)
+{
+  const struct crash *crash = g_ptr_array_index (crashes->list, index);
+
+  for (guint i = index; request->id != 0 && i > 0 && index - i < REPEATS_MAX;
+       i--)
+    {
+      const struct crash *earlier = g_ptr_array_index (crashes->list, i - 1);
+
+      if (earlier->batch != crash->batch)
+        return false;
+      if (crash_has_request (earlier, request->id))
+        return true;
+    }
+  return false;
+}
+
+/* Count REQUEST, which ran at the crash number INDEX, for the scores of its
    fingerprints.  */
 static void
-score_request (struct jc_crashes *crashes, const struct crash *crash,
+score_request (struct jc_crashes *crashes, guint index,
                const struct request *request)
 {
+  const struct crash *crash = g_ptr_array_index (crashes->list, index);
   unsigned int score
       = request->starting ? JC_CRASH_SCORE_STARTING : JC_CRASH_SCORE_RUNNING;
+  bool repeated = is_repeated (crashes, index, request);
 
   for (unsigned int f = 0; f < request->count; f++)
     {
@@ -238,9 +276,10 @@
           g_hash_table_insert (crashes->scores, g_memdup2 (&key, sizeof key),
                                row);
         }
-      if (row->batch != crash->batch)
-        *row = (struct score){ .batch = crash->batch,
-                               .earlier = row->earlier + row->in_batch };
+      if (row->batch != crash->batch || (repeated && row->crash != crash))
+        *row = (struct score){ .earlier = row->earlier + row->in_batch };
+      row->crash = crash;
+      row->batch = crash->batch;
       row->in_batch = MAX (row->in_batch, score);
     }
 }
@@ -256,7 +295,7 @@
       const struct crash *crash = g_ptr_array_index (crashes->list, i);
 
       for (guint r = 0; !crash->explained && r < crash->requests->len; r++)
-        score_request (crashes, crash,
+        score_request (crashes, i,
                        &g_array_index (crash->requests, struct request, r));
     }
 }
@@ -537,9 +576,10 @@
           = &g_array_index (crash->requests, struct request, r);
 
       json_array_append_new (
-          requests, json_pack ("[b,o]", request->starting,
-                               fingerprints_to_json (request->fingerprints,
-                                                     request->count)));
+          requests,
+          json_pack (
+              "[I,b,o]", (json_int_t)request->id, request->starting,
+              fingerprints_to_json (request->fingerprints, request->count)));
     }
   return json_pack ("[s,I,I,b,o]", crash->endpoint,
                     (json_int_t)crash->incarnation, (json_int_t)crash->batch,
@@ -581,11 +621,13 @@
 {
   struct request request = { 0 };
   const json_t *fingerprints;
+  json_int_t id;
   int starting;
 
-  if (json_unpack ((json_t *)in, "[b,o]", &starting, &fingerprints) != 0
+  if (json_unpack ((json_t *)in, "[I,b,o]", &id, &starting, &fingerprints) != 0
       || json_array_size (fingerprints) > FINGERPRINTS_MAX)
     return false;
+  request.id = (uint64_t)id;
   request.starting = starting;
   request.count = (unsigned int)json_array_size (fingerprints);
   for (unsigned int i = 0; i < request.count; i++)
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -778,6 +778,7 @@
 typedef struct rpc_pauses rpc_pauses;
 
 struct rpc_crash_request {
+	u_quad_t request;
 	bool_t starting;
 	struct {
 		u_int fingerprints_len;
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1431,6 +1431,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->starting))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->fingerprints.fingerprints_val, (u_int *) &objp->fingerprints.fingerprints_len, 16,
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -692,8 +692,10 @@
 
 /* A request that ran at an endpoint when that crashed.  starting tells that it
    had not begun to answer, or only just.  fingerprints are ordered from the most
-   to the least widely shared.  */
+   to the least widely shared.  request is a hash of its id, the same for all its
+   attempts, 0 if it has none.  */
 struct rpc_crash_request {
+  unsigned hyper request;
   bool starting;
   unsigned hyper fingerprints<16>;
 };
--- a/serve/suspects.c
+++ b/serve/suspects.c
@@ -109,7 +109,8 @@
 {
   struct broken *broken
       = find_broken (suspects, attempt->endpoint, attempt->incarnation);
-  struct rpc_crash_request request = { .starting = attempt->starting };
+  struct rpc_crash_request request
+      = { .request = attempt->request, .starting = attempt->starting };
   bool first = broken == NULL;
 
   if (attempt->fingerprints->count == 0)
@@ -244,6 +245,17 @@
   return false;
 }
 
+/* Return whether one of FINGERPRINTS is suspected or blocked.  */
+bool
+jc_suspects_is_suspected (const struct jc_suspects *suspects,
+                          const struct jc_fingerprints *fingerprints)
+{
+  for (unsigned int i = 0; i < fingerprints->count; i++)
+    if (g_hash_table_contains (suspects->states, &fingerprints->values[i]))
+      return true;
+  return false;
+}
+
 /* Return the number of fingerprints in STATE.  */
 unsigned int
 jc_suspects_count (const struct jc_suspects *suspects, enum rpc_suspicion state)
--- a/serve/suspects.h
+++ b/serve/suspects.h
@@ -12,10 +12,12 @@
 
 struct jc_suspects;
 
-/* An attempt that an incarnation of an endpoint broke off.  STARTING tells that
-   its answer had not begun, or only just.  */
+/* An attempt that an incarnation of an endpoint broke off.  REQUEST is a hash
+   of the request's id, 0 for none.  STARTING tells that its answer had not
+   begun, or only just.  */
 struct jc_broken_attempt
 {
+  uint64_t request;
   const char *endpoint;
   uint64_t incarnation;
   const struct jc_fingerprints *fingerprints;
@@ -44,6 +46,8 @@
 bool jc_suspects_find_blocked (const struct jc_suspects *suspects,
                                const struct jc_fingerprints *fingerprints,
                                uint64_t *blocked);
+bool jc_suspects_is_suspected (const struct jc_suspects *suspects,
+                               const struct jc_fingerprints *fingerprints);
 unsigned int jc_suspects_count (const struct jc_suspects *suspects,
                                 enum rpc_suspicion state);
 bool jc_suspects_take_report (struct jc_suspects *suspects, int64_t now_ms,
--- a/tests/test-crashes.c
+++ b/tests/test-crashes.c
@@ -226,6 +226,29 @@
   jc_crashes_free (crashes);
 }
 
+/* Guards against needing more crashes where a request is repeated: its two
+   crashes come one after the other, however close they are, but count once for
+   each endpoint.  */
+static void
+test_repeated_request (void)
+{
+  struct jc_crashes *crashes = jc_crashes_new (JC_CRASH_BLOCK_SCORE);
+  struct change *change = change_new ();
+
+  for (unsigned int n = 1; n <= 2; n++)
+    for (unsigned int id = 7; id <= 8; id++)
+      {
+        struct rpc_crash *crash = change_add_crash (change, "e", n);
+
+        crash_add (crash, true, FIRST, BAD);
+        crash->requests.requests_val[0].request = id;
+      }
+  change_apply (change, crashes);
+  g_assert_cmpuint (jc_crashes_score (crashes, BAD), ==,
+                    2 * JC_CRASH_SCORE_STARTING);
+  jc_crashes_free (crashes);
+}
+
 /* Guards against counting a crash once for each instance that saw it.  */
 static void
 test_counted_once (void)
@@ -335,6 +358,7 @@
   g_test_add_func ("/rarest-part-first", test_rarest_part_first);
   g_test_add_func ("/first-part-bad", test_first_part_bad);
   g_test_add_func ("/many-at-once", test_many_at_once);
+  g_test_add_func ("/repeated-request", test_repeated_request);
   g_test_add_func ("/counted-once", test_counted_once);
   g_test_add_func ("/answer-ends-block", test_answer_ends_block);
   g_test_add_func ("/invented-parts", test_invented_parts);
