--- a/tests/process/crash_standin.py
+++ b/tests/process/crash_standin.py
@@ -20,6 +20,7 @@
 FIRST_PARTS = ["a1:300", "a2:300", "a3:300"]
 SUBJECTS = 30
 BAD_PART = "bad1:200"
+BAD_BODY = b"deadly"
 # When endpoints crashed, and when deadly requests reached one.
 CRASHES, REACHED = [], []
 
@@ -48,23 +49,31 @@
         return BAD_PART.split(":")[0] + ":" in fields.get("x-jaycove-prompt-prefix", "")
 
 
+class DeadlyRequest(Fragile):
+    def is_deadly(self, start, fields, body):
+        return body == BAD_BODY
+
+
 class Callers:
     """Callers of all entry instances; keeps when each sound request began and whether its answer was whole."""
 
     def __init__(self):
         self.sound, self.bad, self.tasks = [], {}, set()
+        # Sound requests that were refused as if they crashed endpoints.
+        self.blocked = 0
 
-    async def one(self, path, parts, sound):
+    async def one(self, path, parts, sound, body=b""):
         begun = time.monotonic()
         try:
-            reply = await request(random.choice(ADDRESSES["entries"]), "POST", path,
+            reply = await request(random.choice(ADDRESSES["entries"]), "POST", path, body,
                                   headers=[("X-Jaycove-Model", "m"), ("X-Jaycove-Token-Count", "700,40"),
                                            ("X-Jaycove-Prompt-Prefix", ",".join(parts))])
             whole, status = reply.status == 200 and reply.whole, reply.status
+            self.blocked += sound and b"request_blocked" in reply.body
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             whole, status = False, 0
         if sound:
-            self.sound.append((begun, whole, parts[0], status))
+            self.sound.append((begun, whole, parts[0]))
         else:
             self.bad[status] = self.bad.get(status, 0) + 1
 
@@ -82,12 +91,13 @@
                 self.start("/stream/x", [random.choice(FIRST_PARTS), f"b{random.randrange(SUBJECTS)}:200", own_part()], True)
             while bad < now * bad_per_s:
                 bad += 1
-                self.start(*make_bad(), False)
+                path, parts, body = make_bad()
+                self.start(path, parts, False, body)
             await asyncio.sleep(0.005)
         await asyncio.gather(*self.tasks)
 
     def share_whole(self, since, before=float("inf"), first_part=None):
-        chosen = [whole for begun, whole, first, _ in self.sound
+        chosen = [whole for begun, whole, first in self.sound
                   if since <= begun < before and first_part in (None, first)]
         return sum(chosen) / len(chosen) if chosen else 1.0
 
@@ -112,14 +122,14 @@
     last = CRASHES[min(len(CRASHES), 5) - 1]
     whole = callers.share_whole(second)
     sharing = callers.share_whole(last + 2 * CONTACT_S, first_part=first_part)
-    refused = sum(1 for begun, _, _, status in callers.sound if status == 503 and begun >= CRASHES[0])
     statuses = dict(sorted(callers.bad.items()))
     print("%d crashes, %d requests reached endpoints, %d of them late; bad ones by status %s; sound ones whole from the "
-          "second crash on %.3f, with the same first part %.3f, refused %d"
-          % (len(CRASHES), len(REACHED), len(late), statuses, whole, sharing, refused), flush=True)
+          "second crash on %.3f, with the same first part %.3f, blocked %d"
+          % (len(CRASHES), len(REACHED), len(late), statuses, whole, sharing, callers.blocked), flush=True)
     assert len(late) <= REACHED_MAX, len(late)
     assert whole >= WHOLE_MIN, whole
     assert sharing >= 0.5, sharing
+    assert callers.blocked == 0, callers.blocked
 
 
 async def prompt_part():
@@ -127,10 +137,21 @@
     await start_endpoints(DeadlyPart)
     callers = Callers()
     await callers.run(4)
-    await callers.run(RUN_S, 3, lambda: ("/stream/x", [FIRST_PARTS[0], BAD_PART, own_part()]))
+    await callers.run(RUN_S, 3, lambda: ("/stream/x", [FIRST_PARTS[0], BAD_PART, own_part()], b""))
     check(callers, 5, FIRST_PARTS[0])
 
 
+async def same_request():
+    """One request that comes again and again crashes each endpoint that begins to run it; sound ones share all parts of
+    its prompt but the last."""
+    await start_endpoints(DeadlyRequest)
+    callers = Callers()
+    await callers.run(4)
+    parts = [FIRST_PARTS[0], "b0:200", own_part()]
+    await callers.run(RUN_S, 1, lambda: ("/stream/same", parts, BAD_BODY))
+    check(callers, 3, FIRST_PARTS[0])
+
+
 if __name__ == "__main__":
     use(sys.argv[2])
-    asyncio.run({"prompt_part": prompt_part}[sys.argv[1]]())
+    asyncio.run({"prompt_part": prompt_part, "same_request": same_request}[sys.argv[1]]())
