Refuse a request that comes again and crashes each endpoint that runs it

Cause, hypothesis 1: a request had no fingerprint of its own, so that its crashes were blamed on a part that it shares with sound requests; each whole answer to one of these ended the block. Class: evidence kept under the wrong key. A request now has one more fingerprint, a BLAKE2b hash of service, method, host, target and body, the last and rarest one, which is blamed first.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -439,6 +439,20 @@
   return service != NULL ? service->engine.event_tokens : 0;
 }
 
+static void
+init_fingerprints (struct exchange *exchange)
+{
+  const char *host = jc_http_header (exchange->req, "Host");
+  const struct jc_request_identity identity
+      = { .method = jc_http_method (exchange->req),
+          .host = host != NULL ? host : "",
+          .target = jc_http_target (exchange->req),
+          .body = jc_http_body (exchange->req) };
+
+  jc_fingerprints_init (&exchange->fingerprints, exchange->service,
+                        &exchange->request_info, &identity);
+}
+
 /* Start the exchange for REQ, whose body is complete.  With HANDED_OVER another
    entry instance sent it, and it is not passed on to a further one.  */
 void
@@ -476,7 +490,7 @@
   exchange->batch = g_string_new (NULL);
   exchange->held_comments = g_string_new (NULL);
   jc_sse_init (&exchange->sse);
-  jc_fingerprints_init (&exchange->fingerprints, exchange->service, &info);
+  init_fingerprints (exchange);
   jc_demand_init (&info, &exchange->demand);
   exchange->demand.first_event_limit_ms = route->objective_ms;
   exchange->demand.gap_limit_ms = route->gap_ms;
--- a/serve/fingerprint.h
+++ b/serve/fingerprint.h
@@ -12,6 +12,15 @@
   JC_FINGERPRINTS_MAX = JC_PROMPT_PARTS_MAX
 };
 
+/* What identifies a request that comes again: everything but its id.  */
+struct jc_request_identity
+{
+  const char *method;
+  const char *host;
+  const char *target;
+  struct jc_str body;
+};
+
 /* The fingerprints of a request, each a hash of its service and of something
    that other requests may have too.  They are ordered from the most to the
    least widely shared.  */
@@ -22,7 +31,8 @@
 };
 
 void jc_fingerprints_init (struct jc_fingerprints *out, const char *service,
-                           const struct jc_request_info *info);
+                           const struct jc_request_info *info,
+                           const struct jc_request_identity *identity);
 void jc_fingerprints_append_text (const struct jc_fingerprints *fingerprints,
                                   GString *out);
 
--- a/serve/suspects.c
+++ b/serve/suspects.c
@@ -12,7 +12,7 @@
   /* A whole answer this long ago still clears requests that are suspected
      now, since news of a crash take a moment.  */
   ANSWER_COUNTS_MS = 2000,
-  ANSWERED_MAX = 16384,
+  ANSWERED_MAX = 4096,
   SUSPECTS_MAX = 8192,
   REPORT_CRASHES_MAX = 256,
   REPORT_REQUESTS_MAX = 256,
