--- /dev/null
+++ b/tests/crashsim.c
@@ -0,0 +1,438 @@
+/* Simulation of endpoints that crash under certain requests.  */
+
+#include <glib.h>
+#include <string.h>
+
+#include "member/crashes.h"
+#include "serve/suspects.h"
+#include "tests/crashsim.h"
+
+enum
+{
+  TICK_MS = 5,
+  REPORT_MS = 20,
+  PROPOSE_MS = 100,
+  COMMIT_MS = 200,
+  DELAY_MS_MAX = 80,
+  BACK_MS = 2000,
+  CRASH_AFTER_MS = 80,
+  FIRST_EVENT_MS_MAX = 300,
+  ANSWER_MS_MAX = 1500,
+  STARTING_MS = 500,
+  SUBJECTS = 60,
+  FIRST_PARTS = 3,
+  FAULT_PERIOD_MS = 10000,
+  /* Faults begin so long before the end of a period: the first ones when deadly
+     requests begin to come, and before.  */
+  NO_LEADER_PHASE_MS = FAULT_PERIOD_MS - CRASHSIM_DEADLY_MS,
+  CUT_PHASE_MS = FAULT_PERIOD_MS - CRASHSIM_DEADLY_MS + 1000,
+  BOUND_PART = 5,
+  BOUND_REQUEST = 3,
+  MS_PER_S = 1000
+};
+
+/* Fingerprints that can't meet those of sound requests.  */
+static const uint64_t deadly_part = 1000000;
+static const uint64_t deadly_request = 2000000;
+
+struct attempt
+{
+  unsigned int instance;
+  unsigned int endpoint;
+  struct jc_fingerprints fingerprints;
+  int64_t sent_ms;
+  int64_t first_event_ms;
+  int64_t whole_ms;
+  bool deadly;
+};
+
+struct sim_endpoint
+{
+  uint64_t incarnation;
+  int64_t down_until_ms;
+};
+
+struct sim_instance
+{
+  struct jc_suspects *suspects;
+  int64_t cut_ms;
+  bool cut;
+  /* Crashes under deadly requests that it sent, and the last of them.  */
+  unsigned int seen;
+  int64_t seen_ms;
+};
+
+/* A report on its way to a state instance.  */
+struct report
+{
+  int64_t due_ms;
+  struct rpc_crash_changes changes;
+};
+
+struct sim
+{
+  const struct crashsim_plan *plan;
+  struct crashsim_result *result;
+  GRand *rand;
+  int64_t now_ms;
+  int64_t bound_ms;
+  uint64_t next_request;
+  struct sim_instance instances[CRASHSIM_INSTANCES_MAX];
+  struct sim_endpoint endpoints[CRASHSIM_ENDPOINTS];
+  GArray *attempts;
+  struct jc_crashes *table;
+  GPtrArray *reports;
+  /* The entry of the log that is being committed, and when it will be.  */
+  GString *entry;
+  int64_t entry_ms;
+};
+
+static void
+report_free (gpointer data)
+{
+  struct report *report = data;
+
+  xdr_free ((xdrproc_t)xdr_rpc_crash_changes, (char *)&report->changes);
+  g_free (report);
+}
+
+/* Return whether the fault is there that lasts DURATION_MS in each period and
+   begins PHASE_MS before the period's end.  */
+static bool
+fault_is_on (const struct sim *sim, int64_t duration_ms, int64_t phase_ms)
+{
+  int64_t in_period = (sim->now_ms + phase_ms) % FAULT_PERIOD_MS;
+
+  return duration_ms > 0 && in_period < duration_ms;
+}
+
+static void
+end_attempts_at (struct sim *sim, unsigned int endpoint)
+{
+  struct sim_endpoint *sim_endpoint = &sim->endpoints[endpoint];
+  char name[16];
+
+  g_snprintf (name, sizeof name, "e%u", endpoint);
+  for (guint i = sim->attempts->len; i > 0; i--)
+    {
+      const struct attempt *attempt
+          = &g_array_index (sim->attempts, struct attempt, i - 1);
+      struct jc_suspects *suspects = sim->instances[attempt->instance].suspects;
+      const struct jc_broken_attempt broken
+          = { .endpoint = name,
+              .incarnation = sim_endpoint->incarnation,
+              .fingerprints = &attempt->fingerprints,
+              .starting = sim->now_ms - attempt->first_event_ms < STARTING_MS };
+
+      if (attempt->endpoint != endpoint)
+        continue;
+      jc_suspects_note_broken (suspects, &broken, sim->now_ms);
+      jc_suspects_note_crashed (suspects, name, sim_endpoint->incarnation);
+      g_array_remove_index_fast (sim->attempts, i - 1);
+    }
+}
+
+static void
+crash_endpoint (struct sim *sim, unsigned int endpoint)
+{
+  struct sim_endpoint *sim_endpoint = &sim->endpoints[endpoint];
+
+  if (sim_endpoint->down_until_ms > sim->now_ms)
+    return;
+  end_attempts_at (sim, endpoint);
+  sim_endpoint->incarnation++;
+  sim_endpoint->down_until_ms = sim->now_ms + BACK_MS;
+}
+
+/* Count a deadly request that INSTANCE sends.  */
+static void
+count_deadly (struct sim *sim, const struct sim_instance *instance)
+{
+  bool bound
+      = sim->bound_ms > 0 && sim->now_ms >= sim->bound_ms + CRASHSIM_CONTACT_MS;
+
+  if (sim->now_ms < instance->cut_ms + CRASHSIM_CONTACT_MS)
+    sim->result->cut_off += instance->seen >= CRASHSIM_SEEN_MAX
+                            && sim->now_ms > instance->seen_ms + REPORT_MS;
+  else
+    sim->result->late += bound;
+}
+
+static void
+fill_fingerprints (struct sim *sim, bool deadly, struct jc_fingerprints *out)
+{
+  bool part = deadly && !sim->plan->whole_request;
+  uint64_t first = 1 + g_rand_int_range (sim->rand, 0, FIRST_PARTS);
+  uint64_t subject = 100 + g_rand_int_range (sim->rand, 0, SUBJECTS);
+
+  out->count = 3;
+  out->values[0] = part && sim->plan->first_part ? deadly_part : first;
+  out->values[1] = part && !sim->plan->first_part ? deadly_part : subject;
+  out->values[2] = deadly && sim->plan->whole_request
+                       ? deadly_request
+                       : deadly_request + ++sim->next_request;
+  if (deadly && sim->plan->whole_request)
+    {
+      out->values[0] = 1;
+      out->values[1] = 100;
+    }
+}
+
+/* A caller sends a request to some instance.  */
+static void
+arrive (struct sim *sim, bool deadly)
+{
+  struct attempt attempt = { .instance = (unsigned int)g_rand_int_range (
+                                 sim->rand, 0, (gint32)sim->plan->instances),
+                             .endpoint = (unsigned int)g_rand_int_range (
+                                 sim->rand, 0, CRASHSIM_ENDPOINTS),
+                             .sent_ms = sim->now_ms,
+                             .deadly = deadly };
+  struct sim_instance *instance = &sim->instances[attempt.instance];
+  uint64_t blocked;
+
+  fill_fingerprints (sim, deadly, &attempt.fingerprints);
+  sim->result->sound += !deadly;
+  if (jc_suspects_find_blocked (instance->suspects, &attempt.fingerprints,
+                                &blocked))
+    {
+      sim->result->refused += !deadly;
+      return;
+    }
+  while (sim->endpoints[attempt.endpoint].down_until_ms > sim->now_ms)
+    attempt.endpoint = (attempt.endpoint + 1) % CRASHSIM_ENDPOINTS;
+  attempt.first_event_ms
+      = sim->now_ms
+        + (deadly ? CRASH_AFTER_MS
+                  : g_rand_int_range (sim->rand, TICK_MS, FIRST_EVENT_MS_MAX));
+  attempt.whole_ms = attempt.first_event_ms
+                     + g_rand_int_range (sim->rand, 100, ANSWER_MS_MAX);
+  if (deadly)
+    count_deadly (sim, instance);
+  g_array_append_val (sim->attempts, attempt);
+}
+
+static void
+arrive_all (struct sim *sim, unsigned int per_s, bool deadly)
+{
+  if (g_rand_double (sim->rand) < (double)per_s * TICK_MS / MS_PER_S)
+    arrive (sim, deadly);
+}
+
+/* End the attempts that are answered whole.  Return one that begins to answer a
+   deadly request, NULL if there is none.  */
+static const struct attempt *
+answer_all (struct sim *sim)
+{
+  for (guint i = sim->attempts->len; i > 0; i--)
+    {
+      const struct attempt *attempt
+          = &g_array_index (sim->attempts, struct attempt, i - 1);
+
+      if (attempt->deadly && sim->now_ms >= attempt->first_event_ms)
+        return attempt;
+      if (sim->now_ms < attempt->whole_ms)
+        continue;
+      jc_suspects_note_answered (sim->instances[attempt->instance].suspects,
+                                 &attempt->fingerprints, sim->now_ms);
+      sim->result->whole++;
+      g_array_remove_index_fast (sim->attempts, i - 1);
+    }
+  return NULL;
+}
+
+static void
+crash_by_requests (struct sim *sim)
+{
+  unsigned int bound = sim->plan->whole_request ? BOUND_REQUEST : BOUND_PART;
+  const struct attempt *attempt;
+
+  while ((attempt = answer_all (sim)) != NULL)
+    {
+      struct sim_instance *instance = &sim->instances[attempt->instance];
+
+      instance->seen++;
+      instance->seen_ms = sim->now_ms;
+      crash_endpoint (sim, attempt->endpoint);
+      if (++sim->result->crashes == bound)
+        sim->bound_ms = sim->now_ms;
+    }
+}
+
+/* Endpoints crash without a request's fault.  */
+static void
+crash_by_themselves (struct sim *sim)
+{
+  if (sim->plan->loss_ms > 0 && sim->now_ms % sim->plan->loss_ms == 0)
+    for (unsigned int i = 0; i < CRASHSIM_ENDPOINTS / 3; i++)
+      crash_endpoint (sim, i);
+  if (sim->plan->crash_ms > 0 && sim->now_ms % sim->plan->crash_ms == 0)
+    crash_endpoint (
+        sim, (unsigned int)g_rand_int_range (sim->rand, 0, CRASHSIM_ENDPOINTS));
+}
+
+static void
+send_reports (struct sim *sim)
+{
+  for (unsigned int i = 0; i < sim->plan->instances; i++)
+    {
+      struct sim_instance *instance = &sim->instances[i];
+      struct rpc_crash_changes changes;
+      struct report *report;
+      GString *encoded;
+
+      if (!jc_suspects_take_report (instance->suspects, sim->now_ms, &changes))
+        continue;
+      report = g_new0 (struct report, 1);
+      report->due_ms
+          = sim->now_ms + g_rand_int_range (sim->rand, 1, DELAY_MS_MAX);
+      encoded = jc_crashes_encode (&changes);
+      jc_crashes_decode (jc_str_from_gstring (encoded), &report->changes);
+      g_string_free (encoded, TRUE);
+      jc_suspects_free_report (&changes);
+      if (instance->cut)
+        report_free (report);
+      else
+        g_ptr_array_add (sim->reports, report);
+    }
+}
+
+/* Begin to commit the reports that have arrived.  */
+static void
+propose (struct sim *sim)
+{
+  GArray *crashes = g_array_new (FALSE, FALSE, sizeof (struct rpc_crash));
+  GArray *answered = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  GPtrArray *done = g_ptr_array_new_with_free_func (report_free);
+  struct rpc_crash_changes changes = { 0 };
+
+  for (guint i = sim->reports->len; i > 0; i--)
+    {
+      struct report *report = g_ptr_array_index (sim->reports, i - 1);
+
+      if (report->due_ms > sim->now_ms)
+        continue;
+      g_array_append_vals (crashes, report->changes.crashes.crashes_val,
+                           report->changes.crashes.crashes_len);
+      g_array_append_vals (answered, report->changes.answered.answered_val,
+                           report->changes.answered.answered_len);
+      g_ptr_array_add (done, g_ptr_array_steal_index (sim->reports, i - 1));
+    }
+  changes.crashes.crashes_len = crashes->len;
+  changes.crashes.crashes_val = (struct rpc_crash *)crashes->data;
+  changes.answered.answered_len = answered->len;
+  changes.answered.answered_val = (u_quad_t *)answered->data;
+  if (done->len > 0)
+    {
+      sim->entry = jc_crashes_encode (&changes);
+      sim->entry_ms = sim->now_ms + COMMIT_MS;
+    }
+  g_ptr_array_free (done, TRUE);
+  g_array_free (crashes, TRUE);
+  g_array_free (answered, TRUE);
+}
+
+static void
+commit (struct sim *sim)
+{
+  struct rpc_crash_changes changes;
+
+  g_assert_true (
+      jc_crashes_decode (jc_str_from_gstring (sim->entry), &changes));
+  jc_crashes_apply (sim->table, &changes, sim->now_ms);
+  xdr_free ((xdrproc_t)xdr_rpc_crash_changes, (char *)&changes);
+  g_string_free (sim->entry, TRUE);
+  sim->entry = NULL;
+}
+
+/* Tell the instances that can be reached what the log has decided.  */
+static void
+publish (struct sim *sim)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_suspect));
+  struct rpc_suspects update = { .full = true };
+
+  jc_crashes_list (sim->table, rows);
+  update.list.list_len = rows->len;
+  update.list.list_val = (struct rpc_suspect *)rows->data;
+  for (unsigned int i = 0; i < sim->plan->instances; i++)
+    if (!sim->instances[i].cut)
+      jc_suspects_update (sim->instances[i].suspects, &update, sim->now_ms);
+  g_array_free (rows, TRUE);
+}
+
+static void
+run_log (struct sim *sim)
+{
+  if (sim->entry != NULL && sim->now_ms >= sim->entry_ms)
+    {
+      commit (sim);
+      publish (sim);
+    }
+  if (sim->entry == NULL && sim->now_ms % PROPOSE_MS == 0
+      && !fault_is_on (sim, sim->plan->no_leader_ms, NO_LEADER_PHASE_MS))
+    propose (sim);
+}
+
+/* Cut instances off, or let them be reached again.  */
+static void
+update_cuts (struct sim *sim)
+{
+  bool on = fault_is_on (sim, sim->plan->cut_ms, CUT_PHASE_MS);
+  bool healed = false;
+
+  for (unsigned int i = 0; i < sim->plan->instances; i += 3)
+    {
+      struct sim_instance *instance = &sim->instances[i];
+
+      healed = healed || (instance->cut && !on);
+      instance->cut = on;
+      if (on)
+        instance->cut_ms = sim->now_ms;
+    }
+  if (healed)
+    publish (sim);
+}
+
+/* Play PLAN with SEED and fill RESULT.  */
+void
+crashsim_run (const struct crashsim_plan *plan, uint32_t seed,
+              struct crashsim_result *result)
+{
+  struct sim *sim = g_new0 (struct sim, 1);
+
+  memset (result, 0, sizeof *result);
+  sim->plan = plan;
+  sim->result = result;
+  sim->rand = g_rand_new_with_seed (seed);
+  sim->attempts = g_array_new (FALSE, FALSE, sizeof (struct attempt));
+  sim->reports = g_ptr_array_new_with_free_func (report_free);
+  sim->table = jc_crashes_new (JC_CRASH_BLOCK_SCORE);
+  for (unsigned int i = 0; i < plan->instances; i++)
+    {
+      sim->instances[i].suspects = jc_suspects_new ();
+      sim->instances[i].cut_ms = -CRASHSIM_CONTACT_MS;
+    }
+  for (sim->now_ms = TICK_MS; sim->now_ms < CRASHSIM_RUN_MS;
+       sim->now_ms += TICK_MS)
+    {
+      update_cuts (sim);
+      arrive_all (sim, plan->sound_per_s, false);
+      if (sim->now_ms >= CRASHSIM_DEADLY_MS)
+        arrive_all (sim, plan->deadly_per_s, true);
+      crash_by_requests (sim);
+      crash_by_themselves (sim);
+      if (sim->now_ms % REPORT_MS == 0)
+        send_reports (sim);
+      run_log (sim);
+    }
+  for (unsigned int i = 0; i < plan->instances; i++)
+    jc_suspects_free (sim->instances[i].suspects);
+  jc_crashes_free (sim->table);
+  if (sim->entry != NULL)
+    g_string_free (sim->entry, TRUE);
+  g_ptr_array_free (sim->reports, TRUE);
+  g_array_free (sim->attempts, TRUE);
+  g_rand_free (sim->rand);
+  g_free (sim);
+}
