Need more evidence against requests that were answered whole shortly before

Cause: three crashes within 1.5 s beside a part that is asked for 2.5 times a second, with no whole answer in between. Ruled out: late news (the answers that clear it come 0.4 s later). Instances now report which parts were answered whole within the last minute, and two crashes are taken off their score, so that a part that was sound until now needs five crashes and a new one three.

--- a/member/crashes.c
+++ b/member/crashes.c
@@ -52,7 +52,8 @@
 };
 
 /* BATCH counts the changes applied.  ANSWERED maps fingerprints to the change
-   that reported a whole answer: earlier crashes don't count against them.
+   that reported a whole answer: earlier crashes don't count against them. KNOWN
+   maps those to a change that had a whole answer shortly before their crashes.
    BLOCKED maps fingerprints to struct block.  SCORES, which is derived from the
    others, maps them to struct score.  */
 struct jc_crashes
@@ -61,6 +62,7 @@
   uint64_t batch;
   GPtrArray *list;
   GHashTable *answered;
+  GHashTable *known;
   GHashTable *blocked;
   GHashTable *scores;
 };
@@ -106,6 +108,7 @@
   crashes->block_score = block_score;
   crashes->list = g_ptr_array_new_with_free_func (crash_free);
   crashes->answered = table_new ();
+  crashes->known = table_new ();
   crashes->blocked = table_new ();
   crashes->scores = table_new ();
   return crashes;
@@ -118,12 +121,14 @@
     return;
   g_ptr_array_free (crashes->list, TRUE);
   g_hash_table_destroy (crashes->answered);
+  g_hash_table_destroy (crashes->known);
   g_hash_table_destroy (crashes->blocked);
   g_hash_table_destroy (crashes->scores);
   g_free (crashes);
 }
 
-/* Return CHANGES encoded (XDR) as the data of a log entry.  */
+/* Return CHANGES encoded (XDR).  The data of a log entry are one or several of
+   them.  */
 GString *
 jc_crashes_encode (const struct rpc_crash_changes *changes)
 {
@@ -139,18 +144,24 @@
   return out;
 }
 
-/* Decode DATA, a log entry, into OUT, to be freed with xdr_free in any case.
-   Return false if it is malformed.  */
+/* Decode the first changes of REST, a log entry, into OUT, to be freed with
+   xdr_free in any case, and move REST behind them.  Return false if there are
+   none or they are malformed.  */
 bool
-jc_crashes_decode (struct jc_str data, struct rpc_crash_changes *out)
+jc_crashes_next (struct jc_str *rest, struct rpc_crash_changes *out)
 {
   XDR xdr;
   bool ok;
+  u_int used;
 
   memset (out, 0, sizeof *out);
-  xdrmem_create (&xdr, (char *)data.data, (u_int)data.len, XDR_DECODE);
+  xdrmem_create (&xdr, (char *)rest->data, (u_int)rest->len, XDR_DECODE);
   ok = xdr_rpc_crash_changes (&xdr, out);
+  used = xdr_getpos (&xdr);
   xdr_destroy (&xdr);
+  if (ok)
+    *rest
+        = (struct jc_str){ .data = rest->data + used, .len = rest->len - used };
   return ok;
 }
 
@@ -309,12 +320,23 @@
   return row != NULL ? row->earlier + row->in_batch : 0;
 }
 
-/* Return whether requests of CRASH with SCORE leave no other explanation than
-   FINGERPRINT: whatever else has that score is a more widely shared part of the
-   same requests.  */
+/* Return the part of the score of FINGERPRINT that tells against it.  */
+static unsigned int
+weight_of (const struct jc_crashes *crashes, uint64_t fingerprint)
+{
+  unsigned int score = jc_crashes_score (crashes, fingerprint);
+
+  if (!g_hash_table_contains (crashes->known, &fingerprint))
+    return score;
+  return score > JC_CRASH_KNOWN_SCORE ? score - JC_CRASH_KNOWN_SCORE : 0;
+}
+
+/* Return whether the requests of CRASH leave no other explanation than
+   FINGERPRINT, which has WEIGHT: whatever else has as much is a more widely
+   shared part of the same requests.  */
 static bool
 is_unique (const struct jc_crashes *crashes, const struct crash *crash,
-           uint64_t fingerprint, unsigned int score)
+           uint64_t fingerprint, unsigned int weight)
 {
   for (guint r = 0; r < crash->requests->len; r++)
     {
@@ -324,7 +346,7 @@
 
       for (unsigned int f = 0; f < request->count; f++)
         if ((int)f > position
-            && jc_crashes_score (crashes, request->fingerprints[f]) >= score)
+            && weight_of (crashes, request->fingerprints[f]) >= weight)
           return false;
     }
   return true;
@@ -345,9 +367,9 @@
           = &g_array_index (crash->requests, struct request, r);
 
       for (unsigned int f = 0; f < request->count; f++)
-        if (jc_crashes_score (crashes, request->fingerprints[f]) >= top)
+        if (weight_of (crashes, request->fingerprints[f]) >= top)
           {
-            top = jc_crashes_score (crashes, request->fingerprints[f]);
+            top = weight_of (crashes, request->fingerprints[f]);
             *culprit = request->fingerprints[f];
             found = true;
           }
@@ -482,8 +504,12 @@
                  (int64_t)crashes->batch);
       g_hash_table_remove (crashes->blocked, &changes->expired.expired_val[i]);
     }
+  for (u_int i = 0; i < changes->known.known_len; i++)
+    table_set (crashes->known, changes->known.known_val[i],
+               (int64_t)crashes->batch);
   update (crashes, now_ms);
   g_hash_table_foreach_remove (crashes->answered, is_before_crashes, crashes);
+  g_hash_table_foreach_remove (crashes->known, is_before_crashes, crashes);
 }
 
 bool
@@ -555,6 +581,36 @@
       g_array_append_val (expired, *(uint64_t *)key);
 }
 
+static json_t *
+table_to_json (GHashTable *table)
+{
+  json_t *list = json_array ();
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    json_array_append_new (list,
+                           json_pack ("[I,I]", (json_int_t) * (uint64_t *)key,
+                                      (json_int_t) * (int64_t *)value));
+  return list;
+}
+
+static void
+table_restore (GHashTable *table, const json_t *in)
+{
+  const json_t *row;
+  size_t i;
+
+  g_hash_table_remove_all (table);
+  json_array_foreach ((json_t *)in, i, row)
+  {
+    table_set (table, (uint64_t)json_integer_value (json_array_get (row, 0)),
+               json_integer_value (json_array_get (row, 1)));
+  }
+}
+
 static json_t *
 fingerprints_to_json (const uint64_t *fingerprints, unsigned int count)
 {
@@ -591,7 +647,6 @@
 jc_crashes_snapshot (const struct jc_crashes *crashes, json_t *out)
 {
   json_t *list = json_array ();
-  json_t *answered = json_array ();
   json_t *blocked = json_array ();
   GHashTableIter iter;
   gpointer key;
@@ -600,20 +655,16 @@
   for (guint i = 0; i < crashes->list->len; i++)
     json_array_append_new (
         list, crash_to_json (g_ptr_array_index (crashes->list, i)));
-  g_hash_table_iter_init (&iter, crashes->answered);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    json_array_append_new (answered,
-                           json_pack ("[I,I]", (json_int_t) * (uint64_t *)key,
-                                      (json_int_t) * (int64_t *)value));
   g_hash_table_iter_init (&iter, crashes->blocked);
   while (g_hash_table_iter_next (&iter, &key, &value))
     json_array_append_new (
         blocked, json_pack ("[I,I]", (json_int_t) * (uint64_t *)key,
                             (json_int_t)((const struct block *)value)->batch));
-  json_object_set_new (out, "crashes",
-                       json_pack ("{s:I,s:o,s:o,s:o}", "batch",
-                                  (json_int_t)crashes->batch, "list", list,
-                                  "answered", answered, "blocked", blocked));
+  json_object_set_new (
+      out, "crashes",
+      json_pack ("{s:I,s:o,s:o,s:o,s:o}", "batch", (json_int_t)crashes->batch,
+                 "list", list, "answered", table_to_json (crashes->answered),
+                 "known", table_to_json (crashes->known), "blocked", blocked));
 }
 
 static bool
@@ -676,7 +727,6 @@
   size_t i;
 
   g_ptr_array_set_size (crashes->list, 0);
-  g_hash_table_remove_all (crashes->answered);
   g_hash_table_remove_all (crashes->blocked);
   crashes->batch
       = (uint64_t)json_integer_value (json_object_get (saved, "batch"));
@@ -684,12 +734,8 @@
   {
     ok = ok && restore_crash (crashes, row);
   }
-  json_array_foreach (json_object_get (saved, "answered"), i, row)
-  {
-    table_set (crashes->answered,
-               (uint64_t)json_integer_value (json_array_get (row, 0)),
-               json_integer_value (json_array_get (row, 1)));
-  }
+  table_restore (crashes->answered, json_object_get (saved, "answered"));
+  table_restore (crashes->known, json_object_get (saved, "known"));
   json_array_foreach (json_object_get (saved, "blocked"), i, row)
   {
     uint64_t key = (uint64_t)json_integer_value (json_array_get (row, 0));
--- a/member/crashes.h
+++ b/member/crashes.h
@@ -5,9 +5,10 @@
 
    The table is a state machine of the replicated log: every replica applies the
    same changes and gets the same result.  Each crash counts once, however many
-   entry instances report it.  All crashes of one log entry count as one: where
-   many endpoints are lost at once, no request is the cause.  A crash beside a
-   blocked fingerprint is explained and tells nothing of the others.  */
+   entry instances report it.  All crashes that were reported in one interval
+   count as one: where many endpoints are lost at once, no request is the cause.
+   A crash beside a blocked fingerprint is explained and tells nothing of the
+   others.  */
 
 #ifndef JC_CRASHES_H
 #define JC_CRASHES_H
@@ -31,6 +32,9 @@
   JC_CRASH_SUSPECT_SCORE = 2,
   /* Three crashes under requests that had just begun.  */
   JC_CRASH_BLOCK_SCORE = 6,
+  /* What is taken off the score of a fingerprint of requests that were answered
+     whole shortly before: two crashes.  */
+  JC_CRASH_KNOWN_SCORE = 4,
   /* From here on several fingerprints may be blocked for the same crashes.  */
   JC_CRASH_CERTAIN_SCORE = 10,
   JC_CRASH_BLOCKED_MAX = 1024,
@@ -42,7 +46,7 @@
 struct jc_crashes *jc_crashes_new (unsigned int block_score);
 void jc_crashes_free (struct jc_crashes *crashes);
 GString *jc_crashes_encode (const struct rpc_crash_changes *changes);
-bool jc_crashes_decode (struct jc_str data, struct rpc_crash_changes *out);
+bool jc_crashes_next (struct jc_str *rest, struct rpc_crash_changes *out);
 void jc_crashes_apply (struct jc_crashes *crashes,
                        const struct rpc_crash_changes *changes, int64_t now_ms);
 bool jc_crashes_is_blocked (const struct jc_crashes *crashes,
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -806,6 +806,10 @@
 		u_int answered_len;
 		u_quad_t *answered_val;
 	} answered;
+	struct {
+		u_int known_len;
+		u_quad_t *known_val;
+	} known;
 	struct {
 		u_int expired_len;
 		u_quad_t *expired_val;
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1467,6 +1467,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->answered.answered_val, (u_int *) &objp->answered.answered_len, 4096,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->known.known_val, (u_int *) &objp->known.known_len, 4096,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->expired.expired_val, (u_int *) &objp->expired.expired_len, 4096,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -708,11 +708,13 @@
 };
 
 /* Reported by entry instances, and in the log: crashes, suspected or blocked
-   fingerprints of requests that were since answered whole, and, in the log
-   only, blocked fingerprints whose time is over.  */
+   fingerprints of requests that were since answered whole, suspected ones of
+   requests that were a minute ago, and, in the log only, blocked fingerprints
+   whose time is over.  */
 struct rpc_crash_changes {
   rpc_crash crashes<256>;
   unsigned hyper answered<4096>;
+  unsigned hyper known<4096>;
   unsigned hyper expired<4096>;
 };
 
--- a/serve/suspects.c
+++ b/serve/suspects.c
@@ -12,6 +12,9 @@
   /* A whole answer this long ago still clears requests that are suspected
      now, since news of a crash take a moment.  */
   ANSWER_COUNTS_MS = 2000,
+  /* Requests that were answered whole this long ago are blocked on more
+     evidence than others: they may have become bad only now.  */
+  ANSWER_KNOWN_MS = 60000,
   ANSWERED_MAX = 4096,
   SUSPECTS_MAX = 8192,
   REPORT_CRASHES_MAX = 256,
@@ -35,14 +38,15 @@
 };
 
 /* STATES maps fingerprints that are suspected or blocked to enum rpc_suspicion,
-   ANSWERED_MS fingerprints to their last whole answer.  ANSWERED holds those to
-   report.  OWN is the evidence that this instance has seen itself.  */
+   ANSWERED_MS fingerprints to their last whole answer.  ANSWERED and KNOWN hold
+   those to report.  OWN is the evidence that this instance has seen itself.  */
 struct jc_suspects
 {
   GPtrArray *broken;
   GHashTable *states;
   GHashTable *answered_ms;
   GArray *answered;
+  GArray *known;
   struct jc_crashes *own;
 };
 
@@ -70,6 +74,7 @@
   suspects->answered_ms
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   suspects->answered = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  suspects->known = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   suspects->own = jc_crashes_new (OWN_BLOCK_SCORE);
   return suspects;
 }
@@ -81,6 +86,7 @@
   g_hash_table_destroy (suspects->states);
   g_hash_table_destroy (suspects->answered_ms);
   g_array_free (suspects->answered, TRUE);
+  g_array_free (suspects->known, TRUE);
   jc_crashes_free (suspects->own);
   g_free (suspects);
 }
@@ -165,19 +171,18 @@
     }
 }
 
-/* Report that requests with FINGERPRINT are answered whole if that matters.  */
 static void
-report_answered (struct jc_suspects *suspects, uint64_t fingerprint)
+append_report (GArray *list, uint64_t fingerprint)
 {
-  if (suspects->answered->len < REPORT_ANSWERED_MAX)
-    g_array_append_val (suspects->answered, fingerprint);
+  if (list->len < REPORT_ANSWERED_MAX)
+    g_array_append_val (list, fingerprint);
 }
 
 static gboolean
 is_old_answer (gpointer key, gpointer value, gpointer now_ms)
 {
   (void)key;
-  return *(int64_t *)now_ms - *(int64_t *)value > ANSWER_COUNTS_MS;
+  return *(int64_t *)now_ms - *(int64_t *)value > ANSWER_KNOWN_MS / 2;
 }
 
 /* Record that a request with FINGERPRINTS was answered whole.  */
@@ -198,10 +203,27 @@
                               g_memdup2 (&now_ms, sizeof now_ms));
       if (g_hash_table_remove (suspects->states, &fingerprint)
           || jc_crashes_score (suspects->own, fingerprint) > 0)
-        report_answered (suspects, fingerprint);
+        append_report (suspects->answered, fingerprint);
     }
 }
 
+/* Record that FINGERPRINT is suspected now.  Return false if a request
+   with it was answered whole so recently that it is not.  */
+static bool
+note_suspected (struct jc_suspects *suspects, uint64_t fingerprint,
+                int64_t now_ms)
+{
+  const int64_t *answered_ms
+      = g_hash_table_lookup (suspects->answered_ms, &fingerprint);
+  int64_t age_ms = answered_ms != NULL ? now_ms - *answered_ms : INT64_MAX;
+
+  if (age_ms <= ANSWER_COUNTS_MS)
+    append_report (suspects->answered, fingerprint);
+  else if (age_ms <= ANSWER_KNOWN_MS)
+    append_report (suspects->known, fingerprint);
+  return age_ms > ANSWER_COUNTS_MS;
+}
+
 /* Apply UPDATE of a state instance.  */
 void
 jc_suspects_update (struct jc_suspects *suspects,
@@ -213,14 +235,11 @@
     {
       const struct rpc_suspect *row = &update->list.list_val[i];
       uint64_t fingerprint = row->fingerprint;
-      const int64_t *answered_ms
-          = g_hash_table_lookup (suspects->answered_ms, &fingerprint);
 
-      if (row->state == RPC_CLEARED)
+      if (row->state == RPC_CLEARED
+          || (row->state == RPC_SUSPECTED
+              && !note_suspected (suspects, fingerprint, now_ms)))
         g_hash_table_remove (suspects->states, &fingerprint);
-      else if (row->state == RPC_SUSPECTED && answered_ms != NULL
-               && now_ms - *answered_ms <= ANSWER_COUNTS_MS)
-        report_answered (suspects, fingerprint);
       else if (g_hash_table_size (suspects->states) < SUSPECTS_MAX)
         g_hash_table_replace (suspects->states,
                               g_memdup2 (&fingerprint, sizeof fingerprint),
@@ -270,6 +289,23 @@
   return count;
 }
 
+/* Report which fingerprints of REQUEST, which ran at a crash, requests were
+   answered whole with shortly before.  */
+static void
+report_known (struct jc_suspects *suspects,
+              const struct rpc_crash_request *request, int64_t now_ms)
+{
+  for (u_int i = 0; i < request->fingerprints.fingerprints_len; i++)
+    {
+      uint64_t fingerprint = request->fingerprints.fingerprints_val[i];
+      const int64_t *answered_ms
+          = g_hash_table_lookup (suspects->answered_ms, &fingerprint);
+
+      if (answered_ms != NULL && now_ms - *answered_ms <= ANSWER_KNOWN_MS)
+        append_report (suspects->known, fingerprint);
+    }
+}
+
 /* Move what is to be reported to OUT, which jc_suspects_free_report frees, and
    apply it to the evidence of this instance.  Return false if there is
    nothing.  */
@@ -291,6 +327,11 @@
           i++;
           continue;
         }
+      for (guint r = 0; r < broken->requests->len; r++)
+        report_known (
+            suspects,
+            &g_array_index (broken->requests, struct rpc_crash_request, r),
+            now_ms);
       row.requests.requests_len = broken->requests->len;
       row.requests.requests_val
           = (struct rpc_crash_request *)g_array_free (broken->requests, FALSE);
@@ -303,7 +344,12 @@
   out->answered.answered_val = g_memdup2 (
       suspects->answered->data, suspects->answered->len * sizeof (uint64_t));
   g_array_set_size (suspects->answered, 0);
-  if (out->crashes.crashes_len == 0 && out->answered.answered_len == 0)
+  out->known.known_len = suspects->known->len;
+  out->known.known_val = g_memdup2 (suspects->known->data,
+                                    suspects->known->len * sizeof (uint64_t));
+  g_array_set_size (suspects->known, 0);
+  if (out->crashes.crashes_len == 0 && out->answered.answered_len == 0
+      && out->known.known_len == 0)
     {
       jc_suspects_free_report (out);
       return false;
@@ -327,5 +373,6 @@
     }
   g_free (report->crashes.crashes_val);
   g_free (report->answered.answered_val);
+  g_free (report->known.known_val);
   memset (report, 0, sizeof *report);
 }
--- a/state/crashes.c
+++ b/state/crashes.c
@@ -10,13 +10,14 @@
 
 enum
 {
-  /* Reports of this time become one log entry; see member/crashes.h for why
-     crashes of one entry count as one.  */
-  PROPOSE_INTERVAL_MS = 100,
+  /* See member/crashes.h for why crashes of one interval count as one.  */
+  GATHER_INTERVAL_MS = 100,
   /* A proposal that came to nothing is made again after this time, as often as
      this, which is longer than the election of a leader takes.  */
   RETRY_INTERVAL_MS = 500,
   ATTEMPTS_MAX = 20,
+  /* Intervals that wait for a leader.  */
+  WAITING_MAX = 256,
   EXPIRY_INTERVAL_MS = 10000,
   CRASHES_MAX = 256,
   FINGERPRINTS_MAX = 4096,
@@ -24,16 +25,19 @@
   MS_PER_S = 1000
 };
 
-/* CHANGES are reports to be proposed next.  PROPOSED is the encoded proposal
-   that is under way, which has failed ATTEMPTS times, or NULL.  TOLD are the
-   suspects that subscribers know of.  */
+/* REPORTS are those of the current interval.  WAITING holds the encoded changes
+   of earlier ones, which become one log entry each, the oldest first.  PROPOSED
+   is the one that is under way, which has failed ATTEMPTS times, or NULL.  TOLD
+   are the suspects that subscribers know of.  */
 struct crashes
 {
   GPtrArray *reports;
+  GQueue waiting;
   GString *proposed;
   unsigned int attempts;
   GArray *told;
-  ev_timer propose_timer;
+  ev_timer gather_timer;
+  ev_timer retry_timer;
   ev_timer expiry_timer;
 };
 
@@ -54,13 +58,13 @@
 }
 
 static void
-drop_proposal (struct crashes *crashes)
+string_free (gpointer data)
 {
-  g_string_free (crashes->proposed, TRUE);
-  crashes->proposed = NULL;
-  crashes->attempts = 0;
+  g_string_free (data, TRUE);
 }
 
+static void propose_next (struct state *state);
+
 static void
 on_proposed (void *ctx, enum jc_status status)
 {
@@ -73,11 +77,46 @@
     jc_event (JC_EVENT_CRASH, "what=proposal attempt=%u outcome=%s",
               crashes->attempts, jc_status_name (status));
   if (status == JC_OK || ++crashes->attempts >= ATTEMPTS_MAX)
-    drop_proposal (crashes);
+    {
+      g_string_free (crashes->proposed, TRUE);
+      crashes->proposed = NULL;
+      crashes->attempts = 0;
+    }
+  start_timer (state, &crashes->retry_timer,
+               crashes->proposed != NULL ? RETRY_INTERVAL_MS : 0);
+}
+
+static void
+on_retry_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  propose_next (watcher->data);
+}
+
+/* Propose the entry that failed last or, if there is none, all changes that
+   wait.  They stay apart in it, since crashes of different intervals count one
+   by one.  */
+static void
+propose_next (struct state *state)
+{
+  struct crashes *crashes = state->crashes;
+
+  if (crashes->proposed == NULL && !g_queue_is_empty (&crashes->waiting))
+    {
+      crashes->proposed = g_queue_pop_head (&crashes->waiting);
+      while (!g_queue_is_empty (&crashes->waiting))
+        {
+          GString *changes = g_queue_pop_head (&crashes->waiting);
+
+          g_string_append_len (crashes->proposed, changes->str,
+                               (gssize)changes->len);
+          g_string_free (changes, TRUE);
+        }
+    }
   if (crashes->proposed != NULL)
-    start_timer (state, &crashes->propose_timer, RETRY_INTERVAL_MS);
-  else if (crashes->reports->len > 0)
-    start_timer (state, &crashes->propose_timer, PROPOSE_INTERVAL_MS);
+    log_propose (state, LOG_CRASHES, jc_str_from_gstring (crashes->proposed),
+                 on_proposed, state);
 }
 
 /* Append up to MAX elements of FROM to TO.  */
@@ -94,6 +133,7 @@
 {
   GArray *list = g_array_new (FALSE, FALSE, sizeof (struct rpc_crash));
   GArray *answered = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  GArray *known = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   GArray *expired = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   struct rpc_crash_changes changes;
   GString *out;
@@ -107,6 +147,8 @@
                     report->crashes.crashes_len, CRASHES_MAX);
       append_up_to (answered, report->answered.answered_val,
                     report->answered.answered_len, FINGERPRINTS_MAX);
+      append_up_to (known, report->known.known_val, report->known.known_len,
+                    FINGERPRINTS_MAX);
       append_up_to (expired, report->expired.expired_val,
                     report->expired.expired_len, FINGERPRINTS_MAX);
     }
@@ -115,48 +157,51 @@
                  .crashes_val = (struct rpc_crash *)list->data },
     .answered = { .answered_len = answered->len,
                   .answered_val = (u_quad_t *)answered->data },
+    .known = { .known_len = known->len, .known_val = (u_quad_t *)known->data },
     .expired
     = { .expired_len = expired->len, .expired_val = (u_quad_t *)expired->data }
   };
   out = jc_crashes_encode (&changes);
   g_array_free (list, TRUE);
   g_array_free (answered, TRUE);
+  g_array_free (known, TRUE);
   g_array_free (expired, TRUE);
   return out;
 }
 
 static void
-on_propose_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+on_gather_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct state *state = watcher->data;
   struct crashes *crashes = state->crashes;
 
   (void)loop;
   (void)events;
+  if (g_queue_get_length (&crashes->waiting) < WAITING_MAX)
+    g_queue_push_tail (&crashes->waiting, encode_reports (crashes));
+  else
+    jc_event (JC_EVENT_CRASH, "what=proposal outcome=dropped waiting=%u",
+              WAITING_MAX);
+  g_ptr_array_set_size (crashes->reports, 0);
   if (crashes->proposed == NULL)
-    {
-      crashes->proposed = encode_reports (crashes);
-      g_ptr_array_set_size (crashes->reports, 0);
-    }
-  log_propose (state, LOG_CRASHES, jc_str_from_gstring (crashes->proposed),
-               on_proposed, state);
+    propose_next (state);
 }
 
-/* Add CHANGES to what is proposed next.  */
+/* Add CHANGES to those of the current interval.  */
 static void
 gather (struct state *state, const struct rpc_crash_changes *changes)
 {
   struct rpc_crash_changes *copy = g_new0 (struct rpc_crash_changes, 1);
   GString *encoded = jc_crashes_encode (changes);
+  struct jc_str data = jc_str_from_gstring (encoded);
 
-  if (jc_crashes_decode (jc_str_from_gstring (encoded), copy)
+  if (jc_crashes_next (&data, copy)
       && state->crashes->reports->len < FINGERPRINTS_MAX)
     g_ptr_array_add (state->crashes->reports, copy);
   else
     report_free (copy);
   g_string_free (encoded, TRUE);
-  if (state->crashes->proposed == NULL)
-    start_timer (state, &state->crashes->propose_timer, PROPOSE_INTERVAL_MS);
+  start_timer (state, &state->crashes->gather_timer, GATHER_INTERVAL_MS);
 }
 
 /* The leader lets blocks end.  */
@@ -189,8 +234,11 @@
   crashes->told = g_array_new (FALSE, FALSE, sizeof (struct rpc_suspect));
   jc_crashes_list (state->crash_table, crashes->told);
   state->crashes = crashes;
-  ev_init (&crashes->propose_timer, on_propose_timer);
-  crashes->propose_timer.data = state;
+  g_queue_init (&crashes->waiting);
+  ev_init (&crashes->gather_timer, on_gather_timer);
+  crashes->gather_timer.data = state;
+  ev_init (&crashes->retry_timer, on_retry_timer);
+  crashes->retry_timer.data = state;
   ev_init (&crashes->expiry_timer, on_expiry_timer);
   crashes->expiry_timer.data = state;
   start_timer (state, &crashes->expiry_timer, EXPIRY_INTERVAL_MS);
@@ -204,11 +252,13 @@
 
   if (crashes == NULL)
     return;
-  ev_timer_stop (state->loop, &crashes->propose_timer);
+  ev_timer_stop (state->loop, &crashes->gather_timer);
+  ev_timer_stop (state->loop, &crashes->retry_timer);
   ev_timer_stop (state->loop, &crashes->expiry_timer);
   g_ptr_array_free (crashes->reports, TRUE);
+  g_queue_clear_full (&crashes->waiting, string_free);
   if (crashes->proposed != NULL)
-    drop_proposal (crashes);
+    g_string_free (crashes->proposed, TRUE);
   g_array_free (crashes->told, TRUE);
   g_free (crashes);
   state->crashes = NULL;
@@ -370,16 +420,20 @@
 void
 crashes_apply (struct state *state, struct jc_str data)
 {
-  struct rpc_crash_changes changes;
+  bool ok = true;
 
-  if (!jc_crashes_decode (data, &changes))
-    jc_event (JC_EVENT_BAD_INPUT, "from=log what=crashes why=\"malformed\"");
-  else
+  while (ok && data.len > 0)
     {
-      jc_crashes_apply (state->crash_table, &changes, jc_now_ms ());
-      if (state->crashes != NULL)
+      struct rpc_crash_changes changes;
+
+      ok = jc_crashes_next (&data, &changes);
+      if (ok)
+        jc_crashes_apply (state->crash_table, &changes, jc_now_ms ());
+      if (ok && state->crashes != NULL)
         log_crashes (&changes);
-      crashes_publish (state);
+      xdr_free ((xdrproc_t)xdr_rpc_crash_changes, (char *)&changes);
     }
-  xdr_free ((xdrproc_t)xdr_rpc_crash_changes, (char *)&changes);
+  if (!ok)
+    jc_event (JC_EVENT_BAD_INPUT, "from=log what=crashes why=\"malformed\"");
+  crashes_publish (state);
 }
--- a/tests/crashsim.c
+++ b/tests/crashsim.c
@@ -11,7 +11,7 @@
 {
   TICK_MS = 5,
   REPORT_MS = 20,
-  PROPOSE_MS = 100,
+  GATHER_MS = 100,
   COMMIT_MS = 200,
   DELAY_MS_MAX = 80,
   BACK_MS = 2000,
@@ -82,8 +82,10 @@
   GArray *attempts;
   struct jc_crashes *table;
   GPtrArray *reports;
-  /* The entry of the log that is being committed, and when it will be.  */
-  GString *entry;
+  /* Changes of intervals that are not committed yet.  The first PROPOSED of
+     them will be at ENTRY_MS if that is not 0.  */
+  GQueue entries;
+  guint proposed;
   int64_t entry_ms;
 };
 
@@ -279,6 +281,7 @@
       struct sim_instance *instance = &sim->instances[i];
       struct rpc_crash_changes changes;
       struct report *report;
+      struct jc_str data;
       GString *encoded;
 
       if (!jc_suspects_take_report (instance->suspects, sim->now_ms, &changes))
@@ -287,7 +290,8 @@
       report->due_ms
           = sim->now_ms + g_rand_int_range (sim->rand, 1, DELAY_MS_MAX);
       encoded = jc_crashes_encode (&changes);
-      jc_crashes_decode (jc_str_from_gstring (encoded), &report->changes);
+      data = jc_str_from_gstring (encoded);
+      g_assert_true (jc_crashes_next (&data, &report->changes));
       g_string_free (encoded, TRUE);
       jc_suspects_free_report (&changes);
       if (instance->cut)
@@ -297,12 +301,13 @@
     }
 }
 
-/* Begin to commit the reports that have arrived.  */
+/* Make the reports that have arrived one entry.  */
 static void
-propose (struct sim *sim)
+gather (struct sim *sim)
 {
   GArray *crashes = g_array_new (FALSE, FALSE, sizeof (struct rpc_crash));
   GArray *answered = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  GArray *known = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   GPtrArray *done = g_ptr_array_new_with_free_func (report_free);
   struct rpc_crash_changes changes = { 0 };
 
@@ -316,33 +321,40 @@
                            report->changes.crashes.crashes_len);
       g_array_append_vals (answered, report->changes.answered.answered_val,
                            report->changes.answered.answered_len);
+      g_array_append_vals (known, report->changes.known.known_val,
+                           report->changes.known.known_len);
       g_ptr_array_add (done, g_ptr_array_steal_index (sim->reports, i - 1));
     }
   changes.crashes.crashes_len = crashes->len;
   changes.crashes.crashes_val = (struct rpc_crash *)crashes->data;
   changes.answered.answered_len = answered->len;
   changes.answered.answered_val = (u_quad_t *)answered->data;
+  changes.known.known_len = known->len;
+  changes.known.known_val = (u_quad_t *)known->data;
   if (done->len > 0)
-    {
-      sim->entry = jc_crashes_encode (&changes);
-      sim->entry_ms = sim->now_ms + COMMIT_MS;
-    }
+    g_queue_push_tail (&sim->entries, jc_crashes_encode (&changes));
   g_ptr_array_free (done, TRUE);
   g_array_free (crashes, TRUE);
   g_array_free (answered, TRUE);
+  g_array_free (known, TRUE);
 }
 
+/* Commit the entry that was proposed.  */
 static void
 commit (struct sim *sim)
 {
-  struct rpc_crash_changes changes;
+  for (guint i = 0; i < sim->proposed; i++)
+    {
+      GString *entry = g_queue_pop_head (&sim->entries);
+      struct jc_str data = jc_str_from_gstring (entry);
+      struct rpc_crash_changes changes;
 
-  g_assert_true (
-      jc_crashes_decode (jc_str_from_gstring (sim->entry), &changes));
-  jc_crashes_apply (sim->table, &changes, sim->now_ms);
-  xdr_free ((xdrproc_t)xdr_rpc_crash_changes, (char *)&changes);
-  g_string_free (sim->entry, TRUE);
-  sim->entry = NULL;
+      g_assert_true (jc_crashes_next (&data, &changes));
+      jc_crashes_apply (sim->table, &changes, sim->now_ms);
+      xdr_free ((xdrproc_t)xdr_rpc_crash_changes, (char *)&changes);
+      g_string_free (entry, TRUE);
+    }
+  sim->entry_ms = 0;
 }
 
 /* Tell the instances that can be reached what the log has decided.  */
@@ -364,14 +376,19 @@
 static void
 run_log (struct sim *sim)
 {
-  if (sim->entry != NULL && sim->now_ms >= sim->entry_ms)
+  if (sim->entry_ms > 0 && sim->now_ms >= sim->entry_ms)
     {
       commit (sim);
       publish (sim);
     }
-  if (sim->entry == NULL && sim->now_ms % PROPOSE_MS == 0
+  if (sim->now_ms % GATHER_MS == 0)
+    gather (sim);
+  if (sim->entry_ms == 0 && !g_queue_is_empty (&sim->entries)
       && !fault_is_on (sim, sim->plan->no_leader_ms, NO_LEADER_PHASE_MS))
-    propose (sim);
+    {
+      sim->proposed = g_queue_get_length (&sim->entries);
+      sim->entry_ms = sim->now_ms + COMMIT_MS;
+    }
 }
 
 /* Cut instances off, or let them be reached again.  */
@@ -429,8 +446,8 @@
   for (unsigned int i = 0; i < plan->instances; i++)
     jc_suspects_free (sim->instances[i].suspects);
   jc_crashes_free (sim->table);
-  if (sim->entry != NULL)
-    g_string_free (sim->entry, TRUE);
+  while (!g_queue_is_empty (&sim->entries))
+    g_string_free (g_queue_pop_head (&sim->entries), TRUE);
   g_ptr_array_free (sim->reports, TRUE);
   g_array_free (sim->attempts, TRUE);
   g_rand_free (sim->rand);
--- a/tests/test-crashes.c
+++ b/tests/test-crashes.c
@@ -71,6 +71,7 @@
   struct rpc_crash_changes message = { 0 };
   struct rpc_crash_changes decoded;
   GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_crash));
+  struct jc_str data;
   GString *encoded;
 
   for (guint i = 0; i < change->rows->len; i++)
@@ -80,7 +81,9 @@
   message.answered.answered_len = change->answered->len;
   message.answered.answered_val = (u_quad_t *)change->answered->data;
   encoded = jc_crashes_encode (&message);
-  g_assert_true (jc_crashes_decode (jc_str_from_gstring (encoded), &decoded));
+  data = jc_str_from_gstring (encoded);
+  g_assert_true (jc_crashes_next (&data, &decoded));
+  g_assert_cmpuint (data.len, ==, 0);
   jc_crashes_apply (crashes, &decoded, 0);
   xdr_free ((xdrproc_t)xdr_rpc_crash_changes, (char *)&decoded);
   for (guint i = 0; i < change->rows->len; i++)
