Clear an instance's own evidence by the whole answers of others

Traced: one instance of 300 had seen four crashes beside a first part in 24 s and, with half a request a second, no whole answer of its own, while others had many. Its own evidence, which is for instances that no state instance reaches, was not cleared by their news. The simulation sends changes as the state instances do, so that it plays this.

--- a/serve/suspects.c
+++ b/serve/suspects.c
@@ -224,11 +224,36 @@
   return age_ms > ANSWER_COUNTS_MS;
 }
 
+/* Take off the evidence of this instance what UPDATE clears: others had whole
+   answers.  */
+static void
+clear_own (struct jc_suspects *suspects, const struct rpc_suspects *update,
+           int64_t now_ms)
+{
+  GArray *cleared = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  struct rpc_crash_changes changes = { 0 };
+
+  for (u_int i = 0; i < update->list.list_len; i++)
+    {
+      uint64_t fingerprint = update->list.list_val[i].fingerprint;
+
+      if (update->list.list_val[i].state == RPC_CLEARED
+          && jc_crashes_score (suspects->own, fingerprint) > 0)
+        g_array_append_val (cleared, fingerprint);
+    }
+  changes.answered.answered_len = cleared->len;
+  changes.answered.answered_val = (u_quad_t *)cleared->data;
+  if (cleared->len > 0)
+    jc_crashes_apply (suspects->own, &changes, now_ms);
+  g_array_free (cleared, TRUE);
+}
+
 /* Apply UPDATE of a state instance.  */
 void
 jc_suspects_update (struct jc_suspects *suspects,
                     const struct rpc_suspects *update, int64_t now_ms)
 {
+  clear_own (suspects, update, now_ms);
   if (update->full)
     g_hash_table_remove_all (suspects->states);
   for (u_int i = 0; i < update->list.list_len; i++)
--- a/tests/crashsim.c
+++ b/tests/crashsim.c
@@ -81,6 +81,7 @@
   struct sim_endpoint endpoints[CRASHSIM_ENDPOINTS];
   GArray *attempts;
   struct jc_crashes *table;
+  GArray *told;
   GPtrArray *reports;
   /* Changes of intervals that are not committed yet.  The first PROPOSED of
      them will be at ENTRY_MS if that is not 0.  */
@@ -357,14 +358,41 @@
   sim->entry_ms = 0;
 }
 
-/* Tell the instances that can be reached what the log has decided.  */
+/* Append to ROWS those of BEFORE that are not in it, as cleared.  */
 static void
-publish (struct sim *sim)
+append_cleared (GArray *rows, const GArray *before)
+{
+  guint count = rows->len;
+
+  for (guint i = 0; i < before->len; i++)
+    {
+      struct rpc_suspect row = g_array_index (before, struct rpc_suspect, i);
+      bool found = false;
+
+      for (guint j = 0; j < count && !found; j++)
+        found = g_array_index (rows, struct rpc_suspect, j).fingerprint
+                == row.fingerprint;
+      row.state = RPC_CLEARED;
+      if (!found)
+        g_array_append_val (rows, row);
+    }
+}
+
+/* Tell the instances that can be reached what the log has decided: what has
+   changed, or with FULL all of it.  */
+static void
+publish (struct sim *sim, bool full)
 {
   GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_suspect));
-  struct rpc_suspects update = { .full = true };
+  GArray *told = g_array_new (FALSE, FALSE, sizeof (struct rpc_suspect));
+  struct rpc_suspects update = { .full = full };
 
   jc_crashes_list (sim->table, rows);
+  g_array_append_vals (told, rows->data, rows->len);
+  if (!full)
+    append_cleared (rows, sim->told);
+  g_array_free (sim->told, TRUE);
+  sim->told = told;
   update.list.list_len = rows->len;
   update.list.list_val = (struct rpc_suspect *)rows->data;
   for (unsigned int i = 0; i < sim->plan->instances; i++)
@@ -379,7 +407,7 @@
   if (sim->entry_ms > 0 && sim->now_ms >= sim->entry_ms)
     {
       commit (sim);
-      publish (sim);
+      publish (sim, false);
     }
   if (sim->now_ms % GATHER_MS == 0)
     gather (sim);
@@ -408,7 +436,7 @@
         instance->cut_ms = sim->now_ms;
     }
   if (healed)
-    publish (sim);
+    publish (sim, true);
 }
 
 /* Play PLAN with SEED and fill RESULT.  */
@@ -425,6 +453,7 @@
   sim->attempts = g_array_new (FALSE, FALSE, sizeof (struct attempt));
   sim->reports = g_ptr_array_new_with_free_func (report_free);
   sim->table = jc_crashes_new (JC_CRASH_BLOCK_SCORE);
+  sim->told = g_array_new (FALSE, FALSE, sizeof (struct rpc_suspect));
   for (unsigned int i = 0; i < plan->instances; i++)
     {
       sim->instances[i].suspects = jc_suspects_new ();
@@ -449,6 +478,7 @@
   while (!g_queue_is_empty (&sim->entries))
     g_string_free (g_queue_pop_head (&sim->entries), TRUE);
   g_ptr_array_free (sim->reports, TRUE);
+  g_array_free (sim->told, TRUE);
   g_array_free (sim->attempts, TRUE);
   g_rand_free (sim->rand);
   g_free (sim);
