Block again at the first crash after a block has ended by time

Callers would lose three more endpoints each hour to a part that goes on crashing them, since a block that ended by time was forgotten with all evidence. What remains: requests that are sent until that crash is known, about half a second.

--- a/member/crashes.c
+++ b/member/crashes.c
@@ -11,7 +11,9 @@
   REQUESTS_PER_CRASH_MAX = 1024,
   FINGERPRINTS_MAX = 16,
   /* Endpoints that one request is sent to.  */
-  REPEATS_MAX = 4
+  REPEATS_MAX = 4,
+  /* A block lasts two days and 16 h at most.  */
+  DOUBLINGS_MAX = 6
 };
 
 struct request
@@ -44,17 +46,20 @@
 };
 
 /* A blocked fingerprint: the change that blocked it or reported its last crash,
-   and when that was applied, local time.  */
+   when that was applied, local time, and how often its block had ended by time
+   before.  */
 struct block
 {
   uint64_t batch;
   int64_t applied_ms;
+  unsigned int expiries;
 };
 
 /* BATCH counts the changes applied.  ANSWERED maps fingerprints to the change
    that reported a whole answer: earlier crashes don't count against them. KNOWN
    maps those to a change that had a whole answer shortly before their crashes.
-   BLOCKED maps fingerprints to struct block.  SCORES, which is derived from the
+   BLOCKED maps fingerprints to struct block, EXPIRED those whose block ended by
+   time to how often it did.  SCORES, which is derived from the
    others, maps them to struct score.  */
 struct jc_crashes
 {
@@ -64,6 +69,7 @@
   GHashTable *answered;
   GHashTable *known;
   GHashTable *blocked;
+  GHashTable *expired;
   GHashTable *scores;
 };
 
@@ -110,6 +116,7 @@
   crashes->answered = table_new ();
   crashes->known = table_new ();
   crashes->blocked = table_new ();
+  crashes->expired = table_new ();
   crashes->scores = table_new ();
   return crashes;
 }
@@ -123,6 +130,7 @@
   g_hash_table_destroy (crashes->answered);
   g_hash_table_destroy (crashes->known);
   g_hash_table_destroy (crashes->blocked);
+  g_hash_table_destroy (crashes->expired);
   g_hash_table_destroy (crashes->scores);
   g_free (crashes);
 }
@@ -326,6 +334,8 @@
 {
   unsigned int score = jc_crashes_score (crashes, fingerprint);
 
+  if (score > 0 && g_hash_table_contains (crashes->expired, &fingerprint))
+    return crashes->block_score;
   if (!g_hash_table_contains (crashes->known, &fingerprint))
     return score;
   return score > JC_CRASH_KNOWN_SCORE ? score - JC_CRASH_KNOWN_SCORE : 0;
@@ -382,7 +392,10 @@
 static void
 set_block (struct jc_crashes *crashes, uint64_t fingerprint, int64_t now_ms)
 {
-  const struct block row = { .batch = crashes->batch, .applied_ms = now_ms };
+  const struct block row = { .batch = crashes->batch,
+                             .applied_ms = now_ms,
+                             .expiries = (unsigned int)table_get (
+                                 crashes->expired, fingerprint, 0) };
 
   g_hash_table_replace (crashes->blocked,
                         g_memdup2 (&fingerprint, sizeof fingerprint),
@@ -483,6 +496,23 @@
   return oldest == NULL || *(int64_t *)value < (int64_t)oldest->batch;
 }
 
+/* End the block of FINGERPRINT, whose time is over.  One more crash blocks it
+   again, and for twice as long.  */
+static void
+expire (struct jc_crashes *crashes, uint64_t fingerprint)
+{
+  const struct block *row
+      = g_hash_table_lookup (crashes->blocked, &fingerprint);
+
+  if (row == NULL)
+    return;
+  if (g_hash_table_size (crashes->expired) >= JC_CRASH_BLOCKED_MAX)
+    g_hash_table_remove_all (crashes->expired);
+  table_set (crashes->expired, fingerprint, (int64_t)row->expiries + 1);
+  table_set (crashes->answered, fingerprint, (int64_t)crashes->batch);
+  g_hash_table_remove (crashes->blocked, &fingerprint);
+}
+
 /* Apply CHANGES, a committed entry of the log, at NOW_MS of the local clock. */
 void
 jc_crashes_apply (struct jc_crashes *crashes,
@@ -497,13 +527,11 @@
                  (int64_t)crashes->batch);
       g_hash_table_remove (crashes->blocked,
                            &changes->answered.answered_val[i]);
+      g_hash_table_remove (crashes->expired,
+                           &changes->answered.answered_val[i]);
     }
   for (u_int i = 0; i < changes->expired.expired_len; i++)
-    {
-      table_set (crashes->answered, changes->expired.expired_val[i],
-                 (int64_t)crashes->batch);
-      g_hash_table_remove (crashes->blocked, &changes->expired.expired_val[i]);
-    }
+    expire (crashes, changes->expired.expired_val[i]);
   for (u_int i = 0; i < changes->known.known_len; i++)
     table_set (crashes->known, changes->known.known_val[i],
                (int64_t)crashes->batch);
@@ -565,8 +593,9 @@
   g_array_sort (rows, compare_rows);
 }
 
-/* Append to EXPIRED the fingerprints that were blocked, or last beside a crash,
-   JC_CRASH_BLOCK_MS before NOW_MS.  */
+/* Append to EXPIRED the fingerprints whose last crash was JC_CRASH_BLOCK_MS
+   before NOW_MS, or that time doubled for each time that their block had
+   ended before.  */
 void
 jc_crashes_plan_expiry (const struct jc_crashes *crashes, int64_t now_ms,
                         GArray *expired)
@@ -577,8 +606,14 @@
 
   g_hash_table_iter_init (&iter, crashes->blocked);
   while (g_hash_table_iter_next (&iter, &key, &value))
-    if (now_ms - ((const struct block *)value)->applied_ms >= JC_CRASH_BLOCK_MS)
-      g_array_append_val (expired, *(uint64_t *)key);
+    {
+      const struct block *row = value;
+      int64_t block_ms = (int64_t)JC_CRASH_BLOCK_MS
+                         << MIN (row->expiries, (unsigned int)DOUBLINGS_MAX);
+
+      if (now_ms - row->applied_ms >= block_ms)
+        g_array_append_val (expired, *(uint64_t *)key);
+    }
 }
 
 static json_t *
@@ -660,11 +695,13 @@
     json_array_append_new (
         blocked, json_pack ("[I,I]", (json_int_t) * (uint64_t *)key,
                             (json_int_t)((const struct block *)value)->batch));
-  json_object_set_new (
-      out, "crashes",
-      json_pack ("{s:I,s:o,s:o,s:o,s:o}", "batch", (json_int_t)crashes->batch,
-                 "list", list, "answered", table_to_json (crashes->answered),
-                 "known", table_to_json (crashes->known), "blocked", blocked));
+  json_object_set_new (out, "crashes",
+                       json_pack ("{s:I,s:o,s:o,s:o,s:o,s:o}", "batch",
+                                  (json_int_t)crashes->batch, "list", list,
+                                  "answered", table_to_json (crashes->answered),
+                                  "known", table_to_json (crashes->known),
+                                  "expired", table_to_json (crashes->expired),
+                                  "blocked", blocked));
 }
 
 static bool
@@ -736,6 +773,7 @@
   }
   table_restore (crashes->answered, json_object_get (saved, "answered"));
   table_restore (crashes->known, json_object_get (saved, "known"));
+  table_restore (crashes->expired, json_object_get (saved, "expired"));
   json_array_foreach (json_object_get (saved, "blocked"), i, row)
   {
     uint64_t key = (uint64_t)json_integer_value (json_array_get (row, 0));
--- a/tests/test-crashes.c
+++ b/tests/test-crashes.c
@@ -283,6 +283,41 @@
   jc_crashes_free (crashes);
 }
 
+/* Guards against a block that never ends, and against three more crashes after
+   its end: the next one blocks again, for twice as long.  */
+static void
+test_expiry (void)
+{
+  struct jc_crashes *crashes = jc_crashes_new (JC_CRASH_BLOCK_SCORE);
+  GArray *expired = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  struct rpc_crash_changes changes = { 0 };
+
+  for (unsigned int n = 1; n <= 3; n++)
+    {
+      crash_with_bad (crashes, n);
+      answer (crashes, FIRST);
+    }
+  jc_crashes_plan_expiry (crashes, JC_CRASH_BLOCK_MS - 1, expired);
+  g_assert_cmpuint (expired->len, ==, 0);
+  jc_crashes_plan_expiry (crashes, JC_CRASH_BLOCK_MS, expired);
+  g_assert_cmpuint (expired->len, ==, 1);
+  changes.expired.expired_len = expired->len;
+  changes.expired.expired_val = (u_quad_t *)expired->data;
+  jc_crashes_apply (crashes, &changes, 0);
+  g_assert_cmpuint (jc_crashes_count_blocked (crashes), ==, 0);
+  answer (crashes, FIRST);
+  crash_with_bad (crashes, 4);
+  g_assert_true (jc_crashes_is_blocked (crashes, BAD));
+  g_assert_cmpuint (jc_crashes_count_blocked (crashes), ==, 1);
+  g_array_set_size (expired, 0);
+  jc_crashes_plan_expiry (crashes, 2 * JC_CRASH_BLOCK_MS - 1, expired);
+  g_assert_cmpuint (expired->len, ==, 0);
+  jc_crashes_plan_expiry (crashes, 2 * JC_CRASH_BLOCK_MS, expired);
+  g_assert_cmpuint (expired->len, ==, 1);
+  g_array_free (expired, TRUE);
+  jc_crashes_free (crashes);
+}
+
 /* Guards against a caller who invents parts pushing blocks out of the table or
    getting requests of others refused.  */
 static void
@@ -364,6 +399,7 @@
   g_test_add_func ("/repeated-request", test_repeated_request);
   g_test_add_func ("/counted-once", test_counted_once);
   g_test_add_func ("/answer-ends-block", test_answer_ends_block);
+  g_test_add_func ("/expiry", test_expiry);
   g_test_add_func ("/invented-parts", test_invented_parts);
   g_test_add_func ("/snapshot", test_snapshot);
   return g_test_run ();
