--- a/entry/crashes.c
+++ b/entry/crashes.c
@@ -15,7 +15,8 @@
   /* An answer whose first event came this long before its endpoint crashed had
      begun well.  */
   STARTING_MS = 500,
-  SUSPECT_LINES_MAX = 20
+  SUSPECT_LINES_MAX = 20,
+  FINGERPRINT_BASE = 16
 };
 
 /* A probe of an endpoint that broke off an attempt.  */
@@ -202,3 +203,58 @@
                           "jaycove_blocked_requests_total", "", 1);
   return jc_fail (JC_REQUEST_BLOCKED, "Such requests crash endpoints.");
 }
+
+static json_t *
+suspect_json (const struct rpc_suspect *row)
+{
+  char *text = g_strdup_printf ("%016" PRIx64, (uint64_t)row->fingerprint);
+  json_t *json
+      = json_pack ("{s:s,s:s}", "fingerprint", text, "state",
+                   row->state == RPC_BLOCKED ? "blocked" : "suspected");
+
+  g_free (text);
+  return json;
+}
+
+/* Handle GET /suspects of an operator: the fingerprints that this instance
+   knows as suspected or blocked.  */
+void
+crashes_handle_list (struct entry *entry, struct jc_http_req *req)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_suspect));
+  json_t *list = json_array ();
+  char *text;
+
+  if (entry->router != NULL)
+    jc_suspects_list (entry->router->suspects, rows);
+  for (guint i = 0; i < rows->len; i++)
+    json_array_append_new (
+        list, suspect_json (&g_array_index (rows, struct rpc_suspect, i)));
+  text = json_dumps (list, JSON_COMPACT);
+  jc_http_reply (req, 200, "application/json", jc_str_from_cstr (text), NULL);
+  free (text);
+  json_decref (list);
+  g_array_free (rows, TRUE);
+}
+
+/* Handle POST /suspects/clear of an operator: the fingerprint in the query of
+   REQ is cleared for all instances.  */
+void
+crashes_handle_clear (struct entry *entry, struct jc_http_req *req)
+{
+  const char *text = jc_http_query (req, "fingerprint");
+  uint64_t fingerprint
+      = text != NULL ? g_ascii_strtoull (text, NULL, FINGERPRINT_BASE) : 0;
+
+  if (entry->router == NULL
+      || !jc_suspects_clear (entry->router->suspects, fingerprint))
+    {
+      jc_http_fail (req, JC_NOT_FOUND,
+                    "This fingerprint is neither suspected nor blocked.", 0);
+      return;
+    }
+  jc_event (JC_EVENT_CRASH,
+            "fingerprint=%016" PRIx64 " outcome=cleared from=operator",
+            fingerprint);
+  jc_http_reply (req, 200, "application/json", JC_STR_LIT ("{}"), NULL);
+}
--- a/entry/operators.c
+++ b/entry/operators.c
@@ -219,12 +219,16 @@
   void (*handle) (struct entry *entry, struct jc_http_req *req);
 };
 
-static const struct operator_request operator_requests[] = {
-  { "POST", "/config", handle_submit },   { "POST", "/drain", drain_handle },
-  { "GET", "/config", handle_config },    { "POST", "/admin", handle_admin },
-  { "GET", "/explain", explain_handle },  { "GET", "/status", handle_status },
-  { "GET", METRICS_PATH, handle_metrics }
-};
+static const struct operator_request operator_requests[]
+    = { { "POST", "/config", handle_submit },
+        { "POST", "/drain", drain_handle },
+        { "GET", "/config", handle_config },
+        { "POST", "/admin", handle_admin },
+        { "GET", "/explain", explain_handle },
+        { "GET", "/status", handle_status },
+        { "GET", METRICS_PATH, handle_metrics },
+        { "GET", "/suspects", crashes_handle_list },
+        { "POST", "/suspects/clear", crashes_handle_clear } };
 
 static void
 operators_body (void *ctx, struct jc_http_req *req)
--- a/entry/router.h
+++ b/entry/router.h
@@ -187,6 +187,8 @@
                             const struct rpc_suspects *update);
 enum jc_status crashes_check_request (const struct exchange *exchange);
 void crashes_tick (struct router *router);
+void crashes_handle_list (struct entry *entry, struct jc_http_req *req);
+void crashes_handle_clear (struct entry *entry, struct jc_http_req *req);
 
 /* answersizes: usual sizes of each route's plain answers.  */
 size_t answersizes_usual_max (const struct router *router, const char *route);
--- a/member/crashes.c
+++ b/member/crashes.c
@@ -2,76 +2,7 @@
 
 #include <string.h>
 
-#include "member/crashes.h"
-
-enum
-{
-  /* Crashes that are remembered; older ones no longer count.  */
-  CRASHES_KEPT = 64,
-  REQUESTS_PER_CRASH_MAX = 1024,
-  FINGERPRINTS_MAX = 16,
-  /* Endpoints that one request is sent to.  */
-  REPEATS_MAX = 4,
-  /* A block lasts two days and 16 h at most.  */
-  DOUBLINGS_MAX = 6
-};
-
-struct request
-{
-  uint64_t id;
-  bool starting;
-  unsigned int count;
-  uint64_t fingerprints[FINGERPRINTS_MAX];
-};
-
-/* A crash and the requests that ran there.  BATCH is the number of the change
-   that reported it first.  EXPLAINED means that one of them is blocked.  */
-struct crash
-{
-  char *endpoint;
-  uint64_t incarnation;
-  uint64_t batch;
-  GArray *requests;
-  bool explained;
-};
-
-/* The score of a fingerprint: what crashes of BATCH, the latest one that it was
-   beside, and of earlier ones add to it.  CRASH is the latest of them.  */
-struct score
-{
-  const struct crash *crash;
-  uint64_t batch;
-  unsigned int in_batch;
-  unsigned int earlier;
-};
-
-/* A blocked fingerprint: the change that blocked it or reported its last crash,
-   when that was applied, local time, and how often its block had ended by time
-   before.  */
-struct block
-{
-  uint64_t batch;
-  int64_t applied_ms;
-  unsigned int expiries;
-};
-
-/* BATCH counts the changes applied.  ANSWERED maps fingerprints to the change
-   that reported a whole answer: earlier crashes don't count against them. KNOWN
-   maps those to a change that had a whole answer shortly before their crashes.
-   BLOCKED maps fingerprints to struct block, EXPIRED those whose block ended by
-   time to how often it did.  SCORES, which is derived from the
-   others, maps them to struct score.  */
-struct jc_crashes
-{
-  unsigned int block_score;
-  uint64_t batch;
-  GPtrArray *list;
-  GHashTable *answered;
-  GHashTable *known;
-  GHashTable *blocked;
-  GHashTable *expired;
-  GHashTable *scores;
-};
+#include "member/crashesprivate.h"
 
 static void
 crash_free (gpointer data)
@@ -89,8 +20,9 @@
   return g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
 }
 
-static void
-table_set (GHashTable *table, uint64_t key, int64_t value)
+/* Set KEY of TABLE, from fingerprints to numbers, to VALUE.  */
+void
+jc_crashes_table_set (GHashTable *table, uint64_t key, int64_t value)
 {
   g_hash_table_replace (table, g_memdup2 (&key, sizeof key),
                         g_memdup2 (&value, sizeof value));
@@ -197,9 +129,11 @@
   return NULL;
 }
 
-static struct crash *
-crash_add (struct jc_crashes *crashes, const char *endpoint,
-           uint64_t incarnation, uint64_t batch)
+/* Add the crash of INCARNATION of ENDPOINT, which BATCH reported first, without
+   requests.  The oldest one makes way if there are too many.  */
+struct crash *
+jc_crashes_add (struct jc_crashes *crashes, const char *endpoint,
+                uint64_t incarnation, uint64_t batch)
 {
   struct crash *crash = g_new0 (struct crash, 1);
 
@@ -233,8 +167,8 @@
   struct crash *crash = crash_find (crashes, reported);
 
   if (crash == NULL)
-    crash = crash_add (crashes, reported->endpoint,
-                       reported->endpoint_incarnation, crashes->batch);
+    crash = jc_crashes_add (crashes, reported->endpoint,
+                            reported->endpoint_incarnation, crashes->batch);
   for (u_int i = 0; i < reported->requests.requests_len; i++)
     crash_add_request (crash, &reported->requests.requests_val[i]);
 }
@@ -305,8 +239,8 @@
 
 /* Derive the scores of all fingerprints of unexplained crashes since they were
    last answered whole.  The list is in the order of batches.  */
-static void
-update_scores (struct jc_crashes *crashes)
+void
+jc_crashes_update_scores (struct jc_crashes *crashes)
 {
   g_hash_table_remove_all (crashes->scores);
   for (guint i = 0; i < crashes->list->len; i++)
@@ -389,8 +323,10 @@
              || is_unique (crashes, crash, *culprit, top));
 }
 
-static void
-set_block (struct jc_crashes *crashes, uint64_t fingerprint, int64_t now_ms)
+/* Block FINGERPRINT, or renew its block.  */
+void
+jc_crashes_set_block (struct jc_crashes *crashes, uint64_t fingerprint,
+                      int64_t now_ms)
 {
   const struct block row = { .batch = crashes->batch,
                              .applied_ms = now_ms,
@@ -430,7 +366,7 @@
         }
       g_hash_table_remove (crashes->blocked, &oldest);
     }
-  set_block (crashes, fingerprint, now_ms);
+  jc_crashes_set_block (crashes, fingerprint, now_ms);
 }
 
 /* Mark the crashes that ran requests with a blocked fingerprint.  A new crash
@@ -454,7 +390,8 @@
               {
                 explained = true;
                 if (!crash->explained)
-                  set_block (crashes, request->fingerprints[f], now_ms);
+                  jc_crashes_set_block (crashes, request->fingerprints[f],
+                                        now_ms);
               }
         }
       crash->explained = explained;
@@ -470,7 +407,7 @@
   while (found)
     {
       mark_explained (crashes, now_ms);
-      update_scores (crashes);
+      jc_crashes_update_scores (crashes);
       found = false;
       for (guint i = crashes->list->len; !found && i > 0; i--)
         {
@@ -508,8 +445,10 @@
     return;
   if (g_hash_table_size (crashes->expired) >= JC_CRASH_BLOCKED_MAX)
     g_hash_table_remove_all (crashes->expired);
-  table_set (crashes->expired, fingerprint, (int64_t)row->expiries + 1);
-  table_set (crashes->answered, fingerprint, (int64_t)crashes->batch);
+  jc_crashes_table_set (crashes->expired, fingerprint,
+                        (int64_t)row->expiries + 1);
+  jc_crashes_table_set (crashes->answered, fingerprint,
+                        (int64_t)crashes->batch);
   g_hash_table_remove (crashes->blocked, &fingerprint);
 }
 
@@ -523,8 +462,9 @@
     add_report (crashes, &changes->crashes.crashes_val[i]);
   for (u_int i = 0; i < changes->answered.answered_len; i++)
     {
-      table_set (crashes->answered, changes->answered.answered_val[i],
-                 (int64_t)crashes->batch);
+      jc_crashes_table_set (crashes->answered,
+                            changes->answered.answered_val[i],
+                            (int64_t)crashes->batch);
       g_hash_table_remove (crashes->blocked,
                            &changes->answered.answered_val[i]);
       g_hash_table_remove (crashes->expired,
@@ -533,8 +473,8 @@
   for (u_int i = 0; i < changes->expired.expired_len; i++)
     expire (crashes, changes->expired.expired_val[i]);
   for (u_int i = 0; i < changes->known.known_len; i++)
-    table_set (crashes->known, changes->known.known_val[i],
-               (int64_t)crashes->batch);
+    jc_crashes_table_set (crashes->known, changes->known.known_val[i],
+                          (int64_t)crashes->batch);
   update (crashes, now_ms);
   g_hash_table_foreach_remove (crashes->answered, is_before_crashes, crashes);
   g_hash_table_foreach_remove (crashes->known, is_before_crashes, crashes);
@@ -615,173 +555,3 @@
         g_array_append_val (expired, *(uint64_t *)key);
     }
 }
-
-static json_t *
-table_to_json (GHashTable *table)
-{
-  json_t *list = json_array ();
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, table);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    json_array_append_new (list,
-                           json_pack ("[I,I]", (json_int_t) * (uint64_t *)key,
-                                      (json_int_t) * (int64_t *)value));
-  return list;
-}
-
-static void
-table_restore (GHashTable *table, const json_t *in)
-{
-  const json_t *row;
-  size_t i;
-
-  g_hash_table_remove_all (table);
-  json_array_foreach ((json_t *)in, i, row)
-  {
-    table_set (table, (uint64_t)json_integer_value (json_array_get (row, 0)),
-               json_integer_value (json_array_get (row, 1)));
-  }
-}
-
-static json_t *
-fingerprints_to_json (const uint64_t *fingerprints, unsigned int count)
-{
-  json_t *list = json_array ();
-
-  for (unsigned int i = 0; i < count; i++)
-    json_array_append_new (list, json_integer ((json_int_t)fingerprints[i]));
-  return list;
-}
-
-static json_t *
-crash_to_json (const struct crash *crash)
-{
-  json_t *requests = json_array ();
-
-  for (guint r = 0; r < crash->requests->len; r++)
-    {
-      const struct request *request
-          = &g_array_index (crash->requests, struct request, r);
-
-      json_array_append_new (
-          requests,
-          json_pack (
-              "[I,b,o]", (json_int_t)request->id, request->starting,
-              fingerprints_to_json (request->fingerprints, request->count)));
-    }
-  return json_pack ("[s,I,I,b,o]", crash->endpoint,
-                    (json_int_t)crash->incarnation, (json_int_t)crash->batch,
-                    crash->explained, requests);
-}
-
-/* Store CRASHES in OUT, the JSON object of a snapshot, under "crashes".  */
-void
-jc_crashes_snapshot (const struct jc_crashes *crashes, json_t *out)
-{
-  json_t *list = json_array ();
-  json_t *blocked = json_array ();
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-
-  for (guint i = 0; i < crashes->list->len; i++)
-    json_array_append_new (
-        list, crash_to_json (g_ptr_array_index (crashes->list, i)));
-  g_hash_table_iter_init (&iter, crashes->blocked);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    json_array_append_new (
-        blocked, json_pack ("[I,I]", (json_int_t) * (uint64_t *)key,
-                            (json_int_t)((const struct block *)value)->batch));
-  json_object_set_new (out, "crashes",
-                       json_pack ("{s:I,s:o,s:o,s:o,s:o,s:o}", "batch",
-                                  (json_int_t)crashes->batch, "list", list,
-                                  "answered", table_to_json (crashes->answered),
-                                  "known", table_to_json (crashes->known),
-                                  "expired", table_to_json (crashes->expired),
-                                  "blocked", blocked));
-}
-
-static bool
-restore_request (struct crash *crash, const json_t *in)
-{
-  struct request request = { 0 };
-  const json_t *fingerprints;
-  json_int_t id;
-  int starting;
-
-  if (json_unpack ((json_t *)in, "[I,b,o]", &id, &starting, &fingerprints) != 0
-      || json_array_size (fingerprints) > FINGERPRINTS_MAX)
-    return false;
-  request.id = (uint64_t)id;
-  request.starting = starting;
-  request.count = (unsigned int)json_array_size (fingerprints);
-  for (unsigned int i = 0; i < request.count; i++)
-    request.fingerprints[i]
-        = (uint64_t)json_integer_value (json_array_get (fingerprints, i));
-  g_array_append_val (crash->requests, request);
-  return true;
-}
-
-static bool
-restore_crash (struct jc_crashes *crashes, const json_t *in)
-{
-  const char *endpoint;
-  json_int_t incarnation;
-  json_int_t batch;
-  int explained;
-  const json_t *requests;
-  const json_t *request;
-  struct crash *crash;
-  bool ok = true;
-  size_t i;
-
-  if (json_unpack ((json_t *)in, "[s,I,I,b,o]", &endpoint, &incarnation, &batch,
-                   &explained, &requests)
-      != 0)
-    return false;
-  crash = crash_add (crashes, endpoint, (uint64_t)incarnation, (uint64_t)batch);
-  crash->explained = explained;
-  json_array_foreach ((json_t *)requests, i, request)
-  {
-    ok = ok && restore_request (crash, request);
-  }
-  return ok;
-}
-
-/* Replace the contents of CRASHES by those of IN, the JSON object of a
-   snapshot.  A snapshot without "crashes" empties the table.  Return JC_CORRUPT
-   if a row is malformed.  */
-enum jc_status
-jc_crashes_restore (struct jc_crashes *crashes, const json_t *in,
-                    int64_t now_ms)
-{
-  const json_t *saved = json_object_get (in, "crashes");
-  const json_t *row;
-  bool ok = true;
-  size_t i;
-
-  g_ptr_array_set_size (crashes->list, 0);
-  g_hash_table_remove_all (crashes->blocked);
-  crashes->batch
-      = (uint64_t)json_integer_value (json_object_get (saved, "batch"));
-  json_array_foreach (json_object_get (saved, "list"), i, row)
-  {
-    ok = ok && restore_crash (crashes, row);
-  }
-  table_restore (crashes->answered, json_object_get (saved, "answered"));
-  table_restore (crashes->known, json_object_get (saved, "known"));
-  table_restore (crashes->expired, json_object_get (saved, "expired"));
-  json_array_foreach (json_object_get (saved, "blocked"), i, row)
-  {
-    uint64_t key = (uint64_t)json_integer_value (json_array_get (row, 0));
-
-    set_block (crashes, key, now_ms);
-    ((struct block *)g_hash_table_lookup (crashes->blocked, &key))->batch
-        = (uint64_t)json_integer_value (json_array_get (row, 1));
-  }
-  update_scores (crashes);
-  return ok ? JC_OK : jc_fail (JC_CORRUPT, "A crash can't be read.");
-}
--- a/scripts/hosts.sh
+++ b/scripts/hosts.sh
@@ -1,7 +1,7 @@
 # Functions that start a small cluster with host-based routing on loopback: three
 # state instances and ENTRIES entry instances (default 2), each with its own IP
-# address, in zone z1; entry instances from number Z2_FROM on are in z2. Sourced
-# after cluster.sh.
+# address, in zone z1; entry instances from number Z2_FROM on are in z2. Their
+# operators' token is OPERATOR_TOKEN (default none). Sourced after cluster.sh.
 
 # quoted WORDS...: print the words as JSON strings separated by commas.
 quoted ()
@@ -43,7 +43,7 @@
 { "routing": "hosts", "group": "g", "name": "e$i", "region": "r1", "availability_zone": "$zone",
   "zones": [{"name": "z1", "region": "r1"}, {"name": "z2", "region": "r1"}],
   "callers": "$ip:$callers", "ready": "$ip:$ready", "operators": "$ip:$operators", "rpc": "$ip:$rpc",
-  "group_key": "$GROUP_KEY", "operator_token": "", "state_peers": [],
+  "group_key": "$GROUP_KEY", "operator_token": "${OPERATOR_TOKEN:-}", "state_peers": [],
   "state_seeds": [$seeds], "grace_ms": 60000, "report_ms": 200 }
 X
     start "e$i" "$BUILD/jaycove-entry" --settings "$DIR/e$i.json"
--- a/serve/suspects.c
+++ b/serve/suspects.c
@@ -314,6 +314,39 @@
   return count;
 }
 
+/* Append to ROWS, an array of struct rpc_suspect, the suspected and the blocked
+   fingerprints, without their scores.  */
+void
+jc_suspects_list (const struct jc_suspects *suspects, GArray *rows)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, suspects->states);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const struct rpc_suspect row
+          = { .fingerprint = *(uint64_t *)key,
+              .state = (enum rpc_suspicion)GPOINTER_TO_UINT (value) };
+
+      g_array_append_val (rows, row);
+    }
+}
+
+/* Clear FINGERPRINT, as a whole answer does.  Return false if it is neither
+   suspected nor blocked.  */
+bool
+jc_suspects_clear (struct jc_suspects *suspects, uint64_t fingerprint)
+{
+  bool known = g_hash_table_remove (suspects->states, &fingerprint)
+               || jc_crashes_is_blocked (suspects->own, fingerprint);
+
+  if (known)
+    append_report (suspects->answered, fingerprint);
+  return known;
+}
+
 /* Report which fingerprints of REQUEST, which ran at a crash, requests were
    answered whole with shortly before.  */
 static void
--- a/serve/suspects.h
+++ b/serve/suspects.h
@@ -50,6 +50,8 @@
                                const struct jc_fingerprints *fingerprints);
 unsigned int jc_suspects_count (const struct jc_suspects *suspects,
                                 enum rpc_suspicion state);
+void jc_suspects_list (const struct jc_suspects *suspects, GArray *rows);
+bool jc_suspects_clear (struct jc_suspects *suspects, uint64_t fingerprint);
 bool jc_suspects_take_report (struct jc_suspects *suspects, int64_t now_ms,
                               struct rpc_crash_changes *out);
 void jc_suspects_free_report (struct rpc_crash_changes *report);
--- a/tests/process/crash_standin.py
+++ b/tests/process/crash_standin.py
@@ -1,11 +1,12 @@
 """Endpoints that crash under certain requests, and callers that measure what becomes of sound ones.
 Usage: crash_standin.py SCRIPT DIR, where SCRIPT names a function below and DIR holds addresses.json."""
 import asyncio
+import json
 import random
 import sys
 import time
 
-from hosts_standin import ADDRESSES, Endpoint, configuration, in_force, order, request, route, use
+from hosts_standin import ADDRESSES, Endpoint, ask, configuration, in_force, order, request, route, until, use
 
 SOUND_PER_S = 40
 RUN_S = 20.0
@@ -17,6 +18,7 @@
 REACHED_MAX = 3
 # Share of the sound requests that must be whole from the second crash on.
 WHOLE_MIN = 0.95
+OPERATOR = [("Authorization", "Bearer operator")]
 FIRST_PARTS = ["a1:300", "a2:300", "a3:300"]
 SUBJECTS = 30
 BAD_PART = "bad1:200"
@@ -132,6 +134,25 @@
     assert callers.blocked == 0, callers.blocked
 
 
+async def blocked_at(operators):
+    rows = json.loads((await ask(operators, "GET", "/suspects", OPERATOR)).body)
+    return [row["fingerprint"] for row in rows if row["state"] == "blocked"]
+
+
+async def unblock():
+    """An operator lists what is blocked at one instance and unblocks it at all of them."""
+    listed = await blocked_at(ADDRESSES["operators"][0])
+    assert len(listed) == 1, listed
+    reply = await ask(ADDRESSES["operators"][0], "POST", "/suspects/clear?fingerprint=" + listed[0], OPERATOR)
+    assert reply.status == 200, reply.body
+
+    async def unblocked():
+        return not any([await blocked_at(operators) for operators in ADDRESSES["operators"]])
+    await until("the fingerprint to be unblocked everywhere", unblocked)
+    reply = await ask(ADDRESSES["operators"][0], "POST", "/suspects/clear?fingerprint=" + listed[0], OPERATOR)
+    assert reply.status == 404, reply.status
+
+
 async def prompt_part():
     """A part of a prompt crashes each endpoint that begins to answer it, in requests that are otherwise all different."""
     await start_endpoints(DeadlyPart)
@@ -139,6 +160,7 @@
     await callers.run(4)
     await callers.run(RUN_S, 3, lambda: ("/stream/x", [FIRST_PARTS[0], BAD_PART, own_part()], b""))
     check(callers, 5, FIRST_PARTS[0])
+    await unblock()
 
 
 async def same_request():
