Don't take refusals and failures of endpoints for whole answers

Callers would have lost answers without end where endpoints are full: a signed refusal of a deadly request counted as a whole answer and cleared it, and so did an endpoint's own 500.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -404,8 +404,8 @@
       log_broken (exchange);
       crashes_note_broken (exchange);
     }
-  else if (attempt.whole && attempt.genuine && !exchange->remote
-           && result->framed)
+  else if (attempt.whole && attempt.genuine && !attempt.not_run
+           && !exchange->remote && result->framed)
     crashes_note_answered (exchange);
   if (attempt.whole && exchange->streaming && attempt.genuine)
     flush_held_comments (exchange);
--- a/state/crashes.c
+++ b/state/crashes.c
@@ -26,9 +26,9 @@
 };
 
 /* REPORTS are those of the current interval.  WAITING holds the encoded changes
-   of earlier ones, which become one log entry each, the oldest first.  PROPOSED
-   is the one that is under way, which has failed ATTEMPTS times, or NULL.  TOLD
-   are the suspects that subscribers know of.  */
+   of earlier ones.  PROPOSED is the log entry that is under way, which has
+   failed ATTEMPTS times, or NULL.  TOLD are the suspects that subscribers know
+   of.  */
 struct crashes
 {
   GPtrArray *reports;
--- a/tests/process/crash_standin.py
+++ b/tests/process/crash_standin.py
@@ -51,6 +51,25 @@
         return BAD_PART.split(":")[0] + ":" in fields.get("x-jaycove-prompt-prefix", "")
 
 
+class RefusingPart(DeadlyPart):
+    """Turns a quarter of the deadly requests away, with its signature, as an endpoint does that is full, and answers
+    another quarter with a failure, as one does whose queue is too long."""
+    signs_refusals = True
+
+    def outcome(self, fields):
+        """0 and 1 for a crash, 2 for a refusal, 3 for a failure; None for sound requests."""
+        return int(fields["x-jaycove-attempt-id"], 16) % 4 if super().is_deadly("", fields, b"") else None
+
+    def is_deadly(self, start, fields, body):
+        return self.outcome(fields) in (0, 1)
+
+    def refuses_request(self, fields):
+        return self.outcome(fields) == 2
+
+    def fails_request(self, fields):
+        return self.outcome(fields) == 3
+
+
 class DeadlyRequest(Fragile):
     def is_deadly(self, start, fields, body):
         return body == BAD_BODY
@@ -163,6 +182,15 @@
     await unblock()
 
 
+async def refused_part():
+    """As above, while endpoints turn deadly requests away or fail them: that tells nothing of the request."""
+    await start_endpoints(RefusingPart)
+    callers = Callers()
+    await callers.run(4)
+    await callers.run(RUN_S, 6, lambda: ("/stream/x", [FIRST_PARTS[0], BAD_PART, own_part()], b""))
+    check(callers, 5, FIRST_PARTS[0])
+
+
 async def same_request():
     """One request that comes again and again crashes each endpoint that begins to run it; sound ones share all parts of
     its prompt but the last."""
@@ -176,4 +204,4 @@
 
 if __name__ == "__main__":
     use(sys.argv[2])
-    asyncio.run({"prompt_part": prompt_part, "same_request": same_request}[sys.argv[1]]())
+    asyncio.run({"prompt_part": prompt_part, "same_request": same_request, "refused_part": refused_part}[sys.argv[1]]())
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -81,7 +81,7 @@
     # How the next plain requests are answered, at whichever endpoint: "fail" or "refuse".
     next_answers = []
     # Header lines of all answers that ask for less work; with REFUSES requests are turned away.
-    asks, refuses = "", False
+    asks, refuses, signs_refusals = "", False, False
     # Time that a request takes before its answer begins.
     work_s = 0
 
@@ -131,6 +131,14 @@
         """Whether the endpoint dies when it begins to answer this request."""
         return False
 
+    def refuses_request(self, fields):
+        """Whether the endpoint turns this request away."""
+        return False
+
+    def fails_request(self, fields):
+        """Whether the endpoint answers this request with a failure of its own."""
+        return False
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -154,16 +162,18 @@
         if self.is_deadly(start, fields, body):
             await self.die()
             return False
-        if not self.refuses:
+        refuses = self.refuses or self.refuses_request(fields)
+        if not refuses:
             await asyncio.sleep(self.work_s)
         answer = Endpoint.next_answers.pop(0) if self.service == "plain" and Endpoint.next_answers else ""
-        if answer == "refuse" or self.refuses:
-            writer.write(f"HTTP/1.1 503 Full\r\n{head}X-Jaycove-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
+        if answer == "refuse" or refuses:
+            signature = f"X-Jaycove-Server-Stamp: {self.name}\r\n" if self.signs_refusals else ""
+            writer.write(f"HTTP/1.1 503 Full\r\n{head}{signature}X-Jaycove-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
             return True
         self.ran.append((attempt, start, body, fields))
         self.arrived.append((attempt, time.monotonic()))
         head += f"X-Jaycove-Server-Stamp: {self.name}\r\n"
-        if self.fail_next > 0 or answer == "fail":
+        if self.fail_next > 0 or answer == "fail" or self.fails_request(fields):
             self.fail_next = max(self.fail_next - 1, 0)
             writer.write(f"HTTP/1.1 500 Error\r\n{head}Content-Length: 0\r\n\r\n".encode())
             return True
