--- a/entry/answer.c
+++ b/entry/answer.c
@@ -15,7 +15,8 @@
   /* An answer proves that its endpoint is alive: the lease then lasts at least
      this much longer, even if its reports are late.  */
   ANSWER_LEASE_MS = 4000,
-  HTTP_MISDIRECTED = 421
+  HTTP_MISDIRECTED = 421,
+  HTTP_SERVER_ERROR = 500
 };
 
 /* Log and count that the current attempt is given up because of FAULT.  */
@@ -405,7 +406,8 @@
       crashes_note_broken (exchange);
     }
   else if (attempt.whole && attempt.genuine && !attempt.not_run
-           && !exchange->remote && result->framed)
+           && attempt.http < HTTP_SERVER_ERROR && !exchange->remote
+           && result->framed)
     crashes_note_answered (exchange);
   if (attempt.whole && exchange->streaming && attempt.genuine)
     flush_held_comments (exchange);
