Write XDR text, timers and row order of the crash evidence once

Readers of the diff found the same code again: the encoding of log entries stood four times, a timer function twice, a comparison twice.

--- a/conf/orders.c
+++ b/conf/orders.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/xdrencode.h"
 #include "conf/orders.h"
 
 /* Return the initial state, with no route table and no evacuated zone.  */
@@ -31,15 +32,7 @@
 GString *
 jc_orders_encode (const struct rpc_order *order)
 {
-  unsigned long size = xdr_sizeof ((xdrproc_t)xdr_rpc_order, (void *)order);
-  GString *out = g_string_new (NULL);
-  XDR xdr;
-
-  g_string_set_size (out, size);
-  xdrmem_create (&xdr, out->str, (u_int)size, XDR_ENCODE);
-  xdr_rpc_order (&xdr, (struct rpc_order *)order);
-  xdr_destroy (&xdr);
-  return out;
+  return jc_xdr_encode ((xdrproc_t)xdr_rpc_order, order);
 }
 
 static char *
--- a/member/crashes.c
+++ b/member/crashes.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/xdrencode.h"
 #include "member/crashesprivate.h"
 
 static void
@@ -72,16 +73,7 @@
 GString *
 jc_crashes_encode (const struct rpc_crash_changes *changes)
 {
-  void *message = (void *)changes;
-  unsigned long size = xdr_sizeof ((xdrproc_t)xdr_rpc_crash_changes, message);
-  GString *out = g_string_new (NULL);
-  XDR xdr;
-
-  g_string_set_size (out, size);
-  xdrmem_create (&xdr, out->str, (u_int)size, XDR_ENCODE);
-  xdr_rpc_crash_changes (&xdr, message);
-  xdr_destroy (&xdr);
-  return out;
+  return jc_xdr_encode ((xdrproc_t)xdr_rpc_crash_changes, changes);
 }
 
 /* Decode the first changes of REST, a log entry, into OUT, to be freed with
@@ -443,6 +435,7 @@
 
   if (row == NULL)
     return;
+  /* A fingerprint that this forgets needs three crashes again.  */
   if (g_hash_table_size (crashes->expired) >= JC_CRASH_BLOCKED_MAX)
     g_hash_table_remove_all (crashes->expired);
   jc_crashes_table_set (crashes->expired, fingerprint,
@@ -492,8 +485,9 @@
   return g_hash_table_size (crashes->blocked);
 }
 
-static gint
-compare_rows (gconstpointer left, gconstpointer right)
+/* Compare two rows, struct rpc_suspect, by their fingerprints, for sorting.  */
+gint
+jc_crashes_compare_rows (gconstpointer left, gconstpointer right)
 {
   const struct rpc_suspect *a = left;
   const struct rpc_suspect *b = right;
@@ -530,7 +524,7 @@
           && !jc_crashes_is_blocked (crashes, row.fingerprint))
         g_array_append_val (rows, row);
     }
-  g_array_sort (rows, compare_rows);
+  g_array_sort (rows, jc_crashes_compare_rows);
 }
 
 /* Append to EXPIRED the fingerprints whose last crash was JC_CRASH_BLOCK_MS
--- a/member/crashes.h
+++ b/member/crashes.h
@@ -53,6 +53,7 @@
                             uint64_t fingerprint);
 unsigned int jc_crashes_score (const struct jc_crashes *crashes,
                                uint64_t fingerprint);
+gint jc_crashes_compare_rows (gconstpointer left, gconstpointer right);
 void jc_crashes_list (const struct jc_crashes *crashes, GArray *rows);
 unsigned int jc_crashes_count_blocked (const struct jc_crashes *crashes);
 void jc_crashes_plan_expiry (const struct jc_crashes *crashes, int64_t now_ms,
--- a/member/grants.c
+++ b/member/grants.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/xdrencode.h"
 #include "member/grants.h"
 
 enum
@@ -51,15 +52,7 @@
 GString *
 jc_grants_encode (const struct rpc_grant *grant)
 {
-  unsigned long size = xdr_sizeof ((xdrproc_t)xdr_rpc_grant, (void *)grant);
-  GString *out = g_string_new (NULL);
-  XDR xdr;
-
-  g_string_set_size (out, size);
-  xdrmem_create (&xdr, out->str, (u_int)size, XDR_ENCODE);
-  xdr_rpc_grant (&xdr, (struct rpc_grant *)grant);
-  xdr_destroy (&xdr);
-  return out;
+  return jc_xdr_encode ((xdrproc_t)xdr_rpc_grant, grant);
 }
 
 /* Return whether INCARNATION of ENDPOINT may still be granted: neither it nor a
--- a/member/limitslots.c
+++ b/member/limitslots.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/xdrencode.h"
 #include "member/limitslots.h"
 
 enum
@@ -258,19 +259,11 @@
 GString *
 jc_limit_changes_encode (const GArray *changes)
 {
-  struct rpc_limit_changes message;
-  unsigned long size;
-  GString *out = g_string_new (NULL);
-  XDR xdr;
+  const struct rpc_limit_changes message
+      = { .list = { .list_len = changes->len,
+                    .list_val = (struct rpc_limit_change *)changes->data } };
 
-  message.list.list_val = (struct rpc_limit_change *)changes->data;
-  message.list.list_len = changes->len;
-  size = xdr_sizeof ((xdrproc_t)xdr_rpc_limit_changes, &message);
-  g_string_set_size (out, size);
-  xdrmem_create (&xdr, out->str, (u_int)size, XDR_ENCODE);
-  xdr_rpc_limit_changes (&xdr, &message);
-  xdr_destroy (&xdr);
-  return out;
+  return jc_xdr_encode ((xdrproc_t)xdr_rpc_limit_changes, &message);
 }
 
 /* Decode DATA, a log entry, into OUT, to be freed with xdr_free in any case.
--- a/state/crashes.c
+++ b/state/crashes.c
@@ -21,8 +21,7 @@
   EXPIRY_INTERVAL_MS = 10000,
   CRASHES_MAX = 256,
   FINGERPRINTS_MAX = 4096,
-  SUSPECTS_MAX = 8192,
-  MS_PER_S = 1000
+  SUSPECTS_MAX = 8192
 };
 
 /* REPORTS are those of the current interval.  WAITING holds the encoded changes
@@ -48,15 +47,6 @@
   g_free (data);
 }
 
-static void
-start_timer (struct state *state, ev_timer *timer, int64_t delay_ms)
-{
-  if (ev_is_active (timer))
-    return;
-  ev_timer_set (timer, (double)delay_ms / MS_PER_S, 0);
-  ev_timer_start (state->loop, timer);
-}
-
 static void
 string_free (gpointer data)
 {
@@ -82,8 +72,8 @@
       crashes->proposed = NULL;
       crashes->attempts = 0;
     }
-  start_timer (state, &crashes->retry_timer,
-               crashes->proposed != NULL ? RETRY_INTERVAL_MS : 0);
+  timer_start_once (state, &crashes->retry_timer,
+                    crashes->proposed != NULL ? RETRY_INTERVAL_MS : 0);
 }
 
 static void
@@ -201,7 +191,7 @@
   else
     report_free (copy);
   g_string_free (encoded, TRUE);
-  start_timer (state, &state->crashes->gather_timer, GATHER_INTERVAL_MS);
+  timer_start_once (state, &state->crashes->gather_timer, GATHER_INTERVAL_MS);
 }
 
 /* The leader lets blocks end.  */
@@ -221,7 +211,7 @@
   if (expired->len > 0)
     gather (state, &changes);
   g_array_free (expired, TRUE);
-  start_timer (state, watcher, EXPIRY_INTERVAL_MS);
+  timer_start_once (state, watcher, EXPIRY_INTERVAL_MS);
 }
 
 /* Start the module.  */
@@ -241,7 +231,7 @@
   crashes->retry_timer.data = state;
   ev_init (&crashes->expiry_timer, on_expiry_timer);
   crashes->expiry_timer.data = state;
-  start_timer (state, &crashes->expiry_timer, EXPIRY_INTERVAL_MS);
+  timer_start_once (state, &crashes->expiry_timer, EXPIRY_INTERVAL_MS);
 }
 
 /* Stop the module.  */
@@ -280,15 +270,6 @@
   gather (state, &report);
 }
 
-static gint
-compare_fingerprints (gconstpointer left, gconstpointer right)
-{
-  const struct rpc_suspect *a = left;
-  const struct rpc_suspect *b = right;
-
-  return a->fingerprint < b->fingerprint ? -1 : a->fingerprint > b->fingerprint;
-}
-
 /* Set OUT to the row of ROWS, which are sorted, that is about the same
    fingerprint as ROW.  Return false if there is none.  */
 static bool
@@ -296,7 +277,7 @@
 {
   guint index;
 
-  if (!g_array_binary_search (rows, row, compare_fingerprints, &index))
+  if (!g_array_binary_search (rows, row, jc_crashes_compare_rows, &index))
     return false;
   *out = g_array_index (rows, struct rpc_suspect, index);
   return true;
--- a/state/limits.c
+++ b/state/limits.c
@@ -20,8 +20,7 @@
   /* A lease is reported to an instance that requested slots here within this
      time.  */
   REQUESTER_MS = 2 * JC_LIMIT_LEASE_MS,
-  STRINGS_BLOCK_BYTES = 1024,
-  MS_PER_S = 1000
+  STRINGS_BLOCK_BYTES = 1024
 };
 
 /* CHANGES are to be proposed when PROPOSE_TIMER ends; their strings are in
@@ -62,15 +61,6 @@
   g_string_free (data, TRUE);
 }
 
-static void
-start_timer (struct state *state, ev_timer *timer, int64_t delay_ms)
-{
-  if (ev_is_active (timer))
-    return;
-  ev_timer_set (timer, (double)delay_ms / MS_PER_S, 0);
-  ev_timer_start (state->loop, timer);
-}
-
 /* Add CHANGES to those that are proposed next.  */
 static void
 gather_changes (struct state *state, const GArray *changes)
@@ -89,7 +79,7 @@
       g_array_append_val (limits->changes, change);
     }
   if (limits->changes->len > 0)
-    start_timer (state, &limits->propose_timer, PROPOSE_INTERVAL_MS);
+    timer_start_once (state, &limits->propose_timer, PROPOSE_INTERVAL_MS);
 }
 
 static gboolean
@@ -120,7 +110,7 @@
       g_array_free (changes, TRUE);
     }
   if (jc_limit_slots_count (state->limit_slots) > 0)
-    start_timer (state, &limits->cleanup_timer, CLEANUP_INTERVAL_MS);
+    timer_start_once (state, &limits->cleanup_timer, CLEANUP_INTERVAL_MS);
 }
 
 /* Start the module.  */
@@ -139,7 +129,7 @@
   limits->propose_timer.data = state;
   ev_init (&limits->cleanup_timer, on_cleanup_timer);
   limits->cleanup_timer.data = state;
-  start_timer (state, &limits->cleanup_timer, CLEANUP_INTERVAL_MS);
+  timer_start_once (state, &limits->cleanup_timer, CLEANUP_INTERVAL_MS);
 }
 
 /* Stop the module.  */
@@ -248,7 +238,8 @@
                   change->slot, change->instance, change->revision);
         if (state->limits == NULL)
           continue;
-        start_timer (state, &state->limits->cleanup_timer, CLEANUP_INTERVAL_MS);
+        timer_start_once (state, &state->limits->cleanup_timer,
+                          CLEANUP_INTERVAL_MS);
         if (change->op == RPC_LIMIT_LEASE)
           report_lease (state, change);
       }
--- a/state/state.h
+++ b/state/state.h
@@ -153,6 +153,9 @@
 unsigned int fleet_count (const struct state *state);
 void fleet_request_grants (struct state *state, const char *zone);
 
+/* timer: timers of the modules.  */
+void timer_start_once (struct state *state, ev_timer *timer, int64_t delay_ms);
+
 /* gauges: the metrics of this instance.  */
 void gauges_print (struct state *state, GString *out);
 
--- a/tests/crashsim.c
+++ b/tests/crashsim.c
@@ -60,6 +60,7 @@
   /* Crashes under deadly requests that it sent, and the last of them.  */
   unsigned int seen;
   int64_t seen_ms;
+  uint64_t bytes;
 };
 
 /* A report on its way to a state instance.  */
@@ -291,6 +292,8 @@
       report->due_ms
           = sim->now_ms + g_rand_int_range (sim->rand, 1, DELAY_MS_MAX);
       encoded = jc_crashes_encode (&changes);
+      instance->bytes += encoded->len;
+      sim->result->bytes_max = MAX (sim->result->bytes_max, instance->bytes);
       data = jc_str_from_gstring (encoded);
       g_assert_true (jc_crashes_next (&data, &report->changes));
       g_string_free (encoded, TRUE);
--- a/tests/crashsim.h
+++ b/tests/crashsim.h
@@ -45,7 +45,7 @@
    reached endpoints from instances in touch after the bound number of crashes
    and CRASHSIM_CONTACT_MS; CUT_OFF ones were sent by instances that were cut
    off and had seen CRASHSIM_SEEN_MAX crashes themselves.  REFUSED sound
-   requests were refused.  */
+   requests were refused.  BYTES_MAX is what one instance reported at most.  */
 struct crashsim_result
 {
   unsigned int crashes;
@@ -54,6 +54,7 @@
   unsigned int sound;
   unsigned int whole;
   unsigned int refused;
+  uint64_t bytes_max;
 };
 
 void crashsim_run (const struct crashsim_plan *plan, uint32_t seed,
--- a/tests/process/crash_standin.py
+++ b/tests/process/crash_standin.py
@@ -18,6 +18,8 @@
 REACHED_MAX = 3
 # Share of the sound requests that must be whole from the second crash on.
 WHOLE_MIN = 0.95
+# A share of fewer requests says little.
+SOUND_MIN = 20
 OPERATOR = [("Authorization", "Bearer operator")]
 FIRST_PARTS = ["a1:300", "a2:300", "a3:300"]
 SUBJECTS = 30
@@ -120,7 +122,8 @@
     def share_whole(self, since, before=float("inf"), first_part=None):
         chosen = [whole for begun, whole, first in self.sound
                   if since <= begun < before and first_part in (None, first)]
-        return sum(chosen) / len(chosen) if chosen else 1.0
+        assert len(chosen) >= SOUND_MIN, len(chosen)
+        return sum(chosen) / len(chosen)
 
 
 def own_part():
@@ -139,7 +142,7 @@
 def check(callers, bound_crashes, first_part=None):
     bound = CRASHES[bound_crashes - 1] if len(CRASHES) >= bound_crashes else None
     late = [t for t in REACHED if bound is not None and t > bound + CONTACT_S]
-    second = CRASHES[1] if len(CRASHES) > 1 else float("inf")
+    second = CRASHES[1]
     last = CRASHES[min(len(CRASHES), 5) - 1]
     whole = callers.share_whole(second)
     sharing = callers.share_whole(last + 2 * CONTACT_S, first_part=first_part)
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -256,6 +256,20 @@
     return int(open(os.path.join(DIR, name + ".pid")).read())
 
 
+async def kill_now(name):
+    """Kills a process and waits for its exit, which frees its ports."""
+    killed = pid(name)
+    os.kill(killed, signal.SIGKILL)
+
+    async def is_gone():
+        try:
+            # The state follows the name in parentheses; the shell collects a zombie later.
+            return open(f"/proc/{killed}/stat").read().rpartition(")")[2].split()[0] == "Z"
+        except FileNotFoundError:
+            return True
+    await until(name + " to end", is_gone)
+
+
 ROUTES = [route("read", "safe", "plain"), route("write", "unsafe", "plain"), route("stream", "stream", "engine")]
 
 
@@ -481,16 +495,17 @@
     """A state instance starts on a disk that takes no bytes. It must wait for the disk and come back by itself, and end
     with 0 on SIGTERM while it waits."""
     await start_all()
-    os.kill(pid("s3"), 9)
+    await kill_now("s3")
     command = [os.path.join(sys.argv[3], "jaycove-state"), "--settings", os.path.join(DIR, "s3.json")]
 
     def fill_disk():
         resource.setrlimit(resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
     for stopped in (True, False):
-        process = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, preexec_fn=fill_disk)
+        # A file of the test would be full too; the pipe is read only if the process ends.
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, preexec_fn=fill_disk)
         try:
             await asyncio.sleep(1.5)
-            assert process.poll() is None, "s3 ended with %s" % process.poll()
+            assert process.poll() is None, "s3 ended with %s: %s" % (process.poll(), process.stdout.read().decode()[-900:])
             if stopped:
                 process.terminate()
                 assert process.wait(timeout=30) == 0
--- a/tests/test-suspects.c
+++ b/tests/test-suspects.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "serve/suspects.h"
 #include "tests/crashsim.h"
 
 enum
@@ -100,6 +101,69 @@
       .sound_per_s = 150, .deadly_per_s = 3, .crash_ms = 700 });
 }
 
+/* Guards against reports of an instance that grow with the number of
+   instances.  */
+static void
+test_bytes (void)
+{
+  struct crashsim_plan plan
+      = { .sound_per_s = 150, .deadly_per_s = 3, .crash_ms = 700 };
+  struct crashsim_result few;
+  struct crashsim_result many;
+
+  plan.instances = 4;
+  crashsim_run (&plan, 1, &few);
+  plan.instances = CRASHSIM_INSTANCES_MAX;
+  crashsim_run (&plan, 1, &many);
+  g_test_message ("bytes at 4 instances %" G_GUINT64_FORMAT
+                  ", at %d %" G_GUINT64_FORMAT,
+                  few.bytes_max, CRASHSIM_INSTANCES_MAX, many.bytes_max);
+  g_assert_cmpuint (few.bytes_max, >, 0);
+  g_assert_cmpuint (many.bytes_max, <=, few.bytes_max);
+}
+
+static bool
+has_not_crashed (void *ctx, const char *endpoint, uint64_t incarnation)
+{
+  (void)ctx;
+  (void)endpoint;
+  (void)incarnation;
+  return false;
+}
+
+/* Guards against taking an answer that an endpoint broke off, and which goes on
+   serving, for a crash.  */
+static void
+test_broken_answers (void)
+{
+  struct jc_suspects *suspects = jc_suspects_new ();
+  const struct jc_fingerprints fingerprints = { .count = 1, .values = { 7 } };
+  struct jc_broken_attempt attempt = { .endpoint = "e",
+                                       .incarnation = 1,
+                                       .fingerprints = &fingerprints,
+                                       .starting = true };
+  struct rpc_crash_changes report;
+  uint64_t blocked;
+
+  for (; attempt.incarnation <= 9; attempt.incarnation++)
+    {
+      int64_t now = (int64_t)attempt.incarnation * 10000;
+
+      g_assert_true (jc_suspects_note_broken (suspects, &attempt, now));
+      g_assert_false (jc_suspects_note_broken (suspects, &attempt, now));
+      jc_suspects_check (suspects, has_not_crashed, NULL, now + 5000);
+      g_assert_false (jc_suspects_take_report (suspects, now + 5000, &report));
+    }
+  g_assert_false (jc_suspects_find_blocked (suspects, &fingerprints, &blocked));
+  /* The same where the endpoint has crashed.  */
+  jc_suspects_note_broken (suspects, &attempt, 100000);
+  jc_suspects_note_crashed (suspects, "e", attempt.incarnation);
+  g_assert_true (jc_suspects_take_report (suspects, 100000, &report));
+  g_assert_cmpuint (report.crashes.crashes_len, ==, 1);
+  jc_suspects_free_report (&report);
+  jc_suspects_free (suspects);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -111,5 +175,7 @@
   g_test_add_func ("/cut-off", test_cut_off);
   g_test_add_func ("/other-crashes", test_other_crashes);
   g_test_add_func ("/among-other-crashes", test_among_other_crashes);
+  g_test_add_func ("/bytes", test_bytes);
+  g_test_add_func ("/broken-answers", test_broken_answers);
   return g_test_run ();
 }
