Log the reason whenever a request that was read gets no answer

A new event, unanswered, names phase, reason and unsent bytes; at most 100 lines a second. Ruled out: a line for callers that were answered or whose body was not whole (no-loss).

--- a/base/event.c
+++ b/base/event.c
@@ -65,6 +65,7 @@
   [JC_EVENT_REFUSED] = { "refused", 100, true },
   [JC_EVENT_FAILED] = { "failed", 200, true },
   [JC_EVENT_GONE] = { "gone", 100, true },
+  [JC_EVENT_UNANSWERED] = { "unanswered", 100, true },
   [JC_EVENT_BAD_INPUT] = { "bad_input", 50, true },
 };
 
--- a/entry/router.c
+++ b/entry/router.c
@@ -250,6 +250,10 @@
   if (entry->callers_listener == NULL || router->handover_listener == NULL
       || router->ready_listener == NULL || entry->operators_listener == NULL)
     return JC_UNREACHABLE;
+  jc_httpd_set_id_header (entry->callers_listener,
+                          router->protocol->echo_header);
+  jc_httpd_set_id_header (router->handover_listener,
+                          router->protocol->echo_header);
   return JC_OK;
 }
 
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -182,6 +182,14 @@
   httpd->limits = *limits;
 }
 
+/* Name the header field NAME, a constant, as the one that holds the id of a
+   request in log lines.  */
+void
+jc_httpd_set_id_header (struct jc_httpd *httpd, const char *name)
+{
+  httpd->id_header = name;
+}
+
 /* Send "Connection: close" with every answer from now on.  */
 void
 jc_httpd_announce_close (struct jc_httpd *httpd)
@@ -215,7 +223,7 @@
       struct httpd_conn *conn = g_ptr_array_index (httpd->conns, i);
 
       httpd_conn_flush (conn);
-      httpd_conn_close (conn);
+      httpd_conn_close (conn, HTTPD_STOPPED);
     }
   httpd_free_closed (httpd);
   g_ptr_array_free (httpd->conns, TRUE);
--- a/net/httpdconn.c
+++ b/net/httpdconn.c
@@ -52,15 +52,16 @@
   ev_timer_start (conn->httpd->loop, &conn->timer);
 }
 
-/* Close CONN and tell the owner of its request, if there is one.  CONN is
-   freed at the end of the iteration of the loop.  */
+/* Close CONN for REASON and tell the owner of its request, if there is one.
+   CONN is freed at the end of the iteration of the loop.  */
 void
-httpd_conn_close (struct httpd_conn *conn)
+httpd_conn_close (struct httpd_conn *conn, enum httpd_close_reason reason)
 {
   struct jc_http_req *req = conn->req;
 
   if (conn->closed)
     return;
+  httpd_loss_log_close (conn, reason);
   conn->closed = true;
   ev_io_stop (conn->httpd->loop, &conn->reader);
   ev_io_stop (conn->httpd->loop, &conn->writer);
@@ -121,7 +122,7 @@
     }
   if (conn->reset_on_close)
     enable_reset_on_close (conn->fd);
-  httpd_conn_close (conn);
+  httpd_conn_close (conn, HTTPD_ANSWERED);
 }
 
 /* Write the buffered output of CONN.  What the socket does not take is written
@@ -148,7 +149,7 @@
         }
       if (written < 0)
         {
-          httpd_conn_close (conn);
+          httpd_conn_close (conn, HTTPD_WRITE_FAILED);
           return;
         }
       conn->out_pos += (size_t)written;
@@ -512,9 +513,9 @@
     ev_io_start (conn->httpd->loop, &conn->reader);
 }
 
-/* Read from the socket of CONN into its input.  Return false if the peer
+/* Read from the socket of CONN into its input, and close CONN if the peer
    closed or the connection failed.  */
-static bool
+static void
 conn_read (struct httpd_conn *conn)
 {
   gsize at = conn->in->len;
@@ -523,9 +524,10 @@
   g_string_set_size (conn->in, at + READ_BYTES);
   received = recv (conn->fd, conn->in->str + at, READ_BYTES, 0);
   g_string_set_size (conn->in, at + (received > 0 ? (gsize)received : 0));
-  if (received < 0)
-    return errno == EAGAIN || errno == EINTR;
-  return received > 0;
+  if (received == 0)
+    httpd_conn_close (conn, HTTPD_PEER_CLOSED);
+  else if (received < 0 && errno != EAGAIN && errno != EINTR)
+    httpd_conn_close (conn, HTTPD_READ_FAILED);
 }
 
 /* Read and process input.  Reading stops while an answer is pending and too
@@ -535,11 +537,10 @@
 {
   struct httpd_conn *conn = watcher->data;
 
-  if ((events & EV_READ) && !conn_read (conn))
-    {
-      httpd_conn_close (conn);
-      return;
-    }
+  if (events & EV_READ)
+    conn_read (conn);
+  if (conn->closed)
+    return;
   if (conn->rejected)
     {
       g_string_truncate (conn->in, 0);
@@ -582,7 +583,7 @@
       conn_reject (conn, JC_BODY_TIMEOUT);
     }
   else
-    httpd_conn_close (conn);
+    httpd_conn_close (conn, HTTPD_TIMED_OUT);
 }
 
 /* Return a connection of HTTPD on the accepted socket FD.  */
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -11,7 +11,8 @@
 /* A listener.  CONNS holds its connections and UNFLUSHED those that have data
    to write or are to be freed at the end of the iteration of the loop.
    OPEN_REQUESTS counts requests that are not answered completely.  FD is -1
-   once it accepts no more connections.  */
+   once it accepts no more connections.  ID_HEADER names the field with the id
+   of a request for log lines, NULL for none.  */
 struct jc_httpd
 {
   struct ev_loop *loop;
@@ -21,6 +22,7 @@
   int fd;
   int port;
   bool announce_close;
+  const char *id_header;
   ev_io accept;
   ev_timer accept_retry;
   ev_prepare flush;
@@ -93,14 +95,32 @@
   bool reset_on_close;
 };
 
+/* Why a connection closes: its last answer was written, the peer closed it,
+   reading or writing failed, it was idle for too long or was not closed by the
+   peer after a rejected request, the listener ends.  */
+enum httpd_close_reason
+{
+  HTTPD_ANSWERED,
+  HTTPD_PEER_CLOSED,
+  HTTPD_READ_FAILED,
+  HTTPD_WRITE_FAILED,
+  HTTPD_TIMED_OUT,
+  HTTPD_STOPPED
+};
+
 /* In httpdconn.c.  */
 struct httpd_conn *httpd_conn_new (struct jc_httpd *httpd, int fd);
-void httpd_conn_close (struct httpd_conn *conn);
+void httpd_conn_close (struct httpd_conn *conn, enum httpd_close_reason reason);
 void httpd_conn_free (struct httpd_conn *conn);
 void httpd_conn_flush (struct httpd_conn *conn);
 void httpd_conn_schedule_flush (struct httpd_conn *conn);
 void httpd_conn_next_request (struct httpd_conn *conn);
 
+/* In httpdloss.c.  */
+void httpd_loss_log_close (const struct httpd_conn *conn,
+                           enum httpd_close_reason reason);
+void httpd_loss_log_cut (const struct jc_http_req *req);
+
 /* In httpreq.c.  */
 struct jc_http_req *http_req_new (struct httpd_conn *conn);
 void http_req_free (struct jc_http_req *req);
--- a/net/httpreq.c
+++ b/net/httpreq.c
@@ -296,6 +296,8 @@
 {
   if (complete && req->chunked)
     g_string_append (req->conn->out, "0\r\n\r\n");
+  if (!complete)
+    httpd_loss_log_cut (req);
   req->close_after = req->close_after || !complete;
   if (!complete && !req->chunked)
     req->conn->reset_on_close = true;
--- /dev/null
+++ b/tests/test-http-unanswered.c
@@ -0,0 +1,257 @@
+/* Tests of the log lines about requests that were read whole and get no whole
+   answer.  They guard against losses that leave no trace: a connection closed
+   under a request without a line that names the reason.  */
+
+#include <fcntl.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/event.h"
+#include "net/httpd.h"
+
+enum
+{
+  BODY_MAX_BYTES = 1000,
+  LOG_BYTES_MAX = 65536,
+  WAIT_S = 20
+};
+
+/* A listener whose owner answers only "/now" and begins an answer to
+   "/stream", a caller, and the log in place of standard output.  */
+struct fixture
+{
+  struct ev_loop *loop;
+  struct jc_httpd *httpd;
+  struct jc_http_req *req;
+  int fd;
+  int saved;
+  int reader;
+  int left;
+};
+
+static void
+on_body (void *ctx, struct jc_http_req *req)
+{
+  struct fixture *f = ctx;
+
+  if (strcmp (jc_http_path (req), "/now") == 0)
+    {
+      jc_http_reply (req, 200, "text/plain", JC_STR_LIT ("ok"), NULL);
+      return;
+    }
+  if (strcmp (jc_http_path (req), "/stream") == 0)
+    jc_http_stream_begin (req, 200, "text/plain", NULL);
+  f->req = req;
+}
+
+static void
+on_peer_closed (void *ctx, struct jc_http_req *req)
+{
+  struct fixture *f = ctx;
+
+  (void)req;
+  f->req = NULL;
+  f->left++;
+}
+
+static int
+connect_to (int port)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET,
+                              .sin_port = htons ((uint16_t)port),
+                              .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  g_assert_cmpint (connect (fd, (struct sockaddr *)&addr, sizeof addr), ==, 0);
+  return fd;
+}
+
+static void
+setup (struct fixture *f, gconstpointer unused)
+{
+  static const struct jc_httpd_class klass
+      = { .body = on_body, .peer_closed = on_peer_closed };
+  int ends[2];
+
+  (void)unused;
+  f->loop = ev_loop_new (0);
+  f->httpd = jc_httpd_new (f->loop, "127.0.0.1:0", &klass, f, BODY_MAX_BYTES);
+  jc_httpd_set_id_header (f->httpd, "X-Id");
+  f->fd = connect_to (jc_httpd_port (f->httpd));
+  fflush (stdout);
+  g_assert_cmpint (pipe (ends), ==, 0);
+  f->saved = dup (STDOUT_FILENO);
+  f->reader = ends[0];
+  dup2 (ends[1], STDOUT_FILENO);
+  close (ends[1]);
+  fcntl (f->reader, F_SETFL, O_NONBLOCK);
+  jc_event_set_enabled (true);
+}
+
+/* Restore standard output and return the log.  */
+static char *
+log_take (struct fixture *f)
+{
+  char *text = g_malloc0 (LOG_BYTES_MAX);
+
+  jc_event_flush (true);
+  jc_event_set_enabled (false);
+  (void)!read (f->reader, text, LOG_BYTES_MAX - 1);
+  dup2 (f->saved, STDOUT_FILENO);
+  close (f->saved);
+  close (f->reader);
+  return text;
+}
+
+static void
+teardown (struct fixture *f, gconstpointer unused)
+{
+  (void)unused;
+  if (f->fd >= 0)
+    close (f->fd);
+  jc_httpd_free (f->httpd);
+  ev_loop_destroy (f->loop);
+}
+
+static void
+send_text (struct fixture *f, const char *text)
+{
+  g_assert_cmpint (send (f->fd, text, strlen (text), MSG_NOSIGNAL), ==,
+                   strlen (text));
+}
+
+static void
+run_until_owned (struct fixture *f)
+{
+  int64_t end = g_get_monotonic_time () + WAIT_S * G_USEC_PER_SEC;
+
+  while (f->req == NULL && g_get_monotonic_time () < end)
+    ev_run (f->loop, EVRUN_NOWAIT);
+  g_assert_nonnull (f->req);
+}
+
+static void
+run_until_closed (struct fixture *f)
+{
+  int64_t end = g_get_monotonic_time () + WAIT_S * G_USEC_PER_SEC;
+  unsigned int open = 1;
+
+  while (open > 0 && g_get_monotonic_time () < end)
+    {
+      ev_run (f->loop, EVRUN_NOWAIT);
+      open = jc_httpd_count_connections (f->httpd);
+    }
+  g_assert_cmpuint (open, ==, 0);
+}
+
+/* Guards against a caller that leaves before its answer without a line.  */
+static void
+test_caller_left (struct fixture *f, gconstpointer unused)
+{
+  char *text;
+
+  (void)unused;
+  send_text (f, "GET /never HTTP/1.1\r\nHost: h\r\nX-Id: a7\r\n\r\n");
+  run_until_owned (f);
+  close (f->fd);
+  f->fd = -1;
+  run_until_closed (f);
+  text = log_take (f);
+  g_assert_nonnull (strstr (text, " event=unanswered id=a7 method=GET "
+                                  "path=/never phase=owned "
+                                  "why=peer_closed"));
+  g_assert_cmpint (f->left, ==, 1);
+  g_free (text);
+}
+
+/* Guards against a listener that ends under a request without a line.  */
+static void
+test_stopped (struct fixture *f, gconstpointer unused)
+{
+  char *text;
+
+  (void)unused;
+  send_text (f, "GET /stream HTTP/1.1\r\nHost: h\r\nX-Id: a8\r\n\r\n");
+  run_until_owned (f);
+  jc_httpd_free (f->httpd);
+  f->httpd = NULL;
+  text = log_take (f);
+  g_assert_nonnull (strstr (text, "id=a8 method=GET path=/stream "
+                                  "phase=streaming why=stopped"));
+  g_free (text);
+}
+
+/* Guards against a stream that is cut without a line that names the reason.  */
+static void
+test_cut (struct fixture *f, gconstpointer unused)
+{
+  char *text;
+
+  (void)unused;
+  send_text (f, "GET /stream HTTP/1.1\r\nHost: h\r\nX-Id: a9\r\n\r\n");
+  run_until_owned (f);
+  jc_fail (JC_NO_ENDPOINT, "No endpoint can take it.");
+  jc_http_stream_end (f->req, false);
+  text = log_take (f);
+  g_assert_nonnull (strstr (text, "id=a9 method=GET path=/stream "
+                                  "phase=streaming why=cut"));
+  g_assert_nonnull (strstr (text, "message=\"No endpoint can take it.\""));
+  g_free (text);
+}
+
+/* Guards against whole requests behind a last answer that are dropped without
+   a line.  */
+static void
+test_pipelined (struct fixture *f, gconstpointer unused)
+{
+  char *text;
+
+  (void)unused;
+  send_text (f, "GET /now HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                "GET /now HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_until_closed (f);
+  text = log_take (f);
+  g_assert_nonnull (strstr (text, "event=unanswered id=- method=- path=- "
+                                  "phase=waiting why=answered"));
+  g_free (text);
+}
+
+/* Guards against lines about requests that were answered, or not read
+   whole.  */
+static void
+test_no_loss (struct fixture *f, gconstpointer unused)
+{
+  char *text;
+
+  (void)unused;
+  send_text (f, "GET /now HTTP/1.1\r\nHost: h\r\n\r\n"
+                "POST /never HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n"
+                "ab");
+  for (int i = 0; i < 100; i++)
+    ev_run (f->loop, EVRUN_NOWAIT);
+  close (f->fd);
+  f->fd = -1;
+  run_until_closed (f);
+  text = log_take (f);
+  g_assert_null (strstr (text, "unanswered"));
+  g_assert_cmpint (f->left, ==, 0);
+  g_free (text);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+#define CASE(path, fn)                                                         \
+  g_test_add (path, struct fixture, NULL, setup, fn, teardown)
+  CASE ("/caller-left", test_caller_left);
+  CASE ("/stopped", test_stopped);
+  CASE ("/cut", test_cut);
+  CASE ("/pipelined", test_pipelined);
+  CASE ("/no-loss", test_no_loss);
+  return g_test_run ();
+}
