Count the time of calls and connections from the moment that they begin

After much work in one iteration of the loop (a new table, a burst) a call began with that time already gone: it ended as late, or its host as unreachable, at once, and a kept connection was closed as soon as its answer was written. Cause: the loop's time is that of the start of the iteration. The time is read anew where a deadline is set.

--- a/net/httpc.c
+++ b/net/httpc.c
@@ -440,6 +440,9 @@
   const char *host = spec->url;
   size_t host_len;
 
+  /* The time of the loop does not include the work of this iteration, which is
+     not the call's.  */
+  ev_now_update (httpc->loop);
   if (g_str_has_prefix (host, "http://"))
     host += strlen ("http://");
   host_len = strcspn (host, "/");
--- a/net/httpdconn.c
+++ b/net/httpdconn.c
@@ -36,12 +36,15 @@
 static void conn_process_input (struct httpd_conn *conn);
 
 /* Set the deadline of CONN to MS from now, 0 for none.  A timer that fires
-   earlier is left as it is; on_timer sets it again.  */
+   earlier is left as it is; on_timer sets it again.  The time of the loop does
+   not include the work of this iteration, so it is read again.  */
 static void
 set_deadline (struct httpd_conn *conn, long ms)
 {
-  ev_tstamp now = ev_now (conn->httpd->loop);
+  ev_tstamp now;
 
+  ev_now_update (conn->httpd->loop);
+  now = ev_now (conn->httpd->loop);
   conn->deadline = ms > 0 ? now + (double)ms / MS_PER_S : 0;
   if (conn->deadline == 0
       || (ev_is_active (&conn->timer)
--- a/tests/test-http-stall.c
+++ b/tests/test-http-stall.c
@@ -38,10 +38,20 @@
   struct jc_httpc_call_result result;
 };
 
+/* Stand still for longer than the time-outs.  */
+static void
+stall (void)
+{
+  g_usleep (STALL_MS * US_PER_MS);
+}
+
+/* Answer REQ; the work on "/slow" keeps the loop busy.  */
 static void
 on_body (void *ctx, struct jc_http_req *req)
 {
   (void)ctx;
+  if (strcmp (jc_http_path (req), "/slow") == 0)
+    stall ();
   jc_http_reply (req, 200, "text/plain", JC_STR_LIT ("ok"), NULL);
 }
 
@@ -119,13 +129,6 @@
     }
 }
 
-/* Stand still for longer than the time-outs.  */
-static void
-stall (void)
-{
-  g_usleep (STALL_MS * US_PER_MS);
-}
-
 /* Run the loop until the caller has an answer or its connection ended.  */
 static void
 run_until_answered (struct fixture *f)
@@ -197,6 +200,22 @@
   g_assert_true (g_str_has_prefix (f->received->str, "HTTP/1.1 200 "));
 }
 
+/* Guards against counting the work on a request as idle time: its connection
+   was closed as soon as the answer was written.  */
+static void
+test_idle_after_work (struct fixture *f, gconstpointer unused)
+{
+  (void)unused;
+  set_limits (f, LONG_MS, LONG_MS, TIMEOUT_MS);
+  send_text (f, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_until_answered (f);
+  g_string_truncate (f->received, 0);
+  run_for (f, IN_TIME_MS);
+  send_text (f, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_until_answered (f);
+  g_assert_true (g_str_has_prefix (f->received->str, "HTTP/1.1 200 "));
+}
+
 static void
 on_done (void *ctx, const struct jc_httpc_call_result *result)
 {
@@ -276,6 +295,22 @@
   g_assert_cmpint (f->result.status, ==, JC_STATUS_COUNT);
 }
 
+/* Guards against counting the time before a call against it: a call that
+   started after much work in one iteration of the loop had no time left.  */
+static void
+test_call_after_work (struct fixture *f, gconstpointer unused)
+{
+  (void)unused;
+  run_for (f, 1);
+  stall ();
+  call_start (f, 0, 0, TIMEOUT_MS);
+  run_for (f, IN_TIME_MS);
+  f->fd = accept (f->listener, NULL, NULL);
+  send_text (f, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  call_finish (f);
+  g_assert_cmpint (f->result.status, ==, JC_OK);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -285,8 +320,10 @@
   CASE ("/server-idle", test_idle);
   CASE ("/server-head", test_head);
   CASE ("/server-body", test_body);
+  CASE ("/server-idle-after-work", test_idle_after_work);
   CASE ("/client-answer", test_answer);
   CASE ("/client-first-progress", test_first_progress);
   CASE ("/client-connect", test_connect);
+  CASE ("/client-call-after-work", test_call_after_work);
   return g_test_run ();
 }
