Allocate the two ports of an entry instance in one step

Several test runs at once drew ports in turn, so that the port after that of the operators' listener was seldom the next one drawn: start_hosts looped for over three minutes in two runs before any instance started. Ruled out: leaked processes holding ports. port.py takes a number of ports in a row, under its lock; tests may also set how often endpoints report. No test changes.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -8,10 +8,11 @@
 TOKEN=operator-token
 CALLER_KEY=caller-key-1
 
-# port: print a free port; concurrent runs don't get the same one (see port.py).
+# port [COUNT]: print the first of COUNT free ports in a row (default 1);
+# concurrent runs don't get the same ones (see port.py).
 port ()
 {
-  python3 scripts/port.py
+  python3 scripts/port.py "$@"
 }
 
 # wait_for SECONDS COMMAND...: wait until the command succeeds. SECONDS is for an
--- a/scripts/hosts.sh
+++ b/scripts/hosts.sh
@@ -1,7 +1,8 @@
 # Functions that start a small cluster with host-based routing on loopback: three
 # state instances and ENTRIES entry instances (default 2), each with its own IP
 # address, in zone z1; entry instances from number Z2_FROM on are in z2. Their
-# operators' token is OPERATOR_TOKEN (default none). Sourced after cluster.sh.
+# operators' token is OPERATOR_TOKEN (default none), endpoints are expected to
+# report each REPORT_MS (default 200). Sourced after cluster.sh.
 
 # quoted WORDS...: print the words as JSON strings separated by commas.
 quoted ()
@@ -24,7 +25,7 @@
 { "routing": "hosts", "group": "g", "name": "$ip", "region": "r1", "availability_zone": "z1",
   "rpc": "$ip:$rpc", "operators": "$ip:$control", "directory": "$ip:$directory",
   "group_key": "$GROUP_KEY", "operator_token": "", "data_folder": "$DIR/s$i", "state_seeds": [$seeds],
-  "first_start": true, "report_ms": 200, "snapshot_entries": 16 }
+  "first_start": true, "report_ms": ${REPORT_MS:-200}, "snapshot_entries": 16 }
 X
     start "s$i" "$BUILD/jaycove-state" --settings "$DIR/s$i.json"
   done
@@ -36,15 +37,13 @@
     callers=$(port)
     ready=$(port)
     # The handover listener uses the port after that of the operators' listener.
-    operators=$(port)
-    handover=$(port)
-    while [ "$handover" -ne $((operators + 1)) ]; do operators=$handover; handover=$(port); done
+    operators=$(port 2)
     cat >"$DIR/e$i.json" <<X
 { "routing": "hosts", "group": "g", "name": "e$i", "region": "r1", "availability_zone": "$zone",
   "zones": [{"name": "z1", "region": "r1"}, {"name": "z2", "region": "r1"}],
   "callers": "$ip:$callers", "ready": "$ip:$ready", "operators": "$ip:$operators", "rpc": "$ip:$rpc",
   "group_key": "$GROUP_KEY", "operator_token": "${OPERATOR_TOKEN:-}", "state_peers": [],
-  "state_seeds": [$seeds], "grace_ms": 60000, "report_ms": 200 }
+  "state_seeds": [$seeds], "grace_ms": 60000, "report_ms": ${REPORT_MS:-200} }
 X
     start "e$i" "$BUILD/jaycove-entry" --settings "$DIR/e$i.json"
     all_callers="$all_callers $ip:$callers"
--- a/scripts/port.py
+++ b/scripts/port.py
@@ -3,6 +3,7 @@
 import fcntl
 import os
 import socket
+import sys
 import tempfile
 
 # Below the ephemeral ports of the kernel: otherwise an outgoing connection could occupy a port before its process
@@ -20,21 +21,22 @@
     return True
 
 
-def allocate():
-    """Returns a port that is free now. It is allocated again only after all other ports of the range."""
+def allocate(count=1):
+    """Returns the first of COUNT ports in a row that are free now. They are allocated again only after all other ports
+    of the range."""
     counter_path = os.path.join(tempfile.gettempdir(), "jaycove-port.%d" % os.getuid())
     with open(counter_path, "a+") as counter:
         fcntl.flock(counter, fcntl.LOCK_EX)
         counter.seek(0)
         port = int(counter.read() or FIRST_PORT)
         while True:
-            port = port + 1 if FIRST_PORT <= port < LAST_PORT else FIRST_PORT
-            if is_free(port):
+            port = port + 1 if FIRST_PORT <= port <= LAST_PORT - count else FIRST_PORT
+            if all(is_free(port + i) for i in range(count)):
                 break
         counter.truncate(0)
-        counter.write(str(port))
+        counter.write(str(port + count - 1))
         return port
 
 
 if __name__ == "__main__":
-    print(allocate())
+    print(allocate(int(sys.argv[1]) if len(sys.argv) > 1 else 1))
