Refuse a request whose time ends in the wait queue

A caller's request whose time ended while it was queued, during a pause of its instance, got neither an answer nor a refusal. Cause: only attempts after the first looked at the time left; the queue went on by the route's objective, and 0 or less time left means no limit to balancer and HTTP client, so it went to any endpoint without a time-out.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -319,7 +319,12 @@
   struct balancer_target target;
   enum jc_status status;
 
-  status = crashes_check_request (exchange);
+  /* Time ends in the wait queue too.  */
+  if (jc_relay_may_attempt (&exchange->relay, now))
+    status = crashes_check_request (exchange);
+  else
+    status = jc_fail (jc_relay_failure (&exchange->relay, now),
+                      "No time is left for another attempt.");
   if (status == JC_OK)
     status = balancer_pick (router, &query, &target);
   if (status == JC_CROWDED)
