Wait for a silent endpoint if another attempt would be refused

A caller's stream that only paused was cut after 3 of 8 events while requests with a part of its prompt were blocked. Cause: the look for another place left out the check for deadly requests that the next attempt begins with, so the endpoint was given up and then no attempt was allowed.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -263,8 +263,9 @@
   };
 }
 
-/* Return true if the request could be sent to another target now: one more
-   attempt is allowed, the retry budget is not used up, and the balancer finds a
+/* Return true if the request could be sent to another target now, by the same
+   conditions as exchange_attempt: one more attempt is allowed, requests like it
+   are not blocked, the retry budget is not used up, and the balancer finds a
    target.  */
 static bool
 has_alternative (struct exchange *exchange, int64_t now_ms)
@@ -276,6 +277,7 @@
   struct balancer_target target;
 
   if (jc_relay_next_step (&after, &end, now_ms) != JC_RELAY_ATTEMPT
+      || !crashes_allow_attempt (exchange)
       || !jc_budgets_may_retry (router->budgets, exchange->service, now_ms))
     return false;
   query = exchange_balancer_query (exchange, now_ms);
--- a/entry/crashes.c
+++ b/entry/crashes.c
@@ -181,6 +181,28 @@
     }
 }
 
+/* Return true if the request of EXCHANGE may crash endpoints and was already at
+   one that broke it off.  */
+static bool
+is_suspected_twice (const struct exchange *exchange)
+{
+  return exchange->broken_off
+         && jc_suspects_is_suspected (exchange->router->suspects,
+                                      &exchange->fingerprints);
+}
+
+/* Return whether crashes_check_request would allow another attempt of EXCHANGE.
+   Nothing is logged or counted.  */
+bool
+crashes_allow_attempt (const struct exchange *exchange)
+{
+  uint64_t blocked;
+
+  return !jc_suspects_find_blocked (exchange->router->suspects,
+                                    &exchange->fingerprints, &blocked)
+         && !is_suspected_twice (exchange);
+}
+
 /* Return JC_REQUEST_BLOCKED if the request of EXCHANGE crashes endpoints, or
    may and was already at one that broke it off.  Else return JC_OK.  */
 enum jc_status
@@ -191,12 +213,9 @@
 
   if (!jc_suspects_find_blocked (router->suspects, &exchange->fingerprints,
                                  &blocked))
-    return exchange->broken_off
-                   && jc_suspects_is_suspected (router->suspects,
-                                                &exchange->fingerprints)
-               ? jc_fail (JC_REQUEST_BLOCKED,
-                          "Such requests may crash endpoints.")
-               : JC_OK;
+    return is_suspected_twice (exchange) ? jc_fail (
+               JC_REQUEST_BLOCKED, "Such requests may crash endpoints.")
+                                         : JC_OK;
   jc_event (JC_EVENT_CRASH, "id=%s fingerprint=%016" PRIx64 " outcome=refused",
             exchange_id (exchange), blocked);
   jc_metrics_counter_add (router->entry->metrics,
--- a/entry/router.h
+++ b/entry/router.h
@@ -185,6 +185,7 @@
 void crashes_note_answered (struct exchange *exchange);
 void crashes_handle_update (struct router *router,
                             const struct rpc_suspects *update);
+bool crashes_allow_attempt (const struct exchange *exchange);
 enum jc_status crashes_check_request (const struct exchange *exchange);
 void crashes_tick (struct router *router);
 void crashes_handle_list (struct entry *entry, struct jc_http_req *req);
