--- a/tests/test-http-unanswered.c
+++ b/tests/test-http-unanswered.c
@@ -1,6 +1,7 @@
 /* Tests of the log lines about requests that were read whole and get no whole
-   answer.  They guard against losses that leave no trace: a connection closed
-   under a request without a line that names the reason.  */
+   answer, and of answers that callers can't read.  They guard against losses
+   that leave no trace: a connection closed under a request without a line that
+   names the reason.  */
 
 #include <fcntl.h>
 #include <glib.h>
@@ -16,12 +17,19 @@
 enum
 {
   BODY_MAX_BYTES = 1000,
+  /* More than both socket buffers hold.  */
+  LARGE_BYTES = 32 * 1024 * 1024,
+  BLOCK_BYTES = 16 * 1024,
+  BLOCK_PAUSE_MS = 100,
+  BLOCKS = 18,
+  US_PER_MS = 1000,
   LOG_BYTES_MAX = 65536,
   WAIT_S = 20
 };
 
-/* A listener whose owner answers only "/now" and begins an answer to
-   "/stream", a caller, and the log in place of standard output.  */
+/* A listener whose owner answers only "/now" and, with many
+   bytes, "/large", and begins an answer to "/stream", a caller, and the log in
+   place of standard output.  */
 struct fixture
 {
   struct ev_loop *loop;
@@ -43,6 +51,14 @@
       jc_http_reply (req, 200, "text/plain", JC_STR_LIT ("ok"), NULL);
       return;
     }
+  if (strcmp (jc_http_path (req), "/large") == 0)
+    {
+      char *text = g_strnfill (LARGE_BYTES, 'x');
+
+      jc_http_reply (req, 200, "text/plain", jc_str_from_cstr (text), NULL);
+      g_free (text);
+      return;
+    }
   if (strcmp (jc_http_path (req), "/stream") == 0)
     jc_http_stream_begin (req, 200, "text/plain", NULL);
   f->req = req;
@@ -242,6 +258,59 @@
   g_free (text);
 }
 
+/* Guards against a drain that ends while an answer is not written yet: the
+   caller got a part of it.  */
+static void
+test_unsent (struct fixture *f, gconstpointer unused)
+{
+  char *block = g_malloc (LARGE_BYTES);
+  int64_t end = g_get_monotonic_time () + WAIT_S * G_USEC_PER_SEC;
+  unsigned int before;
+
+  (void)unused;
+  send_text (f, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+  for (int i = 0; i < 100; i++)
+    ev_run (f->loop, EVRUN_NOWAIT);
+  before = jc_httpd_count_requests (f->httpd);
+  while (jc_httpd_count_requests (f->httpd) > 0
+         && g_get_monotonic_time () < end)
+    {
+      (void)!recv (f->fd, block, LARGE_BYTES, MSG_DONTWAIT);
+      ev_run (f->loop, EVRUN_NOWAIT);
+    }
+  g_free (log_take (f));
+  g_free (block);
+  g_assert_cmpuint (before, ==, 1);
+  g_assert_cmpuint (jc_httpd_count_requests (f->httpd), ==, 0);
+}
+
+/* Guards against a reset of a caller that still sends the body of a refused
+   request: it may take the refusal from it.  */
+static void
+test_refused_body (struct fixture *f, gconstpointer unused)
+{
+  char *block = g_strnfill (BLOCK_BYTES, 'x');
+  char data[4096] = "";
+  int sent = 0;
+
+  (void)unused;
+  send_text (f, "POST /now HTTP/1.1\r\nHost: h\r\nContent-Length: 294912\r\n"
+                "\r\n");
+  for (int i = 0; i < BLOCKS; i++)
+    {
+      int64_t until = g_get_monotonic_time () + BLOCK_PAUSE_MS * US_PER_MS;
+
+      sent += send (f->fd, block, BLOCK_BYTES, MSG_NOSIGNAL) == BLOCK_BYTES;
+      while (g_get_monotonic_time () < until)
+        ev_run (f->loop, EVRUN_NOWAIT);
+    }
+  (void)!recv (f->fd, data, sizeof data - 1, MSG_DONTWAIT);
+  g_free (log_take (f));
+  g_free (block);
+  g_assert_cmpint (sent, ==, BLOCKS);
+  g_assert_true (g_str_has_prefix (data, "HTTP/1.1 413 "));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -253,5 +322,7 @@
   CASE ("/cut", test_cut);
   CASE ("/pipelined", test_pipelined);
   CASE ("/no-loss", test_no_loss);
+  CASE ("/unsent", test_unsent);
+  CASE ("/refused-body", test_refused_body);
   return g_test_run ();
 }
