Count a request as open until its answer is written

A caller that reads slowly got a part of its answer when the instance drained. Cause: the drain asks for open requests, and one counted as done once its answer was in a buffer of this process; the listener then wrote once and closed. Ruled out: the kernel's buffer, which is sent after a close. Requests whose answers wait in a buffer now count. test-http-unanswered/unsent: 0 of 1 counted before, 1 of 1 now, and 0 once it is read.

--- a/net/httpd.c
+++ b/net/httpd.c
@@ -246,11 +246,21 @@
   return open;
 }
 
-/* Return the number of requests that are not answered completely.  */
+/* Return the number of requests that are not answered completely, those whose
+   answers are not written yet included.  */
 unsigned int
 jc_httpd_count_requests (const struct jc_httpd *httpd)
 {
-  return httpd->open_requests;
+  unsigned int open = httpd->open_requests;
+
+  for (guint i = 0; i < httpd->conns->len; i++)
+    {
+      const struct httpd_conn *conn = g_ptr_array_index (httpd->conns, i);
+      bool unsent = conn->out_pos < conn->out->len;
+
+      open += !conn->closed && conn->req == NULL && unsent ? 1 : 0;
+    }
+  return open;
 }
 
 /* Return the port that HTTPD is bound to.  */
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -10,9 +10,9 @@
 
 /* A listener.  CONNS holds its connections and UNFLUSHED those that have data
    to write or are to be freed at the end of the iteration of the loop.
-   OPEN_REQUESTS counts requests that are not answered completely.  FD is -1
-   once it accepts no more connections.  ID_HEADER names the field with the id
-   of a request for log lines, NULL for none.  */
+   OPEN_REQUESTS counts requests whose answers are not complete in a buffer.  FD
+   is -1 once it accepts no more connections.  ID_HEADER names the field with
+   the id of a request for log lines, NULL for none.  */
 struct jc_httpd
 {
   struct ev_loop *loop;
