Read on while a caller sends the body of a refused request

A caller that sent a body for over 1 s after its request was refused was reset, which may take the refusal from it: neither an answer nor a refusal, most often right after a change that removes routes or lowers limits. Cause: the wait for the caller was 1 s in all. It is now 1 s after the last byte, and at most the time-out of a body in all.

--- a/net/httpdconn.c
+++ b/net/httpdconn.c
@@ -20,9 +20,9 @@
   USER_TIMEOUT_MS = 10000,
   KEEPALIVE_S = 5,
   KEEPALIVE_PROBES = 2,
-  /* How long input is read and dropped after a request was rejected.  Closing
-     with unread input would send a reset, which may reach the peer before the
-     answer.  */
+  /* How long after its last byte input is read and dropped once a request was
+     rejected.  Closing with unread input would send a reset, which may reach
+     the peer before the answer.  */
   LINGER_MS = 1000,
   /* Limit on bytes of blank lines before a request; RFC 9112, 2.2 asks servers
      to ignore at least one such line.  */
@@ -110,18 +110,39 @@
   setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
 
+/* Wait for LINGER_MS for the peer of CONN, whose request was rejected, to send
+   or close, but not beyond the end of the wait as a whole.  */
+static void
+conn_linger (struct httpd_conn *conn)
+{
+  long left_ms;
+
+  ev_now_update (conn->httpd->loop);
+  left_ms
+      = (long)((conn->linger_until - ev_now (conn->httpd->loop)) * MS_PER_S);
+  set_deadline (conn, CLAMP (left_ms, 1, LINGER_MS));
+}
+
 /* Close CONN if its output was the last answer.  After a rejected request only
-   the sending side is closed and input is read for LINGER_MS.  */
+   the sending side is closed, and input is read until none came for LINGER_MS,
+   for at most the time-out of a body.  */
 static void
 handle_all_written (struct httpd_conn *conn)
 {
   ev_io_stop (conn->httpd->loop, &conn->writer);
   if (!conn->close_after)
     return;
+  if (conn->rejected && conn->linger_until > 0)
+    return;
   if (conn->rejected)
     {
+      long limit_ms = MAX (conn->httpd->limits.body_timeout_ms, LINGER_MS);
+
       shutdown (conn->fd, SHUT_WR);
-      set_deadline (conn, LINGER_MS);
+      ev_now_update (conn->httpd->loop);
+      conn->linger_until
+          = ev_now (conn->httpd->loop) + (double)limit_ms / MS_PER_S;
+      conn_linger (conn);
       return;
     }
   if (conn->reset_on_close)
@@ -548,6 +569,8 @@
   if (conn->rejected)
     {
       g_string_truncate (conn->in, 0);
+      if (conn->linger_until > 0)
+        conn_linger (conn);
       return;
     }
   conn_process_input (conn);
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -65,7 +65,8 @@
    SCANNED_BYTES of IN are known to hold no end of a head.  DEADLINE is the time
    of the next time-out on the clock of the loop, 0 for none.  BODY_BLOCK_BYTES
    counts the bytes of the body since DEADLINE was set.  REJECTED is set once a
-   request was refused before it was read completely; input after it is dropped.
+   request was refused before it was read completely; input after it is dropped,
+   until LINGER_UNTIL at the latest.
    BLANK_BYTES counts the bytes of blank lines since the last request.
    RESET_ON_CLOSE closes the connection with a TCP reset.  */
 struct httpd_conn
@@ -87,6 +88,7 @@
   size_t body_block_bytes;
   bool body_done;
   bool rejected;
+  ev_tstamp linger_until;
   bool close_after;
   bool flush_due;
   bool closed;
