Bound the wait for the body of a refused request

A caller that sent the body of a refused request without a pause kept its connection for good: past the bound each byte still moved the end of the wait by 1 ms. Ruled out: the time-out of the listener, which is not set then.

--- a/net/httpdconn.c
+++ b/net/httpdconn.c
@@ -120,7 +120,8 @@
   ev_now_update (conn->httpd->loop);
   left_ms
       = (long)((conn->linger_until - ev_now (conn->httpd->loop)) * MS_PER_S);
-  set_deadline (conn, CLAMP (left_ms, 1, LINGER_MS));
+  if (left_ms > 0)
+    set_deadline (conn, MIN (left_ms, LINGER_MS));
 }
 
 /* Close CONN if its output was the last answer.  After a rejected request only
--- a/tests/test-http-unanswered.c
+++ b/tests/test-http-unanswered.c
@@ -311,6 +311,35 @@
   g_assert_true (g_str_has_prefix (data, "HTTP/1.1 413 "));
 }
 
+/* Guards against a caller that sends the body of a refused request without end
+   and keeps its connection for it.  */
+static void
+test_refused_endless (struct fixture *f, gconstpointer unused)
+{
+  const struct jc_httpd_limits limits = { .max_head_bytes = 1000,
+                                          .max_body_bytes = BODY_MAX_BYTES,
+                                          .head_timeout_ms = 60000,
+                                          .body_timeout_ms = BLOCK_PAUSE_MS,
+                                          .idle_timeout_ms = 60000 };
+  char *block = g_strnfill (BLOCK_BYTES, 'x');
+  int64_t end = g_get_monotonic_time () + WAIT_S * G_USEC_PER_SEC;
+
+  (void)unused;
+  jc_httpd_set_limits (f->httpd, &limits);
+  send_text (f, "POST /now HTTP/1.1\r\nHost: h\r\n"
+                "Content-Length: 99999999999\r\n\r\n");
+  do
+    {
+      (void)!send (f->fd, block, BLOCK_BYTES, MSG_NOSIGNAL | MSG_DONTWAIT);
+      ev_run (f->loop, EVRUN_NOWAIT);
+    }
+  while (jc_httpd_count_connections (f->httpd) > 0
+         && g_get_monotonic_time () < end);
+  g_free (log_take (f));
+  g_free (block);
+  g_assert_cmpuint (jc_httpd_count_connections (f->httpd), ==, 0);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -324,5 +353,6 @@
   CASE ("/no-loss", test_no_loss);
   CASE ("/unsent", test_unsent);
   CASE ("/refused-body", test_refused_body);
+  CASE ("/refused-endless", test_refused_endless);
   return g_test_run ();
 }
