Judge idle connections by the limit that is in force

After a change that raised idle-timeout-ms, connections that callers went on to use by the new limit were closed under them at the old one; a request sent at that moment had no answer. Cause: the end of the wait was fixed when it began. Ruled out: a lowered limit, for which the old end stays, since callers may not know the new one yet.

--- a/net/httpdconn.c
+++ b/net/httpdconn.c
@@ -56,6 +56,33 @@
   ev_timer_start (conn->httpd->loop, &conn->timer);
 }
 
+/* Begin to wait for the next request of CONN.  */
+static void
+conn_begin_idle (struct httpd_conn *conn)
+{
+  set_deadline (conn, conn->httpd->limits.idle_timeout_ms);
+  conn->idle_since = ev_now (conn->httpd->loop);
+}
+
+/* Return whether CONN may be idle for longer by the limits in force, which may
+   have changed since it began to be, and wait on then.  */
+static bool
+conn_may_stay_idle (struct httpd_conn *conn)
+{
+  ev_tstamp until = conn->idle_since
+                    + (double)conn->httpd->limits.idle_timeout_ms / MS_PER_S;
+  ev_tstamp now = ev_now (conn->httpd->loop);
+
+  if (conn->req != NULL || conn->close_after)
+    return false;
+  if (conn->httpd->limits.idle_timeout_ms == 0)
+    return true;
+  if (until <= now)
+    return false;
+  set_deadline (conn, (long)((until - now) * MS_PER_S) + 1);
+  return true;
+}
+
 /* Close CONN for REASON and tell the owner of its request, if there is one.
    CONN is freed at the end of the iteration of the loop.  */
 void
@@ -532,7 +559,7 @@
   httpd_conn_schedule_flush (conn);
   if (conn->close_after)
     return;
-  set_deadline (conn, conn->httpd->limits.idle_timeout_ms);
+  conn_begin_idle (conn);
   if (conn->in->len > 0)
     ev_feed_event (conn->httpd->loop, &conn->reader, EV_CUSTOM);
   if (!ev_is_active (&conn->reader))
@@ -610,7 +637,7 @@
       jc_fail (JC_BODY_TIMEOUT, "The body took too long.");
       conn_reject (conn, JC_BODY_TIMEOUT);
     }
-  else
+  else if (!conn_may_stay_idle (conn))
     httpd_conn_close (conn, HTTPD_TIMED_OUT);
 }
 
@@ -642,6 +669,6 @@
   conn->writer.data = conn;
   conn->timer.data = conn;
   ev_io_start (httpd->loop, &conn->reader);
-  set_deadline (conn, httpd->limits.idle_timeout_ms);
+  conn_begin_idle (conn);
   return conn;
 }
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -63,7 +63,8 @@
 
 /* A connection and its current request; pipelined requests wait in IN.
    SCANNED_BYTES of IN are known to hold no end of a head.  DEADLINE is the time
-   of the next time-out on the clock of the loop, 0 for none.  BODY_BLOCK_BYTES
+   of the next time-out on the clock of the loop, 0 for none; IDLE_SINCE that of
+   the end of the last request, or of the start.  BODY_BLOCK_BYTES
    counts the bytes of the body since DEADLINE was set.  REJECTED is set once a
    request was refused before it was read completely; input after it is dropped,
    until LINGER_UNTIL at the latest.
@@ -77,6 +78,7 @@
   ev_io writer;
   ev_timer timer;
   ev_tstamp deadline;
+  ev_tstamp idle_since;
   GString *in;
   size_t scanned_bytes;
   GString *out;
--- a/tests/test-http-raw.c
+++ b/tests/test-http-raw.c
@@ -16,7 +16,8 @@
 {
   BODY_MAX_BYTES = 1000,
   TEST_TIMEOUT_S = 20,
-  SHORT_TIMEOUT_MS = 50
+  SHORT_TIMEOUT_MS = 50,
+  US_PER_MS = 1000
 };
 
 /* A listener, a peer that sends raw bytes, and what both received.  */
@@ -357,6 +358,35 @@
   g_assert_true (g_str_has_prefix (f->received->str, "HTTP/1.1 200 "));
 }
 
+/* Guards against closing kept connections by the idle limit before the one in
+   force: callers that know the new one still use them.  */
+static void
+test_idle_raised (struct fixture *f, gconstpointer unused)
+{
+  struct jc_httpd_limits limits = { .max_head_bytes = 1000,
+                                    .max_body_bytes = BODY_MAX_BYTES,
+                                    .head_timeout_ms = 60000,
+                                    .idle_timeout_ms = SHORT_TIMEOUT_MS };
+  int64_t until;
+
+  (void)unused;
+  jc_httpd_set_limits (f->httpd, &limits);
+  SEND (f, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (f->received->len == 0)
+    ev_run (f->loop, EVRUN_ONCE);
+  limits.idle_timeout_ms = 60000;
+  jc_httpd_set_limits (f->httpd, &limits);
+  until = g_get_monotonic_time () + 4 * SHORT_TIMEOUT_MS * US_PER_MS;
+  while (g_get_monotonic_time () < until)
+    ev_run (f->loop, EVRUN_NOWAIT);
+  g_assert_false (f->closed);
+  limits.idle_timeout_ms = SHORT_TIMEOUT_MS;
+  jc_httpd_set_limits (f->httpd, &limits);
+  SEND (f, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_until_closed (f);
+  g_assert_nonnull (strstr (f->received->str + 1, "HTTP/1.1 200 "));
+}
+
 /* Guards against a missing "Connection: close" after
    jc_httpd_announce_close.  */
 static void
@@ -621,6 +651,7 @@
   CASE ("/few-blank-lines", test_few_blank_lines);
   CASE ("/large-head", test_large_head);
   CASE ("/idle", test_idle);
+  CASE ("/idle-raised", test_idle_raised);
   CASE ("/closing", test_closing);
   g_test_add_func ("/late-answer", test_late_answer);
   g_test_add_func ("/extra-bytes", test_extra_bytes);
