Test what callers hold of streams at endpoints of two software versions

Callers got streams whose parts came from endpoints of two software versions. These tests look at what callers hold: endpoints write their version into each event, callers take streams up at any entry instance of two regions with the id of the attempt that brought the first event.

--- a/scripts/hosts.sh
+++ b/scripts/hosts.sh
@@ -1,8 +1,9 @@
 # Functions that start a small cluster with host-based routing on loopback: three
 # state instances and ENTRIES entry instances (default 2), each with its own IP
-# address, in zone z1; entry instances from number Z2_FROM on are in z2. Their
-# operators' token is OPERATOR_TOKEN (default none), endpoints are expected to
-# report each REPORT_MS (default 200). Sourced after cluster.sh.
+# address, in zone z1; entry instances from number Z2_FROM on are in z2, of the
+# region Z2_REGION (default r1, which z1 is in). Their operators' token is
+# OPERATOR_TOKEN (default none), endpoints are expected to report each REPORT_MS
+# (default 200). Sourced after cluster.sh.
 
 # quoted WORDS...: print the words as JSON strings separated by commas.
 quoted ()
@@ -29,18 +30,19 @@
 X
     start "s$i" "$BUILD/jaycove-state" --settings "$DIR/s$i.json"
   done
+  z2_region=${Z2_REGION:-r1}
   all_callers= all_ready= all_operators= all_rpc=
   for i in $(seq 1 "${ENTRIES:-2}"); do
     ip=127.0.9.1$i
-    zone=z1
-    [ "$i" -lt "${Z2_FROM:-1000}" ] || zone=z2
+    zone=z1 region=r1
+    [ "$i" -lt "${Z2_FROM:-1000}" ] || zone=z2 region=$z2_region
     callers=$(port)
     ready=$(port)
     # The handover listener uses the port after that of the operators' listener.
     operators=$(port 2)
     cat >"$DIR/e$i.json" <<X
-{ "routing": "hosts", "group": "g", "name": "e$i", "region": "r1", "availability_zone": "$zone",
-  "zones": [{"name": "z1", "region": "r1"}, {"name": "z2", "region": "r1"}],
+{ "routing": "hosts", "group": "g", "name": "e$i", "region": "$region", "availability_zone": "$zone",
+  "zones": [{"name": "z1", "region": "r1"}, {"name": "z2", "region": "$z2_region"}],
   "callers": "$ip:$callers", "ready": "$ip:$ready", "operators": "$ip:$operators", "rpc": "$ip:$rpc",
   "group_key": "$GROUP_KEY", "operator_token": "${OPERATOR_TOKEN:-}", "state_peers": [],
   "state_seeds": [$seeds], "grace_ms": 60000, "report_ms": ${REPORT_MS:-200} }
--- /dev/null
+++ b/tests/process/hosts-versions-killed.sh
@@ -0,0 +1,12 @@
+# Guards against entry instances that forget, when all of them are killed, which
+# software version began a stream. See killed () of versions_standin.py.
+set -eu
+. scripts/cluster.sh
+. scripts/hosts.sh
+trap stop_all EXIT
+
+ENTRIES=4
+Z2_FROM=3
+Z2_REGION=r2
+start_hosts
+python3 tests/process/versions_standin.py killed "$DIR" "$BUILD" || { tail -n 5 "$DIR"/e*.out; exit 1; }
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -84,6 +84,8 @@
     asks, refuses, signs_refusals = "", False, False
     # Time that a request takes before its answer begins.
     work_s = 0
+    # The version of its software.
+    version = "v1"
 
     def __init__(self, name, service, zone, events=6, pause_s=0.02, cold_s=0):
         self.name, self.service, self.zone = name, service, zone
@@ -109,8 +111,9 @@
 
     async def report_once(self):
         self.sequence += 1
-        body = json.dumps({"service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
-                           "slots": 8, "state": self.state, "warmup-left-ms": max(0, int((self.cold_until - time.monotonic()) * 1000)),
+        body = json.dumps({"service": self.service, "address": self.address, "zone": self.zone,
+                           "version": self.version, "slots": 8, "state": self.state,
+                           "warmup-left-ms": max(0, int((self.cold_until - time.monotonic()) * 1000)),
                            "sequence": self.sequence, "born": self.born}).encode()
         for control in random.sample(ADDRESSES["control"], len(ADDRESSES["control"])):
             try:
@@ -139,6 +142,14 @@
         """Whether the endpoint answers this request with a failure of its own."""
         return False
 
+    def event_text(self, event):
+        return f"token-{event}"
+
+    def breaks_stream(self, fields, event):
+        """Whether the endpoint breaks the connection in the middle of this event, which is not the first one that it
+        sends on it."""
+        return False
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -183,8 +194,14 @@
             return True
         writer.write(f"HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n"
                      "Transfer-Encoding: chunked\r\n\r\n".encode())
-        for event in range(int(fields.get("last-event-id", -1)) + 1, self.events):
-            data = f"id: {event}\ndata: token-{event}\n\n".encode()
+        first = int(fields.get("last-event-id", -1)) + 1
+        for event in range(first, self.events):
+            data = f"id: {event}\ndata: {self.event_text(event)}\n\n".encode()
+            if event > first and self.breaks_stream(fields, event):
+                writer.write(b"%x\r\n%s" % (len(data), data[:5]))
+                await writer.drain()
+                writer.transport.abort()
+                return False
             if Endpoint.crash_at == event:
                 Endpoint.crash_at = None
                 writer.write(b"%x\r\n%s" % (len(data), data[:5]))
