--- a/tests/process/versions_standin.py
+++ b/tests/process/versions_standin.py
@@ -67,8 +67,8 @@
         self.events, self.first, self.whole = [], None, False
 
     async def send(self, entry, until_event=EVENTS, headers=()):
-        """Sends one attempt and leaves it once UNTIL_EVENT events are there. Returns the time in seconds after which to try again, None if the stream
-        has come as far as that or broke after it had gone on."""
+        """Sends one attempt and leaves it once UNTIL_EVENT events are there. Returns the time in seconds after which to
+        try again, None if the stream has come as far as that or broke after it had gone on."""
         attempt, held = "%016x" % random.getrandbits(64), len(self.events)
         if held:
             headers = [("Last-Event-Id", str(self.events[-1][0])), ("Resumes", self.first), *headers]
@@ -125,9 +125,10 @@
     mixed = sum(len({version for _, version in s.events}) > 1 for s in streams)
     disorder = sum([n for n, _ in s.events] != list(range(len(s.events))) or (s.whole and len(s.events) != EVENTS)
                    for s in streams)
-    print("%s: %d of %d streams hold events of two versions, %d are not in order, %d whole, %d refusals, bad %s" % (
-        what, mixed, len(streams), disorder, sum(s.whole for s in streams), Stream.refused, Stream.bad_answers[:5]),
-        flush=True)
+    firsts = [s.events[0][1] for s in streams if s.events]
+    print("%s: %d of %d streams hold events of two versions, %d are not in order, %d whole, %d refusals, bad %s; %s" % (
+        what, mixed, len(streams), disorder, sum(s.whole for s in streams), Stream.refused, Stream.bad_answers[:5],
+        ", ".join(f"{firsts.count(v)} began at {v}" for v in sorted(set(firsts)))), flush=True)
     assert mixed == 0 and disorder == 0 and not Stream.bad_answers
 
 
@@ -160,10 +161,11 @@
 
 
 def start_entries():
+    program = os.path.join(sys.argv[3], "jaycove-entry")
     for i in range(len(ADDRESSES["entries"])):
-        log = open(os.path.join(hosts_standin.DIR, f"e{i + 1}.out"), "ab")
-        command = [os.path.join(sys.argv[3], "jaycove-entry"), "--settings", os.path.join(hosts_standin.DIR, f"e{i + 1}.json")]
-        DAEMONS.append(subprocess.Popen(command, stdout=log, stderr=log))
+        path = os.path.join(hosts_standin.DIR, f"e{i + 1}")
+        with open(path + ".out", "ab") as log:
+            DAEMONS.append(subprocess.Popen([program, "--settings", path + ".json"], stdout=log, stderr=log))
 
 
 async def in_batches(coroutines, size=24):
@@ -303,7 +305,8 @@
         stream.events, stream.first = [(n, "") for n in range(4)], "%016x" % random.getrandbits(64)
         await stream.send(ADDRESSES["entries"][i % len(ADDRESSES["entries"])])
     ran = sum("last-event-id" in fields for e in endpoints for _, _, _, fields in e.ran)
-    print("unknown: %d of %d refused, bad %s, %d ran" % (Stream.refused, len(streams), Stream.bad_answers[:5], ran), flush=True)
+    print("unknown: %d of %d refused, bad %s, %d ran" % (Stream.refused, len(streams), Stream.bad_answers[:5], ran),
+          flush=True)
     assert Stream.refused == len(streams) and not Stream.bad_answers and ran == 0
 
 
