Test requests in each state beside one and two configuration changes

Users saw a whole request without an answer beside a change. A test removes and moves routes, lowers limits and time-outs, once and twice at the same moment, while kept connections are idle, send a head or body, wait for an answer, fail or read a stream.

--- a/tests/process/unanswered_standin.py
+++ b/tests/process/unanswered_standin.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-from hosts_standin import ADDRESSES, WAIT_S, Endpoint, ask, configuration, in_force, order, pid, request, route, until, use
+from hosts_standin import ADDRESSES, WAIT_S, Endpoint, ask, configuration, in_force, order, pid, read_body, read_head, request, route, until, use
 
 DEADLINE_MS = 800
 # How long the entry instance is stopped, beyond the request's time.
@@ -17,6 +17,8 @@
 SLACK_S = 0.5
 BAD_PART = "bad1:200"
 TIGHT = "7160"
+LIMIT = b'"max-body-bytes": 100000'
+VERSIONS = iter(range(3, 1000))
 OPERATOR = [("Authorization", "Bearer operator")]
 
 
@@ -138,6 +140,99 @@
     assert reply.status == 200 and reply.whole, (reply.status, reply.whole, reply.body[-80:])
 
 
+class Caller:
+    """A kept connection to the first entry instance."""
+
+    async def connect(self):
+        host, port = ADDRESSES["entries"][0].rsplit(":", 1)
+        self.reader, self.writer = await asyncio.open_connection(host, int(port))
+        return self
+
+    def send_head(self, path, length, deadline_ms=15000):
+        attempt = "%016x" % random.getrandbits(64)
+        self.writer.write(f"POST {path} HTTP/1.1\r\nHost: site.example\r\nX-Jaycove-Attempt-Id: {attempt}\r\n"
+                          f"X-Jaycove-Deadline-Ms: {deadline_ms}\r\nContent-Length: {length}\r\n\r\n".encode())
+
+    async def answer(self):
+        """The status of the answer and whether it is whole."""
+        async with asyncio.timeout(WAIT_S):
+            start, fields = await read_head(self.reader)
+            _, whole = await read_body(self.reader, fields)
+        return int(start.split()[1]), whole
+
+
+async def change_once(slow, engines, old, new, limits, at_once):
+    """Brings callers into each state in which a configuration may meet a request, replaces the routes OLD by NEW with
+    LIMITS, AT_ONCE times at the same moment, and returns what each of them got."""
+    await order("/v1/Config.Replace", configuration(next(VERSIONS), old))
+    await in_force(ADDRESSES["entries"], "/added/x", 404)
+    callers = {name: await Caller().connect() for name in ("idle", "head", "body", "runs", "retried", "stream")}
+    for name in ("idle", "stream"):
+        callers[name].send_head("/read/x", 0)
+        assert await callers[name].answer() == (200, True), name
+    reached = len(slow.received)
+    callers["head"].writer.write(b"POST /moved/x HTTP/1.1\r\nHost: site.ex")
+    callers["body"].send_head("/moved/x", 2000)
+    callers["body"].writer.write(b"x" * 1000)
+    callers["runs"].send_head("/moved/x", 0)
+    callers["retried"].send_head("/moved/fail", 0)
+    callers["stream"].send_head("/events/x", 0)
+
+    async def all_run():
+        return len(slow.received) >= reached + 2 and any("/events/" in e.ran[-1][1] for e in engines if e.ran)
+    await until("the requests to run", all_run)
+    versions = [next(VERSIONS) for _ in range(at_once)]
+    await asyncio.gather(*(order("/v1/Config.Replace", configuration(v, new).replace(LIMIT, limits)) for v in versions))
+    await in_force(ADDRESSES["entries"], "/added/x", 200)
+    callers["idle"].send_head("/moved/x", 0)
+    callers["head"].writer.write(b"ample\r\nX-Jaycove-Attempt-Id: 77\r\nContent-Length: 0\r\n\r\n")
+    callers["body"].writer.write(b"x" * 1000)
+    slow.go.set()
+    got = {name: await caller.answer() for name, caller in callers.items()}
+    for caller in callers.values():
+        caller.writer.close()
+    return got
+
+
+class Slow(Endpoint):
+    """Holds each request until GO is set, and fails those whose path ends with "/fail"."""
+
+    async def serve_one(self, reader, writer):
+        start, fields = await read_head(reader)
+        body, _ = await read_body(reader, fields) if "content-length" in fields else (b"", True)
+        attempt = fields["x-jaycove-attempt-id"]
+        self.received.append((time.monotonic(), attempt, ""))
+        await self.go.wait()
+        status = "500 Error" if "/fail " in start else "200 OK"
+        writer.write(f"HTTP/1.1 {status}\r\nX-Jaycove-Attempt-Id: {attempt}\r\nX-Jaycove-Server-Stamp: {self.name}\r\n"
+                     "Content-Length: 2\r\n\r\nok".encode())
+        return True
+
+
+async def changes():
+    """Routes are removed and moved and limits lowered, once and twice at the same moment, under kept connections in
+    each state. Each request ends with a whole answer or refusal."""
+    slow = await Slow("plain-0", "plain", "z1").start()
+    engines = [await Endpoint(f"engine-{i}", "engine", "z1", events=40, pause_s=0.05).start() for i in range(2)]
+    read, added = route("read", "safe", "engine"), route("added", "safe", "engine")
+    old = [read, route("moved", "safe", "plain"), route("events", "stream", "engine")]
+    variants = {
+        "removed": ([read, added], LIMIT, {"idle": 404, "head": 404, "body": 404}),
+        "moved": ([read, added, route("moved", "safe", "engine"), route("events", "stream", "plain")], LIMIT, {}),
+        "limits": ([*old, added], b'"max-body-bytes": 1500', {"body": 413}),
+        "timeouts": ([*[r | {"timeout-ms": 9000} for r in old], added], LIMIT.replace(b"100000", b"90000"), {}),
+    }
+    lost = 0
+    for name, (new, limits, refused) in variants.items():
+        for at_once in (1, 2):
+            slow.go = asyncio.Event()
+            got = await change_once(slow, engines, old, new, limits, at_once)
+            expected = dict.fromkeys(got, (200, True)) | {"retried": (500, True)} | {k: (v, True) for k, v in refused.items()}
+            print(name, at_once, got, flush=True)
+            lost += sum(got[state] != expected[state] for state in got)
+    assert lost == 0, lost
+
+
 if __name__ == "__main__":
     use(sys.argv[2])
-    asyncio.run({"queued": queued, "blocked": blocked}[sys.argv[1]]())
+    asyncio.run({"queued": queued, "blocked": blocked, "changes": changes}[sys.argv[1]]())
