Soak streams at endpoints of two software versions

The soak had endpoints of one software version, and its callers never took a stream up again, so it could not see streams joined from two versions. Its endpoints now have two versions side by side, each one that crashes or leaves is replaced by one of the other version, and callers leave a fifth of their streams in the middle and take these and broken ones up with the id of the attempt that brought the first event. No caller may hold events of two versions; order and completeness are checked over all attempts of a stream.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,10 @@
 LOST_ANSWER_RATIO = 0.03
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 STREAM_EVENTS = 8
+# Endpoints of both software versions serve side by side; each is replaced by one of the other version.
+OTHER_VERSION = {"v1": "v2", "v2": "v1"}
+# Callers leave this ratio of streams in the middle, and take broken ones up with at most as many attempts.
+LEAVE_RATIO, TAKE_UPS_MAX = 0.2, 10
 # What endpoints ask for in their answers: the limit of some, in requests per second, and the pause of those that refuse.
 LIMIT_PER_S = 2.0
 PAUSE_S = 2.0
@@ -56,9 +60,9 @@
 class RelayedEndpoint(standin.Endpoint):
     """An endpoint behind a relay. While FAULT is set, each request draws whether the fault applies to it."""
 
-    def __init__(self, name, service, zone, rand):
+    def __init__(self, name, service, zone, version, rand):
         super().__init__(name, service, zone, events=STREAM_EVENTS, pause_s=0.03)
-        self.rand, self.fault = rand, ""
+        self.version, self.rand, self.fault = version, rand, ""
         # Times at which its link was impaired or became whole again.
         self.disturbed = []
 
@@ -69,6 +73,9 @@
         self.task = asyncio.create_task(self.report())
         return self
 
+    def event_text(self, event):
+        return f"{self.version} token-{event}"
+
     async def serve_one(self, reader, writer):
         lost = self.rand.random() < LOST_ANSWER_RATIO or (self.fault == "lose_answer" and self.rand.random() < 0.5)
         if lost or (self.fault == "silent" and self.rand.random() < 0.5):
@@ -100,8 +107,9 @@
         self.fleet = Fleet(build, self.dir, net)
         self.results, self.endpoints, self.stopped_endpoints = Results(), [], []
         self.version, self.acknowledged_version, self.last_id, self.outcomes = 3, 3, 0, {}
-        # When and to which entry instance each attempt was sent.
-        self.sent = {}
+        # When and to which entry instance each attempt was sent. Broken streams by caller: attempt of the first event, text
+        # of whole events, attempts that did not go on.
+        self.sent, self.broken = {}, {}
         self.faults_stopping, self.recovered, self.callers_stopping = False, False, False
 
     # Requests of callers and the checks of their answers.
@@ -112,6 +120,17 @@
         self.last_id += 1
         attempt = "%08x%02x%06x" % (self.seed, caller_number, self.last_id)
         kind = self.rand.choice(["read", "write", "stream", "stream", "write"])
+        first, held, tries = self.broken.pop(caller_number, (attempt, b"", 0))
+        if held:
+            kind = "stream"
+            if tries < TAKE_UPS_MAX:
+                self.broken[caller_number] = (first, held, tries + 1)
+        resumes = f"Last-Event-Id: {held.count(b'id: ') - 1}\r\nResumes: {first}\r\n" if held else ""
+        leave_at = self.rand.randrange(1, STREAM_EVENTS) if self.rand.random() < LEAVE_RATIO else STREAM_EVENTS
+
+        def leave(body):
+            if kind == "stream" and not self.recovered and leave_at <= (held + body).count(b"\n\n") < STREAM_EVENTS:
+                raise ConnectionAbortedError
         method = "GET" if kind == "read" else "POST"
         started = time.monotonic()
         if conn is None:
@@ -120,25 +139,37 @@
         reader, writer = conn
         self.sent[attempt] = (started, "%s:%s" % writer.get_extra_info("peername")[:2])
         writer.write((f"{method} /{kind}/a HTTP/1.1\r\nHost: site.example\r\nX-Jaycove-Attempt-Id: {attempt}\r\n"
-                      f"X-Jaycove-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\nContent-Length: 0\r\n\r\n").encode())
+                      f"X-Jaycove-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n{resumes}Content-Length: 0\r\n\r\n").encode())
         start, fields = await asyncio.wait_for(standin.read_head(reader), DEADLINE_S + LATE_TOLERANCE_S + 5)
-        body, complete = await asyncio.wait_for(standin.read_body(reader, fields), DEADLINE_S + LATE_TOLERANCE_S + 5)
-        self.check_answer(kind, attempt, int(start.split()[1]), body, complete, time.monotonic() - started)
+        body, complete = await asyncio.wait_for(standin.read_body(reader, fields, leave), DEADLINE_S + LATE_TOLERANCE_S + 5)
+        status = int(start.split()[1])
+        went_on = status == 200 and (complete or body != b"")
+        if held:
+            self.results.count("take-up went on" if went_on else f"take-up {status}")
+        self.check_answer(kind, attempt, status, held, body, complete, time.monotonic() - started)
+        if kind == "stream" and went_on:
+            whole_events = b"".join((held + body).rpartition(b"\n\n")[:2])
+            self.broken.pop(caller_number, None)
+            if whole_events and not complete:
+                self.broken[caller_number] = (first, whole_events, 0)
         if fields.get("connection", "").lower() == "close" or not complete:
             writer.close()
             return None
         return conn
 
-    def check_answer(self, kind, attempt, status, body, complete, elapsed_s):
+    def check_answer(self, kind, attempt, status, held, body, complete, elapsed_s):
+        """Checks an answer to a caller that held the text HELD of a stream before."""
         self.results.count(f"{kind} {status}" + ("" if complete else " incomplete"))
         self.outcomes[attempt] = (kind, status)
         if status == 200 and kind != "stream" and complete:
             self.results.check(body.endswith(attempt.encode()), "answer matches request", f"{attempt} got {body!r}")
         if status == 200 and kind == "stream":
-            events = b"".join(b"id: %d\ndata: token-%d\n\n" % (i, i) for i in range(STREAM_EVENTS))
-            self.results.check(events.startswith(body), "events in order", f"{attempt} got {body!r}")
-            self.results.check(not complete or body == events, "complete stream",
-                               f"{attempt} was marked complete too early: {body!r}")
+            events = b"".join(b"id: %d\ndata: v1 token-%d\n\n" % (i, i) for i in range(STREAM_EVENTS))
+            got = held + body
+            self.results.check(events.startswith(got.replace(b"v2", b"v1")), "events in order", f"{attempt} got {got!r}")
+            self.results.check(b"v1" not in got or b"v2" not in got, "one software version", f"{attempt} got {got!r}")
+            self.results.check(not complete or len(got) == len(events), "complete stream",
+                               f"{attempt} was marked complete too early: {got!r}")
         if elapsed_s > DEADLINE_S + LATE_TOLERANCE_S and not any(p.paused for p in self.fleet.entries):
             self.results.count("late")
         if self.recovered:
@@ -188,10 +219,18 @@
         version = json.loads(reply.body)["version"]
         self.results.check(version >= before, "acknowledged configuration persists", f"read {version} after {before}")
 
-    async def start_endpoint(self, service, zone):
+    async def start_endpoint(self, service, zone, version):
         """Starts an endpoint with a name that is unique across runs: it contains the seed and a serial number."""
         self.last_id += 1
-        return await RelayedEndpoint(f"{service}-{self.seed}-{self.last_id}", service, zone, self.rand).start()
+        return await RelayedEndpoint(f"{service}-{self.seed}-{self.last_id}", service, zone, version,
+                                     self.rand).start()
+
+    async def replace(self, old):
+        """Replaces the endpoint OLD, if it still serves, by a new one of the other software version."""
+        self.stopped_endpoints.append(old)
+        if old in self.endpoints:
+            self.endpoints[self.endpoints.index(old)] = await self.start_endpoint(old.service, old.zone,
+                                                                                  OTHER_VERSION[old.version])
 
     # Faults. A method returns when its fault is over; the faults that last take DURATION_S seconds.
 
@@ -252,13 +291,11 @@
 
     async def crash(self, duration_s):
         """An endpoint crashes and is replaced by one with a new name."""
-        index = self.rand.randrange(len(self.endpoints))
-        old = self.endpoints[index]
+        old = self.rand.choice(self.endpoints)
         old.crash()
         old.relay.server.close()
         old.relay.abort_all()
-        self.stopped_endpoints.append(old)
-        self.endpoints[index] = await self.start_endpoint(old.service, old.zone)
+        await self.replace(old)
 
     async def drain(self, duration_s):
         """An endpoint leaves. Requests that it still receives DRAIN_GRACE_S after that was acknowledged are counted."""
@@ -276,9 +313,7 @@
         if none_paused and len(endpoint.ran) > ran_before and not any(p.paused for p in self.fleet.entries):
             self.results.count("requests after drain")
         endpoint.task.cancel()
-        self.stopped_endpoints.append(endpoint)
-        if endpoint in self.endpoints:
-            self.endpoints[self.endpoints.index(endpoint)] = await self.start_endpoint(endpoint.service, endpoint.zone)
+        await self.replace(endpoint)
 
     async def run_faults(self):
         """Injects one fault after another, with pauses between them. Several such series run concurrently."""
@@ -310,10 +345,8 @@
                 endpoint.asks = "Server-Leaving: 1\r\n"
                 await asyncio.sleep(DRAIN_GRACE_S + 1.5)
                 if endpoint in self.endpoints:
-                    self.endpoints[self.endpoints.index(endpoint)] = await self.start_endpoint(endpoint.service,
-                                                                                               endpoint.zone)
+                    await self.replace(endpoint)
                     endpoint.task.cancel()
-                    self.stopped_endpoints.append(endpoint)
 
     # Recovery, checks at the end and the whole run.
 
@@ -409,9 +442,9 @@
         self.fleet.start()
         standin.use(self.dir)
         watchers = [asyncio.create_task(p.restart_on_exit()) for p in self.fleet.states + self.fleet.entries]
-        for i, zone in enumerate(ZONES):
+        for zone, version in zip(ZONES, ("v1", "v2", "v1")):
             for service in ("plain", "engine"):
-                self.endpoints.append(await self.start_endpoint(service, zone))
+                self.endpoints.append(await self.start_endpoint(service, zone, version))
         await standin.order("/v1/Config.Replace", standin.configuration(3, standin.ROUTES))
         await standin.in_force(standin.ADDRESSES["entries"], "/read/x", 200)
         callers = [asyncio.create_task(self.run_caller(i)) for i in range(CALLERS)]
