Have the log say which versions may begin streams, and keep their starts

Callers got streams joined from two software versions, and nothing recorded which one began a stream: the version in reports was read nowhere. The log now has each version of a service that endpoints report; state instances tell entry instances the table and the version of each endpoint's incarnation, keep for a minute which version began each stream, as entry instances tell them, and answer searches for it, and reads of the table as new as the question. An endpoint's report after a start confirms that its process began the stream. What to do with it is decided apart from sockets and clock in serve/resumption.

--- a/base/status.h
+++ b/base/status.h
@@ -10,7 +10,8 @@
    JC_BEHIND: one side has an older configuration or report than the other.
    JC_CROWDED: the request should wait, since the chosen endpoint has too much
    unread input.  JC_ANSWER_GONE: the request has run, but its answer is no
-   longer stored.  JC_REQUEST_BLOCKED: requests like it crashed endpoints.  */
+   longer stored.  JC_REQUEST_BLOCKED: requests like it crashed endpoints.
+   JC_VERSION_UNKNOWN: which software version began the stream is not known.  */
 enum jc_status
 {
   JC_OK,
@@ -56,6 +57,7 @@
   JC_BODY_TIMEOUT,
   JC_CROWDED,
   JC_REQUEST_BLOCKED,
+  JC_VERSION_UNKNOWN,
   JC_STATUS_COUNT
 };
 
--- a/member/endpoints.c
+++ b/member/endpoints.c
@@ -38,7 +38,8 @@
 
 /* BY_NAME owns the endpoints.  BY_ADDRESS is NULL unless addresses must be
    unique.  TOMBSTONES, by name, owns the records; TOMBSTONES_BY_AGE has them
-   oldest first.  */
+   oldest first.  LEASE_MAX_MS is the longest lease that a report had left: that
+   of a report which was just received.  */
 struct jc_endpoints
 {
   GHashTable *by_name;
@@ -46,6 +47,7 @@
   GHashTable *by_address;
   GHashTable *tombstones;
   GQueue *tombstones_by_age;
+  uint32_t lease_max_ms;
 };
 
 static void
@@ -154,6 +156,8 @@
 endpoint_update (struct jc_endpoint *endpoint,
                  const struct rpc_endpoint *report, int64_t now_ms)
 {
+  if (endpoint->incarnation != report->incarnation)
+    endpoint->software = 0;
   endpoint->incarnation = report->incarnation;
   endpoint->sequence = report->sequence;
   endpoint->leaving = report->leaving;
@@ -161,7 +165,6 @@
   endpoint->running = report->running;
   endpoint->queued = report->queued;
   endpoint->tokens_per_s = report->tokens_per_s;
-  endpoint->reported_ms = now_ms;
   endpoint->lease_until_ms = now_ms + report->lease_ms;
   endpoint->warm_at_ms = now_ms + report->cold_ms;
   replace_string (&endpoint->zone, report->zone != NULL ? report->zone : "");
@@ -227,6 +230,16 @@
                              tombstone->sequence, tombstone->was_leaving);
 }
 
+/* Return when a report was received from its endpoint that reaches this table
+   at NOW_MS with LEASE_MS left of its lease.  */
+static int64_t
+report_time_ms (struct jc_endpoints *endpoints, uint32_t lease_ms,
+                int64_t now_ms)
+{
+  endpoints->lease_max_ms = MAX (endpoints->lease_max_ms, lease_ms);
+  return now_ms - (endpoints->lease_max_ms - lease_ms);
+}
+
 /* Update the table from REPORT, received at NOW_MS; its lease_ms is the time
    left of its lease.  Return JC_BEHIND if the table has the same or a later
    report or if REPORT's address belongs to a later endpoint, and JC_OVERLOADED
@@ -251,6 +264,7 @@
   new_incarnation = endpoint->incarnation != report->incarnation;
   endpoints_release_address (endpoints, endpoint);
   endpoint_update (endpoint, report, now_ms);
+  endpoint->reported_ms = report_time_ms (endpoints, report->lease_ms, now_ms);
   if (endpoints->by_address != NULL)
     g_hash_table_replace (endpoints->by_address, endpoint->address, endpoint);
   if (new_incarnation)
@@ -286,11 +300,26 @@
   endpoint->running = load->work >> HALF_BITS;
   endpoint->queued = load->work & HALF_MAX;
   endpoint->tokens_per_s = load->pace & HALF_MAX;
-  endpoint->reported_ms = now_ms;
+  endpoint->reported_ms
+      = report_time_ms (endpoints, load->pace >> HALF_BITS, now_ms);
   endpoint->lease_until_ms = now_ms + (load->pace >> HALF_BITS);
   return JC_OK;
 }
 
+/* Record the software version of the incarnation that ENDPOINT_VERSION names;
+   another one than the one known here is ignored.  */
+void
+jc_endpoints_set_software (struct jc_endpoints *endpoints,
+                           const struct rpc_endpoint_version *endpoint_version)
+{
+  struct jc_endpoint *endpoint
+      = g_hash_table_lookup (endpoints->by_name, endpoint_version->endpoint);
+
+  if (endpoint != NULL
+      && endpoint->incarnation == endpoint_version->endpoint_incarnation)
+    endpoint->software = endpoint_version->software;
+}
+
 static unsigned int
 lease_left_ms (const struct jc_endpoint *endpoint, int64_t now_ms)
 {
--- a/member/endpoints.h
+++ b/member/endpoints.h
@@ -12,10 +12,12 @@
 #include "base/status.h"
 #include "schema/gen/messages.h"
 
-/* One endpoint.  Times are in milliseconds of the monotonic clock.  IN_FLIGHT
+/* One endpoint.  Times are in milliseconds of the monotonic clock.  REPORTED_MS
+   is when a daemon received its last report from it.  IN_FLIGHT
    counts the attempts of this process.  TAG is a hash of NAME and INCARNATION
    that identifies the endpoint in load reports.  The endpoint is cold until
-   WARM_AT_MS.  */
+   WARM_AT_MS.  SOFTWARE is the hash of the software version that this
+   incarnation reported, 0 while it is unknown.  */
 struct jc_endpoint
 {
   char *name;
@@ -36,6 +38,7 @@
   unsigned int in_flight;
   uint64_t tag;
   int64_t warm_at_ms;
+  uint64_t software;
 };
 
 struct jc_endpoints;
@@ -52,6 +55,9 @@
 enum jc_status jc_endpoints_mark_leaving (struct jc_endpoints *endpoints,
                                           const char *name,
                                           uint64_t incarnation);
+void
+jc_endpoints_set_software (struct jc_endpoints *endpoints,
+                           const struct rpc_endpoint_version *endpoint_version);
 void jc_endpoints_expire (struct jc_endpoints *endpoints, int64_t now_ms);
 struct jc_endpoint *jc_endpoints_find (const struct jc_endpoints *endpoints,
                                        const char *name);
--- a/net/rpctraffic.c
+++ b/net/rpctraffic.c
@@ -55,6 +55,13 @@
   [RPC_SUSPECTS] = "suspects",
   [RPC_FLEET_FOLLOW] = "fleet_follow",
   [RPC_ZONE_LOADS] = "zone_loads",
+  [RPC_VERSIONS_FOLLOW] = "versions_follow",
+  [RPC_VERSIONS] = "versions",
+  [RPC_VERSIONS_READ] = "versions_read",
+  [RPC_ENDPOINT_VERSIONS] = "endpoint_versions",
+  [RPC_STREAM_STARTS] = "stream_starts",
+  [RPC_STREAM_FIND] = "stream_find",
+  [RPC_STREAM_FOUND] = "stream_found",
 };
 
 /* Counters of messages of one type to one availability zone.  */
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -85,6 +85,13 @@
 	RPC_PAUSES = 94,
 	RPC_CRASH_REPORT = 95,
 	RPC_SUSPECTS = 96,
+	RPC_VERSIONS_FOLLOW = 97,
+	RPC_VERSIONS = 98,
+	RPC_VERSIONS_READ = 99,
+	RPC_ENDPOINT_VERSIONS = 100,
+	RPC_STREAM_STARTS = 101,
+	RPC_STREAM_FIND = 102,
+	RPC_STREAM_FOUND = 103,
 };
 typedef enum rpc_type rpc_type;
 
@@ -840,6 +847,73 @@
 };
 typedef struct rpc_suspects rpc_suspects;
 
+struct rpc_service_version {
+	rpc_name service;
+	u_quad_t software;
+};
+typedef struct rpc_service_version rpc_service_version;
+
+struct rpc_versions {
+	u_quad_t position;
+	struct {
+		u_int list_len;
+		rpc_service_version *list_val;
+	} list;
+};
+typedef struct rpc_versions rpc_versions;
+
+struct rpc_endpoint_version {
+	rpc_name endpoint;
+	u_quad_t endpoint_incarnation;
+	u_quad_t software;
+};
+typedef struct rpc_endpoint_version rpc_endpoint_version;
+
+struct rpc_endpoint_versions {
+	struct {
+		u_int list_len;
+		rpc_endpoint_version *list_val;
+	} list;
+};
+typedef struct rpc_endpoint_versions rpc_endpoint_versions;
+
+struct rpc_stream_start {
+	u_quad_t stream;
+	u_quad_t software;
+	u_int age_ms;
+};
+typedef struct rpc_stream_start rpc_stream_start;
+
+struct rpc_stream_claim {
+	rpc_stream_start start;
+	u_quad_t endpoint_tag;
+};
+typedef struct rpc_stream_claim rpc_stream_claim;
+
+struct rpc_stream_starts {
+	struct {
+		u_int list_len;
+		rpc_stream_start *list_val;
+	} list;
+	struct {
+		u_int claims_len;
+		rpc_stream_claim *claims_val;
+	} claims;
+};
+typedef struct rpc_stream_starts rpc_stream_starts;
+
+struct rpc_stream_find {
+	u_quad_t stream;
+};
+typedef struct rpc_stream_find rpc_stream_find;
+
+struct rpc_stream_found {
+	bool_t known;
+	bool_t certain;
+	rpc_stream_claim claim;
+};
+typedef struct rpc_stream_found rpc_stream_found;
+
 struct rpc_body {
 	rpc_type type;
 	union {
@@ -888,6 +962,11 @@
 		rpc_pauses pauses;
 		rpc_crash_changes crash_report;
 		rpc_suspects suspects;
+		rpc_versions versions;
+		rpc_endpoint_versions endpoint_versions;
+		rpc_stream_starts stream_starts;
+		rpc_stream_find stream_find;
+		rpc_stream_found stream_found;
 	} rpc_body_u;
 };
 typedef struct rpc_body rpc_body;
@@ -984,6 +1063,15 @@
 extern  bool_t xdr_rpc_suspicion (XDR *, rpc_suspicion*);
 extern  bool_t xdr_rpc_suspect (XDR *, rpc_suspect*);
 extern  bool_t xdr_rpc_suspects (XDR *, rpc_suspects*);
+extern  bool_t xdr_rpc_service_version (XDR *, rpc_service_version*);
+extern  bool_t xdr_rpc_versions (XDR *, rpc_versions*);
+extern  bool_t xdr_rpc_endpoint_version (XDR *, rpc_endpoint_version*);
+extern  bool_t xdr_rpc_endpoint_versions (XDR *, rpc_endpoint_versions*);
+extern  bool_t xdr_rpc_stream_start (XDR *, rpc_stream_start*);
+extern  bool_t xdr_rpc_stream_claim (XDR *, rpc_stream_claim*);
+extern  bool_t xdr_rpc_stream_starts (XDR *, rpc_stream_starts*);
+extern  bool_t xdr_rpc_stream_find (XDR *, rpc_stream_find*);
+extern  bool_t xdr_rpc_stream_found (XDR *, rpc_stream_found*);
 extern  bool_t xdr_rpc_body (XDR *, rpc_body*);
 extern  bool_t xdr_rpc_packet (XDR *, rpc_packet*);
 
@@ -1071,6 +1159,15 @@
 extern bool_t xdr_rpc_suspicion ();
 extern bool_t xdr_rpc_suspect ();
 extern bool_t xdr_rpc_suspects ();
+extern bool_t xdr_rpc_service_version ();
+extern bool_t xdr_rpc_versions ();
+extern bool_t xdr_rpc_endpoint_version ();
+extern bool_t xdr_rpc_endpoint_versions ();
+extern bool_t xdr_rpc_stream_start ();
+extern bool_t xdr_rpc_stream_claim ();
+extern bool_t xdr_rpc_stream_starts ();
+extern bool_t xdr_rpc_stream_find ();
+extern bool_t xdr_rpc_stream_found ();
 extern bool_t xdr_rpc_body ();
 extern bool_t xdr_rpc_packet ();
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1513,6 +1513,120 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_service_version (XDR *xdrs, rpc_service_version *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->software))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_versions (XDR *xdrs, rpc_versions *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->position))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, 4096,
+		sizeof (rpc_service_version), (xdrproc_t) xdr_rpc_service_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_endpoint_version (XDR *xdrs, rpc_endpoint_version *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint_incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->software))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_endpoint_versions (XDR *xdrs, rpc_endpoint_versions *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, RPC_ITEMS_MAX,
+		sizeof (rpc_endpoint_version), (xdrproc_t) xdr_rpc_endpoint_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_stream_start (XDR *xdrs, rpc_stream_start *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->stream))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->software))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_stream_claim (XDR *xdrs, rpc_stream_claim *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_stream_start (xdrs, &objp->start))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint_tag))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_stream_starts (XDR *xdrs, rpc_stream_starts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, RPC_ITEMS_MAX,
+		sizeof (rpc_stream_start), (xdrproc_t) xdr_rpc_stream_start))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, RPC_ITEMS_MAX,
+		sizeof (rpc_stream_claim), (xdrproc_t) xdr_rpc_stream_claim))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_stream_find (XDR *xdrs, rpc_stream_find *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->stream))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_stream_found (XDR *xdrs, rpc_stream_found *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->certain))
+		 return FALSE;
+	 if (!xdr_rpc_stream_claim (xdrs, &objp->claim))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_body (XDR *xdrs, rpc_body *objp)
 {
@@ -1707,6 +1821,30 @@
 		 if (!xdr_rpc_suspects (xdrs, &objp->rpc_body_u.suspects))
 			 return FALSE;
 		break;
+	case RPC_VERSIONS_FOLLOW:
+		break;
+	case RPC_VERSIONS:
+		 if (!xdr_rpc_versions (xdrs, &objp->rpc_body_u.versions))
+			 return FALSE;
+		break;
+	case RPC_VERSIONS_READ:
+		break;
+	case RPC_ENDPOINT_VERSIONS:
+		 if (!xdr_rpc_endpoint_versions (xdrs, &objp->rpc_body_u.endpoint_versions))
+			 return FALSE;
+		break;
+	case RPC_STREAM_STARTS:
+		 if (!xdr_rpc_stream_starts (xdrs, &objp->rpc_body_u.stream_starts))
+			 return FALSE;
+		break;
+	case RPC_STREAM_FIND:
+		 if (!xdr_rpc_stream_find (xdrs, &objp->rpc_body_u.stream_find))
+			 return FALSE;
+		break;
+	case RPC_STREAM_FOUND:
+		 if (!xdr_rpc_stream_found (xdrs, &objp->rpc_body_u.stream_found))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -67,7 +67,14 @@
   RPC_LEAVING = 93,
   RPC_PAUSES = 94,
   RPC_CRASH_REPORT = 95,
-  RPC_SUSPECTS = 96
+  RPC_SUSPECTS = 96,
+  RPC_VERSIONS_FOLLOW = 97,
+  RPC_VERSIONS = 98,
+  RPC_VERSIONS_READ = 99,
+  RPC_ENDPOINT_VERSIONS = 100,
+  RPC_STREAM_STARTS = 101,
+  RPC_STREAM_FIND = 102,
+  RPC_STREAM_FOUND = 103
 };
 
 struct rpc_hello {
@@ -739,6 +746,63 @@
   rpc_suspect list<8192>;
 };
 
+/* A software version of the endpoints of service that may begin resumable
+   streams.  software is a hash of the version's name, never 0.  */
+struct rpc_service_version {
+  rpc_name service;
+  unsigned hyper software;
+};
+
+/* All such versions as the log has them after its entry position.  The answer
+   to RPC_VERSIONS_READ is as new as the moment at which it was asked.  */
+struct rpc_versions {
+  unsigned hyper position;
+  rpc_service_version list<4096>;
+};
+
+/* The software version that this incarnation of an endpoint reported.  */
+struct rpc_endpoint_version {
+  rpc_name endpoint;
+  unsigned hyper endpoint_incarnation;
+  unsigned hyper software;
+};
+
+struct rpc_endpoint_versions {
+  rpc_endpoint_version list<RPC_ITEMS_MAX>;
+};
+
+/* The software version that began a stream age_ms ago.  stream is a hash of the
+   id of the caller's attempt that brought its first event.  */
+struct rpc_stream_start {
+  unsigned hyper stream;
+  unsigned hyper software;
+  unsigned int age_ms;
+};
+
+/* A start whose version is that of an incarnation of an endpoint, by its tag, if
+   this still ran age_ms ago.  */
+struct rpc_stream_claim {
+  rpc_stream_start start;
+  unsigned hyper endpoint_tag;
+};
+
+struct rpc_stream_starts {
+  rpc_stream_start list<RPC_ITEMS_MAX>;
+  rpc_stream_claim claims<RPC_ITEMS_MAX>;
+};
+
+struct rpc_stream_find {
+  unsigned hyper stream;
+};
+
+/* certain tells that claim.start.software is the version; otherwise it is so if
+   the endpoint still ran then, and 0 where several versions are recorded.  */
+struct rpc_stream_found {
+  bool known;
+  bool certain;
+  rpc_stream_claim claim;
+};
+
 union rpc_body switch (rpc_type type) {
 case RPC_HELLO: rpc_hello hello;
 case RPC_HELLO_ACK: rpc_hello hello_ack;
@@ -788,6 +852,13 @@
 case RPC_PAUSES: rpc_pauses pauses;
 case RPC_CRASH_REPORT: rpc_crash_changes crash_report;
 case RPC_SUSPECTS: rpc_suspects suspects;
+case RPC_VERSIONS_FOLLOW: void;
+case RPC_VERSIONS: rpc_versions versions;
+case RPC_VERSIONS_READ: void;
+case RPC_ENDPOINT_VERSIONS: rpc_endpoint_versions endpoint_versions;
+case RPC_STREAM_STARTS: rpc_stream_starts stream_starts;
+case RPC_STREAM_FIND: rpc_stream_find stream_find;
+case RPC_STREAM_FOUND: rpc_stream_found stream_found;
 };
 
 struct rpc_packet {
--- a/serve/protocol.h
+++ b/serve/protocol.h
@@ -27,13 +27,16 @@
 /* A caller's request, as parsed from its head, which owns the strings.
    ATTEMPT_ID identifies this attempt of the caller, NULL if it has none.
    TIMEOUT_MS is how long the caller waits, 0 if unknown.  RESUME_AFTER is the
-   last event that the caller has, -1 to start at the first.  ANSWER_TOKENS is
-   an estimate of the answer's length.  */
+   last event that the caller has, -1 to start at the first; RESUMES, NULL if
+   not given, is the id of the caller's attempt that brought the first event of
+   the stream that the caller resumes.  ANSWER_TOKENS is an estimate of the
+   answer's length.  */
 struct jc_request_info
 {
   const char *attempt_id;
   int64_t timeout_ms;
   int64_t resume_after;
+  const char *resumes;
   const char *model;
   unsigned int prompt_tokens;
   unsigned int answer_tokens;
@@ -96,11 +99,12 @@
   const char *subject;
 };
 
-/* An endpoint's report.  ENDPOINT points into JSON, which json_decref
-   frees.  */
+/* An endpoint's report.  ENDPOINT and SOFTWARE, the version of the endpoint's
+   software, point into JSON, which json_decref frees.  */
 struct jc_endpoint_report
 {
   struct rpc_endpoint endpoint;
+  const char *software;
   json_t *json;
 };
 
--- a/state/control.c
+++ b/state/control.c
@@ -256,7 +256,7 @@
   if (report.endpoint.leaving && !can_forward_leave (state))
     status = jc_fail (JC_NOT_READY, "No entry instance is connected yet.");
   else
-    status = fleet_handle_report (state, &report.endpoint);
+    status = fleet_handle_report (state, &report);
   /* A report that arrived after a later one is not the sender's error.  */
   if (status == JC_OK || status == JC_BEHIND)
     ack_report (state, req);
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -6,6 +6,7 @@
 
 #include "base/event.h"
 #include "net/program.h"
+#include "serve/resumption.h"
 #include "state/state.h"
 
 enum
@@ -210,15 +211,59 @@
          || strcmp (known->address, report->address) != 0;
 }
 
+/* Send the entry instances that may reach ENDPOINT its version.  */
+static void
+forward_version (struct state *state, struct jc_endpoint *endpoint)
+{
+  const char *region = region_of_zone (state, endpoint->zone);
+  GPtrArray *rows = g_ptr_array_new ();
+  GPtrArray *conns = g_ptr_array_new ();
+
+  g_ptr_array_add (rows, endpoint);
+  jc_rpc_list_conns (state->rpc, "entry", conns);
+  for (guint i = 0; i < conns->len; i++)
+    if (may_reach (g_ptr_array_index (conns, i), region))
+      versions_send_endpoints (state, g_ptr_array_index (conns, i), rows);
+  g_ptr_array_free (conns, TRUE);
+  g_ptr_array_free (rows, TRUE);
+}
+
+/* Record that the endpoint of REPORT, which was applied, has the version
+   SOFTWARE, a text.  */
+static void
+note_version (struct state *state, const struct rpc_endpoint *report,
+              const char *software)
+{
+  struct jc_endpoint *endpoint
+      = jc_endpoints_find (state->fleet->endpoints, report->name);
+  struct rpc_endpoint_version row
+      = { .endpoint = report->name,
+          .endpoint_incarnation = report->incarnation,
+          .software = jc_version_hash (report->service, software) };
+
+  if (endpoint->software != row.software)
+    {
+      jc_endpoints_set_software (state->fleet->endpoints, &row);
+      jc_event (JC_EVENT_VERSION,
+                "endpoint=%s incarnation=%" PRIu64
+                " service=%s version=%.60s software=%016" PRIx64,
+                row.endpoint, row.endpoint_incarnation, report->service,
+                software, row.software);
+      forward_version (state, endpoint);
+    }
+  versions_propose (state, endpoint);
+}
+
 /* Apply REPORT of an endpoint and forward it to entry instances.  Return
    JC_BEHIND if the same report or a later one is known.  */
 enum jc_status
-fleet_handle_report (struct state *state, const struct rpc_endpoint *report)
+fleet_handle_report (struct state *state,
+                     const struct jc_endpoint_report *report)
 {
-  struct rpc_endpoint row = *report;
+  struct rpc_endpoint row = report->endpoint;
   const struct jc_endpoint *known
-      = jc_endpoints_find (state->fleet->endpoints, report->name);
-  bool changed = is_changed (known, report);
+      = jc_endpoints_find (state->fleet->endpoints, row.name);
+  bool changed = is_changed (known, &row);
   enum jc_status status;
 
   row.lease_ms = (u_int)(LEASE_REPORTS * state->settings->report_ms);
@@ -235,6 +280,7 @@
     forward_endpoint (state, &row);
   else
     g_hash_table_add (state->fleet->refreshed_names, g_strdup (row.name));
+  note_version (state, &row, report->software);
   if (row.cold_ms > 0)
     coldgrants_request (state, &row);
   return JC_OK;
@@ -321,6 +367,41 @@
   forward_endpoint (state, &row);
 }
 
+/* Return whether START's endpoint has reported here since the start, so that it
+   was the process that began the stream.  */
+bool
+fleet_confirms_start (const struct state *state,
+                      const struct jc_stream_start *start)
+{
+  const struct jc_endpoint *endpoint
+      = jc_endpoints_find_by_tag (state->fleet->endpoints, start->endpoint_tag);
+
+  return endpoint != NULL
+         && jc_resumption_is_confirmed (endpoint->reported_ms,
+                                        start->started_ms);
+}
+
+/* Send CONN the versions of all endpoints to which it may send requests, if it
+   asked for versions.  */
+void
+fleet_send_versions (struct state *state, struct jc_rpc_conn *conn)
+{
+  GPtrArray *all = g_ptr_array_new ();
+  GPtrArray *reachable = g_ptr_array_new ();
+
+  jc_endpoints_list (state->fleet->endpoints, all);
+  for (guint i = 0; i < all->len; i++)
+    {
+      struct jc_endpoint *endpoint = g_ptr_array_index (all, i);
+
+      if (may_reach (conn, region_of_zone (state, endpoint->zone)))
+        g_ptr_array_add (reachable, endpoint);
+    }
+  versions_send_endpoints (state, conn, reachable);
+  g_ptr_array_free (reachable, TRUE);
+  g_ptr_array_free (all, TRUE);
+}
+
 /* Send CONN, if it is an entry instance, every endpoint to which it may send
    requests.  Called when it connects or asks for them.  */
 void
@@ -350,4 +431,5 @@
   if (count > 0)
     send_endpoints (conn, rows, count);
   g_ptr_array_free (all, TRUE);
+  fleet_send_versions (state, conn);
 }
--- a/state/gauges.c
+++ b/state/gauges.c
@@ -29,6 +29,11 @@
   set_gauge (state, "jaycove_endpoints", fleet_count (state));
   set_gauge (state, "jaycove_entry_instances", presence_count (state));
   set_gauge (state, "jaycove_grants", jc_grants_count (state->grants));
+  set_gauge (state, "jaycove_software_versions",
+             jc_versions_count (state->version_table));
+  if (state->starts != NULL)
+    set_gauge (state, "jaycove_stream_starts",
+               (double)jc_stream_starts_count (state->starts));
   set_gauge (state, "jaycove_up_ms",
              (double)(jc_now_ms () - state->started_ms));
   jc_metrics_append_text (state->metrics, out);
--- a/state/log.c
+++ b/state/log.c
@@ -117,6 +117,8 @@
     limits_apply (state, data);
   else if (kind == LOG_CRASHES)
     crashes_apply (state, data);
+  else if (kind == LOG_VERSION)
+    versions_apply (state, index, data);
   else if (kind == LOG_ORDER && jc_orders_apply (state->orders, index, data))
     update_orders (state);
   update_config (state);
@@ -151,7 +153,8 @@
       || jc_grants_restore (state->grants, json) != JC_OK
       || jc_limit_slots_restore (state->limit_slots, json, jc_now_ms ())
              != JC_OK
-      || jc_crashes_restore (state->crash_table, json, jc_now_ms ()) != JC_OK)
+      || jc_crashes_restore (state->crash_table, json, jc_now_ms ()) != JC_OK
+      || jc_versions_restore (state->version_table, json) != JC_OK)
     {
       jc_error (LOG_COMPONENT, "The log's snapshot is malformed.");
       state->snapshot_invalid = true;
@@ -162,6 +165,7 @@
   update_config (state);
   update_orders (state);
   crashes_publish (state);
+  versions_publish (state);
   json_decref (json);
 }
 
@@ -180,6 +184,7 @@
   jc_grants_snapshot (state->grants, json);
   jc_limit_slots_snapshot (state->limit_slots, json);
   jc_crashes_snapshot (state->crash_table, json);
+  jc_versions_snapshot (state->version_table, json);
   ledger_snapshot (state, entries);
   for (guint i = 0; i < entries->len; i++)
     {
@@ -545,7 +550,7 @@
   u_int kind = packet->body.rpc_body_u.propose.kind;
 
   return kind == LOG_LEDGER_SET || kind == LOG_ORDER || kind == LOG_GRANT
-         || kind == LOG_LIMITS || kind == LOG_CRASHES;
+         || kind == LOG_LIMITS || kind == LOG_CRASHES || kind == LOG_VERSION;
 }
 
 /* Handle a message about the log.  It is ignored unless another state instance
--- a/state/main.c
+++ b/state/main.c
@@ -76,6 +76,7 @@
   jc_event (JC_EVENT_PEER_DOWN, "peer=%s role=%s", jc_rpc_conn_name (conn),
             jc_rpc_conn_role (conn));
   orders_conn_down (ctx, conn);
+  versions_conn_down (ctx, conn);
   call_conn_down (((struct state *)ctx)->deferred_calls, conn);
 }
 
@@ -90,6 +91,8 @@
   limits_handle_packet (ctx, conn, packet);
   crashes_handle_packet (ctx, conn, packet);
   fleet_handle_packet (ctx, conn, packet);
+  versions_handle_packet (ctx, conn, packet);
+  starts_handle_packet (ctx, conn, packet);
   if (packet->body.type != RPC_FLEET_FOLLOW)
     return;
   fleet_send_snapshot (ctx, conn);
@@ -123,6 +126,8 @@
   coldgrants_start (state);
   limits_start (state);
   crashes_start (state);
+  versions_start (state);
+  starts_start (state);
   group_start (state);
   jc_event (JC_EVENT_START, "role=state name=%s position=%" G_GUINT64_FORMAT,
             state->settings->name, state->orders->position);
@@ -158,6 +163,7 @@
   state->config = state->confstate->config;
   state->orders = jc_orders_new ();
   state->grants = jc_grants_new ();
+  state->version_table = jc_versions_new ();
   state->limit_slots = jc_limit_slots_new ();
   state->crash_table = jc_crashes_new (JC_CRASH_BLOCK_SCORE);
   state->rpc = jc_rpc_new (
@@ -183,6 +189,8 @@
 stop_modules (struct state *state)
 {
   control_stop (state);
+  starts_stop (state);
+  versions_stop (state);
   crashes_stop (state);
   limits_stop (state);
   coldgrants_stop (state);
@@ -197,6 +205,7 @@
     state->disk->klass->free (state->disk);
   jc_orders_free (state->orders);
   jc_grants_free (state->grants);
+  jc_versions_free (state->version_table);
   jc_limit_slots_free (state->limit_slots);
   jc_crashes_free (state->crash_table);
   jc_routetable_unref (state->route_table);
@@ -205,6 +214,7 @@
   state->disk = NULL;
   state->orders = NULL;
   state->grants = NULL;
+  state->version_table = NULL;
   state->limit_slots = NULL;
   state->crash_table = NULL;
   state->route_table = NULL;
--- a/state/state.h
+++ b/state/state.h
@@ -14,14 +14,16 @@
 #include "member/grants.h"
 #include "member/limitslots.h"
 #include "member/endpoints.h"
+#include "member/versions.h"
 #include "net/httpd.h"
 #include "net/rpc.h"
 #include "serve/protocol.h"
+#include "serve/streamstarts.h"
 
 /* The process.  CONFIG is the configuration in CONFSTATE, and
    LAST_SUBMIT_RESULT the result of the change that was applied last.  GROUP,
-   CONTROL, FLEET, PRESENCE, COLDGRANTS, LIMITS and CRASHES are NULL unless
-   requests are routed by hosts.  */
+   CONTROL, FLEET, PRESENCE, COLDGRANTS, LIMITS, CRASHES, VERSIONS and STARTS
+   are NULL unless requests are routed by hosts.  */
 struct state
 {
   struct ev_loop *loop;
@@ -51,6 +53,9 @@
   struct limits *limits;
   struct jc_crashes *crash_table;
   struct crashes *crashes;
+  struct jc_versions *version_table;
+  struct versions *versions;
+  struct jc_stream_starts *starts;
   int64_t started_ms;
 };
 
@@ -65,7 +70,8 @@
   LOG_ORDER,
   LOG_GRANT,
   LOG_LIMITS,
-  LOG_CRASHES
+  LOG_CRASHES,
+  LOG_VERSION
 };
 
 /* Called with the outcome of a proposal: JC_OK once it is committed,
@@ -144,12 +150,15 @@
 void fleet_start (struct state *state);
 void fleet_stop (struct state *state);
 enum jc_status fleet_handle_report (struct state *state,
-                                    const struct rpc_endpoint *report);
+                                    const struct jc_endpoint_report *report);
 enum jc_status fleet_handle_leave (struct state *state, const char *name,
                                    uint64_t incarnation);
 void fleet_handle_packet (struct state *state, struct jc_rpc_conn *conn,
                           const struct rpc_packet *packet);
 void fleet_send_snapshot (struct state *state, struct jc_rpc_conn *conn);
+bool fleet_confirms_start (const struct state *state,
+                           const struct jc_stream_start *start);
+void fleet_send_versions (struct state *state, struct jc_rpc_conn *conn);
 unsigned int fleet_count (const struct state *state);
 void fleet_request_grants (struct state *state, const char *zone);
 
@@ -185,6 +194,25 @@
 void crashes_publish (struct state *state);
 void crashes_apply (struct state *state, struct jc_str data);
 
+/* versions: the software versions of endpoints.  */
+void versions_start (struct state *state);
+void versions_stop (struct state *state);
+void versions_propose (struct state *state, const struct jc_endpoint *endpoint);
+void versions_send_endpoints (struct state *state, struct jc_rpc_conn *conn,
+                              const GPtrArray *endpoints);
+void versions_handle_packet (struct state *state, struct jc_rpc_conn *conn,
+                             const struct rpc_packet *packet);
+void versions_conn_down (struct state *state, struct jc_rpc_conn *conn);
+void versions_publish (struct state *state);
+void versions_apply (struct state *state, uint64_t position,
+                     struct jc_str data);
+
+/* starts: the software versions that began streams.  */
+void starts_start (struct state *state);
+void starts_stop (struct state *state);
+void starts_handle_packet (struct state *state, struct jc_rpc_conn *conn,
+                           const struct rpc_packet *packet);
+
 /* presence: the entry instances that report to this instance, and their
    directory for callers.  */
 void presence_start (struct state *state);
