Keep each resumable stream at the software version that began it

Callers held streams joined from two software versions: attempts within an answer, hand-overs and their own take-ups went to whichever endpoint was cheapest. Cause: a property of the endpoint that the state of a stream depends on was read nowhere. Now an entry instance records which version began a stream, tells it to state instances, and sends what follows only to endpoints of that version; a take-up is looked for there, is refused where the version can't be known, and goes on without a record only if a read of the log made after it came shows one version. What an instance believes of an endpoint is proved by the process behind the connection: events of a resumed attempt are held until a report came after that. Ruled out: new streams that begin at a version the log lacks (never sent there).

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -119,6 +119,7 @@
   const char *type = jc_head_field (head, "Content-Type");
   const struct jc_path_target target = path_target_of (exchange);
 
+  resumptions_note_heard (exchange);
   exchange->router->protocol->parse_answer (head, &exchange->answer_info);
   exchange->head_received = true;
   paths_answered (exchange->router, &target);
@@ -146,6 +147,7 @@
 
   if (exchange->relay.begun)
     return;
+  resumptions_note_begin (exchange);
   exchange_answer_headers (exchange, headers);
   jc_http_stream_begin (exchange->req, exchange->answer_head.status, NULL,
                         headers);
@@ -225,21 +227,39 @@
   g_string_truncate (exchange->held_comments, 0);
 }
 
+/* Record that events which bring the answer forward have come, though they are
+   held.  */
+static void
+note_held (struct exchange *exchange)
+{
+  if (!exchange->progressed)
+    return;
+  if (exchange->call != NULL)
+    jc_httpc_call_progress (exchange->call);
+}
+
 static void
 flush_batch (struct exchange *exchange)
 {
   if (exchange->batch->len == 0)
     return;
+  if (!resumptions_may_pass (exchange))
+    {
+      note_held (exchange);
+      return;
+    }
   if (exchange->progressed)
     {
       record_event_time (exchange);
-      jc_httpc_call_progress (exchange->call);
+      if (exchange->call != NULL)
+        jc_httpc_call_progress (exchange->call);
       exchange->progressed = false;
     }
   begin_stream (exchange);
   jc_http_stream_write (exchange->req, jc_str_from_gstring (exchange->batch));
   g_string_truncate (exchange->batch, 0);
-  if (!exchange->paused
+  exchange->passed_event = exchange->relay.last_event;
+  if (!exchange->paused && exchange->call != NULL
       && jc_http_stream_buffered (exchange->req) > BUFFERED_BYTES_MAX)
     {
       exchange->paused = true;
@@ -276,7 +296,8 @@
   struct balancer_query query;
   struct balancer_target target;
 
-  if (jc_relay_next_step (&after, &end, now_ms) != JC_RELAY_ATTEMPT
+  if (!resumptions_may_move (exchange)
+      || jc_relay_next_step (&after, &end, now_ms) != JC_RELAY_ATTEMPT
       || !crashes_allow_attempt (exchange)
       || !jc_budgets_may_retry (router->budgets, exchange->service, now_ms))
     return false;
@@ -307,12 +328,55 @@
          && has_alternative (exchange, jc_now_ms ());
 }
 
+/* Drop the events that EXCHANGE holds and end its attempt: they can't be shown
+   to be of the version that began the stream.  */
+static void
+drop_held (struct exchange *exchange)
+{
+  jc_event (JC_EVENT_RESUME,
+            "id=%s place=%s software=%016" PRIx64 " last_event=%" PRId64
+            " outcome=unproven",
+            exchange_id (exchange), exchange->target_name, exchange->software,
+            exchange->passed_event);
+  if (exchange->held_done)
+    {
+      exchange->held_done = false;
+      exchange->held_result.whole = false;
+      jc_fail (JC_ENDPOINT_FAILED, "The endpoint's version is not certain.");
+      exchange_attempt_ended (exchange, &exchange->held_result);
+      return;
+    }
+  exchange_reject_answer (exchange, "The endpoint's version is not certain.");
+}
+
+/* Pass on the events that EXCHANGE holds if they are shown by now to be of the
+   version that began its stream, or drop them if that can't be shown any
+   more.  */
+void
+exchange_flush_held (struct exchange *exchange)
+{
+  if (!resumptions_may_pass (exchange))
+    {
+      if (resumptions_cannot_prove (exchange))
+        drop_held (exchange);
+      return;
+    }
+  flush_batch (exchange);
+  if (!exchange->held_done)
+    return;
+  exchange->held_done = false;
+  if (exchange->held_result.whole)
+    flush_held_comments (exchange);
+  exchange_attempt_ended (exchange, &exchange->held_result);
+}
+
 static void
 on_data (void *ctx, struct jc_str data)
 {
   struct exchange *exchange = ctx;
   enum jc_status status;
 
+  resumptions_note_heard (exchange);
   if (!exchange->streaming)
     {
       g_string_append_len (exchange->answer_body, data.data, (gssize)data.len);
@@ -411,6 +475,16 @@
            && attempt.http < HTTP_SERVER_ERROR && !exchange->remote
            && result->framed)
     crashes_note_answered (exchange);
+  if (exchange->streaming)
+    flush_batch (exchange);
+  if (exchange->streaming && attempt.genuine
+      && (attempt.whole || exchange->batch->len > 0)
+      && !resumptions_may_pass (exchange))
+    {
+      exchange->held_done = true;
+      exchange->held_result = attempt;
+      return;
+    }
   if (attempt.whole && exchange->streaming && attempt.genuine)
     flush_held_comments (exchange);
   if (attempt.whole && attempt.genuine && !exchange->streaming)
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -79,6 +79,7 @@
 
       if (protocol->forward_to_endpoint (field->name)
           && g_ascii_strcasecmp (field->name, HEADER_ENDPOINTS) != 0
+          && g_ascii_strcasecmp (field->name, HEADER_SOFTWARE) != 0
           && !jc_head_is_hop_by_hop (head, field->name))
         g_ptr_array_add (lines,
                          g_strconcat (field->name, ": ", field->value, NULL));
@@ -88,6 +89,9 @@
     g_ptr_array_add (
         lines, g_strdup_printf (HEADER_ENDPOINTS ": %u",
                                 jc_relay_endpoints_left (&exchange->relay)));
+  if (exchange->remote && exchange->software != 0)
+    g_ptr_array_add (lines, g_strdup_printf (HEADER_SOFTWARE ": %016" PRIx64,
+                                             exchange->software));
   g_ptr_array_add (lines, NULL);
   return lines;
 }
@@ -105,6 +109,7 @@
   g_string_truncate (exchange->batch, 0);
   g_string_truncate (exchange->held_comments, 0);
   exchange->has_event_ids = false;
+  exchange->relay.last_event = exchange->passed_event;
   exchange->progressed = false;
   exchange->attempt_first_event_ms = 0;
   jc_sse_clear (&exchange->sse);
@@ -141,12 +146,18 @@
                             ? exchange->request_info.attempt_id
                             : "" };
 
+  uint64_t software = exchange->software;
+
+  if (!exchange->remote)
+    software
+        = jc_endpoints_find (exchange->router->endpoints, endpoint)->software;
   jc_event (JC_EVENT_ATTEMPT,
             "id=%s route=%s place=%s away=%d number=%u left_ms=%" PRId64
-            " resume_after=%" PRId64 " %s",
+            " resume_after=%" PRId64 " software=%016" PRIx64 " %s",
             exchange_id (exchange), exchange->route->name,
             exchange->target_name, exchange->remote,
-            relay->attempts_reached + 1, left, relay->last_event, explanation);
+            relay->attempts_reached + 1, left, relay->last_event, software,
+            explanation);
   exchange->call = jc_httpc_call_start (exchange->router->entry->httpc, &spec,
                                         &answer_call_ops, exchange);
   g_ptr_array_free (lines, TRUE);
@@ -163,6 +174,7 @@
 
   attempt_reset (exchange);
   exchange->remote = endpoint == NULL;
+  exchange->unproven_attempt = false;
   exchange->attempt_started_ms = jc_now_ms ();
   g_free (exchange->target_name);
   exchange->target_name = g_strdup (
@@ -182,6 +194,7 @@
   balancer_log_cold (router, endpoint, exchange_id (exchange),
                      exchange->attempt_started_ms);
   exchange->target_incarnation = endpoint->incarnation;
+  resumptions_attempt_started (exchange, endpoint);
   exchange->send_number
       = backpressure_note_send (router, endpoint, exchange_id (exchange));
   jc_engines_explain (router->engines, endpoint, &exchange->demand,
--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -123,12 +123,25 @@
   g_ptr_array_free (good, TRUE);
 }
 
+/* Return whether QUERY's stream may begin or go on at the software version of
+   ENDPOINT.  */
+static bool
+version_matches (const struct router *router,
+                 const struct balancer_query *query,
+                 const struct jc_endpoint *endpoint)
+{
+  if (query->software != 0)
+    return endpoint->software == query->software;
+  return !query->new_stream
+         || jc_versions_contains (router->versions, endpoint->service,
+                                  endpoint->software);
+}
+
 /* Append to OUT the endpoints of the service NAME that may get a request now
-   and that ACCEPTS returns true for.  TRIED, which may be NULL, holds names to
-   skip.  */
+   and that ACCEPTS returns true for.  QUERY is the request, NULL for any.  */
 static void
 collect_usable_endpoints (struct router *router, const char *name,
-                          const GPtrArray *tried,
+                          const struct balancer_query *query,
                           bool (*accepts) (struct router *router,
                                            const struct jc_endpoint *endpoint),
                           int64_t now_ms, GPtrArray *out)
@@ -144,7 +157,9 @@
       const struct jc_endpoint *endpoint = g_ptr_array_index (out, i - 1);
 
       if (jc_orders_is_evacuated (router->orders, endpoint->zone)
-          || (tried != NULL && contains_name (tried, endpoint->name))
+          || (query != NULL
+              && (contains_name (query->tried, endpoint->name)
+                  || !version_matches (router, query, endpoint)))
           || !is_warm_or_granted (router, endpoint, service, now_ms)
           || !accepts (router, endpoint))
         g_ptr_array_remove_index (out, i - 1);
@@ -152,6 +167,8 @@
   prefer_endpoints (router, out, is_in_reachable_zone);
   if (jc_pauses_has_reports (router->pauses))
     prefer_endpoints (router, out, backpressure_is_unreported);
+  if (query != NULL && query->software != 0)
+    prefer_endpoints (router, out, resumptions_is_certain);
 }
 
 /* Return true if the path to NEIGHBOUR's zone is open and NEIGHBOUR itself is
@@ -430,6 +447,20 @@
   return sum / MAX ((int64_t)endpoints->len, 1);
 }
 
+/* Remove from ENDPOINTS those that QUERY's request should not be sent to now. A
+   stream that has begun goes to a busy endpoint rather than end.  */
+static void
+filter_engines (struct router *router, const struct balancer_query *query,
+                GPtrArray *endpoints)
+{
+  GPtrArray *all = g_ptr_array_copy (endpoints, NULL, NULL);
+
+  jc_engines_filter (router->engines, query->demand, endpoints, query->now_ms);
+  if (endpoints->len == 0 && query->software != 0)
+    g_ptr_array_extend (endpoints, all, NULL, NULL);
+  g_ptr_array_free (all, TRUE);
+}
+
 /* Pick the target of QUERY's request and store it in TARGET.  Return
    JC_NO_ENDPOINT if nothing serves it and JC_OVERLOADED if all endpoints are
    full.  If its prompt would stall running streams, return JC_CROWDED while it
@@ -446,12 +477,12 @@
   guint usable;
 
   if (jc_hostroute_allows (query->route, router->entry->settings->region))
-    collect_usable_endpoints (router, query->service, query->tried,
+    collect_usable_endpoints (router, query->service, query,
                               backpressure_may_send, query->now_ms, endpoints);
   usable = endpoints->len;
   if (!query->local_only)
     neighbour = pick_neighbour (router, query, endpoints, &remote_ms, &must_go);
-  jc_engines_filter (router->engines, query->demand, endpoints, query->now_ms);
+  filter_engines (router, query, endpoints);
   if (endpoints->len > 0)
     endpoint = jc_engines_pick (router->engines, endpoints, query->demand,
                                 query->now_ms);
@@ -460,7 +491,7 @@
                                remote_ms, g_random_double ()))
     neighbour = NULL;
   g_ptr_array_free (endpoints, TRUE);
-  if (endpoint != NULL && neighbour == NULL
+  if (endpoint != NULL && neighbour == NULL && query->software == 0
       && (query->may_wait || query->demand->priority >= REFUSABLE_PRIORITY)
       && jc_engines_would_stall (router->engines, endpoint, query->demand,
                                  query->now_ms))
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -51,6 +51,7 @@
 static void
 exchange_free (struct exchange *exchange)
 {
+  resumptions_forget (exchange);
   exchange->router->entry->in_flight--;
   if (exchange->head_received || exchange->answer_head.bytes != NULL)
     jc_head_clear (&exchange->answer_head);
@@ -131,15 +132,17 @@
 {
   return exchange->router->protocol->forward_to_caller (name)
          && !jc_head_is_hop_by_hop (&exchange->answer_head, name)
+         && g_ascii_strcasecmp (name, HEADER_SOFTWARE) != 0
          && (exchange->remote
              || (g_ascii_strcasecmp (name, HEADER_ERROR) != 0
                  && g_ascii_strcasecmp (name, HEADER_RUN) != 0));
 }
 
 /* Fill HEADERS, of EXCHANGE_HEADERS_MAX, with those fields of the endpoint's
-   head that the caller gets; a NULL name ends them.  */
+   head that the caller gets; a NULL name ends them.  The instance that handed
+   the request over gets the version that began the stream too.  */
 void
-exchange_answer_headers (const struct exchange *exchange,
+exchange_answer_headers (struct exchange *exchange,
                          struct jc_http_header *headers)
 {
   const struct jc_head *head = &exchange->answer_head;
@@ -149,6 +152,13 @@
     if (is_forwarded_header (exchange, head->fields[i].name))
       headers[count++] = (struct jc_http_header){ head->fields[i].name,
                                                   head->fields[i].value };
+  if (exchange->handed_over && exchange->software != 0)
+    {
+      g_snprintf (exchange->software_text, sizeof exchange->software_text,
+                  "%016" PRIx64, exchange->software);
+      headers[count++]
+          = (struct jc_http_header){ HEADER_SOFTWARE, exchange->software_text };
+    }
   headers[count].name = NULL;
 }
 
@@ -248,6 +258,7 @@
   int64_t now = jc_now_ms ();
   enum jc_relay_step step;
 
+  resumptions_attempt_ended (exchange);
   exchange_end_engine_run (exchange, engine_outcome_of (exchange, result));
   exchange->any_sent = exchange->any_sent || result->sent;
   step = jc_relay_next_step (&exchange->relay, result, now);
@@ -291,15 +302,34 @@
     exchange_fail (exchange, status);
 }
 
+/* Reduce the demand of EXCHANGE to what is left of its stream.  A stream that
+   has begun goes before new ones.  */
+static void
+update_demand (struct exchange *exchange)
+{
+  struct jc_demand *demand = &exchange->demand;
+  int64_t sent_tokens
+      = (exchange->relay.last_event + 1) * (int64_t)demand->event_tokens;
+
+  if (exchange->relay.last_event < 0)
+    return;
+  demand->priority = 0;
+  demand->answer_tokens
+      = (unsigned int)MAX (exchange->answer_tokens - sent_tokens, 1);
+}
+
 /* Return the input of balancer_pick for the next target of EXCHANGE at NOW_MS.
-   It refers to the demand in EXCHANGE, whose time left is updated.  */
+   It refers to the demand in EXCHANGE, which is updated.  */
 struct balancer_query
 exchange_balancer_query (struct exchange *exchange, int64_t now_ms)
 {
   exchange->demand.time_left_ms = exchange->relay.deadline_ms - now_ms;
+  update_demand (exchange);
   return (struct balancer_query){ .route = exchange->route,
                                   .service = exchange->service,
                                   .demand = &exchange->demand,
+                                  .software = exchange->software,
+                                  .new_stream = resumptions_is_bound (exchange),
                                   .tried = exchange->tried,
                                   .avoided_regions = exchange->avoided_regions,
                                   .local_only = exchange->handed_over,
@@ -315,16 +345,21 @@
 {
   struct router *router = exchange->router;
   int64_t now = jc_now_ms ();
-  const struct balancer_query query = exchange_balancer_query (exchange, now);
+  struct balancer_query query;
   struct balancer_target target;
   enum jc_status status;
 
   /* Time ends in the wait queue too.  */
   if (jc_relay_may_attempt (&exchange->relay, now))
-    status = crashes_check_request (exchange);
+    status = resumptions_prepare (exchange);
   else
     status = jc_fail (jc_relay_failure (&exchange->relay, now),
                       "No time is left for another attempt.");
+  if (status == JC_CROWDED)
+    return;
+  if (status == JC_OK)
+    status = crashes_check_request (exchange);
+  query = exchange_balancer_query (exchange, now);
   if (status == JC_OK)
     status = balancer_pick (router, &query, &target);
   if (status == JC_CROWDED)
@@ -411,14 +446,16 @@
 }
 
 /* Return a number that spreads a route's requests over its services.  It
-   depends on the attempt id only, so that each instance that the request passes
-   picks the same service; without an id it is random.  */
+   depends on the attempt id only, for a resumed stream on that of its first
+   attempt, so that each instance that the request passes picks the same
+   service; without an id it is random.  */
 static uint64_t
 split_number (const struct jc_request_info *info)
 {
-  return info->attempt_id != NULL
-             ? jc_name_pair_hash (info->attempt_id, "split")
-             : (uint64_t)g_random_int ();
+  const char *id = info->resumes != NULL ? info->resumes : info->attempt_id;
+
+  return id != NULL ? jc_name_pair_hash (id, "split")
+                    : (uint64_t)g_random_int ();
 }
 
 /* Limit the endpoints of RELAY, whose request was handed over, to the number
@@ -501,12 +538,15 @@
   exchange->demand.gap_limit_ms = route->gap_ms;
   exchange->demand.priority = route->priority;
   exchange->demand.event_tokens = service_event_tokens (exchange);
+  exchange->answer_tokens = exchange->demand.answer_tokens;
   limit_ms = info.timeout_ms > 0 ? MIN (info.timeout_ms, route->timeout_ms)
                                  : route->timeout_ms;
   exchange->wait_until_ms
       = exchange->started_ms + route->objective_ms / WAIT_DIVISOR;
   jc_relay_init (&exchange->relay, route, exchange->started_ms + limit_ms,
                  info.resume_after);
+  exchange->passed_event = info.resume_after;
+  resumptions_init (exchange);
   jc_http_set_data (req, exchange);
   router->entry->in_flight++;
   if (handed_over)
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -1,5 +1,5 @@
-/* An exchange: shared by exchange.c, attempt.c, answer.c and waitqueue.c, and
-   private to them.  */
+/* An exchange: shared by exchange.c, attempt.c, answer.c, resumptions.c,
+   versionsearch.c and waitqueue.c, and private to them.  */
 
 #ifndef ENTRY_EXCHANGE_H
 #define ENTRY_EXCHANGE_H
@@ -12,15 +12,19 @@
 enum
 {
   EXCHANGE_HTTP_OK = 200,
-  EXCHANGE_HEADERS_MAX = JC_HEAD_FIELDS_MAX + 2
+  EXCHANGE_HEADERS_MAX = JC_HEAD_FIELDS_MAX + 3,
+  /* 16 hexadecimal digits.  */
+  EXCHANGE_SOFTWARE_TEXT = 17
 };
 
 /* Headers between entry instances: the kind of the sender's own failure,
-   whether the request may have run, and how many endpoints the receiver may
-   try.  */
+   whether the request may have run, how many endpoints the receiver may try,
+   and at which software version a stream may go on.  */
 #define HEADER_ERROR "X-Jaycove-Error"
 #define HEADER_RUN "X-Jaycove-Run"
 #define HEADER_ENDPOINTS "X-Jaycove-Endpoints"
+/* Hash, in hexadecimal, of the software version that began the stream.  */
+#define HEADER_SOFTWARE "X-Jaycove-Software"
 
 /* A request in progress.  REQ lives at least as long as this.  HANDED_OVER
    means that another entry instance sent it.  ROUTES is a reference to the
@@ -28,22 +32,32 @@
    attempts, AVOIDED_REGIONS other regions that an attempt did not reach or that
    refused.  TARGET_NAME, in TARGET_ZONE of TARGET_REGION, is where the current
    attempt goes; REMOTE means that it is an entry instance of another region.
-   TARGET_INCARNATION is that of the endpoint.  ANY_SENT means that some attempt
-   sent the request.  SEND_NUMBER is that of the current attempt for
-   jc_backpressure_note_answer.  ANSWER_HEAD is that of
-   the first attempt whose answer the caller was shown, or of the last attempt.
-   FALLBACK_HEAD and FALLBACK_BODY are an endpoint's own failure, which the
-   caller gets if no further attempt does better; FALLBACK_REMOTE means that it
-   came through another instance.  BATCH holds events to forward together,
-   HELD_COMMENTS comments until an event follows.  HAS_EVENT_IDS means that the
-   attempt sent an event with an id, PROGRESSED that BATCH advances the answer.
-   OVERSIZED means that the body is larger than usual.  QUEUED means that it is
-   in the wait queue, where it stays until WAIT_UNTIL_MS at the latest.
-   FIRST_EVENT_MS is the time from the start to the first event, LAST_EVENT_MS
-   when the last event came, ATTEMPT_FIRST_EVENT_MS when the first one of the
-   current attempt came, 0 for not yet, BROKEN_OFF that an endpoint broke off an
-   attempt that had only begun, MAX_GAP_MS the longest pause between two
-   events.  */
+   ANSWER_TOKENS are those of the whole answer.  TARGET_INCARNATION, TARGET_TAG
+   and TARGET_SOFTWARE are those of the endpoint as it was known when the
+   attempt began; the process that answers has been the same since
+   PROCESS_SINCE_MS.  ANY_SENT means that some attempt sent the request.
+   SEND_NUMBER is that of the current attempt for jc_backpressure_note_answer.
+   ANSWER_HEAD is that of the first attempt whose answer the caller was shown,
+   or of the last attempt. FALLBACK_HEAD and FALLBACK_BODY are an endpoint's own
+   failure, which the caller gets if no further attempt does better;
+   FALLBACK_REMOTE means that it came through another instance.  BATCH holds
+   events to forward together, HELD_COMMENTS comments until an event follows.
+   HAS_EVENT_IDS means that the attempt sent an event with an id, PROGRESSED
+   that BATCH advances the answer. OVERSIZED means that the body is larger than
+   usual.  QUEUED means that it is in the wait queue, where it stays until
+   WAIT_UNTIL_MS at the latest. FIRST_EVENT_MS is the time from the start to the
+   first event, LAST_EVENT_MS when the last event came, ATTEMPT_FIRST_EVENT_MS
+   when the first one of the current attempt came, 0 for not yet, BROKEN_OFF
+   that an endpoint broke off an attempt that had only begun, MAX_GAP_MS the
+   longest pause between two events.  STREAM identifies the stream, 0 if its
+   caller gave no id, SOFTWARE is the version that began it, 0 while none has or
+   it isn't certain.  SEARCH is the search for it that is under way, made since
+   SEARCH_STARTED_MS and, if there is none, again at SEARCH_AGAIN_MS until
+   SEARCH_ENDED.  UNPROVEN_ATTEMPT means that the events of the current attempt,
+   which resumes a stream, aren't shown yet to be of SOFTWARE: they stay in
+   BATCH since HELD_SINCE_MS, and if all have come, HELD_RESULT is the result of
+   the attempt.  PASSED_EVENT is the last event passed on to the caller, -1 for
+   none.  */
 struct exchange
 {
   struct router *router;
@@ -54,6 +68,7 @@
   const char *service;
   struct jc_request_info request_info;
   struct jc_demand demand;
+  unsigned int answer_tokens;
   struct jc_fingerprints fingerprints;
   struct jc_relay relay;
   int64_t started_ms;
@@ -70,6 +85,9 @@
   int64_t attempt_started_ms;
   uint64_t send_number;
   uint64_t target_incarnation;
+  uint64_t target_tag;
+  uint64_t target_software;
+  int64_t process_since_ms;
 
   struct jc_head answer_head;
   struct jc_answer_info answer_info;
@@ -94,11 +112,24 @@
   int64_t attempt_first_event_ms;
   bool broken_off;
   int64_t max_gap_ms;
+
+  uint64_t stream;
+  uint64_t software;
+  struct search *search;
+  bool search_ended;
+  int64_t search_started_ms;
+  int64_t search_again_ms;
+  bool unproven_attempt;
+  bool held_done;
+  int64_t held_since_ms;
+  struct jc_relay_result held_result;
+  int64_t passed_event;
+  char software_text[EXCHANGE_SOFTWARE_TEXT];
 };
 
 /* In exchange.c.  */
 const char *exchange_id (const struct exchange *exchange);
-void exchange_answer_headers (const struct exchange *exchange,
+void exchange_answer_headers (struct exchange *exchange,
                               struct jc_http_header *headers);
 void exchange_end_engine_run (struct exchange *exchange,
                               enum jc_engine_outcome outcome);
@@ -113,7 +144,26 @@
 void attempt_start (struct exchange *exchange,
                     const struct balancer_target *target);
 
+/* In versionsearch.c.  */
+enum jc_status versionsearch_run (struct exchange *exchange);
+void versionsearch_forget (struct exchange *exchange);
+
+/* In resumptions.c.  */
+void resumptions_init (struct exchange *exchange);
+enum jc_status resumptions_prepare (struct exchange *exchange);
+bool resumptions_is_bound (const struct exchange *exchange);
+bool resumptions_may_move (const struct exchange *exchange);
+void resumptions_attempt_started (struct exchange *exchange,
+                                  const struct jc_endpoint *endpoint);
+void resumptions_note_heard (struct exchange *exchange);
+void resumptions_note_begin (struct exchange *exchange);
+bool resumptions_may_pass (struct exchange *exchange);
+bool resumptions_cannot_prove (const struct exchange *exchange);
+void resumptions_attempt_ended (struct exchange *exchange);
+void resumptions_forget (struct exchange *exchange);
+
 /* In answer.c.  */
+void exchange_flush_held (struct exchange *exchange);
 extern const struct jc_httpc_call_ops answer_call_ops;
 
 #endif
--- /dev/null
+++ b/entry/resumptions.c
@@ -0,0 +1,300 @@
+/* Resumptions: keeps each resumable stream at the software version that began
+   it.  */
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "entry/exchange.h"
+#include "net/program.h"
+#include "serve/resumption.h"
+
+enum
+{
+  /* Events wait for this long to be shown to be of the right version: two
+     intervals of an endpoint's reports.  */
+  HELD_MAX_MS = 2600,
+  HEXADECIMAL = 16
+};
+
+/* Return whether EXCHANGE's request is for a stream that may go on at another
+   endpoint.  */
+static bool
+is_resumable (const struct exchange *exchange)
+{
+  return exchange->relay.kind == JC_ROUTE_STREAM && exchange->relay.resumable;
+}
+
+/* Prepare the next attempt of EXCHANGE: where its caller has events already the
+   version must be known.  Return the result of versionsearch_run.  */
+enum jc_status
+resumptions_prepare (struct exchange *exchange)
+{
+  if (!is_resumable (exchange) || exchange->software != 0
+      || (exchange->relay.last_event < 0 && !exchange->relay.begun))
+    return JC_OK;
+  return versionsearch_run (exchange);
+}
+
+/* Return whether EXCHANGE's request may only begin at a version that the log
+   has.  */
+bool
+resumptions_is_bound (const struct exchange *exchange)
+{
+  return is_resumable (exchange);
+}
+
+/* Return whether EXCHANGE's stream could go on at another endpoint than the one
+   of its current attempt: it has no events yet, or its version is known.  */
+bool
+resumptions_may_move (const struct exchange *exchange)
+{
+  return !is_resumable (exchange) || exchange->software != 0
+         || (exchange->relay.last_event < 0 && !exchange->relay.begun);
+}
+
+/* Set the stream and version of EXCHANGE, which has just started, from its
+   head.  */
+void
+resumptions_init (struct exchange *exchange)
+{
+  const struct jc_request_info *info = &exchange->request_info;
+  const char *first_id
+      = info->resume_after >= 0 ? info->resumes : info->attempt_id;
+  const char *software = exchange->handed_over
+                             ? jc_http_header (exchange->req, HEADER_SOFTWARE)
+                             : NULL;
+
+  if (first_id != NULL)
+    exchange->stream = jc_stream_hash (exchange->service, first_id);
+  if (software != NULL)
+    exchange->software = g_ascii_strtoull (software, NULL, HEXADECIMAL);
+}
+
+/* EXCHANGE ends: forget it.  */
+void
+resumptions_forget (struct exchange *exchange)
+{
+  versionsearch_forget (exchange);
+  g_ptr_array_remove (exchange->router->unproven, exchange);
+}
+
+/* Return whether the process that answers at ENDPOINT's address is certainly
+   the incarnation that is known.  */
+bool
+resumptions_is_certain (const struct router *router,
+                        const struct jc_endpoint *endpoint)
+{
+  int64_t since
+      = jc_httpc_address_since_ms (router->entry->httpc, endpoint->address);
+
+  return since >= 0
+         && jc_resumption_is_confirmed (endpoint->reported_ms, since);
+}
+
+/* EXCHANGE's current attempt, which goes to ENDPOINT, is about to start.  */
+void
+resumptions_attempt_started (struct exchange *exchange,
+                             const struct jc_endpoint *endpoint)
+{
+  exchange->target_software = endpoint->software;
+  exchange->target_tag = endpoint->tag;
+  exchange->held_done = false;
+  exchange->unproven_attempt
+      = is_resumable (exchange) && exchange->software != 0;
+}
+
+/* Return the version of the incarnation that EXCHANGE's current attempt was
+   sent to, an endpoint, or 0 if it isn't certain that this is the process that
+   answers.  */
+static uint64_t
+certain_software (const struct exchange *exchange)
+{
+  const struct jc_endpoint *endpoint = jc_endpoints_find_by_tag (
+      exchange->router->endpoints, exchange->target_tag);
+
+  return endpoint != NULL
+                 && jc_resumption_is_confirmed (endpoint->reported_ms,
+                                                exchange->process_since_ms)
+             ? endpoint->software
+             : 0;
+}
+
+/* Record that the version that began EXCHANGE's stream is its SOFTWARE, or,
+   while that isn't certain, what its endpoint is believed to have.  */
+static void
+record_start (struct exchange *exchange)
+{
+  struct jc_stream_start start = { .stream = exchange->stream,
+                                   .software = exchange->software,
+                                   .started_ms = jc_now_ms (),
+                                   .certain = exchange->software != 0 };
+
+  if (!start.certain)
+    {
+      start.software = exchange->target_software;
+      start.endpoint_tag = exchange->target_tag;
+    }
+  if (exchange->stream != 0)
+    starts_record (exchange->router, &start);
+}
+
+/* Bytes of the answer to EXCHANGE's current attempt have come.  */
+void
+resumptions_note_heard (struct exchange *exchange)
+{
+  if (!exchange->remote && exchange->call != NULL)
+    exchange->process_since_ms = jc_httpc_call_since_ms (exchange->call);
+}
+
+/* The first event of EXCHANGE's answer is about to be passed on: record which
+   version began the stream.  Another instance does so where it is the one that
+   sent the request to the endpoint.  */
+void
+resumptions_note_begin (struct exchange *exchange)
+{
+  const char *software
+      = jc_head_field (&exchange->answer_head, HEADER_SOFTWARE);
+
+  if (!is_resumable (exchange))
+    return;
+  if (exchange->remote)
+    {
+      if (exchange->software == 0 && software != NULL)
+        exchange->software = g_ascii_strtoull (software, NULL, HEXADECIMAL);
+      return;
+    }
+  if (exchange->software == 0)
+    {
+      exchange->software = certain_software (exchange);
+      if (exchange->software == 0)
+        g_ptr_array_add (exchange->router->unproven, exchange);
+    }
+  record_start (exchange);
+}
+
+/* Return whether the events of EXCHANGE's current attempt may be passed on:
+   they are shown to be of the version that began the stream.  If they aren't,
+   call exchange_flush_held once they are.  */
+bool
+resumptions_may_pass (struct exchange *exchange)
+{
+  if (!exchange->unproven_attempt)
+    return true;
+  if (certain_software (exchange) == exchange->software)
+    {
+      exchange->unproven_attempt = false;
+      g_ptr_array_remove (exchange->router->unproven, exchange);
+      return true;
+    }
+  if (!g_ptr_array_find (exchange->router->unproven, exchange, NULL))
+    {
+      exchange->held_since_ms = jc_now_ms ();
+      g_ptr_array_add (exchange->router->unproven, exchange);
+    }
+  return false;
+}
+
+/* Return whether the events that EXCHANGE holds can't be shown any more to be
+   of the right version.  */
+bool
+resumptions_cannot_prove (const struct exchange *exchange)
+{
+  return jc_endpoints_find_by_tag (exchange->router->endpoints,
+                                   exchange->target_tag)
+             == NULL
+         || jc_now_ms () - exchange->held_since_ms > HELD_MAX_MS;
+}
+
+/* EXCHANGE's current attempt has ended: the version that began its stream is
+   certain now or never.  */
+void
+resumptions_attempt_ended (struct exchange *exchange)
+{
+  if (!g_ptr_array_remove (exchange->router->unproven, exchange)
+      || exchange->software != 0)
+    return;
+  exchange->software = certain_software (exchange);
+  if (exchange->software != 0)
+    record_start (exchange);
+}
+
+/* CONN came up: ask a state instance for versions, and send it the starts that
+   it holds.  */
+void
+resumptions_conn_up (struct router *router, struct jc_rpc_conn *conn)
+{
+  struct rpc_packet packet = { .body.type = RPC_VERSIONS_FOLLOW };
+
+  if (strcmp (jc_rpc_conn_role (conn), "state") != 0)
+    return;
+  jc_rpc_send (conn, &packet);
+  starts_conn_up (router, conn);
+}
+
+/* Apply the versions in PACKET, which CONN sent; messages of others than state
+   instances are ignored.  */
+void
+resumptions_handle_packet (struct router *router, struct jc_rpc_conn *conn,
+                           const struct rpc_packet *packet)
+{
+  const struct rpc_body *body = &packet->body;
+  const struct rpc_endpoint_versions *reported
+      = &body->rpc_body_u.endpoint_versions;
+
+  if (strcmp (jc_rpc_conn_role (conn), "state") != 0)
+    return;
+  if (body->type == RPC_VERSIONS
+      && jc_versions_update (router->versions, &body->rpc_body_u.versions))
+    jc_event (JC_EVENT_VERSION, "position=%" PRIu64 " versions=%u from=%s",
+              body->rpc_body_u.versions.position,
+              body->rpc_body_u.versions.list.list_len, jc_rpc_conn_name (conn));
+  if (body->type == RPC_ENDPOINT_VERSIONS)
+    for (u_int i = 0; i < reported->list.list_len; i++)
+      jc_endpoints_set_software (router->endpoints,
+                                 &reported->list.list_val[i]);
+}
+
+/* Check again what is not certain yet: versions that began streams, and events
+   that are held.  */
+void
+resumptions_tick (struct router *router)
+{
+  GPtrArray *unproven = g_ptr_array_copy (router->unproven, NULL, NULL);
+
+  for (guint i = 0; i < unproven->len; i++)
+    {
+      struct exchange *exchange = g_ptr_array_index (unproven, i);
+
+      if (exchange->unproven_attempt)
+        exchange_flush_held (exchange);
+      else if ((exchange->software = certain_software (exchange)) != 0)
+        {
+          g_ptr_array_remove (router->unproven, exchange);
+          record_start (exchange);
+        }
+    }
+  g_ptr_array_free (unproven, TRUE);
+  versionsearch_tick (router);
+  jc_stream_starts_expire (router->starts, jc_now_ms ());
+}
+
+/* Start the module.  */
+void
+resumptions_start (struct router *router)
+{
+  router->versions = jc_versions_new ();
+  router->unproven = g_ptr_array_new ();
+  router->unsearched = g_ptr_array_new ();
+  starts_start (router);
+}
+
+/* Stop the module.  */
+void
+resumptions_stop (struct router *router)
+{
+  starts_stop (router);
+  jc_versions_free (router->versions);
+  g_ptr_array_free (router->unproven, TRUE);
+  g_ptr_array_free (router->unsearched, TRUE);
+}
--- a/entry/router.c
+++ b/entry/router.c
@@ -42,6 +42,7 @@
             jc_rpc_conn_role (conn));
   paths_state_conn_changed (entry->router, conn, true);
   stateclient_conn_up (entry->router, conn);
+  resumptions_conn_up (entry->router, conn);
 }
 
 static void
@@ -61,6 +62,7 @@
   struct entry *entry = ctx;
 
   stateclient_handle_packet (entry->router, conn, packet);
+  resumptions_handle_packet (entry->router, conn, packet);
   loads_handle_packet (entry->router, conn, packet);
 }
 
@@ -164,6 +166,7 @@
   stateclient_tick (entry->router);
   paths_tick (entry->router);
   backpressure_tick (entry->router);
+  resumptions_tick (entry->router);
   if (entry->draining)
     drain_tick (entry);
 }
@@ -286,6 +289,7 @@
   router->backpressure = jc_backpressure_new ();
   router->pauses = jc_pauses_new ();
   crashes_start (router);
+  resumptions_start (router);
   router->paths = jc_paths_new ();
   router->request_rates
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -332,6 +336,7 @@
   jc_backpressure_free (router->backpressure);
   jc_pauses_free (router->pauses);
   crashes_stop (router);
+  resumptions_stop (router);
   jc_paths_free (router->paths);
   jc_endpoints_free (router->endpoints);
   jc_orders_free (router->orders);
--- a/entry/router.h
+++ b/entry/router.h
@@ -7,6 +7,7 @@
 #include "conf/lag.h"
 #include "conf/orders.h"
 #include "entry/entry.h"
+#include "member/versions.h"
 #include "serve/backpressure.h"
 #include "serve/budget.h"
 #include "serve/protocol.h"
@@ -14,6 +15,7 @@
 #include "serve/pauses.h"
 #include "serve/regionload.h"
 #include "serve/paths.h"
+#include "serve/streamstarts.h"
 #include "serve/suspects.h"
 
 enum
@@ -35,7 +37,11 @@
    ENTRIES_BY_STATE maps state instances to the sets of entry instances that
    they report as alive.  REGION_ROOMS holds struct region_room.  STATE_NAMES
    and DIALLED_ENTRIES are the names of the state and entry instances that this
-   one dials.  */
+   one dials.  VERSIONS are those that may begin streams, STARTS the streams
+   that this instance began, UNSENT_STARTS those that are to be sent, and
+   UNPROVEN the
+   exchanges whose version isn't certain yet, UNSEARCHED those that no state
+   instance has told it.  */
 struct router
 {
   struct entry *entry;
@@ -51,6 +57,12 @@
   struct jc_suspects *suspects;
   GPtrArray *crash_probes;
   struct jc_paths *paths;
+  struct jc_versions *versions;
+  struct jc_stream_starts *starts;
+  GArray *unsent_starts;
+  ev_timer starts_timer;
+  GPtrArray *unproven;
+  GPtrArray *unsearched;
   GHashTable *request_rates;
   GHashTable *answer_sizes;
   GHashTable *neighbours;
@@ -191,6 +203,26 @@
 void crashes_handle_list (struct entry *entry, struct jc_http_req *req);
 void crashes_handle_clear (struct entry *entry, struct jc_http_req *req);
 
+/* resumptions: the software version at which each resumable stream goes on.  */
+void resumptions_start (struct router *router);
+void resumptions_stop (struct router *router);
+void resumptions_conn_up (struct router *router, struct jc_rpc_conn *conn);
+void resumptions_handle_packet (struct router *router, struct jc_rpc_conn *conn,
+                                const struct rpc_packet *packet);
+bool resumptions_is_certain (const struct router *router,
+                             const struct jc_endpoint *endpoint);
+void resumptions_tick (struct router *router);
+
+/* versionsearch: searches for the versions that began streams.  */
+void versionsearch_tick (struct router *router);
+
+/* starts: the versions that began this instance's streams.  */
+void starts_start (struct router *router);
+void starts_stop (struct router *router);
+void starts_conn_up (struct router *router, struct jc_rpc_conn *conn);
+void starts_record (struct router *router, const struct jc_stream_start *start);
+GPtrArray *starts_list_holders (const struct router *router, uint64_t stream);
+
 /* answersizes: usual sizes of each route's plain answers.  */
 size_t answersizes_usual_max (const struct router *router, const char *route);
 void answersizes_record (struct router *router, const char *route, size_t size);
@@ -207,7 +239,9 @@
   const struct neighbour *neighbour;
 };
 
-/* Input of balancer_pick.  TRIED holds names of endpoints and instances to
+/* Input of balancer_pick.  SOFTWARE is the version that the endpoint must have,
+   0 for any; with NEW_STREAM it must be one that may begin resumable streams.
+   TRIED holds names of endpoints and instances to
    skip, AVOIDED_REGIONS regions that this request did not reach or that refused
    it.  LOCAL_ONLY excludes other regions.  MAY_WAIT allows JC_CROWDED as a
    result.  */
@@ -216,6 +250,8 @@
   const struct jc_hostroute *route;
   const char *service;
   const struct jc_demand *demand;
+  uint64_t software;
+  bool new_stream;
   const GPtrArray *tried;
   const GPtrArray *avoided_regions;
   bool local_only;
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -84,6 +84,8 @@
   httpc->loop = loop;
   httpc->idle_conns = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                              idle_queue_free);
+  httpc->used_addresses
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   httpc->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
   httpc->dead_calls = g_ptr_array_new ();
   httpc->dead_conns = g_ptr_array_new ();
@@ -108,6 +110,7 @@
     }
   g_list_free (calls);
   g_hash_table_destroy (httpc->idle_conns);
+  g_hash_table_destroy (httpc->used_addresses);
   ev_timer_stop (httpc->loop, &httpc->reaper);
   for (guint i = 0; i < httpc->dead_conns->len; i++)
     httpc_conn_free (g_ptr_array_index (httpc->dead_conns, i));
@@ -124,6 +127,26 @@
   g_hash_table_remove (httpc->idle_conns, address);
 }
 
+/* Return since when, in ms of jc_now_ms, the process that was heard last at
+   ADDRESS has been the same, or -1 if no connection to it is established.  */
+int64_t
+jc_httpc_address_since_ms (const struct jc_httpc *httpc, const char *address)
+{
+  const struct httpc_address *used
+      = g_hash_table_lookup (httpc->used_addresses, address);
+
+  return used != NULL && used->heard_ms > 0 ? used->since_ms : -1;
+}
+
+/* Return since when, in ms of jc_now_ms, the process at the other end of CALL's
+   connection, which has been heard, has been the same: since the connection was
+   established, or longer where an earlier one was heard after that.  */
+int64_t
+jc_httpc_call_since_ms (const struct jc_httpc_call *call)
+{
+  return call->conn->since_ms;
+}
+
 /* Return how many connections HTTPC has opened since its start.  */
 uint64_t
 jc_httpc_connections_opened (const struct jc_httpc *httpc)
--- a/net/httpcconn.c
+++ b/net/httpcconn.c
@@ -9,6 +9,7 @@
 
 #include "net/address.h"
 #include "net/httpcprivate.h"
+#include "net/program.h"
 
 enum
 {
@@ -139,6 +140,51 @@
   conn->parser.data = conn;
 }
 
+/* Record that CONN is established.  */
+static void
+conn_add_use (struct httpc_conn *conn)
+{
+  struct jc_httpc *httpc = conn->httpc;
+  struct httpc_address *used
+      = g_hash_table_lookup (httpc->used_addresses, conn->address);
+
+  if (used == NULL)
+    {
+      used = g_new0 (struct httpc_address, 1);
+      g_hash_table_insert (httpc->used_addresses, g_strdup (conn->address),
+                           used);
+    }
+  used->open++;
+  conn->connected_ms = jc_now_ms ();
+  conn->since_ms = conn->connected_ms;
+}
+
+/* Record that the process at the other end of CONN was heard.  If it was heard
+   over an earlier connection after CONN was established, that one shows for how
+   long it has been the same: its end would have closed both.  */
+static void
+conn_note_heard (struct httpc_conn *conn)
+{
+  struct httpc_address *used
+      = g_hash_table_lookup (conn->httpc->used_addresses, conn->address);
+
+  if (used->heard_ms > conn->connected_ms)
+    conn->since_ms = MIN (conn->since_ms, used->since_ms);
+  used->since_ms = conn->since_ms;
+  used->heard_ms = jc_now_ms ();
+}
+
+/* Record that CONN, which was established, closes.  */
+static void
+conn_remove_use (struct httpc_conn *conn)
+{
+  GHashTable *addresses = conn->httpc->used_addresses;
+  struct httpc_address *used = g_hash_table_lookup (addresses, conn->address);
+
+  if (--used->open == 0)
+    g_hash_table_remove (addresses, conn->address);
+}
+
 /* Close CONN.  It is freed in the next iteration of the loop.  */
 void
 httpc_conn_close (struct httpc_conn *conn)
@@ -152,6 +198,8 @@
   ev_io_stop (httpc->loop, &conn->writer);
   ev_timer_stop (httpc->loop, &conn->idle_timer);
   close (conn->fd);
+  if (conn->connected)
+    conn_remove_use (conn);
   if (conn->idle)
     {
       GQueue *queue = g_hash_table_lookup (httpc->idle_conns, conn->address);
@@ -345,6 +393,7 @@
     conn_handle_eof (conn);
   else
     {
+      conn_note_heard (conn);
       while (httpc_call_bytes_received (conn->call, (size_t)received)
              && conn_parse (conn))
         received = 0;
@@ -404,6 +453,7 @@
           return;
         }
       conn->connected = true;
+      conn_add_use (conn);
       ev_io_start (conn->httpc->loop, &conn->reader);
       httpc_call_connected (conn->call);
     }
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -8,12 +8,14 @@
 #include "net/progress.h"
 
 /* IDLE_CONNS maps an address to a GQueue of its idle connections, most recently
-   used first.  DEAD_CALLS have ended and DEAD_CONNS are closed; REAPER frees
-   them when none of their functions is on the stack.  */
+   used first, USED_ADDRESSES to a struct httpc_address if connections to it
+   are established.  DEAD_CALLS have ended and DEAD_CONNS are closed; REAPER
+   frees them when none of their functions is on the stack.  */
 struct jc_httpc
 {
   struct ev_loop *loop;
   GHashTable *idle_conns;
+  GHashTable *used_addresses;
   GHashTable *calls;
   GPtrArray *dead_calls;
   GPtrArray *dead_conns;
@@ -21,10 +23,21 @@
   uint64_t connections_opened;
 };
 
-/* A connection to ADDRESS.  CALL is the call under way on it, or NULL.
+/* What connections to one address tell of the process there: it was heard at
+   HEARD_MS, and had then been the same since SINCE_MS, times of jc_now_ms. OPEN
+   is the number of established connections.  */
+struct httpc_address
+{
+  unsigned int open;
+  int64_t since_ms;
+  int64_t heard_ms;
+};
+
+/* A connection to ADDRESS, established at CONNECTED_MS to a process that has
+   been the same since SINCE_MS.  CALL is the call under way on it, or NULL.
    IDLE_TIMEOUT_MS is how long it stays open while idle.  SCANNED_BYTES of IN
-   are known to hold no end of a head.  SKIPPING_MESSAGE is set while an
-   interim answer or one of an earlier request is read.  */
+   are known to hold no end of a head.  SKIPPING_MESSAGE is set while an interim
+   answer or one of an earlier request is read.  */
 struct httpc_conn
 {
   struct jc_httpc *httpc;
@@ -32,6 +45,8 @@
   char *address;
   int fd;
   bool connected;
+  int64_t connected_ms;
+  int64_t since_ms;
   bool closed;
   bool idle;
   long idle_timeout_ms;
