--- a/member/versions.c
+++ b/member/versions.c
@@ -221,6 +221,20 @@
                                   rows));
 }
 
+/* Parse TEXT, the software version of a row of a snapshot; NULL is invalid.  */
+static bool
+parse_software (const char *text, u_quad_t *software)
+{
+  guint64 number;
+
+  if (text == NULL
+      || !g_ascii_string_to_unsigned (text, DECIMAL, 1, G_MAXUINT64, &number,
+                                      NULL))
+    return false;
+  *software = number;
+  return true;
+}
+
 /* Replace VERSIONS by those in the snapshot IN, or by none if IN has none.
    Return JC_CORRUPT if they are invalid.  */
 enum jc_status
@@ -238,13 +252,9 @@
       const json_t *row = json_array_get (rows, i);
       const char *service = json_string_value (json_array_get (row, 0));
       const char *software = json_string_value (json_array_get (row, 1));
-      const struct rpc_service_version added
-          = { .service = (char *)service,
-              .software = software != NULL
-                              ? g_ascii_strtoull (software, NULL, DECIMAL)
-                              : 0 };
+      struct rpc_service_version added = { .service = (char *)service };
 
-      if (service == NULL || added.software == 0)
+      if (service == NULL || !parse_software (software, &added.software))
         return jc_fail (JC_CORRUPT, "The software versions can't be read.");
       add_row (versions, &added);
     }
