Refuse to go on with a stream of two recorded versions

A caller's stream of which one state instance has two versions recorded went on wherever another one had a single version, whichever answer came first, and was counted as uncertain otherwise. The answer's version 0, which stands for two, was taken for one that isn't certain. It is a conflict now, as the names of the outcomes say. An instance that hears of one version first still decides by that.

--- a/serve/resumption.c
+++ b/serve/resumption.c
@@ -27,10 +27,12 @@
     resumption->answered++;
   if (found == NULL || !found->known)
     return;
-  if (!certain || software == 0)
-    resumption->uncertain = true;
-  else if (resumption->software != 0 && resumption->software != software)
+  if (software == 0
+      || (certain && resumption->software != 0
+          && resumption->software != software))
     resumption->conflict = true;
+  else if (!certain)
+    resumption->uncertain = true;
   else
     resumption->software = software;
 }
