Simulate streams of endpoints that change their software version

Callers get streams joined from two software versions, and no test looked at what they hold. No product code changes.

--- /dev/null
+++ b/tests/versionentries.c
@@ -0,0 +1,462 @@
+/* Entry instances, as parts of the simulation of software versions: they decide
+   by the same modules as entry/resumptions.c, in the same order.  */
+
+#include <string.h>
+
+#include "tests/versionworld.h"
+
+enum
+{
+  SEND_MS = 10,
+  TICK_MS = 100,
+  EXPIRE_MS = 250,
+  HELD_MAX_MS = 2600,
+  /* Within the region.  */
+  HOP_MS = 1,
+  EVENT_MS = 100,
+  FIRST_EVENT_MS = 50,
+  FIRST_EVENT_SPREAD_MS = 250,
+  /* Connections that are idle for longer are closed.  */
+  IDLE_MS = 5000
+};
+
+/* Return whether the entry instance that EVENT is for is the process that it
+   was meant for.  */
+bool
+entries_is_current (const struct world *world, const struct world_event *event)
+{
+  const struct world_entry *entry = &world->entries[event->entry];
+
+  return entry->up && entry->epoch == event->epoch;
+}
+
+/* Count the bytes of PACKET, which ENTRY sends or gets.  */
+void
+entries_count_bytes (struct world_entry *entry, struct rpc_packet *packet)
+{
+  entry->bytes += world_packet_bytes (packet);
+}
+
+/* Return the version of the incarnation that STREAM's attempt was sent to, 0 if
+   it isn't certain that this is the process that answers.  */
+static uint64_t
+certain_software (const struct world *world, const struct stream *stream)
+{
+  const struct world_entry *entry = &world->entries[stream->entry];
+  const struct jc_endpoint *endpoint = jc_endpoints_find (
+      entry->endpoints, world->endpoints[stream->endpoint].name);
+  int64_t connected_ms = entry->connected_ms[stream->endpoint];
+
+  if (endpoint == NULL || endpoint->incarnation != stream->target_incarnation
+      || !jc_resumption_is_certain (
+          world->now_ms - endpoint->reported_ms,
+          connected_ms >= 0 ? world->now_ms - connected_ms : -1))
+    return 0;
+  return endpoint->software;
+}
+
+static void
+record_start (struct world *world, struct stream *stream)
+{
+  struct world_entry *entry = &world->entries[stream->entry];
+  const struct jc_endpoint *endpoint = jc_endpoints_find (
+      entry->endpoints, world->endpoints[stream->endpoint].name);
+  struct jc_stream_start start = { .stream = stream->hash,
+                                   .software = stream->software,
+                                   .started_ms = world->now_ms,
+                                   .certain = stream->software != 0 };
+
+  if (!start.certain && endpoint != NULL
+      && endpoint->incarnation == stream->target_incarnation)
+    {
+      start.software = endpoint->software;
+      start.endpoint_tag = endpoint->tag;
+    }
+  jc_stream_starts_record (entry->starts, &start);
+  world->result->entry_starts_max
+      = MAX (world->result->entry_starts_max,
+             (unsigned int)jc_stream_starts_count (entry->starts));
+  if (entry->unsent->len == 0)
+    world_after (world, SEND_MS,
+                 (struct world_event){ .run = searches_on_send,
+                                       .entry = stream->entry,
+                                       .epoch = entry->epoch });
+  g_array_append_val (entry->unsent, stream->hash);
+}
+
+static void
+note_begin (struct world *world, struct stream *stream)
+{
+  stream->begun = true;
+  if (stream->software == 0)
+    {
+      stream->software = certain_software (world, stream);
+      if (stream->software == 0)
+        g_ptr_array_add (world->entries[stream->entry].unproven, stream);
+    }
+  record_start (world, stream);
+}
+
+static bool
+may_pass (struct world *world, struct stream *stream)
+{
+  GPtrArray *unproven = world->entries[stream->entry].unproven;
+
+  if (!stream->unproven_attempt)
+    return true;
+  if (certain_software (world, stream) == stream->software)
+    {
+      stream->unproven_attempt = false;
+      g_ptr_array_remove (unproven, stream);
+      return true;
+    }
+  if (!g_ptr_array_find (unproven, stream, NULL))
+    {
+      stream->held_ms = world->now_ms;
+      g_ptr_array_add (unproven, stream);
+    }
+  return false;
+}
+
+/* Forget STREAM's exchange: it has ended.  */
+void
+entries_forget (struct world *world, struct stream *stream)
+{
+  struct world_entry *entry = &world->entries[stream->entry];
+
+  stream->open = false;
+  stream->attempt++;
+  if (!entry->up)
+    return;
+  g_ptr_array_remove (entry->unproven, stream);
+  g_ptr_array_remove (entry->unsearched, stream);
+}
+
+static void
+refuse (struct world *world, struct stream *stream,
+        enum jc_resumption_outcome outcome)
+{
+  entries_forget (world, stream);
+  callers_refused (world, stream, outcome);
+}
+
+static void
+attempt_ended (struct world *world, struct stream *stream)
+{
+  struct world_entry *entry = &world->entries[stream->entry];
+
+  stream->tried |= 1U << stream->endpoint;
+  if (g_ptr_array_remove (entry->unproven, stream) && stream->software == 0)
+    {
+      stream->software = certain_software (world, stream);
+      if (stream->software != 0)
+        record_start (world, stream);
+    }
+  entries_attempt (world, stream);
+}
+
+/* Pass on the events that STREAM holds, or drop them with their attempt.  */
+static void
+flush_held (struct world *world, struct stream *stream)
+{
+  const struct world_entry *entry = &world->entries[stream->entry];
+  const struct jc_endpoint *endpoint = jc_endpoints_find (
+      entry->endpoints, world->endpoints[stream->endpoint].name);
+  uint64_t attempt = stream->attempt;
+
+  if (may_pass (world, stream))
+    {
+      if (!stream->begun && stream->held > 0)
+        note_begin (world, stream);
+      while (stream->held > 0 && stream->attempt == attempt)
+        {
+          stream->held--;
+          callers_receive (world, stream, stream->held_version);
+        }
+      return;
+    }
+  if (endpoint == NULL || endpoint->incarnation != stream->target_incarnation
+      || world->now_ms - stream->held_ms > HELD_MAX_MS)
+    {
+      stream->held = 0;
+      attempt_ended (world, stream);
+    }
+}
+
+/* STREAM's endpoint sends its next event, unless its process has ended.  */
+static void
+on_event (struct world *world, const struct world_event *event)
+{
+  struct stream *stream = event->stream;
+  const struct world_endpoint *endpoint = &world->endpoints[stream->endpoint];
+
+  if (stream->attempt != event->number)
+    return;
+  if (!endpoint->up || endpoint->incarnation != stream->process)
+    {
+      flush_held (world, stream);
+      if (stream->attempt == event->number)
+        attempt_ended (world, stream);
+      return;
+    }
+  if (stream->last_event + stream->held + 2 < stream->events)
+    world_after (world, EVENT_MS, *event);
+  world->entries[stream->entry].used_ms[stream->endpoint] = world->now_ms;
+  stream->held++;
+  stream->held_version = endpoint->version;
+  flush_held (world, stream);
+}
+
+/* A request arrives at its endpoint.  */
+static void
+on_arrival (struct world *world, const struct world_event *event)
+{
+  struct stream *stream = event->stream;
+  struct world_entry *entry = &world->entries[stream->entry];
+  unsigned int index = stream->endpoint;
+  const struct world_endpoint *endpoint = &world->endpoints[index];
+
+  if (stream->attempt != event->number)
+    return;
+  if (!endpoint->up)
+    {
+      attempt_ended (world, stream);
+      return;
+    }
+  stream->process = endpoint->incarnation;
+  if (entry->connected_ms[index] < 0
+      || (entry->connected_to[index] == stream->process
+          && world->now_ms - entry->used_ms[index] > IDLE_MS))
+    {
+      entry->connected_ms[index] = world->now_ms;
+      entry->connected_to[index] = stream->process;
+    }
+  entry->used_ms[index] = world->now_ms;
+  world_after (
+      world, FIRST_EVENT_MS + world_random (world, FIRST_EVENT_SPREAD_MS),
+      (struct world_event){
+          .run = on_event, .stream = stream, .number = event->number });
+}
+
+/* Return whether STREAM may go to the endpoint INDEX now, and, in CERTAIN,
+   whether it is certain which process that is.  */
+static bool
+is_candidate (struct world *world, struct stream *stream, unsigned int index,
+              bool *certain)
+{
+  struct world_entry *entry = &world->entries[stream->entry];
+  const struct jc_endpoint *endpoint
+      = jc_endpoints_find (entry->endpoints, world->endpoints[index].name);
+  int64_t connected_ms = entry->connected_ms[index];
+
+  if (endpoint == NULL || (stream->tried >> index & 1U) != 0
+      || !jc_endpoint_is_usable (endpoint, world->now_ms)
+      || (stream->software != 0
+              ? endpoint->software != stream->software
+              : !jc_versions_contains (entry->versions, WORLD_SERVICE,
+                                       endpoint->software)))
+    return false;
+  *certain = jc_resumption_is_certain (
+      world->now_ms - endpoint->reported_ms,
+      connected_ms >= 0 ? world->now_ms - connected_ms : -1);
+  return true;
+}
+
+/* Return the endpoint for STREAM, for a stream that goes on one whose process
+   is certain if there is one, WORLD_ENDPOINTS if there is none.  */
+static unsigned int
+pick_endpoint (struct world *world, struct stream *stream)
+{
+  unsigned int first = world_random (world, WORLD_ENDPOINTS);
+  unsigned int picked = WORLD_ENDPOINTS;
+
+  for (unsigned int i = 0; i < WORLD_ENDPOINTS; i++)
+    {
+      unsigned int index = (first + i) % WORLD_ENDPOINTS;
+      bool certain;
+
+      if (!is_candidate (world, stream, index, &certain))
+        continue;
+      if (stream->software == 0 || certain)
+        return index;
+      if (picked == WORLD_ENDPOINTS)
+        picked = index;
+    }
+  return picked;
+}
+
+/* Look for the version that STREAM must go on at, unless it has no events yet.
+   Return whether an attempt may start now.  */
+static bool
+prepare (struct world *world, struct stream *stream)
+{
+  const struct jc_stream_start *start;
+
+  if (stream->software != 0 || stream->last_event < 0)
+    return true;
+  if (stream->search_ended)
+    {
+      refuse (world, stream, stream->outcome);
+      return false;
+    }
+  start = jc_stream_starts_find (world->entries[stream->entry].starts,
+                                 stream->hash, world->now_ms);
+  if (start != NULL && start->certain && !start->conflict)
+    {
+      stream->software = start->software;
+      stream->search_ended = true;
+      return true;
+    }
+  searches_start (world, stream);
+  return false;
+}
+
+/* Start the next attempt of STREAM's exchange.  */
+void
+entries_attempt (struct world *world, struct stream *stream)
+{
+  const struct jc_endpoint *endpoint;
+
+  stream->held = 0;
+  stream->attempt++;
+  if (!prepare (world, stream))
+    return;
+  stream->endpoint = pick_endpoint (world, stream);
+  if (stream->endpoint == WORLD_ENDPOINTS)
+    {
+      stream->endpoint = 0;
+      refuse (world, stream, JC_RESUMPTION_WAIT);
+      return;
+    }
+  endpoint = jc_endpoints_find (world->entries[stream->entry].endpoints,
+                                world->endpoints[stream->endpoint].name);
+  stream->target_incarnation = endpoint->incarnation;
+  stream->unproven_attempt = stream->software != 0;
+  world_after (world, HOP_MS,
+               (struct world_event){ .run = on_arrival,
+                                     .stream = stream,
+                                     .number = stream->attempt });
+}
+
+static void
+check_unproven (struct world *world, struct world_entry *entry)
+{
+  GPtrArray *unproven = g_ptr_array_copy (entry->unproven, NULL, NULL);
+
+  for (guint i = 0; i < unproven->len; i++)
+    {
+      struct stream *stream = g_ptr_array_index (unproven, i);
+
+      if (!g_ptr_array_find (entry->unproven, stream, NULL))
+        continue;
+      if (stream->unproven_attempt)
+        flush_held (world, stream);
+      else if ((stream->software = certain_software (world, stream)) != 0)
+        {
+          g_ptr_array_remove (entry->unproven, stream);
+          record_start (world, stream);
+        }
+    }
+  g_ptr_array_free (unproven, TRUE);
+}
+
+static void
+search_again (struct world *world, struct world_entry *entry)
+{
+  GPtrArray *unsearched = entry->unsearched;
+
+  entry->unsearched = g_ptr_array_new ();
+  for (guint i = 0; i < unsearched->len; i++)
+    entries_attempt (world, g_ptr_array_index (unsearched, i));
+  g_ptr_array_free (unsearched, TRUE);
+}
+
+/* Let all entry instances do what they do from time to time.  */
+void
+entries_tick (struct world *world)
+{
+  for (unsigned int e = 0; e < world->plan->entries; e++)
+    {
+      struct world_entry *entry = &world->entries[e];
+
+      if (entry->up && (world->now_ms + e) % EXPIRE_MS == 0)
+        jc_endpoints_expire (entry->endpoints, world->now_ms);
+      if (!entry->up || (world->now_ms + e) % TICK_MS != 0)
+        continue;
+      check_unproven (world, entry);
+      search_again (world, entry);
+      jc_stream_starts_expire (entry->starts, world->now_ms);
+    }
+}
+
+static void
+on_conn_up (struct world *world, const struct world_event *event)
+{
+  if (entries_is_current (world, event))
+    searches_conn_up (world, event->entry, event->state);
+}
+
+/* Start ENTRY, which knows nothing.  */
+void
+entries_restart (struct world *world, unsigned int entry)
+{
+  struct world_entry *started = &world->entries[entry];
+
+  if (started->up)
+    return;
+  started->up = true;
+  started->up_ms = world->now_ms;
+  started->region = entry % WORLD_REGIONS;
+  started->endpoints = jc_endpoints_new ();
+  started->starts = jc_stream_starts_new (WORLD_ENTRY_STARTS_MAX);
+  started->versions = jc_versions_new ();
+  started->unsent = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  started->unproven = g_ptr_array_new ();
+  started->unsearched = g_ptr_array_new ();
+  memset (started->conns, 0, sizeof started->conns);
+  for (unsigned int i = 0; i < WORLD_ENDPOINTS; i++)
+    started->connected_ms[i] = -1;
+  for (unsigned int s = 0; s < world->plan->states; s++)
+    world_after (world,
+                 2 * world_delay_ms (started->region, world->states[s].region),
+                 (struct world_event){ .run = on_conn_up,
+                                       .entry = entry,
+                                       .state = s,
+                                       .epoch = started->epoch });
+}
+
+/* End ENTRY.  */
+void
+entries_kill (struct world *world, unsigned int entry)
+{
+  struct world_entry *killed = &world->entries[entry];
+
+  if (!killed->up)
+    return;
+  killed->up = false;
+  killed->epoch++;
+  world->result->control_bytes += killed->bytes;
+  killed->bytes = 0;
+  jc_endpoints_free (killed->endpoints);
+  jc_stream_starts_free (killed->starts);
+  jc_versions_free (killed->versions);
+  g_array_free (killed->unsent, TRUE);
+  g_ptr_array_free (killed->unproven, TRUE);
+  g_ptr_array_free (killed->unsearched, TRUE);
+}
+
+/* Start all entry instances.  */
+void
+entries_start (struct world *world)
+{
+  for (unsigned int e = 0; e < world->plan->entries; e++)
+    entries_restart (world, e);
+}
+
+/* End all entry instances.  */
+void
+entries_stop (struct world *world)
+{
+  for (unsigned int e = 0; e < world->plan->entries; e++)
+    entries_kill (world, e);
+}
--- /dev/null
+++ b/tests/versionreports.c
@@ -0,0 +1,64 @@
+/* What entry instances are told of endpoints and versions, as a part of the
+   simulation of software versions.  */
+
+#include "tests/versionworld.h"
+
+/* An entry instance gets a report of an endpoint.  */
+void
+reports_on_row (struct world *world, const struct world_event *event)
+{
+  struct world_entry *entry = &world->entries[event->entry];
+  struct world_row *row = event->data;
+  struct rpc_endpoint_version version
+      = { .endpoint = row->report.name,
+          .endpoint_incarnation = row->report.incarnation,
+          .software = row->software };
+  struct rpc_packet packet = { .body.type = RPC_ENDPOINT_VERSIONS };
+
+  if (!entries_is_current (world, event))
+    return;
+  jc_endpoints_update (entry->endpoints, &row->report, world->now_ms);
+  jc_endpoints_set_software (entry->endpoints, &version);
+  packet.body.rpc_body_u.endpoint_versions.list.list_len = 1;
+  packet.body.rpc_body_u.endpoint_versions.list.list_val = &version;
+  entries_count_bytes (entry, &packet);
+}
+
+/* An entry instance gets loads of endpoints.  */
+void
+reports_on_loads (struct world *world, const struct world_event *event)
+{
+  const struct rpc_zone_load *rows = event->data;
+
+  if (!entries_is_current (world, event))
+    return;
+  for (uint64_t i = 0; i < event->number; i++)
+    jc_endpoints_update_load (world->entries[event->entry].endpoints, &rows[i],
+                              world->now_ms);
+}
+
+/* An entry instance gets the table of versions.  */
+void
+reports_on_versions (struct world *world, const struct world_event *event)
+{
+  struct world_entry *entry = &world->entries[event->entry];
+  struct rpc_packet packet = { .body.type = RPC_VERSIONS };
+
+  if (!entries_is_current (world, event))
+    return;
+  packet.body.rpc_body_u.versions = *(const struct rpc_versions *)event->data;
+  jc_versions_update (entry->versions, &packet.body.rpc_body_u.versions);
+  entries_count_bytes (entry, &packet);
+}
+
+/* An entry instance hears that the process that an endpoint was has closed its
+   connections.  */
+void
+reports_on_conn_closed (struct world *world, const struct world_event *event)
+{
+  struct world_entry *entry = &world->entries[event->entry];
+
+  if (entries_is_current (world, event)
+      && entry->connected_to[event->endpoint] == event->number)
+    entry->connected_ms[event->endpoint] = -1;
+}
--- /dev/null
+++ b/tests/versionworld.h
@@ -0,0 +1,216 @@
+/* What the parts of the simulation of software versions share: processes and
+   messages between them.  Only these parts include it.  */
+
+#ifndef VERSIONWORLD_H
+#define VERSIONWORLD_H
+
+#include <glib.h>
+
+#include "member/endpoints.h"
+#include "member/versions.h"
+#include "serve/resumption.h"
+#include "serve/streamstarts.h"
+#include "tests/versionsim.h"
+
+enum
+{
+  WORLD_ENDPOINTS = 24,
+  WORLD_REGIONS = 3,
+  WORLD_VERSIONS_MAX = 3,
+  WORLD_NAME_BYTES = 24,
+  WORLD_REPORT_MS = 1200,
+  WORLD_LEASE_MS = 5 * WORLD_REPORT_MS,
+  WORLD_STATE_STARTS_MAX = 200000,
+  WORLD_ENTRY_STARTS_MAX = 60000,
+  WORLD_ANSWER_TIMEOUT_MS = 800
+};
+
+#define WORLD_SERVICE "chat"
+
+struct world;
+struct stream;
+
+/* Something that happens at a moment.  RUN gets the other members; DATA and
+   REPLY belong to the world.  */
+struct world_event
+{
+  void (*run) (struct world *world, const struct world_event *event);
+  unsigned int entry;
+  unsigned int state;
+  unsigned int endpoint;
+  uint64_t epoch;
+  uint64_t number;
+  struct stream *stream;
+  void *data;
+  void *reply;
+};
+
+/* A report, or what is told of one, with the endpoint's version.  */
+struct world_row
+{
+  struct rpc_endpoint report;
+  uint64_t software;
+};
+
+/* An endpoint.  INCARNATION is the start of its process, SERVED_MS the same as
+   a time.  */
+struct world_endpoint
+{
+  char name[WORLD_NAME_BYTES];
+  char address[WORLD_NAME_BYTES];
+  unsigned int region;
+  unsigned int version;
+  unsigned int home;
+  uint64_t incarnation;
+  uint64_t sequence;
+  int64_t served_ms;
+  bool up;
+};
+
+struct world_state
+{
+  char name[WORLD_NAME_BYTES];
+  unsigned int region;
+  uint64_t epoch;
+  bool up;
+  bool cut;
+  struct jc_endpoints *endpoints;
+  struct jc_stream_starts *starts;
+  struct jc_versions *versions;
+  GHashTable *refreshed;
+  int64_t proposed_ms[WORLD_VERSIONS_MAX];
+};
+
+/* An entry instance.  CONNECTED_MS is when the oldest open connection to each
+   endpoint was established, -1 if there is none, CONNECTED_TO the incarnation
+   at its other end, USED_MS when one was used last.  */
+struct world_entry
+{
+  unsigned int region;
+  uint64_t epoch;
+  int64_t up_ms;
+  bool up;
+  struct jc_endpoints *endpoints;
+  struct jc_stream_starts *starts;
+  struct jc_versions *versions;
+  bool conns[VERSIONSIM_STATES_MAX];
+  int64_t connected_ms[WORLD_ENDPOINTS];
+  uint64_t connected_to[WORLD_ENDPOINTS];
+  int64_t used_ms[WORLD_ENDPOINTS];
+  GArray *unsent;
+  GPtrArray *unproven;
+  GPtrArray *unsearched;
+  uint64_t bytes;
+};
+
+/* A search of an entry instance.  */
+struct world_search
+{
+  struct jc_resumption answers;
+  uint64_t attempt;
+  bool told;
+};
+
+/* A caller's stream, and the exchange that serves it now.  BEGAN_AT is the
+   number of the version of the events that the caller has, from 1 on.  ATTEMPT
+   goes up with each attempt, so that what belongs to an earlier one is
+   ignored.  */
+struct stream
+{
+  uint64_t hash;
+  unsigned int began_at;
+  bool mixed;
+  bool ended;
+  int last_event;
+  int events;
+  unsigned int tries;
+  unsigned int entry;
+  bool open;
+  bool take_up;
+  bool in_touch;
+  bool begun;
+  bool passed;
+  uint64_t attempt;
+  uint64_t software;
+  unsigned int endpoint;
+  uint64_t target_incarnation;
+  uint64_t process;
+  uint32_t tried;
+  bool unproven_attempt;
+  int held;
+  unsigned int held_version;
+  int64_t held_ms;
+  bool search_ended;
+  enum jc_resumption_outcome outcome;
+  int64_t search_ms;
+};
+
+struct world
+{
+  const struct versionsim_plan *plan;
+  struct versionsim_result *result;
+  GRand *rand;
+  int64_t now_ms;
+  int64_t fault_ms;
+  int64_t leader_from_ms;
+  unsigned int leader;
+  uint64_t position;
+  uint64_t next_id;
+  uint64_t software[WORLD_VERSIONS_MAX];
+  struct jc_versions *log;
+  struct world_endpoint endpoints[WORLD_ENDPOINTS];
+  struct world_state states[VERSIONSIM_STATES_MAX];
+  struct world_entry entries[VERSIONSIM_ENTRIES_MAX];
+  GPtrArray *streams;
+  GPtrArray *memory;
+  GArray *moments[VERSIONSIM_RUN_MS];
+};
+
+void *world_alloc (struct world *world, gsize size);
+void world_after (struct world *world, int64_t delay_ms,
+                  struct world_event event);
+int64_t world_delay_ms (unsigned int region, unsigned int other);
+unsigned int world_random (struct world *world, unsigned int end);
+const char *world_region (unsigned int region);
+uint64_t world_packet_bytes (struct rpc_packet *packet);
+
+void states_start (struct world *world);
+void states_stop (struct world *world);
+void states_tick (struct world *world);
+bool states_answers (const struct world *world, unsigned int state);
+bool states_has_leader (const struct world *world);
+struct rpc_versions *states_table (struct world *world,
+                                   const struct jc_versions *versions);
+void states_greet (struct world *world, unsigned int state, unsigned int entry);
+void states_kill (struct world *world, unsigned int state);
+void states_restart (struct world *world, unsigned int state);
+void endpoints_restart (struct world *world, unsigned int endpoint);
+void endpoints_kill (struct world *world, unsigned int endpoint);
+
+void entries_start (struct world *world);
+void entries_stop (struct world *world);
+void entries_tick (struct world *world);
+void entries_kill (struct world *world, unsigned int entry);
+void entries_restart (struct world *world, unsigned int entry);
+bool entries_is_current (const struct world *world,
+                         const struct world_event *event);
+void entries_count_bytes (struct world_entry *entry, struct rpc_packet *packet);
+void entries_forget (struct world *world, struct stream *stream);
+void entries_attempt (struct world *world, struct stream *stream);
+void reports_on_row (struct world *world, const struct world_event *event);
+void reports_on_loads (struct world *world, const struct world_event *event);
+void reports_on_versions (struct world *world, const struct world_event *event);
+void reports_on_conn_closed (struct world *world,
+                             const struct world_event *event);
+
+void searches_conn_up (struct world *world, unsigned int entry,
+                       unsigned int state);
+void searches_on_send (struct world *world, const struct world_event *event);
+void searches_start (struct world *world, struct stream *stream);
+
+void callers_receive (struct world *world, struct stream *stream,
+                      unsigned int version);
+void callers_refused (struct world *world, struct stream *stream,
+                      enum jc_resumption_outcome outcome);
+
+#endif
