Don't use answers that name no request

Callers of requests that may run once were told "not run" of requests that ran, some ran twice, and callers got the answers of others, where an endpoint wrote an earlier answer without an id once more. Cause: the HTTP client took a missing id for a match. Ruled out: answers with the id of another request, which are skipped as before, and second sends of a request at one endpoint, which the choice of targets excludes. Now a final answer that does not name its request fails the call, on a new connection too: the connection is closed, the request counts as run, it is not sent again by the HTTP client, and the attempt is logged as given_up with reason=unnamed, so that it is no evidence of a crash. Bytes that are there before a request is sent on a kept connection end that connection, and the request goes to a new one. A request without an id gets a connection for itself. Three cases of test-http-raw had answers without an id to calls with one; they have the id now, so that each still fails or passes for what it guards against.

--- a/entry/router.c
+++ b/entry/router.c
@@ -257,6 +257,9 @@
                           router->protocol->echo_header);
   jc_httpd_set_id_header (router->handover_listener,
                           router->protocol->echo_header);
+  /* The instance that handed a request over uses no answer that doesn't name
+     it.  */
+  jc_httpd_set_echo (router->handover_listener, router->protocol->echo_header);
   return JC_OK;
 }
 
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -404,7 +404,9 @@
   if (call->ended)
     return;
   if (call->reused && !call->host_unreachable && call->http_status == 0
-      && status == JC_ENDPOINT_FAILED && (!call->no_resend || !call->sent))
+      && status == JC_ENDPOINT_FAILED
+      && call->progress.fault != JC_PROGRESS_UNNAMED
+      && (!call->no_resend || !call->sent))
     {
       conn->call = NULL;
       httpc_conn_close (conn);
@@ -414,6 +416,16 @@
   call_finish (call, &result);
 }
 
+/* Fail CALL, whose answer names no request: the request may have run, and it is
+   not sent again here.  */
+void
+httpc_call_unnamed (struct jc_httpc_call *call)
+{
+  call->progress.fault = JC_PROGRESS_UNNAMED;
+  httpc_call_failed (call, JC_ENDPOINT_FAILED,
+                     "The answer doesn't name its request.");
+}
+
 static bool
 has_header (const char *const *headers, const char *name)
 {
@@ -446,7 +458,7 @@
     }
   if (spec->body.len > 0 || !bodiless)
     g_string_append_printf (out, "Content-Length: %zu\r\n", spec->body.len);
-  if (spec->own_connection)
+  if (call->own_connection)
     g_string_append (out, "Connection: close\r\n");
   g_string_append (out, "\r\n");
   g_string_append_len (out, spec->body.data, (gssize)spec->body.len);
@@ -461,6 +473,7 @@
                      const struct jc_httpc_call_ops *ops, void *ctx)
 {
   struct jc_httpc_call *call = g_new0 (struct jc_httpc_call, 1);
+  bool unnamed = spec->echo_name != NULL && spec->echo_value[0] == '\0';
   const char *host = spec->url;
   size_t host_len;
 
@@ -484,8 +497,8 @@
       = (struct jc_progress_limits){ .kind = spec->progress_kind,
                                      .first_ms = spec->first_progress_ms,
                                      .pause_ms = spec->progress_pause_ms };
-  call->own_connection = spec->own_connection;
-  call->no_resend = spec->no_resend || spec->own_connection;
+  call->own_connection = spec->own_connection || unnamed;
+  call->no_resend = spec->no_resend || call->own_connection;
   if (spec->total_timeout_ms > 0)
     call->end_at
         = ev_now (httpc->loop) + (double)spec->total_timeout_ms / MS_PER_S;
@@ -493,7 +506,7 @@
   call->timer.data = call;
   build_request (call, spec, host + host_len);
   g_hash_table_add (httpc->calls, call);
-  call_dispatch (call, spec->own_connection);
+  call_dispatch (call, call->own_connection);
   return call;
 }
 
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -23,8 +23,11 @@
    net/progress.h).  A request whose reused connection turns out to be closed
    is sent again on a new one, unless NO_RESEND is set and a byte was sent.
    OWN_CONNECTION opens a connection for this request alone and implies
-   NO_RESEND.  An answer whose header ECHO_NAME differs from ECHO_VALUE belongs
-   to an earlier request and is skipped; ECHO_NAME may be NULL.  */
+   NO_RESEND.  The header ECHO_NAME of an answer names its request.  An answer
+   with another value than ECHO_VALUE belongs to an earlier request and is
+   skipped; one without a value may belong to any request, so the call fails. An
+   empty ECHO_VALUE, of a request without an id, implies OWN_CONNECTION.
+   ECHO_NAME may be NULL: then answers are told apart by their order alone.  */
 struct jc_httpc_call_spec
 {
   const char *method;
--- a/net/httpcconn.c
+++ b/net/httpcconn.c
@@ -43,18 +43,29 @@
   return 0;
 }
 
-/* Return whether the head read on CONN answers its call: its echo header is
-   absent or has the expected value.  */
-static bool
-head_matches_call (const struct httpc_conn *conn)
+/* Whose answer a head is: that of the current call, that of another one, or
+   not known because it names none.  */
+enum head_owner
+{
+  HEAD_OWN,
+  HEAD_FOREIGN,
+  HEAD_UNNAMED
+};
+
+/* Return whose answer the head read on CONN is.  A call without an id has its
+   connection for itself, so that an answer that names none is its own.  */
+static enum head_owner
+head_owner (const struct httpc_conn *conn)
 {
   const struct jc_httpc_call *call = conn->call;
   const char *echo;
 
   if (call->echo_name == NULL)
-    return true;
+    return HEAD_OWN;
   echo = jc_head_field (&conn->head, call->echo_name);
-  return echo == NULL || strcmp (echo, call->echo_value) == 0;
+  if (strcmp (echo != NULL ? echo : "", call->echo_value) == 0)
+    return HEAD_OWN;
+  return echo != NULL && echo[0] != '\0' ? HEAD_FOREIGN : HEAD_UNNAMED;
 }
 
 /* Set the idle time-out of CONN from the Keep-Alive header of its answer, if
@@ -74,7 +85,7 @@
 
 /* Handle a complete head.  Interim answers and answers to earlier requests are
    skipped.  Return 1 if the answer has no body, -1 if there were too many such
-   heads, else 0.  */
+   heads or the final one names no request, else 0.  */
 static int
 on_head_end (http_parser *parser)
 {
@@ -83,11 +94,17 @@
   bool framed = parser->content_length != UINT64_MAX
                 || (parser->flags & F_CHUNKED) != 0;
   bool bodiless = strcmp (call->method, "HEAD") == 0;
+  enum head_owner owner;
 
   jc_head_build_end (&conn->build, parser);
   conn->head_done = true;
-  conn->skipping_message
-      = parser->status_code < 200 || !head_matches_call (conn);
+  owner = parser->status_code < 200 ? HEAD_FOREIGN : head_owner (conn);
+  if (owner == HEAD_UNNAMED)
+    {
+      httpc_call_unnamed (call);
+      return -1;
+    }
+  conn->skipping_message = owner == HEAD_FOREIGN;
   if (conn->skipping_message)
     return httpc_call_interim_head (call) ? 0 : -1;
   read_keep_alive (conn);
@@ -391,6 +408,9 @@
     conn_fail (conn, JC_ENDPOINT_FAILED, "The connection was reset.");
   else if (received == 0)
     conn_handle_eof (conn);
+  else if (conn->call->reused && !conn->call->sent)
+    conn_fail (conn, JC_ENDPOINT_FAILED,
+               "Bytes came before the request was sent.");
   else
     {
       conn_note_heard (conn);
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -115,6 +115,7 @@
 void httpc_call_bytes_sent (struct jc_httpc_call *call);
 bool httpc_call_bytes_received (struct jc_httpc_call *call, size_t count);
 bool httpc_call_interim_head (struct jc_httpc_call *call);
+void httpc_call_unnamed (struct jc_httpc_call *call);
 void httpc_call_head (struct jc_httpc_call *call, const struct jc_head *head,
                       bool framed);
 void httpc_call_data (struct jc_httpc_call *call, struct jc_str data);
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -190,6 +190,14 @@
   httpd->id_header = name;
 }
 
+/* Repeat the header NAME of each request, a string constant, in its answer
+   unless the answer has one already.  */
+void
+jc_httpd_set_echo (struct jc_httpd *httpd, const char *name)
+{
+  httpd->echo_name = name;
+}
+
 /* Send "Connection: close" with every answer from now on.  */
 void
 jc_httpd_announce_close (struct jc_httpd *httpd)
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -56,6 +56,7 @@
 void jc_httpd_set_limits (struct jc_httpd *httpd,
                           const struct jc_httpd_limits *limits);
 void jc_httpd_set_id_header (struct jc_httpd *httpd, const char *name);
+void jc_httpd_set_echo (struct jc_httpd *httpd, const char *name);
 void jc_httpd_announce_close (struct jc_httpd *httpd);
 void jc_httpd_stop_accepting (struct jc_httpd *httpd);
 unsigned int jc_httpd_count_connections (const struct jc_httpd *httpd);
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -12,7 +12,8 @@
    to write or are to be freed at the end of the iteration of the loop.
    OPEN_REQUESTS counts requests whose answers are not complete in a buffer.  FD
    is -1 once it accepts no more connections.  ID_HEADER names the field with
-   the id of a request for log lines, NULL for none.  */
+   the id of a request for log lines, ECHO_NAME a header of requests that answers
+   repeat, NULL for none.  */
 struct jc_httpd
 {
   struct ev_loop *loop;
@@ -23,6 +24,7 @@
   int port;
   bool announce_close;
   const char *id_header;
+  const char *echo_name;
   ev_io accept;
   ev_timer accept_retry;
   ev_prepare flush;
--- a/net/httpreq.c
+++ b/net/httpreq.c
@@ -139,6 +139,21 @@
   return http_status_str ((enum http_status)http);
 }
 
+/* Return the value of the header that an answer to REQ with HEADERS must still
+   repeat, or NULL.  */
+static const char *
+echo_value (const struct jc_http_req *req, const struct jc_http_header *headers)
+{
+  const char *name = req->httpd->echo_name;
+
+  if (name == NULL)
+    return NULL;
+  for (; headers != NULL && headers->name != NULL; headers++)
+    if (g_ascii_strcasecmp (headers->name, name) == 0)
+      return NULL;
+  return jc_head_field (&req->head, name);
+}
+
 /* Append the head of an answer to REQ to the output, without a length and the
    final blank line.  */
 static void
@@ -146,9 +161,12 @@
             const struct jc_http_header *headers)
 {
   GString *out = req->conn->out;
+  const char *echo = echo_value (req, headers);
 
   g_string_append_printf (out, "HTTP/1.1 %d %s\r\n", http,
                           reason_phrase (http));
+  if (echo != NULL)
+    g_string_append_printf (out, "%s: %s\r\n", req->httpd->echo_name, echo);
   if (content_type != NULL)
     g_string_append_printf (out, "Content-Type: %s\r\n", content_type);
   for (; headers != NULL && headers->name != NULL; headers++)
--- a/net/progress.c
+++ b/net/progress.c
@@ -105,7 +105,8 @@
       = { [JC_PROGRESS_NO_FAULT] = "none",
           [JC_PROGRESS_SILENT] = "no_progress",
           [JC_PROGRESS_ENDLESS] = "endless",
-          [JC_PROGRESS_TOO_MANY_INTERIMS] = "interim_heads" };
+          [JC_PROGRESS_TOO_MANY_INTERIMS] = "interim_heads",
+          [JC_PROGRESS_UNNAMED] = "unnamed" };
 
   return names[fault];
 }
--- a/net/progress.h
+++ b/net/progress.h
@@ -17,13 +17,15 @@
 };
 
 /* Why an answer is aborted before its total time is over: no progress in time,
-   too many bytes without progress, too many interim heads.  */
+   too many bytes without progress, too many interim heads, a final head that
+   names no request.  */
 enum jc_progress_fault
 {
   JC_PROGRESS_NO_FAULT,
   JC_PROGRESS_SILENT,
   JC_PROGRESS_ENDLESS,
-  JC_PROGRESS_TOO_MANY_INTERIMS
+  JC_PROGRESS_TOO_MANY_INTERIMS,
+  JC_PROGRESS_UNNAMED
 };
 
 /* Limits in ms, 0 for none.  FIRST_MS is the time until the head is complete
--- a/tests/test-http-raw.c
+++ b/tests/test-http-raw.c
@@ -563,8 +563,8 @@
 test_extra_bytes (void)
 {
   static const char *const answers[]
-      = { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naEXTRA",
-          "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb", NULL };
+      = { "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\naEXTRA",
+          "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 1\r\n\r\nb", NULL };
   struct raw_server server;
   struct call_outcome outcome = { .body = g_string_new (NULL) };
   int port = server_start (&server, answers);
@@ -586,9 +586,10 @@
 static void
 test_unframed_and_short (void)
 {
-  static const char *const unframed[] = { "HTTP/1.1 200 OK\r\n\r\nabc", NULL };
+  static const char *const unframed[]
+      = { "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nabc", NULL };
   static const char *const short_answer[]
-      = { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", NULL };
+      = { "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nabc", NULL };
   struct raw_server server;
   struct call_outcome outcome = { .body = g_string_new (NULL) };
   int port = server_start (&server, unframed);
@@ -612,8 +613,9 @@
 test_garbage (void)
 {
   static const char *const answers[]
-      = { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
-          "nonsense\r\n\r\n", "HTTP/1.1 200 OK\nX: y\r\n\r\n", NULL };
+      = { "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\n"
+          "Content-Length: 2\r\n\r\nab",
+          "nonsense\r\n\r\n", "HTTP/1.1 200 OK\nX-Id: 1\r\n\r\n", NULL };
   struct raw_server server;
   struct call_outcome outcome = { .body = g_string_new (NULL) };
   int port = server_start (&server, answers);
--- a/tests/test-http-unnamed.c
+++ b/tests/test-http-unnamed.c
@@ -1,4 +1,4 @@
-/* Tests of the HTTP client with answers that don't name their
+/* Tests of the HTTP client and server with answers that don't name their
    request.  They guard against an earlier answer on a kept connection that is
    taken for the answer to the current request.  */
 
@@ -9,10 +9,12 @@
 #include <unistd.h>
 
 #include "net/httpc.h"
+#include "net/httpd.h"
 
 enum
 {
-  TEST_TIMEOUT_S = 20
+  TEST_TIMEOUT_S = 20,
+  BODY_MAX_BYTES = 1000
 };
 
 #define ANSWER(status, fields, body)                                           \
@@ -321,6 +323,80 @@
   g_string_free (outcome.body, TRUE);
 }
 
+static enum jc_status
+on_served_head (void *ctx, struct jc_http_req *req)
+{
+  (void)ctx;
+  return strcmp (jc_http_path (req), "/refused") == 0
+             ? jc_fail (JC_DRAINING, "This instance is about to stop.")
+             : JC_OK;
+}
+
+/* Answer with a header of its own if the path is "/named".  */
+static void
+on_served_body (void *ctx, struct jc_http_req *req)
+{
+  static const struct jc_http_header named[]
+      = { { "x-id", "own" }, { NULL, NULL } };
+
+  (void)ctx;
+  jc_http_reply (req, 200, "text/plain", JC_STR_LIT ("ok"),
+                 strcmp (jc_http_path (req), "/named") == 0 ? named : NULL);
+}
+
+static void
+on_named_head (void *ctx, const struct jc_head *head)
+{
+  const char *id = jc_head_field (head, "X-Id");
+
+  g_string_append_printf (ctx, "%d %s;", head->status, id != NULL ? id : "-");
+}
+
+static void
+on_named_done (void *ctx, const struct jc_httpc_call_result *result)
+{
+  g_assert_cmpint (result->status, ==, JC_OK);
+  g_string_append (ctx, "done;");
+}
+
+/* Guards against a refusal of a handed-over request that doesn't name it and
+   that the other instance can't use.  */
+static void
+test_server_names_request (void)
+{
+  static const struct jc_httpd_class served
+      = { .head = on_served_head, .body = on_served_body };
+  static const struct jc_httpc_call_ops ops
+      = { .full_head = on_named_head, .done = on_named_done };
+  static const char *const headers[] = { "X-Id: 7", NULL };
+  static const char *const paths[] = { "/", "/refused", "/named" };
+  struct ev_loop *loop = ev_loop_new (0);
+  struct jc_httpc *httpc = jc_httpc_new (loop);
+  struct jc_httpd *httpd
+      = jc_httpd_new (loop, "127.0.0.1:0", &served, NULL, BODY_MAX_BYTES);
+  GString *seen = g_string_new (NULL);
+
+  jc_httpd_set_echo (httpd, "X-Id");
+  for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      char *url = g_strdup_printf ("http://127.0.0.1:%d%s",
+                                   jc_httpd_port (httpd), paths[i]);
+      const struct jc_httpc_call_spec spec
+          = { .method = "GET", .url = url, .headers = headers };
+
+      jc_httpc_call_start (httpc, &spec, &ops, seen);
+      while (!g_str_has_suffix (seen->str, "done;"))
+        ev_run (loop, EVRUN_ONCE);
+      g_string_append_c (seen, ' ');
+      g_free (url);
+    }
+  g_assert_cmpstr (seen->str, ==, "200 7;done; 503 7;done; 200 own;done; ");
+  jc_httpc_free (httpc);
+  jc_httpd_free (httpd);
+  ev_loop_destroy (loop);
+  g_string_free (seen, TRUE);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -335,5 +411,6 @@
   g_test_add_data_func ("/before-request/named",
                         ANSWER ("503 Full", "X-Id: 2\r\n", "x"),
                         test_answer_before_request);
+  g_test_add_func ("/server-names-request", test_server_names_request);
   return g_test_run ();
 }
