Run requests at a slow endpoint where there is no faster one

Callers of routing by products waited for their whole deadline and were refused with deadline_unmeetable though the only endpoint of their zone was idle. Cause: an endpoint counts as slow against the average of its service, which holds the measurements of endpoints that left; requests waited for one of normal speed, of which there was none, and no request meant no new measurement. Ruled out: requests in flight that are never ended (none were), and the leave itself (the endpoint that left got nothing). Now a slow endpoint that has room takes requests where no endpoint of normal speed is left; endpoints that are avoided are none.

--- a/serve/admit.c
+++ b/serve/admit.c
@@ -16,11 +16,13 @@
           const struct jc_endpoint *endpoint, int64_t now_ms)
 {
   int64_t service = jc_predict_service_ms (predict, endpoint, now_ms);
+  bool is_slow = jc_predict_is_slow (predict, endpoint, now_ms);
 
   pool->served_per_ms += (double)MAX (endpoint->slots, 1) / (double)service;
+  pool->normal_count += is_slow ? 0 : 1;
   if (!jc_predict_has_room (predict, endpoint, now_ms))
     return;
-  if (!jc_predict_is_slow (predict, endpoint, now_ms))
+  if (!is_slow)
     pool->has_room = true;
   else if (pool->slow_service_ms == 0 || service < pool->slow_service_ms)
     pool->slow_service_ms = service;
@@ -45,6 +47,9 @@
       pool->load += load;
       pool_add (pool, predict, endpoint, now_ms);
     }
+  /* Waiting is of use only if there is a faster endpoint to wait for.  */
+  if (pool->normal_count == 0 && pool->slow_service_ms > 0)
+    pool->has_room = true;
   if (pool->slots > 0)
     pool->service_ms = (int64_t)(pool->slots / pool->served_per_ms);
   else
--- a/serve/admit.h
+++ b/serve/admit.h
@@ -7,12 +7,14 @@
 #include "serve/predict.h"
 
 /* Sum of the endpoints that may serve a request.  SERVED_PER_MS is their
-   throughput in requests per ms.  HAS_ROOM is true if an endpoint of normal
-   speed has room; SLOW_SERVICE_MS is the service time of the fastest slow
-   endpoint that has room, 0 if none.  */
+   throughput in requests per ms, NORMAL_COUNT the number of those of normal
+   speed.  HAS_ROOM is true if one of these has room, or any endpoint if there
+   are none; SLOW_SERVICE_MS is the service time of the fastest slow endpoint
+   that has room, 0 if none.  */
 struct jc_endpoint_pool
 {
   unsigned int endpoints;
+  unsigned int normal_count;
   unsigned int slots;
   unsigned int load;
   int64_t service_ms;
--- a/tests/process/member-leave.sh
+++ b/tests/process/member-leave.sh
@@ -16,6 +16,7 @@
 unused ()
 {
   n=$(total)
+  [ -n "$n" ] || return 1
   for i in 1 2 3 4 5 6 7 8; do
     for c in "$C1" "$C2"; do send_request "$c" /r/balance/lookup '{}' | jq -e '.endpoint == "service-1"' || return 1; done
   done
@@ -30,7 +31,7 @@
 # read after its leave.
 curl -sS -d '{"kind": "silent", "count": 1}' "http://$extra/fault"
 before=$(total)
-curl -sS -m 60 -d '{}' "http://$extra/hold" >"$DIR/hold" 2>&1 &
+curl -sS -d '{}' "http://$extra/hold" >"$DIR/hold" 2>&1 &
 PIDS="$PIDS $!"
 wait_for 10 held
 kill "$(pid extra)"
--- a/tests/test-serve-limit.c
+++ b/tests/test-serve-limit.c
@@ -200,6 +200,64 @@
   jc_queue_free (queue);
 }
 
+/* Measure COUNT requests that took MS each at ENDPOINT, the last one at
+   NOW_MS.  */
+static void
+measure_requests (struct jc_predict *predict, struct jc_endpoint *endpoint,
+                  int count, int64_t ms, int64_t now_ms)
+{
+  for (int i = 0; i < count; i++)
+    {
+      struct jc_predict_attempt run;
+
+      jc_predict_start (predict, endpoint, now_ms - ms, &run);
+      jc_predict_finish (predict, endpoint, &run, JC_RUN_COMPLETE, now_ms);
+    }
+}
+
+/* Guards against requests that wait until they are refused although an endpoint
+   is idle, since it is slower than one that left, or than one that fails.  */
+static void
+test_only_slow (void)
+{
+  struct jc_endpoint fast
+      = { .name = "fast", .service = "s", .slots = 4, .reported_ms = 1 };
+  struct jc_endpoint slow
+      = { .name = "slow", .service = "s", .slots = 4, .reported_ms = 1 };
+  struct jc_predict *predict = jc_predict_new ();
+  GPtrArray *endpoints = g_ptr_array_new ();
+  struct jc_endpoint_pool pool;
+  int64_t now_ms = 10000;
+  int64_t retry_after_ms;
+
+  measure_requests (predict, &fast, 9, 2, now_ms);
+  measure_requests (predict, &slow, 3, 60, now_ms);
+  g_assert_true (jc_predict_is_slow (predict, &slow, now_ms));
+  g_ptr_array_add (endpoints, &slow);
+  jc_admit_sum_pool (predict, endpoints, now_ms, &pool);
+  g_assert_true (pool.has_room);
+  g_assert_cmpint (jc_admit_decide (&pool, 0, 5000, &retry_after_ms), ==,
+                   JC_ADMIT_RUN);
+
+  /* While a faster endpoint is known but full, requests wait for it.  */
+  g_ptr_array_add (endpoints, &fast);
+  fast.in_flight = 4;
+  jc_admit_sum_pool (predict, endpoints, now_ms, &pool);
+  g_assert_false (pool.has_room);
+
+  /* One that fails is not waited for.  */
+  jc_predict_note_unreachable (predict, "fast", now_ms);
+  jc_admit_sum_pool (predict, endpoints, now_ms, &pool);
+  g_assert_true (pool.has_room);
+
+  /* Room is room: the slow endpoint gets no more than it takes.  */
+  slow.in_flight = 4;
+  jc_admit_sum_pool (predict, endpoints, now_ms, &pool);
+  g_assert_false (pool.has_room);
+  g_ptr_array_free (endpoints, TRUE);
+  jc_predict_free (predict);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -212,5 +270,6 @@
   g_test_add_func ("/fair-queuing", test_fair_queuing);
   g_test_add_func ("/admit", test_admit);
   g_test_add_func ("/slow", test_slow);
+  g_test_add_func ("/only-slow", test_only_slow);
   return g_test_run ();
 }
