Wait for refused starts instead of a time in hosts-disk-at-start

It killed s3 and started it at once, and threw away what it wrote. The test still judged after 1.5 s, when a busy machine may not have started s3 at all; now the instance must have found its disk full four times and gone on.

--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -508,6 +508,10 @@
     assert deliveries, "nothing was sent to the cold endpoint"
 
 
+# How often an instance must have found its disk full, and gone on, before the test goes on. The first try counts.
+STARTS_REFUSED = 4
+
+
 async def disk_at_start():
     """A state instance starts on a disk that takes no bytes. It must wait for the disk and come back by itself, and end
     with 0 on SIGTERM while it waits."""
@@ -518,11 +522,17 @@
     def fill_disk():
         resource.setrlimit(resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
     for stopped in (True, False):
-        # A file of the test would be full too; the pipe is read only if the process ends.
+        # A file of the test would be full too.
         process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, preexec_fn=fill_disk)
+        os.set_blocking(process.stdout.fileno(), False)
+        output = bytearray()
+
+        async def refused_again():
+            output.extend(process.stdout.read() or b"")
+            assert process.poll() is None, "s3 ended with %s: %s" % (process.poll(), output[-900:].decode())
+            return output.count(b"event=storage what=start ") >= STARTS_REFUSED
         try:
-            await asyncio.sleep(1.5)
-            assert process.poll() is None, "s3 ended with %s: %s" % (process.poll(), process.stdout.read().decode()[-900:])
+            await until("the instance to wait for the disk", refused_again)
             if stopped:
                 process.terminate()
                 assert process.wait(timeout=30) == 0
