Count runs of hosts-old-refusal by request, after the last one ended

Traced: the request counted was a safe one of the run before (POST /read/x at plain-0 and plain-1, "sent in this run: False"), whose two attempts the endpoints began after their caller had its 502, so that both fell into the next run, of unsafe requests. Safe requests may run more than once. The runs are now counted once, when no endpoint works any more, by the ids that callers of unsafe requests sent, so that a late second run counts too, which it did not before.

--- a/tests/process/refusal_standin.py
+++ b/tests/process/refusal_standin.py
@@ -27,6 +27,8 @@
     name_of, when, repeats_success = None, "", False
     # Answers of another variant are not repeated.
     repeats, variant = 0, None
+    # Requests that were read and are not answered yet.
+    running = 0
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
@@ -70,7 +72,11 @@
         if Repeating.when != "before the next request":
             self.repeat(writer)
         refused = random.random() < 0.25
-        await asyncio.sleep(random.uniform(0, 0.01))
+        Repeating.running += 1
+        try:
+            await asyncio.sleep(random.uniform(0, 0.01))
+        finally:
+            Repeating.running -= 1
         if not refused:
             self.ran.append((attempt, head[0], b"", fields))
         writer.write(self.answer(attempt, refused, NAMES["own id"](attempt)))
@@ -97,25 +103,16 @@
         await asyncio.gather(*(one_caller() for _ in range(CALLERS)))
 
 
-async def variant(endpoints, name, when, repeats_success):
-    """Returns how many callers were told "not run" of requests that ran, got the answer of another request, and how
-    many requests that must not ran twice."""
+async def variant(name, when, repeats_success, writes):
+    """Adds the callers of unsafe requests to WRITES, and returns how many callers got the answer of another request."""
     Repeating.when, Repeating.repeats_success, Repeating.repeats = when, repeats_success, 0
-    for endpoint in endpoints:
-        endpoint.strays.clear()
     Repeating.name_of, Repeating.variant = NAMES[name], (name, when, repeats_success)
-    wrong = twice = foreign = 0
+    foreign = 0
     for path in ("/write/x", "/read/x"):
         callers = Callers()
-        before = [len(e.ran) for e in endpoints]
         await callers.run(path)
-        ran = {}
-        for endpoint, first in zip(endpoints, before):
-            for attempt, *_ in endpoint.ran[first:]:
-                ran[attempt] = ran.get(attempt, 0) + 1
-        twice += sum(n > 1 for n in ran.values()) if path == "/write/x" else 0
-        wrong += sum(status in PROMISES and attempt in ran for attempt, (status, _) in callers.got.items()
-                     if path == "/write/x")
+        if path == "/write/x":
+            writes.append((Repeating.variant, callers))
         foreign += sum(status == 200 and not body.endswith(" " + attempt)
                        for attempt, (status, body) in callers.got.items())
         statuses = {}
@@ -124,10 +121,26 @@
         print("%s again with %s, %s, %s: answers by status %s"
               % ("success" if repeats_success else "refusal", name, when, path, dict(sorted(statuses.items()))),
               flush=True)
-    print("  repeated %d, told not run though it ran %d, ran twice %d, answer of another request %d"
-          % (Repeating.repeats, wrong, twice, foreign), flush=True)
+    print("  repeated %d, answer of another request %d" % (Repeating.repeats, foreign), flush=True)
     assert Repeating.repeats >= REPEATS_MIN, Repeating.repeats
-    return wrong, twice, foreign
+    return foreign
+
+
+def count_wrong(endpoints, writes):
+    """Returns how many callers were told "not run" of unsafe requests that ran, and how many of these ran twice. A
+    request whose caller has its answer already may run late, so all runs are looked at once the last caller is done."""
+    ran = {}
+    for endpoint in endpoints:
+        for attempt, *_ in endpoint.ran:
+            ran[attempt] = ran.get(attempt, 0) + 1
+    wrong = twice = 0
+    for what, callers in writes:
+        told = sum(status in PROMISES and attempt in ran for attempt, (status, _) in callers.got.items())
+        again = sum(ran.get(attempt, 0) > 1 for attempt in callers.got)
+        if told or again:
+            print("%s: told not run though it ran %d, ran twice %d" % (what, told, again), flush=True)
+        wrong, twice = wrong + told, twice + again
+    return wrong, twice
 
 
 async def old_refusal():
@@ -139,11 +152,18 @@
     async def served():
         return all([(await request(e, "GET", "/read/x")).status == 200 for e in ADDRESSES["entries"]])
     await until("requests to be served", served)
-    sums = [0, 0, 0]
+    writes, foreign = [], 0
     for repeats_success in (False, True):
         for when in WHEN:
             for name in NAMES:
-                sums = [a + b for a, b in zip(sums, await variant(endpoints, name, when, repeats_success))]
+                for endpoint in endpoints:
+                    endpoint.strays.clear()
+                foreign += await variant(name, when, repeats_success, writes)
+
+    async def all_ended():
+        return Repeating.running == 0
+    await until("the last requests to end", all_ended)
+    sums = [*count_wrong(endpoints, writes), foreign]
     print("told not run though it ran %d, ran twice %d, answer of another request %d" % tuple(sums), flush=True)
     assert sums == [0, 0, 0], sums
 
