Refuse reports with values that no endpoint can have

Such numbers were taken as later than all that the endpoints would ever send. By reading, not run: a name over 128 bytes can't be encoded, and a batch of up to 64 endpoints for an entry instance that connects is then lost with it. A refusal is logged as bad_input and answered with 400.

--- a/entry/announce.c
+++ b/entry/announce.c
@@ -5,8 +5,10 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "base/event.h"
 #include "entry/entry.h"
 #include "member/directory.h"
+#include "member/reportcheck.h"
 #include "net/program.h"
 
 enum
@@ -90,6 +92,11 @@
     }
   status = announcement_parse (json, &announced, models);
   announced.lease_ms = (u_int)entry->settings->lease_ms;
+  if (status == JC_OK)
+    status = jc_report_check (&announced, 0);
+  if (status == JC_BAD_REQUEST)
+    jc_event (JC_EVENT_BAD_INPUT, "from=endpoint name=%.60s why=\"%s\"",
+              announced.name, jc_last_message ());
   if (status == JC_OK)
     status = membership_apply_announcement (entry, &announced);
   if (status != JC_OK)
--- a/entry/stateclient.c
+++ b/entry/stateclient.c
@@ -7,6 +7,7 @@
 
 #include "base/event.h"
 #include "entry/router.h"
+#include "member/reportcheck.h"
 #include "net/program.h"
 
 enum
@@ -296,9 +297,21 @@
   return strcmp (zone, settings->availability_zone) == 0;
 }
 
+/* Return whether an endpoint can have the values of REPORTED, which a state
+   instance of an earlier version may have accepted.  */
+static bool
+report_is_possible (const struct rpc_endpoint *reported)
+{
+  if (jc_report_check (reported, jc_wall_ms ()) == JC_OK)
+    return true;
+  jc_event (JC_EVENT_BAD_INPUT, "from=state name=%.60s why=\"%s\"",
+            reported->name, jc_last_message ());
+  return false;
+}
+
 /* Apply REPORTED, the state of an endpoint.  Endpoints of other regions are
-   ignored.  The endpoint is logged if it is new, or if it began or ceased to
-   leave.  */
+   ignored.  The endpoint is logged if it is new or has another address, or if
+   it began or ceased to leave.  */
 static void
 apply_endpoint (struct router *router, const struct rpc_endpoint *reported)
 {
@@ -306,15 +319,18 @@
   const struct jc_endpoint *known
       = jc_endpoints_find (router->endpoints, reported->name);
   bool was_leaving = known != NULL && known->leaving;
-  bool changed;
+  bool changed = known == NULL
+                 || (reported->address[0] != '\0'
+                     && strcmp (known->address, reported->address) != 0);
 
   if (reported->leaving && reported->address[0] == '\0')
     jc_endpoints_mark_leaving (router->endpoints, reported->name,
                                reported->incarnation);
   else if (!is_in_region (router, reported->zone)
+           || !report_is_possible (reported)
            || jc_endpoints_update (router->endpoints, reported, now) != JC_OK)
     return;
-  changed = known == NULL || was_leaving != reported->leaving;
+  changed = changed || was_leaving != reported->leaving;
   known = jc_endpoints_find (router->endpoints, reported->name);
   if (known != NULL && changed)
     jc_event (JC_EVENT_ENDPOINT,
--- a/net/program.c
+++ b/net/program.c
@@ -45,6 +45,16 @@
   return (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
 }
 
+/* Return the Unix time in ms.  It may jump.  */
+int64_t
+jc_wall_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
+}
+
 /* Return a random number other than 0, such as for incarnations.  */
 uint64_t
 jc_random_id (void)
--- a/state/control.c
+++ b/state/control.c
@@ -8,7 +8,7 @@
 
 #include "base/event.h"
 #include "base/fields.h"
-#include "net/address.h"
+#include "member/reportcheck.h"
 #include "net/program.h"
 #include "state/state.h"
 
@@ -178,6 +178,21 @@
   g_ptr_array_free (faults, TRUE);
 }
 
+/* Reply to REQ, whose sender FROM sent the name NAME, that it can't be taken.
+   STATUS and the last message say why.  */
+static void
+refuse_input (struct jc_http_req *req, const char *from, const char *name,
+              enum jc_status status)
+{
+  char *why = g_strdup (jc_last_message ());
+
+  jc_event (JC_EVENT_BAD_INPUT, "from=%s name=%.60s why=\"%s\"", from, name,
+            why);
+  jc_fail (status, "%s", why);
+  reply_last_error (req, status);
+  g_free (why);
+}
+
 static void
 handle_zone_order (struct state *state, struct jc_http_req *req,
                    enum rpc_order_kind kind, const char *zone)
@@ -218,20 +233,16 @@
 }
 
 /* Parse the report of the endpoint NAME in BODY into REPORT, whose json is NULL
-   on failure and the caller's to release otherwise.  A report with port 0 is
-   rejected, because nobody can connect to that endpoint.  */
+   on failure and the caller's to release otherwise.  A report with values that
+   no endpoint can have is rejected.  */
 static enum jc_status
 decode_report (const struct state *state, const char *name, struct jc_str body,
                struct jc_endpoint_report *report)
 {
   enum jc_status status = state->protocol->parse_report (name, body, report);
-  struct sockaddr_in addr;
 
-  if (status != JC_OK)
-    return status;
-  status = jc_address_parse (report->endpoint.address, &addr);
-  if (status == JC_OK && addr.sin_port == 0)
-    status = jc_fail (JC_BAD_REQUEST, "The report's address has port 0.");
+  if (status == JC_OK)
+    status = jc_report_check (&report->endpoint, jc_wall_ms ());
   if (status == JC_OK)
     return JC_OK;
   json_decref (report->json);
@@ -248,9 +259,7 @@
 
   if (status != JC_OK)
     {
-      jc_event (JC_EVENT_BAD_INPUT, "from=endpoint name=%.60s why=\"%s\"", name,
-                jc_last_message ());
-      reply_last_error (req, status);
+      refuse_input (req, "endpoint", name, status);
       return;
     }
   if (report.endpoint.leaving && !can_forward_leave (state))
@@ -270,6 +279,11 @@
 {
   struct jc_endpoint_report report;
 
+  if (jc_report_check_name (name) != JC_OK)
+    {
+      refuse_input (req, "endpoint", name, JC_BAD_REQUEST);
+      return;
+    }
   if (!can_forward_leave (state))
     {
       reply_last_error (
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "member/directory.h"
+#include "member/reportcheck.h"
 #include "tests/membersim.h"
 
 enum
@@ -124,6 +125,60 @@
   jc_endpoints_free (endpoints);
 }
 
+/* Guards against values that no endpoint can have: one with a start or sequence
+   of 2^62 took an endpoint away for good, and a name of 200 bytes fits in no
+   message, so that all other rows of its message were lost too.  */
+static void
+test_impossible_reports (void)
+{
+  const int64_t wall_ms = 1764800000000;
+  static const char *const addresses[] = { "10.0.0.1:0",
+                                           "10.0.0.1:65536",
+                                           "10.0.0.1:-1",
+                                           "10.0.0.1:+80",
+                                           "10.0.0.1",
+                                           ":80",
+                                           "host:80",
+                                           "10.0.0.256:80",
+                                           "0.0.0.0:80",
+                                           "224.0.0.1:80",
+                                           "",
+                                           "10.0.0.1:",
+                                           "10.0.0.1: 80 ",
+                                           "255.255.255.255:80" };
+  struct rpc_endpoint report = make_report ("e", 1764800000000U, 1);
+  char *name = g_strnfill (RPC_NAME_MAX + 1, 'n');
+
+  g_assert_cmpint (jc_report_check (&report, wall_ms), ==, JC_OK);
+  for (size_t i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      report.address = (char *)addresses[i];
+      g_assert_cmpint (jc_report_check (&report, wall_ms), ==, JC_BAD_REQUEST);
+    }
+  report = make_report ("e", UINT64_C (1) << 62, 1);
+  g_assert_cmpint (jc_report_check (&report, wall_ms), ==, JC_BAD_REQUEST);
+  g_assert_cmpint (jc_report_check (&report, 0), ==, JC_BAD_REQUEST);
+  report = make_report ("e", 1764800000000U, UINT64_C (1) << 62);
+  g_assert_cmpint (jc_report_check (&report, wall_ms), ==, JC_BAD_REQUEST);
+  /* The clock of this process may be some seconds or hours behind, or not
+     set.  */
+  report = make_report ("e", 1764803600000U, 1);
+  g_assert_cmpint (jc_report_check (&report, wall_ms), ==, JC_OK);
+  g_assert_cmpint (jc_report_check (&report, 1000), ==, JC_OK);
+  report = make_report ("e", 1765000000000U, 1);
+  g_assert_cmpint (jc_report_check (&report, wall_ms), ==, JC_BAD_REQUEST);
+  report = make_report (name, 1764800000000U, 1);
+  g_assert_cmpint (jc_report_check (&report, wall_ms), ==, JC_BAD_REQUEST);
+  report = make_report ("a\nb", 1764800000000U, 1);
+  g_assert_cmpint (jc_report_check (&report, wall_ms), ==, JC_BAD_REQUEST);
+  report = make_report ("\xff", 1764800000000U, 1);
+  g_assert_cmpint (jc_report_check (&report, wall_ms), ==, JC_BAD_REQUEST);
+  name[RPC_NAME_MAX] = '\0';
+  report = make_report (name, 1764800000000U, 1);
+  g_assert_cmpint (jc_report_check (&report, wall_ms), ==, JC_OK);
+  g_free (name);
+}
+
 /* Add a zone of full size.  Each endpoint reports to ENTRIES_PER_ENDPOINT
    instances.  */
 static void
@@ -446,6 +501,7 @@
   g_test_add_func ("/member/load-report", test_load_report);
   g_test_add_func ("/member/table-size", test_table_size);
   g_test_add_func ("/member/in-flight", test_in_flight);
+  g_test_add_func ("/member/impossible-reports", test_impossible_reports);
   g_test_add_func ("/member/directory", test_directory);
   g_test_add_func ("/member/links-retry", test_links_retry);
   g_test_add_func ("/member/links-duplicate", test_links_duplicate);
