--- a/conf/orders.c
+++ b/conf/orders.c
@@ -5,6 +5,12 @@
 #include "base/xdrencode.h"
 #include "conf/orders.h"
 
+enum
+{
+  /* As many as rpc_orders has room for.  */
+  ZONES_MAX = 256
+};
+
 /* Return the initial state, with no route table and no evacuated zone.  */
 struct jc_orders *
 jc_orders_new (void)
@@ -41,21 +47,37 @@
   return g_strndup (order->data.rpc_bytes_val, order->data.rpc_bytes_len);
 }
 
+/* Return whether ZONE fits in the message that tells the receivers of ORDERS of
+   the evacuated zones.  One that doesn't would keep all orders from them.  */
+bool
+jc_orders_can_evacuate (const struct jc_orders *orders, const char *zone)
+{
+  if (g_hash_table_contains (orders->evacuated_zones, zone))
+    return true;
+  return strlen (zone) <= RPC_NAME_MAX && g_utf8_validate (zone, -1, NULL)
+         && g_hash_table_size (orders->evacuated_zones) < ZONES_MAX;
+}
+
 /* Return whether ORDER would have no effect now: its route table is not newer,
-   or its zone is already in the requested state.  */
+   its zone is already in the requested state, or the name of its zone fits in
+   no message, which an earlier version accepted.  */
 bool
 jc_orders_is_noop (const struct jc_orders *orders,
                    const struct rpc_order *order)
 {
   char *zone;
   bool evacuated;
+  bool noop;
 
   if (order->kind == RPC_ORDER_ROUTES)
     return order->table_version <= orders->table_version;
   zone = order_zone (order);
   evacuated = jc_orders_is_evacuated (orders, zone);
+  noop = evacuated == (order->kind == RPC_ORDER_EVACUATE)
+         || (order->kind == RPC_ORDER_EVACUATE
+             && !jc_orders_can_evacuate (orders, zone));
   g_free (zone);
-  return evacuated == (order->kind == RPC_ORDER_EVACUATE);
+  return noop;
 }
 
 static void
@@ -184,7 +206,8 @@
 }
 
 /* Replace ORDERS by those in the snapshot IN, or by the initial state if IN
-   has none.  Return JC_CORRUPT if they are invalid.  */
+   has none.  Zones that fit in no message, which an earlier version accepted,
+   are left out.  Return JC_CORRUPT if they are invalid.  */
 enum jc_status
 jc_orders_restore (struct jc_orders *orders, const json_t *in)
 {
@@ -205,8 +228,10 @@
   g_hash_table_remove_all (orders->evacuated_zones);
   json_array_foreach ((json_t *)zones, i, zone)
   {
-    g_hash_table_add (orders->evacuated_zones,
-                      g_strdup (json_string_value (zone)));
+    if (json_is_string (zone)
+        && jc_orders_can_evacuate (orders, json_string_value (zone)))
+      g_hash_table_add (orders->evacuated_zones,
+                        g_strdup (json_string_value (zone)));
   }
   return JC_OK;
 }
--- a/conf/orders.h
+++ b/conf/orders.h
@@ -26,6 +26,7 @@
 GString *jc_orders_encode (const struct rpc_order *order);
 bool jc_orders_apply (struct jc_orders *orders, uint64_t index,
                       struct jc_str data);
+bool jc_orders_can_evacuate (const struct jc_orders *orders, const char *zone);
 bool jc_orders_is_noop (const struct jc_orders *orders,
                         const struct rpc_order *order);
 bool jc_orders_is_evacuated (const struct jc_orders *orders, const char *zone);
--- a/state/control.c
+++ b/state/control.c
@@ -205,6 +205,17 @@
       reply_last_error (req, jc_fail (JC_BAD_REQUEST, "The zone has no name."));
       return;
     }
+  if (jc_report_check_name (name) != JC_OK
+      || (kind == RPC_ORDER_EVACUATE
+          && !jc_orders_can_evacuate (state->orders, name)))
+    {
+      refuse_input (req, "operator", name,
+                    jc_fail (JC_BAD_REQUEST, "The zone can't be evacuated: "
+                                             "its name is no name of a zone, "
+                                             "or too many are."));
+      g_free (name);
+      return;
+    }
   order.data.rpc_bytes_val = name;
   order.data.rpc_bytes_len = (u_int)strlen (name);
   orders_submit (
--- a/tests/test-routetable.c
+++ b/tests/test-routetable.c
@@ -247,6 +247,42 @@
   jc_orders_free (entry);
 }
 
+/* Guards against a zone whose name fits in no message, or one zone more than
+   there is room for: entry instances would then get no orders at all.  An
+   earlier version accepted them into logs and snapshots.  */
+static void
+test_odd_zones (void)
+{
+  struct jc_orders *orders = jc_orders_new ();
+  struct jc_orders *copy = jc_orders_new ();
+  char *name = g_strnfill (RPC_NAME_MAX + 1, 'z');
+  json_t *saved
+      = json_pack ("{s:{s:i,s:i,s:s,s:[s,s,i]}}", "orders", "position", 1,
+                   "version", 1, "text", "{}", "evacuated", name, "z1", 3);
+  struct rpc_orders message;
+
+  apply_order (orders, 1, RPC_ORDER_EVACUATE, 0, name);
+  apply_order (orders, 2, RPC_ORDER_EVACUATE, 0, "\xff");
+  g_assert_cmpuint (g_hash_table_size (orders->evacuated_zones), ==, 0);
+  for (unsigned int i = 0; i < 300; i++)
+    {
+      char *zone = g_strdup_printf ("zone-%u", i);
+
+      apply_order (orders, 3 + i, RPC_ORDER_EVACUATE, 0, zone);
+      g_free (zone);
+    }
+  jc_orders_to_message (orders, 0, &message);
+  g_assert_cmpuint (xdr_sizeof ((xdrproc_t)xdr_rpc_orders, &message), >, 0);
+  g_free (message.evacuated.evacuated_val);
+  g_assert_cmpint (jc_orders_restore (copy, saved), ==, JC_OK);
+  g_assert_true (jc_orders_is_evacuated (copy, "z1"));
+  g_assert_cmpuint (g_hash_table_size (copy->evacuated_zones), ==, 1);
+  json_decref (saved);
+  jc_orders_free (orders);
+  jc_orders_free (copy);
+  g_free (name);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -258,6 +294,7 @@
   g_test_add_func ("/orders/highest-version", test_highest_version);
   g_test_add_func ("/orders/evacuation", test_evacuation);
   g_test_add_func ("/orders/snapshot", test_snapshot);
+  g_test_add_func ("/orders/odd-zones", test_odd_zones);
   g_test_add_func ("/orders/no-rollback", test_no_rollback);
   return g_test_run ();
 }
