Give endpoints that go on their name and address back

Now a report that is earlier than what is known, or of an endpoint whose address was taken, counts once its endpoint has made three later and later reports, spread over 0.3 of its lease, while what stands against it was silent. State instances pass such reports on, so that entry instances count them too; what was overruled is not believed when it is told again. A leave stays final, as do reports before one that is known, those that come at once, and those of an incarnation whose successor is heard. Two faults of load reports found beside it: a sequence whose 32 bits lie far from the known one became one near 2^64, and a load of the true endpoint kept up what another one had said. Ruled out: an order by the time of hearing alone, which brings dead incarnations back.

--- a/member/endpoints.c
+++ b/member/endpoints.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "member/endpoints.h"
+#include "member/refused.h"
 
 enum
 {
@@ -14,7 +15,7 @@
   HALF_MAX = 0xFFFF
 };
 
-static bool endpoints_claim_address (struct jc_endpoints *endpoints,
+static void endpoints_claim_address (struct jc_endpoints *endpoints,
                                      const struct rpc_endpoint *report,
                                      int64_t now_ms);
 static void endpoints_release_address (struct jc_endpoints *endpoints,
@@ -23,23 +24,22 @@
 #define FNV_OFFSET_BASIS 14695981039346656037U
 #define FNV_PRIME 1099511628211U
 
-/* Identity and last sequence of a removed endpoint, so that a late report does
-   not bring it back.  WAS_LEAVING: the endpoint had announced its leave, so all
-   further reports of its incarnation are rejected.  UNTIL_MS is when the record
-   is dropped.  */
+/* What is known of the reports of a removed endpoint, so that a late report
+   does not bring it back.  If the endpoint had announced its leave, all further
+   reports of its incarnation are rejected.  UNTIL_MS is when the record is
+   dropped.  */
 struct tombstone
 {
   char *name;
-  uint64_t incarnation;
-  uint64_t sequence;
-  bool was_leaving;
+  struct jc_report_order order;
   int64_t until_ms;
 };
 
 /* BY_NAME owns the endpoints.  BY_ADDRESS is NULL unless addresses must be
    unique.  TOMBSTONES, by name, owns the records; TOMBSTONES_BY_AGE has them
    oldest first.  LEASE_MAX_MS is the longest lease that a report had left: that
-   of a report which was just received.  */
+   of a report which was just received.  REFUSED has the reports that may yet
+   prove that their endpoint goes on.  */
 struct jc_endpoints
 {
   GHashTable *by_name;
@@ -48,6 +48,7 @@
   GHashTable *tombstones;
   GQueue *tombstones_by_age;
   uint32_t lease_max_ms;
+  struct jc_refused *refused;
 };
 
 static void
@@ -85,6 +86,7 @@
   endpoints->tombstones
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, tombstone_free);
   endpoints->tombstones_by_age = g_queue_new ();
+  endpoints->refused = jc_refused_new ();
   return endpoints;
 }
 
@@ -108,6 +110,7 @@
   g_hash_table_destroy (endpoints->by_name);
   g_queue_free (endpoints->tombstones_by_age);
   g_hash_table_destroy (endpoints->tombstones);
+  jc_refused_free (endpoints->refused);
   g_free (endpoints);
 }
 
@@ -199,35 +202,77 @@
   g_hash_table_replace (endpoints->by_tag, &endpoint->tag, endpoint);
 }
 
-/* Return whether REPORT is later than INCARNATION and SEQUENCE.  Once an
-   endpoint is leaving, only another report of the leave or a later incarnation
-   counts as later.  */
-static bool
-report_is_later (const struct rpc_endpoint *report, uint64_t incarnation,
-                 uint64_t sequence, bool was_leaving)
+/* Return what is known of the reports of the endpoint NAME: all 0 if
+   nothing.  */
+static struct jc_report_order
+find_order (const struct jc_endpoints *endpoints, const char *name)
 {
-  if (report->incarnation != incarnation)
-    return report->incarnation > incarnation;
-  if (was_leaving && !report->leaving)
-    return false;
-  return report->sequence > sequence;
+  const struct jc_endpoint *endpoint
+      = g_hash_table_lookup (endpoints->by_name, name);
+  const struct tombstone *tombstone
+      = g_hash_table_lookup (endpoints->tombstones, name);
+  struct jc_report_order order = { 0 };
+
+  if (endpoint != NULL)
+    {
+      order = endpoint->order;
+      order.leaving = endpoint->leaving && order.replaced_ms == 0;
+    }
+  else if (tombstone != NULL)
+    order = tombstone->order;
+  return order;
 }
 
 static bool
-report_is_accepted (const struct jc_endpoints *endpoints,
-                    const struct rpc_endpoint *report)
+is_known (const struct jc_endpoints *endpoints, const char *name)
 {
-  const struct jc_endpoint *endpoint
-      = g_hash_table_lookup (endpoints->by_name, report->name);
-  const struct tombstone *tombstone
-      = g_hash_table_lookup (endpoints->tombstones, report->name);
+  return g_hash_table_contains (endpoints->by_name, name)
+         || g_hash_table_contains (endpoints->tombstones, name);
+}
 
-  if (endpoint != NULL)
-    return report_is_later (report, endpoint->incarnation, endpoint->sequence,
-                            endpoint->leaving);
-  return tombstone == NULL
-         || report_is_later (report, tombstone->incarnation,
-                             tombstone->sequence, tombstone->was_leaving);
+/* Return the endpoint with the address of REPORT but another name, or NULL if
+   there is none.  */
+static struct jc_endpoint *
+find_address_holder (const struct jc_endpoints *endpoints,
+                     const struct rpc_endpoint *report)
+{
+  struct jc_endpoint *other
+      = endpoints->by_address != NULL
+            ? g_hash_table_lookup (endpoints->by_address, report->address)
+            : NULL;
+
+  return other != NULL && strcmp (other->name, report->name) != 0 ? other
+                                                                  : NULL;
+}
+
+/* Judge REPORT by ORDER, what is known of its endpoint, and by the endpoint
+   that has its address.  A report that is disputed counts once its endpoint has
+   gone on while the other was silent; it is then judged as JC_REPORT_DISPUTED,
+   before that as JC_REPORT_EARLIER.  */
+static enum jc_report_verdict
+judge (const struct jc_endpoints *endpoints,
+       const struct jc_report_order *order, const struct rpc_endpoint *report,
+       int64_t now_ms)
+{
+  const struct jc_endpoint *other = find_address_holder (endpoints, report);
+  bool later_holder = other != NULL && other->incarnation > report->incarnation;
+  enum jc_report_verdict verdict = is_known (endpoints, report->name)
+                                       ? jc_report_order_judge (order, report)
+                                       : JC_REPORT_LATER;
+  int64_t heard_ms = INT64_MIN;
+
+  if (verdict == JC_REPORT_EARLIER
+      || (verdict == JC_REPORT_LATER && !later_holder))
+    return verdict;
+  if (order->replaced_ms != 0)
+    heard_ms = order->replaced_ms;
+  else if (verdict == JC_REPORT_DISPUTED)
+    heard_ms = order->heard_ms;
+  if (other != NULL)
+    heard_ms = MAX (heard_ms, other->order.heard_ms);
+  if (!jc_refused_add (endpoints->refused, report, heard_ms, now_ms))
+    return JC_REPORT_EARLIER;
+  return verdict;
 }
 
 /* Return when a report was received from its endpoint that reaches this table
@@ -242,21 +287,23 @@
 
 /* Update the table from REPORT, received at NOW_MS; its lease_ms is the time
    left of its lease.  Return JC_BEHIND if the table has the same or a later
-   report or if REPORT's address belongs to a later endpoint, and JC_OVERLOADED
-   if the table is full.  */
+   report or if REPORT's address belongs to a later endpoint, unless the
+   endpoint of REPORT goes on while the other is silent, and JC_OVERLOADED if
+   the table is full.  */
 enum jc_status
 jc_endpoints_update (struct jc_endpoints *endpoints,
                      const struct rpc_endpoint *report, int64_t now_ms)
 {
   struct jc_endpoint *endpoint
       = g_hash_table_lookup (endpoints->by_name, report->name);
+  struct jc_report_order order = find_order (endpoints, report->name);
+  enum jc_report_verdict verdict = judge (endpoints, &order, report, now_ms);
   bool new_incarnation;
 
-  if (!report_is_accepted (endpoints, report))
-    return jc_fail (JC_BEHIND, "A later report of %s is known.", report->name);
-  if (!endpoints_claim_address (endpoints, report, now_ms))
-    return jc_fail (JC_BEHIND, "%s belongs to a later endpoint.",
-                    report->address);
+  if (verdict == JC_REPORT_EARLIER)
+    return jc_fail (JC_BEHIND, "A later report of %s or %s is known.",
+                    report->name, report->address);
+  endpoints_claim_address (endpoints, report, now_ms);
   if (endpoint == NULL && jc_endpoints_count (endpoints) >= ENDPOINTS_MAX)
     return jc_fail (JC_OVERLOADED, "The zone has too many endpoints.");
   if (endpoint == NULL)
@@ -265,6 +312,9 @@
   endpoints_release_address (endpoints, endpoint);
   endpoint_update (endpoint, report, now_ms);
   endpoint->reported_ms = report_time_ms (endpoints, report->lease_ms, now_ms);
+  endpoint->order = order;
+  jc_report_order_accept (&endpoint->order, report, verdict, now_ms);
+  jc_refused_remove (endpoints->refused, report->name);
   if (endpoints->by_address != NULL)
     g_hash_table_replace (endpoints->by_address, endpoint->address, endpoint);
   if (new_incarnation)
@@ -272,6 +322,15 @@
   return JC_OK;
 }
 
+/* Return whether REPORT, which was just refused, may be one of an endpoint that
+   goes on, so that others should hear it too.  */
+bool
+jc_endpoints_dispute (const struct jc_endpoints *endpoints,
+                      const struct rpc_endpoint *report)
+{
+  return jc_refused_has (endpoints->refused, report);
+}
+
 /* Return the sequence closest to KNOWN whose low 32 bits are LOW.  */
 static uint64_t
 sequence_expand (uint64_t known, uint32_t low)
@@ -279,9 +338,28 @@
   return known + (uint64_t)(int64_t)(int32_t)(low - (uint32_t)known);
 }
 
+static unsigned int
+lease_left_ms (const struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  return (unsigned int)MAX (endpoint->lease_until_ms - now_ms, 0);
+}
+
+/* Return whether the sender of LOAD heard ENDPOINT much later than this process
+   did, though with an earlier SEQUENCE: what is known here then is not of the
+   endpoint.  */
+static bool
+load_contradicts (const struct jc_endpoint *endpoint,
+                  const struct rpc_zone_load *load, uint64_t sequence,
+                  int64_t now_ms)
+{
+  return sequence < endpoint->sequence
+         && (load->pace >> HALF_BITS) / 2 > lease_left_ms (endpoint, now_ms);
+}
+
 /* Update the load and lease of the endpoint that LOAD identifies by its tag.
-   Return JC_NOT_FOUND if no endpoint has the tag, and JC_BEHIND if the endpoint
-   is leaving or the table has the same or a later report.  */
+   Return JC_NOT_FOUND if no endpoint has the tag or what is known of it is not
+   what the sender knows, and JC_BEHIND if the endpoint is leaving or the table
+   has the same or a later report.  */
 enum jc_status
 jc_endpoints_update_load (struct jc_endpoints *endpoints,
                           const struct rpc_zone_load *load, int64_t now_ms)
@@ -290,13 +368,18 @@
   struct jc_endpoint *endpoint = g_hash_table_lookup (endpoints->by_tag, &tag);
   uint64_t sequence;
 
-  if (endpoint == NULL)
+  if (endpoint == NULL || endpoint->order.replaced_ms != 0)
     return jc_fail (JC_NOT_FOUND, "No endpoint has this tag.");
   sequence = sequence_expand (endpoint->sequence, load->sequence);
-  if (endpoint->leaving || sequence <= endpoint->sequence)
+  if (!endpoint->leaving && load_contradicts (endpoint, load, sequence, now_ms))
+    return jc_fail (JC_NOT_FOUND, "%s was heard with an earlier sequence.",
+                    endpoint->name);
+  if (endpoint->leaving || sequence <= endpoint->sequence
+      || sequence - endpoint->sequence > INT32_MAX)
     return jc_fail (JC_BEHIND, "A later report of %s is known.",
                     endpoint->name);
   endpoint->sequence = sequence;
+  jc_report_order_refresh (&endpoint->order, sequence, now_ms);
   endpoint->running = load->work >> HALF_BITS;
   endpoint->queued = load->work & HALF_MAX;
   endpoint->tokens_per_s = load->pace & HALF_MAX;
@@ -320,12 +403,6 @@
     endpoint->software = endpoint_version->software;
 }
 
-static unsigned int
-lease_left_ms (const struct jc_endpoint *endpoint, int64_t now_ms)
-{
-  return (unsigned int)MAX (endpoint->lease_until_ms - now_ms, 0);
-}
-
 static unsigned int
 cold_left_ms (const struct jc_endpoint *endpoint, int64_t now_ms)
 {
@@ -405,9 +482,9 @@
       g_hash_table_remove (endpoints->tombstones, old->name);
     }
   tombstone->name = g_strdup (endpoint->name);
-  tombstone->incarnation = endpoint->incarnation;
-  tombstone->sequence = endpoint->sequence;
-  tombstone->was_leaving = endpoint->leaving;
+  tombstone->order = endpoint->order;
+  tombstone->order.leaving
+      = endpoint->leaving && endpoint->order.replaced_ms == 0;
   tombstone->until_ms = now_ms + TOMBSTONE_LIFETIME_MS;
   g_hash_table_insert (endpoints->tombstones, tombstone->name, tombstone);
   g_queue_push_tail (endpoints->tombstones_by_age, tombstone);
@@ -435,26 +512,21 @@
     g_hash_table_remove (endpoints->by_tag, &endpoint->tag);
 }
 
-/* Release the address of REPORT from any other endpoint of an earlier or equal
-   incarnation, whose lease ends with that.  Return false if an endpoint of a
-   later incarnation has the address.  */
-static bool
+/* Release the address of REPORT from any other endpoint that has it, whose
+   lease ends with that.  */
+static void
 endpoints_claim_address (struct jc_endpoints *endpoints,
                          const struct rpc_endpoint *report, int64_t now_ms)
 {
-  struct jc_endpoint *other
-      = endpoints->by_address != NULL
-            ? g_hash_table_lookup (endpoints->by_address, report->address)
-            : NULL;
+  struct jc_endpoint *other = find_address_holder (endpoints, report);
 
-  if (other == NULL || strcmp (other->name, report->name) == 0)
-    return true;
-  if (other->incarnation > report->incarnation)
-    return false;
+  if (other == NULL)
+    return;
+  if (!other->leaving)
+    other->order.replaced_ms = now_ms;
   other->leaving = true;
   other->lease_until_ms = now_ms - 1;
   endpoints_release_address (endpoints, other);
-  return true;
 }
 
 /* Mark the endpoint NAME as leaving, so that it gets no new work.  INCARNATION
@@ -469,6 +541,7 @@
       || (incarnation != 0 && endpoint->incarnation != incarnation))
     return jc_fail (JC_NOT_FOUND, "No endpoint %s is known.", name);
   endpoint->leaving = true;
+  endpoint->order.replaced_ms = 0;
   return JC_OK;
 }
 
@@ -482,6 +555,7 @@
   gpointer value;
 
   tombstones_expire (endpoints, now_ms);
+  jc_refused_expire (endpoints->refused, now_ms);
   g_hash_table_iter_init (&iter, endpoints->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/member/endpoints.h
+++ b/member/endpoints.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "base/status.h"
+#include "member/reportorder.h"
 #include "schema/gen/messages.h"
 
 /* One endpoint.  Times are in milliseconds of the monotonic clock.  REPORTED_MS
@@ -17,7 +18,8 @@
    counts the attempts of this process.  TAG is a hash of NAME and INCARNATION
    that identifies the endpoint in load reports.  The endpoint is cold until
    WARM_AT_MS.  SOFTWARE is the hash of the software version that this
-   incarnation reported, 0 while it is unknown.  */
+   incarnation reported, 0 while it is unknown.
+   ORDER says which further reports count.  */
 struct jc_endpoint
 {
   char *name;
@@ -39,6 +41,7 @@
   uint64_t tag;
   int64_t warm_at_ms;
   uint64_t software;
+  struct jc_report_order order;
 };
 
 struct jc_endpoints;
@@ -49,6 +52,8 @@
 enum jc_status jc_endpoints_update (struct jc_endpoints *endpoints,
                                     const struct rpc_endpoint *report,
                                     int64_t now_ms);
+bool jc_endpoints_dispute (const struct jc_endpoints *endpoints,
+                           const struct rpc_endpoint *report);
 enum jc_status jc_endpoints_update_load (struct jc_endpoints *endpoints,
                                          const struct rpc_zone_load *load,
                                          int64_t now_ms);
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -254,8 +254,9 @@
   versions_propose (state, endpoint);
 }
 
-/* Apply REPORT of an endpoint and forward it to entry instances.  Return
-   JC_BEHIND if the same report or a later one is known.  */
+/* Apply REPORT of an endpoint and forward it to entry instances, also if it is
+   disputed, since they count the reports themselves.  Return JC_BEHIND if the
+   same report or a later one is known.  */
 enum jc_status
 fleet_handle_report (struct state *state,
                      const struct jc_endpoint_report *report)
@@ -268,6 +269,9 @@
 
   row.lease_ms = (u_int)(LEASE_REPORTS * state->settings->report_ms);
   status = jc_endpoints_update (state->fleet->endpoints, &row, jc_now_ms ());
+  if (status == JC_BEHIND
+      && jc_endpoints_dispute (state->fleet->endpoints, &row))
+    forward_endpoint (state, &row);
   if (status != JC_OK)
     return status;
   if (changed)
--- a/tests/process/hosts-odd-reports.sh
+++ b/tests/process/hosts-odd-reports.sh
@@ -6,7 +6,7 @@
 . scripts/hosts.sh
 trap stop_all EXIT
 
-for what in numbers refused zones; do
+for what in numbers taken refused zones; do
   start_hosts
   python3 tests/process/odd_standin.py $what "$DIR" || { tail -n 5 "$DIR"/*.out; exit 1; }
   stop_all
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -179,6 +179,229 @@
   g_free (name);
 }
 
+enum
+{
+  REPORT_MS = 600,
+  HOSTS_LEASE_MS = 5 * REPORT_MS,
+  /* Reports after which an endpoint has its name and address back.  */
+  REPORTS_UNTIL_BACK = 3
+};
+
+/* Return a table in which addresses are unique, as where hosts are routed.  */
+static struct jc_endpoints *
+make_unique_table (void)
+{
+  struct jc_endpoints *endpoints = jc_endpoints_new ();
+
+  jc_endpoints_require_unique_addresses (endpoints);
+  return endpoints;
+}
+
+static struct rpc_endpoint
+make_host_report (const char *name, uint64_t incarnation, uint64_t sequence,
+                  const char *address)
+{
+  struct rpc_endpoint report = make_report (name, incarnation, sequence);
+
+  report.address = (char *)address;
+  report.lease_ms = HOSTS_LEASE_MS;
+  return report;
+}
+
+/* Return whether the endpoint NAME may get work at NOW_MS at ADDRESS.  */
+static bool
+is_used_at (const struct jc_endpoints *endpoints, const char *name,
+            const char *address, int64_t now_ms)
+{
+  const struct jc_endpoint *endpoint = jc_endpoints_find (endpoints, name);
+
+  return endpoint != NULL && jc_endpoint_is_usable (endpoint, now_ms)
+         && strcmp (endpoint->address, address) == 0;
+}
+
+/* Let the endpoint e of incarnation 1000 report from NOW_MS on, first SEQUENCE.
+   Return the number of reports until it is used at a:1.  */
+static unsigned int
+count_reports_until_used (struct jc_endpoints *endpoints, uint64_t sequence,
+                          int64_t now_ms)
+{
+  unsigned int count = 0;
+
+  do
+    {
+      struct rpc_endpoint report
+          = make_host_report ("e", 1000, sequence++, "10.0.0.1:1");
+
+      jc_endpoints_expire (endpoints, now_ms);
+      jc_endpoints_update (endpoints, &report, now_ms);
+      count++;
+      now_ms += REPORT_MS;
+    }
+  while (!is_used_at (endpoints, "e", "10.0.0.1:1", now_ms) && count < 100);
+  return count;
+}
+
+/* Guards against an endpoint that is refused for good after another writer
+   reported under its name or with its address, with later numbers: it has both
+   back after a few reports, and the other writer's last report, told again,
+   changes nothing.  */
+static void
+test_goes_on_after_odd_report (void)
+{
+  static const struct
+  {
+    const char *name;
+    uint64_t incarnation;
+    uint64_t sequence;
+    const char *address;
+  } odd[] = { { "e", 2000, 1, "10.0.0.2:1" },
+              { "e", 1000, 1000000, "10.0.0.2:1" },
+              { "e", 1000, 1000000, "10.0.0.1:1" },
+              { "x", 2000, 1, "10.0.0.1:1" },
+              { "x", 1000, 1000000, "10.0.0.1:1" } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      struct jc_endpoints *endpoints = make_unique_table ();
+      struct rpc_endpoint report = make_host_report (
+          odd[i].name, odd[i].incarnation, odd[i].sequence, odd[i].address);
+
+      g_assert_cmpuint (count_reports_until_used (endpoints, 1, 0), ==, 1);
+      jc_endpoints_update (endpoints, &report, 700);
+      g_assert_cmpuint (count_reports_until_used (endpoints, 2, 1200), <=,
+                        REPORTS_UNTIL_BACK);
+      for (uint64_t next = 2; next < 12; next++)
+        {
+          int64_t now_ms = 1200 + (int64_t)(next - 2) * REPORT_MS;
+          struct rpc_endpoint own
+              = make_host_report ("e", 1000, next, "10.0.0.1:1");
+
+          jc_endpoints_expire (endpoints, now_ms);
+          jc_endpoints_update (endpoints, &own, now_ms);
+        }
+      g_assert_cmpint (jc_endpoints_update (endpoints, &report, 6700), ==,
+                       JC_BEHIND);
+      g_assert_true (is_used_at (endpoints, "e", "10.0.0.1:1", 6700));
+      jc_endpoints_free (endpoints);
+    }
+}
+
+/* Guards against an endpoint that is refused although it goes on where the
+   entry of another writer has lapsed and only its record is left.  */
+static void
+test_goes_on_after_lapsed_report (void)
+{
+  struct jc_endpoints *endpoints = make_unique_table ();
+  struct rpc_endpoint report = make_host_report ("e", 2000, 1, "10.0.0.2:1");
+
+  jc_endpoints_update (endpoints, &report, 0);
+  jc_endpoints_expire (endpoints, HOSTS_LEASE_MS + 1);
+  g_assert_null (jc_endpoints_find (endpoints, "e"));
+  g_assert_cmpuint (count_reports_until_used (endpoints, 50, 5000), <=,
+                    REPORTS_UNTIL_BACK);
+  jc_endpoints_free (endpoints);
+}
+
+/* Guards against an endpoint whose reports are taken for earlier ones than a
+   report that was itself refused, of another writer that counts ahead.  */
+static void
+test_goes_on_after_two_odd_reports (void)
+{
+  struct jc_endpoints *endpoints = make_unique_table ();
+  struct rpc_endpoint report;
+
+  count_reports_until_used (endpoints, 1, 0);
+  report = make_host_report ("e", 2000, 1, "10.0.0.2:1");
+  jc_endpoints_update (endpoints, &report, 700);
+  report = make_host_report ("e", 1000, 1000000, "10.0.0.2:1");
+  jc_endpoints_update (endpoints, &report, 800);
+  g_assert_cmpuint (count_reports_until_used (endpoints, 2, 1200), <=,
+                    2 * REPORTS_UNTIL_BACK);
+  jc_endpoints_free (endpoints);
+}
+
+/* Guards against late reports of a dead incarnation that bring it back: while
+   its successor is heard, when they come at once, when they were sent before
+   one that is known, and after a leave.  */
+static void
+test_late_reports_stay_refused (void)
+{
+  struct jc_endpoints *endpoints = make_unique_table ();
+  struct rpc_endpoint report;
+
+  for (uint64_t i = 1; i <= 20; i++)
+    {
+      int64_t now_ms = (int64_t)i * REPORT_MS;
+
+      report = make_host_report ("e", 1000, i, "10.0.0.1:1");
+      jc_endpoints_update (endpoints, &report, now_ms);
+      report = make_host_report ("f", 2000, i, "10.0.0.1:1");
+      if (i > 1)
+        jc_endpoints_update (endpoints, &report, now_ms + 1);
+      report = make_host_report ("g", i > 1 ? 2000 : 1000, i, "10.0.0.3:1");
+      jc_endpoints_update (endpoints, &report, now_ms);
+      report = make_host_report ("g", 1000, i, "10.0.0.4:1");
+      jc_endpoints_update (endpoints, &report, now_ms + 1);
+      if (i > 1)
+        {
+          g_assert_false (
+              is_used_at (endpoints, "e", "10.0.0.1:1", now_ms + 1));
+          g_assert_true (is_used_at (endpoints, "f", "10.0.0.1:1", now_ms + 1));
+          g_assert_true (is_used_at (endpoints, "g", "10.0.0.3:1", now_ms + 1));
+        }
+    }
+  for (uint64_t i = 30; i < 60; i++)
+    {
+      report = make_host_report ("e", 1000, i, "10.0.0.1:1");
+      g_assert_cmpint (jc_endpoints_update (endpoints, &report, 13500), ==,
+                       JC_BEHIND);
+    }
+  for (uint64_t i = 10; i < 20; i++)
+    {
+      report = make_host_report ("f", 2000, i, "10.0.0.1:1");
+      g_assert_cmpint (jc_endpoints_update (endpoints, &report,
+                                            13600 + (int64_t)i * REPORT_MS),
+                       ==, JC_BEHIND);
+    }
+  jc_endpoints_mark_leaving (endpoints, "f", 2000);
+  for (uint64_t i = 30; i < 60; i++)
+    {
+      report = make_host_report ("f", 2000, i, "10.0.0.1:1");
+      g_assert_cmpint (jc_endpoints_update (endpoints, &report,
+                                            20000 + (int64_t)i * REPORT_MS),
+                       ==, JC_BEHIND);
+    }
+  jc_endpoints_free (endpoints);
+}
+
+/* Guards against a load whose 32 bits of sequence are taken for a number below
+   0, and so for a later one than all to come; and against a load that keeps up
+   what another writer reported of its endpoint.  */
+static void
+test_odd_loads (void)
+{
+  struct jc_endpoints *endpoints = make_unique_table ();
+  struct rpc_endpoint report = make_host_report ("e", 1000, 5, "10.0.0.1:1");
+  struct rpc_zone_load load;
+
+  jc_endpoints_update (endpoints, &report, 0);
+  load = jc_endpoint_to_rpc_load (jc_endpoints_find (endpoints, "e"), 0);
+  load.sequence = 0xFFFFFFF0U;
+  g_assert_cmpint (jc_endpoints_update_load (endpoints, &load, 10), ==,
+                   JC_BEHIND);
+  load.sequence = 6;
+  g_assert_cmpint (jc_endpoints_update_load (endpoints, &load, 600), ==, JC_OK);
+  report = make_host_report ("e", 1000, 1000000, "10.0.0.2:1");
+  jc_endpoints_update (endpoints, &report, 700);
+  load.sequence = 7;
+  g_assert_cmpint (jc_endpoints_update_load (endpoints, &load, 1200), ==,
+                   JC_BEHIND);
+  load.sequence = 10;
+  g_assert_cmpint (jc_endpoints_update_load (endpoints, &load, 3000), ==,
+                   JC_NOT_FOUND);
+  jc_endpoints_free (endpoints);
+}
+
 /* Add a zone of full size.  Each endpoint reports to ENTRIES_PER_ENDPOINT
    instances.  */
 static void
@@ -502,6 +725,15 @@
   g_test_add_func ("/member/table-size", test_table_size);
   g_test_add_func ("/member/in-flight", test_in_flight);
   g_test_add_func ("/member/impossible-reports", test_impossible_reports);
+  g_test_add_func ("/member/goes-on-after-odd-report",
+                   test_goes_on_after_odd_report);
+  g_test_add_func ("/member/goes-on-after-lapsed-report",
+                   test_goes_on_after_lapsed_report);
+  g_test_add_func ("/member/goes-on-after-two-odd-reports",
+                   test_goes_on_after_two_odd_reports);
+  g_test_add_func ("/member/late-reports-stay-refused",
+                   test_late_reports_stay_refused);
+  g_test_add_func ("/member/odd-loads", test_odd_loads);
   g_test_add_func ("/member/directory", test_directory);
   g_test_add_func ("/member/links-retry", test_links_retry);
   g_test_add_func ("/member/links-duplicate", test_links_duplicate);
