Judge RPC time-outs after input, too, and from the moment of the call

A reply of another instance that had come in time counted as late after a pause or a long turn of the process: reads of the log, searches and operators' calls then failed though they were answered, and a hand-over of routing by products cancelled a request whose answer had begun. Ruled out: the timers of heartbeats and leases, which come first on purpose. Calls and hand-overs count from their begin and are judged after input. test-rpc/reply-before-timeout: 3 of 3 runs timed out before, 3 of 3 get the reply now, 15 of 15 cases pass; the hand-over's timer is changed by reading alone, without a test of its own.

--- a/entry/handover.c
+++ b/entry/handover.c
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "entry/handover.h"
+#include "net/deadline.h"
 #include "net/program.h"
 
 enum
@@ -111,6 +112,7 @@
 {
   struct ev_loop *loop = handover->entry->loop;
 
+  ev_now_update (loop);
   ev_timer_stop (loop, &handover->timeout_timer);
   ev_timer_set (&handover->timeout_timer, (double)MAX (ms, 0) / MS_PER_S, 0);
   ev_timer_start (loop, &handover->timeout_timer);
@@ -151,7 +153,7 @@
   handover->ops = ops;
   handover->ctx = ctx;
   handover->deadline_ms = jc_now_ms () + attempt->total_limit_ms;
-  ev_init (&handover->timeout_timer, on_handover_timeout);
+  jc_deadline_init (&handover->timeout_timer, on_handover_timeout);
   handover->timeout_timer.data = handover;
   handover_set_timeout (handover, attempt->first_byte_limit_ms);
   g_ptr_array_add (entry->outgoing_handovers, handover);
--- a/net/rpccall.c
+++ b/net/rpccall.c
@@ -1,5 +1,6 @@
 /* RPC: calls and their replies.  */
 
+#include "net/deadline.h"
 #include "net/rpcprivate.h"
 
 /* End the call PENDING: free it and pass STATUS and REPLY, which may be NULL,
@@ -77,8 +78,9 @@
   pending->xid = packet->head.xid;
   pending->reply = reply;
   pending->ctx = ctx;
-  ev_timer_init (&pending->timer, pending_on_timeout,
-                 (double)timeout_ms / MS_PER_S, 0);
+  ev_now_update (rpc->loop);
+  jc_deadline_init (&pending->timer, pending_on_timeout);
+  ev_timer_set (&pending->timer, (double)timeout_ms / MS_PER_S, 0);
   pending->timer.data = pending;
   ev_timer_start (rpc->loop, &pending->timer);
   g_hash_table_insert (rpc->pending_calls, &pending->xid, pending);
--- a/tests/test-rpc.c
+++ b/tests/test-rpc.c
@@ -25,7 +25,9 @@
   TRICKLE_BYTES = 1000,
   LONG_SILENT_MS = 60000,
   LARGE_BYTES = 1024 * 1024,
-  SENT_MAX_BYTES = 64 * 1024 * 1024
+  SENT_MAX_BYTES = 64 * 1024 * 1024,
+  /* Time-out of a call, well under SILENT_MS.  */
+  CALL_MS = 20
 };
 
 #define KEY_A "0000000000000000000000000000000000000000000000000000000000000007"
@@ -587,6 +589,54 @@
   pair_stop (&pair);
 }
 
+/* Answers each call, and keeps the loop busy for longer than the caller waits.
+ */
+static void
+slow_on_packet (void *ctx, struct jc_rpc_conn *conn,
+                const struct rpc_packet *packet)
+{
+  struct rpc_packet reply = { .body.type = RPC_HEARTBEAT };
+
+  (void)ctx;
+  if (packet->body.type != RPC_CONFIG_FOLLOW)
+    return;
+  jc_rpc_reply (conn, packet, &reply);
+  g_usleep (2 * CALL_MS * US_PER_MS);
+}
+
+/* Guards against a reply that came in time and counts as late, since the
+   process was busy when the time-out passed.  */
+static void
+test_reply_before_timeout (void)
+{
+  static const struct jc_rpc_class klass = { .packet = slow_on_packet };
+  const struct jc_rpc_identity identity = { .group = "demo",
+                                            .name = "b",
+                                            .role = "entry",
+                                            .region = "ost",
+                                            .zone = "ost-1",
+                                            .key_hex = KEY_A,
+                                            .incarnation = 1,
+                                            .heartbeat_ms = HEARTBEAT_MS,
+                                            .silent_ms = SILENT_MS };
+  struct rpc_packet packet = { .body.type = RPC_CONFIG_FOLLOW };
+  struct pair pair;
+
+  memset (&pair, 0, sizeof pair);
+  node_start (&pair.a, "a", KEY_A, 1);
+  pair.b.rpc = jc_rpc_new (loop, &identity, &klass, &pair.b);
+  g_assert_cmpint (jc_rpc_listen (pair.b.rpc, "127.0.0.1:0"), ==, JC_OK);
+  node_dial (&pair.a, "b", jc_rpc_port (pair.b.rpc));
+  run_until (pair_is_up, &pair);
+  g_assert_cmpuint (jc_rpc_call (jc_rpc_find_conn (pair.a.rpc, "b"), &packet,
+                                 CALL_MS, node_on_reply, &pair.a),
+                    !=, 0);
+  run_until (a_has_reply, &pair);
+  g_assert_cmpint (pair.a.reply_status, ==, JC_OK);
+  jc_rpc_free (pair.a.rpc);
+  jc_rpc_free (pair.b.rpc);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -606,6 +656,7 @@
   g_test_add_func ("/rpc/suspended", test_suspended);
   g_test_add_func ("/rpc/restarted", test_restarted);
   g_test_add_func ("/rpc/version", test_version);
+  g_test_add_func ("/rpc/reply-before-timeout", test_reply_before_timeout);
   g_test_add_func ("/rpc/call-connection-lost", test_call_connection_lost);
   return g_test_run ();
 }
