Send the version of an endpoint with each report that is forwarded

An entry instance that had forgotten an endpoint and got its next report began no resumable streams there until it connected again: the version was sent only when it changed at the state instance. Found by review, not seen in a run. The version now goes with each forwarded report, and a table of versions that is full is logged instead of passed over.

--- a/state/fleet.c
+++ b/state/fleet.c
@@ -229,10 +229,11 @@
 }
 
 /* Record that the endpoint of REPORT, which was applied, has the version
-   SOFTWARE, a text.  */
+   SOFTWARE, a text.  Where the report was FORWARDED, so is the version: an
+   entry instance may have forgotten the endpoint.  */
 static void
 note_version (struct state *state, const struct rpc_endpoint *report,
-              const char *software)
+              const char *software, bool forwarded)
 {
   struct jc_endpoint *endpoint
       = jc_endpoints_find (state->fleet->endpoints, report->name);
@@ -249,8 +250,10 @@
                 " service=%s version=%.60s software=%016" PRIx64,
                 row.endpoint, row.endpoint_incarnation, report->service,
                 software, row.software);
-      forward_version (state, endpoint);
+      forwarded = true;
     }
+  if (forwarded)
+    forward_version (state, endpoint);
   versions_propose (state, endpoint);
 }
 
@@ -284,7 +287,7 @@
     forward_endpoint (state, &row);
   else
     g_hash_table_add (state->fleet->refreshed_names, g_strdup (row.name));
-  note_version (state, &row, report->software);
+  note_version (state, &row, report->software, changed);
   if (row.cold_ms > 0)
     coldgrants_request (state, &row);
   return JC_OK;
--- a/state/versions.c
+++ b/state/versions.c
@@ -141,6 +141,13 @@
   int64_t now = jc_now_ms ();
   GString *data;
 
+  if (!jc_versions_contains (state->version_table, added.service,
+                             added.software)
+      && !jc_versions_can_add (state->version_table, &added))
+    jc_event (JC_EVENT_VERSION,
+              "endpoint=%s software=%016" PRIx64 " versions=%u outcome=full",
+              endpoint->name, added.software,
+              jc_versions_count (state->version_table));
   if (!jc_versions_can_add (state->version_table, &added)
       || (versions->proposed == added.software
           && now - versions->proposed_ms < PROPOSE_INTERVAL_MS))
