Pass held events on when the report that proves them comes

Callers whose resumed stream waits for its endpoint's next report got its events up to 100 ms after that, from the tick, and nothing bounded what was held meanwhile. Found by review.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -236,6 +236,12 @@
     return;
   if (exchange->call != NULL)
     jc_httpc_call_progress (exchange->call);
+  if (!exchange->paused && exchange->call != NULL
+      && exchange->batch->len > BUFFERED_BYTES_MAX)
+    {
+      exchange->paused = true;
+      jc_httpc_call_pause (exchange->call, true);
+    }
 }
 
 static void
@@ -340,10 +346,12 @@
             exchange->passed_event);
   if (exchange->held_done)
     {
+      struct jc_relay_result result = exchange->held_result;
+
       exchange->held_done = false;
-      exchange->held_result.whole = false;
+      result.whole = false;
       jc_fail (JC_ENDPOINT_FAILED, "The endpoint's version is not certain.");
-      exchange_attempt_ended (exchange, &exchange->held_result);
+      exchange_attempt_ended (exchange, &result);
       return;
     }
   exchange_reject_answer (exchange, "The endpoint's version is not certain.");
@@ -355,6 +363,8 @@
 void
 exchange_flush_held (struct exchange *exchange)
 {
+  const struct jc_relay_result result = exchange->held_result;
+
   if (!resumptions_may_pass (exchange))
     {
       if (resumptions_cannot_prove (exchange))
@@ -362,12 +372,18 @@
       return;
     }
   flush_batch (exchange);
+  if (exchange->paused && exchange->call != NULL
+      && jc_http_stream_buffered (exchange->req) <= BUFFERED_BYTES_MAX)
+    {
+      exchange->paused = false;
+      jc_httpc_call_pause (exchange->call, false);
+    }
   if (!exchange->held_done)
     return;
   exchange->held_done = false;
-  if (exchange->held_result.whole)
+  if (result.whole)
     flush_held_comments (exchange);
-  exchange_attempt_ended (exchange, &exchange->held_result);
+  exchange_attempt_ended (exchange, &result);
 }
 
 static void
--- a/entry/resumptions.c
+++ b/entry/resumptions.c
@@ -232,6 +232,28 @@
   starts_conn_up (router, conn);
 }
 
+/* Check again what is not certain yet: versions that began streams, and events
+   that are held.  */
+static void
+check_unproven (struct router *router)
+{
+  GPtrArray *unproven = g_ptr_array_copy (router->unproven, NULL, NULL);
+
+  for (guint i = 0; i < unproven->len; i++)
+    {
+      struct exchange *exchange = g_ptr_array_index (unproven, i);
+
+      if (exchange->unproven_attempt)
+        exchange_flush_held (exchange);
+      else if ((exchange->software = certain_software (exchange)) != 0)
+        {
+          g_ptr_array_remove (router->unproven, exchange);
+          record_start (exchange);
+        }
+    }
+  g_ptr_array_free (unproven, TRUE);
+}
+
 /* Apply the versions in PACKET, which CONN sent; messages of others than state
    instances are ignored.  */
 void
@@ -249,32 +271,20 @@
     jc_event (JC_EVENT_VERSION, "position=%" PRIu64 " versions=%u from=%s",
               body->rpc_body_u.versions.position,
               body->rpc_body_u.versions.list.list_len, jc_rpc_conn_name (conn));
+  if (body->type == RPC_FLEET)
+    check_unproven (router);
   if (body->type == RPC_ENDPOINT_VERSIONS)
     for (u_int i = 0; i < reported->list.list_len; i++)
       jc_endpoints_set_software (router->endpoints,
                                  &reported->list.list_val[i]);
 }
 
-/* Check again what is not certain yet: versions that began streams, and events
-   that are held.  */
+/* Search again where that is due, and check what is not certain yet: the
+   reports that could prove it may have stopped coming.  */
 void
 resumptions_tick (struct router *router)
 {
-  GPtrArray *unproven = g_ptr_array_copy (router->unproven, NULL, NULL);
-
-  for (guint i = 0; i < unproven->len; i++)
-    {
-      struct exchange *exchange = g_ptr_array_index (unproven, i);
-
-      if (exchange->unproven_attempt)
-        exchange_flush_held (exchange);
-      else if ((exchange->software = certain_software (exchange)) != 0)
-        {
-          g_ptr_array_remove (router->unproven, exchange);
-          record_start (exchange);
-        }
-    }
-  g_ptr_array_free (unproven, TRUE);
+  check_unproven (router);
   versionsearch_tick (router);
   jc_stream_starts_expire (router->starts, jc_now_ms ());
 }
