Search for a stream's version with this instance's own record and all answers

A take-up could go on as if nothing were recorded although this instance itself held an uncertain or conflicting start, and was refused at once where state instances had not answered in time; a search could outlast the caller's deadline. Without an id nothing is concluded on a route of several services. Ruled out: a search again where the log shows one version.

--- a/entry/starts.c
+++ b/entry/starts.c
@@ -84,9 +84,9 @@
 {
   struct rpc_stream_claim row = jc_stream_start_to_rpc (start, jc_now_ms ());
 
-  if (start->certain && !start->conflict)
+  if (start->certain)
     g_array_append_val (message->certain, row.start);
-  else if (start->endpoint_tag != 0)
+  else
     g_array_append_val (message->claims, row);
 }
 
--- a/entry/versionsearch.c
+++ b/entry/versionsearch.c
@@ -42,7 +42,8 @@
   g_free (search);
 }
 
-/* Count that a caller's request to resume a stream ended with OUTCOME.  */
+/* Count that a search, for a caller's request or within an answer, ended with
+   OUTCOME.  */
 static void
 count_outcome (const struct router *router, enum jc_resumption_outcome outcome)
 {
@@ -75,16 +76,17 @@
 }
 
 /* Let the search for EXCHANGE's version be made again later, if SEARCH, which
-   has ended, got no answer or one that an endpoint's next report may make
-   certain, and there is time.  */
+   has    ended, lacks answers or got one that an endpoint's next report may
+   make certain, and there is time.  */
 static bool
 search_again (const struct search *search, struct exchange *exchange)
 {
   const struct jc_resumption *answers = &search->answers;
 
-  if (answers->software != 0
+  if (answers->software != 0 || answers->conflict
       || jc_now_ms () - exchange->search_started_ms >= SEARCH_MS
-      || (answers->answered > 0 && !answers->uncertain))
+      || (answers->answered > 0 && !answers->uncertain
+          && (answers->only != 0 || answers->unanswered == 0)))
     return false;
   exchange->search_again_ms = jc_now_ms () + SEARCH_INTERVAL_MS;
   g_ptr_array_add (exchange->router->unsearched, exchange);
@@ -169,9 +171,30 @@
 search_ask (struct search *search, struct jc_rpc_conn *conn,
             struct rpc_packet *packet, jc_rpc_reply_fn *reply)
 {
+  int64_t left = search->exchange->relay.deadline_ms - jc_now_ms ();
+
   search->answers.pending++;
-  if (jc_rpc_call (conn, packet, ANSWER_TIMEOUT_MS, reply, search) == 0)
-    search->answers.pending--;
+  if (jc_rpc_call (conn, packet, (long)CLAMP (left, 1, ANSWER_TIMEOUT_MS),
+                   reply, search)
+      != 0)
+    return;
+  search->answers.pending--;
+  search->answers.unanswered++;
+}
+
+/* Add what this instance recorded itself of the stream of SEARCH's exchange,
+   whose version isn't certain here.  */
+static void
+note_own_start (struct search *search)
+{
+  const struct exchange *exchange = search->exchange;
+  const struct jc_stream_start *start = jc_stream_starts_find (
+      exchange->router->starts, exchange->stream, jc_now_ms ());
+
+  if (start == NULL)
+    return;
+  search->answers.uncertain = true;
+  search->answers.conflict = start->conflict;
 }
 
 /* Start to look for the version that began EXCHANGE's stream.  */
@@ -186,6 +209,7 @@
   search->exchange = exchange;
   search->service = g_strdup (exchange->service);
   exchange->search = search;
+  note_own_start (search);
   if (exchange->search_started_ms == 0)
     exchange->search_started_ms = jc_now_ms ();
   for (guint i = 0; i < holders->len && exchange->stream != 0; i++)
@@ -195,8 +219,10 @@
       packet.body.rpc_body_u.stream_find.stream = exchange->stream;
       search_ask (search, g_ptr_array_index (holders, i), &packet, on_found);
     }
-  /* Versions are never removed, so that several remain several.  */
+  /* Versions are never removed, so that several remain several.  Without an id
+     it isn't known which of several services began the stream.  */
   if (router->orders_source != NULL
+      && (exchange->stream != 0 || exchange->route->splits->len <= 1)
       && !jc_versions_has_several (router->versions, exchange->service))
     {
       struct rpc_packet packet = { .body.type = RPC_VERSIONS_READ };
@@ -254,7 +280,8 @@
       return jc_fail (JC_CROWDED, "No state instance is connected.");
     }
   search_unref (exchange->search);
-  set_outcome (exchange, JC_RESUMPTION_UNKNOWN, 0, SEARCH_MS);
+  set_outcome (exchange, JC_RESUMPTION_UNKNOWN, 0,
+               jc_now_ms () - exchange->search_started_ms);
   return jc_fail (JC_VERSION_UNKNOWN, "No state instance is connected.");
 }
 
--- a/serve/resumption.c
+++ b/serve/resumption.c
@@ -25,6 +25,8 @@
   resumption->pending--;
   if (found != NULL)
     resumption->answered++;
+  else
+    resumption->unanswered++;
   if (found == NULL || !found->known)
     return;
   if (software == 0
@@ -46,7 +48,10 @@
 {
   resumption->pending--;
   if (!answered)
-    return;
+    {
+      resumption->unanswered++;
+      return;
+    }
   resumption->answered++;
   resumption->only = only;
 }
--- a/serve/resumption.h
+++ b/serve/resumption.h
@@ -31,14 +31,16 @@
   JC_RESUMPTION_UNKNOWN
 };
 
-/* A search.  PENDING is the number of questions without an answer, ANSWERED
-   that of those with one, SOFTWARE the version that was found, ONLY the only
-   version of the service, 0 for none.  WAITED means that an endpoint which has
-   begun the stream and restarted since would have reported by now.  */
+/* A search.  PENDING is the number of questions without an answer, ANSWERED and
+   UNANSWERED those of the others with and without one, SOFTWARE the version
+   that was found, ONLY the only version of the service, 0 for none.  WAITED
+   means that an endpoint which has begun the stream and restarted since would
+   have reported by now.  */
 struct jc_resumption
 {
   unsigned int pending;
   unsigned int answered;
+  unsigned int unanswered;
   uint64_t software;
   uint64_t only;
   bool uncertain;
