Find the start of a stream under its id alone, whatever service it is resumed at

A stream whose route a new configuration had moved, or that was drawn another service of a split, was looked for under that service, not found, and gone on with there as if the service's only version had begun it.

--- a/entry/resumptions.c
+++ b/entry/resumptions.c
@@ -66,7 +66,7 @@
                              : NULL;
 
   if (first_id != NULL)
-    exchange->stream = jc_stream_hash (exchange->service, first_id);
+    exchange->stream = jc_stream_hash (first_id);
   if (software != NULL)
     exchange->software = g_ascii_strtoull (software, NULL, HEXADECIMAL);
 }
--- a/serve/streamstarts.c
+++ b/serve/streamstarts.c
@@ -21,12 +21,13 @@
   return hash != 0 ? hash : 1;
 }
 
-/* Return a hash, never 0, of the stream of SERVICE whose first event the
-   caller's attempt ATTEMPT_ID brought.  It is the same in every process.  */
+/* Return a hash, never 0, of the stream whose first event the caller's attempt
+   ATTEMPT_ID brought.  It is the same in every process, and for each service
+   that a route may name by the time at which the stream is resumed.  */
 uint64_t
-jc_stream_hash (const char *service, const char *attempt_id)
+jc_stream_hash (const char *attempt_id)
 {
-  return hash_pair (service, attempt_id);
+  return hash_pair ("stream", attempt_id);
 }
 
 /* Return a hash, never 0, of the software version VERSION of SERVICE's
--- a/serve/streamstarts.h
+++ b/serve/streamstarts.h
@@ -38,7 +38,7 @@
 
 struct jc_stream_starts;
 
-uint64_t jc_stream_hash (const char *service, const char *attempt_id);
+uint64_t jc_stream_hash (const char *attempt_id);
 uint64_t jc_version_hash (const char *service, const char *version);
 
 struct jc_stream_starts *jc_stream_starts_new (size_t starts_max);
