Format a comment that a merge left out of shape

Readers saw one comment in net/httpdprivate.h that the formatter refuses, left by the merge of two changes to the same lines; nothing but its line breaks changes, and the formatter is clean again.

--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -12,8 +12,8 @@
    to write or are to be freed at the end of the iteration of the loop.
    OPEN_REQUESTS counts requests whose answers are not complete in a buffer.  FD
    is -1 once it accepts no more connections.  ID_HEADER names the field with
-   the id of a request for log lines, ECHO_NAME a header of requests that answers
-   repeat, NULL for none.  */
+   the id of a request for log lines, ECHO_NAME a header of requests that
+   answers repeat, NULL for none.  */
 struct jc_httpd
 {
   struct ev_loop *loop;
