Simulate proofs by the process behind a stream's connection

The simulation of software versions and test-resumption no longer built: jc_resumption_is_certain is gone, and confirmations take points in time. The simulation has each connection of an entry instance now, with what net/httpcconn.c concludes from what is heard on it, claims of the incarnation that a request was sent to, searches made again each 200 ms for 2 s, and held events of attempts that have ended. An attempt ends when its connection is heard to be closed, with silent ends 3 s later, not at its next event.

No product code changes.

--- a/tests/test-resumption.c
+++ b/tests/test-resumption.c
@@ -14,7 +14,7 @@
   NAME_BYTES = 24,
   STREAMS = 4000,
   /* See REPORT_DELAY_MS.  */
-  MARGIN_MS = 400
+  MARGIN_MS = 250
 };
 
 /* What a state instance answers: that it has no record, one of a version, one
@@ -208,18 +208,14 @@
 static void
 test_certainty (void)
 {
-  g_assert_true (jc_resumption_is_confirmed (0, MARGIN_MS));
-  g_assert_false (jc_resumption_is_confirmed (0, MARGIN_MS - 1));
-  g_assert_true (jc_resumption_is_confirmed (900, 900 + MARGIN_MS));
-  g_assert_false (jc_resumption_is_confirmed (900, 900 + MARGIN_MS - 1));
-  g_assert_false (jc_resumption_is_confirmed (900, 0));
-  g_assert_true (jc_resumption_is_certain (0, MARGIN_MS));
-  g_assert_false (jc_resumption_is_certain (0, MARGIN_MS - 1));
-  g_assert_true (jc_resumption_is_certain (900, 900 + MARGIN_MS));
-  g_assert_false (jc_resumption_is_certain (900, 900 + MARGIN_MS - 1));
-  g_assert_false (jc_resumption_is_certain (900, 0));
-  g_assert_false (jc_resumption_is_certain (0, -1));
-  g_assert_false (jc_resumption_is_certain (-MARGIN_MS - 1, -1));
+  g_assert_true (jc_resumption_is_confirmed (MARGIN_MS, 0));
+  g_assert_false (jc_resumption_is_confirmed (MARGIN_MS - 1, 0));
+  g_assert_true (jc_resumption_is_confirmed (900 + MARGIN_MS, 900));
+  g_assert_false (jc_resumption_is_confirmed (900 + MARGIN_MS - 1, 900));
+  g_assert_false (jc_resumption_is_confirmed (900, 900));
+  g_assert_false (jc_resumption_is_confirmed (0, 900));
+  g_assert_false (jc_resumption_is_confirmed (0, MARGIN_MS));
+  g_assert_false (jc_resumption_is_confirmed (-MARGIN_MS - 1, -1));
 }
 
 /* State instances: COUNT of them, in turn in each region.  */
--- a/tests/test-stream-versions.c
+++ b/tests/test-stream-versions.c
@@ -11,11 +11,9 @@
   SEEDS = 2,
   LATE_SEEDS = 20,
   HUNT_SEEDS = 60,
-  /* See REPORT_DELAY_MS.  */
-  MARGIN_MS = 400,
-  /* Of it, twice the way between the two regions farthest apart: to a state
-     instance and from there to an entry instance.  */
-  IN_MARGIN_MS = MARGIN_MS - 10 - 2 * 80,
+  /* Reports come up to so late, beside the ways between regions.  */
+  REPORT_LATE_MS = 230,
+  REPORT_LATE_MAX_MS = 390,
   STREAMS_PER_S = 100,
   INSTANCE_STREAMS_PER_S = 10,
   MANY_ENTRIES = 73,
@@ -89,7 +87,7 @@
 {
   check_order ((struct versionsim_plan){ .crash_ms = 300 });
   check_order (
-      (struct versionsim_plan){ .crash_ms = 300, .delay_ms = IN_MARGIN_MS });
+      (struct versionsim_plan){ .crash_ms = 300, .delay_ms = REPORT_LATE_MS });
 }
 
 /* Guards against streams joined from two versions where entry instances are
@@ -98,7 +96,7 @@
 test_killed_entries (void)
 {
   check_order ((struct versionsim_plan){
-      .crash_ms = 300, .delay_ms = IN_MARGIN_MS, .kill_ms = 1100 });
+      .crash_ms = 300, .delay_ms = REPORT_LATE_MS, .kill_ms = 1100 });
 }
 
 /* Guards against streams joined from two versions where all entry instances are
@@ -107,7 +105,7 @@
 test_all_entries_killed (void)
 {
   check_order ((struct versionsim_plan){
-      .crash_ms = 300, .delay_ms = IN_MARGIN_MS, .kill_all_ms = 3000 });
+      .crash_ms = 300, .delay_ms = REPORT_LATE_MS, .kill_all_ms = 3000 });
 }
 
 /* Guards against streams joined from two versions where state instances that
@@ -116,7 +114,7 @@
 test_lost_states (void)
 {
   check_order ((struct versionsim_plan){ .crash_ms = 300,
-                                         .delay_ms = IN_MARGIN_MS,
+                                         .delay_ms = REPORT_LATE_MS,
                                          .kill_all_ms = 7000,
                                          .state_kill_ms = 4500,
                                          .state_cut_ms = 6500 });
@@ -128,7 +126,7 @@
 test_no_leader (void)
 {
   check_order ((struct versionsim_plan){ .crash_ms = 300,
-                                         .delay_ms = IN_MARGIN_MS,
+                                         .delay_ms = REPORT_LATE_MS,
                                          .kill_all_ms = 3000,
                                          .no_leader_ms = 5000 });
 }
@@ -156,7 +154,7 @@
   g_assert_cmpuint (hunt ((struct versionsim_plan){ .entries = 1,
                                                     .states = 25,
                                                     .crash_ms = 300,
-                                                    .delay_ms = IN_MARGIN_MS,
+                                                    .delay_ms = REPORT_LATE_MS,
                                                     .no_leader_ms = 5000 },
                           HUNT_SEEDS),
                     ==, 0);
@@ -170,7 +168,7 @@
   g_assert_cmpuint (hunt ((struct versionsim_plan){ .entries = 1,
                                                     .states = 3,
                                                     .crash_ms = 300,
-                                                    .delay_ms = IN_MARGIN_MS,
+                                                    .delay_ms = REPORT_LATE_MS,
                                                     .kill_all_ms = 1500,
                                                     .state_kill_ms = 2500 },
                           HUNT_SEEDS),
@@ -186,7 +184,7 @@
       hunt ((struct versionsim_plan){ .entries = FEW_ENTRIES,
                                       .states = 6,
                                       .crash_ms = 50,
-                                      .delay_ms = MARGIN_MS - 10 },
+                                      .delay_ms = REPORT_LATE_MAX_MS },
             LATE_SEEDS),
       ==, 0);
 }
@@ -225,7 +223,7 @@
                                         .states = 6,
                                         .crash_ms = 1000,
                                         .silent_ms = 3000,
-                                        .delay_ms = IN_MARGIN_MS },
+                                        .delay_ms = REPORT_LATE_MS },
               LATE_SEEDS);
 
   g_test_message ("ends heard of 3000 ms late: %u streams mixed", mixed);
@@ -343,7 +341,7 @@
 static void
 test_share_late_reports (void)
 {
-  check_shares ((struct versionsim_plan){ .delay_ms = IN_MARGIN_MS });
+  check_shares ((struct versionsim_plan){ .delay_ms = REPORT_LATE_MS });
 }
 
 /* Guards against tables that are too small at 73 entry instances and 1,000
--- a/tests/versionentries.c
+++ b/tests/versionentries.c
@@ -15,9 +15,7 @@
   HOP_MS = 1,
   EVENT_MS = 100,
   FIRST_EVENT_MS = 50,
-  FIRST_EVENT_SPREAD_MS = 250,
-  /* Connections that are idle for longer are closed.  */
-  IDLE_MS = 5000
+  FIRST_EVENT_SPREAD_MS = 250
 };
 
 /* Return whether the entry instance that EVENT is for is the process that it
@@ -42,35 +40,29 @@
 static uint64_t
 certain_software (const struct world *world, const struct stream *stream)
 {
-  const struct world_entry *entry = &world->entries[stream->entry];
-  const struct jc_endpoint *endpoint = jc_endpoints_find (
-      entry->endpoints, world->endpoints[stream->endpoint].name);
-  int64_t connected_ms = entry->connected_ms[stream->endpoint];
-
-  if (endpoint == NULL || endpoint->incarnation != stream->target_incarnation
-      || !jc_resumption_is_certain (
-          world->now_ms - endpoint->reported_ms,
-          connected_ms >= 0 ? world->now_ms - connected_ms : -1))
-    return 0;
-  return endpoint->software;
+  const struct jc_endpoint *endpoint = jc_endpoints_find_by_tag (
+      world->entries[stream->entry].endpoints, stream->target_tag);
+
+  return endpoint != NULL
+                 && jc_resumption_is_confirmed (endpoint->reported_ms,
+                                                stream->process_since_ms)
+             ? endpoint->software
+             : 0;
 }
 
 static void
 record_start (struct world *world, struct stream *stream)
 {
   struct world_entry *entry = &world->entries[stream->entry];
-  const struct jc_endpoint *endpoint = jc_endpoints_find (
-      entry->endpoints, world->endpoints[stream->endpoint].name);
   struct jc_stream_start start = { .stream = stream->hash,
                                    .software = stream->software,
                                    .started_ms = world->now_ms,
                                    .certain = stream->software != 0 };
 
-  if (!start.certain && endpoint != NULL
-      && endpoint->incarnation == stream->target_incarnation)
+  if (!start.certain)
     {
-      start.software = endpoint->software;
-      start.endpoint_tag = endpoint->tag;
+      start.software = stream->target_software;
+      start.endpoint_tag = stream->target_tag;
     }
   jc_stream_starts_record (entry->starts, &start);
   world->result->entry_starts_max
@@ -126,6 +118,7 @@
 
   stream->open = false;
   stream->attempt++;
+  conns_leave (world, stream, false);
   if (!entry->up)
     return;
   g_ptr_array_remove (entry->unproven, stream);
@@ -145,6 +138,7 @@
 {
   struct world_entry *entry = &world->entries[stream->entry];
 
+  conns_leave (world, stream, false);
   stream->tried |= 1U << stream->endpoint;
   if (g_ptr_array_remove (entry->unproven, stream) && stream->software == 0)
     {
@@ -160,8 +154,6 @@
 flush_held (struct world *world, struct stream *stream)
 {
   const struct world_entry *entry = &world->entries[stream->entry];
-  const struct jc_endpoint *endpoint = jc_endpoints_find (
-      entry->endpoints, world->endpoints[stream->endpoint].name);
   uint64_t attempt = stream->attempt;
 
   if (may_pass (world, stream))
@@ -173,9 +165,11 @@
           stream->held--;
           callers_receive (world, stream, stream->held_version);
         }
+      if (stream->broken && stream->attempt == attempt)
+        attempt_ended (world, stream);
       return;
     }
-  if (endpoint == NULL || endpoint->incarnation != stream->target_incarnation
+  if (jc_endpoints_find_by_tag (entry->endpoints, stream->target_tag) == NULL
       || world->now_ms - stream->held_ms > HELD_MAX_MS)
     {
       stream->held = 0;
@@ -183,6 +177,23 @@
     }
 }
 
+/* STREAM's connection is closed before its answer is whole.  What is held of it
+   stays so until it is shown to be of the right version.  */
+void
+entries_broken (struct world *world, struct stream *stream)
+{
+  uint64_t attempt = stream->attempt;
+
+  if (stream->held > 0)
+    flush_held (world, stream);
+  if (stream->attempt != attempt)
+    return;
+  if (stream->held > 0)
+    stream->broken = true;
+  else
+    attempt_ended (world, stream);
+}
+
 /* STREAM's endpoint sends its next event, unless its process has ended.  */
 static void
 on_event (struct world *world, const struct world_event *event)
@@ -190,18 +201,14 @@
   struct stream *stream = event->stream;
   const struct world_endpoint *endpoint = &world->endpoints[stream->endpoint];
 
-  if (stream->attempt != event->number)
+  if (stream->attempt != event->number || !endpoint->up
+      || endpoint->incarnation != stream->process)
     return;
-  if (!endpoint->up || endpoint->incarnation != stream->process)
-    {
-      flush_held (world, stream);
-      if (stream->attempt == event->number)
-        attempt_ended (world, stream);
-      return;
-    }
+  conns_note_heard (world, stream);
   if (stream->last_event + stream->held + 2 < stream->events)
     world_after (world, EVENT_MS, *event);
-  world->entries[stream->entry].used_ms[stream->endpoint] = world->now_ms;
+  else
+    conns_leave (world, stream, true);
   stream->held++;
   stream->held_version = endpoint->version;
   flush_held (world, stream);
@@ -212,9 +219,7 @@
 on_arrival (struct world *world, const struct world_event *event)
 {
   struct stream *stream = event->stream;
-  struct world_entry *entry = &world->entries[stream->entry];
-  unsigned int index = stream->endpoint;
-  const struct world_endpoint *endpoint = &world->endpoints[index];
+  const struct world_endpoint *endpoint = &world->endpoints[stream->endpoint];
 
   if (stream->attempt != event->number)
     return;
@@ -224,14 +229,7 @@
       return;
     }
   stream->process = endpoint->incarnation;
-  if (entry->connected_ms[index] < 0
-      || (entry->connected_to[index] == stream->process
-          && world->now_ms - entry->used_ms[index] > IDLE_MS))
-    {
-      entry->connected_ms[index] = world->now_ms;
-      entry->connected_to[index] = stream->process;
-    }
-  entry->used_ms[index] = world->now_ms;
+  conns_take (world, stream);
   world_after (
       world, FIRST_EVENT_MS + world_random (world, FIRST_EVENT_SPREAD_MS),
       (struct world_event){
@@ -247,7 +245,7 @@
   struct world_entry *entry = &world->entries[stream->entry];
   const struct jc_endpoint *endpoint
       = jc_endpoints_find (entry->endpoints, world->endpoints[index].name);
-  int64_t connected_ms = entry->connected_ms[index];
+  int64_t since_ms;
 
   if (endpoint == NULL || (stream->tried >> index & 1U) != 0
       || !jc_endpoint_is_usable (endpoint, world->now_ms)
@@ -256,9 +254,9 @@
               : !jc_versions_contains (entry->versions, WORLD_SERVICE,
                                        endpoint->software)))
     return false;
-  *certain = jc_resumption_is_certain (
-      world->now_ms - endpoint->reported_ms,
-      connected_ms >= 0 ? world->now_ms - connected_ms : -1);
+  since_ms = conns_since_ms (world, entry, index);
+  *certain = since_ms >= 0
+             && jc_resumption_is_confirmed (endpoint->reported_ms, since_ms);
   return true;
 }
 
@@ -290,8 +288,6 @@
 static bool
 prepare (struct world *world, struct stream *stream)
 {
-  const struct jc_stream_start *start;
-
   if (stream->software != 0 || stream->last_event < 0)
     return true;
   if (stream->search_ended)
@@ -299,14 +295,8 @@
       refuse (world, stream, stream->outcome);
       return false;
     }
-  start = jc_stream_starts_find (world->entries[stream->entry].starts,
-                                 stream->hash, world->now_ms);
-  if (start != NULL && start->certain && !start->conflict)
-    {
-      stream->software = start->software;
-      stream->search_ended = true;
-      return true;
-    }
+  if (searches_find_own (world, stream))
+    return true;
   searches_start (world, stream);
   return false;
 }
@@ -318,6 +308,7 @@
   const struct jc_endpoint *endpoint;
 
   stream->held = 0;
+  stream->broken = false;
   stream->attempt++;
   if (!prepare (world, stream))
     return;
@@ -330,7 +321,8 @@
     }
   endpoint = jc_endpoints_find (world->entries[stream->entry].endpoints,
                                 world->endpoints[stream->endpoint].name);
-  stream->target_incarnation = endpoint->incarnation;
+  stream->target_software = endpoint->software;
+  stream->target_tag = endpoint->tag;
   stream->unproven_attempt = stream->software != 0;
   world_after (world, HOP_MS,
                (struct world_event){ .run = on_arrival,
@@ -367,7 +359,14 @@
 
   entry->unsearched = g_ptr_array_new ();
   for (guint i = 0; i < unsearched->len; i++)
-    entries_attempt (world, g_ptr_array_index (unsearched, i));
+    {
+      struct stream *stream = g_ptr_array_index (unsearched, i);
+
+      if (stream->search_again_ms > world->now_ms)
+        g_ptr_array_add (entry->unsearched, stream);
+      else
+        entries_attempt (world, stream);
+    }
   g_ptr_array_free (unsearched, TRUE);
 }
 
@@ -414,8 +413,9 @@
   started->unproven = g_ptr_array_new ();
   started->unsearched = g_ptr_array_new ();
   memset (started->conns, 0, sizeof started->conns);
+  memset (started->used, 0, sizeof started->used);
   for (unsigned int i = 0; i < WORLD_ENDPOINTS; i++)
-    started->connected_ms[i] = -1;
+    started->http_conns[i] = g_ptr_array_new ();
   for (unsigned int s = 0; s < world->plan->states; s++)
     world_after (world,
                  2 * world_delay_ms (started->region, world->states[s].region),
@@ -443,6 +443,8 @@
   g_array_free (killed->unsent, TRUE);
   g_ptr_array_free (killed->unproven, TRUE);
   g_ptr_array_free (killed->unsearched, TRUE);
+  for (unsigned int i = 0; i < WORLD_ENDPOINTS; i++)
+    g_ptr_array_free (killed->http_conns[i], TRUE);
 }
 
 /* Start all entry instances.  */
--- a/tests/versionreports.c
+++ b/tests/versionreports.c
@@ -50,15 +50,3 @@
   jc_versions_update (entry->versions, &packet.body.rpc_body_u.versions);
   entries_count_bytes (entry, &packet);
 }
-
-/* An entry instance hears that the process that an endpoint was has closed its
-   connections.  */
-void
-reports_on_conn_closed (struct world *world, const struct world_event *event)
-{
-  struct world_entry *entry = &world->entries[event->entry];
-
-  if (entries_is_current (world, event)
-      && entry->connected_to[event->endpoint] == event->number)
-    entry->connected_ms[event->endpoint] = -1;
-}
--- a/tests/versionsearches.c
+++ b/tests/versionsearches.c
@@ -5,7 +5,8 @@
 
 enum
 {
-  SEARCH_MS = 1500,
+  SEARCH_MS = 2000,
+  SEARCH_INTERVAL_MS = 200,
   /* Between regions and back.  */
   COMMIT_MS = 160
 };
@@ -143,6 +144,21 @@
   states_greet (world, state, entry);
 }
 
+/* Let the search for STREAM's version be made again later, if ANSWERS has no
+   answer or one that an endpoint's next report may make certain, and there is
+   time.  */
+static bool
+search_again (struct world *world, struct stream *stream,
+              const struct jc_resumption *answers)
+{
+  if (answers->software != 0 || world->now_ms - stream->search_ms >= SEARCH_MS
+      || (answers->answered > 0 && !answers->uncertain))
+    return false;
+  stream->search_again_ms = world->now_ms + SEARCH_INTERVAL_MS;
+  g_ptr_array_add (world->entries[stream->entry].unsearched, stream);
+  return true;
+}
+
 /* Tell the exchange of SEARCH the outcome if there is one.  */
 static void
 search_proceed (struct world *world, struct stream *stream,
@@ -155,14 +171,9 @@
   if (search->told || outcome == JC_RESUMPTION_WAIT)
     return;
   search->told = true;
-  if (stream->attempt != search->attempt)
+  if (stream->attempt != search->attempt
+      || search_again (world, stream, &search->answers))
     return;
-  if (search->answers.answered == 0
-      && world->now_ms - stream->search_ms < SEARCH_MS)
-    {
-      g_ptr_array_add (world->entries[stream->entry].unsearched, stream);
-      return;
-    }
   stream->software = software;
   stream->outcome = outcome;
   stream->search_ended = true;
@@ -179,8 +190,29 @@
       = jc_endpoints_find_by_tag (entry->endpoints, claim->endpoint_tag);
 
   return endpoint != NULL
-         && jc_resumption_is_confirmed (world->now_ms - endpoint->reported_ms,
-                                        claim->start.age_ms);
+         && jc_resumption_is_confirmed (endpoint->reported_ms,
+                                        world->now_ms
+                                            - (int64_t)claim->start.age_ms);
+}
+
+/* Look for the version of STREAM among the starts that its entry instance
+   recorded itself.  Return whether it is there.  */
+bool
+searches_find_own (struct world *world, struct stream *stream)
+{
+  struct world_entry *entry = &world->entries[stream->entry];
+  const struct jc_stream_start *start
+      = jc_stream_starts_find (entry->starts, stream->hash, world->now_ms);
+  struct rpc_stream_claim claim;
+
+  if (start == NULL || start->conflict)
+    return false;
+  claim = jc_stream_start_to_rpc (start, world->now_ms);
+  if (!start->certain && !confirms_claim (world, entry, &claim))
+    return false;
+  stream->software = start->software;
+  stream->search_ended = true;
+  return true;
 }
 
 /* A state instance has answered a search, or has not in time.  */
@@ -222,9 +254,8 @@
   found->known = true;
   found->certain = start->certain
                    || (endpoint != NULL
-                       && jc_resumption_is_confirmed (
-                           world->now_ms - endpoint->reported_ms,
-                           world->now_ms - start->started_ms));
+                       && jc_resumption_is_confirmed (endpoint->reported_ms,
+                                                      start->started_ms));
   found->claim = jc_stream_start_to_rpc (start, world->now_ms);
   return found;
 }
--- a/tests/versionstates.c
+++ b/tests/versionstates.c
@@ -281,7 +281,7 @@
   killed->up = false;
   for (unsigned int e = 0; e < world->plan->entries; e++)
     world_after (world, 1 + world->plan->silent_ms,
-                 (struct world_event){ .run = reports_on_conn_closed,
+                 (struct world_event){ .run = conns_on_closed,
                                        .entry = e,
                                        .endpoint = endpoint,
                                        .epoch = world->entries[e].epoch,
--- a/tests/versionworld.h
+++ b/tests/versionworld.h
@@ -81,9 +81,30 @@
   int64_t proposed_ms[WORLD_VERSIONS_MAX];
 };
 
-/* An entry instance.  CONNECTED_MS is when the oldest open connection to each
-   endpoint was established, -1 if there is none, CONNECTED_TO the incarnation
-   at its other end, USED_MS when one was used last.  */
+/* What open connections to an address, OPEN of them, tell of the process there:
+   it was heard at HEARD_MS and had then been the same since SINCE_MS.  */
+struct world_address
+{
+  unsigned int open;
+  int64_t since_ms;
+  int64_t heard_ms;
+};
+
+/* A connection of an entry instance, established at CONNECTED_MS to the process
+   PROCESS, which has been the same since SINCE_MS by what was heard.  STREAM is
+   NULL while it is idle.  */
+struct world_conn
+{
+  unsigned int endpoint;
+  uint64_t process;
+  int64_t connected_ms;
+  int64_t since_ms;
+  int64_t used_ms;
+  struct stream *stream;
+};
+
+/* An entry instance.  HTTP_CONNS are its open connections to each endpoint, and
+   USED is what these tell.  */
 struct world_entry
 {
   unsigned int region;
@@ -94,9 +115,8 @@
   struct jc_stream_starts *starts;
   struct jc_versions *versions;
   bool conns[VERSIONSIM_STATES_MAX];
-  int64_t connected_ms[WORLD_ENDPOINTS];
-  uint64_t connected_to[WORLD_ENDPOINTS];
-  int64_t used_ms[WORLD_ENDPOINTS];
+  GPtrArray *http_conns[WORLD_ENDPOINTS];
+  struct world_address used[WORLD_ENDPOINTS];
   GArray *unsent;
   GPtrArray *unproven;
   GPtrArray *unsearched;
@@ -114,7 +134,7 @@
 /* A caller's stream, and the exchange that serves it now.  BEGAN_AT is the
    number of the version of the events that the caller has, from 1 on.  ATTEMPT
    goes up with each attempt, so that what belongs to an earlier one is
-   ignored.  */
+   ignored.  BROKEN is set where it has ended but events of it are held.  */
 struct stream
 {
   uint64_t hash;
@@ -133,16 +153,21 @@
   uint64_t attempt;
   uint64_t software;
   unsigned int endpoint;
-  uint64_t target_incarnation;
+  uint64_t target_tag;
+  uint64_t target_software;
   uint64_t process;
+  int64_t process_since_ms;
+  struct world_conn *conn;
   uint32_t tried;
   bool unproven_attempt;
+  bool broken;
   int held;
   unsigned int held_version;
   int64_t held_ms;
   bool search_ended;
   enum jc_resumption_outcome outcome;
   int64_t search_ms;
+  int64_t search_again_ms;
 };
 
 struct world
@@ -197,15 +222,23 @@
 void entries_count_bytes (struct world_entry *entry, struct rpc_packet *packet);
 void entries_forget (struct world *world, struct stream *stream);
 void entries_attempt (struct world *world, struct stream *stream);
+void entries_broken (struct world *world, struct stream *stream);
+
+void conns_take (struct world *world, struct stream *stream);
+void conns_note_heard (struct world *world, struct stream *stream);
+void conns_leave (struct world *world, struct stream *stream, bool whole);
+int64_t conns_since_ms (const struct world *world, struct world_entry *entry,
+                        unsigned int endpoint);
+void conns_on_closed (struct world *world, const struct world_event *event);
+
 void reports_on_row (struct world *world, const struct world_event *event);
 void reports_on_loads (struct world *world, const struct world_event *event);
 void reports_on_versions (struct world *world, const struct world_event *event);
-void reports_on_conn_closed (struct world *world,
-                             const struct world_event *event);
 
 void searches_conn_up (struct world *world, unsigned int entry,
                        unsigned int state);
 void searches_on_send (struct world *world, const struct world_event *event);
+bool searches_find_own (struct world *world, struct stream *stream);
 void searches_start (struct world *world, struct stream *stream);
 
 void callers_receive (struct world *world, struct stream *stream,
