Date an endpoint's report back where the table has just been filled

Cause: a report is dated by the longest lease that the table has seen, which is none at first. Ruled out: the margin for reports on their way. The table is told the whole lease at its start, from the setting of the report interval.

--- a/entry/router.c
+++ b/entry/router.c
@@ -287,6 +287,9 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   router->endpoints = jc_endpoints_new ();
   jc_endpoints_require_unique_addresses (router->endpoints);
+  jc_endpoints_expect_lease (
+      router->endpoints,
+      (uint32_t)(JC_ENDPOINT_LEASE_REPORTS * settings->report_ms));
   router->engines = jc_engines_new ();
   router->budgets = jc_budgets_new (&budget_settings);
   router->backpressure = jc_backpressure_new ();
--- a/member/endpoints.c
+++ b/member/endpoints.c
@@ -100,6 +100,15 @@
   endpoints->by_address = g_hash_table_new (g_str_hash, g_str_equal);
 }
 
+/* Tell ENDPOINTS that a report which was just received has LEASE_MS left of its
+   lease, so that one with less is dated back even if the table has not seen a
+   newer one.  */
+void
+jc_endpoints_expect_lease (struct jc_endpoints *endpoints, uint32_t lease_ms)
+{
+  endpoints->lease_max_ms = MAX (endpoints->lease_max_ms, lease_ms);
+}
+
 /* Free ENDPOINTS and every endpoint in it.  */
 void
 jc_endpoints_free (struct jc_endpoints *endpoints)
--- a/member/endpoints.h
+++ b/member/endpoints.h
@@ -44,11 +44,20 @@
   struct jc_report_order order;
 };
 
+enum
+{
+  /* Intervals of reports after which an endpoint that is silent counts as
+     gone.  */
+  JC_ENDPOINT_LEASE_REPORTS = 5
+};
+
 struct jc_endpoints;
 
 struct jc_endpoints *jc_endpoints_new (void);
 void jc_endpoints_free (struct jc_endpoints *endpoints);
 void jc_endpoints_require_unique_addresses (struct jc_endpoints *endpoints);
+void jc_endpoints_expect_lease (struct jc_endpoints *endpoints,
+                                uint32_t lease_ms);
 enum jc_status jc_endpoints_update (struct jc_endpoints *endpoints,
                                     const struct rpc_endpoint *report,
                                     int64_t now_ms);
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -11,8 +11,6 @@
 
 enum
 {
-  /* Report intervals after which an endpoint that is silent counts as gone.  */
-  LEASE_REPORTS = 5,
   EXPIRE_MS = 500,
   BATCH_ROWS = 64,
   /* Reports without changes are forwarded in batches, at a much shorter
@@ -270,7 +268,8 @@
   bool changed = is_changed (known, &row);
   enum jc_status status;
 
-  row.lease_ms = (u_int)(LEASE_REPORTS * state->settings->report_ms);
+  row.lease_ms
+      = (u_int)(JC_ENDPOINT_LEASE_REPORTS * state->settings->report_ms);
   status = jc_endpoints_update (state->fleet->endpoints, &row, jc_now_ms ());
   if (status == JC_BEHIND
       && jc_endpoints_dispute (state->fleet->endpoints, &row))
--- a/tests/versionentries.c
+++ b/tests/versionentries.c
@@ -407,6 +407,7 @@
   started->up_ms = world->now_ms;
   started->region = entry % WORLD_REGIONS;
   started->endpoints = jc_endpoints_new ();
+  jc_endpoints_expect_lease (started->endpoints, WORLD_LEASE_MS);
   started->starts = jc_stream_starts_new (WORLD_ENTRY_STARTS_MAX);
   started->versions = jc_versions_new ();
   started->unsent = g_array_new (FALSE, FALSE, sizeof (uint64_t));
