--- a/tests/process/versions_standin.py
+++ b/tests/process/versions_standin.py
@@ -28,8 +28,6 @@
 class Versioned(Endpoint):
     """An endpoint of one software version. It breaks streams in the middle of the events that the header X-Break
     lists."""
-    # Requests that endpoints cut off as they ended; as many attempts may fail.
-    cut = 0
 
     def __init__(self, name, version, zone, pause_s):
         super().__init__(name, "engine", zone, EVENTS, pause_s)
@@ -44,7 +42,6 @@
     async def start_again(self, version, report_after_s):
         """Crashes and starts again at once under its name and address with VERSION; its first report comes
         REPORT_AFTER_S later."""
-        Versioned.cut += len(self.writers)
         self.crash()
         await asyncio.sleep(0.05)
         self.version, self.sequence, self.born = version, 0, int(time.time() * 1000)
@@ -63,8 +60,8 @@
 class Stream:
     """What a caller holds of one stream: its events as pairs of id and version, and whether it is WHOLE. FIRST is the
     attempt id that brought the first event."""
-    # Refusals of all streams, those that were not as they must be, and failures of attempts that endpoints may have run.
-    refused, bad_answers, failed = 0, [], 0
+    # Refusals of all streams, and those that were not as they must be.
+    refused, bad_answers = 0, []
 
     def __init__(self):
         self.events, self.first, self.whole = [], None, False
@@ -93,9 +90,6 @@
         if reply.status == 200:
             self.whole = reply.whole
             return None if reply.whole or len(self.events) > held else UNREACHED_S
-        if reply.status == 502 and Versioned.cut > Stream.failed:
-            Stream.failed += 1
-            return UNREACHED_S
         Stream.refused += 1
         pause = reply.headers.get("retry-after")
         if reply.status != 503 or pause is None or time.monotonic() - begun > REFUSAL_MAX_S:
