--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -98,7 +98,56 @@
 class Machine:
     def __init__(self, name, role, zone, ip):
         self.name, self.role, self.zone, self.ip = name, role, zone, ip
-        self.process = None
+        self.process, self.shift = None, 0
+
+
+class Gate:
+    """A link that can be cut: while it is, bytes wait on both sides and connections get no answer. Afterwards what
+    waited arrives, unless its sender has closed."""
+
+    def __init__(self, rig, name):
+        self.rig, self.name, self.listeners = rig, name, []
+        self.is_open = asyncio.Event()
+        self.is_open.set()
+
+    async def open(self, ip, port, to_port):
+        async def serve(reader, writer):
+            task = asyncio.current_task()
+            self.rig.tasks.append(task)
+            other = None
+            try:
+                await self.is_open.wait()
+                other_reader, other = await asyncio.open_connection(ip, to_port)
+                first = asyncio.create_task(self.relay(reader, other))
+                second = asyncio.create_task(self.relay(other_reader, writer))
+                await asyncio.wait([first, second], return_when=asyncio.FIRST_COMPLETED)
+                await self.is_open.wait()
+                first.cancel()
+                second.cancel()
+            except (OSError, asyncio.CancelledError):
+                pass
+            finally:
+                writer.close()
+                if other:
+                    other.close()
+        self.listeners.append(await asyncio.start_server(serve, ip, port))
+
+    async def relay(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                await self.is_open.wait()
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+
+    def cut(self):
+        self.rig.record("%s is cut off from the core" % self.name)
+        self.is_open.clear()
+
+    def join(self):
+        self.rig.record("%s reaches the core again" % self.name)
+        self.is_open.set()
 
 
 class Rig:
@@ -111,7 +160,7 @@
         self.cores = [Machine("core-%s-1" % zone, "state", zone, net + str(11 + i)) for i, zone in enumerate(ZONES)]
         self.edges = [Machine("edge-%s-%d" % (zone, i + 1), "entry", zone, net + str(41 + i))
                       for i, zone in enumerate(entries)]
-        self.base = free_base(24, [machine.ip for machine in self.cores + self.edges])
+        self.base = free_base(48, [machine.ip for machine in self.cores + self.edges])
         self.net, self.servers, self.tasks, self.logs = net, [], [], []
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.deploy = tomllib.load(file)
@@ -136,6 +185,16 @@
     def ready(self, machine):
         return "%s:%d" % (machine.ip, self.base + 19)
 
+    async def put_behind_gate(self, machine):
+        """Puts MACHINE, not started yet, behind a gate of its own: its connections to the core's ports for traffic
+        between daemons pass through a proxy. It gets another range of ports, since it dials the core at the port that
+        it has itself."""
+        machine.shift = 24
+        gate = Gate(self, machine.name)
+        for core in self.cores:
+            await gate.open(core.ip, self.base + machine.shift + 15, self.base + 15)
+        return gate
+
     def start(self, machine, first):
         role = self.deploy["roles"][machine.role]
         data = os.path.join(self.folder, machine.name + ".data")
@@ -144,7 +203,7 @@
             "zones": ZONES, "ip": machine.ip, "data-dir": data, "is-bootstrap": first, "heartbeat-ms": 1200,
             "listen": {"frontend": self.frontend(machine), "ready": self.ready(machine),
                        "control-plane": self.control(machine), "directory": self.directory(machine)},
-            "port-range": [self.base, self.base + 15], "seeds": [self.control(core) for core in self.cores],
+            "port-range": [self.base + machine.shift, self.base + machine.shift + 15], "seeds": [self.control(core) for core in self.cores],
             "fault-tolerance": {"machines": 1, "zones": 1, "regions": 1},
             "bounds": {"contact-ms": 6000, "retry-ratio": 0.2, "warmup-excess": 1.5, "warmup-slack": 3}}
         settings = os.path.join(self.folder, machine.name + ".conf")
@@ -287,17 +346,24 @@
 
     async def report(self):
         while True:
-            self.sequence += 1
-            body = json.dumps({
-                "service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 6,
-                "state": self.state, "warmup-left-ms": 0, "sequence": self.sequence, "born": self.born}).encode()
-            for core in random.sample(self.rig.cores, len(self.rig.cores)):
-                status, _, _ = await self.rig.ask(self.rig.control(core), "POST",
-                                                  "/v1/Instances.Heartbeat/" + self.name, body)
-                if 200 <= status < 300:
-                    break
+            await self.report_once()
             await asyncio.sleep(1.2)
 
+    async def report_once(self):
+        self.sequence += 1
+        body = json.dumps({
+            "service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 6,
+            "state": self.state, "warmup-left-ms": 0, "sequence": self.sequence, "born": self.born}).encode()
+        for core in random.sample(self.rig.cores, len(self.rig.cores)):
+            status, _, _ = await self.rig.ask(self.rig.control(core), "POST",
+                                              "/v1/Instances.Heartbeat/" + self.name, body)
+            if 200 <= status < 300:
+                break
+
+    def connection(self):
+        """Returns the header line that tells callers to close, if there is one."""
+        return ""
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -327,8 +393,8 @@
         await asyncio.sleep(0.015)
         body = ("answer of %s to %s\n" % (self.name, attempt)).encode()
         writer.write(("HTTP/1.1 200 OK\r\nX-Jaycove-Attempt-Id: %s\r\nX-Jaycove-Server-Stamp: 1.%s.%s\r\n"
-                      "X-Jaycove-Server-Load: 1,0,6\r\nContent-Length: %d\r\n\r\n"
-                      % (attempt, self.name, attempt, len(body))).encode() + body)
+                      "X-Jaycove-Server-Load: 1,0,6\r\n%sContent-Length: %d\r\n\r\n"
+                      % (attempt, self.name, attempt, self.connection(), len(body))).encode() + body)
 
 
 def desired_state(version, service="xano55b", kind="safe"):
