--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,7 @@
 import rig as r
 
 ZONE = "hamburg-a"
-CUT_S, LINGER_S = 5.0, 11.0
+CUT_S, LINGER_S = 3.0, 8.0
 
 
 class Leaving(r.Server):
