--- a/review/3/case.py
+++ b/review/3/case.py
@@ -48,7 +48,7 @@
     await rig.boot(r.desired_state(7), [leaving, staying] + [r.Server("i-" + zone, "xano55b", zone)
                                                              for zone in r.ZONES if zone != ZONE])
     for machine in rig.edges:
-        rig.tasks.append(asyncio.create_task(r.client(rig, machine, 0.1)))
+        rig.tasks.append(asyncio.create_task(r.client(rig, machine, 0.1 if machine.zone == ZONE else 0.3)))
     await asyncio.sleep(2)
     if not leaving.arrived:
         raise r.CannotRun("the server gets no requests")
@@ -77,4 +77,5 @@
 
 
 if __name__ == "__main__":
-    r.main(run, os.path.dirname(os.path.abspath(__file__)), [ZONE, "vantaa-a"])
+    r.main(run, os.path.dirname(os.path.abspath(__file__)), 
+           [ZONE, ZONE, "arlanda-a", "arlanda-a", "vantaa-a", "vantaa-a", "vantaa-a"])
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -153,7 +153,7 @@
 class Rig:
     def __init__(self, folder, entries):
         """ENTRIES are the zones of the edge machines, one for each."""
-        self.record_file = open(os.path.join(folder, "record.txt"), "w", buffering=1)
+        self.record_file = open(os.environ.get("RECORD") or os.path.join(folder, "record.txt"), "w", buffering=1)
         self.started = time.monotonic()
         self.folder = tempfile.mkdtemp(prefix="jaycove-review-")
         net = "127.%d.%d." % (random.randrange(20, 120), random.randrange(1, 250))
@@ -203,7 +203,8 @@
             "zones": ZONES, "ip": machine.ip, "data-dir": data, "is-bootstrap": first, "heartbeat-ms": 1200,
             "listen": {"frontend": self.frontend(machine), "ready": self.ready(machine),
                        "control-plane": self.control(machine), "directory": self.directory(machine)},
-            "port-range": [self.base + machine.shift, self.base + machine.shift + 15], "seeds": [self.control(core) for core in self.cores],
+            "port-range": [self.base + machine.shift, self.base + machine.shift + 15],
+            "seeds": [self.control(core) for core in self.cores],
             "fault-tolerance": {"machines": 1, "zones": 1, "regions": 1},
             "bounds": {"contact-ms": 6000, "retry-ratio": 0.2, "warmup-excess": 1.5, "warmup-slack": 3}}
         settings = os.path.join(self.folder, machine.name + ".conf")
