Drop what the kernel holds of a request whose call has ended

Requests reached endpoints up to 0.6 s after their callers had left (GONE): a link that hangs holds the bytes of a request, an ordinary close leaves them queued, and the kernel delivers them once the link is back. Ruled out: a late cancel; the attempt had ended at the caller's deadline.

--- a/net/httpc.c
+++ b/net/httpc.c
@@ -106,7 +106,7 @@
 
       call->ended = true;
       if (call->conn != NULL)
-        httpc_conn_close (call->conn);
+        httpc_conn_abort (call->conn);
     }
   g_list_free (calls);
   g_hash_table_destroy (httpc->idle_conns);
@@ -169,7 +169,9 @@
   if (call->conn != NULL)
     {
       call->conn->call = NULL;
-      if (!call->conn->idle)
+      if (!call->complete)
+        httpc_conn_abort (call->conn);
+      else if (!call->conn->idle)
         httpc_conn_close (call->conn);
       call->conn = NULL;
     }
@@ -353,6 +355,7 @@
                                                .reused = call->reused,
                                                .message = "" };
 
+  call->complete = true;
   call_finish (call, &result);
 }
 
--- a/net/httpcconn.c
+++ b/net/httpcconn.c
@@ -228,6 +228,19 @@
   httpc_schedule_reap (httpc);
 }
 
+/* Close CONN and drop what the kernel has not delivered yet of the request of
+   its call, which has ended.  After an ordinary close a request that a silent
+   link held back would still arrive once the link is back.  */
+void
+httpc_conn_abort (struct httpc_conn *conn)
+{
+  const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+  if (!conn->closed)
+    setsockopt (conn->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  httpc_conn_close (conn);
+}
+
 /* Free CONN, which must be closed.  */
 void
 httpc_conn_free (struct httpc_conn *conn)
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -68,7 +68,8 @@
 /* A call and its request.  END_AT, the end of its total time, and
    PROGRESS_DUE_AT, by when it must connect or make progress, are times on the
    loop's clock in seconds, 0 for none.  ENDED is set once its result was
-   reported or it was cancelled.  */
+   reported or it was cancelled, COMPLETE before that if its answer was whole.
+ */
 struct jc_httpc_call
 {
   struct jc_httpc *httpc;
@@ -91,6 +92,7 @@
   bool no_resend;
   bool paused;
   bool ended;
+  bool complete;
   bool sent;
   bool host_unreachable;
   bool reused;
@@ -106,6 +108,7 @@
 void httpc_conn_start_call (struct httpc_conn *conn,
                             struct jc_httpc_call *call);
 void httpc_conn_close (struct httpc_conn *conn);
+void httpc_conn_abort (struct httpc_conn *conn);
 void httpc_conn_free (struct httpc_conn *conn);
 void httpc_conn_pause (struct httpc_conn *conn, bool paused);
 void httpc_conn_reset_parser (struct httpc_conn *conn);
