Serve callers of an instance without links to endpoints by others

Cause: such an instance went on trying, 400 ms each time; it handed over to other regions only, and to instances without reach as well, whose refusals as overloaded ruled out their region. Ruled out: load at those that reach. An instance now judges its reach and tells it in its presence report; without it, its requests go to others at once, its own region first, never to one without reach; the directory names it last in its region; what nobody reaches is refused as out_of_reach, with Retry-After. Attempts that hang count also where callers leave first.

--- a/base/status.c
+++ b/base/status.c
@@ -68,6 +68,7 @@
   [JC_CROWDED] = { "crowded", 503, JC_NOT_RUN, JC_RETRY_AFTER },
   [JC_REQUEST_BLOCKED] = { "request_blocked", 503, JC_NOT_RUN, JC_RETRY_AFTER },
   [JC_VERSION_UNKNOWN] = { "version_unknown", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_OUT_OF_REACH] = { "out_of_reach", 503, JC_NOT_RUN, JC_RETRY_AFTER },
 };
 
 /* Return the entry of STATUS, or that of JC_INTERNAL if the value is unknown,
--- a/base/status.h
+++ b/base/status.h
@@ -11,7 +11,8 @@
    JC_CROWDED: the request should wait, since the chosen endpoint has too much
    unread input.  JC_ANSWER_GONE: the request has run, but its answer is no
    longer stored.  JC_REQUEST_BLOCKED: requests like it crashed endpoints.
-   JC_VERSION_UNKNOWN: which software version began the stream is not known.  */
+   JC_VERSION_UNKNOWN: which software version began the stream is not known.
+   JC_OUT_OF_REACH: this instance has lost its links to the endpoints.  */
 enum jc_status
 {
   JC_OK,
@@ -58,6 +59,7 @@
   JC_CROWDED,
   JC_REQUEST_BLOCKED,
   JC_VERSION_UNKNOWN,
+  JC_OUT_OF_REACH,
   JC_STATUS_COUNT
 };
 
--- a/entry/answer.c
+++ b/entry/answer.c
@@ -62,13 +62,27 @@
          && strcmp (run, jc_run_state_name (JC_NOT_RUN)) == 0;
 }
 
+static struct jc_path_target
+path_target_of (const struct exchange *exchange)
+{
+  return (struct jc_path_target){ .instance = exchange->target_name,
+                                  .zone = exchange->target_zone,
+                                  .region = exchange->target_region };
+}
+
 /* Record that the other entry instance refused with HEAD.  Its region is
    avoided from now on if the reason applies to all of it.  */
 static void
 note_remote_refusal (struct exchange *exchange, const struct jc_head *head)
 {
+  const struct jc_path_target target = path_target_of (exchange);
+  const char *error = jc_head_field (head, HEADER_ERROR);
+
   exchange->answer_info.not_run = true;
-  if (jc_remote_refusal_is_regional (jc_head_field (head, HEADER_ERROR)))
+  /* Its own report will say so too; until then it gets no other request.  */
+  if (strcmp (error, jc_status_name (JC_OUT_OF_REACH)) == 0)
+    jc_paths_refused (exchange->router->paths, &target, jc_now_ms ());
+  if (jc_remote_refusal_is_regional (error))
     g_ptr_array_add (exchange->avoided_regions,
                      (gpointer)exchange->target_region);
 }
@@ -104,14 +118,6 @@
                             exchange->send_number);
 }
 
-static struct jc_path_target
-path_target_of (const struct exchange *exchange)
-{
-  return (struct jc_path_target){ .instance = exchange->target_name,
-                                  .zone = exchange->target_zone,
-                                  .region = exchange->target_region };
-}
-
 static void
 on_head (void *ctx, const struct jc_head *head)
 {
@@ -123,6 +129,8 @@
   exchange->router->protocol->parse_answer (head, &exchange->answer_info);
   exchange->head_received = true;
   paths_answered (exchange->router, &target);
+  if (!exchange->remote)
+    reach_attempt_answered (exchange);
   if (exchange->remote && is_remote_refusal (head))
     note_remote_refusal (exchange, head);
   exchange->streaming
@@ -420,9 +428,16 @@
 {
   const struct jc_path_target target = path_target_of (exchange);
 
-  paths_attempt_failed (exchange->router, &target, exchange->attempt_started_ms,
-                        result);
-  if (result->host_unreachable && exchange->remote)
+  if (result->host_unreachable || result->connecting)
+    reach_attempt_hung (exchange);
+  if (exchange->remote
+      || !jc_reach_is_lost (exchange->router->reach, exchange->service))
+    paths_attempt_failed (exchange->router, &target,
+                          exchange->attempt_started_ms, result);
+  if (result->host_unreachable && exchange->remote
+      && strcmp (exchange->target_region,
+                 exchange->router->entry->settings->region)
+             != 0)
     g_ptr_array_add (exchange->avoided_regions,
                      (gpointer)exchange->target_region);
 }
--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -6,6 +6,7 @@
 
 #include "base/event.h"
 #include "entry/router.h"
+#include "member/presence.h"
 #include "net/program.h"
 #include "serve/remote.h"
 
@@ -182,12 +183,20 @@
                                   now_ms);
 }
 
-/* Return true if NEIGHBOUR is in another region and may get QUERY's request: it
-   takes callers, residency allows its region, it can be reached and was not
-   tried, and its region has room.  */
+static bool
+is_in_own_region (const struct router *router,
+                  const struct rpc_presence *presence)
+{
+  return strcmp (presence->region, router->entry->settings->region) == 0;
+}
+
+/* Return true if NEIGHBOUR may get QUERY's request: it takes callers and
+   reaches the endpoints, residency allows its region, it can be reached and was
+   not tried, and its region has room.  One in this region is of use only if
+   this instance does not reach the same endpoints, UNREACHED.  */
 static bool
 is_eligible_neighbour (const struct router *router,
-                       const struct balancer_query *query,
+                       const struct balancer_query *query, bool unreached,
                        const struct neighbour *neighbour)
 {
   const struct rpc_presence *presence = &neighbour->presence;
@@ -195,7 +204,8 @@
       router, presence->region, query->service, query->now_ms);
 
   return room != NULL && !presence->draining && presence->ready
-         && strcmp (presence->region, router->entry->settings->region) != 0
+         && (unreached || !is_in_own_region (router, presence))
+         && jc_presence_reaches (presence, query->service)
          && is_fresh (neighbour, query->now_ms)
          && jc_hostroute_allows (query->route, presence->region)
          && is_reachable (router, neighbour, query->now_ms)
@@ -204,11 +214,12 @@
          && jc_remote_has_room (room, query->demand);
 }
 
-/* Return the instances of other regions that may get QUERY's request, an array
-   of struct jc_remote_instance that the caller frees.  */
+/* Return the other instances that may get QUERY's request, an array of struct
+   jc_remote_instance that the caller frees; with UNREACHED those of this region
+   too.  */
 static GArray *
 list_remote_instances (struct router *router,
-                       const struct balancer_query *query)
+                       const struct balancer_query *query, bool unreached)
 {
   GArray *list = g_array_new (FALSE, FALSE, sizeof (struct jc_remote_instance));
   GHashTableIter iter;
@@ -223,7 +234,7 @@
               .room = neighbours_room (router, neighbour->presence.region,
                                        query->service, query->now_ms) };
 
-      if (is_eligible_neighbour (router, query, neighbour))
+      if (is_eligible_neighbour (router, query, unreached, neighbour))
         g_array_append_val (list, remote);
     }
   return list;
@@ -295,6 +306,28 @@
                       : local_rate;
 }
 
+/* Return the requests per second that ENDPOINTS, those of this region, can
+   serve.  Where this instance does not reach them, it is what others of the
+   region report.  */
+static double
+regional_capacity (struct router *router, const struct balancer_query *query,
+                   const GPtrArray *endpoints)
+{
+  const struct rpc_service_room *room;
+  double capacity = 0;
+
+  if (jc_reach_is_lost (router->reach, query->service))
+    {
+      room = neighbours_room (router, router->entry->settings->region,
+                              query->service, query->now_ms);
+      return room != NULL ? (double)room->capacity_milli / PERMILLE : 0;
+    }
+  for (guint i = 0; i < endpoints->len; i++)
+    capacity += jc_engines_capacity_per_s (router->engines,
+                                           g_ptr_array_index (endpoints, i));
+  return capacity;
+}
+
 /* Return the region that QUERY's plain request goes to because the callers of
    this region ask for more than it can serve, or NULL.  ENDPOINTS are those of
    this region.  */
@@ -307,9 +340,7 @@
   struct jc_region_load load = { .name = own };
   const char *region;
 
-  for (guint i = 0; i < endpoints->len; i++)
-    load.capacity_per_s += jc_engines_capacity_per_s (
-        router->engines, g_ptr_array_index (endpoints, i));
+  load.capacity_per_s = regional_capacity (router, query, endpoints);
   load.offered_per_s = regional_request_rate (
       router, query,
       local_request_rate (router, query->service, query->now_ms));
@@ -360,18 +391,6 @@
   g_array_append_val (regions, region);
 }
 
-/* Remove from LIST the instances of regions other than REGION.  */
-static void
-filter_by_region (GArray *list, const char *region)
-{
-  for (guint i = list->len; i > 0; i--)
-    if (strcmp (g_array_index (list, struct jc_remote_instance, i - 1)
-                    .instance->region,
-                region)
-        != 0)
-      g_array_remove_index_fast (list, i - 1);
-}
-
 /* Return the region that serves all requests with the same prompt prefix as
    QUERY's, so that its cache is used, or NULL.  This region has USABLE
    endpoints, LIST holds the instances of others.  */
@@ -399,16 +418,19 @@
   return prefix_region;
 }
 
-/* Return an instance of another region that may get QUERY's request, or
-   NULL.  ANSWER_MS is set to the mean answer time there.  MUST_GO is set to
-   true if the first attempt must go there, because requests with its prompt
-   prefix do or because the own region is overloaded.  ENDPOINTS are those
-   of this region.  */
+/* Return another instance that may get QUERY's request, or NULL.  ANSWER_MS is
+   set to the mean answer time there.  MUST_GO is set to true if the first
+   attempt must go there, because requests with its prompt prefix do or because
+   the own region is overloaded.  With UNREACHED, if this instance does not
+   reach the endpoints, one of this region goes before others.  ENDPOINTS are
+   those of this region.  */
 static const struct neighbour *
 pick_neighbour (struct router *router, const struct balancer_query *query,
-                const GPtrArray *endpoints, int64_t *answer_ms, bool *must_go)
+                const GPtrArray *endpoints, bool unreached, int64_t *answer_ms,
+                bool *must_go)
 {
-  GArray *list = list_remote_instances (router, query);
+  const char *own = router->entry->settings->region;
+  GArray *list = list_remote_instances (router, query, unreached);
   const char *region
       = query->demand->prompt_tokens > 0
             ? pick_prefix_region (router, query, endpoints->len, list)
@@ -416,10 +438,10 @@
   const struct neighbour *best = NULL;
   const struct jc_remote_instance *picked;
 
-  *must_go = region != NULL && query->tried->len == 0
-             && strcmp (region, router->entry->settings->region) != 0;
-  if (*must_go)
-    filter_by_region (list, region);
+  *must_go
+      = region != NULL && query->tried->len == 0 && strcmp (region, own) != 0;
+  if (!jc_remote_prefer_region (list, *must_go ? region : own) && *must_go)
+    g_array_set_size (list, 0);
   picked = jc_remote_pick_instance (list, g_random_int ());
   if (picked != NULL)
     {
@@ -461,10 +483,35 @@
   g_ptr_array_free (all, TRUE);
 }
 
+/* Return whether some other instance that may get QUERY's request reaches the
+   endpoints, though it may have no room.  */
+static bool
+is_reached_by_others (const struct router *router,
+                      const struct balancer_query *query)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, router->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct neighbour *neighbour = value;
+
+      if (is_fresh (neighbour, query->now_ms)
+          && jc_hostroute_allows (query->route, neighbour->presence.region)
+          && is_reachable (router, neighbour, query->now_ms)
+          && jc_presence_reaches (&neighbour->presence, query->service))
+        return true;
+    }
+  return false;
+}
+
 /* Pick the target of QUERY's request and store it in TARGET.  Return
-   JC_NO_ENDPOINT if nothing serves it and JC_OVERLOADED if all endpoints are
-   full.  If its prompt would stall running streams, return JC_CROWDED while it
-   may wait, and JC_OVERLOADED after that unless it is urgent.  */
+   JC_NO_ENDPOINT if nothing serves it, JC_OUT_OF_REACH if this instance and all
+   others that it could ask do not reach the endpoints, and JC_OVERLOADED if all
+   endpoints are full.  If its prompt would stall running streams, return
+   JC_CROWDED while it may wait, and JC_OVERLOADED after that unless it is
+   urgent.  */
 enum jc_status
 balancer_pick (struct router *router, const struct balancer_query *query,
                struct balancer_target *target)
@@ -474,22 +521,30 @@
   struct jc_endpoint *endpoint = NULL;
   int64_t remote_ms = 0;
   bool must_go = false;
+  bool lost = jc_reach_is_lost (router->reach, query->service);
+  bool unreached;
+  GPtrArray *candidates;
   guint usable;
 
-  if (jc_hostroute_allows (query->route, router->entry->settings->region))
+  if (!lost
+      && jc_hostroute_allows (query->route, router->entry->settings->region))
     collect_usable_endpoints (router, query->service, query,
                               backpressure_may_send, query->now_ms, endpoints);
   usable = endpoints->len;
-  if (!query->local_only)
-    neighbour = pick_neighbour (router, query, endpoints, &remote_ms, &must_go);
-  filter_engines (router, query, endpoints);
-  if (endpoints->len > 0)
-    endpoint = jc_engines_pick (router->engines, endpoints, query->demand,
+  candidates = g_ptr_array_copy (endpoints, NULL, NULL);
+  filter_engines (router, query, candidates);
+  if (candidates->len > 0)
+    endpoint = jc_engines_pick (router->engines, candidates, query->demand,
                                 query->now_ms);
+  unreached = lost || (candidates->len > 0 && endpoint == NULL);
+  if (!query->local_only)
+    neighbour = pick_neighbour (router, query, endpoints, unreached, &remote_ms,
+                                &must_go);
   if (endpoint != NULL && neighbour != NULL && !must_go
-      && !jc_remote_is_faster (mean_answer_ms (router, query, endpoints),
+      && !jc_remote_is_faster (mean_answer_ms (router, query, candidates),
                                remote_ms, g_random_double ()))
     neighbour = NULL;
+  g_ptr_array_free (candidates, TRUE);
   g_ptr_array_free (endpoints, TRUE);
   if (endpoint != NULL && neighbour == NULL && query->software == 0
       && (query->may_wait || query->demand->priority >= REFUSABLE_PRIORITY)
@@ -499,13 +554,16 @@
                     "Much is to be read at %s.", endpoint->name);
   target->neighbour = neighbour;
   target->endpoint = neighbour != NULL ? NULL : endpoint;
-  if (neighbour == NULL && endpoint == NULL && usable > 0)
-    return jc_fail (JC_OVERLOADED, "All endpoints of %s have too much to do.",
+  if (neighbour != NULL || endpoint != NULL)
+    return JC_OK;
+  if (unreached && (query->local_only || !is_reached_by_others (router, query)))
+    return jc_fail (JC_OUT_OF_REACH, "No endpoint of %s can be reached.",
                     query->service);
-  if (neighbour == NULL && endpoint == NULL)
-    return jc_fail (JC_NO_ENDPOINT, "No endpoint of %s can take it.",
+  if (unreached || usable > 0)
+    return jc_fail (JC_OVERLOADED, "All endpoints of %s have too much to do.",
                     query->service);
-  return JC_OK;
+  return jc_fail (JC_NO_ENDPOINT, "No endpoint of %s can take it.",
+                  query->service);
 }
 
 /* Return the time until some endpoint of SERVICE in this region accepts
@@ -590,8 +648,9 @@
           g_ptr_array_set_size (endpoints, 0);
           /* Other regions would use up a limit, which is small, faster than
              they hear of it.  */
-          collect_usable_endpoints (router, name, NULL, backpressure_is_free,
-                                    now, endpoints);
+          if (!jc_reach_is_lost (router->reach, name))
+            collect_usable_endpoints (router, name, NULL, backpressure_is_free,
+                                      now, endpoints);
           room->service = name;
           fill_room (router, endpoints, now, room);
         }
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -18,6 +18,9 @@
      spread, so that callers refused at once do not come back at once.  */
   RETRY_AFTER_MIN_MS = 200,
   RETRY_AFTER_SPREAD_MS = 400,
+  /* An instance without links to the endpoints finds out within this time when
+     they are back, and the directory names another one by then.  */
+  RETRY_OUT_OF_REACH_MS = 1000,
   /* A blocked request is hardly accepted again before an operator steps in.  */
   RETRY_BLOCKED_MS = 300000,
   /* The spread is at least the time divided by this.  */
@@ -96,8 +99,9 @@
 {
   int64_t earliest = balancer_earliest_ms (exchange->router, exchange->service,
                                            jc_now_ms ());
-  int64_t after = status == JC_REQUEST_BLOCKED
-                      ? RETRY_BLOCKED_MS
+  int64_t after = status == JC_REQUEST_BLOCKED ? RETRY_BLOCKED_MS
+                  : status == JC_OUT_OF_REACH
+                      ? RETRY_OUT_OF_REACH_MS
                       : MAX (earliest, RETRY_AFTER_MIN_MS);
   int64_t spread
       = MAX (after / RETRY_AFTER_SPREAD_DIVISOR, RETRY_AFTER_SPREAD_MS);
@@ -566,15 +570,19 @@
 exchange_caller_closed (struct jc_http_req *req)
 {
   struct exchange *exchange = jc_http_data (req);
+  enum jc_engine_outcome outcome = JC_ENGINE_CALLER_LEFT;
 
   if (exchange == NULL)
     return;
   log_end (exchange, JC_EVENT_GONE, "caller_left");
   count_outcome (exchange, "caller_left");
   waitqueue_remove (exchange->router, exchange);
+  if (exchange->call != NULL && jc_httpc_call_is_connecting (exchange->call)
+      && reach_attempt_hung (exchange))
+    outcome = JC_ENGINE_UNREACHABLE;
   if (exchange->call != NULL)
     jc_httpc_call_cancel (exchange->call);
-  exchange_end_engine_run (exchange, JC_ENGINE_CALLER_LEFT);
+  exchange_end_engine_run (exchange, outcome);
   exchange_free (exchange);
 }
 
--- a/entry/gauges.c
+++ b/entry/gauges.c
@@ -58,6 +58,19 @@
     }
 }
 
+/* Return the number of services whose endpoints this instance can't reach.  */
+static unsigned int
+count_unreached (const struct router *router)
+{
+  GPtrArray *services = g_ptr_array_new ();
+  unsigned int count;
+
+  jc_reach_list_lost (router->reach, services);
+  count = services->len;
+  g_ptr_array_free (services, TRUE);
+  return count;
+}
+
 /* Update all gauges of ROUTER.  */
 void
 gauges_set (struct router *router)
@@ -76,6 +89,8 @@
                         count_fresh_neighbours (router, now));
   jc_metrics_gauge_set (metrics, "jaycove_entry_instances_heard_ms_ago", "",
                         (double)max_neighbour_age_ms (router, now));
+  jc_metrics_gauge_set (metrics, "jaycove_unreached_services", "",
+                        count_unreached (router));
   jc_metrics_gauge_set (
       metrics, "jaycove_limited_endpoints", "",
       jc_backpressure_count_limited (router->backpressure, jc_boot_ms ()));
--- a/entry/paths.c
+++ b/entry/paths.c
@@ -47,7 +47,8 @@
 }
 
 /* Record that an attempt at TARGET, started at STARTED_MS, ended with RESULT
-   before any answer came.  */
+   before any answer came.  In this instance's own zone only TARGET itself can
+   be down.  */
 void
 paths_attempt_failed (struct router *router,
                       const struct jc_path_target *target, int64_t started_ms,
@@ -55,9 +56,7 @@
 {
   int64_t now = jc_now_ms ();
 
-  if (is_own_zone (router, target))
-    return;
-  if (!result->host_unreachable)
+  if (!result->host_unreachable || is_own_zone (router, target))
     jc_paths_refused (router->paths, target, now);
   else if (jc_paths_failed (router->paths, target, started_ms, now))
     log_path (router, target, false, "unreached");
--- a/entry/router.c
+++ b/entry/router.c
@@ -165,6 +165,7 @@
   (void)events;
   stateclient_tick (entry->router);
   paths_tick (entry->router);
+  reach_tick (entry->router);
   backpressure_tick (entry->router);
   resumptions_tick (entry->router);
   if (entry->draining)
@@ -297,6 +298,7 @@
   crashes_start (router);
   resumptions_start (router);
   router->paths = jc_paths_new ();
+  reach_start (router);
   router->request_rates
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   router->answer_sizes
@@ -344,6 +346,7 @@
   crashes_stop (router);
   resumptions_stop (router);
   jc_paths_free (router->paths);
+  reach_stop (router);
   jc_endpoints_free (router->endpoints);
   jc_orders_free (router->orders);
   jc_routetable_unref (router->routes);
--- a/entry/router.h
+++ b/entry/router.h
@@ -15,6 +15,7 @@
 #include "serve/pauses.h"
 #include "serve/regionload.h"
 #include "serve/paths.h"
+#include "serve/reach.h"
 #include "serve/streamstarts.h"
 #include "serve/suspects.h"
 
@@ -57,6 +58,8 @@
   struct jc_suspects *suspects;
   GPtrArray *crash_probes;
   struct jc_paths *paths;
+  struct jc_reach *reach;
+  GPtrArray *reach_probes;
   struct jc_versions *versions;
   struct jc_stream_starts *starts;
   GArray *unsent_starts;
@@ -166,6 +169,13 @@
 void paths_reported (struct router *router, const char *reporter,
                      const struct rpc_loads *loads);
 
+/* reach: services whose endpoints this instance can't reach.  */
+void reach_start (struct router *router);
+void reach_stop (struct router *router);
+bool reach_attempt_hung (const struct exchange *exchange);
+void reach_attempt_answered (const struct exchange *exchange);
+void reach_tick (struct router *router);
+
 /* backpressure: what endpoints ask for in their answers.  */
 void backpressure_note_answer (struct router *router,
                                const struct jc_endpoint *endpoint,
--- a/entry/stateclient.c
+++ b/entry/stateclient.c
@@ -19,6 +19,7 @@
      could report them.  */
   DISCONNECTED_KEEP_MS = 600000,
   ROOMS_MAX = 64,
+  UNREACHED_MAX = 64,
   /* Shortest interval between two requests for all endpoints.  */
   FLEET_REQUEST_INTERVAL_MS = 1000,
   /* Limits for callers if the configuration sets none.  */
@@ -89,6 +90,7 @@
   struct rpc_packet packet = { .body.type = RPC_PRESENCE };
   struct rpc_presence *presence = &packet.body.rpc_body_u.presence;
   struct rpc_service_room rooms[ROOMS_MAX];
+  GPtrArray *unreached = g_ptr_array_new ();
 
   presence->name = entry->settings->name;
   presence->region = entry->settings->region;
@@ -99,7 +101,11 @@
   presence->ready = router->routes != NULL;
   presence->rooms.rooms_val = rooms;
   balancer_fill_rooms (router, presence);
+  jc_reach_list_lost (router->reach, unreached);
+  presence->unreached.unreached_val = (rpc_name *)unreached->pdata;
+  presence->unreached.unreached_len = MIN (unreached->len, UNREACHED_MAX);
   jc_rpc_send (conn, &packet);
+  g_ptr_array_free (unreached, TRUE);
 }
 
 /* Send the presence of this instance to every connected state instance.  */
--- a/member/presence.c
+++ b/member/presence.c
@@ -25,6 +25,16 @@
   g_free (bytes);
 }
 
+/* Return whether the instance of PRESENCE reaches the endpoints of SERVICE.  */
+bool
+jc_presence_reaches (const struct rpc_presence *presence, const char *service)
+{
+  for (u_int i = 0; i < presence->unreached.unreached_len; i++)
+    if (strcmp (presence->unreached.unreached_val[i], service) == 0)
+      return false;
+  return true;
+}
+
 /* Free what PRESENCE, set by jc_presence_copy, holds.  */
 void
 jc_presence_clear (struct rpc_presence *presence)
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -147,6 +147,13 @@
   return call->conn->since_ms;
 }
 
+/* Return whether CALL waits for its connection to come up.  */
+bool
+jc_httpc_call_is_connecting (const struct jc_httpc_call *call)
+{
+  return call->conn != NULL && !call->conn->connected;
+}
+
 /* Return how many connections HTTPC has opened since its start.  */
 uint64_t
 jc_httpc_connections_opened (const struct jc_httpc *httpc)
@@ -398,6 +405,7 @@
           .http_status = call->http_status,
           .sent = call->sent,
           .host_unreachable = call->host_unreachable,
+          .connecting = call->conn != NULL && !call->conn->connected,
           .progress_fault = call->progress.fault,
           .framed = call->framed,
           .reused = call->reused,
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -49,7 +49,8 @@
 /* The result of a call.  STATUS is JC_OK if the complete answer was received,
    whatever HTTP_STATUS is; HTTP_STATUS is 0 if no head was received.  SENT is
    false only if no byte of the request can have reached the peer.
-   HOST_UNREACHABLE is set if not even the peer's host answered, FRAMED if the
+   HOST_UNREACHABLE is set if not even the peer's host answered, CONNECTING if
+   no connection had come up when the time for the call was over, FRAMED if the
    answer had a known length or was chunked, REUSED if the connection had
    carried an earlier call.  */
 struct jc_httpc_call_result
@@ -58,6 +59,7 @@
   int http_status;
   bool sent;
   bool host_unreachable;
+  bool connecting;
   bool framed;
   bool reused;
   enum jc_progress_fault progress_fault;
@@ -91,6 +93,7 @@
 jc_httpc_call_start (struct jc_httpc *httpc,
                      const struct jc_httpc_call_spec *spec,
                      const struct jc_httpc_call_ops *ops, void *ctx);
+bool jc_httpc_call_is_connecting (const struct jc_httpc_call *call);
 void jc_httpc_call_cancel (struct jc_httpc_call *call);
 void jc_httpc_call_progress (struct jc_httpc_call *call);
 void jc_httpc_call_pause (struct jc_httpc_call *call, bool paused);
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -620,6 +620,10 @@
 		u_int rooms_len;
 		rpc_service_room *rooms_val;
 	} rooms;
+	struct {
+		u_int unreached_len;
+		rpc_name *unreached_val;
+	} unreached;
 };
 typedef struct rpc_presence rpc_presence;
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1162,6 +1162,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->rooms.rooms_val, (u_int *) &objp->rooms.rooms_len, 64,
 		sizeof (rpc_service_room), (xdrproc_t) xdr_rpc_service_room))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->unreached.unreached_val, (u_int *) &objp->unreached.unreached_len, 64,
+		sizeof (rpc_name), (xdrproc_t) xdr_rpc_name))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -543,7 +543,8 @@
   unsigned int capacity_milli;
 };
 
-/* An entry instance as it reports itself.  Addresses are IP:PORT.  */
+/* An entry instance as it reports itself.  Addresses are IP:PORT.  It can't
+   reach the endpoints of the services in unreached.  */
 struct rpc_presence {
   rpc_name name;
   rpc_name region;
@@ -553,6 +554,7 @@
   bool draining;
   bool ready;
   rpc_service_room rooms<64>;
+  rpc_name unreached<64>;
 };
 
 /* One process of an entry instance may send to one incarnation of an endpoint
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -525,6 +525,16 @@
   engine->backoff_until_ms = now_ms + engine->backoff_ms;
 }
 
+/* End the backoff of the engine NAME, which can be reached again.  */
+void
+jc_engines_end_backoff (struct jc_engines *engines, const char *name)
+{
+  struct engine *engine = engine_get (engines, name);
+
+  engine->backoff_ms = 0;
+  engine->backoff_until_ms = 0;
+}
+
 /* End RUN with OUTCOME and free it.  */
 void
 jc_engine_run_end (struct jc_engine_run *run, enum jc_engine_outcome outcome,
--- a/serve/remote.c
+++ b/serve/remote.c
@@ -32,6 +32,34 @@
                       * PERMILLE;
 }
 
+/* Remove from INSTANCES, an array of struct jc_remote_instance, those of
+   regions other than REGION, unless that would leave none.  Return false if it
+   would.  */
+bool
+jc_remote_prefer_region (GArray *instances, const char *region)
+{
+  GArray *preferred
+      = g_array_new (FALSE, FALSE, sizeof (struct jc_remote_instance));
+  bool found;
+
+  for (guint i = 0; i < instances->len; i++)
+    {
+      struct jc_remote_instance candidate
+          = g_array_index (instances, struct jc_remote_instance, i);
+
+      if (strcmp (candidate.instance->region, region) == 0)
+        g_array_append_val (preferred, candidate);
+    }
+  if (preferred->len > 0)
+    {
+      g_array_set_size (instances, 0);
+      g_array_append_vals (instances, preferred->data, preferred->len);
+    }
+  found = preferred->len > 0;
+  g_array_free (preferred, TRUE);
+  return found;
+}
+
 static const char *
 fastest_region (const GArray *instances)
 {
@@ -144,5 +172,6 @@
 jc_remote_refusal_is_regional (const char *error)
 {
   return strcmp (error, jc_status_name (JC_DRAINING)) != 0
-         && strcmp (error, jc_status_name (JC_NOT_READY)) != 0;
+         && strcmp (error, jc_status_name (JC_NOT_READY)) != 0
+         && strcmp (error, jc_status_name (JC_OUT_OF_REACH)) != 0;
 }
--- a/serve/remote.h
+++ b/serve/remote.h
@@ -24,6 +24,7 @@
 
 bool jc_remote_has_room (const struct rpc_service_room *room,
                          const struct jc_demand *demand);
+bool jc_remote_prefer_region (GArray *instances, const char *region);
 const struct jc_remote_instance *
 jc_remote_pick_instance (const GArray *instances, uint32_t draw);
 const char *jc_remote_prefix_region (const GArray *regions,
--- a/state/presence.c
+++ b/state/presence.c
@@ -50,6 +50,18 @@
   g_free (view);
 }
 
+/* Return whether the instances of A and B can't reach the same services.  */
+static bool
+reach_is_same (const struct rpc_presence *a, const struct rpc_presence *b)
+{
+  if (a->unreached.unreached_len != b->unreached.unreached_len)
+    return false;
+  for (u_int i = 0; i < a->unreached.unreached_len; i++)
+    if (jc_presence_reaches (a, b->unreached.unreached_val[i]))
+      return false;
+  return true;
+}
+
 /* Return whether REPORTED has the same content as the last report in VIEW,
    apart from its rooms, the load and capacity of each service.  */
 static bool
@@ -58,6 +70,7 @@
 {
   return view->report.draining == reported->draining
          && view->report.ready == reported->ready
+         && reach_is_same (&view->report, reported)
          && strcmp (view->report.callers_address, reported->callers_address)
                 == 0
          && strcmp (view->report.handover_address, reported->handover_address)
@@ -82,9 +95,10 @@
   view->changed
       = known == NULL || known->changed || !is_unchanged (known, reported);
   if (known == NULL || !is_unchanged (known, reported))
-    jc_event (JC_EVENT_ENTRY, "entry=%s address=%s ready=%d draining=%d",
+    jc_event (JC_EVENT_ENTRY,
+              "entry=%s address=%s ready=%d draining=%d unreached=%u",
               reported->name, reported->callers_address, reported->ready,
-              reported->draining);
+              reported->draining, reported->unreached.unreached_len);
   jc_presence_copy (&view->report, reported);
   view->incarnation = jc_rpc_conn_incarnation (conn);
   view->last_report_ms = jc_now_ms ();
@@ -382,11 +396,28 @@
                                        region);
 }
 
+/* Which entry instances the directory names first.  */
+enum caller_preference
+{
+  REACHES_ENDPOINTS,
+  TAKES_CALLERS,
+  DRAINING
+};
+
+static enum caller_preference
+preference_of (const struct rpc_presence *reported)
+{
+  if (reported->draining)
+    return DRAINING;
+  return reported->unreached.unreached_len == 0 ? REACHES_ENDPOINTS
+                                                : TAKES_CALLERS;
+}
+
 static void
 list_at_distance (const struct state *state,
                   const struct jc_caller_location *location,
-                  enum caller_distance distance, bool draining,
-                  GPtrArray *addresses)
+                  enum caller_distance distance,
+                  enum caller_preference preference, GPtrArray *addresses)
 {
   GHashTableIter iter;
   gpointer value;
@@ -397,7 +428,7 @@
     {
       const struct entry_view *view = value;
 
-      if (view->report.draining == draining && view->report.ready
+      if (preference_of (&view->report) == preference && view->report.ready
           && is_in_contact (state, view)
           && distance_of (&view->report, location) == distance
           && may_direct_to (state, location, view->report.region))
@@ -405,22 +436,28 @@
     }
 }
 
-/* Add to ADDRESSES the addresses of the nearest entry instances that a caller
-   at LOCATION may use.  If all of them are draining, those of its zone or
-   region are still listed, because they answer until they stop.  The strings
-   belong to this module.  */
+/* Add to ADDRESSES the addresses of the entry instances that a caller at
+   LOCATION may use.  The nearest ones go first, but in its own region those
+   that reach their endpoints go before others.  If all of the region are
+   draining, they are still listed, because they answer until they stop.  The
+   strings belong to this module.  */
 void
 presence_list_addresses (struct state *state,
                          const struct jc_caller_location *location,
                          GPtrArray *addresses)
 {
-  for (int distance = 0; distance < DISTANCE_COUNT && addresses->len == 0;
-       distance++)
-    list_at_distance (state, location, (enum caller_distance)distance, false,
-                      addresses);
+  for (int preference = 0; preference < DRAINING; preference++)
+    for (int distance = 0; distance < OTHER_REGION && addresses->len == 0;
+         distance++)
+      list_at_distance (state, location, (enum caller_distance)distance,
+                        (enum caller_preference)preference, addresses);
+  for (int preference = 0; preference < DRAINING && addresses->len == 0;
+       preference++)
+    list_at_distance (state, location, OTHER_REGION,
+                      (enum caller_preference)preference, addresses);
   for (int distance = 0; distance < OTHER_REGION && addresses->len == 0;
        distance++)
-    list_at_distance (state, location, (enum caller_distance)distance, true,
+    list_at_distance (state, location, (enum caller_distance)distance, DRAINING,
                       addresses);
 }
 
--- a/tests/test-remote.c
+++ b/tests/test-remote.c
@@ -95,6 +95,8 @@
   g_assert_false (jc_remote_refusal_is_regional (jc_status_name (JC_DRAINING)));
   g_assert_false (
       jc_remote_refusal_is_regional (jc_status_name (JC_NOT_READY)));
+  g_assert_false (
+      jc_remote_refusal_is_regional (jc_status_name (JC_OUT_OF_REACH)));
 }
 
 /* All instances see the same gain at the same time, so only a fraction of the
@@ -165,6 +167,36 @@
   g_assert_cmpfloat_with_epsilon ((double)west / DRAWS, 0.1, 0.03);
 }
 
+/* Guards against a region that serves its own callers badly because the
+   instances that can't reach its endpoints send all to other regions, or all to
+   one of those that can: their own region goes first, in equal shares, though
+   another one answers sooner.  */
+static void
+test_own_region_first (void)
+{
+  GArray *list = list_of (0, G_N_ELEMENTS (instances));
+  unsigned int picked[G_N_ELEMENTS (instances)] = { 0 };
+
+  g_assert_true (jc_remote_prefer_region (list, "north"));
+  for (uint32_t draw = 0; draw < DRAWS; draw++)
+    picked[jc_remote_pick_instance (list, draw)->instance - instances]++;
+  for (guint i = 0; i < 2; i++)
+    g_assert_cmpuint (picked[i], ==, DRAWS / 2);
+  g_array_free (list, TRUE);
+}
+
+/* Guards against a request that is refused because the preferred region has no
+   instance, though others have.  */
+static void
+test_no_instance_in_region (void)
+{
+  GArray *list = list_of (2, G_N_ELEMENTS (instances));
+
+  g_assert_false (jc_remote_prefer_region (list, "north"));
+  g_assert_cmpuint (list->len, ==, 3);
+  g_array_free (list, TRUE);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -175,5 +207,7 @@
   g_test_add_func ("/remote/room", test_room);
   g_test_add_func ("/remote/send-fraction", test_send_fraction);
   g_test_add_func ("/remote/prefix-region", test_prefix_region);
+  g_test_add_func ("/remote/own-region-first", test_own_region_first);
+  g_test_add_func ("/remote/no-instance-in-region", test_no_instance_in_region);
   return g_test_run ();
 }
