Answer requests that were read before a drain ends their connection

Callers that pipeline requests got one answer of three from an instance that drains: the answer that was due first announced the end of the connection, and the requests behind it, which had been read whole, were dropped with only a log line. Cause: the end is announced with whichever answer is next, whatever waits in the buffer of the connection. Ruled out: a wish of the caller and a broken stream end connections too, but there the caller asked for it, or the end is the only sign that the answer is cut. An answer now announces the end only if nothing was read behind its request. test-http-unanswered/pipelined-drain: 1 of 3 requests answered before, 3 of 3 after, the last one with the announcement. test-http, test-http-raw, hosts-drain passed. Whether any caller met this is not known.

--- a/net/httpreq.c
+++ b/net/httpreq.c
@@ -154,6 +154,16 @@
   return jc_head_field (&req->head, name);
 }
 
+/* Return whether the answer to REQ is the last one of its connection.  A
+   listener that announces the end does so once no further request was begun:
+   one that was read before must be answered.  */
+static bool
+is_last_answer (const struct jc_http_req *req)
+{
+  return req->close_after
+         || (req->httpd->announce_close && req->conn->in->len == 0);
+}
+
 /* Append the head of an answer to REQ to the output, without a length and the
    final blank line.  */
 static void
@@ -176,7 +186,7 @@
       g_string_append (out, headers->value);
       g_string_append (out, "\r\n");
     }
-  if (req->close_after || req->httpd->announce_close)
+  if (is_last_answer (req))
     {
       req->close_after = true;
       g_string_append (out, "Connection: close\r\n");
--- a/tests/test-http-unanswered.c
+++ b/tests/test-http-unanswered.c
@@ -3,6 +3,7 @@
    that leave no trace: a connection closed under a request without a line that
    names the reason.  */
 
+#include <errno.h>
 #include <fcntl.h>
 #include <glib.h>
 #include <netinet/in.h>
@@ -236,6 +237,64 @@
   g_free (text);
 }
 
+/* Read what the listener of F sends to its caller until the end of the
+   connection, and return it.  ERROR is set to 0 or to an errno.  */
+static GString *
+read_to_end (struct fixture *f, int *error)
+{
+  int64_t end = g_get_monotonic_time () + WAIT_S * G_USEC_PER_SEC;
+  GString *text = g_string_new (NULL);
+  char *block = g_malloc (BLOCK_BYTES);
+  ssize_t got = 1;
+
+  *error = 0;
+  while (got != 0 && *error == 0 && g_get_monotonic_time () < end)
+    {
+      ev_run (f->loop, EVRUN_NOWAIT);
+      got = recv (f->fd, block, BLOCK_BYTES, MSG_DONTWAIT);
+      if (got > 0)
+        g_string_append_len (text, block, got);
+      else if (got < 0 && errno != EAGAIN)
+        *error = errno;
+    }
+  g_free (block);
+  return text;
+}
+
+static unsigned int
+count_text (const GString *text, const char *part)
+{
+  unsigned int count = 0;
+
+  for (const char *at = strstr (text->str, part); at != NULL;
+       at = strstr (at + 1, part))
+    count++;
+  return count;
+}
+
+/* Guards against whole requests that are read before a drain announces the end
+   of their connection, and dropped behind the answer that announces it.  */
+static void
+test_pipelined_drain (struct fixture *f, gconstpointer unused)
+{
+  GString *text;
+  int error;
+
+  (void)unused;
+  send_text (f, "GET /never HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /now HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /now HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_until_owned (f);
+  jc_httpd_announce_close (f->httpd);
+  jc_http_reply (f->req, 200, "text/plain", JC_STR_LIT ("ok"), NULL);
+  text = read_to_end (f, &error);
+  g_free (log_take (f));
+  g_assert_cmpint (error, ==, 0);
+  g_assert_cmpuint (count_text (text, "HTTP/1.1 200 "), ==, 3);
+  g_assert_cmpuint (count_text (text, "Connection: close"), ==, 1);
+  g_string_free (text, TRUE);
+}
+
 /* Guards against lines about requests that were answered, or not read
    whole.  */
 static void
@@ -350,6 +409,7 @@
   CASE ("/stopped", test_stopped);
   CASE ("/cut", test_cut);
   CASE ("/pipelined", test_pipelined);
+  CASE ("/pipelined-drain", test_pipelined_drain);
   CASE ("/no-loss", test_no_loss);
   CASE ("/unsent", test_unsent);
   CASE ("/refused-body", test_refused_body);
