Wait for the caller to close after its last answer

A caller that had sent another request before it read "Connection: close" could lose the rest of the answer that it was being sent. Cause: the connection was closed as soon as this process had written the answer. A request that comes then, or that was not read, makes the kernel send a reset and drop what it has not delivered. Ruled out: refused requests, whose bodies are read on already. Now only the sending side is closed, and input is read and dropped until the caller closes, for 2 s at most and on 256 connections of a listener at most; any further one is closed at once. What is kept behind a last answer is bounded too. A stream without chunks that is cut still ends by a reset. test-http-unanswered/crossing: ECONNRESET before, the 1 MB answer whole after; /lingering fails with either bound raised (257 connections kept; 256 open after 4 s). test-http, test-http-raw, test-http-stall, hosts-drain, hosts-limit, hosts-endless-callers, drain-restart passed.

--- a/net/httpdconn.c
+++ b/net/httpdconn.c
@@ -24,6 +24,13 @@
      rejected.  Closing with unread input would send a reset, which may reach
      the peer before the answer.  */
   LINGER_MS = 1000,
+  /* How long the peer's close is awaited after a last answer.  A request that
+     crosses the announcement of the end arrives within a round trip and the
+     retransmissions of a packet.  */
+  LINGER_ANSWERED_MS = 2000,
+  /* Connections of a listener that wait so; any further one is closed at
+     once.  */
+  LINGERING_MAX = 256,
   /* Limit on bytes of blank lines before a request; RFC 9112, 2.2 asks servers
      to ignore at least one such line.  */
   BLANK_BYTES_MAX = 16,
@@ -83,7 +90,8 @@
   return true;
 }
 
-/* Close CONN for REASON and tell the owner of its request, if there is one.
+/* Close CONN for REASON, or because it was answered if it only waits for its
+   peer to close, and tell the owner of its request, if there is one.
    CONN is freed at the end of the iteration of the loop.  */
 void
 httpd_conn_close (struct httpd_conn *conn, enum httpd_close_reason reason)
@@ -92,6 +100,11 @@
 
   if (conn->closed)
     return;
+  if (conn->lingering)
+    {
+      conn->httpd->lingering--;
+      reason = HTTPD_ANSWERED;
+    }
   httpd_loss_log_close (conn, reason);
   conn->closed = true;
   ev_io_stop (conn->httpd->loop, &conn->reader);
@@ -137,8 +150,8 @@
   setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
 
-/* Wait for LINGER_MS for the peer of CONN, whose request was rejected, to send
-   or close, but not beyond the end of the wait as a whole.  */
+/* Wait for the peer of CONN to close.  After a rejected request it may be
+   silent for LINGER_MS, but not beyond the end of the wait as a whole.  */
 static void
 conn_linger (struct httpd_conn *conn)
 {
@@ -148,34 +161,48 @@
   left_ms
       = (long)((conn->linger_until - ev_now (conn->httpd->loop)) * MS_PER_S);
   if (left_ms > 0)
-    set_deadline (conn, MIN (left_ms, LINGER_MS));
+    set_deadline (conn, conn->rejected ? MIN (left_ms, LINGER_MS) : left_ms);
 }
 
-/* Close CONN if its output was the last answer.  After a rejected request only
-   the sending side is closed, and input is read until none came for LINGER_MS,
-   for at most the time-out of a body.  */
+/* Close the sending side of CONN and begin to wait for its peer to close, for
+   at most LIMIT_MS.  */
+static void
+conn_begin_linger (struct httpd_conn *conn, long limit_ms)
+{
+  shutdown (conn->fd, SHUT_WR);
+  ev_now_update (conn->httpd->loop);
+  conn->linger_until = ev_now (conn->httpd->loop) + (double)limit_ms / MS_PER_S;
+  ev_io_start (conn->httpd->loop, &conn->reader);
+  conn_linger (conn);
+}
+
+/* End CONN if its output was the last answer.  Only the sending side is closed,
+   and input is read and dropped until the peer closes: a close with input that
+   is not read, or before it comes, would send a reset, and the kernel would
+   drop what it has not delivered.  After a rejected request the wait is at most
+   the time-out of a body.  */
 static void
 handle_all_written (struct httpd_conn *conn)
 {
-  ev_io_stop (conn->httpd->loop, &conn->writer);
-  if (!conn->close_after)
-    return;
-  if (conn->rejected && conn->linger_until > 0)
+  struct jc_httpd *httpd = conn->httpd;
+
+  ev_io_stop (httpd->loop, &conn->writer);
+  if (!conn->close_after || conn->linger_until > 0)
     return;
   if (conn->rejected)
+    conn_begin_linger (conn, MAX (httpd->limits.body_timeout_ms, LINGER_MS));
+  else if (!conn->reset_on_close && httpd->lingering < LINGERING_MAX)
     {
-      long limit_ms = MAX (conn->httpd->limits.body_timeout_ms, LINGER_MS);
-
-      shutdown (conn->fd, SHUT_WR);
-      ev_now_update (conn->httpd->loop);
-      conn->linger_until
-          = ev_now (conn->httpd->loop) + (double)limit_ms / MS_PER_S;
-      conn_linger (conn);
-      return;
+      conn->lingering = true;
+      httpd->lingering++;
+      conn_begin_linger (conn, LINGER_ANSWERED_MS);
+    }
+  else
+    {
+      if (conn->reset_on_close)
+        enable_reset_on_close (conn->fd);
+      httpd_conn_close (conn, HTTPD_ANSWERED);
     }
-  if (conn->reset_on_close)
-    enable_reset_on_close (conn->fd);
-  httpd_conn_close (conn, HTTPD_ANSWERED);
 }
 
 /* Write the buffered output of CONN.  What the socket does not take is written
@@ -583,6 +610,17 @@
     httpd_conn_close (conn, HTTPD_READ_FAILED);
 }
 
+/* Drop the input of CONN, which reads no further request.  Behind a last answer
+   its beginning is kept, so that a log line can tell of a request there.  */
+static void
+conn_drop_input (struct httpd_conn *conn)
+{
+  size_t kept = conn->rejected ? 0 : PIPELINED_BYTES_MAX;
+
+  if (conn->in->len > kept)
+    g_string_truncate (conn->in, kept);
+}
+
 /* Read and process input.  Reading stops while an answer is pending and too
    many pipelined bytes wait.  */
 static void
@@ -594,9 +632,9 @@
     conn_read (conn);
   if (conn->closed)
     return;
-  if (conn->rejected)
+  if (conn->rejected || conn->close_after)
     {
-      g_string_truncate (conn->in, 0);
+      conn_drop_input (conn);
       if (conn->linger_until > 0)
         conn_linger (conn);
       return;
@@ -626,7 +664,9 @@
       return;
     }
   conn->deadline = 0;
-  if (conn->req == NULL && conn->in->len > 0 && !conn->rejected)
+  if (conn->linger_until > 0)
+    httpd_conn_close (conn, HTTPD_TIMED_OUT);
+  else if (conn->req == NULL && conn->in->len > 0 && !conn->rejected)
     {
       jc_fail (JC_HEAD_TIMEOUT, "The head took too long.");
       conn_reject (conn, JC_HEAD_TIMEOUT);
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -10,7 +10,8 @@
 
 /* A listener.  CONNS holds its connections and UNFLUSHED those that have data
    to write or are to be freed at the end of the iteration of the loop.
-   OPEN_REQUESTS counts requests whose answers are not complete in a buffer.  FD
+   OPEN_REQUESTS counts requests whose answers are not complete in a buffer,
+   LINGERING the connections that wait for their peers to close.  FD
    is -1 once it accepts no more connections.  ID_HEADER names the field with
    the id of a request for log lines, ECHO_NAME a header of requests that
    answers repeat, NULL for none.  */
@@ -31,6 +32,7 @@
   GPtrArray *conns;
   GPtrArray *unflushed;
   unsigned int open_requests;
+  unsigned int lingering;
 };
 
 /* Phases of a request: its body is being read, its owner has it, its answer is
@@ -68,8 +70,9 @@
    of the next time-out on the clock of the loop, 0 for none; IDLE_SINCE that of
    the end of the last request, or of the start.  BODY_BLOCK_BYTES
    counts the bytes of the body since DEADLINE was set.  REJECTED is set once a
-   request was refused before it was read completely; input after it is dropped,
-   until LINGER_UNTIL at the latest.
+   request was refused before it was read completely, LINGERING once the last
+   answer was written; input after it is dropped, until LINGER_UNTIL at the
+   latest.
    BLANK_BYTES counts the bytes of blank lines since the last request.
    RESET_ON_CLOSE closes the connection with a TCP reset.  */
 struct httpd_conn
@@ -93,6 +96,7 @@
   bool body_done;
   bool rejected;
   ev_tstamp linger_until;
+  bool lingering;
   bool close_after;
   bool flush_due;
   bool closed;
--- a/tests/test-http-unanswered.c
+++ b/tests/test-http-unanswered.c
@@ -24,13 +24,22 @@
   BLOCK_PAUSE_MS = 100,
   BLOCKS = 18,
   US_PER_MS = 1000,
+  /* More than a receive buffer of RECEIVE_BYTES holds, less than a send buffer
+     grows to.  */
+  MEDIUM_BYTES = 1024 * 1024,
+  RECEIVE_BYTES = 16 * 1024,
+  CROSSING_MS = 300,
+  /* Connections that a listener keeps for their callers to close, and how long
+     it does at most.  */
+  LINGERING_MAX = 256,
+  LINGERING_S = 2,
   LOG_BYTES_MAX = 65536,
   WAIT_S = 20
 };
 
 /* A listener whose owner answers only "/now" and, with many
-   bytes, "/large", and begins an answer to "/stream", a caller, and the log in
-   place of standard output.  */
+   bytes, "/medium" and "/large", and begins an answer to "/stream", a caller,
+   and the log in place of standard output.  */
 struct fixture
 {
   struct ev_loop *loop;
@@ -52,9 +61,11 @@
       jc_http_reply (req, 200, "text/plain", JC_STR_LIT ("ok"), NULL);
       return;
     }
-  if (strcmp (jc_http_path (req), "/large") == 0)
+  if (strcmp (jc_http_path (req), "/large") == 0
+      || strcmp (jc_http_path (req), "/medium") == 0)
     {
-      char *text = g_strnfill (LARGE_BYTES, 'x');
+      bool large = strcmp (jc_http_path (req), "/large") == 0;
+      char *text = g_strnfill (large ? LARGE_BYTES : MEDIUM_BYTES, 'x');
 
       jc_http_reply (req, 200, "text/plain", jc_str_from_cstr (text), NULL);
       g_free (text);
@@ -237,6 +248,16 @@
   g_free (text);
 }
 
+/* Run the listener for MS milliseconds.  */
+static void
+run_for (struct fixture *f, int ms)
+{
+  int64_t until = g_get_monotonic_time () + ms * US_PER_MS;
+
+  while (g_get_monotonic_time () < until)
+    ev_run (f->loop, EVRUN_NOWAIT);
+}
+
 /* Read what the listener of F sends to its caller until the end of the
    connection, and return it.  ERROR is set to 0 or to an errno.  */
 static GString *
@@ -295,6 +316,66 @@
   g_string_free (text, TRUE);
 }
 
+/* Guards against a reset that takes the rest of a last answer from a caller
+   which had sent another request before it read that the connection ends.  */
+static void
+test_crossing (struct fixture *f, gconstpointer unused)
+{
+  int receive = RECEIVE_BYTES;
+  GString *text;
+  int error;
+
+  (void)unused;
+  setsockopt (f->fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof receive);
+  send_text (f, "GET /medium HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                "\r\n");
+  run_for (f, CROSSING_MS);
+  g_assert_cmpuint (jc_httpd_count_requests (f->httpd), ==, 0);
+  send_text (f, "GET /now HTTP/1.1\r\nHost: h\r\n\r\n");
+  text = read_to_end (f, &error);
+  g_free (log_take (f));
+  g_assert_cmpint (error, ==, 0);
+  g_assert_cmpuint (count_text (text, "HTTP/1.1 200 "), ==, 1);
+  g_assert_cmpuint (text->len, >, MEDIUM_BYTES);
+  g_string_free (text, TRUE);
+}
+
+/* Guards against callers that never close after their last answer, or go on
+   sending, and so keep connections: these are bounded in number and time.  */
+static void
+test_lingering (struct fixture *f, gconstpointer unused)
+{
+  int fds[LINGERING_MAX + 1];
+  int64_t end;
+  unsigned int most = 0;
+
+  (void)unused;
+  for (int i = 0; i < LINGERING_MAX + 1; i++)
+    {
+      static const char request[]
+          = "GET /now HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+
+      fds[i] = connect_to (jc_httpd_port (f->httpd));
+      g_assert_cmpint (send (fds[i], request, strlen (request), 0), >, 0);
+    }
+  close (f->fd);
+  f->fd = -1;
+  run_for (f, CROSSING_MS);
+  most = jc_httpd_count_connections (f->httpd);
+  end = g_get_monotonic_time () + (LINGERING_S + 2) * G_USEC_PER_SEC;
+  while (jc_httpd_count_connections (f->httpd) > 0
+         && g_get_monotonic_time () < end)
+    {
+      (void)!send (fds[0], "x", 1, MSG_NOSIGNAL | MSG_DONTWAIT);
+      run_for (f, BLOCK_PAUSE_MS);
+    }
+  g_free (log_take (f));
+  for (int i = 0; i < LINGERING_MAX + 1; i++)
+    close (fds[i]);
+  g_assert_cmpuint (most, <=, LINGERING_MAX);
+  g_assert_cmpuint (jc_httpd_count_connections (f->httpd), ==, 0);
+}
+
 /* Guards against lines about requests that were answered, or not read
    whole.  */
 static void
@@ -410,6 +491,8 @@
   CASE ("/cut", test_cut);
   CASE ("/pipelined", test_pipelined);
   CASE ("/pipelined-drain", test_pipelined_drain);
+  CASE ("/crossing", test_crossing);
+  CASE ("/lingering", test_lingering);
   CASE ("/no-loss", test_no_loss);
   CASE ("/unsent", test_unsent);
   CASE ("/refused-body", test_refused_body);
