Ask another instance of a region if one lacks a route

Beside a change of the configuration, requests on a new route were refused with 503 in a region without endpoints: they were handed over to an instance of another region which was behind and refused them as unknown, and its whole region was ruled out, though other instances there had the route. Ruled out: loss; the refusals were whole, in time and true.

--- a/serve/remote.c
+++ b/serve/remote.c
@@ -167,11 +167,13 @@
 
 /* Return true if the other instances of a region would refuse a request that
    one of them refused with ERROR, a status name.  They use the same endpoints,
-   so they would, unless the error concerns only that instance.  */
+   so they would, unless the error concerns only that instance, such as a route
+   that its version of the configuration lacks.  */
 bool
 jc_remote_refusal_is_regional (const char *error)
 {
   return strcmp (error, jc_status_name (JC_DRAINING)) != 0
          && strcmp (error, jc_status_name (JC_NOT_READY)) != 0
-         && strcmp (error, jc_status_name (JC_OUT_OF_REACH)) != 0;
+         && strcmp (error, jc_status_name (JC_OUT_OF_REACH)) != 0
+         && strcmp (error, jc_status_name (JC_UNKNOWN_ROUTE)) != 0;
 }
--- a/tests/test-remote.c
+++ b/tests/test-remote.c
@@ -99,6 +99,16 @@
       jc_remote_refusal_is_regional (jc_status_name (JC_OUT_OF_REACH)));
 }
 
+/* Guards against refusing a request, beside a change of the configuration,
+   because the first instance asked in another region is behind and lacks its
+   route: others there have it.  */
+static void
+test_unknown_route (void)
+{
+  g_assert_false (
+      jc_remote_refusal_is_regional (jc_status_name (JC_UNKNOWN_ROUTE)));
+}
+
 /* All instances see the same gain at the same time, so only a fraction of the
    requests is sent: more for a larger gain, none if the gain is below the
    cost.  */
@@ -202,6 +212,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/remote/full-region", test_full_region);
+  g_test_add_func ("/remote/unknown-route", test_unknown_route);
   g_test_add_func ("/remote/spread", test_spread);
   g_test_add_func ("/remote/no-instances", test_no_instances);
   g_test_add_func ("/remote/room", test_room);
