Accept messages with a trailer

Callers saw 502 for requests that an endpoint had run to a good end, and streams that were cut at their end, where the answer in chunks had a trailer; callers who sent a trailer themselves got 400. http-parser reports the fields of a trailer by the same callbacks as those of the head. They were added to the head, which ended their names with a NUL in the input that the check of the chunks reads next: it refused the message as malformed. Names and values also pointed into the input, which is used again for what comes next; no run showed an effect of that, since all such messages were refused.

A chunk check that is too strict was ruled out: it accepts the same trailer as long as its bytes are left as they are. Fields that come after the end of the head are now dropped, as HTTP allows.

--- a/net/httphead.c
+++ b/net/httphead.c
@@ -231,12 +231,14 @@
 }
 
 /* Add a field with the name of LEN bytes at AT.  The parser gets the head in
-   one piece, so names are never split.  */
+   one piece, so names are never split.  Fields of a trailer are dropped.  */
 void
 jc_head_build_name (struct jc_head_build *build, const char *at, size_t len)
 {
   struct jc_head *head = build->head;
 
+  if (build->ended)
+    return;
   if (build->in_value)
     terminate_value (build);
   if (head->field_count == JC_HEAD_FIELDS_MAX)
@@ -255,7 +257,7 @@
 void
 jc_head_build_value (struct jc_head_build *build, const char *at, size_t len)
 {
-  if (build->overflow || len == 0)
+  if (build->overflow || build->ended || len == 0)
     return;
   build->head->fields[build->head->field_count - 1].value = at;
   build->value_len = len;
@@ -278,4 +280,5 @@
       = parser->http_major < 1
         || (parser->http_major == 1 && parser->http_minor == 0);
   head->keep_alive = http_should_keep_alive (parser) != 0;
+  build->ended = true;
 }
--- a/net/httphead.h
+++ b/net/httphead.h
@@ -39,7 +39,8 @@
 };
 
 /* State of a head while http-parser reads it.  OVERFLOW is set if it has more
-   than JC_HEAD_FIELDS_MAX fields.  */
+   than JC_HEAD_FIELDS_MAX fields, ENDED once it is complete: fields that come
+   then are those of a trailer.  */
 struct jc_head_build
 {
   struct jc_head *head;
@@ -47,6 +48,7 @@
   size_t value_len;
   bool in_value;
   bool overflow;
+  bool ended;
 };
 
 ssize_t jc_head_find_end (struct jc_str bytes, size_t *scanned);
--- a/tests/test-http-raw.c
+++ b/tests/test-http-raw.c
@@ -20,7 +20,8 @@
   US_PER_MS = 1000
 };
 
-/* A listener, a peer that sends raw bytes, and what both received.  */
+/* A listener, a peer that sends raw bytes, and what both received.  FIELD_COUNT
+   is that of the last request's head.  */
 struct fixture
 {
   struct ev_loop *loop;
@@ -29,6 +30,7 @@
   GString *received;
   GString *bodies;
   int requests;
+  unsigned int field_count;
   bool closed;
   ev_io reader;
   ev_timer test_timeout;
@@ -50,6 +52,7 @@
   struct jc_str body = jc_http_body (req);
 
   f->requests++;
+  f->field_count = jc_http_head (req)->field_count;
   g_string_append_printf (f->bodies, "[%s %s %.*s]", jc_http_method (req),
                           jc_http_target (req), JC_STR_ARG (body));
   jc_http_reply (req, 200, "text/plain", JC_STR_LIT ("ok"), NULL);
@@ -259,6 +262,39 @@
   g_assert_cmpstr (f->bodies->str, ==, "[POST /a abc]");
 }
 
+static const char trailer_request[]
+    = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+      "Connection: close\r\n\r\n3\r\nabc\r\n0\r\nX-Sum: 1\r\n"
+      "Content-Length: 9\r\n\r\n";
+
+/* Guards against a request that is rejected because of its trailer.  */
+static void
+test_trailer (struct fixture *f, gconstpointer unused)
+{
+  (void)unused;
+  SEND (f, trailer_request);
+  run_until_closed (f);
+  g_assert_cmpstr (f->bodies->str, ==, "[POST /a abc]");
+  g_assert_cmpuint (f->field_count, ==, 3);
+}
+
+/* Guards against fields of a trailer that are passed on as fields of the head,
+   with names and values in memory that is used again: the trailer came in
+   pieces.  */
+static void
+test_trailer_in_pieces (struct fixture *f, gconstpointer unused)
+{
+  (void)unused;
+  for (size_t i = 0; i < sizeof trailer_request - 1; i++)
+    {
+      send_raw (f, trailer_request + i, 1);
+      ev_run (f->loop, EVRUN_NOWAIT);
+    }
+  run_until_closed (f);
+  g_assert_cmpstr (f->bodies->str, ==, "[POST /a abc]");
+  g_assert_cmpuint (f->field_count, ==, 3);
+}
+
 /* Guards against callers whose heads never become complete.  */
 static void
 test_slow_head (struct fixture *f, gconstpointer unused)
@@ -646,6 +682,8 @@
   g_test_add (path, struct fixture, NULL, setup, fn, teardown)
   CASE ("/pipelined", test_pipelined);
   CASE ("/byte-by-byte", test_byte_by_byte);
+  CASE ("/trailer", test_trailer);
+  CASE ("/trailer-in-pieces", test_trailer_in_pieces);
   CASE ("/empty-value", test_empty_value);
   CASE ("/slow-head", test_slow_head);
   CASE ("/slow-body", test_slow_body);
--- a/tests/test-httpc-cut.c
+++ b/tests/test-httpc-cut.c
@@ -40,6 +40,10 @@
     HEAD "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 0\ndata: a\n\n\r\n"
          "f;x=y\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n",
     EVENTS, true },
+  { "trailer",
+    HEAD "Transfer-Encoding: chunked\r\n\r\n1e\r\n" EVENTS
+         "\r\n0\r\nX-Sum: 1\r\nX-Other: 2\r\n\r\n",
+    EVENTS, true },
   { "interim", INTERIM HEAD "Content-Length: 30\r\n\r\n" EVENTS, EVENTS, true },
   { "close", HEAD "\r\n" EVENTS, EVENTS, false },
 };
