Don't go on with a stream after events without an id

Callers of a resumable stream got bytes of two runs (ORDER): an endpoint sent events without an id, alone or after others that had one, and broke off; the entry instance sent the request to another endpoint, from the last id on or from the start, and passed on its events behind those. The last id says nothing about events that have none, so that no request can ask for what comes after them. It is the same within a hand-over, and where such a stream was given up because its endpoint had gone silent.

Ruled out: a fault of the parser of events, which hands on each event once, and of attempts whose events were held and dropped, which didn't count as passed on before either. The relay now knows that the last event passed on has no id, and breaks such a stream off; a caller sees that it isn't whole.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -180,6 +180,7 @@
     }
   *last = id;
   exchange->has_event_ids = true;
+  exchange->ends_unnumbered = false;
   exchange->progressed = true;
   g_string_append_len (exchange->batch, exchange->held_comments->str,
                        (gssize)exchange->held_comments->len);
@@ -201,6 +202,7 @@
     return accept_numbered_event (exchange, event, id);
   exchange->progressed
       = exchange->progressed || (has_data && !exchange->has_event_ids);
+  exchange->ends_unnumbered = exchange->ends_unnumbered || has_data;
   g_string_append_len (has_data ? exchange->batch : exchange->held_comments,
                        event.data, (gssize)event.len);
   return true;
@@ -273,6 +275,7 @@
   jc_http_stream_write (exchange->req, jc_str_from_gstring (exchange->batch));
   g_string_truncate (exchange->batch, 0);
   exchange->passed_event = exchange->relay.last_event;
+  exchange->relay.unnumbered = exchange->ends_unnumbered;
   if (!exchange->paused && exchange->call != NULL
       && jc_http_stream_buffered (exchange->req) > BUFFERED_BYTES_MAX)
     {
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -109,6 +109,7 @@
   g_string_truncate (exchange->batch, 0);
   g_string_truncate (exchange->held_comments, 0);
   exchange->has_event_ids = false;
+  exchange->ends_unnumbered = exchange->relay.unnumbered;
   exchange->relay.last_event = exchange->passed_event;
   exchange->progressed = false;
   exchange->attempt_first_event_ms = 0;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -42,6 +42,7 @@
    failure, which the caller gets if no further attempt does better;
    FALLBACK_REMOTE means that it came through another instance.  BATCH holds
    events to forward together, HELD_COMMENTS comments until an event follows.
+   ENDS_UNNUMBERED means that the last event of BATCH has no id.
    HAS_EVENT_IDS means that the attempt sent an event with an id, PROGRESSED
    that BATCH advances the answer. OVERSIZED means that the body is larger than
    usual.  QUEUED means that it is in the wait queue, where it stays until
@@ -103,6 +104,7 @@
   GString *batch;
   GString *held_comments;
   bool has_event_ids;
+  bool ends_unnumbered;
   bool progressed;
   bool paused;
   bool queued;
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -76,9 +76,11 @@
     relay->attempts_unreached++;
   if (result->sent && !(result->whole && result->not_run))
     relay->endpoints_sent += result->endpoints > 1 ? result->endpoints : 1;
+  if (relay->begun && answered && result->http == HTTP_OK)
+    return JC_RELAY_END_STREAM;
   if (relay->begun)
-    return answered && result->http == HTTP_OK
-               ? JC_RELAY_END_STREAM
+    return relay->unnumbered
+               ? JC_RELAY_BREAK_STREAM
                : attempt_or (relay, JC_RELAY_BREAK_STREAM, now_ms);
   if (result->whole && result->not_run)
     return attempt_or (relay, JC_RELAY_FAIL, now_ms);
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -50,7 +50,8 @@
    endpoint, ATTEMPTS_UNREACHED the others.  ENDPOINTS_SENT is the number of
    endpoints that the request may have run at.  BEGUN is true once a stream to
    the caller has begun; LAST_EVENT is the last event that the caller has, -1
-   for none.  */
+   for none.  UNNUMBERED means that the caller got events without an id after
+   that one, so that no other attempt can go on with the stream.  */
 struct jc_relay
 {
   enum jc_route_kind kind;
@@ -62,6 +63,7 @@
   unsigned int endpoints_sent;
   bool begun;
   int64_t last_event;
+  bool unnumbered;
 };
 
 void jc_relay_init (struct jc_relay *relay, const struct jc_hostroute *route,
--- a/tests/script-relay.c
+++ b/tests/script-relay.c
@@ -95,6 +95,8 @@
     state->now_ms = atoll (words[1]);
   else if (strcmp (words[0], "begun") == 0)
     state->relay.begun = true;
+  else if (strcmp (words[0], "unnumbered") == 0)
+    state->relay.unnumbered = true;
   else
     run_end (state, words);
 }
