Don't pass on error events in the middle of a stream

An attempt that goes on with a stream must now bring the next id first; an event with data and no id ends it, unless it is the marker of the stream's end.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -189,6 +189,16 @@
   return true;
 }
 
+/* Return true if EVENT, which has data but no id, can't be a part of the
+   stream: an attempt that goes on with a stream has to begin with the next id,
+   unless only the end was missing.  */
+static bool
+is_out_of_place (const struct exchange *exchange, struct jc_str event)
+{
+  return exchange->continues && !exchange->has_event_ids
+         && !jc_sse_is_end (event);
+}
+
 /* Handle a complete event.  Comments and blank lines are held until the next
    event comes or the stream ends: alone they are no answer.  */
 static bool
@@ -200,6 +210,11 @@
 
   if (exchange->router->protocol->parse_event_id (event, &id))
     return accept_numbered_event (exchange, event, id);
+  if (has_data && is_out_of_place (exchange, event))
+    {
+      exchange->has_event_gap = true;
+      return false;
+    }
   exchange->progressed
       = exchange->progressed || (has_data && !exchange->has_event_ids);
   exchange->ends_unnumbered = exchange->ends_unnumbered || has_data;
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -110,6 +110,7 @@
   g_string_truncate (exchange->held_comments, 0);
   exchange->has_event_ids = false;
   exchange->ends_unnumbered = exchange->relay.unnumbered;
+  exchange->continues = exchange->relay.begun;
   exchange->relay.last_event = exchange->passed_event;
   exchange->progressed = false;
   exchange->attempt_first_event_ms = 0;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -42,7 +42,8 @@
    failure, which the caller gets if no further attempt does better;
    FALLBACK_REMOTE means that it came through another instance.  BATCH holds
    events to forward together, HELD_COMMENTS comments until an event follows.
-   ENDS_UNNUMBERED means that the last event of BATCH has no id.
+   ENDS_UNNUMBERED means that the last event of BATCH has no id, CONTINUES that
+   the stream had begun before the current attempt.
    HAS_EVENT_IDS means that the attempt sent an event with an id, PROGRESSED
    that BATCH advances the answer. OVERSIZED means that the body is larger than
    usual.  QUEUED means that it is in the wait queue, where it stays until
@@ -105,6 +106,7 @@
   GString *held_comments;
   bool has_event_ids;
   bool ends_unnumbered;
+  bool continues;
   bool progressed;
   bool paused;
   bool queued;
