--- a/tests/process/hosts-changes.sh
+++ b/tests/process/hosts-changes.sh
@@ -6,4 +6,6 @@
 trap stop_all EXIT
 
 start_hosts
-python3 tests/process/hosts_standin.py changes "$DIR" || { tail -n 30 "$DIR"/*.out "$DIR"/*.log; exit 1; }
+# What failed comes last: a long output is cut off before its end.
+python3 tests/process/hosts_standin.py changes "$DIR" 2>"$DIR/changes.err" \
+  || { tail -n 30 "$DIR"/*.out "$DIR"/*.log; tail -n 20 "$DIR/changes.err"; exit 1; }
--- a/tests/process/unanswered_standin.py
+++ b/tests/process/unanswered_standin.py
@@ -55,6 +55,8 @@
               route("tight", "stream", "engine", **{"gap-slo-ms": 200, "slo-ms": 30000})]
     await order("/v1/Config.Replace", configuration(3, routes))
     await in_force(ADDRESSES["entries"], "/read/x", 200)
+    # New streams are refused until the entry instance has heard the version of the endpoint.
+    await in_force(ADDRESSES["entries"], "/stream/x", 200)
     Endpoint.stall_at, Endpoint.stall_s = 0, 2 * WAIT_S
     stream = asyncio.create_task(request(ADDRESSES["entries"][0], "POST", "/stream/x", headers=prompt("a1:20000", own_part())))
 
