Have the log record leaves, and tell them to whoever connects later

Cause: the leave was passed on once, to those connected; the list that others get on connecting had it under a sequence that they had heard, or not at all; and answers kept the endpoint's lease. Ruled out: repeating the news, which a longer cut or a restart of the state instances loses again; leases that answers don't extend, which take endpoints with late reports out of use. Now a leave is an entry of the log, acknowledged once committed; each replica ends the incarnation in its own table and tells its followers, and whoever begins to follow gets all. An ended incarnation stays ended at its receiver, whether known or not, and an answer extends no lease of it. A leave that names no start, of an endpoint that isn't known, is answered 503 instead of 200, since there is nothing to record.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -110,8 +110,7 @@
                                  endpoint->incarnation);
       return;
     }
-  endpoint->lease_until_ms
-      = MAX (endpoint->lease_until_ms, now + ANSWER_LEASE_MS);
+  jc_endpoint_extend_lease (endpoint, now + ANSWER_LEASE_MS);
   if (info->cold_ms >= 0)
     endpoint->warm_at_ms = now + info->cold_ms;
   backpressure_note_answer (exchange->router, endpoint, info,
--- a/entry/stateclient.c
+++ b/entry/stateclient.c
@@ -315,6 +315,18 @@
   return false;
 }
 
+/* End the incarnation that REPORTED names, or, where it names none, the one
+   that is known here.  */
+static void
+end_endpoint (struct router *router, const struct rpc_endpoint *reported)
+{
+  if (reported->incarnation != 0)
+    jc_endpoints_end (router->endpoints, reported->name, reported->incarnation,
+                      jc_now_ms ());
+  else
+    jc_endpoints_mark_leaving (router->endpoints, reported->name, 0);
+}
+
 /* Apply REPORTED, the state of an endpoint.  Endpoints of other regions are
    ignored.  The endpoint is logged if it is new or has another address, or if
    it began or ceased to leave.  */
@@ -330,14 +342,13 @@
                      && strcmp (known->address, reported->address) != 0);
 
   if (reported->leaving && reported->address[0] == '\0')
-    jc_endpoints_mark_leaving (router->endpoints, reported->name,
-                               reported->incarnation);
+    end_endpoint (router, reported);
   else if (!is_in_region (router, reported->zone)
            || !report_is_possible (reported)
            || jc_endpoints_update (router->endpoints, reported, now) != JC_OK)
     return;
-  changed = changed || was_leaving != reported->leaving;
   known = jc_endpoints_find (router->endpoints, reported->name);
+  changed = changed || (known != NULL && was_leaving != known->leaving);
   if (known != NULL && changed)
     jc_event (JC_EVENT_ENDPOINT,
               "endpoint=%s incarnation=%" PRIu64 " sequence=%" PRIu64
--- a/member/endpoints.c
+++ b/member/endpoints.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "member/ended.h"
 #include "member/endpoints.h"
 #include "member/refused.h"
 
@@ -39,7 +40,7 @@
    unique.  TOMBSTONES, by name, owns the records; TOMBSTONES_BY_AGE has them
    oldest first.  LEASE_MAX_MS is the longest lease that a report had left: that
    of a report which was just received.  REFUSED has the reports that may yet
-   prove that their endpoint goes on.  */
+   prove that their endpoint goes on, ENDED the incarnations that don't.  */
 struct jc_endpoints
 {
   GHashTable *by_name;
@@ -49,6 +50,7 @@
   GQueue *tombstones_by_age;
   uint32_t lease_max_ms;
   struct jc_refused *refused;
+  struct jc_ended *ended;
 };
 
 static void
@@ -87,6 +89,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, tombstone_free);
   endpoints->tombstones_by_age = g_queue_new ();
   endpoints->refused = jc_refused_new ();
+  endpoints->ended = jc_ended_new ();
   return endpoints;
 }
 
@@ -120,6 +123,7 @@
   g_queue_free (endpoints->tombstones_by_age);
   g_hash_table_destroy (endpoints->tombstones);
   jc_refused_free (endpoints->refused);
+  jc_ended_free (endpoints->ended);
   g_free (endpoints);
 }
 
@@ -297,8 +301,8 @@
 /* Update the table from REPORT, received at NOW_MS; its lease_ms is the time
    left of its lease.  Return JC_BEHIND if the table has the same or a later
    report or if REPORT's address belongs to a later endpoint, unless the
-   endpoint of REPORT goes on while the other is silent, and JC_OVERLOADED if
-   the table is full.  */
+   endpoint of REPORT goes on while the other is silent, or if its incarnation
+   has ended, and JC_OVERLOADED if the table is full.  */
 enum jc_status
 jc_endpoints_update (struct jc_endpoints *endpoints,
                      const struct rpc_endpoint *report, int64_t now_ms)
@@ -306,9 +310,14 @@
   struct jc_endpoint *endpoint
       = g_hash_table_lookup (endpoints->by_name, report->name);
   struct jc_report_order order = find_order (endpoints, report->name);
-  enum jc_report_verdict verdict = judge (endpoints, &order, report, now_ms);
+  enum jc_report_verdict verdict;
   bool new_incarnation;
 
+  if (!report->leaving
+      && jc_ended_contains (endpoints->ended,
+                            endpoint_tag (report->name, report->incarnation)))
+    return jc_fail (JC_BEHIND, "This process of %s has ended.", report->name);
+  verdict = judge (endpoints, &order, report, now_ms);
   if (verdict == JC_REPORT_EARLIER)
     return jc_fail (JC_BEHIND, "A later report of %s or %s is known.",
                     report->name, report->address);
@@ -554,6 +563,33 @@
   return JC_OK;
 }
 
+/* End INCARNATION, not 0, of the endpoint NAME for good, as of NOW_MS: it gets
+   no new work, whether it is known already or reports or answers later.  Return
+   whether it was in use until now.  */
+bool
+jc_endpoints_end (struct jc_endpoints *endpoints, const char *name,
+                  uint64_t incarnation, int64_t now_ms)
+{
+  const struct jc_endpoint *known
+      = g_hash_table_lookup (endpoints->by_name, name);
+  bool was_used = known != NULL && known->incarnation == incarnation
+                  && jc_endpoint_is_usable (known, now_ms);
+
+  jc_ended_add (endpoints->ended, endpoint_tag (name, incarnation), now_ms);
+  if (known != NULL && known->incarnation == incarnation)
+    jc_endpoints_mark_leaving (endpoints, name, incarnation);
+  return was_used;
+}
+
+/* Extend the lease of ENDPOINT to UNTIL_MS at least, since it answered.  That
+   of one which is leaving stays as it is.  */
+void
+jc_endpoint_extend_lease (struct jc_endpoint *endpoint, int64_t until_ms)
+{
+  if (!endpoint->leaving)
+    endpoint->lease_until_ms = MAX (endpoint->lease_until_ms, until_ms);
+}
+
 /* Remove the endpoints whose lease ended before NOW_MS and that have no attempt
    in flight.  Each leaves a tombstone for a while, which keeps late reports
    from adding it again.  */
@@ -565,6 +601,7 @@
 
   tombstones_expire (endpoints, now_ms);
   jc_refused_expire (endpoints->refused, now_ms);
+  jc_ended_expire (endpoints->ended, now_ms);
   g_hash_table_iter_init (&iter, endpoints->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/member/endpoints.h
+++ b/member/endpoints.h
@@ -69,6 +69,8 @@
 enum jc_status jc_endpoints_mark_leaving (struct jc_endpoints *endpoints,
                                           const char *name,
                                           uint64_t incarnation);
+bool jc_endpoints_end (struct jc_endpoints *endpoints, const char *name,
+                       uint64_t incarnation, int64_t now_ms);
 void
 jc_endpoints_set_software (struct jc_endpoints *endpoints,
                            const struct rpc_endpoint_version *endpoint_version);
@@ -83,6 +85,7 @@
 void jc_endpoints_list_serving (const struct jc_endpoints *endpoints,
                                 const char *service, const char *model,
                                 int64_t now_ms, GPtrArray *out);
+void jc_endpoint_extend_lease (struct jc_endpoint *endpoint, int64_t until_ms);
 bool jc_endpoint_is_usable (const struct jc_endpoint *endpoint, int64_t now_ms);
 void jc_endpoint_to_rpc (const struct jc_endpoint *endpoint, int64_t now_ms,
                          struct rpc_endpoint *out);
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -641,6 +641,13 @@
 };
 typedef struct rpc_leaving rpc_leaving;
 
+struct rpc_departure {
+	rpc_name endpoint;
+	u_quad_t endpoint_incarnation;
+	rpc_name zone;
+};
+typedef struct rpc_departure rpc_departure;
+
 struct rpc_limited {
 	rpc_name endpoint;
 	u_quad_t endpoint_incarnation;
@@ -1045,6 +1052,7 @@
 extern  bool_t xdr_rpc_presence (XDR *, rpc_presence*);
 extern  bool_t xdr_rpc_grant (XDR *, rpc_grant*);
 extern  bool_t xdr_rpc_leaving (XDR *, rpc_leaving*);
+extern  bool_t xdr_rpc_departure (XDR *, rpc_departure*);
 extern  bool_t xdr_rpc_limited (XDR *, rpc_limited*);
 extern  bool_t xdr_rpc_limit_request (XDR *, rpc_limit_request*);
 extern  bool_t xdr_rpc_limit_lease (XDR *, rpc_limit_lease*);
@@ -1141,6 +1149,7 @@
 extern bool_t xdr_rpc_presence ();
 extern bool_t xdr_rpc_grant ();
 extern bool_t xdr_rpc_leaving ();
+extern bool_t xdr_rpc_departure ();
 extern bool_t xdr_rpc_limited ();
 extern bool_t xdr_rpc_limit_request ();
 extern bool_t xdr_rpc_limit_lease ();
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1196,6 +1196,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_departure (XDR *xdrs, rpc_departure *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint_incarnation))
+		 return FALSE;
+	 if (!xdr_rpc_name (xdrs, &objp->zone))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_limited (XDR *xdrs, rpc_limited *objp)
 {
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -572,6 +572,14 @@
   unsigned hyper endpoint_incarnation;
 };
 
+/* An entry of the log: this incarnation of an endpoint, which may be in zone, was
+   acknowledged to leave.  zone may be empty.  */
+struct rpc_departure {
+  rpc_name endpoint;
+  unsigned hyper endpoint_incarnation;
+  rpc_name zone;
+};
+
 /* An incarnation of an endpoint that names a rate limit in its answers.  named
    tells that an answer has named it since the sender's last request, ended that
    an answer to a later request named none.  */
--- a/state/control.c
+++ b/state/control.c
@@ -57,6 +57,15 @@
   jc_http_fail (req, status, jc_last_message (), RETRY_AFTER_MS);
 }
 
+static void
+ack_report (const struct state *state, struct jc_http_req *req)
+{
+  char *text = state->protocol->format_report_answer (NULL);
+
+  jc_http_reply (req, 200, "application/json", jc_str_from_cstr (text), NULL);
+  free (text);
+}
+
 static struct pending_request *
 pending_request_new (struct state *state, struct jc_http_req *req,
                      const char *what, uint64_t version)
@@ -144,6 +153,24 @@
                   RETRY_AFTER_MS);
 }
 
+/* The leave of an endpoint, which REQ waits for, is recorded or, with a STATUS
+   other than JC_OK, not known to be.  */
+static void
+on_leave_done (void *ctx, enum jc_status status)
+{
+  struct pending_request *pending = ctx;
+  struct state *state = pending->state;
+  struct jc_http_req *req = finish_pending (pending, status, JC_EVENT_ORDER);
+
+  if (req == NULL)
+    return;
+  if (status == JC_OK)
+    ack_report (state, req);
+  else
+    jc_http_fail (req, JC_NOT_READY, "The leave is not known to last.",
+                  RETRY_AFTER_MS);
+}
+
 /* Validate the whole route table in the body of REQ, then propose it to the
    log.  */
 static void
@@ -234,15 +261,6 @@
          && presence_count_connected (state, NULL) > 0;
 }
 
-static void
-ack_report (const struct state *state, struct jc_http_req *req)
-{
-  char *text = state->protocol->format_report_answer (NULL);
-
-  jc_http_reply (req, 200, "application/json", jc_str_from_cstr (text), NULL);
-  free (text);
-}
-
 /* Parse the report of the endpoint NAME in BODY into REPORT, whose json is NULL
    on failure and the caller's to release otherwise.  A report with values that
    no endpoint can have is rejected.  */
@@ -261,6 +279,30 @@
   return status;
 }
 
+/* Have the log record that the endpoint of REPORT leaves, and answer REQ when
+   that is done.  */
+static void
+record_leave (struct state *state, struct jc_http_req *req,
+              const struct rpc_endpoint *report)
+{
+  departures_submit (state, report->name, report->incarnation,
+                     report->zone != NULL ? report->zone : "", on_leave_done,
+                     pending_request_new (state, req, "leave", 0));
+}
+
+/* Return whether REPORT, which was applied or is not later than what is known,
+   tells of a leave.  One that is disputed doesn't: it may be another writer's.
+ */
+static bool
+tells_of_leave (const struct state *state, const struct rpc_endpoint *report)
+{
+  const struct jc_endpoint *known = fleet_find (state, report->name);
+
+  return report->leaving
+         && (known == NULL || known->incarnation != report->incarnation
+             || known->leaving);
+}
+
 static void
 handle_report (struct state *state, struct jc_http_req *req, const char *name)
 {
@@ -278,7 +320,10 @@
   else
     status = fleet_handle_report (state, &report);
   /* A report that arrived after a later one is not the sender's error.  */
-  if (status == JC_OK || status == JC_BEHIND)
+  if ((status == JC_OK || status == JC_BEHIND)
+      && tells_of_leave (state, &report.endpoint))
+    record_leave (state, req, &report.endpoint);
+  else if (status == JC_OK || status == JC_BEHIND)
     ack_report (state, req);
   else
     reply_last_error (req, status);
@@ -289,6 +334,7 @@
 handle_leave (struct state *state, struct jc_http_req *req, const char *name)
 {
   struct jc_endpoint_report report;
+  const struct jc_endpoint *known;
 
   if (jc_report_check_name (name) != JC_OK)
     {
@@ -307,8 +353,16 @@
       != JC_OK)
     memset (&report, 0, sizeof report);
   fleet_handle_leave (state, name, report.endpoint.incarnation);
+  known = fleet_find (state, name);
+  report.endpoint.name = (char *)name;
+  if (report.endpoint.incarnation == 0 && known != NULL)
+    report.endpoint.incarnation = known->incarnation;
+  if (report.endpoint.incarnation != 0)
+    record_leave (state, req, &report.endpoint);
+  else
+    reply_last_error (
+        req, jc_fail (JC_NOT_READY, "It isn't known which process leaves."));
   json_decref (report.json);
-  ack_report (state, req);
 }
 
 static void
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -77,9 +77,10 @@
   state->fleet = NULL;
 }
 
-static void
-send_endpoints (struct jc_rpc_conn *conn, struct rpc_endpoint *rows,
-                u_int count)
+/* Send COUNT ROWS to the entry instance CONN.  */
+void
+fleet_send_endpoints (struct jc_rpc_conn *conn, struct rpc_endpoint *rows,
+                      u_int count)
 {
   struct rpc_packet packet = { .body.type = RPC_FLEET };
   struct rpc_fleet *fleet = &packet.body.rpc_body_u.fleet;
@@ -113,6 +114,15 @@
   return region == NULL || strcmp (jc_rpc_conn_region (conn), region) == 0;
 }
 
+/* Return whether the entry instance CONN may send requests to endpoints of
+   ZONE, or of any where that is empty.  */
+bool
+fleet_may_reach (const struct state *state, const struct jc_rpc_conn *conn,
+                 const char *zone)
+{
+  return may_reach (conn, region_of_zone (state, zone));
+}
+
 /* Send ROW to every entry instance that may send requests to its endpoint.  */
 static void
 forward_endpoint (struct state *state, struct rpc_endpoint *row)
@@ -123,7 +133,7 @@
   jc_rpc_list_conns (state->rpc, "entry", conns);
   for (guint i = 0; i < conns->len; i++)
     if (may_reach (g_ptr_array_index (conns, i), region))
-      send_endpoints (g_ptr_array_index (conns, i), row, 1);
+      fleet_send_endpoints (g_ptr_array_index (conns, i), row, 1);
   g_ptr_array_free (conns, TRUE);
 }
 
@@ -317,11 +327,26 @@
   g_ptr_array_free (all, TRUE);
 }
 
-/* Deregister the endpoint NAME.  INCARNATION is 0 if the request named none.
-   The request is forwarded even if the endpoint is not known here, because
-   entry instances may know it from another state instance.  Return the
-   status of jc_endpoints_mark_leaving.  */
-enum jc_status
+/* Return the endpoint NAME, or NULL if it is not known here.  */
+const struct jc_endpoint *
+fleet_find (const struct state *state, const char *name)
+{
+  return jc_endpoints_find (state->fleet->endpoints, name);
+}
+
+/* End the endpoint of DEPARTURE here: reports of it count no more.  */
+void
+fleet_end (struct state *state, const struct rpc_departure *departure)
+{
+  jc_endpoints_end (state->fleet->endpoints, departure->endpoint,
+                    departure->endpoint_incarnation, jc_now_ms ());
+}
+
+/* Tell the entry instances that are connected that the endpoint NAME leaves,
+   ahead of the log.  INCARNATION is 0 if the request named none.  The request
+   is forwarded even if the endpoint is not known here, because entry instances
+   may know it from another state instance.  */
+void
 fleet_handle_leave (struct state *state, const char *name, uint64_t incarnation)
 {
   struct rpc_endpoint row = { .name = (char *)name,
@@ -338,7 +363,16 @@
             "endpoint=%s incarnation=%" PRIu64 " left=1 known=%d", name,
             incarnation, status == JC_OK);
   forward_endpoint (state, &row);
-  return status;
+}
+
+/* The leave that an answer named is recorded, or, with a STATUS other than
+   JC_OK, known only to those that were told.  */
+static void
+on_recorded (void *ctx, enum jc_status status)
+{
+  (void)ctx;
+  if (status != JC_OK)
+    jc_event (JC_EVENT_ENDPOINT, "left=1 outcome=%s", jc_status_name (status));
 }
 
 /* Handle a message of the entry instance CONN that an endpoint says in its
@@ -371,6 +405,8 @@
   row.incarnation = known->incarnation;
   row.zone = known->zone;
   forward_endpoint (state, &row);
+  departures_submit (state, row.name, row.incarnation, row.zone, on_recorded,
+                     state);
 }
 
 /* Return whether START's endpoint has reported here since the start, so that it
@@ -431,11 +467,11 @@
       jc_endpoint_to_rpc (endpoint, now, &rows[count++]);
       if (count < BATCH_ROWS)
         continue;
-      send_endpoints (conn, rows, count);
+      fleet_send_endpoints (conn, rows, count);
       count = 0;
     }
   if (count > 0)
-    send_endpoints (conn, rows, count);
+    fleet_send_endpoints (conn, rows, count);
   g_ptr_array_free (all, TRUE);
   fleet_send_versions (state, conn);
 }
--- a/state/log.c
+++ b/state/log.c
@@ -119,6 +119,8 @@
     crashes_apply (state, data);
   else if (kind == LOG_VERSION)
     versions_apply (state, index, data);
+  else if (kind == LOG_DEPARTURE)
+    departures_apply (state, data);
   else if (kind == LOG_ORDER && jc_orders_apply (state->orders, index, data))
     update_orders (state);
   update_config (state);
@@ -151,6 +153,7 @@
   if (jc_confstate_restore (state->confstate, json) != JC_OK
       || jc_orders_restore (state->orders, json) != JC_OK
       || jc_grants_restore (state->grants, json) != JC_OK
+      || jc_departures_restore (state->departures, json) != JC_OK
       || jc_limit_slots_restore (state->limit_slots, json, jc_now_ms ())
              != JC_OK
       || jc_crashes_restore (state->crash_table, json, jc_now_ms ()) != JC_OK
@@ -166,6 +169,7 @@
   update_orders (state);
   crashes_publish (state);
   versions_publish (state);
+  departures_publish (state);
   json_decref (json);
 }
 
@@ -182,6 +186,7 @@
   jc_confstate_snapshot (state->confstate, json);
   jc_orders_snapshot (state->orders, json);
   jc_grants_snapshot (state->grants, json);
+  jc_departures_snapshot (state->departures, json);
   jc_limit_slots_snapshot (state->limit_slots, json);
   jc_crashes_snapshot (state->crash_table, json);
   jc_versions_snapshot (state->version_table, json);
@@ -550,7 +555,8 @@
   u_int kind = packet->body.rpc_body_u.propose.kind;
 
   return kind == LOG_LEDGER_SET || kind == LOG_ORDER || kind == LOG_GRANT
-         || kind == LOG_LIMITS || kind == LOG_CRASHES || kind == LOG_VERSION;
+         || kind == LOG_LIMITS || kind == LOG_CRASHES || kind == LOG_VERSION
+         || kind == LOG_DEPARTURE;
 }
 
 /* Handle a message about the log.  It is ignored unless another state instance
--- a/state/main.c
+++ b/state/main.c
@@ -122,6 +122,7 @@
 {
   jc_rpc_set_config_version (state->rpc, state->orders->position);
   fleet_start (state);
+  departures_publish (state);
   presence_start (state);
   coldgrants_start (state);
   limits_start (state);
@@ -163,6 +164,7 @@
   state->config = state->confstate->config;
   state->orders = jc_orders_new ();
   state->grants = jc_grants_new ();
+  state->departures = jc_departures_new ();
   state->version_table = jc_versions_new ();
   state->limit_slots = jc_limit_slots_new ();
   state->crash_table = jc_crashes_new (JC_CRASH_BLOCK_SCORE);
@@ -205,6 +207,7 @@
     state->disk->klass->free (state->disk);
   jc_orders_free (state->orders);
   jc_grants_free (state->grants);
+  jc_departures_free (state->departures);
   jc_versions_free (state->version_table);
   jc_limit_slots_free (state->limit_slots);
   jc_crashes_free (state->crash_table);
@@ -214,6 +217,7 @@
   state->disk = NULL;
   state->orders = NULL;
   state->grants = NULL;
+  state->departures = NULL;
   state->version_table = NULL;
   state->limit_slots = NULL;
   state->crash_table = NULL;
--- a/state/orders.c
+++ b/state/orders.c
@@ -128,6 +128,7 @@
   g_ptr_array_add (state->order_subscribers, subscriber);
   presence_send_snapshot (state, conn);
   crashes_send_snapshot (state, conn);
+  departures_send_snapshot (state, conn);
 }
 
 /* A request of another state instance for the newest orders.  */
--- a/state/state.h
+++ b/state/state.h
@@ -11,6 +11,7 @@
 #include "conf/orders.h"
 #include "conf/replicas.h"
 #include "member/crashes.h"
+#include "member/departures.h"
 #include "member/grants.h"
 #include "member/limitslots.h"
 #include "member/endpoints.h"
@@ -47,6 +48,7 @@
   struct control *control;
   struct fleet *fleet;
   struct presence *presence;
+  struct jc_departures *departures;
   struct jc_grants *grants;
   struct coldgrants *coldgrants;
   struct jc_limit_slots *limit_slots;
@@ -71,7 +73,8 @@
   LOG_GRANT,
   LOG_LIMITS,
   LOG_CRASHES,
-  LOG_VERSION
+  LOG_VERSION,
+  LOG_DEPARTURE
 };
 
 /* Called with the outcome of a proposal: JC_OK once it is committed,
@@ -151,8 +154,15 @@
 void fleet_stop (struct state *state);
 enum jc_status fleet_handle_report (struct state *state,
                                     const struct jc_endpoint_report *report);
-enum jc_status fleet_handle_leave (struct state *state, const char *name,
-                                   uint64_t incarnation);
+void fleet_handle_leave (struct state *state, const char *name,
+                         uint64_t incarnation);
+const struct jc_endpoint *fleet_find (const struct state *state,
+                                      const char *name);
+void fleet_end (struct state *state, const struct rpc_departure *departure);
+bool fleet_may_reach (const struct state *state, const struct jc_rpc_conn *conn,
+                      const char *zone);
+void fleet_send_endpoints (struct jc_rpc_conn *conn, struct rpc_endpoint *rows,
+                           u_int count);
 void fleet_handle_packet (struct state *state, struct jc_rpc_conn *conn,
                           const struct rpc_packet *packet);
 void fleet_send_snapshot (struct state *state, struct jc_rpc_conn *conn);
@@ -162,6 +172,14 @@
 unsigned int fleet_count (const struct state *state);
 void fleet_request_grants (struct state *state, const char *zone);
 
+/* departures: endpoints that were acknowledged to leave.  */
+void departures_submit (struct state *state, const char *name,
+                        uint64_t incarnation, const char *zone,
+                        log_done_fn *done, void *ctx);
+void departures_apply (struct state *state, struct jc_str data);
+void departures_publish (struct state *state);
+void departures_send_snapshot (struct state *state, struct jc_rpc_conn *conn);
+
 /* timer: timers of the modules.  */
 void timer_start_once (struct state *state, ev_timer *timer, int64_t delay_ms);
 
--- /dev/null
+++ b/tests/process/hosts-leave-missed.sh
@@ -0,0 +1,10 @@
+# Guards against an acknowledged leave of which an entry instance that missed it never learns.
+set -eu
+. scripts/cluster.sh
+. scripts/hosts.sh
+trap stop_all EXIT
+
+# The lease of an endpoint, five times this, outlasts the suspension.
+REPORT_MS=3000
+start_hosts
+python3 tests/process/missed_standin.py leave "$DIR" || { tail -n 30 "$DIR"/e1.out "$DIR"/s*.out; exit 1; }
