Leave out orders for a zone that a later one has overtaken

Cause: an order bore nothing that shows what was acknowledged after it was sent. Ruled out: a bound of age alone, since no two clocks agree and the leader can't know how long an order was on its way; a number alone, since an instance that runs again may read the log before the order. Each order for a zone now names the last entry that its state instance had applied, and the log leaves it out if a later one for that zone came after that entry; the sender gets 503. Before that its age is bounded, by a clock that runs through suspension, to half of the second for which operators wait: net/inputage tells how long input may have waited in the kernel.

--- a/conf/orders.c
+++ b/conf/orders.c
@@ -1,5 +1,6 @@
 /* Orders of operators.  */
 
+#include <stdint.h>
 #include <string.h>
 
 #include "base/xdrencode.h"
@@ -8,7 +9,9 @@
 enum
 {
   /* As many as rpc_orders has room for.  */
-  ZONES_MAX = 256
+  ZONES_MAX = 256,
+  /* Zones whose last order is known.  */
+  ZONE_CHANGES_MAX = 1024
 };
 
 /* Return the initial state, with no route table and no evacuated zone.  */
@@ -20,6 +23,8 @@
   orders->table_text = g_string_new (NULL);
   orders->evacuated_zones
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  orders->zone_changes
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return orders;
 }
 
@@ -31,6 +36,7 @@
     return;
   g_string_free (orders->table_text, TRUE);
   g_hash_table_destroy (orders->evacuated_zones);
+  g_hash_table_destroy (orders->zone_changes);
   g_free (orders);
 }
 
@@ -41,6 +47,17 @@
   return jc_xdr_encode ((xdrproc_t)xdr_rpc_order, order);
 }
 
+/* Return ORDER, for a zone, in the encoding of a log entry.  Its sender had
+   applied all entries up to APPLIED.  */
+GString *
+jc_orders_encode_zone (const struct rpc_order *order, uint64_t applied)
+{
+  const struct rpc_zone_order zone_order
+      = { .applied = applied, .order = *order };
+
+  return jc_xdr_encode ((xdrproc_t)xdr_rpc_zone_order, &zone_order);
+}
+
 static char *
 order_zone (const struct rpc_order *order)
 {
@@ -101,6 +118,97 @@
   g_free (zone);
 }
 
+/* Drop the zone whose last order is the oldest, and raise the floor to that. */
+static void
+drop_zone_change (struct jc_orders *orders)
+{
+  const char *oldest = NULL;
+  uint64_t oldest_index = UINT64_MAX;
+  GHashTableIter iter;
+  gpointer zone;
+  gpointer index;
+
+  g_hash_table_iter_init (&iter, orders->zone_changes);
+  while (g_hash_table_iter_next (&iter, &zone, &index))
+    if (*(const uint64_t *)index < oldest_index)
+      {
+        oldest = zone;
+        oldest_index = *(const uint64_t *)index;
+      }
+  orders->zone_floor = MAX (orders->zone_floor, oldest_index);
+  g_hash_table_remove (orders->zone_changes, oldest);
+}
+
+/* Record that entry INDEX has an order for ZONE.  */
+static void
+note_zone_change (struct jc_orders *orders, const char *zone, uint64_t index)
+{
+  g_hash_table_replace (orders->zone_changes, g_strdup (zone),
+                        g_memdup2 (&index, sizeof index));
+  if (g_hash_table_size (orders->zone_changes) > ZONE_CHANGES_MAX)
+    drop_zone_change (orders);
+}
+
+static uint64_t
+last_zone_change (const struct jc_orders *orders, const char *zone)
+{
+  const uint64_t *index = g_hash_table_lookup (orders->zone_changes, zone);
+
+  return index != NULL ? *index : orders->zone_floor;
+}
+
+/* Apply ORDER, entry INDEX of the log.  Return whether anything changed.  */
+static bool
+apply_order (struct jc_orders *orders, uint64_t index,
+             const struct rpc_order *order)
+{
+  bool changed = !jc_orders_is_noop (orders, order);
+
+  if (changed)
+    {
+      execute_order (orders, order);
+      orders->position = index;
+    }
+  if (order->kind != RPC_ORDER_ROUTES)
+    {
+      char *zone = order_zone (order);
+
+      note_zone_change (orders, zone, index);
+      g_free (zone);
+    }
+  return changed;
+}
+
+/* Execute the order for a zone encoded in DATA, entry INDEX of the log.  Return
+   whether anything changed, and set OVERTAKEN to whether the order was left out
+   because its sender hadn't applied a later one for the zone; DATA that cannot
+   be decoded changes nothing.  */
+bool
+jc_orders_apply_zone (struct jc_orders *orders, uint64_t index,
+                      struct jc_str data, bool *overtaken)
+{
+  struct rpc_zone_order row;
+  bool changed = false;
+  char *zone;
+  XDR xdr;
+
+  *overtaken = false;
+  memset (&row, 0, sizeof row);
+  xdrmem_create (&xdr, (char *)data.data, (u_int)data.len, XDR_DECODE);
+  if (xdr_rpc_zone_order (&xdr, &row) && row.order.kind != RPC_ORDER_ROUTES)
+    {
+      zone = order_zone (&row.order);
+      *overtaken = !jc_orders_is_noop (orders, &row.order)
+                   && last_zone_change (orders, zone) > row.applied;
+      g_free (zone);
+      if (!*overtaken)
+        changed = apply_order (orders, index, &row.order);
+    }
+  xdr_destroy (&xdr);
+  xdr_free ((xdrproc_t)xdr_rpc_zone_order, (char *)&row);
+  return changed;
+}
+
 /* Execute the order encoded in DATA, entry INDEX of the log.  A route table
    takes effect only if its version is higher than the one in force.  Return
    whether anything changed; DATA that cannot be decoded changes nothing.  */
@@ -113,12 +221,7 @@
 
   memset (&order, 0, sizeof order);
   xdrmem_create (&xdr, (char *)data.data, (u_int)data.len, XDR_DECODE);
-  changed = xdr_rpc_order (&xdr, &order) && !jc_orders_is_noop (orders, &order);
-  if (changed)
-    {
-      execute_order (orders, &order);
-      orders->position = index;
-    }
+  changed = xdr_rpc_order (&xdr, &order) && apply_order (orders, index, &order);
   xdr_destroy (&xdr);
   xdr_free ((xdrproc_t)xdr_rpc_order, (char *)&order);
   return changed;
@@ -186,6 +289,21 @@
     out->evacuated.evacuated_val[i++] = zone;
 }
 
+static json_t *
+zone_changes_json (const struct jc_orders *orders)
+{
+  json_t *changes = json_object ();
+  GHashTableIter iter;
+  gpointer zone;
+  gpointer index;
+
+  g_hash_table_iter_init (&iter, orders->zone_changes);
+  while (g_hash_table_iter_next (&iter, &zone, &index))
+    json_object_set_new (changes, zone,
+                         json_integer ((json_int_t) * (uint64_t *)index));
+  return changes;
+}
+
 /* Write ORDERS into the snapshot OUT.  */
 void
 jc_orders_snapshot (const struct jc_orders *orders, json_t *out)
@@ -198,11 +316,30 @@
   while (g_hash_table_iter_next (&iter, &zone, NULL))
     json_array_append_new (zones, json_string (zone));
   json_object_set_new (out, "orders",
-                       json_pack ("{s:I,s:I,s:s%,s:o}", "position",
+                       json_pack ("{s:I,s:I,s:s%,s:o,s:o,s:I}", "position",
                                   (json_int_t)orders->position, "version",
                                   (json_int_t)orders->table_version, "text",
                                   orders->table_text->str,
-                                  orders->table_text->len, "evacuated", zones));
+                                  orders->table_text->len, "evacuated", zones,
+                                  "changes", zone_changes_json (orders),
+                                  "floor", (json_int_t)orders->zone_floor));
+}
+
+/* Replace the last orders for zones by those of SAVED, the orders of a
+   snapshot, which has none if an earlier version wrote it.  */
+static void
+restore_zone_changes (struct jc_orders *orders, const json_t *saved)
+{
+  const char *zone;
+  json_t *index;
+
+  g_hash_table_remove_all (orders->zone_changes);
+  orders->zone_floor
+      = (uint64_t)json_integer_value (json_object_get (saved, "floor"));
+  json_object_foreach (json_object_get (saved, "changes"), zone, index)
+  {
+    note_zone_change (orders, zone, (uint64_t)json_integer_value (index));
+  }
 }
 
 /* Replace ORDERS by those in the snapshot IN, or by the initial state if IN
@@ -225,6 +362,7 @@
   g_string_assign (
       orders->table_text,
       saved != NULL ? json_string_value (json_object_get (saved, "text")) : "");
+  restore_zone_changes (orders, saved);
   g_hash_table_remove_all (orders->evacuated_zones);
   json_array_foreach ((json_t *)zones, i, zone)
   {
--- a/conf/orders.h
+++ b/conf/orders.h
@@ -12,13 +12,17 @@
 
 /* POSITION is the log index of the last order that had an effect.  TABLE_TEXT
    is the route table of TABLE_VERSION as it was sent, empty before the first;
-   EVACUATED_ZONES is a set of zone names.  */
+   EVACUATED_ZONES is a set of zone names.  ZONE_CHANGES maps names of zones to
+   the index (uint64_t) of the last order for them, with an effect or without;
+   zones that it lacks have none after ZONE_FLOOR.  */
 struct jc_orders
 {
   uint64_t position;
   uint64_t table_version;
   GString *table_text;
   GHashTable *evacuated_zones;
+  GHashTable *zone_changes;
+  uint64_t zone_floor;
 };
 
 struct jc_orders *jc_orders_new (void);
@@ -26,6 +30,10 @@
 GString *jc_orders_encode (const struct rpc_order *order);
 bool jc_orders_apply (struct jc_orders *orders, uint64_t index,
                       struct jc_str data);
+GString *jc_orders_encode_zone (const struct rpc_order *order,
+                                uint64_t applied);
+bool jc_orders_apply_zone (struct jc_orders *orders, uint64_t index,
+                           struct jc_str data, bool *overtaken);
 bool jc_orders_can_evacuate (const struct jc_orders *orders, const char *zone);
 bool jc_orders_is_noop (const struct jc_orders *orders,
                         const struct rpc_order *order);
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -568,6 +568,12 @@
 };
 typedef struct rpc_order rpc_order;
 
+struct rpc_zone_order {
+	u_quad_t applied;
+	rpc_order order;
+};
+typedef struct rpc_zone_order rpc_zone_order;
+
 struct rpc_orders_follow {
 	u_quad_t have_position;
 	u_quad_t have_version;
@@ -1045,6 +1051,7 @@
 extern  bool_t xdr_rpc_group (XDR *, rpc_group*);
 extern  bool_t xdr_rpc_order_kind (XDR *, rpc_order_kind*);
 extern  bool_t xdr_rpc_order (XDR *, rpc_order*);
+extern  bool_t xdr_rpc_zone_order (XDR *, rpc_zone_order*);
 extern  bool_t xdr_rpc_orders_follow (XDR *, rpc_orders_follow*);
 extern  bool_t xdr_rpc_orders (XDR *, rpc_orders*);
 extern  bool_t xdr_rpc_fleet (XDR *, rpc_fleet*);
@@ -1142,6 +1149,7 @@
 extern bool_t xdr_rpc_group ();
 extern bool_t xdr_rpc_order_kind ();
 extern bool_t xdr_rpc_order ();
+extern bool_t xdr_rpc_zone_order ();
 extern bool_t xdr_rpc_orders_follow ();
 extern bool_t xdr_rpc_orders ();
 extern bool_t xdr_rpc_fleet ();
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1026,6 +1026,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_zone_order (XDR *xdrs, rpc_zone_order *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->applied))
+		 return FALSE;
+	 if (!xdr_rpc_order (xdrs, &objp->order))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_orders_follow (XDR *xdrs, rpc_orders_follow *objp)
 {
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -505,6 +505,13 @@
   rpc_bytes data;
 };
 
+/* An entry of the log: an order that counts unless the log has another one for
+   the same availability zone after the entry that its sender had applied.  */
+struct rpc_zone_order {
+  unsigned hyper applied;
+  rpc_order order;
+};
+
 /* Asks for the orders after have_position; follow asks for each change from
    now on too.  Without it the sender is told of no more changes.  */
 struct rpc_orders_follow {
--- a/state/log.c
+++ b/state/log.c
@@ -107,6 +107,7 @@
 {
   struct state *state = ctx;
 
+  state->order_overtaken = false;
   if (kind == LOG_CONFIG_CHANGE)
     state->last_submit_result = jc_confstate_apply (state->confstate, data);
   else if (kind == LOG_LEDGER_SET)
@@ -123,6 +124,10 @@
     departures_apply (state, data);
   else if (kind == LOG_ORDER && jc_orders_apply (state->orders, index, data))
     update_orders (state);
+  else if (kind == LOG_ZONE_ORDER
+           && jc_orders_apply_zone (state->orders, index, data,
+                                    &state->order_overtaken))
+    update_orders (state);
   update_config (state);
 }
 
@@ -435,6 +440,15 @@
   return jc_rlog_term (state->log->rlog);
 }
 
+/* Return the index of the last entry that this replica has applied, 0 while its
+   log is being opened.  */
+uint64_t
+log_applied_index (const struct state *state)
+{
+  return state->log->rlog != NULL ? jc_rlog_applied_index (state->log->rlog)
+                                  : 0;
+}
+
 /* Return whether a committed order survives the simultaneous loss of as many
    state instances as the setting "losses" says.  */
 bool
@@ -524,13 +538,26 @@
     forward_to_leader (state, kind, data, done, ctx);
 }
 
+/* A proposal that another replica forwarded.  */
+struct received_proposal
+{
+  struct state *state;
+  struct call *call;
+};
+
+/* The proposal in CTX ended with STATUS.  If it is committed, its entry is the
+   one applied last.  */
 static void
 on_proposed (void *ctx, enum jc_status status)
 {
+  struct received_proposal *proposal = ctx;
   struct rpc_packet answer = { .body.type = RPC_PROPOSE_REPLY };
 
+  if (status == JC_OK && proposal->state->order_overtaken)
+    status = JC_BEHIND;
   answer.body.rpc_body_u.propose_reply.status = (int)status;
-  call_answer (ctx, &answer);
+  call_answer (proposal->call, &answer);
+  g_free (proposal);
 }
 
 static void
@@ -538,12 +565,14 @@
                  const struct rpc_packet *packet)
 {
   const struct rpc_propose *propose = &packet->body.rpc_body_u.propose;
+  struct received_proposal *proposal = g_new0 (struct received_proposal, 1);
 
+  proposal->state = state;
+  proposal->call = call_defer (state->deferred_calls, conn, packet);
   jc_rlog_propose (state->log->rlog, propose->kind,
                    (struct jc_str){ .data = propose->data.rpc_bytes_val,
                                     .len = propose->data.rpc_bytes_len },
-                   on_proposed,
-                   call_defer (state->deferred_calls, conn, packet));
+                   on_proposed, proposal);
 }
 
 /* Return whether the proposal in PACKET may be forwarded by another replica.
@@ -556,7 +585,7 @@
 
   return kind == LOG_LEDGER_SET || kind == LOG_ORDER || kind == LOG_GRANT
          || kind == LOG_LIMITS || kind == LOG_CRASHES || kind == LOG_VERSION
-         || kind == LOG_DEPARTURE;
+         || kind == LOG_DEPARTURE || kind == LOG_ZONE_ORDER;
 }
 
 /* Handle a message about the log.  It is ignored unless another state instance
--- a/state/main.c
+++ b/state/main.c
@@ -230,6 +230,7 @@
 state_clear (struct state *state)
 {
   stop_modules (state);
+  jc_inputage_free (state->input_age);
   jc_metrics_free (state->metrics);
   g_ptr_array_free (state->config_subscribers, TRUE);
   g_ptr_array_free (state->order_subscribers, TRUE);
@@ -310,6 +311,7 @@
   state.metrics = jc_metrics_new ();
   state.protocol = &platform_protocol;
   state.started_ms = jc_now_ms ();
+  state.input_age = jc_inputage_new (state.loop);
   if (routes_by_hosts (&state))
     {
       jc_eventflush_start (state.loop);
--- a/state/orders.c
+++ b/state/orders.c
@@ -11,7 +11,9 @@
 enum
 {
   READ_TIMEOUT_MS = 2000,
-  RETRY_AFTER_MS = 300
+  RETRY_AFTER_MS = 300,
+  /* Operators give up an order after a second without an answer.  */
+  ORDER_AGE_MAX_MS = 500
 };
 
 /* Propose DATA, the encoding of an order, as an entry of KIND and free it. Call
@@ -83,10 +85,59 @@
   orders_read_barrier (state, on_newest_known, table);
 }
 
+/* An order for a zone that the log has not decided yet.  LOCAL tells that this
+   replica proposed it itself, as the leader.  */
+struct zone_order
+{
+  struct state *state;
+  bool local;
+  log_done_fn *done;
+  void *ctx;
+};
+
+static void
+on_zone_order_done (void *ctx, enum jc_status status)
+{
+  struct zone_order *order = ctx;
+
+  if (status == JC_OK && order->local && order->state->order_overtaken)
+    status = JC_BEHIND;
+  if (status == JC_BEHIND)
+    jc_fail (JC_BEHIND, "A later order for the zone is known.");
+  order->done (order->ctx, status);
+  g_free (order);
+}
+
+/* Put ORDER, for a zone, in force: always by an entry of the log, also where it
+   would change nothing here.  It counts only while its sender waits for it, so
+   that none of a later time was acknowledged: it was read soon after it came,
+   and no other one for the zone is committed from here on before it.  */
+static void
+submit_zone_order (struct state *state, const struct rpc_order *order,
+                   log_done_fn *done, void *ctx)
+{
+  int64_t age_ms = jc_inputage_ms (state->input_age);
+  struct zone_order *pending;
+
+  if (age_ms > ORDER_AGE_MAX_MS)
+    {
+      jc_event (JC_EVENT_ORDER, "what=zone outcome=late age_ms=%" PRId64,
+                age_ms);
+      done (ctx, jc_fail (JC_NOT_READY, "The order may have waited too long."));
+      return;
+    }
+  pending = g_new0 (struct zone_order, 1);
+  pending->state = state;
+  pending->local = log_is_leader (state);
+  pending->done = done;
+  pending->ctx = ctx;
+  propose_order (state, LOG_ZONE_ORDER,
+                 jc_orders_encode_zone (order, log_applied_index (state)),
+                 on_zone_order_done, pending);
+}
+
 /* Put ORDER in force, and call DONE with CTX and the outcome: JC_OK once it is
-   or a newer one is, JC_NOT_READY if it should be sent again.  An order for a
-   zone always becomes an entry of the log, also where it would change nothing
-   here.  */
+   or a newer one is, JC_NOT_READY or JC_BEHIND if it should be sent again.  */
 void
 orders_submit (struct state *state, const struct rpc_order *order,
                log_done_fn *done, void *ctx)
@@ -94,7 +145,7 @@
   if (order->kind == RPC_ORDER_ROUTES)
     submit_table (state, order, done, ctx);
   else
-    propose_order (state, LOG_ORDER, jc_orders_encode (order), done, ctx);
+    submit_zone_order (state, order, done, ctx);
 }
 
 /* Send CONN the orders in force.  The route table is left out if its version is
--- a/state/state.h
+++ b/state/state.h
@@ -17,6 +17,7 @@
 #include "member/endpoints.h"
 #include "member/versions.h"
 #include "net/httpd.h"
+#include "net/inputage.h"
 #include "net/rpc.h"
 #include "serve/protocol.h"
 #include "serve/streamstarts.h"
@@ -24,7 +25,8 @@
 /* The process.  CONFIG is the configuration in CONFSTATE, and
    LAST_SUBMIT_RESULT the result of the change that was applied last.  GROUP,
    CONTROL, FLEET, PRESENCE, COLDGRANTS, LIMITS, CRASHES, VERSIONS and STARTS
-   are NULL unless requests are routed by hosts.  */
+   are NULL unless requests are routed by hosts.  ORDER_OVERTAKEN tells that the
+   entry applied last is an order that was left out because of a later one.  */
 struct state
 {
   struct ev_loop *loop;
@@ -34,6 +36,8 @@
   struct jc_config *config;
   struct jc_confstate *confstate;
   const struct jc_submit_result *last_submit_result;
+  bool order_overtaken;
+  struct jc_inputage *input_age;
   GPtrArray *config_subscribers;
   GPtrArray *deferred_calls;
   struct log *log;
@@ -74,7 +78,8 @@
   LOG_LIMITS,
   LOG_CRASHES,
   LOG_VERSION,
-  LOG_DEPARTURE
+  LOG_DEPARTURE,
+  LOG_ZONE_ORDER
 };
 
 /* Called with the outcome of a proposal: JC_OK once it is committed,
@@ -91,6 +96,7 @@
 
 bool log_is_leader (const struct state *state);
 uint64_t log_term (const struct state *state);
+uint64_t log_applied_index (const struct state *state);
 bool log_survives_losses (const struct state *state);
 const struct rpc_replicas *log_replicas (const struct state *state);
 int64_t log_replica_silent_ms (const struct state *state, const char *name);
--- a/tests/process/missed_standin.py
+++ b/tests/process/missed_standin.py
@@ -20,6 +20,8 @@
 # Time for an instance that runs again to be told what it missed.
 CONTACT_S = 6.0
 WATCHED_S = 8.0
+# The operator moves on to another state instance after this time without an answer.
+ANSWER_S = 1.0
 
 
 class Suspended:
@@ -138,6 +140,31 @@
     assert not late, len(late)
 
 
+async def overtaken():
+    """A readmission waits at a suspended state instance while the operator gives it up, has it acknowledged by another
+    one and evacuates the zone again. The zone stays evacuated."""
+    first, _ = await start_two()
+    suspended, rest = ADDRESSES["control"][2], ADDRESSES["control"][:2]
+    await order("/v1/Evacuation.Begin/z1")
+    await asyncio.sleep(1)
+    os.kill(pid("s3"), signal.SIGSTOP)
+    given_up = asyncio.create_task(ask(suspended, "POST", "/v1/Evacuation.Finish/z1"))
+    await asyncio.sleep(ANSWER_S + 0.1)
+    await order("/v1/Evacuation.Finish/z1", controls=rest)
+    await order("/v1/Evacuation.Begin/z1", controls=rest)
+    acked = time.monotonic()
+    # Shorter than a connection may be silent: the instance that runs again is still connected to the leader.
+    os.kill(pid("s3"), signal.SIGCONT)
+    try:
+        print("the order that was given up: %d" % (await given_up).status, flush=True)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        pass
+    await callers(ADDRESSES["entries"], EVACUATE_S + WATCHED_S)
+    late = [t for _, t in first.arrived if t > acked + EVACUATE_S]
+    print("%d requests after the evacuation was acknowledged" % len(late), flush=True)
+    assert not late, len(late)
+
+
 if __name__ == "__main__":
     use(sys.argv[2])
     asyncio.run(globals()[sys.argv[1]]())
--- a/tests/test-routetable.c
+++ b/tests/test-routetable.c
@@ -154,6 +154,83 @@
   return changed;
 }
 
+/* Apply an order for ZONE whose sender had applied the entries up to APPLIED.
+   Return whether it was left out since it was overtaken.  */
+static bool
+is_overtaken (struct jc_orders *orders, uint64_t index, uint64_t applied,
+              enum rpc_order_kind kind, const char *zone)
+{
+  struct rpc_order order = { .kind = kind };
+  bool overtaken;
+  GString *data;
+
+  order.data.rpc_bytes_val = (char *)zone;
+  order.data.rpc_bytes_len = (u_int)strlen (zone);
+  data = jc_orders_encode_zone (&order, applied);
+  jc_orders_apply_zone (orders, index, jc_str_from_gstring (data), &overtaken);
+  g_string_free (data, TRUE);
+  return overtaken;
+}
+
+/* Guards against an order that waited somewhere and is applied after a later
+   one for the same zone was acknowledged, also where that one changed nothing,
+   and against one that is left out since another zone changed, or since it was
+   sent twice.  */
+static void
+test_overtaken (void)
+{
+  struct jc_orders *orders = jc_orders_new ();
+  struct jc_orders *copy = jc_orders_new ();
+  json_t *json = json_object ();
+  bool overtaken = true;
+
+  g_assert_false (is_overtaken (orders, 1, 0, RPC_ORDER_EVACUATE, "z1"));
+  g_assert_false (is_overtaken (orders, 2, 1, RPC_ORDER_READMIT, "z1"));
+  g_assert_false (is_overtaken (orders, 3, 2, RPC_ORDER_EVACUATE, "z1"));
+  g_assert_true (is_overtaken (orders, 4, 1, RPC_ORDER_READMIT, "z1"));
+  g_assert_true (jc_orders_is_evacuated (orders, "z1"));
+  g_assert_false (is_overtaken (orders, 5, 1, RPC_ORDER_EVACUATE, "z1"));
+  g_assert_false (is_overtaken (orders, 6, 5, RPC_ORDER_READMIT, "z2"));
+  g_assert_true (is_overtaken (orders, 7, 5, RPC_ORDER_EVACUATE, "z2"));
+  g_assert_false (jc_orders_is_evacuated (orders, "z2"));
+  g_assert_false (is_overtaken (orders, 8, 1, RPC_ORDER_EVACUATE, "z3"));
+  /* The orders of an earlier version count, too.  */
+  g_assert_true (apply_order (orders, 9, RPC_ORDER_READMIT, 0, "z3"));
+  jc_orders_snapshot (orders, json);
+  g_assert_cmpint (jc_orders_restore (copy, json), ==, JC_OK);
+  g_assert_true (is_overtaken (copy, 10, 8, RPC_ORDER_EVACUATE, "z3"));
+  g_assert_true (is_overtaken (copy, 11, 4, RPC_ORDER_READMIT, "z1"));
+  g_assert_false (is_overtaken (copy, 12, 9, RPC_ORDER_EVACUATE, "z3"));
+  g_assert_false (
+      jc_orders_apply_zone (copy, 13, JC_STR_LIT ("junk"), &overtaken));
+  g_assert_false (overtaken);
+  json_decref (json);
+  jc_orders_free (orders);
+  jc_orders_free (copy);
+}
+
+/* Guards against a table of zones that grows without bound, and against an
+   order that counts although a later one for its zone was dropped from it.  */
+static void
+test_many_zones_ordered (void)
+{
+  struct jc_orders *orders = jc_orders_new ();
+  uint64_t index = 1;
+
+  for (; index <= 3000; index++)
+    {
+      char *zone = g_strdup_printf ("zone-%u", (unsigned int)index);
+
+      is_overtaken (orders, index, index - 1, RPC_ORDER_READMIT, zone);
+      g_free (zone);
+    }
+  g_assert_cmpuint (g_hash_table_size (orders->zone_changes), ==, 1024);
+  g_assert_true (is_overtaken (orders, index, 4, RPC_ORDER_EVACUATE, "zone-5"));
+  g_assert_false (
+      is_overtaken (orders, index + 1, 2000, RPC_ORDER_EVACUATE, "zone-5"));
+  jc_orders_free (orders);
+}
+
 static void
 test_highest_version (void)
 {
@@ -294,6 +371,8 @@
   g_test_add_func ("/orders/highest-version", test_highest_version);
   g_test_add_func ("/orders/evacuation", test_evacuation);
   g_test_add_func ("/orders/snapshot", test_snapshot);
+  g_test_add_func ("/orders/overtaken", test_overtaken);
+  g_test_add_func ("/orders/many-zones-ordered", test_many_zones_ordered);
   g_test_add_func ("/orders/odd-zones", test_odd_zones);
   g_test_add_func ("/orders/no-rollback", test_no_rollback);
   return g_test_run ();
