Tell when the process behind an address may have been replaced

An entry instance knows from connections for how long the process of an endpoint has been the same, but forgets this as soon as the last one closes: that the process was lost, and that another one may answer now under the same name, can't be told from an idle connection that was closed in good order. The HTTP client now keeps the time of the last loss for each address: the last connection broke (by its peer, or closed while a request on it had no answer), or none came up while none was open. A connection that an older one outlives is no loss.

--- a/net/httpc.c
+++ b/net/httpc.c
@@ -86,6 +86,8 @@
                                              idle_queue_free);
   httpc->used_addresses
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  httpc->lost_addresses
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   httpc->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
   httpc->dead_calls = g_ptr_array_new ();
   httpc->dead_conns = g_ptr_array_new ();
@@ -111,6 +113,7 @@
   g_list_free (calls);
   g_hash_table_destroy (httpc->idle_conns);
   g_hash_table_destroy (httpc->used_addresses);
+  g_hash_table_destroy (httpc->lost_addresses);
   ev_timer_stop (httpc->loop, &httpc->reaper);
   for (guint i = 0; i < httpc->dead_conns->len; i++)
     httpc_conn_free (g_ptr_array_index (httpc->dead_conns, i));
@@ -138,6 +141,17 @@
   return used != NULL && used->heard_ms > 0 ? used->since_ms : -1;
 }
 
+/* Return when, in ms of jc_now_ms, the process at ADDRESS was last lost, or -1
+   if it wasn't within the last minute: its last connection broke, or no new
+   one came up while there was none.  The process may then be another one.  */
+int64_t
+jc_httpc_address_lost_ms (const struct jc_httpc *httpc, const char *address)
+{
+  const int64_t *lost_ms = g_hash_table_lookup (httpc->lost_addresses, address);
+
+  return lost_ms != NULL ? *lost_ms : -1;
+}
+
 /* Return since when, in ms of jc_now_ms, the process at the other end of CALL's
    connection, which has been heard, has been the same: since the connection was
    established, or longer where an earlier one was heard after that.  */
@@ -252,6 +266,7 @@
   else if (call->conn != NULL && !call->conn->connected && !expired)
     {
       call->host_unreachable = true;
+      httpc_conn_note_refused (call->conn);
       httpc_call_failed (call, JC_UNREACHABLE,
                          "No connection came up in time.");
     }
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -87,6 +87,8 @@
 void jc_httpc_close_idle (struct jc_httpc *httpc, const char *address);
 int64_t jc_httpc_address_since_ms (const struct jc_httpc *httpc,
                                    const char *address);
+int64_t jc_httpc_address_lost_ms (const struct jc_httpc *httpc,
+                                  const char *address);
 int64_t jc_httpc_call_since_ms (const struct jc_httpc_call *call);
 uint64_t jc_httpc_connections_opened (const struct jc_httpc *httpc);
 struct jc_httpc_call *
--- a/net/httpcconn.c
+++ b/net/httpcconn.c
@@ -22,6 +22,10 @@
   /* Default TCP user timeout: a connection whose peer acknowledges no data for
      so long fails.  */
   ACK_TIMEOUT_MS = 5000,
+  /* Time for which a loss is remembered, and the number of losses above which
+     older ones are dropped.  */
+  LOST_KEEP_MS = 60000,
+  LOST_MAX = 1024,
   MS_PER_S = 1000
 };
 
@@ -187,19 +191,58 @@
 
   if (used->heard_ms > conn->connected_ms)
     conn->since_ms = MIN (conn->since_ms, used->since_ms);
+  if (conn->connected_ms < used->broken_ms)
+    used->broken_ms = 0;
   used->since_ms = conn->since_ms;
   used->heard_ms = jc_now_ms ();
+  conn->unanswered = false;
 }
 
-/* Record that CONN, which was established, closes.  */
+static gboolean
+is_old_loss (gpointer address, gpointer lost_ms, gpointer now_ms)
+{
+  (void)address;
+  return *(const int64_t *)now_ms - *(const int64_t *)lost_ms > LOST_KEEP_MS;
+}
+
+/* Record that the process at the address of CONN was lost.  */
+static void
+conn_note_lost (struct httpc_conn *conn)
+{
+  GHashTable *lost = conn->httpc->lost_addresses;
+  int64_t now = jc_now_ms ();
+
+  if (g_hash_table_size (lost) >= LOST_MAX)
+    g_hash_table_foreach_remove (lost, is_old_loss, &now);
+  g_hash_table_replace (lost, g_strdup (conn->address),
+                        g_memdup2 (&now, sizeof now));
+}
+
+/* Record that CONN, which was established, closes.  If it is the last one and
+   it or one before it broke or closes without an answer, the process is
+   lost.  */
 static void
 conn_remove_use (struct httpc_conn *conn)
 {
   GHashTable *addresses = conn->httpc->used_addresses;
   struct httpc_address *used = g_hash_table_lookup (addresses, conn->address);
 
-  if (--used->open == 0)
-    g_hash_table_remove (addresses, conn->address);
+  if (conn->broken || conn->unanswered)
+    used->broken_ms = jc_now_ms ();
+  if (--used->open > 0)
+    return;
+  if (used->broken_ms > 0)
+    conn_note_lost (conn);
+  g_hash_table_remove (addresses, conn->address);
+}
+
+/* Record that no connection to the address of CONN came up.  If none is open,
+   the process is lost.  */
+void
+httpc_conn_note_refused (struct httpc_conn *conn)
+{
+  if (!g_hash_table_contains (conn->httpc->used_addresses, conn->address))
+    conn_note_lost (conn);
 }
 
 /* Close CONN.  It is freed in the next iteration of the loop.  */
@@ -413,9 +456,11 @@
     {
       /* The server closed the idle connection or sent bytes that answer no
          request.  */
+      conn->broken = received <= 0;
       httpc_conn_close (conn);
       return;
     }
+  conn->broken = received <= 0;
   conn->call->host_unreachable = received < 0 && is_unreachable_error (errno);
   if (received < 0)
     conn_fail (conn, JC_ENDPOINT_FAILED, "The connection was reset.");
@@ -456,12 +501,14 @@
         {
           /* The answer that the server sent before it closed may still be
              read.  */
+          conn->broken = true;
           ev_io_stop (conn->httpc->loop, &conn->writer);
           if (!call->sent)
             conn_fail (conn, JC_ENDPOINT_FAILED, "The connection was reset.");
           return;
         }
       conn->out_pos += (size_t)written;
+      conn->unanswered = true;
       httpc_call_bytes_sent (call);
     }
   ev_io_stop (conn->httpc->loop, &conn->writer);
@@ -482,6 +529,7 @@
           || error != 0)
         {
           conn->call->host_unreachable = is_unreachable_error (error);
+          httpc_conn_note_refused (conn);
           conn_fail (conn, JC_UNREACHABLE, "No connection came up.");
           return;
         }
@@ -503,7 +551,10 @@
   (void)loop;
   (void)events;
   if (conn->call != NULL)
-    conn_fail (conn, JC_UNREACHABLE, "No connection came up.");
+    {
+      httpc_conn_note_refused (conn);
+      conn_fail (conn, JC_UNREACHABLE, "No connection came up.");
+    }
   else
     httpc_conn_close (conn);
 }
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -9,13 +9,15 @@
 
 /* IDLE_CONNS maps an address to a GQueue of its idle connections, most recently
    used first, USED_ADDRESSES to a struct httpc_address if connections to it
-   are established.  DEAD_CALLS have ended and DEAD_CONNS are closed; REAPER
+   are established.  LOST_ADDRESSES maps an address to the time at which its
+   process was lost.  DEAD_CALLS have ended and DEAD_CONNS are closed; REAPER
    frees them when none of their functions is on the stack.  */
 struct jc_httpc
 {
   struct ev_loop *loop;
   GHashTable *idle_conns;
   GHashTable *used_addresses;
+  GHashTable *lost_addresses;
   GHashTable *calls;
   GPtrArray *dead_calls;
   GPtrArray *dead_conns;
@@ -25,18 +27,22 @@
 
 /* What connections to one address tell of the process there: it was heard at
    HEARD_MS, and had then been the same since SINCE_MS, times of jc_now_ms. OPEN
-   is the number of established connections.  */
+   is the number of established connections.  One of them broke at BROKEN_MS, 0
+   for none, and no older one was heard since.  */
 struct httpc_address
 {
   unsigned int open;
   int64_t since_ms;
   int64_t heard_ms;
+  int64_t broken_ms;
 };
 
 /* A connection to ADDRESS, established at CONNECTED_MS to a process that has
    been the same since SINCE_MS.  CALL is the call under way on it, or NULL.
    IDLE_TIMEOUT_MS is how long it stays open while idle.  SCANNED_BYTES of IN
-   are known to hold no end of a head.  SKIPPING_MESSAGE is set while an interim
+   are known to hold no end of a head.  BROKEN is set if the peer ended it,
+   not this client, UNANSWERED while nothing was heard since the last byte
+   sent.  SKIPPING_MESSAGE is set while an interim
    answer or one of an earlier request is read.  */
 struct httpc_conn
 {
@@ -48,6 +54,8 @@
   int64_t connected_ms;
   int64_t since_ms;
   bool closed;
+  bool broken;
+  bool unanswered;
   bool idle;
   long idle_timeout_ms;
   ev_io reader;
@@ -110,6 +118,7 @@
 void httpc_conn_close (struct httpc_conn *conn);
 void httpc_conn_abort (struct httpc_conn *conn);
 void httpc_conn_free (struct httpc_conn *conn);
+void httpc_conn_note_refused (struct httpc_conn *conn);
 void httpc_conn_pause (struct httpc_conn *conn, bool paused);
 void httpc_conn_reset_parser (struct httpc_conn *conn);
 
--- a/tests/test-httpc-process.c
+++ b/tests/test-httpc-process.c
@@ -1,5 +1,5 @@
 /* Tests of what the HTTP client's connections tell of the process at an
-   address: since when it has been the same.  */
+   address: since when it has been the same, and when it was lost.  */
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -198,11 +198,103 @@
   fixture_clear (&fixture);
 }
 
+static int64_t
+lost_ms (const struct fixture *fixture)
+{
+  return jc_httpc_address_lost_ms (fixture->httpc, fixture->address);
+}
+
+/* Guards against a process that ended while its connections were idle being
+   taken for the one that answers later: only the last one to break shows that
+   it is lost, and one that the client closes does not.  */
+static void
+test_lost_when_last_breaks (void)
+{
+  struct fixture fixture;
+  struct call earlier;
+  struct call later;
+
+  fixture_init (&fixture);
+  call_start (&fixture, &earlier);
+  call_start (&fixture, &later);
+  call_answer (&fixture, &earlier, HEAD "abc", 3);
+  call_answer (&fixture, &later, HEAD "abc", 3);
+  close (earlier.fd);
+  run_for (&fixture, APART_MS);
+  g_assert_cmpint (lost_ms (&fixture), ==, -1);
+  close (later.fd);
+  run_for (&fixture, APART_MS);
+  g_assert_cmpint (lost_ms (&fixture), >, 0);
+  fixture_clear (&fixture);
+
+  fixture_init (&fixture);
+  call_start (&fixture, &earlier);
+  call_answer (&fixture, &earlier, HEAD "abc", 3);
+  jc_httpc_close_idle (fixture.httpc, fixture.address);
+  g_assert_cmpint (lost_ms (&fixture), ==, -1);
+  close (earlier.fd);
+  fixture_clear (&fixture);
+}
+
+/* Guards against a process that hangs and ends without a word being taken for
+   the one that answers later: a connection is given up without an answer, or
+   none comes up.  */
+static void
+test_lost_without_answer (void)
+{
+  struct fixture fixture;
+  struct call call;
+
+  fixture_init (&fixture);
+  call_start (&fixture, &call);
+  g_assert_cmpint (lost_ms (&fixture), ==, -1);
+  jc_httpc_call_cancel (call.call);
+  run_for (&fixture, APART_MS);
+  g_assert_cmpint (lost_ms (&fixture), >, 0);
+  close (call.fd);
+  fixture_clear (&fixture);
+}
+
+static void
+on_refused (void *ctx, const struct jc_httpc_call_result *result)
+{
+  struct call *call = ctx;
+
+  g_assert_cmpint (result->status, ==, JC_UNREACHABLE);
+  call->done = true;
+}
+
+/* Guards against a process that was down for a moment while no connection to it
+   was open being taken for the one before.  */
+static void
+test_lost_when_refused (void)
+{
+  static const struct jc_httpc_call_ops ops = { .done = on_refused };
+  struct call call = { .bytes = 0 };
+  struct fixture fixture;
+  struct jc_httpc_call_spec spec = { .method = "GET",
+                                     .connect_timeout_ms = WAIT_MS,
+                                     .total_timeout_ms = WAIT_MS };
+
+  fixture_init (&fixture);
+  spec.url = fixture.url;
+  close (fixture.listener);
+  jc_httpc_call_start (fixture.httpc, &spec, &ops, &call);
+  while (!call.done)
+    ev_run (fixture.loop, EVRUN_ONCE);
+  g_assert_cmpint (lost_ms (&fixture), >, 0);
+  fixture.listener = socket (AF_INET, SOCK_STREAM, 0);
+  fixture_clear (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/no-connection", test_no_connection);
   g_test_add_func ("/earlier-connection", test_earlier_connection);
+  g_test_add_func ("/lost-when-last-breaks", test_lost_when_last_breaks);
+  g_test_add_func ("/lost-without-answer", test_lost_without_answer);
+  g_test_add_func ("/lost-when-refused", test_lost_when_refused);
   return g_test_run ();
 }
