Count an endpoint as cold after the loss of its process

Cause: an endpoint was cold only while a report said so. A process that was replaced behind a cut says nothing, and the reports known, also one that comes late, are of the process before. Ruled out: a wrong share of a grant (no line of a grant), the incarnation in the request (it names the endpoint, which has the same name).

An endpoint is now warm only by evidence of the process that answers: a connection that has lasted as long as a process is cold, or a report that is fresh or younger than the connection; after a loss of the process only a report that can't be of the one before. Until then the rule for cold endpoints binds: one holder of a grant, half of the bound, so the sum over all instances holds whatever they know. An endpoint without a grant gets nothing until then.

--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -9,6 +9,7 @@
 #include "member/presence.h"
 #include "net/program.h"
 #include "serve/remote.h"
+#include "serve/warmth.h"
 
 enum
 {
@@ -53,6 +54,24 @@
   return MAX (endpoint->warm_at_ms, *readmitted + service->cold_ms);
 }
 
+/* Return whether it is proven that ENDPOINT of SERVICE is warm.  */
+static bool
+is_warm (const struct router *router, const struct jc_endpoint *endpoint,
+         const struct jc_hostservice *service, int64_t now_ms)
+{
+  const struct jc_httpc *httpc = router->entry->httpc;
+  const struct jc_warmth warmth
+      = { .known_ms = endpoint->known_ms,
+          .reported_ms = endpoint->reported_ms,
+          .warm_at_ms = cold_until_ms (router, endpoint, service),
+          .since_ms = jc_httpc_address_since_ms (httpc, endpoint->address),
+          .lost_ms = jc_httpc_address_lost_ms (httpc, endpoint->address),
+          .cold_ms = service->cold_ms };
+
+  return service->cold_requests_per_s <= 0
+         || jc_warmth_is_proven (&warmth, now_ms);
+}
+
 /* Return true if ENDPOINT is warm, or if this instance holds the grant to send
    to it while cold and the rate limit for cold endpoints permits one more
    request.  An instance that drains sends none to cold endpoints.  */
@@ -60,8 +79,7 @@
 is_warm_or_granted (struct router *router, const struct jc_endpoint *endpoint,
                     const struct jc_hostservice *service, int64_t now_ms)
 {
-  if (service->cold_requests_per_s <= 0
-      || cold_until_ms (router, endpoint, service) <= now_ms)
+  if (is_warm (router, endpoint, service, now_ms))
     return true;
   return !router->entry->draining
          && jc_budgets_may_send_cold (router->budgets, endpoint->name,
@@ -69,7 +87,8 @@
                                       service->cold_requests_per_s, now_ms);
 }
 
-/* Log that the request ID goes to ENDPOINT if that is cold.  Only the instance
+/* Log that the request ID goes to ENDPOINT if that is cold or may be; then
+   left_ms is 0 or less.  Only the instance
    that holds the grant for this incarnation of a cold endpoint may send to it;
    the log lines show whether that is so.  */
 void
@@ -80,8 +99,7 @@
   const struct jc_hostservice *service
       = jc_routetable_find_service (router->routes, endpoint->service);
 
-  if (service == NULL || service->cold_requests_per_s <= 0
-      || cold_until_ms (router, endpoint, service) <= now_ms)
+  if (service == NULL || is_warm (router, endpoint, service, now_ms))
     return;
   jc_metrics_counter_add (router->entry->metrics, "jaycove_cold_requests_total",
                           "", 1);
--- a/member/endpoints.c
+++ b/member/endpoints.c
@@ -336,7 +336,10 @@
   if (endpoints->by_address != NULL)
     g_hash_table_replace (endpoints->by_address, endpoint->address, endpoint);
   if (new_incarnation)
-    endpoints_update_tag (endpoints, endpoint);
+    {
+      endpoint->known_ms = now_ms;
+      endpoints_update_tag (endpoints, endpoint);
+    }
   return JC_OK;
 }
 
