Leave out an instance that refused as out_of_reach for that service alone

Requests of a sound service were refused as no_endpoint while another service of the same region was down. An instance whose endpoints of one service are all in backoff refuses requests handed over to it as out_of_reach, and the sender then kept requests of all services from it, by a backoff of the whole instance. Ruled out: a closed path of the zone; none was logged. The refusal is now kept by service. hosts-reach-refused failed before: the requests of the other service were refused as well after the first refusal. The refusals of the service that is down remain as they were.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -75,13 +75,14 @@
 static void
 note_remote_refusal (struct exchange *exchange, const struct jc_head *head)
 {
-  const struct jc_path_target target = path_target_of (exchange);
   const char *error = jc_head_field (head, HEADER_ERROR);
 
   exchange->answer_info.not_run = true;
-  /* Its own report will say so too; until then it gets no other request.  */
+  /* Its own report will say so too; until then it gets no other request for
+     this service.  */
   if (strcmp (error, jc_status_name (JC_OUT_OF_REACH)) == 0)
-    jc_paths_refused (exchange->router->paths, &target, jc_now_ms ());
+    neighbours_note_refusal (exchange->router, exchange->target_name,
+                             exchange->service, jc_now_ms ());
   if (jc_remote_refusal_is_regional (error))
     g_ptr_array_add (exchange->avoided_regions,
                      (gpointer)exchange->target_region);
--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -224,6 +224,7 @@
   return room != NULL && !presence->draining && presence->ready
          && (unreached || !is_in_own_region (router, presence))
          && jc_presence_reaches (presence, query->service)
+         && !neighbours_has_refused (neighbour, query->service, query->now_ms)
          && is_fresh (neighbour, query->now_ms)
          && jc_hostroute_allows (query->route, presence->region)
          && is_reachable (router, neighbour, query->now_ms)
@@ -518,7 +519,8 @@
       if (is_fresh (neighbour, query->now_ms)
           && jc_hostroute_allows (query->route, neighbour->presence.region)
           && is_reachable (router, neighbour, query->now_ms)
-          && jc_presence_reaches (&neighbour->presence, query->service))
+          && jc_presence_reaches (&neighbour->presence, query->service)
+          && !neighbours_has_refused (neighbour, query->service, query->now_ms))
         return true;
     }
   return false;
--- a/entry/neighbours.c
+++ b/entry/neighbours.c
@@ -12,7 +12,10 @@
   NEIGHBOUR_EXPIRY_MS = 8000,
   /* An instance that was reported within the last two report intervals still
      accepts callers.  */
-  ACCEPTING_FRESH_MS = 1200
+  ACCEPTING_FRESH_MS = 1200,
+  /* Time until the report of an instance that lost its links to the endpoints
+     of a service is known here.  */
+  REFUSED_MS = 500
 };
 
 static void
@@ -21,6 +24,7 @@
   struct neighbour *neighbour = data;
 
   jc_presence_clear (&neighbour->presence);
+  g_hash_table_destroy (neighbour->refused_at);
   g_free (neighbour);
 }
 
@@ -84,6 +88,8 @@
     return;
   neighbour = g_new0 (struct neighbour, 1);
   jc_presence_copy (&neighbour->presence, presence);
+  neighbour->refused_at
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_hash_table_replace (router->neighbours, neighbour->presence.name,
                         neighbour);
   g_hash_table_add (names, g_strdup (presence->name));
@@ -194,6 +200,30 @@
   return NULL;
 }
 
+/* Note that the instance NAME refused a request because it does not reach the
+   endpoints of SERVICE.  */
+void
+neighbours_note_refusal (struct router *router, const char *name,
+                         const char *service, int64_t now_ms)
+{
+  struct neighbour *neighbour = g_hash_table_lookup (router->neighbours, name);
+
+  if (neighbour != NULL)
+    g_hash_table_replace (neighbour->refused_at, g_strdup (service),
+                          g_memdup2 (&now_ms, sizeof now_ms));
+}
+
+/* Return whether NEIGHBOUR has just refused a request for that reason.  */
+bool
+neighbours_has_refused (const struct neighbour *neighbour, const char *service,
+                        int64_t now_ms)
+{
+  const int64_t *refused_at
+      = g_hash_table_lookup (neighbour->refused_at, service);
+
+  return refused_at != NULL && now_ms - *refused_at < REFUSED_MS;
+}
+
 /* Return true if another instance of this region accepts callers, so that this
    one may close its listener.  */
 bool
--- a/entry/router.h
+++ b/entry/router.h
@@ -92,11 +92,13 @@
 };
 
 /* Another entry instance.  PRESENCE is what a state instance reported of it at
-   LAST_SEEN_MS.  */
+   LAST_SEEN_MS.  REFUSED_AT maps services whose endpoints it does not reach, as
+   it said in refusing a request, to the time of that.  */
 struct neighbour
 {
   struct rpc_presence presence;
   int64_t last_seen_ms;
+  GHashTable *refused_at;
 };
 
 /* router: start and end of host-based routing.  */
@@ -141,6 +143,10 @@
                                                 const char *region,
                                                 const char *service,
                                                 int64_t now_ms);
+void neighbours_note_refusal (struct router *router, const char *name,
+                              const char *service, int64_t now_ms);
+bool neighbours_has_refused (const struct neighbour *neighbour,
+                             const char *service, int64_t now_ms);
 bool neighbours_accept_callers (const struct router *router);
 void neighbours_expire (struct router *router, int64_t now_ms);
 
