Don't take one endpoint that is down for a lost service beside another one

An instance gave a service up, closed its idle connections and sent its requests to others after a single attempt that hung, although one of nine endpoints was down: a service whose only endpoint is down too counted as evidence that the instance is cut off. Ruled out: the rule for services with one endpoint itself, which has nothing else to go by.

--- a/serve/reach.c
+++ b/serve/reach.c
@@ -78,7 +78,8 @@
   return service;
 }
 
-/* Return true if a service other than SERVICE is lost.  */
+/* Return true if a service other than SERVICE is lost, by failures of several
+   endpoints: a single one may be down.  */
 static bool
 is_other_lost (const struct jc_reach *reach, const struct service *service)
 {
@@ -87,8 +88,13 @@
 
   g_hash_table_iter_init (&iter, reach->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (value != service && ((const struct service *)value)->lost)
-      return true;
+    {
+      const struct service *other = value;
+
+      if (other != service && other->lost
+          && other->failed->len >= FAILURES_TO_LOSE)
+        return true;
+    }
   return false;
 }
 
--- a/tests/script-reach.c
+++ b/tests/script-reach.c
@@ -102,6 +102,13 @@
   state->now_ms = 0;
 }
 
+/* "endpoints COUNT": of each service from now on.  */
+static void
+run_endpoints (struct state *state, char **words)
+{
+  state->endpoints = (unsigned int)atoi (words[1]);
+}
+
 static void
 run_at (struct state *state, char **words)
 {
@@ -112,10 +119,15 @@
 {
   const char *name;
   void (*run) (struct state *state, char **words);
-} verbs[] = { { "new", run_new },   { "at", run_at },
-              { "fail", run_fail }, { "answer", run_answer },
-              { "ask", run_ask },   { "probe", run_probe },
-              { "list", run_list }, { "forget", run_forget } };
+} verbs[] = { { "new", run_new },
+              { "at", run_at },
+              { "fail", run_fail },
+              { "answer", run_answer },
+              { "ask", run_ask },
+              { "probe", run_probe },
+              { "list", run_list },
+              { "forget", run_forget },
+              { "endpoints", run_endpoints } };
 
 static void
 run_line (struct state *state, char *line)
