--- a/entry/answer.c
+++ b/entry/answer.c
@@ -315,12 +315,13 @@
   };
 }
 
-/* Return true if the request could be sent to another target now, by the same
-   conditions as exchange_attempt: one more attempt is allowed, requests like it
-   are not blocked, the retry budget is not used up, and the balancer finds a
-   target.  */
-static bool
-has_alternative (struct exchange *exchange, int64_t now_ms)
+/* Return NULL if the request could be sent to another target now, by the same
+   conditions as exchange_attempt, or else the first of them that does not hold:
+   the version that began the stream is known, one more attempt is allowed,
+   requests like it are not blocked, the retry budget is not used up, and the
+   balancer finds a target.  */
+static const char *
+missing_for_alternative (struct exchange *exchange, int64_t now_ms)
 {
   struct router *router = exchange->router;
   struct jc_relay after = exchange->relay;
@@ -328,14 +329,17 @@
   struct balancer_query query;
   struct balancer_target target;
 
-  if (!resumptions_may_move (exchange)
-      || jc_relay_next_step (&after, &end, now_ms) != JC_RELAY_ATTEMPT
-      || !crashes_allow_attempt (exchange)
-      || !jc_budgets_may_retry (router->budgets, exchange->service, now_ms))
-    return false;
+  if (!resumptions_may_move (exchange))
+    return "version";
+  if (jc_relay_next_step (&after, &end, now_ms) != JC_RELAY_ATTEMPT)
+    return "attempts";
+  if (!crashes_allow_attempt (exchange))
+    return "blocked";
+  if (!jc_budgets_may_retry (router->budgets, exchange->service, now_ms))
+    return "budget";
   query = exchange_balancer_query (exchange, now_ms);
   query.may_wait = false;
-  return balancer_pick (router, &query, &target) == JC_OK;
+  return balancer_pick (router, &query, &target) == JC_OK ? NULL : "target";
 }
 
 /* Return true if the plain answer is over the limit.  One that is far larger
@@ -357,7 +361,7 @@
     return false;
   exchange->oversized = true;
   return jc_relay_is_idempotent (&exchange->relay)
-         && has_alternative (exchange, jc_now_ms ());
+         && missing_for_alternative (exchange, jc_now_ms ()) == NULL;
 }
 
 /* Drop the events that EXCHANGE holds and end its attempt: they can't be shown
@@ -553,14 +557,15 @@
 {
   struct exchange *exchange = ctx;
   int64_t now = jc_now_ms ();
-  bool give_up = has_alternative (exchange, now);
+  const char *missing = missing_for_alternative (exchange, now);
 
   jc_event (JC_EVENT_SILENT,
-            "id=%s place=%s ms=%" PRId64 " last_event=%" PRId64 " leaves=%d",
+            "id=%s place=%s ms=%" PRId64 " last_event=%" PRId64
+            " leaves=%d missing=%s",
             exchange_id (exchange), exchange->target_name,
             now - exchange->attempt_started_ms, exchange->relay.last_event,
-            give_up);
-  return give_up;
+            missing == NULL, missing != NULL ? missing : "-");
+  return missing == NULL;
 }
 
 /* Callbacks of the HTTP client for an attempt.  */
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -165,7 +165,7 @@
 bool
 jc_httpc_call_is_connecting (const struct jc_httpc_call *call)
 {
-  return call->conn != NULL && !call->conn->connected;
+  return !call->connected;
 }
 
 /* Return how many connections HTTPC has opened since its start.  */
@@ -290,6 +290,7 @@
 void
 httpc_call_connected (struct jc_httpc_call *call)
 {
+  call->connected = true;
   jc_progress_start (&call->progress, &call->limits, call_now_ms (call));
   call_arm_progress_timer (call);
 }
@@ -394,6 +395,7 @@
   if (conn == NULL)
     conn = httpc_conn_open (call->httpc, call->address);
   call->conn = conn;
+  call->connected = conn->connected;
   if (conn->connected)
     httpc_call_connected (call);
   else
@@ -420,7 +422,7 @@
           .http_status = call->http_status,
           .sent = call->sent,
           .host_unreachable = call->host_unreachable,
-          .connecting = call->conn != NULL && !call->conn->connected,
+          .connecting = !call->connected,
           .progress_fault = call->progress.fault,
           .framed = call->framed,
           .reused = call->reused,
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -101,6 +101,7 @@
   bool paused;
   bool ended;
   bool complete;
+  bool connected;
   bool sent;
   bool host_unreachable;
   bool reused;
