Let the log decide whether there is room for one more evacuated zone

Found by reading, for the table of answers from local state: an operator's evacuation was refused with 400, which ends the call, by the state instance's own copy of the 256 evacuated zones, which may not know of a readmission; and one that met a table filled meanwhile was acknowledged without effect, since the log took it for an order that changes nothing. Ruled out: a read barrier before the refusal, which leaves the second half. The entry of the log now tells its proposer whether it counts, was overtaken, or has no room, and only the last gives 400; names that can be none are still refused at once. test-routetable/no-room (the old function reported no outcome to compare).

--- a/conf/orders.c
+++ b/conf/orders.c
@@ -179,29 +179,45 @@
   return changed;
 }
 
+/* Return JC_OK if ORDER, for ZONE, whose sender had applied the entries up to
+   APPLIED, counts, JC_BEHIND if a later one has overtaken it, and
+   JC_BAD_REQUEST if there is no room for one more evacuated zone.  */
+static enum jc_status
+judge_zone_order (const struct jc_orders *orders, const struct rpc_order *order,
+                  const char *zone, uint64_t applied)
+{
+  if (order->kind == RPC_ORDER_EVACUATE
+      && !jc_orders_can_evacuate (orders, zone))
+    return JC_BAD_REQUEST;
+  if (!jc_orders_is_noop (orders, order)
+      && last_zone_change (orders, zone) > applied)
+    return JC_BEHIND;
+  return JC_OK;
+}
+
 /* Execute the order for a zone encoded in DATA, entry INDEX of the log.  Return
-   whether anything changed, and set OVERTAKEN to whether the order was left out
-   because its sender hadn't applied a later one for the zone; DATA that cannot
-   be decoded changes nothing.  */
+   whether anything changed, and set OUTCOME: JC_OK if the order is in force,
+   JC_BEHIND if it was left out because its sender hadn't applied a later one
+   for the zone, JC_BAD_REQUEST if there is no room for its zone or DATA cannot
+   be decoded, which changes nothing.  */
 bool
 jc_orders_apply_zone (struct jc_orders *orders, uint64_t index,
-                      struct jc_str data, bool *overtaken)
+                      struct jc_str data, enum jc_status *outcome)
 {
   struct rpc_zone_order row;
   bool changed = false;
   char *zone;
   XDR xdr;
 
-  *overtaken = false;
+  *outcome = JC_BAD_REQUEST;
   memset (&row, 0, sizeof row);
   xdrmem_create (&xdr, (char *)data.data, (u_int)data.len, XDR_DECODE);
   if (xdr_rpc_zone_order (&xdr, &row) && row.order.kind != RPC_ORDER_ROUTES)
     {
       zone = order_zone (&row.order);
-      *overtaken = !jc_orders_is_noop (orders, &row.order)
-                   && last_zone_change (orders, zone) > row.applied;
+      *outcome = judge_zone_order (orders, &row.order, zone, row.applied);
       g_free (zone);
-      if (!*overtaken)
+      if (*outcome == JC_OK)
         changed = apply_order (orders, index, &row.order);
     }
   xdr_destroy (&xdr);
--- a/conf/orders.h
+++ b/conf/orders.h
@@ -33,7 +33,7 @@
 GString *jc_orders_encode_zone (const struct rpc_order *order,
                                 uint64_t applied);
 bool jc_orders_apply_zone (struct jc_orders *orders, uint64_t index,
-                           struct jc_str data, bool *overtaken);
+                           struct jc_str data, enum jc_status *outcome);
 bool jc_orders_can_evacuate (const struct jc_orders *orders, const char *zone);
 bool jc_orders_is_noop (const struct jc_orders *orders,
                         const struct rpc_order *order);
--- a/state/control.c
+++ b/state/control.c
@@ -127,6 +127,9 @@
     return;
   if (status == JC_OK)
     reply_ok (req);
+  else if (status == JC_BAD_REQUEST)
+    jc_http_fail (req, JC_BAD_REQUEST,
+                  "The zone can't be evacuated: too many are.", 0);
   else
     jc_http_fail (req, JC_NOT_READY,
                   "The order is not known to last; send it "
@@ -232,14 +235,9 @@
       reply_last_error (req, jc_fail (JC_BAD_REQUEST, "The zone has no name."));
       return;
     }
-  if (jc_report_check_name (name) != JC_OK
-      || (kind == RPC_ORDER_EVACUATE
-          && !jc_orders_can_evacuate (state->orders, name)))
+  if (jc_report_check_name (name) != JC_OK)
     {
-      refuse_input (req, "operator", name,
-                    jc_fail (JC_BAD_REQUEST, "The zone can't be evacuated: "
-                                             "its name is no name of a zone, "
-                                             "or too many are."));
+      refuse_input (req, "operator", name, JC_BAD_REQUEST);
       g_free (name);
       return;
     }
--- a/state/log.c
+++ b/state/log.c
@@ -107,7 +107,7 @@
 {
   struct state *state = ctx;
 
-  state->order_overtaken = false;
+  state->order_outcome = JC_OK;
   if (kind == LOG_CONFIG_CHANGE)
     state->last_submit_result = jc_confstate_apply (state->confstate, data);
   else if (kind == LOG_LEDGER_SET)
@@ -126,7 +126,7 @@
     update_orders (state);
   else if (kind == LOG_ZONE_ORDER
            && jc_orders_apply_zone (state->orders, index, data,
-                                    &state->order_overtaken))
+                                    &state->order_outcome))
     update_orders (state);
   update_config (state);
 }
@@ -553,8 +553,8 @@
   struct received_proposal *proposal = ctx;
   struct rpc_packet answer = { .body.type = RPC_PROPOSE_REPLY };
 
-  if (status == JC_OK && proposal->state->order_overtaken)
-    status = JC_BEHIND;
+  if (status == JC_OK)
+    status = proposal->state->order_outcome;
   answer.body.rpc_body_u.propose_reply.status = (int)status;
   call_answer (proposal->call, &answer);
   g_free (proposal);
--- a/state/orders.c
+++ b/state/orders.c
@@ -100,10 +100,8 @@
 {
   struct zone_order *order = ctx;
 
-  if (status == JC_OK && order->local && order->state->order_overtaken)
-    status = JC_BEHIND;
-  if (status == JC_BEHIND)
-    jc_fail (JC_BEHIND, "A later order for the zone is known.");
+  if (status == JC_OK && order->local)
+    status = order->state->order_outcome;
   order->done (order->ctx, status);
   g_free (order);
 }
@@ -137,7 +135,8 @@
 }
 
 /* Put ORDER in force, and call DONE with CTX and the outcome: JC_OK once it is
-   or a newer one is, JC_NOT_READY or JC_BEHIND if it should be sent again.  */
+   or a newer one is, JC_BAD_REQUEST if there is no room for its zone, and
+   otherwise, with any other status, if it should be sent again.  */
 void
 orders_submit (struct state *state, const struct rpc_order *order,
                log_done_fn *done, void *ctx)
--- a/state/state.h
+++ b/state/state.h
@@ -25,8 +25,8 @@
 /* The process.  CONFIG is the configuration in CONFSTATE, and
    LAST_SUBMIT_RESULT the result of the change that was applied last.  GROUP,
    CONTROL, FLEET, PRESENCE, COLDGRANTS, LIMITS, CRASHES, VERSIONS and STARTS
-   are NULL unless requests are routed by hosts.  ORDER_OVERTAKEN tells that the
-   entry applied last is an order that was left out because of a later one.  */
+   are NULL unless requests are routed by hosts.  ORDER_OUTCOME is what became
+   of the entry applied last, JC_OK unless it is an order that was left out.  */
 struct state
 {
   struct ev_loop *loop;
@@ -36,7 +36,7 @@
   struct jc_config *config;
   struct jc_confstate *confstate;
   const struct jc_submit_result *last_submit_result;
-  bool order_overtaken;
+  enum jc_status order_outcome;
   struct jc_inputage *input_age;
   GPtrArray *config_subscribers;
   GPtrArray *deferred_calls;
--- a/tests/test-routetable.c
+++ b/tests/test-routetable.c
@@ -155,21 +155,62 @@
 }
 
 /* Apply an order for ZONE whose sender had applied the entries up to APPLIED.
-   Return whether it was left out since it was overtaken.  */
-static bool
-is_overtaken (struct jc_orders *orders, uint64_t index, uint64_t applied,
-              enum rpc_order_kind kind, const char *zone)
+   Return what became of it.  */
+static enum jc_status
+apply_zone_order (struct jc_orders *orders, uint64_t index, uint64_t applied,
+                  enum rpc_order_kind kind, const char *zone)
 {
   struct rpc_order order = { .kind = kind };
-  bool overtaken;
+  enum jc_status outcome;
   GString *data;
 
   order.data.rpc_bytes_val = (char *)zone;
   order.data.rpc_bytes_len = (u_int)strlen (zone);
   data = jc_orders_encode_zone (&order, applied);
-  jc_orders_apply_zone (orders, index, jc_str_from_gstring (data), &overtaken);
+  jc_orders_apply_zone (orders, index, jc_str_from_gstring (data), &outcome);
   g_string_free (data, TRUE);
-  return overtaken;
+  return outcome;
+}
+
+/* As apply_zone_order; return whether the order was left out since it was
+   overtaken.  */
+static bool
+is_overtaken (struct jc_orders *orders, uint64_t index, uint64_t applied,
+              enum rpc_order_kind kind, const char *zone)
+{
+  enum jc_status outcome
+      = apply_zone_order (orders, index, applied, kind, zone);
+
+  g_assert_true (outcome == JC_OK || outcome == JC_BEHIND);
+  return outcome == JC_BEHIND;
+}
+
+/* Guards against an evacuation for which there is no room and which is
+   acknowledged, or refused by a copy that doesn't know of a readmission.  */
+static void
+test_no_room (void)
+{
+  struct jc_orders *orders = jc_orders_new ();
+  uint64_t index = 1;
+
+  for (; index <= 256; index++)
+    {
+      char *zone = g_strdup_printf ("zone-%u", (unsigned int)index);
+
+      g_assert_false (
+          is_overtaken (orders, index, index - 1, RPC_ORDER_EVACUATE, zone));
+      g_free (zone);
+    }
+  g_assert_cmpint (
+      apply_zone_order (orders, index, index - 1, RPC_ORDER_EVACUATE, "more"),
+      ==, JC_BAD_REQUEST);
+  g_assert_false (jc_orders_is_evacuated (orders, "more"));
+  g_assert_false (
+      is_overtaken (orders, 258, 257, RPC_ORDER_EVACUATE, "zone-1"));
+  g_assert_false (is_overtaken (orders, 259, 258, RPC_ORDER_READMIT, "zone-2"));
+  g_assert_false (is_overtaken (orders, 260, 257, RPC_ORDER_EVACUATE, "more"));
+  g_assert_true (jc_orders_is_evacuated (orders, "more"));
+  jc_orders_free (orders);
 }
 
 /* Guards against an order that waited somewhere and is applied after a later
@@ -182,7 +223,7 @@
   struct jc_orders *orders = jc_orders_new ();
   struct jc_orders *copy = jc_orders_new ();
   json_t *json = json_object ();
-  bool overtaken = true;
+  enum jc_status outcome;
 
   g_assert_false (is_overtaken (orders, 1, 0, RPC_ORDER_EVACUATE, "z1"));
   g_assert_false (is_overtaken (orders, 2, 1, RPC_ORDER_READMIT, "z1"));
@@ -202,8 +243,8 @@
   g_assert_true (is_overtaken (copy, 11, 4, RPC_ORDER_READMIT, "z1"));
   g_assert_false (is_overtaken (copy, 12, 9, RPC_ORDER_EVACUATE, "z3"));
   g_assert_false (
-      jc_orders_apply_zone (copy, 13, JC_STR_LIT ("junk"), &overtaken));
-  g_assert_false (overtaken);
+      jc_orders_apply_zone (copy, 13, JC_STR_LIT ("junk"), &outcome));
+  g_assert_cmpint (outcome, ==, JC_BAD_REQUEST);
   json_decref (json);
   jc_orders_free (orders);
   jc_orders_free (copy);
@@ -372,6 +413,7 @@
   g_test_add_func ("/orders/evacuation", test_evacuation);
   g_test_add_func ("/orders/snapshot", test_snapshot);
   g_test_add_func ("/orders/overtaken", test_overtaken);
+  g_test_add_func ("/orders/no-room", test_no_room);
   g_test_add_func ("/orders/many-zones-ordered", test_many_zones_ordered);
   g_test_add_func ("/orders/odd-zones", test_odd_zones);
   g_test_add_func ("/orders/no-rollback", test_no_rollback);
