Take no retry for a hand-over that was refused by its head

Beside a change of the configuration, requests on a new route were refused with 503 ("The budget of retries is spent.") in a region without endpoints, though an instance of another region could have answered. Cause: after an instance there had refused one for its unknown route, the next attempt took a retry from the budget of the service, though no endpoint had been asked; the same holds for draining instances and those without a configuration yet. The budget bounds what reaches endpoints, and the receiver takes its own retries. Ruled out: refusals that may follow an attempt at an endpoint (no endpoint, overloaded) take one as before.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -101,6 +101,7 @@
 attempt_reset (struct exchange *exchange)
 {
   exchange->oversized = false;
+  exchange->refused_at_head = false;
   exchange->head_received = false;
   exchange->streaming = false;
   exchange->has_event_gap = false;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -264,7 +264,8 @@
 
   resumptions_attempt_ended (exchange);
   exchange_end_engine_run (exchange, engine_outcome_of (exchange, result));
-  exchange->any_sent = exchange->any_sent || result->sent;
+  exchange->any_sent
+      = exchange->any_sent || (result->sent && !exchange->refused_at_head);
   step = jc_relay_next_step (&exchange->relay, result, now);
   jc_event (JC_EVENT_ATTEMPT_END,
             "id=%s place=%s whole=%d sent=%d not_run=%d genuine=%d http=%d "
@@ -342,8 +343,8 @@
 }
 
 /* Make the next attempt, or queue EXCHANGE if it should wait.  Each attempt
-   after the first one that was sent takes a retry from the service's
-   budget.  */
+   after the first one that may have reached an endpoint takes a retry from the
+   service's budget.  */
 void
 exchange_attempt (struct exchange *exchange)
 {
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -35,7 +35,9 @@
    ANSWER_TOKENS are those of the whole answer.  TARGET_INCARNATION, TARGET_TAG
    and TARGET_SOFTWARE are those of the endpoint as it was known when the
    attempt began; the process that answers has been the same since
-   PROCESS_SINCE_MS.  ANY_SENT means that some attempt sent the request.
+   PROCESS_SINCE_MS.  ANY_SENT means that some attempt may have sent the request
+   to an endpoint, REFUSED_AT_HEAD that the instance which the current attempt
+   went to refused it before that.
    SEND_NUMBER is that of the current attempt for jc_backpressure_note_answer.
    ANSWER_HEAD is that of the first attempt whose answer the caller was shown,
    or of the last attempt. FALLBACK_HEAD and FALLBACK_BODY are an endpoint's own
@@ -84,6 +86,7 @@
   const char *target_region;
   bool remote;
   bool any_sent;
+  bool refused_at_head;
   int64_t attempt_started_ms;
   uint64_t send_number;
   uint64_t target_incarnation;
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -77,7 +77,7 @@
    PROGRESS_DUE_AT, by when it must connect or make progress, are times on the
    loop's clock in seconds, 0 for none.  ENDED is set once its result was
    reported or it was cancelled, COMPLETE before that if its answer was whole.
- */
+   CONNECTED is set once the connection of its current try came up.  */
 struct jc_httpc_call
 {
   struct jc_httpc *httpc;
--- a/serve/remote.c
+++ b/serve/remote.c
@@ -177,3 +177,12 @@
          && strcmp (error, jc_status_name (JC_OUT_OF_REACH)) != 0
          && strcmp (error, jc_status_name (JC_UNKNOWN_ROUTE)) != 0;
 }
+
+/* Return true if an instance that refused a request with ERROR, a status name,
+   did so by its head, before it sent it to any endpoint.  */
+bool
+jc_remote_refusal_is_at_head (const char *error)
+{
+  return !jc_remote_refusal_is_regional (error)
+         && strcmp (error, jc_status_name (JC_OUT_OF_REACH)) != 0;
+}
--- a/serve/remote.h
+++ b/serve/remote.h
@@ -30,6 +30,7 @@
 const char *jc_remote_prefix_region (const GArray *regions,
                                      const struct jc_demand *demand);
 bool jc_remote_refusal_is_regional (const char *error);
+bool jc_remote_refusal_is_at_head (const char *error);
 bool jc_remote_is_faster (int64_t local_ms, int64_t remote_ms, double draw);
 
 #endif
--- a/tests/test-remote.c
+++ b/tests/test-remote.c
@@ -109,6 +109,22 @@
       jc_remote_refusal_is_regional (jc_status_name (JC_UNKNOWN_ROUTE)));
 }
 
+/* Guards against taking a retry from the budget, or refusing a request for want
+   of one, after a refusal that came before any endpoint was asked; endpoints
+   may have been asked before the others.  */
+static void
+test_refused_at_head (void)
+{
+  g_assert_true (
+      jc_remote_refusal_is_at_head (jc_status_name (JC_UNKNOWN_ROUTE)));
+  g_assert_true (jc_remote_refusal_is_at_head (jc_status_name (JC_DRAINING)));
+  g_assert_true (jc_remote_refusal_is_at_head (jc_status_name (JC_NOT_READY)));
+  g_assert_false (
+      jc_remote_refusal_is_at_head (jc_status_name (JC_NO_ENDPOINT)));
+  g_assert_false (
+      jc_remote_refusal_is_at_head (jc_status_name (JC_OVERLOADED)));
+}
+
 /* All instances see the same gain at the same time, so only a fraction of the
    requests is sent: more for a larger gain, none if the gain is below the
    cost.  */
@@ -213,6 +229,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/remote/full-region", test_full_region);
   g_test_add_func ("/remote/unknown-route", test_unknown_route);
+  g_test_add_func ("/remote/refused-at-head", test_refused_at_head);
   g_test_add_func ("/remote/spread", test_spread);
   g_test_add_func ("/remote/no-instances", test_no_instances);
   g_test_add_func ("/remote/room", test_room);
