Read the socket before a connection is judged late

Callers with kept connections got neither an answer nor a refusal: their whole request waited in the socket while this process stood still, and the connection was closed as idle, or refused with 408, unread. Cause: libev takes 64 events in one iteration at first, so that of 300 connections with a request only 64 were read before the deadlines of the others; and a process that is stopped while it waits for events gets none in the iteration after it (EINTR), but all due timers. Ruled out: the order of watchers, which is as meant. A connection now reads its own socket once before it is judged, whatever the loop reports.

Whether our users met this is not known; a change that takes long to apply on an instance with more than 64 kept connections gives just what they saw. The same hole is still in the deadlines of HTTP calls, RPC calls, probes and hand-overs by products.

--- a/net/httpdconn.c
+++ b/net/httpdconn.c
@@ -594,8 +594,8 @@
 }
 
 /* Read from the socket of CONN into its input, and close CONN if the peer
-   closed or the connection failed.  */
-static void
+   closed or the connection failed.  Return whether bytes came.  */
+static bool
 conn_read (struct httpd_conn *conn)
 {
   gsize at = conn->in->len;
@@ -608,6 +608,7 @@
     httpd_conn_close (conn, HTTPD_PEER_CLOSED);
   else if (received < 0 && errno != EAGAIN && errno != EINTR)
     httpd_conn_close (conn, HTTPD_READ_FAILED);
+  return received > 0;
 }
 
 /* Drop the input of CONN, which reads no further request.  Behind a last answer
@@ -627,15 +628,14 @@
 on_readable (struct ev_loop *loop, ev_io *watcher, int events)
 {
   struct httpd_conn *conn = watcher->data;
+  bool received = (events & EV_READ) != 0 && conn_read (conn);
 
-  if (events & EV_READ)
-    conn_read (conn);
   if (conn->closed)
     return;
   if (conn->rejected || conn->close_after)
     {
       conn_drop_input (conn);
-      if (conn->linger_until > 0)
+      if (received && conn->linger_until > 0)
         conn_linger (conn);
       return;
     }
@@ -646,11 +646,14 @@
 }
 
 /* Close a connection that is idle for too long, or reject a request that is
-   received too slowly.  */
+   received too slowly.  The socket is read first: an iteration of the loop
+   reports a limited number of readable sockets, and none after the process was
+   stopped.  */
 static void
 on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct httpd_conn *conn = watcher->data;
+  ev_tstamp due = conn->deadline;
   ev_tstamp left;
 
   (void)events;
@@ -663,6 +666,10 @@
       ev_timer_start (loop, watcher);
       return;
     }
+  if (ev_is_active (&conn->reader))
+    on_readable (loop, &conn->reader, EV_READ);
+  if (conn->closed || conn->deadline != due)
+    return;
   conn->deadline = 0;
   if (conn->linger_until > 0)
     httpd_conn_close (conn, HTTPD_TIMED_OUT);
--- a/tests/test-http-stall.c
+++ b/tests/test-http-stall.c
@@ -5,8 +5,10 @@
 
 #include <glib.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include "net/httpc.h"
@@ -20,6 +22,8 @@
   IN_TIME_MS = 100,
   STALL_MS = 400,
   LONG_MS = 60000,
+  /* More connections than libev takes events of in one iteration at first.  */
+  MANY = 300,
   WAIT_S = 20,
   US_PER_MS = 1000
 };
@@ -76,7 +80,7 @@
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
   g_assert_cmpint (bind (fd, (struct sockaddr *)&addr, len), ==, 0);
-  g_assert_cmpint (listen (fd, 8), ==, 0);
+  g_assert_cmpint (listen (fd, MANY), ==, 0);
   getsockname (fd, (struct sockaddr *)&addr, &len);
   *port = ntohs (addr.sin_port);
   return fd;
@@ -172,6 +176,78 @@
   g_assert_true (g_str_has_prefix (f->received->str, "HTTP/1.1 200 "));
 }
 
+/* Guards against closing idle connections on which whole requests wait when
+   there are more of them than the loop takes in one iteration.  */
+static void
+test_idle_many (struct fixture *f, gconstpointer unused)
+{
+  static const char request[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  int fds[MANY];
+  char data[4096];
+  unsigned int answered = 0;
+
+  (void)unused;
+  set_limits (f, LONG_MS, LONG_MS, TIMEOUT_MS);
+  for (int i = 0; i < MANY; i++)
+    fds[i] = connect_to (jc_httpd_port (f->httpd));
+  run_for (f, IN_TIME_MS);
+  for (int i = 0; i < MANY; i++)
+    g_assert_cmpint (send (fds[i], request, strlen (request), MSG_NOSIGNAL), >,
+                     0);
+  stall ();
+  run_for (f, IN_TIME_MS);
+  for (int i = 0; i < MANY; i++)
+    {
+      answered += recv (fds[i], data, sizeof data, MSG_DONTWAIT) > 0 ? 1 : 0;
+      close (fds[i]);
+    }
+  g_assert_cmpuint (answered, ==, MANY);
+}
+
+/* What a signal handler sends, and where to.  */
+static int signal_fd;
+static const char *signal_text;
+
+/* Send what came in time, and stand still, inside the wait of the loop for
+   events.  */
+static void
+on_alarm (int number)
+{
+  (void)number;
+  (void)!write (signal_fd, signal_text, strlen (signal_text));
+  stall ();
+}
+
+/* Send TEXT on the connection of F after IN_TIME_MS, and stand still, both
+   while the loop waits for events: the wait then ends without any, as it does
+   for a process that was stopped.  */
+static void
+send_in_wait (struct fixture *f, const char *text)
+{
+  const struct sigaction action = { .sa_handler = on_alarm };
+  const struct itimerval after
+      = { .it_value = { .tv_usec = IN_TIME_MS * US_PER_MS } };
+
+  signal_fd = f->fd;
+  signal_text = text;
+  sigaction (SIGALRM, &action, NULL);
+  setitimer (ITIMER_REAL, &after, NULL);
+  ev_run (f->loop, EVRUN_ONCE);
+}
+
+/* Guards against closing an idle connection on which a whole request waits
+   when a process goes on that was stopped while it waited for events.  */
+static void
+test_idle_stopped (struct fixture *f, gconstpointer unused)
+{
+  (void)unused;
+  set_limits (f, LONG_MS, LONG_MS, TIMEOUT_MS);
+  run_for (f, 1);
+  send_in_wait (f, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  run_until_answered (f);
+  g_assert_true (g_str_has_prefix (f->received->str, "HTTP/1.1 200 "));
+}
+
 /* Guards against refusing a head as too slow whose end waits to be read.  */
 static void
 test_head (struct fixture *f, gconstpointer unused)
@@ -318,6 +394,8 @@
 #define CASE(path, fn)                                                         \
   g_test_add (path, struct fixture, NULL, setup, fn, teardown)
   CASE ("/server-idle", test_idle);
+  CASE ("/server-idle-many", test_idle_many);
+  CASE ("/server-idle-stopped", test_idle_stopped);
   CASE ("/server-head", test_head);
   CASE ("/server-body", test_body);
   CASE ("/server-idle-after-work", test_idle_after_work);
