Grant cold endpoints to entry instances that reach their service

Cold endpoints that joined while an entry instance had lost its links got no requests for as long as they were cold, if that instance was picked: a grant is for good, and the pick asked only whether an instance is ready and reports. Ruled out: a lost instance that gives its grant back; no second grant is made for an incarnation.

--- a/state/presence.c
+++ b/state/presence.c
@@ -480,8 +480,9 @@
 }
 
 /* Pick the entry instance that is to send to ENDPOINT while it is cold.
-   Rendezvous hashing among the instances of its region spreads such endpoints
-   over them.  Set the instance in GRANT, whose name belongs to this module, and
+   Rendezvous hashing among the instances of its region, without those that have
+   lost their links to the service unless all have, spreads such endpoints over
+   them.  Set the instance in GRANT, whose name belongs to this module, and
    return whether there is one.  */
 bool
 presence_pick_instance (const struct state *state,
@@ -490,6 +491,7 @@
 {
   const char *region = region_of_zone (state, endpoint->zone);
   uint64_t best = 0;
+  bool best_reaches = false;
   GHashTableIter iter;
   gpointer value;
 
@@ -498,12 +500,16 @@
     {
       const struct entry_view *view = value;
       uint64_t weight = jc_name_pair_hash (endpoint->name, view->report.name);
+      bool reaches = jc_presence_reaches (&view->report, endpoint->service);
 
       if (region == NULL || strcmp (view->report.region, region) != 0
-          || view->report.draining || !view->report.ready || weight <= best
+          || view->report.draining || !view->report.ready
+          || reaches < best_reaches
+          || (reaches == best_reaches && weight <= best)
           || jc_now_ms () - view->last_report_ms > SILENT_MS)
         continue;
       best = weight;
+      best_reaches = reaches;
       grant->instance = view->report.name;
       grant->instance_incarnation = view->incarnation;
     }
--- a/tests/process/reach_services_standin.py
+++ b/tests/process/reach_services_standin.py
@@ -1,11 +1,16 @@
 """Services of which some can't be reached by an entry instance while others can.
 Usage: reach_services_standin.py SCRIPT DIR, where SCRIPT names a function below and DIR holds addresses.json."""
 import asyncio
+import glob
+import re
 import sys
 
-from hosts_standin import ADDRESSES, Endpoint, configuration, in_force, order, request, route, use
+from hosts_standin import ADDRESSES, Endpoint, configuration, in_force, order, request, route, until, use
+from reach_standin import Hanging, unreached, until_unreached
 
 REQUESTS = 40
+COLD_ENDPOINTS = 12
+COLD_S = 60
 
 
 async def refused():
@@ -30,5 +35,32 @@
     assert statuses.count(200) == len(statuses), statuses
 
 
+def granted():
+    """The names of the cold endpoints that the state instances have granted, with the instance of each."""
+    text = "".join(open(path).read() for path in glob.glob(sys.argv[2] + "/s*.out"))
+    return dict(re.findall(r"event=cold endpoint=(cold-\d+) incarnation=\d+ instance=(\S+) outcome=granted", text))
+
+
+async def cold():
+    """Cold endpoints join while one of two instances of the region has lost its links to the endpoints."""
+    near = [await Hanging(f"plain-{i}", "plain", "z1").start() for i in range(2)]
+    await order("/v1/Config.Replace",
+                configuration(3, [route("read", "safe", "plain"), route("write", "unsafe", "plain")], COLD_S, 2))
+    await in_force(ADDRESSES["entries"], "/read/x", 200)
+    for endpoint in near:
+        endpoint.hang()
+    await until_unreached(0, 1)
+    for i in range(COLD_ENDPOINTS):
+        endpoint = Hanging(f"cold-{i}", "plain", "z1", cold_s=COLD_S)
+        await endpoint.start()
+        endpoint.hang()
+
+    async def all_granted():
+        return len(granted()) == COLD_ENDPOINTS
+    await until("grants of all cold endpoints", all_granted)
+    print(granted(), flush=True)
+    assert await unreached(0) == 1
+    assert set(granted().values()) == {"e2"}, granted()
+
 use(sys.argv[2])
-asyncio.run({"refused": refused}[sys.argv[1]]())
+asyncio.run({"refused": refused, "cold": cold}[sys.argv[1]]())
--- a/tests/process/reach_standin.py
+++ b/tests/process/reach_standin.py
@@ -136,5 +136,6 @@
     print("regained", flush=True)
 
 
-use(sys.argv[1])
-asyncio.run(main())
+if __name__ == "__main__":
+    use(sys.argv[1])
+    asyncio.run(main())
