Probe what was not tried at once when links to a service seem to be lost

Requests were refused as out_of_reach though one of three endpoints could be reached, 62 of 62 in 8 s at the only instance of a region: two that were down in a row lost the service, a random probe found the third one late, and the return ended the backoffs of those that were down, so that they were tried first and lost the service again. Ruled out: the sound endpoint; it answered all that it got, and served 67 of 67.

--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -502,6 +502,28 @@
   g_ptr_array_free (all, TRUE);
 }
 
+/* Return an endpoint for QUERY's request although this instance has lost its
+   links to the service: no other instance takes the request, which has tried
+   some endpoints already.  They may be down, and others not.  NULL if there is
+   none.  */
+static struct jc_endpoint *
+pick_last_resort (struct router *router, const struct balancer_query *query)
+{
+  GPtrArray *endpoints = g_ptr_array_new ();
+  struct jc_endpoint *endpoint = NULL;
+
+  if (!query->local_only && query->tried->len > 0
+      && jc_hostroute_allows (query->route, router->entry->settings->region))
+    collect_usable_endpoints (router, query->service, query,
+                              backpressure_may_send, query->now_ms, endpoints);
+  filter_engines (router, query, endpoints);
+  if (endpoints->len > 0)
+    endpoint = jc_engines_pick (router->engines, endpoints, query->demand,
+                                query->now_ms);
+  g_ptr_array_free (endpoints, TRUE);
+  return endpoint;
+}
+
 /* Return whether some other instance that may get QUERY's request reaches the
    endpoints, though it may have no room.  */
 static bool
@@ -560,6 +582,8 @@
   if (!query->local_only)
     neighbour = pick_neighbour (router, query, endpoints, unreached, &remote_ms,
                                 &must_go);
+  if (lost && neighbour == NULL)
+    endpoint = pick_last_resort (router, query);
   if (endpoint != NULL && neighbour != NULL && !must_go
       && !jc_remote_is_faster (mean_answer_ms (router, query, candidates),
                                remote_ms, g_random_double ()))
--- a/entry/reach.c
+++ b/entry/reach.c
@@ -98,16 +98,70 @@
   g_ptr_array_free (endpoints, TRUE);
 }
 
-/* End the backoff of the endpoints of SERVICE, which can be reached again.  */
+static void on_probed (void *ctx, struct jc_tcpprobe *probe,
+                       enum jc_tcpprobe_result result);
+
 static void
-end_backoff (struct router *router, const char *service)
+start_probe (struct router *router, const struct jc_endpoint *endpoint)
+{
+  struct reach_probe *probe = g_new0 (struct reach_probe, 1);
+
+  probe->router = router;
+  probe->service = g_strdup (endpoint->service);
+  probe->endpoint = g_strdup (endpoint->name);
+  probe->started_ms = jc_now_ms ();
+  probe->probe = jc_tcpprobe_start (router->entry->loop, endpoint->address,
+                                    PROBE_TIMEOUT_MS, on_probed, probe);
+  if (probe->probe != NULL)
+    g_ptr_array_add (router->reach_probes, probe);
+  else
+    {
+      jc_event (JC_EVENT_REACH, "service=%s endpoint=%s why=probe_failed",
+                endpoint->service, endpoint->name);
+      reach_probe_free (probe);
+    }
+}
+
+/* Probe a random endpoint of SERVICE.  With FAILED, the endpoint that was tried
+   last, it is one that was not tried lately, if there is one.  */
+static void
+probe_any (struct router *router, const char *service, const char *failed)
 {
   GPtrArray *endpoints = list_endpoints (router, service);
+  const struct jc_endpoint *picked = NULL;
+  gint32 seen = 0;
 
   for (guint i = 0; i < endpoints->len; i++)
-    jc_engines_end_backoff (
-        router->engines,
-        ((const struct jc_endpoint *)g_ptr_array_index (endpoints, i))->name);
+    {
+      const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      if (failed != NULL
+          && (strcmp (endpoint->name, failed) == 0
+              || jc_engines_in_backoff (router->engines, endpoint->name,
+                                        jc_now_ms ())))
+        continue;
+      if (g_random_int_range (0, ++seen) == 0)
+        picked = endpoint;
+    }
+  if (picked != NULL)
+    start_probe (router, picked);
+  g_ptr_array_free (endpoints, TRUE);
+}
+
+/* Probe the endpoints of SERVICE, which can be reached again, that are in
+   backoff: some may be down.  */
+static void
+probe_those_in_backoff (struct router *router, const char *service)
+{
+  GPtrArray *endpoints = list_endpoints (router, service);
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      if (jc_engines_in_backoff (router->engines, endpoint->name, jc_now_ms ()))
+        start_probe (router, endpoint);
+    }
   g_ptr_array_free (endpoints, TRUE);
 }
 
@@ -142,6 +196,7 @@
   close_idle_connections (router, exchange->service);
   reach_changed (router, exchange->service, exchange->target_name, false,
                  "unreached", 0);
+  probe_any (router, exchange->service, exchange->target_name);
   return true;
 }
 
@@ -157,7 +212,7 @@
 
   if (!jc_reach_answered (router->reach, attempt, jc_now_ms ()))
     return;
-  end_backoff (router, attempt->service);
+  probe_those_in_backoff (router, attempt->service);
   reach_changed (router, attempt->service, attempt->endpoint, true, why,
                  jc_now_ms () - lost_ms);
 }
@@ -183,41 +238,11 @@
 
   (void)probe;
   if (result == JC_TCPPROBE_ACCEPTED)
-    note_reached (router, &attempt, "probed");
-  g_ptr_array_remove_fast (router->reach_probes, reach_probe);
-}
-
-/* Probe a random endpoint of SERVICE.  */
-static void
-start_probe (struct router *router, const char *service)
-{
-  GPtrArray *endpoints = list_endpoints (router, service);
-  const struct jc_endpoint *endpoint;
-  struct reach_probe *probe;
-
-  if (endpoints->len == 0)
-    {
-      g_ptr_array_free (endpoints, TRUE);
-      return;
-    }
-  endpoint = g_ptr_array_index (endpoints,
-                                g_random_int_range (0, (gint32)endpoints->len));
-  probe = g_new0 (struct reach_probe, 1);
-  probe->router = router;
-  probe->service = g_strdup (service);
-  probe->endpoint = g_strdup (endpoint->name);
-  probe->started_ms = jc_now_ms ();
-  probe->probe = jc_tcpprobe_start (router->entry->loop, endpoint->address,
-                                    PROBE_TIMEOUT_MS, on_probed, probe);
-  if (probe->probe != NULL)
-    g_ptr_array_add (router->reach_probes, probe);
-  else
     {
-      jc_event (JC_EVENT_REACH, "service=%s endpoint=%s why=probe_failed",
-                service, endpoint->name);
-      reach_probe_free (probe);
+      jc_engines_end_backoff (router->engines, attempt.endpoint);
+      note_reached (router, &attempt, "probed");
     }
-  g_ptr_array_free (endpoints, TRUE);
+  g_ptr_array_remove_fast (router->reach_probes, reach_probe);
 }
 
 /* Probe the lost services that are due, and forget those that the configuration
@@ -236,7 +261,7 @@
       if (jc_routetable_find_service (router->routes, service) == NULL)
         jc_reach_forget (router->reach, service);
       else if (jc_reach_take_probe (router->reach, service, now))
-        start_probe (router, service);
+        probe_any (router, service, NULL);
     }
   g_ptr_array_free (services, TRUE);
 }
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -525,6 +525,15 @@
   engine->backoff_until_ms = now_ms + engine->backoff_ms;
 }
 
+/* Return whether the engine NAME gets nothing because it could not be
+   reached.  */
+bool
+jc_engines_in_backoff (struct jc_engines *engines, const char *name,
+                       int64_t now_ms)
+{
+  return engine_get (engines, name)->backoff_until_ms > now_ms;
+}
+
 /* End the backoff of the engine NAME, which can be reached again.  */
 void
 jc_engines_end_backoff (struct jc_engines *engines, const char *name)
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -85,6 +85,8 @@
 void jc_engine_run_first_event (struct jc_engine_run *run, int64_t now_ms);
 void jc_engine_run_end (struct jc_engine_run *run,
                         enum jc_engine_outcome outcome, int64_t now_ms);
+bool jc_engines_in_backoff (struct jc_engines *engines, const char *name,
+                            int64_t now_ms);
 void jc_engines_end_backoff (struct jc_engines *engines, const char *name);
 void jc_engine_run_note_load (struct jc_engine_run *run, unsigned int running,
                               unsigned int queued, int64_t now_ms);
--- a/tests/process/reach_services_standin.py
+++ b/tests/process/reach_services_standin.py
@@ -4,13 +4,17 @@
 import glob
 import re
 import sys
+import time
 
 from hosts_standin import ADDRESSES, Endpoint, configuration, in_force, order, request, route, until, use
-from reach_standin import Hanging, unreached, until_unreached
+from reach_standin import Hanging, attempts, unreached, until_unreached
 
 REQUESTS = 40
 COLD_ENDPOINTS = 12
 COLD_S = 60
+PARTLY_S = 8
+# A request without an attempt that hangs takes less.
+SLOW_S = 0.3
 
 
 async def refused():
@@ -62,5 +66,26 @@
     assert await unreached(0) == 1
     assert set(granted().values()) == {"e2"}, granted()
 
+async def partly():
+    """Two of three endpoints of the only instance are down and hang, the third one answers."""
+    down = [await Hanging(f"plain-{i}", "plain", "z1").start() for i in range(2)]
+    await Endpoint("plain-2", "plain", "z1").start()
+    await order("/v1/Config.Replace", configuration(3, [route("read", "safe", "plain")]))
+    await in_force(ADDRESSES["entries"], "/read/x", 200)
+    for endpoint in down:
+        endpoint.hang()
+        for writer in endpoint.writers:
+            writer.transport.abort()
+    statuses, slow, end = [], 0, time.monotonic() + PARTLY_S
+    while time.monotonic() < end:
+        begun = time.monotonic()
+        statuses.append((await request(ADDRESSES["entries"][0], "GET", "/read/x")).status)
+        slow += time.monotonic() - begun > SLOW_S
+        await asyncio.sleep(0.1)
+    print("served %d of %d, %d slow, %d attempts at endpoints out of reach"
+          % (statuses.count(200), len(statuses), slow, attempts(0, "plain-[01]")), flush=True)
+    assert statuses.count(200) == len(statuses), statuses
+
+
 use(sys.argv[2])
-asyncio.run({"refused": refused, "cold": cold}[sys.argv[1]]())
+asyncio.run({"refused": refused, "cold": cold, "partly": partly}[sys.argv[1]]())
