Try further endpoints of a lost service only until its first probe has ended

After the loss of a service a request that had tried something, also another instance, went on to endpoints that hang, 400 ms each, where no other instance took it; it should be refused at once.

--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -17,6 +17,8 @@
      stall running streams; more urgent ones are sent anyway.  */
   REFUSABLE_PRIORITY = 2,
   ROOMS_MAX = 64,
+  /* Time after the loss of a service until its first probe has ended.  */
+  PROBE_PENDING_MS = 400,
   PERMILLE = 1000
 };
 
@@ -502,10 +504,10 @@
   g_ptr_array_free (all, TRUE);
 }
 
-/* Return an endpoint for QUERY's request although this instance has lost its
-   links to the service: no other instance takes the request, which has tried
-   some endpoints already.  They may be down, and others not.  NULL if there is
-   none.  */
+/* Return an endpoint for QUERY's request although this instance has just lost
+   its links to the service: no other instance takes the request, which has
+   tried some already.  The endpoints that failed may be down, and others not,
+   until a probe shows it.  NULL if there is none.  */
 static struct jc_endpoint *
 pick_last_resort (struct router *router, const struct balancer_query *query)
 {
@@ -513,6 +515,8 @@
   struct jc_endpoint *endpoint = NULL;
 
   if (!query->local_only && query->tried->len > 0
+      && query->now_ms - jc_reach_lost_ms (router->reach, query->service)
+             < PROBE_PENDING_MS
       && jc_hostroute_allows (query->route, router->entry->settings->region))
     collect_usable_endpoints (router, query->service, query,
                               backpressure_may_send, query->now_ms, endpoints);
--- a/tests/test-remote.c
+++ b/tests/test-remote.c
@@ -118,6 +118,8 @@
   g_assert_true (
       jc_remote_refusal_is_at_head (jc_status_name (JC_UNKNOWN_ROUTE)));
   g_assert_true (jc_remote_refusal_is_at_head (jc_status_name (JC_DRAINING)));
+  g_assert_false (
+      jc_remote_refusal_is_at_head (jc_status_name (JC_OUT_OF_REACH)));
   g_assert_true (jc_remote_refusal_is_at_head (jc_status_name (JC_NOT_READY)));
   g_assert_false (
       jc_remote_refusal_is_at_head (jc_status_name (JC_NO_ENDPOINT)));
