Count endpoints as cold where changes aren't heard of

Cause: silence stood for "nothing changed". Ruled out: the grants, which held; late news after the cut, since the requests were sent within it.

An instance now takes every endpoint for cold, so that the grant's holder alone sends, while it isn't told of changes: it heard no state instance for a second, and no neighbour that did and has no newer orders. Neighbours tell by the position in the head of each message, so there is no more traffic. News that waited while the process stood still doesn't count.

--- a/base/event.c
+++ b/base/event.c
@@ -52,6 +52,7 @@
   [JC_EVENT_ENTRY] = { "entry", 100, true },
   [JC_EVENT_ADMIT] = { "admit", 50, false },
   [JC_EVENT_COLD] = { "cold", 50, true },
+  [JC_EVENT_CONTACT] = { "contact", 5, true },
   [JC_EVENT_LIMIT] = { "limit", 100, true },
   [JC_EVENT_PAUSE] = { "pause", 50, true },
   [JC_EVENT_PATH] = { "path", 50, true },
--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -56,7 +56,8 @@
   return MAX (endpoint->warm_at_ms, *readmitted + service->cold_ms);
 }
 
-/* Return whether it is proven that ENDPOINT of SERVICE is warm.  */
+/* Return whether it is proven that ENDPOINT of SERVICE is warm.  Without
+   contact its zone may have been evacuated and readmitted since.  */
 static bool
 is_warm (const struct router *router, const struct jc_endpoint *endpoint,
          const struct jc_hostservice *service, int64_t now_ms)
@@ -71,7 +72,8 @@
           .cold_ms = service->cold_ms };
 
   return service->cold_requests_per_s <= 0
-         || jc_warmth_is_proven (&warmth, now_ms);
+         || (jc_contact_is_told (&router->contact, jc_boot_ms ())
+             && jc_warmth_is_proven (&warmth, now_ms));
 }
 
 /* Return true if ENDPOINT is warm, or if this instance holds the grant to send
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -391,8 +391,8 @@
     forward_to_zone (router, conn, pauses->zone, packet);
 }
 
-/* Handle a load report of another entry instance in this region; other messages
-   are ignored.  */
+/* Handle a message of another entry instance in this region: what it tells of
+   the orders, and a load report or pauses.  */
 void
 loads_handle_packet (struct router *router, struct jc_rpc_conn *conn,
                      const struct rpc_packet *packet)
@@ -401,6 +401,9 @@
 
   if (!is_region_entry (router, conn))
     return;
+  jc_contact_note_neighbour (&router->contact, packet->head.config_version,
+                             router->orders->position,
+                             jc_rpc_conn_silent_ms (conn), jc_boot_ms ());
   if (packet->body.type == RPC_ZONE_LOADS)
     handle_zone_loads (router, conn, packet);
   if (packet->body.type == RPC_PAUSES)
--- a/entry/router.h
+++ b/entry/router.h
@@ -7,6 +7,7 @@
 #include "conf/lag.h"
 #include "conf/orders.h"
 #include "entry/entry.h"
+#include "member/contact.h"
 #include "member/versions.h"
 #include "serve/backpressure.h"
 #include "serve/budget.h"
@@ -85,6 +86,8 @@
   int64_t loads_sent_ms;
   int64_t full_loads_sent_ms;
   int64_t state_connected_ms;
+  struct jc_contact contact;
+  bool was_told;
   int64_t fleet_requested_ms;
   struct jc_lag lag;
   struct jc_rpc_conn *orders_source;
--- a/entry/stateclient.c
+++ b/entry/stateclient.c
@@ -441,6 +441,8 @@
 
   if (!is_state (conn))
     return;
+  jc_contact_note_state (&router->contact, jc_rpc_conn_silent_ms (conn),
+                         jc_boot_ms ());
   if (body->type == RPC_ORDERS)
     apply_orders (router, conn, &body->rpc_body_u.orders);
   else if (body->type == RPC_GROUP)
@@ -471,6 +473,25 @@
   choose_orders_source (router);
 }
 
+/* Tell neighbours, by each message's head, up to which position of the orders
+   this instance would have heard of changes, and log when it no longer hears of
+   them or does so again.  */
+static void
+update_contact (struct router *router)
+{
+  int64_t now = jc_boot_ms ();
+  bool is_told = jc_contact_is_told (&router->contact, now);
+
+  jc_contact_tick (&router->contact, now);
+  jc_rpc_set_config_version (
+      router->entry->rpc,
+      jc_contact_position (&router->contact, router->orders->position, now));
+  if (is_told != router->was_told)
+    jc_event (JC_EVENT_CONTACT, "told=%d position=%" PRIu64, is_told,
+              router->orders->position);
+  router->was_told = is_told;
+}
+
 /* Expire endpoints and neighbours, and report this instance if it is due.
    Endpoints expire only while a state instance is connected that would report
    them, or after DISCONNECTED_KEEP_MS without one.  */
@@ -480,6 +501,7 @@
   GPtrArray *conns = g_ptr_array_new ();
   int64_t now = jc_now_ms ();
 
+  update_contact (router);
   jc_rpc_list_conns (router->entry->rpc, "state", conns);
   if (conns->len > 0)
     router->state_connected_ms = now;
--- a/net/rpc.h
+++ b/net/rpc.h
@@ -77,6 +77,7 @@
 const char *jc_rpc_conn_region (const struct jc_rpc_conn *conn);
 const char *jc_rpc_conn_zone (const struct jc_rpc_conn *conn);
 uint64_t jc_rpc_conn_incarnation (const struct jc_rpc_conn *conn);
+int64_t jc_rpc_conn_silent_ms (const struct jc_rpc_conn *conn);
 size_t jc_rpc_conn_backlog_bytes (const struct jc_rpc_conn *conn);
 
 enum jc_status jc_rpc_send (struct jc_rpc_conn *conn,
--- a/net/rpcconn.c
+++ b/net/rpcconn.c
@@ -562,6 +562,15 @@
     conn_report_heartbeat (conn);
 }
 
+/* Return how long ago bytes of CONN's peer came, ms: a heartbeat that stands
+   for other messages is passed on later than these.  */
+int64_t
+jc_rpc_conn_silent_ms (const struct jc_rpc_conn *conn)
+{
+  return (int64_t)((ev_now (conn->rpc->loop) - conn->last_received_at)
+                   * MS_PER_S);
+}
+
 /* Return whether CONN is up and not about to be dropped.  */
 bool
 rpc_conn_is_usable (const struct jc_rpc_conn *conn)
