--- a/entry/crashes.c
+++ b/entry/crashes.c
@@ -130,15 +130,22 @@
                              &exchange->fingerprints, jc_now_ms ());
 }
 
-/* Return whether INCARNATION of ENDPOINT is followed by a later one.  */
-static bool
-has_restarted (void *ctx, const char *endpoint, uint64_t incarnation)
+/* Return what the reports of ENDPOINT, which state instances pass on, say of a
+   crash of INCARNATION that was noticed at SINCE_MS.  */
+static enum jc_crash_verdict
+judge_crash (void *ctx, const char *endpoint, uint64_t incarnation,
+             int64_t since_ms)
 {
   const struct router *router = ctx;
   const struct jc_endpoint *known
       = jc_endpoints_find (router->endpoints, endpoint);
 
-  return known != NULL && known->incarnation > incarnation;
+  if (known != NULL && known->incarnation > incarnation)
+    return JC_CRASH_ENDED;
+  return known != NULL && known->incarnation == incarnation
+                 && known->reported_ms > since_ms
+             ? JC_CRASH_REFUTED
+             : JC_CRASH_UNDECIDED;
 }
 
 /* Report to the state instance that this instance follows what has been seen
@@ -150,7 +157,8 @@
   struct rpc_crash_changes *report = &packet.body.rpc_body_u.crash_report;
   int64_t now = jc_now_ms ();
 
-  jc_suspects_check (router->suspects, has_restarted, router, now);
+  jc_suspects_check (router->suspects, judge_crash, router,
+                     router->orders_source == NULL, now);
   if (!jc_suspects_take_report (router->suspects, now, report))
     return;
   if (router->orders_source != NULL)
--- a/member/crashes.c
+++ b/member/crashes.c
@@ -107,34 +107,59 @@
   return -1;
 }
 
-static struct crash *
-crash_find (const struct jc_crashes *crashes, const struct rpc_crash *reported)
+/* Return the crash of INCARNATION of ENDPOINT, NULL if none was reported.  */
+struct crash *
+jc_crashes_find (const struct jc_crashes *crashes, const char *endpoint,
+                 uint64_t incarnation)
 {
   for (guint i = 0; i < crashes->list->len; i++)
     {
       struct crash *crash = g_ptr_array_index (crashes->list, i);
 
-      if (crash->incarnation == reported->endpoint_incarnation
-          && strcmp (crash->endpoint, reported->endpoint) == 0)
+      if (crash->incarnation == incarnation
+          && strcmp (crash->endpoint, endpoint) == 0)
         return crash;
     }
   return NULL;
 }
 
+/* Make room for one more crash that is PROVED or not: the oldest one of its
+   kind goes if there are too many, so that false ones don't displace the
+   others.  */
+void
+jc_crashes_make_room (struct jc_crashes *crashes, bool proved)
+{
+  guint oldest = crashes->list->len;
+  unsigned int count = 0;
+
+  for (guint i = crashes->list->len; i > 0; i--)
+    {
+      const struct crash *crash = g_ptr_array_index (crashes->list, i - 1);
+
+      if (crash->proved != proved)
+        continue;
+      oldest = i - 1;
+      count++;
+    }
+  if (count >= CRASHES_KEPT)
+    g_ptr_array_remove_index (crashes->list, oldest);
+}
+
 /* Add the crash of INCARNATION of ENDPOINT, which BATCH reported first, without
-   requests.  The oldest one makes way if there are too many.  */
+   requests and not proved, at NOW_MS of the local clock.  An older one makes
+   way if there are too many.  */
 struct crash *
 jc_crashes_add (struct jc_crashes *crashes, const char *endpoint,
-                uint64_t incarnation, uint64_t batch)
+                uint64_t incarnation, uint64_t batch, int64_t now_ms)
 {
   struct crash *crash = g_new0 (struct crash, 1);
 
   crash->endpoint = g_strdup (endpoint);
   crash->incarnation = incarnation;
   crash->batch = batch;
+  crash->recorded_ms = now_ms;
   crash->requests = g_array_new (FALSE, FALSE, sizeof (struct request));
-  if (crashes->list->len >= CRASHES_KEPT)
-    g_ptr_array_remove_index (crashes->list, 0);
+  jc_crashes_make_room (crashes, false);
   g_ptr_array_add (crashes->list, crash);
   return crash;
 }
@@ -154,13 +179,16 @@
 
 /* Add what one entry instance reported of a crash.  */
 static void
-add_report (struct jc_crashes *crashes, const struct rpc_crash *reported)
+add_report (struct jc_crashes *crashes, const struct rpc_crash *reported,
+            int64_t now_ms)
 {
-  struct crash *crash = crash_find (crashes, reported);
+  struct crash *crash = jc_crashes_find (crashes, reported->endpoint,
+                                         reported->endpoint_incarnation);
 
   if (crash == NULL)
     crash = jc_crashes_add (crashes, reported->endpoint,
-                            reported->endpoint_incarnation, crashes->batch);
+                            reported->endpoint_incarnation, crashes->batch,
+                            now_ms);
   for (u_int i = 0; i < reported->requests.requests_len; i++)
     crash_add_request (crash, &reported->requests.requests_val[i]);
 }
@@ -191,7 +219,7 @@
 
       if (earlier->batch != crash->batch)
         return false;
-      if (crash_has_request (earlier, request->id))
+      if (earlier->proved && crash_has_request (earlier, request->id))
         return true;
     }
   return false;
@@ -229,6 +257,12 @@
     }
 }
 
+static bool
+is_counted (const struct crash *crash)
+{
+  return crash->proved && !crash->explained;
+}
+
 /* Derive the scores of all fingerprints of unexplained crashes since they were
    last answered whole.  The list is in the order of batches.  */
 void
@@ -239,7 +273,7 @@
     {
       const struct crash *crash = g_ptr_array_index (crashes->list, i);
 
-      for (guint r = 0; !crash->explained && r < crash->requests->len; r++)
+      for (guint r = 0; is_counted (crash) && r < crash->requests->len; r++)
         score_request (crashes, i,
                        &g_array_index (crash->requests, struct request, r));
     }
@@ -371,7 +405,7 @@
       struct crash *crash = g_ptr_array_index (crashes->list, i);
       bool explained = false;
 
-      for (guint r = 0; r < crash->requests->len; r++)
+      for (guint r = 0; crash->proved && r < crash->requests->len; r++)
         {
           const struct request *request
               = &g_array_index (crash->requests, struct request, r);
@@ -390,8 +424,9 @@
     }
 }
 
-static void
-update (struct jc_crashes *crashes, int64_t now_ms)
+/* Derive what is blocked from the crashes that count.  */
+void
+jc_crashes_update (struct jc_crashes *crashes, int64_t now_ms)
 {
   uint64_t culprit;
   bool found = true;
@@ -405,7 +440,7 @@
         {
           const struct crash *crash = g_ptr_array_index (crashes->list, i - 1);
 
-          if (!crash->explained && find_culprit (crashes, crash, &culprit))
+          if (is_counted (crash) && find_culprit (crashes, crash, &culprit))
             {
               block_fingerprint (crashes, culprit, now_ms);
               found = true;
@@ -452,7 +487,7 @@
 {
   crashes->batch++;
   for (u_int i = 0; i < changes->crashes.crashes_len; i++)
-    add_report (crashes, &changes->crashes.crashes_val[i]);
+    add_report (crashes, &changes->crashes.crashes_val[i], now_ms);
   for (u_int i = 0; i < changes->answered.answered_len; i++)
     {
       jc_crashes_table_set (crashes->answered,
@@ -468,7 +503,7 @@
   for (u_int i = 0; i < changes->known.known_len; i++)
     jc_crashes_table_set (crashes->known, changes->known.known_val[i],
                           (int64_t)crashes->batch);
-  update (crashes, now_ms);
+  jc_crashes_update (crashes, now_ms);
   g_hash_table_foreach_remove (crashes->answered, is_before_crashes, crashes);
   g_hash_table_foreach_remove (crashes->known, is_before_crashes, crashes);
 }
--- a/member/crashes.h
+++ b/member/crashes.h
@@ -8,7 +8,11 @@
    entry instances report it.  All crashes that were reported in one interval
    count as one: where many endpoints are lost at once, no request is the cause.
    A crash beside a blocked fingerprint is explained and tells nothing of the
-   others.  */
+   others.
+
+   An entry instance whose links break can't tell that from a crash.  What it
+   reports counts once the process is proved to have ended by its reports to the
+   state instances (member/crashproofs.h), and is removed if it goes on.  */
 
 #ifndef JC_CRASHES_H
 #define JC_CRASHES_H
@@ -43,12 +47,26 @@
 
 struct jc_crashes;
 
+/* A crash that was reported, at RECORDED_MS of the local clock.  ENDPOINT is
+   valid until the next change of the table.  */
+struct jc_crash_report
+{
+  const char *endpoint;
+  uint64_t incarnation;
+  int64_t recorded_ms;
+  bool proved;
+};
+
 struct jc_crashes *jc_crashes_new (unsigned int block_score);
 void jc_crashes_free (struct jc_crashes *crashes);
 GString *jc_crashes_encode (const struct rpc_crash_changes *changes);
 bool jc_crashes_next (struct jc_str *rest, struct rpc_crash_changes *out);
 void jc_crashes_apply (struct jc_crashes *crashes,
                        const struct rpc_crash_changes *changes, int64_t now_ms);
+void jc_crashes_apply_proofs (struct jc_crashes *crashes,
+                              const struct rpc_crash_proofs *proofs,
+                              int64_t now_ms);
+void jc_crashes_list_reported (const struct jc_crashes *crashes, GArray *rows);
 bool jc_crashes_is_blocked (const struct jc_crashes *crashes,
                             uint64_t fingerprint);
 unsigned int jc_crashes_score (const struct jc_crashes *crashes,
--- a/member/crashesprivate.h
+++ b/member/crashesprivate.h
@@ -1,5 +1,5 @@
-/* Internals of the evidence of crashes, shared by crashes.c and
-   crashessnapshot.c.  */
+/* Internals of the evidence of crashes, shared by crashes.c,
+   crashessnapshot.c and crashproofs.c.  */
 
 #ifndef JC_CRASHESPRIVATE_H
 #define JC_CRASHESPRIVATE_H
@@ -8,7 +8,8 @@
 
 enum
 {
-  /* Crashes that are remembered; older ones no longer count.  */
+  /* Crashes that are remembered, and as many that are not proved; older ones
+     no longer count.  */
   CRASHES_KEPT = 64,
   REQUESTS_PER_CRASH_MAX = 1024,
   FINGERPRINTS_MAX = 16,
@@ -27,13 +28,17 @@
 };
 
 /* A crash and the requests that ran there.  BATCH is the number of the change
-   that reported it first.  EXPLAINED means that one of them is blocked.  */
+   that reported it first, RECORDED_MS when that was applied, local time.  It
+   counts once the process is PROVED to have ended.  EXPLAINED means that one of
+   the requests is blocked.  */
 struct crash
 {
   char *endpoint;
   uint64_t incarnation;
   uint64_t batch;
+  int64_t recorded_ms;
   GArray *requests;
+  bool proved;
   bool explained;
 };
 
@@ -77,9 +82,14 @@
 
 void jc_crashes_table_set (GHashTable *table, uint64_t key, int64_t value);
 struct crash *jc_crashes_add (struct jc_crashes *crashes, const char *endpoint,
-                              uint64_t incarnation, uint64_t batch);
+                              uint64_t incarnation, uint64_t batch,
+                              int64_t now_ms);
 void jc_crashes_set_block (struct jc_crashes *crashes, uint64_t fingerprint,
                            int64_t now_ms);
+struct crash *jc_crashes_find (const struct jc_crashes *crashes,
+                               const char *endpoint, uint64_t incarnation);
+void jc_crashes_make_room (struct jc_crashes *crashes, bool proved);
+void jc_crashes_update (struct jc_crashes *crashes, int64_t now_ms);
 void jc_crashes_update_scores (struct jc_crashes *crashes);
 
 #endif
--- a/member/crashessnapshot.c
+++ b/member/crashessnapshot.c
@@ -59,9 +59,9 @@
               "[I,b,o]", (json_int_t)request->id, request->starting,
               fingerprints_to_json (request->fingerprints, request->count)));
     }
-  return json_pack ("[s,I,I,b,o]", crash->endpoint,
+  return json_pack ("[s,I,I,b,o,b]", crash->endpoint,
                     (json_int_t)crash->incarnation, (json_int_t)crash->batch,
-                    crash->explained, requests);
+                    crash->explained, requests, crash->proved);
 }
 
 /* Store CRASHES in OUT, the JSON object of a snapshot, under "crashes".  */
@@ -112,26 +112,33 @@
   return true;
 }
 
+/* Restore the crash IN at NOW_MS of the local clock.  One of a snapshot that
+   doesn't tell whether it was proved counted when the snapshot was taken.  */
 static bool
-restore_crash (struct jc_crashes *crashes, const json_t *in)
+restore_crash (struct jc_crashes *crashes, const json_t *in, int64_t now_ms)
 {
   const char *endpoint;
   json_int_t incarnation;
   json_int_t batch;
   int explained;
+  int proved = true;
   const json_t *requests;
   const json_t *request;
   struct crash *crash;
   bool ok = true;
   size_t i;
 
-  if (json_unpack ((json_t *)in, "[s,I,I,b,o]", &endpoint, &incarnation, &batch,
-                   &explained, &requests)
-      != 0)
+  if (json_unpack ((json_t *)in, "[s,I,I,b,o,b]", &endpoint, &incarnation,
+                   &batch, &explained, &requests, &proved)
+          != 0
+      && json_unpack ((json_t *)in, "[s,I,I,b,o]", &endpoint, &incarnation,
+                      &batch, &explained, &requests)
+             != 0)
     return false;
   crash = jc_crashes_add (crashes, endpoint, (uint64_t)incarnation,
-                          (uint64_t)batch);
+                          (uint64_t)batch, now_ms);
   crash->explained = explained;
+  crash->proved = proved;
   json_array_foreach ((json_t *)requests, i, request)
   {
     ok = ok && restore_request (crash, request);
@@ -157,7 +164,7 @@
       = (uint64_t)json_integer_value (json_object_get (saved, "batch"));
   json_array_foreach (json_object_get (saved, "list"), i, row)
   {
-    ok = ok && restore_crash (crashes, row);
+    ok = ok && restore_crash (crashes, row, now_ms);
   }
   table_restore (crashes->answered, json_object_get (saved, "answered"));
   table_restore (crashes->known, json_object_get (saved, "known"));
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -841,6 +841,24 @@
 };
 typedef struct rpc_crash_changes rpc_crash_changes;
 
+struct rpc_endpoint_process {
+	rpc_name endpoint;
+	u_quad_t endpoint_incarnation;
+};
+typedef struct rpc_endpoint_process rpc_endpoint_process;
+
+struct rpc_crash_proofs {
+	struct {
+		u_int ended_len;
+		rpc_endpoint_process *ended_val;
+	} ended;
+	struct {
+		u_int refuted_len;
+		rpc_endpoint_process *refuted_val;
+	} refuted;
+};
+typedef struct rpc_crash_proofs rpc_crash_proofs;
+
 enum rpc_suspicion {
 	RPC_CLEARED = 0,
 	RPC_SUSPECTED = 1,
@@ -1079,6 +1097,8 @@
 extern  bool_t xdr_rpc_crash_request (XDR *, rpc_crash_request*);
 extern  bool_t xdr_rpc_crash (XDR *, rpc_crash*);
 extern  bool_t xdr_rpc_crash_changes (XDR *, rpc_crash_changes*);
+extern  bool_t xdr_rpc_endpoint_process (XDR *, rpc_endpoint_process*);
+extern  bool_t xdr_rpc_crash_proofs (XDR *, rpc_crash_proofs*);
 extern  bool_t xdr_rpc_suspicion (XDR *, rpc_suspicion*);
 extern  bool_t xdr_rpc_suspect (XDR *, rpc_suspect*);
 extern  bool_t xdr_rpc_suspects (XDR *, rpc_suspects*);
@@ -1177,6 +1197,8 @@
 extern bool_t xdr_rpc_crash_request ();
 extern bool_t xdr_rpc_crash ();
 extern bool_t xdr_rpc_crash_changes ();
+extern bool_t xdr_rpc_endpoint_process ();
+extern bool_t xdr_rpc_crash_proofs ();
 extern bool_t xdr_rpc_suspicion ();
 extern bool_t xdr_rpc_suspect ();
 extern bool_t xdr_rpc_suspects ();
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1505,6 +1505,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_endpoint_process (XDR *xdrs, rpc_endpoint_process *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint_incarnation))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_crash_proofs (XDR *xdrs, rpc_crash_proofs *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->ended.ended_val, (u_int *) &objp->ended.ended_len, 256,
+		sizeof (rpc_endpoint_process), (xdrproc_t) xdr_rpc_endpoint_process))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->refuted.refuted_val, (u_int *) &objp->refuted.refuted_len, 256,
+		sizeof (rpc_endpoint_process), (xdrproc_t) xdr_rpc_endpoint_process))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_suspicion (XDR *xdrs, rpc_suspicion *objp)
 {
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -742,6 +742,19 @@
   unsigned hyper expired<4096>;
 };
 
+/* A process of an endpoint.  */
+struct rpc_endpoint_process {
+  rpc_name endpoint;
+  unsigned hyper endpoint_incarnation;
+};
+
+/* In the log only: what the reports of endpoints to state instances say of
+   crashes.  ended processes no longer report, refuted ones went on.  */
+struct rpc_crash_proofs {
+  rpc_endpoint_process ended<256>;
+  rpc_endpoint_process refuted<256>;
+};
+
 enum rpc_suspicion {
   RPC_CLEARED = 0,
   RPC_SUSPECTED = 1,
--- a/serve/suspects.c
+++ b/serve/suspects.c
@@ -9,6 +9,9 @@
 {
   /* An endpoint that is not known to have crashed by then has not.  */
   CRASH_KNOWN_MS = 3000,
+  /* The log has judged by then what an instance reports that it reaches again:
+     two intervals of reports and the commits.  */
+  JUDGED_MS = 3000,
   /* A whole answer this long ago still clears requests that are suspected
      now, since news of a crash take a moment.  */
   ANSWER_COUNTS_MS = 2000,
@@ -39,7 +42,9 @@
 
 /* STATES maps fingerprints that are suspected or blocked to enum rpc_suspicion,
    ANSWERED_MS fingerprints to their last whole answer.  ANSWERED and KNOWN hold
-   those to report.  OWN is the evidence that this instance has seen itself.  */
+   those to report.  OWN is the evidence that this instance has seen itself,
+   which counts at once while it is ALONE: without a state instance, as it was
+   last at ALONE_MS, or not yet judged by one.  */
 struct jc_suspects
 {
   GPtrArray *broken;
@@ -48,6 +53,8 @@
   GArray *answered;
   GArray *known;
   struct jc_crashes *own;
+  bool alone;
+  int64_t alone_ms;
 };
 
 static void
@@ -76,6 +83,7 @@
   suspects->answered = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   suspects->known = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   suspects->own = jc_crashes_new (OWN_BLOCK_SCORE);
+  suspects->alone_ms = -(int64_t)JUDGED_MS - 1;
   return suspects;
 }
 
@@ -152,20 +160,75 @@
     broken->crashed = true;
 }
 
-/* Ask HAS_CRASHED about each endpoint of which it is not known, and forget
-   those that have not.  */
+static void
+process_free (gpointer data)
+{
+  g_free (((struct rpc_endpoint_process *)data)->endpoint);
+}
+
+/* Ask JUDGE about the crashes that this instance has seen.  Those that are not
+   refuted count while it is alone: the log then decides nothing here.  */
+static void
+check_own (struct jc_suspects *suspects, jc_suspects_judge_fn *judge, void *ctx,
+           int64_t now_ms)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct jc_crash_report));
+  GArray *ended
+      = g_array_new (FALSE, FALSE, sizeof (struct rpc_endpoint_process));
+  GArray *refuted
+      = g_array_new (FALSE, FALSE, sizeof (struct rpc_endpoint_process));
+  struct rpc_crash_proofs proofs = { 0 };
+
+  g_array_set_clear_func (ended, process_free);
+  g_array_set_clear_func (refuted, process_free);
+  jc_crashes_list_reported (suspects->own, rows);
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const struct jc_crash_report *row
+          = &g_array_index (rows, struct jc_crash_report, i);
+      const struct rpc_endpoint_process process
+          = { .endpoint = g_strdup (row->endpoint),
+              .endpoint_incarnation = row->incarnation };
+      enum jc_crash_verdict verdict
+          = judge (ctx, row->endpoint, row->incarnation, row->recorded_ms);
+
+      if (verdict == JC_CRASH_REFUTED)
+        g_array_append_val (refuted, process);
+      else if (!row->proved && (suspects->alone || verdict == JC_CRASH_ENDED))
+        g_array_append_val (ended, process);
+      else
+        g_free (process.endpoint);
+    }
+  proofs.ended.ended_len = ended->len;
+  proofs.ended.ended_val = (struct rpc_endpoint_process *)ended->data;
+  proofs.refuted.refuted_len = refuted->len;
+  proofs.refuted.refuted_val = (struct rpc_endpoint_process *)refuted->data;
+  if (ended->len > 0 || refuted->len > 0)
+    jc_crashes_apply_proofs (suspects->own, &proofs, now_ms);
+  g_array_free (rows, TRUE);
+  g_array_free (ended, TRUE);
+  g_array_free (refuted, TRUE);
+}
+
+/* Ask JUDGE about each endpoint that broke off attempts, and forget those that
+   have not crashed.  ALONE tells that no state instance reaches this one, so
+   that what it has seen itself has to do.  */
 void
-jc_suspects_check (struct jc_suspects *suspects,
-                   jc_suspects_crashed_fn *has_crashed, void *ctx,
-                   int64_t now_ms)
+jc_suspects_check (struct jc_suspects *suspects, jc_suspects_judge_fn *judge,
+                   void *ctx, bool alone, int64_t now_ms)
 {
+  if (alone)
+    suspects->alone_ms = now_ms;
+  suspects->alone = now_ms - suspects->alone_ms <= JUDGED_MS;
+  check_own (suspects, judge, ctx, now_ms);
   for (guint i = suspects->broken->len; i > 0; i--)
     {
       struct broken *broken = g_ptr_array_index (suspects->broken, i - 1);
 
       if (!broken->crashed)
-        broken->crashed
-            = has_crashed (ctx, broken->endpoint, broken->incarnation);
+        broken->crashed = judge (ctx, broken->endpoint, broken->incarnation,
+                                 broken->since_ms)
+                          == JC_CRASH_ENDED;
       if (!broken->crashed && now_ms - broken->since_ms > CRASH_KNOWN_MS)
         g_ptr_array_remove_index (suspects->broken, i - 1);
     }
@@ -364,6 +427,32 @@
     }
 }
 
+/* Apply REPORT to the evidence of this instance.  */
+static void
+apply_own (struct jc_suspects *suspects, const struct rpc_crash_changes *report,
+           int64_t now_ms)
+{
+  GArray *ended
+      = g_array_new (FALSE, FALSE, sizeof (struct rpc_endpoint_process));
+  struct rpc_crash_proofs proofs = { 0 };
+
+  jc_crashes_apply (suspects->own, report, now_ms);
+  for (u_int i = 0; suspects->alone && i < report->crashes.crashes_len; i++)
+    {
+      const struct rpc_crash *crash = &report->crashes.crashes_val[i];
+      const struct rpc_endpoint_process process
+          = { .endpoint = crash->endpoint,
+              .endpoint_incarnation = crash->endpoint_incarnation };
+
+      g_array_append_val (ended, process);
+    }
+  proofs.ended.ended_len = ended->len;
+  proofs.ended.ended_val = (struct rpc_endpoint_process *)ended->data;
+  if (ended->len > 0)
+    jc_crashes_apply_proofs (suspects->own, &proofs, now_ms);
+  g_array_free (ended, TRUE);
+}
+
 /* Move what is to be reported to OUT, which jc_suspects_free_report frees, and
    apply it to the evidence of this instance.  Return false if there is
    nothing.  */
@@ -412,7 +501,7 @@
       jc_suspects_free_report (out);
       return false;
     }
-  jc_crashes_apply (suspects->own, out, now_ms);
+  apply_own (suspects, out, now_ms);
   return true;
 }
 
--- a/serve/suspects.h
+++ b/serve/suspects.h
@@ -1,13 +1,13 @@
 /* Suspects: what one entry instance knows of requests that may crash endpoints.
    It gathers which of its attempts ran at an endpoint that crashed, follows
    which fingerprints are suspected or blocked, and reports whole answers to
-   requests that are suspected.  What it has seen itself counts too, so that an
-   instance that no state instance reaches still stops.  */
+   requests that are suspected.  What it has seen itself counts too while no
+   state instance reaches it, so that it still stops.  */
 
 #ifndef JC_SUSPECTS_H
 #define JC_SUSPECTS_H
 
-#include "schema/gen/messages.h"
+#include "member/crashproofs.h"
 #include "serve/fingerprint.h"
 
 struct jc_suspects;
@@ -24,9 +24,12 @@
   bool starting;
 };
 
-/* Called for each endpoint that may have crashed.  Return true if it has.  */
-typedef bool jc_suspects_crashed_fn (void *ctx, const char *endpoint,
-                                     uint64_t incarnation);
+/* Called for each endpoint that may have crashed.  Return what its reports say
+   of the crash, which was noticed at SINCE_MS.  */
+typedef enum jc_crash_verdict jc_suspects_judge_fn (void *ctx,
+                                                    const char *endpoint,
+                                                    uint64_t incarnation,
+                                                    int64_t since_ms);
 
 struct jc_suspects *jc_suspects_new (void);
 void jc_suspects_free (struct jc_suspects *suspects);
@@ -36,7 +39,7 @@
 void jc_suspects_note_crashed (struct jc_suspects *suspects,
                                const char *endpoint, uint64_t incarnation);
 void jc_suspects_check (struct jc_suspects *suspects,
-                        jc_suspects_crashed_fn *has_crashed, void *ctx,
+                        jc_suspects_judge_fn *judge, void *ctx, bool alone,
                         int64_t now_ms);
 void jc_suspects_note_answered (struct jc_suspects *suspects,
                                 const struct jc_fingerprints *fingerprints,
--- a/state/crashes.c
+++ b/state/crashes.c
@@ -358,6 +358,7 @@
   GArray *changes;
   GPtrArray *conns;
 
+  crashproofs_schedule (state);
   if (crashes == NULL)
     return;
   rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_suspect));
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -309,6 +309,13 @@
   return jc_endpoints_count (state->fleet->endpoints);
 }
 
+/* Return the endpoint NAME, or NULL if it doesn't report here.  */
+const struct jc_endpoint *
+fleet_find (const struct state *state, const char *name)
+{
+  return jc_endpoints_find (state->fleet->endpoints, name);
+}
+
 /* Request a grant for each endpoint of ZONE, any of which may be cold.  */
 void
 fleet_request_grants (struct state *state, const char *zone)
--- a/state/log.c
+++ b/state/log.c
@@ -118,6 +118,8 @@
     limits_apply (state, data);
   else if (kind == LOG_CRASHES)
     crashes_apply (state, data);
+  else if (kind == LOG_CRASH_PROOFS)
+    crashproofs_apply (state, data);
   else if (kind == LOG_VERSION)
     versions_apply (state, index, data);
   else if (kind == LOG_DEPARTURE)
@@ -585,7 +587,8 @@
 
   return kind == LOG_LEDGER_SET || kind == LOG_ORDER || kind == LOG_GRANT
          || kind == LOG_LIMITS || kind == LOG_CRASHES || kind == LOG_VERSION
-         || kind == LOG_DEPARTURE || kind == LOG_ZONE_ORDER;
+         || kind == LOG_DEPARTURE || kind == LOG_ZONE_ORDER
+         || kind == LOG_CRASH_PROOFS;
 }
 
 /* Handle a message about the log.  It is ignored unless another state instance
--- a/state/main.c
+++ b/state/main.c
@@ -127,6 +127,7 @@
   coldgrants_start (state);
   limits_start (state);
   crashes_start (state);
+  crashproofs_start (state);
   versions_start (state);
   starts_start (state);
   group_start (state);
@@ -193,6 +194,7 @@
   control_stop (state);
   starts_stop (state);
   versions_stop (state);
+  crashproofs_stop (state);
   crashes_stop (state);
   limits_stop (state);
   coldgrants_stop (state);
--- a/state/state.h
+++ b/state/state.h
@@ -24,9 +24,10 @@
 
 /* The process.  CONFIG is the configuration in CONFSTATE, and
    LAST_SUBMIT_RESULT the result of the change that was applied last.  GROUP,
-   CONTROL, FLEET, PRESENCE, COLDGRANTS, LIMITS, CRASHES, VERSIONS and STARTS
-   are NULL unless requests are routed by hosts.  ORDER_OUTCOME is what became
-   of the entry applied last, JC_OK unless it is an order that was left out.  */
+   CONTROL, FLEET, PRESENCE, COLDGRANTS, LIMITS, CRASHES, CRASHPROOFS, VERSIONS
+   and STARTS are NULL unless requests are routed by hosts.  ORDER_OUTCOME is
+   what became of the entry applied last, JC_OK unless it is an order that was
+   left out.  */
 struct state
 {
   struct ev_loop *loop;
@@ -59,6 +60,7 @@
   struct limits *limits;
   struct jc_crashes *crash_table;
   struct crashes *crashes;
+  struct crashproofs *crashproofs;
   struct jc_versions *version_table;
   struct versions *versions;
   struct jc_stream_starts *starts;
@@ -79,7 +81,8 @@
   LOG_CRASHES,
   LOG_VERSION,
   LOG_DEPARTURE,
-  LOG_ZONE_ORDER
+  LOG_ZONE_ORDER,
+  LOG_CRASH_PROOFS
 };
 
 /* Called with the outcome of a proposal: JC_OK once it is committed,
@@ -176,6 +179,8 @@
                            const struct jc_stream_start *start);
 void fleet_send_versions (struct state *state, struct jc_rpc_conn *conn);
 unsigned int fleet_count (const struct state *state);
+const struct jc_endpoint *fleet_find (const struct state *state,
+                                      const char *name);
 void fleet_request_grants (struct state *state, const char *zone);
 
 /* departures: endpoints that were acknowledged to leave.  */
@@ -218,6 +223,12 @@
 void crashes_publish (struct state *state);
 void crashes_apply (struct state *state, struct jc_str data);
 
+/* crashproofs: which of the reported crashes were none.  */
+void crashproofs_start (struct state *state);
+void crashproofs_stop (struct state *state);
+void crashproofs_schedule (struct state *state);
+void crashproofs_apply (struct state *state, struct jc_str data);
+
 /* versions: the software versions of endpoints.  */
 void versions_start (struct state *state);
 void versions_stop (struct state *state);
--- a/tests/crashsim.c
+++ b/tests/crashsim.c
@@ -3,7 +3,8 @@
 #include <glib.h>
 #include <string.h>
 
-#include "member/crashes.h"
+#include "base/xdrencode.h"
+#include "member/crashproofs.h"
 #include "serve/suspects.h"
 #include "tests/crashsim.h"
 
@@ -26,6 +27,10 @@
      requests begin to come, and before.  */
   NO_LEADER_PHASE_MS = FAULT_PERIOD_MS - CRASHSIM_DEADLY_MS,
   CUT_PHASE_MS = FAULT_PERIOD_MS - CRASHSIM_DEADLY_MS + 1000,
+  RESET_PHASE_MS = FAULT_PERIOD_MS - 1000,
+  /* Of the endpoints, those that a cut instance still reaches.  */
+  REACHED_ENDPOINTS = CRASHSIM_ENDPOINTS / 3,
+  HEARTBEAT_MS = 1200,
   BOUND_PART = 5,
   BOUND_REQUEST = 3,
   MS_PER_S = 1000
@@ -50,6 +55,7 @@
 {
   uint64_t incarnation;
   int64_t down_until_ms;
+  int64_t reported_ms;
 };
 
 struct sim_instance
@@ -57,6 +63,7 @@
   struct jc_suspects *suspects;
   int64_t cut_ms;
   bool cut;
+  bool reset;
   /* Crashes under deadly requests that it sent, and the last of them.  */
   unsigned int seen;
   int64_t seen_ms;
@@ -89,6 +96,9 @@
   GQueue entries;
   guint proposed;
   int64_t entry_ms;
+  /* Proofs, encoded, that will be committed at PROOFS_MS if that is not 0.  */
+  GString *proofs;
+  int64_t proofs_ms;
 };
 
 static void
@@ -110,32 +120,106 @@
   return duration_ms > 0 && in_period < duration_ms;
 }
 
+/* ATTEMPT is broken off, and its endpoint refuses the next connection.  */
 static void
-end_attempts_at (struct sim *sim, unsigned int endpoint)
+break_off (struct sim *sim, const struct attempt *attempt)
 {
-  struct sim_endpoint *sim_endpoint = &sim->endpoints[endpoint];
+  const struct sim_endpoint *endpoint = &sim->endpoints[attempt->endpoint];
+  struct jc_suspects *suspects = sim->instances[attempt->instance].suspects;
   char name[16];
+  const struct jc_broken_attempt broken
+      = { .endpoint = name,
+          .incarnation = endpoint->incarnation,
+          .fingerprints = &attempt->fingerprints,
+          .starting = sim->now_ms - attempt->first_event_ms < STARTING_MS };
+
+  g_snprintf (name, sizeof name, "e%u", attempt->endpoint);
+  jc_suspects_note_broken (suspects, &broken, sim->now_ms);
+  jc_suspects_note_crashed (suspects, name, endpoint->incarnation);
+}
 
-  g_snprintf (name, sizeof name, "e%u", endpoint);
+static void
+end_attempts_at (struct sim *sim, unsigned int endpoint)
+{
   for (guint i = sim->attempts->len; i > 0; i--)
     {
       const struct attempt *attempt
           = &g_array_index (sim->attempts, struct attempt, i - 1);
-      struct jc_suspects *suspects = sim->instances[attempt->instance].suspects;
-      const struct jc_broken_attempt broken
-          = { .endpoint = name,
-              .incarnation = sim_endpoint->incarnation,
-              .fingerprints = &attempt->fingerprints,
-              .starting = sim->now_ms - attempt->first_event_ms < STARTING_MS };
 
       if (attempt->endpoint != endpoint)
         continue;
-      jc_suspects_note_broken (suspects, &broken, sim->now_ms);
-      jc_suspects_note_crashed (suspects, name, sim_endpoint->incarnation);
+      break_off (sim, attempt);
+      g_array_remove_index_fast (sim->attempts, i - 1);
+    }
+}
+
+/* Reset the attempts of instances whose links are broken.  */
+static void
+reset_attempts (struct sim *sim)
+{
+  bool on = fault_is_on (sim, sim->plan->reset_ms, RESET_PHASE_MS);
+
+  for (unsigned int i = 0; i < sim->plan->instances; i += 3)
+    sim->instances[i].reset = on;
+  for (guint i = sim->attempts->len; on && i > 0; i--)
+    {
+      const struct attempt *attempt
+          = &g_array_index (sim->attempts, struct attempt, i - 1);
+
+      if (!sim->instances[attempt->instance].reset
+          || attempt->endpoint < REACHED_ENDPOINTS)
+        continue;
+      break_off (sim, attempt);
+      sim->result->resets++;
       g_array_remove_index_fast (sim->attempts, i - 1);
     }
 }
 
+/* Endpoints report to the state instances.  */
+static void
+report_endpoints (struct sim *sim)
+{
+  for (unsigned int i = 0; i < CRASHSIM_ENDPOINTS; i++)
+    {
+      struct sim_endpoint *endpoint = &sim->endpoints[i];
+
+      if (sim->now_ms >= endpoint->down_until_ms
+          && sim->now_ms - endpoint->reported_ms >= HEARTBEAT_MS)
+        endpoint->reported_ms = sim->now_ms;
+    }
+}
+
+static void
+fill_witness (const struct sim *sim, const char *name,
+              struct jc_crash_witness *out)
+{
+  const struct sim_endpoint *endpoint
+      = &sim->endpoints[g_ascii_strtoull (name + 1, NULL, 10)];
+
+  *out = (struct jc_crash_witness){ .incarnation = endpoint->incarnation,
+                                    .reported_ms = endpoint->reported_ms,
+                                    .report_ms = HEARTBEAT_MS,
+                                    .leads = true };
+  if (sim->now_ms >= endpoint->down_until_ms)
+    return;
+  out->incarnation--;
+  out->refuses = true;
+}
+
+/* What an entry instance hears of the reports of endpoints.  */
+static enum jc_crash_verdict
+judge_at_entry (void *ctx, const char *endpoint, uint64_t incarnation,
+                int64_t since_ms)
+{
+  const struct sim *sim = ctx;
+  struct jc_crash_witness witness;
+
+  fill_witness (sim, endpoint, &witness);
+  if (witness.incarnation > incarnation)
+    return JC_CRASH_ENDED;
+  return witness.reported_ms > since_ms ? JC_CRASH_REFUTED : JC_CRASH_UNDECIDED;
+}
+
 static void
 crash_endpoint (struct sim *sim, unsigned int endpoint)
 {
@@ -286,6 +370,8 @@
       struct jc_str data;
       GString *encoded;
 
+      jc_suspects_check (instance->suspects, judge_at_entry, sim, instance->cut,
+                         sim->now_ms);
       if (!jc_suspects_take_report (instance->suspects, sim->now_ms, &changes))
         continue;
       report = g_new0 (struct report, 1);
@@ -361,6 +447,62 @@
   sim->entry_ms = 0;
 }
 
+/* Decide on the crashes that the log has, as the state instances do.  */
+static GString *
+judge_crashes (const struct sim *sim)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct jc_crash_report));
+  GArray *ended
+      = g_array_new (FALSE, FALSE, sizeof (struct rpc_endpoint_process));
+  GArray *refuted
+      = g_array_new (FALSE, FALSE, sizeof (struct rpc_endpoint_process));
+  struct rpc_crash_proofs proofs = { 0 };
+  GString *out = NULL;
+
+  jc_crashes_list_reported (sim->table, rows);
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const struct jc_crash_report *row
+          = &g_array_index (rows, struct jc_crash_report, i);
+      const struct rpc_endpoint_process process
+          = { .endpoint = (char *)row->endpoint,
+              .endpoint_incarnation = row->incarnation };
+      struct jc_crash_witness witness;
+      enum jc_crash_verdict verdict;
+
+      fill_witness (sim, row->endpoint, &witness);
+      verdict = jc_crash_proofs_judge (row, &witness, sim->now_ms);
+      if (verdict != JC_CRASH_UNDECIDED)
+        g_array_append_val (verdict == JC_CRASH_ENDED ? ended : refuted,
+                            process);
+    }
+  proofs.ended.ended_len = ended->len;
+  proofs.ended.ended_val = (struct rpc_endpoint_process *)ended->data;
+  proofs.refuted.refuted_len = refuted->len;
+  proofs.refuted.refuted_val = (struct rpc_endpoint_process *)refuted->data;
+  if (ended->len > 0 || refuted->len > 0)
+    out = jc_xdr_encode ((xdrproc_t)xdr_rpc_crash_proofs, &proofs);
+  g_array_free (rows, TRUE);
+  g_array_free (ended, TRUE);
+  g_array_free (refuted, TRUE);
+  return out;
+}
+
+/* Commit the proofs that were proposed.  */
+static void
+commit_proofs (struct sim *sim)
+{
+  struct rpc_crash_proofs proofs = { 0 };
+  XDR xdr;
+
+  xdrmem_create (&xdr, sim->proofs->str, (u_int)sim->proofs->len, XDR_DECODE);
+  g_assert_true (xdr_rpc_crash_proofs (&xdr, &proofs));
+  xdr_destroy (&xdr);
+  jc_crashes_apply_proofs (sim->table, &proofs, sim->now_ms);
+  xdr_free ((xdrproc_t)xdr_rpc_crash_proofs, (char *)&proofs);
+  g_string_free (g_steal_pointer (&sim->proofs), TRUE);
+}
+
 /* Append to ROWS those of BEFORE that are not in it, as cleared.  */
 static void
 append_cleared (GArray *rows, const GArray *before)
@@ -412,8 +554,19 @@
       commit (sim);
       publish (sim, false);
     }
+  if (sim->proofs != NULL && sim->now_ms >= sim->proofs_ms)
+    {
+      commit_proofs (sim);
+      publish (sim, false);
+    }
   if (sim->now_ms % GATHER_MS == 0)
     gather (sim);
+  if (sim->now_ms % GATHER_MS == 0 && sim->proofs == NULL
+      && !fault_is_on (sim, sim->plan->no_leader_ms, NO_LEADER_PHASE_MS))
+    {
+      sim->proofs = judge_crashes (sim);
+      sim->proofs_ms = sim->now_ms + COMMIT_MS;
+    }
   if (sim->entry_ms == 0 && !g_queue_is_empty (&sim->entries)
       && !fault_is_on (sim, sim->plan->no_leader_ms, NO_LEADER_PHASE_MS))
     {
@@ -457,6 +610,11 @@
   sim->reports = g_ptr_array_new_with_free_func (report_free);
   sim->table = jc_crashes_new (JC_CRASH_BLOCK_SCORE);
   sim->told = g_array_new (FALSE, FALSE, sizeof (struct rpc_suspect));
+  for (unsigned int i = 0; i < CRASHSIM_ENDPOINTS; i++)
+    sim->endpoints[i] = (struct sim_endpoint){
+      .incarnation = 1,
+      .reported_ms = -g_rand_int_range (sim->rand, 0, HEARTBEAT_MS)
+    };
   for (unsigned int i = 0; i < plan->instances; i++)
     {
       sim->instances[i].suspects = jc_suspects_new ();
@@ -469,8 +627,10 @@
       arrive_all (sim, plan->sound_per_s, false);
       if (sim->now_ms >= CRASHSIM_DEADLY_MS)
         arrive_all (sim, plan->deadly_per_s, true);
+      reset_attempts (sim);
       crash_by_requests (sim);
       crash_by_themselves (sim);
+      report_endpoints (sim);
       if (sim->now_ms % REPORT_MS == 0)
         send_reports (sim);
       run_log (sim);
@@ -480,6 +640,8 @@
   jc_crashes_free (sim->table);
   while (!g_queue_is_empty (&sim->entries))
     g_string_free (g_queue_pop_head (&sim->entries), TRUE);
+  if (sim->proofs != NULL)
+    g_string_free (sim->proofs, TRUE);
   g_ptr_array_free (sim->reports, TRUE);
   g_array_free (sim->told, TRUE);
   g_array_free (sim->attempts, TRUE);
--- a/tests/crashsim.h
+++ b/tests/crashsim.h
@@ -27,7 +27,9 @@
    FIRST_PART.  In turn, and for the time that each of the next two members
    names, a third of the instances is cut off from the state instances, or no
    leader is to be had.  Every LOSS_MS a third of the endpoints is lost at once,
-   every CRASH_MS one of them crashes by itself.  0 is for never.  */
+   every CRASH_MS one of them crashes by itself.  For RESET_MS, in turn, the
+   connections of a third of the instances to most endpoints are reset and
+   refused.  0 is for never.  */
 struct crashsim_plan
 {
   unsigned int instances;
@@ -39,13 +41,15 @@
   int64_t no_leader_ms;
   int64_t loss_ms;
   int64_t crash_ms;
+  int64_t reset_ms;
 };
 
 /* What was seen.  CRASHES were caused by deadly requests; LATE deadly requests
    reached endpoints from instances in touch after the bound number of crashes
    and CRASHSIM_CONTACT_MS; CUT_OFF ones were sent by instances that were cut
    off and had seen CRASHSIM_SEEN_MAX crashes themselves.  REFUSED sound
-   requests were refused.  BYTES_MAX is what one instance reported at most.  */
+   requests were refused.  RESETS attempts were broken off by links, not by
+   crashes.  BYTES_MAX is what one instance reported at most.  */
 struct crashsim_result
 {
   unsigned int crashes;
@@ -54,6 +58,7 @@
   unsigned int sound;
   unsigned int whole;
   unsigned int refused;
+  unsigned int resets;
   uint64_t bytes_max;
 };
 
--- a/tests/process/crash_standin.py
+++ b/tests/process/crash_standin.py
@@ -13,6 +13,11 @@
 BACK_S = 2.0
 # Time from the beginning of a deadly answer to the crash.
 BEGIN_S = 0.05
+# Endpoints whose links break this often, in turn, refuse connections for REFUSE_S each time.
+CUTS_MAX = 6
+REFUSE_S = 0.3
+# Requests that ran at such endpoints are served again this long after the last cut: reports, commits and a slow machine.
+SERVED_AGAIN_S = 3.0
 # Requests that crash endpoints must no longer reach them this long after the bound number of crashes.
 CONTACT_S = 6.0
 REACHED_MAX = 3
@@ -77,6 +82,27 @@
         return body == BAD_BODY
 
 
+class CutOff(DeadlyPart):
+    """Goes on under such requests, but its connections are reset and refused for REFUSE_S, the first CUTS_MAX times that
+    one begins to run; its reports go on."""
+
+    def is_deadly(self, start, fields, body):
+        return len(CRASHES) < CUTS_MAX and super().is_deadly(start, fields, body)
+
+    async def die(self):
+        await asyncio.sleep(BEGIN_S)
+        if self.server.is_serving():
+            CRASHES.append(time.monotonic())
+            self.server.close()
+            for writer in self.writers:
+                writer.transport.abort()
+            asyncio.create_task(self.reopen())
+
+    async def reopen(self):
+        await asyncio.sleep(REFUSE_S)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", int(self.address.rsplit(":", 1)[1]))
+
+
 class Callers:
     """Callers of all entry instances; keeps when each sound request began and whether its answer was whole."""
 
@@ -205,6 +231,24 @@
     check(callers, 3, FIRST_PARTS[0])
 
 
+async def refused_links():
+    """Endpoints break off such requests and refuse connections for a moment, one after the other, while they go on
+    reporting. That is no crash: the requests are served again soon after."""
+    await start_endpoints(CutOff)
+    callers = Callers()
+    await callers.run(RUN_S / 2, 3, lambda: ("/stream/x", [FIRST_PARTS[0], BAD_PART, own_part()], b""))
+    assert len(CRASHES) >= 3, len(CRASHES)
+    await asyncio.sleep(SERVED_AGAIN_S)
+    callers = Callers()
+    await callers.run(RUN_S / 4, 8, lambda: ("/stream/x", [FIRST_PARTS[0], BAD_PART, own_part()], b""))
+    whole = callers.bad.get(200, 0) / sum(callers.bad.values())
+    print("%d cuts; requests that ran there by status %s, sound ones whole %.3f, blocked %d"
+          % (len(CRASHES), dict(sorted(callers.bad.items())), callers.share_whole(0), callers.blocked), flush=True)
+    assert whole >= WHOLE_MIN, whole
+    assert callers.blocked == 0, callers.blocked
+
+
 if __name__ == "__main__":
     use(sys.argv[2])
-    asyncio.run({"prompt_part": prompt_part, "same_request": same_request, "refused_part": refused_part}[sys.argv[1]]())
+    asyncio.run({"prompt_part": prompt_part, "same_request": same_request, "refused_part": refused_part,
+                 "refused_links": refused_links}[sys.argv[1]]())
--- a/tests/test-crashes.c
+++ b/tests/test-crashes.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "member/crashes.h"
+#include "member/crashproofs.h"
 
 enum
 {
@@ -64,9 +64,32 @@
   g_array_append_val (change->answered, fingerprint);
 }
 
+/* Apply to CRASHES the proof that the process INCARNATION of ENDPOINT ended, or
+   with REFUTED that it went on.  */
+static void
+prove (struct jc_crashes *crashes, const char *endpoint, uint64_t incarnation,
+       bool refuted)
+{
+  struct rpc_endpoint_process process
+      = { .endpoint = (char *)endpoint, .endpoint_incarnation = incarnation };
+  struct rpc_crash_proofs proofs = { 0 };
+
+  if (refuted)
+    {
+      proofs.refuted.refuted_len = 1;
+      proofs.refuted.refuted_val = &process;
+    }
+  else
+    {
+      proofs.ended.ended_len = 1;
+      proofs.ended.ended_val = &process;
+    }
+  jc_crashes_apply_proofs (crashes, &proofs, 0);
+}
+
 /* Encode CHANGE, apply it to CRASHES as a log entry, and free it.  */
 static void
-change_apply (struct change *change, struct jc_crashes *crashes)
+change_report (struct change *change, struct jc_crashes *crashes)
 {
   struct rpc_crash_changes message = { 0 };
   struct rpc_crash_changes decoded;
@@ -98,16 +121,42 @@
   g_free (change);
 }
 
-/* Report one crash, number N, under a request with BAD and a sound one.  */
+/* The same as change_report, with proof of all crashes that CRASHES has.  */
 static void
-crash_with_bad (struct jc_crashes *crashes, unsigned int n)
+change_apply (struct change *change, struct jc_crashes *crashes)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct jc_crash_report));
+
+  change_report (change, crashes);
+  jc_crashes_list_reported (crashes, rows);
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const struct jc_crash_report *row
+          = &g_array_index (rows, struct jc_crash_report, i);
+
+      if (!row->proved)
+        prove (crashes, row->endpoint, row->incarnation, false);
+    }
+  g_array_free (rows, TRUE);
+}
+
+static struct change *
+change_with_bad (unsigned int n)
 {
   struct change *change = change_new ();
   struct rpc_crash *crash = change_add_crash (change, "e", n);
 
   crash_add (crash, true, FIRST, BAD);
   crash_add (crash, false, FIRST, SOUND + n);
-  change_apply (change, crashes);
+  return change;
+}
+
+/* Report and prove one crash, number N, under a request with BAD and a sound
+   one.  */
+static void
+crash_with_bad (struct jc_crashes *crashes, unsigned int n)
+{
+  change_apply (change_with_bad (n), crashes);
 }
 
 static void
@@ -283,6 +332,124 @@
   jc_crashes_free (crashes);
 }
 
+/* Guards against blocking requests on what entry instances report whose links
+   broke: a crash counts once the process is proved to have ended, and with the
+   batch that reported it.  */
+static void
+test_unproved (void)
+{
+  struct jc_crashes *crashes = jc_crashes_new (JC_CRASH_BLOCK_SCORE);
+  struct change *change = change_new ();
+
+  for (unsigned int n = 1; n <= 9; n++)
+    change_report (change_with_bad (n), crashes);
+  g_assert_cmpuint (jc_crashes_count_blocked (crashes), ==, 0);
+  g_assert_cmpuint (jc_crashes_score (crashes, BAD), ==, 0);
+  change_add_answered (change, FIRST);
+  change_report (change, crashes);
+  for (unsigned int n = 1; n <= 3; n++)
+    {
+      g_assert_cmpuint (jc_crashes_count_blocked (crashes), ==, 0);
+      prove (crashes, "e", n, false);
+    }
+  g_assert_true (jc_crashes_is_blocked (crashes, BAD));
+  g_assert_cmpuint (jc_crashes_count_blocked (crashes), ==, 1);
+  jc_crashes_free (crashes);
+}
+
+/* Guards against a block that stays on evidence of endpoints that went on: it
+   ends unless the other crashes call for it.  */
+static void
+test_refuted (void)
+{
+  struct jc_crashes *crashes = jc_crashes_new (JC_CRASH_BLOCK_SCORE);
+
+  for (unsigned int n = 1; n <= 4; n++)
+    {
+      crash_with_bad (crashes, n);
+      answer (crashes, FIRST);
+    }
+  prove (crashes, "e", 1, true);
+  g_assert_true (jc_crashes_is_blocked (crashes, BAD));
+  prove (crashes, "e", 3, true);
+  g_assert_cmpuint (jc_crashes_count_blocked (crashes), ==, 0);
+  g_assert_cmpuint (jc_crashes_score (crashes, BAD), ==,
+                    2 * JC_CRASH_SCORE_STARTING);
+  crash_with_bad (crashes, 5);
+  g_assert_true (jc_crashes_is_blocked (crashes, BAD));
+  jc_crashes_free (crashes);
+}
+
+/* Guards against false crashes pushing the proved ones out of the table.  */
+static void
+test_unproved_make_way (void)
+{
+  struct jc_crashes *crashes = jc_crashes_new (JC_CRASH_BLOCK_SCORE);
+  struct change *change;
+
+  for (unsigned int n = 1; n <= 2; n++)
+    crash_with_bad (crashes, n);
+  for (unsigned int n = 100; n < 600; n++)
+    {
+      change = change_new ();
+      crash_add (change_add_crash (change, "f", n), true, OTHER_FIRST, SOUND);
+      change_report (change, crashes);
+    }
+  change_report (change_with_bad (3), crashes);
+  change = change_new ();
+  change_add_answered (change, FIRST);
+  change_report (change, crashes);
+  prove (crashes, "e", 3, false);
+  g_assert_true (jc_crashes_is_blocked (crashes, BAD));
+  jc_crashes_free (crashes);
+}
+
+/* Guards against a crash that is proved by the reports of another process or by
+   none that is missing yet, or that isn't refuted by a later report.  */
+static void
+test_proofs (void)
+{
+  const struct jc_crash_report crash
+      = { .endpoint = "e", .incarnation = 7, .recorded_ms = 10000 };
+  const struct jc_crash_report proved = {
+    .endpoint = "e", .incarnation = 7, .recorded_ms = 10000, .proved = true
+  };
+  struct jc_crash_witness witness
+      = { .incarnation = 7, .reported_ms = 9900, .report_ms = 1200 };
+
+  g_assert_cmpint (jc_crash_proofs_judge (&crash, &witness, 11400), ==,
+                   JC_CRASH_UNDECIDED);
+  g_assert_cmpint (jc_crash_proofs_judge (&crash, &witness, 11401), ==,
+                   JC_CRASH_ENDED);
+  g_assert_cmpint (jc_crash_proofs_judge (&proved, &witness, 11401), ==,
+                   JC_CRASH_UNDECIDED);
+  witness.refuses = true;
+  g_assert_cmpint (jc_crash_proofs_judge (&crash, &witness, 10001), ==,
+                   JC_CRASH_ENDED);
+  witness.reported_ms = 10001;
+  g_assert_cmpint (jc_crash_proofs_judge (&crash, &witness, 20000), ==,
+                   JC_CRASH_REFUTED);
+  g_assert_cmpint (jc_crash_proofs_judge (&proved, &witness, 20000), ==,
+                   JC_CRASH_REFUTED);
+  /* The address belongs to another process.  */
+  witness.incarnation = 6;
+  g_assert_cmpint (jc_crash_proofs_judge (&crash, &witness, 11000), ==,
+                   JC_CRASH_UNDECIDED);
+  witness.incarnation = 8;
+  g_assert_cmpint (jc_crash_proofs_judge (&crash, &witness, 10002), ==,
+                   JC_CRASH_ENDED);
+  /* No instance that had its reports is left.  */
+  witness.incarnation = 0;
+  witness.reported_ms = 0;
+  g_assert_cmpint (jc_crash_proofs_judge (&crash, &witness, 20000), ==,
+                   JC_CRASH_UNDECIDED);
+  witness.leads = true;
+  g_assert_cmpint (jc_crash_proofs_judge (&crash, &witness, 12400), ==,
+                   JC_CRASH_UNDECIDED);
+  g_assert_cmpint (jc_crash_proofs_judge (&crash, &witness, 12401), ==,
+                   JC_CRASH_ENDED);
+}
+
 /* Guards against a block that never ends, and against three more crashes after
    its end: the next one blocks again, for twice as long.  */
 static void
@@ -367,10 +534,13 @@
       crash_add (change_add_crash (change, "g", n), true, OTHER_FIRST, 0);
       change_apply (change, crashes);
     }
+  change_report (change_with_bad (20), crashes);
   jc_crashes_snapshot (crashes, snapshot);
   g_assert_cmpint (jc_crashes_restore (copy, snapshot, 0), ==, JC_OK);
   crash_with_bad (crashes, 12);
   crash_with_bad (copy, 12);
+  prove (crashes, "e", 20, false);
+  prove (copy, "e", 20, false);
   for (unsigned int i = 0; i < 2; i++)
     {
       rows[i] = g_array_new (FALSE, FALSE, sizeof (struct rpc_suspect));
@@ -399,6 +569,10 @@
   g_test_add_func ("/repeated-request", test_repeated_request);
   g_test_add_func ("/counted-once", test_counted_once);
   g_test_add_func ("/answer-ends-block", test_answer_ends_block);
+  g_test_add_func ("/unproved", test_unproved);
+  g_test_add_func ("/refuted", test_refuted);
+  g_test_add_func ("/unproved-make-way", test_unproved_make_way);
+  g_test_add_func ("/proofs", test_proofs);
   g_test_add_func ("/expiry", test_expiry);
   g_test_add_func ("/invented-parts", test_invented_parts);
   g_test_add_func ("/snapshot", test_snapshot);
--- a/tests/test-suspects.c
+++ b/tests/test-suspects.c
@@ -26,13 +26,15 @@
         sized.instances = sizes[s];
         crashsim_run (&sized, seed, &result);
         g_test_message ("instances %u seed %u: crashes %u late %u cut off %u "
-                        "sound %u whole %u refused %u",
+                        "sound %u whole %u refused %u resets %u",
                         sized.instances, seed, result.crashes, result.late,
                         result.cut_off, result.sound, result.whole,
-                        result.refused);
+                        result.refused, result.resets);
         g_assert_cmpuint (result.late, <=, LATE_MAX);
         g_assert_cmpuint (result.cut_off, ==, 0);
         g_assert_cmpuint (result.refused, ==, 0);
+        if (plan->reset_ms > 0)
+          g_assert_cmpuint (result.resets, >, 0);
         if (plan->deadly_per_s > 0)
           g_assert_cmpuint (result.crashes, >=, 3);
       }
@@ -122,13 +124,34 @@
   g_assert_cmpuint (many.bytes_max, <=, few.bytes_max);
 }
 
-static bool
-has_not_crashed (void *ctx, const char *endpoint, uint64_t incarnation)
+/* Guards against refusing sound requests because the links of some instances to
+   most endpoints are reset and refused while the endpoints go on: these
+   instances take all of them for crashed.  */
+static void
+test_reset_links (void)
+{
+  check_bound (&(struct crashsim_plan){ .sound_per_s = 150, .reset_ms = 800 });
+  check_bound (&(struct crashsim_plan){ .sound_per_s = 150, .reset_ms = 5000 });
+}
+
+/* The same beside deadly requests, which are to be blocked as soon as without
+   broken links.  */
+static void
+test_reset_links_among_crashes (void)
+{
+  check_bound (&(struct crashsim_plan){
+      .sound_per_s = 150, .deadly_per_s = 3, .reset_ms = 2000 });
+}
+
+static enum jc_crash_verdict
+is_undecided (void *ctx, const char *endpoint, uint64_t incarnation,
+              int64_t since_ms)
 {
   (void)ctx;
   (void)endpoint;
   (void)incarnation;
-  return false;
+  (void)since_ms;
+  return JC_CRASH_UNDECIDED;
 }
 
 /* Guards against taking an answer that an endpoint broke off, and which goes on
@@ -151,7 +174,7 @@
 
       g_assert_true (jc_suspects_note_broken (suspects, &attempt, now));
       g_assert_false (jc_suspects_note_broken (suspects, &attempt, now));
-      jc_suspects_check (suspects, has_not_crashed, NULL, now + 5000);
+      jc_suspects_check (suspects, is_undecided, NULL, false, now + 5000);
       g_assert_false (jc_suspects_take_report (suspects, now + 5000, &report));
     }
   g_assert_false (jc_suspects_find_blocked (suspects, &fingerprints, &blocked));
@@ -175,6 +198,9 @@
   g_test_add_func ("/cut-off", test_cut_off);
   g_test_add_func ("/other-crashes", test_other_crashes);
   g_test_add_func ("/among-other-crashes", test_among_other_crashes);
+  g_test_add_func ("/reset-links", test_reset_links);
+  g_test_add_func ("/reset-links-among-crashes",
+                   test_reset_links_among_crashes);
   g_test_add_func ("/bytes", test_bytes);
   g_test_add_func ("/broken-answers", test_broken_answers);
   return g_test_run ();
