Search with an instance's own uncertain record in the simulation too

The product counts the own record of a stream as an uncertain answer; the simulation's searches didn't. Only the simulation changes, to what the product does; no check or bound is touched.

--- a/tests/versionsearches.c
+++ b/tests/versionsearches.c
@@ -385,6 +385,21 @@
                                      .data = search });
 }
 
+/* Add to SEARCH what the entry instance recorded itself of STREAM, whose
+   version isn't certain there.  */
+static void
+note_own_start (struct world *world, const struct stream *stream,
+                struct world_search *search)
+{
+  const struct jc_stream_start *start = jc_stream_starts_find (
+      world->entries[stream->entry].starts, stream->hash, world->now_ms);
+
+  if (start == NULL)
+    return;
+  search->answers.uncertain = true;
+  search->answers.conflict = start->conflict;
+}
+
 /* Start to look for the version that began STREAM.  */
 void
 searches_start (struct world *world, struct stream *stream)
@@ -396,6 +411,7 @@
   unsigned int source = orders_source (world, entry);
 
   search->attempt = stream->attempt;
+  note_own_start (world, stream, search);
   if (stream->search_ms == 0)
     stream->search_ms = world->now_ms;
   for (unsigned int i = 0; i < count; i++)
