--- a/state/fleet.c
+++ b/state/fleet.c
@@ -334,13 +334,6 @@
   g_ptr_array_free (all, TRUE);
 }
 
-/* Return the endpoint NAME, or NULL if it is not known here.  */
-const struct jc_endpoint *
-fleet_find (const struct state *state, const char *name)
-{
-  return jc_endpoints_find (state->fleet->endpoints, name);
-}
-
 /* End the endpoint of DEPARTURE here: reports of it count no more.  */
 void
 fleet_end (struct state *state, const struct rpc_departure *departure)
--- a/state/state.h
+++ b/state/state.h
@@ -165,8 +165,6 @@
                                     const struct jc_endpoint_report *report);
 void fleet_handle_leave (struct state *state, const char *name,
                          uint64_t incarnation);
-const struct jc_endpoint *fleet_find (const struct state *state,
-                                      const char *name);
 void fleet_end (struct state *state, const struct rpc_departure *departure);
 bool fleet_may_reach (const struct state *state, const struct jc_rpc_conn *conn,
                       const char *zone);
