Forget the loss of a service whose endpoints have left

Callers were sent to other instances for as long as a service had no endpoints in the region: the directory names an instance without reach last, and an instance that had lost its links to endpoints which then left never heard of one again, so it stayed lost. Ruled out: the endpoints' leases; both had deregistered.

--- a/entry/reach.c
+++ b/entry/reach.c
@@ -245,8 +245,20 @@
   g_ptr_array_remove_fast (router->reach_probes, reach_probe);
 }
 
-/* Probe the lost services that are due, and forget those that the configuration
-   no longer has.  */
+/* Return whether SERVICE is in the configuration and has endpoints that may get
+   requests.  */
+static bool
+has_endpoints (const struct router *router, const char *service)
+{
+  GPtrArray *endpoints = list_endpoints (router, service);
+  bool found = endpoints->len > 0;
+
+  g_ptr_array_free (endpoints, TRUE);
+  return found && jc_routetable_find_service (router->routes, service) != NULL;
+}
+
+/* Probe the lost services that are due, and forget those that are gone or have
+   no endpoints any more.  */
 void
 reach_tick (struct router *router)
 {
@@ -258,7 +270,7 @@
     {
       const char *service = g_ptr_array_index (services, i);
 
-      if (jc_routetable_find_service (router->routes, service) == NULL)
+      if (!has_endpoints (router, service))
         jc_reach_forget (router->reach, service);
       else if (jc_reach_take_probe (router->reach, service, now))
         probe_any (router, service, NULL);
--- a/tests/process/reach_services_standin.py
+++ b/tests/process/reach_services_standin.py
@@ -7,7 +7,7 @@
 import time
 
 from hosts_standin import ADDRESSES, Endpoint, configuration, in_force, order, request, route, until, use
-from reach_standin import Hanging, attempts, unreached, until_unreached
+from reach_standin import Hanging, attempts, directory, unreached, until_unreached
 
 REQUESTS = 40
 COLD_ENDPOINTS = 12
@@ -87,5 +87,27 @@
     assert statuses.count(200) == len(statuses), statuses
 
 
+async def left():
+    """The endpoints of a service leave while one instance has lost its links to them."""
+    gone = [await Hanging(f"plain-{i}", "plain", "z1").start() for i in range(2)]
+    await Endpoint("engine-0", "engine", "z1").start()
+    await order("/v1/Config.Replace",
+                configuration(3, [route("read", "safe", "plain"), route("other", "safe", "engine")]))
+    await in_force(ADDRESSES["entries"], "/read/x", 200)
+    await in_force(ADDRESSES["entries"], "/other/x", 200)
+    for endpoint in gone:
+        endpoint.hang()
+    await until_unreached(0, 1)
+    for endpoint in gone:
+        endpoint.task.cancel()
+        await order("/v1/Instances.Deregister/" + endpoint.name)
+
+    async def names_both():
+        text = await directory()
+        return all(address in text for address in ADDRESSES["entries"])
+    await until("the directory to name both instances", names_both)
+    assert await unreached(0) == 0
+
+
 use(sys.argv[2])
-asyncio.run({"refused": refused, "cold": cold, "partly": partly}[sys.argv[1]]())
+asyncio.run({"refused": refused, "cold": cold, "partly": partly, "left": left}[sys.argv[1]]())
