Ask a process which incarnation it is before a report proves its version

Cause: a report that came 0.25 s after a connection was opened counted as one of the process behind it. A one-way message without a bound on its delay doesn't show when it was sent. Comparing starts with the time of a connection: clocks differ and jump.

A start whose caller has left stays in question until its process is known, 8 s at most.

--- a/base/event.c
+++ b/base/event.c
@@ -64,6 +64,7 @@
   [JC_EVENT_CRASH] = { "crash", 100, true },
   [JC_EVENT_VERSION] = { "version", 50, true },
   [JC_EVENT_RESUME] = { "resume", 100, true },
+  [JC_EVENT_IDENTITY] = { "identity", 100, true },
   [JC_EVENT_ATTEMPT_END] = { "attempt_end", 100, false },
   [JC_EVENT_SERVED] = { "served", 100, false },
   [JC_EVENT_REFUSED] = { "refused", 100, true },
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -68,6 +68,7 @@
   g_string_free (exchange->held_comments, TRUE);
   jc_sse_free (&exchange->sse);
   g_free (exchange->target_name);
+  g_free (exchange->target_address);
   g_free (exchange);
 }
 
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -82,6 +82,7 @@
   struct jc_httpc_call *call;
   struct jc_engine_run *engine_run;
   char *target_name;
+  char *target_address;
   const char *target_zone;
   const char *target_region;
   bool remote;
@@ -93,6 +94,7 @@
   uint64_t target_tag;
   uint64_t target_software;
   int64_t process_since_ms;
+  int64_t process_heard_ms;
 
   struct jc_head answer_head;
   struct jc_answer_info answer_info;
--- a/entry/resumptions.c
+++ b/entry/resumptions.c
@@ -14,9 +14,36 @@
   /* Events wait for this long to be shown to be of the right version: two
      intervals of an endpoint's reports.  */
   HELD_MAX_MS = 2600,
+  /* The version that began a stream is looked for so long after its caller has
+     left: a report may come 3 s late, and the next one an interval later.  */
+  LEFT_MAX_MS = 8000,
   HEXADECIMAL = 16
 };
 
+/* A process that an attempt went to: at the endpoint NAME's ADDRESS, believed
+   to be the incarnation of TAG.  It had been the same since SINCE_MS when it
+   was heard last, at HEARD_MS.  */
+struct target_process
+{
+  const char *name;
+  const char *address;
+  uint64_t tag;
+  int64_t since_ms;
+  int64_t heard_ms;
+};
+
+/* A stream, of the hash STREAM, that began at STARTED_MS at PROCESS, whose
+   version isn't certain, and which no exchange serves any more.  PROCESS refers
+   to NAME and ADDRESS.  */
+struct left_start
+{
+  struct target_process process;
+  char *name;
+  char *address;
+  uint64_t stream;
+  int64_t started_ms;
+};
+
 /* Return whether EXCHANGE's request is for a stream that may go on at another
    endpoint.  */
 static bool
@@ -71,14 +98,6 @@
     exchange->software = g_ascii_strtoull (software, NULL, HEXADECIMAL);
 }
 
-/* EXCHANGE ends: forget it.  */
-void
-resumptions_forget (struct exchange *exchange)
-{
-  versionsearch_forget (exchange);
-  g_ptr_array_remove (exchange->router->unproven, exchange);
-}
-
 /* Return whether the process that answers at ENDPOINT's address is certainly
    the incarnation that is known.  */
 bool
@@ -87,9 +106,14 @@
 {
   int64_t since
       = jc_httpc_address_since_ms (router->entry->httpc, endpoint->address);
+  const struct jc_process_identity *identity
+      = identities_find (router, endpoint->address);
 
   return since >= 0
-         && jc_resumption_is_confirmed (endpoint->reported_ms, since);
+         && (jc_resumption_is_confirmed (endpoint->reported_ms, since)
+             || (identity != NULL
+                 && identity->incarnation == endpoint->incarnation
+                 && jc_resumption_is_identified (identity, since, since)));
 }
 
 /* EXCHANGE's current attempt, which goes to ENDPOINT, is about to start.  */
@@ -99,27 +123,80 @@
 {
   exchange->target_software = endpoint->software;
   exchange->target_tag = endpoint->tag;
+  g_free (exchange->target_address);
+  exchange->target_address = g_strdup (endpoint->address);
+  exchange->process_since_ms = jc_now_ms ();
+  exchange->process_heard_ms = 0;
   exchange->held_done = false;
   exchange->unproven_attempt
       = is_resumable (exchange) && exchange->software != 0;
 }
 
-/* Return the version of the incarnation that EXCHANGE's current attempt was
-   sent to, an endpoint, or 0 if it isn't certain that this is the process that
-   answers.  */
+/* Return whether PROCESS has told which incarnation it is, and store that in
+   INCARNATION.  */
+static bool
+process_is_identified (const struct router *router,
+                       const struct target_process *process,
+                       uint64_t *incarnation)
+{
+  const struct jc_process_identity *identity
+      = identities_find (router, process->address);
+
+  if (identity == NULL
+      || !jc_resumption_is_identified (identity, process->since_ms,
+                                       process->heard_ms))
+    return false;
+  *incarnation = identity->incarnation;
+  return true;
+}
+
+/* Return the version of PROCESS, or 0 if that isn't certain: what it told of
+   itself counts, and without that a report which it must have sent.  */
 static uint64_t
-certain_software (const struct exchange *exchange)
+process_software (const struct router *router,
+                  const struct target_process *process)
 {
-  const struct jc_endpoint *endpoint = jc_endpoints_find_by_tag (
-      exchange->router->endpoints, exchange->target_tag);
+  const struct jc_endpoint *endpoint;
+  uint64_t incarnation;
 
+  if (process_is_identified (router, process, &incarnation))
+    {
+      endpoint = jc_endpoints_find (router->endpoints, process->name);
+      return endpoint != NULL && endpoint->incarnation == incarnation
+                     && strcmp (endpoint->address, process->address) == 0
+                 ? endpoint->software
+                 : 0;
+    }
+  endpoint = jc_endpoints_find_by_tag (router->endpoints, process->tag);
   return endpoint != NULL
                  && jc_resumption_is_confirmed (endpoint->reported_ms,
-                                                exchange->process_since_ms)
+                                                process->since_ms)
              ? endpoint->software
              : 0;
 }
 
+/* Return the process that answers EXCHANGE's current attempt, which went to an
+   endpoint.  */
+static struct target_process
+exchange_process (const struct exchange *exchange)
+{
+  return (struct target_process){ .name = exchange->target_name,
+                                  .address = exchange->target_address,
+                                  .tag = exchange->target_tag,
+                                  .since_ms = exchange->process_since_ms,
+                                  .heard_ms = exchange->process_heard_ms };
+}
+
+/* Return the version of the process that answers EXCHANGE's current attempt,
+   which went to an endpoint, or 0 if it isn't certain.  */
+static uint64_t
+certain_software (const struct exchange *exchange)
+{
+  const struct target_process process = exchange_process (exchange);
+
+  return process_software (exchange->router, &process);
+}
+
 /* Record that the version that began EXCHANGE's stream is its SOFTWARE, or,
    while that isn't certain, what its endpoint is believed to have.  */
 static void
@@ -139,12 +216,25 @@
     starts_record (exchange->router, &start);
 }
 
-/* Bytes of the answer to EXCHANGE's current attempt have come.  */
+/* Bytes of the answer to EXCHANGE's current attempt have come.  If it isn't
+   certain which process sent them, ask it.  */
 void
 resumptions_note_heard (struct exchange *exchange)
 {
-  if (!exchange->remote && exchange->call != NULL)
-    exchange->process_since_ms = jc_httpc_call_since_ms (exchange->call);
+  struct target_process process;
+  uint64_t incarnation;
+
+  if (exchange->remote || exchange->call == NULL)
+    return;
+  exchange->process_since_ms = jc_httpc_call_since_ms (exchange->call);
+  exchange->process_heard_ms = jc_now_ms ();
+  if (!is_resumable (exchange)
+      || (exchange->software != 0 && !exchange->unproven_attempt))
+    return;
+  process = exchange_process (exchange);
+  if (process_software (exchange->router, &process) == 0
+      && !process_is_identified (exchange->router, &process, &incarnation))
+    identities_ask (exchange->router, process.address);
 }
 
 /* The first event of EXCHANGE's answer is about to be passed on: record which
@@ -206,8 +296,57 @@
          || jc_now_ms () - exchange->held_since_ms > HELD_MAX_MS;
 }
 
-/* EXCHANGE's current attempt has ended: the version that began its stream is
-   certain now or never.  */
+static void
+left_start_free (gpointer data)
+{
+  struct left_start *left = data;
+
+  g_free (left->name);
+  g_free (left->address);
+  g_free (left);
+}
+
+/* Keep the start of EXCHANGE's stream until the version that began it is
+   certain.  */
+static void
+keep_start (const struct exchange *exchange)
+{
+  struct left_start *left = g_new0 (struct left_start, 1);
+
+  left->name = g_strdup (exchange->target_name);
+  left->address = g_strdup (exchange->target_address);
+  left->process = exchange_process (exchange);
+  left->process.name = left->name;
+  left->process.address = left->address;
+  left->stream = exchange->stream;
+  left->started_ms = jc_now_ms ();
+  g_ptr_array_add (exchange->router->left_starts, left);
+}
+
+/* Record the starts of streams without an exchange whose version has become
+   certain, and forget those for which that took too long.  */
+static void
+check_left_starts (struct router *router)
+{
+  for (guint i = router->left_starts->len; i > 0; i--)
+    {
+      const struct left_start *left
+          = g_ptr_array_index (router->left_starts, i - 1);
+      const struct jc_stream_start start
+          = { .stream = left->stream,
+              .software = process_software (router, &left->process),
+              .started_ms = left->started_ms,
+              .certain = true };
+
+      if (start.software != 0)
+        starts_record (router, &start);
+      if (start.software != 0 || jc_now_ms () - left->started_ms > LEFT_MAX_MS)
+        g_ptr_array_remove_index_fast (router->left_starts, i - 1);
+    }
+}
+
+/* EXCHANGE's current attempt has ended: if the version that began its stream is
+   not certain now, it may become so later.  */
 void
 resumptions_attempt_ended (struct exchange *exchange)
 {
@@ -217,6 +356,16 @@
   exchange->software = certain_software (exchange);
   if (exchange->software != 0)
     record_start (exchange);
+  else if (exchange->stream != 0)
+    keep_start (exchange);
+}
+
+/* EXCHANGE ends: forget it.  */
+void
+resumptions_forget (struct exchange *exchange)
+{
+  versionsearch_forget (exchange);
+  resumptions_attempt_ended (exchange);
 }
 
 /* CONN came up: ask a state instance for versions, and send it the starts that
@@ -234,8 +383,8 @@
 
 /* Check again what is not certain yet: versions that began streams, and events
    that are held.  */
-static void
-check_unproven (struct router *router)
+void
+resumptions_check (struct router *router)
 {
   GPtrArray *unproven = g_ptr_array_copy (router->unproven, NULL, NULL);
 
@@ -252,6 +401,7 @@
         }
     }
   g_ptr_array_free (unproven, TRUE);
+  check_left_starts (router);
 }
 
 /* Apply the versions in PACKET, which CONN sent; messages of others than state
@@ -272,7 +422,7 @@
               body->rpc_body_u.versions.position,
               body->rpc_body_u.versions.list.list_len, jc_rpc_conn_name (conn));
   if (body->type == RPC_FLEET)
-    check_unproven (router);
+    resumptions_check (router);
   if (body->type == RPC_ENDPOINT_VERSIONS)
     for (u_int i = 0; i < reported->list.list_len; i++)
       jc_endpoints_set_software (router->endpoints,
@@ -284,8 +434,9 @@
 void
 resumptions_tick (struct router *router)
 {
-  check_unproven (router);
+  resumptions_check (router);
   versionsearch_tick (router);
+  identities_tick (router);
   jc_stream_starts_expire (router->starts, jc_now_ms ());
 }
 
@@ -296,6 +447,8 @@
   router->versions = jc_versions_new ();
   router->unproven = g_ptr_array_new ();
   router->unsearched = g_ptr_array_new ();
+  router->left_starts = g_ptr_array_new_with_free_func (left_start_free);
+  identities_start (router);
   starts_start (router);
 }
 
@@ -304,6 +457,8 @@
 resumptions_stop (struct router *router)
 {
   starts_stop (router);
+  identities_stop (router);
+  g_ptr_array_free (router->left_starts, TRUE);
   jc_versions_free (router->versions);
   g_ptr_array_free (router->unproven, TRUE);
   g_ptr_array_free (router->unsearched, TRUE);
--- a/entry/router.h
+++ b/entry/router.h
@@ -42,7 +42,9 @@
    one dials.  VERSIONS are those that may begin streams, STARTS the streams
    that this instance began, UNSENT_STARTS those that are to be sent, and
    UNPROVEN the
-   exchanges whose version isn't certain yet, UNSEARCHED those that no state
+   exchanges whose version isn't certain yet, LEFT_STARTS the streams without an
+   exchange for which the same holds, IDENTITIES what is known of the process at
+   each address (see identities.c), UNSEARCHED those that no state
    instance has told it.  */
 struct router
 {
@@ -66,6 +68,8 @@
   GArray *unsent_starts;
   ev_timer starts_timer;
   GPtrArray *unproven;
+  GPtrArray *left_starts;
+  GHashTable *identities;
   GPtrArray *unsearched;
   GHashTable *request_rates;
   GHashTable *answer_sizes;
@@ -230,8 +234,17 @@
                                 const struct rpc_packet *packet);
 bool resumptions_is_certain (const struct router *router,
                              const struct jc_endpoint *endpoint);
+void resumptions_check (struct router *router);
 void resumptions_tick (struct router *router);
 
+/* identities: what the processes at endpoints' addresses say that they are.  */
+void identities_start (struct router *router);
+void identities_stop (struct router *router);
+void identities_tick (struct router *router);
+void identities_ask (struct router *router, const char *address);
+const struct jc_process_identity *identities_find (const struct router *router,
+                                                   const char *address);
+
 /* versionsearch: searches for the versions that began streams.  */
 void versionsearch_tick (struct router *router);
 
--- a/serve/protocol.h
+++ b/serve/protocol.h
@@ -120,11 +120,13 @@
 struct jc_http_req;
 
 /* A protocol.  ECHO_HEADER is the header that an answer repeats from its
-   request, so that an answer to an earlier attempt is recognized.  */
+   request, so that an answer to an earlier attempt is recognized.  An engine
+   answers a GET of STATE_PATH with its state, which parse_state reads.  */
 struct jc_protocol
 {
   const char *name;
   const char *echo_header;
+  const char *state_path;
 
   enum jc_status (*parse_request) (const struct jc_head *head,
                                    struct jc_request_info *out);
@@ -141,6 +143,7 @@
   enum jc_status (*parse_report) (const char *name, struct jc_str body,
                                   struct jc_endpoint_report *out);
   char *(*format_report_answer) (const char *report_to);
+  bool (*parse_state) (struct jc_str body, uint64_t *incarnation);
   struct jc_routetable *(*parse_routes) (struct jc_str text, GPtrArray *faults);
 
   bool (*parse_discovery) (const struct jc_http_req *req,
--- a/serve/resumption.c
+++ b/serve/resumption.c
@@ -8,9 +8,9 @@
 
 enum
 {
-  /* An endpoint's report reaches an instance within this time, unless it is
-     held up on its way: three times the time between regions.  */
-  REPORT_DELAY_MS = 250
+  /* An endpoint's report reaches an instance within this time: it may be held
+     up on its way for 3 s, beside three times the time between regions.  */
+  REPORT_DELAY_MS = 3250
 };
 
 /* Add the answer FOUND of a state instance, NULL if none came.  CERTAIN tells
@@ -177,3 +177,13 @@
 {
   return reported_ms - since_ms >= REPORT_DELAY_MS;
 }
+
+/* Return whether IDENTITY is that of the process that had been the same since
+   SINCE_MS when it was heard at HEARD_MS at the same address: no two processes
+   have an address at once, so that it is the same one if the times overlap.  */
+bool
+jc_resumption_is_identified (const struct jc_process_identity *identity,
+                             int64_t since_ms, int64_t heard_ms)
+{
+  return identity->heard_ms > since_ms && heard_ms > identity->since_ms;
+}
--- a/serve/resumption.h
+++ b/serve/resumption.h
@@ -47,6 +47,16 @@
   bool conflict;
 };
 
+/* What the process at an address said of itself: the start that its reports
+   name, too.  It had been the same process since SINCE_MS when it was heard at
+   HEARD_MS; 0 if none was heard.  */
+struct jc_process_identity
+{
+  uint64_t incarnation;
+  int64_t since_ms;
+  int64_t heard_ms;
+};
+
 /* A state instance that may hold starts of streams.  */
 struct jc_stream_holder
 {
@@ -70,5 +80,7 @@
                             uint64_t stream,
                             unsigned int picked[JC_RESUMPTION_HOLDERS_MAX]);
 bool jc_resumption_is_confirmed (int64_t reported_ms, int64_t since_ms);
+bool jc_resumption_is_identified (const struct jc_process_identity *identity,
+                                  int64_t since_ms, int64_t heard_ms);
 
 #endif
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -147,6 +147,34 @@
   g_assert_true (out.endpoint.leaving);
 }
 
+/* Guards against an answer of an engine about its state that can't be read, or
+   names no start, being taken for one that names it.  */
+static void
+test_states (void)
+{
+  static const char *const bad[] = { "",
+                                     "{",
+                                     "[]",
+                                     "5",
+                                     "{}",
+                                     "{\"born\":-1}",
+                                     "{\"born\":\"1\"}",
+                                     "{\"born\":1.5}",
+                                     "{\"born\":null}",
+                                     "{\"state\":{\"born\":5}}" };
+  uint64_t incarnation = 0;
+  struct jc_str body = JC_STR_LIT (
+      "{\"phase\":\"both\",\"sequence\":0,\"born\":1700000000000}");
+
+  g_assert_true (platform_protocol.parse_state (body, &incarnation));
+  g_assert_cmpuint (incarnation, ==, 1700000000000U);
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      body = (struct jc_str){ .data = bad[i], .len = strlen (bad[i]) };
+      g_assert_false (platform_protocol.parse_state (body, &incarnation));
+    }
+}
+
 static void
 test_invalid_reports (void)
 {
@@ -415,6 +443,7 @@
   g_test_add_func ("/platform/invalid-configurations",
                    test_invalid_configurations);
   g_test_add_func ("/platform/reports", test_reports);
+  g_test_add_func ("/platform/states", test_states);
   g_test_add_func ("/platform/invalid-reports", test_invalid_reports);
   g_test_add_func ("/platform/request-headers", test_request_headers);
   g_test_add_func ("/platform/malformed-prompt-parts",
--- a/tests/test-resumption.c
+++ b/tests/test-resumption.c
@@ -14,7 +14,8 @@
   NAME_BYTES = 24,
   STREAMS = 4000,
   /* See REPORT_DELAY_MS.  */
-  MARGIN_MS = 250
+  /* Reports come up to 3 s late.  */
+  MARGIN_MS = 3250
 };
 
 /* What a state instance answers: that it has no record, one of a version, one
@@ -218,6 +219,27 @@
   g_assert_false (jc_resumption_is_confirmed (-MARGIN_MS - 1, -1));
 }
 
+/* Guards against taking what an earlier or later process at an address said of
+   itself for the word of the one that answered: the times for which both are
+   known to have run must overlap.  */
+static void
+test_identity (void)
+{
+  const struct jc_process_identity identity
+      = { .incarnation = 7, .since_ms = 1000, .heard_ms = 2000 };
+  const struct jc_process_identity none = { .incarnation = 0 };
+
+  g_assert_true (jc_resumption_is_identified (&identity, 1500, 1600));
+  g_assert_true (jc_resumption_is_identified (&identity, 500, 2500));
+  g_assert_true (jc_resumption_is_identified (&identity, 1999, 2500));
+  g_assert_true (jc_resumption_is_identified (&identity, 500, 1001));
+  g_assert_false (jc_resumption_is_identified (&identity, 2000, 2500));
+  g_assert_false (jc_resumption_is_identified (&identity, 500, 1000));
+  /* Nothing was heard yet of the process that is asked for, or of any.  */
+  g_assert_false (jc_resumption_is_identified (&identity, 1500, 0));
+  g_assert_false (jc_resumption_is_identified (&none, 1500, 1600));
+}
+
 /* State instances: COUNT of them, in turn in each region.  */
 struct holders
 {
@@ -426,6 +448,7 @@
   g_test_add_func ("/nobody-asked", test_nobody_asked);
   g_test_add_func ("/names", test_names);
   g_test_add_func ("/certainty", test_certainty);
+  g_test_add_func ("/identity", test_identity);
   g_test_add_func ("/holders-same", test_holders_same);
   g_test_add_func ("/few-holders", test_few_holders);
   g_test_add_func ("/holders-change", test_holders_change);
--- a/tests/test-stream-versions.c
+++ b/tests/test-stream-versions.c
@@ -189,10 +189,10 @@
       ==, 0);
 }
 
-/* Guards against streams joined from two versions where reports are later than
-   the margin.  */
+/* Check that no stream holds events of two versions where reports come up to 3
+   s late.  UNTOLD is as in PLAN.  */
 static void
-test_late_reports (void)
+check_late_reports (bool untold)
 {
   static const int64_t delays_ms[] = { 500, 600, 800, 1500, 3000 };
   unsigned int mixed = 0;
@@ -203,7 +203,8 @@
           = hunt ((struct versionsim_plan){ .entries = FEW_ENTRIES,
                                             .states = 6,
                                             .crash_ms = 200,
-                                            .delay_ms = delays_ms[i] },
+                                            .delay_ms = delays_ms[i],
+                                            .untold = untold },
                   LATE_SEEDS);
 
       g_test_message ("reports up to %d ms late: %u streams mixed",
@@ -213,6 +214,21 @@
   g_assert_cmpuint (mixed, ==, 0);
 }
 
+/* Guards against a late report being taken for one of the process that answers:
+   its sender has started again under its name with other software.  */
+static void
+test_late_reports (void)
+{
+  check_late_reports (false);
+}
+
+/* The same where endpoints don't tell which incarnation they are.  */
+static void
+test_late_reports_untold (void)
+{
+  check_late_reports (true);
+}
+
 /* Guards against streams joined from two versions where the connections of an
    endpoint that ended still look open: its end is heard of late.  */
 static void
@@ -412,6 +428,7 @@
   g_test_add_func ("/lost-records", test_lost_records);
   g_test_add_func ("/reports-of-ended", test_reports_of_ended);
   g_test_add_func ("/late-reports", test_late_reports);
+  g_test_add_func ("/late-reports-untold", test_late_reports_untold);
   g_test_add_func ("/silent-ends", test_silent_ends);
   g_test_add_func ("/share", test_share);
   g_test_add_func ("/share-after-kill", test_share_after_kill);
--- a/tests/versionconns.c
+++ b/tests/versionconns.c
@@ -7,7 +7,9 @@
 enum
 {
   /* Connections that are idle for longer are closed.  */
-  IDLE_MS = 5000
+  IDLE_MS = 5000,
+  /* Within the region.  */
+  HOP_MS = 1
 };
 
 static void
@@ -30,7 +32,8 @@
     {
       struct world_conn *conn = g_ptr_array_index (conns, i - 1);
 
-      if (conn->stream == NULL && world->now_ms - conn->used_ms > IDLE_MS)
+      if (conn->stream == NULL && !conn->is_question
+          && world->now_ms - conn->used_ms > IDLE_MS)
         conn_close (entry, conn);
     }
 }
@@ -50,7 +53,8 @@
     {
       struct world_conn *conn = g_ptr_array_index (conns, i);
 
-      if (conn->stream == NULL && conn->process == stream->process
+      if (conn->stream == NULL && !conn->is_question
+          && conn->process == stream->process
           && (taken == NULL || conn->used_ms >= taken->used_ms))
         taken = conn;
     }
@@ -81,6 +85,81 @@
   used->since_ms = conn->since_ms;
   used->heard_ms = world->now_ms;
   stream->process_since_ms = conn->since_ms;
+  stream->process_heard_ms = world->now_ms;
+}
+
+/* The endpoint's answer of what it says of itself has come, unless its process
+   has ended meanwhile.  */
+static void
+on_identity (struct world *world, const struct world_event *event)
+{
+  struct world_entry *entry = &world->entries[event->entry];
+  const struct world_endpoint *endpoint = &world->endpoints[event->endpoint];
+  struct world_conn *conn = event->data;
+  struct world_address *used = &entry->used[event->endpoint];
+
+  if (!entries_is_current (world, event))
+    return;
+  entry->asking[event->endpoint] = false;
+  if (!g_ptr_array_find (entry->http_conns[event->endpoint], conn, NULL))
+    return;
+  if (endpoint->up && endpoint->incarnation == conn->process)
+    {
+      if (used->heard_ms > conn->connected_ms)
+        conn->since_ms = MIN (conn->since_ms, used->since_ms);
+      used->since_ms = conn->since_ms;
+      used->heard_ms = world->now_ms;
+      entry->identities[event->endpoint]
+          = (struct jc_process_identity){ .incarnation = conn->process,
+                                          .since_ms = conn->since_ms,
+                                          .heard_ms = world->now_ms };
+    }
+  conn_close (entry, conn);
+  entries_check (world, event->entry);
+}
+
+/* A question of what an endpoint says of itself arrives.  */
+static void
+on_identify (struct world *world, const struct world_event *event)
+{
+  struct world_entry *entry = &world->entries[event->entry];
+  const struct world_endpoint *endpoint = &world->endpoints[event->endpoint];
+  struct world_event answer = *event;
+  struct world_conn *conn;
+
+  if (!entries_is_current (world, event))
+    return;
+  if (!endpoint->up)
+    {
+      entry->asking[event->endpoint] = false;
+      return;
+    }
+  conn = world_alloc (world, sizeof *conn);
+  *conn = (struct world_conn){ .endpoint = event->endpoint,
+                               .process = endpoint->incarnation,
+                               .connected_ms = world->now_ms,
+                               .since_ms = world->now_ms,
+                               .used_ms = world->now_ms + IDLE_MS,
+                               .is_question = true };
+  entry->used[event->endpoint].open++;
+  g_ptr_array_add (entry->http_conns[event->endpoint], conn);
+  answer.run = on_identity;
+  answer.data = conn;
+  world_after (world, HOP_MS, answer);
+}
+
+/* Let ENTRY ask the process at ENDPOINT's address what it is.  */
+void
+conns_identify (struct world *world, unsigned int entry, unsigned int endpoint)
+{
+  if (world->entries[entry].asking[endpoint])
+    return;
+  world->entries[entry].asking[endpoint] = true;
+  world_after (world, HOP_MS,
+               (struct world_event){ .run = on_identify,
+                                     .entry = entry,
+                                     .endpoint = endpoint,
+                                     .epoch = world->entries[entry].epoch });
 }
 
 /* STREAM's attempt needs its connection no more.  It stays open for others if
--- a/tests/versionentries.c
+++ b/tests/versionentries.c
@@ -11,6 +11,7 @@
   TICK_MS = 100,
   EXPIRE_MS = 250,
   HELD_MAX_MS = 2600,
+  LEFT_MAX_MS = 8000,
   /* Within the region.  */
   HOP_MS = 1,
   EVENT_MS = 100,
@@ -35,25 +36,87 @@
   entry->bytes += world_packet_bytes (packet);
 }
 
-/* Return the version of the incarnation that STREAM's attempt was sent to, 0 if
-   it isn't certain that this is the process that answers.  */
+/* Return the version of TARGET's process, 0 if it isn't certain.  */
 static uint64_t
-certain_software (const struct world *world, const struct stream *stream)
+target_software (const struct world *world, unsigned int entry,
+                 const struct world_target *target)
 {
-  const struct jc_endpoint *endpoint = jc_endpoints_find_by_tag (
-      world->entries[stream->entry].endpoints, stream->target_tag);
-
-  return endpoint != NULL
-                 && jc_resumption_is_confirmed (endpoint->reported_ms,
-                                                stream->process_since_ms)
+  const struct world_entry *at = &world->entries[entry];
+  const struct jc_process_identity *identity
+      = &at->identities[target->endpoint];
+  const struct jc_endpoint *endpoint
+      = jc_endpoints_find_by_tag (at->endpoints, target->tag);
+
+  if (endpoint != NULL
+      && jc_resumption_is_confirmed (endpoint->reported_ms, target->since_ms))
+    return endpoint->software;
+  endpoint = jc_endpoints_find (at->endpoints,
+                                world->endpoints[target->endpoint].name);
+  return endpoint != NULL && endpoint->incarnation == identity->incarnation
+                 && jc_resumption_is_identified (identity, target->since_ms,
+                                                 target->heard_ms)
              ? endpoint->software
              : 0;
 }
 
+static struct world_target
+target_of (const struct stream *stream)
+{
+  return (struct world_target){ .endpoint = stream->endpoint,
+                                .tag = stream->target_tag,
+                                .since_ms = stream->process_since_ms,
+                                .heard_ms = stream->process_heard_ms,
+                                .stream = stream->hash,
+                                .start_ms = stream->start_ms };
+}
+
+/* Return the version of the process that answers STREAM's attempt, 0 if it
+   isn't certain.  */
+static uint64_t
+certain_software (const struct world *world, const struct stream *stream)
+{
+  const struct world_target target = target_of (stream);
+
+  return target_software (world, stream->entry, &target);
+}
+
+/* Ask the process that answers STREAM's attempt what it is, unless that is
+   known.  */
+static void
+identify (struct world *world, const struct stream *stream)
+{
+  const struct world_entry *entry = &world->entries[stream->entry];
+
+  if (!world->plan->untold
+      && (stream->unproven_attempt || stream->software == 0)
+      && certain_software (world, stream) == 0
+      && !jc_resumption_is_identified (&entry->identities[stream->endpoint],
+                                       stream->process_since_ms,
+                                       stream->process_heard_ms))
+    conns_identify (world, stream->entry, stream->endpoint);
+}
+
+static void
+record (struct world *world, unsigned int index,
+        const struct jc_stream_start *start)
+{
+  struct world_entry *entry = &world->entries[index];
+
+  jc_stream_starts_record (entry->starts, start);
+  world->result->entry_starts_max
+      = MAX (world->result->entry_starts_max,
+             (unsigned int)jc_stream_starts_count (entry->starts));
+  if (entry->unsent->len == 0)
+    world_after (world, SEND_MS,
+                 (struct world_event){ .run = searches_on_send,
+                                       .entry = index,
+                                       .epoch = entry->epoch });
+  g_array_append_val (entry->unsent, start->stream);
+}
+
 static void
 record_start (struct world *world, struct stream *stream)
 {
-  struct world_entry *entry = &world->entries[stream->entry];
   struct jc_stream_start start = { .stream = stream->hash,
                                    .software = stream->software,
                                    .started_ms = world->now_ms,
@@ -64,22 +127,56 @@
       start.software = stream->target_software;
       start.endpoint_tag = stream->target_tag;
     }
-  jc_stream_starts_record (entry->starts, &start);
-  world->result->entry_starts_max
-      = MAX (world->result->entry_starts_max,
-             (unsigned int)jc_stream_starts_count (entry->starts));
-  if (entry->unsent->len == 0)
-    world_after (world, SEND_MS,
-                 (struct world_event){ .run = searches_on_send,
-                                       .entry = stream->entry,
-                                       .epoch = entry->epoch });
-  g_array_append_val (entry->unsent, stream->hash);
+  record (world, stream->entry, &start);
+}
+
+/* Record the starts of streams whose callers have left as certain, once they
+   are.  */
+static void
+check_left (struct world *world, unsigned int index)
+{
+  struct world_entry *entry = &world->entries[index];
+
+  for (guint i = entry->left->len; i > 0; i--)
+    {
+      const struct world_target *target
+          = &g_array_index (entry->left, struct world_target, i - 1);
+      const struct jc_stream_start start
+          = { .stream = target->stream,
+              .software = target_software (world, index, target),
+              .started_ms = target->start_ms,
+              .certain = true };
+
+      if (start.software != 0)
+        record (world, index, &start);
+      if (start.software != 0 || world->now_ms - target->start_ms > LEFT_MAX_MS)
+        g_array_remove_index_fast (entry->left, i - 1);
+    }
+}
+
+/* STREAM's attempt ends.  Return whether its start is not certain; it may
+   become so later.  */
+static bool
+leave_unproven (struct world *world, struct stream *stream)
+{
+  struct world_entry *entry = &world->entries[stream->entry];
+  const struct world_target target = target_of (stream);
+
+  if (!g_ptr_array_remove (entry->unproven, stream) || stream->software != 0)
+    return false;
+  stream->software = certain_software (world, stream);
+  if (stream->software != 0)
+    record_start (world, stream);
+  else
+    g_array_append_val (entry->left, target);
+  return true;
 }
 
 static void
 note_begin (struct world *world, struct stream *stream)
 {
   stream->begun = true;
+  stream->start_ms = world->now_ms;
   if (stream->software == 0)
     {
       stream->software = certain_software (world, stream);
@@ -121,7 +218,7 @@
   conns_leave (world, stream, false);
   if (!entry->up)
     return;
-  g_ptr_array_remove (entry->unproven, stream);
+  leave_unproven (world, stream);
   g_ptr_array_remove (entry->unsearched, stream);
 }
 
@@ -136,16 +233,9 @@
 static void
 attempt_ended (struct world *world, struct stream *stream)
 {
-  struct world_entry *entry = &world->entries[stream->entry];
-
   conns_leave (world, stream, false);
   stream->tried |= 1U << stream->endpoint;
-  if (g_ptr_array_remove (entry->unproven, stream) && stream->software == 0)
-    {
-      stream->software = certain_software (world, stream);
-      if (stream->software != 0)
-        record_start (world, stream);
-    }
+  leave_unproven (world, stream);
   entries_attempt (world, stream);
 }
 
@@ -205,6 +295,7 @@
       || endpoint->incarnation != stream->process)
     return;
   conns_note_heard (world, stream);
+  identify (world, stream);
   if (stream->last_event + stream->held + 2 < stream->events)
     world_after (world, EVENT_MS, *event);
   else
@@ -255,8 +346,13 @@
                                        endpoint->software)))
     return false;
   since_ms = conns_since_ms (world, entry, index);
-  *certain = since_ms >= 0
-             && jc_resumption_is_confirmed (endpoint->reported_ms, since_ms);
+  *certain
+      = since_ms >= 0
+        && (jc_resumption_is_confirmed (endpoint->reported_ms, since_ms)
+            || (entry->identities[index].incarnation == endpoint->incarnation
+                && jc_resumption_is_identified (&entry->identities[index],
+                                                since_ms,
+                                                entry->used[index].heard_ms)));
   return true;
 }
 
@@ -330,9 +426,11 @@
                                      .number = stream->attempt });
 }
 
-static void
-check_unproven (struct world *world, struct world_entry *entry)
+/* Check again what is not certain yet at the entry instance INDEX.  */
+void
+entries_check (struct world *world, unsigned int index)
 {
+  struct world_entry *entry = &world->entries[index];
   GPtrArray *unproven = g_ptr_array_copy (entry->unproven, NULL, NULL);
 
   for (guint i = 0; i < unproven->len; i++)
@@ -350,6 +448,7 @@
         }
     }
   g_ptr_array_free (unproven, TRUE);
+  check_left (world, index);
 }
 
 static void
@@ -382,7 +481,7 @@
         jc_endpoints_expire (entry->endpoints, world->now_ms);
       if (!entry->up || (world->now_ms + e) % TICK_MS != 0)
         continue;
-      check_unproven (world, entry);
+      entries_check (world, e);
       search_again (world, entry);
       jc_stream_starts_expire (entry->starts, world->now_ms);
     }
@@ -410,11 +509,14 @@
   jc_endpoints_expect_lease (started->endpoints, WORLD_LEASE_MS);
   started->starts = jc_stream_starts_new (WORLD_ENTRY_STARTS_MAX);
   started->versions = jc_versions_new ();
+  started->left = g_array_new (FALSE, FALSE, sizeof (struct world_target));
   started->unsent = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   started->unproven = g_ptr_array_new ();
   started->unsearched = g_ptr_array_new ();
   memset (started->conns, 0, sizeof started->conns);
   memset (started->used, 0, sizeof started->used);
+  memset (started->identities, 0, sizeof started->identities);
+  memset (started->asking, 0, sizeof started->asking);
   for (unsigned int i = 0; i < WORLD_ENDPOINTS; i++)
     started->http_conns[i] = g_ptr_array_new ();
   for (unsigned int s = 0; s < world->plan->states; s++)
@@ -441,6 +543,7 @@
   jc_endpoints_free (killed->endpoints);
   jc_stream_starts_free (killed->starts);
   jc_versions_free (killed->versions);
+  g_array_free (killed->left, TRUE);
   g_array_free (killed->unsent, TRUE);
   g_ptr_array_free (killed->unproven, TRUE);
   g_ptr_array_free (killed->unsearched, TRUE);
--- a/tests/versionsim.h
+++ b/tests/versionsim.h
@@ -27,7 +27,7 @@
    An entry instance is killed every KILL_MS, all of them every KILL_ALL_MS, a
    state instance every STATE_KILL_MS; another one is cut off every
    STATE_CUT_MS.  No leader is to be had for NO_LEADER_MS of every 10 s.  0 is
-   for never.  */
+   for never.  With UNTOLD endpoints don't tell which incarnation they are.  */
 struct versionsim_plan
 {
   unsigned int entries;
@@ -42,6 +42,7 @@
   int64_t state_kill_ms;
   int64_t state_cut_ms;
   int64_t no_leader_ms;
+  bool untold;
 };
 
 /* What was seen.  MIXED streams hold events of two versions at their callers.
--- a/tests/versionworld.h
+++ b/tests/versionworld.h
@@ -30,6 +30,19 @@
 struct world;
 struct stream;
 
+/* The process that an attempt went to: at ENDPOINT, believed to be the
+   incarnation of TAG, the same since SINCE_MS and heard last at HEARD_MS.
+   STREAM is the hash of the stream that it began at START_MS.  */
+struct world_target
+{
+  unsigned int endpoint;
+  uint64_t tag;
+  int64_t since_ms;
+  int64_t heard_ms;
+  uint64_t stream;
+  int64_t start_ms;
+};
+
 /* Something that happens at a moment.  RUN gets the other members; DATA and
    REPLY belong to the world.  */
 struct world_event
@@ -92,7 +105,7 @@
 
 /* A connection of an entry instance, established at CONNECTED_MS to the process
    PROCESS, which has been the same since SINCE_MS by what was heard.  STREAM is
-   NULL while it is idle.  */
+   NULL while it is idle or IS_QUESTION, of what the process says of itself.  */
 struct world_conn
 {
   unsigned int endpoint;
@@ -100,6 +113,7 @@
   int64_t connected_ms;
   int64_t since_ms;
   int64_t used_ms;
+  bool is_question;
   struct stream *stream;
 };
 
@@ -117,6 +131,9 @@
   bool conns[VERSIONSIM_STATES_MAX];
   GPtrArray *http_conns[WORLD_ENDPOINTS];
   struct world_address used[WORLD_ENDPOINTS];
+  struct jc_process_identity identities[WORLD_ENDPOINTS];
+  bool asking[WORLD_ENDPOINTS];
+  GArray *left;
   GArray *unsent;
   GPtrArray *unproven;
   GPtrArray *unsearched;
@@ -157,6 +174,8 @@
   uint64_t target_software;
   uint64_t process;
   int64_t process_since_ms;
+  int64_t process_heard_ms;
+  int64_t start_ms;
   struct world_conn *conn;
   uint32_t tried;
   bool unproven_attempt;
@@ -220,6 +239,7 @@
 bool entries_is_current (const struct world *world,
                          const struct world_event *event);
 void entries_count_bytes (struct world_entry *entry, struct rpc_packet *packet);
+void entries_check (struct world *world, unsigned int index);
 void entries_forget (struct world *world, struct stream *stream);
 void entries_attempt (struct world *world, struct stream *stream);
 void entries_broken (struct world *world, struct stream *stream);
@@ -229,6 +249,8 @@
 void conns_leave (struct world *world, struct stream *stream, bool whole);
 int64_t conns_since_ms (const struct world *world, struct world_entry *entry,
                         unsigned int endpoint);
+void conns_identify (struct world *world, unsigned int entry,
+                     unsigned int endpoint);
 void conns_on_closed (struct world *world, const struct world_event *event);
 
 void reports_on_row (struct world *world, const struct world_event *event);
