Let a stream wait for a region that serves its version and isn't known yet

Callers got 503, no_endpoint, for take-ups within 0.4 s after the first endpoints reported: the version was known at once, but served by another region alone, whose summary comes each 0.5 s. Ruled out: unknown versions (383 of 383 searches known) and processes that don't tell (all told within 17 ms).

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -368,6 +368,8 @@
   query = exchange_balancer_query (exchange, now);
   if (status == JC_OK)
     status = balancer_pick (router, &query, &target);
+  if (status == JC_NO_ENDPOINT && versionsearch_wait (exchange))
+    return;
   if (status == JC_CROWDED)
     {
       waitqueue_add (router, exchange);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -155,6 +155,7 @@
 
 /* In versionsearch.c.  */
 enum jc_status versionsearch_run (struct exchange *exchange);
+bool versionsearch_wait (struct exchange *exchange);
 void versionsearch_forget (struct exchange *exchange);
 
 /* In resumptions.c.  */
--- a/entry/versionsearch.c
+++ b/entry/versionsearch.c
@@ -18,7 +18,10 @@
         has lost its connections opens them again meanwhile, and an endpoint
      that is alive reports once more.  */
   SEARCH_MS = 1700,
-  SEARCH_INTERVAL_MS = 200
+  SEARCH_INTERVAL_MS = 200,
+  /* A stream that no endpoint is known for waits for this long after its caller
+     came: what other regions serve is reported each 0.5 s.  */
+  PLACE_MS = 1000
 };
 
 /* A search for the version of EXCHANGE's stream; EXCHANGE is NULL once it has
@@ -285,6 +288,22 @@
   return jc_fail (JC_VERSION_UNKNOWN, "No state instance is connected.");
 }
 
+/* No endpoint of the version that began EXCHANGE's stream is known.  Return
+   whether the next attempt is made later, since another region may serve the
+   version and be heard of meanwhile.  */
+bool
+versionsearch_wait (struct exchange *exchange)
+{
+  int64_t now = jc_now_ms ();
+
+  if (exchange->software == 0 || exchange->handed_over
+      || exchange->tried->len > 0 || now - exchange->started_ms >= PLACE_MS)
+    return false;
+  exchange->search_again_ms = now + SEARCH_INTERVAL_MS;
+  g_ptr_array_add (exchange->router->unsearched, exchange);
+  return true;
+}
+
 /* EXCHANGE ends: forget its search.  */
 void
 versionsearch_forget (struct exchange *exchange)
