Test streams at an entry instance that is out of step, known red

It is the fault of late-reports: the time at which a report comes is taken for the time at which it was sent. An instance that stands still was not simulated.

--- a/tests/test-stream-versions.c
+++ b/tests/test-stream-versions.c
@@ -14,6 +14,7 @@
   /* Reports come up to so late, beside the ways between regions.  */
   REPORT_LATE_MS = 230,
   REPORT_LATE_MAX_MS = 390,
+  BEHIND_MS = 3000,
   STREAMS_PER_S = 100,
   INSTANCE_STREAMS_PER_S = 10,
   MANY_ENTRIES = 73,
@@ -229,6 +230,33 @@
   check_late_reports (true);
 }
 
+/* Guards against streams joined from two versions at an entry instance that is
+   out of step with state instances for seconds, while endpoints start again
+   with other software: streams that began at these elsewhere are taken up
+   there.  */
+static void
+test_behind (void)
+{
+  static const int64_t crashes_ms[] = { 0, 1000, 200 };
+  unsigned int mixed = 0;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (crashes_ms); i++)
+    {
+      unsigned int count
+          = hunt ((struct versionsim_plan){ .entries = FEW_ENTRIES,
+                                            .states = 6,
+                                            .crash_ms = crashes_ms[i],
+                                            .delay_ms = REPORT_LATE_MS,
+                                            .behind_ms = BEHIND_MS },
+                  LATE_SEEDS);
+
+      g_test_message ("crashes each %d ms: %u streams mixed",
+                      (int)crashes_ms[i], count);
+      mixed += count;
+    }
+  g_assert_cmpuint (mixed, ==, 0);
+}
+
 /* Guards against streams joined from two versions where the connections of an
    endpoint that ended still look open: its end is heard of late.  */
 static void
@@ -429,6 +457,7 @@
   g_test_add_func ("/reports-of-ended", test_reports_of_ended);
   g_test_add_func ("/late-reports", test_late_reports);
   g_test_add_func ("/late-reports-untold", test_late_reports_untold);
+  g_test_add_func ("/behind", test_behind);
   g_test_add_func ("/silent-ends", test_silent_ends);
   g_test_add_func ("/share", test_share);
   g_test_add_func ("/share-after-kill", test_share_after_kill);
--- a/tests/versionsim.h
+++ b/tests/versionsim.h
@@ -26,8 +26,10 @@
    up to DELAY_MS, and its connections look open for SILENT_MS after its end.
    An entry instance is killed every KILL_MS, all of them every KILL_ALL_MS, a
    state instance every STATE_KILL_MS; another one is cut off every
-   STATE_CUT_MS.  No leader is to be had for NO_LEADER_MS of every 10 s.  0 is
-   for never.  With UNTOLD endpoints don't tell which incarnation they are.  */
+   STATE_CUT_MS.  Every 5 s another entry instance gets no reports from state
+   instances for BEHIND_MS, and gets those late.  No leader is to be had for
+   NO_LEADER_MS of every 10 s.  0 is for never.  With UNTOLD endpoints don't tell
+   which incarnation they are.  */
 struct versionsim_plan
 {
   unsigned int entries;
@@ -43,6 +45,7 @@
   int64_t state_cut_ms;
   int64_t no_leader_ms;
   bool untold;
+  int64_t behind_ms;
 };
 
 /* What was seen.  MIXED streams hold events of two versions at their callers.
