Don't leave a silent endpoint for one that is only a last resort

A request at an endpoint that falls silent for a second would be given up for an endpoint that the instance has probably lost its links to: has_alternative counted the last resort of a lost service as a target.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -340,7 +340,13 @@
     return "budget";
   query = exchange_balancer_query (exchange, now_ms);
   query.may_wait = false;
-  return balancer_pick (router, &query, &target) == JC_OK ? NULL : "target";
+  if (balancer_pick (router, &query, &target) != JC_OK)
+    return "target";
+  /* An endpoint that is tried only because nothing is left is none.  */
+  return target.neighbour == NULL
+                 && jc_reach_is_lost (router->reach, exchange->service)
+             ? "target"
+             : NULL;
 }
 
 /* Return true if the plain answer is over the limit.  One that is far larger
--- a/tests/versionsim.h
+++ b/tests/versionsim.h
@@ -28,8 +28,8 @@
    state instance every STATE_KILL_MS; another one is cut off every
    STATE_CUT_MS.  Every 5 s another entry instance gets no reports from state
    instances for BEHIND_MS, and gets those late.  No leader is to be had for
-   NO_LEADER_MS of every 10 s.  0 is for never.  With UNTOLD endpoints don't tell
-   which incarnation they are.  */
+   NO_LEADER_MS of every 10 s.  0 is for never.  With UNTOLD endpoints don't
+   tell which incarnation they are.  */
 struct versionsim_plan
 {
   unsigned int entries;
