Read the socket before an HTTP call is judged late

Answers of endpoints that had come in time were thrown away as late, and requests refused with 504 or sent again. Cause: as for connections of callers, the deadlines have the lowest priority of the loop, but an iteration takes 64 events at first, and none after the process was stopped in its wait for events. A call now reads its own socket, or looks whether its connection is up, once before it is judged. test-http-stall, before and after, 3 runs each: client-answer-many 64 and 300 of 300 calls answered, client-answer-stopped late and answered. test-http, test-httpc-connect, test-httpc-process, test-http-endless, test-http-unnamed, hosts-silent-link, hosts-pause passed; hosts-endless did not end within 150 s on a machine with a load of about 30, not traced.

--- a/net/httpc.c
+++ b/net/httpc.c
@@ -249,18 +249,32 @@
          && call->ops->silent != NULL && !call->ops->silent (call->ctx);
 }
 
+/* Return whether CALL made no progress in time at NOW.  */
+static bool
+call_is_silent (const struct jc_httpc_call *call, ev_tstamp now)
+{
+  return call->progress_due_at > 0 && !call->paused
+         && call->progress_due_at <= now;
+}
+
 /* Fail CALL if its total time is over, if it did not connect in time, or if
-   its peer is silent for too long.  */
+   its peer is silent for too long.  What has come is read first.  */
 static void
 on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct jc_httpc_call *call = watcher->data;
   ev_tstamp now = ev_now (loop);
   bool expired = call->end_at > 0 && call->end_at <= now;
-  bool silent = call->progress_due_at > 0 && !call->paused
-                && call->progress_due_at <= now;
+  bool silent = call_is_silent (call, now);
 
   (void)events;
+  if ((expired || silent) && call->conn != NULL)
+    {
+      httpc_conn_take_input (call->conn);
+      if (call->ended)
+        return;
+      silent = call_is_silent (call, now);
+    }
   if (!expired && !silent)
     call_arm_timer (call);
   else if (call->conn != NULL && !call->conn->connected && !expired)
--- a/net/httpcconn.c
+++ b/net/httpcconn.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -541,6 +542,21 @@
   conn_write (conn);
 }
 
+/* Handle what has come on CONN or that it is established, whether or not the
+   loop has reported it: an iteration reports a limited number of sockets, and
+   none after the process was stopped.  */
+void
+httpc_conn_take_input (struct httpc_conn *conn)
+{
+  struct pollfd ready = { .fd = conn->fd, .events = POLLOUT };
+
+  if (ev_is_active (&conn->reader))
+    on_readable (conn->httpc->loop, &conn->reader, EV_READ);
+  else if (!conn->connected && ev_is_active (&conn->writer)
+           && poll (&ready, 1, 0) > 0)
+    on_writable (conn->httpc->loop, &conn->writer, EV_WRITE);
+}
+
 /* Close a connection that was idle for too long, or report a connect that
    failed at once (see httpc_conn_open).  */
 static void
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -120,6 +120,7 @@
 void httpc_conn_abort (struct httpc_conn *conn);
 void httpc_conn_free (struct httpc_conn *conn);
 void httpc_conn_note_refused (struct httpc_conn *conn);
+void httpc_conn_take_input (struct httpc_conn *conn);
 void httpc_conn_pause (struct httpc_conn *conn, bool paused);
 void httpc_conn_reset_parser (struct httpc_conn *conn);
 
--- a/tests/test-http-stall.c
+++ b/tests/test-http-stall.c
@@ -24,6 +24,7 @@
   LONG_MS = 60000,
   /* More connections than libev takes events of in one iteration at first.  */
   MANY = 300,
+  FEW = 20,
   WAIT_S = 20,
   US_PER_MS = 1000
 };
@@ -347,6 +348,62 @@
   g_assert_cmpint (f->result.status, ==, JC_OK);
 }
 
+/* Guards against throwing an answer away that came in time when a process goes
+   on that was stopped while it waited for events.  */
+static void
+test_answer_stopped (struct fixture *f, gconstpointer unused)
+{
+  (void)unused;
+  call_start (f, 0, 0, TIMEOUT_MS);
+  run_for (f, 1);
+  f->fd = accept (f->listener, NULL, NULL);
+  send_in_wait (f, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  call_finish (f);
+  g_assert_cmpint (f->result.status, ==, JC_OK);
+}
+
+static void
+on_done_many (void *ctx, const struct jc_httpc_call_result *result)
+{
+  *(unsigned int *)ctx += result->status == JC_OK ? 1 : 0;
+}
+
+/* Guards against throwing answers away that came in time when there are more of
+   them than the loop takes in one iteration.  */
+static void
+test_answer_many (struct fixture *f, gconstpointer unused)
+{
+  static const struct jc_httpc_call_ops ops = { .done = on_done_many };
+  static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  char *url = g_strdup_printf ("http://127.0.0.1:%d/", f->port);
+  const struct jc_httpc_call_spec spec
+      = { .method = "GET", .url = url, .total_timeout_ms = TIMEOUT_MS };
+  unsigned int answered = 0;
+  int fds[MANY];
+
+  (void)unused;
+  for (int i = 0; i < MANY; i++)
+    {
+      jc_httpc_call_start (f->httpc, &spec, &ops, &answered);
+      /* Few at a time, so that the loop does not take more events at once.  */
+      if (i % FEW == 0)
+        run_for (f, 1);
+    }
+  run_for (f, 1);
+  for (int i = 0; i < MANY; i++)
+    {
+      fds[i] = accept (f->listener, NULL, NULL);
+      g_assert_cmpint (send (fds[i], answer, strlen (answer), MSG_NOSIGNAL), >,
+                       0);
+    }
+  stall ();
+  run_for (f, IN_TIME_MS);
+  for (int i = 0; i < MANY; i++)
+    close (fds[i]);
+  g_free (url);
+  g_assert_cmpuint (answered, ==, MANY);
+}
+
 /* Guards against giving an endpoint up as silent whose answer waits to be
    read.  */
 static void
@@ -400,6 +457,8 @@
   CASE ("/server-body", test_body);
   CASE ("/server-idle-after-work", test_idle_after_work);
   CASE ("/client-answer", test_answer);
+  CASE ("/client-answer-stopped", test_answer_stopped);
+  CASE ("/client-answer-many", test_answer_many);
   CASE ("/client-first-progress", test_first_progress);
   CASE ("/client-connect", test_connect);
   CASE ("/client-call-after-work", test_call_after_work);
