--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -563,7 +563,7 @@
     {
       jc_budgets_note_request (router->budgets, exchange->service,
                                exchange->started_ms);
-      balancer_count_request (router, exchange->service, exchange->started_ms);
+      remotes_count_request (router, exchange->service, exchange->started_ms);
     }
   exchange_attempt (exchange);
 }
--- a/entry/router.h
+++ b/entry/router.h
@@ -299,9 +299,21 @@
 void balancer_log_cold (const struct router *router,
                         const struct jc_endpoint *endpoint, const char *id,
                         int64_t now_ms);
-void balancer_count_request (struct router *router, const char *service,
-                             int64_t now_ms);
 void balancer_fill_rooms (struct router *router, struct rpc_presence *out);
+bool balancer_contains_name (const GPtrArray *names, const char *name);
+
+/* remotes: the other entry instance that gets a request.  */
+const struct neighbour *remotes_pick (struct router *router,
+                                      const struct balancer_query *query,
+                                      const GPtrArray *endpoints,
+                                      bool unreached, int64_t *answer_ms,
+                                      bool *must_go);
+bool remotes_reach_service (const struct router *router,
+                            const struct balancer_query *query);
+void remotes_count_request (struct router *router, const char *service,
+                            int64_t now_ms);
+double remotes_local_rate (const struct router *router, const char *service,
+                           int64_t now_ms);
 
 /* waitqueue: requests that wait so as not to stall running streams.  */
 void waitqueue_start (struct router *router);
