Let the stand-in that cuts answers tell which process it is

Entry instances now ask a process that answers resumable streams for its state, and the stand-in closed such connections, so that hosts-answers-cut waited for 1 s each time.

--- a/tests/process/cut_standin.py
+++ b/tests/process/cut_standin.py
@@ -117,6 +117,8 @@
     async def serve_one(self, reader, writer):
         start, fields = await read_head(reader)
         await read_body(reader, {"content-length": "0"} | fields)
+        if start.startswith("GET /v1/report "):
+            return self.tell_state(writer)
         attempt, is_stream = fields["x-jaycove-attempt-id"], "stream" in start.split("/")[1]
         plan = json.loads(fields.get("x-plan", "[]"))
         step = Cut.reached.get(attempt, 0)
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -160,13 +160,17 @@
         self.writers.discard(writer)
         writer.close()
 
+    def tell_state(self, writer):
+        """Answers the question which process this is."""
+        text = json.dumps({"phase": "both", "sequence": 0, "born": self.born}).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+        return True
+
     async def serve_one(self, reader, writer):
         start, fields = await read_head(reader)
         body, _ = await read_body(reader, fields) if "content-length" in fields else (b"", True)
         if start.startswith("GET /v1/report "):
-            text = json.dumps({"phase": "both", "sequence": 0, "born": self.born}).encode()
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
-            return True
+            return self.tell_state(writer)
         attempt = fields.get("x-jaycove-attempt-id", "")
         head = f"X-Jaycove-Attempt-Id: {attempt}\r\nX-Jaycove-Server-Load: 1,0,8\r\n{self.asks}"
         if fields.get("x-jaycove-expect-instance") != self.name:
