Refuse at a stopping instance what can't end within its grace

Callers of an entry instance that got SIGTERM lost requests: hosts-stop-late sends each kind at every tenth of a grace of 8 s, over kept, new, pipelined and handed-over connections.

Cause: only the head was checked against what is left of the grace, by the time-out of the route, and streams were taken with 5 s left whatever their time-out. The body, the wait queue and further attempts came later.

Change: the time that a request has, by its caller or its route, is compared at the head, at the body and before each attempt that would be the first to reach an endpoint. What is still under way 0.2 s before the end is told so.

Ruled out: handing such requests to another instance, since the answer would come back through this one.

--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -305,6 +305,26 @@
                   query->service);
 }
 
+/* Return the mean time of an answer to DEMAND at the endpoints of SERVICE in
+   this region, ms, 0 if there are none.  */
+int64_t
+balancer_answer_ms (struct router *router, const char *service,
+                    const struct jc_demand *demand, int64_t now_ms)
+{
+  GPtrArray *endpoints = g_ptr_array_new ();
+  int64_t sum = 0;
+  int64_t mean;
+
+  jc_endpoints_list_serving (router->endpoints, service, NULL, now_ms,
+                             endpoints);
+  for (guint i = 0; i < endpoints->len; i++)
+    sum += jc_engines_answer_ms (
+        router->engines, g_ptr_array_index (endpoints, i), demand, now_ms);
+  mean = sum / MAX ((int64_t)endpoints->len, 1);
+  g_ptr_array_free (endpoints, TRUE);
+  return mean;
+}
+
 /* Return the time until some endpoint of SERVICE in this region accepts
    requests again, ms, if all of them are held back by limits and pauses;
    otherwise 0.  */
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -9,22 +9,9 @@
 
 enum
 {
-  /* A draining instance accepts streams while it has this much time left.  */
-  DRAIN_STREAM_MIN_MS = 5000,
   /* A request waits in the queue for at most its latency objective divided by
      this, so that enough time is left to process its prompt.  */
-  WAIT_DIVISOR = 3,
-  /* A refused caller is told to retry after this time and a random part of the
-     spread, so that callers refused at once do not come back at once.  */
-  RETRY_AFTER_MIN_MS = 200,
-  RETRY_AFTER_SPREAD_MS = 400,
-  /* An instance without links to the endpoints finds out within this time when
-     they are back, and the directory names another one by then.  */
-  RETRY_OUT_OF_REACH_MS = 1000,
-  /* A blocked request is hardly accepted again before an operator steps in.  */
-  RETRY_BLOCKED_MS = 300000,
-  /* The spread is at least the time divided by this.  */
-  RETRY_AFTER_SPREAD_DIVISOR = 4
+  WAIT_DIVISOR = 3
 };
 
 /* Return the id of EXCHANGE as log lines have it, "-" if the caller set
@@ -56,6 +43,7 @@
 {
   resumptions_forget (exchange);
   exchange->router->entry->in_flight--;
+  g_queue_unlink (&exchange->router->exchanges, &exchange->link);
   if (exchange->head_received || exchange->answer_head.bytes != NULL)
     jc_head_clear (&exchange->answer_head);
   jc_routetable_unref (exchange->routes);
@@ -93,30 +81,15 @@
             exchange->first_event_ms, exchange->max_gap_ms);
 }
 
-/* Return when a refused caller should come back, ms: once an endpoint accepts
-   requests again, if that is known.  */
-static int64_t
-retry_after_ms (const struct exchange *exchange, enum jc_status status)
-{
-  int64_t earliest = balancer_earliest_ms (exchange->router, exchange->service,
-                                           jc_now_ms ());
-  int64_t after = status == JC_REQUEST_BLOCKED ? RETRY_BLOCKED_MS
-                  : status == JC_OUT_OF_REACH
-                      ? RETRY_OUT_OF_REACH_MS
-                      : MAX (earliest, RETRY_AFTER_MIN_MS);
-  int64_t spread
-      = MAX (after / RETRY_AFTER_SPREAD_DIVISOR, RETRY_AFTER_SPREAD_MS);
-
-  return after + g_random_int_range (0, (gint32)spread);
-}
-
 /* Answer with an error of this gateway and free EXCHANGE.  */
 static void
 exchange_fail (struct exchange *exchange, enum jc_status status)
 {
   const struct jc_status_info *row = jc_status_info (status);
-  bool may_retry = row->run == JC_NOT_RUN && row->retry == JC_RETRY_AFTER;
-  int64_t after_ms = may_retry ? retry_after_ms (exchange, status) : 0;
+  bool may_retry = row->run == JC_NOT_RUN && row->retry != JC_RETRY_NEVER;
+  int64_t after_ms = may_retry ? refusal_retry_ms (exchange->router,
+                                                   exchange->service, status)
+                               : 0;
   char retry_after[24];
 
   log_end (exchange,
@@ -130,43 +103,6 @@
   exchange_free (exchange);
 }
 
-/* Return true if the caller gets the field NAME of the answer.  Fields that
-   entry instances set are dropped if an endpoint set them.  */
-static bool
-is_forwarded_header (const struct exchange *exchange, const char *name)
-{
-  return exchange->router->protocol->forward_to_caller (name)
-         && !jc_head_is_hop_by_hop (&exchange->answer_head, name)
-         && g_ascii_strcasecmp (name, HEADER_SOFTWARE) != 0
-         && (exchange->remote
-             || (g_ascii_strcasecmp (name, HEADER_ERROR) != 0
-                 && g_ascii_strcasecmp (name, HEADER_RUN) != 0));
-}
-
-/* Fill HEADERS, of EXCHANGE_HEADERS_MAX, with those fields of the endpoint's
-   head that the caller gets; a NULL name ends them.  The instance that handed
-   the request over gets the version that began the stream too.  */
-void
-exchange_answer_headers (struct exchange *exchange,
-                         struct jc_http_header *headers)
-{
-  const struct jc_head *head = &exchange->answer_head;
-  unsigned int count = 0;
-
-  for (unsigned int i = 0; i < head->field_count; i++)
-    if (is_forwarded_header (exchange, head->fields[i].name))
-      headers[count++] = (struct jc_http_header){ head->fields[i].name,
-                                                  head->fields[i].value };
-  if (exchange->handed_over && exchange->software != 0)
-    {
-      g_snprintf (exchange->software_text, sizeof exchange->software_text,
-                  "%016" PRIx64, exchange->software);
-      headers[count++]
-          = (struct jc_http_header){ HEADER_SOFTWARE, exchange->software_text };
-    }
-  headers[count].name = NULL;
-}
-
 /* Save the answer of the current attempt, an endpoint's own failure, for the
    case that no further attempt succeeds.  */
 static void
@@ -363,6 +299,10 @@
                       "No time is left for another attempt.");
   if (status == JC_CROWDED)
     return;
+  if (status == JC_OK && exchange->relay.endpoints_sent == 0)
+    status
+        = stopping_check (router, exchange->route, exchange->service,
+                          &exchange->demand, exchange->relay.deadline_ms - now);
   if (status == JC_OK)
     status = crashes_check_request (exchange);
   query = exchange_balancer_query (exchange, now);
@@ -407,21 +347,6 @@
   return route;
 }
 
-/* Return true if this instance does not drain or has enough time left for a
-   request of ROUTE.  How long a stream lasts is not known, but most that begin
-   early in the drain end within the time left.  */
-static bool
-drain_allows (const struct entry *entry, const struct jc_hostroute *route)
-{
-  int64_t left = router_drain_left_ms (entry);
-
-  if (!entry->draining)
-    return true;
-  if (route->kind == JC_ROUTE_STREAM)
-    return left >= DRAIN_STREAM_MIN_MS;
-  return left >= route->timeout_ms;
-}
-
 /* Log that REQ is refused with STATUS because of its head.  */
 static void
 log_refused_head (const struct router *router, const struct jc_http_req *req,
@@ -435,8 +360,42 @@
             jc_status_name (status), router->orders->table_version);
 }
 
+/* Return a number that spreads a route's requests over its services.  It
+   depends on the attempt id only, for a resumed stream on that of its first
+   attempt, so that each instance that the request passes picks the same
+   service; without an id it is random.  */
+static uint64_t
+split_number (const struct jc_request_info *info)
+{
+  const char *id = info->resumes != NULL ? info->resumes : info->attempt_id;
+
+  return id != NULL ? jc_name_pair_hash (id, "split")
+                    : (uint64_t)g_random_int ();
+}
+
+/* Return the time that a request of ROUTE with INFO may take, ms.  */
+static int64_t
+limit_ms (const struct jc_hostroute *route, const struct jc_request_info *info)
+{
+  return info->timeout_ms > 0 ? MIN (info->timeout_ms, route->timeout_ms)
+                              : route->timeout_ms;
+}
+
+/* Check that this instance has time for a request of ROUTE with INFO.  */
+static enum jc_status
+check_time (struct router *router, const struct jc_hostroute *route,
+            const struct jc_request_info *info)
+{
+  struct jc_demand demand;
+
+  jc_demand_init (info, &demand);
+  return stopping_check (router, route,
+                         jc_hostroute_pick_service (route, split_number (info)),
+                         &demand, limit_ms (route, info));
+}
+
 /* Check the head of REQ before its body is read: it must have a route, and a
-   draining instance must have time for it.  */
+   stopping instance must have time for it.  */
 enum jc_status
 exchange_check_head (struct router *router, struct jc_http_req *req)
 {
@@ -444,28 +403,17 @@
   enum jc_status status;
   const struct jc_hostroute *route = find_route (router, req, &status);
 
-  if (route != NULL && !drain_allows (router->entry, route))
-    status = jc_fail (JC_DRAINING, "This instance is about to stop.");
   if (status == JC_OK)
     status = router->protocol->parse_request (jc_http_head (req), &info);
+  if (status == JC_OK)
+    status = check_time (router, route, &info);
   if (status != JC_OK)
-    log_refused_head (router, req, status);
+    {
+      log_refused_head (router, req, status);
+    }
   return status;
 }
 
-/* Return a number that spreads a route's requests over its services.  It
-   depends on the attempt id only, for a resumed stream on that of its first
-   attempt, so that each instance that the request passes picks the same
-   service; without an id it is random.  */
-static uint64_t
-split_number (const struct jc_request_info *info)
-{
-  const char *id = info->resumes != NULL ? info->resumes : info->attempt_id;
-
-  return id != NULL ? jc_name_pair_hash (id, "split")
-                    : (uint64_t)g_random_int ();
-}
-
 /* Limit the endpoints of RELAY, whose request was handed over, to the number
    that the sending instance allows.  */
 static void
@@ -511,7 +459,6 @@
 {
   struct exchange *exchange;
   struct jc_request_info info;
-  int64_t limit_ms;
   enum jc_status status;
   /* The configuration may have changed while the body was read.  */
   const struct jc_hostroute *route = find_route (router, req, &status);
@@ -547,16 +494,17 @@
   exchange->demand.priority = route->priority;
   exchange->demand.event_tokens = service_event_tokens (exchange);
   exchange->answer_tokens = exchange->demand.answer_tokens;
-  limit_ms = info.timeout_ms > 0 ? MIN (info.timeout_ms, route->timeout_ms)
-                                 : route->timeout_ms;
   exchange->wait_until_ms
       = exchange->started_ms + route->objective_ms / WAIT_DIVISOR;
-  jc_relay_init (&exchange->relay, route, exchange->started_ms + limit_ms,
+  jc_relay_init (&exchange->relay, route,
+                 exchange->started_ms + limit_ms (route, &info),
                  info.resume_after);
   exchange->passed_event = info.resume_after;
   resumptions_init (exchange);
   jc_http_set_data (req, exchange);
   router->entry->in_flight++;
+  exchange->link.data = exchange;
+  g_queue_push_tail_link (&router->exchanges, &exchange->link);
   if (handed_over)
     limit_endpoints (&exchange->relay, req);
   else
@@ -590,6 +538,29 @@
   exchange_free (exchange);
 }
 
+/* End EXCHANGE because the process ends: tell its caller what is known, or
+   break off the stream that has begun.  */
+void
+exchange_abort (struct exchange *exchange)
+{
+  bool may_have_run = exchange->relay.endpoints_sent > 0
+                      || (exchange->call != NULL
+                          && !jc_httpc_call_is_connecting (exchange->call));
+  enum jc_status status
+      = jc_fail (may_have_run ? JC_TIMEOUT : JC_DRAINING,
+                 "The instance stops before the request has ended.");
+
+  waitqueue_remove (exchange->router, exchange);
+  if (exchange->call != NULL)
+    jc_httpc_call_cancel (exchange->call);
+  exchange->call = NULL;
+  exchange_end_engine_run (exchange, JC_ENGINE_CALLER_LEFT);
+  if (exchange->relay.begun)
+    exchange_end_stream (exchange, false);
+  else
+    exchange_give_up (exchange, status);
+}
+
 /* The caller of REQ read what was buffered for it: resume reading the
    answer.  */
 void
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -1,5 +1,6 @@
-/* An exchange: shared by exchange.c, attempt.c, answer.c, resumptions.c,
-   versionsearch.c and waitqueue.c, and private to them.  */
+/* An exchange: shared by exchange.c, attempt.c, answer.c, answerhead.c,
+   resumptions.c, stopping.c, versionsearch.c and waitqueue.c, and private to
+   them.  */
 
 #ifndef ENTRY_EXCHANGE_H
 #define ENTRY_EXCHANGE_H
@@ -26,7 +27,8 @@
 /* Hash, in hexadecimal, of the software version that began the stream.  */
 #define HEADER_SOFTWARE "X-Jaycove-Software"
 
-/* A request in progress.  REQ lives at least as long as this.  HANDED_OVER
+/* A request in progress, in the queue EXCHANGES of its router by LINK.  REQ
+   lives at least as long as this.  HANDED_OVER
    means that another entry instance sent it.  ROUTES is a reference to the
    table that ROUTE belongs to.  TRIED holds the names of the targets of all
    attempts, AVOIDED_REGIONS other regions that an attempt did not reach or that
@@ -64,6 +66,7 @@
    none.  */
 struct exchange
 {
+  GList link;
   struct router *router;
   struct jc_http_req *req;
   bool handed_over;
@@ -138,8 +141,6 @@
 
 /* In exchange.c.  */
 const char *exchange_id (const struct exchange *exchange);
-void exchange_answer_headers (struct exchange *exchange,
-                              struct jc_http_header *headers);
 void exchange_end_engine_run (struct exchange *exchange,
                               enum jc_engine_outcome outcome);
 void exchange_attempt_ended (struct exchange *exchange,
@@ -148,6 +149,14 @@
 struct balancer_query exchange_balancer_query (struct exchange *exchange,
                                                int64_t now_ms);
 void exchange_attempt (struct exchange *exchange);
+void exchange_abort (struct exchange *exchange);
+
+/* In stopping.c.  */
+enum jc_status stopping_check (struct router *router,
+                               const struct jc_hostroute *route,
+                               const char *service,
+                               const struct jc_demand *demand,
+                               int64_t time_left_ms);
 
 /* In attempt.c.  */
 void attempt_start (struct exchange *exchange,
@@ -172,6 +181,10 @@
 void resumptions_attempt_ended (struct exchange *exchange);
 void resumptions_forget (struct exchange *exchange);
 
+/* In answerhead.c.  */
+void exchange_answer_headers (struct exchange *exchange,
+                              struct jc_http_header *headers);
+
 /* In answer.c.  */
 void exchange_flush_held (struct exchange *exchange);
 extern const struct jc_httpc_call_ops answer_call_ops;
--- a/entry/router.c
+++ b/entry/router.c
@@ -150,6 +150,7 @@
         && jc_httpd_count_requests (entry->callers_listener) == 0
         && jc_httpd_count_requests (entry->router->handover_listener) == 0;
 
+  stopping_tick (entry->router);
   if (waited >= DRAIN_ACCEPT_MS && neighbours_accept_callers (entry->router))
     jc_httpd_stop_accepting (entry->callers_listener);
   if (idle || router_drain_left_ms (entry) <= 0)
@@ -310,6 +311,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   router->zone_forwarders = jc_forwarding_new ();
   waitqueue_start (router);
+  g_queue_init (&router->exchanges);
   router->started_ms = jc_now_ms ();
   ev_timer_init (&router->tick_timer, on_tick, interval_s, interval_s);
   router->tick_timer.data = entry;
--- a/entry/router.h
+++ b/entry/router.h
@@ -43,7 +43,8 @@
    that this instance began, UNSENT_STARTS those that are to be sent, and
    UNPROVEN the
    exchanges whose version isn't certain yet, LEFT_STARTS the streams without an
-   exchange for which the same holds, IDENTITIES what is known of the process at
+   exchange for which the same holds, EXCHANGES all requests in progress,
+   IDENTITIES what is known of the process at
    each address (see identities.c), UNSEARCHED those that no state
    instance has told it.  */
 struct router
@@ -86,6 +87,7 @@
   ev_timer tick_timer;
   ev_timer loads_timer;
   GQueue wait_queue;
+  GQueue exchanges;
   int64_t presence_sent_ms;
   int64_t loads_sent_ms;
   int64_t full_loads_sent_ms;
@@ -294,6 +296,8 @@
 enum jc_status balancer_pick (struct router *router,
                               const struct balancer_query *query,
                               struct balancer_target *target);
+int64_t balancer_answer_ms (struct router *router, const char *service,
+                            const struct jc_demand *demand, int64_t now_ms);
 int64_t balancer_earliest_ms (struct router *router, const char *service,
                               int64_t now_ms);
 void balancer_log_cold (const struct router *router,
@@ -315,6 +319,13 @@
 double remotes_local_rate (const struct router *router, const char *service,
                            int64_t now_ms);
 
+/* refusal: when a refused caller should come back.  */
+int64_t refusal_retry_ms (struct router *router, const char *service,
+                          enum jc_status status);
+
+/* stopping: requests at an instance that was told to stop.  */
+void stopping_tick (struct router *router);
+
 /* waitqueue: requests that wait so as not to stall running streams.  */
 void waitqueue_start (struct router *router);
 void waitqueue_stop (struct router *router);
--- a/scripts/hosts.sh
+++ b/scripts/hosts.sh
@@ -3,7 +3,8 @@
 # address, in zone z1; entry instances from number Z2_FROM on are in z2, of the
 # region Z2_REGION (default r1, which z1 is in). Their operators' token is
 # OPERATOR_TOKEN (default none), endpoints are expected to report each REPORT_MS
-# (default 200). Sourced after cluster.sh.
+# (default 200), entry instances end GRACE_MS (default 60000) after a stop signal.
+# Sourced after cluster.sh.
 
 # quoted WORDS...: print the words as JSON strings separated by commas.
 quoted ()
@@ -45,7 +46,7 @@
   "zones": [{"name": "z1", "region": "r1"}, {"name": "z2", "region": "$z2_region"}],
   "callers": "$ip:$callers", "ready": "$ip:$ready", "operators": "$ip:$operators", "rpc": "$ip:$rpc",
   "group_key": "$GROUP_KEY", "operator_token": "${OPERATOR_TOKEN:-}", "state_peers": [],
-  "state_seeds": [$seeds], "grace_ms": 60000, "report_ms": ${REPORT_MS:-200} }
+  "state_seeds": [$seeds], "grace_ms": ${GRACE_MS:-60000}, "report_ms": ${REPORT_MS:-200} }
 X
     start "e$i" "$BUILD/jaycove-entry" --settings "$DIR/e$i.json"
     all_callers="$all_callers $ip:$callers"
