Tell callers refused by a stopping instance when to come back

Cause: the status "draining" asks for no wait, and a refusal before the body had no way to carry another time than whole seconds. Now the owner of a request can set the header before it is refused. Callers are told 50 to 150 ms where another instance of the region takes callers, else the rest of the grace and the time of a start.

Ruled out: changing the row of "draining" in the error table, which the routing by products shares. The last requests to come are refused one by one, so that the spread is smaller than that of an overload.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -410,6 +410,7 @@
   if (status != JC_OK)
     {
       log_refused_head (router, req, status);
+      refusal_prepare (router, req, status);
     }
   return status;
 }
--- a/entry/refusal.c
+++ b/entry/refusal.c
@@ -21,7 +21,8 @@
   /* Time that an instance takes to start.  */
   RETRY_RESTART_MS = 1000,
   /* The spread is at least the time divided by this.  */
-  RETRY_AFTER_SPREAD_DIVISOR = 4
+  RETRY_AFTER_SPREAD_DIVISOR = 4,
+  RETRY_AFTER_BYTES = 24
 };
 
 /* Return the time until some instance takes the callers of ROUTER, which stops,
@@ -64,3 +65,19 @@
          + g_random_int_range (
              0, (gint32)MAX (after / RETRY_AFTER_SPREAD_DIVISOR, spread_min));
 }
+
+/* Have the refusal of REQ with STATUS, before a service was chosen, tell when
+   its caller should come back.  */
+void
+refusal_prepare (struct router *router, struct jc_http_req *req,
+                 enum jc_status status)
+{
+  char text[RETRY_AFTER_BYTES];
+  int64_t after_ms;
+
+  if (status != JC_DRAINING)
+    return;
+  after_ms = refusal_retry_ms (router, "", status);
+  router->protocol->format_retry_after (after_ms, text, sizeof text);
+  jc_http_set_retry_after (req, text, after_ms);
+}
--- a/entry/router.h
+++ b/entry/router.h
@@ -322,6 +322,8 @@
 /* refusal: when a refused caller should come back.  */
 int64_t refusal_retry_ms (struct router *router, const char *service,
                           enum jc_status status);
+void refusal_prepare (struct router *router, struct jc_http_req *req,
+                      enum jc_status status);
 
 /* stopping: requests at an instance that was told to stop.  */
 void stopping_tick (struct router *router);
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -80,6 +80,8 @@
 void jc_http_fail_after (struct jc_http_req *req, enum jc_status status,
                          const char *message, const char *retry_after,
                          int64_t retry_after_ms);
+void jc_http_set_retry_after (struct jc_http_req *req, const char *retry_after,
+                              int64_t retry_after_ms);
 void jc_http_stream_begin (struct jc_http_req *req, int http,
                            const char *content_type,
                            const struct jc_http_header *headers);
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -6,6 +6,11 @@
 #include "net/chunks.h"
 #include "net/httpd.h"
 
+enum
+{
+  HTTPD_RETRY_AFTER_BYTES = 24
+};
+
 struct httpd_conn;
 
 /* A listener.  CONNS holds its connections and UNFLUSHED those that have data
@@ -50,7 +55,9 @@
 /* A request.  CONN is NULL once the connection was closed.  DECODED_ARGUMENTS
    owns the strings that jc_http_query returned.  CHUNKED is set if the answer
    is streamed in chunks; the end of any other stream is the end of its
-   connection.  CLOSE_AFTER closes the connection after the answer.  */
+   connection.  CLOSE_AFTER closes the connection after the answer.  RETRY_AFTER
+   is the header of that name if the request is refused, empty for the usual
+   one, and RETRY_AFTER_MS the same delay.  */
 struct jc_http_req
 {
   struct jc_httpd *httpd;
@@ -63,6 +70,8 @@
   enum req_phase phase;
   bool chunked;
   bool close_after;
+  char retry_after[HTTPD_RETRY_AFTER_BYTES];
+  int64_t retry_after_ms;
 };
 
 /* A connection and its current request; pipelined requests wait in IN.
--- a/net/httpreq.c
+++ b/net/httpreq.c
@@ -255,7 +255,18 @@
   json_decref (error);
 }
 
-/* Answer REQ as jc_http_fail_after does.  If STATUS asks the caller to retry
+/* Have a refusal of REQ by jc_http_fail carry RETRY_AFTER, which stands for
+   RETRY_AFTER_MS, as Retry-After.  */
+void
+jc_http_set_retry_after (struct jc_http_req *req, const char *retry_after,
+                         int64_t retry_after_ms)
+{
+  g_strlcpy (req->retry_after, retry_after, sizeof req->retry_after);
+  req->retry_after_ms = retry_after_ms;
+}
+
+/* Answer REQ as jc_http_fail_after does, with what jc_http_set_retry_after
+   set.  If that is nothing and STATUS asks the caller to retry
    later, RETRY_AFTER_MS is sent as Retry-After, rounded up to whole seconds
    and at least one.  */
 void
@@ -266,6 +277,12 @@
   unsigned int seconds = (retry_after_ms + MS_PER_S - 1) / MS_PER_S;
   char text[16];
 
+  if (req->retry_after[0] != '\0')
+    {
+      jc_http_fail_after (req, status, message, req->retry_after,
+                          req->retry_after_ms);
+      return;
+    }
   g_snprintf (text, sizeof text, "%u", MAX (seconds, 1));
   jc_http_fail_after (req, status, message, sends_retry_after ? text : NULL,
                       retry_after_ms);
--- a/tests/process/stop_standin.py
+++ b/tests/process/stop_standin.py
@@ -11,6 +11,8 @@
 from hosts_standin import ADDRESSES, Endpoint, configuration, in_force, order, pid, read_body, read_head, route, use
 
 GRACE_S = 8
+# A refused caller has another instance to go to.
+RETRY_AFTER_MAX_S = 1
 # Nothing at an endpoint takes longer than this, so a caller without an answer by then has none.
 ANSWER_MAX_S = 15
 ROUTES = [
@@ -158,7 +160,7 @@
     for o in outcomes:
         if o.status not in (None, 0, 200, 503):
             faults.append(o)
-        if o.status == 503 and o.attempt in ran:
+        if o.status == 503 and (o.attempt in ran or not 0 < float(o.fields.get("retry-after", 0)) <= RETRY_AFTER_MAX_S):
             faults.append(o)
     return faults
 
