Apply a log that is opened again to an empty state

Some entries don't bear that: the end of a limit and its naming raise the revision each time, so that test-log-reopen found a slot leased to e1 free after the reopening, with the revision 6 in place of 4. Such a replica judges later leases unlike the rest of the group, and the sum of what all send to a limited endpoint is no longer bounded; parts of crashed requests are counted twice in the same way.

Cause: opening assumed a new process. Change: the log resets the state before it passes on what it holds.

--- a/conf/rlog.c
+++ b/conf/rlog.c
@@ -233,6 +233,8 @@
   jc_rlog_reload_replicas (log);
   jc_rlog_reset_election_timer (log);
   log->commit_index = store->commit_index;
+  if (klass->reset != NULL)
+    klass->reset (ctx);
   if (store->snapshot_index > 0)
     restore_snapshot (log);
   while (log->applied_index < log->commit_index)
--- a/conf/rlog.h
+++ b/conf/rlog.h
@@ -32,14 +32,17 @@
 };
 
 /* Callbacks to the user of a log.  SEND transmits BODY to the replica TO;
-   delivery is not guaranteed.  RESTORE replaces the applied state by SNAPSHOT,
-   which covers the entries up to INDEX.  APPLY is called for each committed
-   entry in order, once its commit index is durable on this replica.  SNAPSHOT
-   appends the serialized applied state to OUT.  ROLE_CHANGED reports the new
-   role of this replica.  */
+   delivery is not guaranteed.  RESET replaces the applied state by that before
+   the first entry; it is called when a log is opened, before all others, and
+   may be NULL where that state is the one at hand.  RESTORE replaces the
+   applied state by SNAPSHOT, which covers the entries up to INDEX.  APPLY is
+   called for each committed entry in order, once its commit index is durable on
+   this replica.  SNAPSHOT appends the serialized applied state to OUT.
+   ROLE_CHANGED reports the new role of this replica.  */
 struct jc_rlog_class
 {
   void (*send) (void *ctx, const char *to, const struct rpc_body *body);
+  void (*reset) (void *ctx);
   void (*restore) (void *ctx, uint64_t index, struct jc_str snapshot);
   void (*apply) (void *ctx, uint64_t index, uint32_t kind, struct jc_str data);
   void (*snapshot) (void *ctx, GString *out);
--- a/scripts/hosts.sh
+++ b/scripts/hosts.sh
@@ -3,7 +3,8 @@
 # address, in zone z1; entry instances from number Z2_FROM on are in z2, of the
 # region Z2_REGION (default r1, which z1 is in). Their operators' token is
 # OPERATOR_TOKEN (default none), endpoints are expected to report each REPORT_MS
-# (default 200), entry instances end GRACE_MS (default 60000) after a stop signal.
+# (default 200), entry instances end GRACE_MS (default 60000) after a stop signal, and state
+# instances replace SNAPSHOT_ENTRIES (default 16) entries of the log by a snapshot.
 # Sourced after cluster.sh.
 
 # quoted WORDS...: print the words as JSON strings separated by commas.
@@ -27,7 +28,7 @@
 { "routing": "hosts", "group": "g", "name": "$ip", "region": "r1", "availability_zone": "z1",
   "rpc": "$ip:$rpc", "operators": "$ip:$control", "directory": "$ip:$directory",
   "group_key": "$GROUP_KEY", "operator_token": "", "data_folder": "$DIR/s$i", "state_seeds": [$seeds],
-  "first_start": true, "report_ms": ${REPORT_MS:-200}, "snapshot_entries": 16 }
+  "first_start": true, "report_ms": ${REPORT_MS:-200}, "snapshot_entries": ${SNAPSHOT_ENTRIES:-16} }
 X
     start "s$i" "$BUILD/jaycove-state" --settings "$DIR/s$i.json"
   done
--- a/state/log.c
+++ b/state/log.c
@@ -150,6 +150,39 @@
   }
 }
 
+/* Replace all tables but the configuration of routing by products, whose log is
+   opened only once, by those in JSON, the object of a snapshot.  A table that
+   is not in it becomes empty.  */
+static enum jc_status
+restore_tables (struct state *state, const json_t *json)
+{
+  int64_t now = jc_now_ms ();
+  enum jc_status status = jc_orders_restore (state->orders, json);
+
+  if (status == JC_OK)
+    status = jc_grants_restore (state->grants, json);
+  if (status == JC_OK)
+    status = jc_departures_restore (state->departures, json);
+  if (status == JC_OK)
+    status = jc_limit_slots_restore (state->limit_slots, json, now);
+  if (status == JC_OK)
+    status = jc_crashes_restore (state->crash_table, json, now);
+  if (status == JC_OK)
+    status = jc_versions_restore (state->version_table, json);
+  return status;
+}
+
+/* Forget what was applied before the log was opened: its entries are about to
+   be applied from the first one on.  */
+static void
+reset_state (void *ctx)
+{
+  json_t *none = json_object ();
+
+  restore_tables (ctx, none);
+  json_decref (none);
+}
+
 static void
 restore_snapshot (void *ctx, uint64_t index, struct jc_str snapshot)
 {
@@ -158,13 +191,7 @@
 
   (void)index;
   if (jc_confstate_restore (state->confstate, json) != JC_OK
-      || jc_orders_restore (state->orders, json) != JC_OK
-      || jc_grants_restore (state->grants, json) != JC_OK
-      || jc_departures_restore (state->departures, json) != JC_OK
-      || jc_limit_slots_restore (state->limit_slots, json, jc_now_ms ())
-             != JC_OK
-      || jc_crashes_restore (state->crash_table, json, jc_now_ms ()) != JC_OK
-      || jc_versions_restore (state->version_table, json) != JC_OK)
+      || restore_tables (state, json) != JC_OK)
     {
       jc_error (LOG_COMPONENT, "The log's snapshot is malformed.");
       state->snapshot_invalid = true;
@@ -234,6 +261,7 @@
 
 static const struct jc_rlog_class log_class
     = { .send = send_to_peer,
+        .reset = reset_state,
         .restore = restore_snapshot,
         .apply = apply_entry,
         .snapshot = write_snapshot,
