Don't let a replaced replica take its own place back

Cause: the silent voter is removed to make room for a spare that has caught up. It is still connected, so it counts as a newcomer, newcomers go first and were designated as voters where a place was free: it got its place back without being able to write, was silent for 2.5 s, and so on, each time with one voter too few for an order to last.

Change: a newcomer is designated only if no replica could vote at once.

--- a/conf/placement.c
+++ b/conf/placement.c
@@ -65,14 +65,11 @@
                                        .silent_ms = peer->silent_ms };
 }
 
-/* Designate a caught-up replica as a voter, or, if the group is FULL, remove
-   the designated voter that has been silent longest to make room for it.  */
-static struct jc_placement_change
-promote_or_replace (const struct jc_placement_peer *peers, guint count,
-                    bool full)
+/* Return the replica that could become a designated voter at once, or NULL.  */
+static const struct jc_placement_peer *
+find_candidate (const struct jc_placement_peer *peers, guint count)
 {
   const struct jc_placement_peer *candidate = NULL;
-  const struct jc_placement_peer *silent = NULL;
 
   for (guint i = 0; i < count; i++)
     {
@@ -81,11 +78,37 @@
       if (peer->is_replica && !peer->designated_voter
           && peer->silent_ms < PROMOTE_ANSWER_MS && peer->caught_up)
         candidate = peer;
+    }
+  return candidate;
+}
+
+/* Return the designated voter that has been silent longest, for so long that it
+   should be replaced, or NULL.  */
+static const struct jc_placement_peer *
+find_silent (const struct jc_placement_peer *peers, guint count)
+{
+  const struct jc_placement_peer *silent = NULL;
+
+  for (guint i = 0; i < count; i++)
+    {
+      const struct jc_placement_peer *peer = &peers[i];
+
       if (peer->designated_voter
           && peer->silent_ms
                  > (silent != NULL ? silent->silent_ms : REPLACE_SILENT_MS))
         silent = peer;
     }
+  return silent;
+}
+
+/* Designate CANDIDATE, if there is one, as a voter, or, if the group is FULL,
+   remove a silent voter to make room for it.  */
+static struct jc_placement_change
+promote_or_replace (const struct jc_placement_peer *peers, guint count,
+                    const struct jc_placement_peer *candidate, bool full)
+{
+  const struct jc_placement_peer *silent = find_silent (peers, count);
+
   if (candidate != NULL && !full)
     return put_change (candidate, true, "place");
   if (candidate != NULL && silent != NULL)
@@ -95,19 +118,22 @@
 
 /* Return the next change needed so that the group of COUNT PEERS tolerates the
    loss of LOSSES instances.  A new instance is made a replica first, so that it
-   catches up, even while there are enough voters.  */
+   catches up, even while there are enough voters.  It is designated as a voter
+   only if no replica can vote at once: it may be the voter that was replaced,
+   and still be unable to write.  */
 struct jc_placement_change
 jc_placement_next_change (const struct jc_placement_peer *peers, guint count,
                           unsigned int losses)
 {
   bool full
       = count_designated (peers, count) >= jc_placement_target_voters (losses);
+  const struct jc_placement_peer *candidate = find_candidate (peers, count);
   struct jc_placement_change change;
 
   for (guint i = 0; i < count; i++)
     if (!peers[i].is_replica)
-      return put_change (&peers[i], !full, "newcomer");
-  change = promote_or_replace (peers, count, full);
+      return put_change (&peers[i], !full && candidate == NULL, "newcomer");
+  change = promote_or_replace (peers, count, candidate, full);
   if (change.kind != JC_PLACEMENT_NO_CHANGE)
     return change;
   for (guint i = 0; i < count; i++)
--- a/scripts/hosts.sh
+++ b/scripts/hosts.sh
@@ -1,11 +1,12 @@
-# Functions that start a small cluster with host-based routing on loopback: three
-# state instances and ENTRIES entry instances (default 2), each with its own IP
-# address, in zone z1; entry instances from number Z2_FROM on are in z2, of the
-# region Z2_REGION (default r1, which z1 is in). Their operators' token is
-# OPERATOR_TOKEN (default none), endpoints are expected to report each REPORT_MS
-# (default 200), entry instances end GRACE_MS (default 60000) after a stop signal, and state
-# instances replace SNAPSHOT_ENTRIES (default 16) entries of the log by a snapshot.
-# Sourced after cluster.sh.
+# Functions that start a small cluster with host-based routing on loopback: STATES
+# state instances (default 3), which bear LOSSES losses (default 1), and ENTRIES
+# entry instances (default 2), each with its own IP address, in zone z1; entry
+# instances from number Z2_FROM on are in z2, of the region Z2_REGION (default
+# r1, which z1 is in). Their operators' token is OPERATOR_TOKEN (default none),
+# endpoints are expected to report each REPORT_MS (default 200), entry instances
+# end GRACE_MS (default 60000) after a stop signal, and state instances replace
+# SNAPSHOT_ENTRIES (default 16) entries of the log by a snapshot. Sourced after
+# cluster.sh.
 
 # quoted WORDS...: print the words as JSON strings separated by commas.
 quoted ()
@@ -21,16 +22,19 @@
   control=$(port)
   directory=$(port)
   seeds="\"127.0.9.1:$control\", \"127.0.9.2:$control\", \"127.0.9.3:$control\""
-  for i in 1 2 3; do
+  all_control= all_directory=
+  for i in $(seq 1 "${STATES:-3}"); do
     ip=127.0.9.$i
     mkdir -p "$DIR/s$i"
     cat >"$DIR/s$i.json" <<X
 { "routing": "hosts", "group": "g", "name": "$ip", "region": "r1", "availability_zone": "z1",
   "rpc": "$ip:$rpc", "operators": "$ip:$control", "directory": "$ip:$directory",
   "group_key": "$GROUP_KEY", "operator_token": "", "data_folder": "$DIR/s$i", "state_seeds": [$seeds],
-  "first_start": true, "report_ms": ${REPORT_MS:-200}, "snapshot_entries": ${SNAPSHOT_ENTRIES:-16} }
+  "first_start": true, "report_ms": ${REPORT_MS:-200}, "losses": ${LOSSES:-1}, "snapshot_entries": ${SNAPSHOT_ENTRIES:-16} }
 X
     start "s$i" "$BUILD/jaycove-state" --settings "$DIR/s$i.json"
+    all_control="$all_control $ip:$control"
+    all_directory="$all_directory $ip:$directory"
   done
   z2_region=${Z2_REGION:-r1}
   all_callers= all_ready= all_operators= all_rpc=
@@ -56,8 +60,7 @@
     all_rpc="$all_rpc $ip:$rpc"
   done
   cat >"$DIR/addresses.json" <<X
-{ "control": ["127.0.9.1:$control", "127.0.9.2:$control", "127.0.9.3:$control"],
-  "directory": ["127.0.9.1:$directory", "127.0.9.2:$directory", "127.0.9.3:$directory"],
+{ "control": [$(quoted $all_control)], "directory": [$(quoted $all_directory)],
   "entries": [$(quoted $all_callers)], "ready": [$(quoted $all_ready)],
   "operators": [$(quoted $all_operators)], "rpc": [$(quoted $all_rpc)] }
 X
--- a/tests/process/disk_standin.py
+++ b/tests/process/disk_standin.py
@@ -11,7 +11,11 @@
 from hosts_standin import ADDRESSES, ROUTES, ask, configuration, order, pid, start_all, until, use
 import hosts_standin
 
-STATES = ["s1", "s2", "s3"]
+
+def states():
+    return [f"s{i + 1}" for i in range(len(ADDRESSES["control"]))]
+
+
 # The last version that was sent.
 LAST = [100]
 
@@ -42,7 +46,7 @@
 
 async def fill(name, rng, full_s):
     """Fills the disk of NAME for FULL_S; changes go on."""
-    others = [c for s, c in zip(STATES, ADDRESSES["control"]) if s != name]
+    others = [c for s, c in zip(states(), ADDRESSES["control"]) if s != name]
     set_file_size(name, full_size(name, rng))
     end = time.monotonic() + full_s
     while time.monotonic() < end:
@@ -52,14 +56,13 @@
 
 
 async def in_turn():
-    """The disks are full one after another, never two at once, in each order; the next one follows at once, or once the
-    last one has taken a change. After each round each instance must take changes and read the last one back."""
-    rounds, rng = int(sys.argv[3]), random.Random(int(sys.argv[4]))
+    """The disks are full one after another, never two at once, in random orders, each for a time that is given; changes
+    go on meanwhile. After each round each instance must take changes and read the last one back."""
+    rounds, rng, full_s = int(sys.argv[3]), random.Random(int(sys.argv[4])), float(sys.argv[5])
     await start_all()
     for number in range(rounds):
-        names = rng.sample(STATES, len(STATES))
+        names = rng.sample(states(), len(states()))
         gap_s = rng.choice([0, 0, 0.3, 1.2])
-        full_s = rng.choice([0.2, 0.8, 2.0])
         print("round %d: %s, each full for %.1f s, %.1f s between them" % (number, names, full_s, gap_s), flush=True)
         for name in names:
             await fill(name, rng, full_s)
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -301,6 +301,39 @@
     }
 }
 
+/* Guards against an instance whose disk is full that takes its own place back
+   each time it is replaced, since it is still connected: no order was
+   acknowledged for as long as its disk stayed full.  */
+static void
+test_full_disk (void)
+{
+  for (int target = 0; target < INSTANCES; target++)
+    {
+      struct simulation sim
+          = { .log_sim = logsim_new_single (INSTANCES, (uint64_t)target + 1),
+              .rand = g_rand_new_with_seed ((uint32_t)target + 1),
+              .acked_orders
+              = g_array_new (FALSE, FALSE, sizeof (struct acked_order)) };
+      guint before;
+
+      run (&sim, FORM_MS, true);
+      g_assert_true (has_all_voters (&sim));
+      run (&sim, CATCH_UP_MS, false);
+      logsim_inject_fault (sim.log_sim, LOGSIM_DISK_FAIL, target);
+      run (&sim, RECOVER_MS, false);
+      before = sim.acked_orders->len;
+      run (&sim, CATCH_UP_MS, false);
+      g_assert_cmpuint (sim.acked_orders->len, >, before);
+      logsim_clear_fault (sim.log_sim, LOGSIM_DISK_FAIL, target);
+      run (&sim, RECOVER_MS, true);
+      g_assert_true (has_all_voters (&sim));
+      check_acked_orders (&sim);
+      g_array_free (sim.acked_orders, TRUE);
+      g_rand_free (sim.rand);
+      logsim_free (sim.log_sim);
+    }
+}
+
 /* Orders are acknowledged only if a quorum has more disks than may be
    lost.  */
 static void
@@ -344,6 +377,7 @@
   change = jc_placement_next_change (peers, 4, 1);
   g_assert_cmpint (change.kind, ==, JC_PLACEMENT_PUT);
   g_assert_cmpstr (change.name, ==, "c");
+  g_assert_false (change.designated_voter);
   peers[2].is_replica = true;
   change = jc_placement_next_change (peers, 4, 1);
   g_assert_cmpstr (change.name, ==, "d");
@@ -355,6 +389,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/placement/losses", test_losses);
+  g_test_add_func ("/placement/full-disk", test_full_disk);
   g_test_add_func ("/placement/survives-losses", test_survives_losses);
   g_test_add_func ("/placement/replacement", test_replacement);
   return g_test_run ();
