Replace a silent voter only once another one votes in its place

Operators got no answer to a change for as long as a second disk stayed full, though the first one had room again: hosts-disks-in-turn (four state instances that bear one loss, 4 s each) stood still in a trial for over nine minutes, with all processes running and idle. Debugger: the leader had removed s1, silent for 2,694 ms, 0.9 s after the disk of s4 filled; the change needs both of s2 and s4, so neither it nor any order was committed, and s1, which had opened its log again, was no longer asked.

Cause: the silent voter was removed first and the spare promoted after that; between the two the group has one voter less and bears no loss. Class: a change of replicas that is less safe half way than before it.

Change: the spare is made a voter first, and the silent one goes once as many as are wanted vote, hold all and answer. A voter that comes back and is one too many loses its vote again. No message or entry changes.

test-placement/disks-in-turn fails with the old placement and passes for three sizes of groups; /replacement expects the new order of changes.

--- a/conf/placement.c
+++ b/conf/placement.c
@@ -36,16 +36,34 @@
          && voters / 2 + 1 > losses;
 }
 
+/* Return how many designated voters are not silent.  */
 static unsigned int
 count_designated (const struct jc_placement_peer *peers, guint count)
 {
   unsigned int designated = 0;
 
   for (guint i = 0; i < count; i++)
-    designated += peers[i].designated_voter ? 1 : 0;
+    designated
+        += peers[i].designated_voter && peers[i].silent_ms <= REPLACE_SILENT_MS
+               ? 1
+               : 0;
   return designated;
 }
 
+/* Return how many voters hold all committed entries and answer.  */
+static unsigned int
+count_voting (const struct jc_placement_peer *peers, guint count)
+{
+  unsigned int voting = 0;
+
+  for (guint i = 0; i < count; i++)
+    voting += peers[i].votes && peers[i].caught_up
+                      && peers[i].silent_ms < PROMOTE_ANSWER_MS
+                  ? 1
+                  : 0;
+  return voting;
+}
+
 static struct jc_placement_change
 put_change (const struct jc_placement_peer *peer, bool designated_voter,
             const char *reason)
@@ -101,18 +119,40 @@
   return silent;
 }
 
-/* Designate CANDIDATE, if there is one, as a voter, or, if the group is FULL,
-   remove a silent voter to make room for it.  */
+/* Return the voter that may go because there are more than TARGET: the one that
+   answered longest ago, or NULL.  */
+static const struct jc_placement_peer *
+find_surplus (const struct jc_placement_peer *peers, guint count,
+              unsigned int target)
+{
+  const struct jc_placement_peer *surplus = NULL;
+
+  if (count_voting (peers, count) <= target)
+    return NULL;
+  for (guint i = 0; i < count; i++)
+    if (peers[i].votes && peers[i].silent_ms > 0
+        && (surplus == NULL || peers[i].silent_ms > surplus->silent_ms))
+      surplus = &peers[i];
+  return surplus;
+}
+
+/* Designate CANDIDATE as a voter if the group of TARGET voters is not FULL, and
+   remove a silent one once it is not needed: a group that loses a voter before
+   another one votes in its place may depend on one that fails next.  */
 static struct jc_placement_change
 promote_or_replace (const struct jc_placement_peer *peers, guint count,
-                    const struct jc_placement_peer *candidate, bool full)
+                    const struct jc_placement_peer *candidate, bool full,
+                    unsigned int target)
 {
   const struct jc_placement_peer *silent = find_silent (peers, count);
+  const struct jc_placement_peer *surplus = find_surplus (peers, count, target);
 
   if (candidate != NULL && !full)
     return put_change (candidate, true, "place");
-  if (candidate != NULL && silent != NULL)
+  if (silent != NULL && count_voting (peers, count) >= target)
     return remove_change (silent, "silent");
+  if (silent == NULL && surplus != NULL)
+    return put_change (surplus, false, "surplus");
   return (struct jc_placement_change){ .kind = JC_PLACEMENT_NO_CHANGE };
 }
 
@@ -125,15 +165,15 @@
 jc_placement_next_change (const struct jc_placement_peer *peers, guint count,
                           unsigned int losses)
 {
-  bool full
-      = count_designated (peers, count) >= jc_placement_target_voters (losses);
+  unsigned int target = jc_placement_target_voters (losses);
+  bool full = count_designated (peers, count) >= target;
   const struct jc_placement_peer *candidate = find_candidate (peers, count);
   struct jc_placement_change change;
 
   for (guint i = 0; i < count; i++)
     if (!peers[i].is_replica)
       return put_change (&peers[i], !full && candidate == NULL, "newcomer");
-  change = promote_or_replace (peers, count, candidate, full);
+  change = promote_or_replace (peers, count, candidate, full, target);
   if (change.kind != JC_PLACEMENT_NO_CHANGE)
     return change;
   for (guint i = 0; i < count; i++)
--- a/conf/rlogleader.c
+++ b/conf/rlogleader.c
@@ -296,7 +296,11 @@
 {
   const struct jc_rlog_peer *peer = find_peer (log, name);
 
-  return log->role == JC_RLOG_LEADER && peer != NULL && peer->incarnation != 0
+  if (log->role != JC_RLOG_LEADER)
+    return false;
+  if (strcmp (name, log->name) == 0)
+    return true;
+  return peer != NULL && peer->incarnation != 0
          && peer->match_index >= log->commit_index;
 }
 
--- a/state/group.c
+++ b/state/group.c
@@ -98,6 +98,7 @@
         .name = replica->name,
         .is_replica = true,
         .designated_voter = replica->standing,
+        .votes = replica->voter,
         .caught_up = log_replica_caught_up (state, replica->name),
         .silent_ms = log_replica_silent_ms (state, replica->name)
       };
