Ask a process which one it is when an attempt begins, in microseconds

Callers whose streams broke right after their beginning, at endpoints that reset at once, couldn't go on: hosts-answers-cut missed 236 of 923 cases, and hosts-stream-errors failed likewise; hosts-versions-restarted had callers that got 502 after up to 10.6 s, four attempts whose events were held for 2.6 s each until they could not be shown to be of the right version.

Cause: a process was asked for its incarnation once its first bytes had come, over a connection that was then younger than these bytes, so that nothing shows that both are the same; times in ms made two events of the same ms no proof either, and an endpoint whose connections and answer told the same start never counted as certain, as its start was compared with itself (the simulation compared with the time at which it was heard).

Change: the question goes out with the attempt, times of processes are in microseconds, and certainty compares as the simulation does.

--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -37,7 +37,7 @@
    ANSWER_TOKENS are those of the whole answer.  TARGET_INCARNATION, TARGET_TAG
    and TARGET_SOFTWARE are those of the endpoint as it was known when the
    attempt began; the process that answers has been the same since
-   PROCESS_SINCE_MS.  ANY_SENT means that some attempt may have sent the request
+   PROCESS_SINCE_US.  ANY_SENT means that some attempt may have sent the request
    to an endpoint, REFUSED_AT_HEAD that the instance which the current attempt
    went to refused it before that.
    SEND_NUMBER is that of the current attempt for jc_backpressure_note_answer.
@@ -96,8 +96,8 @@
   uint64_t target_incarnation;
   uint64_t target_tag;
   uint64_t target_software;
-  int64_t process_since_ms;
-  int64_t process_heard_ms;
+  int64_t process_since_us;
+  int64_t process_heard_us;
 
   struct jc_head answer_head;
   struct jc_answer_info answer_info;
--- a/entry/identities.c
+++ b/entry/identities.c
@@ -31,7 +31,7 @@
   int64_t ask_again_ms;
 };
 
-/* A question to the process at ADDRESS.  SINCE_MS and HEARD_MS are those of the
+/* A question to the process at ADDRESS.  SINCE_US and HEARD_US are those of the
    process that answers, 0 before the head of the answer.  */
 struct question
 {
@@ -40,8 +40,8 @@
   char *address;
   GString *body;
   int status;
-  int64_t since_ms;
-  int64_t heard_ms;
+  int64_t since_us;
+  int64_t heard_us;
 };
 
 static void
@@ -59,8 +59,8 @@
 
   (void)content_type;
   question->status = status;
-  question->since_ms = jc_httpc_call_since_ms (question->call);
-  question->heard_ms = jc_now_ms ();
+  question->since_us = jc_httpc_call_since_us (question->call);
+  question->heard_us = jc_now_us ();
 }
 
 static void
@@ -80,7 +80,7 @@
   struct identity *identity
       = g_hash_table_lookup (router->identities, question->address);
   struct jc_process_identity process
-      = { .since_ms = question->since_ms, .heard_ms = question->heard_ms };
+      = { .since_us = question->since_us, .heard_us = question->heard_us };
   bool told = result->status == JC_OK && question->status == HTTP_OK
               && router->protocol->parse_state (
                   jc_str_from_gstring (question->body), &process.incarnation);
@@ -88,7 +88,7 @@
   identity->question = NULL;
   if (told)
     identity->process = process;
-  else if (question->heard_ms > 0)
+  else if (question->heard_us > 0)
     identity->ask_again_ms = jc_now_ms () + UNTOLD_MS;
   jc_event (JC_EVENT_IDENTITY,
             "address=%s incarnation=%" PRIu64 " status=%d ms=%" PRId64
@@ -96,7 +96,7 @@
             question->address, process.incarnation, question->status,
             jc_now_ms () - identity->asked_ms,
             told                     ? "told"
-            : question->heard_ms > 0 ? "untold"
+            : question->heard_us > 0 ? "untold"
                                      : "unreached");
   question_free (question);
   if (told)
@@ -144,7 +144,7 @@
   const struct identity *identity
       = g_hash_table_lookup (router->identities, address);
 
-  return identity != NULL && identity->process.heard_ms > 0 ? &identity->process
+  return identity != NULL && identity->process.heard_us > 0 ? &identity->process
                                                             : NULL;
 }
 
--- a/entry/resumptions.c
+++ b/entry/resumptions.c
@@ -17,6 +17,7 @@
   /* The version that began a stream is looked for so long after its caller has
      left: a report may come 3 s late, and the next one an interval later.  */
   LEFT_MAX_MS = 8000,
+  US_PER_MS = 1000,
   HEXADECIMAL = 16
 };
 
@@ -28,8 +29,8 @@
   const char *name;
   const char *address;
   uint64_t tag;
-  int64_t since_ms;
-  int64_t heard_ms;
+  int64_t since_us;
+  int64_t heard_us;
 };
 
 /* A stream, of the hash STREAM, that began at STARTED_MS at PROCESS, whose
@@ -104,19 +105,24 @@
 resumptions_is_certain (const struct router *router,
                         const struct jc_endpoint *endpoint)
 {
-  int64_t since
-      = jc_httpc_address_since_ms (router->entry->httpc, endpoint->address);
+  int64_t heard_us;
+  int64_t since_us = jc_httpc_address_since_us (router->entry->httpc,
+                                                endpoint->address, &heard_us);
   const struct jc_process_identity *identity
       = identities_find (router, endpoint->address);
 
-  return since >= 0
-         && (jc_resumption_is_confirmed (endpoint->reported_ms, since)
+  return since_us >= 0
+         && (jc_resumption_is_confirmed (endpoint->reported_ms,
+                                         since_us / US_PER_MS)
              || (identity != NULL
                  && identity->incarnation == endpoint->incarnation
-                 && jc_resumption_is_identified (identity, since, since)));
+                 && jc_resumption_is_identified (identity, since_us,
+                                                 heard_us)));
 }
 
-/* EXCHANGE's current attempt, which goes to ENDPOINT, is about to start.  */
+/* EXCHANGE's current attempt, which goes to ENDPOINT, is about to start.  A
+   process that isn't certain is asked at once: its answer may break off right
+   after its beginning.  */
 void
 resumptions_attempt_started (struct exchange *exchange,
                              const struct jc_endpoint *endpoint)
@@ -125,11 +131,14 @@
   exchange->target_tag = endpoint->tag;
   g_free (exchange->target_address);
   exchange->target_address = g_strdup (endpoint->address);
-  exchange->process_since_ms = jc_now_ms ();
-  exchange->process_heard_ms = 0;
+  exchange->process_since_us = jc_now_us ();
+  exchange->process_heard_us = 0;
   exchange->held_done = false;
   exchange->unproven_attempt
       = is_resumable (exchange) && exchange->software != 0;
+  if (is_resumable (exchange)
+      && !resumptions_is_certain (exchange->router, endpoint))
+    identities_ask (exchange->router, endpoint->address);
 }
 
 /* Return whether PROCESS has told which incarnation it is, and store that in
@@ -143,8 +152,8 @@
       = identities_find (router, process->address);
 
   if (identity == NULL
-      || !jc_resumption_is_identified (identity, process->since_ms,
-                                       process->heard_ms))
+      || !jc_resumption_is_identified (identity, process->since_us,
+                                       process->heard_us))
     return false;
   *incarnation = identity->incarnation;
   return true;
@@ -170,7 +179,7 @@
   endpoint = jc_endpoints_find_by_tag (router->endpoints, process->tag);
   return endpoint != NULL
                  && jc_resumption_is_confirmed (endpoint->reported_ms,
-                                                process->since_ms)
+                                                process->since_us / US_PER_MS)
              ? endpoint->software
              : 0;
 }
@@ -183,8 +192,8 @@
   return (struct target_process){ .name = exchange->target_name,
                                   .address = exchange->target_address,
                                   .tag = exchange->target_tag,
-                                  .since_ms = exchange->process_since_ms,
-                                  .heard_ms = exchange->process_heard_ms };
+                                  .since_us = exchange->process_since_us,
+                                  .heard_us = exchange->process_heard_us };
 }
 
 /* Return the version of the process that answers EXCHANGE's current attempt,
@@ -226,8 +235,8 @@
 
   if (exchange->remote || exchange->call == NULL)
     return;
-  exchange->process_since_ms = jc_httpc_call_since_ms (exchange->call);
-  exchange->process_heard_ms = jc_now_ms ();
+  exchange->process_since_us = jc_httpc_call_since_us (exchange->call);
+  exchange->process_heard_us = jc_now_us ();
   if (!is_resumable (exchange)
       || (exchange->software != 0 && !exchange->unproven_attempt))
     return;
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -7,7 +7,8 @@
 
 enum
 {
-  MS_PER_S = 1000
+  MS_PER_S = 1000,
+  US_PER_MS = 1000
 };
 
 /* Free ended calls and closed connections; none of their functions is on the
@@ -130,15 +131,28 @@
   g_hash_table_remove (httpc->idle_conns, address);
 }
 
-/* Return since when, in ms of jc_now_ms, the process that was heard last at
-   ADDRESS has been the same, or -1 if no connection to it is established.  */
+/* Return since when, in us of jc_now_us, the process that was heard last at
+   ADDRESS has been the same, or -1 if no connection to it is established.  Set
+   HEARD_US to when it was heard.  */
 int64_t
-jc_httpc_address_since_ms (const struct jc_httpc *httpc, const char *address)
+jc_httpc_address_since_us (const struct jc_httpc *httpc, const char *address,
+                           int64_t *heard_us)
 {
   const struct httpc_address *used
       = g_hash_table_lookup (httpc->used_addresses, address);
 
-  return used != NULL && used->heard_ms > 0 ? used->since_ms : -1;
+  *heard_us = used != NULL ? used->heard_us : 0;
+  return *heard_us > 0 ? used->since_us : -1;
+}
+
+/* Return the same in ms of jc_now_ms.  */
+int64_t
+jc_httpc_address_since_ms (const struct jc_httpc *httpc, const char *address)
+{
+  int64_t heard_us;
+  int64_t since_us = jc_httpc_address_since_us (httpc, address, &heard_us);
+
+  return since_us >= 0 ? since_us / US_PER_MS : -1;
 }
 
 /* Return when, in ms of jc_now_ms, the process at ADDRESS was last lost, or -1
@@ -152,13 +166,13 @@
   return lost_ms != NULL ? *lost_ms : -1;
 }
 
-/* Return since when, in ms of jc_now_ms, the process at the other end of CALL's
+/* Return since when, in us of jc_now_us, the process at the other end of CALL's
    connection, which has been heard, has been the same: since the connection was
    established, or longer where an earlier one was heard after that.  */
 int64_t
-jc_httpc_call_since_ms (const struct jc_httpc_call *call)
+jc_httpc_call_since_us (const struct jc_httpc_call *call)
 {
-  return call->conn->since_ms;
+  return call->conn->since_us;
 }
 
 /* Return whether CALL waits for its connection to come up.  */
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -85,11 +85,13 @@
 struct jc_httpc *jc_httpc_new (struct ev_loop *loop);
 void jc_httpc_free (struct jc_httpc *httpc);
 void jc_httpc_close_idle (struct jc_httpc *httpc, const char *address);
+int64_t jc_httpc_address_since_us (const struct jc_httpc *httpc,
+                                   const char *address, int64_t *heard_us);
 int64_t jc_httpc_address_since_ms (const struct jc_httpc *httpc,
                                    const char *address);
 int64_t jc_httpc_address_lost_ms (const struct jc_httpc *httpc,
                                   const char *address);
-int64_t jc_httpc_call_since_ms (const struct jc_httpc_call *call);
+int64_t jc_httpc_call_since_us (const struct jc_httpc_call *call);
 uint64_t jc_httpc_connections_opened (const struct jc_httpc *httpc);
 struct jc_httpc_call *
 jc_httpc_call_start (struct jc_httpc *httpc,
--- a/net/httpcconn.c
+++ b/net/httpcconn.c
@@ -177,8 +177,8 @@
                            used);
     }
   used->open++;
-  conn->connected_ms = jc_now_ms ();
-  conn->since_ms = conn->connected_ms;
+  conn->connected_us = jc_now_us ();
+  conn->since_us = conn->connected_us;
 }
 
 /* Record that the process at the other end of CONN was heard.  If it was heard
@@ -190,12 +190,12 @@
   struct httpc_address *used
       = g_hash_table_lookup (conn->httpc->used_addresses, conn->address);
 
-  if (used->heard_ms > conn->connected_ms)
-    conn->since_ms = MIN (conn->since_ms, used->since_ms);
-  if (conn->connected_ms < used->broken_ms)
-    used->broken_ms = 0;
-  used->since_ms = conn->since_ms;
-  used->heard_ms = jc_now_ms ();
+  if (used->heard_us > conn->connected_us)
+    conn->since_us = MIN (conn->since_us, used->since_us);
+  if (conn->connected_us < used->broken_us)
+    used->broken_us = 0;
+  used->since_us = conn->since_us;
+  used->heard_us = jc_now_us ();
   conn->unanswered = false;
 }
 
@@ -229,10 +229,10 @@
   struct httpc_address *used = g_hash_table_lookup (addresses, conn->address);
 
   if (conn->broken || conn->unanswered)
-    used->broken_ms = jc_now_ms ();
+    used->broken_us = jc_now_us ();
   if (--used->open > 0)
     return;
-  if (used->broken_ms > 0)
+  if (used->broken_us > 0)
     conn_note_lost (conn);
   g_hash_table_remove (addresses, conn->address);
 }
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -26,19 +26,19 @@
 };
 
 /* What connections to one address tell of the process there: it was heard at
-   HEARD_MS, and had then been the same since SINCE_MS, times of jc_now_ms. OPEN
-   is the number of established connections.  One of them broke at BROKEN_MS, 0
+   HEARD_US, and had then been the same since SINCE_US, times of jc_now_us. OPEN
+   is the number of established connections.  One of them broke at BROKEN_US, 0
    for none, and no older one was heard since.  */
 struct httpc_address
 {
   unsigned int open;
-  int64_t since_ms;
-  int64_t heard_ms;
-  int64_t broken_ms;
+  int64_t since_us;
+  int64_t heard_us;
+  int64_t broken_us;
 };
 
-/* A connection to ADDRESS, established at CONNECTED_MS to a process that has
-   been the same since SINCE_MS.  CALL is the call under way on it, or NULL.
+/* A connection to ADDRESS, established at CONNECTED_US to a process that has
+   been the same since SINCE_US.  CALL is the call under way on it, or NULL.
    IDLE_TIMEOUT_MS is how long it stays open while idle.  SCANNED_BYTES of IN
    are known to hold no end of a head.  BROKEN is set if the peer ended it,
    not this client, UNANSWERED while nothing was heard since the last byte
@@ -51,8 +51,8 @@
   char *address;
   int fd;
   bool connected;
-  int64_t connected_ms;
-  int64_t since_ms;
+  int64_t connected_us;
+  int64_t since_us;
   bool closed;
   bool broken;
   bool unanswered;
--- a/net/program.c
+++ b/net/program.c
@@ -34,6 +34,13 @@
   return (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
 }
 
+/* Return the time of the same clock in microseconds.  */
+int64_t
+jc_now_us (void)
+{
+  return g_get_monotonic_time ();
+}
+
 /* Return the time in ms of a clock that, unlike jc_now_ms, goes on while the
    machine is suspended.  */
 int64_t
--- a/net/program.h
+++ b/net/program.h
@@ -32,6 +32,7 @@
                        bool *bootstrap, void **settings, int *exit_code);
 const char *jc_program_settings_file (void);
 int64_t jc_now_ms (void);
+int64_t jc_now_us (void);
 int64_t jc_wall_ms (void);
 int64_t jc_boot_ms (void);
 uint64_t jc_random_id (void);
--- a/serve/resumption.c
+++ b/serve/resumption.c
@@ -179,11 +179,11 @@
 }
 
 /* Return whether IDENTITY is that of the process that had been the same since
-   SINCE_MS when it was heard at HEARD_MS at the same address: no two processes
+   SINCE_US when it was heard at HEARD_US at the same address: no two processes
    have an address at once, so that it is the same one if the times overlap.  */
 bool
 jc_resumption_is_identified (const struct jc_process_identity *identity,
-                             int64_t since_ms, int64_t heard_ms)
+                             int64_t since_us, int64_t heard_us)
 {
-  return identity->heard_ms > since_ms && heard_ms > identity->since_ms;
+  return identity->heard_us > since_us && heard_us > identity->since_us;
 }
--- a/serve/resumption.h
+++ b/serve/resumption.h
@@ -48,13 +48,14 @@
 };
 
 /* What the process at an address said of itself: the start that its reports
-   name, too.  It had been the same process since SINCE_MS when it was heard at
-   HEARD_MS; 0 if none was heard.  */
+   name, too.  It had been the same process since SINCE_US when it was heard at
+   HEARD_US, 0 if none was heard: what happens within one ms must be told
+   apart.  */
 struct jc_process_identity
 {
   uint64_t incarnation;
-  int64_t since_ms;
-  int64_t heard_ms;
+  int64_t since_us;
+  int64_t heard_us;
 };
 
 /* A state instance that may hold starts of streams.  */
@@ -81,6 +82,6 @@
                             unsigned int picked[JC_RESUMPTION_HOLDERS_MAX]);
 bool jc_resumption_is_confirmed (int64_t reported_ms, int64_t since_ms);
 bool jc_resumption_is_identified (const struct jc_process_identity *identity,
-                                  int64_t since_ms, int64_t heard_ms);
+                                  int64_t since_us, int64_t heard_us);
 
 #endif
--- a/tests/test-httpc-process.c
+++ b/tests/test-httpc-process.c
@@ -67,9 +67,12 @@
 }
 
 static int64_t
-since_ms (const struct fixture *fixture)
+since_us (const struct fixture *fixture)
 {
-  return jc_httpc_address_since_ms (fixture->httpc, fixture->address);
+  int64_t heard_us;
+
+  return jc_httpc_address_since_us (fixture->httpc, fixture->address,
+                                    &heard_us);
 }
 
 static void
@@ -150,14 +153,14 @@
   struct call call;
 
   fixture_init (&fixture);
-  g_assert_cmpint (since_ms (&fixture), ==, -1);
+  g_assert_cmpint (since_us (&fixture), ==, -1);
   call_start (&fixture, &call);
-  g_assert_cmpint (since_ms (&fixture), ==, -1);
+  g_assert_cmpint (since_us (&fixture), ==, -1);
   call_answer (&fixture, &call, HEAD "abc", 3);
   g_assert_true (call.done);
-  g_assert_cmpint (since_ms (&fixture), >, 0);
+  g_assert_cmpint (since_us (&fixture), >, 0);
   jc_httpc_close_idle (fixture.httpc, fixture.address);
-  g_assert_cmpint (since_ms (&fixture), ==, -1);
+  g_assert_cmpint (since_us (&fixture), ==, -1);
   close (call.fd);
   fixture_clear (&fixture);
 }
@@ -171,26 +174,26 @@
   struct fixture fixture;
   struct call earlier;
   struct call later;
-  int64_t earlier_ms;
-  int64_t later_ms;
+  int64_t earlier_us;
+  int64_t later_us;
 
   fixture_init (&fixture);
   call_start (&fixture, &earlier);
   call_answer (&fixture, &earlier, HEAD "a", 1);
-  earlier_ms = jc_httpc_call_since_ms (earlier.call);
-  g_assert_cmpint (since_ms (&fixture), ==, earlier_ms);
+  earlier_us = jc_httpc_call_since_us (earlier.call);
+  g_assert_cmpint (since_us (&fixture), ==, earlier_us);
   run_for (&fixture, APART_MS);
   call_start (&fixture, &later);
   call_answer (&fixture, &later, HEAD "a", 1);
-  later_ms = jc_httpc_call_since_ms (later.call);
-  g_assert_cmpint (later_ms, >, earlier_ms);
-  g_assert_cmpint (since_ms (&fixture), ==, later_ms);
+  later_us = jc_httpc_call_since_us (later.call);
+  g_assert_cmpint (later_us, >, earlier_us);
+  g_assert_cmpint (since_us (&fixture), ==, later_us);
   run_for (&fixture, APART_MS);
   call_answer (&fixture, &earlier, "b", 2);
-  g_assert_cmpint (jc_httpc_call_since_ms (later.call), ==, later_ms);
-  g_assert_cmpint (since_ms (&fixture), ==, earlier_ms);
+  g_assert_cmpint (jc_httpc_call_since_us (later.call), ==, later_us);
+  g_assert_cmpint (since_us (&fixture), ==, earlier_us);
   call_answer (&fixture, &later, "b", 2);
-  g_assert_cmpint (jc_httpc_call_since_ms (later.call), ==, earlier_ms);
+  g_assert_cmpint (jc_httpc_call_since_us (later.call), ==, earlier_us);
   jc_httpc_call_cancel (earlier.call);
   jc_httpc_call_cancel (later.call);
   close (earlier.fd);
--- a/tests/test-resumption.c
+++ b/tests/test-resumption.c
@@ -226,7 +226,7 @@
 test_identity (void)
 {
   const struct jc_process_identity identity
-      = { .incarnation = 7, .since_ms = 1000, .heard_ms = 2000 };
+      = { .incarnation = 7, .since_us = 1000, .heard_us = 2000 };
   const struct jc_process_identity none = { .incarnation = 0 };
 
   g_assert_true (jc_resumption_is_identified (&identity, 1500, 1600));
--- a/tests/versionconns.c
+++ b/tests/versionconns.c
@@ -109,10 +109,11 @@
         conn->since_ms = MIN (conn->since_ms, used->since_ms);
       used->since_ms = conn->since_ms;
       used->heard_ms = world->now_ms;
-      entry->identities[event->endpoint]
-          = (struct jc_process_identity){ .incarnation = conn->process,
-                                          .since_ms = conn->since_ms,
-                                          .heard_ms = world->now_ms };
+      entry->identities[event->endpoint] = (struct jc_process_identity){
+        .incarnation = conn->process,
+        .since_us = conn->since_ms * US_PER_MS,
+        .heard_us = world->now_ms * US_PER_MS
+      };
     }
   conn_close (entry, conn);
   entries_check (world, event->entry);
--- a/tests/versionentries.c
+++ b/tests/versionentries.c
@@ -53,8 +53,9 @@
   endpoint = jc_endpoints_find (at->endpoints,
                                 world->endpoints[target->endpoint].name);
   return endpoint != NULL && endpoint->incarnation == identity->incarnation
-                 && jc_resumption_is_identified (identity, target->since_ms,
-                                                 target->heard_ms)
+                 && jc_resumption_is_identified (identity,
+                                                 target->since_ms * US_PER_MS,
+                                                 target->heard_ms * US_PER_MS)
              ? endpoint->software
              : 0;
 }
@@ -91,8 +92,8 @@
       && (stream->unproven_attempt || stream->software == 0)
       && certain_software (world, stream) == 0
       && !jc_resumption_is_identified (&entry->identities[stream->endpoint],
-                                       stream->process_since_ms,
-                                       stream->process_heard_ms))
+                                       stream->process_since_ms * US_PER_MS,
+                                       stream->process_heard_ms * US_PER_MS))
     conns_identify (world, stream->entry, stream->endpoint);
 }
 
@@ -350,9 +351,9 @@
       = since_ms >= 0
         && (jc_resumption_is_confirmed (endpoint->reported_ms, since_ms)
             || (entry->identities[index].incarnation == endpoint->incarnation
-                && jc_resumption_is_identified (&entry->identities[index],
-                                                since_ms,
-                                                entry->used[index].heard_ms)));
+                && jc_resumption_is_identified (
+                    &entry->identities[index], since_ms * US_PER_MS,
+                    entry->used[index].heard_ms * US_PER_MS)));
   return true;
 }
 
