Tell peers the protocol level, and take messages of earlier and later ones

A hello now tells the sender's level, in a field of its head that hellos did not use, so that the build of production (level 0) takes it as before. From a peer of a lower level fields that are missing at the end of a message count as empty; from one of a higher level a kind that is not known is counted (jaycove_rpc_unknown_total) and left out, and a call of such a kind is refused at once. Between peers of the same level both end the connection as before. Bytes behind the known fields were and are left out.

No message changes. test-rpc-levels plays a later and an earlier build (unknown kinds and calls, more and fewer fields, levels told both ways); its cases of unknown kinds and fewer fields need what is new here. The handshake moved to a file of its own, since rpcconn.c grew.

--- a/entry/main.c
+++ b/entry/main.c
@@ -89,6 +89,7 @@
                                       .zone = s->availability_zone,
                                       .key_hex = s->group_key,
                                       .incarnation = jc_random_id (),
+                                      .level = JC_RPC_LEVEL,
                                       .heartbeat_ms = s->heartbeat_ms,
                                       .silent_ms = s->silent_ms };
 
--- a/net/rpc.c
+++ b/net/rpc.c
@@ -190,6 +190,7 @@
   rpc->region = g_strdup (identity->region);
   rpc->zone = g_strdup (identity->zone);
   rpc->incarnation = identity->incarnation;
+  rpc->level = identity->level;
   rpc->heartbeat_ms = identity->heartbeat_ms;
   rpc->silent_ms = identity->silent_ms;
   rpc->listen_fd = -1;
--- a/net/rpc.h
+++ b/net/rpc.h
@@ -13,11 +13,20 @@
 #include "base/status.h"
 #include "schema/gen/messages.h"
 
+enum
+{
+  /* Raised with each change of the messages (docs/design/upgrades.md).  Builds
+     before the first level tell 0.  */
+  JC_RPC_LEVEL = 1
+};
+
 struct jc_rpc;
 struct jc_rpc_conn;
 
 /* Identity of this process and parameters of its connections.  KEY_HEX is the
-   key of the group in hexadecimal.  A heartbeat is sent every HEARTBEAT_MS
+   key of the group in hexadecimal.  LEVEL is the protocol level of this
+   process, which its peers are told; a level above JC_RPC_LEVEL stands for a
+   later build.  A heartbeat is sent every HEARTBEAT_MS
    without other messages; a connection is dropped if nothing is received for
    SILENT_MS.  */
 struct jc_rpc_identity
@@ -29,6 +38,7 @@
   const char *zone;
   const char *key_hex;
   uint64_t incarnation;
+  uint64_t level;
   long heartbeat_ms;
   long silent_ms;
 };
@@ -77,6 +87,7 @@
 const char *jc_rpc_conn_region (const struct jc_rpc_conn *conn);
 const char *jc_rpc_conn_zone (const struct jc_rpc_conn *conn);
 uint64_t jc_rpc_conn_incarnation (const struct jc_rpc_conn *conn);
+uint64_t jc_rpc_conn_level (const struct jc_rpc_conn *conn);
 int64_t jc_rpc_conn_silent_ms (const struct jc_rpc_conn *conn);
 size_t jc_rpc_conn_backlog_bytes (const struct jc_rpc_conn *conn);
 
--- a/net/rpcconn.c
+++ b/net/rpcconn.c
@@ -132,8 +132,8 @@
 
 /* Fill in the head of PACKET.  Names are left out once CONN is up, since the
    peer has authenticated them.  */
-static void
-packet_fill_head (const struct jc_rpc_conn *conn, struct rpc_packet *packet)
+void
+rpc_conn_fill_head (const struct jc_rpc_conn *conn, struct rpc_packet *packet)
 {
   const struct jc_rpc *rpc = conn->rpc;
 
@@ -143,21 +143,20 @@
   packet->head.config_version = rpc->config_version;
 }
 
-/* Append PACKET to the output of CONN, with a MAC once CONN is up, and write
-   it.  Schedule CONN to be dropped if too many bytes wait.  */
-static enum jc_status
-conn_queue_packet (struct jc_rpc_conn *conn, struct rpc_packet *packet)
+/* Append BYTES, an encoded message of TYPE, to the output of CONN, with a MAC
+   once CONN is up, and write it.  Schedule CONN to be dropped if too many bytes
+   wait.  */
+enum jc_status
+rpc_conn_queue_record (struct jc_rpc_conn *conn, struct jc_str bytes,
+                       enum rpc_type type)
 {
-  unsigned long size = xdr_sizeof ((xdrproc_t)xdr_rpc_packet, packet);
   bool authenticated = conn->up;
-  size_t total = size + (authenticated ? MAC_BYTES : 0);
+  size_t total = bytes.len + (authenticated ? MAC_BYTES : 0);
   uint32_t mark = htonl ((uint32_t)total | LAST_FRAGMENT);
   guint at = conn->out->len;
   unsigned char *body;
-  XDR xdr;
-  bool ok;
 
-  if (size == 0 || total > RECORD_MAX_BYTES)
+  if (bytes.len == 0 || total > RECORD_MAX_BYTES)
     return jc_fail (JC_TOO_LARGE, "The message is too large.");
   if (jc_rpc_conn_backlog_bytes (conn) + total > BACKLOG_MAX_BYTES)
     {
@@ -167,18 +166,11 @@
   g_byte_array_set_size (conn->out, at + RECORD_MARK_BYTES + (guint)total);
   memcpy (conn->out->data + at, &mark, RECORD_MARK_BYTES);
   body = conn->out->data + at + RECORD_MARK_BYTES;
-  xdrmem_create (&xdr, (char *)body, (u_int)size, XDR_ENCODE);
-  ok = xdr_rpc_packet (&xdr, packet);
-  xdr_destroy (&xdr);
-  if (!ok)
-    {
-      g_byte_array_set_size (conn->out, at);
-      return jc_fail (JC_INTERNAL, "The message can't be encoded.");
-    }
+  memcpy (body, bytes.data, bytes.len);
   if (authenticated)
-    rpc_auth_compute_mac (body + size, conn->send_key, conn->records_sent++,
-                          body, size);
-  rpc_traffic_count (conn->rpc->traffic, packet->body.type, conn->zone,
+    rpc_auth_compute_mac (body + bytes.len, conn->send_key,
+                          conn->records_sent++, body, bytes.len);
+  rpc_traffic_count (conn->rpc->traffic, type, conn->zone,
                      RECORD_MARK_BYTES + total);
   conn_flush (conn);
   if (conn->closed || conn->drop_reason != NULL)
@@ -186,33 +178,27 @@
   return JC_OK;
 }
 
-/* Send a message of TYPE of the handshake on CONN.  WITH_PROOF adds a proof of
-   the identity of this process, for which the nonce of the peer must be
-   known.  */
-void
-rpc_conn_send_hello (struct jc_rpc_conn *conn, enum rpc_type type,
-                     bool with_proof)
+/* Encode PACKET and queue it on CONN.  */
+enum jc_status
+rpc_conn_queue_packet (struct jc_rpc_conn *conn, struct rpc_packet *packet)
 {
-  struct jc_rpc *rpc = conn->rpc;
-  unsigned char proof[KEY_BYTES];
-  struct rpc_packet packet = { .body.type = type };
-  struct rpc_hello *hello = &packet.body.rpc_body_u.hello;
-
-  packet_fill_head (conn, &packet);
-  hello->role = rpc->role;
-  hello->zone = rpc->zone;
-  hello->region = rpc->region;
-  hello->nonce.rpc_bytes_val = (char *)conn->own_nonce;
-  hello->nonce.rpc_bytes_len = NONCE_BYTES;
-  if (with_proof)
-    {
-      rpc_auth_compute_proof (conn, conn->dialled ? "dialer" : "listener",
-                              &packet, proof);
-      hello->proof.rpc_bytes_val = (char *)proof;
-      hello->proof.rpc_bytes_len = KEY_BYTES;
-    }
-  conn->hello_sent = true;
-  conn_queue_packet (conn, &packet);
+  unsigned long size = xdr_sizeof ((xdrproc_t)xdr_rpc_packet, packet);
+  enum jc_status status;
+  char *bytes;
+  XDR xdr;
+
+  if (size == 0 || size > RECORD_MAX_BYTES)
+    return jc_fail (JC_TOO_LARGE, "The message is too large.");
+  bytes = g_malloc (size);
+  xdrmem_create (&xdr, bytes, (u_int)size, XDR_ENCODE);
+  if (xdr_rpc_packet (&xdr, packet))
+    status = rpc_conn_queue_record (
+        conn, (struct jc_str){ .data = bytes, .len = size }, packet->body.type);
+  else
+    status = jc_fail (JC_INTERNAL, "The message can't be encoded.");
+  xdr_destroy (&xdr);
+  g_free (bytes);
+  return status;
 }
 
 /* Drop connections that CONN, which is about to come up, replaces: those to an
@@ -236,8 +222,8 @@
 
 /* Put CONN into use after the handshake: derive its keys, drop what it
    replaces and tell the owner.  */
-static void
-conn_mark_up (struct jc_rpc_conn *conn)
+void
+rpc_conn_mark_up (struct jc_rpc_conn *conn)
 {
   struct jc_rpc *rpc = conn->rpc;
 
@@ -255,82 +241,6 @@
     rpc->klass->up (rpc->ctx, conn);
 }
 
-/* Return whether the hello P proves that the peer of CONN knows the key of the
-   group.  */
-static bool
-conn_check_proof (const struct jc_rpc_conn *conn, const struct rpc_packet *p)
-{
-  const struct rpc_hello *hello = &p->body.rpc_body_u.hello;
-  unsigned char expected[KEY_BYTES];
-
-  if (hello->proof.rpc_bytes_len != KEY_BYTES)
-    return false;
-  rpc_auth_compute_proof (conn, conn->dialled ? "listener" : "dialer", p,
-                          expected);
-  return sodium_memcmp (expected, hello->proof.rpc_bytes_val, KEY_BYTES) == 0;
-}
-
-/* Store the identity of the authenticated peer from PACKET, its hello.  */
-static void
-conn_store_peer (struct jc_rpc_conn *conn, const struct rpc_packet *packet)
-{
-  const struct rpc_hello *hello = &packet->body.rpc_body_u.hello;
-
-  conn->name = g_strdup (packet->head.sender);
-  conn->role = g_strdup (hello->role);
-  conn->region = g_strdup (hello->region);
-  conn->zone = g_strdup (hello->zone);
-  conn->incarnation = packet->head.incarnation;
-}
-
-/* Return whether the peer of CONN may have NAME: not that of this process and,
-   if this process dialled, the one that was dialled.  */
-static bool
-conn_accepts_peer_name (const struct jc_rpc_conn *conn, const char *name)
-{
-  if (name[0] == '\0' || strcmp (name, conn->rpc->name) == 0)
-    return false;
-  return conn->dial == NULL || strcmp (name, conn->dial->name) == 0;
-}
-
-/* Handle a message of the handshake: the listener sends its nonce, the
-   dialling side answers with its nonce and a proof, the listener replies with
-   its proof.  */
-static void
-conn_handle_hello (struct jc_rpc_conn *conn, const struct rpc_packet *packet)
-{
-  const struct rpc_hello *hello = &packet->body.rpc_body_u.hello;
-  enum rpc_type type = packet->body.type;
-  bool dialer = conn->dialled;
-
-  if ((type != RPC_HELLO && type != RPC_HELLO_ACK)
-      || strcmp (packet->head.group, conn->rpc->group) != 0
-      || hello->nonce.rpc_bytes_len != NONCE_BYTES
-      || !conn_accepts_peer_name (conn, packet->head.sender))
-    {
-      rpc_conn_drop (conn, "invalid handshake message");
-      return;
-    }
-  if (dialer && type == RPC_HELLO && !conn->hello_sent)
-    {
-      memcpy (conn->peer_nonce, hello->nonce.rpc_bytes_val, NONCE_BYTES);
-      rpc_conn_send_hello (conn, RPC_HELLO, true);
-      return;
-    }
-  if (!dialer)
-    memcpy (conn->peer_nonce, hello->nonce.rpc_bytes_val, NONCE_BYTES);
-  if ((type == RPC_HELLO) == dialer || !conn_check_proof (conn, packet))
-    {
-      rpc_conn_drop (conn, "the handshake proof is invalid");
-      return;
-    }
-  conn_store_peer (conn, packet);
-  if (!dialer)
-    rpc_conn_send_hello (conn, RPC_HELLO_ACK, true);
-  if (!conn->closed)
-    conn_mark_up (conn);
-}
-
 /* Pass PACKET to the pending call that it replies to, or else to the owner of
    CONN.  */
 static void
@@ -342,7 +252,7 @@
 
   if (!conn->up)
     {
-      conn_handle_hello (conn, packet);
+      rpc_conn_handle_hello (conn, packet);
       return;
     }
   conn->peer_config_version = packet->head.config_version;
@@ -393,13 +303,24 @@
   packet->head.incarnation = conn->incarnation;
 }
 
+/* Count PACKET, of which only the head is known.  A call is answered.  */
+static void
+conn_leave_out (struct jc_rpc_conn *conn, const struct rpc_packet *packet)
+{
+  conn->rpc->unknown_kinds++;
+  if (packet->head.xid != 0 && packet->head.reply_to == 0)
+    jc_rpc_reply_error (conn, packet, JC_NOT_FOUND,
+                        "This build does not know the message.", 0);
+}
+
 /* Check and decode BODY, a record of SIZE bytes with its MAC, and handle the
    message.  */
 static void
 conn_handle_record (struct jc_rpc_conn *conn, unsigned char *body, size_t size)
 {
   struct rpc_packet packet;
-  XDR xdr;
+  struct jc_str bytes = { .data = (const char *)body, .len = size };
+  uint64_t own_level = conn->rpc->level;
 
   if (conn->up)
     {
@@ -409,24 +330,28 @@
           rpc_conn_drop (conn, "a record has an invalid MAC");
           return;
         }
-      size -= MAC_BYTES;
+      bytes.len -= MAC_BYTES;
     }
   else if (!record_is_hello (body, size))
     {
       rpc_conn_drop (conn, "the record is not a handshake message");
       return;
     }
-  memset (&packet, 0, sizeof packet);
-  xdrmem_create (&xdr, (char *)body, (u_int)size, XDR_DECODE);
-  if (xdr_rpc_packet (&xdr, &packet))
+  switch (rpc_decode (bytes, own_level, conn->up ? conn->level : own_level,
+                      &packet))
     {
+    case RPC_DECODED:
       if (conn->up)
         packet_restore_sender (conn, &packet);
       conn_handle_packet (conn, &packet);
+      break;
+    case RPC_UNKNOWN_KIND:
+      conn_leave_out (conn, &packet);
+      break;
+    case RPC_MALFORMED:
+      rpc_conn_drop (conn, "a record can't be decoded");
+      break;
     }
-  else
-    rpc_conn_drop (conn, "a record can't be decoded");
-  xdr_destroy (&xdr);
   xdr_free ((xdrproc_t)xdr_rpc_packet, (char *)&packet);
 }
 
@@ -599,6 +524,14 @@
   return conn->region;
 }
 
+/* Return the protocol level of the peer of CONN, 0 for a build before the first
+   level.  What a higher level brought must not be sent to it.  */
+uint64_t
+jc_rpc_conn_level (const struct jc_rpc_conn *conn)
+{
+  return conn->level;
+}
+
 /* Return the peer's availability zone.  */
 const char *
 jc_rpc_conn_zone (const struct jc_rpc_conn *conn)
@@ -629,6 +562,6 @@
 {
   if (conn == NULL || !rpc_conn_is_usable (conn))
     return jc_fail (JC_UNREACHABLE, "The peer is not connected.");
-  packet_fill_head (conn, packet);
-  return conn_queue_packet (conn, packet);
+  rpc_conn_fill_head (conn, packet);
+  return rpc_conn_queue_packet (conn, packet);
 }
--- a/net/rpcprivate.h
+++ b/net/rpcprivate.h
@@ -5,6 +5,7 @@
 
 #include <netinet/in.h>
 
+#include "base/str.h"
 #include "net/rpc.h"
 
 enum
@@ -17,6 +18,8 @@
   MS_PER_S = 1000
 };
 
+/* LEVEL is the protocol level of this process; UNKNOWN_KINDS counts messages of
+   kinds that only peers of a higher level know.  */
 struct jc_rpc
 {
   struct ev_loop *loop;
@@ -29,6 +32,8 @@
   char *zone;
   unsigned char key[KEY_BYTES];
   uint64_t incarnation;
+  uint64_t level;
+  uint64_t unknown_kinds;
   uint64_t config_version;
   long heartbeat_ms;
   long silent_ms;
@@ -64,7 +69,7 @@
    REAPER drops the connection for this reason, once no caller is on the stack.
    RECORDS_SENT and RECORDS_RECEIVED number the records, which their MACs cover;
    RECORDS_SENT_AT_HEARTBEAT is RECORDS_SENT at the last heartbeat.  NAME to
-   INCARNATION are those of the peer, set when it is authenticated.  */
+   LEVEL are those of the peer, set when it is authenticated.  */
 struct jc_rpc_conn
 {
   struct jc_rpc *rpc;
@@ -97,6 +102,7 @@
   char *region;
   char *zone;
   uint64_t incarnation;
+  uint64_t level;
 };
 
 /* A call that waits for its reply.  */
@@ -116,8 +122,6 @@
 
 /* In rpcconn.c.  */
 void rpc_conn_drop (struct jc_rpc_conn *conn, const char *why);
-void rpc_conn_send_hello (struct jc_rpc_conn *conn, enum rpc_type type,
-                          bool with_proof);
 struct jc_rpc_conn *rpc_conn_new (struct jc_rpc *rpc, int fd,
                                   struct dial *dial);
 const char *rpc_conn_expiry_reason (const struct jc_rpc_conn *conn,
@@ -126,12 +130,37 @@
 void rpc_conn_free (struct jc_rpc_conn *conn);
 void rpc_conn_schedule_drop (struct jc_rpc_conn *conn, const char *why);
 bool rpc_conn_is_usable (const struct jc_rpc_conn *conn);
+enum jc_status rpc_conn_queue_record (struct jc_rpc_conn *conn,
+                                      struct jc_str bytes, enum rpc_type type);
 
 /* In rpccall.c.  */
 void rpc_pending_fail_all (struct jc_rpc_conn *conn);
 void rpc_pending_finish (struct pending_call *pending, enum jc_status status,
                          const struct rpc_packet *reply);
 
+void rpc_conn_fill_head (const struct jc_rpc_conn *conn,
+                         struct rpc_packet *packet);
+enum jc_status rpc_conn_queue_packet (struct jc_rpc_conn *conn,
+                                      struct rpc_packet *packet);
+void rpc_conn_mark_up (struct jc_rpc_conn *conn);
+
+/* In rpchello.c.  */
+void rpc_conn_send_hello (struct jc_rpc_conn *conn, enum rpc_type type,
+                          bool with_proof);
+void rpc_conn_handle_hello (struct jc_rpc_conn *conn,
+                            const struct rpc_packet *packet);
+
+/* In rpcdecode.c.  */
+enum rpc_decoded
+{
+  RPC_DECODED,
+  RPC_UNKNOWN_KIND,
+  RPC_MALFORMED
+};
+
+enum rpc_decoded rpc_decode (struct jc_str bytes, uint64_t own_level,
+                             uint64_t peer_level, struct rpc_packet *packet);
+
 /* In rpcauth.c.  */
 void rpc_auth_compute_mac (unsigned char *mac, const unsigned char *key,
                            uint64_t seq, const void *data, size_t size);
@@ -145,6 +174,7 @@
 
 /* In rpctraffic.c.  */
 GPtrArray *rpc_traffic_new (void);
+const char *rpc_traffic_kind_name (enum rpc_type type);
 void rpc_traffic_count (GPtrArray *rows, enum rpc_type type, const char *zone,
                         size_t bytes);
 
--- a/net/rpctraffic.c
+++ b/net/rpctraffic.c
@@ -64,6 +64,14 @@
   [RPC_STREAM_FOUND] = "stream_found",
 };
 
+/* Return the name of the messages of TYPE, NULL if this build has none.  */
+const char *
+rpc_traffic_kind_name (enum rpc_type type)
+{
+  return (unsigned int)type < G_N_ELEMENTS (kind_names) ? kind_names[type]
+                                                        : NULL;
+}
+
 /* Counters of messages of one type to one availability zone.  */
 struct traffic
 {
@@ -123,10 +131,12 @@
 void
 jc_rpc_append_metrics (const struct jc_rpc *rpc, GString *out)
 {
+  g_string_append_printf (out, "jaycove_rpc_unknown_total{} %" PRIu64 "\n",
+                          rpc->unknown_kinds);
   for (guint i = 0; i < rpc->traffic->len; i++)
     {
       const struct traffic *row = g_ptr_array_index (rpc->traffic, i);
-      const char *kind = kind_names[row->type];
+      const char *kind = rpc_traffic_kind_name (row->type);
 
       g_string_append_printf (out,
                               "jaycove_rpc_sent_bytes_total{kind=\"%s\","
--- a/tests/test-rpc.c
+++ b/tests/test-rpc.c
@@ -134,6 +134,7 @@
                                       .zone = "ost-1",
                                       .key_hex = key,
                                       .incarnation = incarnation,
+                                      .level = JC_RPC_LEVEL,
                                       .heartbeat_ms = HEARTBEAT_MS,
                                       .silent_ms = silent_ms };
 
