--- a/conf/placement.h
+++ b/conf/placement.h
@@ -10,8 +10,8 @@
 
 /* A state instance as the leader sees it: a replica, or one that is connected
    but not a replica yet.  DESIGNATED_VOTER is set if it votes or is to vote
-   once it has caught up, VOTES if it does, CAUGHT_UP if it holds all committed entries;
-   SILENT_MS is the time since it last answered.  */
+   once it has caught up, VOTES if it does, CAUGHT_UP if it holds all committed
+   entries; SILENT_MS is the time since it last answered.  */
 struct jc_placement_peer
 {
   const char *name;
--- a/tests/test-golden.c
+++ b/tests/test-golden.c
@@ -240,11 +240,14 @@
     {
       g_autofree char *text = golden_text (level);
       g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
-      g_autoptr (GByteArray) head = NULL;
+      g_autoptr (GByteArray) head = g_byte_array_new ();
 
       for (guint i = 0; lines[i] != NULL && lines[i][0] != '\0'; i++)
         if (g_str_has_prefix (lines[i], "message head: "))
-          head = parse_hex (strstr (lines[i], ": ") + 2);
+          {
+            g_byte_array_unref (head);
+            head = parse_hex (strstr (lines[i], ": ") + 2);
+          }
         else
           check_decoded (lines[i], head, level);
     }
