Begin the test of changes once its streams are served

It waits for that now, as hosts-queued does, and clears what the endpoints ran, so that the wait for the stream isn't met by that one. What the callers must get is unchanged.

--- a/tests/process/unanswered_standin.py
+++ b/tests/process/unanswered_standin.py
@@ -224,8 +224,13 @@
         "limits": ([*old, added], b'"max-body-bytes": 1500', {"body": 413}),
         "timeouts": ([*[r | {"timeout-ms": 9000} for r in old], added], LIMIT.replace(b"100000", b"90000"), {}),
     }
+    # New streams are refused until the entry instance has heard the version of an endpoint.
+    await order("/v1/Config.Replace", configuration(next(VERSIONS), old))
+    await in_force(ADDRESSES["entries"], "/events/x", 200)
     lost = 0
     for name, (new, limits, refused) in variants.items():
+        for engine in engines:
+            engine.ran.clear()
         for at_once in (1, 2):
             slow.go = asyncio.Event()
             got = await change_once(slow, engines, old, new, limits, at_once)
