Show the protocol levels of an instance and its peers

During a rollout nobody could see what still runs an earlier build. The start event and peer_up have the level, and jaycove_rpc_level and jaycove_rpc_peers{level} tell when all peers are at one (test-rpc-levels).

--- a/entry/router.c
+++ b/entry/router.c
@@ -1,5 +1,6 @@
 /* Host-based routing: start, end, listeners and drain.  */
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "base/event.h"
@@ -41,8 +42,9 @@
 {
   struct entry *entry = ctx;
 
-  jc_event (JC_EVENT_PEER_UP, "peer=%s role=%s", jc_rpc_conn_name (conn),
-            jc_rpc_conn_role (conn));
+  jc_event (JC_EVENT_PEER_UP, "peer=%s role=%s level=%" PRIu64,
+            jc_rpc_conn_name (conn), jc_rpc_conn_role (conn),
+            jc_rpc_conn_level (conn));
   paths_state_conn_changed (entry->router, conn, true);
   stateclient_conn_up (entry->router, conn);
   resumptions_conn_up (entry->router, conn);
@@ -297,8 +299,9 @@
   double interval_s = (double)TICK_MS / MS_PER_S;
 
   jc_eventflush_start (entry->loop);
-  jc_event (JC_EVENT_START, "role=entry name=%s region=%s zone=%s",
-            settings->name, settings->region, settings->availability_zone);
+  jc_event (JC_EVENT_START, "role=entry name=%s region=%s zone=%s level=%d",
+            settings->name, settings->region, settings->availability_zone,
+            JC_RPC_LEVEL);
   router->entry = entry;
   router->protocol = &platform_protocol;
   router->orders = jc_orders_new ();
--- a/net/rpctraffic.c
+++ b/net/rpctraffic.c
@@ -6,6 +6,12 @@
 
 #include "net/rpcprivate.h"
 
+enum
+{
+  /* Peers of higher levels count as of the last of these.  */
+  LEVELS_SHOWN = 64
+};
+
 static const char *const kind_names[] = {
   [RPC_HELLO] = "hello",
   [RPC_HELLO_ACK] = "hello_ack",
@@ -127,10 +133,32 @@
   row->bytes += bytes;
 }
 
+/* Append to OUT the protocol level of RPC's process, and how many peers are
+   connected at each level.  */
+static void
+append_levels (const struct jc_rpc *rpc, GString *out)
+{
+  unsigned int peers[LEVELS_SHOWN] = { 0 };
+
+  for (guint i = 0; i < rpc->conns->len; i++)
+    {
+      const struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i);
+
+      if (rpc_conn_is_usable (conn))
+        peers[MIN (conn->level, LEVELS_SHOWN - 1)]++;
+    }
+  g_string_append_printf (out, "jaycove_rpc_level{} %" PRIu64 "\n", rpc->level);
+  for (unsigned int level = 0; level < LEVELS_SHOWN; level++)
+    if (peers[level] > 0)
+      g_string_append_printf (out, "jaycove_rpc_peers{level=\"%u\"} %u\n",
+                              level, peers[level]);
+}
+
 /* Append the counters of RPC to OUT as metrics.  */
 void
 jc_rpc_append_metrics (const struct jc_rpc *rpc, GString *out)
 {
+  append_levels (rpc, out);
   g_string_append_printf (out, "jaycove_rpc_unknown_total{} %" PRIu64 "\n",
                           rpc->unknown_kinds);
   for (guint i = 0; i < rpc->traffic->len; i++)
--- a/state/main.c
+++ b/state/main.c
@@ -62,8 +62,9 @@
 static void
 on_hosts_up (void *ctx, struct jc_rpc_conn *conn)
 {
-  jc_event (JC_EVENT_PEER_UP, "peer=%s role=%s", jc_rpc_conn_name (conn),
-            jc_rpc_conn_role (conn));
+  jc_event (JC_EVENT_PEER_UP, "peer=%s role=%s level=%" G_GUINT64_FORMAT,
+            jc_rpc_conn_name (conn), jc_rpc_conn_role (conn),
+            jc_rpc_conn_level (conn));
   group_conn_up (ctx, conn);
   fleet_send_snapshot (ctx, conn);
   presence_send_snapshot (ctx, conn);
@@ -131,8 +132,9 @@
   versions_start (state);
   starts_start (state);
   group_start (state);
-  jc_event (JC_EVENT_START, "role=state name=%s position=%" G_GUINT64_FORMAT,
-            state->settings->name, state->orders->position);
+  jc_event (JC_EVENT_START,
+            "role=state name=%s position=%" G_GUINT64_FORMAT " level=%d",
+            state->settings->name, state->orders->position, JC_RPC_LEVEL);
   return control_start (state);
 }
 
--- a/tests/test-rpc-levels.c
+++ b/tests/test-rpc-levels.c
@@ -191,6 +191,22 @@
     }
 }
 
+/* Guards against a rollout whose end can't be seen: the metrics count peers by
+   their level.  */
+static void
+test_metrics (void)
+{
+  struct pair pair;
+  GString *text = g_string_new (NULL);
+
+  pair_start (&pair, NEXT_LEVEL, false);
+  jc_rpc_append_metrics (pair.this.rpc, text);
+  g_assert_nonnull (strstr (text->str, "jaycove_rpc_level{} 1\n"));
+  g_assert_nonnull (strstr (text->str, "jaycove_rpc_peers{level=\"2\"} 1\n"));
+  pair_stop (&pair);
+  g_string_free (text, TRUE);
+}
+
 /* Guards against a connection that ends because of a kind of message that only
    the other build knows.  */
 static void
@@ -318,6 +334,7 @@
   g_test_init (&argc, &argv, NULL);
   loop = ev_default_loop (0);
   g_test_add_func ("/told", test_told);
+  g_test_add_func ("/metrics", test_metrics);
   g_test_add_func ("/unknown-kind", test_unknown_kind);
   g_test_add_func ("/unknown-kind-same-level", test_unknown_kind_same_level);
   g_test_add_func ("/unknown-call", test_unknown_call);
