Count an attempt whose events are held as one that may have run

Found in reading the diff: an attempt that has ended, with events that are held until its endpoint's version is certain, is not counted yet when an instance stops, so that its caller would be told that nothing ran.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -544,7 +544,7 @@
 void
 exchange_abort (struct exchange *exchange)
 {
-  bool may_have_run = exchange->relay.endpoints_sent > 0
+  bool may_have_run = exchange->relay.endpoints_sent > 0 || exchange->held_done
                       || (exchange->call != NULL
                           && !jc_httpc_call_is_connecting (exchange->call));
   enum jc_status status
