--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -304,6 +304,8 @@
                                                       ("engine", "z2")])]
     await order("/v1/Config.Replace", configuration(3, ROUTES))
     await in_force(ADDRESSES["entries"], "/read/x", 200)
+    # New streams are refused until the entry instances have heard the version of an endpoint.
+    await in_force(ADDRESSES["entries"], "/stream/x", 200)
     return endpoints
 
 
