Tell who decided on an answer and how often its request was sent

The logs could not tell an endpoint's own 503 from an answer, and nothing told that the HTTP client sends a request again by itself, so that the hypotheses of REFUSED could not be told apart.

--- a/base/event.c
+++ b/base/event.c
@@ -58,6 +58,7 @@
   [JC_EVENT_PATH] = { "path", 50, true },
   [JC_EVENT_REACH] = { "reach", 50, true },
   [JC_EVENT_ATTEMPT] = { "attempt", 100, false },
+  [JC_EVENT_SENT_AGAIN] = { "sent_again", 50, true },
   [JC_EVENT_SILENT] = { "silent", 50, false },
   [JC_EVENT_GIVEN_UP] = { "given_up", 50, true },
   [JC_EVENT_BROKEN] = { "broken", 200, true },
--- a/base/status.c
+++ b/base/status.c
@@ -71,6 +71,19 @@
   [JC_OUT_OF_REACH] = { "out_of_reach", 503, JC_NOT_RUN, JC_RETRY_AFTER },
 };
 
+/* Return true if callers take the HTTP status HTTP as a promise that their
+   request has not run and never will.  */
+bool
+jc_http_status_promises_not_run (int http)
+{
+  static const int promises[] = { 408, 421, 429, 503 };
+
+  for (size_t i = 0; i < sizeof promises / sizeof promises[0]; i++)
+    if (promises[i] == http)
+      return true;
+  return false;
+}
+
 /* Return the entry of STATUS, or that of JC_INTERNAL if the value is unknown,
    as it may be in a message of a peer.  */
 const struct jc_status_info *
--- a/base/status.h
+++ b/base/status.h
@@ -91,6 +91,7 @@
   enum jc_retry_rule retry;
 };
 
+bool jc_http_status_promises_not_run (int http);
 const struct jc_status_info *jc_status_info (enum jc_status status);
 const char *jc_status_name (enum jc_status status);
 enum jc_status jc_status_by_name (const char *name);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -149,6 +149,13 @@
 struct balancer_query exchange_balancer_query (struct exchange *exchange,
                                                int64_t now_ms);
 void exchange_attempt (struct exchange *exchange);
+
+/* In outcome.c.  */
+void outcome_save_fallback (struct exchange *exchange);
+void outcome_fail (struct exchange *exchange, enum jc_status status);
+void outcome_forward_answer (struct exchange *exchange, const char *outcome);
+void outcome_give_up (struct exchange *exchange, enum jc_status status);
+void outcome_end_stream (struct exchange *exchange, bool whole);
 void exchange_abort (struct exchange *exchange);
 
 /* In stopping.c.  */
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -323,11 +323,14 @@
   call_arm_progress_timer (call);
 }
 
-/* Record that bytes of the request of CALL were handed to the kernel.  */
+/* Record that the first bytes of the request of CALL were handed over to its
+   connection.  */
 void
-httpc_call_bytes_sent (struct jc_httpc_call *call)
+httpc_call_sent (struct jc_httpc_call *call)
 {
   call->sent = true;
+  if (call->ops->sent != NULL)
+    call->ops->sent (call->ctx);
 }
 
 /* Handle COUNT received bytes of any kind.  Return false if they ended CALL,
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -66,14 +66,16 @@
   const char *message;
 };
 
-/* Callbacks of a call.  All but DONE may be NULL.  HEADER is called for each
-   field of the final head, then FULL_HEAD with the complete head, then HEAD.
-   SILENT is called when FIRST_PROGRESS_MS or PROGRESS_PAUSE_MS passed without
-   progress: if it returns true or is NULL the call fails with JC_TIMEOUT,
-   otherwise it is called again after the same time.  The call is freed after
-   DONE.  */
+/* Callbacks of a call.  All but DONE may be NULL.  SENT is called each time the
+   request begins to be handed over to a connection: more than once if it is
+   sent again.  It must not end the call.  HEADER is called for each field of
+   the final head, then FULL_HEAD with the complete head, then HEAD. SILENT is
+   called when FIRST_PROGRESS_MS or PROGRESS_PAUSE_MS passed without progress:
+   if it returns true or is NULL the call fails with JC_TIMEOUT, otherwise it is
+   called again after the same time.  The call is freed after DONE.  */
 struct jc_httpc_call_ops
 {
+  void (*sent) (void *ctx);
   void (*header) (void *ctx, struct jc_str name, struct jc_str value);
   void (*full_head) (void *ctx, const struct jc_head *head);
   void (*head) (void *ctx, int http, const char *content_type);
--- a/net/httpcconn.c
+++ b/net/httpcconn.c
@@ -508,9 +508,10 @@
             conn_fail (conn, JC_ENDPOINT_FAILED, "The connection was reset.");
           return;
         }
-      conn->out_pos += (size_t)written;
       conn->unanswered = true;
-      httpc_call_bytes_sent (call);
+      if (conn->out_pos == 0 && written > 0)
+        httpc_call_sent (call);
+      conn->out_pos += (size_t)written;
     }
   ev_io_stop (conn->httpc->loop, &conn->writer);
 }
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -126,7 +126,7 @@
 
 /* In httpc.c.  */
 void httpc_call_connected (struct jc_httpc_call *call);
-void httpc_call_bytes_sent (struct jc_httpc_call *call);
+void httpc_call_sent (struct jc_httpc_call *call);
 bool httpc_call_bytes_received (struct jc_httpc_call *call, size_t count);
 bool httpc_call_interim_head (struct jc_httpc_call *call);
 void httpc_call_unnamed (struct jc_httpc_call *call);
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -63,6 +63,14 @@
   return jc_relay_may_attempt (relay, now_ms) ? JC_RELAY_ATTEMPT : otherwise;
 }
 
+/* Record that the request begins to be handed over to a connection.  */
+void
+jc_relay_note_sent (struct jc_relay *relay)
+{
+  relay->sendings++;
+  relay->attempt_sendings++;
+}
+
 /* Count the attempt that ended with RESULT and return the next step.  */
 enum jc_relay_step
 jc_relay_next_step (struct jc_relay *relay,
@@ -70,6 +78,7 @@
 {
   bool answered = result->whole && result->genuine;
 
+  relay->attempt_sendings = 0;
   if (result->sent)
     relay->attempts_reached++;
   else
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -47,7 +47,9 @@
 };
 
 /* A request in progress.  ATTEMPTS_REACHED counts the attempts that reached an
-   endpoint, ATTEMPTS_UNREACHED the others.  ENDPOINTS_SENT is the number of
+   endpoint, ATTEMPTS_UNREACHED the others.  SENDINGS counts how often the
+   request began to be handed over to a connection, ATTEMPT_SENDINGS how often
+   in the current attempt.  ENDPOINTS_SENT is the number of
    endpoints that the request may have run at.  BEGUN is true once a stream to
    the caller has begun; LAST_EVENT is the last event that the caller has, -1
    for none.  UNNUMBERED means that the caller got events without an id after
@@ -60,6 +62,8 @@
   int64_t deadline_ms;
   unsigned int attempts_reached;
   unsigned int attempts_unreached;
+  unsigned int sendings;
+  unsigned int attempt_sendings;
   unsigned int endpoints_sent;
   bool begun;
   int64_t last_event;
@@ -71,6 +75,7 @@
 bool jc_relay_is_idempotent (const struct jc_relay *relay);
 bool jc_relay_may_attempt (const struct jc_relay *relay, int64_t now_ms);
 unsigned int jc_relay_endpoints_left (const struct jc_relay *relay);
+void jc_relay_note_sent (struct jc_relay *relay);
 enum jc_relay_step jc_relay_next_step (struct jc_relay *relay,
                                        const struct jc_relay_result *result,
                                        int64_t now_ms);
