Keep endpoints' own answers from promising that a request has not run

Callers of requests that may not be repeated got 503, 429 or 408 with the endpoint's signature though the request had run. Cause: an endpoint's own status was forwarded as it came, and 408, 421, 429 and 503 are a promise to callers. Such an answer is now as good as none: another attempt where the request may be repeated, else endpoint_failed without the signature. Ruled out: passing the status on with another signature or status, which would belong to no endpoint.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -577,7 +577,7 @@
     }
   if (attempt.whole && exchange->streaming && attempt.genuine)
     flush_held_comments (exchange);
-  if (attempt.whole && attempt.genuine && !exchange->streaming)
+  if (jc_relay_is_usable_answer (&attempt) && !exchange->streaming)
     answersizes_record (exchange->router, exchange->route->name,
                         exchange->answer_body->len);
   jc_fail (result->status != JC_OK ? result->status : JC_ENDPOINT_FAILED, "%s",
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -44,7 +44,7 @@
     return JC_ENGINE_UNREACHABLE;
   if (result->whole && result->not_run)
     return JC_ENGINE_REFUSED;
-  if (result->whole && result->genuine && exchange->answer_head.status < 500)
+  if (jc_relay_is_usable_answer (result) && exchange->answer_head.status < 500)
     return JC_ENGINE_SERVED;
   return JC_ENGINE_FAILED;
 }
@@ -69,8 +69,8 @@
             exchange_id (exchange), exchange->target_name, result->whole,
             result->sent, result->not_run, result->genuine, result->http,
             result->late, now - exchange->attempt_started_ms, step);
-  if (step == JC_RELAY_ATTEMPT && !exchange->relay.begun && result->whole
-      && result->genuine && !result->not_run)
+  if (step == JC_RELAY_ATTEMPT && !exchange->relay.begun
+      && jc_relay_is_usable_answer (result))
     outcome_save_fallback (exchange);
   switch (step)
     {
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -31,6 +31,16 @@
          || (relay->kind == JC_ROUTE_STREAM && relay->resumable);
 }
 
+/* Return true if the answer of RESULT may be forwarded.  An endpoint that ran
+   the request may give it a status which callers take as a promise that it has
+   not run; such an answer is as good as none.  */
+bool
+jc_relay_is_usable_answer (const struct jc_relay_result *result)
+{
+  return result->whole && result->genuine && !result->not_run
+         && !jc_http_status_promises_not_run (result->http);
+}
+
 /* Return true if another attempt is allowed at NOW_MS.  */
 bool
 jc_relay_may_attempt (const struct jc_relay *relay, int64_t now_ms)
@@ -76,7 +86,7 @@
 jc_relay_next_step (struct jc_relay *relay,
                     const struct jc_relay_result *result, int64_t now_ms)
 {
-  bool answered = result->whole && result->genuine;
+  bool answered = jc_relay_is_usable_answer (result);
 
   relay->attempt_sendings = 0;
   if (result->sent)
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -73,6 +73,7 @@
 void jc_relay_init (struct jc_relay *relay, const struct jc_hostroute *route,
                     int64_t deadline_ms, int64_t resume_after);
 bool jc_relay_is_idempotent (const struct jc_relay *relay);
+bool jc_relay_is_usable_answer (const struct jc_relay_result *result);
 bool jc_relay_may_attempt (const struct jc_relay *relay, int64_t now_ms);
 unsigned int jc_relay_endpoints_left (const struct jc_relay *relay);
 void jc_relay_note_sent (struct jc_relay *relay);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -308,6 +308,30 @@
   g_assert_true (answer.not_run);
 }
 
+/* Guards against taking a success that says "not run" for a refusal: the
+   request was sent to another endpoint, though it may have run.  */
+static void
+test_contradictory_refusal (void)
+{
+  static const struct
+  {
+    int status;
+    bool not_run;
+  } cases[] = { { 200, false }, { 204, false }, { 302, false },
+                { 400, true },  { 429, true },  { 503, true } };
+  const struct jc_head_field fields[] = { { "X-Jaycove-Not-Executed", "1" } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct jc_head head = make_head (fields, G_N_ELEMENTS (fields));
+      struct jc_answer_info answer;
+
+      head.status = cases[i].status;
+      platform_parse_answer (&head, &answer);
+      g_assert_cmpint (answer.not_run, ==, cases[i].not_run);
+    }
+}
+
 /* Guards against reading a rate limit from a malformed header, and against
    rejecting a legal one.  */
 static void
@@ -450,6 +474,8 @@
                    test_malformed_prompt_parts);
   g_test_add_func ("/platform/forwarded-headers", test_forwarded_headers);
   g_test_add_func ("/platform/answer-headers", test_answer_headers);
+  g_test_add_func ("/platform/contradictory-refusal",
+                   test_contradictory_refusal);
   g_test_add_func ("/platform/answer-limits", test_answer_limits);
   g_test_add_func ("/platform/answer-pauses-and-leaves",
                    test_answer_pauses_and_leaves);
