Let a refusal speak only for the time that the request was sent last

Callers of requests that may be repeated got 503, "not run", though the request had run: the HTTP client sent it again over a new connection by itself, and the refusal of the second time was taken for both. The relay now records each time that the request is handed over to a connection and each refusal; from that record alone follows whether it may have run, for failures, for a stop and for what is answered. The client asks before it sends again: the endpoint must still be usable and warm, and a retry and a slot of its limit are taken. Ruled out: no second sending at all, which ends requests of routes with one attempt when an idle connection closes.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -119,24 +119,6 @@
                             exchange->send_number);
 }
 
-/* Record that the request is handed over to a connection, the first one of the
-   attempt or a new one after that broke.  */
-static void
-on_sent (void *ctx)
-{
-  struct exchange *exchange = ctx;
-
-  jc_relay_note_sent (&exchange->relay);
-  if (exchange->relay.attempt_sendings == 1)
-    return;
-  jc_event (JC_EVENT_SENT_AGAIN, "id=%s place=%s sendings=%u ms=%" PRId64,
-            exchange_id (exchange), exchange->target_name,
-            exchange->relay.sendings,
-            jc_now_ms () - exchange->attempt_started_ms);
-  jc_metrics_counter_add (exchange->router->entry->metrics,
-                          "jaycove_sent_again_total", "", 1);
-}
-
 static void
 on_head (void *ctx, const struct jc_head *head)
 {
@@ -606,8 +588,10 @@
 }
 
 /* Callbacks of the HTTP client for an attempt.  */
-const struct jc_httpc_call_ops answer_call_ops = { .sent = on_sent,
-                                                   .full_head = on_head,
-                                                   .data = on_data,
-                                                   .silent = on_silent,
-                                                   .done = on_done };
+const struct jc_httpc_call_ops answer_call_ops
+    = { .sent = sending_begun,
+        .may_send_again = sending_may_repeat,
+        .full_head = on_head,
+        .data = on_data,
+        .silent = on_silent,
+        .done = on_done };
--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -84,6 +84,22 @@
                                       service->cold_requests_per_s, now_ms);
 }
 
+/* Return true if ENDPOINT, which got a request just now, may get it once more:
+   nothing has come up since that keeps it from new work, and it is known to be
+   warm.  */
+bool
+balancer_may_send_again (struct router *router,
+                         const struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  const struct jc_hostservice *service
+      = jc_routetable_find_service (router->routes, endpoint->service);
+
+  return service != NULL && jc_endpoint_is_usable (endpoint, now_ms)
+         && !jc_orders_is_evacuated (router->orders, endpoint->zone)
+         && is_warm (router, endpoint, service, now_ms)
+         && backpressure_may_send (router, endpoint);
+}
+
 /* Log that the request ID goes to ENDPOINT if that is cold, or may be, which
    left_ms of 0 or less tells.  Only the instance that holds the grant for this
    incarnation of a cold endpoint may send to it; the log lines show whether
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -96,7 +96,7 @@
 {
   if (exchange->relay.begun)
     outcome_end_stream (exchange, false);
-  else if (exchange->relay.endpoints_sent > 0)
+  else if (jc_relay_may_have_run (&exchange->relay))
     outcome_give_up (exchange,
                      jc_relay_failure (&exchange->relay, jc_now_ms ()));
   else
@@ -158,7 +158,7 @@
                       "No time is left for another attempt.");
   if (status == JC_CROWDED)
     return;
-  if (status == JC_OK && exchange->relay.endpoints_sent == 0)
+  if (status == JC_OK && !jc_relay_may_have_run (&exchange->relay))
     status
         = stopping_check (router, exchange->route, exchange->service,
                           &exchange->demand, exchange->relay.deadline_ms - now);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -188,6 +188,10 @@
 void resumptions_attempt_ended (struct exchange *exchange);
 void resumptions_forget (struct exchange *exchange);
 
+/* In sending.c.  */
+void sending_begun (void *ctx);
+bool sending_may_repeat (void *ctx);
+
 /* In answerhead.c.  */
 void exchange_answer_headers (struct exchange *exchange,
                               struct jc_http_header *headers);
--- a/entry/handover.c
+++ b/entry/handover.c
@@ -394,7 +394,8 @@
           .connect_timeout_ms = CONNECT_MS,
           .progress_pause_ms = ANSWER_PAUSE_MAX_MS,
           .total_timeout_ms
-          = (long)packet->head.deadline_ms + DEADLINE_GRACE_MS };
+          = (long)packet->head.deadline_ms + DEADLINE_GRACE_MS,
+          .no_resend = true };
 
   incoming->call = jc_httpc_call_start (incoming->entry->httpc, &spec,
                                         &incoming_ops, incoming);
--- a/entry/outcome.c
+++ b/entry/outcome.c
@@ -79,11 +79,15 @@
             exchange->first_event_ms, exchange->max_gap_ms);
 }
 
-/* Answer with an error of this gateway and free EXCHANGE.  */
+/* Answer with an error of this gateway and free EXCHANGE.  Whatever the reason,
+   the caller is told that the request has not run only if it can't have.  */
 void
 outcome_fail (struct exchange *exchange, enum jc_status status)
 {
-  const struct jc_status_info *row = jc_status_info (status);
+  bool untrue = jc_status_info (status)->run == JC_NOT_RUN
+                && jc_relay_may_have_run (&exchange->relay);
+  enum jc_status told = untrue ? JC_ENDPOINT_FAILED : status;
+  const struct jc_status_info *row = jc_status_info (told);
   bool may_retry = row->run == JC_NOT_RUN && row->retry != JC_RETRY_NEVER;
   int64_t after_ms = may_retry ? refusal_retry_ms (exchange->router,
                                                    exchange->service, status)
@@ -96,7 +100,7 @@
   count_outcome (exchange, row->name);
   exchange->router->protocol->format_retry_after (after_ms, retry_after,
                                                   sizeof retry_after);
-  jc_http_fail_after (exchange->req, status, jc_last_message (),
+  jc_http_fail_after (exchange->req, told, jc_last_message (),
                       may_retry ? retry_after : NULL, after_ms);
   exchange_free (exchange);
 }
@@ -192,12 +196,9 @@
 void
 exchange_abort (struct exchange *exchange)
 {
-  bool may_have_run = exchange->relay.endpoints_sent > 0 || exchange->held_done
-                      || (exchange->call != NULL
-                          && !jc_httpc_call_is_connecting (exchange->call));
-  enum jc_status status
-      = jc_fail (may_have_run ? JC_TIMEOUT : JC_DRAINING,
-                 "The instance stops before the request has ended.");
+  enum jc_status status = jc_fail (
+      jc_relay_may_have_run (&exchange->relay) ? JC_TIMEOUT : JC_DRAINING,
+      "The instance stops before the request has ended.");
 
   waitqueue_remove (exchange->router, exchange);
   if (exchange->call != NULL)
--- a/entry/request.c
+++ b/entry/request.c
@@ -154,6 +154,7 @@
   uint64_t attempt = request->machine.current_attempt;
   struct jc_attempt_end end = { .status = result->status,
                                 .sent = result->sent,
+                                .sent_again = result->sendings > 1,
                                 .length_known = result->framed,
                                 .message = result->message };
   enum jc_run_end how = result->status == JC_OK && result->http_status == 200
--- a/entry/router.h
+++ b/entry/router.h
@@ -303,6 +303,9 @@
 void balancer_log_cold (const struct router *router,
                         const struct jc_endpoint *endpoint, const char *id,
                         int64_t now_ms);
+bool balancer_may_send_again (struct router *router,
+                              const struct jc_endpoint *endpoint,
+                              int64_t now_ms);
 void balancer_fill_rooms (struct router *router, struct rpc_presence *out);
 bool balancer_contains_name (const GPtrArray *names, const char *name);
 
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -329,6 +329,7 @@
 httpc_call_sent (struct jc_httpc_call *call)
 {
   call->sent = true;
+  call->sendings++;
   if (call->ops->sent != NULL)
     call->ops->sent (call->ctx);
 }
@@ -405,6 +406,7 @@
   const struct jc_httpc_call_result result = { .status = JC_OK,
                                                .http_status = call->http_status,
                                                .sent = true,
+                                               .sendings = call->sendings,
                                                .framed = call->framed,
                                                .reused = call->reused,
                                                .message = "" };
@@ -441,6 +443,18 @@
   httpc_conn_start_call (conn, call);
 }
 
+/* Return true if the request of CALL may be sent on another connection after
+   its own one failed.  */
+static bool
+call_may_send_again (struct jc_httpc_call *call)
+{
+  if (!call->sent)
+    return true;
+  return !call->no_resend
+         && (call->ops->may_send_again == NULL
+             || call->ops->may_send_again (call->ctx));
+}
+
 /* Fail CALL with STATUS and MESSAGE.  If a reused connection failed before any
    answer came, the server may have closed it while it was idle, and the
    request is sent again on a new one.  */
@@ -452,6 +466,7 @@
       = { .status = status,
           .http_status = call->http_status,
           .sent = call->sent,
+          .sendings = call->sendings,
           .host_unreachable = call->host_unreachable,
           .connecting = !call->connected,
           .progress_fault = call->progress.fault,
@@ -464,13 +479,16 @@
     return;
   if (call->reused && !call->host_unreachable && call->http_status == 0
       && status == JC_ENDPOINT_FAILED
-      && call->progress.fault != JC_PROGRESS_UNNAMED
-      && (!call->no_resend || !call->sent))
+      && call->progress.fault != JC_PROGRESS_UNNAMED)
     {
+      call->conn = NULL;
       conn->call = NULL;
-      httpc_conn_close (conn);
-      call_dispatch (call, true);
-      return;
+      httpc_conn_abort (conn);
+      if (call_may_send_again (call))
+        {
+          call_dispatch (call, true);
+          return;
+        }
     }
   call_finish (call, &result);
 }
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -48,7 +48,9 @@
 
 /* The result of a call.  STATUS is JC_OK if the complete answer was received,
    whatever HTTP_STATUS is; HTTP_STATUS is 0 if no head was received.  SENT is
-   false only if no byte of the request can have reached the peer.
+   false only if no byte of the request can have reached the peer.  SENDINGS is
+   the number of connections that bytes of it were sent on: the answer tells
+   only of the last one.
    HOST_UNREACHABLE is set if not even the peer's host answered, CONNECTING if
    no connection had come up when the time for the call was over, FRAMED if the
    answer had a known length or was chunked, REUSED if the connection had
@@ -58,6 +60,7 @@
   enum jc_status status;
   int http_status;
   bool sent;
+  unsigned int sendings;
   bool host_unreachable;
   bool connecting;
   bool framed;
@@ -68,14 +71,17 @@
 
 /* Callbacks of a call.  All but DONE may be NULL.  SENT is called each time the
    request begins to be handed over to a connection: more than once if it is
-   sent again.  It must not end the call.  HEADER is called for each field of
-   the final head, then FULL_HEAD with the complete head, then HEAD. SILENT is
-   called when FIRST_PROGRESS_MS or PROGRESS_PAUSE_MS passed without progress:
-   if it returns true or is NULL the call fails with JC_TIMEOUT, otherwise it is
-   called again after the same time.  The call is freed after DONE.  */
+   sent again.  MAY_SEND_AGAIN is asked before a request of which
+   bytes were sent is sent again; NULL allows it.  Neither may end the call.
+   HEADER is called for each field of the final head, then FULL_HEAD with the
+   complete head, then HEAD. SILENT is called when FIRST_PROGRESS_MS or
+   PROGRESS_PAUSE_MS passed without progress: if it returns true or is NULL the
+   call fails with JC_TIMEOUT, otherwise it is called again after the same time.
+   The call is freed after DONE.  */
 struct jc_httpc_call_ops
 {
   void (*sent) (void *ctx);
+  bool (*may_send_again) (void *ctx);
   void (*header) (void *ctx, struct jc_str name, struct jc_str value);
   void (*full_head) (void *ctx, const struct jc_head *head);
   void (*head) (void *ctx, int http, const char *content_type);
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -103,6 +103,7 @@
   bool complete;
   bool connected;
   bool sent;
+  unsigned int sendings;
   bool host_unreachable;
   bool reused;
   bool framed;
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -41,6 +41,14 @@
          && !jc_http_status_promises_not_run (result->http);
 }
 
+/* Return true unless each time that the request was sent was answered by a
+   promise that it did not run.  */
+bool
+jc_relay_may_have_run (const struct jc_relay *relay)
+{
+  return relay->sendings > relay->refused;
+}
+
 /* Return true if another attempt is allowed at NOW_MS.  */
 bool
 jc_relay_may_attempt (const struct jc_relay *relay, int64_t now_ms)
@@ -87,14 +95,17 @@
                     const struct jc_relay_result *result, int64_t now_ms)
 {
   bool answered = jc_relay_is_usable_answer (result);
+  unsigned int refused
+      = relay->attempt_sendings > 0 && result->whole && result->not_run ? 1 : 0;
 
-  relay->attempt_sendings = 0;
-  if (result->sent)
+  if (relay->attempt_sendings > 0)
     relay->attempts_reached++;
   else
     relay->attempts_unreached++;
-  if (result->sent && !(result->whole && result->not_run))
+  if (relay->attempt_sendings > refused)
     relay->endpoints_sent += result->endpoints > 1 ? result->endpoints : 1;
+  relay->refused += refused;
+  relay->attempt_sendings = 0;
   if (relay->begun && answered && result->http == HTTP_OK)
     return JC_RELAY_END_STREAM;
   if (relay->begun)
@@ -118,7 +129,7 @@
 
   if (relay->begun)
     return JC_STREAM_BROKEN;
-  if (relay->endpoints_sent > 0)
+  if (jc_relay_may_have_run (relay))
     return late ? JC_DEADLINE_EXCEEDED : JC_ENDPOINT_FAILED;
   return late ? JC_DEADLINE_UNMEETABLE : JC_NO_ENDPOINT;
 }
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -49,11 +49,13 @@
 /* A request in progress.  ATTEMPTS_REACHED counts the attempts that reached an
    endpoint, ATTEMPTS_UNREACHED the others.  SENDINGS counts how often the
    request began to be handed over to a connection, ATTEMPT_SENDINGS how often
-   in the current attempt.  ENDPOINTS_SENT is the number of
-   endpoints that the request may have run at.  BEGUN is true once a stream to
-   the caller has begun; LAST_EVENT is the last event that the caller has, -1
-   for none.  UNNUMBERED means that the caller got events without an id after
-   that one, so that no other attempt can go on with the stream.  */
+   in the current attempt, REFUSED how many of these were answered by a promise
+   that the request did not run.  Such an answer speaks for its own connection
+   alone, so the request may have run once SENDINGS is more.  ENDPOINTS_SENT is
+   the number of endpoints that the request may have run at.  BEGUN is true once
+   a stream to the caller has begun; LAST_EVENT is the last event that the
+   caller has, -1 for none.  UNNUMBERED means that the caller got events without
+   an id after that one, so that no other attempt can go on with the stream.  */
 struct jc_relay
 {
   enum jc_route_kind kind;
@@ -64,6 +66,7 @@
   unsigned int attempts_unreached;
   unsigned int sendings;
   unsigned int attempt_sendings;
+  unsigned int refused;
   unsigned int endpoints_sent;
   bool begun;
   int64_t last_event;
@@ -76,6 +79,7 @@
 bool jc_relay_is_usable_answer (const struct jc_relay_result *result);
 bool jc_relay_may_attempt (const struct jc_relay *relay, int64_t now_ms);
 unsigned int jc_relay_endpoints_left (const struct jc_relay *relay);
+bool jc_relay_may_have_run (const struct jc_relay *relay);
 void jc_relay_note_sent (struct jc_relay *relay);
 enum jc_relay_step jc_relay_next_step (struct jc_relay *relay,
                                        const struct jc_relay_result *result,
--- a/serve/request.c
+++ b/serve/request.c
@@ -361,6 +361,8 @@
 
   if (request->ended || attempt != request->current_attempt)
     return;
+  if (end->sent_again)
+    request->may_have_run = true;
   if (request->streaming && request->end_seen)
     {
       request->ended = true;
--- a/serve/request.h
+++ b/serve/request.h
@@ -40,13 +40,15 @@
 };
 
 /* How an attempt ended.  STATUS is JC_OK if the answer was received to its end.
-   SENT is false only if no byte can have reached an endpoint.  LENGTH_KNOWN is
+   SENT is false only if no byte can have reached an endpoint, SENT_AGAIN true
+   if the answer is to the second time that bytes were sent.  LENGTH_KNOWN is
    true if the answer had a length or chunk framing, so that truncation is
    detected.  */
 struct jc_attempt_end
 {
   enum jc_status status;
   bool sent;
+  bool sent_again;
   bool length_known;
   const char *message;
 };
--- a/tests/script-relay.c
+++ b/tests/script-relay.c
@@ -65,6 +65,8 @@
       if (strncmp (*word, "endpoints=", 10) == 0)
         result.endpoints = (unsigned int)atoi (*word + 10);
     }
+  if (result.sent && state->relay.attempt_sendings == 0)
+    jc_relay_note_sent (&state->relay);
   step = jc_relay_next_step (&state->relay, &result, state->now_ms);
   printf ("%s", steps[step]);
   if (step == JC_RELAY_FAIL)
@@ -93,6 +95,8 @@
     run_request (state, words);
   else if (strcmp (words[0], "at") == 0)
     state->now_ms = atoll (words[1]);
+  else if (strcmp (words[0], "sent") == 0)
+    jc_relay_note_sent (&state->relay);
   else if (strcmp (words[0], "begun") == 0)
     state->relay.begun = true;
   else if (strcmp (words[0], "unnumbered") == 0)
--- a/tests/script-serve.c
+++ b/tests/script-serve.c
@@ -219,6 +219,8 @@
   struct jc_attempt_end end
       = { .status = jc_status_by_name (words[2]),
           .sent = words[3] == NULL || strcmp (words[3], "unsent") != 0,
+          .sent_again
+          = words[3] != NULL && strcmp (words[3], "sent-again") == 0,
           .length_known
           = words[3] == NULL || strcmp (words[3], "unknown-length") != 0,
           .message = words[2] };
--- a/tests/test-resend.c
+++ b/tests/test-resend.c
@@ -84,12 +84,23 @@
   *(struct jc_httpc_call_result *)ctx = *result;
 }
 
+/* Whether a request may be sent again.  */
+static bool allowed = true;
+
+static bool
+may_send_again (void *ctx)
+{
+  (void)ctx;
+  return allowed;
+}
+
 /* Make one call, wait for its end and return how it ended.  */
 static struct jc_httpc_call_result
 make_call (struct server *server, struct jc_httpc *httpc, bool own_connection,
            bool no_resend)
 {
-  static const struct jc_httpc_call_ops ops = { .done = on_done };
+  static const struct jc_httpc_call_ops ops
+      = { .may_send_again = may_send_again, .done = on_done };
   struct jc_httpc_call_result result = { .status = JC_STATUS_COUNT };
   char *url = g_strdup_printf ("http://127.0.0.1:%d/", server->port);
   struct jc_httpc_call_spec spec = { .method = "POST",
@@ -134,6 +145,21 @@
   struct jc_httpc_call_result second;
 
   g_assert_cmpuint (requests_of_second_call (false, false, &second), ==, 2);
+  g_assert_cmpuint (second.sendings, ==, 2);
+}
+
+/* Guards against a request that is sent again though its owner, who counts
+   it, does not allow it.  */
+static void
+test_not_allowed (void)
+{
+  struct jc_httpc_call_result second;
+
+  allowed = false;
+  g_assert_cmpuint (requests_of_second_call (false, false, &second), ==, 1);
+  allowed = true;
+  g_assert_cmpint (second.status, ==, JC_ENDPOINT_FAILED);
+  g_assert_cmpuint (second.sendings, ==, 1);
 }
 
 static void
@@ -162,6 +188,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/pooled", test_reused_connection);
+  g_test_add_func ("/not-allowed", test_not_allowed);
   g_test_add_func ("/fresh", test_fresh_connection);
   g_test_add_func ("/once", test_send_once);
   return g_test_run ();
