Have no status that promises "not run" for an error that leaves it open

storage_failed was answered with 503 though the order or request may have been carried out: routing by products told so in its run field, but the status alone promises the contrary. It is 500 now, and a test holds every row of the table to it.

--- a/base/status.c
+++ b/base/status.c
@@ -52,7 +52,7 @@
   [JC_CHECK_FAILED] = { "check_failed", 422, JC_NOT_RUN, JC_RETRY_NEVER },
   [JC_NOT_LEADER] = { "not_leader", 503, JC_NOT_RUN, JC_RETRY_AFTER },
   [JC_STORAGE_FAILED]
-  = { "storage_failed", 503, JC_RUN_UNKNOWN, JC_RETRY_SAME_KEY },
+  = { "storage_failed", 500, JC_RUN_UNKNOWN, JC_RETRY_SAME_KEY },
   [JC_CORRUPT] = { "corrupt", 500, JC_RUN_UNKNOWN, JC_RETRY_NEVER },
   [JC_TIMEOUT] = { "timeout", 504, JC_RUN_UNKNOWN, JC_RETRY_NOW },
   [JC_CANCELLED] = { "cancelled", 499, JC_RUN_UNKNOWN, JC_RETRY_NEVER },
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -84,6 +84,8 @@
     asks, refuses, signs_refusals = "", False, False
     # Time that a request takes before its answer begins.
     work_s = 0
+    # The status of a failure of its own.
+    failure_status = 500
     # The version of its software.
     version = "v1"
 
@@ -194,7 +196,7 @@
         head += f"X-Jaycove-Server-Stamp: {self.name}\r\n"
         if self.fail_next > 0 or answer == "fail" or self.fails_request(fields):
             self.fail_next = max(self.fail_next - 1, 0)
-            writer.write(f"HTTP/1.1 500 Error\r\n{head}Content-Length: 0\r\n\r\n".encode())
+            writer.write(f"HTTP/1.1 {self.failure_status} Error\r\n{head}Content-Length: 0\r\n\r\n".encode())
             return True
         if "/stream/" not in start:
             text = f"{self.name} {attempt}".encode()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,6 +27,8 @@
 # shows up there.
 LOST_ANSWER_RATIO = 0.03
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Endpoints answer this ratio of the requests that they have run with such a status.
+OWN_PROMISE_RATIO, OWN_PROMISES = 0.03, (408, 429, 503)
 STREAM_EVENTS = 8
 # Endpoints of both software versions serve side by side; each is replaced by one of the other version.
 OTHER_VERSION = {"v1": "v2", "v2": "v1"}
@@ -86,7 +88,9 @@
             await asyncio.sleep(0.01 if lost else 5)
             return False
         if self.fault == "errors" and self.rand.random() < 0.5:
-            self.fail_next = 1
+            self.fail_next, self.failure_status = 1, 500
+        elif self.rand.random() < OWN_PROMISE_RATIO:
+            self.fail_next, self.failure_status = 1, self.rand.choice(OWN_PROMISES)
         if self.fault == "truncate" and self.rand.random() < 0.3:
             asyncio.get_running_loop().call_later(self.rand.random() * 0.1, writer.transport.abort)
         return await super().serve_one(reader, writer)
--- a/tests/test-base.c
+++ b/tests/test-base.c
@@ -28,6 +28,20 @@
                      i);
 }
 
+/* Guards against a status that callers take as a promise that their request has
+   not run, for an error that leaves it open.  */
+static void
+test_status_promises (void)
+{
+  for (int i = 0; i < JC_STATUS_COUNT; i++)
+    {
+      const struct jc_status_info *row = jc_status_info ((enum jc_status)i);
+
+      if (jc_http_status_promises_not_run (row->http_status))
+        g_assert_cmpint (row->run, ==, JC_NOT_RUN);
+    }
+}
+
 /* An unknown key, an invalid address, a number out of range and missing keys
    are all reported, not just the first of them.  */
 static void
@@ -85,6 +99,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/histogram-quantiles", test_histogram_quantiles);
   g_test_add_func ("/status-names", test_status_names);
+  g_test_add_func ("/status-promises", test_status_promises);
   g_test_add_func ("/settings-errors", test_settings_errors);
   g_test_add_func ("/addresses", test_addresses);
   return g_test_run ();
