End a call at its time though its answer never pauses

120 endpoints that sent events without a pause kept their requests for eight minutes at a route's time-out of 4 s, and the entry instance busy. Cause: a timer of a deadline is called after the input of its iteration; each event that came set the timer anew, which drops one that is due, so that with input in every iteration it was never called. A timer that is due is now left to its function, which sets it again where that is right; the HTTP server had the same. test-httpc-flood never ended before and ends with the call's time-out now. Ruled out: calling the timer first, which judges a peer late after a pause of the process though its answer is there.

--- a/net/httpc.c
+++ b/net/httpc.c
@@ -232,6 +232,10 @@
       ev_timer_stop (loop, &call->timer);
       return;
     }
+  /* Input comes before a timer that is due, which would never be called if each
+     input set it anew.  */
+  if (ev_is_pending (&call->timer))
+    return;
   if (ev_is_active (&call->timer)
       && ev_timer_remaining (loop, &call->timer) <= at - ev_now (loop))
     return;
--- a/net/httpdconn.c
+++ b/net/httpdconn.c
@@ -43,8 +43,8 @@
 static void conn_process_input (struct httpd_conn *conn);
 
 /* Set the deadline of CONN to MS from now, 0 for none.  A timer that fires
-   earlier is left as it is; on_timer sets it again.  The time of the loop does
-   not include the work of this iteration, so it is read again.  */
+   earlier, or is due, is left as it is; on_timer sets it again.  The time of
+   the loop does not include the work of this iteration, so it is read again. */
 static void
 set_deadline (struct httpd_conn *conn, long ms)
 {
@@ -53,7 +53,7 @@
   ev_now_update (conn->httpd->loop);
   now = ev_now (conn->httpd->loop);
   conn->deadline = ms > 0 ? now + (double)ms / MS_PER_S : 0;
-  if (conn->deadline == 0
+  if (conn->deadline == 0 || ev_is_pending (&conn->timer)
       || (ev_is_active (&conn->timer)
           && ev_timer_remaining (conn->httpd->loop, &conn->timer)
                  <= conn->deadline - now))
