Bound what a process buffers by the sum over all connections and requests

120 endless answers on a route that may not be repeated took 1,840 MB of an entry instance; the smallest machine has 160 MB, so that it ends with all other requests on it. Cause: each answer, head, event and body had a bound, their sum had none, and answers that no other attempt could replace were kept whole. base/buffers keeps the sum; each keeper's limit shrinks as it grows, bodies of callers without room are refused before anything is sent. Routing by products and keyed requests alike, which had no bound at all for a keyed answer. Ruled out: refusing new requests at the bound, which lets one service take the instance from the others.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -10,8 +10,6 @@
 
 enum
 {
-  ANSWER_BYTES_MAX = 16 * 1024 * 1024,
-  BUFFERED_BYTES_MAX = 256 * 1024,
   /* An answer proves that its endpoint is alive: the lease then lasts at least
      this much longer, even if its reports are late.  */
   ANSWER_LEASE_MS = 4000,
@@ -263,7 +261,7 @@
   if (exchange->call != NULL)
     jc_httpc_call_progress (exchange->call);
   if (!exchange->paused && exchange->call != NULL
-      && exchange->batch->len > BUFFERED_BYTES_MAX)
+      && exchange->batch->len > jc_buffers_limit (BUFFERED_BYTES_MAX))
     {
       exchange->paused = true;
       jc_httpc_call_pause (exchange->call, true);
@@ -292,12 +290,7 @@
   g_string_truncate (exchange->batch, 0);
   exchange->passed_event = exchange->relay.last_event;
   exchange->relay.unnumbered = exchange->ends_unnumbered;
-  if (!exchange->paused && exchange->call != NULL
-      && jc_http_stream_buffered (exchange->req) > BUFFERED_BYTES_MAX)
-    {
-      exchange->paused = true;
-      jc_httpc_call_pause (exchange->call, true);
-    }
+  answerbody_pace (exchange);
 }
 
 /* Return the result of the current attempt if it ended now, with a complete
@@ -321,8 +314,8 @@
    the version that began the stream is known, one more attempt is allowed,
    requests like it are not blocked, the retry budget is not used up, and the
    balancer finds a target.  */
-static const char *
-missing_for_alternative (struct exchange *exchange, int64_t now_ms)
+const char *
+answer_missing_alternative (struct exchange *exchange, int64_t now_ms)
 {
   struct router *router = exchange->router;
   struct jc_relay after = exchange->relay;
@@ -349,28 +342,6 @@
              : NULL;
 }
 
-/* Return true if the plain answer is over the limit.  One that is far larger
-   than usual for its route and has no Content-Length may never end: it is given
-   up early if another target may do better.  */
-static bool
-is_too_large (struct exchange *exchange)
-{
-  const char *content_length
-      = jc_head_field (&exchange->answer_head, "Content-Length");
-  size_t len = exchange->answer_body->len;
-
-  if (len > ANSWER_BYTES_MAX
-      || (content_length != NULL
-          && g_ascii_strtoull (content_length, NULL, 10) > ANSWER_BYTES_MAX))
-    return true;
-  if (content_length != NULL || exchange->oversized
-      || len <= answersizes_usual_max (exchange->router, exchange->route->name))
-    return false;
-  exchange->oversized = true;
-  return jc_relay_is_idempotent (&exchange->relay)
-         && missing_for_alternative (exchange, jc_now_ms ()) == NULL;
-}
-
 /* Drop the events that EXCHANGE holds and end its attempt: they can't be shown
    to be of the version that began the stream.  */
 static void
@@ -410,7 +381,8 @@
     }
   flush_batch (exchange);
   if (exchange->paused && exchange->call != NULL
-      && jc_http_stream_buffered (exchange->req) <= BUFFERED_BYTES_MAX)
+      && jc_http_stream_buffered (exchange->req)
+             <= jc_buffers_limit (BUFFERED_BYTES_MAX))
     {
       exchange->paused = false;
       jc_httpc_call_pause (exchange->call, false);
@@ -423,6 +395,20 @@
   exchange_attempt_ended (exchange, &result);
 }
 
+/* Report what the stream of EXCHANGE has buffered.  Return JC_STREAM_BROKEN if
+   an event that isn't complete, or comments without an event, take more than
+   they may while all buffers together take much.  */
+static enum jc_status
+check_incomplete_event (struct exchange *exchange)
+{
+  size_t incomplete = exchange->sse.partial->len + exchange->held_comments->len;
+
+  answerbody_count (exchange);
+  return incomplete <= jc_buffers_limit (SIZE_MAX)
+             ? JC_OK
+             : jc_fail (JC_STREAM_BROKEN, "There is no room for the event.");
+}
+
 static void
 on_data (void *ctx, struct jc_str data)
 {
@@ -432,8 +418,7 @@
   resumptions_note_heard (exchange);
   if (!exchange->streaming)
     {
-      g_string_append_len (exchange->answer_body, data.data, (gssize)data.len);
-      if (!is_too_large (exchange))
+      if (answerbody_take (exchange, data))
         return;
       log_given_up (exchange, JC_PROGRESS_ENDLESS);
       exchange_reject_answer (exchange, "The answer is too large.");
@@ -441,6 +426,8 @@
     }
   status = jc_sse_feed (&exchange->sse, data, on_event, exchange);
   flush_batch (exchange);
+  if (status == JC_OK)
+    status = check_incomplete_event (exchange);
   if (status != JC_OK)
     {
       log_given_up (exchange, JC_PROGRESS_ENDLESS);
@@ -534,7 +521,7 @@
     note_failed_attempt (exchange, result);
   if (exchange->streaming && exchange->sse.partial->len > 0)
     attempt.whole = false;
-  if (exchange->relay.begun && !exchange->streaming)
+  if (exchange->relay.begun && !exchange->streaming && !exchange->relay.plain)
     attempt.genuine = false;
   if (is_broken_off (exchange, &attempt, result))
     {
@@ -561,7 +548,7 @@
     flush_held_comments (exchange);
   if (jc_relay_is_usable_answer (&attempt) && !exchange->streaming)
     answersizes_record (exchange->router, exchange->route->name,
-                        exchange->answer_body->len);
+                        exchange->body_bytes);
   jc_fail (result->status != JC_OK ? result->status : JC_ENDPOINT_FAILED, "%s",
            attempt.whole ? "The endpoint's answer can't be used."
                          : result->message);
@@ -576,7 +563,7 @@
 {
   struct exchange *exchange = ctx;
   int64_t now = jc_now_ms ();
-  const char *missing = missing_for_alternative (exchange, now);
+  const char *missing = answer_missing_alternative (exchange, now);
 
   jc_event (JC_EVENT_SILENT,
             "id=%s place=%s ms=%" PRId64 " last_event=%" PRId64
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -100,7 +100,7 @@
 static void
 attempt_reset (struct exchange *exchange)
 {
-  exchange->oversized = false;
+  exchange->body_bytes = 0;
   exchange->refused_at_head = false;
   exchange->head_received = false;
   exchange->streaming = false;
@@ -116,6 +116,7 @@
   exchange->progressed = false;
   exchange->attempt_first_event_ms = 0;
   jc_sse_clear (&exchange->sse);
+  answerbody_count (exchange);
 }
 
 static void
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -5,6 +5,7 @@
 #ifndef ENTRY_EXCHANGE_H
 #define ENTRY_EXCHANGE_H
 
+#include "base/buffers.h"
 #include "entry/router.h"
 #include "serve/fingerprint.h"
 #include "serve/relay.h"
@@ -14,6 +15,8 @@
 {
   EXCHANGE_HTTP_OK = 200,
   EXCHANGE_HEADERS_MAX = JC_HEAD_FIELDS_MAX + 3,
+  /* Bytes that wait for a slow caller before the answer is read no further.  */
+  BUFFERED_BYTES_MAX = 256 * 1024,
   /* 16 hexadecimal digits.  */
   EXCHANGE_SOFTWARE_TEXT = 17
 };
@@ -49,21 +52,21 @@
    ENDS_UNNUMBERED means that the last event of BATCH has no id, CONTINUES that
    the stream had begun before the current attempt.
    HAS_EVENT_IDS means that the attempt sent an event with an id, PROGRESSED
-   that BATCH advances the answer. OVERSIZED means that the body is larger than
-   usual.  QUEUED means that it is in the wait queue, where it stays until
-   WAIT_UNTIL_MS at the latest. FIRST_EVENT_MS is the time from the start to the
-   first event, LAST_EVENT_MS when the last event came, ATTEMPT_FIRST_EVENT_MS
-   when the first one of the current attempt came, 0 for not yet, BROKEN_OFF
-   that an endpoint broke off an attempt that had only begun, MAX_GAP_MS the
-   longest pause between two events.  STREAM identifies the stream, 0 if its
-   caller gave no id, SOFTWARE is the version that began it, 0 while none has or
-   it isn't certain.  SEARCH is the search for it that is under way, made since
-   SEARCH_STARTED_MS and, if there is none, again at SEARCH_AGAIN_MS until
-   SEARCH_ENDED.  UNPROVEN_ATTEMPT means that the events of the current attempt,
-   which resumes a stream, aren't shown yet to be of SOFTWARE: they stay in
-   BATCH since HELD_SINCE_MS, and if all have come, HELD_RESULT is the result of
-   the attempt.  PASSED_EVENT is the last event passed on to the caller, -1 for
-   none.  */
+   that BATCH advances the answer.  BODY_BYTES is how much of a plain body the
+   attempt brought, BUFFERED what the answers take.  QUEUED means that it is in
+   the wait queue, where it stays until WAIT_UNTIL_MS at the latest.
+   FIRST_EVENT_MS is the time from the start to the first event, LAST_EVENT_MS
+   when the last event came, ATTEMPT_FIRST_EVENT_MS when the first one of the
+   current attempt came, 0 for not yet, BROKEN_OFF that an endpoint broke off an
+   attempt that had only begun, MAX_GAP_MS the longest pause between two events.
+   STREAM identifies the stream, 0 if its caller gave no id, SOFTWARE is the
+   version that began it, 0 while none has or it isn't certain.  SEARCH is the
+   search for it that is under way, made since SEARCH_STARTED_MS and, if there
+   is none, again at SEARCH_AGAIN_MS until SEARCH_ENDED.  UNPROVEN_ATTEMPT means
+   that the events of the current attempt, which resumes a stream, aren't shown
+   yet to be of SOFTWARE: they stay in BATCH since HELD_SINCE_MS, and if all
+   have come, HELD_RESULT is the result of the attempt.  PASSED_EVENT is the
+   last event passed on to the caller, -1 for none.  */
 struct exchange
 {
   GList link;
@@ -104,7 +107,8 @@
   bool head_received;
   bool streaming;
   bool has_event_gap;
-  bool oversized;
+  size_t body_bytes;
+  struct jc_buffered buffered;
   GString *answer_body;
   struct jc_head fallback_head;
   GString *fallback_body;
@@ -196,7 +200,14 @@
 void exchange_answer_headers (struct exchange *exchange,
                               struct jc_http_header *headers);
 
+/* In answerbody.c.  */
+void answerbody_count (struct exchange *exchange);
+void answerbody_pace (struct exchange *exchange);
+bool answerbody_take (struct exchange *exchange, struct jc_str data);
+
 /* In answer.c.  */
+const char *answer_missing_alternative (struct exchange *exchange,
+                                        int64_t now_ms);
 void exchange_flush_held (struct exchange *exchange);
 extern const struct jc_httpc_call_ops answer_call_ops;
 
--- a/entry/gauges.c
+++ b/entry/gauges.c
@@ -1,6 +1,7 @@
 /* Gauges for /metrics: what an entry instance with host-based routing knows of
    the region, and how old that is.  */
 
+#include "base/buffers.h"
 #include "entry/router.h"
 #include "net/program.h"
 
@@ -102,5 +103,7 @@
                         jc_suspects_count (router->suspects, RPC_BLOCKED));
   jc_metrics_gauge_set (metrics, "jaycove_waiting", "",
                         g_queue_get_length (&router->wait_queue));
+  jc_metrics_gauge_set (metrics, "jaycove_buffered_bytes", "",
+                        (double)jc_buffers_total ());
   set_retries (router, now);
 }
--- a/entry/keyed.c
+++ b/entry/keyed.c
@@ -8,6 +8,7 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "base/buffers.h"
 #include "entry/entry.h"
 #include "ledger/copy.h"
 #include "ledger/owner.h"
@@ -26,7 +27,10 @@
   RETRY_AFTER_MS = 1000,
   ATTEMPTS_MAX = 3,
   KEY_LIMIT_BYTES = 128,
+  /* Larger answers aren't stored in the record.  */
   ANSWER_MAX_BYTES = 1024 * 1024,
+  /* Larger ones are given up: they may have no end.  */
+  ANSWER_READ_MAX_BYTES = 16 * 1024 * 1024,
   DIGEST_BYTES = 32
 };
 
@@ -35,8 +39,8 @@
    DIGEST identifies the request, CLAIM_ID this claim to its key.  CLAIM_XID and
    RESULT_XID are the calls to the ledger under way, 0 for none.  FENCE is the
    fencing token that the ledger granted.  ENDPOINT_NAME, HTTP_STATUS,
-   ANSWER_CONTENT_TYPE and ANSWER are of the last attempt.  ENDED means that the
-   next run of TICK frees the request.  */
+   ANSWER_CONTENT_TYPE and ANSWER are of the last attempt, BUFFERED is what
+   ANSWER takes.  ENDED means that the next run of TICK frees the request.  */
 struct keyed_request
 {
   const struct handler_class *klass;
@@ -63,6 +67,7 @@
   char *endpoint_name;
   struct jc_httpc_call *call;
   GString *answer;
+  struct jc_buffered buffered;
   char *answer_content_type;
   int http_status;
   bool ended;
@@ -103,6 +108,7 @@
   g_free (keyed->endpoint_name);
   g_free (keyed->answer_content_type);
   g_string_free (keyed->answer, TRUE);
+  jc_buffered_set (&keyed->buffered, 0);
   g_free (keyed);
 }
 
@@ -346,6 +352,14 @@
   struct keyed_request *keyed = ctx;
 
   g_string_append_len (keyed->answer, data.data, (gssize)data.len);
+  jc_buffered_set (&keyed->buffered, keyed->answer->allocated_len);
+  if (keyed->answer->len <= jc_buffers_limit (ANSWER_READ_MAX_BYTES))
+    return;
+  jc_httpc_call_cancel (keyed->call);
+  keyed->call = NULL;
+  endpoint_release (keyed);
+  jc_owner_run_ended (&keyed->owner, false, true, JC_ENDPOINT_FAILED,
+                      jc_now_ms ());
 }
 
 static enum jc_status run_attempt (struct keyed_request *keyed);
--- a/entry/outcome.c
+++ b/entry/outcome.c
@@ -44,6 +44,7 @@
   g_string_free (exchange->batch, TRUE);
   g_string_free (exchange->held_comments, TRUE);
   jc_sse_free (&exchange->sse);
+  jc_buffered_set (&exchange->buffered, 0);
   g_free (exchange->target_name);
   g_free (exchange->target_address);
   g_free (exchange);
@@ -112,9 +113,9 @@
 {
   jc_head_clear (&exchange->fallback_head);
   jc_head_copy (&exchange->fallback_head, &exchange->answer_head);
-  g_string_truncate (exchange->fallback_body, 0);
-  g_string_append_len (exchange->fallback_body, exchange->answer_body->str,
-                       (gssize)exchange->answer_body->len);
+  g_string_free (exchange->fallback_body, TRUE);
+  exchange->fallback_body = exchange->answer_body;
+  exchange->answer_body = g_string_new (NULL);
   exchange->fallback_remote = exchange->remote;
 }
 
--- a/net/httpcconn.c
+++ b/net/httpcconn.c
@@ -16,6 +16,8 @@
 {
   READ_BYTES = 64 * 1024,
   HEAD_BYTES_MAX = 64 * 1024,
+  /* A larger input buffer is freed once it is empty.  */
+  IN_BUFFER_KEPT_BYTES = 4 * 1024,
   /* Idle time after which a connection is closed if the server sends no
      Keep-Alive time-out, and the margin subtracted from one that it sends.  */
   IDLE_TIMEOUT_MS = 10000,
@@ -291,6 +293,7 @@
 {
   jc_head_clear (&conn->head);
   g_string_free (conn->in, TRUE);
+  jc_buffered_set (&conn->buffered, 0);
   g_free (conn->address);
   g_free (conn);
 }
@@ -365,7 +368,7 @@
                                       &conn->scanned_bytes);
       struct jc_str bytes = { .data = conn->in->str, .len = (size_t)len };
 
-      if (len < 0 && conn->in->len <= HEAD_BYTES_MAX)
+      if (len < 0 && conn->in->len <= jc_buffers_limit (HEAD_BYTES_MAX))
         return false;
       if (len < 0 || !jc_head_is_well_formed (bytes))
         {
@@ -414,6 +417,19 @@
   return conn->in->len > 0;
 }
 
+/* Free what the input buffer of CONN took if that is empty, and report what it
+   takes.  */
+static void
+conn_trim_input (struct httpc_conn *conn)
+{
+  if (conn->in->len == 0 && conn->in->allocated_len > IN_BUFFER_KEPT_BYTES)
+    {
+      g_string_free (conn->in, TRUE);
+      conn->in = g_string_new (NULL);
+    }
+  jc_buffered_set (&conn->buffered, conn->in->allocated_len);
+}
+
 /* Handle that the server closed its side.  This completes an answer without a
    length; any other answer is cut.  */
 static void
@@ -442,15 +458,14 @@
 static void
 on_readable (struct ev_loop *loop, ev_io *watcher, int events)
 {
+  static char bytes[READ_BYTES];
   struct httpc_conn *conn = watcher->data;
-  gsize at = conn->in->len;
-  ssize_t received;
+  ssize_t received = recv (conn->fd, bytes, jc_buffers_limit (READ_BYTES), 0);
 
   (void)loop;
   (void)events;
-  g_string_set_size (conn->in, at + READ_BYTES);
-  received = recv (conn->fd, conn->in->str + at, READ_BYTES, 0);
-  g_string_set_size (conn->in, at + (received > 0 ? (gsize)received : 0));
+  if (received > 0)
+    g_string_append_len (conn->in, bytes, received);
   if (received < 0 && (errno == EAGAIN || errno == EINTR))
     return;
   if (conn->call == NULL)
@@ -476,6 +491,7 @@
       while (httpc_call_bytes_received (conn->call, (size_t)received)
              && conn_parse (conn))
         received = 0;
+      conn_trim_input (conn);
     }
 }
 
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -3,6 +3,7 @@
 #ifndef JC_HTTPC_PRIVATE_H
 #define JC_HTTPC_PRIVATE_H
 
+#include "base/buffers.h"
 #include "net/chunks.h"
 #include "net/httpc.h"
 #include "net/progress.h"
@@ -42,7 +43,7 @@
    IDLE_TIMEOUT_MS is how long it stays open while idle.  SCANNED_BYTES of IN
    are known to hold no end of a head.  BROKEN is set if the peer ended it,
    not this client, UNANSWERED while nothing was heard since the last byte
-   sent.  SKIPPING_MESSAGE is set while an interim
+   sent.  BUFFERED is what IN takes.  SKIPPING_MESSAGE is set while an interim
    answer or one of an earlier request is read.  */
 struct httpc_conn
 {
@@ -67,6 +68,7 @@
   struct jc_head_build build;
   struct jc_chunks chunks;
   GString *in;
+  struct jc_buffered buffered;
   size_t scanned_bytes;
   bool head_done;
   bool skipping_message;
--- a/net/httpdconn.c
+++ b/net/httpdconn.c
@@ -37,6 +37,10 @@
   /* Bytes of a body that restart its time-out: about one TCP window of a slow
      connection.  */
   BODY_BLOCK_BYTES = 16 * 1024,
+  /* A body is kept until its request ends, and copied to be sent on.  */
+  BODY_COPIES = 2,
+  /* A larger input buffer is freed once it is empty.  */
+  IN_BUFFER_KEPT_BYTES = 4 * 1024,
   MS_PER_S = 1000
 };
 
@@ -126,9 +130,18 @@
 {
   g_string_free (conn->in, TRUE);
   g_string_free (conn->out, TRUE);
+  jc_buffered_set (&conn->buffered, 0);
   g_free (conn);
 }
 
+/* Report what CONN has buffered.  */
+static void
+conn_count_buffers (struct httpd_conn *conn)
+{
+  jc_buffered_set (&conn->buffered,
+                   conn->in->allocated_len + conn->out->allocated_len);
+}
+
 /* Write the output of CONN, or free CONN if it is closed, at the end of the
    iteration of the loop.  */
 void
@@ -207,8 +220,8 @@
 
 /* Write the buffered output of CONN.  What the socket does not take is written
    when it is writable.  */
-void
-httpd_conn_flush (struct httpd_conn *conn)
+static void
+conn_write_output (struct httpd_conn *conn)
 {
   struct jc_http_req *req = conn->req;
   bool had_output = conn->out_pos < conn->out->len;
@@ -248,6 +261,15 @@
     conn->httpd->klass->writable (conn->httpd->ctx, req);
 }
 
+/* Write the buffered output of CONN and report what is left of it.  */
+void
+httpd_conn_flush (struct httpd_conn *conn)
+{
+  conn_count_buffers (conn);
+  conn_write_output (conn);
+  conn_count_buffers (conn);
+}
+
 static void
 on_writable (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -311,6 +333,13 @@
   struct httpd_conn *conn = parser->data;
   struct jc_http_req *req = conn->req;
 
+  if (!jc_buffers_have_room (&req->buffered, BODY_COPIES * len))
+    {
+      httpd_loss_log_no_room (req);
+      jc_fail (JC_OVERLOADED, "There is no room for the body.");
+      conn->no_room = true;
+      return 1;
+    }
   if (req->body->len + len > conn->httpd->limits.max_body_bytes)
     {
       jc_fail (JC_TOO_LARGE, "The body is over %zu bytes.",
@@ -318,6 +347,7 @@
       return 1;
     }
   g_string_append_len (req->body, at, (gssize)len);
+  jc_buffered_set (&req->buffered, BODY_COPIES * req->body->len);
   return 0;
 }
 
@@ -362,6 +392,13 @@
       && parser->content_length > req->httpd->limits.max_body_bytes)
     return jc_fail (JC_TOO_LARGE, "The body is over %zu bytes.",
                     req->httpd->limits.max_body_bytes);
+  if (parser->content_length != UINT64_MAX
+      && !jc_buffers_have_room (&req->buffered,
+                                BODY_COPIES * parser->content_length))
+    {
+      httpd_loss_log_no_room (req);
+      return jc_fail (JC_OVERLOADED, "There is no room for the body.");
+    }
   return JC_OK;
 }
 
@@ -487,7 +524,7 @@
     return;
   if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_CB_body)
     {
-      conn_reject (conn, JC_TOO_LARGE);
+      conn_reject (conn, conn->no_room ? JC_OVERLOADED : JC_TOO_LARGE);
       return;
     }
   jc_fail (JC_BAD_REQUEST, "The body can't be read: %s.",
@@ -598,12 +635,11 @@
 static bool
 conn_read (struct httpd_conn *conn)
 {
-  gsize at = conn->in->len;
-  ssize_t received;
+  static char bytes[READ_BYTES];
+  ssize_t received = recv (conn->fd, bytes, jc_buffers_limit (READ_BYTES), 0);
 
-  g_string_set_size (conn->in, at + READ_BYTES);
-  received = recv (conn->fd, conn->in->str + at, READ_BYTES, 0);
-  g_string_set_size (conn->in, at + (received > 0 ? (gsize)received : 0));
+  if (received > 0)
+    g_string_append_len (conn->in, bytes, received);
   if (received == 0)
     httpd_conn_close (conn, HTTPD_PEER_CLOSED);
   else if (received < 0 && errno != EAGAIN && errno != EINTR)
@@ -625,13 +661,8 @@
 /* Read and process input.  Reading stops while an answer is pending and too
    many pipelined bytes wait.  */
 static void
-on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+conn_handle_input (struct httpd_conn *conn, bool received)
 {
-  struct httpd_conn *conn = watcher->data;
-  bool received = (events & EV_READ) != 0 && conn_read (conn);
-
-  if (conn->closed)
-    return;
   if (conn->rejected || conn->close_after)
     {
       conn_drop_input (conn);
@@ -642,7 +673,31 @@
   conn_process_input (conn);
   if (!conn->closed && conn->req != NULL && conn->body_done
       && conn->in->len > PIPELINED_BYTES_MAX)
-    ev_io_stop (loop, watcher);
+    ev_io_stop (conn->httpd->loop, &conn->reader);
+}
+
+/* Free what the input buffer of CONN took if that is empty.  */
+static void
+conn_trim_input (struct httpd_conn *conn)
+{
+  if (conn->in->len > 0 || conn->in->allocated_len <= IN_BUFFER_KEPT_BYTES)
+    return;
+  g_string_free (conn->in, TRUE);
+  conn->in = g_string_new (NULL);
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  struct httpd_conn *conn = watcher->data;
+  bool received = (events & EV_READ) != 0 && conn_read (conn);
+
+  (void)loop;
+  if (conn->closed)
+    return;
+  conn_handle_input (conn, received);
+  conn_trim_input (conn);
+  conn_count_buffers (conn);
 }
 
 /* Close a connection that is idle for too long, or reject a request that is
--- a/net/httpdloss.c
+++ b/net/httpdloss.c
@@ -76,3 +76,15 @@
 {
   log_req (req, "cut", jc_last_message ());
 }
+
+/* Log that REQ is refused before it was read whole: all buffers together take
+   too much.  */
+void
+httpd_loss_log_no_room (const struct jc_http_req *req)
+{
+  jc_event (JC_EVENT_REFUSED,
+            "id=%.40s method=%s path=%.80s outcome=%s body=%zu buffered=%zu",
+            req_id (req), req->head.method, req->head.target,
+            jc_status_name (JC_OVERLOADED), req->body->len,
+            jc_buffers_total ());
+}
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -3,6 +3,7 @@
 #ifndef JC_HTTPD_PRIVATE_H
 #define JC_HTTPD_PRIVATE_H
 
+#include "base/buffers.h"
 #include "net/chunks.h"
 #include "net/httpd.h"
 
@@ -57,7 +58,8 @@
    is streamed in chunks; the end of any other stream is the end of its
    connection.  CLOSE_AFTER closes the connection after the answer.  RETRY_AFTER
    is the header of that name if the request is refused, empty for the usual
-   one, and RETRY_AFTER_MS the same delay.  */
+   one, and RETRY_AFTER_MS the same delay.  BUFFERED is what BODY takes, and
+   once more as much for the copy that is sent on.  */
 struct jc_http_req
 {
   struct jc_httpd *httpd;
@@ -66,6 +68,7 @@
   char *path;
   GPtrArray *decoded_arguments;
   GString *body;
+  struct jc_buffered buffered;
   void *data;
   enum req_phase phase;
   bool chunked;
@@ -83,7 +86,9 @@
    answer was written; input after it is dropped, until LINGER_UNTIL at the
    latest.
    BLANK_BYTES counts the bytes of blank lines since the last request.
-   RESET_ON_CLOSE closes the connection with a TCP reset.  */
+   BUFFERED is what IN and OUT take, NO_ROOM set if the body was refused because
+   all buffers together take too much.  RESET_ON_CLOSE closes the connection
+   with a TCP reset.  */
 struct httpd_conn
 {
   struct jc_httpd *httpd;
@@ -97,12 +102,14 @@
   size_t scanned_bytes;
   GString *out;
   size_t out_pos;
+  struct jc_buffered buffered;
   http_parser parser;
   struct jc_head_build build;
   struct jc_chunks chunks;
   struct jc_http_req *req;
   size_t body_block_bytes;
   bool body_done;
+  bool no_room;
   bool rejected;
   ev_tstamp linger_until;
   bool lingering;
@@ -139,6 +146,7 @@
 void httpd_loss_log_close (const struct httpd_conn *conn,
                            enum httpd_close_reason reason);
 void httpd_loss_log_cut (const struct jc_http_req *req);
+void httpd_loss_log_no_room (const struct jc_http_req *req);
 
 /* In httpreq.c.  */
 struct jc_http_req *http_req_new (struct httpd_conn *conn);
--- a/net/httpreq.c
+++ b/net/httpreq.c
@@ -31,6 +31,7 @@
   if (req->decoded_arguments != NULL)
     g_ptr_array_free (req->decoded_arguments, TRUE);
   g_string_free (req->body, TRUE);
+  jc_buffered_set (&req->buffered, 0);
   g_free (req->path);
   g_free (req);
 }
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -106,10 +106,10 @@
     relay->endpoints_sent += result->endpoints > 1 ? result->endpoints : 1;
   relay->refused += refused;
   relay->attempt_sendings = 0;
-  if (relay->begun && answered && result->http == HTTP_OK)
+  if (relay->begun && answered && (relay->plain || result->http == HTTP_OK))
     return JC_RELAY_END_STREAM;
   if (relay->begun)
-    return relay->unnumbered
+    return relay->unnumbered || relay->plain
                ? JC_RELAY_BREAK_STREAM
                : attempt_or (relay, JC_RELAY_BREAK_STREAM, now_ms);
   if (result->whole && result->not_run)
--- a/serve/relay.h
+++ b/serve/relay.h
@@ -55,7 +55,9 @@
    the number of endpoints that the request may have run at.  BEGUN is true once
    a stream to the caller has begun; LAST_EVENT is the last event that the
    caller has, -1 for none.  UNNUMBERED means that the caller got events without
-   an id after that one, so that no other attempt can go on with the stream.  */
+   an id after that one, so that no other attempt can go on with the stream.
+   PLAIN means that it is a plain answer, passed on as it comes, which no other
+   attempt can go on with either.  */
 struct jc_relay
 {
   enum jc_route_kind kind;
@@ -71,6 +73,7 @@
   bool begun;
   int64_t last_event;
   bool unnumbered;
+  bool plain;
 };
 
 void jc_relay_init (struct jc_relay *relay, const struct jc_hostroute *route,
--- a/serve/request.c
+++ b/serve/request.c
@@ -41,6 +41,7 @@
   g_ptr_array_free (request->tried_names, TRUE);
   g_string_free (request->body, TRUE);
   jc_sse_free (&request->sse);
+  jc_buffered_set (&request->buffered, 0);
   g_free (request->content_type);
   g_free (request->message);
 }
@@ -132,7 +133,9 @@
   request->streaming = false;
   request->diverged = false;
   request->replay_position = 0;
-  g_string_truncate (request->body, 0);
+  g_string_free (request->body, TRUE);
+  request->body = g_string_new (NULL);
+  jc_buffered_set (&request->buffered, 0);
   jc_sse_clear (&request->sse);
   memset (request->replay_digest, 0, JC_REQUEST_DIGEST_BYTES);
 }
@@ -298,12 +301,14 @@
   if (!request->streaming)
     {
       g_string_append_len (request->body, data.data, (gssize)data.len);
-      if (request->body->len > ANSWER_BYTES_MAX)
+      jc_buffered_set (&request->buffered, request->body->allocated_len);
+      if (request->body->len > jc_buffers_limit (ANSWER_BYTES_MAX))
         attempt_reject (request, JC_ENDPOINT_FAILED, "The answer is too large.",
                         now_ms);
       return;
     }
-  if (jc_sse_feed (&request->sse, data, event_receive, request) != JC_OK)
+  if (jc_sse_feed (&request->sse, data, event_receive, request) != JC_OK
+      || request->sse.partial->len > jc_buffers_limit (SIZE_MAX))
     attempt_reject (request, JC_STREAM_BROKEN, jc_last_message (), now_ms);
   else if (request->diverged)
     attempt_reject (request, JC_STREAM_BROKEN,
--- a/serve/request.h
+++ b/serve/request.h
@@ -7,6 +7,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/buffers.h"
 #include "base/status.h"
 #include "base/str.h"
 #include "serve/sse.h"
@@ -97,6 +98,7 @@
   int http;
   char *content_type;
   GString *body;
+  struct jc_buffered buffered;
   struct jc_sse sse;
   uint64_t delivered_events;
   uint64_t replay_position;
