Keep the traces of a process test that fails

Six entries of KNOWN-RED.txt say "not traced": the folder with all logs was removed before anyone had read them, and 40 lines of output were kept. stop_all now copies settings, logs (4 MB each), exit codes of the processes and the load of the machine to build/failed/TEST when a test fails, tests/run.sh adds its output, the ten slowest tests and the command that runs a failed GLib case again; make repeat runs one test N times beside busy processes. A failed assertion prints the variables of its frame.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, daemons, check, demo, matrix, bench, soak, lint, format, generate, install, clean.
+# Targets: all, daemons, check, repeat, demo, matrix, bench, soak, lint, format, generate, install, clean.
 
 VERSION = 0.1.0
 V ?= 0
@@ -42,7 +42,7 @@
 TESTLIB = $(B)/libjctest.a
 .SECONDARY:
 
-.PHONY: all daemons check demo lint format format-check generate generate-check install clean matrix bench soak
+.PHONY: all daemons check repeat demo lint format format-check generate generate-check install clean matrix bench soak
 all: $(BINS) $(STANDINS)
 
 daemons: $(B)/jaycove-entry $(B)/jaycove-state
@@ -80,6 +80,11 @@
 check: all $(TEST_PROGS)
 	@BUILD=$(B) sh tests/run.sh
 
+N ?= 20
+LOAD ?= 4
+repeat: all
+	@BUILD=$(B) sh tests/repeat.sh $(TEST) $(N) $(LOAD)
+
 demo: all
 	@BUILD=$(B) sh scripts/demo.sh
 
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -56,17 +56,43 @@
   done
 }
 
+# Most of each file that keep_traces copies, in bytes; the end of a log tells why.
+TRACE_FILE_BYTES=4194304
+LOAD_AT_START=$(cut -d' ' -f1-3 /proc/loadavg)
+
+# keep_traces CODE: copy settings, logs and process ids of a test that ended with
+# CODE to $BUILD/failed/TEST, with the exit codes of its processes and the load of
+# the machine.
+keep_traces ()
+{
+  kept=$BUILD/failed/$(basename "$0" .sh)
+  rm -rf "$kept"
+  mkdir -p "$kept"
+  for file in "$DIR"/*; do
+    [ ! -f "$file" ] || tail -c $TRACE_FILE_BYTES "$file" >"$kept/$(basename "$file")"
+  done
+  { echo "test $0 ended with $1"; echo "load at its start $LOAD_AT_START, at its end $(cut -d' ' -f1-3 /proc/loadavg)"
+    echo "process id and exit code:"; printf '%s' "$EXIT_CODES"; } >"$kept/verdict"
+  echo "settings and logs are kept in $kept"
+}
+
 # stop_all: resume and terminate all processes, kill those that still run after
-# 3 seconds and remove $DIR.
+# 3 seconds and remove $DIR. Called at the exit of a test, it keeps the traces of
+# one that failed.
 stop_all ()
 {
+  verdict=$?
+  EXIT_CODES=
   for p in $PIDS; do kill -CONT "$p" 2>/dev/null || true; kill "$p" 2>/dev/null || true; done
   for p in $PIDS; do
     n=0
     while kill -0 "$p" 2>/dev/null && [ $n -lt 60 ]; do n=$((n + 1)); sleep 0.05; done
     kill -9 "$p" 2>/dev/null || true
-    wait "$p" 2>/dev/null || true
+    wait "$p" 2>/dev/null && ended=0 || ended=$?
+    EXIT_CODES="$EXIT_CODES$p $ended
+"
   done
+  [ $verdict -eq 0 ] || [ $verdict -eq 77 ] || keep_traces $verdict
   rm -rf "$DIR"
 }
 
--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -23,6 +23,18 @@
     ADDRESSES.update(json.load(open(os.path.join(DIR, "addresses.json"))))
 
 
+def show_values(kind, error, trace):
+    """Prints an exception and the local variables of the frame that raised it: what a failed assertion compared."""
+    sys.__excepthook__(kind, error, trace)
+    while trace.tb_next:
+        trace = trace.tb_next
+    for name, value in trace.tb_frame.f_locals.items():
+        print(f"  {name} = {repr(value)[:400]}", file=sys.stderr)
+
+
+sys.excepthook = show_values
+
+
 class Reply:
     def __init__(self, status, headers, body, whole):
         self.status, self.headers, self.body, self.whole = status, headers, body, whole
--- a/tests/process/keyed-faults.sh
+++ b/tests/process/keyed-faults.sh
@@ -5,7 +5,7 @@
 # at the end.
 set -eu
 . scripts/cluster.sh
-trap 'code=$?; [ $code = 0 ] || tail -n 5 "$DIR"/*.log; stop_all' EXIT
+trap stop_all EXIT
 KEYS=${KEYS:-100}
 SEED=${SEED:-1}
 
--- a/tests/process/keyed-wipe.sh
+++ b/tests/process/keyed-wipe.sh
@@ -4,7 +4,7 @@
 # the other state instances are killed, and the home region's ledger still serves.
 set -eu
 . scripts/cluster.sh
-trap 'code=$?; [ $code = 0 ] || tail -n 5 "$DIR"/*.log "$DIR/answer"; stop_all' EXIT
+trap stop_all EXIT
 
 # request_key CALLERS_PORT KEY: send a request with KEY and print its answer, which
 # stays in $DIR/answer.
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -29,36 +29,54 @@
   fi
 }
 
-rm -f "$BUILD/verdicts.txt"
+# record_time NAME: log how long a program or script ran since STARTED.
+record_time ()
+{
+  echo "$(($(date +%s) - started)) $1" >>"$BUILD/times.txt"
+}
+
+rm -rf "$BUILD/verdicts.txt" "$BUILD/times.txt" "$BUILD/failed"
 out=$(mktemp)
 for prog in "$BUILD"/tests/test-* "$BUILD"/tests/explore-*; do
   case $prog in *.o|*.d) continue;; esac
   [ -x "$prog" ] || continue
   name=$(basename "$prog")
+  started=$(date +%s)
   "$prog" --tap >"$out" 2>"$out.err"
   code=$?
+  record_time "$name"
   sed -n 's/^ok [0-9]* \([^ ]*\).*/\1 0/p;s/^not ok [0-9]* \([^ ]*\).*/\1 1/p' "$out" >"$out.verdicts"
   while read -r case_name status; do record_verdict "$name$case_name" "$status"; done <"$out.verdicts"
   if [ $code -ne 0 ]; then
     grep -q '^not ok' "$out" || record_verdict "$name" 1
     tail -n 20 "$out" "$out.err"
+    seed=$(sed -n 's/^# random seed: //p' "$out")
+    sed -n "s|^not ok [0-9]* \([^ ]*\).*|again: $prog --seed $seed -p \1|p" "$out"
   fi
 done
 for script in tests/scripts/*.script; do
   [ -e "$script" ] || continue
   kind=$(basename "$script" | sed 's/-.*//')
+  started=$(date +%s)
   "$BUILD/tests/script-$kind" "$script" >"$out" 2>&1
   diff -u "${script%.script}.expected" "$out"
   record_verdict "$script" $?
+  record_time "$script"
 done
 for script in tests/process/*.sh; do
   [ -e "$script" ] || continue
+  started=$(date +%s)
   BUILD=$BUILD sh "$script" >"$out" 2>&1
   code=$?
+  record_time "$script"
+  kept=$BUILD/failed/$(basename "$script" .sh)
+  [ ! -d "$kept" ] || cp "$out" "$kept/output"
   [ $code -eq 0 ] || tail -40 "$out"
   record_verdict "$script" $code
 done
 rm -f "$out" "$out.err" "$out.verdicts"
 [ ! -s KNOWN-RED.txt ] || { echo "Known red, $known_red of them seen:"; cat KNOWN-RED.txt; }
+echo "Slowest, in seconds:"
+sort -rn "$BUILD/times.txt" | head -n 10
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
