Keep what a process said of itself until its report comes

Cause: the process had told its incarnation while the stream ran, over a connection of that moment; a later question, over a later connection, replaced that answer before the report of the incarnation came, so that nothing covered the time of the stream any more.

--- a/entry/identities.c
+++ b/entry/identities.c
@@ -87,7 +87,7 @@
 
   identity->question = NULL;
   if (told)
-    identity->process = process;
+    jc_resumption_note_identity (&identity->process, &process);
   else if (question->heard_us > 0)
     identity->ask_again_ms = jc_now_ms () + UNTOLD_MS;
   jc_event (JC_EVENT_IDENTITY,
--- a/serve/resumption.c
+++ b/serve/resumption.c
@@ -178,6 +178,21 @@
   return reported_ms - since_ms >= REPORT_DELAY_MS;
 }
 
+/* Add to KNOWN, what is known of the process at an address, what it TOLD of
+   itself.  The same incarnation is the same process throughout: it began before
+   all of its answers, also those to questions over later connections.  */
+void
+jc_resumption_note_identity (struct jc_process_identity *known,
+                             const struct jc_process_identity *told)
+{
+  int64_t since_us = told->since_us;
+
+  if (known->heard_us > 0 && known->incarnation == told->incarnation)
+    since_us = MIN (since_us, known->since_us);
+  *known = *told;
+  known->since_us = since_us;
+}
+
 /* Return whether IDENTITY is that of the process that had been the same since
    SINCE_US when it was heard at HEARD_US at the same address: no two processes
    have an address at once, so that it is the same one if the times overlap.  */
--- a/serve/resumption.h
+++ b/serve/resumption.h
@@ -81,6 +81,8 @@
                             uint64_t stream,
                             unsigned int picked[JC_RESUMPTION_HOLDERS_MAX]);
 bool jc_resumption_is_confirmed (int64_t reported_ms, int64_t since_ms);
+void jc_resumption_note_identity (struct jc_process_identity *known,
+                                  const struct jc_process_identity *told);
 bool jc_resumption_is_identified (const struct jc_process_identity *identity,
                                   int64_t since_us, int64_t heard_us);
 
--- a/tests/test-resumption.c
+++ b/tests/test-resumption.c
@@ -240,6 +240,31 @@
   g_assert_false (jc_resumption_is_identified (&none, 1500, 1600));
 }
 
+/* Guards against streams that can't go on: a process told its incarnation while
+   one ran, then again over a later connection, and the first answer was
+   forgotten before the report of that incarnation came.  */
+static void
+test_identity_told_again (void)
+{
+  const struct jc_process_identity first
+      = { .incarnation = 7, .since_us = 1000, .heard_us = 1100 };
+  const struct jc_process_identity again
+      = { .incarnation = 7, .since_us = 5000, .heard_us = 5100 };
+  const struct jc_process_identity other
+      = { .incarnation = 8, .since_us = 9000, .heard_us = 9100 };
+  struct jc_process_identity known = { 0 };
+
+  jc_resumption_note_identity (&known, &first);
+  jc_resumption_note_identity (&known, &again);
+  g_assert_true (jc_resumption_is_identified (&known, 1050, 1200));
+  g_assert_true (jc_resumption_is_identified (&known, 3000, 3100));
+  g_assert_false (jc_resumption_is_identified (&known, 500, 900));
+  jc_resumption_note_identity (&known, &other);
+  g_assert_false (jc_resumption_is_identified (&known, 1050, 1200));
+  g_assert_false (jc_resumption_is_identified (&known, 5050, 5200));
+  g_assert_true (jc_resumption_is_identified (&known, 9050, 9200));
+}
+
 /* State instances: COUNT of them, in turn in each region.  */
 struct holders
 {
@@ -449,6 +474,7 @@
   g_test_add_func ("/names", test_names);
   g_test_add_func ("/certainty", test_certainty);
   g_test_add_func ("/identity", test_identity);
+  g_test_add_func ("/identity-told-again", test_identity_told_again);
   g_test_add_func ("/holders-same", test_holders_same);
   g_test_add_func ("/few-holders", test_few_holders);
   g_test_add_func ("/holders-change", test_holders_change);
