Let later evidence bring back an endpoint that answered 421

Ten answers of 421 from the two endpoints of a service, which reported all the while, made both entry instances refuse all its requests until the endpoints started anew.

--- a/entry/answer.c
+++ b/entry/answer.c
@@ -89,7 +89,7 @@
 
 /* Update the endpoint of the current attempt from its answer with STATUS: its
    load, its lease, when it is warm, and what it asks for.  Status 421 means
-   that its address now belongs to another endpoint, so it is marked as leaving.
+   that another process answered at its address.
    An answer of an earlier incarnation tells nothing about this one.  */
 static void
 update_endpoint (struct exchange *exchange, int status)
@@ -106,10 +106,10 @@
     return;
   if (status == HTTP_MISDIRECTED)
     {
-      jc_endpoints_mark_leaving (exchange->router->endpoints, endpoint->name,
-                                 endpoint->incarnation);
+      misdirections_note (exchange->router, endpoint);
       return;
     }
+  misdirections_note_answer (exchange->router, endpoint);
   jc_endpoint_extend_lease (endpoint, now + ANSWER_LEASE_MS);
   if (info->cold_ms >= 0)
     endpoint->warm_at_ms = now + info->cold_ms;
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -199,6 +199,7 @@
                      exchange->attempt_started_ms);
   exchange->target_incarnation = endpoint->incarnation;
   resumptions_attempt_started (exchange, endpoint);
+  misdirections_note_send (router, endpoint);
   exchange->send_number
       = backpressure_note_send (router, endpoint, exchange_id (exchange));
   jc_engines_explain (router->engines, endpoint, &exchange->demand,
--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -96,6 +96,7 @@
 
   return service != NULL && jc_endpoint_is_usable (endpoint, now_ms)
          && !jc_orders_is_evacuated (router->orders, endpoint->zone)
+         && misdirections_may_send (router, endpoint)
          && is_warm (router, endpoint, service, now_ms)
          && backpressure_may_send (router, endpoint);
 }
@@ -192,6 +193,7 @@
           || (query != NULL
               && (balancer_contains_name (query->tried, endpoint->name)
                   || !version_matches (router, query, endpoint)))
+          || !misdirections_may_send (router, endpoint)
           || !is_warm_or_granted (router, endpoint, service, now_ms)
           || !accepts (router, endpoint))
         g_ptr_array_remove_index (out, i - 1);
--- a/entry/gauges.c
+++ b/entry/gauges.c
@@ -97,6 +97,8 @@
       jc_backpressure_count_limited (router->backpressure, jc_boot_ms ()));
   jc_metrics_gauge_set (metrics, "jaycove_paused_endpoints", "",
                         jc_pauses_count (router->pauses, jc_boot_ms ()));
+  jc_metrics_gauge_set (metrics, "jaycove_misdirected_endpoints", "",
+                        jc_misdirected_count (router->misdirected));
   jc_metrics_gauge_set (metrics, "jaycove_suspected_fingerprints", "",
                         jc_suspects_count (router->suspects, RPC_SUSPECTED));
   jc_metrics_gauge_set (metrics, "jaycove_blocked_fingerprints", "",
--- a/entry/identities.c
+++ b/entry/identities.c
@@ -100,7 +100,10 @@
                                      : "unreached");
   question_free (question);
   if (told)
-    resumptions_check (router);
+    {
+      resumptions_check (router);
+      misdirections_check (router);
+    }
 }
 
 static const struct jc_httpc_call_ops question_ops
--- a/entry/router.c
+++ b/entry/router.c
@@ -188,6 +188,7 @@
   reach_tick (entry->router);
   backpressure_tick (entry->router);
   resumptions_tick (entry->router);
+  misdirections_check (entry->router);
   if (entry->draining)
     drain_tick (entry);
 }
@@ -315,6 +316,7 @@
   router->engines = jc_engines_new ();
   router->budgets = jc_budgets_new (&budget_settings);
   router->backpressure = jc_backpressure_new ();
+  router->misdirected = jc_misdirected_new ();
   router->pauses = jc_pauses_new ();
   crashes_start (router);
   resumptions_start (router);
@@ -364,6 +366,7 @@
   jc_engines_free (router->engines);
   jc_budgets_free (router->budgets);
   jc_backpressure_free (router->backpressure);
+  jc_misdirected_free (router->misdirected);
   jc_pauses_free (router->pauses);
   crashes_stop (router);
   resumptions_stop (router);
--- a/entry/router.h
+++ b/entry/router.h
@@ -10,6 +10,7 @@
 #include "member/contact.h"
 #include "member/versions.h"
 #include "serve/backpressure.h"
+#include "serve/misdirected.h"
 #include "serve/budget.h"
 #include "serve/protocol.h"
 #include "serve/engine.h"
@@ -58,6 +59,7 @@
   struct jc_engines *engines;
   struct jc_budgets *budgets;
   struct jc_backpressure *backpressure;
+  struct jc_misdirected *misdirected;
   struct jc_pauses *pauses;
   struct jc_suspects *suspects;
   GPtrArray *crash_probes;
@@ -191,6 +193,17 @@
 void reach_attempt_answered (const struct exchange *exchange);
 void reach_tick (struct router *router);
 
+/* misdirections: endpoints at whose address another process answered.  */
+void misdirections_check (struct router *router);
+void misdirections_note (struct router *router,
+                         const struct jc_endpoint *endpoint);
+void misdirections_note_answer (struct router *router,
+                                const struct jc_endpoint *endpoint);
+bool misdirections_may_send (const struct router *router,
+                             const struct jc_endpoint *endpoint);
+void misdirections_note_send (struct router *router,
+                              const struct jc_endpoint *endpoint);
+
 /* backpressure: what endpoints ask for in their answers.  */
 void backpressure_note_answer (struct router *router,
                                const struct jc_endpoint *endpoint,
