Judge sound requests after the last crash, however late it comes

hosts-crash-refused failed once of 5 with no sound request later than twice the contact time after the fifth crash: one endpoint crashed 17 s after the start of 20 s of load, so that the test ended before there was anything to judge. The load of the three tests of deadly requests now goes on until 3 s of sound requests were sent after that moment.

--- a/tests/process/crash_standin.py
+++ b/tests/process/crash_standin.py
@@ -20,6 +20,8 @@
 SERVED_AGAIN_S = 3.0
 # Requests that crash endpoints must no longer reach them this long after the bound number of crashes.
 CONTACT_S = 6.0
+# Time after that in which sound requests are sent that check () judges.
+JUDGED_S = 3.0
 REACHED_MAX = 3
 # Share of the sound requests that must be whole from the second crash on.
 WHOLE_MIN = 0.95
@@ -131,10 +133,11 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def run(self, seconds, bad_per_s=0.0, make_bad=None):
+    async def run(self, seconds, bad_per_s=0.0, make_bad=None, is_over=lambda: True):
+        """Sends requests for SECONDS, and on until IS_OVER."""
         begun = time.monotonic()
         sound = bad = 0
-        while (now := time.monotonic() - begun) < seconds:
+        while (now := time.monotonic() - begun) < seconds or not is_over():
             while sound < now * SOUND_PER_S:
                 sound += 1
                 self.start("/stream/x", [random.choice(FIRST_PARTS), f"b{random.randrange(SUBJECTS)}:200", own_part()], True)
@@ -165,6 +168,11 @@
     await in_force(ADDRESSES["entries"], "/read/x", 200)
 
 
+def is_judged():
+    """Whether enough sound requests were sent after the last crash that counts for check () to judge them."""
+    return bool(CRASHES) and time.monotonic() > CRASHES[min(len(CRASHES), 5) - 1] + 2 * CONTACT_S + JUDGED_S
+
+
 def check(callers, bound_crashes, first_part=None):
     bound = CRASHES[bound_crashes - 1] if len(CRASHES) >= bound_crashes else None
     late = [t for t in REACHED if bound is not None and t > bound + CONTACT_S]
@@ -206,7 +214,7 @@
     await start_endpoints(DeadlyPart)
     callers = Callers()
     await callers.run(4)
-    await callers.run(RUN_S, 3, lambda: ("/stream/x", [FIRST_PARTS[0], BAD_PART, own_part()], b""))
+    await callers.run(RUN_S, 3, lambda: ("/stream/x", [FIRST_PARTS[0], BAD_PART, own_part()], b""), is_judged)
     check(callers, 5, FIRST_PARTS[0])
     await unblock()
 
@@ -216,7 +224,7 @@
     await start_endpoints(RefusingPart)
     callers = Callers()
     await callers.run(4)
-    await callers.run(RUN_S, 6, lambda: ("/stream/x", [FIRST_PARTS[0], BAD_PART, own_part()], b""))
+    await callers.run(RUN_S, 6, lambda: ("/stream/x", [FIRST_PARTS[0], BAD_PART, own_part()], b""), is_judged)
     check(callers, 5, FIRST_PARTS[0])
 
 
@@ -227,7 +235,7 @@
     callers = Callers()
     await callers.run(4)
     parts = [FIRST_PARTS[0], "b0:200", own_part()]
-    await callers.run(RUN_S, 1, lambda: ("/stream/same", parts, BAD_BODY))
+    await callers.run(RUN_S, 1, lambda: ("/stream/same", parts, BAD_BODY), is_judged)
     check(callers, 3, FIRST_PARTS[0])
 
 
