Take an endpoint's 503 for a refusal only where it says so, by products too

Only that is a refusal now; an endpoint's own 503 or 429 counts as a request that may have run and ends as endpoint_failed where no other attempt follows.

--- a/entry/handover.c
+++ b/entry/handover.c
@@ -38,8 +38,9 @@
 
 /* An attempt that another region handed over to this instance.  RESUME_FROM is
    the number of events that the caller has; RESUMED means that the endpoint
-   continues from there.  PAUSED means that CALL is not read because too much
-   waits to be sent on CONN; BACKLOG_TIMER then polls until less does.  */
+   continues from there, REFUSED that it said it did not run the request. PAUSED
+   means that CALL is not read because too much waits to be sent on CONN;
+   BACKLOG_TIMER then polls until less does.  */
 struct incoming
 {
   struct entry *entry;
@@ -50,6 +51,7 @@
   char *endpoint_name;
   uint64_t resume_from;
   bool resumed;
+  bool refused;
   bool paused;
   ev_timer backlog_timer;
 };
@@ -272,6 +274,8 @@
   if (jc_request_is_resume_header (name))
     incoming->resumed
         = jc_request_parse_resume_from (value) == incoming->resume_from;
+  incoming->refused
+      = incoming->refused || jc_request_is_refusal_header (name, value);
 }
 
 static void
@@ -283,6 +287,10 @@
 
   jc_predict_first_byte (incoming->entry->policy.predict, &incoming->run, true,
                          jc_now_ms ());
+  incoming->refused
+      = incoming->refused && jc_http_status_promises_not_run (http);
+  if (incoming->refused)
+    return;
   head->attempt = incoming->id;
   head->http_status = http;
   head->content_type = (char *)(content_type != NULL ? content_type : "");
@@ -311,6 +319,8 @@
   struct rpc_packet packet = { .body.type = RPC_HANDOVER_DATA };
   struct rpc_handover_data *msg = &packet.body.rpc_body_u.handover_data;
 
+  if (incoming->refused)
+    return;
   msg->attempt = incoming->id;
   msg->data.rpc_bytes_val = (char *)data.data;
   msg->data.rpc_bytes_len = (u_int)data.len;
@@ -334,7 +344,13 @@
   incoming->call = NULL;
   if (status == JC_OK && !complete)
     status = JC_ENDPOINT_FAILED;
-  if (complete)
+  if (complete && incoming->refused)
+    {
+      status
+          = jc_fail (JC_ENDPOINT_REFUSED, "The endpoint refused the request.");
+      run = JC_NOT_RUN;
+    }
+  else if (complete)
     run = JC_RUN;
   else if (!result->sent)
     run = JC_NOT_RUN;
--- a/entry/request.c
+++ b/entry/request.c
@@ -113,6 +113,9 @@
   if (jc_request_is_resume_header (name))
     request->resumed = jc_request_parse_resume_from (value)
                        == request->machine.delivered_events;
+  if (jc_request_is_refusal_header (name, value))
+    jc_request_note_refused (&request->machine,
+                             request->machine.current_attempt);
 }
 
 static void
--- a/serve/request.c
+++ b/serve/request.c
@@ -56,6 +56,19 @@
   return false;
 }
 
+/* Return true if the field NAME with VALUE, in the head of an endpoint's
+   answer, says that it did not run the request.  */
+bool
+jc_request_is_refusal_header (struct jc_str name, struct jc_str value)
+{
+  static const char header[] = "X-Jaycove-Error";
+
+  return name.len == sizeof header - 1
+         && g_ascii_strncasecmp (name.data, header, name.len) == 0
+         && jc_str_equal (
+             value, jc_str_from_cstr (jc_status_name (JC_ENDPOINT_REFUSED)));
+}
+
 /* Return true if NAME is the header that gives the event at which an answer
    resumes.  */
 bool
@@ -130,6 +143,7 @@
 attempt_reset (struct jc_request *request)
 {
   request->head_received = false;
+  request->refused = false;
   request->streaming = false;
   request->diverged = false;
   request->replay_position = 0;
@@ -212,6 +226,15 @@
   attempt_failed (request, status, message, now_ms);
 }
 
+/* The head of the answer to ATTEMPT, which is about to be processed, says that
+   the endpoint did not run the request.  */
+void
+jc_request_note_refused (struct jc_request *request, uint64_t attempt)
+{
+  if (attempt == request->current_attempt)
+    request->refused = true;
+}
+
 /* Process the head of the answer to ATTEMPT.  RESUMED is true if the endpoint
    resumes at the event that the attempt asked for.  */
 void
@@ -338,14 +361,14 @@
                       "No endpoint could go on with the stream.", now_ms);
       return;
     }
-  if (is_refusal_status (request->http))
+  if (request->refused && is_refusal_status (request->http))
     {
       attempt_failed (request, JC_ENDPOINT_REFUSED,
                       "The endpoint refused the request.", now_ms);
       return;
     }
   request->may_have_run = true;
-  if (is_failure_status (request->http))
+  if (is_failure_status (request->http) || is_refusal_status (request->http))
     {
       attempt_failed (request, JC_ENDPOINT_FAILED,
                       "The endpoint could not answer.", now_ms);
--- a/serve/request.h
+++ b/serve/request.h
@@ -95,6 +95,7 @@
   bool end_seen;
   bool diverged;
   bool ended;
+  bool refused;
   int http;
   char *content_type;
   GString *body;
@@ -111,6 +112,8 @@
                       int64_t deadline_ms);
 void jc_request_clear (struct jc_request *request);
 void jc_request_start (struct jc_request *request, int64_t now_ms);
+bool jc_request_is_refusal_header (struct jc_str name, struct jc_str value);
+void jc_request_note_refused (struct jc_request *request, uint64_t attempt);
 void jc_request_head (struct jc_request *request, uint64_t attempt, int http,
                       const char *content_type, bool resumed, int64_t now_ms);
 void jc_request_data (struct jc_request *request, uint64_t attempt,
--- a/tests/script-serve.c
+++ b/tests/script-serve.c
@@ -197,8 +197,13 @@
 static void
 do_head (struct state *state, char **words)
 {
-  jc_request_head (&state->request, (uint64_t)atoi (words[1]), atoi (words[2]),
-                   words[3], words[4] != NULL, state->now_ms);
+  uint64_t attempt = (uint64_t)atoi (words[1]);
+  const char *more = words[4] != NULL ? words[4] : "";
+
+  if (strcmp (more, "refused") == 0)
+    jc_request_note_refused (&state->request, attempt);
+  jc_request_head (&state->request, attempt, atoi (words[2]), words[3],
+                   strcmp (more, "resumed") == 0, state->now_ms);
 }
 
 /* In the data of a script "_" stands for a space and "\n" for a line end.  */
