Send a request again only where no byte of an answer came

Cause: a kept connection on which bytes of no answer came was taken for one that was idle and closed; the request was sent to the same endpoint again, which since takes a retry, so that none was left for the other endpoint.

--- a/net/httpc.c
+++ b/net/httpc.c
@@ -460,8 +460,8 @@
 }
 
 /* Fail CALL with STATUS and MESSAGE.  If a reused connection failed before any
-   answer came, the server may have closed it while it was idle, and the
-   request is sent again on a new one.  */
+   byte of an answer came, the server may have closed it while it was idle, and
+   the request is sent again on a new one.  */
 void
 httpc_call_failed (struct jc_httpc_call *call, enum jc_status status,
                    const char *message)
@@ -482,8 +482,7 @@
   if (call->ended)
     return;
   if (call->reused && !call->host_unreachable && call->http_status == 0
-      && status == JC_ENDPOINT_FAILED
-      && call->progress.fault != JC_PROGRESS_UNNAMED)
+      && status == JC_ENDPOINT_FAILED && (!call->sent || conn->unanswered))
     {
       call->conn = NULL;
       conn->call = NULL;
--- a/tests/repeat.sh
+++ b/tests/repeat.sh
@@ -12,6 +12,7 @@
 kept=$BUILD/failed/$(basename "$test" .sh)
 out=$(mktemp)
 trap 'for p in $busy; do kill "$p" 2>/dev/null; done; rm -f "$out"' EXIT
+trap 'exit 2' INT TERM
 for _ in $(seq 1 "$load"); do
   sh -c 'while :; do :; done' &
   busy="$busy $!"
