Add workspaces of a configuration, with their keys and quotas

Cause: configurations of two new deployments name workspaces; nothing here holds them. Nothing fills it yet; no behaviour changes.

--- a/conf/routetable.c
+++ b/conf/routetable.c
@@ -72,6 +72,7 @@
   g_hash_table_destroy (table->hosts);
   g_hash_table_destroy (table->services);
   g_ptr_array_free (table->routes, TRUE);
+  jc_workspaces_free (table->workspaces);
   g_free (table);
 }
 
--- a/conf/routetable.h
+++ b/conf/routetable.h
@@ -8,6 +8,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "conf/workspaces.h"
+
 /* How requests of a route may be retried.  */
 enum jc_route_kind
 {
@@ -28,7 +30,7 @@
    stream, GAP_MS the longest pause between events.  PRIORITY 0 is the most
    urgent.  ENDPOINTS_MAX limits how many endpoints one request may be sent to.
    HOME_REGIONS are the only regions that may serve the route; if it is empty,
-   all may.  */
+   all may.  ANONYMOUS requests need no key of a workspace.  */
 struct jc_hostroute
 {
   char *name;
@@ -36,6 +38,7 @@
   char *prefix;
   enum jc_route_kind kind;
   bool resumable;
+  bool anonymous;
   int64_t timeout_ms;
   int64_t objective_ms;
   int64_t gap_ms;
@@ -78,7 +81,9 @@
 };
 
 /* A table of routes.  SERVICES maps names to services; HOSTS maps a host to
-   the map from path prefixes to its routes.  */
+   the map from path prefixes to its routes.  WORKSPACES is NULL if the
+   configuration has none; else each request needs a key of one of them, except
+   on anonymous routes.  */
 struct jc_routetable
 {
   unsigned int refcount;
@@ -87,6 +92,7 @@
   GHashTable *services;
   GHashTable *hosts;
   struct jc_caller_limits limits;
+  struct jc_workspaces *workspaces;
 };
 
 struct jc_routetable *jc_routetable_new (uint64_t version);
