Split the ledger: claims and results, records on its disk, and the rest

Claims, results and their replies are in ledgerclaims.c, records in ledgerfile.c, and what is done over time in ledger.c. No behaviour changes; test-ledger passes.

--- a/ledger/private.h
+++ b/ledger/private.h
@@ -1,4 +1,5 @@
-/* Structures and functions shared by ledger.c and copyset.c only.  */
+/* Structures and functions shared by ledger.c, ledgerclaims.c, ledgerfile.c and
+   copyset.c only.  */
 
 #ifndef JC_LEDGER_PRIVATE_H
 #define JC_LEDGER_PRIVATE_H
@@ -90,12 +91,29 @@
   struct jc_ledger_counts counts;
 };
 
-void ledger_fail (struct jc_ledger *ledger);
+/* In ledgerclaims.c.  */
+void ledger_waiting_claim_free (gpointer data);
 void ledger_drop_calls (struct jc_ledger *ledger);
 void ledger_send_replies (struct jc_ledger *ledger);
+void ledger_retry_waiting_claims (struct jc_ledger *ledger,
+                                  const unsigned char *id);
+void ledger_expire_released_claims (struct jc_ledger *ledger);
+void ledger_expire_waiting_claims (struct jc_ledger *ledger);
+void ledger_set_key_state (struct jc_ledger *ledger, struct jc_key *key,
+                           enum jc_key_state state);
+
+/* In ledgerfile.c.  */
+struct jc_str ledger_bytes_str (GBytes *bytes);
 enum jc_status ledger_save_pending (struct jc_ledger *ledger);
 enum jc_status ledger_rewrite (struct jc_ledger *ledger);
+void ledger_write_key (struct jc_ledger *ledger, struct jc_key *key);
+enum jc_status ledger_replay (void *ctx, struct jc_str record);
+
+/* In ledger.c.  */
+void ledger_fail (struct jc_ledger *ledger);
 void ledger_index_granted (struct jc_ledger *ledger);
+
+/* In copyset.c.  */
 uint64_t ledger_committed_sequence (const struct jc_ledger *ledger);
 bool ledger_can_grant (const struct jc_ledger *ledger);
 struct peer *ledger_find_peer (const struct jc_ledger *ledger,
