--- a/ledger/private.h
+++ b/ledger/private.h
@@ -1,5 +1,5 @@
-/* Structures and functions shared by ledger.c, ledgerclaims.c, ledgerfile.c and
-   copyset.c only.  */
+/* Structures and functions shared by ledger.c, ledgerclaims.c, ledgerfile.c,
+   copyset.c and copytransfers.c only.  */
 
 #ifndef JC_LEDGER_PRIVATE_H
 #define JC_LEDGER_PRIVATE_H
@@ -118,10 +118,20 @@
 bool ledger_can_grant (const struct jc_ledger *ledger);
 struct peer *ledger_find_peer (const struct jc_ledger *ledger,
                                const char *name);
-void ledger_send_batch_to_copies (struct jc_ledger *ledger);
+const struct peer *
+ledger_find_member_peer (const struct jc_ledger *ledger,
+                         const struct rpc_ledger_member *member);
+bool ledger_is_member (const struct jc_ledger *ledger, const struct peer *peer);
+GList *ledger_list_copy_candidates (const struct jc_ledger *ledger);
+void ledger_propose_this_disk (struct jc_ledger *ledger, bool with_members);
 void ledger_copyset_tick (struct jc_ledger *ledger);
 void ledger_clear_set (struct jc_ledger *ledger);
 void ledger_add_pending_member (struct jc_ledger *ledger, const char *name,
                                 uint64_t incarnation);
 
+/* In copytransfers.c.  */
+void ledger_send_batch_to_copies (struct jc_ledger *ledger);
+void ledger_start_due_transfers (struct jc_ledger *ledger);
+void ledger_tick_recovering (struct jc_ledger *ledger);
+
 #endif
