--- a/state/state.h
+++ b/state/state.h
@@ -97,6 +97,7 @@
 void log_propose (struct state *state, enum log_entry_kind kind,
                   struct jc_str data, log_done_fn *done, void *ctx);
 
+bool log_is_running (const struct state *state);
 bool log_is_leader (const struct state *state);
 uint64_t log_term (const struct state *state);
 uint64_t log_applied_index (const struct state *state);
@@ -113,6 +114,13 @@
 void log_remove_replica (struct state *state, const char *name,
                          log_done_fn *done, void *ctx);
 
+/* logentries: what the entries and snapshots of the log bring into force.  */
+void logentries_apply (void *ctx, uint64_t index, uint32_t kind,
+                       struct jc_str data);
+void logentries_reset (void *ctx);
+void logentries_restore (void *ctx, uint64_t index, struct jc_str snapshot);
+void logentries_snapshot (void *ctx, GString *out);
+
 /* admin: commands of operators on replicas and on the history of the
    configuration.  */
 bool admin_handle (struct state *state, struct jc_rpc_conn *conn,
