--- a/base/event.c
+++ b/base/event.c
@@ -56,6 +56,7 @@
   [JC_EVENT_LIMIT] = { "limit", 100, true },
   [JC_EVENT_PAUSE] = { "pause", 50, true },
   [JC_EVENT_SHARE] = { "share", 100, true },
+  [JC_EVENT_QUOTA] = { "quota", 100, true },
   [JC_EVENT_MISDIRECTED] = { "misdirected", 50, true },
   [JC_EVENT_PATH] = { "path", 50, true },
   [JC_EVENT_REACH] = { "reach", 50, true },
--- a/conf/workspaces.c
+++ b/conf/workspaces.c
@@ -132,6 +132,34 @@
   return g_hash_table_lookup (workspaces->by_digest, digest);
 }
 
+/* Append to OUT the names of the workspaces that have a limit; they belong to
+   WORKSPACES.  */
+void
+jc_workspaces_list_limited (const struct jc_workspaces *workspaces,
+                            GPtrArray *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, workspaces->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct jc_workspace *)value)->quota.per_s > 0)
+      g_ptr_array_add (out, ((struct jc_workspace *)value)->name);
+}
+
+/* Return the number of workspaces that have a limit.  */
+unsigned int
+jc_workspaces_count_limited (const struct jc_workspaces *workspaces)
+{
+  GPtrArray *names = g_ptr_array_new ();
+  unsigned int count;
+
+  jc_workspaces_list_limited (workspaces, names);
+  count = names->len;
+  g_ptr_array_free (names, TRUE);
+  return count;
+}
+
 /* Return the number of workspaces.  */
 unsigned int
 jc_workspaces_count (const struct jc_workspaces *workspaces)
--- a/conf/workspaces.h
+++ b/conf/workspaces.h
@@ -60,6 +60,10 @@
 jc_workspaces_find_key (const struct jc_workspaces *workspaces,
                         struct jc_str key);
 unsigned int jc_workspaces_count (const struct jc_workspaces *workspaces);
+unsigned int
+jc_workspaces_count_limited (const struct jc_workspaces *workspaces);
+void jc_workspaces_list_limited (const struct jc_workspaces *workspaces,
+                                 GPtrArray *out);
 bool jc_workspace_allows (const struct jc_workspace *workspace,
                           const char *region);
 
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -77,6 +77,8 @@
   enum jc_relay_step step;
 
   resumptions_attempt_ended (exchange);
+  quotas_note_attempt_ended (
+      exchange, !result->sent || (result->whole && result->not_run));
   shares_note_end (exchange, share_end_of (exchange, result));
   exchange_end_engine_run (exchange, engine_outcome_of (exchange, result));
   exchange->any_sent
@@ -199,8 +201,13 @@
   struct balancer_target target;
   enum jc_status status;
 
+  status = quotas_charge (exchange);
+  if (status == JC_CROWDED)
+    return;
   /* Time ends in the wait queue too.  */
-  if (jc_relay_may_attempt (&exchange->relay, now))
+  if (status != JC_OK)
+    ;
+  else if (jc_relay_may_attempt (&exchange->relay, now))
     status = resumptions_prepare (exchange);
   else
     status = jc_fail (jc_relay_failure (&exchange->relay, now),
@@ -235,7 +242,10 @@
       && !jc_budgets_take_retry (router->budgets, exchange->service, now))
     status = jc_fail (JC_OVERLOADED, "The budget of retries is spent.");
   if (status == JC_OK)
-    attempt_start (exchange, &target);
+    {
+      exchange->charge_used = true;
+      attempt_start (exchange, &target);
+    }
   else
     end_without_attempt (exchange, status);
 }
@@ -422,6 +432,8 @@
   g_queue_push_tail_link (&router->exchanges, &exchange->link);
   exchange->endpoints_only
       = handed_over && jc_http_header (req, HEADER_WITHIN_REGION) == NULL;
+  /* The instance that the caller is connected to has paid.  */
+  exchange->charged = handed_over;
   if (handed_over)
     limit_handed_over (exchange);
   else
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -74,7 +74,11 @@
    a stream, aren't shown yet to be of SOFTWARE: they stay in BATCH since
    HELD_SINCE_MS, and if all have come, HELD_RESULT is the result of the
    attempt.  PASSED_EVENT is the last event passed on to the caller, -1 for
-   none.  */
+   none.  QUOTA_WAIT is the wait for the owner of the workspace's quota, which
+   QUOTA_REFUSED the request; it may then come back after QUOTA_RETRY_MS.
+   CHARGED means that the next time it is sent is paid for, with CHARGED_UNITS
+   that were asked for at CHARGED_MS, CHARGE_USED that an attempt which may use
+   that is under way.  */
 struct exchange
 {
   GList link;
@@ -84,6 +88,7 @@
   bool endpoints_only;
   struct jc_routetable *routes;
   const struct jc_hostroute *route;
+  const struct jc_workspace *workspace;
   const char *service;
   struct jc_request_info request_info;
   struct jc_demand demand;
@@ -152,6 +157,14 @@
   struct jc_relay_result held_result;
   int64_t passed_event;
   char software_text[EXCHANGE_SOFTWARE_TEXT];
+
+  struct quota_wait *quota_wait;
+  bool quota_refused;
+  bool charged;
+  bool charge_used;
+  double charged_units;
+  int64_t charged_ms;
+  int64_t quota_retry_ms;
 };
 
 /* In exchange.c.  */
@@ -204,6 +217,12 @@
 void resumptions_attempt_ended (struct exchange *exchange);
 void resumptions_forget (struct exchange *exchange);
 
+/* In quotacharges.c.  */
+enum jc_status quotas_charge (struct exchange *exchange);
+bool quotas_charge_repeat (struct exchange *exchange);
+void quotas_note_attempt_ended (struct exchange *exchange, bool not_run);
+void quotas_forget (struct exchange *exchange);
+
 /* In sending.c.  */
 void sending_begun (void *ctx);
 bool sending_may_repeat (void *ctx);
--- a/entry/outcome.c
+++ b/entry/outcome.c
@@ -31,6 +31,7 @@
 exchange_free (struct exchange *exchange)
 {
   resumptions_forget (exchange);
+  quotas_forget (exchange);
   exchange->router->entry->in_flight--;
   g_queue_unlink (&exchange->router->exchanges, &exchange->link);
   if (exchange->head_received || exchange->answer_head.bytes != NULL)
@@ -80,6 +81,16 @@
             exchange->first_event_ms, exchange->max_gap_ms);
 }
 
+/* Return when the caller of EXCHANGE, refused with STATUS, should come back,
+   ms.  */
+static int64_t
+retry_ms (const struct exchange *exchange, enum jc_status status)
+{
+  return status == JC_QUOTA_EXCEEDED
+             ? exchange->quota_retry_ms
+             : refusal_retry_ms (exchange->router, exchange->service, status);
+}
+
 /* Answer with an error of this gateway and free EXCHANGE.  Whatever the reason,
    the caller is told that the request has not run only if it can't have.  */
 void
@@ -90,9 +101,7 @@
   enum jc_status told = untrue ? JC_ENDPOINT_FAILED : status;
   const struct jc_status_info *row = jc_status_info (told);
   bool may_retry = row->run == JC_NOT_RUN && row->retry != JC_RETRY_NEVER;
-  int64_t after_ms = may_retry ? refusal_retry_ms (exchange->router,
-                                                   exchange->service, status)
-                               : 0;
+  int64_t after_ms = may_retry ? retry_ms (exchange, status) : 0;
   char retry_after[24];
 
   log_end (exchange,
--- /dev/null
+++ b/entry/quotacharges.c
@@ -0,0 +1,285 @@
+/* Quota charges: what each request takes from its workspace's quota, before it
+   is sent and again before each further time that it may run.  */
+
+#include <inttypes.h>
+#include <math.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "entry/quotas.h"
+#include "net/program.h"
+
+enum
+{
+  /* An owner that has not answered after this is passed over.  */
+  ANSWER_TIMEOUT_MS = 100,
+  ASKS_MAX = 2,
+  /* When a caller may come back if no owner can be asked.  */
+  RETRY_UNKNOWN_MS = 1000,
+  MILLI = 1000
+};
+
+/* A request for UNITS, sent to OWNER at ASKED_MS, that EXCHANGE waits for.  */
+struct quota_wait
+{
+  struct exchange *exchange;
+  char *owner;
+  unsigned int asks;
+  uint64_t xid;
+  double units;
+  double ahead;
+  int64_t asked_ms;
+};
+
+/* Return what the request of EXCHANGE counts for in its workspace's quota.  */
+static double
+cost_of (const struct exchange *exchange)
+{
+  const struct jc_quota *quota = &exchange->workspace->quota;
+
+  if (quota->unit == JC_QUOTA_REQUESTS)
+    return 1;
+  return exchange->request_info.counted_tokens > 0
+             ? (double)exchange->request_info.counted_tokens
+             : quota->plain_tokens;
+}
+
+static void
+wait_free (struct exchange *exchange)
+{
+  struct quota_wait *wait = exchange->quota_wait;
+
+  if (wait == NULL)
+    return;
+  if (wait->xid != 0)
+    jc_rpc_cancel_call (exchange->router->entry->rpc, wait->xid);
+  g_free (wait->owner);
+  g_free (wait);
+  exchange->quota_wait = NULL;
+}
+
+static void
+note_charged (struct exchange *exchange, double units, int64_t asked_ms)
+{
+  exchange->charged = true;
+  exchange->charge_used = false;
+  exchange->charged_units = units;
+  exchange->charged_ms = asked_ms;
+}
+
+/* Log that the request of EXCHANGE for UNITS is refused by DECISION of
+   OWNER.  */
+static void
+log_refusal (const struct exchange *exchange, double units, const char *owner,
+             const struct jc_quota_decision *decision)
+{
+  const struct jc_quota *quota = &exchange->workspace->quota;
+
+  jc_event (JC_EVENT_QUOTA,
+            "id=%s workspace=%s what=refused units=%.0f per_s=%.0f burst=%.0f "
+            "owner=%s slots=%u age_ms=%" PRId64 " retry_ms=%" PRId64,
+            exchange_id (exchange), exchange->workspace->name, units,
+            quota->per_s, quota->burst, owner != NULL ? owner : "-",
+            decision->slots, decision->age_ms, decision->retry_ms);
+  jc_metrics_counter_add (exchange->router->entry->metrics,
+                          "jaycove_quota_refused_total", "", 1);
+}
+
+/* Apply DECISION of OWNER on a request of EXCHANGE for UNITS that was sent at
+   ASKED_MS.  */
+static enum jc_status
+apply_decision (struct exchange *exchange, double units, const char *owner,
+                const struct jc_quota_decision *decision, int64_t asked_ms)
+{
+  struct workspace_quota *quota
+      = quotas_find (exchange->router, exchange->workspace->name);
+
+  if (decision->granted < units)
+    {
+      exchange->quota_retry_ms = decision->retry_ms;
+      log_refusal (exchange, units, owner, decision);
+      return jc_fail (JC_QUOTA_EXCEEDED,
+                      "The request is over the quota of its workspace.");
+    }
+  note_charged (exchange, units, asked_ms);
+  if (quota != NULL)
+    jc_quotacredit_add (quota->credit, decision->granted - units, asked_ms);
+  return JC_OK;
+}
+
+static enum jc_status ask (struct exchange *exchange);
+
+/* Gets the owner's answer, or that there is none, and goes on with the
+   request.  */
+static void
+on_answer (void *ctx, enum jc_status status, const struct rpc_packet *reply)
+{
+  struct exchange *exchange = ctx;
+  struct quota_wait *wait = exchange->quota_wait;
+  enum jc_status result;
+
+  wait->xid = 0;
+  if (status == JC_OK && reply->body.type == RPC_QUOTA_GRANT)
+    {
+      const struct rpc_quota_grant *grant = &reply->body.rpc_body_u.quota_grant;
+      const struct jc_quota_decision decision
+          = { .granted = (double)grant->milli / MILLI,
+              .retry_ms = grant->retry_ms,
+              .slots = grant->slots,
+              .age_ms = grant->age_ms };
+
+      result = apply_decision (exchange, wait->units, wait->owner, &decision,
+                               wait->asked_ms);
+    }
+  else
+    {
+      jc_event (JC_EVENT_QUOTA, "id=%s workspace=%s what=unanswered owner=%s",
+                exchange_id (exchange), exchange->workspace->name, wait->owner);
+      quotas_note_silent (exchange->router, wait->owner);
+      result = ask (exchange);
+    }
+  if (result == JC_CROWDED)
+    return;
+  exchange->quota_refused = result != JC_OK;
+  wait_free (exchange);
+  exchange_attempt (exchange);
+}
+
+/* Send the request of EXCHANGE's wait to OWNER.  Return false if that is not
+   possible.  */
+static bool
+send_take (struct exchange *exchange, const char *owner)
+{
+  struct router *router = exchange->router;
+  struct quota_wait *wait = exchange->quota_wait;
+  struct rpc_packet packet = { .body.type = RPC_QUOTA_TAKE };
+  struct rpc_quota_take *take = &packet.body.rpc_body_u.quota_take;
+
+  take->workspace = exchange->workspace->name;
+  take->milli = (u_quad_t)ceil (wait->units * MILLI);
+  take->ahead_milli = (u_quad_t)(wait->ahead * MILLI);
+  g_free (wait->owner);
+  wait->owner = g_strdup (owner);
+  wait->asked_ms = jc_boot_ms ();
+  wait->xid = jc_rpc_call (jc_rpc_find_conn (router->entry->rpc, owner),
+                           &packet, ANSWER_TIMEOUT_MS, on_answer, exchange);
+  return wait->xid != 0;
+}
+
+/* Ask the owner of EXCHANGE's workspace, or the next one if it can't be asked.
+   Return JC_CROWDED if an answer is to come.  */
+static enum jc_status
+ask (struct exchange *exchange)
+{
+  struct router *router = exchange->router;
+  struct quota_wait *wait = exchange->quota_wait;
+  const char *own = router->entry->settings->name;
+  struct jc_quota_decision decision;
+
+  while (wait->asks++ < ASKS_MAX)
+    {
+      const char *owner
+          = quotas_pick_owner (router, exchange->workspace->name, NULL);
+
+      if (owner == NULL || strcmp (owner, own) == 0)
+        break;
+      if (send_take (exchange, owner))
+        return JC_CROWDED;
+      quotas_note_silent (router, owner);
+    }
+  quotas_decide (router, exchange->workspace->name, wait->units, wait->ahead,
+                 &decision);
+  return apply_decision (exchange, wait->units, own, &decision, jc_boot_ms ());
+}
+
+/* Take UNITS for EXCHANGE from what this instance has.  */
+static bool
+take_credit (struct exchange *exchange, struct workspace_quota *quota,
+             double units)
+{
+  int64_t now = jc_boot_ms ();
+  int64_t asked_ms;
+
+  quota->used_ms = now;
+  if (!jc_quotacredit_take (quota->credit, units, now, &asked_ms))
+    return false;
+  note_charged (exchange, units, asked_ms);
+  return true;
+}
+
+/* Charge EXCHANGE for the next time that it is sent, unless that is done.
+   Return JC_CROWDED if it waits for the owner of its workspace, after whose
+   answer the attempt is made again, or JC_QUOTA_EXCEEDED if it is over the
+   limit.  */
+enum jc_status
+quotas_charge (struct exchange *exchange)
+{
+  struct workspace_quota *quota;
+  struct quota_wait *wait;
+  enum jc_status status;
+
+  if (exchange->quota_refused)
+    return jc_fail (JC_QUOTA_EXCEEDED,
+                    "The request is over the quota of its workspace.");
+  if (exchange->quota_wait != NULL)
+    return JC_CROWDED;
+  if (exchange->charged || exchange->workspace == NULL)
+    return JC_OK;
+  quota = quotas_find (exchange->router, exchange->workspace->name);
+  if (quota == NULL || take_credit (exchange, quota, cost_of (exchange)))
+    return JC_OK;
+  wait = exchange->quota_wait = g_new0 (struct quota_wait, 1);
+  wait->exchange = exchange;
+  wait->units = cost_of (exchange);
+  wait->ahead
+      = jc_quotacredit_ahead (quota->credit, wait->units, jc_boot_ms ());
+  status = ask (exchange);
+  if (status != JC_CROWDED)
+    wait_free (exchange);
+  return status;
+}
+
+/* Charge EXCHANGE, whose request is about to be sent once more within the
+   current attempt, for that.  Return false if this instance has no credit.  */
+bool
+quotas_charge_repeat (struct exchange *exchange)
+{
+  struct workspace_quota *quota
+      = exchange->workspace != NULL
+            ? quotas_find (exchange->router, exchange->workspace->name)
+            : NULL;
+
+  if (quota == NULL)
+    return true;
+  if (!take_credit (exchange, quota, cost_of (exchange)))
+    return false;
+  exchange->charge_used = true;
+  return true;
+}
+
+/* The current attempt of EXCHANGE ended.  With NOT_RUN the request certainly
+   has not run, so that what it was charged serves the next attempt.  */
+void
+quotas_note_attempt_ended (struct exchange *exchange, bool not_run)
+{
+  exchange->charge_used = false;
+  if (!not_run)
+    exchange->charged = false;
+}
+
+/* EXCHANGE ends.  What it was charged and has certainly not used is left to
+   other requests for as long as it holds.  */
+void
+quotas_forget (struct exchange *exchange)
+{
+  struct workspace_quota *quota;
+
+  wait_free (exchange);
+  if (!exchange->charged || exchange->charge_used || exchange->handed_over
+      || exchange->workspace == NULL)
+    return;
+  quota = quotas_find (exchange->router, exchange->workspace->name);
+  if (quota != NULL)
+    jc_quotacredit_add (quota->credit, exchange->charged_units,
+                        exchange->charged_ms);
+}
--- /dev/null
+++ b/entry/quotas.h
@@ -0,0 +1,64 @@
+/* Quotas: shared by quotas.c, quotaleases.c and quotacharges.c, and private to
+   them.  */
+
+#ifndef ENTRY_QUOTAS_H
+#define ENTRY_QUOTAS_H
+
+#include "entry/exchange.h"
+#include "serve/quotabucket.h"
+#include "serve/quotacredit.h"
+
+enum
+{
+  /* First level of peers that know quotas.  */
+  QUOTAS_LEVEL = 3
+};
+
+/* The quota of a workspace.  CREDIT is what this instance may use at once;
+   BUCKET is NULL unless this instance was asked as the owner, or owns the
+   workspace in its zone.  It was told at SHARE_MS, 0 for never, that it may
+   hold SHARE slots, and asked for ASKED_WANTED and ASKED_SPARE at ASKED_MS.
+   USED_MS is when a request was charged here last.  */
+struct workspace_quota
+{
+  char *name;
+  double per_s;
+  double burst;
+  struct jc_quotacredit *credit;
+  struct jc_quotabucket *bucket;
+  unsigned int share;
+  int64_t share_ms;
+  unsigned int asked_wanted;
+  unsigned int asked_spare;
+  int64_t asked_ms;
+  int64_t used_ms;
+};
+
+/* BY_NAME maps workspaces to struct workspace_quota.  OWNERS are the names of
+   the instances of this zone that may own workspaces; FAILED_MS maps those that
+   didn't answer to when that was.  LIMITED is how many workspaces have a quota
+   in the route table ROUTES, to which it holds a reference.  */
+struct entry_quotas
+{
+  GHashTable *by_name;
+  GPtrArray *owners;
+  GHashTable *failed_ms;
+  struct jc_routetable *routes;
+  unsigned int limited;
+  unsigned int zones;
+};
+
+/* In quotas.c.  */
+struct workspace_quota *quotas_find (struct router *router, const char *name);
+const char *quotas_pick_owner (const struct router *router,
+                               const char *workspace, const char *except);
+void quotas_note_silent (struct router *router, const char *owner);
+void quotas_decide (struct router *router, const char *workspace, double units,
+                    double ahead, struct jc_quota_decision *out);
+
+/* In quotaleases.c.  */
+void quotaleases_tick (struct router *router);
+void quotaleases_handle_reply (struct router *router,
+                               const struct rpc_quota_reply *reply);
+
+#endif
--- a/entry/router.c
+++ b/entry/router.c
@@ -70,6 +70,7 @@
   stateclient_handle_packet (entry->router, conn, packet);
   resumptions_handle_packet (entry->router, conn, packet);
   loads_handle_packet (entry->router, conn, packet);
+  quotas_handle_packet (entry->router, conn, packet);
 }
 
 const struct jc_rpc_class router_rpc_class
@@ -189,6 +190,7 @@
   reach_tick (entry->router);
   backpressure_tick (entry->router);
   shares_tick (entry->router);
+  quotas_tick (entry->router);
   resumptions_tick (entry->router);
   misdirections_check (entry->router);
   if (entry->draining)
@@ -323,6 +325,7 @@
   router->misdirected = jc_misdirected_new ();
   router->pauses = jc_pauses_new ();
   shares_start (router);
+  quotas_start (router);
   crashes_start (router);
   resumptions_start (router);
   router->paths = jc_paths_new ();
@@ -374,6 +377,7 @@
   jc_misdirected_free (router->misdirected);
   jc_pauses_free (router->pauses);
   shares_stop (router);
+  quotas_stop (router);
   crashes_stop (router);
   resumptions_stop (router);
   jc_paths_free (router->paths);
--- a/entry/router.h
+++ b/entry/router.h
@@ -32,6 +32,7 @@
 
 struct exchange;
 struct entry_shares;
+struct entry_quotas;
 struct balancer_query;
 struct neighbour;
 
@@ -67,6 +68,7 @@
   struct jc_misdirected *misdirected;
   struct jc_pauses *pauses;
   struct entry_shares *shares;
+  struct entry_quotas *quotas;
   struct jc_suspects *suspects;
   GPtrArray *crash_probes;
   struct jc_paths *paths;
@@ -276,6 +278,13 @@
 void shares_handle_report (struct router *router,
                            const struct rpc_shares *shares);
 
+/* quotas: limits of workspaces, summed over all instances.  */
+void quotas_start (struct router *router);
+void quotas_stop (struct router *router);
+void quotas_tick (struct router *router);
+void quotas_handle_packet (struct router *router, struct jc_rpc_conn *conn,
+                           const struct rpc_packet *packet);
+
 /* crashes: endpoints that crash, and the requests that they crash under.  */
 void crashes_start (struct router *router);
 void crashes_stop (struct router *router);
--- a/entry/sending.c
+++ b/entry/sending.c
@@ -53,7 +53,8 @@
       = exchange->remote ? NULL : usable_endpoint (exchange, now);
 
   if ((endpoint == NULL && !exchange->remote)
-      || !jc_budgets_take_retry (router->budgets, exchange->service, now))
+      || !jc_budgets_take_retry (router->budgets, exchange->service, now)
+      || !quotas_charge_repeat (exchange))
     return false;
   if (endpoint != NULL)
     exchange->send_number
--- a/member/limitslots.c
+++ b/member/limitslots.c
@@ -3,7 +3,8 @@
 #include <string.h>
 
 #include "base/xdrencode.h"
-#include "member/limitslots.h"
+#include "member/limitslotsprivate.h"
+#include "member/quotaslots.h"
 
 enum
 {
@@ -19,42 +20,10 @@
   SPREAD_MS = 1000
 };
 
-/* A slot and its holder.  INSTANCE is NULL if it was never leased or was given
-   back.  REVISION is that of the change that it is due to, 0 for none;
-   APPLIED_MS is when this replica applied that.  */
-struct slot
-{
-  char *instance;
-  uint64_t instance_incarnation;
-  uint64_t revision;
-  int64_t applied_ms;
-};
-
-/* The slots of an incarnation of an endpoint.  ENDED is set if an instance got
-   an answer without a limit; instances that have not heard of one since may
-   send again without slots.  */
-struct row
-{
-  char *endpoint;
-  uint64_t endpoint_incarnation;
-  bool ended;
-  uint64_t revision;
-  int64_t applied_ms;
-  struct slot slots[JC_LIMIT_SLOTS];
-};
-
-/* BY_KEY maps "ENDPOINT INCARNATION" to struct row.  REVISION is that of the
-   last change.  */
-struct jc_limit_slots
-{
-  GHashTable *by_key;
-  uint64_t revision;
-};
-
 static void
 row_free (gpointer data)
 {
-  struct row *row = data;
+  struct limit_row *row = data;
 
   for (unsigned int i = 0; i < JC_LIMIT_SLOTS; i++)
     g_free (row->slots[i].instance);
@@ -96,22 +65,24 @@
   return g_strdup_printf ("%s %" G_GUINT64_FORMAT, endpoint, incarnation);
 }
 
-static struct row *
-row_find (const struct jc_limit_slots *slots, const char *endpoint,
-          uint64_t incarnation)
+/* Return the row of INCARNATION of ENDPOINT, or NULL.  */
+struct limit_row *
+limit_row_find (const struct jc_limit_slots *slots, const char *endpoint,
+                uint64_t incarnation)
 {
   char *key = row_key (endpoint, incarnation);
-  struct row *row = g_hash_table_lookup (slots->by_key, key);
+  struct limit_row *row = g_hash_table_lookup (slots->by_key, key);
 
   g_free (key);
   return row;
 }
 
-static struct row *
-row_add (struct jc_limit_slots *slots, const char *endpoint,
-         uint64_t incarnation, int64_t now_ms)
+/* Add the row of INCARNATION of ENDPOINT, which has none yet.  */
+struct limit_row *
+limit_row_add (struct jc_limit_slots *slots, const char *endpoint,
+               uint64_t incarnation, int64_t now_ms)
 {
-  struct row *row = g_new0 (struct row, 1);
+  struct limit_row *row = g_new0 (struct limit_row, 1);
 
   row->endpoint = g_strdup (endpoint);
   row->endpoint_incarnation = incarnation;
@@ -122,7 +93,8 @@
 }
 
 static bool
-slot_is_held_by (const struct slot *slot, const struct jc_limit_holder *holder)
+slot_is_held_by (const struct limit_slot *slot,
+                 const struct jc_limit_holder *holder)
 {
   return slot->instance != NULL
          && slot->instance_incarnation == holder->incarnation
@@ -132,7 +104,7 @@
 /* Return since when SLOT can be given to any instance; later than now if it
    can't be yet.  */
 static int64_t
-slot_free_since_ms (const struct slot *slot)
+slot_free_since_ms (const struct limit_slot *slot)
 {
   return slot->instance != NULL ? slot->applied_ms + LAPSE_MS
                                 : slot->applied_ms;
@@ -160,19 +132,19 @@
 /* Add to CHANGES the renewals of HOLDER's slots of ROW, and the lease of one
    more slot if one is free.  ROW is NULL if the endpoint has none yet.  */
 static void
-plan_leases (const struct row *row, const struct rpc_limited *limited,
+plan_leases (const struct limit_row *row, const struct rpc_limited *limited,
              const struct jc_limit_holder *holder, uint64_t requested_ms,
              int64_t now_ms, GArray *changes)
 {
   unsigned int first = g_str_hash (holder->instance) % JC_LIMIT_SLOTS;
-  const struct slot *free_slot = NULL;
+  const struct limit_slot *free_slot = NULL;
   unsigned int free_index = first;
   unsigned int held = 0;
 
   for (unsigned int i = 0; row != NULL && i < JC_LIMIT_SLOTS; i++)
     {
       unsigned int index = (first + i) % JC_LIMIT_SLOTS;
-      const struct slot *slot = &row->slots[index];
+      const struct limit_slot *slot = &row->slots[index];
 
       if (slot_is_held_by (slot, holder))
         {
@@ -199,13 +171,13 @@
    or that are free, of WANTED, a bit for each.  ROW is NULL if the endpoint has
    none yet.  */
 static void
-plan_wanted (const struct row *row, const struct rpc_limited *limited,
+plan_wanted (const struct limit_row *row, const struct rpc_limited *limited,
              const struct jc_limit_holder *holder, unsigned int wanted,
              uint64_t requested_ms, int64_t now_ms, GArray *changes)
 {
   for (unsigned int i = 0; i < JC_LIMIT_SLOTS; i++)
     {
-      const struct slot *slot = row != NULL ? &row->slots[i] : NULL;
+      const struct limit_slot *slot = row != NULL ? &row->slots[i] : NULL;
 
       if ((wanted & (1U << i)) == 0)
         continue;
@@ -231,8 +203,8 @@
   for (u_int i = 0; i < request->limited.limited_len; i++)
     {
       const struct rpc_limited *limited = &request->limited.limited_val[i];
-      const struct row *row
-          = row_find (slots, limited->endpoint, limited->endpoint_incarnation);
+      const struct limit_row *row = limit_row_find (
+          slots, limited->endpoint, limited->endpoint_incarnation);
 
       if (limited->ended)
         {
@@ -255,8 +227,8 @@
     }
 }
 
-/* Add to CHANGES the removal of rows of which no slot can be in use.  Their
-   strings belong to SLOTS.  */
+/* Add to CHANGES the removal of endpoints' rows of which no slot can be in use.
+   Their strings belong to SLOTS.  */
 void
 jc_limit_slots_plan_cleanup (const struct jc_limit_slots *slots, int64_t now_ms,
                              GArray *changes)
@@ -268,11 +240,12 @@
   g_hash_table_iter_init (&iter, slots->by_key);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const struct row *row = value;
+      const struct limit_row *row = value;
       const struct rpc_limited limited
           = { .endpoint = row->endpoint,
               .endpoint_incarnation = row->endpoint_incarnation };
-      bool unused = now_ms - row->applied_ms >= LAPSE_MS;
+      bool unused = !jc_quota_slots_is_subject (row->endpoint)
+                    && now_ms - row->applied_ms >= LAPSE_MS;
 
       for (unsigned int i = 0; i < JC_LIMIT_SLOTS; i++)
         unused = unused && slot_free_since_ms (&row->slots[i]) <= now_ms;
@@ -312,9 +285,9 @@
 apply_lease (struct jc_limit_slots *slots,
              const struct rpc_limit_change *change, int64_t now_ms)
 {
-  struct row *row
-      = row_find (slots, change->endpoint, change->endpoint_incarnation);
-  struct slot *slot;
+  struct limit_row *row
+      = limit_row_find (slots, change->endpoint, change->endpoint_incarnation);
+  struct limit_slot *slot;
 
   if (change->slot >= JC_LIMIT_SLOTS
       || (row == NULL
@@ -322,8 +295,8 @@
               || jc_limit_slots_count (slots) >= ROWS_MAX)))
     return false;
   if (row == NULL)
-    row = row_add (slots, change->endpoint, change->endpoint_incarnation,
-                   now_ms);
+    row = limit_row_add (slots, change->endpoint, change->endpoint_incarnation,
+                         now_ms);
   slot = &row->slots[change->slot];
   if (slot->revision != change->revision)
     return false;
@@ -344,8 +317,8 @@
   const struct jc_limit_holder holder
       = { .instance = change->instance,
           .incarnation = change->instance_incarnation };
-  struct row *row
-      = row_find (slots, change->endpoint, change->endpoint_incarnation);
+  struct limit_row *row
+      = limit_row_find (slots, change->endpoint, change->endpoint_incarnation);
 
   if (row == NULL)
     return false;
@@ -354,7 +327,7 @@
   row->applied_ms = now_ms;
   for (unsigned int i = 0; i < JC_LIMIT_SLOTS; i++)
     {
-      struct slot *slot = &row->slots[i];
+      struct limit_slot *slot = &row->slots[i];
 
       if (!slot_is_held_by (slot, &holder))
         continue;
@@ -369,8 +342,8 @@
 apply_named (struct jc_limit_slots *slots,
              const struct rpc_limit_change *change, int64_t now_ms)
 {
-  struct row *row
-      = row_find (slots, change->endpoint, change->endpoint_incarnation);
+  struct limit_row *row
+      = limit_row_find (slots, change->endpoint, change->endpoint_incarnation);
 
   if (row == NULL)
     return false;
@@ -383,8 +356,8 @@
 static bool
 apply_drop (struct jc_limit_slots *slots, const struct rpc_limit_change *change)
 {
-  const struct row *row
-      = row_find (slots, change->endpoint, change->endpoint_incarnation);
+  const struct limit_row *row
+      = limit_row_find (slots, change->endpoint, change->endpoint_incarnation);
   char *key;
 
   if (row == NULL || row->revision != change->revision)
@@ -414,100 +387,3 @@
     }
   return false;
 }
-
-static json_t *
-slot_to_json (const struct slot *slot)
-{
-  return json_pack ("[s,I,I]", slot->instance != NULL ? slot->instance : "",
-                    (json_int_t)slot->instance_incarnation,
-                    (json_int_t)slot->revision);
-}
-
-/* Store SLOTS in OUT, the JSON object of a snapshot, under "limits".  */
-void
-jc_limit_slots_snapshot (const struct jc_limit_slots *slots, json_t *out)
-{
-  json_t *rows = json_array ();
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, slots->by_key);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct row *row = value;
-      json_t *list = json_array ();
-
-      for (unsigned int i = 0; i < JC_LIMIT_SLOTS; i++)
-        json_array_append_new (list, slot_to_json (&row->slots[i]));
-      json_array_append_new (
-          rows, json_pack ("[s,I,b,I,o]", row->endpoint,
-                           (json_int_t)row->endpoint_incarnation, row->ended,
-                           (json_int_t)row->revision, list));
-    }
-  json_object_set_new (out, "limits",
-                       json_pack ("{s:I,s:o}", "revision",
-                                  (json_int_t)slots->revision, "rows", rows));
-}
-
-static bool
-restore_slot (struct slot *slot, const json_t *in)
-{
-  const char *instance;
-  json_int_t incarnation;
-  json_int_t revision;
-
-  if (json_unpack ((json_t *)in, "[s,I,I]", &instance, &incarnation, &revision)
-      != 0)
-    return false;
-  slot->instance = instance[0] != '\0' ? g_strdup (instance) : NULL;
-  slot->instance_incarnation = (uint64_t)incarnation;
-  slot->revision = (uint64_t)revision;
-  return true;
-}
-
-static bool
-restore_row (struct jc_limit_slots *slots, const json_t *in, int64_t now_ms)
-{
-  const char *endpoint;
-  json_int_t incarnation;
-  json_int_t revision;
-  int ended;
-  const json_t *list;
-  struct row *row;
-  bool ok = true;
-
-  if (json_unpack ((json_t *)in, "[s,I,b,I,o]", &endpoint, &incarnation, &ended,
-                   &revision, &list)
-          != 0
-      || json_array_size (list) != JC_LIMIT_SLOTS)
-    return false;
-  row = row_add (slots, endpoint, (uint64_t)incarnation, now_ms);
-  row->ended = ended;
-  row->revision = (uint64_t)revision;
-  row->applied_ms = now_ms;
-  for (unsigned int i = 0; i < JC_LIMIT_SLOTS; i++)
-    ok = ok && restore_slot (&row->slots[i], json_array_get (list, i));
-  return ok;
-}
-
-/* Replace the contents of SLOTS by those of IN, the JSON object of a snapshot.
-   A snapshot without "limits" empties the table.  Return JC_CORRUPT if a row is
-   malformed.  */
-enum jc_status
-jc_limit_slots_restore (struct jc_limit_slots *slots, const json_t *in,
-                        int64_t now_ms)
-{
-  const json_t *saved = json_object_get (in, "limits");
-  const json_t *row;
-  bool ok = true;
-  size_t i;
-
-  g_hash_table_remove_all (slots->by_key);
-  slots->revision
-      = (uint64_t)json_integer_value (json_object_get (saved, "revision"));
-  json_array_foreach (json_object_get (saved, "rows"), i, row)
-  {
-    ok = ok && restore_row (slots, row, now_ms);
-  }
-  return ok ? JC_OK : jc_fail (JC_CORRUPT, "A limit's slots can't be read.");
-}
--- a/net/rpctraffic.c
+++ b/net/rpctraffic.c
@@ -70,6 +70,10 @@
   [RPC_STREAM_FIND] = "stream_find",
   [RPC_STREAM_FOUND] = "stream_found",
   [RPC_SHARES] = "shares",
+  [RPC_QUOTA_REQUEST] = "quota_request",
+  [RPC_QUOTA_REPLY] = "quota_reply",
+  [RPC_QUOTA_TAKE] = "quota_take",
+  [RPC_QUOTA_GRANT] = "quota_grant",
 };
 
 /* Return the name of the messages of TYPE, NULL if this build has none.  */
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -93,6 +93,10 @@
 	RPC_STREAM_FIND = 102,
 	RPC_STREAM_FOUND = 103,
 	RPC_SHARES = 104,
+	RPC_QUOTA_REQUEST = 105,
+	RPC_QUOTA_REPLY = 106,
+	RPC_QUOTA_TAKE = 107,
+	RPC_QUOTA_GRANT = 108,
 };
 typedef enum rpc_type rpc_type;
 
@@ -973,6 +977,73 @@
 };
 typedef struct rpc_stream_found rpc_stream_found;
 
+struct rpc_quota_slot {
+	u_int slot;
+	u_quad_t revision;
+};
+typedef struct rpc_quota_slot rpc_quota_slot;
+
+struct rpc_quota_ask {
+	rpc_name workspace;
+	u_int wanted;
+	u_int spare;
+	struct {
+		u_int released_len;
+		rpc_quota_slot *released_val;
+	} released;
+};
+typedef struct rpc_quota_ask rpc_quota_ask;
+
+struct rpc_quota_request {
+	u_quad_t requested_ms;
+	struct {
+		u_int list_len;
+		rpc_quota_ask *list_val;
+	} list;
+};
+typedef struct rpc_quota_request rpc_quota_request;
+
+struct rpc_quota_lease {
+	rpc_name workspace;
+	rpc_quota_slot slot;
+	u_quad_t requested_ms;
+};
+typedef struct rpc_quota_lease rpc_quota_lease;
+
+struct rpc_quota_share {
+	rpc_name workspace;
+	u_int slots;
+};
+typedef struct rpc_quota_share rpc_quota_share;
+
+struct rpc_quota_reply {
+	u_int lease_ms;
+	struct {
+		u_int leases_len;
+		rpc_quota_lease *leases_val;
+	} leases;
+	struct {
+		u_int shares_len;
+		rpc_quota_share *shares_val;
+	} shares;
+};
+typedef struct rpc_quota_reply rpc_quota_reply;
+
+struct rpc_quota_take {
+	rpc_name workspace;
+	u_quad_t milli;
+	u_quad_t ahead_milli;
+};
+typedef struct rpc_quota_take rpc_quota_take;
+
+struct rpc_quota_grant {
+	u_quad_t milli;
+	u_int retry_ms;
+	u_int slots;
+	u_int age_ms;
+};
+typedef struct rpc_quota_grant rpc_quota_grant;
+
 struct rpc_body {
 	rpc_type type;
 	union {
@@ -1027,6 +1098,10 @@
 		rpc_stream_find stream_find;
 		rpc_stream_found stream_found;
 		rpc_shares shares;
+		rpc_quota_request quota_request;
+		rpc_quota_reply quota_reply;
+		rpc_quota_take quota_take;
+		rpc_quota_grant quota_grant;
 	} rpc_body_u;
 };
 typedef struct rpc_body rpc_body;
@@ -1138,6 +1213,14 @@
 extern  bool_t xdr_rpc_stream_starts (XDR *, rpc_stream_starts*);
 extern  bool_t xdr_rpc_stream_find (XDR *, rpc_stream_find*);
 extern  bool_t xdr_rpc_stream_found (XDR *, rpc_stream_found*);
+extern  bool_t xdr_rpc_quota_slot (XDR *, rpc_quota_slot*);
+extern  bool_t xdr_rpc_quota_ask (XDR *, rpc_quota_ask*);
+extern  bool_t xdr_rpc_quota_request (XDR *, rpc_quota_request*);
+extern  bool_t xdr_rpc_quota_lease (XDR *, rpc_quota_lease*);
+extern  bool_t xdr_rpc_quota_share (XDR *, rpc_quota_share*);
+extern  bool_t xdr_rpc_quota_reply (XDR *, rpc_quota_reply*);
+extern  bool_t xdr_rpc_quota_take (XDR *, rpc_quota_take*);
+extern  bool_t xdr_rpc_quota_grant (XDR *, rpc_quota_grant*);
 extern  bool_t xdr_rpc_body (XDR *, rpc_body*);
 extern  bool_t xdr_rpc_packet (XDR *, rpc_packet*);
 
@@ -1240,6 +1323,14 @@
 extern bool_t xdr_rpc_stream_starts ();
 extern bool_t xdr_rpc_stream_find ();
 extern bool_t xdr_rpc_stream_found ();
+extern bool_t xdr_rpc_quota_slot ();
+extern bool_t xdr_rpc_quota_ask ();
+extern bool_t xdr_rpc_quota_request ();
+extern bool_t xdr_rpc_quota_lease ();
+extern bool_t xdr_rpc_quota_share ();
+extern bool_t xdr_rpc_quota_reply ();
+extern bool_t xdr_rpc_quota_take ();
+extern bool_t xdr_rpc_quota_grant ();
 extern bool_t xdr_rpc_body ();
 extern bool_t xdr_rpc_packet ();
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1765,6 +1765,120 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_quota_slot (XDR *xdrs, rpc_quota_slot *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->slot))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_quota_ask (XDR *xdrs, rpc_quota_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->workspace))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wanted))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->spare))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->released.released_val, (u_int *) &objp->released.released_len, 32,
+		sizeof (rpc_quota_slot), (xdrproc_t) xdr_rpc_quota_slot))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_quota_request (XDR *xdrs, rpc_quota_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->requested_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, 4096,
+		sizeof (rpc_quota_ask), (xdrproc_t) xdr_rpc_quota_ask))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_quota_lease (XDR *xdrs, rpc_quota_lease *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->workspace))
+		 return FALSE;
+	 if (!xdr_rpc_quota_slot (xdrs, &objp->slot))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->requested_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_quota_share (XDR *xdrs, rpc_quota_share *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->workspace))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_quota_reply (XDR *xdrs, rpc_quota_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->lease_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->leases.leases_val, (u_int *) &objp->leases.leases_len, 4096,
+		sizeof (rpc_quota_lease), (xdrproc_t) xdr_rpc_quota_lease))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->shares.shares_val, (u_int *) &objp->shares.shares_len, 4096,
+		sizeof (rpc_quota_share), (xdrproc_t) xdr_rpc_quota_share))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_quota_take (XDR *xdrs, rpc_quota_take *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->workspace))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->milli))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ahead_milli))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_rpc_quota_grant (XDR *xdrs, rpc_quota_grant *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_body (XDR *xdrs, rpc_body *objp)
 {
@@ -1987,6 +2101,22 @@
 		 if (!xdr_rpc_shares (xdrs, &objp->rpc_body_u.shares))
 			 return FALSE;
 		break;
+	case RPC_QUOTA_REQUEST:
+		 if (!xdr_rpc_quota_request (xdrs, &objp->rpc_body_u.quota_request))
+			 return FALSE;
+		break;
+	case RPC_QUOTA_REPLY:
+		 if (!xdr_rpc_quota_reply (xdrs, &objp->rpc_body_u.quota_reply))
+			 return FALSE;
+		break;
+	case RPC_QUOTA_TAKE:
+		 if (!xdr_rpc_quota_take (xdrs, &objp->rpc_body_u.quota_take))
+			 return FALSE;
+		break;
+	case RPC_QUOTA_GRANT:
+		 if (!xdr_rpc_quota_grant (xdrs, &objp->rpc_body_u.quota_grant))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -75,7 +75,11 @@
   RPC_STREAM_STARTS = 101,
   RPC_STREAM_FIND = 102,
   RPC_STREAM_FOUND = 103,
-  RPC_SHARES = 104
+  RPC_SHARES = 104,
+  RPC_QUOTA_REQUEST = 105,
+  RPC_QUOTA_REPLY = 106,
+  RPC_QUOTA_TAKE = 107,
+  RPC_QUOTA_GRANT = 108
 };
 
 struct rpc_hello {
@@ -858,6 +862,67 @@
   rpc_stream_claim claim;
 };
 
+/* A slot of a workspace's quota as it was leased: revision is that of the
+   lease.  */
+struct rpc_quota_slot {
+  unsigned int slot;
+  unsigned hyper revision;
+};
+
+/* How many slots of a workspace's quota the sender wants for its demand, and
+   how many more if nobody else has a use for them.  It no longer uses those in
+   released.  */
+struct rpc_quota_ask {
+  rpc_name workspace;
+  unsigned int wanted;
+  unsigned int spare;
+  rpc_quota_slot released<32>;
+};
+
+/* Asks for slots.  requested_ms is of the sender's clock.  */
+struct rpc_quota_request {
+  unsigned hyper requested_ms;
+  rpc_quota_ask list<4096>;
+};
+
+/* A slot that was leased to the receiver for its request of requested_ms.  */
+struct rpc_quota_lease {
+  rpc_name workspace;
+  rpc_quota_slot slot;
+  unsigned hyper requested_ms;
+};
+
+/* As many slots of a workspace's quota as the receiver may hold.  */
+struct rpc_quota_share {
+  rpc_name workspace;
+  unsigned int slots;
+};
+
+/* Leases, which last for lease_ms from their requests on, and shares.  */
+struct rpc_quota_reply {
+  unsigned int lease_ms;
+  rpc_quota_lease leases<4096>;
+  rpc_quota_share shares<4096>;
+};
+
+/* Asks the owner of a workspace's quota in this zone for milli thousandths of a
+   unit for a request, and for ahead_milli for the next ones if it has plenty.  */
+struct rpc_quota_take {
+  rpc_name workspace;
+  unsigned hyper milli;
+  unsigned hyper ahead_milli;
+};
+
+/* What the sender may use; nothing if the request is over the limit, which it
+   won't be retry_ms from now.  slots and age_ms tell which share the owner has,
+   and since when.  */
+struct rpc_quota_grant {
+  unsigned hyper milli;
+  unsigned int retry_ms;
+  unsigned int slots;
+  unsigned int age_ms;
+};
+
 union rpc_body switch (rpc_type type) {
 case RPC_HELLO: rpc_hello hello;
 case RPC_HELLO_ACK: rpc_hello hello_ack;
@@ -915,6 +980,10 @@
 case RPC_STREAM_FIND: rpc_stream_find stream_find;
 case RPC_STREAM_FOUND: rpc_stream_found stream_found;
 case RPC_SHARES: rpc_shares shares;
+case RPC_QUOTA_REQUEST: rpc_quota_request quota_request;
+case RPC_QUOTA_REPLY: rpc_quota_reply quota_reply;
+case RPC_QUOTA_TAKE: rpc_quota_take quota_take;
+case RPC_QUOTA_GRANT: rpc_quota_grant quota_grant;
 };
 
 struct rpc_packet {
--- a/serve/protocol.h
+++ b/serve/protocol.h
@@ -30,7 +30,8 @@
    last event that the caller has, -1 to start at the first; RESUMES, NULL if
    not given, is the id of the caller's attempt that brought the first event of
    the stream that the caller resumes.  ANSWER_TOKENS is an estimate of the
-   answer's length.  */
+   answer's length.  COUNTED_TOKENS are those of the prompt and the longest
+   answer as the caller counts them, 0 if it doesn't say.  */
 struct jc_request_info
 {
   const char *attempt_id;
@@ -40,6 +41,7 @@
   const char *model;
   unsigned int prompt_tokens;
   unsigned int answer_tokens;
+  uint64_t counted_tokens;
   unsigned int parts_count;
   struct jc_prompt_part parts[JC_PROMPT_PARTS_MAX];
 };
--- a/state/limits.c
+++ b/state/limits.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/event.h"
+#include "member/quotaslots.h"
 #include "net/program.h"
 #include "state/state.h"
 
@@ -62,8 +63,8 @@
 }
 
 /* Add CHANGES to those that are proposed next.  */
-static void
-gather_changes (struct state *state, const GArray *changes)
+void
+limits_gather (struct state *state, const GArray *changes)
 {
   struct limits *limits = state->limits;
 
@@ -102,13 +103,12 @@
   (void)loop;
   (void)events;
   g_hash_table_foreach_remove (limits->requested_ms, is_old_request, &now);
+  changes = g_array_new (FALSE, FALSE, sizeof (struct rpc_limit_change));
   if (log_is_leader (state))
-    {
-      changes = g_array_new (FALSE, FALSE, sizeof (struct rpc_limit_change));
-      jc_limit_slots_plan_cleanup (state->limit_slots, now, changes);
-      gather_changes (state, changes);
-      g_array_free (changes, TRUE);
-    }
+    jc_limit_slots_plan_cleanup (state->limit_slots, now, changes);
+  quotas_cleanup (state, log_is_leader (state), changes);
+  limits_gather (state, changes);
+  g_array_free (changes, TRUE);
   if (jc_limit_slots_count (state->limit_slots) > 0)
     timer_start_once (state, &limits->cleanup_timer, CLEANUP_INTERVAL_MS);
 }
@@ -184,7 +184,7 @@
   jc_limit_slots_plan (state->limit_slots, &holder,
                        &packet->body.rpc_body_u.limit_request, now, changes,
                        ended);
-  gather_changes (state, changes);
+  limits_gather (state, changes);
   send_ended (conn, ended);
   g_array_free (changes, TRUE);
   g_array_free (ended, TRUE);
@@ -215,6 +215,36 @@
   jc_rpc_send (conn, &packet);
 }
 
+/* Report CHANGE, which was applied, to the instance that it leases a slot
+   to.  */
+static void
+note_applied (struct state *state, const struct rpc_limit_change *change)
+{
+  unsigned int slot;
+  const char *workspace = jc_quota_slots_workspace (change, &slot);
+
+  if (workspace != NULL)
+    jc_event (JC_EVENT_QUOTA,
+              "workspace=%s what=lease op=%d slot=%u instance=%s", workspace,
+              change->op, slot,
+              change->instance[0] != '\0' ? change->instance : "-");
+  else
+    jc_event (JC_EVENT_LIMIT,
+              "endpoint=%s incarnation=%" PRIu64
+              " op=%d slot=%u instance=%s revision=%" PRIu64,
+              change->endpoint, change->endpoint_incarnation, change->op,
+              change->slot, change->instance, change->revision);
+  if (state->limits == NULL)
+    return;
+  timer_start_once (state, &state->limits->cleanup_timer, CLEANUP_INTERVAL_MS);
+  if (change->op != RPC_LIMIT_LEASE)
+    return;
+  if (workspace != NULL)
+    quotas_report_lease (state, workspace, slot, change);
+  else
+    report_lease (state, change);
+}
+
 /* Apply DATA, a committed entry of the kind LOG_LIMITS, and report the leases
    in it.  */
 void
@@ -226,22 +256,8 @@
     jc_event (JC_EVENT_BAD_INPUT, "from=log what=limits why=\"malformed\"");
   else
     for (u_int i = 0; i < changes.list.list_len; i++)
-      {
-        const struct rpc_limit_change *change = &changes.list.list_val[i];
-
-        if (!jc_limit_slots_apply (state->limit_slots, change, jc_now_ms ()))
-          continue;
-        jc_event (JC_EVENT_LIMIT,
-                  "endpoint=%s incarnation=%" PRIu64
-                  " op=%d slot=%u instance=%s revision=%" PRIu64,
-                  change->endpoint, change->endpoint_incarnation, change->op,
-                  change->slot, change->instance, change->revision);
-        if (state->limits == NULL)
-          continue;
-        timer_start_once (state, &state->limits->cleanup_timer,
-                          CLEANUP_INTERVAL_MS);
-        if (change->op == RPC_LIMIT_LEASE)
-          report_lease (state, change);
-      }
+      if (jc_limit_slots_apply (state->limit_slots, &changes.list.list_val[i],
+                                jc_now_ms ()))
+        note_applied (state, &changes.list.list_val[i]);
   xdr_free ((xdrproc_t)xdr_rpc_limit_changes, (char *)&changes);
 }
--- a/state/main.c
+++ b/state/main.c
@@ -91,6 +91,7 @@
   orders_handle_packet (ctx, conn, packet);
   presence_handle_packet (ctx, conn, packet);
   limits_handle_packet (ctx, conn, packet);
+  quotas_handle_packet (ctx, conn, packet);
   crashes_handle_packet (ctx, conn, packet);
   fleet_handle_packet (ctx, conn, packet);
   versions_handle_packet (ctx, conn, packet);
@@ -127,6 +128,7 @@
   departures_publish (state);
   presence_start (state);
   coldgrants_start (state);
+  quotas_start (state);
   limits_start (state);
   crashes_start (state);
   crashproofs_start (state);
@@ -203,6 +205,7 @@
   crashproofs_stop (state);
   crashes_stop (state);
   limits_stop (state);
+  quotas_stop (state);
   coldgrants_stop (state);
   presence_stop (state);
   fleet_stop (state);
--- a/state/state.h
+++ b/state/state.h
@@ -24,10 +24,10 @@
 
 /* The process.  CONFIG is the configuration in CONFSTATE, and
    LAST_SUBMIT_RESULT the result of the change that was applied last.  GROUP,
-   CONTROL, FLEET, PRESENCE, COLDGRANTS, LIMITS, CRASHES, CRASHPROOFS, VERSIONS
-   and STARTS are NULL unless requests are routed by hosts.  ORDER_OUTCOME is
-   what became of the entry applied last, JC_OK unless it is an order that was
-   left out.  */
+   CONTROL, FLEET, PRESENCE, COLDGRANTS, LIMITS, QUOTAS, CRASHES, CRASHPROOFS,
+   VERSIONS and STARTS are NULL unless requests are routed by hosts.
+   ORDER_OUTCOME is what became of the entry applied last, JC_OK unless it is an
+   order that was left out.  */
 struct state
 {
   struct ev_loop *loop;
@@ -58,6 +58,7 @@
   struct coldgrants *coldgrants;
   struct jc_limit_slots *limit_slots;
   struct limits *limits;
+  struct quotas *quotas;
   struct jc_crashes *crash_table;
   struct crashes *crashes;
   struct crashproofs *crashproofs;
@@ -214,6 +215,17 @@
 void limits_handle_packet (struct state *state, struct jc_rpc_conn *conn,
                            const struct rpc_packet *packet);
 void limits_apply (struct state *state, struct jc_str data);
+void limits_gather (struct state *state, const GArray *changes);
+
+/* quotas: slots of workspaces' quotas, leased to entry instances.  */
+void quotas_start (struct state *state);
+void quotas_stop (struct state *state);
+void quotas_handle_packet (struct state *state, struct jc_rpc_conn *conn,
+                           const struct rpc_packet *packet);
+void quotas_report_lease (struct state *state, const char *workspace,
+                          unsigned int slot,
+                          const struct rpc_limit_change *change);
+void quotas_cleanup (struct state *state, bool is_leader, GArray *changes);
 
 /* crashes: endpoints that crash, and the requests that they crash under.  */
 void crashes_start (struct state *state);
