Check the keys of callers, and tell endpoints their workspace

A configuration that lists workspaces had no effect: any key was served, and it was passed on to endpoints.

Configurations' workspaces are parsed, and a malformed one is a fault that names it. While they are in force, a request needs the key of one unless its route is anonymous: 401 with the new error api_key_refused before the body is read. The key goes to no endpoint and no other instance. Endpoints get the name of the workspace, whatever the caller sent. At a hand-over the name, the version of the configuration and a digest of the key go along, with a code that only instances of the group can compute; the newer of both configurations counts. A workspace's home regions bind with the route's, its priority replaces the route's.

--- a/base/status.c
+++ b/base/status.c
@@ -69,6 +69,7 @@
   [JC_REQUEST_BLOCKED] = { "request_blocked", 503, JC_NOT_RUN, JC_RETRY_AFTER },
   [JC_VERSION_UNKNOWN] = { "version_unknown", 503, JC_NOT_RUN, JC_RETRY_AFTER },
   [JC_OUT_OF_REACH] = { "out_of_reach", 503, JC_NOT_RUN, JC_RETRY_AFTER },
+  [JC_API_KEY_REFUSED] = { "api_key_refused", 401, JC_NOT_RUN, JC_RETRY_NEVER },
 };
 
 /* Return true if callers take the HTTP status HTTP as a promise that their
--- a/base/status.h
+++ b/base/status.h
@@ -12,7 +12,8 @@
    unread input.  JC_ANSWER_GONE: the request has run, but its answer is no
    longer stored.  JC_REQUEST_BLOCKED: requests like it crashed endpoints.
    JC_VERSION_UNKNOWN: which software version began the stream is not known.
-   JC_OUT_OF_REACH: this instance has lost its links to the endpoints.  */
+   JC_OUT_OF_REACH: this instance has lost its links to the endpoints.
+   JC_API_KEY_REFUSED: no workspace has the caller's key.  */
 enum jc_status
 {
   JC_OK,
@@ -60,6 +61,7 @@
   JC_REQUEST_BLOCKED,
   JC_VERSION_UNKNOWN,
   JC_OUT_OF_REACH,
+  JC_API_KEY_REFUSED,
   JC_STATUS_COUNT
 };
 
--- a/conf/workspaces.c
+++ b/conf/workspaces.c
@@ -5,19 +5,17 @@
 
 #include "conf/workspaces.h"
 
-enum
-{
-  DIGEST_BYTES = crypto_generichash_BYTES
-};
+G_STATIC_ASSERT (JC_KEY_DIGEST_BYTES >= crypto_generichash_BYTES_MIN);
+G_STATIC_ASSERT (JC_KEY_SECRET_BYTES == crypto_generichash_KEYBYTES);
 
 /* BY_DIGEST maps the keyed digest of each key to its workspace.  The keys
-   themselves are not kept, and the time of a lookup tells nothing about them,
-   since DIGEST_KEY is random in each process.  */
+   themselves are not kept, and the time of a lookup tells nothing about them to
+   those who don't know SECRET.  */
 struct jc_workspaces
 {
   GHashTable *by_name;
   GHashTable *by_digest;
-  unsigned char digest_key[crypto_generichash_KEYBYTES];
+  unsigned char secret[JC_KEY_SECRET_BYTES];
 };
 
 static void
@@ -42,16 +40,16 @@
 static gboolean
 digest_equal (gconstpointer a, gconstpointer b)
 {
-  return sodium_memcmp (a, b, DIGEST_BYTES) == 0;
+  return sodium_memcmp (a, b, JC_KEY_DIGEST_BYTES) == 0;
 }
 
-static void
-digest_of (const struct jc_workspaces *workspaces, struct jc_str key,
-           unsigned char *out)
+/* Store the digest of KEY, JC_KEY_DIGEST_BYTES, in OUT.  */
+void
+jc_workspaces_digest (const struct jc_workspaces *workspaces, struct jc_str key,
+                      unsigned char *out)
 {
-  crypto_generichash (out, DIGEST_BYTES, (const unsigned char *)key.data,
-                      key.len, workspaces->digest_key,
-                      sizeof workspaces->digest_key);
+  crypto_generichash (out, JC_KEY_DIGEST_BYTES, (const unsigned char *)key.data,
+                      key.len, workspaces->secret, sizeof workspaces->secret);
 }
 
 /* Return an empty set, to be freed with jc_workspaces_free.  */
@@ -64,10 +62,20 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, workspace_free);
   workspaces->by_digest
       = g_hash_table_new_full (digest_hash, digest_equal, g_free, NULL);
-  crypto_generichash_keygen (workspaces->digest_key);
+  crypto_generichash_keygen (workspaces->secret);
   return workspaces;
 }
 
+/* Have the digests of keys depend on SECRET, of JC_KEY_SECRET_BYTES, instead of
+   a random one, so that those of several processes can be compared.
+   WORKSPACES must not have keys yet.  */
+void
+jc_workspaces_set_secret (struct jc_workspaces *workspaces,
+                          const unsigned char *secret)
+{
+  memcpy (workspaces->secret, secret, sizeof workspaces->secret);
+}
+
 /* Free WORKSPACES, which may be NULL.  */
 void
 jc_workspaces_free (struct jc_workspaces *workspaces)
@@ -102,10 +110,10 @@
 jc_workspaces_add_key (struct jc_workspaces *workspaces,
                        const struct jc_workspace *workspace, struct jc_str key)
 {
-  unsigned char digest[DIGEST_BYTES];
+  unsigned char digest[JC_KEY_DIGEST_BYTES];
   const struct jc_workspace *holder;
 
-  digest_of (workspaces, key, digest);
+  jc_workspaces_digest (workspaces, key, digest);
   holder = g_hash_table_lookup (workspaces->by_digest, digest);
   if (holder == NULL)
     g_hash_table_insert (workspaces->by_digest,
@@ -126,9 +134,17 @@
 jc_workspaces_find_key (const struct jc_workspaces *workspaces,
                         struct jc_str key)
 {
-  unsigned char digest[DIGEST_BYTES];
+  unsigned char digest[JC_KEY_DIGEST_BYTES];
+
+  jc_workspaces_digest (workspaces, key, digest);
+  return jc_workspaces_find_digest (workspaces, digest);
+}
 
-  digest_of (workspaces, key, digest);
+/* Return the workspace that the key with DIGEST stands for, or NULL.  */
+const struct jc_workspace *
+jc_workspaces_find_digest (const struct jc_workspaces *workspaces,
+                           const unsigned char *digest)
+{
   return g_hash_table_lookup (workspaces->by_digest, digest);
 }
 
--- a/conf/workspaces.h
+++ b/conf/workspaces.h
@@ -13,7 +13,10 @@
 enum
 {
   /* The priority of a workspace that leaves it to the route.  */
-  JC_PRIORITY_OF_ROUTE = -1
+  JC_PRIORITY_OF_ROUTE = -1,
+  JC_KEY_DIGEST_BYTES = 16,
+  /* Bytes of the secret that digests of keys depend on.  */
+  JC_KEY_SECRET_BYTES = 32
 };
 
 /* What a quota counts.  */
@@ -49,6 +52,8 @@
 
 struct jc_workspaces *jc_workspaces_new (void);
 void jc_workspaces_free (struct jc_workspaces *workspaces);
+void jc_workspaces_set_secret (struct jc_workspaces *workspaces,
+                               const unsigned char *secret);
 struct jc_workspace *jc_workspaces_add (struct jc_workspaces *workspaces,
                                         const char *name);
 bool jc_workspaces_add_key (struct jc_workspaces *workspaces,
@@ -59,6 +64,11 @@
 const struct jc_workspace *
 jc_workspaces_find_key (const struct jc_workspaces *workspaces,
                         struct jc_str key);
+const struct jc_workspace *
+jc_workspaces_find_digest (const struct jc_workspaces *workspaces,
+                           const unsigned char *digest);
+void jc_workspaces_digest (const struct jc_workspaces *workspaces,
+                           struct jc_str key, unsigned char *out);
 unsigned int jc_workspaces_count (const struct jc_workspaces *workspaces);
 bool jc_workspace_allows (const struct jc_workspace *workspace,
                           const char *region);
--- a/entry/answer.c
+++ b/entry/answer.c
@@ -69,6 +69,8 @@
   if (strcmp (error, jc_status_name (JC_OUT_OF_REACH)) == 0)
     neighbours_note_refusal (exchange->router, exchange->target_name,
                              exchange->service, jc_now_ms ());
+  exchange->key_refused
+      = strcmp (error, jc_status_name (JC_API_KEY_REFUSED)) == 0;
   exchange->refused_at_head = jc_remote_refusal_is_at_head (error);
   if (jc_remote_refusal_is_regional (error))
     g_ptr_array_add (exchange->avoided_regions,
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -79,6 +79,8 @@
       const struct jc_head_field *field = &head->fields[i];
 
       if (protocol->forward_to_endpoint (field->name)
+          && !callerkeys_hide (exchange->router, &exchange->key_note,
+                               field->name)
           && g_ascii_strcasecmp (field->name, HEADER_ENDPOINTS) != 0
           && g_ascii_strcasecmp (field->name, HEADER_SOFTWARE) != 0
           && g_ascii_strcasecmp (field->name, HEADER_WITHIN_REGION) != 0
@@ -91,6 +93,7 @@
     {
       jc_relay_format_limit (&exchange->relay, limit, sizeof limit);
       g_ptr_array_add (lines, g_strconcat (HEADER_ENDPOINTS ": ", limit, NULL));
+      callerkeys_append_note (exchange->router, &exchange->key_note, lines);
     }
   if (exchange->remote
       && strcmp (exchange->target_region,
@@ -110,6 +113,7 @@
 {
   exchange->body_bytes = 0;
   exchange->refused_at_head = false;
+  exchange->key_refused = false;
   exchange->head_received = false;
   exchange->streaming = false;
   exchange->has_event_gap = false;
@@ -135,6 +139,7 @@
   const struct jc_relay *relay = &exchange->relay;
   int64_t left = relay->deadline_ms - exchange->attempt_started_ms;
   const struct jc_attempt_info info = { .endpoint = endpoint,
+                                        .workspace = exchange->key_note.name,
                                         .time_left_ms = left,
                                         .resume_after = relay->last_event,
                                         .priority = -1 };
--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -26,6 +26,16 @@
     = { .prompt_tokens = 1000, .answer_tokens = 200 };
 static const struct jc_demand reference_plain = { .prompt_tokens = 0 };
 
+/* Return whether REGION may serve QUERY's request: its route and its workspace
+   must both allow that.  */
+bool
+balancer_allows_region (const struct balancer_query *query, const char *region)
+{
+  return jc_hostroute_allows (query->route, region)
+         && (query->workspace == NULL
+             || jc_workspace_allows (query->workspace, region));
+}
+
 /* Return whether NAMES has NAME.  */
 bool
 balancer_contains_name (const GPtrArray *names, const char *name)
@@ -250,7 +260,7 @@
   if (!query->local_only && query->tried->len > 0
       && query->now_ms - jc_reach_lost_ms (router->reach, query->service)
              < PROBE_PENDING_MS
-      && jc_hostroute_allows (query->route, router->entry->settings->region))
+      && balancer_allows_region (query, router->entry->settings->region))
     collect_usable_endpoints (router, query->service, query,
                               backpressure_may_send, query->now_ms, endpoints);
   filter_engines (router, query, endpoints);
@@ -357,13 +367,12 @@
   guint usable;
 
   if (shares_apply (router, query->service)
-      && jc_hostroute_allows (query->route, router->entry->settings->region))
+      && balancer_allows_region (query, router->entry->settings->region))
     {
       g_ptr_array_free (endpoints, TRUE);
       return pick_shared (router, query, target);
     }
-  if (!lost
-      && jc_hostroute_allows (query->route, router->entry->settings->region))
+  if (!lost && balancer_allows_region (query, router->entry->settings->region))
     collect_usable_endpoints (router, query->service, query,
                               backpressure_may_send, query->now_ms, endpoints);
   usable = endpoints->len;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -29,6 +29,18 @@
              : "-";
 }
 
+/* Return the priority of EXCHANGE, 0 for the most urgent: that of its
+   workspace, or else of its route.  */
+unsigned int
+exchange_priority (const struct exchange *exchange)
+{
+  const struct jc_workspace *workspace = exchange->workspace;
+
+  return workspace != NULL && workspace->priority != JC_PRIORITY_OF_ROUTE
+             ? (unsigned int)workspace->priority
+             : exchange->route->priority;
+}
+
 /* End the engine's accounting of the current attempt, if any, with OUTCOME.  */
 void
 exchange_end_engine_run (struct exchange *exchange,
@@ -67,6 +79,31 @@
              : JC_SHARE_ENDED;
 }
 
+/* End EXCHANGE with STATUS because no further attempt is possible.  */
+static void
+end_without_attempt (struct exchange *exchange, enum jc_status status)
+{
+  if (exchange->relay.begun)
+    outcome_end_stream (exchange, false);
+  else if (jc_relay_may_have_run (&exchange->relay))
+    outcome_give_up (exchange,
+                     jc_relay_failure (&exchange->relay, jc_now_ms ()));
+  else
+    outcome_fail (exchange, status);
+}
+
+/* End EXCHANGE because another instance, whose configuration is newer, knows no
+   workspace with its key.  */
+static void
+fail_for_key (struct exchange *exchange)
+{
+  callerkeys_count_refusal (exchange->router,
+                            jc_key_fault_name (JC_KEY_FAULT_UNKNOWN));
+  end_without_attempt (
+      exchange,
+      jc_fail (JC_API_KEY_REFUSED, "No workspace has the request's key."));
+}
+
 /* Decide what follows after the current attempt ended with RESULT: another
    attempt, the answer, or an error.  */
 void
@@ -96,13 +133,19 @@
   switch (step)
     {
     case JC_RELAY_ATTEMPT:
-      exchange_attempt (exchange);
+      if (exchange->key_refused)
+        fail_for_key (exchange);
+      else
+        exchange_attempt (exchange);
       break;
     case JC_RELAY_FORWARD:
       outcome_forward_answer (exchange, "answer");
       break;
     case JC_RELAY_FAIL:
-      outcome_give_up (exchange, jc_relay_failure (&exchange->relay, now));
+      if (exchange->key_refused)
+        fail_for_key (exchange);
+      else
+        outcome_give_up (exchange, jc_relay_failure (&exchange->relay, now));
       break;
     case JC_RELAY_END_STREAM:
     case JC_RELAY_BREAK_STREAM:
@@ -111,19 +154,6 @@
     }
 }
 
-/* End EXCHANGE with STATUS because no further attempt is possible.  */
-static void
-end_without_attempt (struct exchange *exchange, enum jc_status status)
-{
-  if (exchange->relay.begun)
-    outcome_end_stream (exchange, false);
-  else if (jc_relay_may_have_run (&exchange->relay))
-    outcome_give_up (exchange,
-                     jc_relay_failure (&exchange->relay, jc_now_ms ()));
-  else
-    outcome_fail (exchange, status);
-}
-
 /* Reduce the demand of EXCHANGE to what is left of its stream.  A stream that
    has begun goes before new ones.  */
 static void
@@ -173,6 +203,7 @@
   exchange->demand.time_left_ms = exchange->relay.deadline_ms - now_ms;
   update_demand (exchange);
   return (struct balancer_query){ .route = exchange->route,
+                                  .workspace = exchange->workspace,
                                   .service = exchange->service,
                                   .demand = &exchange->demand,
                                   .software = exchange->software,
@@ -240,96 +271,6 @@
     end_without_attempt (exchange, status);
 }
 
-/* Return the route of REQ, or NULL.  STATUS is set to JC_OK or to the
-   reason.  */
-static const struct jc_hostroute *
-find_route (const struct router *router, const struct jc_http_req *req,
-            enum jc_status *status)
-{
-  const char *host = jc_http_header (req, "Host");
-  const struct jc_hostroute *route = NULL;
-
-  if (router->routes == NULL)
-    {
-      *status = jc_fail (JC_NOT_READY, "No configuration is in force yet.");
-      return NULL;
-    }
-  route = jc_routetable_find (router->routes, host != NULL ? host : "",
-                              jc_http_path (req));
-  *status = route != NULL ? JC_OK
-                          : jc_fail (JC_UNKNOWN_ROUTE,
-                                     "No route has this host and path.");
-  return route;
-}
-
-/* Log that REQ is refused with STATUS because of its head.  */
-static void
-log_refused_head (const struct router *router, const struct jc_http_req *req,
-                  enum jc_status status)
-{
-  const char *host = jc_http_header (req, "Host");
-
-  jc_event (JC_EVENT_REFUSED,
-            "id=- method=%s path=%.80s host=%.60s outcome=%s version=%" PRIu64,
-            jc_http_method (req), jc_http_path (req), host != NULL ? host : "-",
-            jc_status_name (status), router->orders->table_version);
-}
-
-/* Return a number that spreads a route's requests over its services.  It
-   depends on the attempt id only, for a resumed stream on that of its first
-   attempt, so that each instance that the request passes picks the same
-   service; without an id it is random.  */
-static uint64_t
-split_number (const struct jc_request_info *info)
-{
-  const char *id = info->resumes != NULL ? info->resumes : info->attempt_id;
-
-  return id != NULL ? jc_name_pair_hash (id, "split")
-                    : (uint64_t)g_random_int ();
-}
-
-/* Return the time that a request of ROUTE with INFO may take, ms.  */
-static int64_t
-limit_ms (const struct jc_hostroute *route, const struct jc_request_info *info)
-{
-  return info->timeout_ms > 0 ? MIN (info->timeout_ms, route->timeout_ms)
-                              : route->timeout_ms;
-}
-
-/* Check that this instance has time for a request of ROUTE with INFO.  */
-static enum jc_status
-check_time (struct router *router, const struct jc_hostroute *route,
-            const struct jc_request_info *info)
-{
-  struct jc_demand demand;
-
-  jc_demand_init (info, &demand);
-  return stopping_check (router, route,
-                         jc_hostroute_pick_service (route, split_number (info)),
-                         &demand, limit_ms (route, info));
-}
-
-/* Check the head of REQ before its body is read: it must have a route, and a
-   stopping instance must have time for it.  */
-enum jc_status
-exchange_check_head (struct router *router, struct jc_http_req *req)
-{
-  struct jc_request_info info;
-  enum jc_status status;
-  const struct jc_hostroute *route = find_route (router, req, &status);
-
-  if (status == JC_OK)
-    status = router->protocol->parse_request (jc_http_head (req), &info);
-  if (status == JC_OK)
-    status = check_time (router, route, &info);
-  if (status != JC_OK)
-    {
-      log_refused_head (router, req, status);
-      refusal_prepare (router, req, status);
-    }
-  return status;
-}
-
 /* Limit EXCHANGE, whose request was handed over, to what the sending instance
    allows.  */
 static void
@@ -374,15 +315,17 @@
 {
   struct exchange *exchange;
   struct jc_request_info info;
+  struct jc_key_verdict verdict;
   enum jc_status status;
   /* The configuration may have changed while the body was read.  */
-  const struct jc_hostroute *route = find_route (router, req, &status);
+  const struct jc_hostroute *route
+      = heads_find_route (router, req, handed_over, &verdict, &status);
 
   if (status == JC_OK)
     status = router->protocol->parse_request (jc_http_head (req), &info);
   if (status != JC_OK || route == NULL)
     {
-      log_refused_head (router, req, status);
+      heads_log_refused (router, req, status);
       jc_http_fail (req, status, jc_last_message (), 0);
       return;
     }
@@ -392,8 +335,11 @@
   exchange->handed_over = handed_over;
   exchange->routes = jc_routetable_ref (router->routes);
   exchange->route = route;
+  exchange->workspace = verdict.workspace;
+  exchange->key_note = verdict.note;
   exchange->request_info = info;
-  exchange->service = jc_hostroute_pick_service (route, split_number (&info));
+  exchange->service
+      = jc_hostroute_pick_service (route, heads_split_number (&info));
   exchange->started_ms = jc_now_ms ();
   exchange->tried = g_ptr_array_new_with_free_func (g_free);
   exchange->avoided_regions = g_ptr_array_new ();
@@ -406,13 +352,13 @@
   jc_demand_init (&info, &exchange->demand);
   exchange->demand.first_event_limit_ms = route->objective_ms;
   exchange->demand.gap_limit_ms = route->gap_ms;
-  exchange->demand.priority = route->priority;
+  exchange->demand.priority = exchange_priority (exchange);
   exchange->demand.event_tokens = service_event_tokens (exchange);
   exchange->answer_tokens = exchange->demand.answer_tokens;
   exchange->wait_until_ms
       = exchange->started_ms + route->objective_ms / WAIT_DIVISOR;
   jc_relay_init (&exchange->relay, route,
-                 exchange->started_ms + limit_ms (route, &info),
+                 exchange->started_ms + heads_limit_ms (route, &info),
                  info.resume_after);
   exchange->passed_event = info.resume_after;
   resumptions_init (exchange);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -1,11 +1,12 @@
 /* An exchange: shared by exchange.c, attempt.c, answer.c, answerhead.c,
-   resumptions.c, stopping.c, versionsearch.c and waitqueue.c, and private to
-   them.  */
+   heads.c, resumptions.c, stopping.c, versionsearch.c and waitqueue.c, and
+   private to them.  */
 
 #ifndef ENTRY_EXCHANGE_H
 #define ENTRY_EXCHANGE_H
 
 #include "base/buffers.h"
+#include "entry/callerkeys.h"
 #include "entry/router.h"
 #include "serve/fingerprint.h"
 #include "serve/relay.h"
@@ -38,7 +39,11 @@
 /* A request in progress, in the queue EXCHANGES of its router by LINK.  REQ
    lives at least as long as this.  HANDED_OVER
    means that another entry instance sent it, ENDPOINTS_ONLY that it goes to
-   none from here.  ROUTES is a reference to the table that ROUTE belongs to.
+   none from here.  ROUTES is a reference to the table that ROUTE and WORKSPACE
+   belong to; WORKSPACE is NULL on an anonymous route, without workspaces, and
+   if only the instance that handed the request over knows it.  KEY_NOTE tells
+   endpoints and other instances of the workspace, KEY_REFUSED that the
+   instance which the current attempt went to knows no such key.
    TRIED holds the names of the targets of all attempts, AVOIDED_REGIONS other
    regions that an attempt did not reach or that refused.  TARGET_NAME, in
    TARGET_ZONE of TARGET_REGION, is where the current attempt goes; REMOTE means
@@ -84,6 +89,9 @@
   bool endpoints_only;
   struct jc_routetable *routes;
   const struct jc_hostroute *route;
+  const struct jc_workspace *workspace;
+  struct jc_key_note key_note;
+  bool key_refused;
   const char *service;
   struct jc_request_info request_info;
   struct jc_demand demand;
@@ -156,6 +164,7 @@
 
 /* In exchange.c.  */
 const char *exchange_id (const struct exchange *exchange);
+unsigned int exchange_priority (const struct exchange *exchange);
 void exchange_end_engine_run (struct exchange *exchange,
                               enum jc_engine_outcome outcome);
 void exchange_attempt_ended (struct exchange *exchange,
@@ -166,6 +175,18 @@
 void exchange_attempt (struct exchange *exchange);
 bool exchange_may_wait (const struct exchange *exchange, int64_t now_ms);
 
+/* In heads.c.  */
+const struct jc_hostroute *heads_find_route (const struct router *router,
+                                             const struct jc_http_req *req,
+                                             bool handed_over,
+                                             struct jc_key_verdict *verdict,
+                                             enum jc_status *status);
+void heads_log_refused (const struct router *router,
+                        const struct jc_http_req *req, enum jc_status status);
+uint64_t heads_split_number (const struct jc_request_info *info);
+int64_t heads_limit_ms (const struct jc_hostroute *route,
+                        const struct jc_request_info *info);
+
 /* In outcome.c.  */
 void outcome_save_fallback (struct exchange *exchange);
 void outcome_fail (struct exchange *exchange, enum jc_status status);
--- a/entry/remotes.c
+++ b/entry/remotes.c
@@ -58,7 +58,7 @@
          && jc_presence_reaches (presence, query->service)
          && !neighbours_has_refused (neighbour, query->service, query->now_ms)
          && is_fresh (neighbour, query->now_ms)
-         && jc_hostroute_allows (query->route, presence->region)
+         && balancer_allows_region (query, presence->region)
          && is_reachable (router, neighbour, query->now_ms)
          && !balancer_contains_name (query->avoided_regions, presence->region)
          && !balancer_contains_name (query->tried, presence->name)
@@ -205,8 +205,7 @@
                 router, other->region, query->service, query->now_ms)
                                              : NULL;
 
-      if (room != &other->room
-          || !jc_hostroute_allows (query->route, other->region)
+      if (room != &other->room || !balancer_allows_region (query, other->region)
           || !is_region_reachable (router, other->region, query->now_ms))
         continue;
       load = (struct jc_region_load){
@@ -318,7 +317,7 @@
       const struct neighbour *neighbour = value;
 
       if (is_fresh (neighbour, query->now_ms)
-          && jc_hostroute_allows (query->route, neighbour->presence.region)
+          && balancer_allows_region (query, neighbour->presence.region)
           && is_reachable (router, neighbour, query->now_ms)
           && jc_presence_reaches (&neighbour->presence, query->service)
           && !neighbours_has_refused (neighbour, query->service, query->now_ms))
--- a/entry/router.c
+++ b/entry/router.c
@@ -78,7 +78,7 @@
 static enum jc_status
 on_caller_head (void *ctx, struct jc_http_req *req)
 {
-  return exchange_check_head (((struct entry *)ctx)->router, req);
+  return heads_check (((struct entry *)ctx)->router, req, false);
 }
 
 static void
@@ -96,7 +96,9 @@
 static enum jc_status
 on_handover_head (void *ctx, struct jc_http_req *req)
 {
-  return is_probe (req) ? JC_OK : on_caller_head (ctx, req);
+  return is_probe (req)
+             ? JC_OK
+             : heads_check (((struct entry *)ctx)->router, req, true);
 }
 
 static void
@@ -309,6 +311,7 @@
   router->entry = entry;
   router->protocol = &platform_protocol;
   router->orders = jc_orders_new ();
+  jc_key_secrets_derive (&router->key_secrets, settings->group_key);
   router->readmitted_at
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   router->endpoints = jc_endpoints_new ();
--- a/entry/router.h
+++ b/entry/router.h
@@ -13,6 +13,7 @@
 #include "serve/backpressure.h"
 #include "serve/misdirected.h"
 #include "serve/budget.h"
+#include "serve/callerkey.h"
 #include "serve/protocol.h"
 #include "serve/engine.h"
 #include "serve/pauses.h"
@@ -59,6 +60,7 @@
   const struct jc_protocol *protocol;
   struct jc_orders *orders;
   struct jc_routetable *routes;
+  struct jc_key_secrets key_secrets;
   GHashTable *readmitted_at;
   struct jc_endpoints *endpoints;
   struct jc_engines *engines;
@@ -334,9 +336,9 @@
   const struct neighbour *neighbour;
 };
 
-/* Input of balancer_pick.  SOFTWARE is the version that the endpoint must have,
-   0 for any; with NEW_STREAM it must be one that may begin resumable streams.
-   TRIED holds names of endpoints and instances to
+/* Input of balancer_pick.  WORKSPACE may be NULL.  SOFTWARE is the version that
+   the endpoint must have, 0 for any; with NEW_STREAM it must be one that may
+   begin resumable streams. TRIED holds names of endpoints and instances to
    skip, AVOIDED_REGIONS regions that this request did not reach or that refused
    it.  LOCAL_ONLY excludes other regions, ENDPOINTS_ONLY all other
    instances.  MAY_WAIT allows JC_CROWDED as a
@@ -344,6 +346,7 @@
 struct balancer_query
 {
   const struct jc_hostroute *route;
+  const struct jc_workspace *workspace;
   const char *service;
   const struct jc_demand *demand;
   uint64_t software;
@@ -372,6 +375,8 @@
                               const struct jc_endpoint *endpoint,
                               int64_t now_ms);
 void balancer_fill_rooms (struct router *router, struct rpc_presence *out);
+bool balancer_allows_region (const struct balancer_query *query,
+                             const char *region);
 bool balancer_contains_name (const GPtrArray *names, const char *name);
 
 /* remotes: the other entry instance that gets a request.  */
@@ -408,9 +413,11 @@
 void waitqueue_remove (struct router *router, struct exchange *exchange);
 void waitqueue_tick (struct router *router);
 
+/* heads: what is checked of a request by its head.  */
+enum jc_status heads_check (struct router *router, struct jc_http_req *req,
+                            bool handed_over);
+
 /* exchange: one caller's request from its head to the end of its answer.  */
-enum jc_status exchange_check_head (struct router *router,
-                                    struct jc_http_req *req);
 void exchange_start (struct router *router, struct jc_http_req *req,
                      bool handed_over);
 void exchange_caller_closed (struct jc_http_req *req);
--- a/entry/stateclient.c
+++ b/entry/stateclient.c
@@ -211,7 +211,8 @@
 {
   GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
   struct jc_routetable *table = router->protocol->parse_routes (
-      jc_str_from_gstring (router->orders->table_text), faults);
+      jc_str_from_gstring (router->orders->table_text),
+      router->key_secrets.digest, faults);
 
   if (table == NULL || faults->len > 0)
     {
--- a/entry/waitqueue.c
+++ b/entry/waitqueue.c
@@ -13,8 +13,8 @@
   const struct exchange *b = right;
 
   (void)unused;
-  if (a->route->priority != b->route->priority)
-    return a->route->priority < b->route->priority ? -1 : 1;
+  if (exchange_priority (a) != exchange_priority (b))
+    return exchange_priority (a) < exchange_priority (b) ? -1 : 1;
   return a->started_ms < b->started_ms ? -1 : a->started_ms > b->started_ms;
 }
 
--- a/serve/protocol.h
+++ b/serve/protocol.h
@@ -46,10 +46,11 @@
 
 /* What is sent to an endpoint in addition to the caller's request.
    TIME_LEFT_MS is the time until the deadline; PRIORITY -1 leaves the choice to
-   the endpoint.  */
+   the endpoint.  WORKSPACE is the name of the caller's, or NULL.  */
 struct jc_attempt_info
 {
   const char *endpoint;
+  const char *workspace;
   int64_t time_left_ms;
   int64_t resume_after;
   int priority;
@@ -127,15 +128,23 @@
 
 /* A protocol.  ECHO_HEADER is the header that an answer repeats from its
    request, so that an answer to an earlier attempt is recognized.  An engine
-   answers a GET of STATE_PATH with its state, which parse_state reads.  */
+   answers a GET of STATE_PATH with its state, which parse_state reads.
+   API_KEY_HEADER is where a caller sends its key, which parse_api_key reads,
+   and WORKSPACE_HEADER where endpoints get the name of the caller's workspace;
+   both are as any other header while the configuration has no workspaces.
+   parse_routes has the digests of keys depend on SECRET, or on a random secret
+   if that is NULL.  */
 struct jc_protocol
 {
   const char *name;
   const char *echo_header;
   const char *state_path;
+  const char *api_key_header;
+  const char *workspace_header;
 
   enum jc_status (*parse_request) (const struct jc_head *head,
                                    struct jc_request_info *out);
+  bool (*parse_api_key) (const char *text, struct jc_str *key);
   bool (*forward_to_endpoint) (const char *header);
   bool (*forward_to_caller) (const char *header);
   void (*add_attempt_headers) (const struct jc_attempt_info *info,
@@ -150,7 +159,9 @@
                                   struct jc_endpoint_report *out);
   char *(*format_report_answer) (const char *report_to);
   bool (*parse_state) (struct jc_str body, uint64_t *incarnation);
-  struct jc_routetable *(*parse_routes) (struct jc_str text, GPtrArray *faults);
+  struct jc_routetable *(*parse_routes) (struct jc_str text,
+                                         const unsigned char *secret,
+                                         GPtrArray *faults);
 
   bool (*parse_discovery) (const struct jc_http_req *req,
                            struct jc_caller_location *out);
--- a/serve/remote.c
+++ b/serve/remote.c
@@ -175,7 +175,8 @@
   return strcmp (error, jc_status_name (JC_DRAINING)) != 0
          && strcmp (error, jc_status_name (JC_NOT_READY)) != 0
          && strcmp (error, jc_status_name (JC_OUT_OF_REACH)) != 0
-         && strcmp (error, jc_status_name (JC_UNKNOWN_ROUTE)) != 0;
+         && strcmp (error, jc_status_name (JC_UNKNOWN_ROUTE)) != 0
+         && strcmp (error, jc_status_name (JC_API_KEY_REFUSED)) != 0;
 }
 
 /* Return true if an instance that refused a request with ERROR, a status name,
--- a/state/control.c
+++ b/state/control.c
@@ -184,7 +184,8 @@
 {
   struct jc_str body = jc_http_body (req);
   GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
-  struct jc_routetable *table = state->protocol->parse_routes (body, faults);
+  struct jc_routetable *table
+      = state->protocol->parse_routes (body, NULL, faults);
   struct rpc_order order = { .kind = RPC_ORDER_ROUTES };
 
   if (table == NULL || faults->len > 0)
--- a/state/log.c
+++ b/state/log.c
@@ -82,7 +82,7 @@
     {
       jc_routetable_unref (state->route_table);
       state->route_table = state->protocol->parse_routes (
-          jc_str_from_gstring (state->orders->table_text), faults);
+          jc_str_from_gstring (state->orders->table_text), NULL, faults);
     }
   g_ptr_array_free (faults, TRUE);
 }
--- a/tests/test-fuzz.c
+++ b/tests/test-fuzz.c
@@ -400,7 +400,7 @@
 fuzz_configurations (struct jc_str bytes, GRand *rand)
 {
   GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
-  struct jc_routetable *table = platform_parse_routes (bytes, faults);
+  struct jc_routetable *table = platform_parse_routes (bytes, NULL, faults);
 
   (void)rand;
   if (faults->len == 0)
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -26,7 +26,8 @@
   GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
   guint count;
 
-  jc_routetable_unref (platform_parse_routes (jc_str_from_cstr (text), faults));
+  jc_routetable_unref (
+      platform_parse_routes (jc_str_from_cstr (text), NULL, faults));
   count = faults->len;
   g_ptr_array_free (faults, TRUE);
   return count;
@@ -41,7 +42,7 @@
           ",\"slo-ms\":50,\"priority\":2,\"max-attempts\":2,\"sticky\":true,"
           "\"resumable\":true,\"gap-slo-ms\":80,\"home-regions\":[\"n\"],"
           "\"split\":[{\"service\":\"s\",\"weight\":90}]"))),
-      faults);
+      NULL, faults);
   const struct jc_hostroute *route;
   const struct jc_hostservice *service;
 
@@ -73,7 +74,7 @@
       JC_STR_LIT (
           CONFIG (ROUTE (",\"max-attempts\":4294967296,\"priority\":1e300,"
                          "\"slo-ms\":1e300,\"service\":\"s\""))),
-      faults);
+      NULL, faults);
   const struct jc_hostroute *route;
 
   g_assert_cmpuint (faults->len, ==, 0);
