--- a/base/status.h
+++ b/base/status.h
@@ -13,6 +13,7 @@
    longer stored.  JC_REQUEST_BLOCKED: requests like it crashed endpoints.
    JC_VERSION_UNKNOWN: which software version began the stream is not known.
    JC_OUT_OF_REACH: this instance has lost its links to the endpoints.
+   JC_API_KEY_REFUSED: no workspace has the caller's key.
    JC_QUOTA_EXCEEDED: the request is over the quota of its workspace.  */
 enum jc_status
 {
@@ -61,6 +62,7 @@
   JC_REQUEST_BLOCKED,
   JC_VERSION_UNKNOWN,
   JC_OUT_OF_REACH,
+  JC_API_KEY_REFUSED,
   JC_QUOTA_EXCEEDED,
   JC_STATUS_COUNT
 };
