--- a/entry/router.c
+++ b/entry/router.c
@@ -70,6 +70,7 @@
   stateclient_handle_packet (entry->router, conn, packet);
   resumptions_handle_packet (entry->router, conn, packet);
   loads_handle_packet (entry->router, conn, packet);
+  quotas_handle_packet (entry->router, conn, packet);
 }
 
 const struct jc_rpc_class router_rpc_class
@@ -78,7 +79,7 @@
 static enum jc_status
 on_caller_head (void *ctx, struct jc_http_req *req)
 {
-  return exchange_check_head (((struct entry *)ctx)->router, req);
+  return heads_check (((struct entry *)ctx)->router, req, false);
 }
 
 static void
@@ -96,7 +97,9 @@
 static enum jc_status
 on_handover_head (void *ctx, struct jc_http_req *req)
 {
-  return is_probe (req) ? JC_OK : on_caller_head (ctx, req);
+  return is_probe (req)
+             ? JC_OK
+             : heads_check (((struct entry *)ctx)->router, req, true);
 }
 
 static void
@@ -189,6 +192,7 @@
   reach_tick (entry->router);
   backpressure_tick (entry->router);
   shares_tick (entry->router);
+  quotas_tick (entry->router);
   resumptions_tick (entry->router);
   misdirections_check (entry->router);
   if (entry->draining)
@@ -309,6 +313,7 @@
   router->entry = entry;
   router->protocol = &platform_protocol;
   router->orders = jc_orders_new ();
+  jc_key_secrets_derive (&router->key_secrets, settings->group_key);
   router->readmitted_at
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   router->endpoints = jc_endpoints_new ();
@@ -323,6 +328,7 @@
   router->misdirected = jc_misdirected_new ();
   router->pauses = jc_pauses_new ();
   shares_start (router);
+  quotas_start (router);
   crashes_start (router);
   resumptions_start (router);
   router->paths = jc_paths_new ();
@@ -374,6 +380,7 @@
   jc_misdirected_free (router->misdirected);
   jc_pauses_free (router->pauses);
   shares_stop (router);
+  quotas_stop (router);
   crashes_stop (router);
   resumptions_stop (router);
   jc_paths_free (router->paths);
--- a/entry/router.h
+++ b/entry/router.h
@@ -13,6 +13,7 @@
 #include "serve/backpressure.h"
 #include "serve/misdirected.h"
 #include "serve/budget.h"
+#include "serve/callerkey.h"
 #include "serve/protocol.h"
 #include "serve/engine.h"
 #include "serve/pauses.h"
@@ -32,6 +33,7 @@
 
 struct exchange;
 struct entry_shares;
+struct entry_quotas;
 struct balancer_query;
 struct neighbour;
 
@@ -59,6 +61,7 @@
   const struct jc_protocol *protocol;
   struct jc_orders *orders;
   struct jc_routetable *routes;
+  struct jc_key_secrets key_secrets;
   GHashTable *readmitted_at;
   struct jc_endpoints *endpoints;
   struct jc_engines *engines;
@@ -67,6 +70,7 @@
   struct jc_misdirected *misdirected;
   struct jc_pauses *pauses;
   struct entry_shares *shares;
+  struct entry_quotas *quotas;
   struct jc_suspects *suspects;
   GPtrArray *crash_probes;
   struct jc_paths *paths;
@@ -276,6 +280,13 @@
 void shares_handle_report (struct router *router,
                            const struct rpc_shares *shares);
 
+/* quotas: limits of workspaces, summed over all instances.  */
+void quotas_start (struct router *router);
+void quotas_stop (struct router *router);
+void quotas_tick (struct router *router);
+void quotas_handle_packet (struct router *router, struct jc_rpc_conn *conn,
+                           const struct rpc_packet *packet);
+
 /* crashes: endpoints that crash, and the requests that they crash under.  */
 void crashes_start (struct router *router);
 void crashes_stop (struct router *router);
@@ -334,9 +345,9 @@
   const struct neighbour *neighbour;
 };
 
-/* Input of balancer_pick.  SOFTWARE is the version that the endpoint must have,
-   0 for any; with NEW_STREAM it must be one that may begin resumable streams.
-   TRIED holds names of endpoints and instances to
+/* Input of balancer_pick.  WORKSPACE may be NULL.  SOFTWARE is the version that
+   the endpoint must have, 0 for any; with NEW_STREAM it must be one that may
+   begin resumable streams. TRIED holds names of endpoints and instances to
    skip, AVOIDED_REGIONS regions that this request did not reach or that refused
    it.  LOCAL_ONLY excludes other regions, ENDPOINTS_ONLY all other
    instances.  MAY_WAIT allows JC_CROWDED as a
@@ -344,6 +355,7 @@
 struct balancer_query
 {
   const struct jc_hostroute *route;
+  const struct jc_workspace *workspace;
   const char *service;
   const struct jc_demand *demand;
   uint64_t software;
@@ -372,6 +384,8 @@
                               const struct jc_endpoint *endpoint,
                               int64_t now_ms);
 void balancer_fill_rooms (struct router *router, struct rpc_presence *out);
+bool balancer_allows_region (const struct balancer_query *query,
+                             const char *region);
 bool balancer_contains_name (const GPtrArray *names, const char *name);
 
 /* remotes: the other entry instance that gets a request.  */
@@ -408,9 +422,11 @@
 void waitqueue_remove (struct router *router, struct exchange *exchange);
 void waitqueue_tick (struct router *router);
 
+/* heads: what is checked of a request by its head.  */
+enum jc_status heads_check (struct router *router, struct jc_http_req *req,
+                            bool handed_over);
+
 /* exchange: one caller's request from its head to the end of its answer.  */
-enum jc_status exchange_check_head (struct router *router,
-                                    struct jc_http_req *req);
 void exchange_start (struct router *router, struct jc_http_req *req,
                      bool handed_over);
 void exchange_caller_closed (struct jc_http_req *req);
