--- a/conf/rlog.c
+++ b/conf/rlog.c
@@ -22,17 +22,11 @@
   void *ctx;
 };
 
-/* A message queued for the next flush.  */
-struct outgoing_message
-{
-  char *to;
-  struct rpc_body body;
-};
-
-static void
-outgoing_message_free (gpointer data)
+/* Free DATA, a struct jc_rlog_message.  */
+void
+jc_rlog_message_free (gpointer data)
 {
-  struct outgoing_message *message = data;
+  struct jc_rlog_message *message = data;
 
   g_free (message->to);
   g_free (message);
@@ -79,15 +73,16 @@
 jc_rlog_queue_message (struct jc_rlog *log, const char *to,
                        const struct rpc_body *body)
 {
-  struct outgoing_message *message = g_new0 (struct outgoing_message, 1);
+  struct jc_rlog_message *message = g_new0 (struct jc_rlog_message, 1);
 
   message->to = g_strdup (to);
   message->body = *body;
   g_queue_push_tail (&log->outbox, message);
 }
 
-static void
-fail_proposals (struct jc_rlog *log)
+/* End all proposals of this replica: their outcome is not known.  */
+void
+jc_rlog_fail_proposals (struct jc_rlog *log)
 {
   struct proposal *proposal;
 
@@ -98,8 +93,9 @@
     }
 }
 
-static void
-set_leader (struct jc_rlog *log, const char *leader)
+/* Take LEADER for the leader of the term, "" if it is not known.  */
+void
+jc_rlog_set_leader (struct jc_rlog *log, const char *leader)
 {
   char *copy = g_strdup (leader);
 
@@ -117,7 +113,7 @@
 
   if (term > log->store->term)
     jc_rlogstore_set_hard_state (log->store, term, "");
-  set_leader (log, leader);
+  jc_rlog_set_leader (log, leader);
   if (leader[0] != '\0')
     log->leader_contact_ms = log->now_ms;
   if (was_leader || log->role != JC_RLOG_FOLLOWER || leader[0] != '\0')
@@ -126,7 +122,7 @@
   g_ptr_array_set_size (log->peers, 0);
   jc_rlog_set_role (log, JC_RLOG_FOLLOWER);
   if (was_leader)
-    fail_proposals (log);
+    jc_rlog_fail_proposals (log);
 }
 
 /* Reload the replica set from the last JC_RLOG_REPLICAS entry of the log,
@@ -173,8 +169,10 @@
     jc_rlog_sync_peers (log);
 }
 
-static void
-apply_next (struct jc_rlog *log)
+/* Apply the next committed entry, and end its proposal if it is one of this
+   replica.  */
+void
+jc_rlog_apply_next (struct jc_rlog *log)
 {
   uint64_t index = log->applied_index + 1;
   const struct rpc_log_entry *entry = jc_rlogstore_entry (log->store, index);
@@ -191,8 +189,9 @@
   g_free (proposal);
 }
 
-static void
-restore_snapshot (struct jc_rlog *log)
+/* Apply the snapshot.  */
+void
+jc_rlog_restore_snapshot (struct jc_rlog *log)
 {
   log->applied_index = log->store->snapshot_index;
   log->klass->restore (log->ctx, log->applied_index,
@@ -236,9 +235,9 @@
   if (klass->reset != NULL)
     klass->reset (ctx);
   if (store->snapshot_index > 0)
-    restore_snapshot (log);
+    jc_rlog_restore_snapshot (log);
   while (log->applied_index < log->commit_index)
-    apply_next (log);
+    jc_rlog_apply_next (log);
   return log;
 }
 
@@ -249,8 +248,8 @@
 {
   if (log == NULL)
     return;
-  fail_proposals (log);
-  g_queue_clear_full (&log->outbox, outgoing_message_free);
+  jc_rlog_fail_proposals (log);
+  g_queue_clear_full (&log->outbox, jc_rlog_message_free);
   jc_replicas_clear (&log->replicas);
   jc_rlogstore_free (log->store);
   g_ptr_array_free (log->peers, TRUE);
@@ -413,222 +412,6 @@
   g_queue_push_tail (&log->proposals, proposal);
 }
 
-static void
-propose_replicas (struct jc_rlog *log, const struct rpc_replicas *replicas,
-                  jc_rlog_done_fn *done, void *ctx)
-{
-  GString *data = g_string_new (NULL);
-
-  jc_replicas_encode (replicas, data);
-  jc_rlog_propose (log, JC_RLOG_REPLICAS, jc_str_from_gstring (data), done,
-                   ctx);
-  g_string_free (data, TRUE);
-}
-
-/* Return whether the replica set may be changed now.  A leader makes one change
-   at a time, and none before an entry of its own term is committed.  */
-bool
-jc_rlog_may_change_replicas (const struct jc_rlog *log)
-{
-  return log->role == JC_RLOG_LEADER && log->replicas_index <= log->commit_index
-         && log->commit_index >= log->term_start_index;
-}
-
-static void
-change_replicas (struct jc_rlog *log, const struct rpc_replica *put,
-                 const char *remove, jc_rlog_done_fn *done, void *ctx)
-{
-  struct rpc_replicas next;
-  enum jc_status status = JC_OK;
-
-  if (!jc_rlog_may_change_replicas (log))
-    {
-      done (ctx, JC_NOT_LEADER);
-      return;
-    }
-  jc_replicas_copy (&next, &log->replicas);
-  if (put != NULL)
-    jc_replicas_put (&next, put);
-  else if (!jc_replicas_remove (&next, remove))
-    status = JC_NOT_FOUND;
-  if (status == JC_OK && jc_replicas_count_voters (&next) == 0)
-    status = JC_BAD_REQUEST;
-  if (status == JC_OK)
-    propose_replicas (log, &next, done, ctx);
-  else
-    done (ctx, status);
-  jc_replicas_clear (&next);
-}
-
-/* Propose to add REPLICA to the replica set or to replace the entry of its
-   name.  */
-void
-jc_rlog_propose_replica (struct jc_rlog *log, const struct rpc_replica *replica,
-                         jc_rlog_done_fn *done, void *ctx)
-{
-  change_replicas (log, replica, NULL, done, ctx);
-}
-
-/* Propose to add the replica NAME, or to change whether it is STANDING, that
-   is, designated to become a voter.  A replica that is in the set already
-   keeps its disk incarnation, and its vote if it stays designated.  Refused
-   with JC_NOT_LEADER while jc_rlog_may_change_replicas is false.  */
-void
-jc_rlog_put_replica (struct jc_rlog *log, const char *name, bool standing,
-                     jc_rlog_done_fn *done, void *ctx)
-{
-  const struct rpc_replica *known = jc_replicas_find (&log->replicas, name);
-  struct rpc_replica next = { .name = (char *)name, .standing = standing };
-
-  if (known != NULL)
-    {
-      next.incarnation = known->incarnation;
-      next.voter = known->voter && standing;
-    }
-  change_replicas (log, &next, NULL, done, ctx);
-}
-
-/* Propose to remove the replica NAME.  Refused with JC_NOT_LEADER while
-   jc_rlog_may_change_replicas is false, with JC_NOT_FOUND if NAME is not in
-   the set, and with JC_BAD_REQUEST if no voter would be left.  */
-void
-jc_rlog_remove_replica (struct jc_rlog *log, const char *name,
-                        jc_rlog_done_fn *done, void *ctx)
-{
-  change_replicas (log, NULL, name, done, ctx);
-}
-
-static void
-handle_disk_failure (struct jc_rlog *log)
-{
-  jc_error (LOG_COMPONENT,
-            "Disk failure; this replica stops until its log is reopened: %s",
-            jc_last_message ());
-  g_queue_clear_full (&log->outbox, outgoing_message_free);
-  g_ptr_array_set_size (log->peers, 0);
-  set_leader (log, "");
-  jc_rlog_set_role (log, JC_RLOG_FAILED);
-  fail_proposals (log);
-}
-
-/* Send the queued messages.  Return whether there were any.  */
-static bool
-send_outbox (struct jc_rlog *log)
-{
-  struct outgoing_message *message;
-  bool progress = false;
-
-  while ((message = g_queue_pop_head (&log->outbox)) != NULL)
-    {
-      log->klass->send (log->ctx, message->to, &message->body);
-      outgoing_message_free (message);
-      progress = true;
-    }
-  return progress;
-}
-
-/* Set REPLICAS to the replica set as of INDEX, which is committed.  */
-static void
-replicas_at (const struct jc_rlog *log, uint64_t index,
-             struct rpc_replicas *replicas)
-{
-  for (uint64_t at = index; at > log->store->snapshot_index; at--)
-    {
-      const struct rpc_log_entry *entry = jc_rlogstore_entry (log->store, at);
-
-      if (entry->kind != JC_RLOG_REPLICAS)
-        continue;
-      jc_replicas_decode ((struct jc_str){ .data = entry->data.rpc_bytes_val,
-                                           .len = entry->data.rpc_bytes_len },
-                          replicas);
-      return;
-    }
-  jc_replicas_copy (replicas, &log->store->snapshot_replicas);
-}
-
-/* Replace the applied entries by a snapshot once there are enough of them.
-   Return the status of the store.  */
-static enum jc_status
-compact_log (struct jc_rlog *log)
-{
-  struct rpc_replicas replicas;
-  GString *snapshot;
-  enum jc_status status;
-
-  if (log->applied_index - log->store->snapshot_index
-      < log->options.snapshot_entries)
-    return JC_OK;
-  snapshot = g_string_new (NULL);
-  log->klass->snapshot (log->ctx, snapshot);
-  replicas_at (log, log->applied_index, &replicas);
-  status = jc_rlogstore_compact (log->store, log->applied_index, &replicas,
-                                 snapshot);
-  g_string_truncate (log->encoded_snapshot, 0);
-  jc_replicas_clear (&replicas);
-  return status;
-}
-
-/* Restore a snapshot that was installed since the last call, then apply the
-   entries whose commit index is durable.  Return whether anything was done.  */
-static bool
-apply_committed (struct jc_rlog *log)
-{
-  bool progress = false;
-
-  if (log->applied_index < log->store->snapshot_index)
-    {
-      restore_snapshot (log);
-      progress = true;
-    }
-  while (log->applied_index < log->store->commit_index)
-    {
-      apply_next (log);
-      progress = true;
-    }
-  return progress;
-}
-
-/* Do one pass of a flush.  Return whether another one may be needed.  Nothing
-   is sent or applied before everything it depends on is durable.  */
-static bool
-flush_step (struct jc_rlog *log)
-{
-  bool progress;
-
-  if (log->store->dirty && jc_rlogstore_sync (log->store) != JC_OK)
-    {
-      handle_disk_failure (log);
-      return false;
-    }
-  progress = apply_committed (log);
-  progress = send_outbox (log) || progress;
-  if (log->role == JC_RLOG_LEADER && jc_rlog_advance_commit (log))
-    jc_rlog_mark_peers_due (log);
-  if (log->commit_index > log->store->commit_index)
-    jc_rlogstore_set_commit_index (log->store, log->commit_index);
-  progress = jc_rlog_send_to_due_peers (log) || progress;
-  if (compact_log (log) != JC_OK)
-    {
-      handle_disk_failure (log);
-      return false;
-    }
-  return progress || log->store->dirty;
-}
-
-/* Make pending changes durable, then send messages and apply committed
-   entries.  On a disk failure this replica stops until it is opened again.  */
-void
-jc_rlog_flush (struct jc_rlog *log, int64_t now_ms)
-{
-  log->now_ms = now_ms;
-  if (log->flushing || log->role == JC_RLOG_FAILED)
-    return;
-  log->flushing = true;
-  while (flush_step (log))
-    continue;
-  log->flushing = false;
-}
-
 enum jc_rlog_role
 jc_rlog_role (const struct jc_rlog *log)
 {
--- a/conf/rlogprivate.h
+++ b/conf/rlogprivate.h
@@ -34,6 +34,13 @@
   bool send_due;
 };
 
+/* A message queued for the next flush.  */
+struct jc_rlog_message
+{
+  char *to;
+  struct rpc_body body;
+};
+
 struct jc_rlog
 {
   const struct jc_rlog_class *klass;
@@ -88,6 +95,12 @@
                               const struct rpc_replica *replica,
                               jc_rlog_done_fn *done, void *ctx);
 
+void jc_rlog_message_free (gpointer data);
+void jc_rlog_fail_proposals (struct jc_rlog *log);
+void jc_rlog_set_leader (struct jc_rlog *log, const char *leader);
+void jc_rlog_apply_next (struct jc_rlog *log);
+void jc_rlog_restore_snapshot (struct jc_rlog *log);
+
 /* Elections.  */
 void jc_rlog_reset_election_timer (struct jc_rlog *log);
 void jc_rlog_start_pre_vote (struct jc_rlog *log);
