End no answer by a reset during an upload, and refuse statuses that HTTP lacks

Cause, of the first: a write that fails takes the error of the socket, and the next read then says end of data, as after an orderly close: an answer without a length passed as whole. A status under 100 was skipped as an interim answer, so that its failure was told at the caller's deadline, and 600 and 999 were passed on.

Change: an error of a write other than EPIPE stands for the end of data that follows it; the head of an answer with a status below 100, over 599 or 101 can't be read.

--- a/net/httpcconn.c
+++ b/net/httpcconn.c
@@ -25,6 +25,9 @@
   /* Default TCP user timeout: a connection whose peer acknowledges no data for
      so long fails.  */
   ACK_TIMEOUT_MS = 5000,
+  STATUS_MIN = 100,
+  STATUS_MAX = 599,
+  STATUS_SWITCHING = 101,
   /* Time for which a loss is remembered, and the number of losses above which
      older ones are dropped.  */
   LOST_KEEP_MS = 60000,
@@ -90,9 +93,19 @@
   conn->idle_timeout_ms = MAX (seconds * MS_PER_S - IDLE_MARGIN_MS, 0);
 }
 
+/* Return whether STATUS is one that HTTP has and that a request of this client
+   may get: none asks for another protocol.  */
+static bool
+is_known_status (unsigned int status)
+{
+  return status >= STATUS_MIN && status <= STATUS_MAX
+         && status != STATUS_SWITCHING;
+}
+
 /* Handle a complete head.  Interim answers and answers to earlier requests are
-   skipped.  Return 1 if the answer has no body, -1 if there were too many such
-   heads or the final one names no request, else 0.  */
+   skipped.  Return 1 if the answer has no body, -1 if its status isn't
+   known, if there were too many such heads or if the final one names no
+   request, else 0.  */
 static int
 on_head_end (http_parser *parser)
 {
@@ -104,6 +117,8 @@
   enum head_owner owner;
 
   jc_head_build_end (&conn->build, parser);
+  if (!is_known_status (parser->status_code))
+    return -1;
   conn->head_done = true;
   owner = parser->status_code < 200 ? HEAD_FOREIGN : head_owner (conn);
   if (owner == HEAD_UNNAMED)
@@ -477,6 +492,11 @@
       return;
     }
   conn->broken = received <= 0;
+  if (received == 0 && conn->write_error != 0)
+    {
+      errno = conn->write_error;
+      received = -1;
+    }
   conn->call->host_unreachable = received < 0 && is_unreachable_error (errno);
   if (received < 0)
     conn_fail (conn, JC_ENDPOINT_FAILED, "The connection was reset.");
@@ -517,8 +537,10 @@
       if (written < 0)
         {
           /* The answer that the server sent before it closed may still be
-             read.  */
+             read.  Unless it closed in order, the end of what is read isn't
+             the end of that: the error is reported only once.  */
           conn->broken = true;
+          conn->write_error = errno != EPIPE ? errno : 0;
           ev_io_stop (conn->httpc->loop, &conn->writer);
           if (!call->sent)
             conn_fail (conn, JC_ENDPOINT_FAILED, "The connection was reset.");
--- a/net/httpcprivate.h
+++ b/net/httpcprivate.h
@@ -56,8 +56,9 @@
    IDLE_TIMEOUT_MS is how long it stays open while idle.  SCANNED_BYTES of IN
    are known to hold no end of a head.  BROKEN is set if the peer ended it,
    not this client, UNANSWERED while nothing was heard since the last byte
-   sent.  BUFFERED is what IN takes.  SKIPPING_MESSAGE is set while an interim
-   answer or one of an earlier request is read.  */
+   sent.  WRITE_ERROR is the errno of a write that shows that the peer didn't
+   close in order, 0 for none.  BUFFERED is what IN takes.  SKIPPING_MESSAGE is
+   set while an interim answer or one of an earlier request is read.  */
 struct httpc_conn
 {
   struct jc_httpc *httpc;
@@ -70,6 +71,7 @@
   bool closed;
   bool broken;
   bool unanswered;
+  int write_error;
   bool idle;
   long idle_timeout_ms;
   struct httpc_echoes echoes;
