--- a/entry/outcome.c
+++ b/entry/outcome.c
@@ -5,6 +5,7 @@
 #include "base/event.h"
 #include "entry/exchange.h"
 #include "net/program.h"
+#include "serve/returns.h"
 
 /* Who decided on an answer: this instance, or the endpoint that gave it.  */
 enum answer_origin
@@ -60,6 +61,10 @@
   const char *origin = by == BY_ENDPOINT ? "endpoint" : "instance";
   char label[32];
 
+  if (event != JC_EVENT_REFUSED && !exchange->handed_over)
+    jc_returns_note_end (exchange->router->returns, exchange->service,
+                         jc_now_ms ());
+
   g_snprintf (label, sizeof label, "by=\"%s\"", origin);
   if (jc_http_status_promises_not_run (http))
     jc_metrics_counter_add (exchange->router->entry->metrics,
@@ -80,6 +85,20 @@
             exchange->first_event_ms, exchange->max_gap_ms);
 }
 
+/* Return the time after which the caller of EXCHANGE gives up, ms; 0 if that is
+   another instance, which tells its caller.  */
+static int64_t
+caller_left_ms (const struct exchange *exchange)
+{
+  int64_t given = exchange->request_info.timeout_ms;
+
+  if (exchange->handed_over)
+    return 0;
+  if (given <= 0)
+    return exchange->relay.deadline_ms - jc_now_ms ();
+  return exchange->started_ms + given - jc_now_ms ();
+}
+
 /* Answer with an error of this gateway and free EXCHANGE.  Whatever the reason,
    the caller is told that the request has not run only if it can't have.  */
 void
@@ -90,11 +109,12 @@
   enum jc_status told = untrue ? JC_ENDPOINT_FAILED : status;
   const struct jc_status_info *row = jc_status_info (told);
   bool may_retry = row->run == JC_NOT_RUN && row->retry != JC_RETRY_NEVER;
-  int64_t after_ms = may_retry ? refusal_retry_ms (exchange->router,
-                                                   exchange->service, status)
-                               : 0;
+  int64_t after_ms = 0;
   char retry_after[24];
 
+  if (may_retry)
+    after_ms = refusal_retry_ms (exchange->router, exchange->service, status,
+                                 caller_left_ms (exchange));
   log_end (exchange,
            row->run == JC_NOT_RUN ? JC_EVENT_REFUSED : JC_EVENT_FAILED,
            row->name, row->http_status, BY_INSTANCE);
--- a/entry/router.c
+++ b/entry/router.c
@@ -11,6 +11,7 @@
 #include "net/eventflush.h"
 #include "net/program.h"
 #include "platform/platform.h"
+#include "serve/returns.h"
 
 enum
 {
@@ -338,6 +339,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   router->zone_forwarders = jc_forwarding_new ();
   waitqueue_start (router);
+  router->returns = jc_returns_new ();
   g_queue_init (&router->exchanges);
   router->started_ms = jc_now_ms ();
   ev_timer_init (&router->tick_timer, on_tick, interval_s, interval_s);
@@ -368,6 +370,7 @@
   g_free (router->handover_address);
   jc_httpd_free (router->ready_listener);
   waitqueue_stop (router);
+  jc_returns_free (router->returns);
   jc_engines_free (router->engines);
   jc_budgets_free (router->budgets);
   jc_backpressure_free (router->backpressure);
--- a/entry/router.h
+++ b/entry/router.h
@@ -95,6 +95,7 @@
   ev_timer tick_timer;
   ev_timer loads_timer;
   GQueue wait_queue;
+  struct jc_returns *returns;
   GQueue exchanges;
   int64_t presence_sent_ms;
   int64_t loads_sent_ms;
@@ -394,7 +395,7 @@
 
 /* refusal: when a refused caller should come back.  */
 int64_t refusal_retry_ms (struct router *router, const char *service,
-                          enum jc_status status);
+                          enum jc_status status, int64_t left_ms);
 void refusal_prepare (struct router *router, struct jc_http_req *req,
                       enum jc_status status);
 
