Send engines no more requests than get a slot in time

Urgent requests are now sent where a slot comes free within half of their objective, by the mean time of the service's answers; less urgent ones leave a quarter of the slots.

--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -7,6 +7,7 @@
 #include "entry/router.h"
 #include "net/program.h"
 #include "serve/remote.h"
+#include "serve/slotroom.h"
 #include "serve/warmth.h"
 
 enum
@@ -223,6 +224,30 @@
   return sum / MAX ((int64_t)endpoints->len, 1);
 }
 
+/* Remove from ENDPOINTS those whose slots are left to more urgent requests than
+   QUERY's.  */
+static void
+filter_slots (struct router *router, const struct balancer_query *query,
+              GPtrArray *endpoints)
+{
+  if (query->demand->prompt_tokens == 0)
+    return;
+  for (guint i = endpoints->len; i > 0; i--)
+    {
+      const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i - 1);
+      const struct jc_slot_query slots
+          = { .service = query->service,
+              .running
+              = jc_engines_running (router->engines, endpoint, query->now_ms),
+              .slots = endpoint->slots,
+              .priority = query->demand->priority,
+              .objective_ms = query->demand->first_event_limit_ms };
+
+      if (!jc_slot_room_allows (router->slot_room, &slots))
+        g_ptr_array_remove_index (endpoints, i - 1);
+    }
+}
+
 /* Remove from ENDPOINTS those that QUERY's request should not be sent to now. A
    stream that has begun goes to a busy endpoint rather than end.  */
 static void
@@ -232,6 +257,7 @@
   GPtrArray *all = g_ptr_array_copy (endpoints, NULL, NULL);
 
   jc_engines_filter (router->engines, query->demand, endpoints, query->now_ms);
+  filter_slots (router, query, endpoints);
   if (endpoints->len == 0 && query->software != 0)
     g_ptr_array_extend (endpoints, all, NULL, NULL);
   g_ptr_array_free (all, TRUE);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -6,6 +6,7 @@
 #include "base/event.h"
 #include "entry/exchange.h"
 #include "net/program.h"
+#include "serve/slotroom.h"
 
 enum
 {
@@ -78,6 +79,9 @@
 
   resumptions_attempt_ended (exchange);
   shares_note_end (exchange, share_end_of (exchange, result));
+  if (!exchange->remote && jc_relay_is_usable_answer (result))
+    jc_slot_room_note_answer (exchange->router->slot_room, exchange->service,
+                              now - exchange->attempt_started_ms);
   exchange_end_engine_run (exchange, engine_outcome_of (exchange, result));
   exchange->any_sent
       = exchange->any_sent || (result->sent && !exchange->refused_at_head);
--- a/entry/router.c
+++ b/entry/router.c
@@ -12,6 +12,7 @@
 #include "net/program.h"
 #include "platform/platform.h"
 #include "serve/returns.h"
+#include "serve/slotroom.h"
 
 enum
 {
@@ -340,6 +341,7 @@
   router->zone_forwarders = jc_forwarding_new ();
   waitqueue_start (router);
   router->returns = jc_returns_new ();
+  router->slot_room = jc_slot_room_new ();
   g_queue_init (&router->exchanges);
   router->started_ms = jc_now_ms ();
   ev_timer_init (&router->tick_timer, on_tick, interval_s, interval_s);
@@ -371,6 +373,7 @@
   jc_httpd_free (router->ready_listener);
   waitqueue_stop (router);
   jc_returns_free (router->returns);
+  jc_slot_room_free (router->slot_room);
   jc_engines_free (router->engines);
   jc_budgets_free (router->budgets);
   jc_backpressure_free (router->backpressure);
--- a/entry/router.h
+++ b/entry/router.h
@@ -96,6 +96,7 @@
   ev_timer loads_timer;
   GQueue wait_queue;
   struct jc_returns *returns;
+  struct jc_slot_room *slot_room;
   GQueue exchanges;
   int64_t presence_sent_ms;
   int64_t loads_sent_ms;
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -228,6 +228,16 @@
   return load;
 }
 
+/* Return the requests that are at ENDPOINT, or wait there.  */
+unsigned int
+jc_engines_running (struct jc_engines *engines,
+                    const struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  return (unsigned int)engine_load (engine_get (engines, endpoint->name),
+                                    now_ms)
+      .running;
+}
+
 /* Return the time to RUN's first event at data sheet speed, ms.  */
 static double
 run_expected_first_event_ms (const struct jc_engine_run *run, int64_t now_ms)
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -53,6 +53,9 @@
                      struct jc_demand *demand);
 double jc_engines_capacity_per_s (struct jc_engines *engines,
                                   const struct jc_endpoint *endpoint);
+unsigned int jc_engines_running (struct jc_engines *engines,
+                                 const struct jc_endpoint *endpoint,
+                                 int64_t now_ms);
 double jc_engines_prefill_busy (struct jc_engines *engines,
                                 const struct jc_endpoint *endpoint,
                                 int64_t now_ms);
