--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -6,6 +6,7 @@
 #include "base/event.h"
 #include "entry/exchange.h"
 #include "net/program.h"
+#include "serve/slotroom.h"
 
 enum
 {
@@ -117,6 +118,9 @@
   quotas_note_attempt_ended (
       exchange, !result->sent || (result->whole && result->not_run));
   shares_note_end (exchange, share_end_of (exchange, result));
+  if (!exchange->remote && jc_relay_is_usable_answer (result))
+    jc_slot_room_note_answer (exchange->router->slot_room, exchange->service,
+                              now - exchange->attempt_started_ms);
   exchange_end_engine_run (exchange, engine_outcome_of (exchange, result));
   exchange->any_sent
       = exchange->any_sent || (result->sent && !exchange->refused_at_head);
