Keep room at engines by the priority of routes

Cause: with the keys of callers, the priority of a workspace stood for that of the route everywhere: long requests of one workspace filled the slots that the short ones of all others need in time. The priority of workspaces goes on ordering the wait queue.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -356,7 +356,9 @@
   jc_demand_init (&info, &exchange->demand);
   exchange->demand.first_event_limit_ms = route->objective_ms;
   exchange->demand.gap_limit_ms = route->gap_ms;
-  exchange->demand.priority = exchange_priority (exchange);
+  /* Room at engines is kept for what has least time; the rank of workspaces
+     orders the wait queue.  */
+  exchange->demand.priority = route->priority;
   exchange->demand.event_tokens = service_event_tokens (exchange);
   exchange->answer_tokens = exchange->demand.answer_tokens;
   exchange->wait_until_ms
