End requests handed over by an instance that is cut off

Cause: a cancellation is a reset, which isn't sent again where the link is cut. The instance that ran the request noticed only after the TCP user timeout of 10 s, or after 10 s of keepalive. The time that it was told began when the body had come.

Change: a request that may be repeated is ended once its sender has acknowledged nothing for twice the pause that it would wait for, at least 4 s; the time told runs from the head.

A stream whose link is silent for 1.5 s, and one whose sender doesn't read for 10 s, come whole.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -22,9 +22,6 @@
      would process the prompt again, is asked only after this many times the
      route's latency objective.  */
   STREAM_FIRST_FACTOR = 2,
-  /* A stream that pauses for this many times the gap that its route allows is
-     resumed at another endpoint.  */
-  STREAM_GAP_FACTOR = 3,
   EXPLAIN_BYTES = 200
 };
 
@@ -58,7 +55,7 @@
   if (!jc_relay_is_idempotent (&exchange->relay))
     return 0;
   if (exchange->relay.kind == JC_ROUTE_STREAM)
-    return (long)(STREAM_GAP_FACTOR * route->gap_ms);
+    return (long)(ATTEMPT_GAP_FACTOR * route->gap_ms);
   return (long)MAX (route->objective_ms, FIRST_MIN_MS);
 }
 
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -411,8 +411,10 @@
   exchange->answer_tokens = exchange->demand.answer_tokens;
   exchange->wait_until_ms
       = exchange->started_ms + route->objective_ms / WAIT_DIVISOR;
+  /* The time that another instance told ran while it sent the body.  */
   jc_relay_init (&exchange->relay, route,
-                 exchange->started_ms + limit_ms (route, &info),
+                 (handed_over ? jc_http_head_ms (req) : exchange->started_ms)
+                     + limit_ms (route, &info),
                  info.resume_after);
   exchange->passed_event = info.resume_after;
   resumptions_init (exchange);
@@ -423,7 +425,10 @@
   exchange->endpoints_only
       = handed_over && jc_http_header (req, HEADER_WITHIN_REGION) == NULL;
   if (handed_over)
-    limit_handed_over (exchange);
+    {
+      limit_handed_over (exchange);
+      guests_begin (exchange);
+    }
   else
     {
       jc_budgets_note_request (router->budgets, exchange->service,
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -8,6 +8,7 @@
 #include "base/buffers.h"
 #include "entry/router.h"
 #include "serve/fingerprint.h"
+#include "serve/peersilence.h"
 #include "serve/relay.h"
 #include "serve/sse.h"
 #include "serve/statement.h"
@@ -15,6 +16,9 @@
 enum
 {
   EXCHANGE_HTTP_OK = 200,
+  /* A stream that pauses for this many times the gap that its route allows is
+     resumed at another endpoint.  */
+  ATTEMPT_GAP_FACTOR = 3,
   EXCHANGE_HEADERS_MAX = JC_HEAD_FIELDS_MAX + 3,
   /* Bytes that wait for a slow caller before the answer is read no further.  */
   BUFFERED_BYTES_MAX = 256 * 1024,
@@ -38,9 +42,10 @@
 /* A request in progress, in the queue EXCHANGES of its router by LINK.  REQ
    lives at least as long as this.  HANDED_OVER
    means that another entry instance sent it, ENDPOINTS_ONLY that it goes to
-   none from here.  ROUTES is a reference to the table that ROUTE belongs to.
-   TRIED holds the names of the targets of all attempts, AVOIDED_REGIONS other
-   regions that an attempt did not reach or that refused.  TARGET_NAME, in
+   none from here, WATCHED that it ends if that instance is cut off, as
+   SENDER_SILENCE tells.  ROUTES is a reference to the table that ROUTE belongs
+   to. TRIED holds the names of the targets of all attempts, AVOIDED_REGIONS
+   other regions that an attempt did not reach or that refused.  TARGET_NAME, in
    TARGET_ZONE of TARGET_REGION, is where the current attempt goes; REMOTE means
    that it is an entry instance of another region. ANSWER_TOKENS are those of
    the whole answer.  TARGET_INCARNATION, TARGET_TAG and TARGET_SOFTWARE are
@@ -82,6 +87,8 @@
   struct jc_http_req *req;
   bool handed_over;
   bool endpoints_only;
+  bool watched;
+  struct jc_peersilence sender_silence;
   struct jc_routetable *routes;
   const struct jc_hostroute *route;
   const char *service;
@@ -181,6 +188,9 @@
                                const struct jc_demand *demand,
                                int64_t time_left_ms);
 
+/* In guests.c.  */
+void guests_begin (struct exchange *exchange);
+
 /* In attempt.c.  */
 void attempt_start (struct exchange *exchange,
                     const struct balancer_target *target);
--- a/entry/router.c
+++ b/entry/router.c
@@ -190,6 +190,7 @@
   backpressure_tick (entry->router);
   shares_tick (entry->router);
   resumptions_tick (entry->router);
+  guests_tick (entry->router);
   misdirections_check (entry->router);
   if (entry->draining)
     drain_tick (entry);
--- a/entry/router.h
+++ b/entry/router.h
@@ -300,6 +300,9 @@
 void resumptions_check (struct router *router);
 void resumptions_tick (struct router *router);
 
+/* In guests.c.  */
+void guests_tick (struct router *router);
+
 /* identities: what the processes at endpoints' addresses say that they are.  */
 void identities_start (struct router *router);
 void identities_stop (struct router *router);
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -70,6 +70,11 @@
 const char *jc_http_header (const struct jc_http_req *req, const char *name);
 const char *jc_http_query (const struct jc_http_req *req, const char *name);
 struct jc_str jc_http_body (const struct jc_http_req *req);
+int64_t jc_http_head_ms (const struct jc_http_req *req);
+bool jc_http_peer_acks (const struct jc_http_req *req, bool *owes,
+                        int64_t *ack_ms_ago);
+void jc_http_probe_peer (struct jc_http_req *req);
+void jc_http_drop_silent (struct jc_http_req *req);
 void jc_http_set_data (struct jc_http_req *req, void *data);
 void *jc_http_data (const struct jc_http_req *req);
 
--- a/net/httpdconn.c
+++ b/net/httpdconn.c
@@ -18,7 +18,6 @@
   /* TCP user timeout: a connection whose peer acknowledges no data for so long
      is closed.  */
   USER_TIMEOUT_MS = 10000,
-  KEEPALIVE_S = 5,
   KEEPALIVE_PROBES = 2,
   /* How long after its last byte input is read and dropped once a request was
      rejected.  Closing with unread input would send a reset, which may reach
@@ -153,16 +152,6 @@
   g_ptr_array_add (conn->httpd->unflushed, conn);
 }
 
-/* Let close send a TCP reset on FD: an incomplete answer without a length must
-   not look complete to the peer.  */
-static void
-enable_reset_on_close (int fd)
-{
-  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
-
-  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-}
-
 /* Wait for the peer of CONN to close.  After a rejected request it may be
    silent for LINGER_MS, but not beyond the end of the wait as a whole.  */
 static void
@@ -213,7 +202,7 @@
   else
     {
       if (conn->reset_on_close)
-        enable_reset_on_close (conn->fd);
+        httpd_peer_reset_on_close (conn);
       httpd_conn_close (conn, HTTPD_ANSWERED);
     }
 }
@@ -619,6 +608,8 @@
 httpd_conn_next_request (struct httpd_conn *conn)
 {
   conn->req = NULL;
+  if (conn->probed)
+    httpd_peer_set_probes (conn, false);
   conn->head_begun = false;
   httpd_conn_schedule_flush (conn);
   if (conn->close_after)
@@ -750,18 +741,16 @@
   struct httpd_conn *conn = g_new0 (struct httpd_conn, 1);
   unsigned int user_timeout = USER_TIMEOUT_MS;
   int on = 1;
-  int idle = KEEPALIVE_S;
   int probes = KEEPALIVE_PROBES;
 
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
               sizeof user_timeout);
   setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof idle);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
   conn->httpd = httpd;
   conn->fd = fd;
+  httpd_peer_set_probes (conn, false);
   conn->in = g_string_new (NULL);
   conn->out = g_string_new (NULL);
   ev_io_init (&conn->reader, on_readable, fd, EV_READ);
--- a/net/httpdloss.c
+++ b/net/httpdloss.c
@@ -12,7 +12,7 @@
     [HTTPD_ANSWERED] = "answered",       [HTTPD_PEER_CLOSED] = "peer_closed",
     [HTTPD_READ_FAILED] = "read_failed", [HTTPD_WRITE_FAILED] = "write_failed",
     [HTTPD_TIMED_OUT] = "timed_out",     [HTTPD_STOPPED] = "stopped",
-    [HTTPD_CROWDED] = "crowded"
+    [HTTPD_CROWDED] = "crowded",         [HTTPD_PEER_SILENT] = "peer_silent"
   };
 
   return names[reason];
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -58,7 +58,8 @@
    is streamed in chunks; the end of any other stream is the end of its
    connection.  CLOSE_AFTER closes the connection after the answer.  RETRY_AFTER
    is the header of that name if the request is refused, empty for the usual
-   one, and RETRY_AFTER_MS the same delay.  BUFFERED is what BODY takes, and
+   one, and RETRY_AFTER_MS the same delay.  Its head was read at HEAD_MS of
+   jc_now_ms.  BUFFERED is what BODY takes, and
    once more as much for the copy that is sent on.  */
 struct jc_http_req
 {
@@ -70,6 +71,7 @@
   GString *body;
   struct jc_buffered buffered;
   void *data;
+  int64_t head_ms;
   enum req_phase phase;
   bool chunked;
   bool close_after;
@@ -88,7 +90,7 @@
    BLANK_BYTES counts the bytes of blank lines since the last request.
    BUFFERED is what IN and OUT take, NO_ROOM set if the body was refused because
    all buffers together take too much.  RESET_ON_CLOSE closes the connection
-   with a TCP reset.  */
+   with a TCP reset.  PROBED means that the peer is probed often.  */
 struct httpd_conn
 {
   struct jc_httpd *httpd;
@@ -119,12 +121,13 @@
   bool head_begun;
   unsigned int blank_bytes;
   bool reset_on_close;
+  bool probed;
 };
 
 /* Why a connection closes: its last answer was written, the peer closed it,
    reading or writing failed, it was idle for too long or was not closed by the
    peer after a rejected request, the listener ends, its descriptor is needed
-   for another one.  */
+   for another one, its peer is cut off.  */
 enum httpd_close_reason
 {
   HTTPD_ANSWERED,
@@ -133,7 +136,8 @@
   HTTPD_WRITE_FAILED,
   HTTPD_TIMED_OUT,
   HTTPD_STOPPED,
-  HTTPD_CROWDED
+  HTTPD_CROWDED,
+  HTTPD_PEER_SILENT
 };
 
 /* In httpdroom.c.  */
@@ -148,6 +152,10 @@
 void httpd_conn_schedule_flush (struct httpd_conn *conn);
 void httpd_conn_next_request (struct httpd_conn *conn);
 
+/* In httpdpeer.c.  */
+void httpd_peer_set_probes (struct httpd_conn *conn, bool often);
+void httpd_peer_reset_on_close (struct httpd_conn *conn);
+
 /* In httpdloss.c.  */
 void httpd_loss_log_close (const struct httpd_conn *conn,
                            enum httpd_close_reason reason);
--- a/net/httpreq.c
+++ b/net/httpreq.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "net/httpdprivate.h"
+#include "net/program.h"
 
 enum
 {
@@ -20,6 +21,7 @@
   req->httpd = conn->httpd;
   req->conn = conn;
   req->body = g_string_new (NULL);
+  req->head_ms = jc_now_ms ();
   return req;
 }
 
@@ -113,6 +115,13 @@
   return NULL;
 }
 
+/* Return when the head of REQ was read, in ms of jc_now_ms.  */
+int64_t
+jc_http_head_ms (const struct jc_http_req *req)
+{
+  return req->head_ms;
+}
+
 /* Return the body of REQ, valid until it is answered.  */
 struct jc_str
 jc_http_body (const struct jc_http_req *req)
