--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -9,6 +9,7 @@
 #include "entry/callerkeys.h"
 #include "entry/router.h"
 #include "serve/fingerprint.h"
+#include "serve/peersilence.h"
 #include "serve/relay.h"
 #include "serve/sse.h"
 #include "serve/statement.h"
@@ -16,6 +17,9 @@
 enum
 {
   EXCHANGE_HTTP_OK = 200,
+  /* A stream that pauses for this many times the gap that its route allows is
+     resumed at another endpoint.  */
+  ATTEMPT_GAP_FACTOR = 3,
   EXCHANGE_HEADERS_MAX = JC_HEAD_FIELDS_MAX + 3,
   /* Bytes that wait for a slow caller before the answer is read no further.  */
   BUFFERED_BYTES_MAX = 256 * 1024,
@@ -39,11 +43,12 @@
 /* A request in progress, in the queue EXCHANGES of its router by LINK.  REQ
    lives at least as long as this.  HANDED_OVER
    means that another entry instance sent it, ENDPOINTS_ONLY that it goes to
-   none from here.  ROUTES is a reference to the table that ROUTE and WORKSPACE
-   belong to; WORKSPACE is NULL on an anonymous route, without workspaces, and
-   if only the instance that handed the request over knows it.  KEY_NOTE tells
-   endpoints and other instances of the workspace, KEY_REFUSED that the
-   instance which the current attempt went to knows no such key.
+   none from here, WATCHED that it ends if that instance is cut off, as
+   SENDER_SILENCE tells.  ROUTES is a reference to the table that ROUTE and
+   WORKSPACE belong to; WORKSPACE is NULL on an anonymous route, without
+   workspaces, and if only the instance that handed the request over knows it.
+   KEY_NOTE tells endpoints and other instances of the workspace, KEY_REFUSED
+   that the instance which the current attempt went to knows no such key.
    TRIED holds the names of the targets of all attempts, AVOIDED_REGIONS other
    regions that an attempt did not reach or that refused.  TARGET_NAME, in
    TARGET_ZONE of TARGET_REGION, is where the current attempt goes; REMOTE means
@@ -91,6 +96,8 @@
   struct jc_http_req *req;
   bool handed_over;
   bool endpoints_only;
+  bool watched;
+  struct jc_peersilence sender_silence;
   struct jc_routetable *routes;
   const struct jc_hostroute *route;
   const struct jc_workspace *workspace;
@@ -214,6 +221,9 @@
                                const struct jc_demand *demand,
                                int64_t time_left_ms);
 
+/* In guests.c.  */
+void guests_begin (struct exchange *exchange);
+
 /* In attempt.c.  */
 void attempt_start (struct exchange *exchange,
                     const struct balancer_target *target);
--- a/entry/router.c
+++ b/entry/router.c
@@ -196,6 +196,7 @@
   shares_tick (entry->router);
   quotas_tick (entry->router);
   resumptions_tick (entry->router);
+  guests_tick (entry->router);
   misdirections_check (entry->router);
   if (entry->draining)
     drain_tick (entry);
