--- a/entry/outcome.c
+++ b/entry/outcome.c
@@ -58,26 +58,27 @@
          const char *outcome, int http, enum answer_origin by)
 {
   const char *origin = by == BY_ENDPOINT ? "endpoint" : "instance";
+  const char *workspace = exchange->key_note.name;
   char label[32];
 
   g_snprintf (label, sizeof label, "by=\"%s\"", origin);
   if (jc_http_status_promises_not_run (http))
     jc_metrics_counter_add (exchange->router->entry->metrics,
                             "jaycove_not_run_answers_total", label, 1);
-  jc_event (event,
-            "id=%s route=%s service=%s outcome=%s http=%d by=%s place=%s "
-            "tried=%u sent=%u sendings=%u ms=%" PRId64 " left_ms=%" PRId64
-            " version=%" PRIu64 " guest=%d heard=%d last_event=%" PRId64
-            " first_ms=%" PRId64 " gap_ms=%" PRId64,
-            exchange_id (exchange), exchange->route->name, exchange->service,
-            outcome, http, origin,
-            exchange->target_name != NULL ? exchange->target_name : "-",
-            exchange->relay.attempts_reached, exchange->relay.endpoints_sent,
-            exchange->relay.sendings, jc_now_ms () - exchange->started_ms,
-            exchange->relay.deadline_ms - jc_now_ms (),
-            exchange->routes->version, exchange->handed_over,
-            exchange->head_received, exchange->relay.last_event,
-            exchange->first_event_ms, exchange->max_gap_ms);
+  jc_event (
+      event,
+      "id=%s route=%s service=%s outcome=%s http=%d by=%s place=%s "
+      "tried=%u sent=%u sendings=%u ms=%" PRId64 " left_ms=%" PRId64
+      " version=%" PRIu64 " guest=%d heard=%d last_event=%" PRId64
+      " first_ms=%" PRId64 " gap_ms=%" PRId64 " workspace=%.60s",
+      exchange_id (exchange), exchange->route->name, exchange->service, outcome,
+      http, origin, exchange->target_name != NULL ? exchange->target_name : "-",
+      exchange->relay.attempts_reached, exchange->relay.endpoints_sent,
+      exchange->relay.sendings, jc_now_ms () - exchange->started_ms,
+      exchange->relay.deadline_ms - jc_now_ms (), exchange->routes->version,
+      exchange->handed_over, exchange->head_received,
+      exchange->relay.last_event, exchange->first_event_ms,
+      exchange->max_gap_ms, workspace != NULL ? workspace : "-");
 }
 
 /* Answer with an error of this gateway and free EXCHANGE.  Whatever the reason,
