Test hand-overs by an older configuration than the receiver's

An instance that gets orders late reads them before requests, so the requests are held at endpoints while the configuration changes.

--- a/tests/process/keys_standin.py
+++ b/tests/process/keys_standin.py
@@ -22,6 +22,10 @@
           route("open", "safe", "plain", anonymous=True), route("openaway", "safe", "plain", anonymous=True, **AWAY)]
 CLOSED = ("/read/x", "/write/x", "/stream/x", "/away/x")
 ROUNDS = 6
+# How often a caller comes back while the instances of the other region seem to be gone.
+REPEATS = 20
+# Requests that are refused at up to two endpoints, and as many before as earn the retries.
+HELD, EARNING = 3, 40
 # Notes as a caller might invent them: what the hand-over listener gets from other instances.
 FORGED = [("X-Jaycove-Key-Note", "999999,," + "0" * 32), ("X-Jaycove-Tenant", "beta")]
 
@@ -34,6 +38,8 @@
     lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     head = Head((k.lower(), v.strip()) for k, _, v in (line.partition(":") for line in lines[1:] if line))
     head.lines = lines[1:-2]
+    if "x-held" in head:
+        await Noting.release.wait()
     return lines[0], head
 
 
@@ -41,12 +47,13 @@
 
 
 class Noting(Endpoint):
-    """An endpoint that keeps the heads of all requests that are meant for it, also of those that it refuses."""
-    heads = []
+    """An endpoint that keeps the heads of all requests that are meant for it, also of those that it refuses: where
+    X-Refused-In names its zone. It begins with requests that have X-Held once RELEASE is set."""
+    heads, release = [], asyncio.Event()
 
     def refuses_request(self, fields):
         Noting.heads.append((fields["x-jaycove-attempt-id"], self.zone, fields))
-        return False
+        return fields.get("x-refused-in") == self.zone
 
 
 def bearer(*keys):
@@ -98,12 +105,23 @@
     assert not [key for key in KEYS.values() if key in "".join(head.lines)], head.lines
 
 
-async def served(entry, path, name, headers, zone=None):
+async def answer_of(entry, path, headers, repeats=0):
+    """Sends a request for PATH with HEADERS to ENTRY, and up to REPEATS times again while no instance can take it.
+    Returns the id of the last attempt and the answer to it."""
+    method = "GET" if "read" in path else "POST"
+    while True:
+        attempt = "%016x" % random.getrandbits(64)
+        reply = await request(entry, method, path, b"" if method == "GET" else b"body", attempt, headers)
+        if reply.status != 503 or repeats == 0:
+            return attempt, reply
+        repeats -= 1
+        await asyncio.sleep(float(reply.headers["retry-after"]))
+
+
+async def served(entry, path, name, headers, zone=None, repeats=0):
     """Sends a request for PATH with HEADERS to ENTRY, which must be served for the workspace NAME, in ZONE if given.
     Returns the heads that came to endpoints."""
-    attempt = "%016x" % random.getrandbits(64)
-    method = "GET" if "read" in path else "POST"
-    reply = await request(entry, method, path, b"" if method == "GET" else b"body", attempt, headers)
+    attempt, reply = await answer_of(entry, path, headers, repeats)
     assert reply.status == 200 and reply.whole, (entry, path, headers, reply.status, reply.body)
     heads = heads_of(attempt)
     assert heads, "no endpoint got it"
@@ -132,8 +150,7 @@
 
 async def refused_later(entry, path, headers):
     """Sends a whole request for PATH to ENTRY, which must refuse its key whichever instance finds that out."""
-    attempt = "%016x" % random.getrandbits(64)
-    reply = await request(entry, "POST", path, b"body", attempt, headers)
+    attempt, reply = await answer_of(entry, path, headers, REPEATS)
     assert reply.status == 401, (path, reply.status, reply.body)
     assert reply.headers["x-jaycove-error"] == "api_key_refused", reply.headers
     assert not heads_of(attempt), "it reached an endpoint"
@@ -272,18 +289,58 @@
     for _ in range(3):
         # Those that get the requests are behind: the key is new, and then moves.
         await stopped_while(others, [workspace("alpha", KEYS["late"]), BETA, GAMMA],
-                            lambda: served(entry, "/away/x", "alpha", late, "z2"))
+                            lambda: served(entry, "/away/x", "alpha", late, "z2", REPEATS))
         await stopped_while(others, [ALPHA, workspace("beta", KEYS["late"])],
-                            lambda: served(entry, "/away/x", "beta", late, "z2"))
+                            lambda: served(entry, "/away/x", "beta", late, "z2", REPEATS))
         # The one that hands them over is behind: the key moves, and is then taken away, with its workspace too.
         await stopped_while(("e1",), [workspace("alpha", KEYS["late"]), BETA],
-                            lambda: served(entry, "/away/x", "alpha", late, "z2"))
+                            lambda: served(entry, "/away/x", "alpha", late, "z2", REPEATS))
         await stopped_while(("e1",), [workspace("alpha"), BETA], lambda: refused_later(entry, "/away/x", late))
         await put([workspace("alpha", KEYS["late"]), BETA])
         await stopped_while(("e1",), [BETA], lambda: refused_later(entry, "/away/x", late))
     await put([ALPHA, BETA, GAMMA])
 
 
+async def retried_while(workspaces, key):
+    """Sends requests with KEY that the endpoints of the first region refuse only after a configuration with WORKSPACES
+    is in force, so that the first instance, which decides by the one before, hands them over to the other region.
+    Returns their answers, and the heads that came to endpoints there."""
+    entry = ADDRESSES["entries"][0]
+    attempts = ["%016x" % random.getrandbits(64) for _ in range(HELD)]
+    Noting.release.clear()
+    tasks = [asyncio.create_task(request(entry, "GET", "/read/x", b"", attempt,
+                                         bearer(key) + [("X-Held", "1"), ("X-Refused-In", "z1")]))
+             for attempt in attempts]
+    await asyncio.sleep(0.2)
+    await put(workspaces)
+    Noting.release.set()
+    replies = await asyncio.gather(*tasks)
+    heads = [heads_of(attempt) for attempt in attempts]
+    assert all(each and each[0][0] == "z1" for each in heads), heads
+    return replies, [head for each in heads for zone, head in each if zone == "z2"]
+
+
+async def check_sender_behind():
+    """An instance that hands requests over by an older configuration learns that their key is gone or has moved."""
+    for gone in ([workspace("alpha"), BETA], [BETA], []):
+        await put([workspace("alpha", KEYS["late"]), BETA])
+        for _ in range(EARNING):
+            await served(ADDRESSES["entries"][0], "/read/x", "alpha", bearer(KEYS["late"]))
+        replies, heads = await retried_while(gone, KEYS["late"])
+        assert [r.status for r in replies] == [401] * HELD, [r.status for r in replies]
+        assert all(r.headers["x-jaycove-error"] == "api_key_refused" for r in replies)
+        assert not heads, heads
+    await put([workspace("alpha", KEYS["late"]), BETA])
+    for _ in range(EARNING):
+        await served(ADDRESSES["entries"][0], "/read/x", "alpha", bearer(KEYS["late"]))
+    replies, heads = await retried_while([workspace("alpha"), workspace("beta", KEYS["late"])], KEYS["late"])
+    assert [r.status for r in replies] == [200] * HELD, [r.status for r in replies]
+    assert len(heads) == HELD
+    for head in heads:
+        check_head(head, "beta")
+    await put([ALPHA, BETA, GAMMA])
+
+
 async def check_faults():
     """A configuration with a faulty workspace changes nothing, and its error names the fault but no key."""
     for workspaces, parts in (([ALPHA, workspace("delta", KEYS["alpha"])], ("delta", "alpha")),
@@ -322,7 +379,7 @@
     await put([ALPHA, BETA, GAMMA])
     await until("all instances to serve", all_serve)
     for check in (check_callers, check_attempts, check_kept_connection, check_handover_listener, check_changes,
-                  check_behind, check_faults, check_logs):
+                  check_behind, check_sender_behind, check_faults, check_logs):
         print(check.__name__, flush=True)
         await check()
     for _, _, head in Noting.heads:
