--- a/entry/quotaleases.c
+++ b/entry/quotaleases.c
@@ -13,12 +13,6 @@
 {
   /* A state instance that was not heard for this long is asked nothing.  */
   SILENT_MS = 1500,
-  /* Changes of what is wanted are told at this interval.  */
-  ASK_INTERVAL_MS = 300,
-  /* Slots that were asked for are asked for again after this.  */
-  REPEAT_MS = 500,
-  /* A share counts for this long after it was told.  */
-  SHARE_FRESH_MS = 3 * JC_QUOTA_RENEW_MS,
   /* While this many workspaces or fewer have quotas, all slots that nobody has
      a use for are spread over the zones, or one is held in each, so that
      requests find credit.  */
@@ -49,73 +43,27 @@
   return (JC_QUOTA_SLOTS + quotas->zones - 1) / quotas->zones;
 }
 
-/* Set WANTED and SPARE to the slots that this instance wants of QUOTA.  */
-static void
-count_wanted (const struct router *router, struct workspace_quota *quota,
-              int64_t now, unsigned int *wanted, unsigned int *spare)
-{
-  unsigned int standing = count_standing (router);
-
-  *wanted = *spare = 0;
-  if (router->entry->draining)
-    return;
-  *wanted = jc_quotabucket_wanted (quota->bucket, now);
-  if (standing > *wanted && is_owner (router, quota->name))
-    *spare = standing - *wanted;
-}
-
-/* Return whether QUOTA, of which WANTED and SPARE slots are wanted and HELD are
-   held, is to be asked for now.  */
-static bool
-is_due (const struct workspace_quota *quota, unsigned int wanted,
-        unsigned int spare, unsigned int held, bool has_released, int64_t now)
-{
-  int64_t since = now - quota->asked_ms;
-  unsigned int share = quota->share_ms > 0 ? quota->share : JC_QUOTA_SLOTS;
-
-  if (wanted + spare == 0 && held == 0 && !has_released)
-    return quota->asked_wanted + quota->asked_spare > 0
-           && since >= ASK_INTERVAL_MS;
-  if (wanted != quota->asked_wanted || spare != quota->asked_spare
-      || has_released)
-    return since >= ASK_INTERVAL_MS;
-  if (held < MIN (share, wanted + spare))
-    return since >= REPEAT_MS;
-  return since >= JC_QUOTA_RENEW_MS;
-}
-
-/* Give back what QUOTA has no use for, and add what is to be asked for to ASKS,
-   an array of struct rpc_quota_ask.  The slots that it names are added to
-   RELEASED, an array of arrays.  */
+/* Add what is to be asked for of QUOTA to ASKS, an array of struct
+   rpc_quota_ask, and the slots that it names to RELEASED, an array of
+   arrays.  */
 static void
 collect_ask (const struct router *router, struct workspace_quota *quota,
              int64_t now, GArray *asks, GPtrArray *released)
 {
+  const struct jc_quotaowner_input input
+      = { .ends = router->entry->draining,
+          .standing
+          = is_owner (router, quota->name) ? count_standing (router) : 0,
+          .now_ms = now };
   struct rpc_quota_ask ask = { .workspace = quota->name };
-  unsigned int held;
   GArray *slots;
 
-  if (quota->share_ms > 0 && now - quota->share_ms >= SHARE_FRESH_MS)
-    quota->share_ms = 0;
-  count_wanted (router, quota, now, &ask.wanted, &ask.spare);
-  jc_quotabucket_keep (quota->bucket,
-                       MIN (ask.wanted + ask.spare, quota->share_ms > 0
-                                                        ? quota->share
-                                                        : JC_QUOTA_SLOTS),
-                       now);
-  held = jc_quotabucket_slots (quota->bucket, now);
+  if (asks->len >= ASKS_MAX)
+    return;
   slots = g_array_new (FALSE, FALSE, sizeof (struct rpc_quota_slot));
-  jc_quotabucket_list_released (quota->bucket, now, slots);
   g_ptr_array_add (released, slots);
-  if (asks->len >= ASKS_MAX
-      || !is_due (quota, ask.wanted, ask.spare, held, slots->len > 0, now))
-    return;
-  ask.released.released_val = (struct rpc_quota_slot *)slots->data;
-  ask.released.released_len = slots->len;
-  quota->asked_wanted = ask.wanted;
-  quota->asked_spare = ask.spare;
-  quota->asked_ms = now;
-  g_array_append_val (asks, ask);
+  if (jc_quotaowner_next_ask (quota->owner, &input, &ask, slots))
+    g_array_append_val (asks, ask);
 }
 
 /* Return the state instances that can be asked.  */
@@ -187,7 +135,6 @@
 begin_standing (struct router *router)
 {
   GPtrArray *names = g_ptr_array_new ();
-  int64_t now = jc_boot_ms ();
 
   if (count_standing (router) > 0 && !router->entry->draining)
     jc_workspaces_list_limited (router->routes->workspaces, names);
@@ -197,10 +144,8 @@
       struct workspace_quota *quota
           = is_owner (router, name) ? quotas_find (router, name) : NULL;
 
-      if (quota == NULL || quota->bucket != NULL)
-        continue;
-      quota->bucket = jc_quotabucket_new (now);
-      jc_quotabucket_set_limit (quota->bucket, quota->per_s, quota->burst, now);
+      if (quota != NULL)
+        quotas_begin_owning (quota);
     }
   g_ptr_array_free (names, TRUE);
 }
@@ -212,8 +157,8 @@
 }
 
 /* Ask for what is due.  */
-void
-quotaleases_tick (struct router *router)
+static void
+ask_due (struct router *router)
 {
   GPtrArray *states = list_states (router);
   GArray *asks = g_array_new (FALSE, FALSE, sizeof (struct rpc_quota_ask));
@@ -222,10 +167,9 @@
   GHashTableIter iter;
   gpointer value;
 
-  begin_standing (router);
   g_hash_table_iter_init (&iter, router->quotas->by_name);
   while (states->len > 0 && g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct workspace_quota *)value)->bucket != NULL)
+    if (((struct workspace_quota *)value)->owner != NULL)
       collect_ask (router, value, now, asks, released);
   for (guint i = 0; i < states->len && asks->len > 0; i++)
     send_asks (states, g_ptr_array_index (states, i), asks, now);
@@ -234,6 +178,14 @@
   g_ptr_array_free (states, TRUE);
 }
 
+/* Ask for what is due.  */
+void
+quotaleases_tick (struct router *router)
+{
+  begin_standing (router);
+  ask_due (router);
+}
+
 /* Apply LEASE, which lasts for LEASE_MS.  */
 static void
 apply_lease (struct router *router, const struct rpc_quota_lease *lease,
@@ -242,19 +194,21 @@
   struct workspace_quota *quota
       = g_hash_table_lookup (router->quotas->by_name, lease->workspace);
   int64_t now = jc_boot_ms ();
+  struct jc_quotabucket *bucket;
   unsigned int before;
   unsigned int after;
 
-  if (quota == NULL || quota->bucket == NULL)
+  if (quota == NULL || quota->owner == NULL)
     return;
-  before = jc_quotabucket_slots (quota->bucket, now);
-  jc_quotabucket_note_lease (quota->bucket, &lease->slot,
-                             (int64_t)lease->requested_ms, lease_ms, now);
-  after = jc_quotabucket_slots (quota->bucket, now);
+  bucket = jc_quotaowner_bucket (quota->owner);
+  before = jc_quotabucket_slots (bucket, now);
+  jc_quotabucket_note_lease (bucket, &lease->slot, (int64_t)lease->requested_ms,
+                             lease_ms, now);
+  after = jc_quotabucket_slots (bucket, now);
   if (after != before)
     jc_event (JC_EVENT_QUOTA,
               "workspace=%s what=slots slots=%u credit=%.0f per_s=%.0f",
-              quota->name, after, jc_quotabucket_credit (quota->bucket, now),
+              quota->name, after, jc_quotabucket_credit (bucket, now),
               quota->per_s);
 }
 
@@ -273,9 +227,9 @@
       struct workspace_quota *quota
           = g_hash_table_lookup (router->quotas->by_name, share->workspace);
 
-      if (quota == NULL)
-        continue;
-      quota->share = share->slots;
-      quota->share_ms = jc_boot_ms ();
+      if (quota != NULL && quota->owner != NULL)
+        jc_quotaowner_note_share (quota->owner, share->slots, jc_boot_ms ());
     }
+  if (reply->shares.shares_len > 0)
+    ask_due (router);
 }
--- a/entry/quotas.c
+++ b/entry/quotas.c
@@ -12,8 +12,7 @@
   /* An instance that was not heard for this long, or that left a request
      unanswered within this time, owns nothing.  */
   SILENT_MS = 1000,
-  /* What nobody used for this long is forgotten.  It is longer than any lease,
-     so that none of a slot that was given back is taken for a new one.  */
+  /* What nobody used for this long is forgotten.  */
   FORGET_MS = 20000,
   MILLI = 1000
 };
@@ -24,7 +23,7 @@
   struct workspace_quota *quota = data;
 
   jc_quotacredit_free (quota->credit);
-  jc_quotabucket_free (quota->bucket);
+  jc_quotaowner_free (quota->owner);
   g_free (quota->name);
   g_free (quota);
 }
@@ -88,9 +87,9 @@
   quota->per_s = limit->per_s;
   quota->burst = limit->burst;
   jc_quotacredit_clear (quota->credit);
-  if (quota->bucket != NULL)
-    jc_quotabucket_set_limit (quota->bucket, quota->per_s, quota->burst,
-                              jc_boot_ms ());
+  if (quota->owner != NULL)
+    jc_quotabucket_set_limit (jc_quotaowner_bucket (quota->owner), quota->per_s,
+                              quota->burst, jc_boot_ms ());
 }
 
 /* Return the quota of the workspace NAME, created on first use, or NULL if it
@@ -250,9 +249,8 @@
 
   (void)key;
   return now - quota->used_ms >= FORGET_MS
-         && (quota->bucket == NULL
-             || (jc_quotabucket_idle_ms (quota->bucket, now) >= FORGET_MS
-                 && jc_quotabucket_slots (quota->bucket, now) == 0));
+         && (quota->owner == NULL
+             || jc_quotaowner_is_unused (quota->owner, now));
 }
 
 /* Keep up with the configuration and the instances of the zone, ask for slots,
@@ -273,6 +271,19 @@
   g_hash_table_foreach_remove (router->quotas->by_name, is_forgotten, &now);
 }
 
+/* Let this instance keep the account of QUOTA for its zone.  */
+void
+quotas_begin_owning (struct workspace_quota *quota)
+{
+  int64_t now = jc_boot_ms ();
+
+  if (quota->owner != NULL)
+    return;
+  quota->owner = jc_quotaowner_new (now);
+  jc_quotabucket_set_limit (jc_quotaowner_bucket (quota->owner), quota->per_s,
+                            quota->burst, now);
+}
+
 /* Decide, as the owner, on UNITS of WORKSPACE for a request and AHEAD more for
    the next ones.  */
 void
@@ -280,17 +291,13 @@
                double ahead, struct jc_quota_decision *out)
 {
   struct workspace_quota *quota = quotas_find (router, workspace);
-  int64_t now = jc_boot_ms ();
 
   *out = (struct jc_quota_decision){ .granted = units };
   if (quota == NULL)
     return;
-  if (quota->bucket == NULL)
-    {
-      quota->bucket = jc_quotabucket_new (now);
-      jc_quotabucket_set_limit (quota->bucket, quota->per_s, quota->burst, now);
-    }
-  jc_quotabucket_take (quota->bucket, units, ahead, now, out);
+  quotas_begin_owning (quota);
+  jc_quotabucket_take (jc_quotaowner_bucket (quota->owner), units, ahead,
+                       jc_boot_ms (), out);
 }
 
 /* Answer PACKET, which asks this instance as the owner of a workspace.  */
--- a/entry/quotas.h
+++ b/entry/quotas.h
@@ -5,8 +5,8 @@
 #define ENTRY_QUOTAS_H
 
 #include "entry/exchange.h"
-#include "serve/quotabucket.h"
 #include "serve/quotacredit.h"
+#include "serve/quotaowner.h"
 
 enum
 {
@@ -15,22 +15,15 @@
 };
 
 /* The quota of a workspace.  CREDIT is what this instance may use at once;
-   BUCKET is NULL unless this instance was asked as the owner, or owns the
-   workspace in its zone.  It was told at SHARE_MS, 0 for never, that it may
-   hold SHARE slots, and asked for ASKED_WANTED and ASKED_SPARE at ASKED_MS.
-   USED_MS is when a request was charged here last.  */
+   OWNER is NULL unless this instance was asked as the owner, or owns the
+   workspace in its zone.  USED_MS is when a request was charged here last.  */
 struct workspace_quota
 {
   char *name;
   double per_s;
   double burst;
   struct jc_quotacredit *credit;
-  struct jc_quotabucket *bucket;
-  unsigned int share;
-  int64_t share_ms;
-  unsigned int asked_wanted;
-  unsigned int asked_spare;
-  int64_t asked_ms;
+  struct jc_quotaowner *owner;
   int64_t used_ms;
 };
 
@@ -56,6 +49,8 @@
 void quotas_decide (struct router *router, const char *workspace, double units,
                     double ahead, struct jc_quota_decision *out);
 
+void quotas_begin_owning (struct workspace_quota *quota);
+
 /* In quotaleases.c.  */
 void quotaleases_tick (struct router *router);
 void quotaleases_handle_reply (struct router *router,
--- a/member/quotaslots.c
+++ b/member/quotaslots.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "member/limitslotsprivate.h"
-#include "member/quotaslots.h"
+#include "member/quotaasks.h"
 
 /* Rows of workspaces are named by this and the workspace.  No endpoint's name
    has a space.  */
@@ -14,189 +14,16 @@
   GROUPS = JC_QUOTA_SLOTS / JC_LIMIT_SLOTS,
   /* A lease this old is renewed when its holder asks.  */
   RENEW_MIN_MS = JC_QUOTA_RENEW_MS - 1000,
-  /* An instance that has not asked for this long counts for no share.  */
-  ASK_FRESH_MS = 2 * JC_QUOTA_RENEW_MS + 1000,
   /* A slot that was proposed to be leased is offered to no other instance for
      this long.  */
   PENDING_MS = 1000,
+  /* A slot that is given back goes to an instance that asked within this
+     time.  */
+  WAITING_MS = 2000,
   /* Rows of the table that are left to endpoints' limits.  */
   ROWS_MAX = 3072
 };
 
-/* What an instance wants of the slots of a workspace, as it said at
-   HEARD_MS.  */
-struct want
-{
-  char *instance;
-  unsigned int wanted;
-  unsigned int spare;
-  int64_t heard_ms;
-  unsigned int fair;
-};
-
-/* WANTS holds struct want, ordered by the names of the instances.  The slot at
-   the revision PENDING_REVISION was proposed to be leased at PENDING_MS.  */
-struct subject_asks
-{
-  GPtrArray *wants;
-  uint64_t pending_revision[JC_QUOTA_SLOTS];
-  int64_t pending_ms[JC_QUOTA_SLOTS];
-};
-
-/* BY_WORKSPACE maps names to struct subject_asks.  */
-struct jc_quota_asks
-{
-  GHashTable *by_workspace;
-};
-
-static void
-want_free (gpointer data)
-{
-  struct want *want = data;
-
-  g_free (want->instance);
-  g_free (want);
-}
-
-static void
-subject_free (gpointer data)
-{
-  struct subject_asks *subject = data;
-
-  g_ptr_array_free (subject->wants, TRUE);
-  g_free (subject);
-}
-
-/* Return an empty set of asks, to be freed with jc_quota_asks_free.  */
-struct jc_quota_asks *
-jc_quota_asks_new (void)
-{
-  struct jc_quota_asks *asks = g_new0 (struct jc_quota_asks, 1);
-
-  asks->by_workspace
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, subject_free);
-  return asks;
-}
-
-/* Free ASKS, which may be NULL.  */
-void
-jc_quota_asks_free (struct jc_quota_asks *asks)
-{
-  if (asks == NULL)
-    return;
-  g_hash_table_destroy (asks->by_workspace);
-  g_free (asks);
-}
-
-static void
-expire_wants (struct subject_asks *subject, int64_t now_ms)
-{
-  for (guint i = subject->wants->len; i > 0; i--)
-    {
-      const struct want *want = g_ptr_array_index (subject->wants, i - 1);
-
-      if (now_ms - want->heard_ms > ASK_FRESH_MS)
-        g_ptr_array_remove_index (subject->wants, i - 1);
-    }
-}
-
-/* Forget what was asked too long ago.  */
-void
-jc_quota_asks_expire (struct jc_quota_asks *asks, int64_t now_ms)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, asks->by_workspace);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct subject_asks *subject = value;
-
-      expire_wants (subject, now_ms);
-      if (subject->wants->len == 0)
-        g_hash_table_iter_remove (&iter);
-    }
-}
-
-static gint
-compare_wants (gconstpointer a, gconstpointer b)
-{
-  const struct want *const *first = a;
-  const struct want *const *second = b;
-
-  return strcmp ((*first)->instance, (*second)->instance);
-}
-
-static struct want *
-find_want (const struct subject_asks *subject, const char *instance)
-{
-  for (guint i = 0; i < subject->wants->len; i++)
-    {
-      struct want *want = g_ptr_array_index (subject->wants, i);
-
-      if (strcmp (want->instance, instance) == 0)
-        return want;
-    }
-  return NULL;
-}
-
-/* Record ASK of INSTANCE, and return what is known of its workspace.  */
-static struct subject_asks *
-note_ask (struct jc_quota_asks *asks, const char *instance,
-          const struct rpc_quota_ask *ask, int64_t now_ms)
-{
-  struct subject_asks *subject
-      = g_hash_table_lookup (asks->by_workspace, ask->workspace);
-  struct want *want;
-
-  if (subject == NULL)
-    {
-      subject = g_new0 (struct subject_asks, 1);
-      subject->wants = g_ptr_array_new_with_free_func (want_free);
-      g_hash_table_insert (asks->by_workspace, g_strdup (ask->workspace),
-                           subject);
-    }
-  want = find_want (subject, instance);
-  if (want == NULL)
-    {
-      want = g_new0 (struct want, 1);
-      want->instance = g_strdup (instance);
-      g_ptr_array_add (subject->wants, want);
-      g_ptr_array_sort (subject->wants, compare_wants);
-    }
-  want->wanted = MIN (ask->wanted, JC_QUOTA_SLOTS);
-  want->spare = MIN (ask->spare, JC_QUOTA_SLOTS - want->wanted);
-  want->heard_ms = now_ms;
-  expire_wants (subject, now_ms);
-  return subject;
-}
-
-/* Give the instances of SUBJECT up to LEFT more slots one by one, the next one
-   always to the one that has the fewest of those that want more: of their
-   demand, or with SPARE of what they would hold besides.  Return how many are
-   left.  */
-static unsigned int
-share_out (const struct subject_asks *subject, bool spare, unsigned int left)
-{
-  for (; left > 0; left--)
-    {
-      struct want *least = NULL;
-
-      for (guint i = 0; i < subject->wants->len; i++)
-        {
-          struct want *want = g_ptr_array_index (subject->wants, i);
-          unsigned int wish = want->wanted + (spare ? want->spare : 0);
-
-          if (want->fair < wish && (least == NULL || want->fair < least->fair))
-            least = want;
-        }
-      if (least == NULL)
-        break;
-      least->fair++;
-    }
-  return left;
-}
-
 static char *
 subject_name (const char *workspace)
 {
@@ -272,7 +99,7 @@
 }
 
 static bool
-is_pending (const struct subject_asks *asks, const struct view *view,
+is_pending (const struct quota_subject *asks, const struct view *view,
             unsigned int slot, int64_t now_ms)
 {
   return asks->pending_ms[slot] != 0
@@ -283,47 +110,36 @@
 /* Return the number of slots that can be shared out: those that are free or
    that an instance which asked lately holds.  */
 static unsigned int
-count_available (const struct subject_asks *asks, const struct view *view,
+count_available (const struct quota_subject *asks, const struct view *view,
                  int64_t now_ms)
 {
   unsigned int count = 0;
 
   for (unsigned int i = 0; i < JC_QUOTA_SLOTS; i++)
     if (is_free (view->slots[i], now_ms)
-        || find_want (asks, view->slots[i]->instance) != NULL)
+        || quota_find_want (asks, view->slots[i]->instance) != NULL)
       count++;
   return count;
 }
 
-/* Set the share of each instance of ASKS.  */
-static void
-set_shares (const struct subject_asks *asks, const struct view *view,
-            int64_t now_ms)
-{
-  unsigned int left = count_available (asks, view, now_ms);
-
-  for (guint i = 0; i < asks->wants->len; i++)
-    ((struct want *)g_ptr_array_index (asks->wants, i))->fair = 0;
-  left = share_out (asks, false, left);
-  share_out (asks, true, left);
-}
-
-/* The planning of one ask.  */
+/* The planning of one ask, of WANT.  GIVEN maps instances to how many slots the
+   plan gives them.  */
 struct plan
 {
-  struct subject_asks *asks;
+  struct quota_subject *asks;
   struct view view;
-  const struct jc_limit_holder *holder;
+  const struct quota_want *want;
   char *subject;
-  uint64_t requested_ms;
   int64_t now_ms;
+  GStringChunk *strings;
+  GHashTable *given;
   GArray *changes;
 };
 
-/* Add the change that gives SLOT to the holder of PLAN, or with RELEASE to
-   nobody.  */
+/* Add the change that gives SLOT to the process of WANT, or to nobody if that
+   is NULL.  */
 static void
-add_lease (struct plan *plan, unsigned int slot, bool release)
+add_lease (struct plan *plan, unsigned int slot, const struct quota_want *want)
 {
   const struct rpc_limit_change change
       = { .op = RPC_LIMIT_LEASE,
@@ -331,9 +147,11 @@
           .endpoint_incarnation = slot / JC_LIMIT_SLOTS,
           .slot = slot % JC_LIMIT_SLOTS,
           .revision = revision_of (plan->view.slots[slot]),
-          .instance = release ? (char *)"" : (char *)plan->holder->instance,
-          .instance_incarnation = release ? 0 : plan->holder->incarnation,
-          .requested_ms = release ? 0 : plan->requested_ms };
+          .instance = want != NULL ? g_string_chunk_insert_const (
+                          plan->strings, want->instance)
+                                   : (char *)"",
+          .instance_incarnation = want != NULL ? want->incarnation : 0,
+          .requested_ms = want != NULL ? want->requested_ms : 0 };
 
   plan->asks->pending_revision[slot] = change.revision;
   plan->asks->pending_ms[slot] = plan->now_ms;
@@ -354,12 +172,68 @@
   return false;
 }
 
+/* Return how many slots INSTANCE has and is being given.  */
+static unsigned int
+count_held (const struct plan *plan, const char *instance)
+{
+  unsigned int count
+      = GPOINTER_TO_UINT (g_hash_table_lookup (plan->given, instance));
+
+  for (unsigned int i = 0; i < JC_QUOTA_SLOTS; i++)
+    count += is_held_by_name (plan->view.slots[i], instance)
+             && !is_free (plan->view.slots[i], plan->now_ms);
+  return count;
+}
+
+static void
+give (struct plan *plan, unsigned int slot, const struct quota_want *want)
+{
+  guint given
+      = GPOINTER_TO_UINT (g_hash_table_lookup (plan->given, want->instance));
+
+  g_hash_table_insert (plan->given, want->instance,
+                       GUINT_TO_POINTER (given + 1));
+  add_lease (plan, slot, want);
+}
+
+/* Return who lacks most of its share of those that asked lately, or NULL.  */
+static const struct quota_want *
+neediest (const struct plan *plan)
+{
+  const struct quota_want *best = NULL;
+  unsigned int most = 0;
+
+  for (guint i = 0; i < plan->asks->wants->len; i++)
+    {
+      const struct quota_want *want = g_ptr_array_index (plan->asks->wants, i);
+      unsigned int held = count_held (plan, want->instance);
+
+      if (want == plan->want || held + most >= want->fair
+          || plan->now_ms - want->heard_ms > WAITING_MS)
+        continue;
+      best = want;
+      most = want->fair - held;
+    }
+  return best;
+}
+
+/* Plan what becomes of SLOT, which its holder no longer uses.  */
+static void
+plan_released (struct plan *plan, unsigned int slot)
+{
+  const struct quota_want *next = neediest (plan);
+
+  if (next != NULL)
+    give (plan, slot, next);
+  else
+    add_lease (plan, slot, NULL);
+}
+
 /* Plan the slots that the holder has already: those of an earlier process of
    the instance are its own, since that process has ended.  Return how many
    there are.  */
 static unsigned int
-plan_held (struct plan *plan, const struct rpc_quota_ask *ask,
-           unsigned int share)
+plan_held (struct plan *plan, const struct rpc_quota_ask *ask)
 {
   unsigned int held = 0;
 
@@ -369,72 +243,97 @@
       bool pending = is_pending (plan->asks, &plan->view, i, plan->now_ms);
       bool own;
 
-      if (!is_held_by_name (slot, plan->holder->instance))
+      if (!is_held_by_name (slot, plan->want->instance))
         continue;
-      own = slot->instance_incarnation == plan->holder->incarnation;
-      if ((own && is_released (plan, ask, i)) || (!own && held >= share))
+      own = slot->instance_incarnation == plan->want->incarnation;
+      if ((own && is_released (plan, ask, i))
+          || (!own && held >= plan->want->fair))
         {
           if (!pending)
-            add_lease (plan, i, true);
+            plan_released (plan, i);
           continue;
         }
       held++;
       if (!pending && (!own || plan->now_ms - slot->applied_ms >= RENEW_MIN_MS))
-        add_lease (plan, i, false);
+        add_lease (plan, i, plan->want);
     }
   return held;
 }
 
-/* Plan leases of free slots until the holder, which has HELD, has SHARE.  ROWS
-   is the number of rows of the table.  */
+/* Plan leases of free slots until the holder, which has HELD, has its share.
+   ROWS is the number of rows of the table.  */
 static void
-plan_free (struct plan *plan, unsigned int held, unsigned int share,
-           unsigned int rows)
+plan_free (struct plan *plan, unsigned int held, unsigned int rows)
 {
-  unsigned int first = g_str_hash (plan->holder->instance) % JC_QUOTA_SLOTS;
+  unsigned int first = g_str_hash (plan->want->instance) % JC_QUOTA_SLOTS;
 
-  for (unsigned int i = 0; i < JC_QUOTA_SLOTS && held < share; i++)
+  for (unsigned int i = 0; i < JC_QUOTA_SLOTS && held < plan->want->fair; i++)
     {
       unsigned int slot = (first + i) % JC_QUOTA_SLOTS;
 
       if (!is_free (plan->view.slots[slot], plan->now_ms)
-          || is_held_by_name (plan->view.slots[slot], plan->holder->instance)
+          || is_held_by_name (plan->view.slots[slot], plan->want->instance)
           || is_pending (plan->asks, &plan->view, slot, plan->now_ms)
           || (!plan->view.has_row[slot / JC_LIMIT_SLOTS] && rows >= ROWS_MAX))
         continue;
-      add_lease (plan, slot, false);
+      add_lease (plan, slot, plan->want);
       held++;
     }
 }
 
+/* Append to OVER, an array of struct jc_quota_share, the instances that have
+   more than their share and weren't told.  */
+static void
+list_over (const struct plan *plan, GArray *over)
+{
+  for (guint i = 0; i < plan->asks->wants->len; i++)
+    {
+      struct quota_want *want = g_ptr_array_index (plan->asks->wants, i);
+      const struct jc_quota_share share
+          = { .instance = want->instance, .slots = want->fair };
+
+      if (want == plan->want || want->fair >= want->told
+          || count_held (plan, want->instance) <= want->fair)
+        continue;
+      want->told = want->fair;
+      g_array_append_val (over, share);
+    }
+}
+
 /* Add to CHANGES, an array of struct rpc_limit_change, what should be proposed
-   for ASK of HOLDER, sent at REQUESTED_MS of its clock.  Return how many slots
-   HOLDER may hold.  The strings of the changes belong to STRINGS and
-   HOLDER.  */
+   for ASK of HOLDER, sent at REQUESTED_MS of its clock, and to OVER, an array
+   of struct jc_quota_share, those that should hear at once that they may hold
+   fewer slots than they do.  Return how many slots HOLDER may hold.  The
+   strings of the changes belong to STRINGS, those of OVER to ASKS.  */
 unsigned int
 jc_quota_slots_plan (const struct jc_limit_slots *slots,
                      struct jc_quota_asks *asks,
                      const struct jc_limit_holder *holder,
                      const struct rpc_quota_ask *ask, uint64_t requested_ms,
-                     int64_t now_ms, GStringChunk *strings, GArray *changes)
+                     int64_t now_ms, GStringChunk *strings, GArray *changes,
+                     GArray *over)
 {
   char *subject = subject_name (ask->workspace);
+  struct quota_subject *known
+      = quota_note_ask (asks, holder, ask, requested_ms, now_ms);
+  struct quota_want *want = quota_find_want (known, holder->instance);
   struct plan plan
-      = { .asks = note_ask (asks, holder->instance, ask, now_ms),
-          .holder = holder,
+      = { .asks = known,
+          .want = want,
           .subject = g_string_chunk_insert_const (strings, subject),
-          .requested_ms = requested_ms,
           .now_ms = now_ms,
+          .strings = strings,
+          .given = g_hash_table_new (g_str_hash, g_str_equal),
           .changes = changes };
-  unsigned int share;
 
   g_free (subject);
   view_init (&plan.view, slots, plan.subject);
-  set_shares (plan.asks, &plan.view, now_ms);
-  share = find_want (plan.asks, holder->instance)->fair;
-  plan_free (&plan, plan_held (&plan, ask, share), share,
-             jc_limit_slots_count (slots));
-  return share;
+  quota_share_out (known, count_available (known, &plan.view, now_ms));
+  want->told = want->fair;
+  plan_free (&plan, plan_held (&plan, ask), jc_limit_slots_count (slots));
+  list_over (&plan, over);
+  g_hash_table_destroy (plan.given);
+  return want->fair;
 }
 
 /* Add to CHANGES the removal of workspaces' rows of which no slot can be in
--- a/member/quotaslots.h
+++ b/member/quotaslots.h
@@ -37,6 +37,13 @@
   int64_t age_ms;
 };
 
+/* How many slots of a workspace an instance may hold.  */
+struct jc_quota_share
+{
+  const char *instance;
+  unsigned int slots;
+};
+
 struct jc_quota_asks *jc_quota_asks_new (void);
 void jc_quota_asks_free (struct jc_quota_asks *asks);
 void jc_quota_asks_expire (struct jc_quota_asks *asks, int64_t now_ms);
@@ -45,7 +52,8 @@
                                   const struct jc_limit_holder *holder,
                                   const struct rpc_quota_ask *ask,
                                   uint64_t requested_ms, int64_t now_ms,
-                                  GStringChunk *strings, GArray *changes);
+                                  GStringChunk *strings, GArray *changes,
+                                  GArray *over);
 void jc_quota_slots_plan_cleanup (const struct jc_limit_slots *slots,
                                   int64_t now_ms, GArray *changes);
 bool jc_quota_slots_read (const struct jc_limit_slots *slots,
--- a/serve/quotabucket.c
+++ b/serve/quotabucket.c
@@ -11,6 +11,12 @@
   INTERVAL_MS = 250,
   INTERVALS = 12,
   RECENT_INTERVALS = 4,
+  /* Demand has dropped if it is less than a third of what it was for this many
+     intervals, in which as many requests as below would have come, or if there
+     was none for the last second and as many before.  */
+  DROP_INTERVALS = 2,
+  DROP_DIVISOR = 3,
+  DROP_REQUESTS = 12,
   MS_PER_S = 1000,
   /* A slot that was given back is named in requests for this long, since one of
      them may be lost.  */
@@ -19,10 +25,16 @@
   RETRY_MAX_MS = 30000
 };
 
-/* More is wanted than the demand by this factor, so that a growing one finds
-   slots.  */
+/* A growing demand finds slots for this many times what it was.  */
 static const double headroom = 1.2;
 
+/* Demand has grown if that of the last second is this many times that of the
+   last few.  */
+static const double growth = 1.25;
+
+/* Slots by which demand may differ from what is wanted for it.  */
+static const double wanted_tolerance = 0.8;
+
 /* A slot with the revision of its last lease.  It is used from SINCE_MS until
    UNTIL_MS, if HELD.  Otherwise it was given back at RELEASED_MS, 0 for
    never.  */
@@ -43,6 +55,7 @@
   double asked;
   double granted;
   double largest;
+  unsigned int requests;
 };
 
 /* CREDIT is that of UPDATED_MS.  The units that refused callers were told to
@@ -57,6 +70,7 @@
   int64_t promised_ms;
   int64_t asked_ms;
   unsigned int keep;
+  unsigned int wanted;
   struct slot slots[JC_QUOTABUCKET_SLOTS];
   struct interval intervals[INTERVALS];
 };
@@ -216,6 +230,7 @@
   update (bucket, now_ms);
   bucket->asked_ms = now_ms;
   interval->asked += units;
+  interval->requests++;
   interval->largest = MAX (interval->largest, units);
   *out = (struct jc_quota_decision){ .slots = count_held (bucket),
                                      .age_ms = share_age_ms (bucket, now_ms) };
@@ -318,10 +333,12 @@
 /* The demand of the last intervals before a time.  */
 struct demand
 {
+  double latest;
   double recent;
   double all;
   double granted;
   double largest;
+  unsigned int requests;
 };
 
 static void
@@ -339,30 +356,62 @@
         continue;
       if (interval->number > current - RECENT_INTERVALS)
         out->recent += interval->asked;
+      if (interval->number >= current - DROP_INTERVALS)
+        out->latest += interval->asked;
       out->all += interval->asked;
+      out->requests += interval->requests;
       out->granted += interval->granted;
       out->largest = MAX (out->largest, interval->largest);
     }
 }
 
-/* Return how many slots the demand on BUCKET takes: those for the rate of the
-   last second or the last few, whichever is higher, and at least as many as
-   hold the largest request.  */
-unsigned int
-jc_quotabucket_wanted (struct jc_quotabucket *bucket, int64_t now_ms)
+/* Return the rate of DEMAND, in units an interval: that of the last few
+   seconds, or a later one if it has grown or dropped.  */
+static double
+rate_of (const struct demand *demand)
+{
+  double all = demand->all / INTERVALS;
+  /* The current interval is not over.  */
+  double latest = demand->latest / (DROP_INTERVALS + 0.5);
+
+  if ((latest < all / DROP_DIVISOR
+       && demand->requests * DROP_INTERVALS >= DROP_REQUESTS * INTERVALS)
+      || (demand->recent <= 0 && demand->requests >= DROP_REQUESTS))
+    return latest;
+  return demand->recent / RECENT_INTERVALS > all * growth
+             ? demand->recent / RECENT_INTERVALS
+             : all;
+}
+
+/* Set WANTED to how many slots the demand on BUCKET takes, rounded, and AMPLE
+   to how many it takes if that grows, or becomes again what it was in the last
+   few seconds.  AMPLE slots also hold the largest request.
+ */
+void
+jc_quotabucket_demand (struct jc_quotabucket *bucket, int64_t now_ms,
+                       unsigned int *wanted, unsigned int *ample)
 {
   double per_interval = slot_per_ms (bucket) * INTERVAL_MS;
   struct demand demand;
-  double wanted;
+  double rate;
+  double most;
 
+  *wanted = *ample = 0;
   sum_demand (bucket, now_ms, &demand);
   if (demand.all <= 0 || per_interval <= 0)
-    return 0;
-  wanted = MAX (demand.recent / RECENT_INTERVALS, demand.all / INTERVALS)
-           * headroom / per_interval;
+    {
+      bucket->wanted = 0;
+      return;
+    }
+  rate = rate_of (&demand) / per_interval;
+  most = MAX (rate, demand.all / INTERVALS / per_interval) * headroom;
   if (slot_burst (bucket) > 0)
-    wanted = MAX (wanted, demand.largest / slot_burst (bucket));
-  return (unsigned int)MIN (ceil (wanted), JC_QUOTABUCKET_SLOTS);
+    most = MAX (most, demand.largest / slot_burst (bucket));
+  rate = MIN (rate, JC_QUOTABUCKET_SLOTS);
+  if (fabs (rate - bucket->wanted) > wanted_tolerance || bucket->wanted == 0)
+    bucket->wanted = (unsigned int)MAX (round (rate), rate > 0);
+  *wanted = bucket->wanted;
+  *ample = (unsigned int)CLAMP (ceil (most), *wanted, JC_QUOTABUCKET_SLOTS);
 }
 
 /* Return what BUCKET holds, in units; negative for a debt.  */
--- a/serve/quotabucket.h
+++ b/serve/quotabucket.h
@@ -57,8 +57,8 @@
                                    int64_t now_ms, GArray *out);
 unsigned int jc_quotabucket_slots (struct jc_quotabucket *bucket,
                                    int64_t now_ms);
-unsigned int jc_quotabucket_wanted (struct jc_quotabucket *bucket,
-                                    int64_t now_ms);
+void jc_quotabucket_demand (struct jc_quotabucket *bucket, int64_t now_ms,
+                            unsigned int *wanted, unsigned int *ample);
 double jc_quotabucket_credit (struct jc_quotabucket *bucket, int64_t now_ms);
 double jc_quotabucket_used_per_s (struct jc_quotabucket *bucket,
                                   int64_t now_ms);
--- a/state/quotas.c
+++ b/state/quotas.c
@@ -77,6 +77,29 @@
               ask->workspace, holder->instance, share, ask->wanted);
 }
 
+/* Tell the instances in OVER, an array of struct jc_quota_share, how many slots
+   of WORKSPACE they may hold.  */
+static void
+send_shares (struct state *state, const char *workspace, const GArray *over)
+{
+  for (guint i = 0; i < over->len; i++)
+    {
+      const struct jc_quota_share *row
+          = &g_array_index (over, struct jc_quota_share, i);
+      struct rpc_quota_share share
+          = { .workspace = (char *)workspace, .slots = row->slots };
+      struct rpc_packet packet = { .body.type = RPC_QUOTA_REPLY };
+      struct rpc_quota_reply *reply = &packet.body.rpc_body_u.quota_reply;
+      struct jc_rpc_conn *conn = jc_rpc_find_conn (state->rpc, row->instance);
+
+      reply->lease_ms = lease_ms (state);
+      reply->shares.shares_val = &share;
+      reply->shares.shares_len = 1;
+      if (conn != NULL && jc_rpc_conn_level (conn) >= QUOTAS_LEVEL)
+        jc_rpc_send (conn, &packet);
+    }
+}
+
 /* Handle a request for slots of the entry instance CONN.  Other messages are
    ignored.  */
 void
@@ -94,6 +117,7 @@
   GStringChunk *strings;
   GArray *changes;
   GArray *shares;
+  GArray *over;
 
   if (packet->body.type != RPC_QUOTA_REQUEST
       || strcmp (jc_rpc_conn_role (conn), "entry") != 0)
@@ -103,6 +127,7 @@
   strings = g_string_chunk_new (STRINGS_BLOCK_BYTES);
   changes = g_array_new (FALSE, FALSE, sizeof (struct rpc_limit_change));
   shares = g_array_new (FALSE, FALSE, sizeof (struct rpc_quota_share));
+  over = g_array_new (FALSE, FALSE, sizeof (struct jc_quota_share));
   for (u_int i = 0; i < request->list.list_len; i++)
     {
       const struct rpc_quota_ask *ask = &request->list.list_val[i];
@@ -110,16 +135,19 @@
           = { .workspace = ask->workspace,
               .slots = jc_quota_slots_plan (
                   state->limit_slots, state->quotas->asks, &holder, ask,
-                  request->requested_ms, now, strings, changes) };
+                  request->requested_ms, now, strings, changes, over) };
 
       log_share (&holder, ask, share.slots);
       g_array_append_val (shares, share);
+      send_shares (state, ask->workspace, over);
+      g_array_set_size (over, 0);
     }
   limits_gather (state, changes);
   reply->lease_ms = lease_ms (state);
   reply->shares.shares_val = (struct rpc_quota_share *)shares->data;
   reply->shares.shares_len = shares->len;
   jc_rpc_send (conn, &answer);
+  g_array_free (over, TRUE);
   g_array_free (shares, TRUE);
   g_array_free (changes, TRUE);
   g_string_chunk_free (strings);
