Pass over owners of workspaces later, and wait for an owner's first slots

Change: an owner is passed over after three requests in a row that it left unanswered for 250 ms; requests wait up to 700 ms for an owner's first slots.

--- a/entry/gauges.c
+++ b/entry/gauges.c
@@ -110,4 +110,5 @@
   jc_metrics_gauge_set (metrics, "jaycove_buffered_bytes", "",
                         (double)jc_buffers_total ());
   set_retries (router, now);
+  quotas_set_gauges (router);
 }
--- a/entry/operators.c
+++ b/entry/operators.c
@@ -228,6 +228,7 @@
         { "GET", "/status", handle_status },
         { "GET", METRICS_PATH, handle_metrics },
         { "GET", "/suspects", crashes_handle_list },
+        { "GET", "/quotas", quotas_handle_show },
         { "POST", "/suspects/clear", crashes_handle_clear } };
 
 static void
--- a/entry/quotacharges.c
+++ b/entry/quotacharges.c
@@ -12,19 +12,23 @@
 enum
 {
   /* An owner that has not answered after this is passed over.  */
-  ANSWER_TIMEOUT_MS = 100,
+  ANSWER_TIMEOUT_MS = 250,
   ASKS_MAX = 2,
-  /* When a caller may come back if no owner can be asked.  */
-  RETRY_UNKNOWN_MS = 1000,
+  /* An owner that has no slots yet is asked again after this, a few times.  */
+  HOLD_MS = 350,
+  HOLDS_MAX = 2,
   MILLI = 1000
 };
 
-/* A request for UNITS, sent to OWNER at ASKED_MS, that EXCHANGE waits for.  */
+/* A request for UNITS, sent to OWNER at ASKED_MS, that EXCHANGE waits for.  It
+   is made again when HOLD_TIMER ends.  */
 struct quota_wait
 {
   struct exchange *exchange;
   char *owner;
   unsigned int asks;
+  unsigned int holds;
+  ev_timer hold_timer;
   uint64_t xid;
   double units;
   double ahead;
@@ -53,6 +57,7 @@
     return;
   if (wait->xid != 0)
     jc_rpc_cancel_call (exchange->router->entry->rpc, wait->xid);
+  ev_timer_stop (exchange->router->entry->loop, &wait->hold_timer);
   g_free (wait->owner);
   g_free (wait);
   exchange->quota_wait = NULL;
@@ -85,6 +90,45 @@
                           "jaycove_quota_refused_total", "", 1);
 }
 
+static enum jc_status ask (struct exchange *exchange);
+
+/* Go on with EXCHANGE, whose wait ended with RESULT.  */
+static void
+go_on (struct exchange *exchange, enum jc_status result)
+{
+  if (result == JC_CROWDED)
+    return;
+  exchange->quota_refused = result != JC_OK;
+  wait_free (exchange);
+  exchange_attempt (exchange);
+}
+
+static void
+on_hold_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct exchange *exchange = watcher->data;
+
+  (void)loop;
+  (void)events;
+  exchange->quota_wait->asks = 0;
+  go_on (exchange, ask (exchange));
+}
+
+/* Let EXCHANGE wait for the owner to get slots.  Return false if it has waited
+   long enough.  */
+static bool
+hold (struct exchange *exchange)
+{
+  struct quota_wait *wait = exchange->quota_wait;
+
+  if (wait->holds++ >= HOLDS_MAX)
+    return false;
+  ev_timer_init (&wait->hold_timer, on_hold_timer, HOLD_MS / 1000.0, 0);
+  wait->hold_timer.data = exchange;
+  ev_timer_start (exchange->router->entry->loop, &wait->hold_timer);
+  return true;
+}
+
 /* Apply DECISION of OWNER on a request of EXCHANGE for UNITS that was sent at
    ASKED_MS.  */
 static enum jc_status
@@ -94,6 +138,8 @@
   struct workspace_quota *quota
       = quotas_find (exchange->router, exchange->workspace->name);
 
+  if (decision->granted < units && decision->slots == 0 && hold (exchange))
+    return JC_CROWDED;
   if (decision->granted < units)
     {
       exchange->quota_retry_ms = decision->retry_ms;
@@ -107,8 +153,6 @@
   return JC_OK;
 }
 
-static enum jc_status ask (struct exchange *exchange);
-
 /* Gets the owner's answer, or that there is none, and goes on with the
    request.  */
 static void
@@ -128,6 +172,7 @@
               .slots = grant->slots,
               .age_ms = grant->age_ms };
 
+      quotas_note_answered (exchange->router, wait->owner);
       result = apply_decision (exchange, wait->units, wait->owner, &decision,
                                wait->asked_ms);
     }
@@ -135,14 +180,10 @@
     {
       jc_event (JC_EVENT_QUOTA, "id=%s workspace=%s what=unanswered owner=%s",
                 exchange_id (exchange), exchange->workspace->name, wait->owner);
-      quotas_note_silent (exchange->router, wait->owner);
+      quotas_note_unanswered (exchange->router, wait->owner);
       result = ask (exchange);
     }
-  if (result == JC_CROWDED)
-    return;
-  exchange->quota_refused = result != JC_OK;
-  wait_free (exchange);
-  exchange_attempt (exchange);
+  go_on (exchange, result);
 }
 
 /* Send the request of EXCHANGE's wait to OWNER.  Return false if that is not
@@ -185,7 +226,7 @@
         break;
       if (send_take (exchange, owner))
         return JC_CROWDED;
-      quotas_note_silent (router, owner);
+      quotas_note_unanswered (router, owner);
     }
   quotas_decide (router, exchange->workspace->name, wait->units, wait->ahead,
                  &decision);
--- a/entry/quotas.c
+++ b/entry/quotas.c
@@ -9,9 +9,10 @@
 
 enum
 {
-  /* An instance that was not heard for this long, or that left a request
-     unanswered within this time, owns nothing.  */
+  /* An instance that was not heard for this long, or that left as many requests
+     in a row unanswered within this time, owns nothing.  */
   SILENT_MS = 1000,
+  UNANSWERED_MAX = 3,
   /* What nobody used for this long is forgotten.  */
   FORGET_MS = 20000,
   MILLI = 1000
@@ -37,7 +38,7 @@
   quotas->by_name
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, quota_free);
   quotas->owners = g_ptr_array_new_with_free_func (g_free);
-  quotas->failed_ms
+  quotas->failures
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   router->quotas = quotas;
 }
@@ -52,7 +53,7 @@
     return;
   g_hash_table_destroy (quotas->by_name);
   g_ptr_array_free (quotas->owners, TRUE);
-  g_hash_table_destroy (quotas->failed_ms);
+  g_hash_table_destroy (quotas->failures);
   jc_routetable_unref (quotas->routes);
   g_free (quotas);
   router->quotas = NULL;
@@ -117,21 +118,35 @@
 
 /* Note that OWNER left a request unanswered.  */
 void
-quotas_note_silent (struct router *router, const char *owner)
+quotas_note_unanswered (struct router *router, const char *owner)
 {
-  int64_t now = jc_boot_ms ();
+  GHashTable *failures = router->quotas->failures;
+  struct owner_failure *failure = g_hash_table_lookup (failures, owner);
 
-  g_hash_table_replace (router->quotas->failed_ms, g_strdup (owner),
-                        g_memdup2 (&now, sizeof now));
+  if (failure == NULL)
+    {
+      failure = g_new0 (struct owner_failure, 1);
+      g_hash_table_insert (failures, g_strdup (owner), failure);
+    }
+  failure->unanswered++;
+  failure->last_ms = jc_boot_ms ();
+}
+
+/* Note that OWNER answered.  */
+void
+quotas_note_answered (struct router *router, const char *owner)
+{
+  g_hash_table_remove (router->quotas->failures, owner);
 }
 
 static bool
 has_failed (const struct router *router, const char *name)
 {
-  const int64_t *failed_ms
-      = g_hash_table_lookup (router->quotas->failed_ms, name);
+  const struct owner_failure *failure
+      = g_hash_table_lookup (router->quotas->failures, name);
 
-  return failed_ms != NULL && jc_boot_ms () - *failed_ms < SILENT_MS;
+  return failure != NULL && failure->unanswered >= UNANSWERED_MAX
+         && jc_boot_ms () - failure->last_ms < SILENT_MS;
 }
 
 /* Return the instance of this zone that owns WORKSPACE, NULL if none does.
--- a/entry/quotas.h
+++ b/entry/quotas.h
@@ -27,15 +27,22 @@
   int64_t used_ms;
 };
 
+/* UNANSWERED requests in a row, the last of which was given up at LAST_MS.  */
+struct owner_failure
+{
+  unsigned int unanswered;
+  int64_t last_ms;
+};
+
 /* BY_NAME maps workspaces to struct workspace_quota.  OWNERS are the names of
-   the instances of this zone that may own workspaces; FAILED_MS maps those that
-   didn't answer to when that was.  LIMITED is how many workspaces have a quota
-   in the route table ROUTES, to which it holds a reference.  */
+   the instances of this zone that may own workspaces; FAILURES maps those that
+   didn't answer to struct owner_failure.  LIMITED is how many workspaces have a
+   quota in the route table ROUTES, to which it holds a reference.  */
 struct entry_quotas
 {
   GHashTable *by_name;
   GPtrArray *owners;
-  GHashTable *failed_ms;
+  GHashTable *failures;
   struct jc_routetable *routes;
   unsigned int limited;
   unsigned int zones;
@@ -45,7 +52,8 @@
 struct workspace_quota *quotas_find (struct router *router, const char *name);
 const char *quotas_pick_owner (const struct router *router,
                                const char *workspace, const char *except);
-void quotas_note_silent (struct router *router, const char *owner);
+void quotas_note_unanswered (struct router *router, const char *owner);
+void quotas_note_answered (struct router *router, const char *owner);
 void quotas_decide (struct router *router, const char *workspace, double units,
                     double ahead, struct jc_quota_decision *out);
 
--- a/entry/router.h
+++ b/entry/router.h
@@ -286,6 +286,8 @@
 void quotas_tick (struct router *router);
 void quotas_handle_packet (struct router *router, struct jc_rpc_conn *conn,
                            const struct rpc_packet *packet);
+void quotas_set_gauges (struct router *router);
+void quotas_handle_show (struct entry *entry, struct jc_http_req *req);
 
 /* crashes: endpoints that crash, and the requests that they crash under.  */
 void crashes_start (struct router *router);
--- a/serve/quotabucket.c
+++ b/serve/quotabucket.c
@@ -22,7 +22,9 @@
      them may be lost.  */
   RELEASE_REPEAT_MS = 3000,
   RETRY_MIN_MS = 100,
-  RETRY_MAX_MS = 30000
+  RETRY_MAX_MS = 5000,
+  /* While the owner has no slots.  */
+  RETRY_UNKNOWN_MS = 1000
 };
 
 /* A growing demand finds slots for this many times what it was.  */
@@ -195,12 +197,15 @@
 promise (struct jc_quotabucket *bucket, double units, int64_t now_ms)
 {
   unsigned int held = count_held (bucket);
-  double per_ms = MAX (held, 1) * slot_per_ms (bucket);
+  double per_ms = held * slot_per_ms (bucket);
   double room = held * slot_burst (bucket);
   double debt = debt_max (bucket, MIN (held, bucket->keep));
   double missing = MIN (units - debt, room) - bucket->credit;
-  int64_t due = now_ms + (int64_t)ceil (MAX (missing, 0) / per_ms);
+  int64_t due;
 
+  if (held == 0)
+    return RETRY_UNKNOWN_MS;
+  due = now_ms + (int64_t)ceil (MAX (missing, 0) / per_ms);
   due = MAX (due, bucket->promised_ms + (int64_t)ceil (units / per_ms));
   due = CLAMP (due, now_ms + RETRY_MIN_MS, now_ms + RETRY_MAX_MS);
   bucket->promised_ms = due;
