--- a/entry/quotas.c
+++ b/entry/quotas.c
@@ -9,11 +9,11 @@
 
 enum
 {
-  /* An instance that was not heard for this long, or that left a request
-     unanswered within this time, owns nothing.  */
+  /* An instance that was not heard for this long, or that left as many requests
+     in a row unanswered within this time, owns nothing.  */
   SILENT_MS = 1000,
-  /* What nobody used for this long is forgotten.  It is longer than any lease,
-     so that none of a slot that was given back is taken for a new one.  */
+  UNANSWERED_MAX = 3,
+  /* What nobody used for this long is forgotten.  */
   FORGET_MS = 20000,
   MILLI = 1000
 };
@@ -24,7 +24,7 @@
   struct workspace_quota *quota = data;
 
   jc_quotacredit_free (quota->credit);
-  jc_quotabucket_free (quota->bucket);
+  jc_quotaowner_free (quota->owner);
   g_free (quota->name);
   g_free (quota);
 }
@@ -38,7 +38,7 @@
   quotas->by_name
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, quota_free);
   quotas->owners = g_ptr_array_new_with_free_func (g_free);
-  quotas->failed_ms
+  quotas->failures
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   router->quotas = quotas;
 }
@@ -53,7 +53,7 @@
     return;
   g_hash_table_destroy (quotas->by_name);
   g_ptr_array_free (quotas->owners, TRUE);
-  g_hash_table_destroy (quotas->failed_ms);
+  g_hash_table_destroy (quotas->failures);
   jc_routetable_unref (quotas->routes);
   g_free (quotas);
   router->quotas = NULL;
@@ -88,9 +88,9 @@
   quota->per_s = limit->per_s;
   quota->burst = limit->burst;
   jc_quotacredit_clear (quota->credit);
-  if (quota->bucket != NULL)
-    jc_quotabucket_set_limit (quota->bucket, quota->per_s, quota->burst,
-                              jc_boot_ms ());
+  if (quota->owner != NULL)
+    jc_quotabucket_set_limit (jc_quotaowner_bucket (quota->owner), quota->per_s,
+                              quota->burst, jc_boot_ms ());
 }
 
 /* Return the quota of the workspace NAME, created on first use, or NULL if it
@@ -118,21 +118,35 @@
 
 /* Note that OWNER left a request unanswered.  */
 void
-quotas_note_silent (struct router *router, const char *owner)
+quotas_note_unanswered (struct router *router, const char *owner)
 {
-  int64_t now = jc_boot_ms ();
+  GHashTable *failures = router->quotas->failures;
+  struct owner_failure *failure = g_hash_table_lookup (failures, owner);
 
-  g_hash_table_replace (router->quotas->failed_ms, g_strdup (owner),
-                        g_memdup2 (&now, sizeof now));
+  if (failure == NULL)
+    {
+      failure = g_new0 (struct owner_failure, 1);
+      g_hash_table_insert (failures, g_strdup (owner), failure);
+    }
+  failure->unanswered++;
+  failure->last_ms = jc_boot_ms ();
+}
+
+/* Note that OWNER answered.  */
+void
+quotas_note_answered (struct router *router, const char *owner)
+{
+  g_hash_table_remove (router->quotas->failures, owner);
 }
 
 static bool
 has_failed (const struct router *router, const char *name)
 {
-  const int64_t *failed_ms
-      = g_hash_table_lookup (router->quotas->failed_ms, name);
+  const struct owner_failure *failure
+      = g_hash_table_lookup (router->quotas->failures, name);
 
-  return failed_ms != NULL && jc_boot_ms () - *failed_ms < SILENT_MS;
+  return failure != NULL && failure->unanswered >= UNANSWERED_MAX
+         && jc_boot_ms () - failure->last_ms < SILENT_MS;
 }
 
 /* Return the instance of this zone that owns WORKSPACE, NULL if none does.
@@ -250,9 +264,8 @@
 
   (void)key;
   return now - quota->used_ms >= FORGET_MS
-         && (quota->bucket == NULL
-             || (jc_quotabucket_idle_ms (quota->bucket, now) >= FORGET_MS
-                 && jc_quotabucket_slots (quota->bucket, now) == 0));
+         && (quota->owner == NULL
+             || jc_quotaowner_is_unused (quota->owner, now));
 }
 
 /* Keep up with the configuration and the instances of the zone, ask for slots,
@@ -273,6 +286,19 @@
   g_hash_table_foreach_remove (router->quotas->by_name, is_forgotten, &now);
 }
 
+/* Let this instance keep the account of QUOTA for its zone.  */
+void
+quotas_begin_owning (struct workspace_quota *quota)
+{
+  int64_t now = jc_boot_ms ();
+
+  if (quota->owner != NULL)
+    return;
+  quota->owner = jc_quotaowner_new (now);
+  jc_quotabucket_set_limit (jc_quotaowner_bucket (quota->owner), quota->per_s,
+                            quota->burst, now);
+}
+
 /* Decide, as the owner, on UNITS of WORKSPACE for a request and AHEAD more for
    the next ones.  */
 void
@@ -280,17 +306,13 @@
                double ahead, struct jc_quota_decision *out)
 {
   struct workspace_quota *quota = quotas_find (router, workspace);
-  int64_t now = jc_boot_ms ();
 
   *out = (struct jc_quota_decision){ .granted = units };
   if (quota == NULL)
     return;
-  if (quota->bucket == NULL)
-    {
-      quota->bucket = jc_quotabucket_new (now);
-      jc_quotabucket_set_limit (quota->bucket, quota->per_s, quota->burst, now);
-    }
-  jc_quotabucket_take (quota->bucket, units, ahead, now, out);
+  quotas_begin_owning (quota);
+  jc_quotabucket_take (jc_quotaowner_bucket (quota->owner), units, ahead,
+                       jc_boot_ms (), out);
 }
 
 /* Answer PACKET, which asks this instance as the owner of a workspace.  */
