Have the soak use keys of workspaces that come, go and move

Callers use keys that every configuration has, that some have, or none; runs are held against all configurations that were sent, and blocks to endpoints are searched for keys. At the end every instance must decide by the last configuration. Runs with a rollout have no workspaces, since production forwards keys.

--- a/tests/process/hosts_standin.py
+++ b/tests/process/hosts_standin.py
@@ -280,9 +280,9 @@
     await until("an acknowledgement of " + path, sent)
 
 
-async def in_force(entries, path, status):
+async def in_force(entries, path, status, headers=()):
     async def seen():
-        replies = [await request(e, "GET", path) for e in entries]
+        replies = [await request(e, "GET", path, headers=headers) for e in entries]
         return all(r.status == status for r in replies)
     await until(f"{path} to give {status}", seen)
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -16,6 +16,8 @@
 GROUP_KEY = "%064d" % 7
 ZONES = ["z1", "z2", "z3"]
 RESTART_DELAY_S = 0.5
+# What all API keys of callers begin with.
+KEY_MARK = "api-key-"
 ENTRY_GRACE_MS = 8000
 
 
@@ -85,7 +87,8 @@
 
 class Relay:
     """TCP relay to an address. Faults: "stall" forwards nothing, "stall_replies" forwards nothing from the
-    server, "delay" delays each chunk, "refuse" resets new connections."""
+    server, "delay" delays each chunk, "refuse" resets new connections. LEAKS has the blocks to servers that have an API key."""
+    leaks = []
 
     def __init__(self, target):
         self.target, self.fault, self.writers = target, "", set()
@@ -102,6 +105,8 @@
     async def forward(self, reader, writer, from_server):
         try:
             while data := await reader.read(65536):
+                if not from_server and KEY_MARK.encode() in data:
+                    Relay.leaks.append(data)
                 while self.fault == "stall" or (from_server and self.fault == "stall_replies"):
                     await asyncio.sleep(0.02)
                 if self.fault == "delay":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,6 +19,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "process"))
 import hosts_standin as standin  # noqa: E402
 import rollout  # noqa: E402
+from keys import Keys  # noqa: E402
 from fleet import ZONES, Fleet, Relay, cancel_all  # noqa: E402
 
 CALLERS = 12
@@ -114,6 +115,8 @@
         # When and to which entry instance each attempt was sent. Broken streams by caller: attempt of the first event, text
         # of whole events, attempts that did not go on.
         self.sent, self.broken = {}, {}
+        # Earlier builds know no workspaces.
+        self.keys = Keys(seed, not other_build)
         self.faults_stopping, self.recovered, self.callers_stopping = False, False, False
 
     # Requests of callers and the checks of their answers.
@@ -124,7 +127,9 @@
         self.last_id += 1
         attempt = "%08x%02x%06x" % (self.seed, caller_number, self.last_id)
         kind = self.rand.choice(["read", "write", "stream", "stream", "write"])
-        first, held, tries = self.broken.pop(caller_number, (attempt, b"", 0))
+        key, bad_key = self.keys.draw()
+        fresh = (attempt, b"", 0)
+        first, held, tries = fresh if bad_key else self.broken.pop(caller_number, fresh)
         if held:
             kind = "stream"
             if tries < TAKE_UPS_MAX:
@@ -143,10 +148,11 @@
         reader, writer = conn
         self.sent[attempt] = (started, "%s:%s" % writer.get_extra_info("peername")[:2])
         writer.write((f"{method} /{kind}/a HTTP/1.1\r\nHost: site.example\r\nX-Jaycove-Attempt-Id: {attempt}\r\n"
-                      f"X-Jaycove-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n{resumes}Content-Length: 0\r\n\r\n").encode())
+                      f"X-Jaycove-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n{self.keys.header(key, attempt)}{resumes}Content-Length: 0\r\n\r\n").encode())
         start, fields = await asyncio.wait_for(standin.read_head(reader), DEADLINE_S + LATE_TOLERANCE_S + 5)
         body, complete = await asyncio.wait_for(standin.read_body(reader, fields, leave), DEADLINE_S + LATE_TOLERANCE_S + 5)
         status = int(start.split()[1])
+        self.keys.check_status(attempt, bad_key, status, self.results)
         went_on = status == 200 and (complete or body != b"")
         if held:
             self.results.count("take-up went on" if went_on else f"take-up {status}")
@@ -176,7 +182,7 @@
                                f"{attempt} was marked complete too early: {got!r}")
         if elapsed_s > DEADLINE_S + LATE_TOLERANCE_S and not any(p.paused for p in self.fleet.entries):
             self.results.count("late")
-        if self.recovered:
+        if self.recovered and status != 401:
             self.results.count("after recovery %s" % ("served" if status == 200 and complete else "not served"))
 
     async def run_caller(self, caller_number):
@@ -204,7 +210,7 @@
                 control = self.rand.choice(standin.ADDRESSES["control"])
                 if self.rand.random() < 0.5:
                     reply = await asyncio.wait_for(standin.ask(control, "POST", "/v1/Config.Replace", body=(
-                        standin.configuration(version, standin.ROUTES))), 5)
+                        self.keys.configuration(version))), 5)
                     self.results.count(f"config replace {reply.status}")
                     self.results.check(reply.status in (200, 503), "replace status", f"{version} got {reply.status}")
                     if reply.status == 200:
@@ -369,7 +375,7 @@
         async def serve():
             for entry in standin.ADDRESSES["entries"]:
                 for method, path in (("GET", "/read/x"), ("POST", "/write/x"), ("POST", "/stream/x")):
-                    reply = await asyncio.wait_for(standin.request(entry, method, path), 5)
+                    reply = await asyncio.wait_for(standin.request(entry, method, path, headers=self.keys.headers()), 5)
                     if reply.status != 200 or not reply.whole:
                         return False
             return True
@@ -378,13 +384,17 @@
         async def read():
             reply = await standin.ask(standin.ADDRESSES["control"][0], "GET", "/v1/Config.Read")
             self.check_read_version(reply, self.acknowledged_version)
+            self.last_configuration = reply.body
             return reply.status == 200
         await standin.until("the latest configuration to be readable", read)
+        if self.keys.in_use:
+            await self.keys.check_last(self.last_configuration, self.results)
 
     def check_executions(self):
         """Checks that unsafe requests ran at most once, and not at all where the caller got one of NOT_RUN_STATUSES."""
         runs = {}
         for endpoint in set(self.endpoints + self.stopped_endpoints):
+            self.keys.check_runs(endpoint.ran, self.results)
             for attempt, start, _, _ in endpoint.ran:
                 runs.setdefault(attempt, []).append(endpoint.name)
         for attempt, (kind, status) in self.outcomes.items():
@@ -452,8 +462,8 @@
         for zone, version in zip(ZONES, ("v1", "v2", "v1")):
             for service in ("plain", "engine"):
                 self.endpoints.append(await self.start_endpoint(service, zone, version))
-        await standin.order("/v1/Config.Replace", standin.configuration(3, standin.ROUTES))
-        await standin.in_force(standin.ADDRESSES["entries"], "/read/x", 200)
+        await standin.order("/v1/Config.Replace", self.keys.configuration(3))
+        await standin.in_force(standin.ADDRESSES["entries"], "/read/x", 200, self.keys.headers())
         callers = [asyncio.create_task(self.run_caller(i)) for i in range(CALLERS)]
         background = [asyncio.create_task(self.run_operator())]
         background += [asyncio.create_task(self.run_faults()) for _ in range(3)]
@@ -478,6 +488,7 @@
             endpoint.relay.abort_all()
         await asyncio.sleep(0.1)
         self.check_executions()
+        self.keys.check_leaks(self.results)
         self.check_asks()
         self.check_exits()
 
