Test keys at hand-overs between this build and production

Two instances of each build in two regions: production sends on the name it is told and neither key nor note; what it hands over is checked.

--- a/tests/process/keys_standin.py
+++ b/tests/process/keys_standin.py
@@ -371,6 +371,41 @@
         assert "key-of" not in await metrics(i)
 
 
+async def beside_production():
+    """The first instance of each region is of production, which knows no workspaces, the second one of this build.
+    What they hand over to each other keeps to the keys; only the heads of what an instance of production sends
+    by itself are as its callers sent them."""
+    new, old = ADDRESSES["entries"][1], ADDRESSES["entries"][0]
+    await start_endpoints()
+    await put([ALPHA, BETA, GAMMA])
+
+    async def taken(entry):
+        return (await request(entry, "POST", "/away/x", headers=bearer(KEYS["alpha"]))).status == 200
+    for entry in (new, old):
+        await until("hand-overs", lambda entry=entry: taken(entry))
+    for _ in range(4 * ROUNDS):
+        # To instances of both builds.
+        await served(new, "/away/x", "alpha", bearer(KEYS["alpha"]) + [("X-Jaycove-Tenant", "beta")], "z2")
+        await served(new, "/openaway/x", None, bearer(KEYS["alpha"]) + FORGED, "z2")
+    for _ in range(4 * ROUNDS):
+        attempt, reply = await answer_of(old, "/away/x", bearer(KEYS["nobody"]) + FORGED)
+        passed = [head for _, head in heads_of(attempt) if "authorization" not in head]
+        assert reply.status in (200, 401, 503) and not passed, (reply.status, passed)
+        attempt, reply = await answer_of(old, "/away/x", bearer(KEYS["beta"]) + [("X-Jaycove-Tenant", "alpha")])
+        assert reply.status == 200, reply.status
+        for _, head in heads_of(attempt):
+            if "authorization" not in head:
+                check_head(head, "beta")
+    counts = [await handed_over(i) for i in range(len(ADDRESSES["entries"]))]
+    print("requests handed over to each instance:", counts, flush=True)
+    assert counts[2] > 0 and counts[3] > 0, counts
+
+
+async def handed_over(entry):
+    """Returns how many requests the instance number ENTRY ended that another one handed over to it."""
+    return open(f"{hosts_standin.DIR}/e{entry + 1}.out").read().count(" guest=1 ")
+
+
 async def keys():
     for entry in ADDRESSES["entries"]:
         for headers in ([], bearer(KEYS["alpha"])):
