--- a/tests/test-fuzz.c
+++ b/tests/test-fuzz.c
@@ -364,6 +364,11 @@
         "\"max-conns\":9}],\"limits\":{\"max-header-bytes\":100,"
         "\"max-body-bytes\":200,\"header-timeout-ms\":300,"
         "\"idle-timeout-ms\":400}}",
+        "{\"version\":9,\"routes\":[],\"services\":[],\"limits\":{},"
+        "\"tenants\":[{\"name\":\"w\",\"api-keys\":[\"k\",\"l\"],"
+        "\"priority\":1,\"unit\":\"tokens\",\"plain-tokens\":2,"
+        "\"rate-per-s\":3.5,\"burst\":4,\"home-regions\":[\"n\"]},"
+        "{\"name\":\"v\",\"api-keys\":[]}]}",
         NULL };
 static const char *const json_dictionary[] = { "{",
                                                "}",
--- a/tests/test-workspaces.c
+++ b/tests/test-workspaces.c
@@ -197,6 +197,27 @@
     jc_routetable_unref (parse (cases[i].text, cases[i].fault));
 }
 
+/* Wherever a configuration is cut off, the fault doesn't tell a part of a key.
+ */
+static void
+test_cut (void)
+{
+  const char *text
+      = CONFIG (LIST ("{\"name\":\"a\",\"api-keys\":[\"zzzz\",\"zzzz\"]}"));
+
+  for (size_t len = 0; len < strlen (text); len++)
+    {
+      GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+      struct jc_routetable *table = platform_parse_routes (
+          (struct jc_str){ .data = text, .len = len }, NULL, faults);
+
+      g_assert_null (table);
+      g_assert_cmpuint (faults->len, ==, 1);
+      g_assert_null (strchr (g_ptr_array_index (faults, 0), 'z'));
+      g_ptr_array_free (faults, TRUE);
+    }
+}
+
 /* A key is what follows the scheme, whose case doesn't count.  */
 static void
 test_key_header (void)
@@ -226,6 +247,7 @@
   g_test_add_func ("/workspaces/digests", test_digests);
   g_test_add_func ("/workspaces/empty", test_empty);
   g_test_add_func ("/workspaces/faults", test_faults);
+  g_test_add_func ("/workspaces/cut", test_cut);
   g_test_add_func ("/workspaces/key-header", test_key_header);
   return g_test_run ();
 }
