--- a/tests/process/keys_standin.py
+++ b/tests/process/keys_standin.py
@@ -18,10 +18,13 @@
 VERSIONS = iter(range(3, 1000))
 AWAY = {"home-regions": ["r2"]}
 ROUTES = [route("read", "safe", "plain", priority=2), route("write", "unsafe", "plain"),
-          route("stream", "stream", "engine", **{"max-attempts": 3}), route("away", "safe", "plain", **AWAY),
+          route("stream", "stream", "engine", **{"max-attempts": 3}),
+          route("tight", "stream", "engine", **{"gap-slo-ms": 200, "slo-ms": 30000, "home-regions": ["r1"]}), route("away", "safe", "plain", **AWAY),
           route("open", "safe", "plain", anonymous=True), route("openaway", "safe", "plain", anonymous=True, **AWAY)]
 CLOSED = ("/read/x", "/write/x", "/stream/x", "/away/x")
 ROUNDS = 6
+# Long prompts, enough for all engines.
+LONG = 12
 # How often a caller comes back while the instances of the other region seem to be gone.
 REPEATS = 20
 # Requests that are refused at up to two endpoints, and as many before as earn the retries.
@@ -208,6 +211,33 @@
     assert len(heads) >= 2 and heads[-1][1]["last-event-id"] == "2", heads
 
 
+def prompt(shared):
+    return [("X-Jaycove-Token-Count", f"{shared + 20},80"),
+            ("X-Jaycove-Prompt-Prefix", f"{random.getrandbits(32):x}:{shared},{random.getrandbits(32):x}:20")]
+
+
+async def check_queued():
+    """A request that waits for its turn at an engine goes there for its workspace, though its key has gone since."""
+    entry = ADDRESSES["entries"][0]
+    key = bearer(KEYS["late"])
+    await put([workspace("alpha", KEYS["late"]), BETA, GAMMA])
+    Noting.release.clear()
+    long = [asyncio.create_task(request(entry, "POST", "/stream/x", headers=bearer(KEYS["beta"]) + prompt(20000)
+                                        + [("X-Held", "1")])) for _ in range(LONG)]
+    await asyncio.sleep(0.3)
+    tight = asyncio.create_task(served(entry, "/tight/x", "alpha", key + prompt(20)))
+
+    async def waits():
+        assert not tight.done(), "the request was not queued"
+        return "jaycove_waiting{} 1\n" in await metrics(0)
+    await until("a request to wait in the queue", waits)
+    await put([ALPHA, BETA, GAMMA])
+    await refused(entry, "/tight/x", key)
+    Noting.release.set()
+    await tight
+    assert all(reply.status == 200 for reply in await asyncio.gather(*long))
+
+
 async def check_kept_connection():
     """One connection carries requests of several workspaces."""
     host, port = ADDRESSES["entries"][0].rsplit(":", 1)
@@ -413,7 +443,7 @@
     _, all_serve = await start_endpoints()
     await put([ALPHA, BETA, GAMMA])
     await until("all instances to serve", all_serve)
-    for check in (check_callers, check_attempts, check_kept_connection, check_handover_listener, check_changes,
+    for check in (check_callers, check_attempts, check_queued, check_kept_connection, check_handover_listener, check_changes,
                   check_behind, check_sender_behind, check_faults, check_logs):
         print(check.__name__, flush=True)
         await check()
