Let slots of quotas keep their credit when they move

Change: an owner names the credit that it leaves with each slot; the state instance that leases the slot on tells the next holder. The simulated instances ask the next replica if theirs stands still, as the real ones do.

--- a/entry/quotacharges.c
+++ b/entry/quotacharges.c
@@ -16,7 +16,7 @@
   ASKS_MAX = 2,
   /* An owner that has no slots yet is asked again after this, a few times.  */
   HOLD_MS = 350,
-  HOLDS_MAX = 2,
+  HOLDS_MAX = 4,
   MILLI = 1000
 };
 
--- a/member/quotaasks.c
+++ b/member/quotaasks.c
@@ -32,6 +32,8 @@
   struct quota_subject *subject = data;
 
   g_ptr_array_free (subject->wants, TRUE);
+  for (unsigned int i = 0; i < JC_QUOTA_SLOTS; i++)
+    g_free (subject->pending_instance[i]);
   g_free (subject);
 }
 
@@ -180,3 +182,26 @@
   available = give_out (subject, false, available);
   give_out (subject, true, available);
 }
+
+/* Return the credit, in thousandths of a unit, that goes with CHANGE, which was
+   applied: what the last holder of the slot left with it, if this replica
+   proposed the change.  It is returned once.  */
+uint64_t
+jc_quota_asks_take_credit (struct jc_quota_asks *asks,
+                           const struct rpc_limit_change *change)
+{
+  unsigned int slot;
+  const char *workspace = jc_quota_slots_workspace (change, &slot);
+  struct quota_subject *subject
+      = workspace != NULL ? g_hash_table_lookup (asks->by_workspace, workspace)
+                          : NULL;
+  uint64_t credit;
+
+  if (subject == NULL || subject->pending_instance[slot] == NULL
+      || subject->pending_revision[slot] != change->revision
+      || strcmp (subject->pending_instance[slot], change->instance) != 0)
+    return 0;
+  credit = subject->pending_credit[slot];
+  subject->pending_credit[slot] = 0;
+  return credit;
+}
--- a/member/quotaasks.h
+++ b/member/quotaasks.h
@@ -22,13 +22,15 @@
 };
 
 /* WANTS holds struct quota_want, ordered by the names of the instances.  The
-   slot at the revision PENDING_REVISION was proposed to be leased at
-   PENDING_MS.  */
+   slot at the revision PENDING_REVISION was proposed at PENDING_MS to be leased
+   to PENDING_INSTANCE, with PENDING_CREDIT, in thousandths, of who left it.  */
 struct quota_subject
 {
   GPtrArray *wants;
   uint64_t pending_revision[JC_QUOTA_SLOTS];
   int64_t pending_ms[JC_QUOTA_SLOTS];
+  char *pending_instance[JC_QUOTA_SLOTS];
+  uint64_t pending_credit[JC_QUOTA_SLOTS];
 };
 
 struct quota_want *quota_find_want (const struct quota_subject *subject,
--- a/member/quotaslots.c
+++ b/member/quotaslots.c
@@ -136,10 +136,11 @@
   GArray *changes;
 };
 
-/* Add the change that gives SLOT to the process of WANT, or to nobody if that
-   is NULL.  */
+/* Add the change that gives SLOT, with CREDIT, to the process of WANT, or to
+   nobody if that is NULL.  */
 static void
-add_lease (struct plan *plan, unsigned int slot, const struct quota_want *want)
+add_lease (struct plan *plan, unsigned int slot, const struct quota_want *want,
+           uint64_t credit)
 {
   const struct rpc_limit_change change
       = { .op = RPC_LIMIT_LEASE,
@@ -155,21 +156,25 @@
 
   plan->asks->pending_revision[slot] = change.revision;
   plan->asks->pending_ms[slot] = plan->now_ms;
+  plan->asks->pending_credit[slot] = credit;
+  g_free (plan->asks->pending_instance[slot]);
+  plan->asks->pending_instance[slot]
+      = want != NULL ? g_strdup (want->instance) : NULL;
   g_array_append_val (plan->changes, change);
 }
 
-/* Return whether ASK says that SLOT, as it is leased now, isn't used any
-   more.  */
-static bool
-is_released (const struct plan *plan, const struct rpc_quota_ask *ask,
-             unsigned int slot)
+/* Return what ASK says of SLOT if that, as it is leased now, isn't used any
+   more, or NULL.  */
+static const struct rpc_quota_slot *
+find_released (const struct plan *plan, const struct rpc_quota_ask *ask,
+               unsigned int slot)
 {
   for (u_int i = 0; i < ask->released.released_len; i++)
     if (ask->released.released_val[i].slot == slot
         && ask->released.released_val[i].revision
                == revision_of (plan->view.slots[slot]))
-      return true;
-  return false;
+      return &ask->released.released_val[i];
+  return NULL;
 }
 
 /* Return how many slots INSTANCE has and is being given.  */
@@ -186,14 +191,15 @@
 }
 
 static void
-give (struct plan *plan, unsigned int slot, const struct quota_want *want)
+give (struct plan *plan, unsigned int slot, const struct quota_want *want,
+      uint64_t credit)
 {
   guint given
       = GPOINTER_TO_UINT (g_hash_table_lookup (plan->given, want->instance));
 
   g_hash_table_insert (plan->given, want->instance,
                        GUINT_TO_POINTER (given + 1));
-  add_lease (plan, slot, want);
+  add_lease (plan, slot, want, credit);
 }
 
 /* Return who lacks most of its share of those that asked lately, or NULL.  */
@@ -217,16 +223,17 @@
   return best;
 }
 
-/* Plan what becomes of SLOT, which its holder no longer uses.  */
+/* Plan what becomes of SLOT, which its holder no longer uses and left CREDIT
+   with, in thousandths.  */
 static void
-plan_released (struct plan *plan, unsigned int slot)
+plan_released (struct plan *plan, unsigned int slot, uint64_t credit)
 {
   const struct quota_want *next = neediest (plan);
 
   if (next != NULL)
-    give (plan, slot, next);
+    give (plan, slot, next, credit);
   else
-    add_lease (plan, slot, NULL);
+    add_lease (plan, slot, NULL, 0);
 }
 
 /* Plan the slots that the holder has already: those of an earlier process of
@@ -241,21 +248,21 @@
     {
       const struct limit_slot *slot = plan->view.slots[i];
       bool pending = is_pending (plan->asks, &plan->view, i, plan->now_ms);
+      const struct rpc_quota_slot *released = find_released (plan, ask, i);
       bool own;
 
       if (!is_held_by_name (slot, plan->want->instance))
         continue;
       own = slot->instance_incarnation == plan->want->incarnation;
-      if ((own && is_released (plan, ask, i))
-          || (!own && held >= plan->want->fair))
+      if ((own && released != NULL) || (!own && held >= plan->want->fair))
         {
           if (!pending)
-            plan_released (plan, i);
+            plan_released (plan, i, own ? released->credit_milli : 0);
           continue;
         }
       held++;
       if (!pending && (!own || plan->now_ms - slot->applied_ms >= RENEW_MIN_MS))
-        add_lease (plan, i, plan->want);
+        add_lease (plan, i, plan->want, 0);
     }
   return held;
 }
@@ -276,7 +283,7 @@
           || is_pending (plan->asks, &plan->view, slot, plan->now_ms)
           || (!plan->view.has_row[slot / JC_LIMIT_SLOTS] && rows >= ROWS_MAX))
         continue;
-      add_lease (plan, slot, plan->want);
+      add_lease (plan, slot, plan->want, 0);
       held++;
     }
 }
--- a/member/quotaslots.h
+++ b/member/quotaslots.h
@@ -47,6 +47,8 @@
 struct jc_quota_asks *jc_quota_asks_new (void);
 void jc_quota_asks_free (struct jc_quota_asks *asks);
 void jc_quota_asks_expire (struct jc_quota_asks *asks, int64_t now_ms);
+uint64_t jc_quota_asks_take_credit (struct jc_quota_asks *asks,
+                                    const struct rpc_limit_change *change);
 unsigned int jc_quota_slots_plan (const struct jc_limit_slots *slots,
                                   struct jc_quota_asks *asks,
                                   const struct jc_limit_holder *holder,
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -980,6 +980,7 @@
 struct rpc_quota_slot {
 	u_int slot;
 	u_quad_t revision;
+	u_quad_t credit_milli;
 };
 typedef struct rpc_quota_slot rpc_quota_slot;
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1774,6 +1774,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->credit_milli))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -863,10 +863,12 @@
 };
 
 /* A slot of a workspace's quota as it was leased: revision is that of the
-   lease.  */
+   lease.  The credit that its last holder left with it is in thousandths of a
+   unit.  */
 struct rpc_quota_slot {
   unsigned int slot;
   unsigned hyper revision;
+  unsigned hyper credit_milli;
 };
 
 /* How many slots of a workspace's quota the sender wants for its demand, and
--- a/serve/quotabucket.c
+++ b/serve/quotabucket.c
@@ -18,6 +18,7 @@
   DROP_DIVISOR = 3,
   DROP_REQUESTS = 12,
   MS_PER_S = 1000,
+  MILLI = 1000,
   /* A slot that was given back is named in requests for this long, since one of
      them may be lost.  */
   RELEASE_REPEAT_MS = 3000,
@@ -39,7 +40,7 @@
 
 /* A slot with the revision of its last lease.  It is used from SINCE_MS until
    UNTIL_MS, if HELD.  Otherwise it was given back at RELEASED_MS, 0 for
-   never.  */
+   never, with the credit LEFT.  */
 struct slot
 {
   bool held;
@@ -47,6 +48,7 @@
   int64_t since_ms;
   int64_t until_ms;
   int64_t released_ms;
+  double left;
 };
 
 /* Units that were asked for and granted in the interval NUMBER, and the most
@@ -265,11 +267,13 @@
                            int64_t now_ms)
 {
   struct slot *slot;
+  bool is_new;
 
   if (leased->slot >= JC_QUOTABUCKET_SLOTS)
     return false;
   update (bucket, now_ms);
   slot = &bucket->slots[leased->slot];
+  is_new = leased->revision > slot->revision;
   slot->revision = MAX (slot->revision, leased->revision);
   if (requested_ms > now_ms || requested_ms + lease_ms <= now_ms
       || (slot->released_ms > 0 && requested_ms <= slot->released_ms))
@@ -280,22 +284,28 @@
       = MAX (slot->held ? slot->until_ms : 0, requested_ms + lease_ms);
   slot->held = true;
   slot->released_ms = 0;
+  if (is_new)
+    bucket->credit += (double)leased->credit_milli / MILLI;
+  cap_credit (bucket);
   return true;
 }
 
-/* Give back slots of BUCKET until it has no more than COUNT, once it owes no
+/* Give back slots of BUCKET, each with its part of the credit, until it has no
+   more than COUNT, once it owes no
    more than those that are left may owe.  */
 void
 jc_quotabucket_keep (struct jc_quotabucket *bucket, unsigned int count,
                      int64_t now_ms)
 {
   unsigned int held;
+  double each;
 
   update (bucket, now_ms);
   bucket->keep = count;
   held = count_held (bucket);
   if (bucket->credit < -debt_max (bucket, count))
     return;
+  each = held > 0 ? MAX (bucket->credit / held, 0) : 0;
   for (unsigned int i = JC_QUOTABUCKET_SLOTS; i > 0 && held > count; i--)
     {
       struct slot *slot = &bucket->slots[i - 1];
@@ -304,6 +314,8 @@
         continue;
       slot->held = false;
       slot->released_ms = now_ms;
+      slot->left = each;
+      bucket->credit -= each;
       held--;
     }
   cap_credit (bucket);
@@ -319,7 +331,9 @@
     {
       const struct slot *slot = &bucket->slots[i];
       const struct rpc_quota_slot row
-          = { .slot = i, .revision = slot->revision };
+          = { .slot = i,
+              .revision = slot->revision,
+              .credit_milli = (u_quad_t)(slot->left * MILLI) };
 
       if (!slot->held && slot->released_ms > 0
           && now_ms - slot->released_ms < RELEASE_REPEAT_MS)
--- a/serve/quotabucket.h
+++ b/serve/quotabucket.h
@@ -1,10 +1,11 @@
 /* Quota bucket: the account of a workspace at the instance that owns it in its
    availability zone.  The owner leases slots of the workspace's quota
    (member/quotaslots); each fills the bucket at its share of the rate, up to
-   its share of the burst, while it is leased.  A slot starts without credit,
-   and what the bucket holds beyond the bursts of its slots is lost.  So the
-   credits of all buckets of a workspace never exceed its burst and grow
-   together no faster than its rate, whatever the instances know of each other.
+   its share of the burst, while it is leased.  A slot starts with no
+   more credit than its last holder left with it, and what the bucket holds
+   beyond the bursts of its slots is lost.  So the credits of all buckets of a
+   workspace never exceed its burst and grow together no faster than its rate,
+   whatever the instances know of each other.
 
    Times are of the clock that goes on while the process is suspended.  */
 
--- a/state/quotas.c
+++ b/state/quotas.c
@@ -189,6 +189,8 @@
                                jc_now_ms (), &now_held))
     return;
   lease.slot.revision = now_held.revision;
+  lease.slot.credit_milli
+      = jc_quota_asks_take_credit (state->quotas->asks, change);
   reply->lease_ms = lease_ms (state);
   reply->leases.leases_val = &lease;
   reply->leases.leases_len = 1;
--- a/tests/quotasim.c
+++ b/tests/quotasim.c
@@ -17,6 +17,7 @@
   TICK_MS = 100,
   ANSWER_TIMEOUT_MS = 100,
   SILENT_MS = 1000,
+  REPLICA_SILENT_MS = 1500,
   STANDING = 4,
   PROPOSE_MS = 100,
   COMMIT_MIN_MS = 90,
@@ -466,6 +467,8 @@
   event->incarnation = change->instance_incarnation;
   event->slot.slot = slot;
   event->slot.revision = state.revision;
+  event->slot.credit_milli
+      = jc_quota_asks_take_credit (sim->replicas[replica].asks, change);
   event->requested_ms = (int64_t)change->requested_ms;
   for (unsigned int w = 0; w < QUOTASIM_WORKSPACES; w++)
     if (strcmp (name, workspace_names[w]) == 0)
@@ -581,6 +584,24 @@
       replica_apply (sim, i);
 }
 
+/* Return the replica that is asked for slots of WORKSPACE: the first one that
+   doesn't stand still for long.  */
+static unsigned int
+pick_replica (const struct quotasim *sim, unsigned int workspace)
+{
+  for (unsigned int i = 0; i < REPLICAS; i++)
+    {
+      unsigned int index = (workspace + i) % REPLICAS;
+      int64_t frozen_until_ms = sim->replicas[index].frozen_until_ms;
+
+      if (frozen_until_ms <= sim->now_ms
+          || sim->now_ms - (frozen_until_ms - sim->plan.replica_freeze_ms)
+                 < REPLICA_SILENT_MS)
+        return index;
+    }
+  return workspace % REPLICAS;
+}
+
 /* The instance INDEX asks for slots.  */
 static void
 tick (struct quotasim *sim, unsigned int index)
@@ -608,7 +629,8 @@
           g_array_free (released, TRUE);
           continue;
         }
-      event = schedule_to_instance (sim, EVENT_ASK, index, w % REPLICAS);
+      event
+          = schedule_to_instance (sim, EVENT_ASK, index, pick_replica (sim, w));
       event->workspace = w;
       event->wanted = ask.wanted;
       event->spare = ask.spare;
