Let buckets of quotas owe more, and grants hold for less

Cause: a large request waits for a bucket that small ones keep empty, while the time for which grants may be used is needed by few: an answer of the owner takes a millisecond.

Change: grants hold for 250 ms instead of 500, buckets may owe 550 ms instead of 300; the sum, a tenth of a window of 8 s, is the same. An answer that comes after the process was suspended is too old.

--- a/entry/quotacharges.c
+++ b/entry/quotacharges.c
@@ -12,7 +12,7 @@
 enum
 {
   /* An owner that has not answered after this is passed over.  */
-  ANSWER_TIMEOUT_MS = 250,
+  ANSWER_TIMEOUT_MS = JC_QUOTACREDIT_MS,
   ASKS_MAX = 2,
   /* An owner that has no slots yet is asked again after this, a few times.  */
   HOLD_MS = 350,
@@ -163,7 +163,9 @@
   enum jc_status result;
 
   wait->xid = 0;
-  if (status == JC_OK && reply->body.type == RPC_QUOTA_GRANT)
+  /* A grant that comes after this process was suspended is too old.  */
+  if (status == JC_OK && reply->body.type == RPC_QUOTA_GRANT
+      && jc_boot_ms () - wait->asked_ms < JC_QUOTACREDIT_MS)
     {
       const struct rpc_quota_grant *grant = &reply->body.rpc_body_u.quota_grant;
       const struct jc_quota_decision decision
--- a/serve/quotabucket.h
+++ b/serve/quotabucket.h
@@ -24,7 +24,7 @@
   /* A bucket may be overdrawn by what it gets in this time.  Together with the
      time for which a grant may be used (serve/quotacredit) this is a tenth of a
      window of 8 s.  */
-  JC_QUOTABUCKET_DEBT_MS = 300
+  JC_QUOTABUCKET_DEBT_MS = 550
 };
 
 struct jc_quotabucket;
--- a/serve/quotacredit.h
+++ b/serve/quotacredit.h
@@ -12,7 +12,7 @@
 {
   /* Counted from when the grant was asked for, by the clock of the
      instance.  */
-  JC_QUOTACREDIT_MS = 500
+  JC_QUOTACREDIT_MS = 250
 };
 
 struct jc_quotacredit;
