--- a/tests/process/hosts-quota.sh
+++ b/tests/process/hosts-quota.sh
@@ -10,4 +10,5 @@
 Z2_FROM=4
 Z2_REGION=r2
 start_hosts
+export BUILD
 python3 tests/process/quota_standin.py quota "$DIR" || { grep -h what= "$DIR"/e*.out | tail -n 30; exit 1; }
--- a/tests/process/quota_standin.py
+++ b/tests/process/quota_standin.py
@@ -6,6 +6,7 @@
 import os
 import random
 import signal
+import subprocess
 import sys
 import time
 
@@ -176,8 +177,15 @@
     plain.offered = 135
     await put(4, all_workspaces)
     changed = time.monotonic()
+    await asyncio.sleep(10)
+    shown = subprocess.run([os.path.join(os.environ["BUILD"], "jaycove-ctl"), "quota", "spread",
+                            *[o for i, o in enumerate(ADDRESSES["operators"]) if f"e{i + 1}" != owner]],
+                           stdout=subprocess.PIPE, text=True).stdout
     await asyncio.gather(*calls)
 
+    print(shown, end="")
+    total = shown.splitlines()[-1].split()
+    assert total[:2] == ["all", "limit=20/s"] and 15 <= int(total[2].removeprefix("slots=")) <= 20, total
     for workspace in all_workspaces:
         workspace.check(begin, end)
     steady = [(w.name, round(w.used(begin + 2, begin + 12), 3)) for w in all_workspaces]
