--- a/ctl/quota.c
+++ b/ctl/quota.c
@@ -65,9 +65,11 @@
   for (int i = 1; i < options->arg_count; i++)
     {
       struct options one = *options;
+      int code;
 
       one.server = options->args[i];
-      worst = MAX (worst, print_instance (&one, options->args[0], &totals));
+      code = print_instance (&one, options->args[0], &totals);
+      worst = MAX (worst, code);
     }
   printf ("all limit=%.0f/s slots=%.0f used=%.1f/s\n", totals.per_s,
           totals.slots, totals.used_per_s);
--- a/tests/process/hosts-quota.sh
+++ b/tests/process/hosts-quota.sh
@@ -6,6 +6,7 @@
 . scripts/hosts.sh
 trap stop_all EXIT
 
+OPERATOR_TOKEN=operator
 ENTRIES=6
 Z2_FROM=4
 Z2_REGION=r2
--- a/tests/process/quota_standin.py
+++ b/tests/process/quota_standin.py
@@ -18,6 +18,8 @@
 ROUTES = [route("read", "safe", "plain"), route("write", "unsafe", "plain")]
 COUNTS = (900, 300)
 PLAIN_TOKENS = 200
+# That of operators.
+TOKEN = "operator"
 
 
 class Workspace:
@@ -121,7 +123,8 @@
 async def versions_are(version):
     async def seen():
         for operators in ADDRESSES["operators"]:
-            if f"jaycove_config_version{{}} {version}\n" not in (await ask(operators, "GET", "/metrics")).body.decode():
+            if f"jaycove_config_version{{}} {version}\n" not in (
+                    await ask(operators, "GET", "/metrics", [("Authorization", "Bearer " + TOKEN)])).body.decode():
                 return False
         return True
     await until(f"version {version} to be in force", seen)
@@ -178,7 +181,8 @@
     await put(4, all_workspaces)
     changed = time.monotonic()
     await asyncio.sleep(10)
-    shown = subprocess.run([os.path.join(os.environ["BUILD"], "jaycove-ctl"), "quota", "spread",
+    shown = subprocess.run([os.path.join(os.environ["BUILD"], "jaycove-ctl"), "--token", TOKEN, "quota",
+                            "spread",
                             *[o for i, o in enumerate(ADDRESSES["operators"]) if f"e{i + 1}" != owner]],
                            stdout=subprocess.PIPE, text=True).stdout
     await asyncio.gather(*calls)
