--- a/tests/process/quota_standin.py
+++ b/tests/process/quota_standin.py
@@ -6,6 +6,7 @@
 import os
 import random
 import signal
+import subprocess
 import sys
 import time
 
@@ -17,6 +18,8 @@
 ROUTES = [route("read", "safe", "plain"), route("write", "unsafe", "plain")]
 COUNTS = (900, 300)
 PLAIN_TOKENS = 200
+# That of operators.
+TOKEN = "operator"
 
 
 class Workspace:
@@ -120,7 +123,8 @@
 async def versions_are(version):
     async def seen():
         for operators in ADDRESSES["operators"]:
-            if f"jaycove_config_version{{}} {version}\n" not in (await ask(operators, "GET", "/metrics")).body.decode():
+            if f"jaycove_config_version{{}} {version}\n" not in (
+                    await ask(operators, "GET", "/metrics", [("Authorization", "Bearer " + TOKEN)])).body.decode():
                 return False
         return True
     await until(f"version {version} to be in force", seen)
@@ -176,8 +180,16 @@
     plain.offered = 135
     await put(4, all_workspaces)
     changed = time.monotonic()
+    await asyncio.sleep(10)
+    shown = subprocess.run([os.path.join(os.environ["BUILD"], "jaycove-ctl"), "--token", TOKEN, "quota",
+                            "spread",
+                            *[o for i, o in enumerate(ADDRESSES["operators"]) if f"e{i + 1}" != owner]],
+                           stdout=subprocess.PIPE, text=True).stdout
     await asyncio.gather(*calls)
 
+    print(shown, end="")
+    total = shown.splitlines()[-1].split()
+    assert total[:2] == ["all", "limit=20/s"] and 15 <= int(total[2].removeprefix("slots=")) <= 20, total
     for workspace in all_workspaces:
         workspace.check(begin, end)
     steady = [(w.name, round(w.used(begin + 2, begin + 12), 3)) for w in all_workspaces]
