Keep what slow callers haven't read yet while there is room

Cause: an answer was read no further once 256 KB waited for its caller, and again only when all was taken: an endpoint that cuts off unread answers ended it, whatever room there was. Answers that were whole here were cut after the idle time, which ran before the caller had them, and after 10 s of the TCP user timeout, which counts a small window as none.

Change: what all keep ahead is bounded by 36 MB of the 48, and each by an eighth of what is left; reading goes on at half. What a caller took is freed at once, a connection is idle only after that, and an answer of over 64 KB may wait 60 s. The kernel's unsent bytes are bounded by the number of connections.

--- a/base/buffers.c
+++ b/base/buffers.c
@@ -9,6 +9,9 @@
   /* Bound on the sum: under a third of the memory of the smallest instance,
      160 MB.  */
   TOTAL_MAX_BYTES = 48 * 1024 * 1024,
+  /* What is kept only so that its sender needn't wait leaves the rest of the
+     sum to others.  */
+  AHEAD_MAX_BYTES = 36 * 1024 * 1024,
   /* A keeper may have this part of what is left: then many greedy keepers leave
      room for small ones.  */
   SHARE_DIVISOR = 8,
@@ -50,6 +53,16 @@
       most, MAX (jc_buffers_left () / SHARE_DIVISOR, (size_t)SHARE_MIN_BYTES));
 }
 
+/* Return the limit, in bytes, for a keeper that has LEAST as its limit and may
+   have more while there is room, so that its sender needn't wait.  */
+size_t
+jc_buffers_ahead_limit (size_t least)
+{
+  size_t spare = total < AHEAD_MAX_BYTES ? AHEAD_MAX_BYTES - total : 0;
+
+  return MAX (jc_buffers_limit (least), spare / SHARE_DIVISOR);
+}
+
 /* Return true if the keeper of BUFFERED, which can't stop in the middle, may
    have MORE bytes: it leaves as much as it has to all others.  */
 bool
--- a/base/buffers.h
+++ b/base/buffers.h
@@ -19,6 +19,7 @@
 size_t jc_buffers_total (void);
 size_t jc_buffers_left (void);
 size_t jc_buffers_limit (size_t most);
+size_t jc_buffers_ahead_limit (size_t least);
 bool jc_buffers_have_room (const struct jc_buffered *buffered, size_t more);
 
 #endif
--- a/entry/answerbody.c
+++ b/entry/answerbody.c
@@ -28,13 +28,14 @@
                        + exchange->sse.partial->allocated_len);
 }
 
-/* Stop reading the answer while the caller of EXCHANGE is slow.  */
+/* Stop reading the answer while the caller of EXCHANGE is slow and there is no
+   room: an endpoint may cut off an answer that isn't read.  */
 void
 answerbody_pace (struct exchange *exchange)
 {
   if (exchange->paused || exchange->call == NULL
       || jc_http_stream_buffered (exchange->req)
-             <= jc_buffers_limit (BUFFERED_BYTES_MAX))
+             <= jc_buffers_ahead_limit (BUFFERED_BYTES_MAX))
     return;
   exchange->paused = true;
   jc_httpc_call_pause (exchange->call, true);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -438,14 +438,16 @@
   exchange_attempt (exchange);
 }
 
-/* The caller of REQ read what was buffered for it: resume reading the
-   answer.  */
+/* The caller of REQ read some of what was buffered for it: resume reading the
+   answer once half of the room for it is free.  */
 void
 exchange_caller_writable (struct jc_http_req *req)
 {
   struct exchange *exchange = jc_http_data (req);
 
-  if (exchange == NULL || !exchange->paused || exchange->call == NULL)
+  if (exchange == NULL || !exchange->paused || exchange->call == NULL
+      || jc_http_stream_buffered (req)
+             > jc_buffers_ahead_limit (BUFFERED_BYTES_MAX) / 2)
     return;
   exchange->paused = false;
   jc_httpc_call_pause (exchange->call, false);
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -16,7 +16,7 @@
   ACCEPT_RETRY_MS = 50,
   HEAD_BYTES_MAX = 32 * 1024,
   /* Default limits.  The first two equal the time that a peer may leave data
-     unacknowledged, USER_TIMEOUT_MS.  */
+     unacknowledged.  */
   HEAD_TIMEOUT_MS = 10000,
   BODY_TIMEOUT_MS = 10000,
   IDLE_TIMEOUT_MS = 120000,
--- a/net/httpdconn.c
+++ b/net/httpdconn.c
@@ -15,9 +15,6 @@
   READ_BYTES = 64 * 1024,
   PIPELINED_BYTES_MAX = 64 * 1024,
   OUT_BUFFER_KEPT_BYTES = 64 * 1024,
-  /* TCP user timeout: a connection whose peer acknowledges no data for so long
-     is closed.  */
-  USER_TIMEOUT_MS = 10000,
   KEEPALIVE_PROBES = 2,
   /* How long after its last byte input is read and dropped once a request was
      rejected.  Closing with unread input would send a reset, which may reach
@@ -75,7 +72,8 @@
 }
 
 /* Return whether CONN may be idle for longer by the limits in force, which may
-   have changed since it began to be, and wait on then.  */
+   have changed since it began to be, and wait on then.  It isn't idle while its
+   peer has not taken all of the last answer.  */
 static bool
 conn_may_stay_idle (struct httpd_conn *conn)
 {
@@ -85,6 +83,11 @@
 
   if (conn->req != NULL || conn->close_after)
     return false;
+  if (conn->out_pos < conn->out->len)
+    {
+      conn_begin_idle (conn);
+      return true;
+    }
   if (conn->httpd->limits.idle_timeout_ms == 0)
     return true;
   if (until <= now)
@@ -207,12 +210,38 @@
     }
 }
 
+/* Tell the owner of the request of CONN that its peer read some of the
+   answer.  */
+static void
+tell_writable (struct httpd_conn *conn)
+{
+  struct jc_http_req *req = conn->req;
+
+  if (!conn->closed && req != NULL && req->phase == REQ_STREAMING
+      && conn->httpd->klass->writable != NULL)
+    conn->httpd->klass->writable (conn->httpd->ctx, req);
+}
+
+/* Wait until the peer of CONN, which reads slowly, takes more.  What it took is
+   freed.  */
+static void
+conn_await_peer (struct httpd_conn *conn)
+{
+  bool some_taken = conn->out_pos >= OUT_BUFFER_KEPT_BYTES;
+
+  ev_io_start (conn->httpd->loop, &conn->writer);
+  if (!some_taken)
+    return;
+  g_string_erase (conn->out, 0, (gssize)conn->out_pos);
+  conn->out_pos = 0;
+  tell_writable (conn);
+}
+
 /* Write the buffered output of CONN.  What the socket does not take is written
    when it is writable.  */
 static void
 conn_write_output (struct httpd_conn *conn)
 {
-  struct jc_http_req *req = conn->req;
   bool had_output = conn->out_pos < conn->out->len;
 
   if (conn->closed)
@@ -226,7 +255,7 @@
         continue;
       if (written < 0 && errno == EAGAIN)
         {
-          ev_io_start (conn->httpd->loop, &conn->writer);
+          conn_await_peer (conn);
           return;
         }
       if (written < 0)
@@ -235,6 +264,7 @@
           return;
         }
       conn->out_pos += (size_t)written;
+      httpd_peer_count_written (conn, (size_t)written);
     }
   conn->out_pos = 0;
   if (conn->out->allocated_len > OUT_BUFFER_KEPT_BYTES)
@@ -245,9 +275,8 @@
   else
     g_string_truncate (conn->out, 0);
   handle_all_written (conn);
-  if (had_output && !conn->closed && req != NULL && req->phase == REQ_STREAMING
-      && conn->httpd->klass->writable != NULL)
-    conn->httpd->klass->writable (conn->httpd->ctx, req);
+  if (had_output)
+    tell_writable (conn);
 }
 
 /* Write the buffered output of CONN and report what is left of it.  */
@@ -420,6 +449,7 @@
       return;
     }
   conn->req = req = http_req_new (conn);
+  httpd_peer_reset_written (conn);
   jc_head_init (&req->head, bytes);
   conn->build = (struct jc_head_build){ .head = &req->head };
   conn->body_done = false;
@@ -739,18 +769,17 @@
 httpd_conn_new (struct jc_httpd *httpd, int fd)
 {
   struct httpd_conn *conn = g_new0 (struct httpd_conn, 1);
-  unsigned int user_timeout = USER_TIMEOUT_MS;
   int on = 1;
   int probes = KEEPALIVE_PROBES;
 
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
-              sizeof user_timeout);
   setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
   conn->httpd = httpd;
   conn->fd = fd;
+  httpd_peer_limit_unsent (conn);
   httpd_peer_set_probes (conn, false);
+  httpd_peer_reset_written (conn);
   conn->in = g_string_new (NULL);
   conn->out = g_string_new (NULL);
   ev_io_init (&conn->reader, on_readable, fd, EV_READ);
--- a/net/httpdpeer.c
+++ b/net/httpdpeer.c
@@ -11,7 +11,18 @@
   /* Idle time after which a peer is probed, and the time between probes, if
      that is asked for and otherwise.  */
   PROBE_S = 1,
-  KEEPALIVE_S = 5
+  KEEPALIVE_S = 5,
+  /* TCP user timeout: a connection is closed if what was sent is unacknowledged
+     for so long, or if data waits for so long since the peer takes none.  The
+     second one is for answers that a slow peer doesn't take at once: the kernel
+     counts a small window as none.  */
+  USER_TIMEOUT_MS = 10000,
+  USER_TIMEOUT_LARGE_MS = 60000,
+  LARGE_BYTES = 64 * 1024,
+  /* Unsent bytes that the kernel keeps for all peers together, if they connect
+     at once, and at least for each; they are in no other sum.  */
+  UNSENT_ALL_BYTES = 8 * 1024 * 1024,
+  UNSENT_MIN_BYTES = 64 * 1024
 };
 
 /* Probe the peer of CONN each PROBE_S while nothing else is sent to it, or,
@@ -26,6 +37,43 @@
   setsockopt (conn->fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
 }
 
+static void
+set_user_timeout (struct httpd_conn *conn, unsigned int ms)
+{
+  setsockopt (conn->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+
+/* Count BYTES of the answer written to the peer of CONN, which has more time to
+   take a large one.  */
+void
+httpd_peer_count_written (struct httpd_conn *conn, size_t bytes)
+{
+  bool was_large = conn->written > LARGE_BYTES;
+
+  conn->written += bytes;
+  if (!was_large && conn->written > LARGE_BYTES)
+    set_user_timeout (conn, USER_TIMEOUT_LARGE_MS);
+}
+
+/* Begin to count the next answer of CONN.  */
+void
+httpd_peer_reset_written (struct httpd_conn *conn)
+{
+  conn->written = 0;
+  set_user_timeout (conn, USER_TIMEOUT_MS);
+}
+
+/* Limit what the kernel keeps for the peer of CONN beyond what is on its way,
+   by the number of connections that there are now.  */
+void
+httpd_peer_limit_unsent (struct httpd_conn *conn)
+{
+  int bytes = MAX (UNSENT_ALL_BYTES / MAX (httpd_connections_open (), 1),
+                   UNSENT_MIN_BYTES);
+
+  setsockopt (conn->fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, sizeof bytes);
+}
+
 /* Let the close of CONN send a TCP reset: an incomplete answer without a length
    must not look complete to the peer.  */
 void
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -90,7 +90,8 @@
    BLANK_BYTES counts the bytes of blank lines since the last request.
    BUFFERED is what IN and OUT take, NO_ROOM set if the body was refused because
    all buffers together take too much.  RESET_ON_CLOSE closes the connection
-   with a TCP reset.  PROBED means that the peer is probed often.  */
+   with a TCP reset.  PROBED means that the peer is probed often,
+   WRITTEN counts the bytes of the last answer that the kernel took.  */
 struct httpd_conn
 {
   struct jc_httpd *httpd;
@@ -122,6 +123,7 @@
   unsigned int blank_bytes;
   bool reset_on_close;
   bool probed;
+  size_t written;
 };
 
 /* Why a connection closes: its last answer was written, the peer closed it,
@@ -142,6 +144,7 @@
 
 /* In httpdroom.c.  */
 void httpd_count_connections (int count);
+int httpd_connections_open (void);
 void httpd_make_room (struct jc_httpd *httpd);
 
 /* In httpdconn.c.  */
@@ -154,6 +157,9 @@
 
 /* In httpdpeer.c.  */
 void httpd_peer_set_probes (struct httpd_conn *conn, bool often);
+void httpd_peer_count_written (struct httpd_conn *conn, size_t bytes);
+void httpd_peer_reset_written (struct httpd_conn *conn);
+void httpd_peer_limit_unsent (struct httpd_conn *conn);
 void httpd_peer_reset_on_close (struct httpd_conn *conn);
 
 /* In httpdloss.c.  */
--- a/net/httpdroom.c
+++ b/net/httpdroom.c
@@ -65,6 +65,13 @@
   return limit.rlim_cur - limit.rlim_cur / RESERVE_DIVISOR;
 }
 
+/* Return how many connections all listeners have.  */
+int
+httpd_connections_open (void)
+{
+  return connections_open;
+}
+
 /* Record that a listener has COUNT more connections, or fewer.  */
 void
 httpd_count_connections (int count)
--- a/tests/test-buffers.c
+++ b/tests/test-buffers.c
@@ -15,6 +15,8 @@
   ANSWER_MAX_BYTES = 16 * 1024 * 1024,
   BODY_MAX_BYTES = 4 * 1024 * 1024,
   SMALL_BYTES = 12 * 1024,
+  ANSWER_LEAST_BYTES = 256 * 1024,
+  SLOW_CALLERS = 150,
   SEED = 7
 };
 
@@ -63,6 +65,30 @@
   clear (keepers);
 }
 
+/* Guards against answers that are kept for slow callers and leave no room for
+   bodies and heads, and against a single one that isn't kept though there is
+   room.  */
+static void
+test_answers_ahead (void)
+{
+  static struct jc_buffered keepers[KEEPERS];
+  struct jc_buffered body = { 0 };
+
+  g_assert_cmpuint (jc_buffers_ahead_limit (ANSWER_LEAST_BYTES), >=,
+                    BODY_MAX_BYTES);
+  for (unsigned int round = 0; round < ROUNDS; round++)
+    for (unsigned int i = 0; i < SLOW_CALLERS; i++)
+      if (keepers[i].bytes < jc_buffers_ahead_limit (ANSWER_LEAST_BYTES))
+        jc_buffered_set (&keepers[i], keepers[i].bytes + STEP_BYTES);
+  g_test_message ("%u slow callers: %zu bytes", SLOW_CALLERS,
+                  jc_buffers_total ());
+  g_assert_cmpuint (jc_buffers_total (), <=, SUM_MAX_BYTES / 2);
+  g_assert_true (jc_buffers_have_room (&body, 64 * SMALL_BYTES));
+  for (unsigned int i = 0; i < SLOW_CALLERS; i++)
+    g_assert_cmpuint (keepers[i].bytes, >, 0);
+  clear (keepers);
+}
+
 /* Guards against a sum that drifts from what the keepers have.  */
 static void
 test_sum (void)
@@ -88,6 +114,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/greedy-answers", test_greedy_answers);
   g_test_add_func ("/greedy-bodies", test_greedy_bodies);
+  g_test_add_func ("/answers-ahead", test_answers_ahead);
   g_test_add_func ("/sum", test_sum);
   return g_test_run ();
 }
