Have requests wait here for room while they are likely to get it

Cause: requests without room were refused at once or after a third of their objective, newcomers took the room that came free, and one queue ordered all workspaces by age. A line for each service now gives workspaces their turns, late requests go last, newcomers join those of their kind, and each request is refused as soon as it is unlikely to get room in time. The wait queue is given what tries a request and knows exchanges no longer.

jaycove-ctl outcomes shows from logs how requests ended, by route, zone, workspace and second; the lines tell objective, pause and workspace.

--- a/ctl/main.c
+++ b/ctl/main.c
@@ -14,7 +14,7 @@
 
 static const struct verb *const verb_tables[]
     = { config_verbs, replica_verbs,  entry_verbs, ledger_verbs,
-        trace_verbs,  accuracy_verbs, build_verbs };
+        trace_verbs,  accuracy_verbs, build_verbs, outcome_verbs };
 
 static void
 print_verb (const struct verb *verb)
--- a/ctl/verbs.h
+++ b/ctl/verbs.h
@@ -52,6 +52,7 @@
 extern const struct verb trace_verbs[];
 extern const struct verb accuracy_verbs[];
 extern const struct verb build_verbs[];
+extern const struct verb outcome_verbs[];
 
 /* request.c: requests to the operators' listener of an entry instance */
 long request_send (const struct options *options, const char *path,
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -167,6 +167,8 @@
   int64_t sent_tokens
       = (exchange->relay.last_event + 1) * (int64_t)demand->event_tokens;
 
+  demand->priority
+      = exchange->route->priority + (exchange->waiter.late ? 1 : 0);
   if (exchange->relay.last_event < 0)
     return;
   demand->priority = 0;
@@ -217,15 +219,15 @@
                                   .local_only = exchange->handed_over,
                                   .endpoints_only = exchange->endpoints_only,
                                   .may_wait = wait_left_ms > 0,
-                                  .queued = exchange->queued,
+                                  .queued = exchange->waiter.waits,
                                   .wait_left_ms = wait_left_ms,
                                   .now_ms = now_ms };
 }
 
-/* Make the next attempt, or queue EXCHANGE if it should wait.  Each attempt
-   after the first one that may have reached an endpoint takes a retry from the
-   service's budget.  */
-void
+/* Make the next attempt, or queue EXCHANGE if it should wait, and return
+   whether it does.  Each attempt after the first one that may have reached an
+   endpoint takes a retry from the service's budget.  */
+bool
 exchange_attempt (struct exchange *exchange)
 {
   struct router *router = exchange->router;
@@ -242,8 +244,8 @@
                       "No time is left for another attempt.");
   if (status == JC_CROWDED)
     {
-      waitqueue_remove (router, exchange);
-      return;
+      holding_remove (exchange);
+      return false;
     }
   if (status == JC_OK && !jc_relay_may_have_run (&exchange->relay))
     status
@@ -257,22 +259,26 @@
   if (status == JC_NO_ENDPOINT && versionsearch_wait (exchange))
     {
       /* It is tried again by that search alone.  */
-      waitqueue_remove (router, exchange);
-      return;
+      holding_remove (exchange);
+      return false;
     }
-  if (status == JC_CROWDED)
+  if (status == JC_CROWDED
+      || (status == JC_OVERLOADED && holding_allows (exchange)))
     {
-      waitqueue_add (router, exchange);
-      return;
+      holding_add (exchange);
+      return true;
     }
-  waitqueue_remove (router, exchange);
+  holding_remove (exchange);
   if (status == JC_OK && exchange->any_sent
       && !jc_budgets_take_retry (router->budgets, exchange->service, now))
     status = jc_fail (JC_OVERLOADED, "The budget of retries is spent.");
+  if (status == JC_OK && target.endpoint != NULL)
+    holding_note_sent (exchange);
   if (status == JC_OK)
     attempt_start (exchange, &target);
   else
     end_without_attempt (exchange, status);
+  return false;
 }
 
 /* Limit EXCHANGE, whose request was handed over, to what the sending instance
@@ -368,6 +374,7 @@
                  info.resume_after);
   exchange->passed_event = info.resume_after;
   resumptions_init (exchange);
+  holding_init (exchange);
   jc_http_set_data (req, exchange);
   router->entry->in_flight++;
   exchange->link.data = exchange;
@@ -382,7 +389,8 @@
                                exchange->started_ms);
       remotes_count_request (router, exchange->service, exchange->started_ms);
     }
-  exchange_attempt (exchange);
+  if (!holding_joins (exchange))
+    exchange_attempt (exchange);
 }
 
 /* The caller of REQ read what was buffered for it: resume reading the
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -1,5 +1,5 @@
 /* An exchange: shared by exchange.c, attempt.c, answer.c, answerhead.c,
-   heads.c, resumptions.c, stopping.c, versionsearch.c and waitqueue.c, and
+   heads.c, holding.c, resumptions.c, stopping.c and versionsearch.c, and
    private to them.  */
 
 #ifndef ENTRY_EXCHANGE_H
@@ -12,6 +12,7 @@
 #include "serve/relay.h"
 #include "serve/sse.h"
 #include "serve/statement.h"
+#include "serve/waiting.h"
 
 enum
 {
@@ -65,21 +66,21 @@
    last event of BATCH has no id, CONTINUES that the stream had begun before the
    current attempt. HAS_EVENT_IDS means that the attempt sent an event with an
    id, PROGRESSED that BATCH advances the answer.  BODY_BYTES is how much of a
-   plain body the attempt brought, BUFFERED what the answers take.  QUEUED means
-   that it is in the wait queue, where it stays until WAIT_UNTIL_MS at the
-   latest. FIRST_EVENT_MS is the time from the start to the first event,
-   LAST_EVENT_MS when the last event came, ATTEMPT_FIRST_EVENT_MS when the first
-   one of the current attempt came, 0 for not yet, BROKEN_OFF that an endpoint
-   broke off an attempt that had only begun, MAX_GAP_MS the longest pause
-   between two events. STREAM identifies the stream, 0 if its caller gave no id,
-   SOFTWARE is the version that began it, 0 while none has or it isn't certain.
-   SEARCH is the search for it that is under way, made since SEARCH_STARTED_MS
-   and, if there is none, again at SEARCH_AGAIN_MS until SEARCH_ENDED.
-   UNPROVEN_ATTEMPT means that the events of the current attempt, which resumes
-   a stream, aren't shown yet to be of SOFTWARE: they stay in BATCH since
-   HELD_SINCE_MS, and if all have come, HELD_RESULT is the result of the
-   attempt.  PASSED_EVENT is the last event passed on to the caller, -1 for
-   none.  */
+   plain body the attempt brought, BUFFERED what the answers take.  WAITER is
+   its place in the wait queue; a prompt that would stall streams waits there
+   until WAIT_UNTIL_MS at the latest. FIRST_EVENT_MS is the time from the start
+   to the first event, LAST_EVENT_MS when the last event came,
+   ATTEMPT_FIRST_EVENT_MS when the first one of the current attempt came, 0 for
+   not yet, BROKEN_OFF that an endpoint broke off an attempt that had only
+   begun, MAX_GAP_MS the longest pause between two events. STREAM identifies the
+   stream, 0 if its caller gave no id, SOFTWARE is the version that began it, 0
+   while none has or it isn't certain. SEARCH is the search for it that is under
+   way, made since SEARCH_STARTED_MS and, if there is none, again at
+   SEARCH_AGAIN_MS until SEARCH_ENDED. UNPROVEN_ATTEMPT means that the events of
+   the current attempt, which resumes a stream, aren't shown yet to be of
+   SOFTWARE: they stay in BATCH since HELD_SINCE_MS, and if all have come,
+   HELD_RESULT is the result of the attempt.  PASSED_EVENT is the last event
+   passed on to the caller, -1 for none.  */
 struct exchange
 {
   GList link;
@@ -140,7 +141,7 @@
   bool continues;
   bool progressed;
   bool paused;
-  bool queued;
+  struct jc_waiter_slot waiter;
   int64_t wait_until_ms;
   int64_t first_event_ms;
   int64_t last_event_ms;
@@ -172,7 +173,7 @@
 
 struct balancer_query exchange_balancer_query (struct exchange *exchange,
                                                int64_t now_ms);
-void exchange_attempt (struct exchange *exchange);
+bool exchange_attempt (struct exchange *exchange);
 bool exchange_may_wait (const struct exchange *exchange, int64_t now_ms);
 
 /* In heads.c.  */
@@ -195,6 +196,14 @@
 void outcome_end_stream (struct exchange *exchange, bool whole);
 void exchange_abort (struct exchange *exchange);
 
+/* In holding.c.  */
+void holding_init (struct exchange *exchange);
+bool holding_joins (struct exchange *exchange);
+bool holding_allows (struct exchange *exchange);
+void holding_add (struct exchange *exchange);
+void holding_remove (struct exchange *exchange);
+void holding_note_sent (struct exchange *exchange);
+
 /* In stopping.c.  */
 enum jc_status stopping_check (struct router *router,
                                const struct jc_hostroute *route,
--- a/entry/gauges.c
+++ b/entry/gauges.c
@@ -105,8 +105,9 @@
                         jc_suspects_count (router->suspects, RPC_SUSPECTED));
   jc_metrics_gauge_set (metrics, "jaycove_blocked_fingerprints", "",
                         jc_suspects_count (router->suspects, RPC_BLOCKED));
-  jc_metrics_gauge_set (metrics, "jaycove_waiting", "",
-                        g_queue_get_length (&router->wait_queue));
+  jc_metrics_gauge_set (
+      metrics, "jaycove_waiting", "",
+      jc_waiting_length (waitqueue_waiting (router->wait_queue)));
   jc_metrics_gauge_set (metrics, "jaycove_buffered_bytes", "",
                         (double)jc_buffers_total ());
   set_retries (router, now);
--- a/entry/outcome.c
+++ b/entry/outcome.c
@@ -69,20 +69,23 @@
   if (jc_http_status_promises_not_run (http))
     jc_metrics_counter_add (exchange->router->entry->metrics,
                             "jaycove_not_run_answers_total", label, 1);
-  jc_event (event,
-            "id=%s route=%s service=%s outcome=%s http=%d by=%s place=%s "
-            "tried=%u sent=%u sendings=%u ms=%" PRId64 " left_ms=%" PRId64
-            " version=%" PRIu64 " guest=%d heard=%d last_event=%" PRId64
-            " first_ms=%" PRId64 " gap_ms=%" PRId64,
-            exchange_id (exchange), exchange->route->name, exchange->service,
-            outcome, http, origin,
-            exchange->target_name != NULL ? exchange->target_name : "-",
-            exchange->relay.attempts_reached, exchange->relay.endpoints_sent,
-            exchange->relay.sendings, jc_now_ms () - exchange->started_ms,
-            exchange->relay.deadline_ms - jc_now_ms (),
-            exchange->routes->version, exchange->handed_over,
-            exchange->head_received, exchange->relay.last_event,
-            exchange->first_event_ms, exchange->max_gap_ms);
+  jc_event (
+      event,
+      "id=%s route=%s service=%s outcome=%s http=%d by=%s place=%s "
+      "tried=%u sent=%u sendings=%u ms=%" PRId64 " left_ms=%" PRId64
+      " version=%" PRIu64 " guest=%d heard=%d last_event=%" PRId64
+      " first_ms=%" PRId64 " gap_ms=%" PRId64 " objective_ms=%" PRId64
+      " pause_max_ms=%" PRId64 " workspace=%s",
+      exchange_id (exchange), exchange->route->name, exchange->service, outcome,
+      http, origin, exchange->target_name != NULL ? exchange->target_name : "-",
+      exchange->relay.attempts_reached, exchange->relay.endpoints_sent,
+      exchange->relay.sendings, jc_now_ms () - exchange->started_ms,
+      exchange->relay.deadline_ms - jc_now_ms (), exchange->routes->version,
+      exchange->handed_over, exchange->head_received,
+      exchange->relay.last_event, exchange->first_event_ms,
+      exchange->max_gap_ms, exchange->route->objective_ms,
+      exchange->route->gap_ms,
+      exchange->waiter.workspace[0] != '\0' ? exchange->waiter.workspace : "-");
 }
 
 /* Return the time after which the caller of EXCHANGE gives up, ms; 0 if that is
@@ -202,7 +205,7 @@
     return;
   log_end (exchange, JC_EVENT_GONE, "caller_left", 0, BY_INSTANCE);
   count_outcome (exchange, "caller_left");
-  waitqueue_remove (exchange->router, exchange);
+  holding_remove (exchange);
   if (exchange->call != NULL && jc_httpc_call_is_connecting (exchange->call)
       && reach_attempt_hung (exchange))
     outcome = JC_ENGINE_UNREACHABLE;
@@ -222,7 +225,7 @@
       jc_relay_may_have_run (&exchange->relay) ? JC_TIMEOUT : JC_DRAINING,
       "The instance stops before the request has ended.");
 
-  waitqueue_remove (exchange->router, exchange);
+  holding_remove (exchange);
   if (exchange->call != NULL)
     jc_httpc_call_cancel (exchange->call);
   exchange->call = NULL;
--- a/entry/router.c
+++ b/entry/router.c
@@ -208,7 +208,7 @@
   (void)events;
   loads_tick (entry->router);
   crashes_tick (entry->router);
-  waitqueue_tick (entry->router);
+  waitqueue_dispatch (entry->router->wait_queue, jc_now_ms ());
 }
 
 /* Start draining: the directory no longer lists this instance, but requests
@@ -342,7 +342,7 @@
   router->dialled_entries
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   router->zone_forwarders = jc_forwarding_new ();
-  waitqueue_start (router);
+  router->wait_queue = waitqueue_new (&holding_ops);
   router->returns = jc_returns_new ();
   router->slot_room = jc_slot_room_new ();
   g_queue_init (&router->exchanges);
@@ -374,7 +374,7 @@
   jc_httpd_free (router->handover_listener);
   g_free (router->handover_address);
   jc_httpd_free (router->ready_listener);
-  waitqueue_stop (router);
+  waitqueue_free (router->wait_queue);
   jc_returns_free (router->returns);
   jc_slot_room_free (router->slot_room);
   jc_engines_free (router->engines);
--- a/entry/router.h
+++ b/entry/router.h
@@ -7,6 +7,7 @@
 #include "conf/lag.h"
 #include "conf/orders.h"
 #include "entry/entry.h"
+#include "entry/waitqueue.h"
 #include "member/contact.h"
 #include "member/reporters.h"
 #include "member/versions.h"
@@ -96,7 +97,7 @@
   struct jc_httpd *ready_listener;
   ev_timer tick_timer;
   ev_timer loads_timer;
-  GQueue wait_queue;
+  struct waitqueue *wait_queue;
   struct jc_returns *returns;
   struct jc_slot_room *slot_room;
   GQueue exchanges;
@@ -408,12 +409,8 @@
 /* stopping: requests at an instance that was told to stop.  */
 void stopping_tick (struct router *router);
 
-/* waitqueue: requests that wait so as not to stall running streams.  */
-void waitqueue_start (struct router *router);
-void waitqueue_stop (struct router *router);
-void waitqueue_add (struct router *router, struct exchange *exchange);
-void waitqueue_remove (struct router *router, struct exchange *exchange);
-void waitqueue_tick (struct router *router);
+/* holding: requests that wait here for room.  */
+extern const struct waitqueue_ops holding_ops;
 
 /* heads: what is checked of a request by its head.  */
 enum jc_status heads_check (struct router *router, struct jc_http_req *req,
--- a/entry/shareleases.c
+++ b/entry/shareleases.c
@@ -240,6 +240,6 @@
 {
   for (u_int i = 0; i < reply->leases.leases_len; i++)
     apply_lease (router, &reply->leases.leases_val[i]);
-  if (router->wait_queue.head != NULL)
+  if (jc_waiting_length (waitqueue_waiting (router->wait_queue)) > 0)
     shares_schedule_dispatch (router);
 }
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -14,9 +14,11 @@
 static void
 on_dispatch (struct ev_loop *loop, ev_timer *watcher, int events)
 {
+  const struct router *router = watcher->data;
+
   (void)loop;
   (void)events;
-  waitqueue_tick (watcher->data);
+  waitqueue_dispatch (router->wait_queue, jc_now_ms ());
 }
 
 void
@@ -164,18 +166,6 @@
   return endpoints;
 }
 
-static unsigned int
-count_waiting (const struct router *router, const char *service)
-{
-  unsigned int count = 0;
-
-  for (const GList *item = router->wait_queue.head; item != NULL;
-       item = item->next)
-    if (strcmp (((const struct exchange *)item->data)->service, service) == 0)
-      count++;
-  return count;
-}
-
 /* Return what this instance holds of SERVICE, and the requests that use it or
    wait for it.  */
 struct jc_share_load
@@ -194,7 +184,8 @@
       sum.used += MIN (load.used, load.slots);
     }
   g_ptr_array_free (endpoints, TRUE);
-  sum.used += count_waiting (router, service);
+  sum.used += jc_waiting_count (waitqueue_waiting (router->wait_queue),
+                                g_intern_string (service));
   return sum;
 }
 
