Send plain endpoints no more requests than they take

An endpoint's refusal states what it held; all instances now keep to that, by the loads that they exchange, less a margin that grows with refusals. Requests that find no room wait here as those for engines do.

--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -234,14 +234,12 @@
   return sum / MAX ((int64_t)endpoints->len, 1);
 }
 
-/* Remove from ENDPOINTS those whose slots are left to more urgent requests than
-   QUERY's.  */
+/* Remove from ENDPOINTS those that have no room for QUERY's request: plain ones
+   that are full, and engines whose slots are left to more urgent requests.  */
 static void
 filter_slots (struct router *router, const struct balancer_query *query,
               GPtrArray *endpoints)
 {
-  if (query->demand->prompt_tokens == 0)
-    return;
   for (guint i = endpoints->len; i > 0; i--)
     {
       const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i - 1);
@@ -253,7 +251,10 @@
               .priority = query->demand->priority,
               .objective_ms = query->demand->first_event_limit_ms };
 
-      if (!jc_slot_room_allows (router->slot_room, &slots))
+      if (query->demand->prompt_tokens > 0
+              ? !jc_slot_room_allows (router->slot_room, &slots)
+              : !fullservices_may_send (router, endpoint, query->demand,
+                                        query->now_ms))
         g_ptr_array_remove_index (endpoints, i - 1);
     }
 }
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -116,6 +116,7 @@
 
   resumptions_attempt_ended (exchange);
   shares_note_end (exchange, share_end_of (exchange, result));
+  fullservices_note_end (exchange, result);
   if (!exchange->remote && jc_relay_is_usable_answer (result))
     jc_slot_room_note_answer (exchange->router->slot_room, exchange->service,
                               now - exchange->attempt_started_ms);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -196,6 +196,10 @@
 void outcome_end_stream (struct exchange *exchange, bool whole);
 void exchange_abort (struct exchange *exchange);
 
+/* In fullservices.c.  */
+void fullservices_note_end (struct exchange *exchange,
+                            const struct jc_relay_result *result);
+
 /* In holding.c.  */
 void holding_init (struct exchange *exchange);
 bool holding_joins (struct exchange *exchange);
--- a/entry/holding.c
+++ b/entry/holding.c
@@ -87,7 +87,6 @@
 
   return !exchange->handed_over && !router->entry->draining
          && !exchange->relay.begun && !exchange->any_sent
-         && exchange->demand.prompt_tokens > 0
          && !shares_apply (router, exchange->service);
 }
 
--- a/entry/router.c
+++ b/entry/router.c
@@ -11,6 +11,7 @@
 #include "net/eventflush.h"
 #include "net/program.h"
 #include "platform/platform.h"
+#include "serve/fullness.h"
 #include "serve/returns.h"
 #include "serve/slotroom.h"
 
@@ -345,6 +346,7 @@
   router->wait_queue = waitqueue_new (&holding_ops);
   router->returns = jc_returns_new ();
   router->slot_room = jc_slot_room_new ();
+  router->fullness = jc_fullness_new ();
   g_queue_init (&router->exchanges);
   router->started_ms = jc_now_ms ();
   ev_timer_init (&router->tick_timer, on_tick, interval_s, interval_s);
@@ -377,6 +379,7 @@
   waitqueue_free (router->wait_queue);
   jc_returns_free (router->returns);
   jc_slot_room_free (router->slot_room);
+  jc_fullness_free (router->fullness);
   jc_engines_free (router->engines);
   jc_budgets_free (router->budgets);
   jc_backpressure_free (router->backpressure);
--- a/entry/router.h
+++ b/entry/router.h
@@ -100,6 +100,7 @@
   struct waitqueue *wait_queue;
   struct jc_returns *returns;
   struct jc_slot_room *slot_room;
+  struct jc_fullness *fullness;
   GQueue exchanges;
   int64_t presence_sent_ms;
   int64_t loads_sent_ms;
@@ -409,6 +410,11 @@
 /* stopping: requests at an instance that was told to stop.  */
 void stopping_tick (struct router *router);
 
+/* fullservices: endpoints of plain services get no more than they take.  */
+bool fullservices_may_send (struct router *router,
+                            const struct jc_endpoint *endpoint,
+                            const struct jc_demand *demand, int64_t now_ms);
+
 /* holding: requests that wait here for room.  */
 extern const struct waitqueue_ops holding_ops;
 
