--- a/entry/router.h
+++ b/entry/router.h
@@ -7,6 +7,7 @@
 #include "conf/lag.h"
 #include "conf/orders.h"
 #include "entry/entry.h"
+#include "entry/waitqueue.h"
 #include "member/contact.h"
 #include "member/reporters.h"
 #include "member/versions.h"
@@ -98,9 +99,10 @@
   struct jc_httpd *ready_listener;
   ev_timer tick_timer;
   ev_timer loads_timer;
-  GQueue wait_queue;
+  struct waitqueue *wait_queue;
   struct jc_returns *returns;
   struct jc_slot_room *slot_room;
+  struct jc_fullness *fullness;
   GQueue exchanges;
   int64_t presence_sent_ms;
   int64_t loads_sent_ms;
@@ -427,12 +429,13 @@
 /* stopping: requests at an instance that was told to stop.  */
 void stopping_tick (struct router *router);
 
-/* waitqueue: requests that wait so as not to stall running streams.  */
-void waitqueue_start (struct router *router);
-void waitqueue_stop (struct router *router);
-void waitqueue_add (struct router *router, struct exchange *exchange);
-void waitqueue_remove (struct router *router, struct exchange *exchange);
-void waitqueue_tick (struct router *router);
+/* fullservices: endpoints of plain services get no more than they take.  */
+bool fullservices_may_send (struct router *router,
+                            const struct jc_endpoint *endpoint,
+                            const struct jc_demand *demand, int64_t now_ms);
+
+/* holding: requests that wait here for room.  */
+extern const struct waitqueue_ops holding_ops;
 
 /* heads: what is checked of a request by its head.  */
 enum jc_status heads_check (struct router *router, struct jc_http_req *req,
