Report long prompts to the other instances at once

Cause: instances learn only with the next load report, up to two intervals later, what the others have begun to have read at an engine, and send long prompts there too. Change: a prompt whose reading takes more than a sixteenth of the pause that it allows is reported at once, at most once more in each interval; the reporter of a zone does the same to the other zones.

--- a/entry/router.h
+++ b/entry/router.h
@@ -98,6 +98,8 @@
   GQueue exchanges;
   int64_t presence_sent_ms;
   int64_t loads_sent_ms;
+  int64_t loads_told_ms;
+  int64_t zone_loads_told_ms;
   int64_t full_loads_sent_ms;
   int64_t state_connected_ms;
   struct jc_contact contact;
@@ -183,6 +185,7 @@
 /* loads: load reports between the instances of a region.  */
 void loads_connect (struct router *router, const struct rpc_presence *presence);
 void loads_disconnect (struct router *router, const char *name);
+void loads_start (struct router *router);
 void loads_tick (struct router *router);
 void loads_handle_packet (struct router *router, struct jc_rpc_conn *conn,
                           const struct rpc_packet *packet);
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -1,5 +1,4 @@
-/* Tracking of the requests at each engine and exchange of loads with other
-   entry instances.  */
+/* Tracking of the requests at each engine.  */
 
 #include <math.h>
 #include <string.h>
@@ -21,13 +20,7 @@
 {
   /* Assumed duration of a plain request until it is measured.  */
   PLAIN_INITIAL_MS = 40,
-  /* A peer that has sent nothing for this long is taken to have stopped: each
-     sends at least every 500 ms.  */
-  PEER_SILENT_MS = 700,
-  /* Loads older than this are ignored.  */
-  LOAD_MAX_AGE_MS = 1000,
   ENGINE_EXPIRE_MS = 120000,
-  PEER_LOADS_INITIAL = 8,
   /* First and longest backoff of an endpoint that can't be reached.  */
   BACKOFF_MIN_MS = 500,
   BACKOFF_MAX_MS = 4000,
@@ -166,8 +159,8 @@
 }
 
 /* Return RATE, in tokens per second, after AGE_MS without new tokens.  */
-static double
-decayed_rate (double rate, int64_t age_ms)
+double
+engine_decayed_rate (double rate, int64_t age_ms)
 {
   return rate * exp (-(double)age_ms / PREFILL_RATE_WINDOW_MS);
 }
@@ -183,16 +176,16 @@
 
 /* Return the average tokens per second that this instance has lately sent
    ENGINE to prefill.  */
-static double
-prefill_rate_now (const struct engine *engine, int64_t now_ms)
+double
+engine_prefill_rate (const struct engine *engine, int64_t now_ms)
 {
-  return decayed_rate (engine->prefill_rate, now_ms - engine->prefill_rate_ms);
+  return engine_decayed_rate (engine->prefill_rate, now_ms - engine->prefill_rate_ms);
 }
 
 static void
 prefill_rate_add (struct engine *engine, uint64_t tokens, int64_t now_ms)
 {
-  engine->prefill_rate = prefill_rate_now (engine, now_ms)
+  engine->prefill_rate = engine_prefill_rate (engine, now_ms)
                          + (double)tokens * MS_PER_S / PREFILL_RATE_WINDOW_MS;
   engine->prefill_rate_ms = now_ms;
 }
@@ -204,7 +197,7 @@
 {
   struct load load = { .running = engine->running,
                        .unread_tokens = (double)engine->unread_tokens,
-                       .prefill_busy = prefill_rate_now (engine, now_ms),
+                       .prefill_busy = engine_prefill_rate (engine, now_ms),
                        .slowdown = engine->slowdown };
   bool has_peer_loads = false;
 
@@ -217,7 +210,7 @@
       has_peer_loads = true;
       load.running += peer_load->reported.running;
       load.unread_tokens += peer_load->reported.unread_tokens;
-      load.prefill_busy += decayed_rate (peer_load->reported.tokens_per_s,
+      load.prefill_busy += engine_decayed_rate (peer_load->reported.tokens_per_s,
                                          now_ms - peer_load->reported_ms);
     }
   if (!has_peer_loads && now_ms - engine->reported_ms < LOAD_MAX_AGE_MS)
@@ -278,6 +271,7 @@
   engine->last_used_ms = now_ms;
   prefill_rate_add (engine, run->prefill_tokens, now_ms);
   engine_prefixes_note_sent (engines, engine, demand, now_ms);
+  engine_note_reading (engines, demand, run->prefill_tokens, now_ms);
   return run;
 }
 
@@ -306,210 +300,6 @@
   run->engine->reported_ms = now_ms;
 }
 
-/* Append to ROWS, of struct rpc_load, the load of this instance at each engine
-   where it changed since the last call, or with FULL at each engine in use.
-   Append to PARTS, of struct rpc_part_read, the shared prefixes that were
-   sent to an engine and that no instance announced recently.  */
-void
-jc_engines_collect_loads (struct jc_engines *engines, bool full, int64_t now_ms,
-                          GArray *rows, GArray *parts)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, engines->by_name);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct engine *engine = value;
-      struct rpc_load row
-          = { .tag = engine->tag,
-              .running = engine->running,
-              .unread_tokens = (u_int)MIN (engine->unread_tokens, UINT32_MAX),
-              .tokens_per_s = (u_int)prefill_rate_now (engine, now_ms) };
-
-      if (engine->changed
-          || (full && (engine->running > 0 || row.tokens_per_s > 0)))
-        g_array_append_val (rows, row);
-      engine->changed = false;
-    }
-  g_array_append_vals (parts, engines->prefix_updates->data,
-                       engines->prefix_updates->len);
-  g_array_set_size (engines->prefix_updates, 0);
-}
-
-/* Return the load of ENGINE summed over all instances of this zone.  */
-static struct rpc_load
-zone_load (const struct engine *engine, int64_t now_ms)
-{
-  struct rpc_load sum
-      = { .tag = engine->tag,
-          .running = engine->running,
-          .unread_tokens = (u_int)MIN (engine->unread_tokens, UINT32_MAX),
-          .tokens_per_s = (u_int)prefill_rate_now (engine, now_ms) };
-
-  for (unsigned int i = 0; i < engine->peer_loads_count; i++)
-    {
-      const struct peer_load *peer_load = &engine->peer_loads[i];
-
-      if (!peer_load->peer->direct
-          || now_ms - peer_load->peer->heard_ms >= LOAD_MAX_AGE_MS)
-        continue;
-      sum.running += peer_load->reported.running;
-      sum.unread_tokens += peer_load->reported.unread_tokens;
-      sum.tokens_per_s += (u_int)decayed_rate (peer_load->reported.tokens_per_s,
-                                               now_ms - peer_load->reported_ms);
-    }
-  return sum;
-}
-
-/* Like jc_engines_collect_loads, for the sum of all instances of this zone.  */
-void
-jc_engines_collect_zone_loads (struct jc_engines *engines, bool full,
-                               int64_t now_ms, GArray *rows, GArray *parts)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, engines->by_name);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct engine *engine = value;
-      struct rpc_load row = zone_load (engine, now_ms);
-
-      if (engine->zone_changed
-          || (full && (row.running > 0 || row.tokens_per_s > 0)))
-        g_array_append_val (rows, row);
-      engine->zone_changed = false;
-    }
-  g_array_append_vals (parts, engines->zone_prefix_updates->data,
-                       engines->zone_prefix_updates->len);
-  g_array_set_size (engines->zone_prefix_updates, 0);
-}
-
-static struct peer *
-peer_get (struct jc_engines *engines, const char *name, bool direct)
-{
-  uint64_t id = jc_name_pair_hash (name, direct ? "" : "zone");
-  struct peer *peer = g_hash_table_lookup (engines->peers, &id);
-
-  if (peer == NULL)
-    {
-      peer = g_new0 (struct peer, 1);
-      peer->id = id;
-      peer->direct = direct;
-      g_hash_table_insert (engines->peers, &peer->id, peer);
-    }
-  return peer;
-}
-
-/* Return the entry for the load of PEER at ENGINE.  When the table is full, the
-   entry of the peer that has been silent the longest is reused.  */
-static struct peer_load *
-peer_load_get (struct engine *engine, const struct peer *peer)
-{
-  struct peer_load *oldest = engine->peer_loads;
-
-  for (unsigned int i = 0; i < engine->peer_loads_count; i++)
-    {
-      struct peer_load *peer_load = &engine->peer_loads[i];
-
-      if (peer_load->peer == peer)
-        return peer_load;
-      if (peer_load->peer->heard_ms < oldest->peer->heard_ms)
-        oldest = peer_load;
-    }
-  if (engine->peer_loads_count == PEER_LOADS_MAX)
-    return oldest;
-  if (engine->peer_loads_count == engine->peer_loads_capacity)
-    {
-      engine->peer_loads_capacity
-          = MAX (2 * engine->peer_loads_capacity, PEER_LOADS_INITIAL);
-      engine->peer_loads = g_renew (struct peer_load, engine->peer_loads,
-                                    engine->peer_loads_capacity);
-    }
-  return &engine->peer_loads[engine->peer_loads_count++];
-}
-
-/* Clear the loads of PEER that its full message, received at NOW_MS, did not
-   list.  */
-static void
-clear_unlisted_loads (struct jc_engines *engines, const struct peer *peer,
-                      int64_t now_ms)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, engines->by_name);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct engine *engine = value;
-
-      for (unsigned int i = 0; i < engine->peer_loads_count; i++)
-        if (engine->peer_loads[i].peer == peer
-            && engine->peer_loads[i].reported_ms != now_ms)
-          memset (&engine->peer_loads[i].reported, 0,
-                  sizeof engine->peer_loads[i].reported);
-    }
-}
-
-/* Apply a message with the LOADS of PEER.  */
-static void
-apply_loads (struct jc_engines *engines, struct peer *peer,
-             const struct rpc_loads *loads, int64_t now_ms)
-{
-  peer->heard_ms = now_ms;
-  for (u_int i = 0; i < loads->rows.rows_len; i++)
-    {
-      const struct rpc_load *row = &loads->rows.rows_val[i];
-      uint64_t tag = row->tag;
-      struct engine *engine = g_hash_table_lookup (engines->by_tag, &tag);
-      struct peer_load *peer_load;
-
-      if (engine == NULL)
-        continue;
-      peer_load = peer_load_get (engine, peer);
-      *peer_load = (struct peer_load){ .peer = peer,
-                                       .reported = *row,
-                                       .reported_ms = now_ms };
-      engine->zone_changed = engine->zone_changed || peer->direct;
-      engine->last_used_ms
-          = MAX (engine->last_used_ms, now_ms - LOAD_MAX_AGE_MS);
-    }
-  for (u_int i = 0; i < loads->parts.parts_len; i++)
-    engine_prefixes_note_peer (engines, &loads->parts.parts_val[i],
-                               peer->direct, now_ms);
-  if (loads->full)
-    clear_unlisted_loads (engines, peer, now_ms);
-}
-
-/* Apply the LOADS received from the entry instance INSTANCE of this zone.  */
-void
-jc_engines_apply_loads (struct jc_engines *engines, const char *instance,
-                        const struct rpc_loads *loads, int64_t now_ms)
-{
-  apply_loads (engines, peer_get (engines, instance, true), loads, now_ms);
-}
-
-/* Apply the LOADS received for all instances of ZONE together.  */
-void
-jc_engines_apply_zone_loads (struct jc_engines *engines, const char *zone,
-                             const struct rpc_loads *loads, int64_t now_ms)
-{
-  apply_loads (engines, peer_get (engines, zone, false), loads, now_ms);
-}
-
-/* Return true if the entry instance INSTANCE of this zone sent its loads within
-   the last PEER_SILENT_MS.  */
-bool
-jc_engines_heard_from (const struct jc_engines *engines, const char *instance,
-                       int64_t now_ms)
-{
-  uint64_t id = jc_name_pair_hash (instance, "");
-  const struct peer *peer = g_hash_table_lookup (engines->peers, &id);
-
-  return peer != NULL && now_ms - peer->heard_ms < PEER_SILENT_MS;
-}
-
 static void
 note_failure (struct engine *engine, int64_t now_ms)
 {
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -100,6 +100,10 @@
 void jc_engines_apply_zone_loads (struct jc_engines *engines, const char *zone,
                                   const struct rpc_loads *loads,
                                   int64_t now_ms);
+void jc_engines_watch_reading (struct jc_engines *engines,
+                               void (*report) (void *data, bool of_zone,
+                                               int64_t now_ms),
+                               void *data);
 bool jc_engines_heard_from (const struct jc_engines *engines,
                             const char *instance, int64_t now_ms);
 
--- a/serve/engineprivate.h
+++ b/serve/engineprivate.h
@@ -25,6 +25,8 @@
   PREFILL_RATE_WINDOW_MS = 1500,
   /* Peers whose loads are kept per engine: more instances than a zone has.  */
   PEER_LOADS_MAX = 512,
+  /* Loads older than this are ignored.  */
+  LOAD_MAX_AGE_MS = 1000,
   MS_PER_S = 1000
 };
 
@@ -92,6 +94,8 @@
   double slowdown;
 };
 
+/* TOLD_TOKENS is the number of prompt tokens from which the other instances are
+   told at once, 0 until a stream that limits its pauses was sent.  */
 struct jc_engines
 {
   GHashTable *by_name;
@@ -99,12 +103,22 @@
   GHashTable *peers;
   GArray *prefix_updates;
   GArray *zone_prefix_updates;
+  void (*report) (void *data, bool of_zone, int64_t now_ms);
+  void *report_data;
+  double told_tokens;
 };
 
 /* engine.c  */
 struct engine *engine_get (struct jc_engines *engines, const char *name);
 double engine_recent_failures (const struct engine *engine, int64_t now_ms);
 struct load engine_load (const struct engine *engine, int64_t now_ms);
+double engine_decayed_rate (double rate, int64_t age_ms);
+double engine_prefill_rate (const struct engine *engine, int64_t now_ms);
+
+/* engineloads.c  */
+void engine_note_reading (struct jc_engines *engines,
+                          const struct jc_demand *demand, uint64_t tokens,
+                          int64_t now_ms);
 
 /* engineprefix.c  */
 GHashTable *engine_prefixes_new (void);
