--- a/serve/enginecost.c
+++ b/serve/enginecost.c
@@ -2,8 +2,6 @@
 
 #include "serve/engineprivate.h"
 
-/* Tokens per event of a stream if the request does not give them.  */
-#define EVENT_TOKENS_DEFAULT 8.0
 /* Upper bound on what a request's own prefill counts against the limit, so that
    the longest prompts can be admitted too.  */
 #define OWN_PREFILL_SHARE_MAX 0.15
@@ -32,6 +30,8 @@
 /* Fraction of the allowed gap above which an engine counts as stalling its
    streams: known loads lag behind.  */
 #define STALL_GAP_FRACTION 0.9
+/* Fraction of the allowed gap from which a prompt is long.  */
+#define LONG_GAP_FRACTION 0.75
 /* Tokens of a short answer, as assumed for the wait when all slots are
    taken.  */
 #define SHORT_ANSWER_TOKENS 4
@@ -86,20 +86,31 @@
   return demand->event_tokens > 0 ? demand->event_tokens : EVENT_TOKENS_DEFAULT;
 }
 
-/* Return the longest gap between two events of a stream that runs while TOKENS
-   are prefilled, ms: there are as many steps between two events as an event has
-   tokens, and each of them prefills a chunk while any is left.  DEPTH is the
-   number of tokens before the last chunks.  */
+/* Return the longest gap between two events of a stream at an engine with LOAD
+   if prompts are read for READING_MS without a pause, ms: there are as many
+   steps between two events as an event has tokens, and each of them reads a
+   chunk while any is left.  DEPTH is the number of tokens before the last
+   chunks.  */
 static double
 stream_gap_ms (const struct load *load, const struct jc_demand *demand,
-               double tokens, double depth)
+               double reading_ms, double depth)
 {
   double steps = steps_per_event (demand);
-  double chunks = MIN (tokens / PREFILL_CHUNK_TOKENS, steps);
   double chunk_ms = PREFILL_CHUNK_TOKENS
-                    * (1 / PREFILL_TOKENS_PER_MS + depth * ATTENTION_PAIR_MS);
+                    * (1 / PREFILL_TOKENS_PER_MS + depth * ATTENTION_PAIR_MS)
+                    * load->slowdown;
 
-  return chunks * chunk_ms * load->slowdown + steps * engine_step_ms (load);
+  return MIN (reading_ms, steps * chunk_ms) + steps * engine_step_ms (load);
+}
+
+/* Return the time that an engine with LOAD reads without a pause, of the past
+   too, if it gets PREFILL_TOKENS more, ms.  */
+static double
+reading_period_ms (const struct load *load, double prefill_tokens)
+{
+  return load->read_ms + load->reading_ms
+         + prefill_tokens / PREFILL_TOKENS_PER_MS * load->slowdown
+         + prefill_tokens / PREFILL_CHUNK_TOKENS * engine_step_ms (load);
 }
 
 /* Return the number of prompt tokens before the middle of the last chunks of
@@ -181,9 +192,10 @@
     cost += LATE_COST_MS;
   if (gap <= 0)
     return cost;
-  if (stream_gap_ms (load, demand, load->unread_tokens, 0) > gap)
+  if (stream_gap_ms (load, demand, reading_period_ms (load, 0), 0) > gap)
     cost += LATE_COST_MS / 2;
-  else if (stream_gap_ms (load, demand, load->unread_tokens + prefill_tokens,
+  else if (stream_gap_ms (load, demand,
+                          reading_period_ms (load, prefill_tokens),
                           prefill_depth (demand))
            > gap)
     cost += load->running * LATE_COST_MS / 4;
@@ -318,7 +330,8 @@
     return false;
   prefill_tokens = engine_prefill_tokens (
       demand, engine_cached_tokens (engine, demand, now_ms));
-  return stream_gap_ms (&load, demand, load.unread_tokens + prefill_tokens, 0)
+  return stream_gap_ms (&load, demand,
+                        reading_period_ms (&load, prefill_tokens), 0)
          > (double)demand->gap_limit_ms * STALL_GAP_FRACTION;
 }
 
@@ -358,17 +371,20 @@
 }
 
 /* Return true if the prompt of DEMAND, prefilled without a pause by a lightly
-   loaded engine, makes the gaps of its other streams too long.  */
+   loaded engine, makes the gaps of its other streams too long, or leaves hardly
+   any time to prefill another one.  */
 bool
 demand_is_long (const struct jc_demand *demand)
 {
   static const struct load lightly_loaded = { .running = 8, .slowdown = 1 };
 
   return demand->gap_limit_ms > 0
-         && stream_gap_ms (&lightly_loaded, demand,
-                           engine_prefill_tokens (demand, 0),
-                           prefill_depth (demand))
-                > (double)demand->gap_limit_ms;
+         && stream_gap_ms (
+                &lightly_loaded, demand,
+                reading_period_ms (&lightly_loaded,
+                                   engine_prefill_tokens (demand, 0)),
+                prefill_depth (demand))
+                > (double)demand->gap_limit_ms * LONG_GAP_FRACTION;
 }
 
 /* Write to OUT the values that the cost of a request with DEMAND at ENDPOINT is
@@ -386,12 +402,15 @@
 
   g_snprintf (out, size,
               "running=%.0f unread=%.0f busy=%.2f pace=%.2f failures=%.1f "
-              "prompt=%u read=%u first=%.0f answer=%.0f pause=%.0f",
+              "prompt=%u read=%u first=%.0f answer=%.0f pause=%.0f "
+              "reading=%.0f left=%.0f",
               load.running, load.unread_tokens, load.prefill_busy,
               load.slowdown, engine_recent_failures (engine, now_ms),
               demand->prompt_tokens, cached,
               first_event_ms (&load, endpoint, prefill_tokens),
               decode_ms (&load, demand),
-              stream_gap_ms (&load, demand, load.unread_tokens + prefill_tokens,
-                             prefill_depth (demand)));
+              stream_gap_ms (&load, demand,
+                             reading_period_ms (&load, prefill_tokens),
+                             prefill_depth (demand)),
+              load.read_ms, load.reading_ms);
 }
--- a/serve/engineloads.c
+++ b/serve/engineloads.c
@@ -167,7 +167,10 @@
         oldest = peer_load;
     }
   if (engine->peer_loads_count == PEER_LOADS_MAX)
-    return oldest;
+    {
+      *oldest = (struct peer_load){ .peer = peer };
+      return oldest;
+    }
   if (engine->peer_loads_count == engine->peer_loads_capacity)
     {
       engine->peer_loads_capacity
@@ -175,6 +178,8 @@
       engine->peer_loads = g_renew (struct peer_load, engine->peer_loads,
                                     engine->peer_loads_capacity);
     }
+  engine->peer_loads[engine->peer_loads_count]
+      = (struct peer_load){ .peer = peer };
   return &engine->peer_loads[engine->peer_loads_count++];
 }
 
@@ -200,6 +205,21 @@
     }
 }
 
+/* Return the tokens that an instance or zone sent an engine to read between two
+   reports, BEFORE and AFTER, at NOW_MS: those by which its rate grew, of which
+   no more than are unread can be new.  */
+static double
+tokens_between (const struct peer_load *before, const struct rpc_load *after,
+                int64_t now_ms)
+{
+  double rate = engine_decayed_rate (before->reported.tokens_per_s,
+                                     now_ms - before->reported_ms);
+  double tokens
+      = (after->tokens_per_s - rate) * PREFILL_RATE_WINDOW_MS / MS_PER_S;
+
+  return CLAMP (tokens, 0, (double)after->unread_tokens);
+}
+
 /* Apply a message with the LOADS of PEER.  */
 static void
 apply_loads (struct jc_engines *engines, struct peer *peer,
@@ -218,6 +238,8 @@
       if (engine == NULL)
         continue;
       peer_load = peer_load_get (engine, peer);
+      engine_add_reading (engines, engine,
+                          tokens_between (peer_load, row, now_ms), now_ms);
       grown = grown
               || (peer->direct
                   && has_grown (engines, peer_load->reported.unread_tokens,
--- a/serve/enginepick.c
+++ b/serve/enginepick.c
@@ -4,10 +4,6 @@
 
 #include "serve/engineprivate.h"
 
-/* Fraction of the engines reserved for long prompts, those that make gaps of
-   the streams beside them too long.  Long prompts are a seventh of all
-   prefill.  */
-#define LONG_PROMPT_FRACTION 0.12
 /* Extra cost of an engine of the other group.  */
 #define OTHER_GROUP_COST_MS 400.0
 
@@ -69,13 +65,13 @@
   return left_hash < right_hash ? -1 : left_hash > right_hash;
 }
 
-/* Split ENDPOINTS, in the same way in every instance, into LONG_GROUP, reserved
-   for long prompts, and USUAL_GROUP.  */
+/* Split ENDPOINTS, in the same order in every instance, into LONG_GROUP,
+   reserved for long prompts, and USUAL_GROUP.  */
 static void
-split_by_group (const GPtrArray *endpoints, GPtrArray *long_group,
-                GPtrArray *usual_group)
+split_by_group (const struct jc_engines *engines, const GPtrArray *endpoints,
+                GPtrArray *long_group, GPtrArray *usual_group)
 {
-  guint count = (guint)(endpoints->len * LONG_PROMPT_FRACTION);
+  guint count = jc_longshare_engines (&engines->long_share, endpoints->len);
 
   for (guint i = 0; i < endpoints->len; i++)
     g_ptr_array_add (usual_group, g_ptr_array_index (endpoints, i));
@@ -147,7 +143,7 @@
     {
       bool is_long = demand_is_long (demand);
 
-      split_by_group (endpoints, long_group, usual_group);
+      split_by_group (engines, endpoints, long_group, usual_group);
       own_best = cheapest (engines, is_long ? long_group : usual_group, demand,
                            now_ms, &own_cost_ms);
       other_best = cheapest (engines, is_long ? usual_group : long_group,
--- a/serve/engineprivate.h
+++ b/serve/engineprivate.h
@@ -4,6 +4,8 @@
 #define JC_ENGINE_PRIVATE_H
 
 #include "serve/engine.h"
+#include "serve/longshare.h"
+#include "serve/reading.h"
 
 /* Performance of the deployments' engines according to their data sheet: prompt
    tokens prefilled per ms; additional prefill time for each pair of a token and
@@ -17,6 +19,8 @@
 /* Prompt tokens prefilled in one step, between two tokens of each running
    request.  */
 #define PREFILL_CHUNK_TOKENS 4096.0
+/* Tokens per event of a stream if the request does not give them.  */
+#define EVENT_TOKENS_DEFAULT 8.0
 
 enum
 {
@@ -55,7 +59,8 @@
    not yet prefilled, count this instance's requests only; REPORTED_REQUESTS is
    the engine's own figure.  PLAIN_LATENCY_MS is the average time of plain
    requests, PLAIN_SERVICE_MS that of those that found a free slot.  FAILURES
-   counts failures and refusals, each decaying.  */
+   counts failures and refusals, each decaying.  READING is the account of what
+   all instances sent it to read.  */
 struct engine
 {
   char *name;
@@ -66,6 +71,7 @@
   uint64_t unread_tokens;
   double prefill_rate;
   int64_t prefill_rate_ms;
+  struct jc_reading reading;
   unsigned int reported_requests;
   int64_t reported_ms;
   double plain_latency_ms;
@@ -85,17 +91,21 @@
 
 /* The load of an engine, over all instances.  PREFILL_BUSY is the fraction of
    its time spent on prefill, SLOWDOWN its measured time divided by that of the
-   data sheet.  */
+   data sheet.  It has read prompts for READ_MS without a pause, and goes on for
+   READING_MS.  */
 struct load
 {
   double running;
   double unread_tokens;
   double prefill_busy;
   double slowdown;
+  double read_ms;
+  double reading_ms;
 };
 
-/* TOLD_TOKENS is the number of prompt tokens from which the other instances are
-   told at once, 0 until a stream that limits its pauses was sent.  */
+/* TYPICAL is a demand with the pauses that streams allow, those of the last one
+   sent, and TOLD_TOKENS the number of prompt tokens from which the other
+   instances are told at once; 0 until there was one.  */
 struct jc_engines
 {
   GHashTable *by_name;
@@ -106,6 +116,8 @@
   void (*report) (void *data, bool of_zone, int64_t now_ms);
   void *report_data;
   double told_tokens;
+  struct jc_demand typical;
+  struct jc_longshare long_share;
 };
 
 /* engine.c  */
@@ -114,6 +126,8 @@
 struct load engine_load (const struct engine *engine, int64_t now_ms);
 double engine_decayed_rate (double rate, int64_t age_ms);
 double engine_prefill_rate (const struct engine *engine, int64_t now_ms);
+void engine_add_reading (struct jc_engines *engines, struct engine *engine,
+                         double tokens, int64_t now_ms);
 
 /* engineloads.c  */
 void engine_note_reading (struct jc_engines *engines,
