--- a/serve/enginecost.c
+++ b/serve/enginecost.c
@@ -29,9 +29,17 @@
 #define FAILURE_COST_MS 300.0
 /* Fraction of the allowed gap above which an engine counts as stalling its
    streams: known loads lag behind.  */
-#define STALL_GAP_FRACTION 0.9
+#define STALL_GAP_FRACTION 0.8
 /* Fraction of the allowed gap from which a prompt is long.  */
 #define LONG_GAP_FRACTION 0.75
+/* Fraction of the allowed gap up to which an engine surely doesn't stall its
+   streams.  */
+#define SAFE_GAP_FRACTION 0.6
+/* Cost of stalling one stream, which may be near its end.  */
+#define STALL_COST_MS (LATE_COST_MS * 3 / 4)
+/* Number of streams at an engine from which stalling them costs more than a
+   request that isn't served.  */
+#define FEW_STREAMS 3
 /* Tokens of a short answer, as assumed for the wait when all slots are
    taken.  */
 #define SHORT_ANSWER_TOKENS 4
@@ -176,6 +184,22 @@
   return first + (int64_t)decode_ms (&load, demand);
 }
 
+/* Return how likely the streams at an engine with LOAD, with pauses like those
+   of DEMAND, have a pause that is too long if it gets PREFILL_TOKENS more, after
+   DEPTH others: other instances may send it something before they learn of
+   this.  */
+static double
+stall_risk (const struct load *load, const struct jc_demand *demand,
+            double prefill_tokens, double depth)
+{
+  double gap
+      = stream_gap_ms (load, demand, reading_period_ms (load, prefill_tokens),
+                       depth)
+        / (double)demand->gap_limit_ms;
+
+  return CLAMP ((gap - SAFE_GAP_FRACTION) / (1 - SAFE_GAP_FRACTION), 0, 1);
+}
+
 /* Return the cost of late answers if a request with DEMAND is sent to an engine
    with LOAD, ms.  Its own answer may be late, and so may the engine's other
    streams if their gaps become too long only because of it.  The request has
@@ -184,22 +208,19 @@
 lateness_cost_ms (const struct load *load, const struct jc_demand *demand,
                   double first_ms, double prefill_tokens)
 {
-  double gap = (double)demand->gap_limit_ms;
   double cost = 0;
+  double before;
+  double after;
 
   if (demand->first_event_limit_ms > 0
       && first_ms > (double)demand->first_event_limit_ms)
     cost += LATE_COST_MS;
-  if (gap <= 0)
+  if (demand->gap_limit_ms <= 0)
     return cost;
-  if (stream_gap_ms (load, demand, reading_period_ms (load, 0), 0) > gap)
-    cost += LATE_COST_MS / 2;
-  else if (stream_gap_ms (load, demand,
-                          reading_period_ms (load, prefill_tokens),
-                          prefill_depth (demand))
-           > gap)
-    cost += load->running * LATE_COST_MS / 4;
-  return cost;
+  before = stall_risk (load, demand, 0, 0);
+  after = stall_risk (load, demand, prefill_tokens, prefill_depth (demand));
+  return cost + before * LATE_COST_MS / 2
+         + MAX (after - before, 0) * load->running * STALL_COST_MS;
 }
 
 /* Return the fraction of PREFILL_RATE_WINDOW_MS that an engine takes to prefill
@@ -279,6 +300,9 @@
                  OWN_PREFILL_SHARE_MAX)
       > limit)
     return false;
+  if (!engine->for_long && load.running >= FEW_STREAMS
+      && demand_is_long (demand))
+    return false;
   first = first_event_ms (&load, endpoint, prefill_tokens);
   return demand->time_left_ms <= 0
          || first + decode_ms (&load, demand) <= (double)demand->time_left_ms;
@@ -294,6 +318,7 @@
 
   if (demand->prompt_tokens == 0)
     return;
+  engines_divide (engines, endpoints);
   for (guint i = 0; i < endpoints->len && !prefix_cached; i++)
     {
       const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
--- a/serve/engineprivate.h
+++ b/serve/engineprivate.h
@@ -60,7 +60,8 @@
    the engine's own figure.  PLAIN_LATENCY_MS is the average time of plain
    requests, PLAIN_SERVICE_MS that of those that found a free slot.  FAILURES
    counts failures and refusals, each decaying.  READING is the account of what
-   all instances sent it to read.  */
+   all instances sent it to read.  It is reserved for long prompts if FOR_LONG is
+   true.  */
 struct engine
 {
   char *name;
@@ -72,6 +73,7 @@
   double prefill_rate;
   int64_t prefill_rate_ms;
   struct jc_reading reading;
+  bool for_long;
   unsigned int reported_requests;
   int64_t reported_ms;
   double plain_latency_ms;
@@ -150,6 +152,9 @@
                                 const struct rpc_part_read *cached, bool direct,
                                 int64_t now_ms);
 
+/* enginepick.c  */
+void engines_divide (struct jc_engines *engines, const GPtrArray *endpoints);
+
 /* enginecost.c  */
 double engine_prefill_tokens (const struct jc_demand *demand,
                               unsigned int cached);
--- a/tests/enginesim.c
+++ b/tests/enginesim.c
@@ -8,6 +8,7 @@
 enum
 {
   SLOTS = 64,
+  WAIT_DIVISOR = 3,
   CHUNK_TOKENS = 4096,
   EVENT_TOKENS = 8,
   LOAD_INTERVAL_MS = 100,
@@ -24,6 +25,7 @@
   struct enginesim_result *result;
   struct jc_engine_run *run;
   double arrived;
+  unsigned int event_tokens;
   double prefill_tokens;
   double depth;
   unsigned int tokens_made;
@@ -46,6 +48,25 @@
   unsigned int own_requests[ENGINESIM_INSTANCES_MAX];
 };
 
+/* A request that waits at INSTANCE since ARRIVED.  */
+struct waiter
+{
+  const struct enginesim_kind *kind;
+  struct enginesim_result *result;
+  unsigned int instance;
+  uint64_t prefix;
+  struct jc_demand demand;
+  double arrived;
+};
+
+/* Whether INSTANCE of SIM is to report its loads, or those of its zone, before
+   the next round.  */
+struct watch
+{
+  bool due;
+  bool zone_due;
+};
+
 /* VIEWS[i] is what instance i knows of the engines.  EVER_PREFILLED is the set
    of shared parts that some engine has prefilled.  */
 struct sim
@@ -55,6 +76,8 @@
   GRand *rand;
   struct sim_engine engines[ENGINESIM_ENGINES_MAX];
   struct jc_engines *views[ENGINESIM_INSTANCES_MAX];
+  struct watch watches[ENGINESIM_INSTANCES_MAX];
+  GQueue waiting;
   GHashTable *ever_prefilled;
 };
 
@@ -95,7 +118,7 @@
       job->last_event = now;
     }
   job->tokens_made++;
-  if (job->tokens_made % EVENT_TOKENS != 0)
+  if (job->tokens_made % job->event_tokens != 0)
     return;
   job->late
       = job->late || now - job->last_event > (double)job->kind->gap_limit_ms;
@@ -204,50 +227,124 @@
   demand->priority = kind->priority;
 }
 
+/* Return the length of a prompt of KIND.  */
+static unsigned int
+draw_prompt_tokens (struct sim *sim, const struct enginesim_kind *kind)
+{
+  double normal = 0;
+
+  if (kind->spread <= 0)
+    return kind->prompt_tokens;
+  for (unsigned int i = 0; i < 12; i++)
+    normal += g_rand_double (sim->rand) - 0.5;
+  return MAX (kind->shared_tokens + 1,
+              (unsigned int)(kind->prompt_tokens
+                             * exp (kind->spread * normal
+                                    - kind->spread * kind->spread / 2)));
+}
+
+/* Send the request of WAITER to ENGINE.  */
 static void
-request_arrive (struct sim *sim, unsigned int index, double now)
+request_send (struct sim *sim, const struct waiter *waiter,
+              struct sim_engine *engine, double now)
 {
-  const struct enginesim_kind *kind = &sim->plan->kinds[index];
-  unsigned int instance = (unsigned int)g_rand_int_range (
-      sim->rand, 0, (int)sim->plan->instances);
-  uint64_t prefix = 1000 * (index + 1)
-                    + (uint64_t)g_rand_int_range (sim->rand, 0,
-                                                  (int)MAX (kind->prefixes, 1));
-  struct enginesim_result *result = &sim->report->kinds[index];
-  struct jc_demand demand;
-  struct sim_engine *engine;
-  struct job *job;
+  const struct enginesim_kind *kind = waiter->kind;
+  struct job *job = g_new0 (struct job, 1);
 
-  result->requests++;
-  fill_demand (kind, prefix, g_rand_int (sim->rand) + 100000, &demand);
-  engine = choose_engine (sim, instance, &demand, (int64_t)now);
-  if (engine == NULL)
-    {
-      result->refused++;
-      return;
-    }
   sim->report->arrivals[engine - sim->engines]++;
-  job = g_new0 (struct job, 1);
   job->kind = kind;
-  job->result = result;
-  job->arrived = now;
-  job->prefill_tokens = kind->prompt_tokens;
-  if (kind->shared_tokens > 0 && cache_lookup (engine, prefix))
+  job->result = waiter->result;
+  job->arrived = waiter->arrived;
+  job->event_tokens = sim->plan->event_tokens > 0 ? sim->plan->event_tokens
+                                                  : EVENT_TOKENS;
+  job->prefill_tokens = waiter->demand.prompt_tokens;
+  if (kind->shared_tokens > 0 && cache_lookup (engine, waiter->prefix))
     {
       job->prefill_tokens -= kind->shared_tokens;
       job->depth = kind->shared_tokens;
     }
   else if (kind->shared_tokens > 0
            && !g_hash_table_add (sim->ever_prefilled,
-                                 GUINT_TO_POINTER (prefix)))
+                                 GUINT_TO_POINTER (waiter->prefix)))
     sim->report->duplicate_tokens += kind->shared_tokens;
   sim->report->prefilled_tokens += job->prefill_tokens;
-  job->run = jc_engines_start (sim->views[instance], &engine->endpoint, &demand,
-                               (int64_t)now);
-  engine->own_requests[instance]++;
+  job->run = jc_engines_start (sim->views[waiter->instance], &engine->endpoint,
+                               &waiter->demand, (int64_t)now);
+  engine->own_requests[waiter->instance]++;
   g_queue_push_tail (&engine->jobs, job);
 }
 
+/* Send the request of WAITER or refuse it.  Return false if it waits on.  */
+static bool
+request_try (struct sim *sim, struct waiter *waiter, double now)
+{
+  bool may_wait = sim->plan->wait
+                  && now - waiter->arrived
+                         < (double)waiter->kind->first_event_limit_ms
+                               / WAIT_DIVISOR;
+  struct sim_engine *engine
+      = choose_engine (sim, waiter->instance, &waiter->demand, (int64_t)now);
+
+  if (engine == NULL)
+    {
+      waiter->result->refused++;
+      return true;
+    }
+  if (sim->plan->wait && (may_wait || waiter->kind->priority > 1)
+      && jc_engines_would_stall (sim->views[waiter->instance],
+                                 &engine->endpoint, &waiter->demand,
+                                 (int64_t)now))
+    {
+      if (!may_wait)
+        waiter->result->refused++;
+      return !may_wait;
+    }
+  request_send (sim, waiter, engine, now);
+  return true;
+}
+
+static void
+request_arrive (struct sim *sim, unsigned int index, double now)
+{
+  const struct enginesim_kind *kind = &sim->plan->kinds[index];
+  struct waiter waiter = { .kind = kind,
+                           .result = &sim->report->kinds[index],
+                           .arrived = now };
+  struct enginesim_kind drawn = *kind;
+
+  waiter.instance = (unsigned int)g_rand_int_range (sim->rand, 0,
+                                                    (int)sim->plan->instances);
+  waiter.prefix = 1000 * (index + 1)
+                  + (uint64_t)g_rand_int_range (sim->rand, 0,
+                                                (int)MAX (kind->prefixes, 1));
+  waiter.result->requests++;
+  drawn.prompt_tokens = draw_prompt_tokens (sim, kind);
+  fill_demand (&drawn, waiter.prefix, g_rand_int (sim->rand) + 100000,
+               &waiter.demand);
+  waiter.demand.event_tokens = sim->plan->event_tokens;
+  if (!request_try (sim, &waiter, now))
+    g_queue_push_tail (&sim->waiting, g_memdup2 (&waiter, sizeof waiter));
+}
+
+/* Try to send each request that waits.  */
+static void
+requests_retry (struct sim *sim, double now)
+{
+  GList *item = sim->waiting.head;
+
+  while (item != NULL)
+    {
+      GList *next = item->next;
+
+      if (request_try (sim, item->data, now))
+        {
+          g_free (item->data);
+          g_queue_delete_link (&sim->waiting, item);
+        }
+      item = next;
+    }
+}
+
 static unsigned int
 instance_zone (const struct sim *sim, unsigned int instance)
 {
@@ -313,6 +410,39 @@
     send_in_zone (sim, from, now_ms);
 }
 
+/* Send the reports that the engine module asked for.  */
+static void
+report_early (struct sim *sim, int64_t now_ms)
+{
+  for (unsigned int i = 0; i < sim->plan->instances; i++)
+    {
+      unsigned int zone = instance_zone (sim, i);
+
+      if (!sim->watches[i].due)
+        continue;
+      sim->watches[i].due = false;
+      send_in_zone (sim, i, now_ms);
+      if (i == zone)
+        sim->watches[i].zone_due = true;
+    }
+  for (unsigned int zone = 0; zone < sim->plan->zones; zone++)
+    if (sim->watches[zone].zone_due)
+      {
+        sim->watches[zone].zone_due = false;
+        send_between_zones (sim, zone, now_ms);
+      }
+}
+
+static void
+on_reading (void *data, bool of_zone, int64_t now_ms)
+{
+  struct watch *watch = data;
+
+  (void)now_ms;
+  watch->due = watch->due || !of_zone;
+  watch->zone_due = watch->zone_due || of_zone;
+}
+
 static void
 sim_start (struct sim *sim)
 {
@@ -328,7 +458,11 @@
       g_queue_init (&engine->jobs);
     }
   for (unsigned int i = 0; i < sim->plan->instances; i++)
-    sim->views[i] = jc_engines_new ();
+    {
+      sim->views[i] = jc_engines_new ();
+      if (sim->plan->early)
+        jc_engines_watch_reading (sim->views[i], on_reading, &sim->watches[i]);
+    }
 }
 
 /* Run the simulation PLAN and fill REPORT.  Requests still running at the end
@@ -342,7 +476,11 @@
                      .rand = g_rand_new_with_seed (plan->seed),
                      .ever_prefilled = g_hash_table_new (NULL, NULL) };
 
+  int64_t interval_ms = plan->load_interval_ms > 0 ? plan->load_interval_ms
+                                                   : LOAD_INTERVAL_MS;
+
   memset (report, 0, sizeof *report);
+  g_queue_init (&sim.waiting);
   sim_start (&sim);
   for (int64_t now = 0; now < plan->duration_ms; now++)
     {
@@ -354,9 +492,16 @@
                && sim.engines[i].free_at <= (double)now)
           engine_step (&sim.engines[i],
                        MAX (sim.engines[i].free_at, (double)now - 1));
-      if (now % LOAD_INTERVAL_MS == 0)
-        exchange_loads (&sim, now);
+      if (now % interval_ms == 0)
+        {
+          exchange_loads (&sim, now);
+          requests_retry (&sim, (double)now);
+        }
+      report_early (&sim, now);
     }
+  for (GList *item = sim.waiting.head; item != NULL; item = item->next)
+    ((struct waiter *)item->data)->result->requests--;
+  g_queue_clear_full (&sim.waiting, g_free);
   for (unsigned int i = 0; i < plan->engines; i++)
     while (sim.engines[i].jobs.length > 0)
       {
--- a/tests/enginesim.h
+++ b/tests/enginesim.h
@@ -13,7 +13,9 @@
 };
 
 /* A kind of request.  SHARED_TOKENS of the PROMPT_TOKENS are one of PREFIXES
-   parts that requests share.  */
+   parts that requests share.  If SPREAD is over 0, the lengths of prompts are
+   distributed log-normally around PROMPT_TOKENS, their mean, and SPREAD is the
+   deviation of their logarithm.  */
 struct enginesim_kind
 {
   const char *name;
@@ -22,6 +24,7 @@
   unsigned int shared_tokens;
   unsigned int prefixes;
   unsigned int answer_tokens;
+  double spread;
   int64_t first_event_limit_ms;
   int64_t gap_limit_ms;
   int64_t deadline_ms;
@@ -50,7 +53,11 @@
 /* Parameters of a simulation.  SLOWDOWN is that of each engine, 0 for 1.  If
    UNSHARED, instances don't announce shared parts to each other.  If ZONES is
    over 1, instances send their loads only within their zone, and one instance
-   of each zone sends the sum to the other zones, one round later.  */
+   of each zone sends the sum to the other zones, one round later.  With EARLY
+   an instance reports its loads at once when the engine module asks for it, and
+   with WAIT a request that would stall streams waits for up to a third of its
+   objective.  An event has EVENT_TOKENS, and LOAD_INTERVAL_MS lie between two
+   reports; 0 means the usual ones.  */
 struct enginesim_plan
 {
   enum enginesim_policy policy;
@@ -59,6 +66,10 @@
   unsigned int zones;
   double slowdown[ENGINESIM_ENGINES_MAX];
   bool unshared;
+  bool early;
+  bool wait;
+  unsigned int event_tokens;
+  int64_t load_interval_ms;
   const struct enginesim_kind *kinds;
   unsigned int kinds_count;
   int64_t duration_ms;
--- a/tests/test-engine.c
+++ b/tests/test-engine.c
@@ -297,6 +297,71 @@
   g_assert_cmpuint (2 * by_cost.arrivals[0], <, others);
 }
 
+/* Return PLAN with the load of test_long_prompts_beside_streams.  */
+static struct enginesim_plan
+plan_beside_streams (void)
+{
+  static const struct enginesim_kind kinds[]
+      = { { .name = "digest",
+            .per_s = 20,
+            .prompt_tokens = 12000,
+            .shared_tokens = 3000,
+            .prefixes = 100,
+            .answer_tokens = 378,
+            .spread = 0.6,
+            .first_event_limit_ms = 1200,
+            .gap_limit_ms = 600,
+            .deadline_ms = 12000,
+            .priority = 2 },
+          { .name = "reply",
+            .per_s = 52,
+            .prompt_tokens = 830,
+            .shared_tokens = 100,
+            .prefixes = 20,
+            .answer_tokens = 288,
+            .spread = 0.6,
+            .first_event_limit_ms = 800,
+            .gap_limit_ms = 600,
+            .deadline_ms = 10000,
+            .priority = 1 },
+          { .name = "tag",
+            .per_s = 32,
+            .prompt_tokens = 2400,
+            .shared_tokens = 400,
+            .prefixes = 50,
+            .answer_tokens = 27,
+            .spread = 0.6,
+            .first_event_limit_ms = 800,
+            .gap_limit_ms = 600,
+            .deadline_ms = 3000,
+            .priority = 0 } };
+  const struct enginesim_plan plan = { .engines = 10,
+                                       .instances = 6,
+                                       .zones = 2,
+                                       .kinds = kinds,
+                                       .kinds_count = 3,
+                                       .early = true,
+                                       .wait = true,
+                                       .event_tokens = 9,
+                                       .load_interval_ms = 20 };
+
+  return plan;
+}
+
+/* Prompts of very different lengths, some of them so long that reading one
+   takes longer than the pause that streams allow: most streams beside them keep
+   their pauses.  */
+static void
+test_long_prompts_beside_streams (void)
+{
+  struct enginesim_report report
+      = run_plan (plan_beside_streams (), ENGINESIM_BY_COST);
+
+  g_assert_cmpfloat (on_time_fraction (&report.kinds[0]), >=, 0.7);
+  g_assert_cmpfloat (on_time_fraction (&report.kinds[1]), >=, 0.9);
+  g_assert_cmpfloat (on_time_fraction (&report.kinds[2]), >=, 0.95);
+}
+
 /* A failing endpoint is not used for a while and then tried again.  */
 static void
 test_failures (void)
@@ -382,6 +447,8 @@
   g_test_add_func ("/engine/peak-of-shared-parts", test_peak_of_shared_parts);
   g_test_add_func ("/engine/peak", test_peak);
   g_test_add_func ("/engine/long-prompts", test_long_prompts);
+  g_test_add_func ("/engine/long-prompts-beside-streams",
+                   test_long_prompts_beside_streams);
   g_test_add_func ("/engine/slow-engine", test_slow_engine);
   g_test_add_func ("/engine/failures", test_failures);
   g_test_add_func ("/engine/refusals", test_refusals);
