--- a/serve/enginecost.c
+++ b/serve/enginecost.c
@@ -29,14 +29,14 @@
 #define FAILURE_COST_MS 300.0
 /* Fraction of the allowed gap above which an engine counts as stalling its
    streams: known loads lag behind.  */
-#define STALL_GAP_FRACTION 0.8
+#define STALL_GAP_FRACTION 0.7
 /* Fraction of the allowed gap from which a prompt is long.  */
 #define LONG_GAP_FRACTION 0.75
 /* Fraction of the allowed gap up to which an engine surely doesn't stall its
    streams.  */
 #define SAFE_GAP_FRACTION 0.6
 /* Cost of stalling one stream, which may be near its end.  */
-#define STALL_COST_MS (LATE_COST_MS * 3 / 4)
+#define STALL_COST_MS (LATE_COST_MS * 2 / 4)
 /* Number of streams at an engine from which stalling them costs more than a
    request that isn't served.  */
 #define FEW_STREAMS 3
--- a/serve/enginepick.c
+++ b/serve/enginepick.c
@@ -5,7 +5,7 @@
 #include "serve/engineprivate.h"
 
 /* Extra cost of an engine of the other group.  */
-#define OTHER_GROUP_COST_MS 2000.0
+#define OTHER_GROUP_COST_MS 1000.0
 
 enum
 {
