Wait for an engine when all have too much to read

Cause: a prompt that no engine may take now was refused at once, though it may wait; the caller came back with the same work. Change: it waits as one that would stall streams does.

--- a/tests/enginesim.c
+++ b/tests/enginesim.c
@@ -287,8 +287,9 @@
 
   if (engine == NULL)
     {
-      waiter->result->refused++;
-      return true;
+      if (!may_wait)
+        waiter->result->refused++;
+      return !may_wait;
     }
   if (sim->plan->wait && (may_wait || waiter->kind->priority > 1)
       && jc_engines_would_stall (sim->views[waiter->instance],
