--- a/serve/engine.c
+++ b/serve/engine.c
@@ -201,8 +201,7 @@
 
 /* Add TOKENS that some instance sent ENGINE to read to its account.  */
 void
-engine_add_reading (struct jc_engines *engines, struct engine *engine,
-                    double tokens, int64_t now_ms)
+engine_add_reading (struct engine *engine, double tokens, int64_t now_ms)
 {
   const struct load load
       = { .running = engine->running, .slowdown = engine->slowdown };
@@ -212,6 +211,13 @@
                   tokens / PREFILL_TOKENS_PER_MS * engine->slowdown
                       + tokens / PREFILL_CHUNK_TOKENS * step_ms,
                   event_ms (&load), now_ms);
+}
+
+/* Count a prompt of TOKENS that some instance sent in the division of the
+   engines.  */
+void
+engines_note_prompt (struct jc_engines *engines, double tokens, int64_t now_ms)
+{
   engines->typical.prompt_tokens = (unsigned int)tokens;
   jc_longshare_add (&engines->long_share, tokens,
                     demand_is_long (&engines->typical), now_ms);
@@ -305,7 +311,8 @@
     engines->typical = (struct jc_demand){ .gap_limit_ms = demand->gap_limit_ms,
                                            .event_tokens
                                            = demand->event_tokens };
-  engine_add_reading (engines, engine, (double)run->prefill_tokens, now_ms);
+  engine_add_reading (engine, (double)run->prefill_tokens, now_ms);
+  engines_note_prompt (engines, (double)run->prefill_tokens, now_ms);
   engine_prefixes_note_sent (engines, engine, demand, now_ms);
   engine_note_reading (engines, demand, run->prefill_tokens, now_ms);
   return run;
--- a/serve/enginecost.c
+++ b/serve/enginecost.c
@@ -18,7 +18,7 @@
 #define DUPLICATE_PREFILL_WEIGHT 3.0
 /* Upper bound on how far a duplicate prefill lowers an engine's limit, so that
    the largest shared parts can still get a second engine.  */
-#define DUPLICATE_PREFILL_MARGIN_MAX 0.2
+#define DUPLICATE_PREFILL_MARGIN_MAX 0.16
 /* Cost of a late answer, which has lost most of its value.  Missing the
    deadline costs twice as much.  */
 #define LATE_COST_MS 1000.0
@@ -275,20 +275,29 @@
   return shared > cached ? shared - cached : 0;
 }
 
+/* Return true if ENGINE, with LOAD, is one for long prompts or stalls only few
+   streams by one.  */
+static bool
+takes_long (const struct engine *engine, const struct load *load)
+{
+  return engine->for_long || load->running < FEW_STREAMS;
+}
+
 /* Return true if a request with DEMAND should be sent to ENGINE: its answer
    completes in time, and it leaves capacity for more urgent ones.
    PREFIX_CACHED is true if some engine has cached its shared parts; an engine
-   that would prefill them again must then be less busy.  */
+   that would prefill them again must then be less busy.  DIVIDED is true if
+   some engines are reserved for long prompts.  */
 static bool
 is_admissible (const struct engine *engine, const struct jc_endpoint *endpoint,
-               const struct jc_demand *demand, bool prefix_cached,
+               const struct jc_demand *demand, bool prefix_cached, bool divided,
                int64_t now_ms)
 {
   struct load load = engine_load (engine, now_ms);
   double prefill_tokens = engine_prefill_tokens (
       demand, engine_cached_tokens (engine, demand, now_ms));
   double limit = jc_demand_prefill_limit (demand);
-  double first;
+  double first = first_event_ms (&load, endpoint, prefill_tokens);
 
   if (prefix_cached)
     limit -= MIN (
@@ -296,14 +305,11 @@
             * prefill_share (uncached_shared_tokens (engine, demand, now_ms)),
         DUPLICATE_PREFILL_MARGIN_MAX);
   if (load.prefill_busy
-          + MIN (prefill_share (prefill_tokens) * load.slowdown,
-                 OWN_PREFILL_SHARE_MAX)
-      > limit)
-    return false;
-  if (!engine->for_long && load.running >= FEW_STREAMS
-      && demand_is_long (demand))
+              + MIN (prefill_share (prefill_tokens) * load.slowdown,
+                     OWN_PREFILL_SHARE_MAX)
+          > limit
+      || (divided && demand_is_long (demand) && !takes_long (engine, &load)))
     return false;
-  first = first_event_ms (&load, endpoint, prefill_tokens);
   return demand->time_left_ms <= 0
          || first + decode_ms (&load, demand) <= (double)demand->time_left_ms;
 }
@@ -315,10 +321,11 @@
                    GPtrArray *endpoints, int64_t now_ms)
 {
   bool prefix_cached = false;
+  bool divided;
 
   if (demand->prompt_tokens == 0)
     return;
-  engines_divide (engines, endpoints);
+  divided = engines_divide (engines, endpoints);
   for (guint i = 0; i < endpoints->len && !prefix_cached; i++)
     {
       const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
@@ -331,7 +338,7 @@
       const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i - 1);
 
       if (!is_admissible (engine_get (engines, endpoint->name), endpoint,
-                          demand, prefix_cached, now_ms))
+                          demand, prefix_cached, divided, now_ms))
         g_ptr_array_remove_index (endpoints, i - 1);
     }
 }
--- a/serve/engineloads.c
+++ b/serve/engineloads.c
@@ -234,12 +234,14 @@
       uint64_t tag = row->tag;
       struct engine *engine = g_hash_table_lookup (engines->by_tag, &tag);
       struct peer_load *peer_load;
+      double tokens;
 
       if (engine == NULL)
         continue;
       peer_load = peer_load_get (engine, peer);
-      engine_add_reading (engines, engine,
-                          tokens_between (peer_load, row, now_ms), now_ms);
+      tokens = tokens_between (peer_load, row, now_ms);
+      engine_add_reading (engine, tokens, now_ms);
+      engines_note_prompt (engines, tokens, now_ms);
       grown = grown
               || (peer->direct
                   && has_grown (engines, peer_load->reported.unread_tokens,
--- a/serve/enginepick.c
+++ b/serve/enginepick.c
@@ -66,8 +66,9 @@
 }
 
 /* Reserve some engines of ENDPOINTS, all that may get a request now, for long
-   prompts: the same ones in every instance, and as many as these need.  */
-void
+   prompts: the same ones in every instance, and as many as these need.  Return
+   false if that is none.  */
+bool
 engines_divide (struct jc_engines *engines, const GPtrArray *endpoints)
 {
   guint count = jc_longshare_engines (&engines->long_share, endpoints->len);
@@ -81,6 +82,7 @@
       engine_get (engines, endpoint->name)->for_long = i < count;
     }
   g_ptr_array_free (sorted, TRUE);
+  return count > 0;
 }
 
 /* Split ENDPOINTS into LONG_GROUP, reserved for long prompts, and
--- a/serve/engineprivate.h
+++ b/serve/engineprivate.h
@@ -128,8 +128,9 @@
 struct load engine_load (const struct engine *engine, int64_t now_ms);
 double engine_decayed_rate (double rate, int64_t age_ms);
 double engine_prefill_rate (const struct engine *engine, int64_t now_ms);
-void engine_add_reading (struct jc_engines *engines, struct engine *engine,
-                         double tokens, int64_t now_ms);
+void engine_add_reading (struct engine *engine, double tokens, int64_t now_ms);
+void engines_note_prompt (struct jc_engines *engines, double tokens,
+                          int64_t now_ms);
 
 /* engineloads.c  */
 void engine_note_reading (struct jc_engines *engines,
@@ -153,7 +154,7 @@
                                 int64_t now_ms);
 
 /* enginepick.c  */
-void engines_divide (struct jc_engines *engines, const GPtrArray *endpoints);
+bool engines_divide (struct jc_engines *engines, const GPtrArray *endpoints);
 
 /* enginecost.c  */
 double engine_prefill_tokens (const struct jc_demand *demand,
--- a/serve/longshare.c
+++ b/serve/longshare.c
@@ -22,7 +22,7 @@
   /* Time constant of the measurement: long prompts are rare.  */
   WINDOW_MS = 15000,
   /* Number of tokens from which the share counts as known.  */
-  TOKENS_MIN = 1000000
+  TOKENS_MIN = 300000
 };
 
 void
@@ -44,15 +44,18 @@
   share->at_ms = MAX (now_ms, share->at_ms);
   if (share->all_tokens < TOKENS_MIN)
     return;
+  share->is_known = true;
   wanted = MIN (share->long_tokens / share->all_tokens * ROOM_FOR_LONG,
                 FRACTION_MAX);
   if (fabs (wanted - share->fraction) > HYSTERESIS * share->fraction)
     share->fraction = wanted;
 }
 
-/* Return how many of ENGINES are reserved for long prompts.  */
+/* Return how many of ENGINES are reserved for long prompts.  Few engines are not
+   divided before it is known that there are long prompts.  */
 unsigned int
 jc_longshare_engines (const struct jc_longshare *share, unsigned int engines)
 {
-  return (unsigned int)lround (engines * share->fraction);
+  return (unsigned int)(engines * share->fraction
+                        + (share->is_known ? 0.5 : 0));
 }
--- a/serve/longshare.h
+++ b/serve/longshare.h
@@ -9,12 +9,13 @@
 
 /* LONG_TOKENS of ALL_TOKENS were prompts so long that they stop the streams
    beside them, both decaying since AT_MS.  FRACTION of the engines is reserved
-   for them.  */
+   for them.  IS_KNOWN is false until enough prompts were seen.  */
 struct jc_longshare
 {
   double long_tokens;
   double all_tokens;
   double fraction;
+  bool is_known;
   int64_t at_ms;
 };
 
