--- a/serve/enginecost.c
+++ b/serve/enginecost.c
@@ -275,12 +275,17 @@
   return shared > cached ? shared - cached : 0;
 }
 
-/* Return true if ENGINE, with LOAD, is one for long prompts or stalls only few
-   streams by one.  */
+/* Return true if a long prompt of DEMAND may be sent to ENGINE, with LOAD, where
+   its first event comes after FIRST_MS: one that is reserved for long prompts,
+   while the answer isn't very late, or one where it stalls few streams.  */
 static bool
-takes_long (const struct engine *engine, const struct load *load)
+is_admissible_long (const struct engine *engine, const struct load *load,
+                    const struct jc_demand *demand, double first_ms)
 {
-  return engine->for_long || load->running < FEW_STREAMS;
+  if (!engine->for_long)
+    return load->running < FEW_STREAMS;
+  return demand->first_event_limit_ms <= 0
+         || first_ms <= 2 * (double)demand->first_event_limit_ms;
 }
 
 /* Return true if a request with DEMAND should be sent to ENGINE: its answer
@@ -304,11 +309,15 @@
         DUPLICATE_PREFILL_WEIGHT
             * prefill_share (uncached_shared_tokens (engine, demand, now_ms)),
         DUPLICATE_PREFILL_MARGIN_MAX);
-  if (load.prefill_busy
-              + MIN (prefill_share (prefill_tokens) * load.slowdown,
-                     OWN_PREFILL_SHARE_MAX)
-          > limit
-      || (divided && demand_is_long (demand) && !takes_long (engine, &load)))
+  if (divided && demand_is_long (demand))
+    {
+      if (!is_admissible_long (engine, &load, demand, first))
+        return false;
+    }
+  else if (load.prefill_busy
+               + MIN (prefill_share (prefill_tokens) * load.slowdown,
+                      OWN_PREFILL_SHARE_MAX)
+           > limit)
     return false;
   return demand->time_left_ms <= 0
          || first + decode_ms (&load, demand) <= (double)demand->time_left_ms;
--- a/serve/longshare.c
+++ b/serve/longshare.c
@@ -12,7 +12,7 @@
 /* Engines for long prompts in relation to their share of reading: their streams
    are stopped by the next long prompt, so these engines must be less busy than
    the others.  */
-#define ROOM_FOR_LONG 1.2
+#define ROOM_FOR_LONG 0.8
 /* The fraction follows the share when they differ by more than this part of
    it: each change moves requests away from what engines have cached.  */
 #define HYSTERESIS 0.2
