--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -399,11 +399,8 @@
     return jc_fail (JC_OUT_OF_REACH, "No endpoint of %s can be reached.",
                     query->service);
   if (unreached || usable > 0)
-    return jc_fail (query->may_wait && query->demand->prompt_tokens > 0
-                            && !unreached
-                        ? JC_CROWDED
-                        : JC_OVERLOADED,
-                    "All endpoints of %s have too much to do.", query->service);
+    return jc_fail (JC_OVERLOADED, "All endpoints of %s have too much to do.",
+                    query->service);
   return jc_fail (JC_NO_ENDPOINT, "No endpoint of %s can take it.",
                   query->service);
 }
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -369,51 +369,36 @@
 }
 
 /* Return whether a report may be sent before the next one is due, if the last
-   such one was sent at LAST_MS, and count it as sent.  They are at least one
-   interval apart, so that no peer gets more than twice the usual number.  */
+   such one was sent at LAST_MS, and count it as sent.  No peer gets more than
+   twice the usual number.  */
 static bool
-may_send_early (int64_t *last_ms, const GPtrArray *peers, int64_t now)
+may_send_early (struct router *router, const GPtrArray *peers, int64_t *last_ms,
+                int64_t now)
 {
   if (now - *last_ms < interval_ms (peers))
     return false;
   *last_ms = now;
+  jc_metrics_counter_add (router->entry->metrics,
+                          "jaycove_early_load_reports_total", "", 1);
   return true;
 }
 
 /* Report at once what is to be read at an engine, with OF_ZONE only to the
-   other zones: until they know, other instances send long prompts there
-   too.  */
-static void
-report_reading (void *data, bool of_zone, int64_t now)
+   other zones: until they know, other instances send prompts there too.  */
+void
+loads_report_reading (void *data, bool of_zone, int64_t now)
 {
   struct router *router = data;
   GPtrArray *peers = list_zone_peers (router);
 
-  if (!of_zone && may_send_early (&router->loads_told_ms, peers, now))
-    {
-      jc_metrics_counter_add (router->entry->metrics,
-                              "jaycove_early_load_reports_total",
-                              "to=\"zone\"", 1);
-      send_to_zone_peers (router, peers, false, now);
-    }
+  if (!of_zone && may_send_early (router, peers, &router->loads_told_ms, now))
+    send_to_zone_peers (router, peers, false, now);
   if (is_zone_reporter (router, peers, now)
-      && may_send_early (&router->zone_loads_told_ms, peers, now))
-    {
-      jc_metrics_counter_add (router->entry->metrics,
-                              "jaycove_early_load_reports_total",
-                              "to=\"region\"", 1);
-      send_zone_loads (router, false, now);
-    }
+      && may_send_early (router, peers, &router->zone_loads_told_ms, now))
+    send_zone_loads (router, false, now);
   g_ptr_array_free (peers, TRUE);
 }
 
-/* Begin to report what is to be read at engines.  */
-void
-loads_start (struct router *router)
-{
-  jc_engines_watch_reading (router->engines, report_reading, router);
-}
-
 /* Forward PACKET, which CONN sent about ZONE, another one, to the peers in this
    zone that have at least protocol level LEVEL, if it came from there directly
    and no other instance does.  */
--- a/entry/router.c
+++ b/entry/router.c
@@ -318,7 +318,7 @@
       router->endpoints,
       (uint32_t)(JC_ENDPOINT_LEASE_REPORTS * settings->report_ms));
   router->engines = jc_engines_new ();
-  loads_start (router);
+  jc_engines_watch_reading (router->engines, loads_report_reading, router);
   router->budgets = jc_budgets_new (&budget_settings);
   router->backpressure = jc_backpressure_new ();
   router->misdirected = jc_misdirected_new ();
--- a/entry/router.h
+++ b/entry/router.h
@@ -185,7 +185,7 @@
 /* loads: load reports between the instances of a region.  */
 void loads_connect (struct router *router, const struct rpc_presence *presence);
 void loads_disconnect (struct router *router, const char *name);
-void loads_start (struct router *router);
+void loads_report_reading (void *data, bool of_zone, int64_t now);
 void loads_tick (struct router *router);
 void loads_handle_packet (struct router *router, struct jc_rpc_conn *conn,
                           const struct rpc_packet *packet);
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -63,7 +63,6 @@
 
   engines->by_name
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, engine_unref);
-  jc_longshare_init (&engines->long_share);
   engines->by_tag = g_hash_table_new (g_int64_hash, g_int64_equal);
   engines->peers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -180,7 +179,8 @@
 double
 engine_prefill_rate (const struct engine *engine, int64_t now_ms)
 {
-  return engine_decayed_rate (engine->prefill_rate, now_ms - engine->prefill_rate_ms);
+  return engine_decayed_rate (engine->prefill_rate,
+                              now_ms - engine->prefill_rate_ms);
 }
 
 static void
@@ -191,38 +191,6 @@
   engine->prefill_rate_ms = now_ms;
 }
 
-/* Return the time in which a stream gets one event at an engine with LOAD that
-   reads nothing, ms.  */
-static double
-event_ms (const struct load *load)
-{
-  return EVENT_TOKENS_DEFAULT * engine_step_ms (load);
-}
-
-/* Add TOKENS that some instance sent ENGINE to read to its account.  */
-void
-engine_add_reading (struct engine *engine, double tokens, int64_t now_ms)
-{
-  const struct load load
-      = { .running = engine->running, .slowdown = engine->slowdown };
-  double step_ms = engine_step_ms (&load);
-
-  jc_reading_add (&engine->reading,
-                  tokens / PREFILL_TOKENS_PER_MS * engine->slowdown
-                      + tokens / PREFILL_CHUNK_TOKENS * step_ms,
-                  event_ms (&load), now_ms);
-}
-
-/* Count a prompt of TOKENS that some instance sent in the division of the
-   engines.  */
-void
-engines_note_prompt (struct jc_engines *engines, double tokens, int64_t now_ms)
-{
-  engines->typical.prompt_tokens = (unsigned int)tokens;
-  jc_longshare_add (&engines->long_share, tokens,
-                    demand_is_long (&engines->typical), now_ms);
-}
-
 /* Return the load of ENGINE, summed over all instances.  The number of requests
    that the engine itself reported is used only if no peer sends loads.  */
 struct load
@@ -232,7 +200,6 @@
                        .unread_tokens = (double)engine->unread_tokens,
                        .prefill_busy = engine_prefill_rate (engine, now_ms),
                        .slowdown = engine->slowdown };
-  struct jc_reading reading = engine->reading;
   bool has_peer_loads = false;
 
   for (unsigned int i = 0; i < engine->peer_loads_count; i++)
@@ -244,17 +211,14 @@
       has_peer_loads = true;
       load.running += peer_load->reported.running;
       load.unread_tokens += peer_load->reported.unread_tokens;
-      load.prefill_busy += engine_decayed_rate (peer_load->reported.tokens_per_s,
-                                         now_ms - peer_load->reported_ms);
+      load.prefill_busy += engine_decayed_rate (
+          peer_load->reported.tokens_per_s, now_ms - peer_load->reported_ms);
     }
   if (!has_peer_loads && now_ms - engine->reported_ms < LOAD_MAX_AGE_MS)
     load.running = MAX (load.running, engine->reported_requests);
   load.prefill_busy = MIN (load.prefill_busy * load.slowdown
                                / (PREFILL_TOKENS_PER_MS * MS_PER_S),
                            PREFILL_BUSY_MAX);
-  jc_reading_advance (&reading, event_ms (&load), now_ms);
-  load.read_ms = reading.done_ms;
-  load.reading_ms = reading.left_ms;
   return load;
 }
 
@@ -307,12 +271,6 @@
   engine->unread_tokens += run->prefill_tokens;
   engine->last_used_ms = now_ms;
   prefill_rate_add (engine, run->prefill_tokens, now_ms);
-  if (demand->gap_limit_ms > 0)
-    engines->typical = (struct jc_demand){ .gap_limit_ms = demand->gap_limit_ms,
-                                           .event_tokens
-                                           = demand->event_tokens };
-  engine_add_reading (engine, (double)run->prefill_tokens, now_ms);
-  engines_note_prompt (engines, (double)run->prefill_tokens, now_ms);
   engine_prefixes_note_sent (engines, engine, demand, now_ms);
   engine_note_reading (engines, demand, run->prefill_tokens, now_ms);
   return run;
--- a/serve/enginecost.c
+++ b/serve/enginecost.c
@@ -2,6 +2,8 @@
 
 #include "serve/engineprivate.h"
 
+/* Tokens per event of a stream if the request does not give them.  */
+#define EVENT_TOKENS_DEFAULT 8.0
 /* Upper bound on what a request's own prefill counts against the limit, so that
    the longest prompts can be admitted too.  */
 #define OWN_PREFILL_SHARE_MAX 0.15
@@ -18,7 +20,7 @@
 #define DUPLICATE_PREFILL_WEIGHT 3.0
 /* Upper bound on how far a duplicate prefill lowers an engine's limit, so that
    the largest shared parts can still get a second engine.  */
-#define DUPLICATE_PREFILL_MARGIN_MAX 0.16
+#define DUPLICATE_PREFILL_MARGIN_MAX 0.2
 /* Cost of a late answer, which has lost most of its value.  Missing the
    deadline costs twice as much.  */
 #define LATE_COST_MS 1000.0
@@ -29,17 +31,7 @@
 #define FAILURE_COST_MS 300.0
 /* Fraction of the allowed gap above which an engine counts as stalling its
    streams: known loads lag behind.  */
-#define STALL_GAP_FRACTION 0.7
-/* Fraction of the allowed gap from which a prompt is long.  */
-#define LONG_GAP_FRACTION 0.75
-/* Fraction of the allowed gap up to which an engine surely doesn't stall its
-   streams.  */
-#define SAFE_GAP_FRACTION 0.6
-/* Cost of stalling one stream, which may be near its end.  */
-#define STALL_COST_MS (LATE_COST_MS * 2 / 4)
-/* Number of streams at an engine from which stalling them costs more than a
-   request that isn't served.  */
-#define FEW_STREAMS 3
+#define STALL_GAP_FRACTION 0.9
 /* Tokens of a short answer, as assumed for the wait when all slots are
    taken.  */
 #define SHORT_ANSWER_TOKENS 4
@@ -94,31 +86,20 @@
   return demand->event_tokens > 0 ? demand->event_tokens : EVENT_TOKENS_DEFAULT;
 }
 
-/* Return the longest gap between two events of a stream at an engine with LOAD
-   if prompts are read for READING_MS without a pause, ms: there are as many
-   steps between two events as an event has tokens, and each of them reads a
-   chunk while any is left.  DEPTH is the number of tokens before the last
-   chunks.  */
+/* Return the longest gap between two events of a stream that runs while TOKENS
+   are prefilled, ms: there are as many steps between two events as an event has
+   tokens, and each of them prefills a chunk while any is left.  DEPTH is the
+   number of tokens before the last chunks.  */
 static double
 stream_gap_ms (const struct load *load, const struct jc_demand *demand,
-               double reading_ms, double depth)
+               double tokens, double depth)
 {
   double steps = steps_per_event (demand);
+  double chunks = MIN (tokens / PREFILL_CHUNK_TOKENS, steps);
   double chunk_ms = PREFILL_CHUNK_TOKENS
-                    * (1 / PREFILL_TOKENS_PER_MS + depth * ATTENTION_PAIR_MS)
-                    * load->slowdown;
+                    * (1 / PREFILL_TOKENS_PER_MS + depth * ATTENTION_PAIR_MS);
 
-  return MIN (reading_ms, steps * chunk_ms) + steps * engine_step_ms (load);
-}
-
-/* Return the time that an engine with LOAD reads without a pause, of the past
-   too, if it gets PREFILL_TOKENS more, ms.  */
-static double
-reading_period_ms (const struct load *load, double prefill_tokens)
-{
-  return load->read_ms + load->reading_ms
-         + prefill_tokens / PREFILL_TOKENS_PER_MS * load->slowdown
-         + prefill_tokens / PREFILL_CHUNK_TOKENS * engine_step_ms (load);
+  return chunks * chunk_ms * load->slowdown + steps * engine_step_ms (load);
 }
 
 /* Return the number of prompt tokens before the middle of the last chunks of
@@ -184,22 +165,6 @@
   return first + (int64_t)decode_ms (&load, demand);
 }
 
-/* Return how likely the streams at an engine with LOAD, with pauses like those
-   of DEMAND, have a pause that is too long if it gets PREFILL_TOKENS more, after
-   DEPTH others: other instances may send it something before they learn of
-   this.  */
-static double
-stall_risk (const struct load *load, const struct jc_demand *demand,
-            double prefill_tokens, double depth)
-{
-  double gap
-      = stream_gap_ms (load, demand, reading_period_ms (load, prefill_tokens),
-                       depth)
-        / (double)demand->gap_limit_ms;
-
-  return CLAMP ((gap - SAFE_GAP_FRACTION) / (1 - SAFE_GAP_FRACTION), 0, 1);
-}
-
 /* Return the cost of late answers if a request with DEMAND is sent to an engine
    with LOAD, ms.  Its own answer may be late, and so may the engine's other
    streams if their gaps become too long only because of it.  The request has
@@ -208,19 +173,21 @@
 lateness_cost_ms (const struct load *load, const struct jc_demand *demand,
                   double first_ms, double prefill_tokens)
 {
+  double gap = (double)demand->gap_limit_ms;
   double cost = 0;
-  double before;
-  double after;
 
   if (demand->first_event_limit_ms > 0
       && first_ms > (double)demand->first_event_limit_ms)
     cost += LATE_COST_MS;
-  if (demand->gap_limit_ms <= 0)
+  if (gap <= 0)
     return cost;
-  before = stall_risk (load, demand, 0, 0);
-  after = stall_risk (load, demand, prefill_tokens, prefill_depth (demand));
-  return cost + before * LATE_COST_MS / 2
-         + MAX (after - before, 0) * load->running * STALL_COST_MS;
+  if (stream_gap_ms (load, demand, load->unread_tokens, 0) > gap)
+    cost += LATE_COST_MS / 2;
+  else if (stream_gap_ms (load, demand, load->unread_tokens + prefill_tokens,
+                          prefill_depth (demand))
+           > gap)
+    cost += load->running * LATE_COST_MS / 4;
+  return cost;
 }
 
 /* Return the fraction of PREFILL_RATE_WINDOW_MS that an engine takes to prefill
@@ -275,50 +242,32 @@
   return shared > cached ? shared - cached : 0;
 }
 
-/* Return true if a long prompt of DEMAND may be sent to ENGINE, with LOAD, where
-   its first event comes after FIRST_MS: one that is reserved for long prompts,
-   while the answer isn't very late, or one where it stalls few streams.  */
-static bool
-is_admissible_long (const struct engine *engine, const struct load *load,
-                    const struct jc_demand *demand, double first_ms)
-{
-  if (!engine->for_long)
-    return load->running < FEW_STREAMS;
-  return demand->first_event_limit_ms <= 0
-         || first_ms <= 2 * (double)demand->first_event_limit_ms;
-}
-
 /* Return true if a request with DEMAND should be sent to ENGINE: its answer
    completes in time, and it leaves capacity for more urgent ones.
    PREFIX_CACHED is true if some engine has cached its shared parts; an engine
-   that would prefill them again must then be less busy.  DIVIDED is true if
-   some engines are reserved for long prompts.  */
+   that would prefill them again must then be less busy.  */
 static bool
 is_admissible (const struct engine *engine, const struct jc_endpoint *endpoint,
-               const struct jc_demand *demand, bool prefix_cached, bool divided,
+               const struct jc_demand *demand, bool prefix_cached,
                int64_t now_ms)
 {
   struct load load = engine_load (engine, now_ms);
   double prefill_tokens = engine_prefill_tokens (
       demand, engine_cached_tokens (engine, demand, now_ms));
   double limit = jc_demand_prefill_limit (demand);
-  double first = first_event_ms (&load, endpoint, prefill_tokens);
+  double first;
 
   if (prefix_cached)
     limit -= MIN (
         DUPLICATE_PREFILL_WEIGHT
             * prefill_share (uncached_shared_tokens (engine, demand, now_ms)),
         DUPLICATE_PREFILL_MARGIN_MAX);
-  if (divided && demand_is_long (demand))
-    {
-      if (!is_admissible_long (engine, &load, demand, first))
-        return false;
-    }
-  else if (load.prefill_busy
-               + MIN (prefill_share (prefill_tokens) * load.slowdown,
-                      OWN_PREFILL_SHARE_MAX)
-           > limit)
+  if (load.prefill_busy
+          + MIN (prefill_share (prefill_tokens) * load.slowdown,
+                 OWN_PREFILL_SHARE_MAX)
+      > limit)
     return false;
+  first = first_event_ms (&load, endpoint, prefill_tokens);
   return demand->time_left_ms <= 0
          || first + decode_ms (&load, demand) <= (double)demand->time_left_ms;
 }
@@ -330,11 +279,9 @@
                    GPtrArray *endpoints, int64_t now_ms)
 {
   bool prefix_cached = false;
-  bool divided;
 
   if (demand->prompt_tokens == 0)
     return;
-  divided = engines_divide (engines, endpoints);
   for (guint i = 0; i < endpoints->len && !prefix_cached; i++)
     {
       const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
@@ -347,7 +294,7 @@
       const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i - 1);
 
       if (!is_admissible (engine_get (engines, endpoint->name), endpoint,
-                          demand, prefix_cached, divided, now_ms))
+                          demand, prefix_cached, now_ms))
         g_ptr_array_remove_index (endpoints, i - 1);
     }
 }
@@ -371,8 +318,7 @@
     return false;
   prefill_tokens = engine_prefill_tokens (
       demand, engine_cached_tokens (engine, demand, now_ms));
-  return stream_gap_ms (&load, demand,
-                        reading_period_ms (&load, prefill_tokens), 0)
+  return stream_gap_ms (&load, demand, load.unread_tokens + prefill_tokens, 0)
          > (double)demand->gap_limit_ms * STALL_GAP_FRACTION;
 }
 
@@ -412,20 +358,17 @@
 }
 
 /* Return true if the prompt of DEMAND, prefilled without a pause by a lightly
-   loaded engine, makes the gaps of its other streams too long, or leaves hardly
-   any time to prefill another one.  */
+   loaded engine, makes the gaps of its other streams too long.  */
 bool
 demand_is_long (const struct jc_demand *demand)
 {
   static const struct load lightly_loaded = { .running = 8, .slowdown = 1 };
 
   return demand->gap_limit_ms > 0
-         && stream_gap_ms (
-                &lightly_loaded, demand,
-                reading_period_ms (&lightly_loaded,
-                                   engine_prefill_tokens (demand, 0)),
-                prefill_depth (demand))
-                > (double)demand->gap_limit_ms * LONG_GAP_FRACTION;
+         && stream_gap_ms (&lightly_loaded, demand,
+                           engine_prefill_tokens (demand, 0),
+                           prefill_depth (demand))
+                > (double)demand->gap_limit_ms;
 }
 
 /* Write to OUT the values that the cost of a request with DEMAND at ENDPOINT is
@@ -443,15 +386,12 @@
 
   g_snprintf (out, size,
               "running=%.0f unread=%.0f busy=%.2f pace=%.2f failures=%.1f "
-              "prompt=%u read=%u first=%.0f answer=%.0f pause=%.0f "
-              "reading=%.0f left=%.0f",
+              "prompt=%u read=%u first=%.0f answer=%.0f pause=%.0f",
               load.running, load.unread_tokens, load.prefill_busy,
               load.slowdown, engine_recent_failures (engine, now_ms),
               demand->prompt_tokens, cached,
               first_event_ms (&load, endpoint, prefill_tokens),
               decode_ms (&load, demand),
-              stream_gap_ms (&load, demand,
-                             reading_period_ms (&load, prefill_tokens),
-                             prefill_depth (demand)),
-              load.read_ms, load.reading_ms);
+              stream_gap_ms (&load, demand, load.unread_tokens + prefill_tokens,
+                             prefill_depth (demand)));
 }
--- a/serve/engineloads.c
+++ b/serve/engineloads.c
@@ -104,8 +104,8 @@
         continue;
       sum.running += peer_load->reported.running;
       sum.unread_tokens += peer_load->reported.unread_tokens;
-      sum.tokens_per_s += (u_int)engine_decayed_rate (peer_load->reported.tokens_per_s,
-                                               now_ms - peer_load->reported_ms);
+      sum.tokens_per_s += (u_int)engine_decayed_rate (
+          peer_load->reported.tokens_per_s, now_ms - peer_load->reported_ms);
     }
   return sum;
 }
@@ -205,21 +205,6 @@
     }
 }
 
-/* Return the tokens that an instance or zone sent an engine to read between two
-   reports, BEFORE and AFTER, at NOW_MS: those by which its rate grew, of which
-   no more than are unread can be new.  */
-static double
-tokens_between (const struct peer_load *before, const struct rpc_load *after,
-                int64_t now_ms)
-{
-  double rate = engine_decayed_rate (before->reported.tokens_per_s,
-                                     now_ms - before->reported_ms);
-  double tokens
-      = (after->tokens_per_s - rate) * PREFILL_RATE_WINDOW_MS / MS_PER_S;
-
-  return CLAMP (tokens, 0, (double)after->unread_tokens);
-}
-
 /* Apply a message with the LOADS of PEER.  */
 static void
 apply_loads (struct jc_engines *engines, struct peer *peer,
@@ -234,14 +219,10 @@
       uint64_t tag = row->tag;
       struct engine *engine = g_hash_table_lookup (engines->by_tag, &tag);
       struct peer_load *peer_load;
-      double tokens;
 
       if (engine == NULL)
         continue;
       peer_load = peer_load_get (engine, peer);
-      tokens = tokens_between (peer_load, row, now_ms);
-      engine_add_reading (engine, tokens, now_ms);
-      engines_note_prompt (engines, tokens, now_ms);
       grown = grown
               || (peer->direct
                   && has_grown (engines, peer_load->reported.unread_tokens,
--- a/serve/enginepick.c
+++ b/serve/enginepick.c
@@ -4,8 +4,12 @@
 
 #include "serve/engineprivate.h"
 
+/* Fraction of the engines reserved for long prompts, those that make gaps of
+   the streams beside them too long.  Long prompts are a seventh of all
+   prefill.  */
+#define LONG_PROMPT_FRACTION 0.12
 /* Extra cost of an engine of the other group.  */
-#define OTHER_GROUP_COST_MS 1000.0
+#define OTHER_GROUP_COST_MS 400.0
 
 enum
 {
@@ -65,39 +69,22 @@
   return left_hash < right_hash ? -1 : left_hash > right_hash;
 }
 
-/* Reserve some engines of ENDPOINTS, all that may get a request now, for long
-   prompts: the same ones in every instance, and as many as these need.  Return
-   false if that is none.  */
-bool
-engines_divide (struct jc_engines *engines, const GPtrArray *endpoints)
-{
-  guint count = jc_longshare_engines (&engines->long_share, endpoints->len);
-  GPtrArray *sorted = g_ptr_array_copy ((GPtrArray *)endpoints, NULL, NULL);
-
-  g_ptr_array_sort (sorted, compare_group_hash);
-  for (guint i = 0; i < sorted->len; i++)
-    {
-      const struct jc_endpoint *endpoint = g_ptr_array_index (sorted, i);
-
-      engine_get (engines, endpoint->name)->for_long = i < count;
-    }
-  g_ptr_array_free (sorted, TRUE);
-  return count > 0;
-}
-
-/* Split ENDPOINTS into LONG_GROUP, reserved for long prompts, and
-   USUAL_GROUP.  */
+/* Split ENDPOINTS, in the same way in every instance, into LONG_GROUP, reserved
+   for long prompts, and USUAL_GROUP.  */
 static void
-split_by_group (struct jc_engines *engines, const GPtrArray *endpoints,
-                GPtrArray *long_group, GPtrArray *usual_group)
+split_by_group (const GPtrArray *endpoints, GPtrArray *long_group,
+                GPtrArray *usual_group)
 {
-  for (guint i = 0; i < endpoints->len; i++)
-    {
-      struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
-      const struct engine *engine = engine_get (engines, endpoint->name);
+  guint count = (guint)(endpoints->len * LONG_PROMPT_FRACTION);
 
-      g_ptr_array_add (engine->for_long ? long_group : usual_group, endpoint);
-    }
+  for (guint i = 0; i < endpoints->len; i++)
+    g_ptr_array_add (usual_group, g_ptr_array_index (endpoints, i));
+  if (count == 0)
+    return;
+  g_ptr_array_sort (usual_group, compare_group_hash);
+  for (guint i = 0; i < count; i++)
+    g_ptr_array_add (long_group, g_ptr_array_index (usual_group, i));
+  g_ptr_array_remove_range (usual_group, 0, count);
 }
 
 /* Return true if an engine, one of COUNT, is to be compared.  If there are more
@@ -160,7 +147,7 @@
     {
       bool is_long = demand_is_long (demand);
 
-      split_by_group (engines, endpoints, long_group, usual_group);
+      split_by_group (endpoints, long_group, usual_group);
       own_best = cheapest (engines, is_long ? long_group : usual_group, demand,
                            now_ms, &own_cost_ms);
       other_best = cheapest (engines, is_long ? usual_group : long_group,
--- a/serve/engineprivate.h
+++ b/serve/engineprivate.h
@@ -4,8 +4,6 @@
 #define JC_ENGINE_PRIVATE_H
 
 #include "serve/engine.h"
-#include "serve/longshare.h"
-#include "serve/reading.h"
 
 /* Performance of the deployments' engines according to their data sheet: prompt
    tokens prefilled per ms; additional prefill time for each pair of a token and
@@ -19,8 +17,6 @@
 /* Prompt tokens prefilled in one step, between two tokens of each running
    request.  */
 #define PREFILL_CHUNK_TOKENS 4096.0
-/* Tokens per event of a stream if the request does not give them.  */
-#define EVENT_TOKENS_DEFAULT 8.0
 
 enum
 {
@@ -59,9 +55,7 @@
    not yet prefilled, count this instance's requests only; REPORTED_REQUESTS is
    the engine's own figure.  PLAIN_LATENCY_MS is the average time of plain
    requests, PLAIN_SERVICE_MS that of those that found a free slot.  FAILURES
-   counts failures and refusals, each decaying.  READING is the account of what
-   all instances sent it to read.  It is reserved for long prompts if FOR_LONG is
-   true.  */
+   counts failures and refusals, each decaying.  */
 struct engine
 {
   char *name;
@@ -72,8 +66,6 @@
   uint64_t unread_tokens;
   double prefill_rate;
   int64_t prefill_rate_ms;
-  struct jc_reading reading;
-  bool for_long;
   unsigned int reported_requests;
   int64_t reported_ms;
   double plain_latency_ms;
@@ -93,21 +85,17 @@
 
 /* The load of an engine, over all instances.  PREFILL_BUSY is the fraction of
    its time spent on prefill, SLOWDOWN its measured time divided by that of the
-   data sheet.  It has read prompts for READ_MS without a pause, and goes on for
-   READING_MS.  */
+   data sheet.  */
 struct load
 {
   double running;
   double unread_tokens;
   double prefill_busy;
   double slowdown;
-  double read_ms;
-  double reading_ms;
 };
 
-/* TYPICAL is a demand with the pauses that streams allow, those of the last one
-   sent, and TOLD_TOKENS the number of prompt tokens from which the other
-   instances are told at once; 0 until there was one.  */
+/* TOLD_TOKENS is the number of prompt tokens from which the other instances are
+   told at once, 0 until a stream that limits its pauses was sent.  */
 struct jc_engines
 {
   GHashTable *by_name;
@@ -118,8 +106,6 @@
   void (*report) (void *data, bool of_zone, int64_t now_ms);
   void *report_data;
   double told_tokens;
-  struct jc_demand typical;
-  struct jc_longshare long_share;
 };
 
 /* engine.c  */
@@ -128,9 +114,6 @@
 struct load engine_load (const struct engine *engine, int64_t now_ms);
 double engine_decayed_rate (double rate, int64_t age_ms);
 double engine_prefill_rate (const struct engine *engine, int64_t now_ms);
-void engine_add_reading (struct engine *engine, double tokens, int64_t now_ms);
-void engines_note_prompt (struct jc_engines *engines, double tokens,
-                          int64_t now_ms);
 
 /* engineloads.c  */
 void engine_note_reading (struct jc_engines *engines,
@@ -153,9 +136,6 @@
                                 const struct rpc_part_read *cached, bool direct,
                                 int64_t now_ms);
 
-/* enginepick.c  */
-bool engines_divide (struct jc_engines *engines, const GPtrArray *endpoints);
-
 /* enginecost.c  */
 double engine_prefill_tokens (const struct jc_demand *demand,
                               unsigned int cached);
