--- a/entry/router.h
+++ b/entry/router.h
@@ -106,6 +106,8 @@
   GQueue exchanges;
   int64_t presence_sent_ms;
   int64_t loads_sent_ms;
+  int64_t loads_told_ms;
+  int64_t zone_loads_told_ms;
   int64_t full_loads_sent_ms;
   int64_t state_connected_ms;
   struct jc_contact contact;
@@ -191,6 +193,7 @@
 /* loads: load reports between the instances of a region.  */
 void loads_connect (struct router *router, const struct rpc_presence *presence);
 void loads_disconnect (struct router *router, const char *name);
+void loads_report_reading (void *data, bool of_zone, int64_t now);
 void loads_tick (struct router *router);
 void loads_handle_packet (struct router *router, struct jc_rpc_conn *conn,
                           const struct rpc_packet *packet);
