Send plain endpoints that refuse what they answer in time

Cause: with the bound, endpoints of register-app still held 30 requests each, and a third of the sign-offs were late. One that refuses is now also sent no more than get a slot within half of their objective.

--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -253,8 +253,7 @@
 
       if (query->demand->prompt_tokens > 0
               ? !jc_slot_room_allows (router->slot_room, &slots)
-              : !fullservices_may_send (router, endpoint, query->demand,
-                                        query->now_ms))
+              : !fullservices_may_send (router, endpoint, query))
         g_ptr_array_remove_index (endpoints, i - 1);
     }
 }
--- a/entry/fullservices.c
+++ b/entry/fullservices.c
@@ -7,6 +7,7 @@
 #include "entry/exchange.h"
 #include "net/program.h"
 #include "serve/fullness.h"
+#include "serve/slotroom.h"
 
 enum
 {
@@ -41,18 +42,27 @@
             endpoint->slots);
 }
 
-/* Return whether ENDPOINT takes another request of DEMAND now.  */
+/* Return whether ENDPOINT takes another request of QUERY, which is a plain one,
+   now.  If it has refused some lately, a request that joins those that wait
+   there must also be likely to be answered in time.  */
 bool
 fullservices_may_send (struct router *router,
                        const struct jc_endpoint *endpoint,
-                       const struct jc_demand *demand, int64_t now_ms)
+                       const struct balancer_query *query)
 {
   const struct jc_full_endpoint full = { .name = endpoint->name,
                                          .incarnation = endpoint->incarnation,
                                          .slots = endpoint->slots };
+  unsigned int running
+      = jc_engines_running (router->engines, endpoint, query->now_ms);
+  const struct jc_slot_query slots
+      = { .service = query->service,
+          .running = running,
+          .slots = endpoint->slots,
+          .objective_ms = query->demand->first_event_limit_ms };
 
-  return demand->prompt_tokens > 0
-         || jc_fullness_allows (
-             router->fullness, &full,
-             jc_engines_running (router->engines, endpoint, now_ms), now_ms);
+  return !jc_fullness_is_known (router->fullness, &full, query->now_ms)
+         || (jc_fullness_allows (router->fullness, &full, running,
+                                 query->now_ms)
+             && jc_slot_room_allows (router->slot_room, &slots));
 }
--- a/entry/router.h
+++ b/entry/router.h
@@ -413,7 +413,7 @@
 /* fullservices: endpoints of plain services get no more than they take.  */
 bool fullservices_may_send (struct router *router,
                             const struct jc_endpoint *endpoint,
-                            const struct jc_demand *demand, int64_t now_ms);
+                            const struct balancer_query *query);
 
 /* holding: requests that wait here for room.  */
 extern const struct waitqueue_ops holding_ops;
--- a/serve/fullness.c
+++ b/serve/fullness.c
@@ -113,6 +113,14 @@
   bound->margin = MIN (bound->margin, bound->takes - endpoint->slots);
 }
 
+/* Return whether ENDPOINT refused requests lately, so that it has a bound.  */
+bool
+jc_fullness_is_known (const struct jc_fullness *fullness,
+                      const struct jc_full_endpoint *endpoint, int64_t now_ms)
+{
+  return find_bound (fullness, endpoint, now_ms) != NULL;
+}
+
 /* Return whether ENDPOINT, at which all instances have RUNNING requests, may
    get one more.  */
 bool
--- a/serve/fullness.h
+++ b/serve/fullness.h
@@ -29,6 +29,9 @@
 void jc_fullness_note_refused (struct jc_fullness *fullness,
                                const struct jc_full_endpoint *endpoint,
                                unsigned int held, int64_t now_ms);
+bool jc_fullness_is_known (const struct jc_fullness *fullness,
+                           const struct jc_full_endpoint *endpoint,
+                           int64_t now_ms);
 bool jc_fullness_allows (struct jc_fullness *fullness,
                          const struct jc_full_endpoint *endpoint,
                          unsigned int running, int64_t now_ms);
