Count endpoints set aside by cause; let the route's time run from the body's end

Change: only the time that another instance told runs from the head. The metric jaycove_endpoints_set_aside tells why endpoints get no request, and hosts-misdirected-moment reads it.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -296,6 +296,19 @@
                               : route->timeout_ms;
 }
 
+/* Return until when EXCHANGE may take.  The time that another instance told ran
+   while it sent the body.  */
+static int64_t
+deadline_ms (const struct exchange *exchange)
+{
+  const struct jc_request_info *info = &exchange->request_info;
+  int64_t deadline = exchange->started_ms + limit_ms (exchange->route, info);
+
+  if (!exchange->handed_over || info->timeout_ms == 0)
+    return deadline;
+  return MIN (deadline, jc_http_head_ms (exchange->req) + info->timeout_ms);
+}
+
 /* Check that this instance has time for a request of ROUTE with INFO.  */
 static enum jc_status
 check_time (struct router *router, const struct jc_hostroute *route,
@@ -411,10 +424,7 @@
   exchange->answer_tokens = exchange->demand.answer_tokens;
   exchange->wait_until_ms
       = exchange->started_ms + route->objective_ms / WAIT_DIVISOR;
-  /* The time that another instance told ran while it sent the body.  */
-  jc_relay_init (&exchange->relay, route,
-                 (handed_over ? jc_http_head_ms (req) : exchange->started_ms)
-                     + limit_ms (route, &info),
+  jc_relay_init (&exchange->relay, route, deadline_ms (exchange),
                  info.resume_after);
   exchange->passed_event = info.resume_after;
   resumptions_init (exchange);
--- a/entry/gauges.c
+++ b/entry/gauges.c
@@ -72,6 +72,45 @@
   return count;
 }
 
+static void
+set_cause (struct router *router, const char *cause, unsigned int count)
+{
+  char labels[40];
+
+  g_snprintf (labels, sizeof labels, "cause=\"%s\"", cause);
+  jc_metrics_gauge_set (router->entry->metrics, "jaycove_endpoints_set_aside",
+                        labels, count);
+}
+
+/* Set how many endpoints get no request, or fewer, for each cause.  One may
+   count for several.  */
+static void
+set_endpoints_set_aside (struct router *router, int64_t now)
+{
+  GPtrArray *endpoints = g_ptr_array_new ();
+  unsigned int leaving = 0;
+  unsigned int cold = 0;
+  unsigned int in_backoff = 0;
+
+  jc_endpoints_list (router->endpoints, endpoints);
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      const struct jc_endpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      leaving += endpoint->leaving ? 1 : 0;
+      cold += endpoint->warm_at_ms > now ? 1 : 0;
+      in_backoff += jc_engines_in_backoff (router->engines, endpoint->name, now)
+                        ? 1
+                        : 0;
+    }
+  g_ptr_array_free (endpoints, TRUE);
+  set_cause (router, "leaving", leaving);
+  set_cause (router, "cold", cold);
+  set_cause (router, "backoff", in_backoff);
+  set_cause (router, "paused", jc_pauses_count (router->pauses, jc_boot_ms ()));
+  set_cause (router, "misdirected", jc_misdirected_count (router->misdirected));
+}
+
 /* Update all gauges of ROUTER.  */
 void
 gauges_set (struct router *router)
@@ -110,4 +149,5 @@
   jc_metrics_gauge_set (metrics, "jaycove_buffered_bytes", "",
                         (double)jc_buffers_total ());
   set_retries (router, now);
+  set_endpoints_set_aside (router, now);
 }
--- a/tests/process/misdirected_standin.py
+++ b/tests/process/misdirected_standin.py
@@ -4,7 +4,7 @@
 import sys
 import time
 
-from hosts_standin import (ADDRESSES, Endpoint, configuration, in_force, order, read_body, read_head, request, route,
+from hosts_standin import (ADDRESSES, Endpoint, ask, configuration, in_force, order, read_body, read_head, request, route,
                            use)
 
 MISDIRECTED = 10
@@ -67,18 +67,27 @@
     return (await request(entry, "GET", "/read/x")).status
 
 
+async def set_aside():
+    """Returns how many endpoints the first instance has set aside for an answer 421, by its metrics."""
+    reply = await ask(ADDRESSES["operators"][0], "GET", "/metrics")
+    lines = dict(line.rsplit(" ", 1) for line in reply.body.decode().splitlines() if not line.startswith("#"))
+    return int(lines['jaycove_endpoints_set_aside{cause="misdirected"}'])
+
+
 async def moment():
     """All endpoints of the service answer 421 for a moment while they report as before."""
     Confused.left = MISDIRECTED
-    first = {}
+    first, most_aside = {}, 0
     end = time.monotonic() + 20
     while time.monotonic() < end and (Confused.left > 0 or len(first) < len(ADDRESSES["entries"])):
         for entry in ADDRESSES["entries"]:
             # An instance that serves before the last 421 of all must do so after it too.
             if await call(entry) == 200 and Confused.left <= 0:
                 first.setdefault(entry, time.monotonic() - Confused.last)
+        most_aside = max(most_aside, await set_aside())
         await asyncio.sleep(PAUSE_S)
     print(f"{'' if Confused.stated else 'not '}stated, 421 to come {Confused.left}, served again after {sorted(first.values())} s", flush=True)
+    assert 1 <= most_aside <= 2, f"{most_aside} endpoints set aside"
     assert Confused.left <= 0 and len(first) == len(ADDRESSES["entries"]), f"not served again: {first}"
     assert max(first.values()) <= BACK_S, f"served again after {max(first.values()):.2f} s, at most {BACK_S}"
 
