Log leases of workspaces' slots only where the holder changes

Cause: renewals, 5 lines a second and workspace, would fill the lines that state instances may write of quotas.

--- a/state/limits.c
+++ b/state/limits.c
@@ -215,15 +215,34 @@
   jc_rpc_send (conn, &packet);
 }
 
+/* Return whether CHANGE, which is to be applied, only renews a lease of a
+   workspace's slot.  */
+static bool
+is_renewal (const struct state *state, const struct rpc_limit_change *change)
+{
+  unsigned int slot;
+  const char *workspace = jc_quota_slots_workspace (change, &slot);
+  struct jc_quota_slot_state held;
+
+  return workspace != NULL && change->op == RPC_LIMIT_LEASE
+         && jc_quota_slots_read (state->limit_slots, workspace, slot,
+                                 jc_now_ms (), &held)
+         && strcmp (held.holder, change->instance) == 0
+         && held.incarnation == change->instance_incarnation;
+}
+
 /* Report CHANGE, which was applied, to the instance that it leases a slot
-   to.  */
+   to, and log it unless it RENEWS a lease of a workspace's slot.  */
 static void
-note_applied (struct state *state, const struct rpc_limit_change *change)
+note_applied (struct state *state, const struct rpc_limit_change *change,
+              bool renews)
 {
   unsigned int slot;
   const char *workspace = jc_quota_slots_workspace (change, &slot);
 
-  if (workspace != NULL)
+  if (renews)
+    ;
+  else if (workspace != NULL)
     jc_event (JC_EVENT_QUOTA,
               "workspace=%s what=lease op=%d slot=%u instance=%s", workspace,
               change->op, slot,
@@ -256,8 +275,12 @@
     jc_event (JC_EVENT_BAD_INPUT, "from=log what=limits why=\"malformed\"");
   else
     for (u_int i = 0; i < changes.list.list_len; i++)
-      if (jc_limit_slots_apply (state->limit_slots, &changes.list.list_val[i],
-                                jc_now_ms ()))
-        note_applied (state, &changes.list.list_val[i]);
+      {
+        const struct rpc_limit_change *change = &changes.list.list_val[i];
+        bool renews = is_renewal (state, change);
+
+        if (jc_limit_slots_apply (state->limit_slots, change, jc_now_ms ()))
+          note_applied (state, change, renews);
+      }
   xdr_free ((xdrproc_t)xdr_rpc_limit_changes, (char *)&changes);
 }
