--- a/entry/holding.c
+++ b/entry/holding.c
@@ -77,17 +77,17 @@
   };
 }
 
-/* Return whether EXCHANGE may wait here for room: its caller is this
-   instance's, no endpoint can have run it, and its service has no slots that
-   are shared out.  */
+/* Return whether EXCHANGE may wait here for room: it is of a workspace, its
+   caller is this instance's, no endpoint can have run it, and its service has
+   no slots that are shared out.  */
 static bool
 is_held_here (const struct exchange *exchange)
 {
   const struct router *router = exchange->router;
 
-  return !exchange->handed_over && !router->entry->draining
-         && !exchange->relay.begun && !exchange->any_sent
-         && !shares_apply (router, exchange->service);
+  return exchange->workspace != NULL && !exchange->handed_over
+         && !router->entry->draining && !exchange->relay.begun
+         && !exchange->any_sent && !shares_apply (router, exchange->service);
 }
 
 /* Have EXCHANGE, which has just begun, wait if others of its kind do.  */
