Count requests that waited when they are sent, not when they were granted

Cause: a request is charged to its workspace's quota before it may wait for room; it then ran later than it counted, so that a window could hold more than the bound. Change: what was granted longer ago than a grant holds is given back and taken anew as the request is sent.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -276,6 +276,10 @@
       holding_add (exchange);
       return true;
     }
+  if (status == JC_OK)
+    status = quotas_renew_charge (exchange);
+  if (status == JC_CROWDED)
+    return false;
   holding_remove (exchange);
   if (status == JC_OK && exchange->any_sent
       && !jc_budgets_take_retry (router->budgets, exchange->service, now))
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -262,6 +262,7 @@
 
 /* In quotacharges.c.  */
 enum jc_status quotas_charge (struct exchange *exchange);
+enum jc_status quotas_renew_charge (struct exchange *exchange);
 bool quotas_charge_repeat (struct exchange *exchange);
 void quotas_note_attempt_ended (struct exchange *exchange, bool not_run);
 void quotas_forget (struct exchange *exchange);
--- a/entry/quotacharges.c
+++ b/entry/quotacharges.c
@@ -20,7 +20,7 @@
   MILLI = 1000
 };
 
-/* A request for UNITS, sent to OWNER at ASKED_MS, that EXCHANGE waits for.  It
+/* A request ASK, sent to OWNER at ASKED_MS, that EXCHANGE waits for.  It
    is made again when HOLD_TIMER ends.  */
 struct quota_wait
 {
@@ -30,8 +30,7 @@
   unsigned int holds;
   ev_timer hold_timer;
   uint64_t xid;
-  double units;
-  double ahead;
+  struct quota_ask ask;
   int64_t asked_ms;
 };
 
@@ -175,8 +174,8 @@
               .age_ms = grant->age_ms };
 
       quotas_note_answered (exchange->router, wait->owner);
-      result = apply_decision (exchange, wait->units, wait->owner, &decision,
-                               wait->asked_ms);
+      result = apply_decision (exchange, wait->ask.units, wait->owner,
+                               &decision, wait->asked_ms);
     }
   else
     {
@@ -199,13 +198,17 @@
   struct rpc_quota_take *take = &packet.body.rpc_body_u.quota_take;
 
   take->workspace = exchange->workspace->name;
-  take->milli = (u_quad_t)ceil (wait->units * MILLI);
-  take->ahead_milli = (u_quad_t)(wait->ahead * MILLI);
+  take->milli = (u_quad_t)ceil (wait->ask.units * MILLI);
+  take->ahead_milli = (u_quad_t)(wait->ask.ahead * MILLI);
+  take->returned_milli = (u_quad_t)(wait->ask.returned * MILLI);
   g_free (wait->owner);
   wait->owner = g_strdup (owner);
   wait->asked_ms = jc_boot_ms ();
   wait->xid = jc_rpc_call (jc_rpc_find_conn (router->entry->rpc, owner),
                            &packet, ANSWER_TIMEOUT_MS, on_answer, exchange);
+  /* What is given back must not be given back twice.  */
+  if (wait->xid != 0)
+    wait->ask.returned = 0;
   return wait->xid != 0;
 }
 
@@ -230,9 +233,10 @@
         return JC_CROWDED;
       quotas_note_unanswered (router, owner);
     }
-  quotas_decide (router, exchange->workspace->name, wait->units, wait->ahead,
-                 &decision);
-  return apply_decision (exchange, wait->units, own, &decision, jc_boot_ms ());
+  quotas_decide (router, exchange->workspace->name, &wait->ask, &decision);
+  wait->ask.returned = 0;
+  return apply_decision (exchange, wait->ask.units, own, &decision,
+                         jc_boot_ms ());
 }
 
 /* Take UNITS for EXCHANGE from what this instance has.  */
@@ -250,6 +254,26 @@
   return true;
 }
 
+/* Ask for what EXCHANGE costs of QUOTA, giving RETURNED units back.  */
+static enum jc_status
+begin_ask (struct exchange *exchange, struct workspace_quota *quota,
+           double returned)
+{
+  struct quota_wait *wait = g_new0 (struct quota_wait, 1);
+  enum jc_status status;
+
+  exchange->quota_wait = wait;
+  wait->exchange = exchange;
+  wait->ask.units = cost_of (exchange);
+  wait->ask.ahead
+      = jc_quotacredit_ahead (quota->credit, wait->ask.units, jc_boot_ms ());
+  wait->ask.returned = returned;
+  status = ask (exchange);
+  if (status != JC_CROWDED)
+    wait_free (exchange);
+  return status;
+}
+
 /* Charge EXCHANGE for the next time that it is sent, unless that is done.
    Return JC_CROWDED if it waits for the owner of its workspace, after whose
    answer the attempt is made again, or JC_QUOTA_EXCEEDED if it is over the
@@ -258,8 +282,6 @@
 quotas_charge (struct exchange *exchange)
 {
   struct workspace_quota *quota;
-  struct quota_wait *wait;
-  enum jc_status status;
 
   if (exchange->quota_refused)
     return jc_fail (JC_QUOTA_EXCEEDED,
@@ -271,15 +293,25 @@
   quota = quotas_find (exchange->router, exchange->workspace->name);
   if (quota == NULL || take_credit (exchange, quota, cost_of (exchange)))
     return JC_OK;
-  wait = exchange->quota_wait = g_new0 (struct quota_wait, 1);
-  wait->exchange = exchange;
-  wait->units = cost_of (exchange);
-  wait->ahead
-      = jc_quotacredit_ahead (quota->credit, wait->units, jc_boot_ms ());
-  status = ask (exchange);
-  if (status != JC_CROWDED)
-    wait_free (exchange);
-  return status;
+  return begin_ask (exchange, quota, 0);
+}
+
+/* Have what EXCHANGE was charged count from now on if it was granted too long
+   ago, as its request is about to be sent only now.  Return as quotas_charge
+   does.  */
+enum jc_status
+quotas_renew_charge (struct exchange *exchange)
+{
+  struct workspace_quota *quota;
+
+  if (!exchange->charged || exchange->charged_units <= 0
+      || jc_boot_ms () - exchange->charged_ms < JC_QUOTACREDIT_MS)
+    return JC_OK;
+  quota = quotas_find (exchange->router, exchange->workspace->name);
+  exchange->charged = false;
+  if (quota == NULL)
+    return JC_OK;
+  return begin_ask (exchange, quota, exchange->charged_units);
 }
 
 /* Charge EXCHANGE, whose request is about to be sent once more within the
--- a/entry/quotas.c
+++ b/entry/quotas.c
@@ -299,20 +299,23 @@
                             quota->burst, now);
 }
 
-/* Decide, as the owner, on UNITS of WORKSPACE for a request and AHEAD more for
-   the next ones.  */
+/* Decide, as the owner, on ASK of WORKSPACE.  */
 void
-quotas_decide (struct router *router, const char *workspace, double units,
-               double ahead, struct jc_quota_decision *out)
+quotas_decide (struct router *router, const char *workspace,
+               const struct quota_ask *ask, struct jc_quota_decision *out)
 {
   struct workspace_quota *quota = quotas_find (router, workspace);
+  struct jc_quotabucket *bucket;
+  int64_t now = jc_boot_ms ();
 
-  *out = (struct jc_quota_decision){ .granted = units };
+  *out = (struct jc_quota_decision){ .granted = ask->units };
   if (quota == NULL)
     return;
   quotas_begin_owning (quota);
-  jc_quotabucket_take (jc_quotaowner_bucket (quota->owner), units, ahead,
-                       jc_boot_ms (), out);
+  bucket = jc_quotaowner_bucket (quota->owner);
+  if (ask->returned > 0)
+    jc_quotabucket_return (bucket, ask->returned, now);
+  jc_quotabucket_take (bucket, ask->units, ask->ahead, now, out);
 }
 
 /* Answer PACKET, which asks this instance as the owner of a workspace.  */
@@ -323,10 +326,13 @@
   const struct rpc_quota_take *take = &packet->body.rpc_body_u.quota_take;
   struct rpc_packet answer = { .body.type = RPC_QUOTA_GRANT };
   struct rpc_quota_grant *grant = &answer.body.rpc_body_u.quota_grant;
+  const struct quota_ask ask
+      = { .units = (double)take->milli / MILLI,
+          .ahead = (double)take->ahead_milli / MILLI,
+          .returned = (double)take->returned_milli / MILLI };
   struct jc_quota_decision decision;
 
-  quotas_decide (router, take->workspace, (double)take->milli / MILLI,
-                 (double)take->ahead_milli / MILLI, &decision);
+  quotas_decide (router, take->workspace, &ask, &decision);
   grant->milli = (u_quad_t)(decision.granted * MILLI);
   grant->retry_ms = (u_int)decision.retry_ms;
   grant->slots = decision.slots;
--- a/entry/quotas.h
+++ b/entry/quotas.h
@@ -27,6 +27,15 @@
   int64_t used_ms;
 };
 
+/* What an owner is asked for: UNITS for a request, AHEAD for the next ones, and
+   RETURNED units that it granted before and that are not used.  */
+struct quota_ask
+{
+  double units;
+  double ahead;
+  double returned;
+};
+
 /* UNANSWERED requests in a row, the last of which was given up at LAST_MS.  */
 struct owner_failure
 {
@@ -54,8 +63,8 @@
                                const char *workspace, const char *except);
 void quotas_note_unanswered (struct router *router, const char *owner);
 void quotas_note_answered (struct router *router, const char *owner);
-void quotas_decide (struct router *router, const char *workspace, double units,
-                    double ahead, struct jc_quota_decision *out);
+void quotas_decide (struct router *router, const char *workspace,
+                    const struct quota_ask *ask, struct jc_quota_decision *out);
 
 void quotas_begin_owning (struct workspace_quota *quota);
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1862,6 +1862,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->ahead_milli))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->returned_milli))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/serve/quotabucket.c
+++ b/serve/quotabucket.c
@@ -257,6 +257,17 @@
   interval->granted += out->granted;
 }
 
+/* Take back UNITS that were granted and are not used, as far as BUCKET can hold
+   them.  */
+void
+jc_quotabucket_return (struct jc_quotabucket *bucket, double units,
+                       int64_t now_ms)
+{
+  update (bucket, now_ms);
+  bucket->credit += units;
+  cap_credit (bucket);
+}
+
 /* Note that SLOT was leased for LEASE_MS from REQUESTED_MS on.  Return false if
    that is of no use: the slot was given back after the request, or the lease is
    over.  */
--- a/tests/test-quotas.c
+++ b/tests/test-quotas.c
@@ -195,6 +195,30 @@
   jc_quotabucket_free (bucket);
 }
 
+/* Guards against requests that were charged, waited for room and run later than
+   they count: what was granted is given back, and taken anew when they are
+   sent.  What is given back never makes more than the burst.  */
+static void
+test_returned (void)
+{
+  struct jc_quotabucket *bucket = jc_quotabucket_new (1000);
+  int64_t retry;
+
+  jc_quotabucket_set_limit (bucket, 2000, 2000, 1000);
+  lease (bucket, 10, 1000);
+  g_assert_cmpfloat (take (bucket, 600, 2000, &retry), ==, 600);
+  g_assert_cmpfloat (jc_quotabucket_credit (bucket, 2000), ==, 400);
+  jc_quotabucket_return (bucket, 600, 2000);
+  g_assert_cmpfloat (take (bucket, 600, 2000, &retry), ==, 600);
+  g_assert_cmpfloat (jc_quotabucket_credit (bucket, 2000), ==, 400);
+  jc_quotabucket_return (bucket, 5000, 2000);
+  g_assert_cmpfloat (jc_quotabucket_credit (bucket, 2000), ==, 1000);
+  /* One whose slots have ended holds nothing.  */
+  jc_quotabucket_return (bucket, 600, 20000);
+  g_assert_cmpfloat (jc_quotabucket_credit (bucket, 20000), ==, 0);
+  jc_quotabucket_free (bucket);
+}
+
 static void
 test_lowered_bucket (void)
 {
@@ -271,6 +295,7 @@
   g_test_add_func ("/quotas/moving", test_moving);
   g_test_add_func ("/quotas/faults", test_faults);
   g_test_add_func ("/quotas/all-faults", test_all_faults);
+  g_test_add_func ("/quotas/returned", test_returned);
   g_test_add_func ("/quotas/changed-limit", test_changed_limit);
   g_test_add_func ("/quotas/broken-expiry", test_broken_expiry);
   return g_test_run ();
