Wait for all endpoints before hosts-misdirected-though-run plays its last part

Cause: the last part misdirects one request and asks that another endpoint serves it, but began as soon as one of four endpoints served again. The part waits now until no instance sets an endpoint aside; what it asserts is as before.

--- a/tests/process/promise_standin.py
+++ b/tests/process/promise_standin.py
@@ -30,6 +30,8 @@
     "broken" it runs those that come first over a connection that was used before, breaks that off, and says of those
     that come again that they were not run; with "once more" it runs these too. With "stranger" it runs nothing and says that requests are for another."""
     mode, failure, signed = None, None, True
+    # How long it serves a request.
+    serving_s = 0
     # Requests that are still to be misdirected with "stranger".
     misdirected_left = 0
     # Attempt ids in the order in which they arrived, over all endpoints, those that ran, and how often.
@@ -69,6 +71,7 @@
             stamp = stamp if Working.signed else ""
             writer.write(f"HTTP/1.1 {status} Own\r\n{echo}{stamp}{retry}Content-Length: 4\r\n\r\nbusy".encode())
             return True
+        await asyncio.sleep(Working.serving_s)
         writer.write(f"HTTP/1.1 200 OK\r\n{echo}{stamp}Content-Length: 2\r\n\r\nok".encode())
         return True
 
@@ -127,6 +130,23 @@
     await all_serve()
 
 
+async def none_set_aside():
+    """Waits until no entry instance sets an endpoint aside, so that a request has another endpoint to be sent to.
+    Many requests at once go on meanwhile, each for some time: one of them has to try an endpoint before it is back."""
+    Working.mode, Working.serving_s = None, 0.1
+
+    async def all_back():
+        texts = []
+        for entry, operator in zip(ADDRESSES["entries"], ADDRESSES["operators"]):
+            await Callers(entry, "GET", "/read/x").run()
+            texts.append((await ask(operator, "GET", "/metrics", OPERATOR)).body.decode())
+        counts = re.findall(r"^jaycove_endpoints_set_aside\S* (.*)$", "\n".join(texts), re.M)
+        assert counts, "no instance tells how many endpoints it sets aside"
+        return not any(map(float, counts))
+    await until("all endpoints to be back", all_back)
+    Working.serving_s = 0
+
+
 async def own_failures():
     """Endpoints that run requests and answer them with a status that promises the contrary. The last entry instance is
     in a region without endpoints, so that its requests are handed over."""
@@ -164,7 +184,7 @@
                       f"{'handed over' if entry == ADDRESSES['entries'][-1] else 'own region'}: {len(callers.got)} requests, "
                       f"told not run though run {callers.false_promises()}, ran twice {callers.repeated()}, "
                       f"statuses {callers.statuses()}", flush=True)
-    await all_serve()
+    await none_set_aside()
     Working.mode, Working.misdirected_left = "stranger", 1
     callers = Callers(ADDRESSES["entries"][0], "POST", "/write/x")
     await callers.run(1)
