--- a/net/httpd.c
+++ b/net/httpd.c
@@ -101,7 +101,7 @@
 
       conn->flush_due = false;
       if (!conn->closed)
-        httpd_conn_flush (conn);
+        httpd_out_flush (conn);
       any_closed = any_closed || conn->closed;
     }
   g_ptr_array_set_size (httpd->unflushed, 0);
@@ -239,7 +239,7 @@
     {
       struct httpd_conn *conn = g_ptr_array_index (httpd->conns, i);
 
-      httpd_conn_flush (conn);
+      httpd_out_flush (conn);
       httpd_conn_close (conn, HTTPD_STOPPED);
     }
   httpd_free_closed (httpd);
--- a/net/httpdprivate.h
+++ b/net/httpdprivate.h
@@ -151,10 +151,19 @@
 struct httpd_conn *httpd_conn_new (struct jc_httpd *httpd, int fd);
 void httpd_conn_close (struct httpd_conn *conn, enum httpd_close_reason reason);
 void httpd_conn_free (struct httpd_conn *conn);
-void httpd_conn_flush (struct httpd_conn *conn);
+void httpd_conn_set_deadline (struct httpd_conn *conn, long ms);
+void httpd_conn_count_buffers (struct httpd_conn *conn);
 void httpd_conn_schedule_flush (struct httpd_conn *conn);
 void httpd_conn_next_request (struct httpd_conn *conn);
 
+/* In httpdin.c.  */
+void httpd_in_reject (struct httpd_conn *conn, enum jc_status status);
+void httpd_in_process (struct httpd_conn *conn);
+
+/* In httpdout.c.  */
+void httpd_out_flush (struct httpd_conn *conn);
+void httpd_out_linger (struct httpd_conn *conn);
+
 /* In httpdpeer.c.  */
 void httpd_peer_set_probes (struct httpd_conn *conn, bool often);
 void httpd_peer_count_written (struct httpd_conn *conn, size_t bytes);
