Forget names of workspaces, kinds and services that no request waits for

The wait queue kept a row for each workspace and service whose requests ever waited, and holding interned their names and kinds, for the life of the process. Tables now keep copies of names, and forget rows without waiting requests beyond 256; names belong to the exchange.

--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -89,7 +89,7 @@
    of the workspace's quota, which QUOTA_REFUSED the request; it may then come
    back after QUOTA_RETRY_MS.  CHARGED means that the next time it is sent is
    paid for, with CHARGED_UNITS that were asked for at CHARGED_MS, CHARGE_USED
-   that an attempt which may use that is under way.  */
+   that an attempt which may use that is under way.  KIND is that of WAITER.  */
 struct exchange
 {
   GList link;
@@ -152,6 +152,7 @@
   bool continues;
   bool progressed;
   bool paused;
+  char *kind;
   struct jc_waiter_slot waiter;
   int64_t wait_until_ms;
   int64_t first_event_ms;
--- a/entry/holding.c
+++ b/entry/holding.c
@@ -35,20 +35,16 @@
     = { .try = try_owner, .finds_room_alike = finds_room_alike };
 
 /* Return the kind of EXCHANGE: requests of a route may go to the same
-   endpoints, unless their workspaces have regions of their own.  */
-static const char *
+   endpoints, unless their workspaces have regions of their own.  The caller
+   frees it.  */
+static char *
 kind_of (const struct exchange *exchange)
 {
   const struct jc_workspace *workspace = exchange->workspace;
-  char *text;
-  const char *kind;
-
-  if (workspace == NULL || workspace->home_regions->len == 0)
-    return g_intern_string (exchange->route->name);
-  text = g_strconcat (exchange->route->name, " ", workspace->name, NULL);
-  kind = g_intern_string (text);
-  g_free (text);
-  return kind;
+
+  return workspace == NULL || workspace->home_regions->len == 0
+             ? g_strdup (exchange->route->name)
+             : g_strconcat (exchange->route->name, " ", workspace->name, NULL);
 }
 
 /* Prepare EXCHANGE, which has just begun, for the wait queue.  */
@@ -62,12 +58,11 @@
           .gap_ms = route->gap_ms,
           .left_ms = exchange->relay.deadline_ms - exchange->started_ms };
 
+  exchange->kind = kind_of (exchange);
   exchange->waiter = (struct jc_waiter_slot){
-    .service = g_intern_string (exchange->service),
-    .workspace = exchange->workspace != NULL
-                     ? g_intern_string (exchange->workspace->name)
-                     : "",
-    .kind = kind_of (exchange),
+    .service = exchange->service,
+    .workspace = exchange->workspace != NULL ? exchange->workspace->name : "",
+    .kind = exchange->kind,
     .priority = exchange_priority (exchange),
     .due_ms = exchange->started_ms + route->objective_ms,
     .until_ms = exchange->started_ms
--- a/entry/outcome.c
+++ b/entry/outcome.c
@@ -47,6 +47,7 @@
   g_string_free (exchange->held_comments, TRUE);
   jc_sse_free (&exchange->sse);
   jc_buffered_set (&exchange->buffered, 0);
+  g_free (exchange->kind);
   g_free (exchange->target_name);
   g_free (exchange->target_address);
   g_free (exchange);
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -184,8 +184,8 @@
       sum.used += MIN (load.used, load.slots);
     }
   g_ptr_array_free (endpoints, TRUE);
-  sum.used += jc_waiting_count (waitqueue_waiting (router->wait_queue),
-                                g_intern_string (service));
+  sum.used
+      += jc_waiting_count (waitqueue_waiting (router->wait_queue), service);
   return sum;
 }
 
--- a/serve/waiting.c
+++ b/serve/waiting.c
@@ -16,8 +16,9 @@
   PAUSE_MIN_MS = 2000,
   PAUSE_OBJECTIVES = 4,
   PAUSE_GAPS = 8,
-  /* Kinds whose rates are kept.  */
-  KINDS_MAX = 256,
+  /* Rows of a table beyond which those without waiting requests are
+     forgotten.  */
+  ROWS_MAX = 256,
   MS_PER_S = 1000
 };
 
@@ -40,7 +41,7 @@
 
 /* The requests of a kind: the rate at which they get room, how many wait, and
    the last turn in which there was no room for one.  */
-struct kind
+struct jc_waiting_kind
 {
   struct jc_request_rate sent;
   unsigned int waiting;
@@ -95,9 +96,9 @@
 
   g_queue_init (&waiting->given_up);
   waiting->lines
-      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, line_free);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, line_free);
   waiting->kinds
-      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return waiting;
 }
 
@@ -131,6 +132,24 @@
          - (left->sequence < right->sequence);
 }
 
+/* Have TABLE own ROW under a copy of NAME.  Of a full table, the rows that
+   IS_IDLE holds of are forgotten first.  */
+static void
+add_row (GHashTable *table, const char *name, gpointer row, GHRFunc is_idle)
+{
+  if (g_hash_table_size (table) >= ROWS_MAX)
+    g_hash_table_foreach_remove (table, is_idle, NULL);
+  g_hash_table_insert (table, g_strdup (name), row);
+}
+
+static gboolean
+is_idle_line (gpointer key, gpointer value, gpointer ctx)
+{
+  (void)key;
+  (void)ctx;
+  return ((const struct line *)value)->length == 0;
+}
+
 static struct line *
 line_get (struct jc_waiting *waiting, const char *service)
 {
@@ -140,11 +159,21 @@
     return line;
   line = g_new0 (struct line, 1);
   line->flows
-      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, flow_free);
-  g_hash_table_insert (waiting->lines, (gpointer)service, line);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, flow_free);
+  add_row (waiting->lines, service, line, is_idle_line);
   return line;
 }
 
+static gboolean
+is_idle_flow (gpointer key, gpointer value, gpointer ctx)
+{
+  (void)key;
+  (void)ctx;
+  return g_sequence_is_empty (((const struct flow *)value)->slots);
+}
+
+/* Return the row of WORKSPACE in LINE.  One that was forgotten is served as one
+   that hasn't had its turn.  */
 static struct flow *
 flow_get (struct line *line, const char *workspace)
 {
@@ -154,7 +183,7 @@
     return flow;
   flow = g_new0 (struct flow, 1);
   flow->slots = g_sequence_new (NULL);
-  g_hash_table_insert (line->flows, (gpointer)workspace, flow);
+  add_row (line->flows, workspace, flow, is_idle_flow);
   return flow;
 }
 
@@ -163,22 +192,18 @@
 {
   (void)key;
   (void)ctx;
-  return ((const struct kind *)value)->waiting == 0;
+  return ((const struct jc_waiting_kind *)value)->waiting == 0;
 }
 
-/* Return the row of the kind NAME.  Of a full table, the kinds of which none
-   waits are forgotten first.  */
-static struct kind *
+static struct jc_waiting_kind *
 kind_get (struct jc_waiting *waiting, const char *name)
 {
-  struct kind *kind = g_hash_table_lookup (waiting->kinds, name);
+  struct jc_waiting_kind *kind = g_hash_table_lookup (waiting->kinds, name);
 
   if (kind != NULL)
     return kind;
-  if (g_hash_table_size (waiting->kinds) >= KINDS_MAX)
-    g_hash_table_foreach_remove (waiting->kinds, is_idle_kind, NULL);
-  kind = g_new0 (struct kind, 1);
-  g_hash_table_insert (waiting->kinds, (gpointer)name, kind);
+  kind = g_new0 (struct jc_waiting_kind, 1);
+  add_row (waiting->kinds, name, kind, is_idle_kind);
   return kind;
 }
 
@@ -197,18 +222,21 @@
                       const struct jc_waiter_slot *slot, int64_t now_ms)
 {
   struct line *line = g_hash_table_lookup (waiting->lines, slot->service);
+  const struct jc_waiting_kind *kind;
   GHashTableIter iter;
   gpointer value;
 
-  if (line == NULL || line->length == 0
-      || kind_get (waiting, slot->kind)->waiting == 0)
+  if (line == NULL || line->length == 0)
+    return false;
+  kind = kind_get (waiting, slot->kind);
+  if (kind->waiting == 0)
     return false;
   g_hash_table_iter_init (&iter, line->flows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct jc_waiter_slot *first = first_slot (value);
 
-      if (first != NULL && first->kind == slot->kind && first->due_ms > now_ms)
+      if (first != NULL && first->kind_row == kind && first->due_ms > now_ms)
         return true;
     }
   return false;
@@ -241,7 +269,7 @@
                        const struct jc_waiter_slot *slot, int64_t now_ms)
 {
   struct line *line = line_get (waiting, slot->service);
-  const struct kind *kind = kind_get (waiting, slot->kind);
+  const struct jc_waiting_kind *kind = kind_get (waiting, slot->kind);
   unsigned int ahead = MIN (
       count_ahead (line, g_hash_table_lookup (line->flows, slot->workspace)),
       kind->waiting);
@@ -271,7 +299,8 @@
     flow->served = MAX (flow->served, line->served);
   slot->position
       = g_sequence_insert_sorted (flow->slots, slot, compare_slots, NULL);
-  kind_get (waiting, slot->kind)->waiting++;
+  slot->kind_row = kind_get (waiting, slot->kind);
+  slot->kind_row->waiting++;
   line->length++;
   waiting->length++;
 }
@@ -287,7 +316,8 @@
     g_queue_remove (&waiting->given_up, slot);
   g_sequence_remove (slot->position);
   slot->position = NULL;
-  kind_get (waiting, slot->kind)->waiting--;
+  slot->kind_row->waiting--;
+  slot->kind_row = NULL;
   line_get (waiting, slot->service)->length--;
   waiting->length--;
 }
@@ -335,7 +365,7 @@
   for (; !g_sequence_iter_is_end (at); at = g_sequence_iter_next (at))
     {
       struct jc_waiter_slot *slot = g_sequence_get (at);
-      const struct kind *kind = kind_get (waiting, slot->kind);
+      const struct jc_waiting_kind *kind = slot->kind_row;
       double left_s = (double)(slot->until_ms - now_ms) / MS_PER_S;
 
       if (slot->given_up)
@@ -385,7 +415,7 @@
       struct jc_waiter_slot *slot = g_sequence_get (at);
 
       if (slot->turn != waiting->turn && !slot->given_up
-          && kind_get (waiting, slot->kind)->no_room_turn != waiting->turn)
+          && slot->kind_row->no_room_turn != waiting->turn)
         return slot;
     }
   return NULL;
@@ -470,7 +500,7 @@
   kind_get (waiting, slot->kind)->no_room_turn = waiting->turn;
 }
 
-/* Return how many requests for SERVICE, an interned name, wait.  */
+/* Return how many requests for SERVICE wait.  */
 unsigned int
 jc_waiting_count (const struct jc_waiting *waiting, const char *service)
 {
--- a/serve/waiting.h
+++ b/serve/waiting.h
@@ -21,10 +21,13 @@
 
 struct jc_waiting;
 
+/* The requests of a kind.  */
+struct jc_waiting_kind;
+
 /* A request, embedded in its owner.  SERVICE, WORKSPACE ("" for none) and KIND
-   are interned; requests of one kind find room or not together.  It is due at
-   DUE_MS, and room after UNTIL_MS is of no use.  The other members belong to
-   the line.  */
+   are the owner's strings; requests of one kind find room or not together.  It
+   is due at DUE_MS, and room after UNTIL_MS is of no use.  The other members
+   belong to the line; KIND_ROW is set while it waits.  */
 struct jc_waiter_slot
 {
   const char *service;
@@ -41,6 +44,7 @@
   uint64_t turn;
   uint64_t sequence;
   GSequenceIter *position;
+  struct jc_waiting_kind *kind_row;
 };
 
 /* How long the caller of a request waits for the first event.  It gives up in
--- a/tests/test-waiting.c
+++ b/tests/test-waiting.c
@@ -1,6 +1,7 @@
 /* Tests of requests that wait for room, and of their order.  */
 
 #include <glib.h>
+#include <malloc.h>
 
 #include "serve/waiting.h"
 
@@ -10,7 +11,11 @@
   ROOM_PER_S = 50,
   PERIOD_MS = 1000,
   OBJECTIVE_MS = 600,
-  PATIENCE_MS = 3000
+  PATIENCE_MS = 3000,
+  NAMES = 100000,
+  /* Names after which tables have grown to their full size.  */
+  NAMES_FIRST = 5000,
+  GROWTH_BYTES_MAX = 256 * 1024
 };
 
 static struct jc_waiter_slot
@@ -205,6 +210,52 @@
   jc_waiting_free (waiting);
 }
 
+/* Guards against a process that keeps something of each workspace, kind and
+   service whose requests ever waited.  Their names end with the requests.  */
+static void
+test_many_names (void)
+{
+  struct jc_waiting *waiting = jc_waiting_new ();
+  char **names = g_new0 (char *, NAMES + 1);
+  size_t before = 0;
+
+  for (int i = 0; i < NAMES; i++)
+    names[i] = g_strdup_printf ("name-%d", i);
+  for (int i = 0; i < NAMES; i++)
+    {
+      struct jc_waiter_slot slot = { .service = names[i % 2 ? i : 0],
+                                     .workspace = names[i],
+                                     .kind = names[i],
+                                     .due_ms = OBJECTIVE_MS,
+                                     .until_ms = PATIENCE_MS };
+
+      if (i == NAMES_FIRST)
+        before = mallinfo2 ().uordblks;
+      jc_waiting_add (waiting, &slot, 0);
+      jc_waiting_remove (waiting, &slot);
+      jc_waiting_note_sent (waiting, &slot, 0);
+    }
+  g_assert_cmpuint (mallinfo2 ().uordblks, <=, before + GROWTH_BYTES_MAX);
+  g_strfreev (names);
+  jc_waiting_free (waiting);
+}
+
+/* Guards against names that are one only if they are the same string.  */
+static void
+test_equal_names (void)
+{
+  struct jc_waiting *waiting = jc_waiting_new ();
+  char kind[] = "k";
+  struct jc_waiter_slot first = make_slot ("a", 0, 0);
+  struct jc_waiter_slot newcomer = make_slot ("b", 0, 100);
+
+  newcomer.kind = kind;
+  jc_waiting_add (waiting, &first, 0);
+  g_assert_true (jc_waiting_must_join (waiting, &newcomer, 100));
+  jc_waiting_remove (waiting, &first);
+  jc_waiting_free (waiting);
+}
+
 /* Guards against a wrong idea of how long callers wait.  */
 static void
 test_patience (void)
@@ -225,6 +276,8 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/waiting/many-names", test_many_names);
+  g_test_add_func ("/waiting/equal-names", test_equal_names);
   g_test_add_func ("/waiting/large-workspace", test_large_workspace);
   g_test_add_func ("/waiting/order", test_order);
   g_test_add_func ("/waiting/newcomer", test_newcomer);
