Ask each instance once for its build

MAX evaluated the call of print_build twice where an instance didn't answer, so that it was asked and shown twice. Seen: ctl-builds-once printed '127.0.0.1:1 no answer' twice before, once since.

--- a/ctl/builds.c
+++ b/ctl/builds.c
@@ -76,9 +76,11 @@
   for (int i = 0; i < options->arg_count; i++)
     {
       struct options one = *options;
+      int code;
 
       one.server = options->args[i];
-      worst = MAX (worst, print_build (&one));
+      code = print_build (&one);
+      worst = MAX (worst, code);
     }
   return worst;
 }
