Show no text of a file in errors of the JSON parser

base/fields and ctl/config printed what the parser quotes, which may be part of an API key; platform/routes cut it off already. They share jc_faults_add_json now, which also cuts quoted escapes. Seen: json-errors failed for an unended string and a duplicate key before, for the daemon and jaycove-ctl, and passes since.

--- a/base/fields.c
+++ b/base/fields.c
@@ -32,6 +32,26 @@
   g_free (text);
 }
 
+/* Add ERROR of the JSON parser to FAULTS without the text that it quotes, which
+   may be of a key.  */
+void
+jc_faults_add_json (GPtrArray *faults, const char *path,
+                    const json_error_t *error)
+{
+  static const char *const quotes[] = { " near ", " '" };
+  size_t len = strlen (error->text);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (quotes); i++)
+    {
+      const char *quote = strstr (error->text, quotes[i]);
+
+      if (quote != NULL)
+        len = MIN (len, (size_t)(quote - error->text));
+    }
+  jc_faults_add (faults, path, "line %d, column %d: %.*s", error->line,
+                 error->column, (int)len, error->text);
+}
+
 static bool
 is_valid_name (const char *text)
 {
@@ -321,7 +341,7 @@
 
   if (json == NULL)
     {
-      jc_faults_add (faults, file, "line %d: %s", error.line, error.text);
+      jc_faults_add_json (faults, file, &error);
       return NULL;
     }
   object = jc_table_parse (table, json, "settings", faults);
--- a/base/fields.h
+++ b/base/fields.h
@@ -69,5 +69,7 @@
 void jc_table_unref (const struct jc_table *table, void *object);
 void jc_faults_add (GPtrArray *faults, const char *path, const char *fmt, ...)
     __attribute__ ((format (printf, 3, 4)));
+void jc_faults_add_json (GPtrArray *faults, const char *path,
+                         const json_error_t *error);
 
 #endif
--- a/ctl/config.c
+++ b/ctl/config.c
@@ -43,7 +43,7 @@
   json_t *json = json_load_file (file, JSON_REJECT_DUPLICATES, &error);
 
   if (json == NULL)
-    jc_faults_add (faults, file, "line %d: %s", error.line, error.text);
+    jc_faults_add_json (faults, file, &error);
   return json;
 }
 
