Tell callers over their quota the true time where it is long

The time was cut to 5 s also where the bucket of the zone needs longer for the request by itself, so that a caller who came back then was refused again. Now it is cut to an hour, and the 5 s bound only what others were told before.

--- a/serve/quotabucket.c
+++ b/serve/quotabucket.c
@@ -23,7 +23,11 @@
      them may be lost.  */
   RELEASE_REPEAT_MS = 3000,
   RETRY_MIN_MS = 100,
-  RETRY_MAX_MS = 5000,
+  /* Callers don't wait for longer.  */
+  RETRY_MAX_MS = 3600 * 1000,
+  /* Not all who were told a time come back: later ones are told no more than
+     this because of them, or the time of one request.  */
+  RETRY_QUEUE_MS = 5000,
   /* While the owner has no slots.  */
   RETRY_UNKNOWN_MS = 1000
 };
@@ -193,8 +197,16 @@
          || (units > room + debt && bucket->credit >= room);
 }
 
-/* Return the time until a request for UNITS that is refused now may run, given
-   what others were told before, ms.  */
+/* Return in which time a bucket that gets PER_MS units a millisecond gets
+   UNITS, ms.  */
+static int64_t
+fill_ms (double units, double per_ms)
+{
+  return (int64_t)ceil (MIN (MAX (units, 0) / per_ms, RETRY_MAX_MS));
+}
+
+/* Return the time until a request for UNITS that is refused now may run with
+   the slots that BUCKET has, given what others were told before, ms.  */
 static int64_t
 promise (struct jc_quotabucket *bucket, double units, int64_t now_ms)
 {
@@ -202,16 +214,19 @@
   double per_ms = held * slot_per_ms (bucket);
   double room = held * slot_burst (bucket);
   double debt = debt_max (bucket, MIN (held, bucket->keep));
-  double missing = MIN (units - debt, room) - bucket->credit;
-  int64_t due;
+  int64_t alone;
+  int64_t one;
+  int64_t queued;
 
   if (held == 0)
     return RETRY_UNKNOWN_MS;
-  due = now_ms + (int64_t)ceil (MAX (missing, 0) / per_ms);
-  due = MAX (due, bucket->promised_ms + (int64_t)ceil (units / per_ms));
-  due = CLAMP (due, now_ms + RETRY_MIN_MS, now_ms + RETRY_MAX_MS);
-  bucket->promised_ms = due;
-  return due - now_ms;
+  alone = fill_ms (MIN (units - debt, room) - bucket->credit, per_ms);
+  one = fill_ms (units, per_ms);
+  queued = MIN (bucket->promised_ms - now_ms + one,
+                MAX (RETRY_QUEUE_MS, alone + one));
+  queued = CLAMP (MAX (alone, queued), RETRY_MIN_MS, RETRY_MAX_MS);
+  bucket->promised_ms = now_ms + queued;
+  return queued;
 }
 
 static int64_t
--- a/tests/test-quotas.c
+++ b/tests/test-quotas.c
@@ -195,6 +195,34 @@
   jc_quotabucket_free (bucket);
 }
 
+/* Guards against a told time that is too short where the bucket needs longer,
+   and against one that is of no use to a caller.  */
+static void
+test_long_wait (void)
+{
+  struct jc_quotabucket *bucket = jc_quotabucket_new (1000);
+  int64_t retry;
+  int64_t later;
+
+  jc_quotabucket_set_limit (bucket, 1, 20, 1000);
+  lease (bucket, 1, 1000);
+  g_assert_cmpfloat (take (bucket, 1, 1000, &retry), ==, 0);
+  g_assert_cmpint (retry, ==, 19450);
+  g_assert_cmpfloat (take (bucket, 1, 1000, &later), ==, 0);
+  g_assert_cmpint (later, ==, 39450);
+  for (int64_t now = 9000; now < 1000 + retry; now += 8000)
+    lease (bucket, 1, now);
+  g_assert_cmpfloat (take (bucket, 1, 1000 + retry, &later), ==, 1);
+  /* However many were told, others aren't told to wait for all of these.  */
+  for (int i = 0; i < 100; i++)
+    take (bucket, 1, 1000 + retry, &later);
+  g_assert_cmpint (later, <=, 2 * 20000);
+  jc_quotabucket_set_limit (bucket, 1, 1e12, 1000 + retry);
+  take (bucket, 1e12, 1000 + retry, &later);
+  g_assert_cmpint (later, ==, 3600 * 1000);
+  jc_quotabucket_free (bucket);
+}
+
 /* Guards against requests that were charged, waited for room and run later than
    they count: what was granted is given back, and taken anew when they are
    sent.  What is given back never makes more than the burst.  */
@@ -288,6 +316,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/quotas/bucket", test_bucket);
+  g_test_add_func ("/quotas/long-wait", test_long_wait);
   g_test_add_func ("/quotas/lowered-bucket", test_lowered_bucket);
   g_test_add_func ("/quotas/given-back", test_given_back);
   g_test_add_func ("/quotas/credit", test_credit);
