Tell what was used where a quota refuses a request

Control traffic of leases is in jaycove_rpc_sent_total and _bytes_total already, by kind; OPERATIONS names the kinds.

--- a/entry/quotacharges.c
+++ b/entry/quotacharges.c
@@ -78,12 +78,16 @@
              const struct jc_quota_decision *decision)
 {
   const struct jc_quota *quota = &exchange->workspace->quota;
+  char used[32] = "-";
 
+  if (decision->used_per_s >= 0)
+    g_snprintf (used, sizeof used, "%.0f", decision->used_per_s);
   jc_event (JC_EVENT_QUOTA,
             "id=%s workspace=%s what=refused units=%.0f per_s=%.0f burst=%.0f "
-            "owner=%s slots=%u age_ms=%" PRId64 " retry_ms=%" PRId64,
+            "used_per_s=%s owner=%s slots=%u age_ms=%" PRId64
+            " retry_ms=%" PRId64,
             exchange_id (exchange), exchange->workspace->name, units,
-            quota->per_s, quota->burst, owner != NULL ? owner : "-",
+            quota->per_s, quota->burst, used, owner != NULL ? owner : "-",
             decision->slots, decision->age_ms, decision->retry_ms);
   jc_metrics_counter_add (exchange->router->entry->metrics,
                           "jaycove_quota_refused_total", "", 1);
@@ -170,6 +174,7 @@
       const struct jc_quota_decision decision
           = { .granted = (double)grant->milli / MILLI,
               .retry_ms = grant->retry_ms,
+              .used_per_s = JC_QUOTA_USED_UNKNOWN,
               .slots = grant->slots,
               .age_ms = grant->age_ms };
 
--- a/entry/quotas.c
+++ b/entry/quotas.c
@@ -15,6 +15,9 @@
   UNANSWERED_MAX = 3,
   /* What nobody used for this long is forgotten.  */
   FORGET_MS = 20000,
+  /* The log tells of refused requests of other instances at this interval, for
+     each workspace.  */
+  TELL_MS = 1000,
   MILLI = 1000
 };
 
@@ -318,6 +321,26 @@
   jc_quotabucket_take (bucket, ask->units, ask->ahead, now, out);
 }
 
+/* Log that this instance, the owner of WORKSPACE, refused ASK of the instance
+   ASKER by DECISION.  The line of ASKER doesn't have what was used.  */
+static void
+log_refused_ask (struct router *router, const char *workspace,
+                 const struct quota_ask *ask, const char *asker,
+                 const struct jc_quota_decision *decision)
+{
+  struct workspace_quota *quota = quotas_find (router, workspace);
+  int64_t now = jc_boot_ms ();
+
+  if (quota == NULL || (quota->told_ms > 0 && now - quota->told_ms < TELL_MS))
+    return;
+  quota->told_ms = now;
+  jc_event (JC_EVENT_QUOTA,
+            "workspace=%s what=refused_ask asker=%s units=%.0f per_s=%.0f "
+            "burst=%.0f used_per_s=%.0f slots=%u age_ms=%" PRId64,
+            quota->name, asker, ask->units, quota->per_s, quota->burst,
+            decision->used_per_s, decision->slots, decision->age_ms);
+}
+
 /* Answer PACKET, which asks this instance as the owner of a workspace.  */
 static void
 handle_take (struct router *router, struct jc_rpc_conn *conn,
@@ -333,6 +356,9 @@
   struct jc_quota_decision decision;
 
   quotas_decide (router, take->workspace, &ask, &decision);
+  if (decision.granted < ask.units)
+    log_refused_ask (router, take->workspace, &ask, jc_rpc_conn_name (conn),
+                     &decision);
   grant->milli = (u_quad_t)(decision.granted * MILLI);
   grant->retry_ms = (u_int)decision.retry_ms;
   grant->slots = decision.slots;
--- a/entry/quotas.h
+++ b/entry/quotas.h
@@ -16,7 +16,9 @@
 
 /* The quota of a workspace.  CREDIT is what this instance may use at once;
    OWNER is NULL unless this instance was asked as the owner, or owns the
-   workspace in its zone.  USED_MS is when a request was charged here last.  */
+   workspace in its zone.  USED_MS is when a request was charged here last,
+   TOLD_MS when the log was last told that one of another instance was refused
+   here.  */
 struct workspace_quota
 {
   char *name;
@@ -25,6 +27,7 @@
   struct jc_quotacredit *credit;
   struct jc_quotaowner *owner;
   int64_t used_ms;
+  int64_t told_ms;
 };
 
 /* What an owner is asked for: UNITS for a request, AHEAD for the next ones, and
--- a/serve/quotabucket.c
+++ b/serve/quotabucket.c
@@ -259,6 +259,7 @@
   if (!may_take (bucket, units))
     {
       out->retry_ms = promise (bucket, units, now_ms);
+      out->used_per_s = jc_quotabucket_used_per_s (bucket, now_ms);
       return;
     }
   out->granted = units;
--- a/serve/quotabucket.h
+++ b/serve/quotabucket.h
@@ -21,6 +21,7 @@
 enum
 {
   JC_QUOTABUCKET_SLOTS = 20,
+  JC_QUOTA_USED_UNKNOWN = -1,
   /* A bucket may be overdrawn by what it gets in this time.  Together with the
      time for which a grant may be used (serve/quotacredit) this is a tenth of a
      window of 8 s.  */
@@ -30,13 +31,15 @@
 struct jc_quotabucket;
 
 /* Whether a request may run.  GRANTED are the units that its instance may use,
-   0 if it may not; then RETRY_MS is when it may, as far as it is known.  SLOTS
-   is the owner's share, and AGE_MS for how long it has had the one that it
-   leased last.  */
+   0 if it may not; then RETRY_MS is when it may, as far as it is known, and
+   USED_PER_S what was granted lately in a second, JC_QUOTA_USED_UNKNOWN if that
+   isn't known.  SLOTS is the owner's share, and AGE_MS for how long it has had
+   the one that it leased last.  */
 struct jc_quota_decision
 {
   double granted;
   int64_t retry_ms;
+  double used_per_s;
   unsigned int slots;
   int64_t age_ms;
 };
--- a/tests/process/quota_standin.py
+++ b/tests/process/quota_standin.py
@@ -196,8 +196,13 @@
     after_move = round(moving.used(moved + 2, moved + 8), 3)
     later = [(w.name, round(w.used(changed + 8, end), 3)) for w in all_workspaces]
     print(f"part of the limit used: {steady}, two seconds after the move {after_move}, after the change {later}")
-    refused = lines_of("e*.out", "what=refused")
+    refused = lines_of("e*.out", "what=refused ")
     print("last refusal:", refused[-1].strip())
+    assert all(" used_per_s=" in line for line in refused), refused[:5]
+    used = [line for line in refused if " used_per_s=-" not in line]
+    used += lines_of("e*.out", "what=refused_ask")
+    for workspace in all_workspaces:
+        assert any(f" workspace={workspace.name} " in line for line in used), (workspace.name, used[:5])
     assert min(part for _, part in steady) >= 0.9, steady
     assert after_move >= 0.9, after_move
     assert min(part for _, part in later) >= 0.8, later
@@ -205,6 +210,28 @@
         assert workspace.retry_after and all(workspace.retry_after), workspace.retry_after[:5]
 
 
+async def restarted():
+    """An instance that starts while no state instance answers, so that it knows no configuration, grants nothing.
+    Requests that are within their quota get 503 then, since no endpoints are known, and those beyond that get 429."""
+    all_workspaces = [Workspace(f"w{i}", "requests", 1, 5, 20, [0]) for i in range(8)]
+    Counting.workspaces = {w.name: w for w in all_workspaces}
+    await Counting("plain-z1", "plain", "z1").start()
+    await put(3, all_workspaces)
+    await versions_are(3)
+    await asyncio.sleep(4)
+    for name in ("s1", "s2", "s3"):
+        os.kill(pid(name), signal.SIGSTOP)
+    print("states stopped", flush=True)
+    await asyncio.to_thread(sys.stdin.readline)
+    begin = time.monotonic()
+    await asyncio.gather(*(w.call(begin + 5) for w in all_workspaces))
+    for name in ("s1", "s2", "s3"):
+        os.kill(pid(name), signal.SIGCONT)
+    print("answers:", {w.name: w.statuses for w in all_workspaces}, flush=True)
+    assert all(w.statuses.get(429, 0) > 0 for w in all_workspaces)
+
+
+
 if __name__ == "__main__":
     use(sys.argv[2])
-    asyncio.run({"quota": quota}[sys.argv[1]]())
+    asyncio.run({"quota": quota, "restarted": restarted}[sys.argv[1]]())
--- a/tests/test-quotas.c
+++ b/tests/test-quotas.c
@@ -223,6 +223,24 @@
   jc_quotabucket_free (bucket);
 }
 
+/* Guards against a refusal that doesn't tell what was used.  */
+static void
+test_used (void)
+{
+  struct jc_quotabucket *bucket = jc_quotabucket_new (1000);
+  struct jc_quota_decision decision;
+  int64_t retry;
+
+  jc_quotabucket_set_limit (bucket, 2000, 2000, 1000);
+  lease (bucket, 20, 1000);
+  g_assert_cmpfloat (take (bucket, 600, 2000, &retry), ==, 600);
+  g_assert_cmpfloat (take (bucket, 300, 3000, &retry), ==, 300);
+  jc_quotabucket_take (bucket, 10000, 0, 3000, &decision);
+  g_assert_cmpfloat (decision.granted, ==, 0);
+  g_assert_cmpfloat (decision.used_per_s, ==, 300);
+  jc_quotabucket_free (bucket);
+}
+
 /* Guards against requests that were charged, waited for room and run later than
    they count: what was granted is given back, and taken anew when they are
    sent.  What is given back never makes more than the burst.  */
@@ -316,6 +334,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/quotas/bucket", test_bucket);
+  g_test_add_func ("/quotas/used", test_used);
   g_test_add_func ("/quotas/long-wait", test_long_wait);
   g_test_add_func ("/quotas/lowered-bucket", test_lowered_bucket);
   g_test_add_func ("/quotas/given-back", test_given_back);
