Answer no quota ask without a configuration, and forget old failures of owners

An entry instance that has just started and knows no configuration took each workspace for one without a quota, and as the owner granted all that others of its zone asked for. It gives no answer now, after which the sender asks another one.

--- a/entry/quotas.c
+++ b/entry/quotas.c
@@ -271,6 +271,15 @@
              || jc_quotaowner_is_unused (quota->owner, now));
 }
 
+static gboolean
+is_old_failure (gpointer key, gpointer value, gpointer ctx)
+{
+  const struct owner_failure *failure = value;
+
+  (void)key;
+  return *(const int64_t *)ctx - failure->last_ms >= FORGET_MS;
+}
+
 /* Keep up with the configuration and the instances of the zone, ask for slots,
    and forget what is old.  */
 void
@@ -287,6 +296,7 @@
   router->quotas->zones = count_zones (router);
   quotaleases_tick (router);
   g_hash_table_foreach_remove (router->quotas->by_name, is_forgotten, &now);
+  g_hash_table_foreach_remove (router->quotas->failures, is_old_failure, &now);
 }
 
 /* Let this instance keep the account of QUOTA for its zone.  */
@@ -355,6 +365,14 @@
           .returned = (double)take->returned_milli / MILLI };
   struct jc_quota_decision decision;
 
+  /* The sender asks another instance if this one gives no answer.  */
+  if (router->routes == NULL)
+    {
+      jc_event (JC_EVENT_QUOTA,
+                "workspace=%s what=no_configuration asker=%s units=%.0f",
+                take->workspace, jc_rpc_conn_name (conn), ask.units);
+      return;
+    }
   quotas_decide (router, take->workspace, &ask, &decision);
   if (decision.granted < ask.units)
     log_refused_ask (router, take->workspace, &ask, jc_rpc_conn_name (conn),
--- a/tests/process/quota_standin.py
+++ b/tests/process/quota_standin.py
@@ -212,7 +212,7 @@
 
 async def restarted():
     """An instance that starts while no state instance answers, so that it knows no configuration, grants nothing.
-    Requests that are within their quota get 503 then, since no endpoints are known, and those beyond that get 429."""
+    Requests that are within their quota get 503 once no endpoints are known, and those beyond that get 429."""
     all_workspaces = [Workspace(f"w{i}", "requests", 1, 5, 20, [0]) for i in range(8)]
     Counting.workspaces = {w.name: w for w in all_workspaces}
     await Counting("plain-z1", "plain", "z1").start()
@@ -229,6 +229,7 @@
         os.kill(pid(name), signal.SIGCONT)
     print("answers:", {w.name: w.statuses for w in all_workspaces}, flush=True)
     assert all(w.statuses.get(429, 0) > 0 for w in all_workspaces)
+    assert all(w.statuses.get(200, 0) <= w.bound(begin) for w in all_workspaces)
 
 
 
