--- a/entry/quotaleases.c
+++ b/entry/quotaleases.c
@@ -178,7 +178,8 @@
   g_ptr_array_free (states, TRUE);
 }
 
-/* Ask for what is due.  */
+/* Begin to own what this instance holds standing slots of, and ask for what is
+   due.  */
 void
 quotaleases_tick (struct router *router)
 {
--- a/entry/quotas.h
+++ b/entry/quotas.h
@@ -39,7 +39,8 @@
   double returned;
 };
 
-/* UNANSWERED requests in a row, the last of which was given up at LAST_MS.  */
+/* UNANSWERED requests in a row of an owner, the last of which was given up at
+   LAST_MS.  */
 struct owner_failure
 {
   unsigned int unanswered;
--- a/member/quotaslots.c
+++ b/member/quotaslots.c
@@ -163,8 +163,8 @@
   g_array_append_val (plan->changes, change);
 }
 
-/* Return what ASK says of SLOT if that, as it is leased now, isn't used any
-   more, or NULL.  */
+/* Return the row of ASK that gives back SLOT as it is leased now, or NULL.  A
+   row of an earlier lease doesn't count.  */
 static const struct rpc_quota_slot *
 find_released (const struct plan *plan, const struct rpc_quota_ask *ask,
                unsigned int slot)
--- a/serve/fullness.c
+++ b/serve/fullness.c
@@ -83,7 +83,7 @@
 }
 
 /* Record that ENDPOINT refused a request for want of room while it held HELD,
-   0 if that isn't known.  It takes its slots at least.  */
+   0 if the refusal doesn't state that.  It takes its slots at least.  */
 void
 jc_fullness_note_refused (struct jc_fullness *fullness,
                           const struct jc_full_endpoint *endpoint,
--- a/serve/fullness.h
+++ b/serve/fullness.h
@@ -1,8 +1,9 @@
 /* Fullness: how many requests a plain service's endpoint takes at once.
 
    An endpoint that states its slots lets some more requests wait, and refuses
-   the others.  How many it takes is told by its refusals: what it held then, as
-   its answer states, or else as the instances' loads do.  All instances of a
+   the others.  How many it takes is told by its refusals: what it held then, if
+   its answer states that, else what it was known to take before, its slots at
+   least.  All instances of a
    region send it no more than that, less a margin for what the loads don't show
    yet: the margin grows by one with each further refusal, and shrinks by one
    for each second without any.  An endpoint that hasn't refused for some time
--- a/serve/quotabucket.c
+++ b/serve/quotabucket.c
@@ -318,8 +318,7 @@
 }
 
 /* Give back slots of BUCKET, each with its part of the credit, until it has no
-   more than COUNT, once it owes no
-   more than those that are left may owe.  */
+   more than COUNT, once it owes no more than those that are left may owe.  */
 void
 jc_quotabucket_keep (struct jc_quotabucket *bucket, unsigned int count,
                      int64_t now_ms)
@@ -431,8 +430,7 @@
 
 /* Set WANTED to how many slots the demand on BUCKET takes, rounded, and AMPLE
    to how many it takes if that grows, or becomes again what it was in the last
-   few seconds.  AMPLE slots also hold the largest request.
- */
+   few seconds.  AMPLE slots also hold the largest request.  */
 void
 jc_quotabucket_demand (struct jc_quotabucket *bucket, int64_t now_ms,
                        unsigned int *wanted, unsigned int *ample)
