--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -273,6 +273,7 @@
   if (status == JC_CROWDED
       || (status == JC_OVERLOADED && holding_allows (exchange)))
     {
+      quotas_note_waits (exchange);
       holding_add (exchange);
       return true;
     }
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -89,7 +89,8 @@
    of the workspace's quota, which QUOTA_REFUSED the request; it may then come
    back after QUOTA_RETRY_MS.  CHARGED means that the next time it is sent is
    paid for, with CHARGED_UNITS that were asked for at CHARGED_MS, CHARGE_USED
-   that an attempt which may use that is under way.  KIND is that of WAITER.  */
+   that an attempt which may use that is under way, CHARGE_WAITS that it counts
+   only once the request, which waits, is sent.  KIND is that of WAITER.  */
 struct exchange
 {
   GList link;
@@ -178,6 +179,7 @@
   bool quota_refused;
   bool charged;
   bool charge_used;
+  bool charge_waits;
   double charged_units;
   int64_t charged_ms;
   int64_t quota_retry_ms;
@@ -263,6 +265,7 @@
 
 /* In quotacharges.c.  */
 enum jc_status quotas_charge (struct exchange *exchange);
+void quotas_note_waits (struct exchange *exchange);
 enum jc_status quotas_renew_charge (struct exchange *exchange);
 bool quotas_charge_repeat (struct exchange *exchange);
 void quotas_note_attempt_ended (struct exchange *exchange, bool not_run);
--- a/entry/quotacharges.c
+++ b/entry/quotacharges.c
@@ -67,6 +67,7 @@
 {
   exchange->charged = true;
   exchange->charge_used = false;
+  exchange->charge_waits = false;
   exchange->charged_units = units;
   exchange->charged_ms = asked_ms;
 }
@@ -205,15 +206,12 @@
   take->workspace = exchange->workspace->name;
   take->milli = (u_quad_t)ceil (wait->ask.units * MILLI);
   take->ahead_milli = (u_quad_t)(wait->ask.ahead * MILLI);
-  take->returned_milli = (u_quad_t)(wait->ask.returned * MILLI);
+  take->waiting_milli = (u_quad_t)(wait->ask.waiting * MILLI);
   g_free (wait->owner);
   wait->owner = g_strdup (owner);
   wait->asked_ms = jc_boot_ms ();
   wait->xid = jc_rpc_call (jc_rpc_find_conn (router->entry->rpc, owner),
                            &packet, ANSWER_TIMEOUT_MS, on_answer, exchange);
-  /* What is given back must not be given back twice.  */
-  if (wait->xid != 0)
-    wait->ask.returned = 0;
   return wait->xid != 0;
 }
 
@@ -239,7 +237,6 @@
       quotas_note_unanswered (router, owner);
     }
   quotas_decide (router, exchange->workspace->name, &wait->ask, &decision);
-  wait->ask.returned = 0;
   return apply_decision (exchange, wait->ask.units, own, &decision,
                          jc_boot_ms ());
 }
@@ -259,10 +256,11 @@
   return true;
 }
 
-/* Ask for what EXCHANGE costs of QUOTA, giving RETURNED units back.  */
+/* Ask for what EXCHANGE costs of QUOTA.  WAITING units were granted to it
+   before.  */
 static enum jc_status
 begin_ask (struct exchange *exchange, struct workspace_quota *quota,
-           double returned)
+           double waiting)
 {
   struct quota_wait *wait = g_new0 (struct quota_wait, 1);
   enum jc_status status;
@@ -272,7 +270,9 @@
   wait->ask.units = cost_of (exchange);
   wait->ask.ahead
       = jc_quotacredit_ahead (quota->credit, wait->ask.units, jc_boot_ms ());
-  wait->ask.returned = returned;
+  wait->ask.waiting = waiting;
+  if (waiting > 0)
+    wait->ask.ahead = 0;
   status = ask (exchange);
   if (status != JC_CROWDED)
     wait_free (exchange);
@@ -301,16 +301,69 @@
   return begin_ask (exchange, quota, 0);
 }
 
-/* Have what EXCHANGE was charged count from now on if it was granted too long
-   ago, as its request is about to be sent only now.  Return as quotas_charge
-   does.  */
+/* Do nothing with the answer to what needs none.  */
+static void
+on_noted (void *ctx, enum jc_status status, const struct rpc_packet *reply)
+{
+  (void)ctx;
+  (void)status;
+  (void)reply;
+}
+
+/* Tell OWNER that a request of WORKSPACE waits which UNITS were granted to.  If
+   it can't be told, they count although nothing was sent.  */
+static void
+tell_waits (struct router *router, const char *workspace, const char *owner,
+            double units)
+{
+  struct rpc_packet packet = { .body.type = RPC_QUOTA_TAKE };
+  struct rpc_quota_take *take = &packet.body.rpc_body_u.quota_take;
+
+  take->workspace = (char *)workspace;
+  take->waiting_milli = (u_quad_t)(units * MILLI);
+  if (jc_rpc_call (jc_rpc_find_conn (router->entry->rpc, owner), &packet,
+                   ANSWER_TIMEOUT_MS, on_noted, NULL)
+      == 0)
+    jc_event (JC_EVENT_QUOTA, "workspace=%s what=wait_untold owner=%s",
+              workspace, owner);
+}
+
+/* The request of EXCHANGE begins to wait: what it was charged counts once it is
+   sent.  What was asked for too long ago counts twice, as the owner may have
+   filled up since.  */
+void
+quotas_note_waits (struct exchange *exchange)
+{
+  struct router *router = exchange->router;
+  const struct quota_ask ask = { .waiting = exchange->charged_units };
+  struct jc_quota_decision decision;
+  const char *owner;
+
+  if (!exchange->charged || exchange->charge_waits
+      || exchange->charged_units <= 0)
+    return;
+  exchange->charge_waits = true;
+  owner = quotas_pick_owner (router, exchange->workspace->name, NULL);
+  if (owner == NULL
+      || jc_boot_ms () - exchange->charged_ms >= JC_QUOTACREDIT_MS)
+    return;
+  if (strcmp (owner, router->entry->settings->name) == 0)
+    quotas_decide (router, exchange->workspace->name, &ask, &decision);
+  else
+    tell_waits (router, exchange->workspace->name, owner, ask.waiting);
+}
+
+/* Have what EXCHANGE was charged count from now on if it has waited or was
+   granted too long ago, as its request is about to be sent only now.  Return as
+   quotas_charge does.  */
 enum jc_status
 quotas_renew_charge (struct exchange *exchange)
 {
   struct workspace_quota *quota;
 
   if (!exchange->charged || exchange->charged_units <= 0
-      || jc_boot_ms () - exchange->charged_ms < JC_QUOTACREDIT_MS)
+      || (!exchange->charge_waits
+          && jc_boot_ms () - exchange->charged_ms < JC_QUOTACREDIT_MS))
     return JC_OK;
   quota = quotas_find (exchange->router, exchange->workspace->name);
   exchange->charged = false;
@@ -355,8 +408,8 @@
   struct workspace_quota *quota;
 
   wait_free (exchange);
-  if (!exchange->charged || exchange->charge_used || exchange->handed_over
-      || exchange->workspace == NULL)
+  if (!exchange->charged || exchange->charge_used || exchange->charge_waits
+      || exchange->handed_over || exchange->workspace == NULL)
     return;
   quota = quotas_find (exchange->router, exchange->workspace->name);
   if (quota != NULL)
--- a/entry/quotas.c
+++ b/entry/quotas.c
@@ -326,9 +326,12 @@
     return;
   quotas_begin_owning (quota);
   bucket = jc_quotaowner_bucket (quota->owner);
-  if (ask->returned > 0)
-    jc_quotabucket_return (bucket, ask->returned, now);
-  jc_quotabucket_take (bucket, ask->units, ask->ahead, now, out);
+  if (ask->waiting > 0 && ask->units <= 0)
+    jc_quotabucket_note_waits (bucket, ask->waiting, now);
+  else if (ask->waiting > 0)
+    jc_quotabucket_send (bucket, ask->units, now, out);
+  else
+    jc_quotabucket_take (bucket, ask->units, ask->ahead, now, out);
 }
 
 /* Log that this instance, the owner of WORKSPACE, refused ASK of the instance
@@ -362,7 +365,7 @@
   const struct quota_ask ask
       = { .units = (double)take->milli / MILLI,
           .ahead = (double)take->ahead_milli / MILLI,
-          .returned = (double)take->returned_milli / MILLI };
+          .waiting = (double)take->waiting_milli / MILLI };
   struct jc_quota_decision decision;
 
   /* The sender asks another instance if this one gives no answer.  */
--- a/entry/quotas.h
+++ b/entry/quotas.h
@@ -30,13 +30,14 @@
   int64_t told_ms;
 };
 
-/* What an owner is asked for: UNITS for a request, AHEAD for the next ones, and
-   RETURNED units that it granted before and that are not used.  */
+/* What an owner is asked for: UNITS for a request, AHEAD for the next ones.
+   WAITING units were granted before to a request that waits, and that is sent
+   now if there are UNITS, or begins to wait if there are none.  */
 struct quota_ask
 {
   double units;
   double ahead;
-  double returned;
+  double waiting;
 };
 
 /* UNANSWERED requests in a row of an owner, the last of which was given up at
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -1034,7 +1034,7 @@
 	rpc_name workspace;
 	u_quad_t milli;
 	u_quad_t ahead_milli;
-	u_quad_t returned_milli;
+	u_quad_t waiting_milli;
 };
 typedef struct rpc_quota_take rpc_quota_take;
 
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1862,7 +1862,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->ahead_milli))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->returned_milli))
+	 if (!xdr_u_quad_t (xdrs, &objp->waiting_milli))
 		 return FALSE;
 	return TRUE;
 }
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -909,12 +909,13 @@
 
 /* Asks the owner of a workspace's quota in this zone for milli thousandths of a
    unit for a request, and for ahead_milli for the next ones if it has plenty.
-   returned_milli were granted before and are not used.  */
+   With waiting_milli the units were granted before to a request that waits: with
+   milli it is sent now, without it begins to wait.  */
 struct rpc_quota_take {
   rpc_name workspace;
   unsigned hyper milli;
   unsigned hyper ahead_milli;
-  unsigned hyper returned_milli;
+  unsigned hyper waiting_milli;
 };
 
 /* What the sender may use; nothing if the request is over the limit, which it
--- a/serve/quotabucket.c
+++ b/serve/quotabucket.c
@@ -66,7 +66,9 @@
   unsigned int requests;
 };
 
-/* CREDIT is that of UPDATED_MS.  The units that refused callers were told to
+/* CREDIT is that of UPDATED_MS.  SENDABLE is the same without what was granted
+   to requests that wait and are not sent yet: CREDIT bounds what is accepted,
+   SENDABLE what runs.  The units that refused callers were told to
    come back for will be there at PROMISED_MS.  No more than KEEP slots are to
    be kept.  */
 struct jc_quotabucket
@@ -74,6 +76,7 @@
   double per_s;
   double burst;
   double credit;
+  double sendable;
   int64_t updated_ms;
   int64_t promised_ms;
   int64_t asked_ms;
@@ -133,8 +136,18 @@
 static void
 cap_credit (struct jc_quotabucket *bucket)
 {
-  bucket->credit
-      = MIN (bucket->credit, count_held (bucket) * slot_burst (bucket));
+  double room = count_held (bucket) * slot_burst (bucket);
+
+  bucket->credit = MIN (bucket->credit, room);
+  bucket->sendable = MIN (bucket->sendable, room);
+}
+
+/* Add UNITS to what BUCKET holds.  */
+static void
+add_credit (struct jc_quotabucket *bucket, double units)
+{
+  bucket->credit += units;
+  bucket->sendable += units;
 }
 
 /* Bring BUCKET to NOW_MS: add what its slots brought while they were leased,
@@ -151,7 +164,7 @@
       if (!slot->held)
         continue;
       if (to > from)
-        bucket->credit += (double)(to - from) * slot_per_ms (bucket);
+        add_credit (bucket, (double)(to - from) * slot_per_ms (bucket));
       slot->held = slot->until_ms > now_ms;
     }
   cap_credit (bucket);
@@ -181,11 +194,11 @@
   return interval;
 }
 
-/* Return whether UNITS may be taken from BUCKET now.  A request that is larger
-   than what the bucket can hold may run once that is full; the debt is paid
-   back before the next one.  */
+/* Return whether UNITS may be taken from BUCKET, which has CREDIT.  A request
+   that is larger than what the bucket can hold may run once that is full; the
+   debt is paid back before the next one.  */
 static bool
-may_take (const struct jc_quotabucket *bucket, double units)
+may_take (const struct jc_quotabucket *bucket, double credit, double units)
 {
   unsigned int held = count_held (bucket);
   double room = held * slot_burst (bucket);
@@ -193,8 +206,7 @@
 
   if (held == 0)
     return false;
-  return bucket->credit + debt >= units
-         || (units > room + debt && bucket->credit >= room);
+  return credit + debt >= units || (units > room + debt && credit >= room);
 }
 
 /* Return in which time a bucket that gets PER_MS units a millisecond gets
@@ -210,6 +222,7 @@
 static int64_t
 promise (struct jc_quotabucket *bucket, double units, int64_t now_ms)
 {
+  double credit = MIN (bucket->credit, bucket->sendable);
   unsigned int held = count_held (bucket);
   double per_ms = held * slot_per_ms (bucket);
   double room = held * slot_burst (bucket);
@@ -220,7 +233,7 @@
 
   if (held == 0)
     return RETRY_UNKNOWN_MS;
-  alone = fill_ms (MIN (units - debt, room) - bucket->credit, per_ms);
+  alone = fill_ms (MIN (units - debt, room) - credit, per_ms);
   one = fill_ms (units, per_ms);
   queued = MIN (bucket->promised_ms - now_ms + one,
                 MAX (RETRY_QUEUE_MS, alone + one));
@@ -256,34 +269,55 @@
   interval->largest = MAX (interval->largest, units);
   *out = (struct jc_quota_decision){ .slots = count_held (bucket),
                                      .age_ms = share_age_ms (bucket, now_ms) };
-  if (!may_take (bucket, units))
+  if (!may_take (bucket, MIN (bucket->credit, bucket->sendable), units))
     {
       out->retry_ms = promise (bucket, units, now_ms);
       out->used_per_s = jc_quotabucket_used_per_s (bucket, now_ms);
       return;
     }
   out->granted = units;
-  bucket->credit -= units;
-  ahead = MIN (ahead, bucket->credit - out->slots * slot_burst (bucket) / 2);
+  add_credit (bucket, -units);
+  ahead = MIN (ahead, MIN (bucket->credit, bucket->sendable)
+                          - out->slots * slot_burst (bucket) / 2);
   if (ahead > 0)
     {
       out->granted += ahead;
-      bucket->credit -= ahead;
+      add_credit (bucket, -ahead);
     }
   interval->granted += out->granted;
 }
 
-/* Take back UNITS that were granted and are not used, as far as BUCKET can hold
-   them.  */
+/* A request that UNITS were just granted to waits: they are taken once more by
+   jc_quotabucket_send when it is sent.  */
 void
-jc_quotabucket_return (struct jc_quotabucket *bucket, double units,
-                       int64_t now_ms)
+jc_quotabucket_note_waits (struct jc_quotabucket *bucket, double units,
+                           int64_t now_ms)
 {
   update (bucket, now_ms);
-  bucket->credit += units;
+  bucket->sendable += units;
   cap_credit (bucket);
 }
 
+/* Take UNITS, which were granted before, for a request that has waited and is
+   sent now.  Set OUT to the result.  */
+void
+jc_quotabucket_send (struct jc_quotabucket *bucket, double units,
+                     int64_t now_ms, struct jc_quota_decision *out)
+{
+  update (bucket, now_ms);
+  bucket->asked_ms = now_ms;
+  *out = (struct jc_quota_decision){ .slots = count_held (bucket),
+                                     .age_ms = share_age_ms (bucket, now_ms) };
+  if (!may_take (bucket, bucket->sendable, units))
+    {
+      out->retry_ms = promise (bucket, units, now_ms);
+      out->used_per_s = jc_quotabucket_used_per_s (bucket, now_ms);
+      return;
+    }
+  out->granted = units;
+  bucket->sendable -= units;
+}
+
 /* Note that SLOT was leased for LEASE_MS from REQUESTED_MS on.  Return false if
    that is of no use: the slot was given back after the request, or the lease is
    over.  */
@@ -312,7 +346,7 @@
   slot->held = true;
   slot->released_ms = 0;
   if (is_new)
-    bucket->credit += (double)leased->credit_milli / MILLI;
+    add_credit (bucket, (double)leased->credit_milli / MILLI);
   cap_credit (bucket);
   return true;
 }
@@ -324,14 +358,16 @@
                      int64_t now_ms)
 {
   unsigned int held;
+  double credit;
   double each;
 
   update (bucket, now_ms);
   bucket->keep = count;
   held = count_held (bucket);
-  if (bucket->credit < -debt_max (bucket, count))
+  credit = MIN (bucket->credit, bucket->sendable);
+  if (credit < -debt_max (bucket, count))
     return;
-  each = held > 0 ? MAX (bucket->credit / held, 0) : 0;
+  each = held > 0 ? MAX (credit / held, 0) : 0;
   for (unsigned int i = JC_QUOTABUCKET_SLOTS; i > 0 && held > count; i--)
     {
       struct slot *slot = &bucket->slots[i - 1];
@@ -341,7 +377,7 @@
       slot->held = false;
       slot->released_ms = now_ms;
       slot->left = each;
-      bucket->credit -= each;
+      add_credit (bucket, -each);
       held--;
     }
   cap_credit (bucket);
--- a/serve/quotabucket.h
+++ b/serve/quotabucket.h
@@ -51,8 +51,10 @@
 void jc_quotabucket_take (struct jc_quotabucket *bucket, double units,
                           double ahead, int64_t now_ms,
                           struct jc_quota_decision *out);
-void jc_quotabucket_return (struct jc_quotabucket *bucket, double units,
-                            int64_t now_ms);
+void jc_quotabucket_note_waits (struct jc_quotabucket *bucket, double units,
+                                int64_t now_ms);
+void jc_quotabucket_send (struct jc_quotabucket *bucket, double units,
+                          int64_t now_ms, struct jc_quota_decision *out);
 bool jc_quotabucket_note_lease (struct jc_quotabucket *bucket,
                                 const struct rpc_quota_slot *slot,
                                 int64_t requested_ms, int64_t lease_ms,
--- a/tests/test-quotas.c
+++ b/tests/test-quotas.c
@@ -241,11 +241,21 @@
   jc_quotabucket_free (bucket);
 }
 
-/* Guards against requests that were charged, waited for room and run later than
-   they count: what was granted is given back, and taken anew when they are
-   sent.  What is given back never makes more than the burst.  */
+static bool
+send_waiting (struct jc_quotabucket *bucket, double units, int64_t now_ms)
+{
+  struct jc_quota_decision decision;
+
+  jc_quotabucket_send (bucket, units, now_ms, &decision);
+  g_assert_true (decision.granted == units || decision.retry_ms > 0);
+  return decision.granted == units;
+}
+
+/* Guards against requests that were granted, waited for room and run later than
+   they count: they are taken once more as they are sent, which never makes
+   more than the burst, and are accepted only once.  */
 static void
-test_returned (void)
+test_waiting (void)
 {
   struct jc_quotabucket *bucket = jc_quotabucket_new (1000);
   int64_t retry;
@@ -253,15 +263,60 @@
   jc_quotabucket_set_limit (bucket, 2000, 2000, 1000);
   lease (bucket, 10, 1000);
   g_assert_cmpfloat (take (bucket, 600, 2000, &retry), ==, 600);
+  jc_quotabucket_note_waits (bucket, 600, 2000);
   g_assert_cmpfloat (jc_quotabucket_credit (bucket, 2000), ==, 400);
-  jc_quotabucket_return (bucket, 600, 2000);
-  g_assert_cmpfloat (take (bucket, 600, 2000, &retry), ==, 600);
+  g_assert_true (send_waiting (bucket, 600, 2000));
   g_assert_cmpfloat (jc_quotabucket_credit (bucket, 2000), ==, 400);
-  jc_quotabucket_return (bucket, 5000, 2000);
-  g_assert_cmpfloat (jc_quotabucket_credit (bucket, 2000), ==, 1000);
+  g_assert_cmpfloat (take (bucket, 400, 2000, &retry), ==, 400);
+  /* The debt is smaller than that.  */
+  g_assert_false (send_waiting (bucket, 600, 2000));
+  g_assert_true (send_waiting (bucket, 600, 2520));
+  jc_quotabucket_note_waits (bucket, 5000, 4000);
+  g_assert_true (send_waiting (bucket, 1000, 4000));
+  g_assert_false (send_waiting (bucket, 900, 4000));
   /* One whose slots have ended holds nothing.  */
-  jc_quotabucket_return (bucket, 600, 20000);
-  g_assert_cmpfloat (jc_quotabucket_credit (bucket, 20000), ==, 0);
+  jc_quotabucket_note_waits (bucket, 600, 20000);
+  g_assert_false (send_waiting (bucket, 600, 20000));
+  jc_quotabucket_free (bucket);
+}
+
+/* Guards against more than the bound in a window after a time in which all
+   requests waited: a service without room gets it all at once.  */
+static void
+test_waited_long (void)
+{
+  enum
+  {
+    PER_S = 1000,
+    ROOM_MS = 6000,
+    WINDOW_MS = 8000
+  };
+  struct jc_quotabucket *bucket = jc_quotabucket_new (1000);
+  unsigned int waiting = 0;
+  unsigned int sent = 0;
+  int64_t retry;
+
+  jc_quotabucket_set_limit (bucket, PER_S, 2 * PER_S, 1000);
+  for (int64_t now = 1000; now < 1000 + ROOM_MS; now++)
+    {
+      lease (bucket, JC_QUOTABUCKET_SLOTS, now);
+      if (take (bucket, 1, now, &retry) < 1)
+        continue;
+      jc_quotabucket_note_waits (bucket, 1, now);
+      waiting++;
+    }
+  g_assert_cmpuint (waiting, >=, PER_S * (ROOM_MS - 100) / 1000);
+  for (int64_t now = 1000 + ROOM_MS; now < 1000 + ROOM_MS + WINDOW_MS; now++)
+    {
+      lease (bucket, JC_QUOTABUCKET_SLOTS, now);
+      for (; waiting > 0 && send_waiting (bucket, 1, now); waiting--)
+        sent++;
+      sent += take (bucket, 1, now, &retry) < 1 ? 0 : 1;
+    }
+  g_test_message ("%u sent in %d ms", sent, WINDOW_MS);
+  /* The burst, the rate, and a tenth of that.  */
+  g_assert_cmpuint (sent, <=, 2 * PER_S + PER_S * WINDOW_MS / 1000 * 11 / 10);
+  g_assert_cmpuint (sent, >=, 2 * PER_S + PER_S * WINDOW_MS / 1000 * 9 / 10);
   jc_quotabucket_free (bucket);
 }
 
@@ -343,7 +398,8 @@
   g_test_add_func ("/quotas/moving", test_moving);
   g_test_add_func ("/quotas/faults", test_faults);
   g_test_add_func ("/quotas/all-faults", test_all_faults);
-  g_test_add_func ("/quotas/returned", test_returned);
+  g_test_add_func ("/quotas/waiting", test_waiting);
+  g_test_add_func ("/quotas/waited-long", test_waited_long);
   g_test_add_func ("/quotas/changed-limit", test_changed_limit);
   g_test_add_func ("/quotas/broken-expiry", test_broken_expiry);
   return g_test_run ();
