Tell a leave that an answer named until it is recorded

One that had just started, after all three were killed, did not know the endpoint yet and dropped the leave without a line; with no state instance connected, or no leader in the group, it was lost as well. Another entry instance sent to that endpoint 6.1 s later.

Change: the reader keeps such leaves (member/leaves) and tells them again each second for a minute, or as soon as a state instance is connected. A state instance takes a leave of an endpoint that it doesn't know, unless it knows a later incarnation, and forwards and proposes it again until its log has it. Messages and entries stay as they are: a departure without a zone is what a leave of an unknown endpoint over the control port writes already, and production ignores a repeated leave of an endpoint that it knows to leave.

Of existing test code backpressure_standin.py changes: its callers may keep to some entry instances; what other scripts check is as before.

--- a/entry/backpressure.c
+++ b/entry/backpressure.c
@@ -60,14 +60,35 @@
               endpoint->name, endpoint->incarnation);
 }
 
-/* ENDPOINT says that it is about to end: send it nothing from now on, whatever
-   its reports say, and tell a state instance, which tells the others.  */
+/* Tell the state instance that this one gets its orders from of the leaves that
+   are due.  It tells the others.  */
 static void
-note_leaving (struct router *router, const struct jc_endpoint *endpoint)
+tell_leaves (struct router *router)
 {
   struct rpc_packet packet = { .body.type = RPC_LEAVING };
   struct rpc_leaving *leaving = &packet.body.rpc_body_u.leaving;
+  GPtrArray *due;
 
+  if (router->orders_source == NULL)
+    return;
+  due = g_ptr_array_new ();
+  jc_leaves_list_due (router->leaves, jc_boot_ms (), due);
+  for (guint i = 0; i < due->len; i++)
+    {
+      const struct jc_leave *leave = g_ptr_array_index (due, i);
+
+      leaving->endpoint = leave->endpoint;
+      leaving->endpoint_incarnation = leave->incarnation;
+      jc_rpc_send (router->orders_source, &packet);
+    }
+  g_ptr_array_free (due, TRUE);
+}
+
+/* ENDPOINT says that it is about to end: send it nothing from now on, whatever
+   its reports say, and tell a state instance.  */
+static void
+note_leaving (struct router *router, const struct jc_endpoint *endpoint)
+{
   if (endpoint->leaving)
     return;
   jc_endpoints_mark_leaving (router->endpoints, endpoint->name,
@@ -75,10 +96,9 @@
   jc_event (JC_EVENT_ENDPOINT,
             "endpoint=%s incarnation=%" PRIu64 " leaving=1 from=answer",
             endpoint->name, endpoint->incarnation);
-  leaving->endpoint = endpoint->name;
-  leaving->endpoint_incarnation = endpoint->incarnation;
-  if (router->orders_source != NULL)
-    jc_rpc_send (router->orders_source, &packet);
+  jc_leaves_add (router->leaves, endpoint->name, endpoint->incarnation,
+                 jc_boot_ms ());
+  tell_leaves (router);
 }
 
 /* Apply INFO, the answer of ENDPOINT to the request SEND_NUMBER.  */
@@ -239,8 +259,9 @@
                                  endpoint->incarnation, jc_boot_ms ());
 }
 
-/* Request slots from the state instance that this instance gets its orders
-   from, if a request is due.  A draining instance leaves them to others.  */
+/* Tell the state instance that this instance gets its orders from of leaves,
+   and request slots from it, if that is due.  A draining instance leaves the
+   slots to others.  */
 void
 backpressure_tick (struct router *router)
 {
@@ -249,6 +270,7 @@
   int64_t now = jc_boot_ms ();
   GArray *limited;
 
+  tell_leaves (router);
   if (router->orders_source == NULL || router->entry->draining)
     return;
   limited = g_array_new (FALSE, FALSE, sizeof (struct rpc_limited));
--- a/entry/router.c
+++ b/entry/router.c
@@ -332,6 +332,7 @@
   router->backpressure = jc_backpressure_new ();
   router->misdirected = jc_misdirected_new ();
   router->pauses = jc_pauses_new ();
+  router->leaves = jc_leaves_new ();
   shares_start (router);
   quotas_start (router);
   crashes_start (router);
@@ -390,6 +391,7 @@
   jc_backpressure_free (router->backpressure);
   jc_misdirected_free (router->misdirected);
   jc_pauses_free (router->pauses);
+  jc_leaves_free (router->leaves);
   shares_stop (router);
   quotas_stop (router);
   crashes_stop (router);
--- a/entry/router.h
+++ b/entry/router.h
@@ -9,6 +9,7 @@
 #include "entry/entry.h"
 #include "entry/waitqueue.h"
 #include "member/contact.h"
+#include "member/leaves.h"
 #include "member/reporters.h"
 #include "member/versions.h"
 #include "serve/backpressure.h"
@@ -70,6 +71,7 @@
   struct jc_backpressure *backpressure;
   struct jc_misdirected *misdirected;
   struct jc_pauses *pauses;
+  struct jc_leaves *leaves;
   struct entry_shares *shares;
   struct entry_quotas *quotas;
   struct jc_suspects *suspects;
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/event.h"
+#include "member/reportcheck.h"
 #include "net/program.h"
 #include "serve/resumption.h"
 #include "state/state.h"
@@ -383,8 +384,10 @@
 }
 
 /* Handle a message of the entry instance CONN that an endpoint says in its
-   answers that it is about to end.  Only the first one is forwarded.  Other
-   messages are ignored.  */
+   answers that it is about to end.  It is told again, and forwarded again to
+   entry instances that may have connected since, until it is recorded.  One of
+   an endpoint that this instance doesn't know (it may have just started) counts
+   too, unless a later incarnation is known.  Other messages are ignored.  */
 void
 fleet_handle_packet (struct state *state, struct jc_rpc_conn *conn,
                      const struct rpc_packet *packet)
@@ -394,23 +397,27 @@
   struct rpc_endpoint row = { .leaving = true,
                               .address = (char *)"",
                               .service = (char *)"",
-                              .role = (char *)"" };
+                              .role = (char *)"",
+                              .zone = (char *)"" };
 
   if (packet->body.type != RPC_LEAVING
       || strcmp (jc_rpc_conn_role (conn), "entry") != 0)
     return;
-  known = jc_endpoints_find (state->fleet->endpoints, leaving->endpoint);
-  if (known == NULL || known->incarnation != leaving->endpoint_incarnation
-      || known->leaving)
+  row.name = leaving->endpoint;
+  row.incarnation = leaving->endpoint_incarnation;
+  known = jc_endpoints_find (state->fleet->endpoints, row.name);
+  if (jc_report_check_name (row.name) != JC_OK || row.incarnation == 0
+      || (known != NULL && known->incarnation > row.incarnation)
+      || jc_departures_contains (state->departures, row.name, row.incarnation))
     return;
-  jc_endpoints_mark_leaving (state->fleet->endpoints, known->name,
-                             known->incarnation);
+  if (known != NULL && known->incarnation == row.incarnation)
+    row.zone = known->zone;
+  jc_endpoints_end (state->fleet->endpoints, row.name, row.incarnation,
+                    jc_now_ms ());
   jc_event (JC_EVENT_ENDPOINT,
-            "endpoint=%s incarnation=%" PRIu64 " leaving=1 from=%s",
-            known->name, known->incarnation, jc_rpc_conn_name (conn));
-  row.name = known->name;
-  row.incarnation = known->incarnation;
-  row.zone = known->zone;
+            "endpoint=%s incarnation=%" PRIu64 " leaving=1 known=%d from=%s",
+            row.name, row.incarnation, row.zone[0] != '\0',
+            jc_rpc_conn_name (conn));
   forward_endpoint (state, &row);
   departures_submit (state, row.name, row.incarnation, row.zone, on_recorded,
                      state);
--- a/tests/process/backpressure_standin.py
+++ b/tests/process/backpressure_standin.py
@@ -5,7 +5,8 @@
 import sys
 import time
 
-from hosts_standin import ADDRESSES, ROUTES, Endpoint, ask, configuration, in_force, order, request, until, use
+from hosts_standin import ADDRESSES, HEARTBEAT_S, ROUTES, Endpoint, ask, configuration, in_force, order, request, until, use
+from missed_standin import restart_states
 
 REQUESTS_PER_S = 40
 # Time that an endpoint takes for a request; one alone is then busy for most of its slots.
@@ -57,9 +58,11 @@
 
 
 class Callers:
-    """Callers of all entry instances, REQUESTS_PER_S requests in all; counts answers by status, and slow ones."""
+    """Callers of ENTRIES, or all entry instances, REQUESTS_PER_S requests in all; counts answers by status, and slow
+    ones."""
 
-    def __init__(self):
+    def __init__(self, entries=None):
+        self.entries = entries or ADDRESSES["entries"]
         self.statuses, self.slow = {}, 0
         self.tasks = set()
 
@@ -77,7 +80,7 @@
     async def run(self, seconds):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            task = asyncio.create_task(self.one(random.choice(ADDRESSES["entries"])))
+            task = asyncio.create_task(self.one(random.choice(self.entries)))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
             await asyncio.sleep(1 / REQUESTS_PER_S)
@@ -167,6 +170,34 @@
     callers.check()
 
 
+async def leaving_unknown():
+    """One of two endpoints, whose reports no longer arrive, says that it leaves to one entry instance while all state
+    instances start again and don't know it yet. The others are told all the same."""
+    asking, _ = await start_two()
+    first, others = ADDRESSES["entries"][0], ADDRESSES["entries"][1:]
+    asking.task.cancel()
+    await asyncio.sleep(HEARTBEAT_S)
+    started = await restart_states()
+    try:
+        asking.asks = "Server-Leaving: 1\r\n"
+        callers = Callers([first])
+        while not asking.told:
+            await callers.run(0.1)
+        # The state instances have a leader again.
+        await order("/v1/Config.Replace", configuration(4, ROUTES))
+        await asyncio.sleep(CONTACT_S)
+        callers = Callers(others)
+        await callers.run(5)
+        untold = [t for t, instance in asking.got if instance in others and t > min(asking.told.values())]
+        print("%d requests from instances that the endpoint has not told" % len(untold), flush=True)
+        assert not untold, len(untold)
+        callers.check()
+    finally:
+        for process in started:
+            process.terminate()
+            process.wait()
+
+
 async def cold():
     """All endpoints say in their answers for a moment that they are cold for far longer than endpoints ever are, while
     their reports say that they are warm. All callers are served again once a cold endpoint would be warm."""
@@ -222,4 +253,5 @@
 
 if __name__ == "__main__":
     use(sys.argv[2])
-    asyncio.run({"limit": limit, "pause": pause, "leaving": leaving, "cold": cold, "misdirected": misdirected}[sys.argv[1]]())
+    asyncio.run({"limit": limit, "pause": pause, "leaving": leaving, "leaving_unknown": leaving_unknown, "cold": cold,
+                 "misdirected": misdirected}[sys.argv[1]]())
