Count what was handed over to a region since its last report

Cause: the room that a region reports is up to a second old, and all instances of another region see the same one. Change: an instance keeps what it handed over, times the number of instances of its region, until the engines there can have read it, and adds it to the reported answer time and to the part of the time that is used (serve/remotereading). No message changes.

test-remote/restarted-together failed before (2,335 ms, 2,000 allowed), /reading-ends (0 ms for 150) and /reading-fills (room without end) too; no existing test is changed.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -205,6 +205,9 @@
   if (exchange->remote)
     {
       shares_note_handover (router, exchange->target_name, exchange->service);
+      neighbours_note_handover (router, exchange->target_region,
+                                exchange->service, &exchange->demand,
+                                exchange->attempt_started_ms);
       attempt_send (exchange, target->neighbour->presence.handover_address,
                     NULL, "");
       return;
--- a/entry/neighbours.c
+++ b/entry/neighbours.c
@@ -179,27 +179,96 @@
   g_hash_table_remove (router->entries_by_state, jc_rpc_conn_name (conn));
 }
 
-/* Return load and capacity of REGION for SERVICE, or NULL if the last report is
-   too old or counts no endpoints.  */
-const struct rpc_service_room *
-neighbours_room (const struct router *router, const char *region,
-                 const char *service, int64_t now_ms)
+/* Return what is known of REGION's endpoints of SERVICE, or NULL if the last
+   report is too old or counts no endpoints.  */
+static struct region_room *
+find_room (const struct router *router, const char *region, const char *service,
+           int64_t now_ms)
 {
   for (guint i = 0; i < router->region_rooms->len; i++)
     {
-      const struct region_room *known
-          = g_ptr_array_index (router->region_rooms, i);
+      struct region_room *known = g_ptr_array_index (router->region_rooms, i);
 
       if (strcmp (known->region, region) == 0
           && strcmp (known->room.service, service) == 0)
         return known->room.endpoints > 0
                        && now_ms - known->received_ms < NEIGHBOUR_FRESH_MS
-                   ? &known->room
+                   ? known
                    : NULL;
     }
   return NULL;
 }
 
+/* Return load and capacity of REGION for SERVICE, or NULL if the last report is
+   too old or counts no endpoints.  */
+const struct rpc_service_room *
+neighbours_room (const struct router *router, const char *region,
+                 const char *service, int64_t now_ms)
+{
+  const struct region_room *known = find_room (router, region, service, now_ms);
+
+  return known != NULL ? &known->room : NULL;
+}
+
+/* Return the number of entry instances of this region that are known,
+   this one included.  */
+unsigned int
+neighbours_count_in_region (const struct router *router)
+{
+  unsigned int count = 1;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, router->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (strcmp (((const struct neighbour *)value)->presence.region,
+                router->entry->settings->region)
+        == 0)
+      count++;
+  return count;
+}
+
+/* Note that a request for SERVICE with DEMAND is handed over to REGION.  */
+void
+neighbours_note_handover (struct router *router, const char *region,
+                          const char *service, const struct jc_demand *demand,
+                          int64_t now_ms)
+{
+  struct region_room *known = find_room (router, region, service, now_ms);
+
+  if (known != NULL && demand->prompt_tokens > 0
+      && strcmp (region, router->entry->settings->region) != 0)
+    jc_remote_reading_add (&known->reading, &known->room, demand,
+                           neighbours_count_in_region (router), now_ms);
+}
+
+/* Return true if REGION has room for a request for SERVICE with DEMAND beside
+   what was handed over to it.  */
+bool
+neighbours_has_room (const struct router *router, const char *region,
+                     const char *service, const struct jc_demand *demand,
+                     int64_t now_ms)
+{
+  const struct region_room *known = find_room (router, region, service, now_ms);
+
+  return known != NULL
+         && jc_remote_reading_has_room (&known->reading, &known->room, demand,
+                                        now_ms);
+}
+
+/* Return the time that REGION's engines of SERVICE need for what was handed
+   over to them, ms.  */
+int64_t
+neighbours_reading_ms (const struct router *router, const char *region,
+                       const char *service, int64_t now_ms)
+{
+  const struct region_room *known = find_room (router, region, service, now_ms);
+
+  return known != NULL
+             ? jc_remote_reading_ms (&known->reading, &known->room, now_ms)
+             : 0;
+}
+
 /* Note that the instance NAME refused a request because it does not reach the
    endpoints of SERVICE.  */
 void
--- a/entry/remotes.c
+++ b/entry/remotes.c
@@ -50,10 +50,8 @@
                        const struct neighbour *neighbour)
 {
   const struct rpc_presence *presence = &neighbour->presence;
-  const struct rpc_service_room *room = neighbours_room (
-      router, presence->region, query->service, query->now_ms);
 
-  return room != NULL && !presence->draining && presence->ready
+  return !presence->draining && presence->ready
          && (unreached || !is_in_own_region (router, presence))
          && jc_presence_reaches (presence, query->service)
          && !neighbours_has_refused (neighbour, query->service, query->now_ms)
@@ -62,7 +60,8 @@
          && is_reachable (router, neighbour, query->now_ms)
          && !balancer_contains_name (query->avoided_regions, presence->region)
          && !balancer_contains_name (query->tried, presence->name)
-         && jc_remote_has_room (room, query->demand);
+         && neighbours_has_room (router, presence->region, query->service,
+                                 query->demand, query->now_ms);
 }
 
 /* Return the other instances that may get QUERY's request, an array of struct
@@ -83,7 +82,12 @@
       struct jc_remote_instance remote
           = { .instance = &neighbour->presence,
               .room = neighbours_room (router, neighbour->presence.region,
-                                       query->service, query->now_ms) };
+                                       query->service, query->now_ms),
+              .reading_ms
+              = query->demand->prompt_tokens > 0
+                    ? neighbours_reading_ms (router, neighbour->presence.region,
+                                             query->service, query->now_ms)
+                    : 0 };
 
       if (is_eligible_neighbour (router, query, unreached, neighbour))
         g_array_append_val (list, remote);
@@ -296,7 +300,7 @@
   if (picked != NULL)
     {
       best = g_hash_table_lookup (router->neighbours, picked->instance->name);
-      *answer_ms = picked->room->answer_ms;
+      *answer_ms = jc_remote_answer_ms (picked);
     }
   g_array_free (list, TRUE);
   return best;
--- a/entry/router.h
+++ b/entry/router.h
@@ -21,6 +21,7 @@
 #include "serve/regionload.h"
 #include "serve/paths.h"
 #include "serve/reach.h"
+#include "serve/remotereading.h"
 #include "serve/streamstarts.h"
 #include "serve/sharepeers.h"
 #include "serve/suspects.h"
@@ -148,12 +149,14 @@
                                 const struct rpc_packet *packet);
 void stateclient_tick (struct router *router);
 void stateclient_send_presence (struct router *router);
-/* Load and capacity of REGION for a service, received at RECEIVED_MS.  */
+/* Load and capacity of REGION for a service, received at RECEIVED_MS, and what
+   was handed over to it to be read there.  */
 struct region_room
 {
   char *region;
   struct rpc_service_room room;
   int64_t received_ms;
+  struct jc_remote_reading reading;
 };
 
 /* fleetclient: endpoints as state instances report them.  */
@@ -179,6 +182,15 @@
                         const struct rpc_entries *entries);
 void neighbours_state_down (struct router *router,
                             const struct jc_rpc_conn *conn);
+bool neighbours_has_room (const struct router *router, const char *region,
+                          const char *service, const struct jc_demand *demand,
+                          int64_t now_ms);
+int64_t neighbours_reading_ms (const struct router *router, const char *region,
+                               const char *service, int64_t now_ms);
+unsigned int neighbours_count_in_region (const struct router *router);
+void neighbours_note_handover (struct router *router, const char *region,
+                               const char *service,
+                               const struct jc_demand *demand, int64_t now_ms);
 const struct rpc_service_room *neighbours_room (const struct router *router,
                                                 const char *region,
                                                 const char *service,
--- a/serve/remote.c
+++ b/serve/remote.c
@@ -60,21 +60,28 @@
   return found;
 }
 
+/* Return the expected time of an answer from REMOTE, ms.  */
+int64_t
+jc_remote_answer_ms (const struct jc_remote_instance *remote)
+{
+  return remote->room->answer_ms + remote->reading_ms;
+}
+
 static const char *
 fastest_region (const GArray *instances)
 {
   const char *best = NULL;
-  unsigned int least_ms = 0;
+  int64_t least_ms = 0;
 
   for (guint i = 0; i < instances->len; i++)
     {
       const struct jc_remote_instance *candidate
           = &g_array_index (instances, struct jc_remote_instance, i);
 
-      if (best != NULL && candidate->room->answer_ms >= least_ms)
+      if (best != NULL && jc_remote_answer_ms (candidate) >= least_ms)
         continue;
       best = candidate->instance->region;
-      least_ms = candidate->room->answer_ms;
+      least_ms = jc_remote_answer_ms (candidate);
     }
   return best;
 }
--- a/serve/remote.h
+++ b/serve/remote.h
@@ -6,12 +6,14 @@
 
 #include "serve/engine.h"
 
-/* An instance of another region that a request may be sent to, and the room it
-   reported.  */
+/* An instance of another region that a request may be sent to, the room that it
+   reported, and the time that its engines need for what was handed over to them
+   since, ms.  */
 struct jc_remote_instance
 {
   const struct rpc_presence *instance;
   const struct rpc_service_room *room;
+  int64_t reading_ms;
 };
 
 /* A region that may serve a request, and the number of its usable
@@ -27,6 +29,7 @@
 bool jc_remote_prefer_region (GArray *instances, const char *region);
 const struct jc_remote_instance *
 jc_remote_pick_instance (const GArray *instances, uint32_t draw);
+int64_t jc_remote_answer_ms (const struct jc_remote_instance *remote);
 const char *jc_remote_prefix_region (const GArray *regions,
                                      const struct jc_demand *demand);
 bool jc_remote_refusal_is_regional (const char *error);
--- a/tests/test-remote.c
+++ b/tests/test-remote.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "serve/remote.h"
+#include "serve/remotereading.h"
 
 enum
 {
@@ -225,6 +226,92 @@
   g_array_free (list, TRUE);
 }
 
+/* Guards against all instances of a region that restarted sending what waited
+   for them to the one region that was idle in its last report: hand-overs that
+   no report shows yet count, so that the last of them still gains.  600
+   requests come to six instances in 200 ms, and would take two seconds here; in
+   that time no new report comes from the region, whose five engines were
+   idle.  */
+static void
+test_restarted_together (void)
+{
+  const struct rpc_service_room room = { .endpoints = 5, .answer_ms = 400 };
+  const struct jc_demand long_prompt = { .prompt_tokens = 1500 };
+  const double read_per_ms = 5 * 56.9;
+  const int64_t here_ms = 2000;
+  struct jc_remote_reading readings[6] = { 0 };
+  double sent_tokens = 0;
+  unsigned int sent = 0;
+
+  for (unsigned int i = 0; i < 600; i++)
+    {
+      struct jc_remote_reading *reading
+          = &readings[i % G_N_ELEMENTS (readings)];
+      int64_t now = i / 3;
+      int64_t there
+          = room.answer_ms + jc_remote_reading_ms (reading, &room, now);
+
+      if (!jc_remote_is_faster (here_ms, there, (double)(i * 7 % 600) / 600))
+        continue;
+      jc_remote_reading_add (reading, &room, &long_prompt,
+                             G_N_ELEMENTS (readings), now);
+      sent_tokens += long_prompt.prompt_tokens;
+      sent++;
+    }
+  g_assert_cmpuint (sent, >, 100);
+  g_assert_cmpfloat (room.answer_ms + sent_tokens / read_per_ms - 200, <,
+                     (double)here_ms);
+}
+
+/* What was handed over is read in time, sooner where less else is to be read;
+   shared parts aren't read again, and a region without engines takes no
+   time.  */
+static void
+test_reading_ends (void)
+{
+  struct rpc_service_room room = { .endpoints = 2 };
+  const struct jc_demand shared = { .prompt_tokens = 6690,
+                                    .parts_count = 2,
+                                    .prefix_tokens = { 1000, 6690 } };
+  struct jc_remote_reading reading = { 0 };
+
+  jc_remote_reading_add (&reading, &room, &shared, 3, 5000);
+  g_assert_cmpint (jc_remote_reading_ms (&reading, &room, 5000), ==, 150);
+  g_assert_cmpint (jc_remote_reading_ms (&reading, &room, 5100), ==, 50);
+  g_assert_cmpint (jc_remote_reading_ms (&reading, &room, 5150), ==, 0);
+  g_assert_cmpint (jc_remote_reading_ms (&reading, &room, 60000), ==, 0);
+  room.busy_permille = 500;
+  g_assert_cmpint (jc_remote_reading_ms (&reading, &room, 5000), ==, 300);
+  room.endpoints = 0;
+  g_assert_cmpint (jc_remote_reading_ms (&reading, &room, 5000), ==, 0);
+}
+
+/* Guards against requests that the engines of a region refuse because so much
+   was handed over to them since its last report: a second of reading at most.
+   There is room again once that is read.  */
+static void
+test_reading_fills (void)
+{
+  const struct rpc_service_room room = { .endpoints = 5 };
+  struct jc_remote_reading reading = { 0 };
+  int64_t limit_ms
+      = (int64_t)(1500 * (jc_demand_prefill_limit (&prompt) - 0.15));
+  unsigned int sent = 0;
+
+  while (sent < 10000
+         && jc_remote_reading_has_room (&reading, &room, &prompt, 100))
+    {
+      jc_remote_reading_add (&reading, &room, &prompt, 4, 100);
+      sent++;
+    }
+  g_assert_cmpuint (sent, >, 10);
+  g_assert_cmpint (jc_remote_reading_ms (&reading, &room, 100), >=, limit_ms);
+  g_assert_cmpint (jc_remote_reading_ms (&reading, &room, 100), <,
+                   limit_ms + 20);
+  g_assert_true (jc_remote_reading_has_room (&reading, &room, &plain, 100));
+  g_assert_true (jc_remote_reading_has_room (&reading, &room, &prompt, 600));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -239,5 +326,8 @@
   g_test_add_func ("/remote/prefix-region", test_prefix_region);
   g_test_add_func ("/remote/own-region-first", test_own_region_first);
   g_test_add_func ("/remote/no-instance-in-region", test_no_instance_in_region);
+  g_test_add_func ("/remote/restarted-together", test_restarted_together);
+  g_test_add_func ("/remote/reading-ends", test_reading_ends);
+  g_test_add_func ("/remote/reading-fills", test_reading_fills);
   return g_test_run ();
 }
