--- a/entry/fleetclient.c
+++ b/entry/fleetclient.c
@@ -185,6 +185,24 @@
   g_ptr_array_free (changed, TRUE);
 }
 
+/* Return the number of entry instances of this region that are known,
+   this one included.  */
+unsigned int
+fleetclient_count_entries (const struct router *router)
+{
+  unsigned int count = 1;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, router->neighbours);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (strcmp (((const struct neighbour *)value)->presence.region,
+                router->entry->settings->region)
+        == 0)
+      count++;
+  return count;
+}
+
 /* Return whether ENDPOINT of SERVICE must not get a request now since its
    reports come by way of another region; WARM is whether it is proven to be
    warm.  */
@@ -201,7 +219,7 @@
   if (!endpoint->reporter_is_far || per_s <= 0)
     return false;
   far.allowed = (unsigned int)jc_budgets_cold_allowed (router->budgets, per_s);
-  far.instances = neighbours_count_in_region (router);
+  far.instances = fleetclient_count_entries (router);
   return jc_reporters_must_wait (&far, warm, now_ms);
 }
 
--- a/entry/neighbours.c
+++ b/entry/neighbours.c
@@ -210,24 +210,6 @@
   return known != NULL ? &known->room : NULL;
 }
 
-/* Return the number of entry instances of this region that are known,
-   this one included.  */
-unsigned int
-neighbours_count_in_region (const struct router *router)
-{
-  unsigned int count = 1;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, router->neighbours);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (strcmp (((const struct neighbour *)value)->presence.region,
-                router->entry->settings->region)
-        == 0)
-      count++;
-  return count;
-}
-
 /* Note that a request for SERVICE with DEMAND is handed over to REGION.  */
 void
 neighbours_note_handover (struct router *router, const char *region,
@@ -239,7 +221,7 @@
   if (known != NULL && demand->prompt_tokens > 0
       && strcmp (region, router->entry->settings->region) != 0)
     jc_remote_reading_add (&known->reading, &known->room, demand,
-                           neighbours_count_in_region (router), now_ms);
+                           fleetclient_count_entries (router), now_ms);
 }
 
 /* Return true if REGION has room for a request for SERVICE with DEMAND beside
--- a/entry/router.h
+++ b/entry/router.h
@@ -164,6 +164,7 @@
                         const struct rpc_fleet *fleet);
 void fleetclient_request (struct router *router, struct jc_rpc_conn *conn);
 void fleetclient_note (struct router *router, const struct jc_rpc_conn *conn);
+unsigned int fleetclient_count_entries (const struct router *router);
 bool fleetclient_can_tell (const struct router *router,
                            const struct jc_endpoint *endpoint);
 bool fleetclient_must_wait (const struct router *router,
@@ -187,7 +188,6 @@
                           int64_t now_ms);
 int64_t neighbours_reading_ms (const struct router *router, const char *region,
                                const char *service, int64_t now_ms);
-unsigned int neighbours_count_in_region (const struct router *router);
 void neighbours_note_handover (struct router *router, const char *region,
                                const char *service,
                                const struct jc_demand *demand, int64_t now_ms);
