Find connections by the name of their peer without a search

The latest usable connection to each peer is kept by name and changed where a connection comes up or goes.

--- a/net/rpc.c
+++ b/net/rpc.c
@@ -197,6 +197,7 @@
   sodium_hex2bin (rpc->key, KEY_BYTES, identity->key_hex,
                   strlen (identity->key_hex), NULL, NULL, NULL);
   rpc->conns = g_ptr_array_new ();
+  rpc->latest_conns = g_hash_table_new (g_str_hash, g_str_equal);
   rpc->traffic = rpc_traffic_new ();
   rpc->dials = g_ptr_array_new ();
   rpc->pending_calls = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -325,6 +326,7 @@
       g_free (value);
     }
   g_hash_table_destroy (rpc->pending_calls);
+  g_hash_table_destroy (rpc->latest_conns);
   for (guint i = 0; i < rpc->conns->len; i++)
     {
       struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i);
@@ -362,22 +364,44 @@
   return rpc->incarnation;
 }
 
-/* Return the connection to the peer NAME that came up last, or NULL if none is
-   up.  */
-struct jc_rpc_conn *
-jc_rpc_find_conn (struct jc_rpc *rpc, const char *name)
+/* Note that CONN has come up, later than all others.  */
+void
+rpc_index_add (struct jc_rpc_conn *conn)
+{
+  g_hash_table_replace (conn->rpc->latest_conns, conn->name, conn);
+}
+
+/* Note that CONN, which is still in the list of connections, is not usable any
+   more.  Another one to its peer takes its place.  */
+void
+rpc_index_remove (const struct jc_rpc_conn *conn)
 {
+  const struct jc_rpc *rpc = conn->rpc;
   struct jc_rpc_conn *last = NULL;
 
+  if (conn->name == NULL
+      || g_hash_table_lookup (rpc->latest_conns, conn->name) != conn)
+    return;
+  g_hash_table_remove (rpc->latest_conns, conn->name);
   for (guint i = 0; i < rpc->conns->len; i++)
     {
-      struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i);
+      struct jc_rpc_conn *other = g_ptr_array_index (rpc->conns, i);
 
-      if (rpc_conn_is_usable (conn) && strcmp (conn->name, name) == 0
-          && (last == NULL || conn->serial > last->serial))
-        last = conn;
+      if (other != conn && rpc_conn_is_usable (other)
+          && strcmp (other->name, conn->name) == 0
+          && (last == NULL || other->serial > last->serial))
+        last = other;
     }
-  return last;
+  if (last != NULL)
+    rpc_index_add (last);
+}
+
+/* Return the connection to the peer NAME that came up last, or NULL if none is
+   up.  */
+struct jc_rpc_conn *
+jc_rpc_find_conn (struct jc_rpc *rpc, const char *name)
+{
+  return g_hash_table_lookup (rpc->latest_conns, name);
 }
 
 /* Append to OUT the connection to each peer of ROLE that is up; if there are
@@ -390,7 +414,7 @@
       struct jc_rpc_conn *conn = g_ptr_array_index (rpc->conns, i);
 
       if (rpc_conn_is_usable (conn) && strcmp (conn->role, role) == 0
-          && jc_rpc_find_conn ((struct jc_rpc *)rpc, conn->name) == conn)
+          && g_hash_table_lookup (rpc->latest_conns, conn->name) == conn)
         g_ptr_array_add (out, conn);
     }
 }
--- a/net/rpcconn.c
+++ b/net/rpcconn.c
@@ -35,6 +35,7 @@
   if (conn->closed || conn->drop_reason != NULL)
     return;
   conn->drop_reason = why;
+  rpc_index_remove (conn);
   ev_io_stop (conn->rpc->loop, &conn->reader);
   ev_io_stop (conn->rpc->loop, &conn->writer);
   rpc_schedule_reap (conn->rpc);
@@ -60,6 +61,7 @@
   if (conn->up)
     {
       conn->up = false;
+      rpc_index_remove (conn);
       if (rpc->klass->down != NULL)
         rpc->klass->down (rpc->ctx, conn);
     }
@@ -234,6 +236,7 @@
   conn_drop_superseded (conn);
   conn->serial = ++rpc->last_serial;
   conn->up = true;
+  rpc_index_add (conn);
   if (conn->dial != NULL)
     conn->dial->redial_ms = REDIAL_MIN_MS;
   jc_debug (LOG_COMPONENT, "Connection to %s is up.", conn->name);
--- a/net/rpcprivate.h
+++ b/net/rpcprivate.h
@@ -19,7 +19,8 @@
 };
 
 /* LEVEL is the protocol level of this process; UNKNOWN_KINDS counts messages of
-   kinds that only peers of a higher level know.  */
+   kinds that only peers of a higher level know.  LATEST_CONNS has, by the name
+   of its peer, the usable connection to it that came up last.  */
 struct jc_rpc
 {
   struct ev_loop *loop;
@@ -43,6 +44,7 @@
   ev_timer heartbeat_timer;
   ev_timer reaper;
   GPtrArray *conns;
+  GHashTable *latest_conns;
   GPtrArray *dials;
   GHashTable *pending_calls;
   uint64_t last_xid;
@@ -119,6 +121,8 @@
 /* In rpc.c.  */
 void rpc_schedule_reap (struct jc_rpc *rpc);
 void rpc_schedule_redial (struct dial *dial);
+void rpc_index_add (struct jc_rpc_conn *conn);
+void rpc_index_remove (const struct jc_rpc_conn *conn);
 
 /* In rpcconn.c.  */
 void rpc_conn_drop (struct jc_rpc_conn *conn, const char *why);
