Tell followers of cold endpoints in batches, and encode a message to all once

A state instance passed each report of a cold endpoint on as one message to each entry instance of the region, and its version as another. Only what differs from the last report is now sent at once: a new endpoint, another incarnation, address, number of slots, leave, or another time at which it is warm. What else a cold endpoint reports goes whole into the batch that tells loads four times a second, with its version, so that entry instances hear at most 250 ms later what they heard before.

--- a/net/rpc.h
+++ b/net/rpc.h
@@ -91,6 +91,7 @@
 int64_t jc_rpc_conn_silent_ms (const struct jc_rpc_conn *conn);
 size_t jc_rpc_conn_backlog_bytes (const struct jc_rpc_conn *conn);
 
+void jc_rpc_send_to_all (const GPtrArray *conns, struct rpc_packet *packet);
 enum jc_status jc_rpc_send (struct jc_rpc_conn *conn,
                             struct rpc_packet *packet);
 uint64_t jc_rpc_call (struct jc_rpc_conn *conn, struct rpc_packet *packet,
--- a/net/rpcconn.c
+++ b/net/rpcconn.c
@@ -180,26 +180,42 @@
   return JC_OK;
 }
 
-/* Encode PACKET and queue it on CONN.  */
-enum jc_status
-rpc_conn_queue_packet (struct jc_rpc_conn *conn, struct rpc_packet *packet)
+/* Set BYTES to the encoded PACKET, whose head is filled in, to be freed with
+   g_free.  */
+static enum jc_status
+packet_encode (struct rpc_packet *packet, struct jc_str *bytes)
 {
   unsigned long size = xdr_sizeof ((xdrproc_t)xdr_rpc_packet, packet);
-  enum jc_status status;
-  char *bytes;
+  char *data;
+  bool encoded;
   XDR xdr;
 
   if (size == 0 || size > RECORD_MAX_BYTES)
     return jc_fail (JC_TOO_LARGE, "The message is too large.");
-  bytes = g_malloc (size);
-  xdrmem_create (&xdr, bytes, (u_int)size, XDR_ENCODE);
-  if (xdr_rpc_packet (&xdr, packet))
-    status = rpc_conn_queue_record (
-        conn, (struct jc_str){ .data = bytes, .len = size }, packet->body.type);
-  else
-    status = jc_fail (JC_INTERNAL, "The message can't be encoded.");
+  data = g_malloc (size);
+  xdrmem_create (&xdr, data, (u_int)size, XDR_ENCODE);
+  encoded = xdr_rpc_packet (&xdr, packet);
   xdr_destroy (&xdr);
-  g_free (bytes);
+  if (!encoded)
+    {
+      g_free (data);
+      return jc_fail (JC_INTERNAL, "The message can't be encoded.");
+    }
+  *bytes = (struct jc_str){ .data = data, .len = size };
+  return JC_OK;
+}
+
+/* Encode PACKET and queue it on CONN.  */
+enum jc_status
+rpc_conn_queue_packet (struct jc_rpc_conn *conn, struct rpc_packet *packet)
+{
+  struct jc_str bytes;
+  enum jc_status status = packet_encode (packet, &bytes);
+
+  if (status != JC_OK)
+    return status;
+  status = rpc_conn_queue_record (conn, bytes, packet->body.type);
+  g_free ((char *)bytes.data);
   return status;
 }
 
@@ -568,3 +584,32 @@
   rpc_conn_fill_head (conn, packet);
   return rpc_conn_queue_packet (conn, packet);
 }
+
+/* Send PACKET, which is no call and no reply, on each of CONNS, which are of
+   one process, as jc_rpc_send does.  It is encoded once: on connections that
+   are up, heads differ in nothing.  A connection that fails is dropped; a
+   message that can't be encoded is logged.  */
+void
+jc_rpc_send_to_all (const GPtrArray *conns, struct rpc_packet *packet)
+{
+  struct jc_str bytes = { .data = NULL, .len = 0 };
+
+  for (guint i = 0; i < conns->len; i++)
+    {
+      struct jc_rpc_conn *conn = g_ptr_array_index (conns, i);
+
+      if (!rpc_conn_is_usable (conn))
+        continue;
+      if (bytes.data == NULL)
+        {
+          rpc_conn_fill_head (conn, packet);
+          if (packet_encode (packet, &bytes) != JC_OK)
+            {
+              jc_error (LOG_COMPONENT, "%s", jc_last_message ());
+              return;
+            }
+        }
+      rpc_conn_queue_record (conn, bytes, packet->body.type);
+    }
+  g_free ((char *)bytes.data);
+}
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/event.h"
+#include "member/fleetnews.h"
 #include "net/program.h"
 #include "serve/resumption.h"
 #include "state/state.h"
@@ -13,14 +14,14 @@
 {
   EXPIRE_MS = 500,
   BATCH_ROWS = 64,
-  /* Reports without changes are forwarded in batches, at a much shorter
-     interval than that at which endpoints report.  */
+  /* Reports without news are forwarded in batches, at a much shorter interval
+     than that at which endpoints report.  */
   REFRESH_MS = 250,
   MS_PER_S = 1000
 };
 
-/* REFRESHED_NAMES is the set of endpoints that reported without changes since
-   the last batch was forwarded.  */
+/* REFRESHED_NAMES is the set of endpoints that reported without news since the
+   last batch was forwarded.  */
 struct fleet
 {
   struct jc_endpoints *endpoints;
@@ -123,32 +124,85 @@
   return may_reach (conn, fleet_region_of_zone (state, zone));
 }
 
-/* Send ROW to every entry instance that may send requests to its endpoint.  */
-static void
-forward_endpoint (struct state *state, struct rpc_endpoint *row)
+/* Return those of CONNS that may send requests to endpoints of REGION, NULL for
+   an unknown one.  */
+static GPtrArray *
+list_reaching (const GPtrArray *conns, const char *region)
 {
-  const char *region = fleet_region_of_zone (state, row->zone);
-  GPtrArray *conns = g_ptr_array_new ();
+  GPtrArray *out = g_ptr_array_new ();
 
-  jc_rpc_list_conns (state->rpc, "entry", conns);
   for (guint i = 0; i < conns->len; i++)
     if (may_reach (g_ptr_array_index (conns, i), region))
-      fleet_send_endpoints (g_ptr_array_index (conns, i), row, 1);
+      g_ptr_array_add (out, g_ptr_array_index (conns, i));
+  return out;
+}
+
+/* Return the entry instances that may send requests to endpoints of ZONE.  */
+static GPtrArray *
+list_followers (const struct state *state, const char *zone)
+{
+  GPtrArray *conns = g_ptr_array_new ();
+  GPtrArray *out;
+
+  jc_rpc_list_conns (state->rpc, "entry", conns);
+  out = list_reaching (conns, fleet_region_of_zone (state, zone));
   g_ptr_array_free (conns, TRUE);
+  return out;
+}
+
+/* Send ROW to every entry instance that may send requests to its endpoint.  */
+static void
+forward_endpoint (struct state *state, struct rpc_endpoint *row)
+{
+  GPtrArray *followers = list_followers (state, row->zone);
+  struct rpc_packet packet = { .body.type = RPC_FLEET };
+  struct rpc_fleet *fleet = &packet.body.rpc_body_u.fleet;
+
+  fleet->endpoints.endpoints_val = row;
+  fleet->endpoints.endpoints_len = 1;
+  jc_rpc_send_to_all (followers, &packet);
+  g_ptr_array_free (followers, TRUE);
+}
+
+/* What a batch tells of refreshed endpoints: the ROWS of those that are cold,
+   listed in COLD for their versions, and the LOADS of the others.  */
+struct batch
+{
+  GArray *rows;
+  GPtrArray *cold;
+  GArray *loads;
+};
+
+static void
+batch_add (struct batch *batch, struct jc_endpoint *endpoint, int64_t now_ms)
+{
+  struct rpc_zone_load load = jc_endpoint_to_rpc_load (endpoint, now_ms);
+  struct rpc_endpoint row;
+
+  if (!jc_fleetnews_needs_row (endpoint, now_ms))
+    {
+      g_array_append_val (batch->loads, load);
+      return;
+    }
+  jc_endpoint_to_rpc (endpoint, now_ms, &row);
+  g_array_append_val (batch->rows, row);
+  g_ptr_array_add (batch->cold, endpoint);
 }
 
-/* Append to LOADS the loads of the refreshed endpoints to which an entry
-   instance of REGION may send requests.  */
+/* Add to BATCH the refreshed endpoints to which an entry instance of REGION may
+   send requests.  */
 static void
-collect_loads (const struct state *state, const char *region, GArray *loads)
+collect_batch (const struct state *state, const char *region,
+               struct batch *batch)
 {
   GHashTableIter iter;
   gpointer name;
+  int64_t now = jc_now_ms ();
 
   g_hash_table_iter_init (&iter, state->fleet->refreshed_names);
   while (g_hash_table_iter_next (&iter, &name, NULL))
     {
-      const struct jc_endpoint *endpoint
+      struct jc_endpoint *endpoint
           = jc_endpoints_find (state->fleet->endpoints, name);
       const char *endpoint_region
           = endpoint != NULL ? fleet_region_of_zone (state, endpoint->zone)
@@ -156,31 +210,37 @@
 
       if (endpoint != NULL
           && (endpoint_region == NULL || strcmp (endpoint_region, region) == 0))
-        {
-          struct rpc_zone_load load
-              = jc_endpoint_to_rpc_load (endpoint, jc_now_ms ());
-
-          g_array_append_val (loads, load);
-        }
+        batch_add (batch, endpoint, now);
     }
 }
 
-/* Send the entry instances of REGION, among CONNS, the loads of refreshed
-   endpoints.  */
+/* Send the entry instances of REGION, among CONNS, what refreshed endpoints
+   reported.  */
 static void
-send_loads (struct state *state, const char *region, const GPtrArray *conns)
+send_batch (struct state *state, const char *region, const GPtrArray *conns)
 {
-  GArray *loads = g_array_new (FALSE, FALSE, sizeof (struct rpc_zone_load));
+  struct batch batch
+      = { .rows = g_array_new (FALSE, FALSE, sizeof (struct rpc_endpoint)),
+          .cold = g_ptr_array_new (),
+          .loads = g_array_new (FALSE, FALSE, sizeof (struct rpc_zone_load)) };
+  GPtrArray *followers = list_reaching (conns, region);
   struct rpc_packet packet = { .body.type = RPC_FLEET };
   struct rpc_fleet *fleet = &packet.body.rpc_body_u.fleet;
 
-  collect_loads (state, region, loads);
-  fleet->loads.loads_val = (struct rpc_zone_load *)loads->data;
-  fleet->loads.loads_len = loads->len;
-  for (guint i = 0; i < conns->len && loads->len > 0; i++)
-    if (may_reach (g_ptr_array_index (conns, i), region))
-      jc_rpc_send (g_ptr_array_index (conns, i), &packet);
-  g_array_free (loads, TRUE);
+  collect_batch (state, region, &batch);
+  fleet->endpoints.endpoints_val = (struct rpc_endpoint *)batch.rows->data;
+  fleet->endpoints.endpoints_len = batch.rows->len;
+  fleet->loads.loads_val = (struct rpc_zone_load *)batch.loads->data;
+  fleet->loads.loads_len = batch.loads->len;
+  if (batch.rows->len + batch.loads->len > 0)
+    jc_rpc_send_to_all (followers, &packet);
+  for (guint i = 0; i < followers->len && batch.cold->len > 0; i++)
+    versions_send_endpoints (state, g_ptr_array_index (followers, i),
+                             batch.cold);
+  g_ptr_array_free (followers, TRUE);
+  g_array_free (batch.rows, TRUE);
+  g_ptr_array_free (batch.cold, TRUE);
+  g_array_free (batch.loads, TRUE);
 }
 
 static void
@@ -201,39 +261,23 @@
         regions, (gpointer)jc_rpc_conn_region (g_ptr_array_index (conns, i)));
   g_hash_table_iter_init (&iter, regions);
   while (g_hash_table_iter_next (&iter, &region, NULL))
-    send_loads (state, region, conns);
+    send_batch (state, region, conns);
   g_hash_table_remove_all (state->fleet->refreshed_names);
   g_hash_table_destroy (regions);
   g_ptr_array_free (conns, TRUE);
 }
 
-/* Return whether REPORT changes what is KNOWN of an endpoint, apart from its
-   load and the time of its report.  KNOWN is NULL for a new endpoint.  */
-static bool
-is_changed (const struct jc_endpoint *known, const struct rpc_endpoint *report)
-{
-  return known == NULL || known->incarnation != report->incarnation
-         || known->leaving != report->leaving || report->cold_ms > 0
-         || known->slots != report->slots
-         || strcmp (known->service, report->service) != 0
-         || strcmp (known->zone, report->zone) != 0
-         || strcmp (known->address, report->address) != 0;
-}
-
 /* Send the entry instances that may reach ENDPOINT its version.  */
 static void
 forward_version (struct state *state, struct jc_endpoint *endpoint)
 {
-  const char *region = fleet_region_of_zone (state, endpoint->zone);
   GPtrArray *rows = g_ptr_array_new ();
-  GPtrArray *conns = g_ptr_array_new ();
+  GPtrArray *followers = list_followers (state, endpoint->zone);
 
   g_ptr_array_add (rows, endpoint);
-  jc_rpc_list_conns (state->rpc, "entry", conns);
-  for (guint i = 0; i < conns->len; i++)
-    if (may_reach (g_ptr_array_index (conns, i), region))
-      versions_send_endpoints (state, g_ptr_array_index (conns, i), rows);
-  g_ptr_array_free (conns, TRUE);
+  for (guint i = 0; i < followers->len; i++)
+    versions_send_endpoints (state, g_ptr_array_index (followers, i), rows);
+  g_ptr_array_free (followers, TRUE);
   g_ptr_array_free (rows, TRUE);
 }
 
@@ -277,7 +321,7 @@
   struct rpc_endpoint row = report->endpoint;
   const struct jc_endpoint *known
       = jc_endpoints_find (state->fleet->endpoints, row.name);
-  bool changed = is_changed (known, &row);
+  bool changed = jc_fleetnews_is_news (known, &row, jc_now_ms ());
   const char *region = fleet_region_of_zone (state, row.zone);
   enum jc_status status;
 
--- a/state/presence.c
+++ b/state/presence.c
@@ -240,7 +240,7 @@
 }
 
 static void
-update_send (struct update *update, struct jc_rpc_conn *conn)
+update_send (struct update *update, const GPtrArray *conns)
 {
   struct rpc_entries *entries = &update->packet.body.rpc_body_u.entries;
 
@@ -250,7 +250,7 @@
   entries->gone.gone_len = update->gone_names->len;
   entries->rooms.rooms_val = (struct rpc_region_room *)update->rooms->data;
   entries->rooms.rooms_len = update->rooms->len;
-  jc_rpc_send (conn, &update->packet);
+  jc_rpc_send_to_all (conns, &update->packet);
 }
 
 static void
@@ -295,6 +295,7 @@
 {
   struct state *state = watcher->data;
   GPtrArray *conns = g_ptr_array_new ();
+  GPtrArray *followers = g_ptr_array_new ();
   struct update update;
 
   (void)loop;
@@ -305,7 +306,9 @@
   jc_rpc_list_conns (state->rpc, "entry", conns);
   for (guint i = 0; i < conns->len; i++)
     if (gets_updates (state, g_ptr_array_index (conns, i)))
-      update_send (&update, g_ptr_array_index (conns, i));
+      g_ptr_array_add (followers, g_ptr_array_index (conns, i));
+  update_send (&update, followers);
+  g_ptr_array_free (followers, TRUE);
   update_clear (&update);
   g_ptr_array_free (conns, TRUE);
   remove_lost (state);
@@ -318,6 +321,7 @@
 presence_send_snapshot (struct state *state, struct jc_rpc_conn *conn)
 {
   struct update update;
+  GPtrArray *conns;
   GHashTableIter iter;
   gpointer value;
 
@@ -330,7 +334,10 @@
     if (((const struct entry_view *)value)->announced)
       update_add (&update, value);
   collect_rooms (state, update.rooms);
-  update_send (&update, conn);
+  conns = g_ptr_array_new ();
+  g_ptr_array_add (conns, conn);
+  update_send (&update, conns);
+  g_ptr_array_free (conns, TRUE);
   update_clear (&update);
 }
 
