Copy the parts of a prompt that another engine holds instead of reading them

Cause: where engines are busy, shared parts of prompts are read again at one engine while another of the region holds them. The engines' own copies were not used.

Switched on by moves, kv-bytes and link-mbps of a service's engines, on routes that state a pause. No message between instances changes.

--- a/conf/routetable.h
+++ b/conf/routetable.h
@@ -50,11 +50,13 @@
 
 /* Model engines of a service.  KV_TOKENS is the size of the KV cache of an
    engine, in tokens; EVENT_TOKENS is the number of tokens in an event of a
-   stream.  Both are 0 if unknown.  */
+   stream.  Both are 0 if unknown.  COPY_MS_PER_TOKEN is the time in which an
+   engine copies the KV cache of a token from another one, 0 if they don't.  */
 struct jc_engine_spec
 {
   unsigned int slots;
   unsigned int event_tokens;
+  double copy_ms_per_token;
   uint64_t kv_tokens;
 };
 
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -131,11 +131,13 @@
 
 static void
 attempt_send (struct exchange *exchange, const char *address,
-              const char *endpoint, const char *explanation)
+              const char *endpoint, const char *copy_from,
+              const char *explanation)
 {
   const struct jc_relay *relay = &exchange->relay;
   int64_t left = relay->deadline_ms - exchange->attempt_started_ms;
   const struct jc_attempt_info info = { .endpoint = endpoint,
+                                        .copy_from = copy_from,
                                         .workspace = exchange->key_note.name,
                                         .time_left_ms = left,
                                         .resume_after = relay->last_event,
@@ -188,6 +190,7 @@
   struct router *router = exchange->router;
   const struct jc_endpoint *endpoint = target->endpoint;
   char explanation[EXPLAIN_BYTES];
+  const char *copy_from;
 
   attempt_reset (exchange);
   exchange->remote = endpoint == NULL;
@@ -206,7 +209,7 @@
     {
       shares_note_handover (router, exchange->target_name, exchange->service);
       attempt_send (exchange, target->neighbour->presence.handover_address,
-                    NULL, "");
+                    NULL, NULL, "");
       return;
     }
   balancer_log_cold (router, endpoint, exchange_id (exchange),
@@ -217,6 +220,7 @@
   exchange->send_number
       = backpressure_note_send (router, endpoint, exchange_id (exchange));
   shares_note_send (exchange, endpoint);
+  copy_from = copies_source (exchange, endpoint, exchange->attempt_started_ms);
   jc_engines_explain (router->engines, endpoint, &exchange->demand,
                       exchange->attempt_started_ms, explanation,
                       sizeof explanation);
@@ -226,5 +230,6 @@
   fleetclient_note_send (router, endpoint, exchange->attempt_started_ms);
   jc_budgets_note_cold_send (router->budgets, endpoint->name,
                              exchange->attempt_started_ms);
-  attempt_send (exchange, endpoint->address, endpoint->name, explanation);
+  attempt_send (exchange, endpoint->address, endpoint->name, copy_from,
+                explanation);
 }
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -211,6 +211,7 @@
 
   exchange->demand.time_left_ms = exchange->relay.deadline_ms - now_ms;
   update_demand (exchange);
+  copies_find (exchange, now_ms);
   return (struct balancer_query){ .route = exchange->route,
                                   .workspace = exchange->workspace,
                                   .service = exchange->service,
@@ -322,14 +323,20 @@
                             "jaycove_stricter_handovers_total", "", 1);
 }
 
-/* Return the number of tokens per event of the service, 0 if it is unknown.  */
-static unsigned int
-service_event_tokens (const struct exchange *exchange)
+/* Set what the demand of EXCHANGE has from the configuration of its service.
+   Parts of prompts are copied only where the route limits the pauses of its
+   streams, which prefilling makes longer.  */
+static void
+set_engine_demand (struct exchange *exchange)
 {
   const struct jc_hostservice *service
       = jc_routetable_find_service (exchange->routes, exchange->service);
 
-  return service != NULL ? service->engine.event_tokens : 0;
+  if (service == NULL)
+    return;
+  exchange->demand.event_tokens = service->engine.event_tokens;
+  if (exchange->route->gap_ms > 0)
+    exchange->demand.copy_ms_per_token = service->engine.copy_ms_per_token;
 }
 
 static void
@@ -394,7 +401,7 @@
   /* Room at engines is kept for what has least time; the rank of workspaces
      orders the wait queue.  */
   exchange->demand.priority = route->priority;
-  exchange->demand.event_tokens = service_event_tokens (exchange);
+  set_engine_demand (exchange);
   exchange->answer_tokens = exchange->demand.answer_tokens;
   exchange->wait_until_ms
       = exchange->started_ms + route->objective_ms / WAIT_DIVISOR;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -195,6 +195,11 @@
 bool exchange_attempt (struct exchange *exchange);
 bool exchange_may_wait (const struct exchange *exchange, int64_t now_ms);
 
+/* In copies.c.  */
+void copies_find (struct exchange *exchange, int64_t now_ms);
+const char *copies_source (struct exchange *exchange,
+                           const struct jc_endpoint *endpoint, int64_t now_ms);
+
 /* In heads.c.  */
 const struct jc_hostroute *heads_find_route (const struct router *router,
                                              const struct jc_http_req *req,
--- a/serve/engine.c
+++ b/serve/engine.c
@@ -272,8 +272,9 @@
   run->demand = *demand;
   run->started_ms = now_ms;
   run->prefill_tokens = (uint64_t)engine_prefill_tokens (
-      demand, engine_cached_tokens (engine, demand, now_ms));
-  run->expected_first_event_ms = run_expected_first_event_ms (run, now_ms);
+      demand, engine_ready_tokens (engine, demand, now_ms));
+  run->expected_first_event_ms = run_expected_first_event_ms (run, now_ms)
+                                 + engine_copy_ms (engine, demand, now_ms);
   run->had_free_slot = engine_load (engine, now_ms).running < endpoint->slots;
   engine->refs++;
   engine_mark_changed (engine);
--- a/serve/engine.h
+++ b/serve/engine.h
@@ -15,8 +15,9 @@
    answer misses its objective if the first event takes longer than
    FIRST_EVENT_LIMIT_MS or a gap between events exceeds GAP_LIMIT_MS; it must be
    complete within TIME_LEFT_MS.  0 means no limit.  PRIORITY 0 is the most
-   urgent.  One event carries EVENT_TOKENS tokens of the answer, 0 if
-   unknown.  */
+   urgent.  One event carries EVENT_TOKENS tokens of the answer, 0 if unknown.
+   The first KEPT_TOKENS of the prompt can be copied from some engine; copying a
+   token takes COPY_MS_PER_TOKEN, 0 if engines don't copy.  */
 struct jc_demand
 {
   unsigned int prompt_tokens;
@@ -29,6 +30,8 @@
   int64_t time_left_ms;
   unsigned int priority;
   unsigned int event_tokens;
+  unsigned int kept_tokens;
+  double copy_ms_per_token;
 };
 
 struct jc_engines;
@@ -81,6 +84,13 @@
                          const struct jc_endpoint *endpoint,
                          const struct jc_demand *demand, int64_t now_ms,
                          char *out, size_t size);
+void jc_engines_find_kept (struct jc_engines *engines,
+                           const GPtrArray *endpoints, struct jc_demand *demand,
+                           int64_t now_ms);
+const struct jc_endpoint *
+jc_engines_copy_source (struct jc_engines *engines, const GPtrArray *endpoints,
+                        const struct jc_endpoint *target,
+                        const struct jc_demand *demand, int64_t now_ms);
 struct jc_engine_run *jc_engines_start (struct jc_engines *engines,
                                         const struct jc_endpoint *endpoint,
                                         const struct jc_demand *demand,
--- a/serve/enginecost.c
+++ b/serve/enginecost.c
@@ -147,7 +147,7 @@
   return (int64_t)first_event_ms (
       &load, endpoint,
       engine_prefill_tokens (demand,
-                             engine_cached_tokens (engine, demand, now_ms)));
+                             engine_ready_tokens (engine, demand, now_ms)));
 }
 
 /* Return the time until the complete answer to DEMAND if it is sent to ENDPOINT
@@ -237,9 +237,9 @@
   unsigned int shared = demand->parts_count > 1
                             ? demand->prefix_tokens[demand->parts_count - 2]
                             : 0;
-  unsigned int cached = engine_cached_tokens (engine, demand, now_ms);
+  unsigned int ready = engine_ready_tokens (engine, demand, now_ms);
 
-  return shared > cached ? shared - cached : 0;
+  return shared > ready ? shared - ready : 0;
 }
 
 /* Return true if a request with DEMAND should be sent to ENGINE: its answer
@@ -253,7 +253,7 @@
 {
   struct load load = engine_load (engine, now_ms);
   double prefill_tokens = engine_prefill_tokens (
-      demand, engine_cached_tokens (engine, demand, now_ms));
+      demand, engine_ready_tokens (engine, demand, now_ms));
   double limit = jc_demand_prefill_limit (demand);
   double first;
 
@@ -267,7 +267,8 @@
                  OWN_PREFILL_SHARE_MAX)
       > limit)
     return false;
-  first = first_event_ms (&load, endpoint, prefill_tokens);
+  first = first_event_ms (&load, endpoint, prefill_tokens)
+          + engine_copy_ms (engine, demand, now_ms);
   return demand->time_left_ms <= 0
          || first + decode_ms (&load, demand) <= (double)demand->time_left_ms;
 }
@@ -317,7 +318,7 @@
       || load.running < 1 || demand_is_long (demand))
     return false;
   prefill_tokens = engine_prefill_tokens (
-      demand, engine_cached_tokens (engine, demand, now_ms));
+      demand, engine_ready_tokens (engine, demand, now_ms));
   return stream_gap_ms (&load, demand, load.unread_tokens + prefill_tokens, 0)
          > (double)demand->gap_limit_ms * STALL_GAP_FRACTION;
 }
@@ -336,13 +337,14 @@
   struct load load = engine_load (engine, now_ms);
   double cost = engine_recent_failures (engine, now_ms) * FAILURE_COST_MS;
   double prefill_tokens = engine_prefill_tokens (
-      demand, engine_cached_tokens (engine, demand, now_ms));
+      demand, engine_ready_tokens (engine, demand, now_ms));
   double first;
   double decode;
 
   if (demand->prompt_tokens == 0)
     return cost + plain_answer_ms (engine, &load, endpoint);
-  first = first_event_ms (&load, endpoint, prefill_tokens);
+  first = first_event_ms (&load, endpoint, prefill_tokens)
+          + engine_copy_ms (engine, demand, now_ms);
   decode = decode_ms (&load, demand);
   cost += first + decode * DECODE_WEIGHT
           + lateness_cost_ms (&load, demand, first, prefill_tokens);
@@ -352,8 +354,10 @@
   cost += prefill_tokens / PREFILL_TOKENS_PER_MS * load.running
           * DELAY_OTHERS_WEIGHT;
   if (endpoint != affinity)
-    cost += uncached_shared_tokens (engine, demand, now_ms)
-            / PREFILL_TOKENS_PER_MS * DUPLICATE_PREFILL_WEIGHT;
+    cost += (uncached_shared_tokens (engine, demand, now_ms)
+                 / PREFILL_TOKENS_PER_MS
+             + engine_copy_ms (engine, demand, now_ms))
+            * DUPLICATE_PREFILL_WEIGHT;
   return cost;
 }
 
@@ -381,16 +385,17 @@
 {
   const struct engine *engine = engine_get (engines, endpoint->name);
   struct load load = engine_load (engine, now_ms);
-  unsigned int cached = engine_cached_tokens (engine, demand, now_ms);
-  double prefill_tokens = engine_prefill_tokens (demand, cached);
+  unsigned int ready = engine_ready_tokens (engine, demand, now_ms);
+  double prefill_tokens = engine_prefill_tokens (demand, ready);
 
   g_snprintf (out, size,
               "running=%.0f unread=%.0f busy=%.2f pace=%.2f failures=%.1f "
-              "prompt=%u read=%u first=%.0f answer=%.0f pause=%.0f "
+              "prompt=%u read=%u copied=%u first=%.0f answer=%.0f pause=%.0f "
               "work=%.0f",
               load.running, load.unread_tokens, load.prefill_busy,
               load.slowdown, engine_recent_failures (engine, now_ms),
-              demand->prompt_tokens, cached,
+              demand->prompt_tokens, ready,
+              engine_copied_tokens (engine, demand, now_ms),
               first_event_ms (&load, endpoint, prefill_tokens),
               decode_ms (&load, demand),
               stream_gap_ms (&load, demand, load.unread_tokens + prefill_tokens,
--- a/serve/engineprivate.h
+++ b/serve/engineprivate.h
@@ -138,6 +138,16 @@
                                 const struct rpc_part_read *cached, bool direct,
                                 int64_t now_ms);
 
+/* enginecopy.c  */
+unsigned int engine_copied_tokens (const struct engine *engine,
+                                   const struct jc_demand *demand,
+                                   int64_t now_ms);
+unsigned int engine_ready_tokens (const struct engine *engine,
+                                  const struct jc_demand *demand,
+                                  int64_t now_ms);
+double engine_copy_ms (const struct engine *engine,
+                       const struct jc_demand *demand, int64_t now_ms);
+
 /* enginecost.c  */
 double engine_prefill_tokens (const struct jc_demand *demand,
                               unsigned int cached);
--- a/serve/protocol.h
+++ b/serve/protocol.h
@@ -48,10 +48,13 @@
 
 /* What is sent to an endpoint in addition to the caller's request.
    TIME_LEFT_MS is the time until the deadline; PRIORITY -1 leaves the choice to
-   the endpoint.  WORKSPACE is the name of the caller's, or NULL.  */
+   the endpoint.  WORKSPACE is the name of the caller's, or NULL.  COPY_FROM is
+   the address of the engine that the KV cache of the prompt's first parts is
+   copied from, or NULL.  */
 struct jc_attempt_info
 {
   const char *endpoint;
+  const char *copy_from;
   const char *workspace;
   int64_t time_left_ms;
   int64_t resume_after;
--- a/tests/enginesim.c
+++ b/tests/enginesim.c
@@ -17,7 +17,7 @@
 };
 
 /* A request at an engine.  PREFILL_TOKENS of its prompt are left to prefill,
-   after the first DEPTH tokens.  */
+   after the first DEPTH tokens, from READY_AT on.  */
 struct job
 {
   const struct enginesim_kind *kind;
@@ -27,6 +27,7 @@
   unsigned int event_tokens;
   double prefill_tokens;
   double depth;
+  double ready_at;
   unsigned int tokens_made;
   double last_event;
   bool late;
@@ -74,17 +75,27 @@
   struct enginesim_report *report;
   GRand *rand;
   struct sim_engine engines[ENGINESIM_ENGINES_MAX];
+  GPtrArray *endpoints;
   struct jc_engines *views[ENGINESIM_INSTANCES_MAX];
   struct watch watches[ENGINESIM_INSTANCES_MAX];
   GHashTable *ever_prefilled;
 };
 
 static bool
-cache_lookup (struct sim_engine *engine, uint64_t part)
+cache_has (const struct sim_engine *engine, uint64_t part)
 {
   for (unsigned int i = 0; i < CACHED_PARTS_MAX; i++)
     if (engine->cached_parts[i] == part)
       return true;
+  return false;
+}
+
+/* Return whether ENGINE has cached PART, which it has from now on.  */
+static bool
+cache_lookup (struct sim_engine *engine, uint64_t part)
+{
+  if (cache_has (engine, part))
+    return true;
   engine->cached_parts[engine->cached_next++ % CACHED_PARTS_MAX] = part;
   return false;
 }
@@ -123,9 +134,9 @@
   job->last_event = now;
 }
 
-/* Return the oldest job with prompt tokens to prefill.  */
+/* Return the oldest job with prompt tokens to prefill at NOW.  */
 static struct job *
-next_prefill (const struct sim_engine *engine)
+next_prefill (const struct sim_engine *engine, double now)
 {
   struct job *next = NULL;
 
@@ -133,7 +144,7 @@
     {
       struct job *job = item->data;
 
-      if (job->prefill_tokens > 0 && next == NULL)
+      if (job->prefill_tokens > 0 && job->ready_at <= now && next == NULL)
         next = job;
     }
   return next;
@@ -144,7 +155,7 @@
 static void
 engine_step (struct sim_engine *engine, double now)
 {
-  struct job *prefilling = next_prefill (engine);
+  struct job *prefilling = next_prefill (engine, now);
   unsigned int running = MIN (g_queue_get_length (&engine->jobs), SLOTS);
   double step_ms = 3.09 + 0.102 * running;
   unsigned int index = 0;
@@ -177,8 +188,8 @@
 }
 
 static struct sim_engine *
-choose_engine (struct sim *sim, unsigned int instance,
-               const struct jc_demand *demand, int64_t now_ms)
+choose_engine (struct sim *sim, unsigned int instance, struct jc_demand *demand,
+               int64_t now_ms)
 {
   const struct enginesim_plan *plan = sim->plan;
   struct sim_engine *best = &sim->engines[0];
@@ -195,9 +206,8 @@
           best = &sim->engines[i];
       return best;
     }
-  list = g_ptr_array_new ();
-  for (unsigned int i = 0; i < plan->engines; i++)
-    g_ptr_array_add (list, &sim->engines[i].endpoint);
+  list = g_ptr_array_copy (sim->endpoints, NULL, NULL);
+  jc_engines_find_kept (sim->views[instance], list, demand, now_ms);
   jc_engines_filter (sim->views[instance], demand, list, now_ms);
   picked = jc_engines_pick (sim->views[instance], list, demand, now_ms);
   g_ptr_array_free (list, TRUE);
@@ -241,12 +251,30 @@
                                     - kind->spread * kind->spread / 2)));
 }
 
+/* Have ENGINE copy what JOB, the request of ARRIVAL, shares from SOURCE.  */
+static void
+job_copy (struct sim *sim, struct job *job, const struct arrival *arrival,
+          const struct sim_engine *source, double now)
+{
+  unsigned int tokens = arrival->kind->shared_tokens;
+
+  job->ready_at = now + tokens * sim->plan->copy_ms_per_token;
+  if (sim->plan->sources_lost || !cache_has (source, arrival->prefix))
+    return;
+  job->prefill_tokens -= tokens;
+  job->depth = tokens;
+  sim->report->copied_tokens += tokens;
+}
+
 /* Send the request of ARRIVAL to ENGINE.  */
 static void
 request_send (struct sim *sim, const struct arrival *arrival,
               struct sim_engine *engine, double now)
 {
   const struct enginesim_kind *kind = arrival->kind;
+  const struct jc_endpoint *source = jc_engines_copy_source (
+      sim->views[arrival->instance], sim->endpoints, &engine->endpoint,
+      &arrival->demand, (int64_t)now);
   struct job *job = g_new0 (struct job, 1);
 
   sim->report->arrivals[engine - sim->engines]++;
@@ -261,9 +289,11 @@
       job->prefill_tokens -= kind->shared_tokens;
       job->depth = kind->shared_tokens;
     }
-  else if (kind->shared_tokens > 0
-           && !g_hash_table_add (sim->ever_prefilled,
-                                 GUINT_TO_POINTER (arrival->prefix)))
+  else if (kind->shared_tokens > 0 && source != NULL)
+    job_copy (sim, job, arrival, (const struct sim_engine *)source, now);
+  if (kind->shared_tokens > 0 && job->depth == 0
+      && !g_hash_table_add (sim->ever_prefilled,
+                            GUINT_TO_POINTER (arrival->prefix)))
     sim->report->duplicate_tokens += kind->shared_tokens;
   sim->report->prefilled_tokens += job->prefill_tokens;
   job->run = jc_engines_start (sim->views[arrival->instance], &engine->endpoint,
@@ -291,6 +321,7 @@
   fill_demand (&drawn, arrival.prefix, g_rand_int (sim->rand) + 100000,
                &arrival.demand);
   arrival.demand.event_tokens = sim->plan->event_tokens;
+  arrival.demand.copy_ms_per_token = sim->plan->copy_ms_per_token;
   engine = choose_engine (sim, arrival.instance, &arrival.demand, (int64_t)now);
   if (engine == NULL)
     arrival.result->refused++;
@@ -410,6 +441,7 @@
       engine->slowdown
           = sim->plan->slowdown[i] > 0 ? sim->plan->slowdown[i] : 1;
       g_queue_init (&engine->jobs);
+      g_ptr_array_add (sim->endpoints, &engine->endpoint);
     }
   for (unsigned int i = 0; i < sim->plan->instances; i++)
     {
@@ -428,6 +460,7 @@
   struct sim sim = { .plan = plan,
                      .report = report,
                      .rand = g_rand_new_with_seed (plan->seed),
+                     .endpoints = g_ptr_array_new (),
                      .ever_prefilled = g_hash_table_new (NULL, NULL) };
 
   int64_t interval_ms
@@ -446,9 +479,7 @@
           engine_step (&sim.engines[i],
                        MAX (sim.engines[i].free_at, (double)now - 1));
       if (now % interval_ms == 0)
-        {
-          exchange_loads (&sim, now);
-        }
+        exchange_loads (&sim, now);
       report_early (&sim, now);
     }
   for (unsigned int i = 0; i < plan->engines; i++)
@@ -463,5 +494,6 @@
   for (unsigned int i = 0; i < plan->instances; i++)
     jc_engines_free (sim.views[i]);
   g_hash_table_destroy (sim.ever_prefilled);
+  g_ptr_array_free (sim.endpoints, TRUE);
   g_rand_free (sim.rand);
 }
--- a/tests/enginesim.h
+++ b/tests/enginesim.h
@@ -57,7 +57,9 @@
    an instance reports its loads at once when the engine module asks for it;
    with EARLY_LOST such reports don't reach the other zones.  An event has
    EVENT_TOKENS, and LOAD_INTERVAL_MS lie between two reports; 0 means the usual
-   ones.  */
+   ones.  Engines copy shared parts from each other in COPY_MS_PER_TOKEN, not at
+   all if it is 0; with SOURCES_LOST all copies fail, and the engine prefills
+   the parts after it has waited for them.  */
 struct enginesim_plan
 {
   enum enginesim_policy policy;
@@ -70,19 +72,22 @@
   bool early_lost;
   unsigned int event_tokens;
   int64_t load_interval_ms;
+  double copy_ms_per_token;
+  bool sources_lost;
   const struct enginesim_kind *kinds;
   unsigned int kinds_count;
   int64_t duration_ms;
   uint32_t seed;
 };
 
-/* Outcomes by kind, tokens prefilled in total and more than once, and arrivals
-   by engine.  */
+/* Outcomes by kind, tokens prefilled in total, prefilled more than once and
+   copied, and arrivals by engine.  */
 struct enginesim_report
 {
   struct enginesim_result kinds[8];
   double prefilled_tokens;
   double duplicate_tokens;
+  double copied_tokens;
   unsigned int arrivals[ENGINESIM_ENGINES_MAX];
 };
 
--- a/tests/test-engine.c
+++ b/tests/test-engine.c
@@ -68,14 +68,15 @@
         sum.arrivals[i] += one.arrivals[i];
       sum.prefilled_tokens += one.prefilled_tokens;
       sum.duplicate_tokens += one.duplicate_tokens;
+      sum.copied_tokens += one.copied_tokens;
     }
   for (unsigned int i = 0; i < plan.kinds_count; i++)
-    g_test_message ("policy %d %s: requests %u on time %u late %u refused %u "
-                    "failed %u; prefilled %.0f duplicate %.0f",
-                    policy, plan.kinds[i].name, sum.kinds[i].requests,
-                    sum.kinds[i].on_time, sum.kinds[i].late,
-                    sum.kinds[i].refused, sum.kinds[i].failed,
-                    sum.prefilled_tokens, sum.duplicate_tokens);
+    g_test_message (
+        "policy %d %s: requests %u on time %u late %u refused %u "
+        "failed %u; prefilled %.0f duplicate %.0f copied %.0f",
+        policy, plan.kinds[i].name, sum.kinds[i].requests, sum.kinds[i].on_time,
+        sum.kinds[i].late, sum.kinds[i].refused, sum.kinds[i].failed,
+        sum.prefilled_tokens, sum.duplicate_tokens, sum.copied_tokens);
   return sum;
 }
 
@@ -366,6 +367,40 @@
   g_assert_cmpuint (4 * late_answers (&early), <, 3 * late_answers (&usual));
 }
 
+/* Long prompts with shared parts beside streams: engines that copy the cached
+   parts from each other prefill less, and fewer streams pause for too long.  If
+   all sources are lost, each request is still served once, by prefilling what
+   it could not copy.  */
+static void
+test_copies_beside_streams (void)
+{
+  struct enginesim_plan plan = plan_beside_streams ();
+  struct enginesim_kind kinds[] = { plan.kinds[0], plan.kinds[1] };
+  struct enginesim_report without;
+  struct enginesim_report with;
+  struct enginesim_report lost;
+
+  kinds[0].per_s = 100;
+  kinds[0].shared_tokens = 5000;
+  kinds[1].per_s = 260;
+  plan.kinds = kinds;
+  without = run_plan (plan, ENGINESIM_BY_COST);
+  plan.copy_ms_per_token = 0.0024;
+  with = run_plan (plan, ENGINESIM_BY_COST);
+  plan.sources_lost = true;
+  lost = run_plan (plan, ENGINESIM_BY_COST);
+  g_test_message ("late: %u with copies, %u with lost sources, %u without",
+                  late_answers (&with), late_answers (&lost),
+                  late_answers (&without));
+  g_assert_cmpfloat (with.copied_tokens, >, 0);
+  g_assert_cmpfloat (5 * with.duplicate_tokens, <,
+                     4 * without.duplicate_tokens);
+  g_assert_cmpuint (2 * late_answers (&with), <, late_answers (&without));
+  g_assert_cmpfloat (lost.copied_tokens, ==, 0);
+  g_assert_cmpuint (lost.kinds[0].failed + lost.kinds[1].failed, <=,
+                    without.kinds[0].failed + without.kinds[1].failed);
+}
+
 /* A failing endpoint is not used for a while and then tried again.  */
 static void
 test_failures (void)
@@ -453,6 +488,7 @@
   g_test_add_func ("/engine/long-prompts", test_long_prompts);
   g_test_add_func ("/engine/long-prompts-beside-streams",
                    test_long_prompts_beside_streams);
+  g_test_add_func ("/engine/copies-beside-streams", test_copies_beside_streams);
   g_test_add_func ("/engine/slow-engine", test_slow_engine);
   g_test_add_func ("/engine/failures", test_failures);
   g_test_add_func ("/engine/refusals", test_refusals);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -286,6 +286,77 @@
     g_assert_true (platform_forward_to_endpoint (forwarded[i]));
 }
 
+/* Return the header lines of an attempt that copies from the engine COPY_FROM,
+   which may be NULL.  */
+static GPtrArray *
+attempt_lines (const char *copy_from)
+{
+  const struct jc_attempt_info info = { .copy_from = copy_from,
+                                        .time_left_ms = 9,
+                                        .resume_after = -1,
+                                        .priority = -1 };
+  GPtrArray *lines = g_ptr_array_new_with_free_func (g_free);
+
+  platform_add_attempt_headers (&info, lines);
+  return lines;
+}
+
+/* An endpoint is told where to copy from only if there is such an engine, and
+   never by the caller.  */
+static void
+test_copy_header (void)
+{
+  GPtrArray *without = attempt_lines (NULL);
+  GPtrArray *with = attempt_lines ("10.0.0.2:80");
+
+  g_assert_cmpuint (with->len, ==, without->len + 1);
+  g_assert_cmpstr (g_ptr_array_index (with, with->len - 1), ==,
+                   "Kv-Fetch: 10.0.0.2:80");
+  g_assert_false (platform_forward_to_endpoint ("kv-fetch"));
+  g_ptr_array_free (with, TRUE);
+  g_ptr_array_free (without, TRUE);
+}
+
+/* Return the time of a copied token in a configuration whose engines have
+   FIELDS, JSON.  */
+static double
+copy_ms (const char *fields)
+{
+  char *text = g_strconcat (
+      "{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"s\","
+      "\"health-path\":\"/h\",\"engine\":{\"slots\":64",
+      fields, "}}],\"limits\":{}}", NULL);
+  GPtrArray *faults = g_ptr_array_new_with_free_func (g_free);
+  struct jc_routetable *table
+      = platform_parse_routes (jc_str_from_cstr (text), NULL, faults);
+  double ms;
+
+  g_assert_cmpuint (faults->len, ==, 0);
+  ms = jc_routetable_find_service (table, "s")->engine.copy_ms_per_token;
+  jc_routetable_unref (table);
+  g_ptr_array_free (faults, TRUE);
+  g_free (text);
+  return ms;
+}
+
+/* Engines copy from each other only if the configuration says that they move
+   caches, how large those are and how fast the links.  What can't be read
+   refuses no configuration, as no instance did before.  */
+static void
+test_copy_configuration (void)
+{
+  g_assert_cmpfloat (
+      copy_ms (",\"moves\":true,\"kv-bytes\":125000,\"link-mbps\":1000.0"), ==,
+      1);
+  g_assert_cmpfloat (copy_ms (""), ==, 0);
+  g_assert_cmpfloat (copy_ms (",\"kv-bytes\":125000,\"link-mbps\":1000.0"), ==,
+                     0);
+  g_assert_cmpfloat (copy_ms (",\"moves\":true,\"kv-bytes\":125000"), ==, 0);
+  g_assert_cmpfloat (
+      copy_ms (",\"moves\":true,\"kv-bytes\":\"x\",\"link-mbps\":1000.0"), ==,
+      0);
+}
+
 static void
 test_answer_headers (void)
 {
@@ -545,6 +616,8 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/platform/copy-header", test_copy_header);
+  g_test_add_func ("/platform/copy-configuration", test_copy_configuration);
   g_test_add_func ("/platform/configuration", test_configuration);
   g_test_add_func ("/platform/large-numbers", test_large_numbers);
   g_test_add_func ("/platform/invalid-configurations",
