Copy prompt parts only between engines of one software version

Cause: different software versions may keep caches in different forms, and the source was any engine that holds the parts. Change: the source runs the version of the engine that copies; test-enginecopy shows this (its other-software case failed before), the choice of the nearest source, and what happens when it is gone.

--- a/serve/enginecopy.c
+++ b/serve/enginecopy.c
@@ -74,7 +74,9 @@
 /* Return the endpoint of ENDPOINTS that TARGET should copy the first parts of
    DEMAND's prompt from, NULL if it has them or no other engine does.  Of those
    that have most, one of TARGET's zone is returned if there is one, and any of
-   them with equal probability, so that the links of a few aren't filled.  */
+   them with equal probability, so that the links of a few aren't filled.
+   Software versions may keep caches in different forms, so the source runs
+   TARGET's.  */
 const struct jc_endpoint *
 jc_engines_copy_source (struct jc_engines *engines, const GPtrArray *endpoints,
                         const struct jc_endpoint *target,
@@ -93,7 +95,8 @@
       const struct engine *engine = engine_get (engines, endpoint->name);
       bool is_near = g_strcmp0 (endpoint->zone, target->zone) == 0;
 
-      if (endpoint == target || engine->backoff_until_ms > now_ms
+      if (endpoint == target || endpoint->software != target->software
+          || engine->backoff_until_ms > now_ms
           || engine_cached_tokens (engine, demand, now_ms) < demand->kept_tokens
           || (source_near && !is_near))
         continue;
