--- a/net/rpcconn.c
+++ b/net/rpcconn.c
@@ -209,7 +209,7 @@
 enum jc_status
 rpc_conn_queue_packet (struct jc_rpc_conn *conn, struct rpc_packet *packet)
 {
-  struct jc_str bytes;
+  struct jc_str bytes = { .data = NULL, .len = 0 };
   enum jc_status status = packet_encode (packet, &bytes);
 
   if (status != JC_OK)
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -13,7 +13,6 @@
 enum
 {
   EXPIRE_MS = 500,
-  BATCH_ROWS = 64,
   /* Reports without news are forwarded in batches, at a much shorter interval
      than that at which endpoints report.  */
   REFRESH_MS = 250,
@@ -78,19 +77,6 @@
   state->fleet = NULL;
 }
 
-/* Send COUNT ROWS to the entry instance CONN.  */
-void
-fleet_send_endpoints (struct jc_rpc_conn *conn, struct rpc_endpoint *rows,
-                      u_int count)
-{
-  struct rpc_packet packet = { .body.type = RPC_FLEET };
-  struct rpc_fleet *fleet = &packet.body.rpc_body_u.fleet;
-
-  fleet->endpoints.endpoints_val = rows;
-  fleet->endpoints.endpoints_len = count;
-  jc_rpc_send (conn, &packet);
-}
-
 /* Return the region of ZONE, or NULL if the settings have no such zone.  */
 const char *
 fleet_region_of_zone (const struct state *state, const char *zone)
@@ -474,55 +460,21 @@
                                         start->started_ms);
 }
 
-/* Send CONN the versions of all endpoints to which it may send requests, if it
-   asked for versions.  */
+/* Append to OUT the endpoints to which the entry instance CONN may send
+   requests.  They belong to this module.  */
 void
-fleet_send_versions (struct state *state, struct jc_rpc_conn *conn)
+fleet_list_reachable (const struct state *state, const struct jc_rpc_conn *conn,
+                      GPtrArray *out)
 {
   GPtrArray *all = g_ptr_array_new ();
-  GPtrArray *reachable = g_ptr_array_new ();
 
   jc_endpoints_list (state->fleet->endpoints, all);
   for (guint i = 0; i < all->len; i++)
     {
       struct jc_endpoint *endpoint = g_ptr_array_index (all, i);
 
-      if (may_reach (conn, fleet_region_of_zone (state, endpoint->zone)))
-        g_ptr_array_add (reachable, endpoint);
-    }
-  versions_send_endpoints (state, conn, reachable);
-  g_ptr_array_free (reachable, TRUE);
-  g_ptr_array_free (all, TRUE);
-}
-
-/* Send CONN, if it is an entry instance, every endpoint to which it may send
-   requests.  Called when it connects or asks for them.  */
-void
-fleet_send_snapshot (struct state *state, struct jc_rpc_conn *conn)
-{
-  GPtrArray *all;
-  struct rpc_endpoint rows[BATCH_ROWS];
-  int64_t now = jc_now_ms ();
-  u_int count = 0;
-
-  if (strcmp (jc_rpc_conn_role (conn), "entry") != 0)
-    return;
-  all = g_ptr_array_new ();
-  jc_endpoints_list (state->fleet->endpoints, all);
-  for (guint i = 0; i < all->len; i++)
-    {
-      const struct jc_endpoint *endpoint = g_ptr_array_index (all, i);
-
-      if (!may_reach (conn, fleet_region_of_zone (state, endpoint->zone)))
-        continue;
-      jc_endpoint_to_rpc (endpoint, now, &rows[count++]);
-      if (count < BATCH_ROWS)
-        continue;
-      fleet_send_endpoints (conn, rows, count);
-      count = 0;
+      if (fleet_may_reach (state, conn, endpoint->zone))
+        g_ptr_array_add (out, endpoint);
     }
-  if (count > 0)
-    fleet_send_endpoints (conn, rows, count);
   g_ptr_array_free (all, TRUE);
-  fleet_send_versions (state, conn);
 }
--- a/state/state.h
+++ b/state/state.h
@@ -184,6 +184,8 @@
                            u_int count);
 void fleet_handle_packet (struct state *state, struct jc_rpc_conn *conn,
                           const struct rpc_packet *packet);
+void fleet_list_reachable (const struct state *state,
+                           const struct jc_rpc_conn *conn, GPtrArray *out);
 void fleet_send_snapshot (struct state *state, struct jc_rpc_conn *conn);
 bool fleet_confirms_start (const struct state *state,
                            const struct jc_stream_start *start);
