--- a/net/rpcconn.c
+++ b/net/rpcconn.c
@@ -180,42 +180,46 @@
   return JC_OK;
 }
 
-/* Set BYTES to the encoded PACKET, whose head is filled in, to be freed with
-   g_free.  */
-static enum jc_status
-packet_encode (struct rpc_packet *packet, struct jc_str *bytes)
+/* Return the encoded PACKET, whose head is filled in, to be freed with g_free,
+   and set SIZE to its bytes.  Return NULL on failure, with its reason in
+   STATUS.  */
+static char *
+packet_encode (struct rpc_packet *packet, size_t *size, enum jc_status *status)
 {
-  unsigned long size = xdr_sizeof ((xdrproc_t)xdr_rpc_packet, packet);
   char *data;
   bool encoded;
   XDR xdr;
 
-  if (size == 0 || size > RECORD_MAX_BYTES)
-    return jc_fail (JC_TOO_LARGE, "The message is too large.");
-  data = g_malloc (size);
-  xdrmem_create (&xdr, data, (u_int)size, XDR_ENCODE);
-  encoded = xdr_rpc_packet (&xdr, packet);
-  xdr_destroy (&xdr);
-  if (!encoded)
+  *size = xdr_sizeof ((xdrproc_t)xdr_rpc_packet, packet);
+  if (*size == 0 || *size > RECORD_MAX_BYTES)
     {
-      g_free (data);
-      return jc_fail (JC_INTERNAL, "The message can't be encoded.");
+      *status = jc_fail (JC_TOO_LARGE, "The message is too large.");
+      return NULL;
     }
-  *bytes = (struct jc_str){ .data = data, .len = size };
-  return JC_OK;
+  data = g_malloc (*size);
+  xdrmem_create (&xdr, data, (u_int)*size, XDR_ENCODE);
+  encoded = xdr_rpc_packet (&xdr, packet);
+  xdr_destroy (&xdr);
+  if (encoded)
+    return data;
+  g_free (data);
+  *status = jc_fail (JC_INTERNAL, "The message can't be encoded.");
+  return NULL;
 }
 
 /* Encode PACKET and queue it on CONN.  */
 enum jc_status
 rpc_conn_queue_packet (struct jc_rpc_conn *conn, struct rpc_packet *packet)
 {
-  struct jc_str bytes = { .data = NULL, .len = 0 };
-  enum jc_status status = packet_encode (packet, &bytes);
+  enum jc_status status = JC_OK;
+  size_t size;
+  char *data = packet_encode (packet, &size, &status);
 
-  if (status != JC_OK)
+  if (data == NULL)
     return status;
-  status = rpc_conn_queue_record (conn, bytes, packet->body.type);
-  g_free ((char *)bytes.data);
+  status = rpc_conn_queue_record (
+      conn, (struct jc_str){ .data = data, .len = size }, packet->body.type);
+  g_free (data);
   return status;
 }
 
@@ -592,7 +596,9 @@
 void
 jc_rpc_send_to_all (const GPtrArray *conns, struct rpc_packet *packet)
 {
-  struct jc_str bytes = { .data = NULL, .len = 0 };
+  enum jc_status status = JC_OK;
+  size_t size = 0;
+  char *data = NULL;
 
   for (guint i = 0; i < conns->len; i++)
     {
@@ -600,16 +606,18 @@
 
       if (!rpc_conn_is_usable (conn))
         continue;
-      if (bytes.data == NULL)
+      if (data == NULL)
         {
           rpc_conn_fill_head (conn, packet);
-          if (packet_encode (packet, &bytes) != JC_OK)
-            {
-              jc_error (LOG_COMPONENT, "%s", jc_last_message ());
-              return;
-            }
+          data = packet_encode (packet, &size, &status);
+        }
+      if (data == NULL)
+        {
+          jc_error (LOG_COMPONENT, "%s", jc_last_message ());
+          return;
         }
-      rpc_conn_queue_record (conn, bytes, packet->body.type);
+      rpc_conn_queue_record (conn, (struct jc_str){ .data = data, .len = size },
+                             packet->body.type);
     }
-  g_free ((char *)bytes.data);
+  g_free (data);
 }
