--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -89,7 +89,8 @@
    of the workspace's quota, which QUOTA_REFUSED the request; it may then come
    back after QUOTA_RETRY_MS.  CHARGED means that the next time it is sent is
    paid for, with CHARGED_UNITS that were asked for at CHARGED_MS, CHARGE_USED
-   that an attempt which may use that is under way.  */
+   that an attempt which may use that is under way, CHARGE_WAITS that it counts
+   only once the request, which waits, is sent.  KIND is that of WAITER.  */
 struct exchange
 {
   GList link;
@@ -152,6 +153,7 @@
   bool continues;
   bool progressed;
   bool paused;
+  char *kind;
   struct jc_waiter_slot waiter;
   int64_t wait_until_ms;
   int64_t first_event_ms;
@@ -177,6 +179,7 @@
   bool quota_refused;
   bool charged;
   bool charge_used;
+  bool charge_waits;
   double charged_units;
   int64_t charged_ms;
   int64_t quota_retry_ms;
@@ -195,6 +198,11 @@
 bool exchange_attempt (struct exchange *exchange);
 bool exchange_may_wait (const struct exchange *exchange, int64_t now_ms);
 
+/* In copies.c.  */
+void copies_find (struct exchange *exchange, int64_t now_ms);
+const char *copies_source (struct exchange *exchange,
+                           const struct jc_endpoint *endpoint, int64_t now_ms);
+
 /* In heads.c.  */
 const struct jc_hostroute *heads_find_route (const struct router *router,
                                              const struct jc_http_req *req,
@@ -262,6 +270,7 @@
 
 /* In quotacharges.c.  */
 enum jc_status quotas_charge (struct exchange *exchange);
+void quotas_note_waits (struct exchange *exchange);
 enum jc_status quotas_renew_charge (struct exchange *exchange);
 bool quotas_charge_repeat (struct exchange *exchange);
 void quotas_note_attempt_ended (struct exchange *exchange, bool not_run);
--- a/entry/fleetclient.c
+++ b/entry/fleetclient.c
@@ -185,9 +185,10 @@
   g_ptr_array_free (changed, TRUE);
 }
 
-/* Return the number of entry instances of this region that are known.  */
-static unsigned int
-count_region_entries (const struct router *router)
+/* Return the number of entry instances of this region that are known,
+   this one included.  */
+unsigned int
+fleetclient_count_entries (const struct router *router)
 {
   unsigned int count = 1;
   GHashTableIter iter;
@@ -218,7 +219,7 @@
   if (!endpoint->reporter_is_far || per_s <= 0)
     return false;
   far.allowed = (unsigned int)jc_budgets_cold_allowed (router->budgets, per_s);
-  far.instances = count_region_entries (router);
+  far.instances = fleetclient_count_entries (router);
   return jc_reporters_must_wait (&far, warm, now_ms);
 }
 
--- a/entry/quotas.c
+++ b/entry/quotas.c
@@ -15,6 +15,9 @@
   UNANSWERED_MAX = 3,
   /* What nobody used for this long is forgotten.  */
   FORGET_MS = 20000,
+  /* The log tells of refused requests of other instances at this interval, for
+     each workspace.  */
+  TELL_MS = 1000,
   MILLI = 1000
 };
 
@@ -268,6 +271,15 @@
              || jc_quotaowner_is_unused (quota->owner, now));
 }
 
+static gboolean
+is_old_failure (gpointer key, gpointer value, gpointer ctx)
+{
+  const struct owner_failure *failure = value;
+
+  (void)key;
+  return *(const int64_t *)ctx - failure->last_ms >= FORGET_MS;
+}
+
 /* Keep up with the configuration and the instances of the zone, ask for slots,
    and forget what is old.  */
 void
@@ -284,6 +296,7 @@
   router->quotas->zones = count_zones (router);
   quotaleases_tick (router);
   g_hash_table_foreach_remove (router->quotas->by_name, is_forgotten, &now);
+  g_hash_table_foreach_remove (router->quotas->failures, is_old_failure, &now);
 }
 
 /* Let this instance keep the account of QUOTA for its zone.  */
@@ -313,9 +326,32 @@
     return;
   quotas_begin_owning (quota);
   bucket = jc_quotaowner_bucket (quota->owner);
-  if (ask->returned > 0)
-    jc_quotabucket_return (bucket, ask->returned, now);
-  jc_quotabucket_take (bucket, ask->units, ask->ahead, now, out);
+  if (ask->waiting > 0 && ask->units <= 0)
+    jc_quotabucket_note_waits (bucket, ask->waiting, now);
+  else if (ask->waiting > 0)
+    jc_quotabucket_send (bucket, ask->units, now, out);
+  else
+    jc_quotabucket_take (bucket, ask->units, ask->ahead, now, out);
+}
+
+/* Log that this instance, the owner of WORKSPACE, refused ASK of the instance
+   ASKER by DECISION.  The line of ASKER doesn't have what was used.  */
+static void
+log_refused_ask (struct router *router, const char *workspace,
+                 const struct quota_ask *ask, const char *asker,
+                 const struct jc_quota_decision *decision)
+{
+  struct workspace_quota *quota = quotas_find (router, workspace);
+  int64_t now = jc_boot_ms ();
+
+  if (quota == NULL || (quota->told_ms > 0 && now - quota->told_ms < TELL_MS))
+    return;
+  quota->told_ms = now;
+  jc_event (JC_EVENT_QUOTA,
+            "workspace=%s what=refused_ask asker=%s units=%.0f per_s=%.0f "
+            "burst=%.0f used_per_s=%.0f slots=%u age_ms=%" PRId64,
+            quota->name, asker, ask->units, quota->per_s, quota->burst,
+            decision->used_per_s, decision->slots, decision->age_ms);
 }
 
 /* Answer PACKET, which asks this instance as the owner of a workspace.  */
@@ -329,10 +365,21 @@
   const struct quota_ask ask
       = { .units = (double)take->milli / MILLI,
           .ahead = (double)take->ahead_milli / MILLI,
-          .returned = (double)take->returned_milli / MILLI };
+          .waiting = (double)take->waiting_milli / MILLI };
   struct jc_quota_decision decision;
 
+  /* The sender asks another instance if this one gives no answer.  */
+  if (router->routes == NULL)
+    {
+      jc_event (JC_EVENT_QUOTA,
+                "workspace=%s what=no_configuration asker=%s units=%.0f",
+                take->workspace, jc_rpc_conn_name (conn), ask.units);
+      return;
+    }
   quotas_decide (router, take->workspace, &ask, &decision);
+  if (decision.granted < ask.units)
+    log_refused_ask (router, take->workspace, &ask, jc_rpc_conn_name (conn),
+                     &decision);
   grant->milli = (u_quad_t)(decision.granted * MILLI);
   grant->retry_ms = (u_int)decision.retry_ms;
   grant->slots = decision.slots;
--- a/serve/quotabucket.c
+++ b/serve/quotabucket.c
@@ -23,7 +23,11 @@
      them may be lost.  */
   RELEASE_REPEAT_MS = 3000,
   RETRY_MIN_MS = 100,
-  RETRY_MAX_MS = 5000,
+  /* Callers don't wait for longer.  */
+  RETRY_MAX_MS = 3600 * 1000,
+  /* Not all who were told a time come back: later ones are told no more than
+     this because of them, or the time of one request.  */
+  RETRY_QUEUE_MS = 5000,
   /* While the owner has no slots.  */
   RETRY_UNKNOWN_MS = 1000
 };
@@ -62,7 +66,9 @@
   unsigned int requests;
 };
 
-/* CREDIT is that of UPDATED_MS.  The units that refused callers were told to
+/* CREDIT is that of UPDATED_MS.  SENDABLE is the same without what was granted
+   to requests that wait and are not sent yet: CREDIT bounds what is accepted,
+   SENDABLE what runs.  The units that refused callers were told to
    come back for will be there at PROMISED_MS.  No more than KEEP slots are to
    be kept.  */
 struct jc_quotabucket
@@ -70,6 +76,7 @@
   double per_s;
   double burst;
   double credit;
+  double sendable;
   int64_t updated_ms;
   int64_t promised_ms;
   int64_t asked_ms;
@@ -129,8 +136,18 @@
 static void
 cap_credit (struct jc_quotabucket *bucket)
 {
-  bucket->credit
-      = MIN (bucket->credit, count_held (bucket) * slot_burst (bucket));
+  double room = count_held (bucket) * slot_burst (bucket);
+
+  bucket->credit = MIN (bucket->credit, room);
+  bucket->sendable = MIN (bucket->sendable, room);
+}
+
+/* Add UNITS to what BUCKET holds.  */
+static void
+add_credit (struct jc_quotabucket *bucket, double units)
+{
+  bucket->credit += units;
+  bucket->sendable += units;
 }
 
 /* Bring BUCKET to NOW_MS: add what its slots brought while they were leased,
@@ -147,7 +164,7 @@
       if (!slot->held)
         continue;
       if (to > from)
-        bucket->credit += (double)(to - from) * slot_per_ms (bucket);
+        add_credit (bucket, (double)(to - from) * slot_per_ms (bucket));
       slot->held = slot->until_ms > now_ms;
     }
   cap_credit (bucket);
@@ -177,11 +194,11 @@
   return interval;
 }
 
-/* Return whether UNITS may be taken from BUCKET now.  A request that is larger
-   than what the bucket can hold may run once that is full; the debt is paid
-   back before the next one.  */
+/* Return whether UNITS may be taken from BUCKET, which has CREDIT.  A request
+   that is larger than what the bucket can hold may run once that is full; the
+   debt is paid back before the next one.  */
 static bool
-may_take (const struct jc_quotabucket *bucket, double units)
+may_take (const struct jc_quotabucket *bucket, double credit, double units)
 {
   unsigned int held = count_held (bucket);
   double room = held * slot_burst (bucket);
@@ -189,29 +206,40 @@
 
   if (held == 0)
     return false;
-  return bucket->credit + debt >= units
-         || (units > room + debt && bucket->credit >= room);
+  return credit + debt >= units || (units > room + debt && credit >= room);
+}
+
+/* Return in which time a bucket that gets PER_MS units a millisecond gets
+   UNITS, ms.  */
+static int64_t
+fill_ms (double units, double per_ms)
+{
+  return (int64_t)ceil (MIN (MAX (units, 0) / per_ms, RETRY_MAX_MS));
 }
 
-/* Return the time until a request for UNITS that is refused now may run, given
-   what others were told before, ms.  */
+/* Return the time until a request for UNITS that is refused now may run with
+   the slots that BUCKET has, given what others were told before, ms.  */
 static int64_t
 promise (struct jc_quotabucket *bucket, double units, int64_t now_ms)
 {
+  double credit = MIN (bucket->credit, bucket->sendable);
   unsigned int held = count_held (bucket);
   double per_ms = held * slot_per_ms (bucket);
   double room = held * slot_burst (bucket);
   double debt = debt_max (bucket, MIN (held, bucket->keep));
-  double missing = MIN (units - debt, room) - bucket->credit;
-  int64_t due;
+  int64_t alone;
+  int64_t one;
+  int64_t queued;
 
   if (held == 0)
     return RETRY_UNKNOWN_MS;
-  due = now_ms + (int64_t)ceil (MAX (missing, 0) / per_ms);
-  due = MAX (due, bucket->promised_ms + (int64_t)ceil (units / per_ms));
-  due = CLAMP (due, now_ms + RETRY_MIN_MS, now_ms + RETRY_MAX_MS);
-  bucket->promised_ms = due;
-  return due - now_ms;
+  alone = fill_ms (MIN (units - debt, room) - credit, per_ms);
+  one = fill_ms (units, per_ms);
+  queued = MIN (bucket->promised_ms - now_ms + one,
+                MAX (RETRY_QUEUE_MS, alone + one));
+  queued = CLAMP (MAX (alone, queued), RETRY_MIN_MS, RETRY_MAX_MS);
+  bucket->promised_ms = now_ms + queued;
+  return queued;
 }
 
 static int64_t
@@ -241,33 +269,55 @@
   interval->largest = MAX (interval->largest, units);
   *out = (struct jc_quota_decision){ .slots = count_held (bucket),
                                      .age_ms = share_age_ms (bucket, now_ms) };
-  if (!may_take (bucket, units))
+  if (!may_take (bucket, MIN (bucket->credit, bucket->sendable), units))
     {
       out->retry_ms = promise (bucket, units, now_ms);
+      out->used_per_s = jc_quotabucket_used_per_s (bucket, now_ms);
       return;
     }
   out->granted = units;
-  bucket->credit -= units;
-  ahead = MIN (ahead, bucket->credit - out->slots * slot_burst (bucket) / 2);
+  add_credit (bucket, -units);
+  ahead = MIN (ahead, MIN (bucket->credit, bucket->sendable)
+                          - out->slots * slot_burst (bucket) / 2);
   if (ahead > 0)
     {
       out->granted += ahead;
-      bucket->credit -= ahead;
+      add_credit (bucket, -ahead);
     }
   interval->granted += out->granted;
 }
 
-/* Take back UNITS that were granted and are not used, as far as BUCKET can hold
-   them.  */
+/* A request that UNITS were just granted to waits: they are taken once more by
+   jc_quotabucket_send when it is sent.  */
 void
-jc_quotabucket_return (struct jc_quotabucket *bucket, double units,
-                       int64_t now_ms)
+jc_quotabucket_note_waits (struct jc_quotabucket *bucket, double units,
+                           int64_t now_ms)
 {
   update (bucket, now_ms);
-  bucket->credit += units;
+  bucket->sendable += units;
   cap_credit (bucket);
 }
 
+/* Take UNITS, which were granted before, for a request that has waited and is
+   sent now.  Set OUT to the result.  */
+void
+jc_quotabucket_send (struct jc_quotabucket *bucket, double units,
+                     int64_t now_ms, struct jc_quota_decision *out)
+{
+  update (bucket, now_ms);
+  bucket->asked_ms = now_ms;
+  *out = (struct jc_quota_decision){ .slots = count_held (bucket),
+                                     .age_ms = share_age_ms (bucket, now_ms) };
+  if (!may_take (bucket, bucket->sendable, units))
+    {
+      out->retry_ms = promise (bucket, units, now_ms);
+      out->used_per_s = jc_quotabucket_used_per_s (bucket, now_ms);
+      return;
+    }
+  out->granted = units;
+  bucket->sendable -= units;
+}
+
 /* Note that SLOT was leased for LEASE_MS from REQUESTED_MS on.  Return false if
    that is of no use: the slot was given back after the request, or the lease is
    over.  */
@@ -296,27 +346,28 @@
   slot->held = true;
   slot->released_ms = 0;
   if (is_new)
-    bucket->credit += (double)leased->credit_milli / MILLI;
+    add_credit (bucket, (double)leased->credit_milli / MILLI);
   cap_credit (bucket);
   return true;
 }
 
 /* Give back slots of BUCKET, each with its part of the credit, until it has no
-   more than COUNT, once it owes no
-   more than those that are left may owe.  */
+   more than COUNT, once it owes no more than those that are left may owe.  */
 void
 jc_quotabucket_keep (struct jc_quotabucket *bucket, unsigned int count,
                      int64_t now_ms)
 {
   unsigned int held;
+  double credit;
   double each;
 
   update (bucket, now_ms);
   bucket->keep = count;
   held = count_held (bucket);
-  if (bucket->credit < -debt_max (bucket, count))
+  credit = MIN (bucket->credit, bucket->sendable);
+  if (credit < -debt_max (bucket, count))
     return;
-  each = held > 0 ? MAX (bucket->credit / held, 0) : 0;
+  each = held > 0 ? MAX (credit / held, 0) : 0;
   for (unsigned int i = JC_QUOTABUCKET_SLOTS; i > 0 && held > count; i--)
     {
       struct slot *slot = &bucket->slots[i - 1];
@@ -326,7 +377,7 @@
       slot->held = false;
       slot->released_ms = now_ms;
       slot->left = each;
-      bucket->credit -= each;
+      add_credit (bucket, -each);
       held--;
     }
   cap_credit (bucket);
@@ -415,8 +466,7 @@
 
 /* Set WANTED to how many slots the demand on BUCKET takes, rounded, and AMPLE
    to how many it takes if that grows, or becomes again what it was in the last
-   few seconds.  AMPLE slots also hold the largest request.
- */
+   few seconds.  AMPLE slots also hold the largest request.  */
 void
 jc_quotabucket_demand (struct jc_quotabucket *bucket, int64_t now_ms,
                        unsigned int *wanted, unsigned int *ample)
