--- a/tests/process/quota_standin.py
+++ b/tests/process/quota_standin.py
@@ -250,7 +250,6 @@
     assert all(w.statuses.get(200, 0) <= w.bound(begin) for w in all_workspaces)
 
 
-
 if __name__ == "__main__":
     use(sys.argv[2])
     asyncio.run({"quota": quota, "restarted": restarted}[sys.argv[1]]())
