Print JSON errors as line, text and column, and cut only what quotes a file

Cause: jc_faults_add_json cut at " '". It cuts at " near " and at the quote of an escape now, which are what holds text of the file, and keeps the format that settings.sh asks for, with the column behind. settings.sh and json-errors.sh pass.

--- a/base/fields.c
+++ b/base/fields.c
@@ -38,7 +38,7 @@
 jc_faults_add_json (GPtrArray *faults, const char *path,
                     const json_error_t *error)
 {
-  static const char *const quotes[] = { " near ", " '" };
+  static const char *const quotes[] = { " near ", " '\\" };
   size_t len = strlen (error->text);
 
   for (size_t i = 0; i < G_N_ELEMENTS (quotes); i++)
@@ -48,8 +48,8 @@
       if (quote != NULL)
         len = MIN (len, (size_t)(quote - error->text));
     }
-  jc_faults_add (faults, path, "line %d, column %d: %.*s", error->line,
-                 error->column, (int)len, error->text);
+  jc_faults_add (faults, path, "line %d: %.*s, column %d", error->line,
+                 (int)len, error->text, error->column);
 }
 
 static bool
