--- a/review/lib-2/platform_standin.py
+++ b/review/lib-2/platform_standin.py
@@ -111,7 +111,8 @@
                 time.sleep(daemon.restart_s)
                 if self.ended:
                     return
-                daemon.settings["first_start"] = False
+                if "first_start" in daemon.settings:
+                    daemon.settings["first_start"] = False
                 daemon.start()
             time.sleep(0.005)
 
