--- a/review/7/case.py
+++ b/review/7/case.py
@@ -55,8 +55,8 @@
 
 def play(rig):
     record = rig.record
-    rpc, control, directory = free_ports(3)
     ips = ["127.0.41.%d" % (i + 1) for i in range(len(PLACES))]
+    rpc, control, directory = free_ports(3, ips)
     seeds = ["%s:%d" % (ip, control) for ip in ips[:3]]
     addresses = ["%s:%d" % (ip, control) for ip in ips]
     for ip, (zone, region) in zip(ips, PLACES):
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -39,8 +39,9 @@
         self.answers, self.sending = {}, True
 
     def place(self):
-        rpc, control, directory, callers, ready, operators, handover = free_ports(7)
         ips = ["127.0.43.%d" % i for i in (1, 2, 3)]
+        rpc, control, directory, callers, ready, operators, handover = free_ports(
+            7, ips + ["127.0.43.11", "127.0.43.12"])
         self.controls = ["%s:%d" % (ip, control) for ip in ips]
         zones = [{"name": z, "region": r} for z, r in ZONES]
         for i, ip in enumerate(ips):
--- a/review/lib-2/platform_standin.py
+++ b/review/lib-2/platform_standin.py
@@ -19,14 +19,22 @@
 MB = 1024 * 1024
 
 
-def free_ports(count):
-    """Return COUNT port numbers that nothing on loopback uses."""
+def free_ports(count, ips):
+    """Return COUNT port numbers that are free at each of the loopback addresses IPS."""
     held, ports = [], []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind(("0.0.0.0", 0))
-        held.append(s)
-        ports.append(s.getsockname()[1])
+    while len(ports) < count:
+        first = socket.socket()
+        first.bind((ips[0], 0))
+        port = first.getsockname()[1]
+        held.append(first)
+        try:
+            for ip in ips[1:]:
+                other = socket.socket()
+                held.append(other)
+                other.bind((ip, port))
+        except OSError:
+            continue
+        ports.append(port)
     for s in held:
         s.close()
     return ports
