--- a/conf/rlog.c
+++ b/conf/rlog.c
@@ -452,6 +452,26 @@
   return jc_rlogstore_last_index (log->store);
 }
 
+/* Return the index of the last entry that the snapshot covers, 0 if there is
+   none.  */
+uint64_t
+jc_rlog_snapshot_index (const struct jc_rlog *log)
+{
+  return log->store->snapshot_index;
+}
+
+/* Return what LOG takes on the disk and in memory.  */
+struct jc_rlog_usage
+jc_rlog_usage (const struct jc_rlog *log)
+{
+  const struct jc_rlogstore *store = log->store;
+
+  return (struct jc_rlog_usage){ .file_bytes = jc_rlogstore_file_bytes (store),
+                                 .snapshot_bytes = store->snapshot->len,
+                                 .entry_bytes = store->entry_bytes,
+                                 .entries = store->entries->len };
+}
+
 /* Return the incarnation of the disk of this replica.  */
 uint64_t
 jc_rlog_incarnation (const struct jc_rlog *log)
--- a/conf/rlog.h
+++ b/conf/rlog.h
@@ -72,6 +72,16 @@
   size_t snapshot_chunk_bytes;
 };
 
+/* What a log takes, in bytes: its file, and in memory its snapshot and its
+   ENTRIES entries.  */
+struct jc_rlog_usage
+{
+  size_t file_bytes;
+  size_t snapshot_bytes;
+  size_t entry_bytes;
+  unsigned int entries;
+};
+
 struct jc_rlog *jc_rlog_open (struct jc_disk *disk,
                               const struct jc_rlog_options *options,
                               const struct jc_rlog_class *klass, void *ctx,
@@ -97,6 +107,8 @@
 uint64_t jc_rlog_term (const struct jc_rlog *log);
 uint64_t jc_rlog_applied_index (const struct jc_rlog *log);
 uint64_t jc_rlog_last_index (const struct jc_rlog *log);
+uint64_t jc_rlog_snapshot_index (const struct jc_rlog *log);
+struct jc_rlog_usage jc_rlog_usage (const struct jc_rlog *log);
 uint64_t jc_rlog_incarnation (const struct jc_rlog *log);
 int64_t jc_rlog_silent_ms (const struct jc_rlog *log, const char *name,
                            int64_t now_ms);
--- a/conf/rlogstore.c
+++ b/conf/rlogstore.c
@@ -54,6 +54,13 @@
   g_string_free (bytes, TRUE);
 }
 
+/* Return the size of the file in bytes.  */
+size_t
+jc_rlogstore_file_bytes (const struct jc_rlogstore *store)
+{
+  return jc_journal_size (store->journal);
+}
+
 uint64_t
 jc_rlogstore_last_index (const struct jc_rlogstore *store)
 {
@@ -81,14 +88,31 @@
   return index == store->snapshot_index ? store->snapshot_term : 0;
 }
 
+/* Free COUNT entries in memory from the one at POSITION of the array on.  */
+static void
+free_entries (struct jc_rlogstore *store, guint position, guint count)
+{
+  for (guint i = 0; i < count; i++)
+    {
+      const struct rpc_log_entry *entry
+          = g_ptr_array_index (store->entries, position + i);
+
+      store->entry_bytes -= entry->data.rpc_bytes_len;
+    }
+  if (count > 0)
+    g_ptr_array_remove_range (store->entries, position, count);
+}
+
 /* Store ENTRY at INDEX in memory, discarding the entries from INDEX on.  */
 static void
 set_entry (struct jc_rlogstore *store, uint64_t index,
            const struct rpc_log_entry *entry)
 {
-  g_ptr_array_set_size (store->entries,
-                        (gint)(index - store->snapshot_index - 1));
+  guint position = (guint)(index - store->snapshot_index - 1);
+
+  free_entries (store, position, store->entries->len - position);
   g_ptr_array_add (store->entries, entry_copy (entry));
+  store->entry_bytes += entry->data.rpc_bytes_len;
   store->synced_index = MIN (store->synced_index, index - 1);
 }
 
@@ -373,8 +397,7 @@
 {
   uint64_t term = jc_rlogstore_term_at (store, index);
 
-  g_ptr_array_remove_range (store->entries, 0,
-                            (guint)(index - store->snapshot_index));
+  free_entries (store, 0, (guint)(index - store->snapshot_index));
   jc_replicas_clear (&store->snapshot_replicas);
   jc_replicas_copy (&store->snapshot_replicas, replicas);
   g_string_free (store->snapshot, TRUE);
@@ -392,10 +415,9 @@
                       const struct rpc_record_snapshot *record)
 {
   if (jc_rlogstore_term_at (store, record->index) == record->term)
-    g_ptr_array_remove_range (store->entries, 0,
-                              (guint)(record->index - store->snapshot_index));
+    free_entries (store, 0, (guint)(record->index - store->snapshot_index));
   else
-    g_ptr_array_set_size (store->entries, 0);
+    free_entries (store, 0, store->entries->len);
   store_set_snapshot (store, record);
   store->commit_index = record->index;
   return store_rewrite (store);
--- a/conf/rlogstore.h
+++ b/conf/rlogstore.h
@@ -10,10 +10,10 @@
 struct jc_journal;
 
 /* The durable state of a replica and its copy in memory.  ENTRIES holds struct
-   rpc_log_entry from SNAPSHOT_INDEX + 1 on; VOTED_FOR is the candidate voted
-   for in TERM, "" for none.  Changes are durable once jc_rlogstore_sync
-   succeeds: SYNCED_INDEX is the last durable entry, and DIRTY is set while
-   there are unsynced changes.  */
+   rpc_log_entry from SNAPSHOT_INDEX + 1 on, ENTRY_BYTES of data in all;
+   VOTED_FOR is the candidate voted for in TERM, "" for none.  Changes are
+   durable once jc_rlogstore_sync succeeds: SYNCED_INDEX is the last durable
+   entry, and DIRTY is set while there are unsynced changes.  */
 struct jc_rlogstore
 {
   struct jc_journal *journal;
@@ -27,6 +27,7 @@
   struct rpc_replicas snapshot_replicas;
   GString *snapshot;
   GPtrArray *entries;
+  size_t entry_bytes;
   uint64_t synced_index;
   bool dirty;
 };
@@ -35,6 +36,7 @@
                                         uint64_t new_incarnation,
                                         enum jc_status *status);
 void jc_rlogstore_free (struct jc_rlogstore *store);
+size_t jc_rlogstore_file_bytes (const struct jc_rlogstore *store);
 uint64_t jc_rlogstore_last_index (const struct jc_rlogstore *store);
 uint64_t jc_rlogstore_term_at (const struct jc_rlogstore *store,
                                uint64_t index);
--- a/net/program.c
+++ b/net/program.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <sys/resource.h>
 #include <time.h>
 
 #include "base/build.h"
@@ -12,7 +13,8 @@
 enum
 {
   MS_PER_S = 1000,
-  NS_PER_MS = 1000000
+  NS_PER_MS = 1000000,
+  BYTES_PER_KB = 1024
 };
 
 static char *settings_file;
@@ -42,6 +44,18 @@
   return g_get_monotonic_time ();
 }
 
+/* Return the most memory in bytes that this process has had resident so far, 0
+   if the system does not tell.  */
+uint64_t
+jc_peak_memory_bytes (void)
+{
+  struct rusage usage;
+
+  if (getrusage (RUSAGE_SELF, &usage) != 0)
+    return 0;
+  return (uint64_t)usage.ru_maxrss * BYTES_PER_KB;
+}
+
 /* Return the time in ms of a clock that, unlike jc_now_ms, goes on while the
    machine is suspended.  */
 int64_t
--- a/net/program.h
+++ b/net/program.h
@@ -36,5 +36,6 @@
 int64_t jc_wall_ms (void);
 int64_t jc_boot_ms (void);
 uint64_t jc_random_id (void);
+uint64_t jc_peak_memory_bytes (void);
 
 #endif
--- a/state/gauges.c
+++ b/state/gauges.c
@@ -15,11 +15,18 @@
 void
 gauges_print (struct state *state, GString *out)
 {
+  struct jc_rlog_usage usage = log_usage (state);
+
   set_gauge (state, "jaycove_replica_leads", log_is_leader (state) ? 1 : 0);
   set_gauge (state, "jaycove_replica_term", (double)log_term (state));
   set_gauge (state, "jaycove_replicas", log_replicas (state)->list.list_len);
   set_gauge (state, "jaycove_replicas_voting",
              jc_replicas_count_voters (log_replicas (state)));
+  set_gauge (state, "jaycove_log_file_bytes", (double)usage.file_bytes);
+  set_gauge (state, "jaycove_log_snapshot_bytes", (double)usage.snapshot_bytes);
+  set_gauge (state, "jaycove_log_entry_bytes", (double)usage.entry_bytes);
+  set_gauge (state, "jaycove_memory_peak_bytes",
+             (double)jc_peak_memory_bytes ());
   set_gauge (state, "jaycove_orders_last", log_survives_losses (state) ? 1 : 0);
   set_gauge (state, "jaycove_position", (double)state->orders->position);
   set_gauge (state, "jaycove_config_version",
--- a/state/log.c
+++ b/state/log.c
@@ -29,7 +29,8 @@
   /* Interval at which a log is opened again after its disk failed; the disk
      may only have been full, or slow to answer.  */
   REOPEN_MS = 500,
-  MS_PER_S = 1000
+  MS_PER_S = 1000,
+  US_PER_MS = 1000
 };
 
 /* The log of this instance.  RUNNING is set once the log has been replayed.
@@ -81,6 +82,21 @@
         .snapshot = logentries_snapshot,
         .role_changed = on_role_change };
 
+/* Write a line about WHAT was done to RLOG in MS milliseconds.  */
+static void
+report_usage (const char *what, const struct jc_rlog *rlog, int64_t ms)
+{
+  struct jc_rlog_usage usage = jc_rlog_usage (rlog);
+
+  jc_event (JC_EVENT_STORAGE,
+            "what=%s snapshot=%" PRIu64 " last=%" PRIu64
+            " file_bytes=%zu snapshot_bytes=%zu entries=%u entry_bytes=%zu"
+            " ms=%" PRId64 " peak_memory_bytes=%" PRIu64,
+            what, jc_rlog_snapshot_index (rlog), jc_rlog_last_index (rlog),
+            usage.file_bytes, usage.snapshot_bytes, usage.entries,
+            usage.entry_bytes, ms, jc_peak_memory_bytes ());
+}
+
 /* Open the log on this instance's disk and apply its committed entries.  */
 static struct jc_rlog *
 open_rlog (struct state *state, enum jc_status *status)
@@ -94,9 +110,12 @@
           .heartbeat_ms = s->election_ms / HEARTBEATS_PER_ELECTION,
           .snapshot_entries = (uint64_t)s->snapshot_entries,
           .snapshot_chunk_bytes = SNAPSHOT_CHUNK_BYTES };
+  int64_t started_ms = jc_now_ms ();
   struct jc_rlog *rlog = jc_rlog_open (state->disk, &options, &log_class, state,
-                                       jc_now_ms (), status);
+                                       started_ms, status);
 
+  if (rlog != NULL)
+    report_usage ("open", rlog, jc_now_ms () - started_ms);
   if (*status == JC_OK && state->snapshot_invalid)
     *status = jc_fail (JC_CORRUPT, "The snapshot on disk is not valid.");
   return rlog;
@@ -153,18 +172,19 @@
 {
   struct log *log = state->log;
   uint64_t last = jc_rlog_last_index (log->rlog);
-  int64_t started_us;
+  uint64_t snapshot = jc_rlog_snapshot_index (log->rlog);
+  int64_t started_us = jc_now_us ();
+  int64_t took_us;
 
-  if (last == log->flushed_index)
-    {
-      jc_rlog_flush (log->rlog, jc_now_ms ());
-      return;
-    }
-  started_us = g_get_monotonic_time ();
   jc_rlog_flush (log->rlog, jc_now_ms ());
+  took_us = jc_now_us () - started_us;
+  if (jc_rlog_snapshot_index (log->rlog) != snapshot)
+    report_usage ("compact", log->rlog, took_us / US_PER_MS);
+  if (last == log->flushed_index)
+    return;
   log->flushed_index = last;
   jc_metrics_observe (state->metrics, "jaycove_log_flush_us", "",
-                      (uint64_t)(g_get_monotonic_time () - started_us));
+                      (uint64_t)took_us);
 }
 
 static void
@@ -314,6 +334,13 @@
       (unsigned int)settings->losses);
 }
 
+/* Return what the log takes on the disk and in memory.  */
+struct jc_rlog_usage
+log_usage (const struct state *state)
+{
+  return jc_rlog_usage (state->log->rlog);
+}
+
 /* Return the replicas of the log; the log owns them.  */
 const struct rpc_replicas *
 log_replicas (const struct state *state)
--- a/state/state.h
+++ b/state/state.h
@@ -10,6 +10,7 @@
 #include "conf/confstate.h"
 #include "conf/orders.h"
 #include "conf/replicas.h"
+#include "conf/rlog.h"
 #include "member/crashes.h"
 #include "member/departures.h"
 #include "member/grants.h"
@@ -103,6 +104,7 @@
 uint64_t log_term (const struct state *state);
 uint64_t log_applied_index (const struct state *state);
 bool log_survives_losses (const struct state *state);
+struct jc_rlog_usage log_usage (const struct state *state);
 const struct rpc_replicas *log_replicas (const struct state *state);
 int64_t log_replica_silent_ms (const struct state *state, const char *name);
 bool log_replica_caught_up (const struct state *state, const char *name);
