conf, base: bound the log in bytes, and open it without a copy of it

Cause: the log was compacted by the number of its entries alone, and a start held the file, its entries and their new encoding in memory at once, before it compacted anything. It wrote the whole log a second time to the disk.

Proposals that wait are bounded by 16 MB. The format of the file is as before.

--- a/base/disk.c
+++ b/base/disk.c
@@ -84,21 +84,57 @@
 }
 
 static enum jc_status
-folder_read (struct jc_disk *disk, const char *name, GByteArray *out)
+folder_size (struct jc_disk *disk, const char *name, uint64_t *bytes)
+{
+  const struct folder_disk *folder = (const struct folder_disk *)disk;
+  struct stat info;
+
+  if (fstatat (folder->folder_fd, name, &info, 0) == 0)
+    {
+      *bytes = (uint64_t)info.st_size;
+      return JC_OK;
+    }
+  if (errno == ENOENT)
+    return jc_fail (JC_NOT_FOUND, "There is no file %s.", name);
+  return storage_failed ("find", name);
+}
+
+/* Append up to LEN bytes of FD from OFFSET on to OUT.  Return false and set
+   errno on failure.  */
+static bool
+read_up_to (int fd, uint64_t offset, size_t len, GByteArray *out)
 {
-  struct folder_disk *folder = (struct folder_disk *)disk;
   unsigned char buf[READ_BUFFER_BYTES];
+
+  while (len > 0)
+    {
+      ssize_t got = pread (fd, buf, MIN (len, sizeof buf), (off_t)offset);
+
+      if (got < 0 && errno == EINTR)
+        continue;
+      if (got <= 0)
+        return got == 0;
+      g_byte_array_append (out, buf, (guint)got);
+      offset += (uint64_t)got;
+      len -= (size_t)got;
+    }
+  return true;
+}
+
+static enum jc_status
+folder_read (struct jc_disk *disk, const char *name, uint64_t offset,
+             size_t len, GByteArray *out)
+{
+  const struct folder_disk *folder = (const struct folder_disk *)disk;
   int fd = openat (folder->folder_fd, name, O_RDONLY | O_CLOEXEC);
-  ssize_t len;
+  enum jc_status status = JC_OK;
 
-  if (fd < 0 && errno == ENOENT)
-    return jc_fail (JC_NOT_FOUND, "There is no file %s.", name);
   if (fd < 0)
     return storage_failed ("open", name);
-  while ((len = read (fd, buf, sizeof buf)) > 0)
-    g_byte_array_append (out, buf, (guint)len);
+  if (!read_up_to (fd, offset, len, out))
+    status = storage_failed ("read", name);
   close (fd);
-  return len == 0 ? JC_OK : storage_failed ("read", name);
+  return status;
 }
 
 static enum jc_status
@@ -191,7 +227,8 @@
   g_free (folder);
 }
 
-static const struct jc_disk_class folder_class = { .read = folder_read,
+static const struct jc_disk_class folder_class = { .size = folder_size,
+                                                   .read = folder_read,
                                                    .append = folder_append,
                                                    .sync = folder_sync,
                                                    .replace = folder_replace,
--- a/base/journal.c
+++ b/base/journal.c
@@ -10,7 +10,9 @@
   LENGTH_BYTES = 4,
   CHECKSUM_BYTES = 16,
   HEADER_BYTES = LENGTH_BYTES + CHECKSUM_BYTES,
-  RECORD_BYTES_MAX = 64 * 1024 * 1024
+  RECORD_BYTES_MAX = 64 * 1024 * 1024,
+  /* Bytes that are read from a file at a time.  */
+  WINDOW_BYTES = 256 * 1024
 };
 
 /* SIZE is the length of the file in bytes.  FAILED is set after an operation
@@ -48,20 +50,61 @@
   g_byte_array_append (out, (const guint8 *)record.data, (guint)record.len);
 }
 
-/* Set RECORD to the data of the record at POS of BYTES.  Return the length of
-   the record including its header, or 0 if there is no valid record.  */
+/* A part of a file that is being read from its start to its end, so that the
+   whole of it is never in memory: BYTES from OFFSET on, of SIZE bytes in all.
+   STATUS is that of the first read that failed.  */
+struct window
+{
+  struct jc_disk *disk;
+  const char *name;
+  uint64_t size;
+  uint64_t offset;
+  GByteArray *bytes;
+  enum jc_status status;
+};
+
+/* Return LEN bytes at POS, which must not be before that of the last call, or
+   NULL if the file has fewer or can't be read.  */
+static const unsigned char *
+window_get (struct window *window, uint64_t pos, size_t len)
+{
+  guint passed = (guint)MIN (pos - window->offset, window->bytes->len);
+  size_t missing;
+
+  if (window->status != JC_OK || pos > window->size || window->size - pos < len)
+    return NULL;
+  if (window->bytes->len - passed >= len)
+    return window->bytes->data + passed;
+  if (passed > 0)
+    g_byte_array_remove_range (window->bytes, 0, passed);
+  window->offset = pos;
+  missing = MAX (len, (size_t)WINDOW_BYTES) - window->bytes->len;
+  window->status = window->disk->klass->read (window->disk, window->name,
+                                              pos + window->bytes->len, missing,
+                                              window->bytes);
+  if (window->status == JC_OK && window->bytes->len < len)
+    window->status = jc_fail (JC_STORAGE_FAILED, "%s ends before byte %lu.",
+                              window->name, (unsigned long)(pos + len));
+  return window->status == JC_OK ? window->bytes->data : NULL;
+}
+
+/* Set RECORD to the data of the record at POS.  Return the length of the record
+   including its header, or 0 if there is no valid record.  */
 static size_t
-record_decode (const GByteArray *bytes, size_t pos, struct jc_str *record)
+record_decode (struct window *window, uint64_t pos, struct jc_str *record)
 {
-  const unsigned char *header = bytes->data + pos;
+  const unsigned char *header = window_get (window, pos, HEADER_BYTES);
   unsigned char checksum[CHECKSUM_BYTES];
   uint32_t len;
 
-  if (bytes->len - pos < HEADER_BYTES)
+  if (header == NULL)
     return 0;
   memcpy (&len, header, LENGTH_BYTES);
   len = GUINT32_FROM_LE (len);
-  if (len > RECORD_BYTES_MAX || bytes->len - pos - HEADER_BYTES < len)
+  if (len > RECORD_BYTES_MAX)
+    return 0;
+  header = window_get (window, pos, HEADER_BYTES + (size_t)len);
+  if (header == NULL)
     return 0;
   *record = (struct jc_str){ .data = (const char *)header + HEADER_BYTES,
                              .len = len };
@@ -75,40 +118,42 @@
    invalid data at POS is not the torn write of a crash but damage in the middle
    of the file.  */
 static bool
-has_record_after (const GByteArray *bytes, size_t pos)
+has_record_after (struct window *window, uint64_t pos)
 {
   struct jc_str record;
 
-  for (size_t at = pos + 1; at + HEADER_BYTES <= bytes->len; at++)
-    if (record_decode (bytes, at, &record) > 0)
+  for (uint64_t at = pos + 1; at + HEADER_BYTES <= window->size; at++)
+    if (record_decode (window, at, &record) > 0)
       return true;
   return false;
 }
 
-/* Pass each record of BYTES, the content of the file, to FN and truncate a torn
+/* Pass each record of WINDOW, which reads the file, to FN and truncate a torn
    record at its end.  */
 static enum jc_status
-journal_replay (struct jc_journal *journal, const GByteArray *bytes,
+journal_replay (struct jc_journal *journal, struct window *window,
                 jc_journal_record_fn *fn, void *ctx)
 {
   enum jc_status status = JC_OK;
-  size_t pos = 0;
+  uint64_t pos = 0;
 
-  while (status == JC_OK && pos < bytes->len)
+  while (status == JC_OK && pos < window->size)
     {
       struct jc_str record;
-      size_t len = record_decode (bytes, pos, &record);
+      size_t len = record_decode (window, pos, &record);
 
-      if (len == 0 && has_record_after (bytes, pos))
-        return jc_fail (JC_CORRUPT, "%s is damaged at byte %zu.", journal->name,
-                        pos);
+      if (len == 0 && has_record_after (window, pos))
+        return jc_fail (JC_CORRUPT, "%s is damaged at byte %lu.", journal->name,
+                        (unsigned long)pos);
+      if (window->status != JC_OK)
+        return window->status;
       if (len == 0)
         break;
-      status = fn (ctx, record);
+      status = fn (ctx, pos, record);
       pos += len;
     }
   journal->size = pos;
-  if (status == JC_OK && pos < bytes->len)
+  if (status == JC_OK && pos < window->size)
     status = journal->disk->klass->truncate (journal->disk, journal->name, pos);
   return status;
 }
@@ -122,22 +167,49 @@
                  jc_journal_record_fn *fn, void *ctx, enum jc_status *status)
 {
   struct jc_journal *journal = g_new0 (struct jc_journal, 1);
-  GByteArray *bytes = g_byte_array_new ();
+  struct window window
+      = { .disk = disk, .name = name, .bytes = g_byte_array_new () };
 
   journal->disk = disk;
   journal->name = g_strdup (name);
-  *status = disk->klass->read (disk, name, bytes);
+  *status = disk->klass->size (disk, name, &window.size);
   if (*status == JC_NOT_FOUND)
     *status = JC_OK;
   if (*status == JC_OK)
-    *status = journal_replay (journal, bytes, fn, ctx);
-  g_byte_array_free (bytes, TRUE);
+    *status = journal_replay (journal, &window, fn, ctx);
+  g_byte_array_free (window.bytes, TRUE);
   if (*status == JC_OK)
     return journal;
   jc_journal_free (journal);
   return NULL;
 }
 
+/* Append to OUT the record at POSITION, as passed to the function of
+   jc_journal_open.  Positions are valid until the journal is rewritten.  Return
+   JC_CORRUPT if there is no valid record.  */
+enum jc_status
+jc_journal_read (const struct jc_journal *journal, uint64_t position,
+                 GByteArray *out)
+{
+  struct window window = { .disk = journal->disk,
+                           .name = journal->name,
+                           .size = journal->size,
+                           .offset = position,
+                           .bytes = g_byte_array_new () };
+  struct jc_str record;
+  enum jc_status status = JC_OK;
+
+  if (record_decode (&window, position, &record) > 0)
+    g_byte_array_append (out, (const guint8 *)record.data, (guint)record.len);
+  else if (window.status != JC_OK)
+    status = window.status;
+  else
+    status = jc_fail (JC_CORRUPT, "%s is damaged at byte %lu.", journal->name,
+                      (unsigned long)position);
+  g_byte_array_free (window.bytes, TRUE);
+  return status;
+}
+
 /* Free JOURNAL, which may be NULL.  Its file is kept.  */
 void
 jc_journal_free (struct jc_journal *journal)
--- a/conf/rlog.c
+++ b/conf/rlog.c
@@ -11,13 +11,17 @@
 
 enum
 {
-  UNCOMMITTED_ENTRIES_MAX = 4096
+  UNCOMMITTED_ENTRIES_MAX = 4096,
+  /* Data of the proposals that are in the log and not yet applied.  */
+  PROPOSED_BYTES_MAX = 16 * 1024 * 1024
 };
 
-/* A proposal of this replica that is in its log and not yet applied.  */
+/* A proposal of this replica that is in its log and not yet applied, with BYTES
+   of data.  */
 struct proposal
 {
   uint64_t index;
+  size_t bytes;
   jc_rlog_done_fn *done;
   void *ctx;
 };
@@ -86,6 +90,7 @@
 {
   struct proposal *proposal;
 
+  log->proposed_bytes = 0;
   while ((proposal = g_queue_pop_head (&log->proposals)) != NULL)
     {
       proposal->done (proposal->ctx, JC_OUTCOME_UNKNOWN);
@@ -185,22 +190,50 @@
   if (proposal == NULL || proposal->index != index)
     return;
   g_queue_pop_head (&log->proposals);
+  log->proposed_bytes -= proposal->bytes;
   proposal->done (proposal->ctx, JC_OK);
   g_free (proposal);
 }
 
 /* Apply the snapshot.  */
-void
+enum jc_status
 jc_rlog_restore_snapshot (struct jc_rlog *log)
 {
   log->applied_index = log->store->snapshot_index;
-  log->klass->restore (log->ctx, log->applied_index,
-                       jc_str_from_gstring (log->store->snapshot));
+  return log->klass->restore (log->ctx, log->applied_index,
+                              jc_str_from_gstring (log->store->snapshot));
+}
+
+/* Apply what the store of LOG has of committed entries.  Their data is read
+   from the disk one by one where it takes too much memory.  */
+static enum jc_status
+apply_stored (struct jc_rlog *log)
+{
+  struct jc_rlogstore *store = log->store;
+  enum jc_status status = JC_OK;
+
+  if (log->klass->reset != NULL)
+    log->klass->reset (log->ctx);
+  if (store->snapshot_index > 0)
+    status = jc_rlog_restore_snapshot (log);
+  while (status == JC_OK && log->applied_index < log->commit_index)
+    {
+      status = jc_rlogstore_load (store, log->applied_index + 1);
+      if (status != JC_OK)
+        break;
+      jc_rlog_apply_next (log);
+      jc_rlogstore_unload (store, log->applied_index);
+    }
+  for (uint64_t i = log->commit_index + 1;
+       status == JC_OK && i <= jc_rlogstore_last_index (store); i++)
+    status = jc_rlogstore_load (store, i);
+  return status;
 }
 
 /* Open the log on DISK with OPTIONS.  The applied state is passed to the
-   callbacks of KLASS, called with CTX, before this returns.  Return NULL and
-   set STATUS if the disk fails or its data is corrupt.  */
+   callbacks of KLASS, called with CTX, before this returns.  The log is then
+   compacted, which takes less room on the disk than to write it again in whole.
+   Return NULL and set STATUS if the disk fails or its data is corrupt.  */
 struct jc_rlog *
 jc_rlog_open (struct jc_disk *disk, const struct jc_rlog_options *options,
               const struct jc_rlog_class *klass, void *ctx, int64_t now_ms,
@@ -232,13 +265,15 @@
   jc_rlog_reload_replicas (log);
   jc_rlog_reset_election_timer (log);
   log->commit_index = store->commit_index;
-  if (klass->reset != NULL)
-    klass->reset (ctx);
-  if (store->snapshot_index > 0)
-    jc_rlog_restore_snapshot (log);
-  while (log->applied_index < log->commit_index)
-    jc_rlog_apply_next (log);
-  return log;
+  *status = jc_rlogstore_check_writable (store);
+  if (*status == JC_OK)
+    *status = apply_stored (log);
+  if (*status == JC_OK)
+    *status = jc_rlog_compact (log);
+  if (*status == JC_OK)
+    return log;
+  jc_rlog_free (log);
+  return NULL;
 }
 
 /* Free LOG; NULL is allowed.  Pending proposals end with
@@ -400,13 +435,24 @@
   if (jc_rlogstore_last_index (log->store) - log->commit_index
       >= UNCOMMITTED_ENTRIES_MAX)
     {
-      done (ctx, JC_OVERLOADED);
+      done (ctx, jc_fail (JC_OVERLOADED, "%d entries wait for their commit.",
+                          UNCOMMITTED_ENTRIES_MAX));
+      return;
+    }
+  if (log->proposed_bytes > 0
+      && log->proposed_bytes + data.len > PROPOSED_BYTES_MAX)
+    {
+      done (ctx, jc_fail (JC_OVERLOADED,
+                          "Proposals of %zu bytes wait for their commit.",
+                          log->proposed_bytes));
       return;
     }
   jc_rlog_append (log, kind, data);
   jc_rlog_mark_peers_due (log);
   proposal = g_new0 (struct proposal, 1);
   proposal->index = jc_rlogstore_last_index (log->store);
+  proposal->bytes = data.len;
+  log->proposed_bytes += data.len;
   proposal->done = done;
   proposal->ctx = ctx;
   g_queue_push_tail (&log->proposals, proposal);
@@ -468,8 +514,8 @@
 
   return (struct jc_rlog_usage){ .file_bytes = jc_rlogstore_file_bytes (store),
                                  .snapshot_bytes = store->snapshot->len,
-                                 .entry_bytes = store->entry_bytes,
-                                 .entries = store->entries->len };
+                                 .entry_bytes = store->entries.bytes,
+                                 .entries = store->entries.slots->len };
 }
 
 /* Return the incarnation of the disk of this replica.  */
--- a/conf/rlog.h
+++ b/conf/rlog.h
@@ -35,7 +35,8 @@
    delivery is not guaranteed.  RESET replaces the applied state by that before
    the first entry; it is called when a log is opened, before all others, and
    may be NULL where that state is the one at hand.  RESTORE replaces the
-   applied state by SNAPSHOT, which covers the entries up to INDEX.  APPLY is
+   applied state by SNAPSHOT, which covers the entries up to INDEX; if it fails,
+   the log is not used any more, so that what is on the disk stays.  APPLY is
    called for each committed entry in order, once its commit index is durable on
    this replica.  SNAPSHOT appends the serialized applied state to OUT.
    ROLE_CHANGED reports the new role of this replica.  */
@@ -43,7 +44,7 @@
 {
   void (*send) (void *ctx, const char *to, const struct rpc_body *body);
   void (*reset) (void *ctx);
-  void (*restore) (void *ctx, uint64_t index, struct jc_str snapshot);
+  enum jc_status (*restore) (void *ctx, uint64_t index, struct jc_str snapshot);
   void (*apply) (void *ctx, uint64_t index, uint32_t kind, struct jc_str data);
   void (*snapshot) (void *ctx, GString *out);
   void (*role_changed) (void *ctx, enum jc_rlog_role role);
@@ -58,8 +59,9 @@
 /* Options of jc_rlog_open.  SEED seeds the election timeouts; NEW_INCARNATION
    becomes the incarnation of the disk if the disk is empty.  An election
    starts after a random time from ELECTION_MS to twice that without a leader.
-   The log is compacted once SNAPSHOT_ENTRIES entries were applied since the
-   last snapshot; a snapshot is sent in chunks of at most
+   The log is compacted when it is opened, and once SNAPSHOT_ENTRIES entries
+   were applied since the last snapshot or the file has grown by some megabytes;
+   a snapshot is sent in chunks of at most
    SNAPSHOT_CHUNK_BYTES.  */
 struct jc_rlog_options
 {
--- a/conf/rlogflush.c
+++ b/conf/rlogflush.c
@@ -5,6 +5,13 @@
 
 #define LOG_COMPONENT "log"
 
+enum
+{
+  /* The file grows by this much, whatever the number of entries, before it is
+     rewritten.  */
+  COMPACT_GROWTH_BYTES = 8 * 1024 * 1024
+};
+
 static void
 handle_disk_failure (struct jc_rlog *log)
 {
@@ -53,18 +60,17 @@
   jc_replicas_copy (replicas, &log->store->snapshot_replicas);
 }
 
-/* Replace the applied entries by a snapshot once there are enough of them.
+/* Replace the applied entries by a snapshot, and rewrite the rest of the log.
    Return the status of the store.  */
-static enum jc_status
-compact_log (struct jc_rlog *log)
+enum jc_status
+jc_rlog_compact (struct jc_rlog *log)
 {
   struct rpc_replicas replicas;
   GString *snapshot;
   enum jc_status status;
 
-  if (log->applied_index - log->store->snapshot_index
-      < log->options.snapshot_entries)
-    return JC_OK;
+  if (log->applied_index == log->store->snapshot_index)
+    return jc_rlogstore_rewrite (log->store);
   snapshot = g_string_new (NULL);
   log->klass->snapshot (log->ctx, snapshot);
   replicas_at (log, log->applied_index, &replicas);
@@ -75,18 +81,24 @@
   return status;
 }
 
-/* Restore a snapshot that was installed since the last call, then apply the
-   entries whose commit index is durable.  Return whether anything was done.  */
+/* Compact the log once there are enough entries, or bytes of them.  */
+static enum jc_status
+compact_when_due (struct jc_rlog *log)
+{
+  if (log->applied_index - log->store->snapshot_index
+          < log->options.snapshot_entries
+      && jc_rlogstore_growth (log->store) < COMPACT_GROWTH_BYTES)
+    return JC_OK;
+  return jc_rlog_compact (log);
+}
+
+/* Apply the entries whose commit index is durable.  Return whether there were
+   any.  */
 static bool
 apply_committed (struct jc_rlog *log)
 {
   bool progress = false;
 
-  if (log->applied_index < log->store->snapshot_index)
-    {
-      jc_rlog_restore_snapshot (log);
-      progress = true;
-    }
   while (log->applied_index < log->store->commit_index)
     {
       jc_rlog_apply_next (log);
@@ -100,26 +112,29 @@
 static bool
 flush_step (struct jc_rlog *log)
 {
-  bool progress;
+  bool progress = log->applied_index < log->store->snapshot_index;
 
-  if (log->store->dirty && jc_rlogstore_sync (log->store) != JC_OK)
+  if ((log->store->dirty && jc_rlogstore_sync (log->store) != JC_OK)
+      || (progress && jc_rlog_restore_snapshot (log) != JC_OK))
     {
       handle_disk_failure (log);
       return false;
     }
-  progress = apply_committed (log);
+  progress = apply_committed (log) || progress;
   progress = send_outbox (log) || progress;
   if (log->role == JC_RLOG_LEADER && jc_rlog_advance_commit (log))
     jc_rlog_mark_peers_due (log);
   if (log->commit_index > log->store->commit_index)
     jc_rlogstore_set_commit_index (log->store, log->commit_index);
   progress = jc_rlog_send_to_due_peers (log) || progress;
-  if (compact_log (log) != JC_OK)
+  if (compact_when_due (log) != JC_OK)
     {
       handle_disk_failure (log);
       return false;
     }
-  return progress || log->store->dirty;
+  /* Compacting makes the commit index durable too.  */
+  return progress || log->store->dirty
+         || log->applied_index < log->store->commit_index;
 }
 
 /* Make pending changes durable, then send messages and apply committed
--- a/conf/rlogleader.c
+++ b/conf/rlogleader.c
@@ -198,7 +198,7 @@
         continue;
       peer->send_due = false;
       sent = true;
-      if (peer->next_index <= log->store->snapshot_index)
+      if (peer->next_index <= jc_rlogstore_base_index (log->store))
         send_snapshot_chunk (log, peer);
       else
         send_entries (log, peer);
--- a/conf/rlogprivate.h
+++ b/conf/rlogprivate.h
@@ -70,6 +70,7 @@
   GPtrArray *peers;
   GPtrArray *votes;
   GQueue proposals;
+  size_t proposed_bytes;
   GQueue outbox;
 
   /* The part received so far of the snapshot that the leader is sending.  */
@@ -99,7 +100,8 @@
 void jc_rlog_fail_proposals (struct jc_rlog *log);
 void jc_rlog_set_leader (struct jc_rlog *log, const char *leader);
 void jc_rlog_apply_next (struct jc_rlog *log);
-void jc_rlog_restore_snapshot (struct jc_rlog *log);
+enum jc_status jc_rlog_restore_snapshot (struct jc_rlog *log);
+enum jc_status jc_rlog_compact (struct jc_rlog *log);
 
 /* Elections.  */
 void jc_rlog_reset_election_timer (struct jc_rlog *log);
--- a/conf/rlogstore.c
+++ b/conf/rlogstore.c
@@ -4,29 +4,20 @@
 #include <string.h>
 
 #include "base/journal.h"
+#include "conf/rlog.h"
 #include "conf/rlogstore.h"
 #include "conf/replicas.h"
 
 #define JOURNAL_NAME "log"
 
-static void
-entry_free (gpointer data)
-{
-  struct rpc_log_entry *entry = data;
-
-  g_free (entry->data.rpc_bytes_val);
-  g_free (entry);
-}
-
-static struct rpc_log_entry *
-entry_copy (const struct rpc_log_entry *entry)
+enum
 {
-  struct rpc_log_entry *copy = g_memdup2 (entry, sizeof *entry);
-
-  copy->data.rpc_bytes_val
-      = g_memdup2 (entry->data.rpc_bytes_val, entry->data.rpc_bytes_len);
-  return copy;
-}
+  /* Data of entries that the snapshot covers and that stay in memory, so that a
+     replica that lags a little needs no snapshot.  */
+  KEPT_BYTES_MAX = 8 * 1024 * 1024,
+  /* Data of entries in memory while a journal is read.  */
+  UNLOADED_ABOVE_BYTES = 16 * 1024 * 1024
+};
 
 static GString *
 record_encode (struct rpc_record *record)
@@ -61,23 +52,36 @@
   return jc_journal_size (store->journal);
 }
 
+/* Return by how many bytes the file has grown since it was last rewritten.  */
+size_t
+jc_rlogstore_growth (const struct jc_rlogstore *store)
+{
+  return jc_journal_size (store->journal) - store->rewritten_bytes;
+}
+
 uint64_t
 jc_rlogstore_last_index (const struct jc_rlogstore *store)
 {
-  return store->snapshot_index + store->entries->len;
+  return jc_rlogentries_last_index (&store->entries);
+}
+
+/* Return the index of the last entry before those in memory.  */
+uint64_t
+jc_rlogstore_base_index (const struct jc_rlogstore *store)
+{
+  return store->entries.base_index;
 }
 
-/* Return the entry at INDEX, or NULL if it is compacted or past the end.  */
+/* Return the entry at INDEX, or NULL if it is not in memory any more or past
+   the end.  */
 const struct rpc_log_entry *
 jc_rlogstore_entry (const struct jc_rlogstore *store, uint64_t index)
 {
-  if (index <= store->snapshot_index || index > jc_rlogstore_last_index (store))
-    return NULL;
-  return g_ptr_array_index (store->entries, index - store->snapshot_index - 1);
+  return jc_rlogentries_get (&store->entries, index);
 }
 
 /* Return the term of the entry at INDEX, or 0 if it is not known.  The term of
-   the last compacted entry is known.  */
+   the last entry before those in memory is known.  */
 uint64_t
 jc_rlogstore_term_at (const struct jc_rlogstore *store, uint64_t index)
 {
@@ -85,34 +89,16 @@
 
   if (entry != NULL)
     return entry->term;
-  return index == store->snapshot_index ? store->snapshot_term : 0;
+  return index == store->entries.base_index ? store->entries.base_term : 0;
 }
 
-/* Free COUNT entries in memory from the one at POSITION of the array on.  */
-static void
-free_entries (struct jc_rlogstore *store, guint position, guint count)
-{
-  for (guint i = 0; i < count; i++)
-    {
-      const struct rpc_log_entry *entry
-          = g_ptr_array_index (store->entries, position + i);
-
-      store->entry_bytes -= entry->data.rpc_bytes_len;
-    }
-  if (count > 0)
-    g_ptr_array_remove_range (store->entries, position, count);
-}
-
-/* Store ENTRY at INDEX in memory, discarding the entries from INDEX on.  */
+/* Store ENTRY at INDEX in memory, discarding the entries from INDEX on.
+   POSITION is that in the journal if it was read from there.  */
 static void
 set_entry (struct jc_rlogstore *store, uint64_t index,
-           const struct rpc_log_entry *entry)
+           const struct rpc_log_entry *entry, uint64_t position)
 {
-  guint position = (guint)(index - store->snapshot_index - 1);
-
-  free_entries (store, position, store->entries->len - position);
-  g_ptr_array_add (store->entries, entry_copy (entry));
-  store->entry_bytes += entry->data.rpc_bytes_len;
+  jc_rlogentries_put (&store->entries, index, entry, position);
   store->synced_index = MIN (store->synced_index, index - 1);
 }
 
@@ -139,13 +125,15 @@
 }
 
 static enum jc_status
-replay_entry (struct jc_rlogstore *store, const struct rpc_record_entry *record)
+replay_entry (struct jc_rlogstore *store, const struct rpc_record_entry *record,
+              uint64_t position)
 {
   if (record->index <= store->commit_index
       || record->index > jc_rlogstore_last_index (store) + 1)
     return jc_fail (JC_CORRUPT, "The log has a gap at its entry %lu.",
                     (unsigned long)record->index);
-  set_entry (store, record->index, &record->entry);
+  set_entry (store, record->index, &record->entry, position);
+  jc_rlogstore_unload (store, record->index - 1);
   return JC_OK;
 }
 
@@ -160,7 +148,8 @@
 }
 
 static enum jc_status
-replay_record (struct jc_rlogstore *store, const struct rpc_record *record)
+replay_record (struct jc_rlogstore *store, const struct rpc_record *record,
+               uint64_t position)
 {
   switch (record->type)
     {
@@ -174,32 +163,78 @@
       return JC_OK;
     case RPC_RECORD_SNAPSHOT:
       store_set_snapshot (store, &record->rpc_record_u.snapshot);
+      jc_rlogentries_reset (&store->entries, store->snapshot_index,
+                            store->snapshot_term);
       store->commit_index = store->snapshot_index;
       return JC_OK;
     case RPC_RECORD_ENTRY:
-      return replay_entry (store, &record->rpc_record_u.entry);
+      return replay_entry (store, &record->rpc_record_u.entry, position);
     default:
       return replay_commit (store, record->rpc_record_u.commit);
     }
 }
 
+/* Decode BYTES into RECORD, which the caller frees with XDR.  */
 static enum jc_status
-replay_bytes (void *ctx, struct jc_str bytes)
+record_decode (struct jc_str bytes, struct rpc_record *record)
 {
-  struct rpc_record record = { 0 };
-  enum jc_status status = JC_CORRUPT;
+  enum jc_status status = JC_OK;
   XDR xdr;
 
   xdrmem_create (&xdr, (char *)bytes.data, (u_int)bytes.len, XDR_DECODE);
-  if (xdr_rpc_record (&xdr, &record))
-    status = replay_record (ctx, &record);
-  else
-    jc_fail (JC_CORRUPT, "The log has a record that can't be read.");
+  if (!xdr_rpc_record (&xdr, record))
+    status = jc_fail (JC_CORRUPT, "The log has a record that can't be read.");
   xdr_destroy (&xdr);
+  return status;
+}
+
+static enum jc_status
+replay_bytes (void *ctx, uint64_t position, struct jc_str bytes)
+{
+  struct rpc_record record = { 0 };
+  enum jc_status status = record_decode (bytes, &record);
+
+  if (status == JC_OK)
+    status = replay_record (ctx, &record, position);
+  xdr_free ((xdrproc_t)xdr_rpc_record, (char *)&record);
+  return status;
+}
+
+/* Read the data of the entry at INDEX, which is after the snapshot, from the
+   disk if it was unloaded.  */
+enum jc_status
+jc_rlogstore_load (struct jc_rlogstore *store, uint64_t index)
+{
+  struct rpc_record record = { 0 };
+  GByteArray *bytes;
+  enum jc_status status;
+
+  if (jc_rlogentries_is_loaded (&store->entries, index))
+    return JC_OK;
+  bytes = g_byte_array_new ();
+  status = jc_journal_read (
+      store->journal, jc_rlogentries_position (&store->entries, index), bytes);
+  if (status == JC_OK)
+    status = record_decode (
+        (struct jc_str){ .data = (const char *)bytes->data, .len = bytes->len },
+        &record);
+  if (status == JC_OK)
+    jc_rlogentries_load (&store->entries, index,
+                         &record.rpc_record_u.entry.entry);
   xdr_free ((xdrproc_t)xdr_rpc_record, (char *)&record);
+  g_byte_array_free (bytes, TRUE);
   return status;
 }
 
+/* Unload data of entries up to INDEX, all of which are in the journal, where
+   the entries take too much memory.  */
+void
+jc_rlogstore_unload (struct jc_rlogstore *store, uint64_t index)
+{
+  jc_rlogentries_unload (&store->entries, index, JC_RLOG_REPLICAS,
+                         UNLOADED_ABOVE_BYTES);
+}
+
 static struct rpc_record
 meta_record (const struct jc_rlogstore *store)
 {
@@ -264,9 +299,11 @@
   g_free (record_bytes);
 }
 
-/* Rewrite the whole journal.  All state in memory is durable afterwards.  */
-static enum jc_status
-store_rewrite (struct jc_rlogstore *store)
+/* Rewrite the whole journal, so that nothing depends on an earlier sync that
+   may have failed.  All entries after the snapshot must be in memory.  All
+   state in memory is durable afterwards.  */
+enum jc_status
+jc_rlogstore_rewrite (struct jc_rlogstore *store)
 {
   GPtrArray *list = g_ptr_array_new_with_free_func (record_bytes_free);
   struct rpc_record commit = { .type = RPC_RECORD_COMMIT };
@@ -276,10 +313,9 @@
   append_record_bytes (list, hard_record (store));
   if (store->snapshot_index > 0)
     append_record_bytes (list, snapshot_record (store));
-  for (guint i = 0; i < store->entries->len; i++)
-    append_record_bytes (list,
-                         entry_record (store->snapshot_index + i + 1,
-                                       g_ptr_array_index (store->entries, i)));
+  for (uint64_t i = store->snapshot_index + 1;
+       i <= jc_rlogstore_last_index (store); i++)
+    append_record_bytes (list, entry_record (i, jc_rlogstore_entry (store, i)));
   commit.rpc_record_u.commit = store->commit_index;
   append_record_bytes (list, commit);
   store->dirty = true;
@@ -287,14 +323,15 @@
   g_ptr_array_free (list, TRUE);
   if (status != JC_OK)
     return status;
+  store->rewritten_bytes = jc_journal_size (store->journal);
   store->synced_index = jc_rlogstore_last_index (store);
   store->dirty = false;
   return JC_OK;
 }
 
 /* Open the store on DISK.  An empty disk gets the incarnation NEW_INCARNATION.
-   The journal is rewritten, so that nothing depends on an earlier sync that
-   may have failed.  Return NULL and set STATUS if the store cannot be
+   The caller compacts or rewrites it before it changes it: what was read may
+   not be durable.  Return NULL and set STATUS if the store cannot be
    opened.  */
 struct jc_rlogstore *
 jc_rlogstore_open (struct jc_disk *disk, uint64_t new_incarnation,
@@ -305,11 +342,9 @@
   store->incarnation = new_incarnation;
   store->voted_for = g_strdup ("");
   store->snapshot = g_string_new (NULL);
-  store->entries = g_ptr_array_new_with_free_func (entry_free);
+  jc_rlogentries_init (&store->entries);
   store->journal
       = jc_journal_open (disk, JOURNAL_NAME, replay_bytes, store, status);
-  if (*status == JC_OK)
-    *status = store_rewrite (store);
   if (*status == JC_OK)
     return store;
   jc_rlogstore_free (store);
@@ -323,7 +358,7 @@
   jc_journal_free (store->journal);
   jc_replicas_clear (&store->snapshot_replicas);
   g_string_free (store->snapshot, TRUE);
-  g_ptr_array_free (store->entries, TRUE);
+  jc_rlogentries_clear (&store->entries);
   g_free (store->voted_for);
   g_free (store);
 }
@@ -361,7 +396,7 @@
   struct rpc_record record = entry_record (index, entry);
 
   append_record (store, &record);
-  set_entry (store, index, entry);
+  set_entry (store, index, entry, 0);
 }
 
 /* Set the commit index to COMMIT, which is not below the current one.  */
@@ -389,22 +424,32 @@
   return JC_OK;
 }
 
+/* Return the status of the disk for a small write, which changes nothing: term
+   and vote once more.  */
+enum jc_status
+jc_rlogstore_check_writable (struct jc_rlogstore *store)
+{
+  struct rpc_record record = hard_record (store);
+
+  append_record (store, &record);
+  return jc_rlogstore_sync (store);
+}
+
 /* Replace the entries up to INDEX by SNAPSHOT, which the store takes ownership
-   of.  REPLICAS is the replica set as of INDEX.  */
+   of.  REPLICAS is the replica set as of INDEX.  The last of these entries are
+   kept in memory.  */
 enum jc_status
 jc_rlogstore_compact (struct jc_rlogstore *store, uint64_t index,
                       const struct rpc_replicas *replicas, GString *snapshot)
 {
-  uint64_t term = jc_rlogstore_term_at (store, index);
-
-  free_entries (store, 0, (guint)(index - store->snapshot_index));
+  store->snapshot_term = jc_rlogstore_term_at (store, index);
+  store->snapshot_index = index;
   jc_replicas_clear (&store->snapshot_replicas);
   jc_replicas_copy (&store->snapshot_replicas, replicas);
   g_string_free (store->snapshot, TRUE);
   store->snapshot = snapshot;
-  store->snapshot_index = index;
-  store->snapshot_term = term;
-  return store_rewrite (store);
+  jc_rlogentries_trim (&store->entries, index, KEPT_BYTES_MAX);
+  return jc_rlogstore_rewrite (store);
 }
 
 /* Install the snapshot RECORD of a leader, which is after the commit index.
@@ -415,12 +460,12 @@
                       const struct rpc_record_snapshot *record)
 {
   if (jc_rlogstore_term_at (store, record->index) == record->term)
-    free_entries (store, 0, (guint)(record->index - store->snapshot_index));
+    jc_rlogentries_trim (&store->entries, record->index, KEPT_BYTES_MAX);
   else
-    free_entries (store, 0, store->entries->len);
+    jc_rlogentries_reset (&store->entries, record->index, record->term);
   store_set_snapshot (store, record);
   store->commit_index = record->index;
-  return store_rewrite (store);
+  return jc_rlogstore_rewrite (store);
 }
 
 /* Append the snapshot to OUT in the encoding that a leader sends.  */
--- a/ledger/ledgerfile.c
+++ b/ledger/ledgerfile.c
@@ -217,7 +217,8 @@
 
 /* Apply RECORD, read from the disk, to the ledger CTX.  */
 enum jc_status
-ledger_replay (void *ctx, struct jc_str record)
+ledger_replay (void *ctx, uint64_t position, struct jc_str record)
 {
+  (void)position;
   return jc_record_decode (record, replay_record, ctx);
 }
--- a/ledger/private.h
+++ b/ledger/private.h
@@ -107,7 +107,8 @@
 enum jc_status ledger_save_pending (struct jc_ledger *ledger);
 enum jc_status ledger_rewrite (struct jc_ledger *ledger);
 void ledger_write_key (struct jc_ledger *ledger, struct jc_key *key);
-enum jc_status ledger_replay (void *ctx, struct jc_str record);
+enum jc_status ledger_replay (void *ctx, uint64_t position,
+                              struct jc_str record);
 
 /* In ledger.c.  */
 void ledger_fail (struct jc_ledger *ledger);
--- a/state/log.c
+++ b/state/log.c
@@ -116,15 +116,13 @@
 
   if (rlog != NULL)
     report_usage ("open", rlog, jc_now_ms () - started_ms);
-  if (*status == JC_OK && state->snapshot_invalid)
-    *status = jc_fail (JC_CORRUPT, "The snapshot on disk is not valid.");
   return rlog;
 }
 
 /* Open the log again after its disk failed, at intervals until that succeeds.
-   Opening rewrites the whole log, so that it does not depend on writes from
-   before the failure.  Not done where requests are routed by products, because
-   the ledgers there do not allow it.  */
+   Opening compacts and rewrites the log, so that it does not depend on writes
+   from before the failure.  Not done where requests are routed by products,
+   because the ledgers there do not allow it.  */
 static void
 reopen (struct state *state)
 {
@@ -149,7 +147,7 @@
     }
   jc_rlog_free (log->rlog);
   log->rlog = reopened;
-  orders_publish (state);
+  logentries_opened (state);
 }
 
 static void
@@ -252,6 +250,7 @@
     jc_info (LOG_COMPONENT,
              "The data folder has no log yet; waiting for a leader.");
   state->log->running = true;
+  logentries_opened (state);
   start_watchers (state);
   ledger_config_changed (state);
   return JC_OK;
--- a/state/logentries.c
+++ b/state/logentries.c
@@ -42,20 +42,30 @@
 }
 
 /* Put in force the orders that result from the applied entries, and send them
-   to entry instances.  */
+   to entry instances.  While the log is being opened this is left to
+   logentries_opened: only the last of the stored orders counts.  */
 static void
 update_orders (struct state *state)
 {
+  if (!log_is_running (state))
+    return;
   update_routes (state);
   jc_event (JC_EVENT_IN_FORCE,
             "position=%" PRIu64 " version=%" PRIu64 " evacuated=%u",
             state->orders->position, state->orders->table_version,
             g_hash_table_size (state->orders->evacuated_zones));
-  if (log_is_running (state))
-    orders_publish (state);
+  orders_publish (state);
   coldgrants_orders_changed (state);
 }
 
+/* Put in force what the log held when it was opened.  */
+void
+logentries_opened (struct state *state)
+{
+  update_config (state);
+  update_orders (state);
+}
+
 /* Apply entry INDEX of the log, DATA of KIND, to the state CTX.  */
 void
 logentries_apply (void *ctx, uint64_t index, uint32_t kind, struct jc_str data)
@@ -140,28 +150,31 @@
 
 /* Replace what was applied to the state CTX by SNAPSHOT.  End the program if it
    is malformed.  */
-void
+enum jc_status
 logentries_restore (void *ctx, uint64_t index, struct jc_str snapshot)
 {
   struct state *state = ctx;
   json_t *json = json_loadb (snapshot.data, snapshot.len, 0, NULL);
+  enum jc_status status = jc_confstate_restore (state->confstate, json);
 
   (void)index;
-  if (jc_confstate_restore (state->confstate, json) != JC_OK
-      || restore_tables (state, json) != JC_OK)
+  if (status == JC_OK)
+    status = restore_tables (state, json);
+  if (status != JC_OK)
     {
       jc_error (LOG_COMPONENT, "The log's snapshot is malformed.");
-      state->snapshot_invalid = true;
       ev_break (state->loop, EVBREAK_ALL);
+      json_decref (json);
+      return jc_fail (JC_CORRUPT, "The snapshot of the log is not valid.");
     }
-  else
-    restore_ledger_entries (state, json_object_get (json, "ledger"));
+  restore_ledger_entries (state, json_object_get (json, "ledger"));
+  json_decref (json);
   update_config (state);
   update_orders (state);
   crashes_publish (state);
   versions_publish (state);
   departures_publish (state);
-  json_decref (json);
+  return JC_OK;
 }
 
 /* Append to OUT a snapshot of what was applied to the state CTX.  */
--- a/state/state.h
+++ b/state/state.h
@@ -43,7 +43,6 @@
   GPtrArray *config_subscribers;
   GPtrArray *deferred_calls;
   struct log *log;
-  bool snapshot_invalid;
   struct ledgers *ledgers;
   struct jc_metrics *metrics;
   const struct jc_protocol *protocol;
@@ -121,7 +120,9 @@
 void logentries_apply (void *ctx, uint64_t index, uint32_t kind,
                        struct jc_str data);
 void logentries_reset (void *ctx);
-void logentries_restore (void *ctx, uint64_t index, struct jc_str snapshot);
+enum jc_status logentries_restore (void *ctx, uint64_t index,
+                                   struct jc_str snapshot);
+void logentries_opened (struct state *state);
 void logentries_snapshot (void *ctx, GString *out);
 
 /* admin: commands of operators on replicas and on the history of the
--- a/tests/fakedisk.c
+++ b/tests/fakedisk.c
@@ -55,14 +55,28 @@
 }
 
 static enum jc_status
-fake_read (struct jc_disk *disk, const char *name, GByteArray *out)
+fake_size (struct jc_disk *disk, const char *name, uint64_t *bytes)
 {
-  struct fakedisk *fake = (struct fakedisk *)disk;
-  struct fakefile *file = g_hash_table_lookup (fake->files, name);
+  const struct fakedisk *fake = (const struct fakedisk *)disk;
+  const struct fakefile *file = g_hash_table_lookup (fake->files, name);
 
   if (file == NULL)
     return jc_fail (JC_NOT_FOUND, "There is no file %s.", name);
-  g_byte_array_append (out, file->bytes->data, file->bytes->len);
+  *bytes = file->bytes->len;
+  return JC_OK;
+}
+
+static enum jc_status
+fake_read (struct jc_disk *disk, const char *name, uint64_t offset, size_t len,
+           GByteArray *out)
+{
+  struct fakedisk *fake = (struct fakedisk *)disk;
+  const struct fakefile *file = g_hash_table_lookup (fake->files, name);
+
+  if (file == NULL || offset > file->bytes->len)
+    return jc_fail (JC_STORAGE_FAILED, "There is no such part of %s.", name);
+  g_byte_array_append (out, file->bytes->data + offset,
+                       (guint)MIN (len, file->bytes->len - offset));
   return JC_OK;
 }
 
@@ -139,7 +153,8 @@
   g_free (fake);
 }
 
-static const struct jc_disk_class fake_class = { .read = fake_read,
+static const struct jc_disk_class fake_class = { .size = fake_size,
+                                                 .read = fake_read,
                                                  .append = fake_append,
                                                  .sync = fake_sync,
                                                  .replace = fake_replace,
--- a/tests/logsim.c
+++ b/tests/logsim.c
@@ -388,7 +388,7 @@
   publish_version (replica);
 }
 
-static void
+static enum jc_status
 on_restore (void *ctx, uint64_t index, struct jc_str snapshot)
 {
   struct replica *replica = ctx;
@@ -400,6 +400,7 @@
                       replica->name);
   json_decref (json);
   publish_version (replica);
+  return JC_OK;
 }
 
 static void
--- a/tests/test-journal.c
+++ b/tests/test-journal.c
@@ -1,5 +1,7 @@
 /* Tests of the journal on a simulated disk that crashes and fails.  */
 
+#include <string.h>
+
 #include "base/journal.h"
 #include "tests/fakedisk.h"
 
@@ -13,8 +15,9 @@
 };
 
 static enum jc_status
-append_record (void *ctx, struct jc_str record)
+append_record (void *ctx, uint64_t position, struct jc_str record)
 {
+  (void)position;
   g_string_append_len (ctx, record.data, (gssize)record.len);
   return JC_OK;
 }
@@ -81,7 +84,7 @@
   enum jc_status status;
   char *records;
 
-  disk->klass->read (disk, "log", bytes);
+  disk->klass->read (disk, "log", 0, SIZE_MAX, bytes);
   bytes->data[HEADER_BYTES + 2] ^= 1;
   disk->klass->replace (
       disk, "log",
@@ -151,6 +154,81 @@
   g_free (bytes);
 }
 
+/* A journal with records of many sizes, and where they begin.  */
+struct positions
+{
+  GArray *at;
+  GString *records;
+};
+
+static enum jc_status
+note_position (void *ctx, uint64_t position, struct jc_str record)
+{
+  struct positions *positions = ctx;
+
+  g_array_append_val (positions->at, position);
+  g_string_append_len (positions->records, record.data, (gssize)record.len);
+  return JC_OK;
+}
+
+/* Guards against records that are lost or mixed up where they cross the end of
+   the part of the file that is in memory: some end just before, at and after
+   it, some are longer.  */
+static void
+test_windows (void)
+{
+  const size_t window = 256 * 1024;
+  const size_t lengths[] = { 0,          window - HEADER_BYTES, 1,
+                             window,     3 * window + 7,        window - 1,
+                             window / 2, window / 2 + 1,        5 };
+  struct jc_disk *disk = fakedisk_new ();
+  GString *written = g_string_new (NULL);
+  struct positions positions
+      = { g_array_new (FALSE, FALSE, sizeof (uint64_t)), g_string_new (NULL) };
+  enum jc_status status;
+  struct jc_journal *journal
+      = jc_journal_open (disk, "log", note_position, &positions, &status);
+  size_t start = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (lengths); i++)
+    {
+      char *data = g_strnfill (lengths[i], (char)('a' + i));
+
+      jc_journal_append (journal,
+                         (struct jc_str){ .data = data, .len = lengths[i] });
+      g_string_append_len (written, data, (gssize)lengths[i]);
+      g_free (data);
+    }
+  g_assert_cmpint (jc_journal_sync (journal), ==, JC_OK);
+  jc_journal_append (journal, JC_STR_LIT ("lost"));
+  jc_journal_free (journal);
+  fakedisk_crash (disk, HEADER_BYTES + 2);
+  journal = jc_journal_open (disk, "log", note_position, &positions, &status);
+  g_assert_cmpint (status, ==, JC_OK);
+  g_assert_cmpuint (positions.at->len, ==, G_N_ELEMENTS (lengths));
+  g_assert_true (g_string_equal (positions.records, written));
+  for (size_t i = 0; i < G_N_ELEMENTS (lengths); i++)
+    {
+      GByteArray *bytes = g_byte_array_new ();
+
+      g_assert_cmpint (
+          jc_journal_read (journal, g_array_index (positions.at, uint64_t, i),
+                           bytes),
+          ==, JC_OK);
+      g_assert_cmpuint (bytes->len, ==, lengths[i]);
+      if (lengths[i] > 0)
+        g_assert_cmpint (memcmp (bytes->data, written->str + start, lengths[i]),
+                         ==, 0);
+      start += lengths[i];
+      g_byte_array_free (bytes, TRUE);
+    }
+  jc_journal_free (journal);
+  g_array_free (positions.at, TRUE);
+  g_string_free (positions.records, TRUE);
+  g_string_free (written, TRUE);
+  disk->klass->free (disk);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -158,6 +236,7 @@
   g_test_add_func ("/torn-tail", test_torn_tail);
   g_test_add_func ("/damaged-record", test_damaged_record);
   g_test_add_func ("/failed-sync", test_failed_sync);
+  g_test_add_func ("/windows", test_windows);
   g_test_add_func ("/too-large-record", test_too_large_record);
   return g_test_run ();
 }
--- a/tests/test-log-reopen.c
+++ b/tests/test-log-reopen.c
@@ -48,7 +48,7 @@
   json_decref (none);
 }
 
-static void
+static enum jc_status
 on_restore (void *ctx, uint64_t index, struct jc_str snapshot)
 {
   struct replica *replica = ctx;
@@ -59,6 +59,7 @@
       jc_limit_slots_restore (replica->slots, json, replica->now_ms), ==,
       JC_OK);
   json_decref (json);
+  return JC_OK;
 }
 
 static void
