conf, state, entry: tell readmissions with their position and age

Cause: the time of a readmission was known only to who had seen the orders before and after it. An instance that starts took the endpoint's last report, from when it was warm, for proof.

The position of a readmission is part of the log's state now, and messages with orders tell it with its age, so that whoever gets the orders has it: delays make it later only.

--- a/conf/orders.c
+++ b/conf/orders.c
@@ -25,6 +25,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   orders->zone_changes
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  orders->readmitted
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return orders;
 }
 
@@ -37,6 +39,7 @@
   g_string_free (orders->table_text, TRUE);
   g_hash_table_destroy (orders->evacuated_zones);
   g_hash_table_destroy (orders->zone_changes);
+  g_hash_table_destroy (orders->readmitted);
   g_free (orders);
 }
 
@@ -98,7 +101,15 @@
 }
 
 static void
-execute_order (struct jc_orders *orders, const struct rpc_order *order)
+set_index (GHashTable *table, const char *zone, uint64_t index)
+{
+  g_hash_table_replace (table, g_strdup (zone),
+                        g_memdup2 (&index, sizeof index));
+}
+
+static void
+execute_order (struct jc_orders *orders, uint64_t index,
+               const struct rpc_order *order)
 {
   char *zone;
 
@@ -112,9 +123,15 @@
     }
   zone = order_zone (order);
   if (order->kind == RPC_ORDER_EVACUATE)
-    g_hash_table_add (orders->evacuated_zones, g_strdup (zone));
+    {
+      g_hash_table_add (orders->evacuated_zones, g_strdup (zone));
+      g_hash_table_remove (orders->readmitted, zone);
+    }
   else
-    g_hash_table_remove (orders->evacuated_zones, zone);
+    {
+      g_hash_table_remove (orders->evacuated_zones, zone);
+      set_index (orders->readmitted, zone, index);
+    }
   g_free (zone);
 }
 
@@ -136,6 +153,7 @@
         oldest_index = *(const uint64_t *)index;
       }
   orders->zone_floor = MAX (orders->zone_floor, oldest_index);
+  g_hash_table_remove (orders->readmitted, oldest);
   g_hash_table_remove (orders->zone_changes, oldest);
 }
 
@@ -143,8 +161,7 @@
 static void
 note_zone_change (struct jc_orders *orders, const char *zone, uint64_t index)
 {
-  g_hash_table_replace (orders->zone_changes, g_strdup (zone),
-                        g_memdup2 (&index, sizeof index));
+  set_index (orders->zone_changes, zone, index);
   if (g_hash_table_size (orders->zone_changes) > ZONE_CHANGES_MAX)
     drop_zone_change (orders);
 }
@@ -166,7 +183,7 @@
 
   if (changed)
     {
-      execute_order (orders, order);
+      execute_order (orders, index, order);
       orders->position = index;
     }
   if (order->kind != RPC_ORDER_ROUTES)
@@ -305,15 +322,16 @@
     out->evacuated.evacuated_val[i++] = zone;
 }
 
+/* Return TABLE, of zones and indices, as an object.  */
 static json_t *
-zone_changes_json (const struct jc_orders *orders)
+indices_json (GHashTable *table)
 {
   json_t *changes = json_object ();
   GHashTableIter iter;
   gpointer zone;
   gpointer index;
 
-  g_hash_table_iter_init (&iter, orders->zone_changes);
+  g_hash_table_iter_init (&iter, table);
   while (g_hash_table_iter_next (&iter, &zone, &index))
     json_object_set_new (changes, zone,
                          json_integer ((json_int_t) * (uint64_t *)index));
@@ -331,14 +349,15 @@
   g_hash_table_iter_init (&iter, orders->evacuated_zones);
   while (g_hash_table_iter_next (&iter, &zone, NULL))
     json_array_append_new (zones, json_string (zone));
-  json_object_set_new (out, "orders",
-                       json_pack ("{s:I,s:I,s:s%,s:o,s:o,s:I}", "position",
-                                  (json_int_t)orders->position, "version",
-                                  (json_int_t)orders->table_version, "text",
-                                  orders->table_text->str,
-                                  orders->table_text->len, "evacuated", zones,
-                                  "changes", zone_changes_json (orders),
-                                  "floor", (json_int_t)orders->zone_floor));
+  json_object_set_new (
+      out, "orders",
+      json_pack ("{s:I,s:I,s:s%,s:o,s:o,s:I,s:o}", "position",
+                 (json_int_t)orders->position, "version",
+                 (json_int_t)orders->table_version, "text",
+                 orders->table_text->str, orders->table_text->len, "evacuated",
+                 zones, "changes", indices_json (orders->zone_changes), "floor",
+                 (json_int_t)orders->zone_floor, "readmitted",
+                 indices_json (orders->readmitted)));
 }
 
 /* Replace the last orders for zones by those of SAVED, the orders of a
@@ -358,6 +377,28 @@
   }
 }
 
+/* Replace the zones that were readmitted by those of SAVED, the orders of a
+   snapshot.  One of an earlier version doesn't tell them: then each zone whose
+   last order left it open counts.  */
+static void
+restore_readmitted (struct jc_orders *orders, const json_t *saved)
+{
+  json_t *readmitted = json_object_get (saved, "readmitted");
+  const char *zone;
+  json_t *index;
+
+  g_hash_table_remove_all (orders->readmitted);
+  if (readmitted == NULL)
+    readmitted = json_object_get (saved, "changes");
+  json_object_foreach (readmitted, zone, index)
+  {
+    if (g_hash_table_contains (orders->zone_changes, zone)
+        && !jc_orders_is_evacuated (orders, zone))
+      set_index (orders->readmitted, zone,
+                 (uint64_t)json_integer_value (index));
+  }
+}
+
 /* Replace ORDERS by those in the snapshot IN, or by the initial state if IN
    has none.  Zones that fit in no message, which an earlier version accepted,
    are left out.  Return JC_CORRUPT if they are invalid.  */
@@ -387,5 +428,6 @@
       g_hash_table_add (orders->evacuated_zones,
                         g_strdup (json_string_value (zone)));
   }
+  restore_readmitted (orders, saved);
   return JC_OK;
 }
--- a/conf/orders.h
+++ b/conf/orders.h
@@ -14,7 +14,9 @@
    is the route table of TABLE_VERSION as it was sent, empty before the first;
    EVACUATED_ZONES is a set of zone names.  ZONE_CHANGES maps names of zones to
    the index (uint64_t) of the last order for them, with an effect or without;
-   zones that it lacks have none after ZONE_FLOOR.  */
+   zones that it lacks have none after ZONE_FLOOR.  READMITTED maps those of
+   these zones that were evacuated and are no more to the index of the order
+   that readmitted them.  */
 struct jc_orders
 {
   uint64_t position;
@@ -22,6 +24,7 @@
   GString *table_text;
   GHashTable *evacuated_zones;
   GHashTable *zone_changes;
+  GHashTable *readmitted;
   uint64_t zone_floor;
 };
 
--- a/entry/balancer.c
+++ b/entry/balancer.c
@@ -52,12 +52,9 @@
 cold_until_ms (const struct router *router, const struct jc_endpoint *endpoint,
                const struct jc_hostservice *service)
 {
-  const int64_t *readmitted
-      = g_hash_table_lookup (router->readmitted_at, endpoint->zone);
-
-  if (readmitted == NULL)
-    return endpoint->warm_at_ms;
-  return MAX (endpoint->warm_at_ms, *readmitted + service->cold_ms);
+  return MAX (endpoint->warm_at_ms,
+              jc_readmissions_cold_until_ms (router->readmissions,
+                                             endpoint->zone, service->cold_ms));
 }
 
 /* Return whether it is proven that ENDPOINT of SERVICE is warm.  Without
--- a/entry/router.c
+++ b/entry/router.c
@@ -318,8 +318,7 @@
   router->protocol = &platform_protocol;
   router->orders = jc_orders_new ();
   jc_key_secrets_derive (&router->key_secrets, settings->group_key);
-  router->readmitted_at
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  router->readmissions = jc_readmissions_new ();
   router->endpoints = jc_endpoints_new ();
   jc_endpoints_require_unique_addresses (router->endpoints);
   router->reporters = jc_reporters_new ();
@@ -402,7 +401,7 @@
   jc_reporters_free (router->reporters);
   jc_orders_free (router->orders);
   jc_routetable_unref (router->routes);
-  g_hash_table_destroy (router->readmitted_at);
+  jc_readmissions_free (router->readmissions);
   g_hash_table_destroy (router->request_rates);
   g_hash_table_destroy (router->answer_sizes);
   neighbours_stop (router);
--- a/entry/router.h
+++ b/entry/router.h
@@ -6,6 +6,7 @@
 
 #include "conf/lag.h"
 #include "conf/orders.h"
+#include "conf/readmissions.h"
 #include "entry/entry.h"
 #include "entry/waitqueue.h"
 #include "member/contact.h"
@@ -43,8 +44,8 @@
 /* State of host-based routing.  ROUTES is parsed from the text of ORDERS; it is
    NULL until the first configuration comes and is never replaced by an older
    one.  ORDERS_SOURCE is the connection to the state instance that sends each
-   change of the orders.  READMITTED_AT maps zones to the time when their
-   evacuation ended, REQUEST_RATES services to the rate of requests of this
+   change of the orders.  READMISSIONS are the zones whose evacuation
+   ended, REQUEST_RATES services to the rate of requests of this
    instance's callers, ANSWER_SIZES routes to the size of the largest plain
    answer so far, NEIGHBOURS names of other entry instances to struct neighbour.
    ENTRIES_BY_STATE maps state instances to the sets of entry instances that
@@ -65,7 +66,7 @@
   struct jc_orders *orders;
   struct jc_routetable *routes;
   struct jc_key_secrets key_secrets;
-  GHashTable *readmitted_at;
+  struct jc_readmissions *readmissions;
   struct jc_endpoints *endpoints;
   struct jc_engines *engines;
   struct jc_budgets *budgets;
--- a/entry/stateclient.c
+++ b/entry/stateclient.c
@@ -17,6 +17,8 @@
   /* Endpoints are kept for this long while no state instance is connected that
      could report them.  */
   DISCONNECTED_KEEP_MS = 600000,
+  /* From this level on, state instances tell which zones were readmitted.  */
+  READMISSIONS_LEVEL = 4,
   ROOMS_MAX = 64,
   UNREACHED_MAX = 64,
   /* Limits for callers if the configuration sets none.  */
@@ -231,8 +233,8 @@
   g_ptr_array_free (faults, TRUE);
 }
 
-/* Record the zones that ORDERS readmits after an evacuation, since their
-   endpoints may be cold.  */
+/* Record the zones that ORDERS of a build that doesn't tell readmissions
+   readmit after an evacuation that is known here.  */
 static void
 record_readmitted (struct router *router, const struct rpc_orders *orders)
 {
@@ -249,13 +251,8 @@
             = still_evacuated
               || strcmp (orders->evacuated.evacuated_val[i], zone) == 0;
       if (!still_evacuated)
-        {
-          int64_t *readmitted_ms = g_new (int64_t, 1);
-
-          *readmitted_ms = jc_now_ms ();
-          g_hash_table_replace (router->readmitted_at, g_strdup (zone),
-                                readmitted_ms);
-        }
+        jc_readmissions_note (router->readmissions, zone, orders->position,
+                              jc_now_ms ());
     }
 }
 
@@ -268,7 +265,9 @@
   uint64_t old_version = router->orders->table_version;
   bool first = router->routes == NULL;
 
-  if (orders->position > router->orders->position)
+  if (jc_rpc_conn_level (conn) >= READMISSIONS_LEVEL)
+    jc_readmissions_update (router->readmissions, orders, jc_now_ms ());
+  else if (orders->position > router->orders->position)
     record_readmitted (router, orders);
   if (!jc_orders_update (router->orders, orders))
     return;
--- a/net/rpc.h
+++ b/net/rpc.h
@@ -17,7 +17,7 @@
 {
   /* Raised with each change of the messages (docs/design/upgrades.md).  Builds
      before the first level tell 0.  */
-  JC_RPC_LEVEL = 3
+  JC_RPC_LEVEL = 4
 };
 
 struct jc_rpc;
--- a/schema/gen/messages.h
+++ b/schema/gen/messages.h
@@ -586,6 +586,13 @@
 };
 typedef struct rpc_orders_follow rpc_orders_follow;
 
+struct rpc_readmission {
+	rpc_name zone;
+	u_quad_t position;
+	u_quad_t age_ms;
+};
+typedef struct rpc_readmission rpc_readmission;
+
 struct rpc_orders {
 	u_quad_t position;
 	u_quad_t table_version;
@@ -594,6 +601,10 @@
 		u_int evacuated_len;
 		rpc_name *evacuated_val;
 	} evacuated;
+	struct {
+		u_int readmitted_len;
+		rpc_readmission *readmitted_val;
+	} readmitted;
 };
 typedef struct rpc_orders rpc_orders;
 
@@ -1173,6 +1184,7 @@
 extern  bool_t xdr_rpc_order (XDR *, rpc_order*);
 extern  bool_t xdr_rpc_zone_order (XDR *, rpc_zone_order*);
 extern  bool_t xdr_rpc_orders_follow (XDR *, rpc_orders_follow*);
+extern  bool_t xdr_rpc_readmission (XDR *, rpc_readmission*);
 extern  bool_t xdr_rpc_orders (XDR *, rpc_orders*);
 extern  bool_t xdr_rpc_fleet (XDR *, rpc_fleet*);
 extern  bool_t xdr_rpc_service_room (XDR *, rpc_service_room*);
@@ -1283,6 +1295,7 @@
 extern bool_t xdr_rpc_order ();
 extern bool_t xdr_rpc_zone_order ();
 extern bool_t xdr_rpc_orders_follow ();
+extern bool_t xdr_rpc_readmission ();
 extern bool_t xdr_rpc_orders ();
 extern bool_t xdr_rpc_fleet ();
 extern bool_t xdr_rpc_service_room ();
--- a/schema/gen/messages_xdr.c
+++ b/schema/gen/messages_xdr.c
@@ -1052,6 +1052,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_rpc_readmission (XDR *xdrs, rpc_readmission *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_rpc_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->position))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_rpc_orders (XDR *xdrs, rpc_orders *objp)
 {
@@ -1066,6 +1080,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, 256,
 		sizeof (rpc_name), (xdrproc_t) xdr_rpc_name))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->readmitted.readmitted_val, (u_int *) &objp->readmitted.readmitted_len, 1024,
+		sizeof (rpc_readmission), (xdrproc_t) xdr_rpc_readmission))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/messages.x
+++ b/schema/messages.x
@@ -525,13 +525,24 @@
   bool follow;
 };
 
+/* An availability zone that was readmitted by the entry of the log at position,
+   age_ms ago or longer.  */
+struct rpc_readmission {
+  rpc_name zone;
+  unsigned hyper position;
+  unsigned hyper age_ms;
+};
+
 /* The outcome of all orders up to position in the log.  text is the route
-   table of version, left out where the receiver has that version.  */
+   table of version, left out where the receiver has that version.  readmitted
+   are the zones that were readmitted lately; builds before level 4 don't tell
+   them.  */
 struct rpc_orders {
   unsigned hyper position;
   unsigned hyper table_version;
   rpc_bytes text;
   rpc_name evacuated<256>;
+  rpc_readmission readmitted<1024>;
 };
 
 /* Endpoints as they reported themselves to a state instance: those with news,
--- a/state/coldgrants.c
+++ b/state/coldgrants.c
@@ -20,13 +20,11 @@
 };
 
 /* PROPOSED_MS maps names of endpoints to the time of their last proposal.
-   LAST_EVACUATED is the set of zones that were evacuated when the orders last
-   changed.  READMITTED_ZONES are those that were readmitted since READMIT_TIMER
+   READMITTED_ZONES are those that were readmitted since READMIT_TIMER
    was started.  */
 struct coldgrants
 {
   GHashTable *proposed_ms;
-  GHashTable *last_evacuated;
   GPtrArray *readmitted_zones;
   ev_timer readmit_timer;
 };
@@ -45,21 +43,6 @@
   g_ptr_array_set_size (zones, 0);
 }
 
-/* Return a new set of the names of the zones that are evacuated now.  */
-static GHashTable *
-copy_evacuated_zones (const struct state *state)
-{
-  GHashTable *zones
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  GHashTableIter iter;
-  gpointer zone;
-
-  g_hash_table_iter_init (&iter, state->orders->evacuated_zones);
-  while (g_hash_table_iter_next (&iter, &zone, NULL))
-    g_hash_table_add (zones, g_strdup (zone));
-  return zones;
-}
-
 /* Start the module, without any proposals.  */
 void
 coldgrants_start (struct state *state)
@@ -67,7 +50,6 @@
   state->coldgrants = g_new0 (struct coldgrants, 1);
   state->coldgrants->proposed_ms
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  state->coldgrants->last_evacuated = copy_evacuated_zones (state);
   state->coldgrants->readmitted_zones = g_ptr_array_new_with_free_func (g_free);
   ev_timer_init (&state->coldgrants->readmit_timer, on_readmit_timer, 0, 0);
   state->coldgrants->readmit_timer.data = state;
@@ -82,7 +64,6 @@
   ev_timer_stop (state->loop, &state->coldgrants->readmit_timer);
   g_ptr_array_free (state->coldgrants->readmitted_zones, TRUE);
   g_hash_table_destroy (state->coldgrants->proposed_ms);
-  g_hash_table_destroy (state->coldgrants->last_evacuated);
   g_free (state->coldgrants);
   state->coldgrants = NULL;
 }
@@ -150,6 +131,30 @@
   g_string_free (data, TRUE);
 }
 
+/* Return whether ENDPOINT may be cold: it says so, or its zone was readmitted
+   so lately.  */
+static bool
+may_be_cold (const struct state *state, const struct rpc_endpoint *endpoint)
+{
+  const struct jc_hostservice *service
+      = state->route_table != NULL
+            ? jc_routetable_find_service (state->route_table, endpoint->service)
+            : NULL;
+
+  return endpoint->cold_ms > 0
+         || (service != NULL
+             && jc_now_ms () < jc_readmissions_cold_until_ms (
+                    state->readmissions, endpoint->zone, service->cold_ms));
+}
+
+/* Handle the report ENDPOINT: request a grant if it may be cold.  */
+void
+coldgrants_reported (struct state *state, const struct rpc_endpoint *endpoint)
+{
+  if (may_be_cold (state, endpoint))
+    coldgrants_request (state, endpoint);
+}
+
 static void
 send_grant (struct jc_rpc_conn *conn, const struct rpc_grant *grant)
 {
@@ -195,25 +200,16 @@
   g_ptr_array_free (granted, TRUE);
 }
 
-/* Handle a change of the orders: endpoints of zones that were readmitted may be
-   cold.  This runs while the log applies an entry, so the proposals are made
-   later, from a timer.  */
+/* Handle the readmission of ZONES: their endpoints may be cold.  This runs
+   while the log applies an entry, so the proposals are made later, from a
+   timer.  */
 void
-coldgrants_orders_changed (struct state *state)
+coldgrants_readmit (struct state *state, const GPtrArray *zones)
 {
-  GHashTable *previous;
-  GHashTableIter iter;
-  gpointer zone;
-
-  if (state->coldgrants == NULL)
+  if (state->coldgrants == NULL || zones->len == 0)
     return;
-  previous = state->coldgrants->last_evacuated;
-  state->coldgrants->last_evacuated = copy_evacuated_zones (state);
-  g_hash_table_iter_init (&iter, previous);
-  while (g_hash_table_iter_next (&iter, &zone, NULL))
-    if (!jc_orders_is_evacuated (state->orders, zone))
-      g_ptr_array_add (state->coldgrants->readmitted_zones, g_strdup (zone));
-  if (state->coldgrants->readmitted_zones->len > 0)
-    ev_timer_start (state->loop, &state->coldgrants->readmit_timer);
-  g_hash_table_destroy (previous);
+  for (guint i = 0; i < zones->len; i++)
+    g_ptr_array_add (state->coldgrants->readmitted_zones,
+                     g_strdup (g_ptr_array_index (zones, i)));
+  ev_timer_start (state->loop, &state->coldgrants->readmit_timer);
 }
--- a/state/fleet.c
+++ b/state/fleet.c
@@ -335,8 +335,7 @@
   else
     g_hash_table_add (state->fleet->refreshed_names, g_strdup (row.name));
   note_version (state, &row, report->software, changed);
-  if (row.cold_ms > 0)
-    coldgrants_request (state, &row);
+  coldgrants_reported (state, &row);
   return JC_OK;
 }
 
--- a/state/logentries.c
+++ b/state/logentries.c
@@ -47,15 +47,21 @@
 static void
 update_orders (struct state *state)
 {
+  GPtrArray *readmitted;
+
   if (!log_is_running (state))
     return;
+  readmitted = g_ptr_array_new_with_free_func (g_free);
+  jc_readmissions_follow (state->readmissions, state->orders, jc_now_ms (),
+                          readmitted);
   update_routes (state);
   jc_event (JC_EVENT_IN_FORCE,
             "position=%" PRIu64 " version=%" PRIu64 " evacuated=%u",
             state->orders->position, state->orders->table_version,
             g_hash_table_size (state->orders->evacuated_zones));
   orders_publish (state);
-  coldgrants_orders_changed (state);
+  coldgrants_readmit (state, readmitted);
+  g_ptr_array_free (readmitted, TRUE);
 }
 
 /* Put in force what the log held when it was opened.  */
--- a/state/main.c
+++ b/state/main.c
@@ -172,6 +172,7 @@
   state->confstate = jc_confstate_new ();
   state->config = state->confstate->config;
   state->orders = jc_orders_new ();
+  state->readmissions = jc_readmissions_new ();
   state->grants = jc_grants_new ();
   state->departures = jc_departures_new ();
   state->version_table = jc_versions_new ();
@@ -217,6 +218,7 @@
   if (state->disk != NULL)
     state->disk->klass->free (state->disk);
   jc_orders_free (state->orders);
+  jc_readmissions_free (state->readmissions);
   jc_grants_free (state->grants);
   jc_departures_free (state->departures);
   jc_versions_free (state->version_table);
@@ -227,6 +229,7 @@
   state->rpc = NULL;
   state->disk = NULL;
   state->orders = NULL;
+  state->readmissions = NULL;
   state->grants = NULL;
   state->departures = NULL;
   state->version_table = NULL;
--- a/state/orders.c
+++ b/state/orders.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/event.h"
+#include "net/program.h"
 #include "state/call.h"
 #include "state/state.h"
 
@@ -157,8 +158,10 @@
   struct rpc_orders *message = &packet.body.rpc_body_u.orders;
 
   jc_orders_to_message (state->orders, have_version, message);
+  jc_readmissions_to_message (state->readmissions, jc_now_ms (), message);
   jc_rpc_send (conn, &packet);
   g_free (message->evacuated.evacuated_val);
+  g_free (message->readmitted.readmitted_val);
 }
 
 /* An entry instance that receives each change, and the version of the route
--- a/state/state.h
+++ b/state/state.h
@@ -9,6 +9,7 @@
 #include "base/metrics.h"
 #include "conf/confstate.h"
 #include "conf/orders.h"
+#include "conf/readmissions.h"
 #include "conf/replicas.h"
 #include "conf/rlog.h"
 #include "member/crashes.h"
@@ -47,6 +48,7 @@
   struct jc_metrics *metrics;
   const struct jc_protocol *protocol;
   struct jc_orders *orders;
+  struct jc_readmissions *readmissions;
   struct jc_routetable *route_table;
   GPtrArray *order_subscribers;
   struct group *group;
@@ -219,7 +221,9 @@
                          const struct rpc_endpoint *endpoint);
 void coldgrants_apply (struct state *state, struct jc_str data);
 void coldgrants_send_granted (struct state *state, struct jc_rpc_conn *conn);
-void coldgrants_orders_changed (struct state *state);
+void coldgrants_reported (struct state *state,
+                          const struct rpc_endpoint *endpoint);
+void coldgrants_readmit (struct state *state, const GPtrArray *zones);
 
 /* limits: slots of the limits that endpoints name, leased to entry
    instances.  */
