--- a/conf/rlog.c
+++ b/conf/rlog.c
@@ -259,7 +259,6 @@
   log->peers = g_ptr_array_new_with_free_func (jc_rlog_peer_free);
   log->votes = g_ptr_array_new_with_free_func (g_free);
   log->install_buffer = g_byte_array_new ();
-  log->encoded_snapshot = g_string_new (NULL);
   g_queue_init (&log->proposals);
   g_queue_init (&log->outbox);
   jc_rlog_reload_replicas (log);
@@ -290,7 +289,7 @@
   g_ptr_array_free (log->peers, TRUE);
   g_ptr_array_free (log->votes, TRUE);
   g_byte_array_free (log->install_buffer, TRUE);
-  g_string_free (log->encoded_snapshot, TRUE);
+  jc_rlog_transfer_unref (log->transfer);
   g_free (log->leader);
   g_free (log->name);
   g_free (log);
--- a/conf/rlogentries.c
+++ b/conf/rlogentries.c
@@ -59,6 +59,20 @@
   return slot != NULL ? &slot->entry : NULL;
 }
 
+/* Return the size of the entries from FROM to TO, all of which are here, or one
+   above BYTES_MAX if it is above that.  */
+size_t
+jc_rlogentries_size (const struct jc_rlogentries *entries, uint64_t from,
+                     uint64_t to, size_t bytes_max)
+{
+  size_t bytes = 0;
+
+  for (uint64_t i = from; i <= to && bytes <= bytes_max; i++)
+    bytes += sizeof (struct slot)
+             + jc_rlogentries_get (entries, i)->data.rpc_bytes_len;
+  return bytes;
+}
+
 static bool
 has_data (const struct slot *slot)
 {
--- a/conf/rlogentries.h
+++ b/conf/rlogentries.h
@@ -33,6 +33,8 @@
                            uint64_t base_term);
 void jc_rlogentries_trim (struct jc_rlogentries *entries, uint64_t index,
                           size_t bytes_max);
+size_t jc_rlogentries_size (const struct jc_rlogentries *entries, uint64_t from,
+                            uint64_t to, size_t bytes_max);
 bool jc_rlogentries_is_loaded (const struct jc_rlogentries *entries,
                                uint64_t index);
 uint64_t jc_rlogentries_position (const struct jc_rlogentries *entries,
--- a/conf/rlogflush.c
+++ b/conf/rlogflush.c
@@ -76,7 +76,7 @@
   replicas_at (log, log->applied_index, &replicas);
   status = jc_rlogstore_compact (log->store, log->applied_index, &replicas,
                                  snapshot);
-  g_string_truncate (log->encoded_snapshot, 0);
+  jc_rlog_drop_idle_transfer (log);
   jc_replicas_clear (&replicas);
   return status;
 }
--- a/conf/rlogleader.c
+++ b/conf/rlogleader.c
@@ -15,9 +15,7 @@
   /* Entries in flight to a replica beyond its last acknowledged one.  */
   UNACKED_ENTRIES_MAX = 4096,
   /* A replica is promoted only if it answered within so many heartbeats.  */
-  PROMOTE_ACK_HEARTBEATS = 3,
-  /* An unanswered chunk is sent again after so many heartbeats.  */
-  CHUNK_RESEND_HEARTBEATS = 4
+  PROMOTE_ACK_HEARTBEATS = 3
 };
 
 void
@@ -25,6 +23,7 @@
 {
   struct jc_rlog_peer *peer = data;
 
+  jc_rlog_transfer_unref (peer->transfer);
   g_free (peer->name);
   g_free (peer);
 }
@@ -98,43 +97,6 @@
     ((struct jc_rlog_peer *)g_ptr_array_index (log->peers, i))->send_due = true;
 }
 
-/* Send the next chunk of the snapshot to PEER unless one is awaiting its
-   reply.  */
-static void
-send_snapshot_chunk (struct jc_rlog *log, struct jc_rlog_peer *peer)
-{
-  const struct jc_rlogstore *store = log->store;
-  struct rpc_body body = { .type = RPC_INSTALL };
-  struct rpc_install *install = &body.rpc_body_u.install;
-  size_t left;
-
-  if (peer->install_index == store->snapshot_index
-      && log->now_ms < peer->chunk_resend_ms)
-    return;
-  peer->chunk_resend_ms
-      = log->now_ms + CHUNK_RESEND_HEARTBEATS * log->options.heartbeat_ms;
-  if (log->encoded_snapshot->len == 0)
-    jc_rlogstore_encode_snapshot (store, log->encoded_snapshot);
-  if (peer->install_index != store->snapshot_index)
-    {
-      peer->install_index = store->snapshot_index;
-      peer->install_offset = 0;
-    }
-  left = log->encoded_snapshot->len - peer->install_offset;
-  install->term = store->term;
-  install->last_index = store->snapshot_index;
-  install->last_term = store->snapshot_term;
-  install->offset = peer->install_offset;
-  install->done = left <= log->options.snapshot_chunk_bytes;
-  install->data.rpc_bytes_val
-      = log->encoded_snapshot->str + peer->install_offset;
-  install->data.rpc_bytes_len
-      = (u_int)MIN (left, log->options.snapshot_chunk_bytes);
-  install->log_id = store->log_id;
-  install->round = ++log->last_round;
-  log->klass->send (log->ctx, peer->name, &body);
-}
-
 /* Copy the next entries for PEER into BATCH, which has room for
    BATCH_ENTRIES_MAX.  Return their number; a peer that has not answered yet
    gets none.  */
@@ -183,6 +145,22 @@
   log->klass->send (log->ctx, peer->name, &body);
 }
 
+/* Return whether PEER needs the snapshot: it is being sent one, entries that it
+   lacks are not in memory any more, or they take more than the snapshot.  */
+static bool
+needs_snapshot (const struct jc_rlog *log, const struct jc_rlog_peer *peer)
+{
+  const struct jc_rlogstore *store = log->store;
+
+  if (peer->transfer != NULL
+      || peer->next_index <= jc_rlogstore_base_index (store))
+    return true;
+  return peer->next_index <= store->snapshot_index
+         && jc_rlogentries_size (&store->entries, peer->next_index,
+                                 store->snapshot_index, store->snapshot->len)
+                > store->snapshot->len;
+}
+
 /* Send to each replica for which a message is due.  Return whether there was
    one.  */
 bool
@@ -198,8 +176,8 @@
         continue;
       peer->send_due = false;
       sent = true;
-      if (peer->next_index <= jc_rlogstore_base_index (log->store))
-        send_snapshot_chunk (log, peer);
+      if (needs_snapshot (log, peer))
+        jc_rlog_send_snapshot_chunk (log, peer);
       else
         send_entries (log, peer);
     }
@@ -373,7 +351,7 @@
   peer->incarnation = incarnation;
   peer->incarnation_round = log->last_round;
   peer->match_index = 0;
-  peer->install_index = 0;
+  jc_rlog_end_transfer (log, peer);
   return true;
 }
 
@@ -435,14 +413,17 @@
 
   if (peer == NULL)
     return;
-  peer->chunk_resend_ms = 0;
+  if (peer->transfer != NULL && reply->last_index == peer->transfer->index)
+    peer->chunk_resend_ms = 0;
   if (reply->offset == INSTALL_COMPLETE_OFFSET)
     {
       peer->match_index = MAX (peer->match_index, reply->last_index);
       peer->next_index = MAX (peer->next_index, peer->match_index + 1);
+      if (peer->transfer != NULL && peer->match_index >= peer->transfer->index)
+        jc_rlog_end_transfer (log, peer);
     }
-  else if (reply->last_index != peer->install_index
-           || reply->offset > log->encoded_snapshot->len)
+  else if (peer->transfer == NULL || reply->last_index != peer->transfer->index
+           || reply->offset > peer->transfer->bytes->len)
     return;
   else
     peer->install_offset = reply->offset;
--- a/conf/rlogprivate.h
+++ b/conf/rlogprivate.h
@@ -6,6 +6,7 @@
 
 #include "conf/rlog.h"
 #include "conf/rlogstore.h"
+#include "conf/rlogtransfer.h"
 #include "conf/replicas.h"
 
 /* Offset in an install reply of a follower that has the whole snapshot.  */
@@ -15,10 +16,10 @@
    the disk that answered last, 0 before the first answer; only replies to
    rounds after INCARNATION_ROUND may change it.  Rejections of rounds up to
    REJECTED_ROUND have been handled already.  NEXT_INDEX is the next entry to
-   send, MATCH_INDEX the last entry known to be durable there.  INSTALL_INDEX
-   and INSTALL_OFFSET are the snapshot being sent and the offset of its next
-   chunk, which is not sent again before CHUNK_RESEND_MS.  SEND_DUE requests a
-   message at the next flush.  */
+   send, MATCH_INDEX the last entry known to be durable there.  TRANSFER
+   and INSTALL_OFFSET are the snapshot being sent, NULL if there is none, and
+   the offset of its next chunk, which is not sent again before CHUNK_RESEND_MS.
+   SEND_DUE requests a message at the next flush.  */
 struct jc_rlog_peer
 {
   char *name;
@@ -26,7 +27,7 @@
   uint64_t incarnation_round;
   uint64_t next_index;
   uint64_t match_index;
-  uint64_t install_index;
+  struct jc_rlog_transfer *transfer;
   uint64_t install_offset;
   uint64_t rejected_round;
   int64_t chunk_resend_ms;
@@ -77,8 +78,8 @@
   GByteArray *install_buffer;
   uint64_t install_index;
   uint64_t install_term;
-  /* The snapshot as sent to followers; empty until it is needed.  */
-  GString *encoded_snapshot;
+  /* The transfer that was begun last, or NULL.  */
+  struct jc_rlog_transfer *transfer;
   bool flushing;
 };
 
@@ -125,6 +126,12 @@
 void jc_rlog_handle_install_reply (struct jc_rlog *log, const char *from,
                                    const struct rpc_install_reply *reply);
 
+/* Transfer of snapshots.  */
+void jc_rlog_drop_idle_transfer (struct jc_rlog *log);
+void jc_rlog_end_transfer (struct jc_rlog *log, struct jc_rlog_peer *peer);
+void jc_rlog_send_snapshot_chunk (struct jc_rlog *log,
+                                  struct jc_rlog_peer *peer);
+
 /* Follower.  */
 void jc_rlog_handle_append (struct jc_rlog *log, const char *from,
                             const struct rpc_append *append);
