--- a/state/logentries.c
+++ b/state/logentries.c
@@ -41,15 +41,15 @@
   g_ptr_array_free (faults, TRUE);
 }
 
-/* Put in force the orders that result from the applied entries, and send them
-   to entry instances.  While the log is being opened this is left to
-   logentries_opened: only the last of the stored orders counts.  */
+/* Put in force the orders that result from the applied entries, if there are
+   any, and send them to entry instances.  While the log is being opened this is
+   left to logentries_opened: only the last of the stored orders counts.  */
 static void
 update_orders (struct state *state)
 {
   GPtrArray *readmitted;
 
-  if (!log_is_running (state))
+  if (!log_is_running (state) || state->orders->position == 0)
     return;
   readmitted = g_ptr_array_new_with_free_func (g_free);
   jc_readmissions_follow (state->readmissions, state->orders, jc_now_ms (),
