--- a/base/disk.c
+++ b/base/disk.c
@@ -83,20 +83,38 @@
   return JC_OK;
 }
 
+/* Open the file NAME to read it.  Return its descriptor, or -1 and set STATUS:
+   JC_NOT_FOUND if there is no such file.  */
+static int
+folder_open_to_read (const struct folder_disk *folder, const char *name,
+                     enum jc_status *status)
+{
+  int fd = openat (folder->folder_fd, name, O_RDONLY | O_CLOEXEC);
+
+  *status = JC_OK;
+  if (fd < 0 && errno == ENOENT)
+    *status = jc_fail (JC_NOT_FOUND, "There is no file %s.", name);
+  else if (fd < 0)
+    *status = storage_failed ("open", name);
+  return fd;
+}
+
 static enum jc_status
 folder_size (struct jc_disk *disk, const char *name, uint64_t *bytes)
 {
-  const struct folder_disk *folder = (const struct folder_disk *)disk;
-  struct stat info;
-
-  if (fstatat (folder->folder_fd, name, &info, 0) == 0)
-    {
-      *bytes = (uint64_t)info.st_size;
-      return JC_OK;
-    }
-  if (errno == ENOENT)
-    return jc_fail (JC_NOT_FOUND, "There is no file %s.", name);
-  return storage_failed ("find", name);
+  enum jc_status status;
+  int fd = folder_open_to_read ((struct folder_disk *)disk, name, &status);
+  off_t end;
+
+  if (status != JC_OK)
+    return status;
+  end = lseek (fd, 0, SEEK_END);
+  if (end < 0)
+    status = storage_failed ("read", name);
+  else
+    *bytes = (uint64_t)end;
+  close (fd);
+  return status;
 }
 
 /* Append up to LEN bytes of FD from OFFSET on to OUT.  Return false and set
@@ -106,16 +124,17 @@
 {
   unsigned char buf[READ_BUFFER_BYTES];
 
+  if (lseek (fd, (off_t)offset, SEEK_SET) < 0)
+    return false;
   while (len > 0)
     {
-      ssize_t got = pread (fd, buf, MIN (len, sizeof buf), (off_t)offset);
+      ssize_t got = read (fd, buf, MIN (len, sizeof buf));
 
       if (got < 0 && errno == EINTR)
         continue;
       if (got <= 0)
         return got == 0;
       g_byte_array_append (out, buf, (guint)got);
-      offset += (uint64_t)got;
       len -= (size_t)got;
     }
   return true;
@@ -125,12 +144,11 @@
 folder_read (struct jc_disk *disk, const char *name, uint64_t offset,
              size_t len, GByteArray *out)
 {
-  const struct folder_disk *folder = (const struct folder_disk *)disk;
-  int fd = openat (folder->folder_fd, name, O_RDONLY | O_CLOEXEC);
-  enum jc_status status = JC_OK;
+  enum jc_status status;
+  int fd = folder_open_to_read ((struct folder_disk *)disk, name, &status);
 
-  if (fd < 0)
-    return storage_failed ("open", name);
+  if (status != JC_OK)
+    return status;
   if (!read_up_to (fd, offset, len, out))
     status = storage_failed ("read", name);
   close (fd);
