--- a/net/program.c
+++ b/net/program.c
@@ -4,7 +4,8 @@
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
-#include <sys/resource.h>
+#include <stdlib.h>
+#include <string.h>
 #include <time.h>
 
 #include "base/build.h"
@@ -14,7 +15,8 @@
 {
   MS_PER_S = 1000,
   NS_PER_MS = 1000000,
-  BYTES_PER_KB = 1024
+  BYTES_PER_KB = 1024,
+  STATUS_LINE_BYTES = 256
 };
 
 static char *settings_file;
@@ -44,16 +46,24 @@
   return g_get_monotonic_time ();
 }
 
-/* Return the most memory in bytes that this process has had resident so far, 0
-   if the system does not tell.  */
+/* Return the most memory in bytes that this process has had resident since it
+   was started, 0 if the system does not tell.  The figure of getrusage begins
+   with that of the process which started this one.  */
 uint64_t
 jc_peak_memory_bytes (void)
 {
-  struct rusage usage;
+  static const char field[] = "VmHWM:";
+  FILE *file = fopen ("/proc/self/status", "r");
+  char line[STATUS_LINE_BYTES];
+  uint64_t peak_kb = 0;
 
-  if (getrusage (RUSAGE_SELF, &usage) != 0)
+  if (file == NULL)
     return 0;
-  return (uint64_t)usage.ru_maxrss * BYTES_PER_KB;
+  while (peak_kb == 0 && fgets (line, sizeof line, file) != NULL)
+    if (strncmp (line, field, sizeof field - 1) == 0)
+      peak_kb = strtoull (line + sizeof field - 1, NULL, 10);
+  fclose (file);
+  return peak_kb * BYTES_PER_KB;
 }
 
 /* Return the time in ms of a clock that, unlike jc_now_ms, goes on while the
