review: the core doesn't start again after a power loss that keeps a later write

After a power loss that leaves out one write since the last sync and keeps a later one, as the users' page allows, a state instance takes its log for damaged and ends at each start. Where two of three do, the acknowledged desired state can't be read back any more, though everything that was synced is there. The case of the moved route becomes review/12.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,7 +1,11 @@
 #!/bin/sh
-# The stand-ins of review/11 and later are scripts in review/lib-3 and the cases' folders; nothing is compiled.
+# Builds what the cases of review/11 and later start: the scripts need nothing, review/12 one small program.
 set -eu
 cd "$(dirname "$0")"
+mkdir -p ../build/review-3
+for source in 1[1-5]/*.c; do
+  [ ! -e "$source" ] || ${CC:-gcc} -std=gnu11 -O2 -Wall -Wextra -o "../build/review-3/$(basename "$source" .c)" "$source"
+done
 for script in lib-3/*.py 1[1-5]/*.py; do
   [ ! -e "$script" ] || python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$script"
 done
