--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds what the cases of review/11 and later start: the scripts need nothing, review/12 one small program.
+# Builds what the cases of review/11 and later start: review/11 needs one small program; all else is Python.
 set -eu
 cd "$(dirname "$0")"
 mkdir -p ../build/review-3
